--- /dev/null
+++ b/citrondyke/backend/client.py
@@ -0,0 +1,257 @@
+"""Carries out one request to one backend server and sorts how it ended."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Generator, Iterator
+from typing import TYPE_CHECKING
+
+import msgspec
+from urllib3.exceptions import HTTPError
+
+from citrondyke.backend.request_body import engine_body
+from citrondyke.backend.sse import DONE_FRAME, FrameSplitter, frame_data
+from citrondyke.decisions.core.ops import ServerLoad
+from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from urllib3.connection import HTTPConnection
+    from urllib3.response import HTTPResponse
+
+    from citrondyke.backend.connections import Connections
+    from citrondyke.decisions.core.server_call import ServerCall
+    from citrondyke.ids import ServerId
+    from citrondyke.util.clock import Clock
+
+__all__ = ('BackendClient',)
+
+CONNECT_TIMEOUT_MS = 1000.0
+READ_BYTES = 65_536
+REFUSED_STATUSES = frozenset({429, 503})
+EVENT_STREAM = 'text/event-stream'
+DROPPED_HEADERS = frozenset(
+    {'connection', 'content-length', 'host', 'transfer-encoding', 'authorization', 'expect'}
+)
+
+
+class BackendClient:
+    """Sends requests over kept connections; never sends one twice by itself."""
+
+    def __init__(
+        self,
+        connections: Connections,
+        clock: Clock,
+        address_of: Callable[[ServerId], tuple[str, int] | None],
+        answer_limit_bytes: int,
+    ) -> None:
+        """Use the connections handed in.
+
+        :param address_of: gives a server's address, ``None`` when it is not listed.
+        :param answer_limit_bytes: longest answer that is kept in memory.
+        """
+        self._connections = connections
+        self._clock = clock
+        self._address_of = address_of
+        self._answer_limit_bytes = answer_limit_bytes
+
+    def call(self, call: ServerCall) -> ServerReply:
+        """Carry out a request and keep its whole answer."""
+        frames: list[bytes] = []
+        attempt = self.stream(call)
+        while True:
+            try:
+                frames.append(frame_data(next(attempt)))
+            except StopIteration as stop:
+                reply: ServerReply = stop.value
+                return msgspec.structs.replace(reply, frames=tuple(frames))
+
+    def stream(self, call: ServerCall) -> Generator[bytes, None, ServerReply]:
+        """Carry out a request and give out the frames of a streamed answer as they come.
+
+        A plain answer comes with the reply. Closing the generator cuts the request.
+        """
+        address = self._address_of(call.server_id)
+        if address is None:
+            return ServerReply(kind=ReplyKind.UNREACHABLE)
+        attempt = _Attempt(self._clock, call, self._connections.take(call.server_id, *address))
+        call.cancel.subscribe(attempt.cut)
+        is_whole = False
+        try:
+            reply = attempt.send()
+            if reply is None:
+                reply = yield from attempt.read(self._answer_limit_bytes)
+            is_whole = reply.kind in (ReplyKind.COMPLETE, ReplyKind.REFUSED)
+            return reply
+        finally:
+            call.cancel.unsubscribe(attempt.cut)
+            if is_whole and attempt.is_reusable:
+                self._connections.give_back(call.server_id, attempt.connection)
+            else:
+                attempt.connection.close()
+
+    def poll_load(self, server_id: ServerId, until_ms: float) -> ServerLoad | None:
+        """Ask a server for its load."""
+        address = self._address_of(server_id)
+        if address is None:
+            return None
+        connection = self._connections.take(server_id, *address)
+        connection.timeout = max(0.01, (until_ms - self._clock.now_ms()) / 1e3)
+        try:
+            connection.request('GET', '/load')
+            response = connection.getresponse()
+            load = msgspec.json.decode(response.data, type=ServerLoad)
+        except (HTTPError, OSError, msgspec.DecodeError):
+            connection.close()
+            return None
+        self._connections.give_back(server_id, connection)
+        return load
+
+
+class _Attempt:
+    """One request on one connection."""
+
+    def __init__(self, clock: Clock, call: ServerCall, connection: HTTPConnection) -> None:
+        self.connection = connection
+        self.is_reusable = False
+        self._clock = clock
+        self._call = call
+        self._began_ms = clock.now_ms()
+        self._first_ms: float | None = None
+        self._frames_count = 0
+
+    def cut(self) -> None:
+        """Wake whoever reads, with the end of the connection."""
+        sock = self.connection.sock
+        if sock is None:
+            return
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def send(self) -> ServerReply | None:
+        """Open the connection and send; give a reply only where that fails."""
+        if self._call.cancel.is_fired:
+            return ServerReply(kind=ReplyKind.CANCELLED)
+        if self.connection.sock is None:
+            self.connection.timeout = min(CONNECT_TIMEOUT_MS / 1e3, self._left_s())
+            try:
+                self.connection.connect()
+            except (HTTPError, OSError):
+                # No byte of the request left this process.
+                return ServerReply(kind=ReplyKind.UNREACHABLE)
+        try:
+            self._set_timeout()
+            self.connection.request(
+                self._call.method,
+                self._call.path,
+                body=engine_body(self._call),
+                headers=self._headers(),
+                preload_content=False,
+                decode_content=False,
+            )
+        except (HTTPError, OSError):
+            # A kept connection can be closed at the other end while bytes are on the way: the
+            # server may have all of them, so this is not "not run".
+            return self._failed()
+        return None
+
+    def read(self, limit_bytes: int) -> Generator[bytes, None, ServerReply]:
+        """Read the answer."""
+        try:
+            response = self.connection.getresponse()
+            status = response.status
+            content_type = response.headers.get('Content-Type', '')
+            if self._call.refuses_by_status and status in REFUSED_STATUSES:
+                return self._refused(response)
+            if self._call.is_streamed and content_type.startswith(EVENT_STREAM):
+                return (yield from self._read_frames(response, content_type))
+            return self._read_whole(response, content_type, limit_bytes)
+        except (HTTPError, OSError):
+            return self._failed()
+
+    def _read_frames(
+        self, response: HTTPResponse, content_type: str
+    ) -> Generator[bytes, None, ServerReply]:
+        splitter = FrameSplitter()
+        on_frame = self._call.on_frame
+        is_done = False
+        for data in self._chunks(response):
+            for frame in splitter.feed(data):
+                if frame == DONE_FRAME:
+                    is_done = True
+                    continue
+                now_ms = self._clock.now_ms()
+                if self._first_ms is None:
+                    self._first_ms = now_ms - self._began_ms
+                if on_frame is not None:
+                    on_frame(now_ms)
+                self._frames_count += 1
+                yield frame
+        if not is_done:
+            # A clean end without the closing mark is a cut all the same.
+            return self._failed()
+        self.is_reusable = _is_kept(response)
+        return self._reply(ReplyKind.COMPLETE, response.status, content_type)
+
+    def _chunks(self, response: HTTPResponse) -> Iterator[bytes]:
+        for data in response.stream(READ_BYTES):
+            yield data
+            self._set_timeout()
+
+    def _read_whole(
+        self, response: HTTPResponse, content_type: str, limit_bytes: int
+    ) -> ServerReply:
+        body = response.read(limit_bytes)
+        if len(body) >= limit_bytes:
+            return self._failed()
+        self._first_ms = self._clock.now_ms() - self._began_ms
+        self.is_reusable = _is_kept(response)
+        return self._reply(ReplyKind.COMPLETE, response.status, content_type, body)
+
+    def _refused(self, response: HTTPResponse) -> ServerReply:
+        retry_after = response.headers.get('Retry-After', '')
+        response.read()
+        self.is_reusable = _is_kept(response)
+        retry_in_ms = float(retry_after) * 1e3 if retry_after.isdigit() else None
+        return ServerReply(kind=ReplyKind.REFUSED, status=response.status, retry_in_ms=retry_in_ms)
+
+    def _failed(self) -> ServerReply:
+        if self._call.cancel.is_fired:
+            return self._reply(ReplyKind.CANCELLED)
+        if self._clock.now_ms() >= self._call.deadline_ms:
+            return self._reply(ReplyKind.LATE)
+        return self._reply(ReplyKind.CUT)
+
+    def _reply(
+        self, kind: ReplyKind, status: int = 0, content_type: str = '', body: bytes = b''
+    ) -> ServerReply:
+        return ServerReply(
+            kind=kind,
+            status=status,
+            content_type=content_type,
+            body=body,
+            frames_count=self._frames_count,
+            first_frame_ms=self._first_ms,
+        )
+
+    def _headers(self) -> dict[str, str]:
+        headers = {
+            name: value for name, value in self._call.headers if name.lower() not in DROPPED_HEADERS
+        }
+        headers.setdefault('Content-Type', 'application/json')
+        headers['X-Request-Id'] = self._call.request_id
+        return headers
+
+    def _left_s(self) -> float:
+        return max(0.001, (self._call.deadline_ms - self._clock.now_ms()) / 1e3)
+
+    def _set_timeout(self) -> None:
+        if self.connection.sock is not None:
+            self.connection.sock.settimeout(self._left_s())
+
+
+def _is_kept(response: HTTPResponse) -> bool:
+    return response.headers.get('Connection', '').lower() != 'close'
--- /dev/null
+++ b/citrondyke/backend/request_body.py
@@ -0,0 +1,23 @@
+"""Adapts a request's body to what is asked of the engine."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.server_call import ServerCall
+
+__all__ = ('engine_body',)
+
+
+def engine_body(call: ServerCall) -> bytes:
+    """Ask for a stream, and for a resumed one to go on behind the frames that are there."""
+    if not call.is_streamed:
+        return call.body
+    fields = msgspec.json.decode(call.body, type=dict[str, msgspec.Raw])
+    fields['stream'] = msgspec.Raw(b'true')
+    if call.resume_from_frame:
+        fields['resume_from_token'] = msgspec.Raw(str(call.resume_from_frame).encode())
+    return msgspec.json.encode(fields)
--- /dev/null
+++ b/citrondyke/cmd/__init__.py
@@ -0,0 +1,3 @@
+"""The programs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/citrondyke/cmd/citrondyked.py
@@ -0,0 +1,80 @@
+"""The daemon."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import gevent
+import logbook
+from cyclopts import App, Parameter
+
+from citrondyke.cmd import patch  # noqa: F401  (first: it patches the standard library)
+from citrondyke.daemon import Daemon
+from citrondyke.errors import SettingsInvalidError
+from citrondyke.settings import DaemonSettings, load_settings
+from citrondyke.util.json_log import JsonLinesHandler
+
+__all__ = ('app', 'main')
+
+app = App(name='citrondyked', help='Serve online and batch inference on one fleet.')
+
+EXIT_SETTINGS = 2
+EXIT_FAILED = 1
+
+
+@app.default
+def serve(
+    *,
+    settings: Annotated[Path | None, Parameter(help='TOML file; see the settings page')] = None,
+    check_settings: Annotated[bool, Parameter(help='check the file and end', negative='')] = False,
+    embedded: Annotated[
+        bool,
+        Parameter(help='run with stand-ins of the platform and two engines inside', negative=''),
+    ] = False,
+    port: Annotated[int, Parameter(help='port of the embedded instance')] = 8080,
+) -> int:
+    """Run one instance until SIGTERM."""
+    if embedded:
+        from citrondyke.cmd.embedded import serve_embedded
+
+        return serve_embedded(port)
+    if settings is None:
+        print('citrondyked: --settings FILE or --embedded is needed', file=sys.stderr)
+        return EXIT_SETTINGS
+    try:
+        loaded = load_settings(settings)
+    except SettingsInvalidError as error:
+        print(f'citrondyked: {error.message}', file=sys.stderr)
+        return EXIT_SETTINGS
+    if check_settings:
+        print(f'{settings}: in order')
+        return 0
+    return run_daemon(loaded)
+
+
+def run_daemon(settings: DaemonSettings) -> int:
+    """Run an instance until SIGTERM or SIGINT."""
+    handler = JsonLinesHandler(
+        settings.logs.level,
+        {'instance': settings.instance.id, 'zone': settings.instance.zone},
+    )
+    with handler.applicationbound():
+        daemon = Daemon(settings)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, daemon.request_stop)
+        daemon.start()
+        is_planned = daemon.run_until_stopped()
+    return 0 if is_planned else EXIT_FAILED
+
+
+def main() -> None:
+    """Run the program."""
+    with logbook.NullHandler():
+        sys.exit(app())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/citrondyke/daemon.py
@@ -0,0 +1,164 @@
+"""One instance as a process: decisions, driver and doors put together."""
+
+from __future__ import annotations
+
+import random
+import socket
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import logbook
+from gevent.event import Event
+
+from citrondyke.backend.client import BackendClient
+from citrondyke.backend.connections import Connections
+from citrondyke.decisions.core.context import Context
+from citrondyke.decisions.instance import Instance
+from citrondyke.driver.gevent_driver import GeventDriver
+from citrondyke.entry.app import entry_app
+from citrondyke.entry.front import Front
+from citrondyke.entry.server import entry_server
+from citrondyke.ids import AvailabilityZone, InstanceId, ServerId
+from citrondyke.operator.measures import Measures
+from citrondyke.operator.statsd_reporter import StatsdReporter
+from citrondyke.peer.codec import PeerCodec
+from citrondyke.peer.node import PeerNode
+from citrondyke.platform.http_fleet_lists import http_fleet_lists
+from citrondyke.platform.http_object_store import http_object_store
+from citrondyke.platform.http_table_service import http_table_service
+from citrondyke.util.clock import SystemClock
+
+if TYPE_CHECKING:
+    from citrondyke.settings.model import DaemonSettings
+
+__all__ = ('Daemon',)
+
+log = logbook.Logger(__name__)
+
+#: Pause between two looks whether the last calls are answered.
+DRAIN_LOOK_S = 0.05
+
+
+class Daemon:
+    """Runs one instance until it is told to stop."""
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        """Put the parts together; nothing listens before ``start``."""
+        self._settings = settings
+        self._clock = SystemClock()
+        own = settings.instance
+        context = Context(
+            InstanceId(own.id), AvailabilityZone(own.zone), self._clock, random.Random()
+        )
+        self.instance = Instance(context, settings.decisions)
+        self._peers = PeerNode(
+            PeerCodec(key.encode() for key in settings.peers.keys), own.ip, own.peer_port
+        )
+        self._measures = Measures(settings.limits.tenant_histograms)
+        self._driver = self._new_driver()
+        self._front = Front(settings, self.instance, self._driver, self._measures, self._clock)
+        self._server = entry_server(
+            own.ip,
+            own.http_port,
+            entry_app(self._front),
+            settings.limits.connections,
+            _tls_arguments(settings),
+        )
+        self._stopping = Event()
+        self._has_failed = False
+
+    def start(self) -> None:
+        """Listen and begin everything that the instance does by itself."""
+        self._peers.start(self.instance)
+        self._server.start()
+        self._driver.spawn(self.instance.run())
+        StatsdReporter(self._settings.statsd, self._measures, self._gauges).start()
+        log.info('listening', extra={'port': self._settings.instance.http_port})
+
+    def request_stop(self) -> None:
+        """Begin a planned stop; ``run_until_stopped`` returns at its end."""
+        self._stopping.set()
+
+    def run_until_stopped(self) -> bool:
+        """Serve until a planned stop is asked for, then stop without cutting a call off.
+
+        :returns: whether it was a planned stop.
+        """
+        self._stopping.wait()
+        if self._has_failed:
+            return False
+        self._leave()
+        return True
+
+    def _fail(self) -> None:
+        self._has_failed = True
+        self._stopping.set()
+
+    def _leave(self) -> None:
+        """Leave in the order in which nobody is cut off.
+
+        The health check says so first and peers hear of it; calls that the balancer still sends
+        are served; then running calls and batch items finish; the lease goes back last, so that
+        nobody takes this instance's work over before it is down.
+        """
+        stop = self._settings.stop
+        log.info('leaving')
+        finish_ms = self._clock.now_ms() + stop.balancer_delay_ms + stop.finish_within_ms
+        leaving = self._driver.spawn(self.instance.leave(finish_ms))
+        gevent.sleep(stop.balancer_delay_ms / 1e3)
+        self._server.close()
+        while self._front.open_calls and self._clock.now_ms() < finish_ms:
+            gevent.sleep(DRAIN_LOOK_S)
+        leaving.join(max(0.0, (finish_ms - self._clock.now_ms()) / 1e3) + 1.0)
+        self._server.stop(timeout=1)
+        self._peers.stop()
+        log.info('stopped')
+
+    def _new_driver(self) -> GeventDriver:
+        platform = self._settings.platform
+        limits = self._settings.limits
+        backend = BackendClient(
+            Connections(limits.idle_connections),
+            self._clock,
+            self._address_of,
+            limits.answer_bytes,
+        )
+        return GeventDriver(
+            self._clock,
+            http_table_service(platform.table_url, platform.timeout_ms),
+            http_object_store(platform.objects_url, platform.timeout_ms),
+            http_fleet_lists(platform.lists_url, platform.timeout_ms),
+            backend,
+            self._peers,
+            self._fail,
+        )
+
+    def _address_of(self, server_id: ServerId) -> tuple[str, int] | None:
+        view = self.instance.fleet.view(server_id)
+        return None if view is None else (view.listed.ip, view.listed.port)
+
+    def _gauges(self) -> dict[str, float]:
+        return {
+            'open_calls': self._front.open_calls,
+            'open_connections': self._server.open_connections,
+            'refused_connections': self._server.refused_connections,
+            'held_segments': self.instance.worker.held_count,
+            'config_version': self.instance.keeper.current.version,
+            'peer_bytes_sent': self._peers.traffic.sent_bytes,
+            'peer_bytes_received': self._peers.traffic.received_bytes,
+            'peer_rejected': self._peers.traffic.rejected_count,
+        }
+
+
+def _tls_arguments(settings: DaemonSettings) -> dict[str, Any]:
+    if not settings.tls.certificate_file:
+        return {}
+    return {'certfile': settings.tls.certificate_file, 'keyfile': settings.tls.key_file}
+
+
+def free_port() -> int:
+    """Find a port on loopback that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        port: int = sock.getsockname()[1]
+        return port
--- /dev/null
+++ b/citrondyke/decisions/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""What operators set: classes, tenants, services, operators; versioned and never going back."""
+
+from __future__ import annotations
--- /dev/null
+++ b/citrondyke/decisions/configuration/change.py
@@ -0,0 +1,37 @@
+"""One accepted change of the configuration."""
+
+from __future__ import annotations
+
+import msgspec
+
+from citrondyke.decisions.configuration.entries import ConfigEntry
+from citrondyke.ids import ConfigVersion, RowKey
+
+__all__ = ('LOG_PREFIX', 'ConfigChange', 'EntryEdit', 'log_row_key')
+
+LOG_PREFIX = 'config/log/'
+
+
+class EntryEdit(msgspec.Struct, frozen=True):
+    """One entry as it was and as it is to be; ``None`` where there is none."""
+
+    name: str
+    before: ConfigEntry | None
+    after: ConfigEntry | None
+
+
+class ConfigChange(msgspec.Struct, frozen=True, kw_only=True):
+    """The step from one version to the next; the value of its row in the log."""
+
+    #: The version that this change makes.
+    version: ConfigVersion
+    edits: tuple[EntryEdit, ...]
+    #: The operator who made it.
+    who: str
+    #: Wall clock of the instance that accepted it; for people only.
+    accepted_at_epoch_ms: float
+
+
+def log_row_key(version: ConfigVersion) -> RowKey:
+    """Give the key of a version's row; the keys sort as the versions do."""
+    return RowKey(f'{LOG_PREFIX}{version:012d}')
--- /dev/null
+++ b/citrondyke/decisions/configuration/keeper.py
@@ -0,0 +1,262 @@
+"""Keeps one instance's configuration in step with the log in the table service."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, TypeAlias
+
+import msgspec
+
+from citrondyke.decisions.configuration.change import (
+    LOG_PREFIX,
+    ConfigChange,
+    EntryEdit,
+    log_row_key,
+)
+from citrondyke.decisions.configuration.configuration import ConfigSnapshot, Configuration
+from citrondyke.decisions.configuration.entries import TenantEntry, entry_name
+from citrondyke.decisions.configuration.proposal import (
+    ConfigConflict,
+    ConfigProposal,
+    ConfigRefusal,
+)
+from citrondyke.decisions.core.commit import CommitDoubt, commit, transaction
+from citrondyke.decisions.core.ops import (
+    get_object,
+    put_object,
+    read_rows,
+    scan_rows,
+    sleep_until,
+)
+from citrondyke.decisions.core.signal import Signal
+from citrondyke.ids import ConfigVersion, ObjectKey, RowKey
+from citrondyke.platform.failure import PlatformFailure
+from citrondyke.platform.table_service import Conflict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.core.ops import Workflow
+    from citrondyke.platform.table_service import Row
+
+__all__ = ('ConfigKeeper', 'ProposalResult', 'SnapshotRow')
+
+SNAPSHOT_ROW = RowKey('config/snapshot')
+#: Changes between two snapshots; what a starting instance reads beside the snapshot.
+SNAPSHOT_EVERY = 200
+#: Changes kept in memory for peers that ask.
+RECENT_CHANGES = 256
+SCAN_LIMIT = 500
+#: Time that a proposal may take before the operator is told that its fate is open.
+PROPOSAL_LIMIT_MS = 5000.0
+
+ProposalResult: TypeAlias = ConfigChange | ConfigConflict | ConfigRefusal | CommitDoubt
+
+
+class SnapshotRow(msgspec.Struct, frozen=True):
+    """Where the newest snapshot lies."""
+
+    version: ConfigVersion
+    object_key: ObjectKey
+
+
+class ConfigKeeper:
+    """The configuration in force here, and how it follows what was accepted."""
+
+    def __init__(self, context: Context, poll_every_ms: float) -> None:
+        """Start empty; nothing is served before ``is_loaded``.
+
+        :param poll_every_ms: pause between two looks at the log.
+        """
+        self.current = Configuration()
+        self.is_loaded = False
+        #: Fires at the next change; a new one takes its place then.
+        self.changed: Signal[None] = Signal()
+        self._context = context
+        self._poll_every_ms = poll_every_ms
+        self._recent: deque[ConfigChange] = deque(maxlen=RECENT_CHANGES)
+        self._early: dict[ConfigVersion, ConfigChange] = {}
+
+    def offer(self, changes: Iterable[ConfigChange]) -> bool:
+        """Take changes from wherever they come; tell whether any was new.
+
+        A change that is ahead of its predecessor waits for it.
+        """
+        for change in changes:
+            if change.version > self.current.version and len(self._early) < RECENT_CHANGES:
+                self._early[change.version] = change
+        applied = False
+        while True:
+            following = self._early.pop(ConfigVersion(self.current.version + 1), None)
+            if following is None:
+                break
+            self.current.apply(following)
+            self._recent.append(following)
+            applied = True
+        if applied:
+            self._announce()
+        return applied
+
+    def changes_after(self, version: ConfigVersion) -> list[ConfigChange]:
+        """Give what a peer at ``version`` lacks, as far as it is remembered here."""
+        found = [change for change in self._recent if change.version > version]
+        if found and found[0].version != version + 1:
+            return []
+        return found
+
+    def run(self) -> Workflow[None]:
+        """Load the configuration, then follow the log for good.
+
+        Loading needs the table service: a peer could be behind a version that this instance
+        served before a restart, and taking that older one would be a step back.
+        """
+        while not self.is_loaded:
+            self.is_loaded = yield from self._load()
+            if not self.is_loaded:
+                yield from self._pause()
+        self._announce()
+        while True:
+            yield from self._pause()
+            yield from self.catch_up()
+
+    def catch_up(self) -> Workflow[bool]:
+        """Read the log behind the version in force; tell whether its end was reached."""
+        while True:
+            after = log_row_key(self.current.version)
+            rows = yield from scan_rows(LOG_PREFIX, after, SCAN_LIMIT)
+            if isinstance(rows, PlatformFailure):
+                return False
+            self.offer(_changes(rows))
+            if len(rows) < SCAN_LIMIT:
+                return True
+
+    def propose(self, proposal: ConfigProposal, who: str) -> Workflow[ProposalResult]:
+        """Accept a change, or say why not; compare-and-set on the version.
+
+        The row of the next version can be written once only, so of two operators who race, one
+        finds the other's row and is told of it.
+        """
+        reached = yield from self.catch_up()
+        if proposal.expect_version != self.current.version:
+            return self._conflict(proposal.expect_version)
+        refusal = self._refusal(proposal)
+        if refusal is not None:
+            return refusal
+        change = self._change(proposal, who)
+        key = log_row_key(change.version)
+        until_ms = self._context.now_ms() + (PROPOSAL_LIMIT_MS if reached else 0.0)
+        wanted = transaction(self._context, [(key, None)], [(key, change)])
+        result = yield from commit(self._context, wanted, until_ms)
+        if isinstance(result, CommitDoubt):
+            return result
+        if isinstance(result, Conflict):
+            yield from self.catch_up()
+            return self._conflict(proposal.expect_version)
+        self.offer([change])
+        if change.version % SNAPSHOT_EVERY == 0:
+            yield from self._store_snapshot()
+        return change
+
+    def history(self, after: ConfigVersion, limit: int) -> Workflow[list[ConfigChange] | None]:
+        """Read accepted changes; ``None`` where the table service does not answer."""
+        rows = yield from scan_rows(LOG_PREFIX, log_row_key(after), limit)
+        if isinstance(rows, PlatformFailure):
+            return None
+        return _changes(rows)
+
+    def _load(self) -> Workflow[bool]:
+        found = yield from read_rows(SNAPSHOT_ROW)
+        if isinstance(found, PlatformFailure):
+            return False
+        row = found.get(SNAPSHOT_ROW)
+        if row is not None:
+            pointer = msgspec.json.decode(row.value, type=SnapshotRow)
+            body = yield from get_object(pointer.object_key)
+            if isinstance(body, PlatformFailure):
+                return False
+            self.current.restore(msgspec.json.decode(body, type=ConfigSnapshot))
+        reached = yield from self.catch_up()
+        return reached
+
+    def _store_snapshot(self) -> Workflow[None]:
+        """Store a snapshot; one that fails is made up for by a later one."""
+        snapshot = self.current.snapshot()
+        key = ObjectKey(f'config/snapshot/{snapshot.version:012d}')
+        failure = yield from put_object(key, msgspec.json.encode(snapshot))
+        if failure is not None:
+            return
+        found = yield from read_rows(SNAPSHOT_ROW)
+        if isinstance(found, PlatformFailure):
+            return
+        row = found.get(SNAPSHOT_ROW)
+        if row is not None:
+            stored = msgspec.json.decode(row.value, type=SnapshotRow)
+            if stored.version >= snapshot.version:
+                return
+        version = None if row is None else row.version
+        pointer = SnapshotRow(snapshot.version, key)
+        wanted = transaction(self._context, [(SNAPSHOT_ROW, version)], [(SNAPSHOT_ROW, pointer)])
+        yield from commit(self._context, wanted, self._context.now_ms() + PROPOSAL_LIMIT_MS)
+
+    def _pause(self) -> Workflow[None]:
+        pause_ms = self._context.jittered_ms(self._poll_every_ms)
+        yield from sleep_until(self._context.now_ms() + pause_ms)
+
+    def _announce(self) -> None:
+        fired, self.changed = self.changed, Signal()
+        fired.fire(None)
+
+    def _conflict(self, expected: ConfigVersion) -> ConfigConflict:
+        return ConfigConflict(self.current.version, tuple(self.changes_after(expected)))
+
+    def _refusal(self, proposal: ConfigProposal) -> ConfigRefusal | None:
+        if not proposal.edits:
+            return ConfigRefusal('edits', 'at least one edit')
+        future = Configuration()
+        future.restore(ConfigSnapshot(ConfigVersion(1), tuple(self.current.entries().values())))
+        for edit in proposal.edits:
+            if edit.after is not None and entry_name(edit.after) != edit.name:
+                return ConfigRefusal(edit.name, f'the name {entry_name(edit.after)}')
+            if edit.after is None and self.current.entry(edit.name) is None:
+                return ConfigRefusal(edit.name, 'the name of an entry that exists')
+        edits = tuple(EntryEdit(edit.name, None, edit.after) for edit in proposal.edits)
+        future.apply(
+            ConfigChange(
+                version=ConfigVersion(future.version + 1),
+                edits=edits,
+                who='',
+                accepted_at_epoch_ms=0.0,
+            )
+        )
+        return _broken_reference(future)
+
+    def _change(self, proposal: ConfigProposal, who: str) -> ConfigChange:
+        edits = tuple(
+            EntryEdit(edit.name, self.current.entry(edit.name), edit.after)
+            for edit in proposal.edits
+        )
+        return ConfigChange(
+            version=ConfigVersion(self.current.version + 1),
+            edits=edits,
+            who=who,
+            accepted_at_epoch_ms=self._context.epoch_ms(),
+        )
+
+
+def _changes(rows: Iterable[Row]) -> list[ConfigChange]:
+    return [msgspec.json.decode(row.value, type=ConfigChange) for row in rows]
+
+
+def _broken_reference(future: Configuration) -> ConfigRefusal | None:
+    owner_by_key: dict[str, str] = {}
+    for name, entry in future.entries().items():
+        missing = future.missing_reference(entry)
+        if missing is not None:
+            return ConfigRefusal(missing.name, f'an existing {missing.missing}')
+        if not isinstance(entry, TenantEntry):
+            continue
+        for digest in entry.key_hashes:
+            if owner_by_key.setdefault(digest, name) != name:
+                return ConfigRefusal(name, f'a key that {owner_by_key[digest]} does not have')
+    return None
--- /dev/null
+++ b/citrondyke/decisions/core/__init__.py
@@ -0,0 +1,3 @@
+"""What all decisions stand on: operations, workflows, signals, commits."""
+
+from __future__ import annotations
--- /dev/null
+++ b/citrondyke/decisions/core/commit.py
@@ -0,0 +1,123 @@
+"""Commit a transaction though its reply may be lost."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.decisions.core.ops import sleep_until, transact_once
+from citrondyke.platform.failure import PlatformFailureReason
+from citrondyke.platform.table_service import Check, Committed, Conflict, Transaction, Write
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.core.ops import Workflow
+    from citrondyke.ids import RowKey
+    from citrondyke.platform.table_service import Row
+
+__all__ = (
+    'MAYBE_WRITTEN',
+    'NOT_WRITTEN',
+    'CommitDoubt',
+    'CommitDoubtReason',
+    'commit',
+    'commit_once',
+    'encode_row',
+    'transaction',
+)
+
+FIRST_PAUSE_MS = 50.0
+LONGEST_PAUSE_MS = 1000.0
+
+
+class CommitDoubtReason(Enum):
+    """Why there is no verdict."""
+
+    #: Nothing was written and nothing will be.
+    NOT_WRITTEN = 'not_written'
+    #: It may have been written, or may still be.
+    MAYBE_WRITTEN = 'maybe_written'
+
+
+class CommitDoubt(msgspec.Struct, frozen=True):
+    """Stands in the place of a verdict that the table service did not give."""
+
+    reason: CommitDoubtReason
+
+    def __bool__(self) -> bool:
+        """Count as no verdict."""
+        return False
+
+
+MAYBE_WRITTEN = CommitDoubt(CommitDoubtReason.MAYBE_WRITTEN)
+NOT_WRITTEN = CommitDoubt(CommitDoubtReason.NOT_WRITTEN)
+
+
+def encode_row(value: msgspec.Struct | None) -> msgspec.Raw:
+    """Encode a row's value; ``None`` stands for no row."""
+    return msgspec.Raw(msgspec.json.encode(value))
+
+
+def transaction(
+    context: Context,
+    checks: Iterable[tuple[RowKey, int | None]],
+    writes: Iterable[tuple[RowKey, msgspec.Struct | None]],
+) -> Transaction:
+    """Build a transaction with a write id of its own.
+
+    :param checks: rows and the versions they must have, ``None`` for no such row.
+    :param writes: rows and their new values, ``None`` to delete.
+    """
+    return Transaction(
+        context.new_write_id(),
+        tuple(Check(key, version) for key, version in checks),
+        tuple(Write(key, encode_row(value)) for key, value in writes),
+    )
+
+
+def commit_once(wanted: Transaction) -> Workflow[Committed | Conflict | CommitDoubt]:
+    """Try a transaction once and sort the answer."""
+    result = yield from transact_once(wanted)
+    if isinstance(result, Committed):
+        return result
+    if isinstance(result, Conflict):
+        return _own_write(result, wanted) or result
+    if result.reason is PlatformFailureReason.UNAVAILABLE:
+        return NOT_WRITTEN
+    return MAYBE_WRITTEN
+
+
+def commit(
+    context: Context, wanted: Transaction, until_ms: float
+) -> Workflow[Committed | Conflict | CommitDoubt]:
+    """Try a transaction until there is a verdict or the time is up.
+
+    A reply can be lost after the write took effect. Trying the same transaction again is safe:
+    its checks name versions, which the first write moved on, so it cannot take effect twice; and
+    the conflict then shows this write's own id, which is the lost reply.
+    """
+    pause_ms = FIRST_PAUSE_MS
+    reason = CommitDoubtReason.NOT_WRITTEN
+    while True:
+        result = yield from commit_once(wanted)
+        if not isinstance(result, CommitDoubt):
+            return result
+        if result.reason is CommitDoubtReason.MAYBE_WRITTEN:
+            reason = result.reason
+        resume_ms = context.now_ms() + context.jittered_ms(pause_ms)
+        if resume_ms >= until_ms:
+            return CommitDoubt(reason)
+        yield from sleep_until(resume_ms)
+        pause_ms = min(pause_ms * 2, LONGEST_PAUSE_MS)
+
+
+def _own_write(conflict: Conflict, wanted: Transaction) -> Committed | None:
+    rows: Iterable[Row] = conflict.rows.values()
+    for row in rows:
+        if row.write_id == wanted.write_id:
+            return Committed(row.version)
+    return None
--- /dev/null
+++ b/citrondyke/decisions/instance.py
@@ -0,0 +1,298 @@
+"""One instance: all its decisions put together, for any driver to host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.decisions.configuration.change import ConfigChange
+from citrondyke.decisions.configuration.keeper import ConfigKeeper
+from citrondyke.decisions.core.ops import (
+    SendPeer,
+    Spawn,
+    pull_config,
+    read_lists,
+    sleep_until,
+    wait_for,
+)
+from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.jobs.acceptance import JobAcceptance
+from citrondyke.decisions.jobs.claimer import Claimer
+from citrondyke.decisions.jobs.sweeper import Sweeper
+from citrondyke.decisions.jobs.worker import Worker, WorkerLimits
+from citrondyke.decisions.membership.lease_watch import LeaseWatch
+from citrondyke.decisions.membership.members import Members
+from citrondyke.decisions.membership.peer_messages import (
+    Ack,
+    ConfigPush,
+    JobStopped,
+    OnlineNotice,
+    Ping,
+    ServerState,
+)
+from citrondyke.decisions.membership.session_keeper import SessionKeeper
+from citrondyke.decisions.notices import Notices
+from citrondyke.decisions.once.group_committer import GroupCommitter
+from citrondyke.decisions.once.once_desk import OnceDesk
+from citrondyke.decisions.once.transaction_pace import TransactionPace
+from citrondyke.decisions.online.admission import Admission
+from citrondyke.decisions.online.desk import OnlineDesk
+from citrondyke.decisions.online.fleet import Fleet
+from citrondyke.decisions.online.router import Router
+from citrondyke.decisions.steward import SERVICE_PREFIX, Steward, StewardLimits
+from citrondyke.platform.failure import PlatformFailure
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.configuration.keeper import ProposalResult
+    from citrondyke.decisions.configuration.proposal import ConfigProposal
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.core.ops import Workflow
+    from citrondyke.decisions.jobs.acceptance import JobResult
+    from citrondyke.decisions.membership.peer_messages import PeerMessage
+    from citrondyke.ids import (
+        ConfigVersion,
+        InstanceId,
+        JobId,
+        RequestId,
+        TargetName,
+        TenantId,
+    )
+
+__all__ = ('Instance', 'InstanceLimits')
+
+#: Looks further apart than this many lease times do not prove that a holder is gone.
+LEASE_LOOK_GAP = 0.75
+#: Pause between two pulls of the configuration from peers.
+PULL_PAUSE_MS = 200.0
+
+
+class InstanceLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """The bounds and pauses of one instance's decisions."""
+
+    lease_ms: float = 10_000.0
+    lease_renew_every_ms: float = 3000.0
+    config_poll_every_ms: float = 1500.0
+    lists_poll_every_ms: float = 1000.0
+    gossip_every_ms: float = 1000.0
+    load_poll_every_ms: float = 500.0
+    load_poll_timeout_ms: float = 400.0
+    #: Online requests that may wait for a place, for each target.
+    waiting_limit: int = 256
+    #: Online requests that a server is taken to bear before its steward has learned it.
+    first_online_limit: int = 64
+    segment_items: int = 256
+    #: Outcomes of a job become visible at the latest so long after the first of them.
+    part_every_ms: float = 5000.0
+    held_segments_limit: int = 4
+    #: Looks for batch work, over all instances, a second.
+    fleet_looks_per_s: float = 200.0
+    shortest_look_ms: float = 250.0
+    #: Group transactions for requests that run at most once, over all instances, a second.
+    fleet_intent_transactions_per_s: float = 55.0
+
+
+class Instance:
+    """Everything that one instance decides, with no I/O of its own."""
+
+    def __init__(self, context: Context, limits: InstanceLimits) -> None:
+        """Put the parts together; nothing runs before ``run``."""
+        self.context = context
+        self.limits = limits
+        self.keeper = ConfigKeeper(context, limits.config_poll_every_ms)
+        self.members = Members(context)
+        self.session = SessionKeeper(context, limits.lease_renew_every_ms, limits.lease_ms)
+        self.leases = LeaseWatch(limits.lease_ms, limits.lease_ms * LEASE_LOOK_GAP)
+        self.fleet = Fleet(limits.first_online_limit)
+        self.router = Router(context, self.fleet)
+        self.admission = Admission(context, self.fleet, limits.waiting_limit)
+        self.steward = Steward(
+            context,
+            self.fleet,
+            self.members,
+            self.keeper,
+            _steward_limits(limits),
+            on_cut=self._cut,
+            on_room=self._wake,
+        )
+        self.notices = Notices(context, self.fleet, self.steward)
+        self.online = OnlineDesk(context, self.router, self.admission, self.notices.on_load_change)
+        pace = TransactionPace(
+            limits.fleet_intent_transactions_per_s, lambda: len(self.members.live())
+        )
+        self.committer = GroupCommitter(context, pace)
+        self.once = OnceDesk(context, self.session, self.committer, self.leases, self.online)
+        self.acceptance = JobAcceptance(context, limits.segment_items, lambda: self.keeper.current)
+        self.sweeper = Sweeper(context, self.acceptance, limits.segment_items)
+        self.worker = self._new_worker(context, limits)
+        self._lists_read: Signal[None] = Signal()
+        self._members_revision = -1
+        self._running_targets: set[TargetName] = set()
+        self._pull_from: InstanceId | None = None
+        self._pull: Signal[None] = Signal()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the configuration and the lists are there."""
+        return self.keeper.is_loaded and self._lists_read.is_fired
+
+    def run(self) -> Workflow[None]:
+        """Start all that an instance does by itself."""
+        yield Spawn(self.keeper.run(), is_essential=True)
+        yield Spawn(self.session.run(), is_essential=True)
+        yield Spawn(self.committer.run(), is_essential=True)
+        yield Spawn(self.notices.run(), is_essential=True)
+        yield Spawn(self._follow_lists(), is_essential=True)
+        yield Spawn(self._gossip(), is_essential=True)
+        yield Spawn(self._pull_configs(), is_essential=True)
+        yield Spawn(self._work(), is_essential=True)
+
+    def is_repeatable(self, target: TargetName) -> bool:
+        """Tell whether a target's requests may be sent again; an unknown service's may not."""
+        if not target.startswith(SERVICE_PREFIX):
+            return True
+        service = self.keeper.current.service_entry(target[len(SERVICE_PREFIX) :])
+        return service is not None and service.is_repeatable
+
+    def propose(self, proposal: ConfigProposal, who: str) -> Workflow[ProposalResult]:
+        """Accept a configuration change and tell every peer before the operator hears of it."""
+        result = yield from self.keeper.propose(proposal, who)
+        if isinstance(result, ConfigChange):
+            for peer in self.members.peers():
+                yield SendPeer(peer.id, ConfigPush(result))
+        return result
+
+    def cancel_job(self, tenant_id: TenantId | None, job_id: JobId) -> Workflow[JobResult]:
+        """Stop a job: in the table service, here, and at every peer."""
+        result = yield from self.acceptance.cancel(tenant_id, job_id)
+        self.worker.stop_job(job_id)
+        for peer in self.members.peers():
+            yield SendPeer(peer.id, JobStopped(job_id))
+        yield Spawn(self.sweeper.sweep(job_id))
+        return result
+
+    def on_peer_version(self, sender: InstanceId, version: ConfigVersion) -> None:
+        """Take in which configuration a peer has; a newer one is fetched from it."""
+        if version > self.keeper.current.version and self.keeper.is_loaded:
+            self._pull_from = sender
+            self._pull.fire(None)
+
+    def on_peer_message(self, sender: InstanceId, message: PeerMessage) -> PeerMessage | None:
+        """Take in a peer's message; give the answer to send back, if any."""
+        match message:
+            case Ping():
+                return self.members.on_ping(sender, message)
+            case Ack():
+                self.members.on_ack(sender, message)
+            case OnlineNotice():
+                return self.steward.on_notice(sender, message)
+            case ServerState():
+                self.notices.on_state(message)
+            case ConfigPush():
+                # Before the log was read it would be applied on top of nothing.
+                if self.keeper.is_loaded:
+                    self.keeper.offer([message.change])
+            case JobStopped():
+                self.worker.stop_job(message.job_id)
+        return None
+
+    def leave(self, until_ms: float) -> Workflow[None]:
+        """Stop taking batch work, hand back what is held, give the lease back."""
+        self.members.leave()
+        for peer in self.members.peers():
+            ping = self.members.farewell()
+            yield SendPeer(peer.id, ping)
+        yield from self.worker.leave(until_ms)
+        yield from self.session.release()
+
+    def _new_worker(self, context: Context, limits: InstanceLimits) -> Worker:
+        claimer = Claimer(
+            context,
+            self.session,
+            self.leases,
+            self.sweeper,
+            limits.segment_items,
+            self.is_repeatable,
+            lambda key: self.worker.holds(key),  # noqa: PLW0108  (the worker comes after)
+        )
+        worker_limits = WorkerLimits(
+            part_every_ms=limits.part_every_ms,
+            held_limit=limits.held_segments_limit,
+            look_every_ms=limits.shortest_look_ms,
+        )
+        return Worker(context, claimer, self.sweeper, self.steward, worker_limits)
+
+    def _cut(self, request_ids: list[RequestId]) -> None:
+        self.worker.cut(request_ids)
+
+    def _wake(self, target: TargetName) -> None:
+        self.worker.wake(target)
+
+    def _follow_lists(self) -> Workflow[None]:
+        """Read the lists; while they do not answer, the last ones stay in force."""
+        while True:
+            snapshot = yield from read_lists()
+            if not isinstance(snapshot, PlatformFailure):
+                self.members.update_list(snapshot.instances)
+                changed = self.fleet.update_list(snapshot.servers)
+                yield from self._restaff(is_forced=changed)
+                self._lists_read.fire(None)
+            yield from self._pause(self.limits.lists_poll_every_ms)
+
+    def _gossip(self) -> Workflow[None]:
+        while True:
+            ping = self.members.next_ping()
+            if ping is not None:
+                yield SendPeer(*ping)
+            yield from self._restaff(is_forced=False)
+            yield from self._pause(self.limits.gossip_every_ms)
+
+    def _restaff(self, *, is_forced: bool) -> Workflow[None]:
+        """Take up the servers that fall to this instance now."""
+        if not is_forced and self.members.revision == self._members_revision:
+            return
+        self._members_revision = self.members.revision
+        for server_id in self.steward.refresh():
+            yield Spawn(self.steward.watch(server_id))
+        if self.session.began.is_fired:
+            yield from self._start_targets()
+
+    def _work(self) -> Workflow[None]:
+        """Begin batch work once there is a session to claim with."""
+        yield from wait_for(self.session.began, None)
+        yield from wait_for(self._lists_read, None)
+        yield Spawn(self.worker.look_at_jobs())
+        yield from self._start_targets()
+
+    def _start_targets(self) -> Workflow[None]:
+        for target in self.steward.targets():
+            if target not in self._running_targets and not self.members.is_leaving:
+                self._running_targets.add(target)
+                yield Spawn(self._run_target(target))
+
+    def _run_target(self, target: TargetName) -> Workflow[None]:
+        yield from self.worker.run_target(target)
+        self._running_targets.discard(target)
+        # The servers may have come back while the last items ended.
+        yield from self._start_targets()
+
+    def _pull_configs(self) -> Workflow[None]:
+        while True:
+            yield from wait_for(self._pull, None)
+            self._pull = Signal()
+            if self._pull_from is not None:
+                changes = yield from pull_config(self._pull_from, self.keeper.current.version)
+                self.keeper.offer(changes)
+            yield from self._pause(PULL_PAUSE_MS)
+
+    def _pause(self, pause_ms: float) -> Workflow[None]:
+        yield from sleep_until(self.context.now_ms() + self.context.jittered_ms(pause_ms))
+
+
+def _steward_limits(limits: InstanceLimits) -> StewardLimits:
+    return StewardLimits(
+        poll_every_ms=limits.load_poll_every_ms,
+        poll_timeout_ms=limits.load_poll_timeout_ms,
+        fleet_looks_per_s=limits.fleet_looks_per_s,
+        shortest_look_ms=limits.shortest_look_ms,
+    )
--- /dev/null
+++ b/citrondyke/decisions/jobs/__init__.py
@@ -0,0 +1,3 @@
+"""Batch jobs: acceptance, segments, items, outcomes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/citrondyke/decisions/jobs/acceptance.py
@@ -0,0 +1,332 @@
+"""Accepts files and jobs, and stops jobs."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, TypeAlias
+
+import msgspec
+
+from citrondyke.decisions.core.commit import (
+    CommitDoubt,
+    CommitDoubtReason,
+    commit,
+    transaction,
+)
+from citrondyke.decisions.core.ops import read_rows
+from citrondyke.decisions.jobs.item_set import ItemSet
+from citrondyke.decisions.jobs.rows import (
+    FileRow,
+    JobRow,
+    JobState,
+    OpenRow,
+    TodoRow,
+    file_row_key,
+    job_index_key,
+    job_row_key,
+    open_row_key,
+    todo_row_key,
+)
+from citrondyke.ids import ClassName, JobId, TenantId
+from citrondyke.platform.failure import PlatformFailure
+from citrondyke.platform.table_service import Committed, Conflict
+from citrondyke.util.hashing import digest_hex
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.configuration.configuration import Configuration
+    from citrondyke.decisions.configuration.entries import ClassEntry
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.core.ops import Workflow
+    from citrondyke.decisions.jobs.job_file_reader import JobFileSummary
+    from citrondyke.ids import RowKey
+
+__all__ = (
+    'AcceptedJob',
+    'JobAcceptance',
+    'JobRefusal',
+    'JobRefusalReason',
+    'JobWish',
+    'job_id_of',
+    'todo_rows',
+)
+
+#: Todo rows that one transaction writes.
+ROWS_PER_TRANSACTION = 64
+COMMIT_LIMIT_MS = 4000.0
+DAY_MS = 86_400_000.0
+MINUTE_MS = 60_000.0
+
+
+class JobWish(msgspec.Struct, frozen=True, kw_only=True):
+    """What a caller asks for."""
+
+    tenant_id: TenantId
+    file_id: str
+    endpoint: str
+    class_name: ClassName
+    completion_window: str = '24h'
+    idempotency_key: str = ''
+    metadata: dict[str, str] = msgspec.field(default_factory=dict)
+
+
+class JobRefusalReason(Enum):
+    """Why a job is not accepted or not found."""
+
+    NO_FILE = 'no_file'
+    NO_JOB = 'no_job'
+    WRONG_ENDPOINT = 'wrong_endpoint'
+    UNKNOWN_TARGET = 'unknown_target'
+    KEY_CONFLICT = 'key_conflict'
+    #: Nothing was accepted.
+    PLATFORM_DOWN = 'platform_down'
+    #: It may have been accepted; the same wish again gives the same job.
+    IN_DOUBT = 'in_doubt'
+
+
+class JobRefusal(msgspec.Struct, frozen=True):
+    """Stands in the place of a job."""
+
+    reason: JobRefusalReason
+
+    def __bool__(self) -> bool:
+        """Count as no job."""
+        return False
+
+
+class AcceptedJob(msgspec.Struct, frozen=True):
+    """A job as it stands."""
+
+    job_id: JobId
+    row: JobRow
+    version: int
+
+
+JobResult: TypeAlias = AcceptedJob | JobRefusal
+
+
+def job_id_of(wish: JobWish, file_digest: str) -> JobId:
+    """Name a job by tenant and key, or without a key by what is to be done.
+
+    Every instance gives the same wish the same name, so a resend finds the first job wherever
+    and whenever it arrives, also at the same moment.
+    """
+    identity = wish.idempotency_key or job_digest(wish, file_digest)
+    kind = 'key' if wish.idempotency_key else 'content'
+    return JobId('batch_' + digest_hex(wish.tenant_id.encode(), kind.encode(), identity.encode()))
+
+
+def job_digest(wish: JobWish, file_digest: str) -> str:
+    """Digest what a job is to do."""
+    return digest_hex(file_digest.encode(), wish.endpoint.encode(), wish.class_name.encode())
+
+
+def todo_rows(
+    job_id: JobId, items_count: int, segment_items: int, first: int, count: int
+) -> list[tuple[RowKey, TodoRow]]:
+    """Make the rows of segments ``first`` and on, at most ``count``."""
+    rows: list[tuple[RowKey, TodoRow]] = []
+    segments_count = -(-items_count // segment_items)
+    for segment in range(first, min(first + count, segments_count)):
+        size = min(segment_items, items_count - segment * segment_items)
+        row = TodoRow(items_count=size, remaining=ItemSet.first(size).text())
+        rows.append((todo_row_key(job_id, segment), row))
+    return rows
+
+
+class JobAcceptance:
+    """Makes files and jobs durable before their callers hear of them."""
+
+    def __init__(
+        self,
+        context: Context,
+        segment_items: int,
+        configuration: Callable[[], Configuration],
+    ) -> None:
+        """Use what is handed in.
+
+        :param segment_items: items in one segment.
+        """
+        self._context = context
+        self._segment_items = segment_items
+        self._configuration = configuration
+
+    def record_file(
+        self, tenant_id: TenantId, upload_id: str, filename: str, summary: JobFileSummary
+    ) -> Workflow[tuple[str, FileRow] | JobRefusal]:
+        """Make an uploaded file visible; the same content again is the same file."""
+        file_id = 'file-' + digest_hex(tenant_id.encode(), summary.digest.encode())
+        key = file_row_key(tenant_id, file_id)
+        row = FileRow(
+            upload_id=upload_id,
+            filename=filename,
+            purpose='batch',
+            size_bytes=summary.size_bytes,
+            items_count=summary.items_count,
+            segments_count=summary.segments_count,
+            digest=summary.digest,
+            target=summary.target,
+            url=summary.url,
+            created_epoch_ms=self._context.epoch_ms(),
+        )
+        wanted = transaction(self._context, [(key, None)], [(key, row)])
+        result = yield from commit(self._context, wanted, self._context.now_ms() + COMMIT_LIMIT_MS)
+        if isinstance(result, CommitDoubt):
+            return _refusal_of(result)
+        if isinstance(result, Conflict):
+            return file_id, msgspec.json.decode(result.rows[key].value, type=FileRow)
+        return file_id, row
+
+    def find_file(self, tenant_id: TenantId, file_id: str) -> Workflow[FileRow | JobRefusal]:
+        """Read a file's row."""
+        key = file_row_key(tenant_id, file_id)
+        found = yield from read_rows(key)
+        if isinstance(found, PlatformFailure):
+            return JobRefusal(JobRefusalReason.PLATFORM_DOWN)
+        if key not in found:
+            return JobRefusal(JobRefusalReason.NO_FILE)
+        return msgspec.json.decode(found[key].value, type=FileRow)
+
+    def find_job(self, tenant_id: TenantId | None, job_id: JobId) -> Workflow[JobResult]:
+        """Read a job's row.
+
+        :param tenant_id: whose job it must be; ``None`` for an operator.
+        """
+        key = job_row_key(job_id)
+        found = yield from read_rows(key)
+        if isinstance(found, PlatformFailure):
+            return JobRefusal(JobRefusalReason.PLATFORM_DOWN)
+        if key not in found:
+            return JobRefusal(JobRefusalReason.NO_JOB)
+        row = msgspec.json.decode(found[key].value, type=JobRow)
+        if tenant_id is not None and row.tenant_id != tenant_id:
+            return JobRefusal(JobRefusalReason.NO_JOB)
+        return AcceptedJob(job_id, row, found[key].version)
+
+    def accept(self, wish: JobWish) -> Workflow[JobResult]:
+        """Accept a job, or find the one that the same wish made before."""
+        file = yield from self.find_file(wish.tenant_id, wish.file_id)
+        if isinstance(file, JobRefusal):
+            return file
+        configuration = self._configuration()
+        wanted_class = configuration.class_entry(wish.class_name)
+        if wish.endpoint != file.url and not _is_service(file.url, wish.endpoint):
+            return JobRefusal(JobRefusalReason.WRONG_ENDPOINT)
+        if wanted_class is None:
+            return JobRefusal(JobRefusalReason.UNKNOWN_TARGET)
+        job_id = job_id_of(wish, file.digest)
+        job = self._new_job(wish, file, wanted_class)
+        result = yield from self._write(job_id, job)
+        if isinstance(result, CommitDoubt):
+            return _refusal_of(result)
+        if isinstance(result, Committed):
+            return AcceptedJob(job_id, job, result.version)
+        found = yield from self.find_job(wish.tenant_id, job_id)
+        if isinstance(found, AcceptedJob) and found.row.digest != job.digest:
+            return JobRefusal(JobRefusalReason.KEY_CONFLICT)
+        return found
+
+    def cancel(self, tenant_id: TenantId | None, job_id: JobId) -> Workflow[JobResult]:
+        """Stop a job; one that is over or stopping stays as it is.
+
+        Claims and commits check the job row's version, so once this is written no further
+        outcome of work becomes visible, whoever still holds a segment.
+        """
+        until_ms = self._context.now_ms() + COMMIT_LIMIT_MS
+        while True:
+            found = yield from self.find_job(tenant_id, job_id)
+            if isinstance(found, JobRefusal) or found.row.state is not JobState.RUNNING:
+                return found
+            stopped = yield from self.stop(found, JobState.CANCELLING, until_ms)
+            if isinstance(stopped, CommitDoubt):
+                return _refusal_of(stopped)
+            if isinstance(stopped, AcceptedJob):
+                return stopped
+
+    def stop(
+        self, job: AcceptedJob, state: JobState, until_ms: float
+    ) -> Workflow[AcceptedJob | Conflict | CommitDoubt]:
+        """Write that a job accepts no more outcomes of work."""
+        key = job_row_key(job.job_id)
+        open_key = open_row_key(job.row.target, job.row.deadline_epoch_ms, job.job_id)
+        found = yield from read_rows(open_key)
+        if isinstance(found, PlatformFailure):
+            return CommitDoubt(CommitDoubtReason.NOT_WRITTEN)
+        row = msgspec.structs.replace(
+            job.row, state=state, stopped_epoch_ms=self._context.epoch_ms()
+        )
+        checks: list[tuple[RowKey, int | None]] = [(key, job.version)]
+        writes: list[tuple[RowKey, msgspec.Struct | None]] = [(key, row)]
+        if open_key in found:
+            opened = msgspec.json.decode(found[open_key].value, type=OpenRow)
+            checks.append((open_key, found[open_key].version))
+            writes.append((open_key, msgspec.structs.replace(opened, is_stopping=True)))
+        result = yield from commit(
+            self._context, transaction(self._context, checks, writes), until_ms
+        )
+        if isinstance(result, Committed):
+            return AcceptedJob(job.job_id, row, result.version)
+        return result
+
+    def _write(self, job_id: JobId, job: JobRow) -> Workflow[Committed | Conflict | CommitDoubt]:
+        key = job_row_key(job_id)
+        rows = todo_rows(job_id, job.items_count, self._segment_items, 0, ROWS_PER_TRANSACTION)
+        opened = OpenRow(
+            tenant_id=job.tenant_id,
+            segments_count=job.segments_count,
+            materialized_count=len(rows),
+            expires_epoch_ms=job.expires_epoch_ms,
+        )
+        writes: list[tuple[RowKey, msgspec.Struct | None]] = [
+            (key, job),
+            (open_row_key(job.target, job.deadline_epoch_ms, job_id), opened),
+            (job_index_key(job.tenant_id, job.created_epoch_ms, job_id), _IndexRow()),
+            *rows,
+        ]
+        wanted = transaction(self._context, [(key, None)], writes)
+        return (yield from commit(self._context, wanted, self._context.now_ms() + COMMIT_LIMIT_MS))
+
+    def _new_job(self, wish: JobWish, file: FileRow, wanted_class: ClassEntry) -> JobRow:
+        now_ms = self._context.epoch_ms()
+        return JobRow(
+            tenant_id=wish.tenant_id,
+            class_name=wish.class_name,
+            target=file.target,
+            endpoint=wish.endpoint,
+            file_id=wish.file_id,
+            upload_id=file.upload_id,
+            items_count=file.items_count,
+            segments_count=file.segments_count,
+            digest=job_digest(wish, file.digest),
+            state=JobState.RUNNING,
+            created_epoch_ms=now_ms,
+            deadline_epoch_ms=_deadline_epoch_ms(wanted_class, now_ms),
+            expires_epoch_ms=now_ms + DAY_MS,
+            completion_window=wish.completion_window,
+            metadata=wish.metadata,
+        )
+
+
+class _IndexRow(msgspec.Struct, frozen=True):
+    """Says that the job exists; all else is in its own row."""
+
+
+def _deadline_epoch_ms(wanted_class: ClassEntry, now_ms: float) -> float:
+    deadline_ms = now_ms + wanted_class.finish_within_ms
+    if wanted_class.finish_by_minute_utc is None:
+        return deadline_ms
+    by_ms = now_ms - now_ms % DAY_MS + wanted_class.finish_by_minute_utc * MINUTE_MS
+    if by_ms <= now_ms:
+        by_ms += DAY_MS
+    return min(deadline_ms, by_ms)
+
+
+def _is_service(url: str, endpoint: str) -> bool:
+    return url.startswith('/services/') and url.startswith(endpoint)
+
+
+def _refusal_of(doubt: CommitDoubt) -> JobRefusal:
+    if doubt.reason is CommitDoubtReason.NOT_WRITTEN:
+        return JobRefusal(JobRefusalReason.PLATFORM_DOWN)
+    return JobRefusal(JobRefusalReason.IN_DOUBT)
--- /dev/null
+++ b/citrondyke/decisions/jobs/job_file_reader.py
@@ -0,0 +1,135 @@
+"""Cuts a job file into segments while it arrives, and checks each line."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from citrondyke.decisions.jobs.job_line import LineFault, read_line, target_of_line
+from citrondyke.ids import TargetName
+
+__all__ = ('BadLine', 'JobFileReader', 'JobFileSummary')
+
+
+class BadLine(msgspec.Struct, frozen=True):
+    """Stands in the place of segments: a line that cannot be accepted."""
+
+    #: Counted from 1.
+    line_number: int
+    why: str
+
+    def __bool__(self) -> bool:
+        """Count as no segments."""
+        return False
+
+
+class JobFileSummary(msgspec.Struct, frozen=True):
+    """What a whole file turned out to be."""
+
+    size_bytes: int
+    items_count: int
+    segments_count: int
+    digest: str
+    target: TargetName
+    url: str
+
+
+class JobFileReader:
+    """Holds no more than one segment and one line in memory, whatever the file's size."""
+
+    def __init__(self, segment_items: int, line_limit_bytes: int, items_limit: int) -> None:
+        """Start at the first byte.
+
+        :param segment_items: items in one segment.
+        :param line_limit_bytes: longest line that is accepted.
+        :param items_limit: most items that one file may hold.
+        """
+        self._segment_items = segment_items
+        self._line_limit_bytes = line_limit_bytes
+        self._items_limit = items_limit
+        self._digest = hashlib.blake2b(digest_size=20)
+        self._size_bytes = 0
+        self._line_number = 0
+        self._items_count = 0
+        self._segments_count = 0
+        self._rest = b''
+        self._lines: list[bytes] = []
+        self._custom_ids: set[bytes] = set()
+        self._target: TargetName | None = None
+        self._url = ''
+
+    def feed(self, data: bytes) -> list[bytes] | BadLine:
+        """Take the next bytes; give the segments that are full, each as its lines."""
+        self._digest.update(data)
+        self._size_bytes += len(data)
+        lines = (self._rest + data).split(b'\n')
+        self._rest = lines.pop()
+        if len(self._rest) > self._line_limit_bytes:
+            return BadLine(self._line_number + 1, f'longer than {self._line_limit_bytes} bytes')
+        segments: list[bytes] = []
+        for line in lines:
+            fault = self._take(line)
+            if fault is not None:
+                return fault
+            if len(self._lines) == self._segment_items:
+                segments.append(self._close_segment())
+        return segments
+
+    def finish(self) -> tuple[list[bytes], JobFileSummary] | BadLine:
+        """Close the file; give the last segment and the summary."""
+        if self._rest.strip():
+            fault = self._take(self._rest)
+            if fault is not None:
+                return fault
+        segments = [self._close_segment()] if self._lines else []
+        if self._target is None:
+            return BadLine(1, 'the file holds no requests')
+        summary = JobFileSummary(
+            size_bytes=self._size_bytes,
+            items_count=self._items_count,
+            segments_count=self._segments_count,
+            digest=self._digest.hexdigest(),
+            target=self._target,
+            url=self._url,
+        )
+        return segments, summary
+
+    def _take(self, line: bytes) -> BadLine | None:
+        self._line_number += 1
+        text = line.strip()
+        if not text:
+            return None
+        why = self._check(text)
+        if why is not None:
+            return BadLine(self._line_number, why)
+        self._lines.append(text)
+        self._items_count += 1
+        return None
+
+    def _check(self, text: bytes) -> str | None:
+        if len(text) > self._line_limit_bytes:
+            return f'longer than {self._line_limit_bytes} bytes'
+        if self._items_count >= self._items_limit:
+            return f'more than {self._items_limit} items'
+        line = read_line(text)
+        if isinstance(line, LineFault):
+            return line.why
+        target = target_of_line(line)
+        if isinstance(target, LineFault):
+            return target.why
+        if self._target is None:
+            self._target, self._url = target, line.url
+        if target != self._target:
+            return f'is for {target}, the lines before for {self._target}'
+        custom_id = hashlib.blake2b(line.custom_id.encode(), digest_size=10).digest()
+        if custom_id in self._custom_ids:
+            return f'custom_id {line.custom_id!r} was used before'
+        self._custom_ids.add(custom_id)
+        return None
+
+    def _close_segment(self) -> bytes:
+        segment = b'\n'.join(self._lines)
+        self._lines = []
+        self._segments_count += 1
+        return segment
--- /dev/null
+++ b/citrondyke/decisions/jobs/pool.py
@@ -0,0 +1,73 @@
+"""The items that wait for a place on this instance's backend servers."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from citrondyke.decisions.core.signal import Signal
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from citrondyke.decisions.jobs.batch_item import BatchItem
+    from citrondyke.decisions.jobs.held_segment import HeldSegment
+    from citrondyke.ids import TenantId
+
+__all__ = ('Pool',)
+
+#: Deadlines closer together than this are equal; tenants take turns among them.
+DEADLINE_GRAIN_MS = 60_000.0
+
+
+class Pool:
+    """One target's items: earliest deadline first, tenants in turns among equals."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        #: Fires when a place may have become free or an item ready.
+        self.wake: Signal[None] = Signal()
+        self._heap: list[tuple[float, int, int, HeldSegment, BatchItem]] = []
+        self._number = 0
+        self._turns: dict[TenantId, int] = {}
+
+    def __len__(self) -> int:
+        """Count the items that wait."""
+        return len(self._heap)
+
+    def push(self, held: HeldSegment, items: Iterable[BatchItem]) -> None:
+        """Add items."""
+        tenant_id = held.job.tenant_id
+        deadline = held.job.deadline_epoch_ms // DEADLINE_GRAIN_MS
+        floor = min(self._turns.values(), default=0) if self._heap else 0
+        turn = max(self._turns.get(tenant_id, 0), floor)
+        for item in items:
+            turn += 1
+            self._number += 1
+            heapq.heappush(self._heap, (deadline, turn, self._number, held, item))
+        self._turns[tenant_id] = turn
+        self.wake.fire(None)
+
+    def push_back(self, held: HeldSegment, item: BatchItem) -> None:
+        """Put a cut item back, ahead of those that were never begun."""
+        deadline = held.job.deadline_epoch_ms // DEADLINE_GRAIN_MS
+        self._number += 1
+        heapq.heappush(self._heap, (deadline, 0, self._number, held, item))
+        self.wake.fire(None)
+
+    def pop(self) -> tuple[HeldSegment, BatchItem] | None:
+        """Take the next item that is still wanted."""
+        while self._heap:
+            _, _, _, held, item = heapq.heappop(self._heap)
+            if not self._heap:
+                self._turns.clear()
+            if held.is_lost or held.is_releasing or item.position not in held.unfinished:
+                continue
+            return held, item
+        return None
+
+    def rest(self) -> Signal[None]:
+        """Give the signal to wait for."""
+        if self.wake.is_fired:
+            self.wake = Signal()
+        return self.wake
--- /dev/null
+++ b/citrondyke/decisions/membership/session_keeper.py
@@ -0,0 +1,134 @@
+"""Holds this instance's lease."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.decisions.core.commit import CommitDoubt, commit, commit_once, transaction
+from citrondyke.decisions.core.ops import read_rows, sleep_until
+from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.membership.session_row import (
+    SessionRow,
+    SessionState,
+    session_id,
+    session_row_key,
+)
+from citrondyke.ids import SessionId
+from citrondyke.platform.failure import PlatformFailure
+from citrondyke.platform.table_service import Committed
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.core.ops import Workflow
+
+__all__ = ('SessionKeeper',)
+
+#: Time that one attempt to begin or to end a session may take.
+COMMIT_LIMIT_MS = 5000.0
+
+
+class SessionKeeper:
+    """Begins a session, renews it while the instance lives, and releases it."""
+
+    def __init__(self, context: Context, renew_every_ms: float, lease_ms: float) -> None:
+        """Start without a session.
+
+        :param renew_every_ms: pause between two renewals.
+        :param lease_ms: how long a counter must stand still for others to take over.
+        """
+        self.began: Signal[None] = Signal()
+        self._context = context
+        self._renew_every_ms = renew_every_ms
+        self._lease_ms = lease_ms
+        self._key = session_row_key(context.instance_id)
+        self._epoch = 0
+        self._counter = 0
+        self._version: int | None = None
+        self._confirmed_ms = float('-inf')
+        self._is_released = False
+
+    @property
+    def session(self) -> SessionId:
+        """Name this life; only meaningful once ``began`` has fired."""
+        return session_id(self._context.instance_id, self._epoch)
+
+    @property
+    def epoch(self) -> int:
+        """Count the lives of this instance up to this one."""
+        return self._epoch
+
+    def is_sure(self) -> bool:
+        """Tell whether no other instance can have taken this one for dead.
+
+        A process that was frozen past its lease wakes up here with an old time of confirmation.
+        """
+        return self._context.now_ms() - self._confirmed_ms < self._lease_ms
+
+    def run(self) -> Workflow[None]:
+        """Begin a session and renew it until it is released."""
+        while not self.began.is_fired:
+            if (yield from self._begin()):
+                self.began.fire(None)
+                break
+            yield from self._pause()
+        while not self._is_released:
+            yield from self._pause()
+            if self._is_released:
+                return
+            yield from self._renew()
+
+    def release(self) -> Workflow[None]:
+        """Give the lease back, so that others take over without waiting for its end."""
+        if self._is_released or not self.began.is_fired:
+            return
+        self._is_released = True
+        row = SessionRow(self._epoch, self._counter + 1, SessionState.RELEASED)
+        wanted = transaction(self._context, [(self._key, self._version)], [(self._key, row)])
+        yield from commit(self._context, wanted, self._context.now_ms() + COMMIT_LIMIT_MS)
+
+    def _begin(self) -> Workflow[bool]:
+        asked_ms = self._context.now_ms()
+        found = yield from read_rows(self._key)
+        if isinstance(found, PlatformFailure):
+            return False
+        row = found.get(self._key)
+        before = None if row is None else msgspec.json.decode(row.value, type=SessionRow)
+        self._epoch = 1 if before is None else before.epoch + 1
+        self._version = None if row is None else row.version
+        value = SessionRow(self._epoch, 1, SessionState.HELD)
+        wanted = transaction(self._context, [(self._key, self._version)], [(self._key, value)])
+        result = yield from commit(self._context, wanted, self._context.now_ms() + COMMIT_LIMIT_MS)
+        if not isinstance(result, Committed):
+            return False
+        self._counter = 1
+        self._version = result.version
+        self._confirmed_ms = asked_ms
+        return True
+
+    def _renew(self) -> Workflow[None]:
+        asked_ms = self._context.now_ms()
+        value = SessionRow(self._epoch, self._counter + 1, SessionState.HELD)
+        wanted = transaction(self._context, [(self._key, self._version)], [(self._key, value)])
+        result = yield from commit_once(wanted)
+        if isinstance(result, Committed):
+            self._counter += 1
+            self._version = result.version
+            self._confirmed_ms = asked_ms
+            return
+        if isinstance(result, CommitDoubt):
+            return
+        # Only this instance writes the row, so a conflict is an earlier renewal of its own whose
+        # reply was lost, or a second process with the same id, which then has a higher epoch.
+        row = result.rows.get(self._key)
+        if row is None:
+            return
+        stored = msgspec.json.decode(row.value, type=SessionRow)
+        if stored.epoch == self._epoch:
+            self._counter = stored.counter
+            self._version = row.version
+
+    def _pause(self) -> Workflow[None]:
+        pause_ms = self._context.jittered_ms(self._renew_every_ms)
+        yield from sleep_until(self._context.now_ms() + pause_ms)
--- /dev/null
+++ b/citrondyke/decisions/once/__init__.py
@@ -0,0 +1,3 @@
+"""Requests that run at most once."""
+
+from __future__ import annotations
--- /dev/null
+++ b/citrondyke/decisions/once/group_committer.py
@@ -0,0 +1,145 @@
+"""Commits many small conditional writes in few transactions."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, TypeAlias
+
+import msgspec
+
+from citrondyke.decisions.core.commit import (
+    CommitDoubt,
+    CommitDoubtReason,
+    commit,
+    commit_once,
+    transaction,
+)
+from citrondyke.decisions.core.ops import sleep_until, wait_for
+from citrondyke.decisions.core.signal import Signal
+from citrondyke.ids import RowKey
+from citrondyke.platform.table_service import Committed, Row
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.core.ops import Workflow
+    from citrondyke.decisions.once.transaction_pace import TransactionPace
+    from citrondyke.platform.table_service import Conflict
+
+__all__ = ('GroupCommitter', 'GroupConflict', 'GroupResult')
+
+#: Writes in one transaction at the most.
+GROUP_LIMIT = 100
+#: Writes that may wait at once; more are refused, as each holds a caller.
+WAITING_LIMIT = 10_000
+#: Writes that arrive within this time of the first go with it.
+GATHER_MS = 3.0
+#: How long an ambiguous answer is followed up before the writers are told.
+FOLLOW_UP_MS = 2000.0
+#: After a failure one group in this time tries the table service; the rest is refused at once.
+BREAK_MS = 500.0
+
+
+class GroupConflict(msgspec.Struct, frozen=True):
+    """Stands in the place of a commit: the row is not at the expected version."""
+
+    #: As it stands; ``None`` for no such row.
+    row: Row | None
+
+    def __bool__(self) -> bool:
+        """Count as no commit."""
+        return False
+
+
+GroupResult: TypeAlias = Committed | GroupConflict | CommitDoubt
+
+
+class _Write(msgspec.Struct, eq=False):
+    key: RowKey
+    expected_version: int | None
+    value: msgspec.Struct
+    result: Signal[GroupResult]
+
+
+class GroupCommitter:
+    """One transaction at a time, each with all that waits.
+
+    The writes of a group have nothing to do with each other: one that conflicts is answered
+    and the others go again without it.
+    """
+
+    def __init__(self, context: Context, pace: TransactionPace) -> None:
+        """Start with nothing waiting."""
+        self._context = context
+        self._pace = pace
+        self._waiting: deque[_Write] = deque()
+        self._filled: Signal[None] = Signal()
+        self._broken_until_ms = float('-inf')
+
+    def submit(
+        self, key: RowKey, expected_version: int | None, value: msgspec.Struct
+    ) -> Signal[GroupResult]:
+        """Hand in a write; the signal fires with its verdict.
+
+        :param expected_version: ``None`` where the row must not exist.
+        """
+        result: Signal[GroupResult] = Signal()
+        is_broken = self._context.now_ms() < self._broken_until_ms
+        if is_broken or len(self._waiting) >= WAITING_LIMIT:
+            result.fire(CommitDoubt(CommitDoubtReason.NOT_WRITTEN))
+            return result
+        self._waiting.append(_Write(key, expected_version, value, result))
+        self._filled.fire(None)
+        return result
+
+    def run(self) -> Workflow[None]:
+        """Commit whatever is handed in, for good."""
+        while True:
+            yield from wait_for(self._filled, None)
+            now_ms = self._context.now_ms()
+            yield from sleep_until(max(now_ms + GATHER_MS, self._pace.next_ms(now_ms)))
+            group = self._take_group()
+            if not self._waiting:
+                self._filled = Signal()
+            yield from self._commit_group(group)
+
+    def _take_group(self) -> list[_Write]:
+        """Take writes of different rows; a second one of the same row waits for the next."""
+        group: dict[RowKey, _Write] = {}
+        left: deque[_Write] = deque()
+        while self._waiting and len(group) < GROUP_LIMIT:
+            write = self._waiting.popleft()
+            if write.key in group:
+                left.append(write)
+                continue
+            group[write.key] = write
+        self._waiting.extendleft(reversed(left))
+        return list(group.values())
+
+    def _commit_group(self, group: list[_Write]) -> Workflow[None]:
+        while group:
+            self._pace.spend(self._context.now_ms())
+            result = yield from self._commit(group)
+            if isinstance(result, (Committed, CommitDoubt)):
+                if isinstance(result, CommitDoubt):
+                    self._broken_until_ms = self._context.now_ms() + BREAK_MS
+                for write in group:
+                    write.result.fire(result)
+                return
+            for write in group:
+                if write.key in result.broken:
+                    write.result.fire(GroupConflict(result.rows.get(write.key)))
+            group = [write for write in group if write.key not in result.broken]
+
+    def _commit(self, group: list[_Write]) -> Workflow[Committed | Conflict | CommitDoubt]:
+        wanted = transaction(
+            self._context,
+            [(write.key, write.expected_version) for write in group],
+            [(write.key, write.value) for write in group],
+        )
+        result = yield from commit_once(wanted)
+        if isinstance(result, CommitDoubt) and result.reason is CommitDoubtReason.MAYBE_WRITTEN:
+            until_ms = self._context.now_ms() + FOLLOW_UP_MS
+            followed = yield from commit(self._context, wanted, until_ms)
+            # What was in doubt once stays so until there is a verdict.
+            return result if isinstance(followed, CommitDoubt) else followed
+        return result
--- /dev/null
+++ b/citrondyke/decisions/once/once_desk.py
@@ -0,0 +1,312 @@
+"""Takes a request that may not be repeated to its one outcome."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.decisions.core.commit import MAYBE_WRITTEN, CommitDoubt
+from citrondyke.decisions.core.ops import Spawn, read_rows, sleep_until, wait_for
+from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.membership.session_row import (
+    SessionRow,
+    session_row_key,
+    split_session_id,
+)
+from citrondyke.decisions.once.group_committer import GroupConflict
+from citrondyke.decisions.once.intent_row import (
+    IntentRow,
+    IntentState,
+    StoredReply,
+    intent_row_key,
+)
+from citrondyke.decisions.online.request import OnlineEndKind
+from citrondyke.platform.failure import PlatformFailure
+from citrondyke.platform.table_service import Committed
+from citrondyke.util.hashing import digest_hex
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.core.ops import Workflow
+    from citrondyke.decisions.membership.lease_watch import LeaseWatch
+    from citrondyke.decisions.membership.session_keeper import SessionKeeper
+    from citrondyke.decisions.once.group_committer import GroupCommitter, GroupResult
+    from citrondyke.decisions.online.desk import OnlineDesk
+    from citrondyke.decisions.online.refusal import Refusal
+    from citrondyke.decisions.online.request import OnlineEnd, OnlineRequest
+    from citrondyke.ids import RowKey
+    from citrondyke.platform.table_service import Row
+
+__all__ = ('OnceDesk', 'OnceEnd', 'OnceEndKind')
+
+#: How long a claim may wait for the table service before the caller is turned away.
+CLAIM_LIMIT_MS = 4000.0
+#: How long an outcome may wait for the table service before the caller is told so.
+OUTCOME_LIMIT_MS = 4000.0
+FIRST_POLL_MS = 50.0
+LONGEST_POLL_MS = 500.0
+#: Pause between two tries to store what the caller was told already.
+PERSIST_PAUSE_MS = 1000.0
+
+
+class OnceEndKind(Enum):
+    """What the caller is told."""
+
+    ANSWERED = 'answered'
+    #: The key was used before with other content.
+    CONFLICT = 'conflict'
+    #: Never ran, and never will by this claim.
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+    #: It ran; its outcome is not stored yet.
+    NOT_DURABLE = 'not_durable'
+    #: Another instance still has it.
+    IN_PROGRESS = 'in_progress'
+    #: The table service does not answer; never ran.
+    PLATFORM_DOWN = 'platform_down'
+
+
+class OnceEnd(msgspec.Struct, frozen=True):
+    """The one outcome."""
+
+    kind: OnceEndKind
+    reply: StoredReply | None = None
+    refusal: Refusal | None = None
+    #: Whether the answer was stored before and is given again.
+    is_replay: bool = False
+
+
+class OnceDesk:
+    """Stores the intent before the dispatch and the outcome before the answer.
+
+    Whoever finds an intent whose owner is gone cannot know whether it was dispatched, so it is
+    closed as unknown and never dispatched again: at most once, whatever dies when.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        session: SessionKeeper,
+        committer: GroupCommitter,
+        leases: LeaseWatch,
+        online: OnlineDesk,
+    ) -> None:
+        """Use the parts handed in."""
+        self._context = context
+        self._session = session
+        self._committer = committer
+        self._leases = leases
+        self._online = online
+        self._running: dict[RowKey, Signal[None]] = {}
+
+    def serve(self, request: OnlineRequest, idempotency_key: str) -> Workflow[OnceEnd]:
+        """Bring a request to its one outcome."""
+        key = intent_row_key(request.tenant_id, idempotency_key)
+        digest = digest_hex(request.method.encode(), request.path.encode(), request.body)
+        expected: int | None = None
+        while True:
+            if not self._session.began.is_fired or not self._session.is_sure():
+                return OnceEnd(OnceEndKind.PLATFORM_DOWN)
+            claim = self._new_row(digest, IntentState.INTENT)
+            result = yield from self._claim(key, expected, claim, request)
+            if isinstance(result, Committed):
+                return (yield from self._dispatch(request, key, claim, result.version))
+            if isinstance(result, CommitDoubt):
+                yield Spawn(self._withdraw(key, claim))
+                return OnceEnd(OnceEndKind.PLATFORM_DOWN)
+            followed = yield from self._follow(request, key, digest, result.row)
+            if isinstance(followed, OnceEnd):
+                return followed
+            expected = followed.version
+
+    def _claim(
+        self, key: RowKey, expected: int | None, claim: IntentRow, request: OnlineRequest
+    ) -> Workflow[GroupResult]:
+        signal = self._committer.submit(key, expected, claim)
+        until_ms = min(request.deadline_ms, self._context.now_ms() + CLAIM_LIMIT_MS)
+        if (yield from wait_for(signal, until_ms)):
+            return signal.value
+        return MAYBE_WRITTEN
+
+    def _dispatch(
+        self, request: OnlineRequest, key: RowKey, claim: IntentRow, version: int
+    ) -> Workflow[OnceEnd]:
+        done: Signal[None] = Signal()
+        self._running[key] = done
+        try:
+            if not self._session.is_sure():
+                # Frozen between the claim and now: another instance may have closed the intent
+                # as unknown already, and a dispatch would make that answer a poor one.
+                return (yield from self._close(key, claim, version, IntentState.NOT_RUN))
+            end = yield from self._online.serve(request)
+            return (yield from self._settle(key, claim, version, end))
+        finally:
+            del self._running[key]
+            done.fire(None)
+
+    def _settle(
+        self, key: RowKey, claim: IntentRow, version: int, end: OnlineEnd
+    ) -> Workflow[OnceEnd]:
+        if end.kind is OnlineEndKind.ANSWERED and end.reply is not None:
+            body = end.reply.body or b''.join(
+                b'data: ' + frame + b'\n\n' for frame in end.reply.frames
+            )
+            reply = StoredReply(end.reply.status, end.reply.content_type, body)
+            return (yield from self._close(key, claim, version, IntentState.DONE, reply=reply))
+        if end.may_have_run:
+            return (yield from self._close(key, claim, version, IntentState.UNKNOWN))
+        return (
+            yield from self._close(key, claim, version, IntentState.NOT_RUN, refusal=end.refusal)
+        )
+
+    def _close(
+        self,
+        key: RowKey,
+        claim: IntentRow,
+        version: int,
+        state: IntentState,
+        *,
+        reply: StoredReply | None = None,
+        refusal: Refusal | None = None,
+    ) -> Workflow[OnceEnd]:
+        """Store the outcome, then tell it."""
+        row = msgspec.structs.replace(
+            claim, state=state, reply=reply, changed_at_epoch_ms=self._context.epoch_ms()
+        )
+        signal = self._committer.submit(key, version, row)
+        fired = yield from wait_for(signal, self._context.now_ms() + OUTCOME_LIMIT_MS)
+        result = signal.value if fired else MAYBE_WRITTEN
+        if isinstance(result, Committed):
+            return _end_of(row, refusal=refusal)
+        if isinstance(result, GroupConflict):
+            if result.row is not None:
+                stored = msgspec.json.decode(result.row.value, type=IntentRow)
+                if stored.claim_id == claim.claim_id and stored.state is state:
+                    return _end_of(row, refusal=refusal)
+            # Another instance took this one for dead and closed the intent; its word stands.
+            return OnceEnd(OnceEndKind.UNKNOWN)
+        yield Spawn(self._persist(key, row))
+        if state is IntentState.DONE:
+            return OnceEnd(OnceEndKind.NOT_DURABLE)
+        return _end_of(row, refusal=refusal)
+
+    def _persist(self, key: RowKey, row: IntentRow) -> Workflow[None]:
+        """Store an outcome once the table service answers again."""
+        while True:
+            yield from sleep_until(self._context.now_ms() + PERSIST_PAUSE_MS)
+            found = yield from read_rows(key)
+            if isinstance(found, PlatformFailure):
+                continue
+            stored = found.get(key)
+            if stored is None:
+                return
+            value = msgspec.json.decode(stored.value, type=IntentRow)
+            if value.claim_id != row.claim_id or value.state is not IntentState.INTENT:
+                return
+            signal = self._committer.submit(key, stored.version, row)
+            yield from wait_for(signal, None)
+            if isinstance(signal.value, Committed):
+                return
+
+    def _withdraw(self, key: RowKey, claim: IntentRow) -> Workflow[None]:
+        """Make "not run" final after a claim whose fate is open.
+
+        The claim may have been written, or may still arrive. A closed row in its place, or one
+        that is written where there is none yet, leaves it nothing to take effect on.
+        """
+        closed = msgspec.structs.replace(claim, state=IntentState.NOT_RUN)
+        while True:
+            yield from sleep_until(self._context.now_ms() + PERSIST_PAUSE_MS)
+            found = yield from read_rows(key)
+            if isinstance(found, PlatformFailure):
+                continue
+            stored = found.get(key)
+            if stored is not None:
+                value = msgspec.json.decode(stored.value, type=IntentRow)
+                if value.claim_id != claim.claim_id or value.state is not IntentState.INTENT:
+                    return
+            expected = None if stored is None else stored.version
+            signal = self._committer.submit(key, expected, closed)
+            yield from wait_for(signal, None)
+            if isinstance(signal.value, Committed):
+                return
+
+    def _follow(
+        self, request: OnlineRequest, key: RowKey, digest: str, row: Row | None
+    ) -> Workflow[OnceEnd | _Free]:
+        """Learn what became of a request whose key was claimed before."""
+        poll_ms = FIRST_POLL_MS
+        while True:
+            if row is None:
+                return _Free(None)
+            stored = msgspec.json.decode(row.value, type=IntentRow)
+            if stored.digest != digest:
+                return OnceEnd(OnceEndKind.CONFLICT)
+            if stored.state is IntentState.NOT_RUN:
+                return _Free(row.version)
+            if stored.state is not IntentState.INTENT:
+                return _end_of(stored, is_replay=True)
+            now_ms = self._context.now_ms()
+            if now_ms >= request.deadline_ms:
+                return OnceEnd(OnceEndKind.IN_PROGRESS)
+            resume_ms = min(now_ms + poll_ms, request.deadline_ms)
+            local = self._running.get(key)
+            if local is None:
+                yield from sleep_until(resume_ms)
+            else:
+                yield from wait_for(local, resume_ms)
+            poll_ms = min(poll_ms * 2, LONGEST_POLL_MS)
+            looked = yield from self._look(key, row, stored)
+            if looked is not None:
+                row = looked.row
+
+    def _look(self, key: RowKey, row: Row, stored: IntentRow) -> Workflow[GroupConflict | None]:
+        """Read the intent again; close it where its owner is gone.
+
+        :returns: the row as it stands, ``None`` where nothing could be learned.
+        """
+        owner_id, _ = split_session_id(stored.owner)
+        owner_key = session_row_key(owner_id)
+        found = yield from read_rows(key, owner_key)
+        if isinstance(found, PlatformFailure):
+            return None
+        current = found.get(key)
+        if current is None or current.version != row.version:
+            return GroupConflict(current)
+        owner_row = found.get(owner_key)
+        session = (
+            None if owner_row is None else msgspec.json.decode(owner_row.value, type=SessionRow)
+        )
+        if not self._leases.is_gone(stored.owner, session, self._context.now_ms()):
+            return None
+        closed = msgspec.structs.replace(
+            stored, state=IntentState.UNKNOWN, changed_at_epoch_ms=self._context.epoch_ms()
+        )
+        signal = self._committer.submit(key, row.version, closed)
+        yield from wait_for(signal, self._context.now_ms() + OUTCOME_LIMIT_MS)
+        return None
+
+    def _new_row(self, digest: str, state: IntentState) -> IntentRow:
+        return IntentRow(
+            digest=digest,
+            state=state,
+            owner=self._session.session,
+            claim_id=self._context.new_write_id(),
+            changed_at_epoch_ms=self._context.epoch_ms(),
+        )
+
+
+class _Free(msgspec.Struct, frozen=True):
+    """The key can be claimed, at this version of its row."""
+
+    version: int | None
+
+
+def _end_of(row: IntentRow, *, refusal: Refusal | None = None, is_replay: bool = False) -> OnceEnd:
+    if row.state is IntentState.DONE:
+        return OnceEnd(OnceEndKind.ANSWERED, row.reply, is_replay=is_replay)
+    if row.state is IntentState.NOT_RUN:
+        return OnceEnd(OnceEndKind.NOT_RUN, refusal=refusal)
+    return OnceEnd(OnceEndKind.UNKNOWN)
--- /dev/null
+++ b/citrondyke/decisions/online/__init__.py
@@ -0,0 +1,3 @@
+"""Online requests: who may come in, which backend server, what after a failure."""
+
+from __future__ import annotations
--- /dev/null
+++ b/citrondyke/decisions/online/admission.py
@@ -0,0 +1,231 @@
+"""Lets online requests in, makes them wait in fair turns, or turns them away at once."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.online.refusal import Refusal, RefusalReason
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.online.fleet import Fleet, TargetServers
+    from citrondyke.ids import TargetName, TenantId
+
+__all__ = ('Admission', 'Place', 'Queued')
+
+#: Above this share of the capacity a tenant is held to its share.
+FAIR_FROM = 0.7
+#: Part of a class's first-token target that a request may spend waiting for a place.
+WAIT_SHARE = 0.5
+#: The pace at which places become free is averaged over about so long.
+PACE_WINDOW_MS = 1000.0
+SHORTEST_RETRY_MS = 100.0
+LONGEST_RETRY_MS = 30_000.0
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Leave to send a request to a backend server; given back with ``Admission.leave``."""
+
+    target: TargetName
+    tenant_id: TenantId
+
+
+class Queued(msgspec.Struct, frozen=True, eq=False):
+    """A place in the queue; ask again with ``Admission.give_up`` when its time is over."""
+
+    tenant_id: TenantId
+    #: When waiting longer would spoil the request's target or deadline.
+    until_ms: float
+    outcome: Signal[Place | Refusal]
+
+
+class _TargetDoor:
+    """One target's places and its queue."""
+
+    def __init__(self) -> None:
+        self.inside = 0
+        self.inside_by_tenant: dict[TenantId, int] = {}
+        #: Waiting requests by tenant; tenants take turns in this order.
+        self.waiting: OrderedDict[TenantId, deque[Queued]] = OrderedDict()
+        self.waiting_count = 0
+        self.leave_pace_per_ms = 0.0
+        self.paced_at_ms = 0.0
+
+
+class Admission:
+    """Places on the servers of each target, shared between tenants.
+
+    The capacity of this instance is its part of what the servers bear, by their stewards'
+    learned limits: what other instances have on them is taken off.
+    """
+
+    def __init__(self, context: Context, fleet: Fleet, waiting_limit: int) -> None:
+        """Start with all places free.
+
+        :param waiting_limit: requests that may wait, for each target.
+        """
+        self._context = context
+        self._fleet = fleet
+        self._waiting_limit = waiting_limit
+        self._doors: dict[TargetName, _TargetDoor] = {}
+
+    def enter(
+        self, target: TargetName, tenant_id: TenantId, target_ms: float, deadline_ms: float
+    ) -> Place | Refusal | Queued:
+        """Ask for a place.
+
+        :param target_ms: the class's target for the first token.
+        :param deadline_ms: monotonic time after which the answer is of no use.
+        """
+        servers = self._fleet.target(target)
+        if servers is None or not any(view.takes_work for view in servers.views):
+            return Refusal(RefusalReason.NO_SERVER, SHORTEST_RETRY_MS * 10)
+        door = self._doors.setdefault(target, _TargetDoor())
+        capacity = self._capacity(servers)
+        if door.waiting_count == 0 and self._has_room(door, tenant_id, capacity):
+            return self._admit(door, target, tenant_id)
+        if door.inside < capacity and not self._is_over_share(door, tenant_id, capacity):
+            # Those who wait do so because they are over their own share.
+            return self._admit(door, target, tenant_id)
+        return self._queue(door, tenant_id, target_ms, deadline_ms)
+
+    def leave(self, place: Place) -> None:
+        """Give a place back; whoever's turn it is gets it."""
+        door = self._doors[place.target]
+        door.inside -= 1
+        left = door.inside_by_tenant[place.tenant_id] - 1
+        if left:
+            door.inside_by_tenant[place.tenant_id] = left
+        else:
+            del door.inside_by_tenant[place.tenant_id]
+        self._pace(door)
+        self.refill(place.target)
+
+    def refill(self, target: TargetName) -> None:
+        """Hand free places to those who wait, in turns between tenants."""
+        door = self._doors.get(target)
+        servers = self._fleet.target(target)
+        if door is None or not door.waiting_count:
+            return
+        now_ms = self._context.now_ms()
+        self._drop_late(door, now_ms)
+        capacity = 0 if servers is None else self._capacity(servers)
+        for tenant_id in list(door.waiting):
+            if door.inside >= capacity:
+                return
+            if self._is_over_share(door, tenant_id, capacity):
+                continue
+            waiter = self._pop(door, tenant_id)
+            waiter.outcome.fire(self._admit(door, target, tenant_id))
+
+    def give_up(self, target: TargetName, waiter: Queued) -> Refusal:
+        """Take a request out of the queue; a place that it was just given goes back."""
+        door = self._doors[target]
+        if waiter.outcome.is_fired:
+            answer = waiter.outcome.value
+            if isinstance(answer, Place):
+                self.leave(answer)
+            return Refusal(RefusalReason.OVERLOADED, self._retry_in_ms(door))
+        queue = door.waiting[waiter.tenant_id]
+        queue.remove(waiter)
+        door.waiting_count -= 1
+        if not queue:
+            del door.waiting[waiter.tenant_id]
+        return Refusal(RefusalReason.OVERLOADED, self._retry_in_ms(door))
+
+    def waiting_count(self, target: TargetName) -> int:
+        """Count the requests that wait for a target."""
+        door = self._doors.get(target)
+        return 0 if door is None else door.waiting_count
+
+    def _capacity(self, servers: TargetServers) -> int:
+        """Count the places of this instance: what the servers bear less what others have."""
+        room = 0
+        for view in servers.views:
+            if not view.takes_work:
+                continue
+            others = max(0, view.reported_online - view.own_at_report)
+            room += max(0, view.online_limit - others)
+        return room
+
+    def _has_room(self, door: _TargetDoor, tenant_id: TenantId, capacity: int) -> bool:
+        if door.inside >= capacity:
+            return False
+        return not self._is_over_share(door, tenant_id, capacity)
+
+    def _is_over_share(self, door: _TargetDoor, tenant_id: TenantId, capacity: int) -> bool:
+        """Hold a tenant to its share where places get scarce.
+
+        Without this one tenant's flood takes every place and the others wait behind it, though
+        they ask for no more than they always did.
+        """
+        if door.inside < capacity * FAIR_FROM:
+            return False
+        tenants = set(door.inside_by_tenant)
+        tenants.update(door.waiting)
+        tenants.add(tenant_id)
+        share = max(1.0, capacity * FAIR_FROM / len(tenants))
+        return len(tenants) > 1 and door.inside_by_tenant.get(tenant_id, 0) >= share
+
+    def _admit(self, door: _TargetDoor, target: TargetName, tenant_id: TenantId) -> Place:
+        door.inside += 1
+        door.inside_by_tenant[tenant_id] = door.inside_by_tenant.get(tenant_id, 0) + 1
+        return Place(target, tenant_id)
+
+    def _queue(
+        self, door: _TargetDoor, tenant_id: TenantId, target_ms: float, deadline_ms: float
+    ) -> Refusal | Queued:
+        now_ms = self._context.now_ms()
+        if deadline_ms <= now_ms:
+            return Refusal(RefusalReason.DEADLINE, self._retry_in_ms(door))
+        wait_ms = min(target_ms * WAIT_SHARE, deadline_ms - now_ms)
+        own_queue = door.waiting.get(tenant_id)
+        ahead = len(own_queue) * len(door.waiting) if own_queue else len(door.waiting)
+        if door.waiting_count >= self._waiting_limit or not self._is_hopeful(door, ahead, wait_ms):
+            return Refusal(RefusalReason.OVERLOADED, self._retry_in_ms(door))
+        waiter = Queued(tenant_id, now_ms + wait_ms, Signal())
+        door.waiting.setdefault(tenant_id, deque()).append(waiter)
+        door.waiting_count += 1
+        return waiter
+
+    def _is_hopeful(self, door: _TargetDoor, ahead: int, wait_ms: float) -> bool:
+        """Tell whether a place is to be expected in time; if not, better to say so at once."""
+        if door.leave_pace_per_ms <= 0.0:
+            return ahead == 0
+        return (ahead + 1) / door.leave_pace_per_ms <= wait_ms
+
+    def _retry_in_ms(self, door: _TargetDoor) -> float:
+        if door.leave_pace_per_ms <= 0.0:
+            return SHORTEST_RETRY_MS * 10
+        backlog_ms = (door.waiting_count + 1) / door.leave_pace_per_ms
+        retry_ms = min(LONGEST_RETRY_MS, max(SHORTEST_RETRY_MS, backlog_ms))
+        # Spread, so that those who were turned away together do not come back together.
+        return retry_ms * (1 + self._context.random.random())
+
+    def _pace(self, door: _TargetDoor) -> None:
+        now_ms = self._context.now_ms()
+        elapsed_ms = now_ms - door.paced_at_ms
+        door.paced_at_ms = now_ms
+        decay = max(0.0, 1 - elapsed_ms / PACE_WINDOW_MS)
+        door.leave_pace_per_ms = door.leave_pace_per_ms * decay + 1 / PACE_WINDOW_MS
+
+    def _drop_late(self, door: _TargetDoor, now_ms: float) -> None:
+        for tenant_id, queue in list(door.waiting.items()):
+            while queue and queue[0].until_ms <= now_ms:
+                late = self._pop(door, tenant_id)
+                late.outcome.fire(Refusal(RefusalReason.OVERLOADED, self._retry_in_ms(door)))
+
+    def _pop(self, door: _TargetDoor, tenant_id: TenantId) -> Queued:
+        """Take a tenant's first waiter; the tenant goes to the end of the turns."""
+        queue = door.waiting[tenant_id]
+        waiter = queue.popleft()
+        door.waiting_count -= 1
+        if queue:
+            door.waiting.move_to_end(tenant_id)
+        else:
+            del door.waiting[tenant_id]
+        return waiter
--- /dev/null
+++ b/citrondyke/decisions/online/desk.py
@@ -0,0 +1,195 @@
+"""Takes an online request from admission to its one outcome."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.decisions.core.ops import call_server, wait_for
+from citrondyke.decisions.core.server_call import ReplyKind, ServerCall
+from citrondyke.decisions.online.admission import Queued
+from citrondyke.decisions.online.refusal import Refusal, RefusalReason
+from citrondyke.decisions.online.request import OnlineEnd, OnlineEndKind
+from citrondyke.decisions.online.retry_budget import RetryBudget
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.core.ops import Workflow
+    from citrondyke.decisions.core.server_call import ServerReply
+    from citrondyke.decisions.online.admission import Admission, Place
+    from citrondyke.decisions.online.request import OnlineRequest
+    from citrondyke.decisions.online.router import Router
+    from citrondyke.decisions.online.server_view import ServerView
+    from citrondyke.ids import ServerId, TargetName
+
+__all__ = ('OnlineDesk',)
+
+#: Servers that one request is sent to at the most.
+ATTEMPTS_LIMIT = 4
+
+
+class _Progress(msgspec.Struct):
+    """What has become of a request so far."""
+
+    attempts: int = 0
+    #: Frames that its caller has.
+    frames_count: int = 0
+    may_have_run: bool = False
+    first_frame_ms: float | None = None
+    tried: tuple[ServerId, ...] = ()
+
+
+class OnlineDesk:
+    """Admission, the choice of server, repeats, and the sums that others decide on."""
+
+    def __init__(
+        self,
+        context: Context,
+        router: Router,
+        admission: Admission,
+        on_load_change: Callable[[ServerView], None],
+    ) -> None:
+        """Use the parts handed in.
+
+        :param on_load_change: called when this instance's requests on a server change.
+        """
+        self._context = context
+        self._router = router
+        self._admission = admission
+        self._on_load_change = on_load_change
+        self._budgets: dict[TargetName, RetryBudget] = {}
+
+    def serve(self, request: OnlineRequest) -> Workflow[OnlineEnd]:
+        """Bring a request to its one outcome."""
+        place = yield from self._enter(request)
+        if isinstance(place, Refusal):
+            return OnlineEnd(kind=OnlineEndKind.REFUSED, refusal=place)
+        try:
+            return (yield from self._attempt_all(request))
+        finally:
+            self._admission.leave(place)
+
+    def _enter(self, request: OnlineRequest) -> Workflow[Place | Refusal]:
+        answer = self._admission.enter(
+            request.target,
+            request.tenant_id,
+            request.first_token_target_ms,
+            request.deadline_ms,
+        )
+        if not isinstance(answer, Queued):
+            return answer
+        is_settled = False
+        try:
+            fired = yield from wait_for(answer.outcome, answer.until_ms)
+            is_settled = fired
+        finally:
+            # Also when the caller went away in the queue: a place handed to nobody would be
+            # lost for good.
+            if not is_settled:
+                refusal = self._admission.give_up(request.target, answer)
+        return answer.outcome.value if fired else refusal
+
+    def _attempt_all(self, request: OnlineRequest) -> Workflow[OnlineEnd]:
+        progress = _Progress()
+        budget = self._budgets.setdefault(request.target, RetryBudget())
+        while True:
+            if request.deadline_ms <= self._context.now_ms():
+                return self._late(progress)
+            view = self._router.choose(request.target, request.prefix_bucket, progress.tried)
+            if isinstance(view, Refusal):
+                return self._give_up(progress, view)
+            reply = yield from self._attempt(request, view, progress)
+            if reply.kind is ReplyKind.COMPLETE:
+                budget.deposit()
+                return self._end(OnlineEndKind.ANSWERED, progress, reply)
+            if reply.kind is ReplyKind.LATE:
+                return self._late(progress)
+            if reply.kind in (ReplyKind.CANCELLED, ReplyKind.CALLER_GONE):
+                return self._end(OnlineEndKind.CALLER_GONE, progress)
+            if progress.may_have_run and not request.is_repeatable:
+                return self._end(OnlineEndKind.BROKEN, progress, reply)
+            if progress.attempts >= ATTEMPTS_LIMIT or not budget.withdraw():
+                refusal = Refusal(RefusalReason.RETRY_BUDGET, reply.retry_in_ms or 1000.0)
+                return self._give_up(progress, refusal)
+
+    def _attempt(
+        self, request: OnlineRequest, view: ServerView, progress: _Progress
+    ) -> Workflow[ServerReply]:
+        call = ServerCall(
+            server_id=view.listed.id,
+            request_id=request.request_id,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            body=request.body,
+            is_streamed=request.is_streamed,
+            refuses_by_status=request.is_model,
+            resume_from_frame=progress.frames_count,
+            deadline_ms=request.deadline_ms,
+            cancel=request.cancel,
+        )
+        progress.attempts += 1
+        began_ms = self._context.now_ms()
+        self._router.record_start(view)
+        self._on_load_change(view)
+        try:
+            reply = yield from call_server(call)
+        finally:
+            self._router.record_end(view)
+            self._on_load_change(view)
+        self._note(reply, view, progress, began_ms)
+        return reply
+
+    def _note(
+        self, reply: ServerReply, view: ServerView, progress: _Progress, began_ms: float
+    ) -> None:
+        progress.frames_count += reply.frames_count
+        if progress.first_frame_ms is None:
+            progress.first_frame_ms = reply.first_frame_ms
+        if not reply.was_not_run:
+            progress.may_have_run = True
+        if reply.kind is ReplyKind.COMPLETE and reply.status < 500:  # noqa: PLR2004
+            self._router.record_success(view, reply.first_frame_ms)
+            return
+        if reply.kind is ReplyKind.LATE:
+            # No answer in time counts as a slow first token.
+            self._router.record_success(view, self._context.now_ms() - began_ms)
+            return
+        if reply.kind in (ReplyKind.CANCELLED, ReplyKind.CALLER_GONE):
+            return
+        progress.tried = (*progress.tried, view.listed.id)
+        self._router.record_failure(view)
+
+    def _late(self, progress: _Progress) -> OnlineEnd:
+        if not progress.may_have_run:
+            refusal = Refusal(RefusalReason.DEADLINE, 0.0)
+            return OnlineEnd(
+                kind=OnlineEndKind.REFUSED, refusal=refusal, attempts=progress.attempts
+            )
+        return self._end(OnlineEndKind.LATE, progress)
+
+    def _give_up(self, progress: _Progress, refusal: Refusal) -> OnlineEnd:
+        """End a request that no server took; "not run" only where none can have run it."""
+        kind = OnlineEndKind.BROKEN if progress.may_have_run else OnlineEndKind.REFUSED
+        return OnlineEnd(
+            kind=kind,
+            refusal=refusal,
+            may_have_run=progress.may_have_run,
+            frames_count=progress.frames_count,
+            attempts=progress.attempts,
+        )
+
+    def _end(
+        self, kind: OnlineEndKind, progress: _Progress, reply: ServerReply | None = None
+    ) -> OnlineEnd:
+        return OnlineEnd(
+            kind=kind,
+            reply=reply,
+            may_have_run=progress.may_have_run,
+            first_frame_ms=progress.first_frame_ms,
+            frames_count=progress.frames_count,
+            attempts=progress.attempts,
+        )
--- /dev/null
+++ b/citrondyke/decisions/online/request.py
@@ -0,0 +1,67 @@
+"""An online request as the decisions see it, and its end."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from citrondyke.decisions.core.server_call import ServerReply
+from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.online.refusal import Refusal
+from citrondyke.ids import ClassName, RequestId, TargetName, TenantId
+
+__all__ = ('OnlineEnd', 'OnlineEndKind', 'OnlineRequest')
+
+
+class OnlineRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """What a caller wants, already checked."""
+
+    request_id: RequestId
+    tenant_id: TenantId
+    class_name: ClassName
+    target: TargetName
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes
+    is_streamed: bool
+    #: For a model engine, not for a plain service.
+    is_model: bool
+    #: Whether it may be sent again when its answer was lost.
+    is_repeatable: bool
+    #: Digest of the prompt's beginning, where requests share one.
+    prefix_bucket: int | None = None
+    #: The class's target for the first token.
+    first_token_target_ms: float
+    #: Monotonic time after which the answer is of no use.
+    deadline_ms: float
+    #: Fires when the caller goes away.
+    cancel: Signal[Any]
+
+
+class OnlineEndKind(Enum):
+    """How an online request ended."""
+
+    ANSWERED = 'answered'
+    #: Turned away; it was never sent to a backend server that could have run it.
+    REFUSED = 'refused'
+    #: Sent, and no whole answer came.
+    BROKEN = 'broken'
+    #: The deadline passed after it was sent.
+    LATE = 'late'
+    CALLER_GONE = 'caller_gone'
+
+
+class OnlineEnd(msgspec.Struct, frozen=True, kw_only=True):
+    """The one outcome of an online request."""
+
+    kind: OnlineEndKind
+    reply: ServerReply | None = None
+    refusal: Refusal | None = None
+    #: Whether a backend server may have run it.
+    may_have_run: bool = False
+    first_frame_ms: float | None = None
+    frames_count: int = 0
+    attempts: int = 0
--- /dev/null
+++ b/citrondyke/decisions/online/router.py
@@ -0,0 +1,171 @@
+"""Chooses the backend server of an online request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citrondyke.decisions.online.fleet import AFFINITY_BUCKETS
+from citrondyke.decisions.online.refusal import Refusal, RefusalReason
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.online.fleet import Fleet, TargetServers
+    from citrondyke.decisions.online.server_view import ServerView
+    from citrondyke.ids import ServerId, TargetName
+
+__all__ = ('Router',)
+
+#: A prefix's preferred server may have so many times the load of a sampled one ...
+BOUNDED_LOAD = 1.25
+#: ... plus so many requests, so that small numbers do not scatter prefixes.
+BOUNDED_LOAD_SLACK = 2
+#: Servers sampled for the choice by load.
+SAMPLES = 4
+#: A server of another zone must be so much emptier to be taken.
+ZONE_SLACK = 2
+EJECT_FAILURES = 3
+#: A server is slow when its first tokens take so many times the others' ...
+SLOW_RATIO = 3.0
+#: ... and so much longer, so that noise between fast servers does not eject one.
+SLOW_SLACK_MS = 20.0
+SLOW_SAMPLES = 5
+EJECT_MS = 1000.0
+LONGEST_EJECT_MS = 30_000.0
+#: Servers of a target that may be ejected at once.
+EJECTED_SHARE = 0.5
+NO_SERVER_RETRY_MS = 1000.0
+
+
+class Router:
+    """Prefix affinity with a bounded load, then load among samples, the own zone first."""
+
+    def __init__(self, context: Context, fleet: Fleet) -> None:
+        """Choose among the servers of ``fleet``."""
+        self._context = context
+        self._fleet = fleet
+
+    def choose(
+        self, target: TargetName, prefix_bucket: int | None, tried: tuple[ServerId, ...] = ()
+    ) -> ServerView | Refusal:
+        """Choose a server.
+
+        :param prefix_bucket: where requests share a prompt prefix, the bucket of its digest.
+        :param tried: servers that had this request already.
+        """
+        servers = self._fleet.target(target)
+        if servers is None:
+            return Refusal(RefusalReason.NO_SERVER, NO_SERVER_RETRY_MS)
+        sampled = self._sample(servers, tried)
+        if sampled is None:
+            return Refusal(RefusalReason.NO_SERVER, NO_SERVER_RETRY_MS)
+        if prefix_bucket is None:
+            return sampled
+        bound = sampled.load * BOUNDED_LOAD + BOUNDED_LOAD_SLACK
+        for view in servers.preferred(prefix_bucket % AFFINITY_BUCKETS):
+            if self._is_usable(view, tried) and view.load <= min(bound, view.online_limit - 1):
+                return view
+        return sampled
+
+    def record_start(self, view: ServerView) -> None:
+        """Count a request that goes to a server."""
+        view.own_online += 1
+        servers = self._fleet.target(view.listed.target)
+        if servers is not None:
+            servers.own_online += 1
+
+    def record_end(self, view: ServerView) -> None:
+        """Count a request that left a server."""
+        view.own_online -= 1
+        servers = self._fleet.target(view.listed.target)
+        if servers is not None:
+            servers.own_online -= 1
+
+    def record_failure(self, view: ServerView) -> None:
+        """Take in that a server failed; several in a row eject it."""
+        view.failures_in_row += 1
+        if view.failures_in_row >= EJECT_FAILURES or view.is_on_probation:
+            self._eject(view)
+
+    def record_success(self, view: ServerView, first_frame_ms: float | None) -> None:
+        """Take in that a server answered, and how fast its first token came."""
+        view.failures_in_row = 0
+        if first_frame_ms is None:
+            view.is_on_probation = False
+            return
+        if view.is_on_probation:
+            # What it did before it was ejected says nothing of it now.
+            view.samples = 0
+        view.record_first_frame(first_frame_ms)
+        if self._is_slow(view):
+            self._eject(view)
+            return
+        view.is_on_probation = False
+
+    def _sample(self, servers: TargetServers, tried: tuple[ServerId, ...]) -> ServerView | None:
+        views = servers.views
+        count = len(views)
+        if count <= SAMPLES:
+            return self._least_loaded(views, tried)
+        draw = self._context.random.random
+        picked = [views[int(draw() * count)] for _ in range(SAMPLES)]
+        best = self._least_loaded(picked, tried)
+        return best or self._least_loaded(views, tried)
+
+    def _least_loaded(
+        self, views: list[ServerView], tried: tuple[ServerId, ...]
+    ) -> ServerView | None:
+        best: ServerView | None = None
+        best_rank = 0.0
+        zone = self._context.zone
+        for view in views:
+            if not self._is_usable(view, tried):
+                continue
+            rank = float(view.load + (0 if view.listed.zone == zone else ZONE_SLACK))
+            # A share of a request decides between equals, so that they take turns.
+            rank += self._context.random.random() * 0.5
+            if best is None or rank < best_rank:
+                best, best_rank = view, rank
+        return best
+
+    def _is_usable(self, view: ServerView, tried: tuple[ServerId, ...]) -> bool:
+        if not view.takes_work or view.listed.id in tried:
+            return False
+        if view.ejected_until_ms == 0.0:
+            return True
+        if view.ejected_until_ms > self._context.now_ms():
+            return False
+        if not view.is_on_probation:
+            view.is_on_probation = True
+        # On probation only one request at a time is risked.
+        return view.own_online == 0
+
+    def _is_slow(self, view: ServerView) -> bool:
+        if view.samples < SLOW_SAMPLES and not view.is_on_probation:
+            return False
+        servers = self._fleet.target(view.listed.target)
+        if servers is None:
+            return False
+        others = sorted(
+            other.first_frame_ms
+            for other in servers.views[: SAMPLES * 4]
+            if other is not view and other.samples > 0
+        )
+        if not others:
+            return False
+        median_ms = others[len(others) // 2]
+        return view.first_frame_ms > max(median_ms * SLOW_RATIO, median_ms + SLOW_SLACK_MS)
+
+    def _eject(self, view: ServerView) -> None:
+        """Send a server nothing for a while; never so many that the rest would drown."""
+        now_ms = self._context.now_ms()
+        servers = self._fleet.target(view.listed.target)
+        views = [] if servers is None else servers.views
+        ejected = sum(1 for other in views if other.ejected_until_ms > now_ms)
+        if ejected + 1 > max(1, int(len(views) * EJECTED_SHARE)):
+            return
+        pause_ms = min(EJECT_MS * 2**view.ejections, LONGEST_EJECT_MS)
+        view.ejected_until_ms = now_ms + self._context.jittered_ms(pause_ms)
+        view.ejections += 1
+        view.is_on_probation = False
+        view.failures_in_row = 0
+        view.samples = 0
--- /dev/null
+++ b/citrondyke/decisions/online/server_view.py
@@ -0,0 +1,57 @@
+"""What one instance knows of one backend server."""
+
+from __future__ import annotations
+
+import msgspec
+
+from citrondyke.platform.fleet_lists import ListedServer, ListedState
+
+__all__ = ('ServerView',)
+
+#: Weight of a new sample in the averages.
+SMOOTHING = 0.2
+
+
+class ServerView(msgspec.Struct):
+    """A listed server, this instance's own requests on it, and what its steward said."""
+
+    listed: ListedServer
+    #: Online requests that the server bears within the tightest target; learned by its steward.
+    online_limit: int
+    #: This instance's own online requests on it.
+    own_online: int = 0
+    #: All online requests on it when its steward last spoke ...
+    reported_online: int = 0
+    #: ... and this instance's own among them.
+    own_at_report: int = 0
+    is_leaving: bool = False
+    failures_in_row: int = 0
+    ejections: int = 0
+    ejected_until_ms: float = 0.0
+    #: After an ejection one request at a time tells whether it works again.
+    is_on_probation: bool = False
+    first_frame_ms: float = 0.0
+    samples: int = 0
+
+    @property
+    def load(self) -> int:
+        """Estimate the online requests on it now: the report, corrected by what is known here."""
+        return max(self.own_online, self.reported_online + self.own_online - self.own_at_report)
+
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether the lists and the steward let it have new work."""
+        return not self.is_leaving and self.listed.state is ListedState.LIVE
+
+    def report(self, online_count: int, online_limit: int, *, is_leaving: bool) -> None:
+        """Take in the steward's answer."""
+        self.reported_online = online_count
+        self.own_at_report = self.own_online
+        self.online_limit = online_limit
+        self.is_leaving = self.is_leaving or is_leaving
+
+    def record_first_frame(self, first_frame_ms: float) -> None:
+        """Take in how long a first token took."""
+        self.samples += 1
+        weight = max(SMOOTHING, 1.0 / self.samples)
+        self.first_frame_ms += weight * (first_frame_ms - self.first_frame_ms)
--- /dev/null
+++ b/citrondyke/decisions/steward.py
@@ -0,0 +1,229 @@
+"""Looks after backend servers: their load, their online notices, their batch work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.decisions.core.ops import poll_load, sleep_until
+from citrondyke.decisions.membership.peer_messages import OnlineNotice, ServerState
+from citrondyke.decisions.membership.stewards import steward_of
+from citrondyke.decisions.sharing.engine_share import EngineShare, engine_share
+from citrondyke.decisions.sharing.service_share import service_share
+from citrondyke.ids import ServerId, TargetName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.configuration.keeper import ConfigKeeper
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.core.ops import Workflow
+    from citrondyke.decisions.membership.members import Members
+    from citrondyke.decisions.online.fleet import Fleet
+    from citrondyke.decisions.online.server_view import ServerView
+    from citrondyke.decisions.sharing.server_share import ServerShare
+    from citrondyke.ids import InstanceId, RequestId
+
+__all__ = ('SERVICE_PREFIX', 'Steward', 'StewardLimits')
+
+SERVICE_PREFIX = 'service:'
+#: Used until an engine has reported its own limit of streams.
+FIRST_MAX_RUNNING = 128
+DEFAULT_GAP_TARGET_MS = 42.0
+#: A peer is told a server's state again when it changed by this part ...
+TELL_SHARE = 0.1
+#: ... or after this time.
+TELL_EVERY_MS = 1000.0
+
+
+class StewardLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Pauses of a steward."""
+
+    poll_every_ms: float
+    poll_timeout_ms: float
+    #: Looks for work, over all instances, a second.
+    fleet_looks_per_s: float
+    shortest_look_ms: float
+
+
+class _Told(msgspec.Struct):
+    online_count: int
+    online_limit: int
+    at_ms: float
+
+
+class Steward:
+    """The servers that this instance looks after, by rendezvous over the live instances."""
+
+    def __init__(
+        self,
+        context: Context,
+        fleet: Fleet,
+        members: Members,
+        keeper: ConfigKeeper,
+        limits: StewardLimits,
+        on_cut: Callable[[list[RequestId]], None],
+        on_room: Callable[[TargetName], None],
+    ) -> None:
+        """Use the parts handed in.
+
+        :param on_cut: told which batch requests must yield.
+        :param on_room: told for which target a place may have become free.
+        """
+        self._context = context
+        self._fleet = fleet
+        self._members = members
+        self._keeper = keeper
+        self._limits = limits
+        self._on_cut = on_cut
+        self._on_room = on_room
+        self._shares: dict[ServerId, ServerShare] = {}
+        self._targets: dict[TargetName, list[ServerId]] = {}
+        self._told: dict[tuple[InstanceId, ServerId], _Told] = {}
+        self._steward_cache: dict[ServerId, InstanceId | None] = {}
+
+    def refresh(self) -> list[ServerId]:
+        """Work out anew who looks after what; give the servers that are new to this instance."""
+        live = self._members.live()
+        self._steward_cache = {
+            view.listed.id: steward_of(view.listed.id, view.listed.zone, live)
+            for view in self._fleet.views()
+        }
+        own = {
+            server_id
+            for server_id, instance_id in self._steward_cache.items()
+            if instance_id == self._context.instance_id
+        }
+        gained = [server_id for server_id in sorted(own) if server_id not in self._shares]
+        for server_id in [each for each in self._shares if each not in own]:
+            del self._shares[server_id]
+        for server_id in gained:
+            view = self._fleet.view(server_id)
+            if view is not None:
+                self._shares[server_id] = self._new_share(view)
+        self._targets.clear()
+        for server_id in sorted(own):
+            view = self._fleet.view(server_id)
+            if view is not None:
+                self._targets.setdefault(view.listed.target, []).append(server_id)
+        return gained
+
+    def steward_of(self, server_id: ServerId) -> InstanceId | None:
+        """Give a server's steward."""
+        return self._steward_cache.get(server_id)
+
+    def looks_after(self, server_id: ServerId) -> bool:
+        """Tell whether this instance looks after a server."""
+        return server_id in self._shares
+
+    def targets(self) -> list[TargetName]:
+        """List the targets that this instance has servers of."""
+        return sorted(self._targets)
+
+    def serves(self, target: TargetName) -> bool:
+        """Tell whether this instance has servers of a target."""
+        return target in self._targets
+
+    def shares_of(self, target: TargetName) -> list[tuple[ServerId, ServerShare]]:
+        """List the servers of a target that take work, the emptiest first."""
+        now_ms = self._context.now_ms()
+        shares = [
+            (server_id, self._shares[server_id])
+            for server_id in self._targets.get(target, ())
+            if self._takes_batch(server_id)
+        ]
+        return sorted(shares, key=lambda pair: -pair[1].room(now_ms))
+
+    def share(self, server_id: ServerId) -> ServerShare | None:
+        """Find a server's share."""
+        return self._shares.get(server_id)
+
+    def room(self, target: TargetName) -> int:
+        """Count the batch requests of a target that could start, with as many in reserve."""
+        now_ms = self._context.now_ms()
+        return sum(
+            max(share.room(now_ms), share.fill_limit(now_ms)) for _, share in self.shares_of(target)
+        )
+
+    def look_pause_ms(self, target: TargetName) -> float:
+        """Give the pause between two looks for work, so that the fleet's looks stay bounded."""
+        looking = max(1, len(self._members.live())) * max(1, len(self._targets))
+        return max(self._limits.shortest_look_ms, looking / self._limits.fleet_looks_per_s * 1e3)
+
+    def on_notice(self, sender: InstanceId, notice: OnlineNotice) -> ServerState | None:
+        """Take in what an entry instance has on a server; yield at once where it must.
+
+        :returns: what to answer, if anything.
+        """
+        share = self._shares.get(notice.server_id)
+        if share is None:
+            return None
+        now_ms = self._context.now_ms()
+        share.on_notice(sender, notice.online_count, now_ms)
+        self._yield_to_online(share, now_ms)
+        view = self._fleet.view(notice.server_id)
+        if view is None:
+            return None
+        self._on_room(view.listed.target)
+        return self._answer(sender, view, share, now_ms)
+
+    def watch(self, server_id: ServerId) -> Workflow[None]:
+        """Poll one server's load while this instance looks after it."""
+        watched = self._shares.get(server_id)
+        while watched is not None:
+            now_ms = self._context.now_ms()
+            load = yield from poll_load(server_id, now_ms + self._limits.poll_timeout_ms)
+            view = self._fleet.view(server_id)
+            if view is None or self._shares.get(server_id) is not watched:
+                return
+            now_ms = self._context.now_ms()
+            watched.expire_notices(now_ms)
+            if load is not None:
+                watched.on_load(load, now_ms)
+                if load.is_leaving:
+                    view.is_leaving = True
+                self._yield_to_online(watched, now_ms)
+            self._apply_targets(watched)
+            self._on_room(view.listed.target)
+            yield from sleep_until(now_ms + self._context.jittered_ms(self._limits.poll_every_ms))
+
+    def _takes_batch(self, server_id: ServerId) -> bool:
+        view = self._fleet.view(server_id)
+        if view is None or not view.takes_work:
+            return False
+        return view.ejected_until_ms <= self._context.now_ms()
+
+    def _new_share(self, view: ServerView) -> ServerShare:
+        if view.listed.target.startswith(SERVICE_PREFIX):
+            return service_share()
+        return engine_share(self._gap_target_ms(), FIRST_MAX_RUNNING)
+
+    def _apply_targets(self, share: ServerShare) -> None:
+        if isinstance(share, EngineShare):
+            share.set_target(self._gap_target_ms())
+
+    def _gap_target_ms(self) -> float:
+        """Give the tightest target of the online classes: any of them may call any server."""
+        classes = self._keeper.current.online_classes()
+        return min((each.token_gap_target_ms for each in classes), default=DEFAULT_GAP_TARGET_MS)
+
+    def _yield_to_online(self, share: ServerShare, now_ms: float) -> None:
+        to_cut = share.to_cut(now_ms)
+        if to_cut:
+            self._on_cut(to_cut)
+
+    def _answer(
+        self, sender: InstanceId, view: ServerView, share: ServerShare, now_ms: float
+    ) -> ServerState | None:
+        online_count = share.online_count
+        online_limit = share.online_limit()
+        told = self._told.get((sender, view.listed.id))
+        if told is not None and not view.is_leaving:
+            moved = abs(online_count - told.online_count)
+            is_small = moved <= max(1.0, TELL_SHARE * told.online_count)
+            is_same_limit = told.online_limit == online_limit
+            if is_small and is_same_limit and now_ms - told.at_ms < TELL_EVERY_MS:
+                return None
+        self._told[(sender, view.listed.id)] = _Told(online_count, online_limit, now_ms)
+        return ServerState(view.listed.id, online_count, online_limit, view.is_leaving)
--- /dev/null
+++ b/citrondyke/driver/__init__.py
@@ -0,0 +1,3 @@
+"""Hosts the decisions."""
+
+from __future__ import annotations
--- /dev/null
+++ b/citrondyke/entry/app.py
@@ -0,0 +1,84 @@
+"""All doors as one WSGI application."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import bottle
+
+from citrondyke.entry.answers import answer_error, error_plugin, json_answer
+from citrondyke.entry.jobs_door import JobsDoor
+from citrondyke.entry.online_door import OnlineDoor
+from citrondyke.entry.operator_door import OperatorDoor
+from citrondyke.errors import CitrondykeError, NotFoundError, RunState
+
+if TYPE_CHECKING:
+    from citrondyke.entry.front import Front
+
+__all__ = ('entry_app',)
+
+ALL_METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
+
+
+def entry_app(front: Front) -> bottle.Bottle:
+    """Make the application."""
+    app = bottle.Bottle()
+    app.install(error_plugin)
+    app.default_error_handler = _default_error
+    _add_online(app, OnlineDoor(front))
+    _add_jobs(app, JobsDoor(front))
+    _add_operator(app, OperatorDoor(front))
+    _add_health(app, front)
+    return app
+
+
+def _add_online(app: bottle.Bottle, door: OnlineDoor) -> None:
+    app.post('/v1/chat/completions', callback=door.chat)
+    app.post('/v1/completions', callback=door.complete)
+    app.get('/v1/models', callback=door.models)
+    app.route('/services/<service>/<path:path>', method=ALL_METHODS, callback=door.service)
+
+
+def _add_jobs(app: bottle.Bottle, door: JobsDoor) -> None:
+    app.post('/v1/files', callback=door.upload)
+    app.get('/v1/files', callback=door.files)
+    app.get('/v1/files/<file_id>', callback=door.file)
+    app.get('/v1/files/<file_id>/content', callback=door.content)
+    app.post('/v1/batches', callback=door.create)
+    app.get('/v1/batches', callback=door.batches)
+    app.get('/v1/batches/<job_id>', callback=door.batch)
+    app.post('/v1/batches/<job_id>/cancel', callback=door.cancel)
+
+
+def _add_operator(app: bottle.Bottle, door: OperatorDoor) -> None:
+    app.get('/operator/v1/config', callback=door.config)
+    app.post('/operator/v1/config', callback=door.propose)
+    app.get('/operator/v1/config/history', callback=door.history)
+    app.get('/operator/v1/status', callback=door.status)
+    app.get('/operator/v1/histograms', callback=door.histograms)
+    app.get('/operator/v1/jobs', callback=door.jobs)
+    app.get('/operator/v1/jobs/<job_id>', callback=door.job)
+    app.post('/operator/v1/jobs/<job_id>/cancel', callback=door.cancel_job)
+
+
+def _add_health(app: bottle.Bottle, front: Front) -> None:
+    def live() -> bytes:
+        return json_answer({'state': 'live'})
+
+    def ready() -> bytes:
+        """Tell the balancer whether to send calls here."""
+        if front.instance.members.is_leaving:
+            return json_answer({'state': 'leaving'}, 503)
+        if not front.instance.is_ready:
+            return json_answer({'state': 'starting'}, 503)
+        return json_answer({'state': 'ready'})
+
+    app.get('/health/live', callback=live)
+    app.get('/health/ready', callback=ready)
+
+
+def _default_error(error: Any) -> bytes:
+    """Answer what bottle itself refuses in the same shape as all else."""
+    if error.status_code in (404, 405):
+        return answer_error(NotFoundError('there is nothing at this path and method'))
+    return answer_error(CitrondykeError('internal error', run=RunState.UNKNOWN))
--- /dev/null
+++ b/citrondyke/entry/job_shapes.py
@@ -0,0 +1,121 @@
+"""Files and jobs in the published shapes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from citrondyke.decisions.jobs.rows import JobState
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.jobs.acceptance import AcceptedJob
+    from citrondyke.decisions.jobs.rows import FileRow
+    from citrondyke.decisions.jobs.sweeper import JobCounts
+    from citrondyke.ids import JobId
+
+__all__ = (
+    'BatchWish',
+    'batch_shape',
+    'error_file_id',
+    'file_shape',
+    'job_of_file',
+    'output_file_id',
+)
+
+OUTPUT_PREFIX = 'file-out-'
+ERROR_PREFIX = 'file-err-'
+
+STATUSES = {
+    JobState.RUNNING: 'in_progress',
+    JobState.CANCELLING: 'cancelling',
+    JobState.EXPIRING: 'finalizing',
+    JobState.COMPLETED: 'completed',
+    JobState.CANCELLED: 'cancelled',
+    JobState.EXPIRED: 'expired',
+}
+
+
+class BatchWish(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/batches``."""
+
+    input_file_id: str
+    endpoint: str
+    completion_window: str = '24h'
+    metadata: dict[str, str] | None = None
+
+
+def output_file_id(job_id: JobId) -> str:
+    """Name the file of a job's answers."""
+    return OUTPUT_PREFIX + job_id
+
+
+def error_file_id(job_id: JobId) -> str:
+    """Name the file of a job's failed items."""
+    return ERROR_PREFIX + job_id
+
+
+def job_of_file(file_id: str) -> tuple[str, bool] | None:
+    """Find which job's file a name stands for, and whether it is the one of failures."""
+    if file_id.startswith(OUTPUT_PREFIX):
+        return file_id[len(OUTPUT_PREFIX) :], False
+    if file_id.startswith(ERROR_PREFIX):
+        return file_id[len(ERROR_PREFIX) :], True
+    return None
+
+
+def file_shape(file_id: str, row: FileRow) -> dict[str, Any]:
+    """Write a file down."""
+    return {
+        'id': file_id,
+        'object': 'file',
+        'bytes': row.size_bytes,
+        'created_at': _seconds(row.created_epoch_ms),
+        'filename': row.filename,
+        'purpose': row.purpose,
+        'status': 'processed',
+    }
+
+
+def batch_shape(job: AcceptedJob, counts: JobCounts) -> dict[str, Any]:
+    """Write a job down, with its class's deadline beside the published fields."""
+    row = job.row
+    is_final = row.state.is_final
+    finished_at = _seconds(row.finished_epoch_ms)
+    stopped_at = _seconds(row.stopped_epoch_ms)
+    is_cancelled = row.state in (JobState.CANCELLING, JobState.CANCELLED)
+    return {
+        'id': job.job_id,
+        'object': 'batch',
+        'endpoint': row.endpoint,
+        'errors': None,
+        'input_file_id': row.file_id,
+        'completion_window': row.completion_window,
+        'status': STATUSES[row.state],
+        'output_file_id': output_file_id(job.job_id) if counts.succeeded_count else None,
+        'error_file_id': error_file_id(job.job_id) if counts.failed_count else None,
+        'created_at': _seconds(row.created_epoch_ms),
+        'in_progress_at': _seconds(row.created_epoch_ms),
+        'expires_at': _seconds(row.expires_epoch_ms),
+        'finalizing_at': None,
+        'completed_at': finished_at if row.state is JobState.COMPLETED else None,
+        'failed_at': None,
+        'expired_at': finished_at if row.state is JobState.EXPIRED else None,
+        'cancelling_at': stopped_at if is_cancelled else None,
+        'cancelled_at': finished_at if row.state is JobState.CANCELLED else None,
+        'request_counts': {
+            'total': row.items_count,
+            'completed': counts.succeeded_count,
+            'failed': counts.failed_count,
+        },
+        'metadata': row.metadata,
+        'citrondyke': {
+            'class': row.class_name,
+            'deadline_at': _seconds(row.deadline_epoch_ms),
+            'is_final': is_final,
+        },
+    }
+
+
+def _seconds(epoch_ms: float | None) -> int | None:
+    return None if epoch_ms is None else int(epoch_ms / 1e3)
--- /dev/null
+++ b/citrondyke/entry/jobs_door.py
@@ -0,0 +1,242 @@
+"""Files and batch jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Any
+
+import bottle
+import msgspec
+
+from citrondyke.decisions.configuration.entries import ClassKind
+from citrondyke.decisions.core.ops import scan_rows
+from citrondyke.decisions.jobs.acceptance import (
+    AcceptedJob,
+    JobRefusal,
+    JobRefusalReason,
+    JobWish,
+)
+from citrondyke.decisions.jobs.rows import FileRow, job_index_prefix
+from citrondyke.decisions.jobs.sweeper import JobCounts
+from citrondyke.entry.answers import json_answer
+from citrondyke.entry.bodies import decode_body, read_body
+from citrondyke.entry.job_shapes import BatchWish, batch_shape, file_shape, job_of_file
+from citrondyke.entry.online_door import CLASS_HEADER, KEY_HEADER
+from citrondyke.entry.results import input_lines, result_lines
+from citrondyke.entry.upload import Upload
+from citrondyke.errors import (
+    CitrondykeError,
+    IdempotencyConflictError,
+    InstanceLeavingError,
+    InvalidFieldError,
+    NotFoundError,
+    OverloadedError,
+    PlatformUnavailableError,
+    RunState,
+    UnknownClassError,
+)
+from citrondyke.ids import JobId
+from citrondyke.platform.failure import PlatformFailure
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.configuration.entries import TenantEntry
+    from citrondyke.decisions.jobs.acceptance import JobResult
+    from citrondyke.entry.front import Front
+
+__all__ = ('JobsDoor', 'error_of_job')
+
+WINDOWS = ('24h',)
+PLATFORM_RETRY_MS = 2000.0
+UPLOAD_RETRY_MS = 1000.0
+LIST_LIMIT = 100
+
+
+def error_of_job(refusal: JobRefusal) -> CitrondykeError:
+    """Give the failure of a job or file that was refused or not found."""
+    match refusal.reason:
+        case JobRefusalReason.NO_FILE:
+            return NotFoundError('there is no such file')
+        case JobRefusalReason.NO_JOB:
+            return NotFoundError('there is no such job')
+        case JobRefusalReason.WRONG_ENDPOINT:
+            return InvalidFieldError('endpoint is not the url of the lines of the file')
+        case JobRefusalReason.UNKNOWN_TARGET:
+            return UnknownClassError()
+        case JobRefusalReason.KEY_CONFLICT:
+            return IdempotencyConflictError()
+        case JobRefusalReason.IN_DOUBT:
+            return PlatformUnavailableError(
+                'it is not known whether the job was accepted; the same again gives the same job',
+                run=RunState.UNKNOWN,
+                retry_in_ms=PLATFORM_RETRY_MS,
+            )
+        case JobRefusalReason.PLATFORM_DOWN:
+            return PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS)
+
+
+class JobsDoor:
+    """Answers calls about files and jobs."""
+
+    def __init__(self, front: Front) -> None:
+        """Use the instance behind ``front``."""
+        self._front = front
+
+    def upload(self) -> bytes:
+        """Answer ``POST /v1/files``."""
+        tenant = self._tenant()
+        if not self._front.uploads.acquire(blocking=False):
+            raise OverloadedError('too many job files arrive', retry_in_ms=UPLOAD_RETRY_MS)
+        try:
+            upload = Upload(self._front)
+            summary = upload.receive()
+        finally:
+            self._front.uploads.release()
+        recorded = self._front.driver.run(
+            self._front.instance.acceptance.record_file(
+                tenant.id, upload.upload_id, upload.filename, summary
+            )
+        )
+        if isinstance(recorded, JobRefusal):
+            raise error_of_job(recorded)
+        return json_answer(file_shape(*recorded))
+
+    def files(self) -> bytes:
+        """Answer ``GET /v1/files``."""
+        tenant = self._tenant()
+        prefix = f'file/{tenant.id}/'
+        rows = self._front.driver.run(scan_rows(prefix, '', LIST_LIMIT))
+        if isinstance(rows, PlatformFailure):
+            raise PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS)
+        data = [
+            file_shape(row.key[len(prefix) :], msgspec.json.decode(row.value, type=FileRow))
+            for row in rows
+        ]
+        return json_answer({'object': 'list', 'data': data, 'has_more': len(rows) == LIST_LIMIT})
+
+    def file(self, file_id: str) -> bytes:
+        """Answer ``GET /v1/files/<id>``."""
+        tenant = self._tenant()
+        result_of = job_of_file(file_id)
+        if result_of is not None:
+            job = self._job(tenant, result_of[0])
+            return json_answer(
+                {
+                    'id': file_id,
+                    'object': 'file',
+                    'bytes': 0,
+                    'created_at': int(job.row.created_epoch_ms / 1e3),
+                    'filename': f'{file_id}.jsonl',
+                    'purpose': 'batch_output',
+                    'status': 'processed',
+                }
+            )
+        return json_answer(file_shape(file_id, self._file(tenant, file_id)))
+
+    def content(self, file_id: str) -> Any:
+        """Answer ``GET /v1/files/<id>/content``."""
+        tenant = self._tenant()
+        bottle.response.content_type = 'application/jsonl'
+        result_of = job_of_file(file_id)
+        if result_of is None:
+            return _after_first(input_lines(self._front, self._file(tenant, file_id)))
+        job = self._job(tenant, result_of[0])
+        parts = self._front.driver.run(self._front.instance.sweeper.parts(job.job_id))
+        if parts is None:
+            raise PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS)
+        lines = result_lines(self._front, job, parts, is_error=result_of[1])
+        return _after_first(lines)
+
+    def create(self) -> bytes:
+        """Answer ``POST /v1/batches``."""
+        tenant = self._tenant()
+        if self._front.instance.members.is_leaving:
+            raise InstanceLeavingError(retry_in_ms=UPLOAD_RETRY_MS)
+        limits = self._front.settings.limits
+        body = read_body(limits.body_bytes, limits.body_within_ms)
+        wish = decode_body(body, BatchWish)
+        if wish.completion_window not in WINDOWS:
+            raise InvalidFieldError(f'completion_window is one of {", ".join(WINDOWS)}')
+        headers = bottle.request.headers
+        wanted = self._front.class_of(
+            headers.get(CLASS_HEADER), tenant.batch_class, ClassKind.BATCH
+        )
+        accepted = self._front.driver.run(
+            self._front.instance.acceptance.accept(
+                JobWish(
+                    tenant_id=tenant.id,
+                    file_id=wish.input_file_id,
+                    endpoint=wish.endpoint,
+                    class_name=wanted.name,
+                    completion_window=wish.completion_window,
+                    idempotency_key=headers.get(KEY_HEADER, ''),
+                    metadata=wish.metadata or {},
+                )
+            )
+        )
+        return self._answer(accepted)
+
+    def batches(self) -> bytes:
+        """Answer ``GET /v1/batches``."""
+        tenant = self._tenant()
+        prefix = job_index_prefix(tenant.id)
+        rows = self._front.driver.run(scan_rows(prefix, '', LIST_LIMIT))
+        if isinstance(rows, PlatformFailure):
+            raise PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS)
+        data = []
+        for row in rows:
+            job = self._job(tenant, row.key.rsplit('/', 1)[1])
+            data.append(batch_shape(job, self._counts(job)))
+        return json_answer({'object': 'list', 'data': data, 'has_more': len(rows) == LIST_LIMIT})
+
+    def batch(self, job_id: str) -> bytes:
+        """Answer ``GET /v1/batches/<id>``."""
+        return self._answer(self._job(self._tenant(), job_id))
+
+    def cancel(self, job_id: str) -> bytes:
+        """Answer ``POST /v1/batches/<id>/cancel``."""
+        tenant = self._tenant()
+        result = self._front.driver.run(self._front.instance.cancel_job(tenant.id, JobId(job_id)))
+        return self._answer(result)
+
+    def _tenant(self) -> TenantEntry:
+        return self._front.tenant(bottle.request.headers.get('Authorization'))
+
+    def _file(self, tenant: TenantEntry, file_id: str) -> FileRow:
+        found = self._front.driver.run(
+            self._front.instance.acceptance.find_file(tenant.id, file_id)
+        )
+        if isinstance(found, JobRefusal):
+            raise error_of_job(found)
+        return found
+
+    def _job(self, tenant: TenantEntry, job_id: str) -> AcceptedJob:
+        found = self._front.driver.run(
+            self._front.instance.acceptance.find_job(tenant.id, JobId(job_id))
+        )
+        if isinstance(found, JobRefusal):
+            raise error_of_job(found)
+        return found
+
+    def _counts(self, job: AcceptedJob) -> JobCounts:
+        if job.row.state.is_final:
+            return JobCounts(job.row.succeeded_count, job.row.failed_count)
+        counts = self._front.driver.run(self._front.instance.sweeper.count(job.job_id))
+        if counts is None:
+            raise PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS)
+        return counts
+
+    def _answer(self, result: JobResult) -> bytes:
+        if isinstance(result, JobRefusal):
+            raise error_of_job(result)
+        return json_answer(batch_shape(result, self._counts(result)))
+
+
+def _after_first(parts: Iterator[bytes]) -> Iterator[bytes]:
+    """Fetch the first part before the answer begins, so that its failure has a status."""
+    first = next(parts, b'')
+
+    def rest() -> Iterator[bytes]:
+        yield first
+        yield from parts
+
+    return rest()
--- /dev/null
+++ b/citrondyke/entry/online_errors.py
@@ -0,0 +1,73 @@
+"""Turns the end of an online request that was not answered into its failure."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citrondyke.decisions.once.once_desk import OnceEnd, OnceEndKind
+from citrondyke.decisions.online.refusal import Refusal, RefusalReason
+from citrondyke.decisions.online.request import OnlineEnd, OnlineEndKind
+from citrondyke.errors import (
+    CitrondykeError,
+    DeadlinePassedError,
+    IdempotencyConflictError,
+    InProgressError,
+    OutcomeNotDurableError,
+    OutcomeUnknownError,
+    OverloadedError,
+    PlatformUnavailableError,
+    RunState,
+    ServerFailedError,
+    ServerUnreachableError,
+    StreamBrokenError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ('error_of_end', 'error_of_once')
+
+PLATFORM_RETRY_MS = 2000.0
+PROGRESS_RETRY_MS = 500.0
+
+
+def error_of_refusal(refusal: Refusal) -> CitrondykeError:
+    """Give the failure of a request that never ran."""
+    if refusal.reason is RefusalReason.DEADLINE:
+        return DeadlinePassedError()
+    if refusal.reason in (RefusalReason.NO_SERVER, RefusalReason.RETRY_BUDGET):
+        return ServerUnreachableError(retry_in_ms=refusal.retry_in_ms)
+    return OverloadedError(retry_in_ms=refusal.retry_in_ms)
+
+
+def error_of_end(end: OnlineEnd, *, has_begun: bool) -> CitrondykeError:
+    """Give the failure of a request without a whole answer.
+
+    :param has_begun: whether the caller has part of the answer.
+    """
+    if end.kind is OnlineEndKind.REFUSED and end.refusal is not None:
+        return error_of_refusal(end.refusal)
+    run = RunState.UNKNOWN if end.may_have_run else RunState.NOT_RUN
+    if end.kind is OnlineEndKind.LATE:
+        return DeadlinePassedError(run=run)
+    if has_begun:
+        return StreamBrokenError()
+    return ServerFailedError(run=run)
+
+
+_ONCE: dict[OnceEndKind, Callable[[], CitrondykeError]] = {
+    OnceEndKind.CONFLICT: IdempotencyConflictError,
+    OnceEndKind.UNKNOWN: OutcomeUnknownError,
+    OnceEndKind.NOT_DURABLE: lambda: OutcomeNotDurableError(retry_in_ms=PLATFORM_RETRY_MS),
+    OnceEndKind.IN_PROGRESS: lambda: InProgressError(retry_in_ms=PROGRESS_RETRY_MS),
+    OnceEndKind.PLATFORM_DOWN: lambda: PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS),
+}
+
+
+def error_of_once(end: OnceEnd) -> CitrondykeError:
+    """Give the failure of a request that runs at most once."""
+    if end.kind is OnceEndKind.NOT_RUN:
+        if end.refusal is not None:
+            return error_of_refusal(end.refusal)
+        return ServerUnreachableError(retry_in_ms=PROGRESS_RETRY_MS)
+    return _ONCE[end.kind]()
--- /dev/null
+++ b/citrondyke/entry/operator_door.py
@@ -0,0 +1,226 @@
+"""What operators ask and change."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import bottle
+import msgspec
+
+from citrondyke.decisions.configuration.change import ConfigChange
+from citrondyke.decisions.configuration.proposal import (
+    ConfigConflict,
+    ConfigProposal,
+    ConfigRefusal,
+)
+from citrondyke.decisions.core.commit import CommitDoubt, CommitDoubtReason
+from citrondyke.decisions.core.ops import scan_rows
+from citrondyke.decisions.jobs.acceptance import JobRefusal
+from citrondyke.decisions.jobs.rows import OpenRow, open_prefix
+from citrondyke.entry.answers import json_answer
+from citrondyke.entry.bodies import decode_body, read_body
+from citrondyke.entry.job_shapes import batch_shape
+from citrondyke.entry.jobs_door import error_of_job
+from citrondyke.entry.operator_shapes import (
+    JobSummary,
+    JobView,
+    MemberView,
+    ServerReport,
+    StatusReport,
+)
+from citrondyke.errors import (
+    ConfigConflictError,
+    InvalidFieldError,
+    PlatformUnavailableError,
+    RunState,
+)
+from citrondyke.ids import ConfigVersion, JobId
+from citrondyke.platform.failure import PlatformFailure
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.jobs.sweeper import JobCounts
+    from citrondyke.entry.front import Front
+
+__all__ = ('OperatorDoor',)
+
+HISTORY_LIMIT = 200
+JOBS_LIMIT = 200
+PLATFORM_RETRY_MS = 2000.0
+
+
+class OperatorDoor:
+    """Answers operators."""
+
+    def __init__(self, front: Front) -> None:
+        """Use the instance behind ``front``."""
+        self._front = front
+
+    def config(self) -> bytes:
+        """Answer ``GET /operator/v1/config``."""
+        self._operator()
+        return json_answer(self._front.instance.keeper.current.snapshot())
+
+    def propose(self) -> bytes:
+        """Answer ``POST /operator/v1/config``."""
+        who = self._operator()
+        limits = self._front.settings.limits
+        body = read_body(limits.body_bytes, limits.body_within_ms)
+        proposal = decode_body(body, ConfigProposal)
+        result = self._front.driver.run(self._front.instance.propose(proposal, who))
+        match result:
+            case ConfigChange():
+                return json_answer(result)
+            case ConfigConflict():
+                raise ConfigConflictError(_conflict_text(result))
+            case ConfigRefusal():
+                raise InvalidFieldError(f'{result.field}: allowed: {result.allowed}')
+            case CommitDoubt():
+                is_open = result.reason is CommitDoubtReason.MAYBE_WRITTEN
+                run = RunState.UNKNOWN if is_open else RunState.NOT_RUN
+                raise PlatformUnavailableError(run=run, retry_in_ms=PLATFORM_RETRY_MS)
+
+    def history(self) -> bytes:
+        """Answer ``GET /operator/v1/config/history?after=N``."""
+        self._operator()
+        after = bottle.request.query.get('after', '0')
+        if not after.isdigit():
+            raise InvalidFieldError('after is a version')
+        changes = self._front.driver.run(
+            self._front.instance.keeper.history(ConfigVersion(int(after)), HISTORY_LIMIT)
+        )
+        if changes is None:
+            raise PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS)
+        return json_answer(changes)
+
+    def status(self) -> bytes:
+        """Answer ``GET /operator/v1/status``."""
+        self._operator()
+        instance = self._front.instance
+        members = [
+            MemberView(
+                id=peer.id,
+                zone=peer.zone,
+                listed=peer.state.value,
+                state=state.value if (state := instance.members.state_of(peer.id)) else 'unknown',
+            )
+            for peer in instance.members.peers()
+        ]
+        return json_answer(
+            StatusReport(
+                instance_id=instance.context.instance_id,
+                zone=instance.context.zone,
+                config_version=instance.keeper.current.version,
+                is_ready=instance.is_ready,
+                is_leaving=instance.members.is_leaving,
+                session=instance.session.session,
+                open_calls=self._front.open_calls,
+                held_segments=instance.worker.held_count,
+                members=members,
+                servers=self._servers(),
+            )
+        )
+
+    def histograms(self) -> bytes:
+        """Answer ``GET /operator/v1/histograms``."""
+        self._operator()
+        with_tenants = bottle.request.query.get('tenants') == 'yes'
+        return json_answer(self._front.measures.report(with_tenants=with_tenants))
+
+    def jobs(self) -> bytes:
+        """Answer ``GET /operator/v1/jobs``: the open ones, by deadline."""
+        self._operator()
+        found: list[JobSummary] = []
+        for target in self._front.instance.fleet.targets():
+            rows = self._front.driver.run(scan_rows(open_prefix(target), '', JOBS_LIMIT))
+            if isinstance(rows, PlatformFailure):
+                raise PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS)
+            for row in rows:
+                _, _, deadline, job_id = row.key.rsplit('/', 3)
+                opened = msgspec.json.decode(row.value, type=OpenRow)
+                found.append(
+                    JobSummary(
+                        job_id=JobId(job_id),
+                        tenant_id=opened.tenant_id,
+                        target=target,
+                        deadline_epoch_ms=float(deadline),
+                        segments_count=opened.segments_count,
+                        is_stopping=opened.is_stopping,
+                    )
+                )
+        return json_answer(found)
+
+    def job(self, job_id: str) -> bytes:
+        """Answer ``GET /operator/v1/jobs/<id>``: progress and forecast."""
+        self._operator()
+        instance = self._front.instance
+        job = self._front.driver.run(instance.acceptance.find_job(None, JobId(job_id)))
+        if isinstance(job, JobRefusal):
+            raise error_of_job(job)
+        counts = self._front.driver.run(instance.sweeper.count(job.job_id))
+        if counts is None:
+            raise PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS)
+        forecast_epoch_ms = None
+        if not job.row.state.is_final:
+            forecast_epoch_ms = self._forecast(
+                job.row.created_epoch_ms, counts, job.row.items_count
+            )
+        return json_answer(
+            JobView(
+                batch=batch_shape(job, counts),
+                forecast_epoch_ms=forecast_epoch_ms,
+                deadline_epoch_ms=job.row.deadline_epoch_ms,
+                is_at_risk=(forecast_epoch_ms or 0.0) > job.row.deadline_epoch_ms,
+            )
+        )
+
+    def cancel_job(self, job_id: str) -> bytes:
+        """Answer ``POST /operator/v1/jobs/<id>/cancel``."""
+        self._operator()
+        result = self._front.driver.run(self._front.instance.cancel_job(None, JobId(job_id)))
+        if isinstance(result, JobRefusal):
+            raise error_of_job(result)
+        return json_answer({'job_id': result.job_id, 'state': result.row.state.value})
+
+    def _forecast(self, created_epoch_ms: float, counts: JobCounts, total: int) -> float | None:
+        """Forecast a job's end from its own pace so far; ``None`` before there is one."""
+        done = counts.succeeded_count + counts.failed_count
+        now_ms = self._front.clock.epoch_ms()
+        elapsed_ms = now_ms - created_epoch_ms
+        if not done or elapsed_ms <= 0:
+            return None
+        return now_ms + (total - done) * elapsed_ms / done
+
+    def _servers(self) -> list[ServerReport]:
+        instance = self._front.instance
+        now_ms = self._front.clock.now_ms()
+        reports: list[ServerReport] = []
+        for view in instance.fleet.views():
+            share = instance.steward.share(view.listed.id)
+            reports.append(
+                ServerReport(
+                    id=view.listed.id,
+                    target=view.listed.target,
+                    zone=view.listed.zone,
+                    steward=instance.steward.steward_of(view.listed.id) or '',
+                    is_leaving=not view.takes_work,
+                    is_ejected=view.ejected_until_ms > now_ms,
+                    online_count=view.load,
+                    online_limit=view.online_limit,
+                    batch_count=share.batch_count if share is not None else None,
+                    fill_limit=share.fill_limit(now_ms) if share is not None else None,
+                )
+            )
+        return reports
+
+    def _operator(self) -> str:
+        return self._front.operator(bottle.request.headers.get('Authorization'))
+
+
+def _conflict_text(conflict: ConfigConflict) -> str:
+    changes: list[Any] = [
+        f'version {change.version} by {change.who}: '
+        + ', '.join(edit.name for edit in change.edits)
+        for change in conflict.changes
+    ]
+    told = '; '.join(changes) or 'see the history'
+    return f'the configuration is at version {conflict.current_version}; changed since: {told}'
--- /dev/null
+++ b/citrondyke/entry/upload.py
@@ -0,0 +1,99 @@
+"""Takes in a job file while it arrives."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING
+
+import bottle
+from multipart import MultipartError, MultipartSegment, PushMultipartParser, parse_options_header
+
+from citrondyke.decisions.core.ops import put_object
+from citrondyke.decisions.jobs.job_file_reader import BadLine, JobFileReader
+from citrondyke.decisions.jobs.rows import input_object_key
+from citrondyke.entry.bodies import body_chunks
+from citrondyke.errors import BadJobLineError, InvalidFieldError, PlatformUnavailableError
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.jobs.job_file_reader import JobFileSummary
+    from citrondyke.entry.front import Front
+
+__all__ = ('Upload',)
+
+FIELD_LIMIT_BYTES = 1024
+PLATFORM_RETRY_MS = 2000.0
+
+
+class Upload:
+    """One multipart body: the form fields, and the file cut into segments.
+
+    The segments go to the object store as they fill, so that a file of any size takes the
+    memory of one segment. Nothing refers to them before the whole file was found good.
+    """
+
+    def __init__(self, front: Front) -> None:
+        """Start at the first byte."""
+        self.upload_id = uuid.uuid4().hex
+        self.filename = ''
+        self.purpose = ''
+        self._front = front
+        limits = front.settings.limits
+        self._reader = JobFileReader(
+            front.instance.limits.segment_items, limits.job_line_bytes, limits.job_items
+        )
+        self._segments_count = 0
+        self._has_file = False
+
+    def receive(self) -> JobFileSummary:
+        """Read the body to its end.
+
+        :raises BadJobLineError: naming the first line that cannot be accepted.
+        :raises InvalidFieldError: when the form is not as published.
+        """
+        kind, options = parse_options_header(bottle.request.content_type or '')
+        if kind != 'multipart/form-data' or 'boundary' not in options:
+            raise InvalidFieldError('the body must be multipart/form-data')
+        try:
+            with PushMultipartParser(options['boundary']) as parser:
+                for chunk in body_chunks(self._front.settings.limits.upload_within_ms):
+                    self._take(parser, chunk)
+        except MultipartError as error:
+            raise InvalidFieldError(f'the form cannot be read: {error}') from error
+        if self.purpose != 'batch':
+            raise InvalidFieldError("purpose must be 'batch'")
+        if not self._has_file:
+            raise InvalidFieldError('file is missing')
+        finished = self._reader.finish()
+        if isinstance(finished, BadLine):
+            raise BadJobLineError(finished.line_number, finished.why)
+        segments, summary = finished
+        self._store(segments)
+        return summary
+
+    def _take(self, parser: PushMultipartParser, chunk: bytes) -> None:
+        for event in parser.parse(chunk):
+            if isinstance(event, MultipartSegment):
+                self._segment = event
+                if event.name == 'file':
+                    self._has_file = True
+                    self.filename = event.filename or ''
+            elif event:
+                self._take_data(bytes(event))
+
+    def _take_data(self, data: bytes) -> None:
+        if self._segment.name == 'file':
+            segments = self._reader.feed(data)
+            if isinstance(segments, BadLine):
+                raise BadJobLineError(segments.line_number, segments.why)
+            self._store(segments)
+        elif self._segment.name == 'purpose':
+            self.purpose += data.decode(errors='replace')
+            if len(self.purpose) > FIELD_LIMIT_BYTES:
+                raise InvalidFieldError('purpose is too long')
+
+    def _store(self, segments: list[bytes]) -> None:
+        for segment in segments:
+            key = input_object_key(self.upload_id, self._segments_count)
+            if self._front.driver.run(put_object(key, segment)) is not None:
+                raise PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS)
+            self._segments_count += 1
--- /dev/null
+++ b/citrondyke/errors/deadline_passed.py
@@ -0,0 +1,15 @@
+"""The failure ``deadline_passed``."""
+
+from __future__ import annotations
+
+from citrondyke.errors.base import CitrondykeError
+
+__all__ = ('DeadlinePassedError',)
+
+
+class DeadlinePassedError(CitrondykeError):
+    """The deadline of the request has passed."""
+
+    code = 'deadline_passed'
+    kind = 'timeout_error'
+    http_status = 504
--- /dev/null
+++ b/citrondyke/errors/instance_starting.py
@@ -0,0 +1,15 @@
+"""The failure ``instance_starting``."""
+
+from __future__ import annotations
+
+from citrondyke.errors.base import CitrondykeError
+
+__all__ = ('InstanceStartingError',)
+
+
+class InstanceStartingError(CitrondykeError):
+    """The instance has not read its configuration yet."""
+
+    code = 'instance_starting'
+    kind = 'overloaded_error'
+    http_status = 503
--- /dev/null
+++ b/citrondyke/errors/stream_broken.py
@@ -0,0 +1,16 @@
+"""The failure ``stream_broken``."""
+
+from __future__ import annotations
+
+from citrondyke.errors.base import CitrondykeError, RunState
+
+__all__ = ('StreamBrokenError',)
+
+
+class StreamBrokenError(CitrondykeError):
+    """The answer was cut and could not be resumed."""
+
+    code = 'stream_broken'
+    kind = 'server_error'
+    http_status = 502
+    default_run = RunState.UNKNOWN
--- /dev/null
+++ b/citrondyke/errors/too_many_connections.py
@@ -0,0 +1,15 @@
+"""The failure ``too_many_connections``."""
+
+from __future__ import annotations
+
+from citrondyke.errors.base import CitrondykeError
+
+__all__ = ('TooManyConnectionsError',)
+
+
+class TooManyConnectionsError(CitrondykeError):
+    """The instance has too many open connections."""
+
+    code = 'too_many_connections'
+    kind = 'overloaded_error'
+    http_status = 503
--- /dev/null
+++ b/citrondyke/operator/__init__.py
@@ -0,0 +1,3 @@
+"""What operators see and change."""
+
+from __future__ import annotations
--- /dev/null
+++ b/citrondyke/operator/measures.py
@@ -0,0 +1,121 @@
+"""What an instance measures of its callers' requests."""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.operator.histogram import HistogramData, SparseHistogram
+
+if TYPE_CHECKING:
+    from citrondyke.ids import ClassName, TenantId
+
+__all__ = ('MeasureReport', 'Measures', 'Quantity', 'RequestSample')
+
+
+class Quantity(Enum):
+    """What a histogram shows."""
+
+    FIRST_TOKEN = 'first_token'
+    #: Mean gap between the tokens of one answer.
+    TOKEN_GAP = 'token_gap'
+    TOTAL = 'total'
+
+
+class RequestSample(msgspec.Struct, frozen=True, kw_only=True):
+    """One request that ended."""
+
+    tenant_id: TenantId
+    class_name: ClassName
+    #: Code of the failure, or ``ok``.
+    outcome: str
+    total_ms: float
+    first_token_ms: float | None = None
+    tokens_count: int = 0
+    #: Whether the class's target was met; ``None`` where it does not apply.
+    is_kept: bool | None = None
+
+
+class MeasureReport(msgspec.Struct, frozen=True):
+    """All measures of one instance, as sent to operators."""
+
+    by_class: dict[str, dict[str, HistogramData]]
+    by_tenant: dict[str, dict[str, HistogramData]]
+    outcomes: dict[str, int]
+    kept: dict[str, int]
+    missed: dict[str, int]
+    dropped_tenants_count: int
+
+
+class Measures:
+    """Histograms by class and by tenant, with a bound on memory."""
+
+    def __init__(self, tenants_limit: int) -> None:
+        """Start empty.
+
+        :param tenants_limit: tenants with histograms of their own.
+        """
+        self.outcomes: Counter[str] = Counter()
+        self.kept: Counter[str] = Counter()
+        self.missed: Counter[str] = Counter()
+        self.dropped_tenants_count = 0
+        self._tenants_limit = tenants_limit
+        self._by_class: dict[str, dict[Quantity, SparseHistogram]] = {}
+        self._by_tenant: OrderedDict[str, dict[Quantity, SparseHistogram]] = OrderedDict()
+
+    def add(self, sample: RequestSample) -> None:
+        """Take in a request."""
+        self.outcomes[f'{sample.class_name}/{sample.outcome}'] += 1
+        if sample.is_kept is not None:
+            (self.kept if sample.is_kept else self.missed)[sample.class_name] += 1
+        by_class = self._by_class.setdefault(sample.class_name, {})
+        by_tenant = self._of_tenant(sample.tenant_id)
+        for histograms in (by_class, by_tenant):
+            _add(histograms, Quantity.TOTAL, sample.total_ms)
+            if sample.first_token_ms is None:
+                continue
+            _add(histograms, Quantity.FIRST_TOKEN, sample.first_token_ms)
+            if sample.tokens_count > 1:
+                spread_ms = sample.total_ms - sample.first_token_ms
+                _add(histograms, Quantity.TOKEN_GAP, spread_ms / (sample.tokens_count - 1))
+
+    def report(self, *, with_tenants: bool) -> MeasureReport:
+        """Give everything as sent to operators."""
+        return MeasureReport(
+            by_class=_data(self._by_class),
+            by_tenant=_data(self._by_tenant) if with_tenants else {},
+            outcomes=dict(self.outcomes),
+            kept=dict(self.kept),
+            missed=dict(self.missed),
+            dropped_tenants_count=self.dropped_tenants_count,
+        )
+
+    def _of_tenant(self, tenant_id: TenantId) -> dict[Quantity, SparseHistogram]:
+        histograms = self._by_tenant.get(tenant_id)
+        if histograms is None:
+            histograms = self._by_tenant[tenant_id] = {}
+            if len(self._by_tenant) > self._tenants_limit:
+                self._by_tenant.popitem(last=False)
+                self.dropped_tenants_count += 1
+        else:
+            self._by_tenant.move_to_end(tenant_id)
+        return histograms
+
+
+def _add(histograms: dict[Quantity, SparseHistogram], quantity: Quantity, value_ms: float) -> None:
+    histogram = histograms.get(quantity)
+    if histogram is None:
+        histogram = histograms[quantity] = SparseHistogram()
+    histogram.add(value_ms)
+
+
+def _data(
+    groups: dict[str, dict[Quantity, SparseHistogram]],
+) -> dict[str, dict[str, HistogramData]]:
+    return {
+        name: {quantity.value: histogram.data() for quantity, histogram in histograms.items()}
+        for name, histograms in groups.items()
+    }
--- /dev/null
+++ b/citrondyke/operator/terminal.py
@@ -0,0 +1,43 @@
+"""Draws what operators see in a terminal."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rich.table import Table
+
+if TYPE_CHECKING:
+    from citrondyke.operator.histogram import SparseHistogram
+
+__all__ = ('histogram_table',)
+
+BAR_CHARS = 40
+ROWS = 12
+
+
+def histogram_table(title: str, histogram: SparseHistogram) -> Table:
+    """Draw a histogram as bars, with its usual quantiles in the title."""
+    quantiles = ', '.join(
+        f'p{share * 100:g} {histogram.quantile_ms(share):.1f} ms' for share in (0.5, 0.95, 0.99)
+    )
+    table = Table(title=f'{title} ({histogram.count} requests; {quantiles})', title_justify='left')
+    table.add_column('up to ms', justify='right')
+    table.add_column('requests', justify='right')
+    table.add_column('')
+    rows = _grouped(histogram.buckets())
+    most = max((count for _, count in rows), default=1)
+    for value_ms, count in rows:
+        table.add_row(f'{value_ms:.1f}', str(count), '█' * max(1, count * BAR_CHARS // most))
+    return table
+
+
+def _grouped(buckets: list[tuple[float, int]]) -> list[tuple[float, int]]:
+    """Join neighbouring buckets until they fit the screen."""
+    group = -(-len(buckets) // ROWS) or 1
+    return [
+        (
+            buckets[min(start + group, len(buckets)) - 1][0],
+            sum(c for _, c in buckets[start : start + group]),
+        )
+        for start in range(0, len(buckets), group)
+    ]
--- /dev/null
+++ b/citrondyke/platform/http_table_service.py
@@ -0,0 +1,83 @@
+"""The table service over its HTTP protocol."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from citrondyke.ids import RowKey
+from citrondyke.platform._http_call import CONFLICT_STATUS, PlatformHttp
+from citrondyke.platform.failure import AMBIGUOUS, PlatformFailure
+from citrondyke.platform.table_service import Committed, Conflict, Row, TableService, Transaction
+
+__all__ = ('HttpTableService', 'ReadRequest', 'RowsReply', 'ScanRequest', 'http_table_service')
+
+
+class ReadRequest(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/read``."""
+
+    keys: tuple[RowKey, ...]
+
+
+class ScanRequest(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/scan``."""
+
+    prefix: str
+    after: str = ''
+    limit: int = 1000
+
+
+class RowsReply(msgspec.Struct, frozen=True):
+    """Answer to a read or a scan."""
+
+    rows: list[Row]
+
+
+def http_table_service(url: str, timeout_ms: float) -> HttpTableService:
+    """Make a client.
+
+    :param timeout_ms: time limit of each call.
+    """
+    return HttpTableService(PlatformHttp(url, timeout_ms))
+
+
+class HttpTableService(TableService):
+    """A client of the table service."""
+
+    def __init__(self, http: PlatformHttp) -> None:
+        """Use the connections of ``http``."""
+        self._http = http
+
+    def transact(self, transaction: Transaction) -> Committed | Conflict | PlatformFailure:
+        """Try one transaction, once."""
+        answer = self._http.call('POST', '/v1/transact', msgspec.json.encode(transaction))
+        if isinstance(answer, PlatformFailure):
+            return answer
+        status, body = answer
+        try:
+            if status == CONFLICT_STATUS:
+                return msgspec.json.decode(body, type=Conflict)
+            return msgspec.json.decode(body, type=Committed)
+        except msgspec.DecodeError:
+            return AMBIGUOUS
+
+    def read(self, keys: Sequence[RowKey]) -> dict[RowKey, Row] | PlatformFailure:
+        """Read rows; missing ones are left out."""
+        rows = self._rows('/v1/read', ReadRequest(tuple(keys)))
+        if isinstance(rows, PlatformFailure):
+            return rows
+        return {row.key: row for row in rows}
+
+    def scan(self, prefix: str, after: str, limit: int) -> list[Row] | PlatformFailure:
+        """Read rows in key order."""
+        return self._rows('/v1/scan', ScanRequest(prefix, after, limit))
+
+    def _rows(self, path: str, request: msgspec.Struct) -> list[Row] | PlatformFailure:
+        answer = self._http.call('POST', path, msgspec.json.encode(request))
+        if isinstance(answer, PlatformFailure):
+            return answer
+        try:
+            return msgspec.json.decode(answer[1], type=RowsReply).rows
+        except msgspec.DecodeError:
+            return AMBIGUOUS
--- /dev/null
+++ b/citrondyke/settings/load.py
@@ -0,0 +1,70 @@
+"""Reads a settings file and says precisely what is wrong with it."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from citrondyke.errors import SettingsInvalidError
+from citrondyke.settings.model import DaemonSettings
+
+__all__ = ('check_settings', 'load_settings')
+
+_PATH = re.compile(r' - at `\$(?P<path>[^`]*)`$')
+_FIELD = re.compile(r'field `(?P<field>[^`]+)`')
+
+
+def load_settings(file: Path) -> DaemonSettings:
+    """Read a settings file.
+
+    :raises SettingsInvalidError: naming file, key, value and what is allowed.
+    """
+    try:
+        text = file.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsInvalidError(str(file), '', str(error), 'a readable text file') from error
+    return check_settings(text, str(file))
+
+
+def check_settings(text: str, file: str) -> DaemonSettings:
+    """Check the text of a settings file.
+
+    :raises SettingsInvalidError: naming file, key, value and what is allowed.
+    """
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsInvalidError(file, '', str(error), 'TOML') from error
+    try:
+        settings = msgspec.convert(raw, DaemonSettings, strict=False)
+    except msgspec.ValidationError as error:
+        raise _explain(file, raw, str(error)) from error
+    if bool(settings.tls.certificate_file) != bool(settings.tls.key_file):
+        raise SettingsInvalidError(
+            file, 'tls', raw.get('tls'), 'certificate_file and key_file together, or neither'
+        )
+    return settings
+
+
+def _explain(file: str, raw: dict[str, Any], message: str) -> SettingsInvalidError:
+    found = _PATH.search(message)
+    path = found['path'].lstrip('.') if found else ''
+    allowed = message[: found.start()] if found else message
+    field = _FIELD.search(allowed)
+    if field is not None:
+        path = f'{path}.{field["field"]}'.lstrip('.')
+    return SettingsInvalidError(file, path, _value_at(raw, path), allowed)
+
+
+def _value_at(raw: Any, path: str) -> Any:
+    value = raw
+    for part in re.split(r'[.\[\]]+', path):
+        if isinstance(value, dict):
+            value = value.get(part)
+        elif isinstance(value, list) and part.isdigit():
+            value = value[int(part)]
+    return value
--- /dev/null
+++ b/citrondyke/standin/__init__.py
@@ -0,0 +1,3 @@
+"""Small stand-ins of the platform and of the backend servers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/citrondyke/standin/cut_handler.py
@@ -0,0 +1,38 @@
+"""A WSGI server whose applications can cut their caller's connection."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+__all__ = ('cut_connection', 'quiet_server')
+
+SOCKET_KEY = 'citrondyke.socket'
+
+
+class _SocketHandler(WSGIHandler):
+    """Hands the connection's socket to the application."""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Add the socket to the request's environment."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+    def log_error(self, msg: str, *args: Any) -> None:
+        """Keep quiet: cut connections are what these servers are for."""
+
+
+def cut_connection(environ: dict[str, Any]) -> None:
+    """Close the caller's connection with no answer."""
+    try:
+        environ[SOCKET_KEY].shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
+
+
+def quiet_server(ip: str, port: int, app: Any) -> WSGIServer:
+    """Make a server without a request log."""
+    return WSGIServer((ip, port), app, handler_class=_SocketHandler, log=None, error_log=None)
--- /dev/null
+++ b/citrondyke/standin/lagging_lists.py
@@ -0,0 +1,55 @@
+"""The fleet lists' stand-in: what was true some time ago."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from citrondyke.platform.fleet_lists import FleetSnapshot, ListedInstance, ListedServer
+
+if TYPE_CHECKING:
+    from citrondyke.ids import InstanceId, ServerId
+
+__all__ = ('LaggingLists',)
+
+
+class LaggingLists:
+    """Both lists with their past."""
+
+    def __init__(self) -> None:
+        """Start with empty lists."""
+        self.lag_ms = 0.0
+        self._instances: dict[InstanceId, ListedInstance] = {}
+        self._servers: dict[ServerId, ListedServer] = {}
+        self._past: deque[tuple[float, FleetSnapshot]] = deque([(0.0, FleetSnapshot())])
+
+    def put_instance(self, instance: ListedInstance, now_ms: float) -> None:
+        """List an instance, or change its entry."""
+        self._instances[instance.id] = instance
+        self._record(now_ms)
+
+    def put_server(self, server: ListedServer, now_ms: float) -> None:
+        """List a backend server, or change its entry."""
+        self._servers[server.id] = server
+        self._record(now_ms)
+
+    def remove_instance(self, instance_id: InstanceId, now_ms: float) -> None:
+        """Take an instance off the list."""
+        self._instances.pop(instance_id, None)
+        self._record(now_ms)
+
+    def remove_server(self, server_id: ServerId, now_ms: float) -> None:
+        """Take a backend server off the list."""
+        self._servers.pop(server_id, None)
+        self._record(now_ms)
+
+    def at(self, now_ms: float) -> FleetSnapshot:
+        """Give what the lists show now: their state ``lag_ms`` ago."""
+        seen_ms = now_ms - self.lag_ms
+        while len(self._past) > 1 and self._past[1][0] <= seen_ms:
+            self._past.popleft()
+        return self._past[0][1]
+
+    def _record(self, now_ms: float) -> None:
+        snapshot = FleetSnapshot(tuple(self._instances.values()), tuple(self._servers.values()))
+        self._past.append((now_ms, snapshot))
--- /dev/null
+++ b/citrondyke/util/__init__.py
@@ -0,0 +1,3 @@
+"""Helpers that know nothing of serving."""
+
+from __future__ import annotations
--- /dev/null
+++ b/citrondyke/util/clock.py
@@ -0,0 +1,32 @@
+"""Where the time comes from."""
+
+from __future__ import annotations
+
+import time
+from abc import ABC, abstractmethod
+
+__all__ = ('Clock', 'SystemClock')
+
+
+class Clock(ABC):
+    """The two times that decisions use; handed in, never fetched."""
+
+    @abstractmethod
+    def now_ms(self) -> float:
+        """Give the monotonic time of this process, in milliseconds."""
+
+    @abstractmethod
+    def epoch_ms(self) -> float:
+        """Give the wall clock's time, in milliseconds since 1970."""
+
+
+class SystemClock(Clock):
+    """The machine's clocks."""
+
+    def now_ms(self) -> float:
+        """Give the monotonic time, in milliseconds."""
+        return time.monotonic() * 1e3
+
+    def epoch_ms(self) -> float:
+        """Give the wall clock's time, in milliseconds since 1970."""
+        return time.time() * 1e3
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""The tests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,36 @@
+"""Fixtures that tests of all packages share."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.support.fleet import Fleet
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    config.addinivalue_line(
+        'markers', 'fleet(instances=2, engines=2, services=...): the fleet that a test wants'
+    )
+
+
+@pytest.fixture
+def fleet(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[Fleet]:
+    """A fleet of real processes, of the sizes that the test's marker names."""
+    marker = request.node.get_closest_marker('fleet')
+    wanted: dict[str, Any] = {
+        'instances': 2,
+        'engines': 2,
+        'services': ('orders',),
+        'intent_pace': 400,
+    }
+    wanted.update(marker.kwargs if marker else {})
+    made = Fleet(tmp_path, wanted.pop('intent_pace'))
+    try:
+        made.start(**wanted)
+        yield made
+    finally:
+        made.end()
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,3 @@
+"""What the tests share."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_entry/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the doors for callers."""
+
+from __future__ import annotations
