--- /dev/null
+++ b/tests/test_jobs/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of batch jobs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_settings/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the settings."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_settings/test_settings_load.py
@@ -0,0 +1,69 @@
+"""A wrong setting is named with its file, key, value and what is allowed."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from citrondyke.errors import SettingsInvalidError
+from citrondyke.settings import check_settings
+
+GOOD = """
+[instance]
+id = 'a'
+zone = 'z'
+[platform]
+table_url = 'http://127.0.0.1:1'
+objects_url = 'http://127.0.0.1:1'
+lists_url = 'http://127.0.0.1:1'
+[peers]
+keys = ['0123456789abcdef']
+"""
+
+
+def test_good_settings_load() -> None:
+    assert check_settings(GOOD, 'f').instance.id == 'a'
+
+
+@pytest.mark.parametrize(
+    ('change', 'key', 'value'),
+    [
+        (("id = 'a'", "id = 'a b'"), 'instance.id', 'a b'),
+        (("zone = 'z'", 'http_port = 0\nzone = "z"'), 'instance.http_port', 0),
+        (("zone = 'z'", ''), 'instance.zone', None),
+        (("zone = 'z'", 'zone = "z"\nnonsense = 1'), 'instance.nonsense', 1),
+        (("keys = ['0123456789abcdef']", 'keys = ["short"]'), 'peers.keys.0', 'short'),
+    ],
+)
+def test_wrong_value_is_named(change: tuple[str, str], key: str, value: object) -> None:
+    with pytest.raises(SettingsInvalidError) as caught:
+        check_settings(GOOD.replace(*change), 'the-file')
+    error = caught.value
+    assert (error.file, error.key, error.value) == ('the-file', key, value)
+    assert error.allowed
+
+
+@given(st.text())
+def test_any_text_is_settings_or_a_typed_error(text: str) -> None:
+    try:
+        check_settings(text, 'f')
+    except SettingsInvalidError as error:
+        assert error.message
+
+
+def test_check_settings_option_tells_by_exit_code(tmp_path: Path) -> None:
+    file = tmp_path / 'a.toml'
+    command = [sys.executable, '-m', 'citrondyke.cmd.citrondyked', '--settings', str(file)]
+    file.write_text(GOOD)
+    assert subprocess.run([*command, '--check-settings'], check=False).returncode == 0
+    file.write_text(GOOD.replace("zone = 'z'", 'zone = 7'))
+    found = subprocess.run(
+        [*command, '--check-settings'], check=False, capture_output=True, text=True
+    )
+    assert found.returncode == 2
+    assert 'instance.zone: 7' in found.stderr
