Wait for slow answers, resume on a server that cut, hold fewer orders

(1) An answer that took over a second was cut, its caller told "unknown": reading the head of an answer sets the socket's limit anew from the connection, which still had the one-second limit of the connect. (2) A stream cut once by each of two engines ended broken, as neither was asked again. (3) An instance claimed up to four segments of orders before the first was offered, so its death made 48 of 150 orders "unknown".

Ruled out: a fault of the freeze itself; a debug run showed the same cut at 1 s of the socket's own time.

Change: the remaining time goes onto the connection; a server that cut is tried again when no other is left; no segment is claimed while one held is not offered yet.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -249,8 +249,11 @@
         return max(0.001, (self._call.deadline_ms - self._clock.now_ms()) / 1e3)
 
     def _set_timeout(self) -> None:
+        # On the connection too: reading the head of an answer sets its socket's limit anew from
+        # there, and a slow answer would be cut after the time that a connect may take.
+        self.connection.timeout = self._left_s()
         if self.connection.sock is not None:
-            self.connection.sock.settimeout(self._left_s())
+            self.connection.sock.settimeout(self.connection.timeout)
 
 
 def _is_kept(response: HTTPResponse) -> bool:
--- a/citrondyke/decisions/jobs/held_segment.py
+++ b/citrondyke/decisions/jobs/held_segment.py
@@ -86,6 +86,11 @@
         """Give the items without any outcome."""
         return self.remaining - ItemSet.of(self.outcomes)
 
+    @property
+    def is_offered(self) -> bool:
+        """Tell whether its first items were handed out."""
+        return bool(self._offered) or not self.unfinished
+
     @property
     def running_count(self) -> int:
         """Count the items that are at a backend server."""
--- a/citrondyke/decisions/jobs/worker.py
+++ b/citrondyke/decisions/jobs/worker.py
@@ -186,8 +186,8 @@
             yield Spawn(self._tend(held, pool))
 
     def _wants_segment(self, target: TargetName, pool: Pool) -> bool:
-        held_count = sum(1 for held in self._held.values() if held.job.target == target)
-        if held_count >= self._limits.held_limit:
+        held = [each for each in self._held.values() if each.job.target == target]
+        if len(held) >= self._limits.held_limit or not all(each.is_offered for each in held):
             return False
         return len(pool) < self._steward.room(target)
 
--- a/citrondyke/decisions/online/desk.py
+++ b/citrondyke/decisions/online/desk.py
@@ -40,6 +40,8 @@
     may_have_run: bool = False
     first_frame_ms: float | None = None
     tried: tuple[ServerId, ...] = ()
+    #: Those of them that cut it.
+    cut: tuple[ServerId, ...] = ()
 
 
 class OnlineDesk:
@@ -98,7 +100,7 @@
         while True:
             if request.deadline_ms <= self._context.now_ms():
                 return self._late(progress)
-            view = self._router.choose(request.target, request.prefix_bucket, progress.tried)
+            view = self._choose(request, progress)
             if isinstance(view, Refusal):
                 return self._give_up(progress, view)
             reply = yield from self._attempt(request, view, progress)
@@ -115,6 +117,19 @@
                 refusal = Refusal(RefusalReason.RETRY_BUDGET, reply.retry_in_ms or 1000.0)
                 return self._give_up(progress, refusal)
 
+    def _choose(self, request: OnlineRequest, progress: _Progress) -> ServerView | Refusal:
+        """Choose a server that did not fail this request yet, if there is one.
+
+        A server that cut the request may be tried again when all others were; one that took
+        nothing would only be asked again by every caller at once.
+        """
+        view = self._router.choose(request.target, request.prefix_bucket, progress.tried)
+        if isinstance(view, Refusal) and progress.cut:
+            progress.tried = tuple(each for each in progress.tried if each not in progress.cut)
+            progress.cut = ()
+            return self._router.choose(request.target, request.prefix_bucket, progress.tried)
+        return view
+
     def _attempt(
         self, request: OnlineRequest, view: ServerView, progress: _Progress
     ) -> Workflow[ServerReply]:
@@ -161,6 +176,8 @@
         if reply.kind in (ReplyKind.CANCELLED, ReplyKind.CALLER_GONE):
             return
         progress.tried = (*progress.tried, view.listed.id)
+        if reply.kind is ReplyKind.CUT:
+            progress.cut = (*progress.cut, view.listed.id)
         self._router.record_failure(view)
 
     def _late(self, progress: _Progress) -> OnlineEnd:
