Run an item alone before it is blamed for cutting its server

Cause: a test with an engine that exits on one item showed six innocent items "attempts exhausted": whatever ran beside the killer at each of its attempts was cut too and used up its own three attempts.

Ruled out: raising the limit (a killer then takes more engines down); not counting cuts (a killer would be retried for ever).

--- a/citrondyke/decisions/jobs/pool.py
+++ b/citrondyke/decisions/jobs/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import deque
 from typing import TYPE_CHECKING
 
 from citrondyke.decisions.core.signal import Signal
@@ -30,10 +31,16 @@
         self._heap: list[tuple[float, int, int, HeldSegment, BatchItem]] = []
         self._number = 0
         self._turns: dict[TenantId, int] = {}
+        self._suspects: deque[tuple[HeldSegment, BatchItem]] = deque()
 
     def __len__(self) -> int:
         """Count the items that wait."""
-        return len(self._heap)
+        return len(self._heap) + len(self._suspects)
+
+    @property
+    def has_suspects(self) -> bool:
+        """Tell whether items wait that must run alone."""
+        return bool(self._suspects)
 
     def push(self, held: HeldSegment, items: Iterable[BatchItem]) -> None:
         """Add items."""
@@ -55,15 +62,27 @@
         heapq.heappush(self._heap, (deadline, 0, self._number, held, item))
         self.wake.fire(None)
 
+    def push_suspect(self, held: HeldSegment, item: BatchItem) -> None:
+        """Put an item back that has one attempt left; it is to run alone."""
+        self._suspects.append((held, item))
+        self.wake.fire(None)
+
+    def pop_suspect(self) -> tuple[HeldSegment, BatchItem] | None:
+        """Take the next item that is to run alone and is still wanted."""
+        while self._suspects:
+            held, item = self._suspects.popleft()
+            if _is_wanted(held, item):
+                return held, item
+        return None
+
     def pop(self) -> tuple[HeldSegment, BatchItem] | None:
         """Take the next item that is still wanted."""
         while self._heap:
             _, _, _, held, item = heapq.heappop(self._heap)
             if not self._heap:
                 self._turns.clear()
-            if held.is_lost or held.is_releasing or item.position not in held.unfinished:
-                continue
-            return held, item
+            if _is_wanted(held, item):
+                return held, item
         return None
 
     def rest(self) -> Signal[None]:
@@ -71,3 +90,9 @@
         if self.wake.is_fired:
             self.wake = Signal()
         return self.wake
+
+
+def _is_wanted(held: HeldSegment, item: BatchItem) -> bool:
+    if held.is_lost or held.is_releasing:
+        return False
+    return item.position in held.unfinished
--- a/citrondyke/decisions/jobs/worker.py
+++ b/citrondyke/decisions/jobs/worker.py
@@ -98,6 +98,8 @@
         self._pools: dict[TargetName, Pool] = {}
         self._held: dict[RowKey, HeldSegment] = {}
         self._items: dict[RequestId, BatchItem] = {}
+        #: Servers that run one item alone.
+        self._alone: set[ServerId] = set()
         self._is_leaving = False
         self._emptied: Signal[None] = Signal()
 
@@ -194,7 +196,13 @@
     def _start_items(self, target: TargetName, pool: Pool) -> list[Workflow[None]]:
         """Put items on every server that has room."""
         started: list[Workflow[None]] = []
-        for server_id, share in self._steward.shares_of(target):
+        shares = self._steward.shares_of(target)
+        reserved = self._reserve_for_suspects(pool, shares)
+        for server_id, share in shares:
+            if server_id == reserved:
+                if share.batch_count == 0 and (suspect := pool.pop_suspect()) is not None:
+                    started.append(self._begin_item(*suspect, server_id, share, pool))
+                continue
             room = share.room(self._context.now_ms())
             while room > 0:
                 taken = pool.pop()
@@ -204,6 +212,22 @@
                 started.append(self._begin_item(*taken, server_id, share, pool))
         return started
 
+    def _reserve_for_suspects(
+        self, pool: Pool, shares: list[tuple[ServerId, ServerShare]]
+    ) -> ServerId | None:
+        """Keep one server for the items that must run alone, while there are any.
+
+        An item that brings its server down takes what runs beside it along. After a few such
+        deaths its neighbours would have used up their attempts too and be told "exhausted",
+        though nothing is wrong with them; run alone, an item can only be cut by its own doing.
+        """
+        running = [server_id for server_id, _ in shares if server_id in self._alone]
+        if running:
+            return running[0]
+        if not pool.has_suspects or not shares:
+            return None
+        return min(server_id for server_id, _ in shares)
+
     def _begin_item(
         self,
         held: HeldSegment,
@@ -214,6 +238,8 @@
     ) -> Workflow[None]:
         item.cancel = Signal()
         item.is_running = True
+        if _must_run_alone(item):
+            self._alone.add(server_id)
         self._items[item.request_id] = item
         share.on_batch_start(item.request_id, self._context.now_ms())
         return self._run_item(held, item, server_id, share, pool)
@@ -231,6 +257,7 @@
         reply = yield from call_server(call)
         now_ms = self._context.now_ms()
         item.is_running = False
+        self._alone.discard(server_id)
         self._items.pop(item.request_id, None)
         share.on_batch_end(item.request_id, now_ms)
         if reply.kind is ReplyKind.COMPLETE:
@@ -269,7 +296,7 @@
     def _judge(self, held: HeldSegment, item: BatchItem, reply: ServerReply, pool: Pool) -> None:
         """Decide what an attempt means for its item."""
         if reply.was_not_run:
-            pool.push_back(held, item)
+            _put_back(held, item, pool)
             return
         item.may_have_run = True
         if reply.kind is ReplyKind.COMPLETE and self._judge_answer(held, item, reply):
@@ -281,11 +308,11 @@
             held.record(item.position, outcome)
             return
         if reply.kind is ReplyKind.CANCELLED:
-            pool.push_back(held, item)
+            _put_back(held, item, pool)
             return
         held.record_attempt(item)
         if item.attempts < ATTEMPTS_LIMIT:
-            pool.push_back(held, item)
+            _put_back(held, item, pool)
             return
         outcome = failed_outcome(
             item.request_id,
@@ -331,9 +358,9 @@
                     # The mark goes first: a holder that dies now leaves word of what it ran.
                     if not (yield from self._commit_part(held)):
                         break
-                    pool.push(held, window)
+                    _offer(held, window, pool)
             elif not held.is_releasing and (window := held.next_window()):
-                pool.push(held, window)
+                _offer(held, window, pool)
             if not held.unfinished or (held.is_releasing and not held.running_count):
                 yield from self._commit_part(held)
                 break
@@ -457,6 +484,26 @@
             self._emptied.fire(None)
 
 
+def _offer(held: HeldSegment, window: list[BatchItem], pool: Pool) -> None:
+    calm = [item for item in window if not _must_run_alone(item)]
+    if calm:
+        pool.push(held, calm)
+    for item in window:
+        if _must_run_alone(item):
+            pool.push_suspect(held, item)
+
+
+def _put_back(held: HeldSegment, item: BatchItem, pool: Pool) -> None:
+    if _must_run_alone(item):
+        pool.push_suspect(held, item)
+    else:
+        pool.push_back(held, item)
+
+
+def _must_run_alone(item: BatchItem) -> bool:
+    return item.attempts == ATTEMPTS_LIMIT - 1
+
+
 def _rejected(item: BatchItem, reply: ServerReply, run: str) -> ItemOutcome:
     return failed_outcome(
         item.request_id,
--- /dev/null
+++ b/tests/test_membership/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of leaving and of who lives."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_membership/test_membership_leaving.py
@@ -0,0 +1,112 @@
+"""A leaving server gets nothing new, and a planned stop cuts off nothing."""
+
+from __future__ import annotations
+
+import threading
+from typing import Any
+
+import pytest
+
+from citrondyke.standin.engine_text import expected_text
+from tests.support.fleet import Fleet
+from tests.support.job_lines import chat_lines
+from tests.support.waiting import wait_until
+from tests.test_entry.test_entry_answers import DONE, stream_text
+
+CHAT = '/v1/chat/completions'
+
+
+class Stream(threading.Thread):
+    """Callers that ask on and on through whichever instances the balancer shows as ready."""
+
+    def __init__(self, fleet: Fleet, names: list[str]) -> None:
+        super().__init__(daemon=True)
+        self.wrong: list[Any] = []
+        self.answered = 0
+        self._fleet = fleet
+        self._names = names
+        self._ended = threading.Event()
+
+    def run(self) -> None:
+        n = 0
+        while not self._ended.is_set():
+            name = self._names[n % len(self._names)]
+            n += 1
+            caller = self._fleet.caller(name)
+            ready = caller.try_call('GET', '/health/ready')
+            if ready is None or ready.status != 200:
+                continue
+            answer = caller.try_call(
+                'POST',
+                CHAT,
+                {
+                    'model': 'demo-model',
+                    'messages': [{'role': 'user', 'content': f'ask {n}'}],
+                    'max_tokens': 20,
+                    'stream': True,
+                },
+            )
+            whole = answer is not None and answer.body.endswith(DONE)
+            if (
+                answer is None
+                or not whole
+                or stream_text(answer) != expected_text(f'user: ask {n}', 20)
+            ):
+                self.wrong.append((name, answer and answer.body))
+            self.answered += 1
+
+    def end(self) -> None:
+        self._ended.set()
+        self.join()
+
+
+@pytest.mark.fleet(instances=3, engines=2)
+def test_rolling_replacement_cuts_off_nothing(fleet: Fleet) -> None:
+    # All instances are replaced one after the other while calls come in and a job runs. Each
+    # says "leaving" first, serves what still arrives, ends its calls and hands its segments back.
+    # No call fails, every item of the job is answered once, and each process ends with 0.
+    names = [f'instance-{n}' for n in range(3)]
+    job_id = fleet.submit(fleet.caller(), chat_lines(900), CHAT)
+    streams = [Stream(fleet, names) for _ in range(4)]
+    for stream in streams:
+        stream.start()
+    for name in names:
+        fleet.program(name).ask_to_stop()
+        assert fleet.program(name).wait() == 0
+        fleet.start_instance(name)
+        fleet.wait_ready(name)
+    for stream in streams:
+        stream.end()
+    assert [wrong for stream in streams for wrong in stream.wrong] == []
+    assert all(stream.answered for stream in streams)
+    job = fleet.wait_final(fleet.caller(), job_id)
+    assert job['request_counts'] == {'total': 900, 'completed': 900, 'failed': 0}
+    assert len(fleet.outcomes(fleet.caller(), job)) == 900
+
+
+@pytest.mark.fleet(instances=2, engines=2)
+def test_leaving_server_gets_nothing_new_though_the_list_lags(fleet: Fleet) -> None:
+    # The list still shows an engine as live, a minute late, while the engine itself says that it
+    # is leaving. Its steward hears that and tells the entry instances: what it has goes on, and
+    # it gets nothing new, online or batch.
+    fleet.platform.call('PUT', '/control/lag', 60_000.0)
+    callers = [fleet.caller(f'instance-{n}') for n in range(2)]
+    fleet.list_server('engine-0', 'demo-model', 'leaving')
+    fleet.server_faults('engine-0', is_leaving=True)
+
+    def both_know() -> bool:
+        for n in range(2):
+            servers = fleet.operator(f'instance-{n}').get('/operator/v1/status').json['servers']
+            if not any(each['id'] == 'engine-0' and each['is_leaving'] for each in servers):
+                callers[n].chat('something for the steward to answer')
+                return False
+        return True
+
+    wait_until(both_know, 'both instances to know')
+    before = sum(fleet.runs('engine-0').values())
+    job_id = fleet.submit(callers[0], chat_lines(100), CHAT)
+    for n in range(20):
+        assert callers[n % 2].chat(f'ask {n}').status == 200
+    job = fleet.wait_final(callers[0], job_id)
+    assert job['request_counts']['completed'] == 100
+    assert sum(fleet.runs('engine-0').values()) == before
