--- a/benchmarks/scenario.py
+++ b/benchmarks/scenario.py
@@ -187,13 +187,18 @@
         parts = [np.diff(outcome.token_times_ms) for outcome in self.outcomes]
         return np.concatenate([part for part in parts if len(part)] or [np.array([0.0])])
 
+    def redone_tokens(self) -> int:
+        """Count the tokens that resumed batch streams had to compute again."""
+        return sum(engine.redone_tokens for engine in self.engines)
+
     def kept_share(self) -> float:
         """Give the share of requests within their class's target."""
         ended = [outcome for outcome in self.outcomes if outcome.end is not None]
-        kept = sum(1 for outcome in ended if self._is_kept(outcome))
+        kept = sum(1 for outcome in ended if self.is_kept(outcome))
         return kept / max(1, len(ended))
 
-    def _is_kept(self, outcome: Outcome) -> bool:
+    def is_kept(self, outcome: Outcome) -> bool:
+        """Tell whether a request was answered within its class's target."""
         first_ms = outcome.first_token_ms
         if not outcome.is_answered or first_ms is None:
             return False
--- /dev/null
+++ b/citrondyke/cmd/ctl/__init__.py
@@ -0,0 +1,3 @@
+"""Parts of the operators' tool."""
+
+from __future__ import annotations
--- a/citrondyke/decisions/membership/peer_messages.py
+++ b/citrondyke/decisions/membership/peer_messages.py
@@ -62,6 +62,8 @@
 
     server_id: ServerId
     online_count: int
+    #: A gap between two tokens that was seen there since the last notice; 0 for none.
+    step_us: int = 0
 
 
 class ServerState(msgspec.Struct, frozen=True):
@@ -71,6 +73,8 @@
     online_count: int
     #: Online requests that the server bears within their targets.
     online_limit: int
+    #: Up to how many each one more makes the server do more work.
+    comfort_limit: int
     is_leaving: bool
 
 
--- a/citrondyke/decisions/notices.py
+++ b/citrondyke/decisions/notices.py
@@ -65,13 +65,15 @@
                 if steward == self._context.instance_id:
                     self._tell_self(view)
                     continue
-                yield SendPeer(steward, OnlineNotice(server_id, view.own_online))
+                yield SendPeer(
+                    steward, OnlineNotice(server_id, view.own_online, view.take_step_us())
+                )
 
     def on_state(self, state: ServerState) -> None:
         """Take in a steward's answer."""
         view = self._fleet.view(state.server_id)
         if view is not None:
-            view.report(state.online_count, state.online_limit, is_leaving=state.is_leaving)
+            view.report(state)
 
     def _repeat(self) -> None:
         for view in self._fleet.views():
@@ -79,7 +81,7 @@
                 self._changed[view.listed.id] = None
 
     def _tell_self(self, view: ServerView) -> None:
-        notice = OnlineNotice(view.listed.id, view.own_online)
+        notice = OnlineNotice(view.listed.id, view.own_online, view.take_step_us())
         state = self._steward.on_notice(self._context.instance_id, notice)
         if state is not None:
             self.on_state(state)
--- a/citrondyke/decisions/online/admission.py
+++ b/citrondyke/decisions/online/admission.py
@@ -17,8 +17,13 @@
 
 __all__ = ('Admission', 'Place', 'Queued')
 
-#: Above this share of the capacity a tenant is held to its share.
-FAIR_FROM = 0.7
+#: Above this part of what the servers do comfortably a tenant is held to its share.
+FAIR_FROM = 0.8
+#: Refusals are remembered for about so long ...
+SHED_MEMORY_MS = 500.0
+#: ... and where they are more than this part of the requests inside, it is no passing burst.
+SHED_SHARE = 0.2
+SHED_LEAST = 3.0
 #: Part of a class's first-token target that a request may spend waiting for a place.
 WAIT_SHARE = 0.5
 #: The pace at which places become free is averaged over about so long.
@@ -52,6 +57,9 @@
         #: Waiting requests by tenant; tenants take turns in this order.
         self.waiting: OrderedDict[TenantId, deque[Queued]] = OrderedDict()
         self.waiting_count = 0
+        #: Requests turned away of late, fading.
+        self.shed_level = 0.0
+        self.shed_at_ms = 0.0
         self.leave_pace_per_ms = 0.0
         self.paced_at_ms = 0.0
 
@@ -85,11 +93,7 @@
         if servers is None or not any(view.takes_work for view in servers.views):
             return Refusal(RefusalReason.NO_SERVER, SHORTEST_RETRY_MS * 10)
         door = self._doors.setdefault(target, _TargetDoor())
-        capacity = self._capacity(servers)
-        if door.waiting_count == 0 and self._has_room(door, tenant_id, capacity):
-            return self._admit(door, target, tenant_id)
-        if door.inside < capacity and not self._is_over_share(door, tenant_id, capacity):
-            # Those who wait do so because they are over their own share.
+        if self._has_room(door, servers, tenant_id):
             return self._admit(door, target, tenant_id)
         return self._queue(door, tenant_id, target_ms, deadline_ms)
 
@@ -113,11 +117,10 @@
             return
         now_ms = self._context.now_ms()
         self._drop_late(door, now_ms)
-        capacity = 0 if servers is None else self._capacity(servers)
+        if servers is None:
+            return
         for tenant_id in list(door.waiting):
-            if door.inside >= capacity:
-                return
-            if self._is_over_share(door, tenant_id, capacity):
+            if not self._has_room(door, servers, tenant_id):
                 continue
             waiter = self._pop(door, tenant_id)
             waiter.outcome.fire(self._admit(door, target, tenant_id))
@@ -142,33 +145,56 @@
         door = self._doors.get(target)
         return 0 if door is None else door.waiting_count
 
-    def _capacity(self, servers: TargetServers) -> int:
-        """Count the places of this instance: what the servers bear less what others have."""
-        room = 0
+    def _capacity(self, servers: TargetServers) -> tuple[int, int]:
+        """Count this instance's places: what the servers bear less what others have there.
+
+        :returns: the places within the targets, and those within the servers' comfort.
+        """
+        within = comfortable = 0
         for view in servers.views:
             if not view.takes_work:
                 continue
             others = max(0, view.reported_online - view.own_at_report)
-            room += max(0, view.online_limit - others)
-        return room
+            within += max(0, view.online_limit - others)
+            comfortable += max(0, view.comfort_limit - others)
+        return within, comfortable
+
+    def _has_room(self, door: _TargetDoor, servers: TargetServers, tenant_id: TenantId) -> bool:
+        """Tell whether a tenant's next request may go to a server.
 
-    def _has_room(self, door: _TargetDoor, tenant_id: TenantId, capacity: int) -> bool:
-        if door.inside >= capacity:
+        A short burst may fill the servers up to what their targets bear. Where requests have to
+        be turned away anyway, going beyond the servers' comfort would only make every answer
+        slower and fewer of them, so the places end there.
+        """
+        within, comfortable = self._capacity(servers)
+        limit = comfortable if self._is_shedding(door) else within
+        if door.inside >= limit:
             return False
-        return not self._is_over_share(door, tenant_id, capacity)
+        return not self._is_over_share(door, tenant_id, comfortable)
+
+    def _is_shedding(self, door: _TargetDoor) -> bool:
+        elapsed_ms = self._context.now_ms() - door.shed_at_ms
+        level = door.shed_level * max(0.0, 1 - elapsed_ms / SHED_MEMORY_MS)
+        return level > max(SHED_LEAST, SHED_SHARE * door.inside)
+
+    def _note_shed(self, door: _TargetDoor) -> None:
+        now_ms = self._context.now_ms()
+        fading = max(0.0, 1 - (now_ms - door.shed_at_ms) / SHED_MEMORY_MS)
+        door.shed_level = door.shed_level * fading + 1
+        door.shed_at_ms = now_ms
 
-    def _is_over_share(self, door: _TargetDoor, tenant_id: TenantId, capacity: int) -> bool:
+    def _is_over_share(self, door: _TargetDoor, tenant_id: TenantId, comfortable: int) -> bool:
         """Hold a tenant to its share where places get scarce.
 
         Without this one tenant's flood takes every place and the others wait behind it, though
         they ask for no more than they always did.
         """
-        if door.inside < capacity * FAIR_FROM:
+        if door.inside < comfortable * FAIR_FROM:
             return False
         tenants = set(door.inside_by_tenant)
         tenants.update(door.waiting)
         tenants.add(tenant_id)
-        share = max(1.0, capacity * FAIR_FROM / len(tenants))
+        share = max(1.0, comfortable * FAIR_FROM / len(tenants))
         return len(tenants) > 1 and door.inside_by_tenant.get(tenant_id, 0) >= share
 
     def _admit(self, door: _TargetDoor, target: TargetName, tenant_id: TenantId) -> Place:
@@ -186,6 +212,7 @@
         own_queue = door.waiting.get(tenant_id)
         ahead = len(own_queue) * len(door.waiting) if own_queue else len(door.waiting)
         if door.waiting_count >= self._waiting_limit or not self._is_hopeful(door, ahead, wait_ms):
+            self._note_shed(door)
             return Refusal(RefusalReason.OVERLOADED, self._retry_in_ms(door))
         waiter = Queued(tenant_id, now_ms + wait_ms, Signal())
         door.waiting.setdefault(tenant_id, deque()).append(waiter)
--- a/citrondyke/decisions/online/desk.py
+++ b/citrondyke/decisions/online/desk.py
@@ -145,6 +145,7 @@
             resume_from_frame=progress.frames_count,
             deadline_ms=request.deadline_ms,
             cancel=request.cancel,
+            on_frame=lambda now_ms: view.record_frame(request.request_id, now_ms),
         )
         progress.attempts += 1
         began_ms = self._context.now_ms()
@@ -154,6 +155,8 @@
             reply = yield from call_server(call)
         finally:
             self._router.record_end(view)
+            if view.probe == request.request_id:
+                view.probe = None
             self._on_load_change(view)
         self._note(reply, view, progress, began_ms)
         return reply
--- a/citrondyke/decisions/online/fleet.py
+++ b/citrondyke/decisions/online/fleet.py
@@ -78,7 +78,9 @@
         for server_id, entry in listed.items():
             view = self._views.get(server_id)
             if view is None:
-                self._views[server_id] = ServerView(entry, self._first_online_limit)
+                self._views[server_id] = ServerView(
+                    entry, self._first_online_limit, self._first_online_limit
+                )
                 changed = True
             elif view.listed != entry:
                 changed = True
--- a/citrondyke/decisions/sharing/engine_share.py
+++ b/citrondyke/decisions/sharing/engine_share.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from citrondyke.decisions.sharing.server_share import ServerShare
@@ -28,16 +29,20 @@
 RETRY_PROBE_MS = 5000.0
 #: Part of the target up to which steps are filled; the rest is for prefill and noise.
 TARGET_MARGIN = 0.9
-#: Online requests are let in until the step is so many times the target: a moment above it does
-#: less harm than a refusal.
-ONLINE_SLACK = 1.25
+#: Where requests are turned away anyway, they are let in up to so many times the best number of
+#: streams: beyond it the engine makes no more tokens, only later ones.
+COMFORT_SLACK = 1.05
 #: Batch requests that may start in the time of one step. Each start is a prefill, which makes
 #: the step longer for everyone on the engine; those of a whole batch at once show as a stall.
-STARTS_PER_STEP = 1.0
-STARTS_BURST = 2.0
+STARTS_PER_STEP = 0.5
+STARTS_BURST = 1.0
 #: Shorter waits for a start are not worth a timer.
 SHORTEST_WAIT_MS = 0.5
 ROUNDING = 1e-6
+#: Filling stays below cutting by so many times the square root of the online requests, which is
+#: how far their number strays by chance. Without the gap every request that comes cuts a stream
+#: and every one that goes resumes it, each time with its prompt to compute again.
+DEADBAND = 1.0
 #: Step assumed before one was seen.
 FIRST_STEP_MS = 10.0
 #: Gaps longer than this are stalls, not steps.
@@ -106,22 +111,32 @@
 
     def fill_limit(self, now_ms: float) -> int:
         """Give how many streams in all batch work may fill the engine up to."""
-        return min(self._limit, self._max_running - 1)
+        return max(1, self.cut_limit(now_ms) - self._deadband())
 
     def cut_limit(self, now_ms: float) -> int:
-        """Give above how many streams in all batch work must yield.
-
-        Between the best number and the widest that is within the target nothing is cut: streams
-        that end by themselves are not replaced, and nothing has to be done again.
-        """
-        return max(self.fill_limit(now_ms), self.curve.widest(self._allowed_ms()))
+        """Give above how many streams in all batch work must yield."""
+        return min(self._limit, self._max_running - 1)
 
     def online_limit(self) -> int:
         """Give how many online requests the engine bears within their targets."""
-        slow_at = self.curve.first_above(self._target_ms * ONLINE_SLACK)
-        if slow_at is None:
+        known = self.curve.known()
+        slow = next((pair for pair in known if pair[1] > self._target_ms), None)
+        if slow is None:
+            return min(self._first_online_limit, self._max_running)
+        within = self.curve.widest(self._target_ms)
+        if not within:
+            # Nothing faster was seen yet: come down in proportion, and look again there.
+            within = int(slow[0] * self._target_ms / slow[1])
+        return min(max(within, self.comfort_limit()), self._max_running)
+
+    def comfort_limit(self) -> int:
+        """Give up to how many requests each one more makes the engine do more work."""
+        allowed_ms = self._allowed_ms()
+        best, best_pace = self.curve.best(allowed_ms)
+        bad = self.curve.first_bad(best, allowed_ms, PACE_LOSS * best_pace)
+        if not best or bad is None:
             return min(self._first_online_limit, self._max_running)
-        return min(max(slow_at - 1, FIRST_LIMIT, self._limit), self._max_running)
+        return min(max(int(best * COMFORT_SLACK), FIRST_LIMIT), self._max_running)
 
     def on_frame(self, request_id: RequestId, now_ms: float) -> None:
         """Learn a step from the gap between two tokens of one stream."""
@@ -141,6 +156,15 @@
         self.curve.observe(streams, gap_ms)
         self._adapt(streams, now_ms)
 
+    def on_online_step(self, step_ms: float) -> None:
+        """Learn a step that an entry instance saw in an online answer.
+
+        Without these nothing would be learned where online work alone fills the engine, which
+        is when its limit matters most.
+        """
+        if 0 < step_ms < LONGEST_STEP_MS:
+            self.curve.observe(self.running_count, step_ms)
+
     def on_call_end(self, took_ms: float) -> None:
         """Learn nothing: the steps have said it all."""
 
@@ -150,6 +174,10 @@
         if request_id == self._probe:
             self._probe = None
 
+    def _deadband(self) -> int:
+        """Leave a gap between filling and cutting where online requests come and go."""
+        return int(DEADBAND * math.sqrt(self.online_count) + 0.5)
+
     def _ms_per_start(self) -> float:
         return (self.curve.fastest_ms() or FIRST_STEP_MS) / STARTS_PER_STEP
 
@@ -163,7 +191,7 @@
 
     def _adapt(self, streams: int, now_ms: float) -> None:
         """Move the limit once enough steps were seen at it."""
-        if streams < self._limit:
+        if streams < self.fill_limit(now_ms):
             return
         self._steps_at_limit += 1
         if self._steps_at_limit < STEPS_PER_LIMIT:
--- a/citrondyke/decisions/sharing/server_share.py
+++ b/citrondyke/decisions/sharing/server_share.py
@@ -119,10 +119,17 @@
     def online_limit(self) -> int:
         """Give how many online requests the server bears within their targets."""
 
+    def comfort_limit(self) -> int:
+        """Give up to how many requests each one more makes the server do more work."""
+        return self.online_limit()
+
     @abstractmethod
     def on_frame(self, request_id: RequestId, now_ms: float) -> None:
         """Learn from a token of a batch request."""
 
+    def on_online_step(self, step_ms: float) -> None:  # noqa: B027  (nothing to learn by default)
+        """Learn a step that an entry instance saw in an online answer."""
+
     @abstractmethod
     def on_call_end(self, took_ms: float) -> None:
         """Learn from a whole batch request."""
--- a/citrondyke/decisions/sharing/step_curve.py
+++ b/citrondyke/decisions/sharing/step_curve.py
@@ -101,10 +101,6 @@
                 return streams
         return None
 
-    def first_above(self, limit_ms: float) -> int | None:
-        """Give the smallest number of streams whose step is longer, ``None`` for none known."""
-        return next((streams for streams, step in self.known() if step > limit_ms), None)
-
     def _forget(self) -> None:
         horizon = self._count - FORGET_AFTER
         for streams in [each for each, seen in self._last_seen.items() if seen < horizon]:
--- a/citrondyke/decisions/steward.py
+++ b/citrondyke/decisions/steward.py
@@ -33,7 +33,11 @@
 DEFAULT_GAP_TARGET_MS = 42.0
 #: A peer is told a server's state again when it changed by this part ...
 TELL_SHARE = 0.1
-#: ... or after this time.
+#: ... or at once where the server is fuller than this part of its limit ...
+FULL_SHARE = 0.8
+#: ... or after this time, which is longer where the server is emptier than this part.
+CALM_SHARE = 0.5
+TELL_CALM_EVERY_MS = 10_000.0
 TELL_EVERY_MS = 1000.0
 
 
@@ -50,6 +54,7 @@
 class _Told(msgspec.Struct):
     online_count: int
     online_limit: int
+    comfort_limit: int
     at_ms: float
 
 
@@ -171,6 +176,8 @@
             return None
         now_ms = self._context.now_ms()
         share.on_notice(sender, notice.online_count, now_ms)
+        if notice.step_us:
+            share.on_online_step(notice.step_us / 1e3)
         self._yield_to_online(share, now_ms)
         view = self._fleet.view(notice.server_id)
         if view is None:
@@ -227,13 +234,24 @@
         self, sender: InstanceId, view: ServerView, share: ServerShare, now_ms: float
     ) -> ServerState | None:
         online_count = share.online_count
-        online_limit = share.online_limit()
+        online_limit, comfort_limit = share.online_limit(), share.comfort_limit()
         told = self._told.get((sender, view.listed.id))
         if told is not None and not view.is_leaving:
             moved = abs(online_count - told.online_count)
             is_small = moved <= max(1.0, TELL_SHARE * told.online_count)
-            is_same_limit = told.online_limit == online_limit
-            if is_small and is_same_limit and now_ms - told.at_ms < TELL_EVERY_MS:
+            is_same_limit = (told.online_limit, told.comfort_limit) == (
+                online_limit,
+                comfort_limit,
+            )
+            is_full = online_count >= FULL_SHARE * online_limit
+            is_calm = online_count < CALM_SHARE * online_limit
+            fresh_ms = TELL_CALM_EVERY_MS if is_calm else TELL_EVERY_MS
+            is_fresh = now_ms - told.at_ms < fresh_ms
+            if is_small and is_same_limit and is_fresh and not is_full:
                 return None
-        self._told[(sender, view.listed.id)] = _Told(online_count, online_limit, now_ms)
-        return ServerState(view.listed.id, online_count, online_limit, view.is_leaving)
+        self._told[(sender, view.listed.id)] = _Told(
+            online_count, online_limit, comfort_limit, now_ms
+        )
+        return ServerState(
+            view.listed.id, online_count, online_limit, comfort_limit, view.is_leaving
+        )
--- a/citrondyke/driver/virtual/virtual_server.py
+++ b/citrondyke/driver/virtual/virtual_server.py
@@ -98,6 +98,8 @@
         self.lie_running: int | None = None
         self.steps_count = 0
         self.tokens_count = 0
+        #: Tokens that resumed streams had to compute again as part of their prompts.
+        self.redone_tokens = 0
         self._curve = curve
         self._load_lag_ms = load_lag_ms
         self._sinks: dict[str, CallSink] = {}
@@ -116,6 +118,8 @@
             sink.on_whole(422, b'{"error": {"message": "never"}}')
             return lambda: None
         self.runs[call.request_id] = self.runs.get(call.request_id, 0) + 1
+        if call.resume_from_frame:
+            self.redone_tokens += request.prompt_tokens + call.resume_from_frame
         self._number += 1
         stream_id = f'{call.request_id}/{self._number}'
         self._sinks[stream_id] = sink
--- a/citrondyke/peer/codec.py
+++ b/citrondyke/peer/codec.py
@@ -126,6 +126,7 @@
     notice = built.init('onlineNotice')
     notice.serverId = message.server_id
     notice.onlineCount = message.online_count
+    notice.stepUs = message.step_us
 
 
 def _write_state(built: Any, message: ServerState) -> None:
@@ -133,6 +134,7 @@
     state.serverId = message.server_id
     state.onlineCount = message.online_count
     state.onlineLimit = message.online_limit
+    state.comfortLimit = message.comfort_limit
     state.isLeaving = message.is_leaving
 
 
@@ -180,12 +182,15 @@
     'ping': lambda read: Ping(read.ping.number, _read_facts(read.ping)),
     'ack': lambda read: Ack(read.ack.number, _read_facts(read.ack)),
     'onlineNotice': lambda read: OnlineNotice(
-        ServerId(read.onlineNotice.serverId), read.onlineNotice.onlineCount
+        ServerId(read.onlineNotice.serverId),
+        read.onlineNotice.onlineCount,
+        read.onlineNotice.stepUs,
     ),
     'serverState': lambda read: ServerState(
         ServerId(read.serverState.serverId),
         read.serverState.onlineCount,
         read.serverState.onlineLimit,
+        read.serverState.comfortLimit,
         read.serverState.isLeaving,
     ),
     'configPush': lambda read: ConfigPush(_read_change(read.configPush)),
--- a/citrondyke/peer/messages.capnp
+++ b/citrondyke/peer/messages.capnp
@@ -41,6 +41,7 @@
 struct OnlineNotice {
   serverId @0 :Text;
   onlineCount @1 :UInt32;
+  stepUs @2 :UInt32;
 }
 
 struct ServerState {
@@ -48,4 +49,5 @@
   onlineCount @1 :UInt32;
   onlineLimit @2 :UInt32;
   isLeaving @3 :Bool;
+  comfortLimit @4 :UInt32;
 }
--- a/tests/support/program.py
+++ b/tests/support/program.py
@@ -32,6 +32,10 @@
     def is_running(self) -> bool:
         return self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        return self._process.pid
+
     @property
     def log_text(self) -> str:
         return self._log.read_text(errors='replace')
--- /dev/null
+++ b/tests/test_cmd/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the programs."""
+
+from __future__ import annotations
