--- a/citrondyke/decisions/notices.py
+++ b/citrondyke/decisions/notices.py
@@ -73,7 +73,7 @@
         """Take in a steward's answer."""
         view = self._fleet.view(state.server_id)
         if view is not None:
-            view.report(state)
+            view.report(state, self._context.now_ms())
 
     def _repeat(self) -> None:
         for view in self._fleet.views():
--- a/citrondyke/decisions/online/admission.py
+++ b/citrondyke/decisions/online/admission.py
@@ -150,11 +150,12 @@
 
         :returns: the places within the targets, and those within the servers' comfort.
         """
+        now_ms = self._context.now_ms()
         within = comfortable = 0
         for view in servers.views:
             if not view.takes_work:
                 continue
-            others = max(0, view.reported_online - view.own_at_report)
+            others = view.others_at(now_ms)
             within += max(0, view.online_limit - others)
             comfortable += max(0, view.comfort_limit - others)
         return within, comfortable
--- a/citrondyke/decisions/online/router.py
+++ b/citrondyke/decisions/online/router.py
@@ -60,9 +60,12 @@
             return Refusal(RefusalReason.NO_SERVER, NO_SERVER_RETRY_MS)
         if prefix_bucket is None:
             return sampled
-        bound = sampled.load * BOUNDED_LOAD + BOUNDED_LOAD_SLACK
+        now_ms = self._context.now_ms()
+        bound = sampled.load_at(now_ms) * BOUNDED_LOAD + BOUNDED_LOAD_SLACK
         for view in servers.preferred(prefix_bucket % AFFINITY_BUCKETS):
-            if self._is_usable(view, tried) and view.load <= min(bound, view.online_limit - 1):
+            if self._is_usable(view, tried) and view.load_at(now_ms) <= min(
+                bound, view.online_limit - 1
+            ):
                 return view
         return sampled
 
@@ -117,10 +120,11 @@
         best: ServerView | None = None
         best_rank = 0.0
         zone = self._context.zone
+        now_ms = self._context.now_ms()
         for view in views:
             if not self._is_usable(view, tried):
                 continue
-            rank = float(view.load + (0 if view.listed.zone == zone else ZONE_SLACK))
+            rank = float(view.load_at(now_ms) + (0 if view.listed.zone == zone else ZONE_SLACK))
             # A share of a request decides between equals, so that they take turns.
             rank += self._context.random.random() * 0.5
             if best is None or rank < best_rank:
--- a/citrondyke/decisions/online/server_view.py
+++ b/citrondyke/decisions/online/server_view.py
@@ -12,9 +12,11 @@
 
 #: Weight of a new sample in the averages.
 SMOOTHING = 0.2
+#: A report older than this says nothing any more.
+REPORT_LIFE_MS = 2000.0
 
 
-class ServerView(msgspec.Struct):
+class ServerView(msgspec.Struct, eq=False):
     """A listed server, this instance's own requests on it, and what its steward said."""
 
     listed: ListedServer
@@ -28,6 +30,7 @@
     reported_online: int = 0
     #: ... and this instance's own among them.
     own_at_report: int = 0
+    reported_at_ms: float = float('-inf')
     is_leaving: bool = False
     failures_in_row: int = 0
     ejections: int = 0
@@ -42,18 +45,28 @@
     probe_at_ms: float = 0.0
     samples: int = 0
 
-    @property
-    def load(self) -> int:
-        """Estimate the online requests on it now: the report, corrected by what is known here."""
-        return max(self.own_online, self.reported_online + self.own_online - self.own_at_report)
+    def others_at(self, now_ms: float) -> int:
+        """Estimate the online requests of other instances on it.
+
+        A report counts for a while only. A server that was said to be full gets nothing from
+        here, so nothing would ever be heard of it again, and it would be avoided for good.
+        """
+        if now_ms - self.reported_at_ms > REPORT_LIFE_MS:
+            return 0
+        return max(0, self.reported_online - self.own_at_report)
+
+    def load_at(self, now_ms: float) -> int:
+        """Estimate all online requests on it: the report, corrected by what is known here."""
+        return self.own_online + self.others_at(now_ms)
 
     @property
     def takes_work(self) -> bool:
         """Tell whether the lists and the steward let it have new work."""
         return not self.is_leaving and self.listed.state is ListedState.LIVE
 
-    def report(self, state: ServerState) -> None:
+    def report(self, state: ServerState, now_ms: float) -> None:
         """Take in the steward's answer."""
+        self.reported_at_ms = now_ms
         self.reported_online = state.online_count
         self.own_at_report = self.own_online
         self.online_limit = state.online_limit
--- a/citrondyke/entry/operator_door.py
+++ b/citrondyke/entry/operator_door.py
@@ -204,7 +204,7 @@
                     steward=instance.steward.steward_of(view.listed.id) or '',
                     is_leaving=not view.takes_work,
                     is_ejected=view.ejected_until_ms > now_ms,
-                    online_count=view.load,
+                    online_count=view.load_at(now_ms),
                     online_limit=view.online_limit,
                     batch_count=share.batch_count if share is not None else None,
                     fill_limit=share.fill_limit(now_ms) if share is not None else None,
--- /dev/null
+++ b/tests/test_decisions/test_decisions_crash_points.py
@@ -0,0 +1,117 @@
+"""An instance is killed between any two of its effects; the promises hold every time."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from citrondyke.decisions.core.runner import Effect
+from citrondyke.decisions.once.once_desk import OnceEndKind
+from citrondyke.driver.virtual.virtual_fleet import VirtualFleet
+from citrondyke.driver.virtual.virtual_instance import VirtualInstance
+from tests.support.virtual import LIMITS, job_outcomes, make_fleet, model_lines, order, wait_for_job
+
+#: Effects between two crash points that are tried; each start shifts them by one.
+STRIDE = 7
+
+
+def kill_at(fleet: VirtualFleet, victim: VirtualInstance, effect_number: int) -> None:
+    """Kill an instance right before its n-th effect from now."""
+    first = victim.effects_count
+
+    def crash(host: VirtualInstance, effect: Effect) -> None:
+        if host is victim and host.effects_count - first >= effect_number:
+            host.kill()
+
+    fleet.crash_point = crash
+
+
+@pytest.mark.parametrize('start', range(4))
+def test_job_outcomes_at_every_crash_point(start: int) -> None:
+    # The caller hears that a job is accepted; one of two instances dies at the n-th thing it
+    # does after that: around a claim, an object, a commit, a renewal. The other one finishes the
+    # job, and every item has one outcome.
+    for point in range(1 + start, 200, STRIDE * 4):
+        fleet = make_fleet(seed=point)
+        victim, other = fleet.instances.values()
+        job = fleet.accept_job(other, 'coastal', 'nightly', model_lines(20))
+        kill_at(fleet, victim, point)
+        wait_for_job(fleet, job)
+        outcomes = job_outcomes(fleet, job)
+        assert outcomes == {f'item-{n}': 'ok' for n in range(20)}, point
+
+
+@pytest.mark.parametrize('start', range(4))
+def test_cancel_at_every_crash_point(start: int) -> None:
+    # The same with a cancellation in the middle: what was visible stays, the rest is told
+    # "cancelled", and nothing is left open.
+    for point in range(1 + start, 160, STRIDE * 4):
+        fleet = make_fleet(seed=point)
+        victim, other = fleet.instances.values()
+        job = fleet.accept_job(other, 'coastal', 'nightly', model_lines(40, tokens=30))
+        kill_at(fleet, victim, point)
+        fleet.time.run_until(fleet.time.now_ms() + 150.0)
+        fleet.complete(other, other.instance.cancel_job(None, job.job_id))
+        wait_for_job(fleet, job)
+        outcomes = job_outcomes(fleet, job)
+        assert len(outcomes) == 40, point
+        assert set(outcomes.values()) <= {'ok', 'cancelled'}
+
+
+def test_order_runs_once_at_every_crash_point() -> None:
+    # An instance dies at the n-th thing it does after an order came in: around the intent, the
+    # dispatch, the answer, the outcome. Resends through the other one never run it again, and
+    # an answer that the first caller got is the answer of all.
+    for point in range(40):
+        fleet = make_fleet(seed=point)
+        victim, other = fleet.instances.values()
+        kill_at(fleet, victim, point)
+        first: list[Any] = []
+        order(victim, fleet, 'key', first)
+        fleet.time.run_until(fleet.time.now_ms() + 30.0)
+        victim.kill()
+        ends: list[Any] = []
+        for _ in range(2):
+            order(other, fleet, 'key', ends)
+            fleet.time.run_until(fleet.time.now_ms() + 6 * LIMITS.lease_ms)
+        runs = fleet.servers[next(each for each in fleet.servers if each == 'orders')].runs
+        assert sum(runs.values()) <= 1, point
+        assert len(ends) == 2, point
+        assert ends[0].kind is ends[1].kind
+        assert ends[0].kind in (OnceEndKind.ANSWERED, OnceEndKind.UNKNOWN)
+        if first and first[0].kind is OnceEndKind.ANSWERED:
+            assert ends[0].kind is OnceEndKind.ANSWERED
+        if not runs:
+            assert ends[0].kind is OnceEndKind.UNKNOWN
+
+
+def test_item_that_kills_its_holder_is_found() -> None:
+    # Whichever instance dispatches one certain item dies on the spot, again and again, and is
+    # started anew. After some deaths the item is alone at work when its holder dies, is set
+    # aside with its own code, and all other items are answered.
+    fleet = make_fleet(seed=5)
+    deaths = 0
+
+    def crash(host: VirtualInstance, effect: Effect) -> None:
+        nonlocal deaths
+        call = getattr(getattr(effect, 'op', None), 'call', None)
+        if call is not None and call.request_id.endswith('-1-3'):
+            deaths += 1
+            host.kill()
+            name = host.listed.id
+
+            def restart() -> None:
+                fleet.add_instance(name, 'z', LIMITS)
+
+            fleet.time.after(100.0, restart)
+
+    host = next(iter(fleet.instances.values()))
+    job = fleet.accept_job(host, 'coastal', 'nightly', model_lines(24))
+    fleet.crash_point = crash
+    wait_for_job(fleet, job)
+    outcomes = job_outcomes(fleet, job)
+    failed = {name: code for name, code in outcomes.items() if code != 'ok'}
+    assert failed == {'item-11': 'item_killed_holder'}
+    assert len(outcomes) == 24
+    assert deaths <= 4
