Seal outcome records into chained objects and report from them

Ruled out: a row for each outcome (2,300 writes/s at the target against several hundred); a chain within one life only (the newest objects could be taken away unseen).

Change: each instance seals its records once a minute into a compressed object that names the digest of the one before, over all its lives; number and digest of the newest stand in its lease row. Records that did not fit during an outage, and those lost by a crash, are told as faults.

--- a/citrondyke/cmd/citrondykectl.py
+++ b/citrondyke/cmd/citrondykectl.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import sys
+from datetime import datetime
 from pathlib import Path
 from typing import Annotated, Any
+from urllib.parse import urlencode
 
 import msgspec
 from cyclopts import App, Parameter
@@ -23,6 +25,7 @@
     TenantEntry,
     entry_name,
 )
+from citrondyke.decisions.evidence.report import EvidenceReport
 from citrondyke.entry.operator_shapes import JobSummary, JobView, StatusReport
 from citrondyke.ids import ClassName, TenantId
 from citrondyke.operator.measures import MeasureReport
@@ -174,6 +177,30 @@
     _show(options, groups, tables.histogram_tables)
 
 
+@app.command
+def report(
+    *,
+    class_name: Annotated[str | None, Parameter(name='--class')] = None,
+    from_: Annotated[datetime | None, Parameter(name='--from')] = None,
+    to: datetime | None = None,
+    verify: bool = False,
+    options: Shared = Options(),  # noqa: B008
+) -> None:
+    """Show what was kept and what was not, from the sealed records.
+
+    With --verify it ends with code 1 when a record is missing or was altered.
+    """
+    query = {'class': class_name or ''}
+    if from_ is not None:
+        query['from'] = str(from_.timestamp() * 1e3)
+    if to is not None:
+        query['to'] = str(to.timestamp() * 1e3)
+    found = OperatorClient(options).get(f'/operator/v1/report?{urlencode(query)}', EvidenceReport)
+    _show(options, found, tables.report_tables)
+    if verify and found.faults:
+        raise CtlError(ExitCode.FAILED, f'{len(found.faults)} faults in the records')
+
+
 @jobs_app.command(name='list')
 def jobs_list(options: Shared = Options()) -> None:  # noqa: B008
     """List the open jobs by deadline."""
--- a/citrondyke/cmd/ctl/tables.py
+++ b/citrondyke/cmd/ctl/tables.py
@@ -20,6 +20,7 @@
     TenantEntry,
     entry_name,
 )
+from citrondyke.decisions.evidence.report import EvidenceReport
 from citrondyke.entry.operator_shapes import JobSummary, JobView, StatusReport
 from citrondyke.operator.histogram import HistogramData, SparseHistogram
 from citrondyke.operator.terminal import histogram_table
@@ -31,6 +32,7 @@
     'history_table',
     'job_view',
     'jobs_table',
+    'report_tables',
     'status_table',
 )
 
@@ -131,6 +133,33 @@
         )
 
 
+def report_tables(report: EvidenceReport) -> Iterator[Table | str]:
+    """Show what was kept, what was not, and whether the records are all there."""
+    table = _table(
+        f'{report.objects_count} sealed objects',
+        'class',
+        'requests',
+        'kept',
+        'missed',
+        'jobs on time',
+        'items with outcome',
+        'outcomes',
+    )
+    for name, entry in sorted(report.classes.items()):
+        table.add_row(
+            name,
+            str(entry.requests_count),
+            str(entry.kept_count),
+            str(entry.missed_count),
+            f'{entry.jobs_on_time_count}/{entry.jobs_ended_count}/{entry.jobs_accepted_count}',
+            f'{entry.items_with_outcome_count}/{entry.items_accepted_count}',
+            ', '.join(f'{code} {count}' for code, count in sorted(entry.outcomes.items())),
+        )
+    yield table
+    for fault in report.faults:
+        yield f'{fault.instance_id}, object {fault.number}: {fault.kind} {fault.detail}'
+
+
 def histogram_tables(groups: dict[str, dict[str, HistogramData]]) -> Iterator[Table | str]:
     """Show histograms."""
     if not groups:
--- a/citrondyke/decisions/core/ops.py
+++ b/citrondyke/decisions/core/ops.py
@@ -22,6 +22,7 @@
 __all__ = (
     'CallServer',
     'GetObject',
+    'ListObjects',
     'Op',
     'PollLoad',
     'PullConfig',
@@ -38,6 +39,7 @@
     'Workflow',
     'call_server',
     'get_object',
+    'list_objects',
     'poll_load',
     'pull_config',
     'put_object',
@@ -92,6 +94,12 @@
     key: ObjectKey
 
 
+class ListObjects(Op, frozen=True):
+    """List the keys below a prefix; gives ``list[ObjectKey] | PlatformFailure``."""
+
+    prefix: str
+
+
 class ReadLists(Op, frozen=True):
     """Read the platform's lists; gives ``FleetSnapshot | PlatformFailure``."""
 
@@ -177,6 +185,12 @@
     return cast('bytes | PlatformFailure', result)
 
 
+def list_objects(prefix: str) -> Workflow[list[ObjectKey] | PlatformFailure]:
+    """List the keys below a prefix, in order."""
+    result = yield ListObjects(prefix)
+    return cast('list[ObjectKey] | PlatformFailure', result)
+
+
 def read_lists() -> Workflow[FleetSnapshot | PlatformFailure]:
     """Read the platform's lists."""
     result = yield ReadLists()
--- /dev/null
+++ b/citrondyke/decisions/evidence/report.py
@@ -0,0 +1,176 @@
+"""Reads sealed records and says what was kept, what was not, and whether all is there."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import msgspec
+import zstandard
+
+from citrondyke.decisions.core.ops import get_object, list_objects, scan_rows
+from citrondyke.decisions.evidence.journal import EVIDENCE_PREFIX
+from citrondyke.decisions.evidence.record import OutcomeRecord, RecordKind, SealHeader
+from citrondyke.decisions.membership.session_row import SESSION_PREFIX, SessionRow
+from citrondyke.platform.failure import PlatformFailure
+from citrondyke.util.hashing import digest_hex
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.ops import Workflow
+
+__all__ = ('ClassReport', 'EvidenceFault', 'EvidenceReport', 'build_report')
+
+SCAN_LIMIT = 1000
+#: Plain text of one object at the most; a forged one must not fill the memory.
+OBJECT_LIMIT_BYTES = 256 * 1024 * 1024
+
+
+class EvidenceFault(msgspec.Struct, frozen=True):
+    """Something that is missing or was altered."""
+
+    instance_id: str
+    number: int
+    #: ``missing``, ``altered``, ``unreadable``, ``dropped`` or ``after_crash``.
+    kind: str
+    detail: str = ''
+
+
+class ClassReport(msgspec.Struct, kw_only=True):
+    """One class in a span of time."""
+
+    requests_count: int = 0
+    kept_count: int = 0
+    missed_count: int = 0
+    #: Outcomes by code; their sum is the number of requests.
+    outcomes: dict[str, int] = msgspec.field(default_factory=dict)
+    jobs_accepted_count: int = 0
+    jobs_ended_count: int = 0
+    jobs_on_time_count: int = 0
+    items_accepted_count: int = 0
+    items_with_outcome_count: int = 0
+
+
+class EvidenceReport(msgspec.Struct, kw_only=True):
+    """What a regulator is shown."""
+
+    from_epoch_ms: float
+    to_epoch_ms: float
+    objects_count: int = 0
+    classes: dict[str, ClassReport] = msgspec.field(default_factory=dict)
+    faults: list[EvidenceFault] = msgspec.field(default_factory=list)
+
+
+class _Seal(msgspec.Struct, frozen=True):
+    header: SealHeader
+    digest: str
+    records: list[OutcomeRecord]
+
+
+def build_report(
+    class_name: str | None, from_epoch_ms: float, to_epoch_ms: float
+) -> Workflow[EvidenceReport | PlatformFailure]:
+    """Read every object, check the chains, and add up the records of a span of time.
+
+    :param class_name: only this class; ``None`` for all.
+    """
+    report = EvidenceReport(from_epoch_ms=from_epoch_ms, to_epoch_ms=to_epoch_ms)
+    keys = yield from list_objects(EVIDENCE_PREFIX)
+    if isinstance(keys, PlatformFailure):
+        return keys
+    sessions = yield from scan_rows(SESSION_PREFIX, '', SCAN_LIMIT)
+    if isinstance(sessions, PlatformFailure):
+        return sessions
+    chains: dict[str, dict[int, _Seal]] = {}
+    for key in keys:
+        body = yield from get_object(key)
+        if isinstance(body, PlatformFailure):
+            return body
+        report.objects_count += 1
+        seal = _open(body)
+        if seal is None:
+            _, instance_id, number = key.rsplit('/', 2)
+            report.faults.append(EvidenceFault(instance_id, int(number), 'unreadable'))
+            continue
+        chains.setdefault(seal.header.instance_id, {})[seal.header.number] = seal
+    newest = {
+        row.key[len(SESSION_PREFIX) :]: msgspec.json.decode(row.value, type=SessionRow)
+        for row in sessions
+    }
+    for instance_id in sorted(set(chains) | set(newest)):
+        _check_chain(report, instance_id, chains.get(instance_id, {}), newest.get(instance_id))
+    for chain in chains.values():
+        for seal in chain.values():
+            _add_up(report, seal, class_name)
+    return report
+
+
+def _open(body: bytes) -> _Seal | None:
+    try:
+        text = zstandard.ZstdDecompressor().decompress(body, max_output_size=OBJECT_LIMIT_BYTES)
+        first, *rest = text.splitlines()
+        header = msgspec.json.decode(first, type=SealHeader)
+        records = [msgspec.json.decode(line, type=OutcomeRecord) for line in rest]
+    except (zstandard.ZstdError, msgspec.DecodeError, ValueError):
+        return None
+    return _Seal(header, digest_hex(body), records)
+
+
+def _check_chain(
+    report: EvidenceReport,
+    instance_id: str,
+    chain: dict[int, _Seal],
+    session: SessionRow | None,
+) -> None:
+    """Find holes and alterations; every object vouches for the one before it."""
+    last_number = max(chain, default=0)
+    if session is not None and session.sealed_number > last_number:
+        last_number = session.sealed_number
+    if session is not None and session.sealed_number in chain:
+        _compare(report, chain[session.sealed_number], session.sealed_digest)
+    for number in range(1, last_number + 1):
+        seal = chain.get(number)
+        if seal is None:
+            report.faults.append(EvidenceFault(instance_id, number, 'missing'))
+            continue
+        before = chain.get(number - 1)
+        if before is not None:
+            _compare(report, before, seal.header.previous_digest)
+        if len(seal.records) != seal.header.records_count:
+            report.faults.append(EvidenceFault(instance_id, number, 'altered', 'record count'))
+        if seal.header.dropped_count:
+            detail = f'{seal.header.dropped_count} records'
+            report.faults.append(EvidenceFault(instance_id, number, 'dropped', detail))
+        if seal.header.is_after_crash:
+            report.faults.append(EvidenceFault(instance_id, number, 'after_crash'))
+
+
+def _compare(report: EvidenceReport, seal: _Seal, digest: str) -> None:
+    if seal.digest == digest:
+        return
+    fault = EvidenceFault(seal.header.instance_id, seal.header.number, 'altered', 'digest')
+    if fault not in report.faults:
+        report.faults.append(fault)
+
+
+def _add_up(report: EvidenceReport, seal: _Seal, class_name: str | None) -> None:
+    for record in seal.records:
+        if not report.from_epoch_ms <= record.at_epoch_ms < report.to_epoch_ms:
+            continue
+        if class_name is not None and record.class_name != class_name:
+            continue
+        entry = report.classes.setdefault(record.class_name, ClassReport())
+        if record.kind is RecordKind.JOB_ACCEPTED:
+            entry.jobs_accepted_count += 1
+            entry.items_accepted_count += record.items_count
+            continue
+        if record.kind is RecordKind.JOB_ENDED:
+            entry.jobs_ended_count += 1
+            entry.items_with_outcome_count += record.succeeded_count + record.failed_count
+        else:
+            entry.requests_count += 1
+        entry.outcomes = dict(Counter(entry.outcomes) + Counter([record.outcome]))
+        if record.is_kept is not None:
+            entry.kept_count += record.is_kept
+            entry.missed_count += not record.is_kept
+            if record.kind is RecordKind.JOB_ENDED:
+                entry.jobs_on_time_count += record.is_kept
--- a/citrondyke/decisions/instance.py
+++ b/citrondyke/decisions/instance.py
@@ -17,6 +17,7 @@
     wait_for,
 )
 from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.evidence.journal import EvidenceJournal
 from citrondyke.decisions.jobs.acceptance import JobAcceptance
 from citrondyke.decisions.jobs.claimer import Claimer
 from citrondyke.decisions.jobs.sweeper import Sweeper
@@ -94,6 +95,10 @@
     shortest_look_ms: float = 250.0
     #: Group transactions for requests that run at most once, over all instances, a second.
     fleet_intent_transactions_per_s: float = 55.0
+    #: Pause between two objects of outcome records.
+    evidence_every_ms: float = 60_000.0
+    #: Outcome records that may wait for the object store.
+    evidence_records_limit: int = 100_000
 
 
 class Instance:
@@ -114,6 +119,9 @@
         self.keeper = ConfigKeeper(context, limits.config_poll_every_ms)
         self.members = Members(context)
         self.session = SessionKeeper(context, limits.lease_renew_every_ms, limits.lease_ms)
+        self.journal = EvidenceJournal(
+            context, self.session, limits.evidence_every_ms, limits.evidence_records_limit
+        )
         self.leases = LeaseWatch(limits.lease_ms, limits.lease_ms * LEASE_LOOK_GAP)
         self.fleet = Fleet(limits.first_online_limit)
         self.router = Router(context, self.fleet)
@@ -135,8 +143,10 @@
         )
         self.committer = GroupCommitter(context, pace)
         self.once = OnceDesk(context, self.session, self.committer, self.leases, self.online)
-        self.acceptance = JobAcceptance(context, limits.segment_items, lambda: self.keeper.current)
-        self.sweeper = Sweeper(context, self.acceptance, limits.segment_items)
+        self.acceptance = JobAcceptance(
+            context, limits.segment_items, lambda: self.keeper.current, self.journal.add
+        )
+        self.sweeper = Sweeper(context, self.acceptance, limits.segment_items, self.journal.add)
         self.worker = self._new_worker(context, limits)
         self._lists_read: Signal[None] = Signal()
         self._members_revision = -1
@@ -158,6 +168,7 @@
         yield Spawn(self._follow_lists(), is_essential=True)
         yield Spawn(self._gossip(), is_essential=True)
         yield Spawn(self._pull_configs(), is_essential=True)
+        yield Spawn(self.journal.run(), is_essential=True)
         yield Spawn(self._work(), is_essential=True)
 
     def is_repeatable(self, target: TargetName) -> bool:
@@ -216,6 +227,8 @@
             ping = self.members.farewell()
             yield SendPeer(peer.id, ping)
         yield from self.worker.leave(until_ms)
+        while not (yield from self.journal.seal()) and self.context.now_ms() < until_ms:
+            pass
         yield from self.session.release()
 
     def _new_worker(self, context: Context, limits: InstanceLimits) -> Worker:
--- a/citrondyke/decisions/jobs/acceptance.py
+++ b/citrondyke/decisions/jobs/acceptance.py
@@ -14,6 +14,7 @@
     transaction,
 )
 from citrondyke.decisions.core.ops import read_rows
+from citrondyke.decisions.evidence.record import OutcomeRecord, RecordKind
 from citrondyke.decisions.jobs.item_set import ItemSet
 from citrondyke.decisions.jobs.rows import (
     FileRow,
@@ -122,6 +123,30 @@
     return digest_hex(file_digest.encode(), wish.endpoint.encode(), wish.class_name.encode())
 
 
+def job_record(kind: RecordKind, job_id: JobId, row: JobRow) -> OutcomeRecord:
+    """Write down that a job was accepted or is over."""
+    is_ended = kind is RecordKind.JOB_ENDED
+    ended_ms = row.finished_epoch_ms or row.created_epoch_ms
+    is_kept = None
+    if is_ended and row.state is not JobState.CANCELLED:
+        is_kept = row.state is JobState.COMPLETED and ended_ms <= row.deadline_epoch_ms
+    return OutcomeRecord(
+        at_epoch_ms=ended_ms,
+        kind=kind,
+        tenant_id=row.tenant_id,
+        class_name=row.class_name,
+        target=row.target,
+        request_id=job_id,
+        outcome=row.state.value,
+        is_kept=is_kept,
+        total_ms=ended_ms - row.created_epoch_ms,
+        items_count=row.items_count,
+        succeeded_count=row.succeeded_count,
+        failed_count=row.failed_count,
+        deadline_epoch_ms=row.deadline_epoch_ms,
+    )
+
+
 def todo_rows(
     job_id: JobId, items_count: int, segment_items: int, first: int, count: int
 ) -> list[tuple[RowKey, TodoRow]]:
@@ -143,11 +168,14 @@
         context: Context,
         segment_items: int,
         configuration: Callable[[], Configuration],
+        on_outcome: Callable[[OutcomeRecord], None],
     ) -> None:
         """Use what is handed in.
 
         :param segment_items: items in one segment.
+        :param on_outcome: told when a job is accepted.
         """
+        self._on_outcome = on_outcome
         self._context = context
         self._segment_items = segment_items
         self._configuration = configuration
@@ -221,6 +249,7 @@
         if isinstance(result, CommitDoubt):
             return _refusal_of(result)
         if isinstance(result, Committed):
+            self._on_outcome(job_record(RecordKind.JOB_ACCEPTED, job_id, job))
             return AcceptedJob(job_id, job, result.version)
         found = yield from self.find_job(wish.tenant_id, job_id)
         if isinstance(found, AcceptedJob) and found.row.digest != job.digest:
--- a/citrondyke/decisions/jobs/sweeper.py
+++ b/citrondyke/decisions/jobs/sweeper.py
@@ -8,7 +8,13 @@
 
 from citrondyke.decisions.core.commit import CommitDoubt, commit, transaction
 from citrondyke.decisions.core.ops import read_rows, scan_rows
-from citrondyke.decisions.jobs.acceptance import AcceptedJob, JobRefusal, todo_rows
+from citrondyke.decisions.evidence.record import RecordKind
+from citrondyke.decisions.jobs.acceptance import (
+    AcceptedJob,
+    JobRefusal,
+    job_record,
+    todo_rows,
+)
 from citrondyke.decisions.jobs.item_set import ItemSet
 from citrondyke.decisions.jobs.rows import (
     JobState,
@@ -27,8 +33,11 @@
 from citrondyke.platform.table_service import Committed
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.core.ops import Workflow
+    from citrondyke.decisions.evidence.record import OutcomeRecord
     from citrondyke.decisions.jobs.acceptance import JobAcceptance
     from citrondyke.ids import JobId, RowKey
     from citrondyke.platform.table_service import Row
@@ -63,8 +72,18 @@
     that racing or dying half-way leaves nothing double and nothing undone.
     """
 
-    def __init__(self, context: Context, acceptance: JobAcceptance, segment_items: int) -> None:
-        """Use the parts handed in."""
+    def __init__(
+        self,
+        context: Context,
+        acceptance: JobAcceptance,
+        segment_items: int,
+        on_outcome: Callable[[OutcomeRecord], None],
+    ) -> None:
+        """Use the parts handed in.
+
+        :param on_outcome: told when a job is over.
+        """
+        self._on_outcome = on_outcome
         self._context = context
         self._acceptance = acceptance
         self._segment_items = segment_items
@@ -117,7 +136,9 @@
             [(job_row_key(job_id), job.version), (open_key, found[open_key].version)],
             [(job_row_key(job_id), row), (open_key, None)],
         )
-        yield from commit(self._context, wanted, self._until_ms())
+        result = yield from commit(self._context, wanted, self._until_ms())
+        if isinstance(result, Committed):
+            self._on_outcome(job_record(RecordKind.JOB_ENDED, job_id, row))
 
     def parts(self, job_id: JobId) -> Workflow[list[tuple[RowKey, PartRow]] | None]:
         """Read all visible parts of a job, in order; ``None`` without an answer."""
--- a/citrondyke/decisions/membership/session_keeper.py
+++ b/citrondyke/decisions/membership/session_keeper.py
@@ -48,6 +48,17 @@
         self._version: int | None = None
         self._confirmed_ms = float('-inf')
         self._is_released = False
+        #: Number and digest of the newest object of outcome records.
+        self.sealed = (0, '')
+        #: Whether this life sealed any.
+        self.has_sealed = False
+        #: Whether the life before this one ended without giving its lease back.
+        self.is_after_crash = False
+
+    def note_sealed(self, number: int, digest: str) -> None:
+        """Take in the newest object of outcome records; the next renewal stores it."""
+        self.sealed = (number, digest)
+        self.has_sealed = True
 
     @property
     def session(self) -> SessionId:
@@ -84,7 +95,7 @@
         if self._is_released or not self.began.is_fired:
             return
         self._is_released = True
-        row = SessionRow(self._epoch, self._counter + 1, SessionState.RELEASED)
+        row = SessionRow(self._epoch, self._counter + 1, SessionState.RELEASED, *self.sealed)
         wanted = transaction(self._context, [(self._key, self._version)], [(self._key, row)])
         yield from commit(self._context, wanted, self._context.now_ms() + COMMIT_LIMIT_MS)
 
@@ -97,7 +108,10 @@
         before = None if row is None else msgspec.json.decode(row.value, type=SessionRow)
         self._epoch = 1 if before is None else before.epoch + 1
         self._version = None if row is None else row.version
-        value = SessionRow(self._epoch, 1, SessionState.HELD)
+        if before is not None:
+            self.sealed = (before.sealed_number, before.sealed_digest)
+            self.is_after_crash = before.state is SessionState.HELD
+        value = SessionRow(self._epoch, 1, SessionState.HELD, *self.sealed)
         wanted = transaction(self._context, [(self._key, self._version)], [(self._key, value)])
         result = yield from commit(self._context, wanted, self._context.now_ms() + COMMIT_LIMIT_MS)
         if not isinstance(result, Committed):
@@ -109,7 +123,7 @@
 
     def _renew(self) -> Workflow[None]:
         asked_ms = self._context.now_ms()
-        value = SessionRow(self._epoch, self._counter + 1, SessionState.HELD)
+        value = SessionRow(self._epoch, self._counter + 1, SessionState.HELD, *self.sealed)
         wanted = transaction(self._context, [(self._key, self._version)], [(self._key, value)])
         result = yield from commit_once(wanted)
         if isinstance(result, Committed):
--- a/citrondyke/decisions/membership/session_row.py
+++ b/citrondyke/decisions/membership/session_row.py
@@ -28,6 +28,9 @@
     #: Raised by each renewal; whoever watches it measures on its own clock.
     counter: int
     state: SessionState
+    #: Number and digest of the newest object of outcome records.
+    sealed_number: int = 0
+    sealed_digest: str = ''
 
 
 def session_row_key(instance_id: InstanceId) -> RowKey:
--- a/citrondyke/driver/gevent_driver.py
+++ b/citrondyke/driver/gevent_driver.py
@@ -54,6 +54,7 @@
             ops.ScanRows: lambda op: table.scan(op.prefix, op.after, op.limit),
             ops.PutObject: lambda op: objects.put(op.key, op.body),
             ops.GetObject: lambda op: objects.get(op.key),
+            ops.ListObjects: lambda op: objects.list_keys(op.prefix),
             ops.ReadLists: lambda _: lists.read(),
             ops.Sleep: self._sleep,
             ops.Wait: self._wait,
--- a/citrondyke/driver/virtual/virtual_platform.py
+++ b/citrondyke/driver/virtual/virtual_platform.py
@@ -53,6 +53,8 @@
                 self._call(self.objects_fault, lambda: self._put(op), answer)
             case ops.GetObject():
                 self._call(self.objects_fault, lambda: self.objects.get(op.key, MISSING), answer)
+            case ops.ListObjects():
+                self._call(self.objects_fault, lambda: self._list(op.prefix), answer)
             case ops.ReadLists():
                 self._call(FaultSwitch(), lambda: self.lists.at(self._time.now_ms()), answer)
             case _:
@@ -82,5 +84,8 @@
     def _read(self, op: ops.ReadRows) -> dict[Any, Any]:
         return {row.key: row for row in self.table.read(op.keys)}
 
+    def _list(self, prefix: str) -> list[Any]:
+        return [key for key in self.objects if key.startswith(prefix)]
+
     def _put(self, op: ops.PutObject) -> None:
         self.objects[op.key] = op.body
--- a/citrondyke/entry/online_door.py
+++ b/citrondyke/entry/online_door.py
@@ -13,6 +13,7 @@
 from citrondyke.backend.sse import DONE_FRAME
 from citrondyke.decisions.configuration.entries import ClassEntry, ClassKind, TenantEntry
 from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.evidence.record import OutcomeRecord, RecordKind
 from citrondyke.decisions.once.once_desk import OnceEndKind
 from citrondyke.decisions.online.request import OnlineEnd, OnlineEndKind, OnlineRequest
 from citrondyke.decisions.steward import SERVICE_PREFIX
@@ -263,6 +264,7 @@
             is_kept=_is_kept(entry, request, outcome, end, total_ms),
         )
         front.measures.add(sample)
+        self._record(sample)
         if front.settings.logs.requests:
             log.info(
                 'request ended',
@@ -277,6 +279,28 @@
                 },
             )
 
+    def _record(self, sample: RequestSample) -> None:
+        """Write the outcome down for whoever asks for evidence."""
+        front, request = self._front, self._request
+        now_ms = front.clock.now_ms()
+        front.instance.journal.add(
+            OutcomeRecord(
+                at_epoch_ms=front.clock.epoch_ms(),
+                kind=RecordKind.ONLINE if request.is_repeatable else RecordKind.ONCE,
+                tenant_id=request.tenant_id,
+                class_name=request.class_name,
+                target=request.target,
+                request_id=request.request_id,
+                outcome=sample.outcome,
+                is_kept=sample.is_kept,
+                first_token_ms=sample.first_token_ms,
+                total_ms=sample.total_ms,
+                prompt_bytes=len(request.body),
+                tokens_count=sample.tokens_count,
+                within_ms=request.deadline_ms - now_ms + sample.total_ms,
+            )
+        )
+
 
 def _is_kept(
     entry: ClassEntry | None,
--- a/citrondyke/entry/operator_door.py
+++ b/citrondyke/entry/operator_door.py
@@ -15,6 +15,7 @@
 )
 from citrondyke.decisions.core.commit import CommitDoubt, CommitDoubtReason
 from citrondyke.decisions.core.ops import scan_rows
+from citrondyke.decisions.evidence.report import build_report
 from citrondyke.decisions.jobs.acceptance import JobRefusal
 from citrondyke.decisions.jobs.rows import OpenRow, open_prefix
 from citrondyke.entry.answers import json_answer
@@ -126,6 +127,19 @@
         with_tenants = bottle.request.query.get('tenants') == 'yes'
         return json_answer(self._front.measures.report(with_tenants=with_tenants))
 
+    def report(self) -> bytes:
+        """Answer ``GET /operator/v1/report?class=C&from=MS&to=MS``."""
+        self._operator()
+        query = bottle.request.query
+        try:
+            from_ms, to_ms = float(query.get('from', '0')), float(query.get('to', '1e15'))
+        except ValueError as error:
+            raise InvalidFieldError('from and to are milliseconds since 1970') from error
+        report = self._front.driver.run(build_report(query.get('class') or None, from_ms, to_ms))
+        if isinstance(report, PlatformFailure):
+            raise PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS)
+        return json_answer(report)
+
     def jobs(self) -> bytes:
         """Answer ``GET /operator/v1/jobs``: the open ones, by deadline."""
         self._operator()
--- a/citrondyke/standin/platform_app.py
+++ b/citrondyke/standin/platform_app.py
@@ -71,6 +71,11 @@
         """Answer ``GET /objects/<key>``."""
         return self._with_fault('objects', lambda: self._get_object(key))
 
+    def delete_object(self, key: str) -> bytes:
+        """Answer ``DELETE /objects/<key>``."""
+        self._objects.pop(key, None)
+        return b'{}'
+
     def list_objects(self) -> bytes:
         """Answer ``GET /objects``."""
         return self._with_fault('objects', self._list_objects)
@@ -189,6 +194,7 @@
     app.post('/v1/scan', callback=platform.scan)
     app.put('/objects/<key:path>', callback=platform.put_object)
     app.get('/objects/<key:path>', callback=platform.get_object)
+    app.delete('/objects/<key:path>', callback=platform.delete_object)
     app.get('/objects', callback=platform.list_objects)
     app.get('/lists', callback=platform.read_lists)
     app.put('/control/faults/<service>', callback=platform.set_fault)
--- /dev/null
+++ b/tests/test_peer/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the traffic between instances."""
+
+from __future__ import annotations
