--- a/citrondyke/cmd/citrondykectl.py
+++ b/citrondyke/cmd/citrondykectl.py
@@ -26,6 +26,9 @@
     entry_name,
 )
 from citrondyke.decisions.evidence.report import EvidenceReport
+from citrondyke.driver.virtual.replay import TraceOutcome
+from citrondyke.driver.virtual.replay import replay as run_trace
+from citrondyke.driver.virtual.trace import read_trace
 from citrondyke.entry.operator_shapes import JobSummary, JobView, StatusReport
 from citrondyke.ids import ClassName, TenantId
 from citrondyke.operator.measures import MeasureReport
@@ -201,6 +204,26 @@
         raise CtlError(ExitCode.FAILED, f'{len(found.faults)} faults in the records')
 
 
+@app.command
+def replay(trace: Path, *, json: bool = False) -> None:
+    """Run a trace in virtual time; compare with TRACE's stated outcome, if there is one.
+
+    Example: ``citrondykectl replay traces/march_morning.jsonl``. Ends with 1 where it differs.
+    """
+    options = Options(json=json)
+    try:
+        outcome = run_trace(read_trace(trace))
+    except (OSError, ValueError) as error:
+        raise CtlError(ExitCode.WRONG_CALL, f'{trace}: {error}') from error
+    _show(options, outcome, tables.outcome_table)
+    stated_file = trace.with_suffix('.outcome.json')
+    if not stated_file.exists():
+        return
+    stated = msgspec.json.decode(stated_file.read_bytes(), type=TraceOutcome)
+    if stated != outcome:
+        raise CtlError(ExitCode.FAILED, f'the outcome is not the stated one: {stated}')
+
+
 @jobs_app.command(name='list')
 def jobs_list(options: Shared = Options()) -> None:  # noqa: B008
     """List the open jobs by deadline."""
--- a/citrondyke/cmd/ctl/tables.py
+++ b/citrondyke/cmd/ctl/tables.py
@@ -21,6 +21,7 @@
     entry_name,
 )
 from citrondyke.decisions.evidence.report import EvidenceReport
+from citrondyke.driver.virtual.replay import TraceOutcome
 from citrondyke.entry.operator_shapes import JobSummary, JobView, StatusReport
 from citrondyke.operator.histogram import HistogramData, SparseHistogram
 from citrondyke.operator.terminal import histogram_table
@@ -32,6 +33,7 @@
     'history_table',
     'job_view',
     'jobs_table',
+    'outcome_table',
     'report_tables',
     'status_table',
 )
@@ -160,6 +162,19 @@
         yield f'{fault.instance_id}, object {fault.number}: {fault.kind} {fault.detail}'
 
 
+def outcome_table(outcome: TraceOutcome) -> Iterator[Table]:
+    """Show what a trace came to."""
+    table = _table('outcome', 'what', 'came to')
+    table.add_row('chats', str(outcome.chats))
+    table.add_row('first token in time', str(outcome.chats_in_time))
+    table.add_row('orders', str(outcome.orders))
+    table.add_row('most runs of one order', str(outcome.order_runs_most))
+    for name, job in outcome.jobs.items():
+        on_time = 'on time' if job.is_on_time else 'late'
+        table.add_row(f'job {name}', f'{job.state}, {job.succeeded}+{job.failed}, {on_time}')
+    yield table
+
+
 def histogram_tables(groups: dict[str, dict[str, HistogramData]]) -> Iterator[Table | str]:
     """Show histograms."""
     if not groups:
--- /dev/null
+++ b/citrondyke/driver/virtual/replay.py
@@ -0,0 +1,349 @@
+"""Runs a trace in virtual time and tells its outcome."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from citrondyke.decisions.configuration.entries import (
+    ClassKind,
+    ConfigEntry,
+    ServiceEntry,
+    TenantEntry,
+)
+from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.instance import InstanceLimits
+from citrondyke.decisions.jobs.acceptance import AcceptedJob
+from citrondyke.decisions.jobs.rows import JobRow, job_row_key
+from citrondyke.decisions.online.request import OnlineEnd, OnlineRequest
+from citrondyke.decisions.steward import SERVICE_PREFIX
+from citrondyke.driver.virtual.trace import Trace, TraceEvent, TraceEventKind
+from citrondyke.driver.virtual.virtual_fleet import VirtualFleet
+from citrondyke.driver.virtual.virtual_instance import VirtualInstance
+from citrondyke.driver.virtual.virtual_server import VirtualEngine, VirtualService
+from citrondyke.ids import AvailabilityZone, ClassName, RequestId, ServerId, TargetName, TenantId
+from citrondyke.platform.fleet_lists import ListedServer
+from citrondyke.standin.engine_curve import EngineCurve
+from citrondyke.standin.faults import FaultMode
+
+__all__ = ('JobOutcome', 'TraceOutcome', 'replay')
+
+READY_MS = 1000.0
+LOAD_LAG_MS = 100.0
+STOP_WITHIN_MS = 10_000.0
+DRAIN_LOOK_MS = 20.0
+
+
+class JobOutcome(msgspec.Struct, frozen=True):
+    """How a job of the trace ended."""
+
+    state: str
+    succeeded: int
+    failed: int
+    is_on_time: bool
+
+
+class TraceOutcome(msgspec.Struct, kw_only=True):
+    """What a run of a trace came to; the same trace always gives the same."""
+
+    chats: dict[str, int]
+    #: Chats whose first token came within their class's target.
+    chats_in_time: int
+    orders: dict[str, int]
+    #: The most times that any one order ran.
+    order_runs_most: int
+    jobs: dict[str, JobOutcome]
+
+
+class _Replay:
+    """One run."""
+
+    def __init__(self, trace: Trace) -> None:
+        self._trace = trace
+        self._header = trace.header
+        self._fleet = VirtualFleet(trace.header.seed)
+        self._limits = InstanceLimits(
+            lease_ms=trace.header.lease_ms,
+            lease_renew_every_ms=trace.header.lease_ms / 5,
+            segment_items=64,
+            part_every_ms=500.0,
+            lists_poll_every_ms=500.0,
+            gossip_every_ms=300.0,
+        )
+        self._chats: list[tuple[TraceEvent, OnlineEnd, float | None]] = []
+        self._orders: dict[str, list[Any]] = {}
+        self._jobs: dict[str, AcceptedJob] = {}
+        self._turn = 0
+        #: Requests that each instance is answering.
+        self._open: Counter[int] = Counter()
+
+    def run(self) -> TraceOutcome:
+        """Run it to its end."""
+        self._build()
+        time = self._fleet.time
+        time.run_until(READY_MS)
+        for event in self._trace.events:
+            time.at(READY_MS + event.at_ms, self._doing(event))
+        time.run_until(READY_MS + self._header.length_ms)
+        return self._outcome()
+
+    def _build(self) -> None:
+        self._fleet.configure(self._entries())
+        for server in self._header.servers:
+            listed = ListedServer(
+                ServerId(server.id),
+                '10.0.0.2',
+                1,
+                AvailabilityZone(server.zone),
+                TargetName(server.target),
+            )
+            if server.target.startswith(SERVICE_PREFIX):
+                made = VirtualService(listed, self._fleet.time, server.run_ms)
+                self._fleet.add_server(made)
+                continue
+            curve = EngineCurve(base_ms=server.base_ms, knee_streams=server.knee_streams)
+            self._fleet.add_server(VirtualEngine(listed, self._fleet.time, curve, LOAD_LAG_MS))
+        for number in range(self._header.instances):
+            self._start(number)
+
+    def _entries(self) -> list[ConfigEntry]:
+        classes = self._header.classes
+        online = next(each.name for each in classes if each.kind is ClassKind.ONLINE)
+        batch = next(each.name for each in classes if each.kind is ClassKind.BATCH)
+        tenants = sorted({event.tenant for event in self._trace.events})
+        services = sorted(
+            {
+                server.target[len(SERVICE_PREFIX) :]
+                for server in self._header.servers
+                if server.target.startswith(SERVICE_PREFIX)
+            }
+        )
+        return [
+            *classes,
+            *(
+                TenantEntry(
+                    id=TenantId(name), key_hashes=(), online_class=online, batch_class=batch
+                )
+                for name in tenants
+            ),
+            *(ServiceEntry(name=name, is_repeatable=False) for name in services),
+        ]
+
+    def _start(self, number: int) -> VirtualInstance:
+        return self._fleet.add_instance(f'i{number}', f'zone-{number % 3 + 1}', self._limits)
+
+    def _host(self, event: TraceEvent) -> VirtualInstance | None:
+        """Choose as the balancer does: in turns among those whose health check is good."""
+        if event.instance >= 0:
+            return self._named(event.instance)
+        hosts = [
+            host
+            for host in self._fleet.live_instances()
+            if host.instance.is_ready and not host.instance.members.is_leaving
+        ]
+        self._turn += 1
+        return hosts[self._turn % len(hosts)] if hosts else None
+
+    def _named(self, number: int) -> VirtualInstance:
+        return list(self._fleet.instances.values())[number]
+
+    def _doing(self, event: TraceEvent) -> Any:
+        acts: dict[TraceEventKind, Callable[[TraceEvent], Any]] = {
+            TraceEventKind.CHAT: self._chat,
+            TraceEventKind.ORDER: self._order,
+            TraceEventKind.JOB: self._job,
+            TraceEventKind.CANCEL: self._cancel,
+            TraceEventKind.KILL: lambda event: self._named(event.instance).kill(),
+            TraceEventKind.RESTART: lambda event: self._start(event.instance),
+            TraceEventKind.FREEZE: lambda event: self._named(event.instance).freeze(),
+            TraceEventKind.WAKE: lambda event: self._named(event.instance).wake(),
+            TraceEventKind.REPLACE: self._replace,
+            TraceEventKind.TABLE: self._table,
+            TraceEventKind.SERVER_DOWN: lambda event: self._server(event, is_up=False),
+            TraceEventKind.SERVER_UP: lambda event: self._server(event, is_up=True),
+        }
+        return lambda: acts[event.do](event)
+
+    def _chat(self, event: TraceEvent) -> None:
+        host = self._host(event)
+        if host is None:
+            return
+        target = next(
+            server.target
+            for server in self._header.servers
+            if not server.target.startswith(SERVICE_PREFIX)
+        )
+        body = {'max_tokens': event.tokens, 'prompt_tokens': event.prompt_tokens}
+        request = self._request(event, target, '/v1/completions', body, is_repeatable=True)
+        began_ms = self._fleet.time.now_ms()
+        firsts: list[float] = []
+        self._fleet.listen(request.request_id, firsts.append)
+
+        def end(found: OnlineEnd) -> None:
+            self._open[id(host)] -= 1
+            first_ms = firsts[0] - began_ms if firsts else None
+            self._chats.append((event, found, first_ms))
+
+        self._open[id(host)] += 1
+        host.start(host.instance.online.serve(request), end)
+
+    def _order(self, event: TraceEvent) -> None:
+        host = self._host(event)
+        if host is None:
+            return
+        target = next(
+            server.target
+            for server in self._header.servers
+            if server.target.startswith(SERVICE_PREFIX)
+        )
+        request = self._request(event, target, '/place', {}, is_repeatable=False)
+        ends = self._orders.setdefault(event.name, [])
+
+        def end(found: Any) -> None:
+            self._open[id(host)] -= 1
+            ends.append(found)
+
+        self._open[id(host)] += 1
+        host.start(host.instance.once.serve(request, event.name), end)
+
+    def _request(
+        self,
+        event: TraceEvent,
+        target: str,
+        path: str,
+        body: dict[str, Any],
+        *,
+        is_repeatable: bool,
+    ) -> OnlineRequest:
+        online = next(
+            each
+            for each in self._header.classes
+            if each.kind is ClassKind.ONLINE and event.class_name in ('', each.name)
+        )
+        return OnlineRequest(
+            request_id=RequestId(f'r{self._fleet.random.getrandbits(60)}'),
+            tenant_id=TenantId(event.tenant),
+            class_name=online.name,
+            target=TargetName(target),
+            method='POST',
+            path=path,
+            headers=(('Idempotency-Key', event.name),) if event.name else (),
+            body=msgspec.json.encode(body),
+            is_streamed=is_repeatable,
+            is_model=is_repeatable,
+            is_repeatable=is_repeatable,
+            first_token_target_ms=online.first_token_target_ms,
+            deadline_ms=self._fleet.time.now_ms() + event.within_ms,
+            cancel=Signal(),
+        )
+
+    def _job(self, event: TraceEvent) -> None:
+        host = self._host(event)
+        if host is None:
+            return
+        target = next(
+            server.target
+            for server in self._header.servers
+            if not server.target.startswith(SERVICE_PREFIX)
+        )
+        lines = []
+        for number in range(event.items):
+            body: dict[str, Any] = {
+                'model': target,
+                'max_tokens': event.tokens,
+                'prompt_tokens': event.prompt_tokens,
+            }
+            if number in event.never:
+                body['is_never'] = True
+            line = {'custom_id': f'{event.name}-{number}', 'url': '/v1/completions', 'body': body}
+            lines.append(msgspec.json.encode(line))
+
+        def accepted(job: Any) -> None:
+            if isinstance(job, AcceptedJob):
+                self._jobs[event.name] = job
+
+        name = event.class_name or next(
+            each.name for each in self._header.classes if each.kind is ClassKind.BATCH
+        )
+        workflow = self._fleet.job_workflow(host, event.tenant, ClassName(name), b'\n'.join(lines))
+        host.start(workflow, accepted)
+
+    def _cancel(self, event: TraceEvent) -> None:
+        host, job = self._host(event), self._jobs.get(event.name)
+        if host is not None and job is not None:
+            host.start(host.instance.cancel_job(None, job.job_id))
+
+    def _replace(self, event: TraceEvent) -> None:
+        host = self._named(event.instance)
+
+        def ended(_: Any) -> None:
+            # As the daemon does: the process ends once its last call is answered.
+            if self._open[id(host)]:
+                self._fleet.time.after(DRAIN_LOOK_MS, lambda: ended(None))
+                return
+            host.kill()
+            self._start(event.instance)
+
+        until_ms = self._fleet.time.now_ms() + STOP_WITHIN_MS
+        host.start(host.instance.leave(until_ms), ended)
+
+    def _table(self, event: TraceEvent) -> None:
+        self._fleet.platform.table_fault.mode = FaultMode(event.name)
+        self._fleet.platform.table_fault.calls_left = -1
+
+    def _server(self, event: TraceEvent, *, is_up: bool) -> None:
+        server = self._fleet.servers[ServerId(event.name)]
+        server.is_up = is_up
+        if not is_up:
+            server.crash()
+
+    def _outcome(self) -> TraceOutcome:
+        targets = {each.name: each.first_token_target_ms for each in self._header.classes}
+        default = next(each.name for each in self._header.classes if each.kind is ClassKind.ONLINE)
+        in_time = sum(
+            1
+            for event, _, first_ms in self._chats
+            if first_ms is not None and first_ms <= targets[ClassName(event.class_name or default)]
+        )
+        asked = sum(1 for event in self._trace.events if event.do is TraceEventKind.CHAT)
+        chats = Counter(end.kind.value for _, end, _ in self._chats)
+        chats['without an end'] = asked - len(self._chats)
+        runs = [
+            count
+            for server in self._fleet.servers.values()
+            if server.listed.target.startswith(SERVICE_PREFIX)
+            for count in server.runs.values()
+        ]
+        return TraceOutcome(
+            chats=dict(sorted(chats.items())),
+            chats_in_time=in_time,
+            orders=dict(
+                sorted(Counter(self._order_outcome(ends) for ends in self._orders.values()).items())
+            ),
+            order_runs_most=max(runs, default=0),
+            jobs={name: self._job_outcome(job) for name, job in sorted(self._jobs.items())},
+        )
+
+    def _order_outcome(self, ends: list[Any]) -> str:
+        """Give the one outcome that an order's callers were told; two are named as such."""
+        told = sorted({end.kind.value for end in ends})
+        return ' and '.join(told) or 'without an end'
+
+    def _job_outcome(self, job: AcceptedJob) -> JobOutcome:
+        row = self._fleet.platform.table.read([job_row_key(job.job_id)])[0]
+        found = msgspec.json.decode(row.value, type=JobRow)
+        ended_ms = found.finished_epoch_ms
+        return JobOutcome(
+            found.state.value,
+            found.succeeded_count,
+            found.failed_count,
+            ended_ms is not None and ended_ms <= found.deadline_epoch_ms,
+        )
+
+
+def replay(trace: Trace) -> TraceOutcome:
+    """Run a trace in virtual time."""
+    return _Replay(trace).run()
--- a/citrondyke/driver/virtual/virtual_fleet.py
+++ b/citrondyke/driver/virtual/virtual_fleet.py
@@ -11,8 +11,8 @@
 from citrondyke.decisions.configuration.entries import ConfigEntry, entry_name
 from citrondyke.decisions.core.commit import encode_row
 from citrondyke.decisions.instance import InstanceLimits
-from citrondyke.decisions.jobs.acceptance import AcceptedJob, JobResult, JobWish
-from citrondyke.decisions.jobs.job_file_reader import BadLine, JobFileReader
+from citrondyke.decisions.jobs.acceptance import AcceptedJob, JobRefusal, JobResult, JobWish
+from citrondyke.decisions.jobs.job_file_reader import BadLine, JobFileReader, JobFileSummary
 from citrondyke.decisions.jobs.rows import input_object_key
 from citrondyke.driver.virtual.virtual_instance import VirtualInstance
 from citrondyke.driver.virtual.virtual_platform import VirtualPlatform
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from citrondyke.decisions.core.ops import Workflow
     from citrondyke.decisions.core.runner import Effect
     from citrondyke.decisions.core.server_call import ServerCall
     from citrondyke.decisions.online.server_view import ServerView
@@ -141,6 +142,16 @@
         self, host: VirtualInstance, tenant_id: str, class_name: str, lines: bytes
     ) -> AcceptedJob:
         """Upload and start a job; time passes meanwhile."""
+        workflow = self.job_workflow(host, tenant_id, ClassName(class_name), lines)
+        result: JobResult = self.complete(host, workflow)
+        if not isinstance(result, AcceptedJob):
+            raise TypeError(result)
+        return result
+
+    def job_workflow(
+        self, host: VirtualInstance, tenant_id: str, class_name: ClassName, lines: bytes
+    ) -> Workflow[JobResult]:
+        """Put a job's segments into the object store; give what accepts the job."""
         self._uploads_count += 1
         upload_id = f'upload-{self._uploads_count}'
         reader = JobFileReader(self._limits.segment_items, 1_000_000, 1_000_000)
@@ -149,21 +160,25 @@
             raise ValueError(first or last)
         for number, segment in enumerate([*first, *last[0]]):
             self.platform.objects[input_object_key(upload_id, number)] = segment
+        return self._job_workflow(host, TenantId(tenant_id), class_name, upload_id, last[1])
+
+    def _job_workflow(
+        self,
+        host: VirtualInstance,
+        tenant_id: TenantId,
+        class_name: ClassName,
+        upload_id: str,
+        summary: JobFileSummary,
+    ) -> Workflow[JobResult]:
         acceptance = host.instance.acceptance
-        tenant = TenantId(tenant_id)
-        file_id, row = self.complete(
-            host, acceptance.record_file(tenant, upload_id, 'job', last[1])
-        )
+        recorded = yield from acceptance.record_file(tenant_id, upload_id, 'job', summary)
+        if isinstance(recorded, JobRefusal):
+            return recorded
+        file_id, row = recorded
         wish = JobWish(
-            tenant_id=tenant,
-            file_id=file_id,
-            endpoint=row.url,
-            class_name=ClassName(class_name),
+            tenant_id=tenant_id, file_id=file_id, endpoint=row.url, class_name=class_name
         )
-        result: JobResult = self.complete(host, acceptance.accept(wish))
-        if not isinstance(result, AcceptedJob):
-            raise TypeError(result)
-        return result
+        return (yield from acceptance.accept(wish))
 
     def complete(self, host: VirtualInstance, workflow: Any) -> Any:
         """Run a workflow to its end; time passes meanwhile."""
--- a/citrondyke/platform/_http_call.py
+++ b/citrondyke/platform/_http_call.py
@@ -12,15 +12,16 @@
     NewConnectionError,
 )
 
-from citrondyke.platform.failure import AMBIGUOUS, MISSING, UNAVAILABLE
+from citrondyke.platform.failure import AMBIGUOUS, MISSING, UNAVAILABLE, PlatformFailure
 
 if TYPE_CHECKING:
-    from citrondyke.platform.failure import PlatformFailure
+    from urllib3 import BaseHTTPResponse
 
 __all__ = ('PlatformHttp',)
 
 #: Answers that say the platform refused before doing anything.
 REFUSED_STATUSES = frozenset({429, 503})
+NOT_MODIFIED_STATUS = 304
 CONFLICT_STATUS = 409
 
 
@@ -40,6 +41,18 @@
             retries=False,
         )
 
+    def get_if_changed(self, path: str, tag: str) -> tuple[str, bytes] | PlatformFailure | None:
+        """Fetch what changed since the answer that carried ``tag``.
+
+        :returns: the new tag and body, or ``None`` where nothing changed.
+        """
+        answer = self._answer('GET', path, None, {'If-None-Match': tag} if tag else {})
+        if isinstance(answer, PlatformFailure):
+            return answer
+        if answer.status == NOT_MODIFIED_STATUS:
+            return None
+        return answer.headers.get('ETag', ''), answer.data
+
     def call(
         self, method: str, path: str, body: bytes | None = None
     ) -> tuple[int, bytes] | PlatformFailure:
@@ -49,8 +62,16 @@
         never arrived. Only the caller can tell them apart, by its write id; so anything
         but a connection that was never made counts as ambiguous.
         """
+        answer = self._answer(method, path, body, {})
+        if isinstance(answer, PlatformFailure):
+            return answer
+        return answer.status, answer.data
+
+    def _answer(
+        self, method: str, path: str, body: bytes | None, headers: dict[str, str]
+    ) -> BaseHTTPResponse | PlatformFailure:
         try:
-            response = self._pool.urlopen(method, path, body=body, retries=False)
+            response = self._pool.urlopen(method, path, body=body, headers=headers, retries=False)
         except (ConnectTimeoutError, NewConnectionError):
             return UNAVAILABLE
         except MaxRetryError as error:
@@ -63,4 +84,4 @@
             return MISSING
         if response.status >= 500:  # noqa: PLR2004
             return AMBIGUOUS
-        return response.status, response.data
+        return response
--- a/citrondyke/platform/http_fleet_lists.py
+++ b/citrondyke/platform/http_fleet_lists.py
@@ -25,13 +25,24 @@
     def __init__(self, http: PlatformHttp) -> None:
         """Use the connections of ``http``."""
         self._http = http
+        self._tag = ''
+        self._last = FleetSnapshot()
 
     def read(self) -> FleetSnapshot | PlatformFailure:
-        """Read both lists."""
-        answer = self._http.call('GET', '/lists')
+        """Read both lists.
+
+        At 970 entries they are over 100 KB, and they seldom change; an unchanged one is not sent
+        again.
+        """
+        answer = self._http.get_if_changed('/lists', self._tag)
         if isinstance(answer, PlatformFailure):
             return answer
+        if answer is None:
+            return self._last
+        tag, body = answer
         try:
-            return msgspec.json.decode(answer[1], type=FleetSnapshot)
+            self._last = msgspec.json.decode(body, type=FleetSnapshot)
         except msgspec.DecodeError:
             return AMBIGUOUS
+        self._tag = tag
+        return self._last
--- a/citrondyke/standin/platform_app.py
+++ b/citrondyke/standin/platform_app.py
@@ -18,6 +18,7 @@
 from citrondyke.standin.lagging_lists import LaggingLists
 from citrondyke.standin.table import Table
 from citrondyke.util.clock import Clock
+from citrondyke.util.hashing import digest_hex
 
 __all__ = ('PlatformApp', 'PlatformCounts', 'platform_app')
 
@@ -82,8 +83,7 @@
 
     def read_lists(self) -> bytes:
         """Answer ``GET /lists``."""
-        now_ms = self._clock.now_ms()
-        return self._with_fault('lists', lambda: msgspec.json.encode(self.lists.at(now_ms)))
+        return self._with_fault('lists', self._read_lists)
 
     def set_fault(self, service: str) -> bytes:
         """Answer ``PUT /control/faults/<service>``."""
@@ -147,6 +147,15 @@
             cut_connection(bottle.request.environ)
         return answer
 
+    def _read_lists(self) -> bytes:
+        body = msgspec.json.encode(self.lists.at(self._clock.now_ms()))
+        tag = f'"{digest_hex(body)}"'
+        bottle.response.set_header('ETag', tag)
+        if bottle.request.headers.get('If-None-Match') == tag:
+            bottle.response.status = 304
+            return b''
+        return body
+
     def _transact(self) -> bytes:
         body = msgspec.json.decode(bottle.request.body.read(), type=Transaction)
         result = self.table.transact(body)
--- a/docs/conf.py
+++ b/docs/conf.py
@@ -12,4 +12,4 @@
 myst_heading_anchors = 3
 source_suffix = {'.md': 'markdown'}
 html_theme = 'alabaster'
-exclude_patterns = ['_build']
+exclude_patterns = ['_build', 'capacity_slopes.md', 'settings_reference.md']
--- /dev/null
+++ b/tests/test_driver/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the drivers."""
+
+from __future__ import annotations
