Repeat notices every 30 s only; forget those of instances that are gone

Under constant traffic the repeat did not come at all, as any other change put it off.

Ruled out: no repeats (a lost last notice would stand for good).

Change: counts are absolute and the next change makes a lost one good, so they are repeated every 30 s, by the clock.

--- a/citrondyke/decisions/membership/members.py
+++ b/citrondyke/decisions/membership/members.py
@@ -138,6 +138,16 @@
         member = self._members.get(instance_id)
         return None if member is None else member.state
 
+    def alive(self) -> set[InstanceId]:
+        """Give the instances that are not suspected, those that are leaving included."""
+        found = {
+            instance_id
+            for instance_id, member in self._members.items()
+            if member.state is not MemberState.SUSPECT
+        }
+        found.add(self._context.instance_id)
+        return found
+
     def live(self) -> list[tuple[InstanceId, AvailabilityZone]]:
         """List the instances that can look after a server, this one included."""
         found = [
--- a/citrondyke/decisions/notices.py
+++ b/citrondyke/decisions/notices.py
@@ -20,8 +20,10 @@
 
 #: Changes within this time of each other travel together.
 GATHER_MS = 2.0
-#: What is not zero is said again after this time, in case a notice was lost.
-REPEAT_MS = 1000.0
+#: What is not zero is said again after this time, in case a notice was lost. At the target a node
+#: has over a hundred answers under way; to say each again every second would be most of its
+#: traffic.
+REPEAT_MS = 30_000.0
 
 
 class Notices:
@@ -49,11 +51,13 @@
 
     def run(self) -> Workflow[None]:
         """Send what changed, for good."""
+        repeat_at_ms = self._context.now_ms() + REPEAT_MS
         while True:
-            fired = yield from wait_for(self._wake, self._context.now_ms() + REPEAT_MS)
+            fired = yield from wait_for(self._wake, repeat_at_ms)
             if fired:
                 yield from sleep_until(self._context.now_ms() + GATHER_MS)
-            else:
+            if self._context.now_ms() >= repeat_at_ms:
+                repeat_at_ms = self._context.now_ms() + REPEAT_MS
                 self._repeat()
             self._wake = Signal()
             changed, self._changed = self._changed, {}
--- a/citrondyke/decisions/sharing/server_share.py
+++ b/citrondyke/decisions/sharing/server_share.py
@@ -14,7 +14,7 @@
 __all__ = ('ServerShare',)
 
 #: An entry instance that says nothing for so long has nothing there any more.
-NOTICE_LIFE_MS = 3000.0
+NOTICE_LIFE_MS = 100_000.0
 #: Reports are compared with the most that was known to run within this time before.
 REPORT_WINDOW_MS = 1000.0
 FOREIGN_SMOOTHING = 0.2
@@ -62,15 +62,23 @@
         return online_count > before
 
     def expire_notices(self, now_ms: float) -> None:
-        """Drop what an instance said that has gone silent.
+        """Drop what an instance said that has gone silent."""
+        for instance_id, (_, heard_ms) in list(self._online.items()):
+            if now_ms - heard_ms > NOTICE_LIFE_MS:
+                self._forget(instance_id)
+
+    def keep_notices_of(self, live: set[InstanceId]) -> None:
+        """Drop what instances said that are believed dead.
 
         An instance that died with requests in flight never says that they ended; without this
-        they would keep batch work off the server for good.
+        they would keep batch work off the server for a long time.
         """
-        for instance_id, (count, heard_ms) in list(self._online.items()):
-            if now_ms - heard_ms > NOTICE_LIFE_MS:
-                del self._online[instance_id]
-                self._online_sum -= count
+        for instance_id in [each for each in self._online if each not in live]:
+            self._forget(instance_id)
+
+    def _forget(self, instance_id: InstanceId) -> None:
+        count, _ = self._online.pop(instance_id)
+        self._online_sum -= count
 
     def on_batch_start(self, request_id: RequestId, now_ms: float) -> None:
         """Count a batch request that goes to the server."""
