Pass over rows that cannot be read; fuzz the doors

Cause: reading for what another version may have written: one unreadable row at the head of the open jobs ended the claim loop for good, and an unknown kind of entry in the log ended every instance, as the loop that follows it is essential. Four tests failed first for the rows.

Ruled out: ending the instance (the next one would meet the same row).

Change: claimers pass over a job's row that they cannot read; the log is followed up to the first change that is not understood, and a starting instance that meets one is not ready. Fuzz of eight doors: every answer is typed and nothing runs.

Measured: 250 examples at the doors, rows of older and newer versions, all green.

--- a/citrondyke/decisions/configuration/keeper.py
+++ b/citrondyke/decisions/configuration/keeper.py
@@ -127,7 +127,10 @@
             rows = yield from scan_rows(LOG_PREFIX, after, SCAN_LIMIT)
             if isinstance(rows, PlatformFailure):
                 return False
-            self.offer(_changes(rows))
+            changes = _readable(rows)
+            self.offer(changes)
+            if len(changes) < len(rows):
+                return False
             if len(rows) < SCAN_LIMIT:
                 return True
 
@@ -163,7 +166,7 @@
         rows = yield from scan_rows(LOG_PREFIX, log_row_key(after), limit)
         if isinstance(rows, PlatformFailure):
             return None
-        return _changes(rows)
+        return _readable(rows)
 
     def _load(self) -> Workflow[bool]:
         found = yield from read_rows(SNAPSHOT_ROW)
@@ -244,8 +247,19 @@
         )
 
 
-def _changes(rows: Iterable[Row]) -> list[ConfigChange]:
-    return [msgspec.json.decode(row.value, type=ConfigChange) for row in rows]
+def _readable(rows: Iterable[Row]) -> list[ConfigChange]:
+    """Read changes up to the first that this version does not understand.
+
+    During an upgrade a newer instance may accept a change with a kind of entry that older ones do
+    not know. They stay at the version before it; ending over it would take all of them down.
+    """
+    changes: list[ConfigChange] = []
+    for row in rows:
+        try:
+            changes.append(msgspec.json.decode(row.value, type=ConfigChange))
+        except msgspec.DecodeError:
+            break
+    return changes
 
 
 def _broken_reference(future: Configuration) -> ConfigRefusal | None:
--- a/citrondyke/decisions/jobs/claimer.py
+++ b/citrondyke/decisions/jobs/claimer.py
@@ -84,16 +84,24 @@
         if isinstance(rows, PlatformFailure):
             return None
         for row in rows:
-            opened = msgspec.json.decode(row.value, type=OpenRow)
-            job_id = JobId(row.key.rsplit('/', 1)[1])
-            if opened.is_stopping or opened.expires_epoch_ms <= self._context.epoch_ms():
-                yield from self._sweeper.sweep(job_id)
+            try:
+                held = yield from self._look_at_job(row)
+            except msgspec.DecodeError:
+                # A row that this version cannot read stands first for its deadline; without
+                # passing over it nothing behind it would ever be worked on.
                 continue
-            held = yield from self._claim_of_job(job_id, row, opened)
             if held is not None:
                 return held
         return None
 
+    def _look_at_job(self, row: Row) -> Workflow[HeldSegment | None]:
+        opened = msgspec.json.decode(row.value, type=OpenRow)
+        job_id = JobId(row.key.rsplit('/', 1)[1])
+        if opened.is_stopping or opened.expires_epoch_ms <= self._context.epoch_ms():
+            yield from self._sweeper.sweep(job_id)
+            return None
+        return (yield from self._claim_of_job(job_id, row, opened))
+
     def _claim_of_job(
         self, job_id: JobId, open_row: Row, opened: OpenRow
     ) -> Workflow[HeldSegment | None]:
--- /dev/null
+++ b/tests/test_decisions/test_decisions_rows.py
@@ -0,0 +1,85 @@
+"""Rows written by another version, or by nobody we know."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from citrondyke.decisions.jobs.rows import JobRow, OpenRow, TodoRow, open_row_key
+from citrondyke.decisions.membership.session_row import SessionRow, SessionState
+from citrondyke.decisions.once.intent_row import IntentRow
+from citrondyke.ids import JobId, RowKey, TargetName, WriteId
+from citrondyke.platform.table_service import Transaction, Write
+from tests.support.virtual import LIMITS, job_outcomes, make_fleet, model_lines, wait_for_job
+
+ROWS: list[tuple[type, dict[str, Any]]] = [
+    (SessionRow, {'epoch': 1, 'counter': 2, 'state': 'held'}),
+    (TodoRow, {'items_count': 3, 'remaining': '7'}),
+    (
+        OpenRow,
+        {
+            'tenant_id': 't',
+            'segments_count': 1,
+            'materialized_count': 1,
+            'expires_epoch_ms': 1.0,
+        },
+    ),
+    (
+        IntentRow,
+        {
+            'digest': 'd',
+            'state': 'intent',
+            'owner': 'a#1',
+            'claim_id': 'c',
+            'changed_at_epoch_ms': 1.0,
+        },
+    ),
+]
+
+
+@pytest.mark.parametrize(('kind', 'fields'), ROWS, ids=lambda value: getattr(value, '__name__', ''))
+def test_older_and_newer_rows_are_read(kind: type, fields: dict[str, Any]) -> None:
+    older: object = msgspec.json.decode(msgspec.json.encode(fields), type=kind)
+    newer: object = msgspec.json.decode(
+        msgspec.json.encode({**fields, 'added_later': [1]}), type=kind
+    )
+    assert newer == older
+
+
+def test_older_lease_rows_have_sealed_nothing() -> None:
+    row = msgspec.json.decode(b'{"epoch": 3, "counter": 9, "state": "released"}', type=SessionRow)
+    assert row == SessionRow(3, 9, SessionState.RELEASED, 0, '')
+
+
+@pytest.mark.parametrize('value', [b'{"tenant_id": 7}', b'[]', b'"x"', b'{"segments_count": {}}'])
+def test_unreadable_row_does_not_stop_the_jobs_behind_it(value: bytes) -> None:
+    # A row that cannot be read stands first in the order of deadlines. It is passed over, and the
+    # job behind it is done.
+    fleet = make_fleet(seed=2)
+    key = open_row_key(TargetName('demo-model'), 1.0, JobId('nonsense'))
+    write = Write(RowKey(key), msgspec.Raw(value))
+    fleet.platform.table.transact(Transaction(WriteId('foreign'), (), (write,)))
+    host = next(iter(fleet.instances.values()))
+    job = fleet.accept_job(host, 'coastal', 'nightly', model_lines(12))
+    wait_for_job(fleet, job)
+    assert len(job_outcomes(fleet, job)) == 12
+    assert isinstance(job.row, JobRow)
+
+
+def test_change_of_a_newer_version_takes_nobody_down() -> None:
+    # A newer instance accepts a change with a kind of entry that this version does not know.
+    # Instances that run stay at the version before it and serve on; one that starts is not ready,
+    # as it cannot have all that was accepted in force.
+    fleet = make_fleet(seed=6)
+    value = b'{"version":2,"edits":[{"name":"x/y","before":null,"after":{"entry":"x"}}],"who":"o"}'
+    write = Write(RowKey('config/log/000000000002'), msgspec.Raw(value))
+    fleet.platform.table.transact(Transaction(WriteId('newer'), (), (write,)))
+    fleet.time.run_until(fleet.time.now_ms() + 2000.0)
+    for host in fleet.live_instances():
+        assert host.instance.is_ready
+        assert host.instance.keeper.current.version == 1
+    started = fleet.add_instance('i9', 'z', LIMITS)
+    fleet.time.run_until(fleet.time.now_ms() + 2000.0)
+    assert not started.instance.is_ready
--- /dev/null
+++ b/tests/test_entry/test_entry_fuzz.py
@@ -0,0 +1,51 @@
+"""Any bytes at any door get a typed answer, and the instance goes on."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from citrondyke.cmd.embedded import DEMO_OPERATOR_KEY, DEMO_TENANT_KEY
+from tests.support.caller import Caller
+from tests.support.fleet import Fleet
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=6,
+)
+FIELDS = st.sampled_from(
+    ['model', 'messages', 'prompt', 'stream', 'n', 'input_file_id', 'endpoint', 'edits']
+)
+BODIES = st.binary(max_size=60) | st.dictionaries(FIELDS, JSON_VALUES, max_size=4)
+DOORS = st.sampled_from(
+    [
+        ('POST', '/v1/chat/completions'),
+        ('POST', '/v1/completions'),
+        ('POST', '/v1/batches'),
+        ('POST', '/v1/files'),
+        ('POST', '/operator/v1/config'),
+        ('GET', '/v1/files/file-out-x/content'),
+        ('POST', '/v1/batches/x/cancel'),
+        ('PUT', '/v1/nowhere'),
+    ]
+)
+
+
+@pytest.mark.fleet(instances=1, engines=1)
+def test_any_bytes_get_a_typed_answer(fleet: Fleet) -> None:
+    port = fleet.port('instance-0')
+    callers = [Caller(port, key) for key in (DEMO_TENANT_KEY, DEMO_OPERATOR_KEY, 'nobody')]
+
+    @settings(max_examples=250, deadline=None, derandomize=True)
+    @given(DOORS, BODIES, st.sampled_from([0, 1, 2]))
+    def send(door: tuple[str, str], body: object, who: int) -> None:
+        answer = callers[who].call(*door, body)
+        assert 400 <= answer.status < 500
+        assert answer.error['code'] not in ('', 'internal_error')
+        assert answer.error['run'] == 'not_run'
+
+    send()
+    assert callers[0].chat('still here').status == 200
+    assert len(fleet.runs('engine-0')) == 1
