Measure a burst's cuts, a lost zone and jobs' deadlines

Change: one engine full of batch work gets 30 calls at once; a zone with its engines and instances is lost under load; 40 jobs of mixed deadlines arrive at 90% of the capacity and are compared with an offline plan.

Ruled out: real processes for these (their clocks jitter by more than the two engine steps that are looked for).

--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -11,7 +11,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from benchmarks import call_cost, control, routing, sharing
+from benchmarks import call_cost, control, events, routing, sharing
 from benchmarks.figure import Figure
 from benchmarks.plots import draw_harm_curves
 
@@ -53,6 +53,9 @@
                 routing.fairness_figures,
                 routing.overload_figures,
                 control.control_figures,
+                events.reaction_figures,
+                events.zone_figures,
+                events.deadline_figures,
             )
         ]
         for load in by_load:
