Pin gevent's loop by its own settings

Cause: patch.py set an attribute that gevent's configuration may not have, to keep io_uring out. Ruled out: leaving the choice to the library. Change: loop and backend are pinned by GEVENT_LOOP and GEVENT_BACKEND.

--- a/citrondyke/cmd/patch.py
+++ b/citrondyke/cmd/patch.py
@@ -4,11 +4,12 @@
 
 import os
 
-# Never io_uring, whatever the library would choose.
+# The loop is pinned: libev over epoll, never io_uring, whatever a later library would choose.
 os.environ.setdefault('GEVENT_LOOP', 'libev-cext')
+os.environ.setdefault('GEVENT_BACKEND', 'epoll')
+# Addresses are numbers here, so no thread pool is needed to look names up.
 os.environ.setdefault('GEVENT_RESOLVER', 'block')
 
-from gevent import config, monkey
+from gevent import monkey
 
-config.libev_backend = 'epoll' if hasattr(config, 'libev_backend') else None
 monkey.patch_all()
