--- a/tests/test_storm/test_storm_invariants.py
+++ b/tests/test_storm/test_storm_invariants.py
@@ -85,5 +85,9 @@
             return version(fleet, name) == last
 
         wait_until(in_step, f'{name} to be in step')
-    history = fleet.operator().get('/operator/v1/config/history?after=0').json
-    assert [change['version'] for change in history] == list(range(1, last + 1))
+    seen: list[int] = []
+    while len(seen) < last:
+        page = fleet.operator().get(f'/operator/v1/config/history?after={len(seen)}').json
+        assert page, f'the history ends at {len(seen)} of {last}'
+        seen += [change['version'] for change in page]
+    assert seen == list(range(1, last + 1))
