Cut jobs as their files were cut, whatever the setting is now

Cause: writing the settings reference: segments were counted by the setting of whichever instance worked on a job. A file uploaded before a change of segment_items was cut otherwise, so items would be looked for in the wrong segments; the new test failed with an index out of range.

Ruled out: a note that all instances need the same setting (a rolling change has both for a while).

Change: the number travels with the file's and the job's row.

--- a/citrondyke/cmd/citrondykectl.py
+++ b/citrondyke/cmd/citrondykectl.py
@@ -53,6 +53,8 @@
 for _group in (config_app, class_app, tenant_app, jobs_app):
     app.command(_group)
 
+app.register_install_completion_command()
+
 console = Console()
 Shared = Annotated[Options, Parameter(name='*')]
 
--- a/citrondyke/decisions/instance.py
+++ b/citrondyke/decisions/instance.py
@@ -75,23 +75,33 @@
 class InstanceLimits(msgspec.Struct, frozen=True, kw_only=True):
     """The bounds and pauses of one instance's decisions."""
 
+    #: How long an instance's lease counter must stand still before others take its work over.
     lease_ms: float = 10_000.0
+    #: Pause between two renewals of the lease.
     lease_renew_every_ms: float = 3000.0
+    #: Pause between two looks at the configuration's log, beside what peers push.
     config_poll_every_ms: float = 1500.0
+    #: Pause between two looks at the platform's lists.
     lists_poll_every_ms: float = 1000.0
+    #: Pause between two pings; each goes to one peer.
     gossip_every_ms: float = 1000.0
+    #: Pause between two looks at the load of each server that this instance looks after.
     load_poll_every_ms: float = 1000.0
+    #: Time limit of such a look.
     load_poll_timeout_ms: float = 400.0
     #: Online requests that may wait for a place, for each target.
     waiting_limit: int = 256
     #: Online requests that a server is taken to bear before its steward has learned it.
     first_online_limit: int = 64
+    #: Items of a job that are claimed and committed together.
     segment_items: int = 256
     #: Outcomes of a job become visible at the latest so long after the first of them.
     part_every_ms: float = 5000.0
+    #: Segments held at once for each target.
     held_segments_limit: int = 4
     #: Looks for batch work, over all instances, a second.
     fleet_looks_per_s: float = 200.0
+    #: Shortest pause between two looks for batch work.
     shortest_look_ms: float = 250.0
     #: Group transactions for requests that run at most once, over all instances, a second.
     fleet_intent_transactions_per_s: float = 55.0
@@ -143,10 +153,8 @@
         )
         self.committer = GroupCommitter(context, pace)
         self.once = OnceDesk(context, self.session, self.committer, self.leases, self.online)
-        self.acceptance = JobAcceptance(
-            context, limits.segment_items, lambda: self.keeper.current, self.journal.add
-        )
-        self.sweeper = Sweeper(context, self.acceptance, limits.segment_items, self.journal.add)
+        self.acceptance = JobAcceptance(context, lambda: self.keeper.current, self.journal.add)
+        self.sweeper = Sweeper(context, self.acceptance, self.journal.add)
         self.worker = self._new_worker(context, limits)
         self._lists_read: Signal[None] = Signal()
         self._members_revision = -1
@@ -244,7 +252,6 @@
             self.session,
             self.leases,
             self.sweeper,
-            limits.segment_items,
             self.is_repeatable,
             lambda key: self.worker.holds(key),  # noqa: PLW0108  (the worker comes after)
         )
--- a/citrondyke/decisions/jobs/acceptance.py
+++ b/citrondyke/decisions/jobs/acceptance.py
@@ -98,14 +98,11 @@
     )
 
 
-def todo_rows(
-    job_id: JobId, items_count: int, segment_items: int, first: int, count: int
-) -> list[tuple[RowKey, TodoRow]]:
+def todo_rows(job_id: JobId, job: JobRow, first: int, count: int) -> list[tuple[RowKey, TodoRow]]:
     """Make the rows of segments ``first`` and on, at most ``count``."""
     rows: list[tuple[RowKey, TodoRow]] = []
-    segments_count = -(-items_count // segment_items)
-    for segment in range(first, min(first + count, segments_count)):
-        size = min(segment_items, items_count - segment * segment_items)
+    for segment in range(first, min(first + count, job.segments_count)):
+        size = min(job.segment_items, job.items_count - segment * job.segment_items)
         row = TodoRow(items_count=size, remaining=ItemSet.first(size).text())
         rows.append((todo_row_key(job_id, segment), row))
     return rows
@@ -117,18 +114,15 @@
     def __init__(
         self,
         context: Context,
-        segment_items: int,
         configuration: Callable[[], Configuration],
         on_outcome: Callable[[OutcomeRecord], None],
     ) -> None:
         """Use what is handed in.
 
-        :param segment_items: items in one segment.
         :param on_outcome: told when a job is accepted.
         """
         self._on_outcome = on_outcome
         self._context = context
-        self._segment_items = segment_items
         self._configuration = configuration
 
     def record_file(
@@ -144,6 +138,7 @@
             size_bytes=summary.size_bytes,
             items_count=summary.items_count,
             segments_count=summary.segments_count,
+            segment_items=summary.segment_items,
             digest=summary.digest,
             target=summary.target,
             url=summary.url,
@@ -251,7 +246,7 @@
 
     def _write(self, job_id: JobId, job: JobRow) -> Workflow[Committed | Conflict | CommitDoubt]:
         key = job_row_key(job_id)
-        rows = todo_rows(job_id, job.items_count, self._segment_items, 0, ROWS_PER_TRANSACTION)
+        rows = todo_rows(job_id, job, 0, ROWS_PER_TRANSACTION)
         opened = OpenRow(
             tenant_id=job.tenant_id,
             segments_count=job.segments_count,
@@ -278,6 +273,7 @@
             upload_id=file.upload_id,
             items_count=file.items_count,
             segments_count=file.segments_count,
+            segment_items=file.segment_items,
             digest=job_digest(wish, file.digest),
             state=JobState.RUNNING,
             created_epoch_ms=now_ms,
--- a/citrondyke/decisions/jobs/claimer.py
+++ b/citrondyke/decisions/jobs/claimer.py
@@ -61,19 +61,14 @@
         session: SessionKeeper,
         leases: LeaseWatch,
         sweeper: Sweeper,
-        segment_items: int,
         is_repeatable: Callable[[TargetName], bool],
         is_held: Callable[[RowKey], bool],
     ) -> None:
-        """Use the parts handed in.
-
-        :param segment_items: items in one segment.
-        """
+        """Use the parts handed in."""
         self._context = context
         self._session = session
         self._leases = leases
         self._sweeper = sweeper
-        self._segment_items = segment_items
         self._is_repeatable = is_repeatable
         self._is_held = is_held
 
@@ -220,13 +215,7 @@
         if isinstance(found, PlatformFailure) or job_row_key(job_id) not in found:
             return
         job = msgspec.json.decode(found[job_row_key(job_id)].value, type=JobRow)
-        rows = todo_rows(
-            job_id,
-            job.items_count,
-            self._segment_items,
-            opened.materialized_count,
-            ROWS_PER_TRANSACTION,
-        )
+        rows = todo_rows(job_id, job, opened.materialized_count, ROWS_PER_TRANSACTION)
         moved = msgspec.structs.replace(
             opened, materialized_count=opened.materialized_count + len(rows)
         )
--- a/citrondyke/decisions/jobs/job_file_reader.py
+++ b/citrondyke/decisions/jobs/job_file_reader.py
@@ -30,6 +30,8 @@
     size_bytes: int
     items_count: int
     segments_count: int
+    #: Items in each segment but the last.
+    segment_items: int
     digest: str
     target: TargetName
     url: str
@@ -89,6 +91,7 @@
             size_bytes=self._size_bytes,
             items_count=self._items_count,
             segments_count=self._segments_count,
+            segment_items=self._segment_items,
             digest=self._digest.hexdigest(),
             target=self._target,
             url=self._url,
--- a/citrondyke/decisions/jobs/rows.py
+++ b/citrondyke/decisions/jobs/rows.py
@@ -41,6 +41,8 @@
     size_bytes: int
     items_count: int
     segments_count: int
+    #: Items in each segment but the last; the setting may change before a job is made of it.
+    segment_items: int
     digest: str
     #: The one target of all its items.
     target: TargetName
@@ -80,6 +82,8 @@
     upload_id: str
     items_count: int
     segments_count: int
+    #: Items in each segment but the last, as its file was cut.
+    segment_items: int
     #: Of input, endpoint and class: the same key with other content is a conflict.
     digest: str
     state: JobState
--- a/citrondyke/decisions/jobs/sweeper.py
+++ b/citrondyke/decisions/jobs/sweeper.py
@@ -72,7 +72,6 @@
         self,
         context: Context,
         acceptance: JobAcceptance,
-        segment_items: int,
         on_outcome: Callable[[OutcomeRecord], None],
     ) -> None:
         """Use the parts handed in.
@@ -82,7 +81,6 @@
         self._on_outcome = on_outcome
         self._context = context
         self._acceptance = acceptance
-        self._segment_items = segment_items
 
     def sweep(self, job_id: JobId) -> Workflow[None]:
         """Close what is left of a job that was cancelled or whose window closed."""
@@ -205,13 +203,7 @@
             opened = msgspec.json.decode(found[open_key].value, type=OpenRow)
             if opened.materialized_count >= opened.segments_count:
                 return True
-            rows = todo_rows(
-                job.job_id,
-                job.row.items_count,
-                self._segment_items,
-                opened.materialized_count,
-                ROWS_PER_SWEEP,
-            )
+            rows = todo_rows(job.job_id, job.row, opened.materialized_count, ROWS_PER_SWEEP)
             moved = msgspec.structs.replace(
                 opened, materialized_count=opened.materialized_count + len(rows)
             )
--- a/citrondyke/settings/model.py
+++ b/citrondyke/settings/model.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -39,6 +39,7 @@
     zone: Name
     #: Address that callers and peers use.
     ip: str = '127.0.0.1'
+    #: Port for callers and operators.
     http_port: Port = 8080
     #: UDP and TCP port for other instances.
     peer_port: Port = 8081
@@ -47,8 +48,11 @@
 class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Where the platform's services are."""
 
+    #: The table service.
     table_url: Url
+    #: The object store.
     objects_url: Url
+    #: The lists of instances and backend servers.
     lists_url: Url
     #: Time limit of one call.
     timeout_ms: PositiveMs = 1500.0
@@ -83,7 +87,9 @@
     upload_within_ms: PositiveMs = 600_000.0
     #: Job files that arrive at the same time.
     uploads: Positive = 4
+    #: Longest line of a job file.
     job_line_bytes: Positive = 1024 * 1024
+    #: Items in one job file.
     job_items: Positive = 320_000
     #: Deadline of an online request that states none.
     online_within_ms: PositiveMs = 120_000.0
@@ -105,7 +111,8 @@
 class LogSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """What is logged; JSON lines on standard error."""
 
-    level: str = 'INFO'
+    #: ``DEBUG``, ``INFO``, ``WARNING`` or ``ERROR``.
+    level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
     #: Whether each request gets a line.
     requests: bool = True
 
@@ -113,8 +120,11 @@
 class StatsdSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Where metrics go; an empty address for nowhere."""
 
+    #: Address of the statsd server; empty for none.
     ip: str = ''
+    #: Its UDP port.
     port: Port = 8125
+    #: What every name begins with.
     prefix: str = 'citrondyke'
     #: Pause between two reports.
     every_ms: PositiveMs = 1000.0
@@ -123,7 +133,9 @@
 class TlsSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Certificate towards callers and operators; empty for plain HTTP behind the balancer."""
 
+    #: PEM file of the certificate and its chain.
     certificate_file: str = ''
+    #: PEM file of its key.
     key_file: str = ''
 
 
--- a/tests/test_decisions/test_decisions_rows.py
+++ b/tests/test_decisions/test_decisions_rows.py
@@ -7,10 +7,18 @@
 import msgspec
 import pytest
 
-from citrondyke.decisions.jobs.rows import JobRow, OpenRow, TodoRow, open_row_key
+from citrondyke.decisions.jobs.job_file_reader import JobFileReader
+from citrondyke.decisions.jobs.job_wish import JobWish
+from citrondyke.decisions.jobs.rows import (
+    JobRow,
+    OpenRow,
+    TodoRow,
+    input_object_key,
+    open_row_key,
+)
 from citrondyke.decisions.membership.session_row import SessionRow, SessionState
 from citrondyke.decisions.once.intent_row import IntentRow
-from citrondyke.ids import JobId, RowKey, TargetName, WriteId
+from citrondyke.ids import ClassName, JobId, RowKey, TargetName, TenantId, WriteId
 from citrondyke.platform.table_service import Transaction, Write
 from tests.support.virtual import LIMITS, job_outcomes, make_fleet, model_lines, wait_for_job
 
@@ -83,3 +91,32 @@
     started = fleet.add_instance('i9', 'z', LIMITS)
     fleet.time.run_until(fleet.time.now_ms() + 2000.0)
     assert not started.instance.is_ready
+
+
+def test_job_is_cut_as_its_file_was_though_the_setting_changed() -> None:
+    # A file was cut into segments of 8 items by an instance with one setting; the job is accepted
+    # and worked on by an instance whose setting is another. Each item is done once all the same.
+    fleet = make_fleet(seed=9, instances=1)
+    old = next(iter(fleet.instances.values()))
+    lines = model_lines(30)
+    reader = JobFileReader(LIMITS.segment_items, 1_000_000, 1000)
+    first, last = reader.feed(lines), reader.finish()
+    assert isinstance(first, list)
+    assert isinstance(last, tuple)
+    for number, segment in enumerate([*first, *last[0]]):
+        fleet.platform.objects[input_object_key('u', number)] = segment
+    tenant = TenantId('coastal')
+    recorded = fleet.complete(old, old.instance.acceptance.record_file(tenant, 'u', 'f', last[1]))
+    old.kill()
+    changed = msgspec.structs.replace(LIMITS, segment_items=13)
+    new = fleet.add_instance('i7', 'z', changed)
+    fleet.time.run_until(fleet.time.now_ms() + 500.0)
+    wish = JobWish(
+        tenant_id=tenant,
+        file_id=recorded[0],
+        endpoint='/v1/completions',
+        class_name=ClassName('nightly'),
+    )
+    job = fleet.complete(new, new.instance.acceptance.accept(wish))
+    wait_for_job(fleet, job)
+    assert job_outcomes(fleet, job) == {f'item-{n}': 'ok' for n in range(30)}
