--- a/benchmarks/events.py
+++ b/benchmarks/events.py
@@ -84,7 +84,7 @@
     return [
         Figure(
             name='zone lost: time until first-token p99 is within 1.2 of before ÷ 5 s',
-            value=back_ms / 5000.0,
+            value=float(back_ms) / 5000.0,
             bound=1.0,
             goal=1.0,
             relation=Relation.AT_MOST,
