Seal one object at a time, and the same one again after a lost reply

A planned stop could seal while the seal of the minute was on its way: both took the same records and number, and the second ended in an IndexError, with the lease not given back. And an object stored with its reply lost was stored again under another name, so its records were there twice.

Ruled out: sealing only at the stop (a crash would lose all); finding the doubles when reading (the chain would have to hold two of one number).

Change: an object under way is kept until its store is confirmed, and a second seal waits. Report and records read the objects by one workflow. An attempt's timer is counted from its start, not from before the connect, which let it run up to a second over. Stewards work a server's limit out once for each notice. The sharing benchmarks share their three runs.

Not mended: admission adds up all servers of a target for each request, which grows with the fleet and was not measured.

--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -139,10 +139,7 @@
     """Compare the share of online calls within their target with and without batch work."""
     scenario = Scenario(length_ms=12_000.0, token_gap_target_ms=8.0, first_token_target_ms=50.0)
     arrivals = arrivals_at(scenario, 0.6)
-    off = run(scenario, arrivals)
-    backlogged = msgspec.structs.replace(scenario, batch_items=ITEMS)
-    on = run(backlogged, arrivals)
-    greedy = run(backlogged, arrivals, lambda _: GreedyShare())
+    off, on, greedy = _off_on_greedy(scenario, arrivals)
     return [
         Figure(
             name='online calls within target, batch on less off, steady 60%',
@@ -164,10 +161,7 @@
     arrivals = poisson_arrivals(
         9, per_s, scenario.length_ms, burst_every_ms=6000.0, burst_factor=5.0
     )
-    off = run(scenario, arrivals)
-    backlogged = msgspec.structs.replace(scenario, batch_items=ITEMS)
-    on = run(backlogged, arrivals)
-    greedy = run(backlogged, arrivals, lambda _: GreedyShare())
+    off, on, greedy = _off_on_greedy(scenario, arrivals)
     return [
         Figure(
             name='online calls within target, batch on less off, five-fold bursts',
@@ -196,6 +190,18 @@
     ]
 
 
+def _off_on_greedy(
+    scenario: Scenario, arrivals: list[Arrival]
+) -> tuple[ScenarioRun, ScenarioRun, ScenarioRun]:
+    """Run with batch off, with batch backlogged, and with batch that never yields."""
+    backlogged = msgspec.structs.replace(scenario, batch_items=ITEMS)
+    return (
+        run(scenario, arrivals),
+        run(backlogged, arrivals),
+        run(backlogged, arrivals, lambda _: GreedyShare()),
+    )
+
+
 def _fixed(slots: int) -> ShareMaker:
     return lambda _: FixedShare(slots)
 
--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -4,7 +4,7 @@
 
 import socket
 from collections.abc import Generator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from gevent import get_hub
@@ -122,12 +122,13 @@
         self._began_ms = clock.now_ms()
         self._first_ms: float | None = None
         self._frames_count = 0
-        self._timer = get_hub().loop.timer(self._left_s())
+        self._timer: Any = None
 
     def close(self) -> None:
         """Stop minding the deadline."""
-        self._timer.stop()
-        self._timer.close()
+        if self._timer is not None:
+            self._timer.stop()
+            self._timer.close()
 
     def cut(self) -> None:
         """Wake whoever reads, with the end of the connection."""
@@ -152,6 +153,7 @@
                 return ServerReply(kind=ReplyKind.UNREACHABLE)
         # One timer minds the deadline of the whole attempt. A limit on the socket would start a
         # timer for every read, and reading the head of an answer would set it anew.
+        self._timer = get_hub().loop.timer(self._left_s())
         self._timer.start(self.cut)
         self.connection.timeout = None
         self.connection.sock.settimeout(None)
--- a/citrondyke/decisions/evidence/journal.py
+++ b/citrondyke/decisions/evidence/journal.py
@@ -21,7 +21,6 @@
 __all__ = ('EVIDENCE_PREFIX', 'EvidenceJournal', 'evidence_key')
 
 EVIDENCE_PREFIX = 'evidence/'
-MINUTE_MS = 60_000.0
 RETRY_PAUSE_MS = 1000.0
 
 
@@ -30,6 +29,14 @@
     return ObjectKey(f'{EVIDENCE_PREFIX}{int(epoch_ms):015d}/{instance_id}/{number:08d}')
 
 
+class _Seal(msgspec.Struct, frozen=True, kw_only=True):
+    key: ObjectKey
+    body: bytes
+    number: int
+    records_count: int
+    dropped_count: int
+
+
 class EvidenceJournal:
     """One object in a while, with a bound on what waits during an outage.
 
@@ -52,6 +59,9 @@
         self._records_limit = records_limit
         self._records: deque[bytes] = deque()
         self._dropped_since_seal = 0
+        self._is_sealing = False
+        #: An object that may be stored already, as its reply is not there.
+        self._pending: _Seal | None = None
 
     def add(self, record: OutcomeRecord) -> None:
         """Take in a record; one that does not fit is counted, and the count is shown."""
@@ -69,31 +79,59 @@
             yield from self.seal()
 
     def seal(self) -> Workflow[bool]:
-        """Write an object of all records that wait; tell whether none are left."""
+        """Write an object of all records that wait; tell whether none are left.
+
+        One at a time: a second seal beside the first would take the same records and number.
+        """
         if not self._session.began.is_fired:
             return False
-        if not self._records and not self._dropped_since_seal:
+        if self._is_sealing:
+            yield from sleep_until(self._context.now_ms() + RETRY_PAUSE_MS)
+            return False
+        self._is_sealing = True
+        try:
+            return (yield from self._store())
+        finally:
+            self._is_sealing = False
+
+    def _store(self) -> Workflow[bool]:
+        """Store the object under way, or the next one.
+
+        After a lost reply the very same object is stored again. Made anew it would have another
+        name, and its records would be there twice.
+        """
+        self._pending = self._pending or self._next_seal()
+        pending = self._pending
+        if pending is None:
             return True
-        count = len(self._records)
-        dropped = self._dropped_since_seal
+        failure = yield from put_object(pending.key, pending.body)
+        if failure is not None:
+            yield from sleep_until(self._context.now_ms() + RETRY_PAUSE_MS)
+            return False
+        self._pending = None
+        for _ in range(pending.records_count):
+            self._records.popleft()
+        self._dropped_since_seal -= pending.dropped_count
+        self._session.note_sealed(pending.number, digest_hex(pending.body))
+        return not self._records
+
+    def _next_seal(self) -> _Seal | None:
+        if not self._records and not self._dropped_since_seal:
+            return None
         number, previous = self._session.sealed
         header = SealHeader(
             instance_id=self._context.instance_id,
             number=number + 1,
             previous_digest=previous,
-            records_count=count,
-            dropped_count=dropped,
+            records_count=len(self._records),
+            dropped_count=self._dropped_since_seal,
             is_after_crash=self._session.is_after_crash and not self._session.has_sealed,
         )
-        lines = [msgspec.json.encode(header), *(self._records[n] for n in range(count))]
-        body = zstandard.compress(b'\n'.join(lines) + b'\n')
-        key = evidence_key(self._context.epoch_ms(), self._context.instance_id, number + 1)
-        failure = yield from put_object(key, body)
-        if failure is not None:
-            yield from sleep_until(self._context.now_ms() + RETRY_PAUSE_MS)
-            return False
-        for _ in range(count):
-            self._records.popleft()
-        self._dropped_since_seal -= dropped
-        self._session.note_sealed(number + 1, digest_hex(body))
-        return True
+        body = zstandard.compress(b'\n'.join([msgspec.json.encode(header), *self._records]) + b'\n')
+        return _Seal(
+            key=evidence_key(self._context.epoch_ms(), self._context.instance_id, number + 1),
+            body=body,
+            number=number + 1,
+            records_count=header.records_count,
+            dropped_count=header.dropped_count,
+        )
--- a/citrondyke/decisions/evidence/report.py
+++ b/citrondyke/decisions/evidence/report.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.ops import Workflow
+    from citrondyke.ids import ObjectKey
 
 __all__ = ('ClassReport', 'EvidenceFault', 'EvidenceReport', 'build_report', 'read_records')
 
@@ -64,23 +65,16 @@
     from_epoch_ms: float, to_epoch_ms: float, limit: int
 ) -> Workflow[list[OutcomeRecord] | PlatformFailure]:
     """Read the sealed records of a span of time, at most ``limit``."""
-    keys = yield from list_objects(EVIDENCE_PREFIX)
-    if isinstance(keys, PlatformFailure):
-        return keys
-    found: list[OutcomeRecord] = []
-    for key in keys:
-        body = yield from get_object(key)
-        if isinstance(body, PlatformFailure):
-            return body
-        seal = _open(body)
-        if seal is not None:
-            found += [
-                record
-                for record in seal.records
-                if from_epoch_ms <= record.at_epoch_ms < to_epoch_ms
-            ]
-        if len(found) >= limit:
-            break
+    seals = yield from _read_seals()
+    if isinstance(seals, PlatformFailure):
+        return seals
+    found = [
+        record
+        for _, seal in seals
+        if seal is not None
+        for record in seal.records
+        if from_epoch_ms <= record.at_epoch_ms < to_epoch_ms
+    ]
     return found[:limit]
 
 
@@ -98,19 +92,15 @@
     :param class_name: only this class; ``None`` for all.
     """
     report = EvidenceReport(from_epoch_ms=from_epoch_ms, to_epoch_ms=to_epoch_ms)
-    keys = yield from list_objects(EVIDENCE_PREFIX)
-    if isinstance(keys, PlatformFailure):
-        return keys
+    seals = yield from _read_seals()
+    if isinstance(seals, PlatformFailure):
+        return seals
     sessions = yield from scan_rows(SESSION_PREFIX, '', SCAN_LIMIT)
     if isinstance(sessions, PlatformFailure):
         return sessions
     chains: dict[str, dict[int, _Seal]] = {}
-    for key in keys:
-        body = yield from get_object(key)
-        if isinstance(body, PlatformFailure):
-            return body
+    for key, seal in seals:
         report.objects_count += 1
-        seal = _open(body)
         if seal is None:
             _, instance_id, number = key.rsplit('/', 2)
             report.faults.append(EvidenceFault(instance_id, int(number), 'unreadable'))
@@ -128,6 +118,20 @@
     return report
 
 
+def _read_seals() -> Workflow[list[tuple[ObjectKey, _Seal | None]] | PlatformFailure]:
+    """Read every sealed object; ``None`` stands for one that cannot be read."""
+    keys = yield from list_objects(EVIDENCE_PREFIX)
+    if isinstance(keys, PlatformFailure):
+        return keys
+    seals: list[tuple[ObjectKey, _Seal | None]] = []
+    for key in keys:
+        body = yield from get_object(key)
+        if isinstance(body, PlatformFailure):
+            return body
+        seals.append((key, _open(body)))
+    return seals
+
+
 def _open(body: bytes) -> _Seal | None:
     try:
         text = zstandard.ZstdDecompressor().decompress(body, max_output_size=OBJECT_LIMIT_BYTES)
--- a/citrondyke/decisions/steward.py
+++ b/citrondyke/decisions/steward.py
@@ -189,11 +189,7 @@
         if view is None:
             return None
         self._on_room(view.listed.target)
-        is_full = share.online_count >= FULL_SHARE * share.online_limit()
-        if not has_more and not is_full and not view.is_leaving:
-            # Whoever sends less to a server with room does not need to know how full it is.
-            return None
-        return self._answer(sender, view, share, now_ms)
+        return self._answer(sender, view, share, has_more=has_more)
 
     def watch(self, server_id: ServerId) -> Workflow[None]:
         """Poll one server's load while this instance looks after it."""
@@ -265,10 +261,16 @@
             self._on_cut(to_cut)
 
     def _answer(
-        self, sender: InstanceId, view: ServerView, share: ServerShare, now_ms: float
+        self, sender: InstanceId, view: ServerView, share: ServerShare, *, has_more: bool
     ) -> ServerState | None:
+        now_ms = self._context.now_ms()
         online_count = share.online_count
-        online_limit, comfort_limit = share.online_limit(), share.comfort_limit()
+        online_limit = share.online_limit()
+        is_full = online_count >= FULL_SHARE * online_limit
+        if not has_more and not is_full and not view.is_leaving:
+            # Whoever sends less to a server with room does not need to know how full it is.
+            return None
+        comfort_limit = share.comfort_limit()
         told = self._told.get((sender, view.listed.id))
         if told is not None and not view.is_leaving:
             moved = abs(online_count - told.online_count)
@@ -277,7 +279,6 @@
                 online_limit,
                 comfort_limit,
             )
-            is_full = online_count >= FULL_SHARE * online_limit
             is_calm = online_count < CALM_SHARE * online_limit
             fresh_ms = TELL_CALM_EVERY_MS if is_calm else TELL_EVERY_MS
             is_fresh = now_ms - told.at_ms < fresh_ms
