--- a/benchmarks/events.py
+++ b/benchmarks/events.py
@@ -16,8 +16,8 @@
 from citrondyke.driver.virtual.virtual_fleet import VirtualFleet
 from citrondyke.driver.virtual.virtual_server import VirtualEngine
 from citrondyke.ids import AvailabilityZone, ClassName, ServerId
-from citrondyke.platform.fleet_lists import ListedServer
 from citrondyke.standin.engine_curve import EngineCurve
+from citrondyke.storage.fleet_lists import ListedServer
 
 __all__ = ('deadline_figures', 'reaction_figures', 'zone_figures')
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -37,7 +37,7 @@
     TenantId,
 )
 from citrondyke.operator.measures import Measures, RequestSample
-from citrondyke.platform.fleet_lists import ListedInstance, ListedServer
+from citrondyke.storage.fleet_lists import ListedInstance, ListedServer
 from citrondyke.util.hashing import key_hash
 from tests.support.fleet import Fleet as RealFleet
 from tests.support.job_lines import chat_lines
--- a/citrondyke/cmd/embedded.py
+++ b/citrondyke/cmd/embedded.py
@@ -26,14 +26,14 @@
     TenantId,
     WriteId,
 )
-from citrondyke.platform.fleet_lists import ListedInstance, ListedServer
-from citrondyke.platform.table_service import Transaction, Write
 from citrondyke.settings.model import DaemonSettings
 from citrondyke.standin.cut_handler import quiet_server
 from citrondyke.standin.engine_app import engine_app
 from citrondyke.standin.engine_curve import EngineCurve
 from citrondyke.standin.platform_app import PlatformApp, platform_app
 from citrondyke.standin.service_app import service_app
+from citrondyke.storage.fleet_lists import ListedInstance, ListedServer
+from citrondyke.storage.table_service import Transaction, Write
 from citrondyke.util.clock import SystemClock
 from citrondyke.util.hashing import key_hash
 
--- a/citrondyke/daemon.py
+++ b/citrondyke/daemon.py
@@ -22,9 +22,9 @@
 from citrondyke.operator.statsd_reporter import StatsdReporter
 from citrondyke.peer.codec import PeerCodec
 from citrondyke.peer.node import PeerNode
-from citrondyke.platform.http_fleet_lists import http_fleet_lists
-from citrondyke.platform.http_object_store import http_object_store
-from citrondyke.platform.http_table_service import http_table_service
+from citrondyke.storage.http_fleet_lists import http_fleet_lists
+from citrondyke.storage.http_object_store import http_object_store
+from citrondyke.storage.http_table_service import http_table_service
 from citrondyke.util.clock import SystemClock
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/citrondyke/decisions/batch/job.py
@@ -0,0 +1,63 @@
+"""A batch job, its items and their results."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from citrondyke.ids import InstanceId, JobId, RouteName
+
+__all__ = ('ItemResult', 'ItemState', 'JobHead', 'JobItem')
+
+
+class ItemState(Enum):
+    """How an item ended."""
+
+    COMPLETED = 'completed'
+    ERRORED = 'errored'
+
+
+class JobItem(msgspec.Struct, frozen=True, kw_only=True):
+    """One item as it was handed in."""
+
+    id: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    #: Tokens of its prompt and its longest answer.
+    tokens: int = 0
+
+
+class ItemResult(msgspec.Struct, frozen=True):
+    """How one item ended; its position in the job's list never changes."""
+
+    id: str
+    state: ItemState
+    #: Data of all events in order, separated by line feeds.
+    text: str = ''
+
+
+class JobHead(msgspec.Struct, frozen=True, kw_only=True):
+    """The row that owns a job: it changes hands, and ends, by a change of this row."""
+
+    job_id: JobId
+    route: RouteName
+    host: str
+    items_count: int
+    #: Rows or objects that hold the items.
+    chunks_count: int
+    #: Whether the chunks are objects.
+    in_objects: bool
+    #: The instance that runs it, and which life of it.
+    owner: InstanceId
+    owner_life: str
+    #: Wall clock, since it passes between instances: when it came, until when all results are
+    #: due, and from when on items may be abandoned.
+    accepted_epoch_ms: float
+    due_epoch_ms: float
+    abandon_epoch_ms: float
+    attempts_limit: int
+    is_ended: bool = False
+    #: All items have a result.
+    is_done: bool = False
--- a/citrondyke/decisions/configuration/keeper.py
+++ b/citrondyke/decisions/configuration/keeper.py
@@ -30,15 +30,15 @@
 )
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.ids import ConfigVersion, ObjectKey, RowKey
-from citrondyke.platform.failure import PlatformFailure
-from citrondyke.platform.table_service import Conflict
+from citrondyke.storage.failure import PlatformFailure
+from citrondyke.storage.table_service import Conflict
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.core.ops import Workflow
-    from citrondyke.platform.table_service import Row
+    from citrondyke.storage.table_service import Row
 
 __all__ = ('ConfigKeeper', 'ProposalResult', 'SnapshotRow')
 
--- a/citrondyke/decisions/core/commit.py
+++ b/citrondyke/decisions/core/commit.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from citrondyke.decisions.core.ops import sleep_until, transact_once
-from citrondyke.platform.failure import PlatformFailureReason
-from citrondyke.platform.table_service import Check, Committed, Conflict, Transaction, Write
+from citrondyke.storage.failure import PlatformFailureReason
+from citrondyke.storage.table_service import Check, Committed, Conflict, Transaction, Write
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -17,7 +17,7 @@
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.core.ops import Workflow
     from citrondyke.ids import RowKey
-    from citrondyke.platform.table_service import Row
+    from citrondyke.storage.table_service import Row
 
 __all__ = (
     'MAYBE_WRITTEN',
--- a/citrondyke/decisions/core/ops.py
+++ b/citrondyke/decisions/core/ops.py
@@ -15,9 +15,9 @@
 from citrondyke.decisions.core.server_call import ServerCall, ServerReply
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.ids import ConfigVersion, InstanceId, ObjectKey, RowKey, ServerId
-from citrondyke.platform.failure import PlatformFailure
-from citrondyke.platform.fleet_lists import FleetSnapshot
-from citrondyke.platform.table_service import Committed, Conflict, Row, Transaction
+from citrondyke.storage.failure import PlatformFailure
+from citrondyke.storage.fleet_lists import FleetSnapshot
+from citrondyke.storage.table_service import Committed, Conflict, Row, Transaction
 
 __all__ = (
     'CallServer',
--- a/citrondyke/decisions/evidence/report.py
+++ b/citrondyke/decisions/evidence/report.py
@@ -12,7 +12,7 @@
 from citrondyke.decisions.evidence.journal import EVIDENCE_PREFIX
 from citrondyke.decisions.evidence.record import OutcomeRecord, RecordKind, SealHeader
 from citrondyke.decisions.membership.session_row import SESSION_PREFIX, SessionRow
-from citrondyke.platform.failure import PlatformFailure
+from citrondyke.storage.failure import PlatformFailure
 from citrondyke.util.hashing import digest_hex
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/citrondyke/decisions/forwarding/admission_rule.py
@@ -0,0 +1,72 @@
+"""Whether an online request is taken, or turned away at once with a time to come back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.route import Route
+    from citrondyke.decisions.forwarding.server_state import ServerState
+
+__all__ = ('Admitted', 'AdmissionRule', 'TurnedAway')
+
+#: Part of a route's target that a request may wait in a server's queue. What lies beyond would be
+#: late for sure, and everyone behind it too.
+WAIT_SHARE = 0.8
+#: Time that a request occupies a place before the first one has ended, in ms.
+FIRST_STAY_MS = 200.0
+STAY_SHARE = 0.1
+SHORTEST_RETRY_MS = 60.0
+LONGEST_RETRY_MS = 1_500.0
+
+
+class Admitted(msgspec.Struct, frozen=True):
+    """The request goes to its server."""
+
+    expected_wait_ms: float
+
+
+class TurnedAway(msgspec.Struct, frozen=True):
+    """No place is to be expected in time."""
+
+    expected_wait_ms: float
+    #: When a place is expected.
+    retry_in_ms: float
+
+
+class AdmissionRule:
+    """Expects how long a request would wait, from the places and how long they are taken.
+
+    Answers a burst on servers that are full of online work: each server keeps a queue, and
+    without a bound on it everyone in it is late, while a short queue costs nobody.
+    """
+
+    def __init__(self, context: Context) -> None:
+        """Start without a measurement."""
+        self._context = context
+        self._stay_ms: dict[str, float] = {}
+
+    def note_stay(self, route: Route, stay_ms: float) -> None:
+        """Take in how long a request occupied its place."""
+        known = self._stay_ms.get(route.name, stay_ms)
+        self._stay_ms[route.name] = known + STAY_SHARE * (stay_ms - known)
+
+    def decide(self, route: Route, state: ServerState, left_ms: float) -> Admitted | TurnedAway:
+        """Decide for the best server.
+
+        :param left_ms: time until the caller's deadline.
+        """
+        now_ms = self._context.now_ms()
+        slots = max(1, state.listed.slots_count)
+        ahead = state.online_count(now_ms) - slots + 1
+        stay_ms = self._stay_ms.get(route.name, FIRST_STAY_MS)
+        wait_ms = max(0.0, ahead * stay_ms / slots)
+        if wait_ms <= WAIT_SHARE * route.target_ms and wait_ms < left_ms:
+            return Admitted(wait_ms)
+        late_ms = wait_ms - WAIT_SHARE * route.target_ms
+        retry_ms = min(LONGEST_RETRY_MS, max(SHORTEST_RETRY_MS, late_ms))
+        # Spread, so that those who were turned away together do not come back together.
+        return TurnedAway(wait_ms, retry_ms * (1.0 + 0.5 * self._context.random.random()))
--- /dev/null
+++ b/citrondyke/decisions/forwarding/course.py
@@ -0,0 +1,77 @@
+"""What has become of one request at the servers, and what may still be done with it."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.forwarding.route import Route
+    from citrondyke.ids import ServerId
+
+__all__ = ('Course', 'SendOutcome', 'Verdict')
+
+#: Servers that may turn one request away before it is given up: more tries would hold a caller
+#: who could be told at once.
+REFUSALS_LIMIT = 4
+
+
+class SendOutcome(Enum):
+    """How one send of a request to a server ended."""
+
+    #: No connection came about; nothing was sent.
+    NOT_SENT = 'not_sent'
+    #: The server states that it did not run it.
+    REFUSED = 'refused'
+    #: The server ran it and answered with a failure.
+    FAILED = 'failed'
+    #: Cut or silent after it was sent: it may have run.
+    UNKNOWN = 'unknown'
+
+
+class Verdict(Enum):
+    """What a caller is told when a request is given up."""
+
+    #: No server ran it and none will.
+    NOT_RUN = 'not_run'
+    #: A server may have run it.
+    MAY_HAVE_RUN = 'may_have_run'
+
+
+class Course:
+    """The sends of one request.
+
+    A failure that is not repeated: without the distinction between a refusal and a broken
+    connection a caller would be told "not run" of an order that was booked.
+    """
+
+    def __init__(self, route: Route) -> None:
+        """Start with nothing sent."""
+        self._route = route
+        self.avoid: set[ServerId] = set()
+        self.sends_count = 0
+        self._ran_at: set[ServerId] = set()
+        self._refusals_count = 0
+
+    def note(self, server_id: ServerId, outcome: SendOutcome) -> None:
+        """Take in how a send ended."""
+        self.sends_count += 1
+        self.avoid.add(server_id)
+        if outcome in (SendOutcome.NOT_SENT, SendOutcome.REFUSED):
+            self._refusals_count += 1
+        else:
+            self._ran_at.add(server_id)
+
+    @property
+    def may_send(self) -> bool:
+        """Tell whether another server may be tried."""
+        if self._refusals_count >= REFUSALS_LIMIT:
+            return False
+        if not self._ran_at:
+            return True
+        return self._route.may_repeat and len(self._ran_at) < self._route.attempts_limit
+
+    @property
+    def verdict(self) -> Verdict:
+        """Tell what is known."""
+        return Verdict.MAY_HAVE_RUN if self._ran_at else Verdict.NOT_RUN
--- /dev/null
+++ b/citrondyke/decisions/forwarding/listed_rows.py
@@ -0,0 +1,99 @@
+"""Which rows of a followed table are there, though reads lag and rows lapse in an outage."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Generic, TypeVar
+
+import msgspec
+
+__all__ = ('ListedRows', 'SeenRow')
+
+Value = TypeVar('Value')
+
+
+class SeenRow(msgspec.Struct, frozen=True, Generic[Value]):
+    """One row as a read or a feed showed it; ``None`` where it was deleted."""
+
+    key: str
+    version: int
+    value: Value | None
+
+
+class ListedRows(Generic[Value]):
+    """The newest of all rows seen; never goes back to an older state of a row.
+
+    Rows that are missing are dropped late after an outage: servers that could not renew theirs
+    come back within ``grace_ms`` of the store's return, and dropping them at once would leave
+    callers without any server although all of them work.
+    """
+
+    def __init__(self, grace_ms: float) -> None:
+        """Start with nothing listed.
+
+        :param grace_ms: from the end of an outage until a missing row counts as gone.
+        """
+        self._grace_ms = grace_ms
+        self._rows: dict[str, SeenRow[Value]] = {}
+        #: Versions of deletions, so that a late read does not bring a row back.
+        self._deleted: dict[str, int] = {}
+        #: Rows to be dropped unless they come back, by the time from which that holds.
+        self._missing: dict[str, float] = {}
+        self._doubtful_until_ms = 0.0
+        self.version = 0
+
+    def values(self) -> list[Value]:
+        """Give what stands in the rows that are there."""
+        return [row.value for row in self._rows.values() if row.value is not None]
+
+    def note_outage(self, now_ms: float) -> None:
+        """Take note that the store did not answer."""
+        self._doubtful_until_ms = now_ms + self._grace_ms
+
+    def apply_feed(self, rows: Iterable[SeenRow[Value]], now_ms: float) -> None:
+        """Take in changes in their order."""
+        for row in rows:
+            self._apply(row, now_ms)
+
+    def apply_listing(
+        self, rows: Iterable[SeenRow[Value]], version: int, now_ms: float
+    ) -> None:
+        """Take in a whole listing as of a version; one older than what is known adds nothing."""
+        present = set()
+        for row in rows:
+            present.add(row.key)
+            self._apply(row, now_ms)
+        if version < self.version:
+            return
+        self.version = version
+        for key, known in list(self._rows.items()):
+            if key not in present and known.version <= version:
+                self._drop(key, known.version, now_ms)
+
+    def settle(self, now_ms: float) -> None:
+        """Drop what was missing for long enough."""
+        for key, due_ms in list(self._missing.items()):
+            if due_ms <= now_ms:
+                del self._missing[key]
+                self._rows.pop(key, None)
+
+    def _apply(self, row: SeenRow[Value], now_ms: float) -> None:
+        known = self._rows.get(row.key)
+        newest = max(known.version if known else 0, self._deleted.get(row.key, 0))
+        if row.version < newest or (row.version == newest and row.key not in self._missing):
+            return
+        if row.value is None:
+            self._deleted[row.key] = row.version
+            if known is not None:
+                self._drop(row.key, row.version, now_ms)
+            return
+        self._missing.pop(row.key, None)
+        self._rows[row.key] = row
+
+    def _drop(self, key: str, version: int, now_ms: float) -> None:
+        self._deleted[key] = max(version, self._deleted.get(key, 0))
+        if now_ms >= self._doubtful_until_ms:
+            self._missing.pop(key, None)
+            self._rows.pop(key, None)
+            return
+        self._missing.setdefault(key, self._doubtful_until_ms)
--- /dev/null
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -0,0 +1,128 @@
+"""All backend servers as one instance knows them, and the choice among them."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from typing import TYPE_CHECKING
+
+from citrondyke.decisions.forwarding.server_state import ServerState
+from citrondyke.util.hashing import rendezvous_weight
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.listed_backend import ListedBackend
+    from citrondyke.ids import ServerId, ServiceName
+
+__all__ = ('ServerBook',)
+
+#: What a server in another availability zone must be better by, in requests: the way there costs
+#: a caller 0.9 to 1.4 ms and bytes between zones cost money, a request ahead costs 30 ms or more.
+OTHER_ZONE_COST = 0.4
+#: What a server that has read the shared part of a prompt before is better by, in requests: 200
+#: tokens less to read are 1 to 2 ms.
+PREFIX_GAIN = 0.6
+#: A server's times count within these bounds of the service's mean.
+SLOWEST_FACTOR = 4.0
+FASTEST_FACTOR = 0.7
+
+
+class ServerBook:
+    """Servers by id and by service."""
+
+    def __init__(self, context: Context) -> None:
+        """Start without a server."""
+        self._context = context
+        self._states: dict[ServerId, ServerState] = {}
+        self._by_service: dict[ServiceName, list[ServerState]] = {}
+
+    def replace(self, listed: Iterable[ListedBackend]) -> tuple[list[ServerId], list[ServerId]]:
+        """Take in the list of servers.
+
+        :returns: the ids that came and those that went.
+        """
+        wanted = {entry.id: entry for entry in listed}
+        came = [server_id for server_id in wanted if server_id not in self._states]
+        went = [server_id for server_id in self._states if server_id not in wanted]
+        for server_id in went:
+            del self._states[server_id]
+        for server_id, entry in wanted.items():
+            state = self._states.get(server_id)
+            if state is None:
+                self._states[server_id] = ServerState(entry)
+            else:
+                state.listed = entry
+        self._by_service = {}
+        for state in self._states.values():
+            self._by_service.setdefault(state.listed.service, []).append(state)
+        return came, went
+
+    def state(self, server_id: ServerId) -> ServerState | None:
+        """Give what is believed of a server; ``None`` when it is not listed any more."""
+        return self._states.get(server_id)
+
+    def states(self) -> Iterable[ServerState]:
+        """Give all servers."""
+        return self._states.values()
+
+    def usable(self, service: ServiceName, avoid: Collection[ServerId] = ()) -> list[ServerState]:
+        """List the servers that take new work.
+
+        Ejected ones are left out while others are there; if all are ejected, all count, since a
+        wrong suspicion of all of them must not turn every caller away.
+        """
+        now_ms = self._context.now_ms()
+        open_ones = [
+            state
+            for state in self._by_service.get(service, ())
+            if not state.listed.is_leaving
+            and not state.is_misplaced
+            and state.listed.id not in avoid
+        ]
+        sound = [state for state in open_ones if state.ejected_until_ms <= now_ms]
+        return sound or open_ones
+
+    def choose(
+        self, service: ServiceName, avoid: Collection[ServerId], prefix: str
+    ) -> ServerState | None:
+        """Choose the server of an online request; ``None`` when no server takes work.
+
+        :param avoid: servers that had the request already.
+        :param prefix: names the shared part of its prompt; empty where there is none.
+        """
+        usable = self.usable(service, avoid)
+        if not usable:
+            return None
+        now_ms = self._context.now_ms()
+        mean_ms = _mean_time(usable)
+        preferred = self._preferred(usable, prefix)
+        return min(
+            usable,
+            key=lambda state: (
+                self._cost(state, mean_ms, now_ms) - PREFIX_GAIN * (state is preferred),
+                self._context.random.random(),
+            ),
+        )
+
+    def _cost(self, state: ServerState, mean_ms: float, now_ms: float) -> float:
+        slots = state.listed.slots_count
+        total = state.total_count(now_ms)
+        # Batch items make room where all places are taken, so that only online requests count
+        # there; before that a free place is better than one that must be made.
+        cost = float(total) if total < slots else slots + state.online_count(now_ms)
+        if mean_ms and state.mean_ms:
+            factor = min(SLOWEST_FACTOR, max(FASTEST_FACTOR, state.mean_ms / mean_ms))
+            cost = (cost + 1.0) * factor
+        else:
+            cost += 1.0
+        return cost + OTHER_ZONE_COST * (state.listed.zone != self._context.zone)
+
+    @staticmethod
+    def _preferred(usable: list[ServerState], prefix: str) -> ServerState | None:
+        if not prefix:
+            return None
+        return max(usable, key=lambda state: rendezvous_weight(state.listed.id, prefix))
+
+
+def _mean_time(states: list[ServerState]) -> float:
+    times = sorted(state.mean_ms for state in states if state.mean_ms)
+    return times[len(times) // 2] if times else 0.0
--- /dev/null
+++ b/citrondyke/decisions/forwarding/server_state.py
@@ -0,0 +1,117 @@
+"""What an instance believes of one backend server."""
+
+from __future__ import annotations
+
+from citrondyke.decisions.forwarding.listed_backend import ListedBackend
+from citrondyke.ids import InstanceId
+
+__all__ = ('ServerState', 'WorkCount')
+
+import msgspec
+
+#: Load that a server states of itself is believed for so long: it tells of the moment of its
+#: answer, and a request for tokens runs for some 700 ms.
+STATED_LOAD_MS = 250.0
+#: Counts of a peer lapse: it renews them every 500 ms while they are not zero, and one datagram
+#: in a hundred is lost.
+PEER_COUNT_MS = 1_600.0
+#: Share of a new measurement in the mean of a server's times.
+MEAN_SHARE = 0.15
+#: First failures that take a server out, and for how long; each further one doubles it. A server
+#: that is down costs a caller about 1 ms (refused) to 1 s (silent) for each try.
+FAILURES_LIMIT = 2
+EJECT_MS = 800.0
+EJECT_LONGEST_MS = 4_000.0
+
+
+class WorkCount(msgspec.Struct):
+    """Requests that are on a server."""
+
+    online: int = 0
+    batch: int = 0
+
+    @property
+    def total(self) -> int:
+        """Add both up."""
+        return self.online + self.batch
+
+
+class _PeerCount(msgspec.Struct, frozen=True):
+    online: int
+    batch: int
+    until_ms: float
+
+
+class ServerState:
+    """One server: its entry, the requests on it, its times and failures."""
+
+    def __init__(self, listed: ListedBackend) -> None:
+        """Start without a request on it."""
+        self.listed = listed
+        self.own = WorkCount()
+        self.failures_count = 0
+        self.ejected_until_ms = 0.0
+        #: It said that another server has its address now.
+        self.is_misplaced = False
+        #: Mean time of its answers (of its first events, for streams); 0 before the first.
+        self.mean_ms = 0.0
+        self._peers: dict[InstanceId, _PeerCount] = {}
+        self._stated = 0
+        self._stated_until_ms = 0.0
+
+    def note_peer(self, peer: InstanceId, online: int, batch: int, now_ms: float) -> None:
+        """Take in what a peer has on the server."""
+        if online or batch:
+            self._peers[peer] = _PeerCount(online, batch, now_ms + PEER_COUNT_MS)
+        else:
+            self._peers.pop(peer, None)
+
+    def note_stated_load(self, running: int, waiting: int, now_ms: float) -> None:
+        """Take in what the server says of itself."""
+        self._stated = running + waiting
+        self._stated_until_ms = now_ms + STATED_LOAD_MS
+
+    def note_time(self, took_ms: float) -> None:
+        """Take in the time of an answer or a first event."""
+        share = MEAN_SHARE if self.mean_ms else 1.0
+        self.mean_ms += share * (took_ms - self.mean_ms)
+
+    def note_success(self) -> None:
+        """Forget failures."""
+        self.failures_count = 0
+        self.ejected_until_ms = 0.0
+
+    def note_failure(self, now_ms: float) -> None:
+        """Count a failure; enough of them in a row take the server out for a while."""
+        self.failures_count += 1
+        beyond = self.failures_count - FAILURES_LIMIT
+        if beyond >= 0:
+            pause_ms = min(EJECT_LONGEST_MS, EJECT_MS * 2.0**beyond)
+            self.ejected_until_ms = now_ms + pause_ms
+
+    def online_count(self, now_ms: float) -> int:
+        """Count the online requests on it, by all instances."""
+        return self.own.online + sum(peer.online for peer in self._fresh(now_ms))
+
+    def batch_count(self, now_ms: float) -> int:
+        """Count the batch items on it, by all instances."""
+        return self.own.batch + sum(peer.batch for peer in self._fresh(now_ms))
+
+    def total_count(self, now_ms: float) -> int:
+        """Count all requests on it: the larger of the sum of counts and its own statement."""
+        counted = self.online_count(now_ms) + self.batch_count(now_ms)
+        return max(counted, self._stated) if now_ms < self._stated_until_ms else counted
+
+    def batch_peers(self, now_ms: float) -> list[InstanceId]:
+        """List the peers that have batch items on it."""
+        return [
+            peer
+            for peer, count in self._peers.items()
+            if count.batch and count.until_ms > now_ms
+        ]
+
+    def _fresh(self, now_ms: float) -> list[_PeerCount]:
+        stale = [peer for peer, count in self._peers.items() if count.until_ms <= now_ms]
+        for peer in stale:
+            del self._peers[peer]
+        return list(self._peers.values())
--- a/citrondyke/decisions/instance.py
+++ b/citrondyke/decisions/instance.py
@@ -42,7 +42,7 @@
 from citrondyke.decisions.online.fleet import Fleet
 from citrondyke.decisions.online.router import Router
 from citrondyke.decisions.steward import SERVICE_PREFIX, Steward, StewardLimits
-from citrondyke.platform.failure import PlatformFailure
+from citrondyke.storage.failure import PlatformFailure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/citrondyke/decisions/jobs/acceptance.py
+++ b/citrondyke/decisions/jobs/acceptance.py
@@ -35,8 +35,8 @@
     todo_row_key,
 )
 from citrondyke.ids import JobId, TenantId
-from citrondyke.platform.failure import PlatformFailure
-from citrondyke.platform.table_service import Committed, Conflict
+from citrondyke.storage.failure import PlatformFailure
+from citrondyke.storage.table_service import Committed, Conflict
 from citrondyke.util.hashing import digest_hex
 
 if TYPE_CHECKING:
--- a/citrondyke/decisions/jobs/claimer.py
+++ b/citrondyke/decisions/jobs/claimer.py
@@ -29,8 +29,8 @@
     split_session_id,
 )
 from citrondyke.ids import JobId, RowKey, SessionId
-from citrondyke.platform.failure import PlatformFailure
-from citrondyke.platform.table_service import Committed
+from citrondyke.storage.failure import PlatformFailure
+from citrondyke.storage.table_service import Committed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,7 +41,7 @@
     from citrondyke.decisions.membership.lease_watch import LeaseWatch
     from citrondyke.decisions.membership.session_keeper import SessionKeeper
     from citrondyke.ids import TargetName
-    from citrondyke.platform.table_service import Row
+    from citrondyke.storage.table_service import Row
 
 __all__ = ('Claimer',)
 
--- a/citrondyke/decisions/jobs/part_committer.py
+++ b/citrondyke/decisions/jobs/part_committer.py
@@ -11,8 +11,8 @@
 from citrondyke.decisions.jobs.item_set import ItemSet
 from citrondyke.decisions.jobs.rows import PartKind, PartRow, TodoRow, job_row_key, part_row_key
 from citrondyke.ids import ObjectKey, RowKey
-from citrondyke.platform.failure import PlatformFailure
-from citrondyke.platform.table_service import Committed, Conflict
+from citrondyke.storage.failure import PlatformFailure
+from citrondyke.storage.table_service import Committed, Conflict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/citrondyke/decisions/jobs/sweeper.py
+++ b/citrondyke/decisions/jobs/sweeper.py
@@ -25,8 +25,8 @@
     segment_of_key,
     todo_prefix,
 )
-from citrondyke.platform.failure import PlatformFailure
-from citrondyke.platform.table_service import Committed
+from citrondyke.storage.failure import PlatformFailure
+from citrondyke.storage.table_service import Committed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,7 +36,7 @@
     from citrondyke.decisions.evidence.record import OutcomeRecord
     from citrondyke.decisions.jobs.acceptance import JobAcceptance
     from citrondyke.ids import JobId, RowKey
-    from citrondyke.platform.table_service import Row
+    from citrondyke.storage.table_service import Row
 
 __all__ = ('JobCounts', 'Sweeper')
 
--- a/citrondyke/decisions/jobs/worker.py
+++ b/citrondyke/decisions/jobs/worker.py
@@ -22,7 +22,7 @@
     job_row_key,
 )
 from citrondyke.ids import JobId, RowKey, TargetName
-from citrondyke.platform.failure import PlatformFailure
+from citrondyke.storage.failure import PlatformFailure
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
--- a/citrondyke/decisions/membership/members.py
+++ b/citrondyke/decisions/membership/members.py
@@ -8,7 +8,7 @@
 
 from citrondyke.decisions.membership.peer_messages import Ack, MemberFact, MemberState, Ping
 from citrondyke.ids import AvailabilityZone, InstanceId
-from citrondyke.platform.fleet_lists import ListedInstance, ListedState
+from citrondyke.storage.fleet_lists import ListedInstance, ListedState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/citrondyke/decisions/membership/session_keeper.py
+++ b/citrondyke/decisions/membership/session_keeper.py
@@ -16,8 +16,8 @@
     session_row_key,
 )
 from citrondyke.ids import SessionId
-from citrondyke.platform.failure import PlatformFailure
-from citrondyke.platform.table_service import Committed
+from citrondyke.storage.failure import PlatformFailure
+from citrondyke.storage.table_service import Committed
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
--- a/citrondyke/decisions/once/group_committer.py
+++ b/citrondyke/decisions/once/group_committer.py
@@ -17,13 +17,13 @@
 from citrondyke.decisions.core.ops import sleep_until, wait_for
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.ids import RowKey
-from citrondyke.platform.table_service import Committed, Row
+from citrondyke.storage.table_service import Committed, Row
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.core.ops import Workflow
     from citrondyke.decisions.once.transaction_pace import TransactionPace
-    from citrondyke.platform.table_service import Conflict
+    from citrondyke.storage.table_service import Conflict
 
 __all__ = ('GroupCommitter', 'GroupConflict', 'GroupResult')
 
--- a/citrondyke/decisions/once/once_desk.py
+++ b/citrondyke/decisions/once/once_desk.py
@@ -23,8 +23,8 @@
     intent_row_key,
 )
 from citrondyke.decisions.online.request import OnlineEndKind
-from citrondyke.platform.failure import PlatformFailure
-from citrondyke.platform.table_service import Committed
+from citrondyke.storage.failure import PlatformFailure
+from citrondyke.storage.table_service import Committed
 from citrondyke.util.hashing import digest_hex
 
 if TYPE_CHECKING:
@@ -37,7 +37,7 @@
     from citrondyke.decisions.online.refusal import Refusal
     from citrondyke.decisions.online.request import OnlineEnd, OnlineRequest
     from citrondyke.ids import RowKey
-    from citrondyke.platform.table_service import Row
+    from citrondyke.storage.table_service import Row
 
 __all__ = ('OnceDesk', 'OnceEnd', 'OnceEndKind')
 
--- a/citrondyke/decisions/online/fleet.py
+++ b/citrondyke/decisions/online/fleet.py
@@ -11,7 +11,7 @@
     from collections.abc import Iterable
 
     from citrondyke.ids import ServerId, TargetName
-    from citrondyke.platform.fleet_lists import ListedServer
+    from citrondyke.storage.fleet_lists import ListedServer
 
 __all__ = ('AFFINITY_BUCKETS', 'Fleet', 'TargetServers')
 
--- a/citrondyke/decisions/online/server_view.py
+++ b/citrondyke/decisions/online/server_view.py
@@ -6,7 +6,7 @@
 
 from citrondyke.decisions.membership.peer_messages import ServerState
 from citrondyke.ids import RequestId
-from citrondyke.platform.fleet_lists import ListedServer, ListedState
+from citrondyke.storage.fleet_lists import ListedServer, ListedState
 
 __all__ = ('ServerView',)
 
--- a/citrondyke/driver/gevent_driver.py
+++ b/citrondyke/driver/gevent_driver.py
@@ -16,9 +16,9 @@
     from citrondyke.decisions.core.ops import Op, Workflow
     from citrondyke.decisions.core.server_call import ServerReply
     from citrondyke.peer.node import PeerNode
-    from citrondyke.platform.fleet_lists import FleetLists
-    from citrondyke.platform.object_store import ObjectStore
-    from citrondyke.platform.table_service import TableService
+    from citrondyke.storage.fleet_lists import FleetLists
+    from citrondyke.storage.object_store import ObjectStore
+    from citrondyke.storage.table_service import TableService
     from citrondyke.util.clock import Clock
 
 __all__ = ('GeventDriver',)
--- a/citrondyke/driver/virtual/virtual_fleet.py
+++ b/citrondyke/driver/virtual/virtual_fleet.py
@@ -18,8 +18,8 @@
 from citrondyke.driver.virtual.virtual_platform import VirtualPlatform
 from citrondyke.driver.virtual.virtual_time import VirtualTime
 from citrondyke.ids import AvailabilityZone, ClassName, ConfigVersion, InstanceId, TenantId, WriteId
-from citrondyke.platform.fleet_lists import ListedInstance
-from citrondyke.platform.table_service import Transaction, Write
+from citrondyke.storage.fleet_lists import ListedInstance
+from citrondyke.storage.table_service import Transaction, Write
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/citrondyke/driver/virtual/virtual_instance.py
+++ b/citrondyke/driver/virtual/virtual_instance.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from citrondyke.decisions.core.ops import Workflow
     from citrondyke.driver.virtual.virtual_fleet import VirtualFleet
-    from citrondyke.platform.fleet_lists import ListedInstance
+    from citrondyke.storage.fleet_lists import ListedInstance
 
 __all__ = ('VirtualInstance',)
 
--- a/citrondyke/driver/virtual/virtual_platform.py
+++ b/citrondyke/driver/virtual/virtual_platform.py
@@ -9,10 +9,10 @@
 
 from citrondyke.decisions.core import ops
 from citrondyke.driver.virtual.virtual_time import VirtualTime
-from citrondyke.platform.failure import AMBIGUOUS, MISSING, UNAVAILABLE
 from citrondyke.standin.faults import FaultMode, FaultSwitch
 from citrondyke.standin.lagging_lists import LaggingLists
 from citrondyke.standin.table import Table
+from citrondyke.storage.failure import AMBIGUOUS, MISSING, UNAVAILABLE
 
 __all__ = ('VirtualPlatform',)
 
--- a/citrondyke/driver/virtual/virtual_server.py
+++ b/citrondyke/driver/virtual/virtual_server.py
@@ -17,8 +17,8 @@
 
     from citrondyke.decisions.core.server_call import ServerCall
     from citrondyke.driver.virtual.virtual_time import VirtualTime
-    from citrondyke.platform.fleet_lists import ListedServer
     from citrondyke.standin.engine_curve import EngineCurve
+    from citrondyke.storage.fleet_lists import ListedServer
 
 __all__ = ('CallSink', 'EngineRequest', 'VirtualEngine', 'VirtualServer', 'VirtualService')
 
--- a/citrondyke/entry/jobs_door.py
+++ b/citrondyke/entry/jobs_door.py
@@ -30,7 +30,7 @@
     UnknownClassError,
 )
 from citrondyke.ids import JobId
-from citrondyke.platform.failure import PlatformFailure
+from citrondyke.storage.failure import PlatformFailure
 
 if TYPE_CHECKING:
     from citrondyke.decisions.configuration.entries import TenantEntry
--- a/citrondyke/entry/operator_door.py
+++ b/citrondyke/entry/operator_door.py
@@ -36,7 +36,7 @@
     RunState,
 )
 from citrondyke.ids import ConfigVersion, JobId
-from citrondyke.platform.failure import PlatformFailure
+from citrondyke.storage.failure import PlatformFailure
 
 if TYPE_CHECKING:
     from citrondyke.decisions.jobs.sweeper import JobCounts
--- a/citrondyke/entry/results.py
+++ b/citrondyke/entry/results.py
@@ -13,7 +13,7 @@
 from citrondyke.decisions.jobs.rows import PartKind, input_object_key, segment_of_part
 from citrondyke.errors import PlatformUnavailableError
 from citrondyke.ids import ObjectKey
-from citrondyke.platform.failure import PlatformFailure
+from citrondyke.storage.failure import PlatformFailure
 
 if TYPE_CHECKING:
     from citrondyke.decisions.jobs.job_wish import AcceptedJob
--- /dev/null
+++ b/citrondyke/errors/caller_gone.py
@@ -0,0 +1,15 @@
+"""The failure ``caller_gone``."""
+
+from __future__ import annotations
+
+from citrondyke.errors.base import CitrondykeError, RunState
+
+__all__ = ('CallerGoneError',)
+
+
+class CallerGoneError(CitrondykeError):
+    """The caller closed its connection before its answer was whole."""
+
+    code = 'caller_gone'
+    http_status = 499
+    default_run = RunState.UNKNOWN
--- /dev/null
+++ b/citrondyke/gateway/http_client.py
@@ -0,0 +1,99 @@
+"""Calls of one HTTP service over kept connections, with a timeout for each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
+from citrondyke.gateway.connection_pool import ConnectionPool
+from citrondyke.gateway.server_connection import open_connection
+from citrondyke.ids import ServerId
+
+if TYPE_CHECKING:
+    from citrondyke.gateway.server_connection import Headers, ServerConnection
+    from citrondyke.util.clock import Clock
+
+__all__ = ('HttpAnswer', 'HttpClient', 'HttpFailure', 'HttpFailureReason')
+
+#: Idle connections kept to the service.
+IDLE_LIMIT = 8
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+CONNECT_MS = 400.0
+
+
+class HttpAnswer(msgspec.Struct, frozen=True):
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpFailureReason(msgspec.Struct, frozen=True):
+    """How a call failed."""
+
+    kind: BreakKind
+    detail: str
+
+
+class HttpFailure(msgspec.Struct, frozen=True):
+    """Stands in the place of an answer."""
+
+    reason: HttpFailureReason
+
+    def __bool__(self) -> bool:
+        """Count as no answer."""
+        return False
+
+
+class HttpClient:
+    """A client of one address."""
+
+    def __init__(self, clock: Clock, ip: str, port: int) -> None:
+        """Connect on the first call."""
+        self._clock = clock
+        self._ip = ip
+        self._port = port
+        self._name = ServerId(f'{ip}:{port}')
+        self._pool = ConnectionPool(clock, IDLE_LIMIT)
+
+    def call(
+        self, method: str, target: str, body: bytes, headers: Headers, timeout_ms: float
+    ) -> HttpAnswer | HttpFailure:
+        """Make one call.
+
+        A connection on which an answer was lost delivers nothing more, so one that failed in any
+        way is closed and its place taken by a new one.
+        """
+        until_ms = self._clock.now_ms() + timeout_ms
+        connection = None
+        try:
+            connection = self._connection(timeout_ms)
+            all_headers = [
+                (b'Host', self._name.encode()),
+                (b'Content-Length', str(len(body)).encode()),
+                *headers,
+            ]
+            connection.send(method.encode(), target.encode(), all_headers, body)
+            head = connection.read_head(until_ms)
+            content = connection.read_body(until_ms, ANSWER_LIMIT_BYTES)
+        except BrokenReplyError as error:
+            if connection is not None:
+                connection.close()
+            return HttpFailure(HttpFailureReason(error.break_kind, error.message))
+        except BaseException:
+            # The caller's greenlet was ended in the middle of a call: what is still to come on
+            # this connection belongs to nobody.
+            if connection is not None:
+                connection.close()
+            raise
+        self._pool.give(self._name, connection)
+        return HttpAnswer(head.status, content)
+
+    def _connection(self, timeout_ms: float) -> ServerConnection:
+        kept = self._pool.take(self._name)
+        if kept is not None:
+            return kept
+        connect_ms = min(timeout_ms, CONNECT_MS)
+        return open_connection(self._clock, self._ip, self._port, connect_ms)
--- /dev/null
+++ b/citrondyke/gateway/server_connection.py
@@ -0,0 +1,233 @@
+"""One HTTP connection to a backend server or to the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import h11
+import msgspec
+
+from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
+from citrondyke.gateway.sockets import connect
+
+if TYPE_CHECKING:
+    from gevent import socket
+
+    from citrondyke.util.clock import Clock
+
+__all__ = ('Header', 'Headers', 'ReplyHead', 'ServerConnection', 'open_connection')
+
+Header = tuple[bytes, bytes]
+Headers = list[Header]
+
+READ_BYTES = 65_536
+#: Heads of answers beyond this are no answers.
+HEAD_LIMIT_BYTES = 65_536
+#: Bodies up to this go out in one write before the answer is read; a longer one is written beside
+#: the reading, since a server may answer before it has read everything.
+DIRECT_BODY_BYTES = 16_384
+
+
+class ReplyHead(msgspec.Struct, frozen=True):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: list[Header]
+
+    def header(self, name: bytes) -> bytes | None:
+        """Find a header by its lower-case name."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+def open_connection(clock: Clock, ip: str, port: int, timeout_ms: float) -> ServerConnection:
+    """Connect.
+
+    :raises BrokenReplyError: of kind ``NO_CONNECTION``.
+    """
+    return ServerConnection(clock, connect(ip, port, timeout_ms))
+
+
+class ServerConnection:
+    """Sends one request at a time and reads its answer."""
+
+    def __init__(self, clock: Clock, sock: socket.socket) -> None:
+        """Use an open socket."""
+        self._clock = clock
+        self._sock = sock
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT_BYTES)
+        self._writer: gevent.Greenlet | None = None
+        self._keep_until_ms = 0.0
+        self._says_close = False
+        self.is_used = False
+        self.is_whole = False
+
+    def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+        """Send a whole request.
+
+        :raises BrokenReplyError: of kind ``CUT``; the server may have read it.
+        """
+        if self.is_used:
+            self._http.start_next_cycle()
+        self.is_used = True
+        self.is_whole = False
+        head = self._http.send(h11.Request(method=method, target=target, headers=headers)) or b''
+        tail = self._http.send(h11.Data(data=body)) if body else b''
+        end = self._http.send(h11.EndOfMessage()) or b''
+        data = head + (tail or b'') + end
+        if len(data) <= DIRECT_BODY_BYTES:
+            self._write(data)
+            return
+        self._writer = gevent.spawn(self._write_beside, data)
+
+    def read_head(self, until_ms: float) -> ReplyHead:
+        """Read the head of the answer.
+
+        :raises BrokenReplyError: when none comes in time.
+        """
+        while True:
+            event = self._next_event(until_ms)
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise BrokenReplyError(BreakKind.MALFORMED, type(event).__name__)
+            headers = [(bytes(name), bytes(value)) for name, value in event.headers.raw_items()]
+            head = ReplyHead(
+                event.status_code, [(name.lower(), value) for name, value in headers]
+            )
+            self._note_keep_alive(head)
+            return head
+
+    def read_piece(self, until_ms: float) -> bytes | None:
+        """Read the next bytes of the body; ``None`` at its end.
+
+        :raises BrokenReplyError: when it breaks off.
+        """
+        while True:
+            event = self._next_event(until_ms)
+            if isinstance(event, h11.EndOfMessage):
+                self.is_whole = True
+                return None
+            if isinstance(event, h11.Data):
+                if event.data:
+                    return bytes(event.data)
+                continue
+            raise BrokenReplyError(BreakKind.MALFORMED, type(event).__name__)
+
+    def read_body(self, until_ms: float, limit_bytes: int) -> bytes:
+        """Read a whole body.
+
+        :raises BrokenReplyError: when it breaks off or is too large.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while (piece := self.read_piece(until_ms)) is not None:
+            parts.append(piece)
+            size += len(piece)
+            if size > limit_bytes:
+                raise BrokenReplyError(BreakKind.MALFORMED, f'over {limit_bytes} bytes')
+        return b''.join(parts)
+
+    @property
+    def may_keep(self) -> bool:
+        """Tell whether another request may be sent on it.
+
+        Only after a whole answer to a wholly sent request with nothing behind it: bytes of an
+        extra answer would be taken for the next request's, and a caller would get an answer that
+        belongs to somebody else.
+        """
+        if not self.is_whole or self._says_close:
+            return False
+        if self._writer is not None and not self._writer.successful():
+            return False
+        return (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and not self._http.trailing_data[0]
+        )
+
+    def is_fresh(self, now_ms: float) -> bool:
+        """Tell whether an idle connection is still good: silent, open and not timed out."""
+        if now_ms >= self._keep_until_ms:
+            return False
+        self._sock.setblocking(False)
+        try:
+            self._sock.recv(1)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        # Either the end of the connection or bytes that nobody asked for.
+        return False
+
+    def close(self) -> None:
+        """Close; a server drops what it still does for it."""
+        if self._writer is not None:
+            self._writer.kill(block=False)
+        self._sock.close()
+
+    def _next_event(self, until_ms: float) -> object:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BrokenReplyError(self._kind_of_end(), str(error)) from error
+            if event is h11.NEED_DATA:
+                self._http.receive_data(self._receive(until_ms))
+                continue
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                raise BrokenReplyError(BreakKind.CUT, 'closed')
+            return event
+
+    def _kind_of_end(self) -> BreakKind:
+        return BreakKind.CUT if self._http.trailing_data[1] else BreakKind.MALFORMED
+
+    def _receive(self, until_ms: float) -> bytes:
+        left_ms = until_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            raise BrokenReplyError(BreakKind.SILENT)
+        self._sock.settimeout(left_ms / 1e3)
+        try:
+            return self._sock.recv(READ_BYTES)
+        except TimeoutError as error:
+            raise BrokenReplyError(BreakKind.SILENT) from error
+        except OSError as error:
+            raise BrokenReplyError(BreakKind.CUT, type(error).__name__) from error
+
+    def _write(self, data: bytes) -> None:
+        try:
+            self._sock.settimeout(2.0)
+            self._sock.sendall(data)
+        except OSError as error:
+            raise BrokenReplyError(BreakKind.CUT, type(error).__name__) from error
+
+    def _write_beside(self, data: bytes) -> bool:
+        try:
+            self._sock.sendall(data)
+        except OSError:
+            # The reader sees the end of the connection and reports it.
+            self._says_close = True
+        return True
+
+    def _note_keep_alive(self, head: ReplyHead) -> None:
+        connection = (head.header(b'connection') or b'').lower()
+        self._says_close = self._says_close or b'close' in connection
+        self._keep_until_ms = self._clock.now_ms() + _keep_ms(head.header(b'keep-alive'))
+
+
+#: Idle time of a connection whose server states no timeout.
+KEEP_UNSTATED_MS = 4_000.0
+#: Taken off a stated timeout: the server counts from when it sent the answer, and a request that
+#: crosses its close may or may not run.
+KEEP_MARGIN_MS = 500.0
+
+
+def _keep_ms(value: bytes | None) -> float:
+    """Read ``timeout`` of a ``Keep-Alive`` header, as ms that are safe to use."""
+    if value is None:
+        return KEEP_UNSTATED_MS
+    for part in value.split(b','):
+        name, _, seconds = part.strip().partition(b'=')
+        if name.lower() == b'timeout' and seconds.isdigit():
+            return max(0.0, int(seconds) * 1e3 - KEEP_MARGIN_MS)
+    return KEEP_UNSTATED_MS
--- a/citrondyke/ids.py
+++ b/citrondyke/ids.py
@@ -12,8 +12,10 @@
     'JobId',
     'ObjectKey',
     'RequestId',
+    'RouteName',
     'RowKey',
     'ServerId',
+    'ServiceName',
     'SessionId',
     'TargetName',
     'TenantId',
@@ -28,8 +30,10 @@
 JobId = NewType('JobId', str)
 ObjectKey = NewType('ObjectKey', str)
 RequestId = NewType('RequestId', str)
+RouteName = NewType('RouteName', str)
 RowKey = NewType('RowKey', str)
 ServerId = NewType('ServerId', str)
+ServiceName = NewType('ServiceName', str)
 #: One life of one instance: ``<instance>#<epoch>``.
 SessionId = NewType('SessionId', str)
 #: What a request is for: a model's name, or ``service:<name>``.
--- a/citrondyke/platform/__init__.py
+++ b/citrondyke/platform/__init__.py
@@ -1,3 +1,3 @@
-"""The platform's services as the instance sees them: rows, objects, lists."""
+"""The way the users' platform speaks: names, formats and calls, and nothing that decides."""
 
 from __future__ import annotations
--- /dev/null
+++ b/citrondyke/platform/dialect.py
@@ -0,0 +1,221 @@
+"""The headers of callers and servers, and the shapes of the batch job calls."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import random
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+
+from citrondyke.decisions.batch.job import JobItem
+from citrondyke.errors import InvalidFieldError
+from citrondyke.gateway.dialect import (
+    CallFacts,
+    Dialect,
+    JobCall,
+    JobCallKind,
+    JobPage,
+    ReplyFacts,
+)
+from citrondyke.ids import JobId, RequestId, ServerId
+
+if TYPE_CHECKING:
+    from citrondyke.gateway.caller_connection import CallerRequest
+    from citrondyke.gateway.server_connection import Headers, ReplyHead
+
+__all__ = ('PlatformDialect',)
+
+ATTEMPT = b'attempt-id'
+#: How long the sender waits; a length of time, though its name says deadline.
+DEADLINE = b'deadline-ms'
+LAST_EVENT = b'last-event-id'
+PREFIX = b'prefix-hash'
+#: The server's own mark on its answer.
+SEAL = b'response-seal'
+EXPECT_SERVER = b'expect-instance'
+NOT_RUN = b'not-executed'
+#: Of a server: running, waiting, slots.
+LOAD = b'instance-load'
+WAIT = b'wait-ms'
+MISDIRECTED = 421
+#: Headers that concern one connection only, and those that this instance sets anew.
+HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
+SET_ANEW = frozenset((DEADLINE, EXPECT_SERVER, LAST_EVENT))
+RESULTS_PATH = '/-/lots/'
+ITEMS_PATH = '/-/items/'
+
+
+class _Item(msgspec.Struct):
+    id: str
+    path: str
+    headers: dict[str, str] = {}
+    body: str = ''
+    tokens: int = 0
+
+
+class _Job(msgspec.Struct):
+    requests: list[_Item]
+
+
+class _Result(msgspec.Struct):
+    id: str
+    state: str
+    text: str
+
+
+class _Page(msgspec.Struct):
+    total: int
+    next: int
+    results: list[_Result]
+
+
+class PlatformDialect(Dialect):
+    """The platform's names on the wire."""
+
+    def call_facts(self, request: CallerRequest) -> CallFacts:
+        """Read what a caller says."""
+        request_id = (request.header(ATTEMPT) or b'').decode('latin-1')
+        prefix = (request.header(PREFIX) or b'').decode('latin-1')
+        # The last entry is the request's own; what stands before it is shared.
+        shared = prefix.rpartition(',')[0]
+        return CallFacts(
+            request_id=RequestId(request_id or f'{random.getrandbits(64):016x}'),
+            within_ms=_number(request.header(DEADLINE)),
+            last_event_id=_whole(request.header(LAST_EVENT)),
+            prefix=shared,
+        )
+
+    def server_headers(
+        self,
+        headers: Headers,
+        server_id: ServerId,
+        left_ms: float | None,
+        last_event_id: int | None,
+    ) -> Headers:
+        """Make the headers of a request to a server from a caller's."""
+        made = [pair for pair in _end_to_end(headers) if pair[0] not in SET_ANEW]
+        made.append((EXPECT_SERVER, server_id.encode()))
+        if left_ms is not None:
+            made.append((DEADLINE, str(max(1, int(left_ms))).encode()))
+        if last_event_id is not None:
+            made.append((LAST_EVENT, str(last_event_id).encode()))
+        return made
+
+    def reply_facts(self, head: ReplyHead) -> ReplyFacts:
+        """Read what a server says."""
+        return ReplyFacts(
+            request_id=(head.header(ATTEMPT) or b'').decode('latin-1'),
+            is_signed=head.header(SEAL) is not None and head.header(b'content-encoding') is None,
+            was_not_run=head.header(NOT_RUN) is not None or head.status == MISDIRECTED,
+            is_misplaced=head.status == MISDIRECTED,
+            load=_load(head.header(LOAD)),
+        )
+
+    def answer_headers(self, head: ReplyHead) -> Headers:
+        """Make the headers of an answer to a caller from a server's."""
+        return _end_to_end(head.headers)
+
+    def own_answer(self, request_id: RequestId, retry_in_ms: float | None) -> Headers:
+        """Make the headers of this instance's own answer."""
+        made: Headers = [(ATTEMPT, request_id.encode('latin-1'))]
+        if retry_in_ms is not None:
+            made.append((b'retry-after', f'{retry_in_ms / 1e3:.3f}'.encode()))
+        return made
+
+    def job_call(self, request: CallerRequest) -> JobCall | None:
+        """Read a call about a batch job."""
+        path = request.path
+        query = parse_qs(request.target.partition(b'?')[2].decode('latin-1'))
+        if path.startswith(RESULTS_PATH):
+            job_id = JobId(unquote(path[len(RESULTS_PATH) :]))
+            if request.method == b'DELETE':
+                return JobCall(kind=JobCallKind.END, job_id=job_id)
+            if request.method == b'GET':
+                after = query.get('after', ['0'])[0]
+                return JobCall(
+                    kind=JobCallKind.READ,
+                    job_id=job_id,
+                    after=int(after) if after.isdigit() else 0,
+                    wait_ms=_number(request.header(WAIT)) or 0.0,
+                )
+        if path.startswith(ITEMS_PATH) and request.method == b'GET':
+            return JobCall(
+                kind=JobCallKind.ITEM_BODY,
+                job_id=JobId(unquote(path[len(ITEMS_PATH) :])),
+                item_id=query.get('id', [''])[0],
+            )
+        return None
+
+    def job_items(self, body: bytes) -> list[JobItem]:
+        """Read the items of a submitted job."""
+        try:
+            job = msgspec.json.decode(body, type=_Job)
+            return [
+                JobItem(
+                    id=item.id,
+                    path=item.path,
+                    headers=item.headers,
+                    body=base64.b64decode(item.body, validate=True),
+                    tokens=item.tokens,
+                )
+                for item in job.requests
+            ]
+        except (msgspec.DecodeError, binascii.Error) as error:
+            raise InvalidFieldError('requests', str(error)) from error
+
+    def job_page(self, page: JobPage) -> bytes:
+        """Write results of a job."""
+        results = [_Result(each.id, each.state.value, each.text) for each in page.results]
+        return msgspec.json.encode(_Page(page.total, page.after + len(results), results))
+
+    def item_headers(self, item: JobItem, host: str) -> Headers:
+        """Make the headers that a batch item's request starts from."""
+        made: Headers = [(b'host', host.encode('latin-1')), (ATTEMPT, item.id.encode('latin-1'))]
+        made.extend(
+            (name.lower().encode('latin-1'), value.encode('latin-1'))
+            for name, value in item.headers.items()
+        )
+        return made
+
+
+def _end_to_end(headers: Headers) -> Headers:
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b'connection':
+            named.update(part.strip().lower() for part in value.split(b','))
+    return [pair for pair in headers if pair[0] not in HOP_HEADERS and pair[0] not in named]
+
+
+def _number(value: bytes | None) -> float | None:
+    try:
+        return None if value is None else float(value)
+    except ValueError:
+        return None
+
+
+def _whole(value: bytes | None) -> int | None:
+    return int(value) if value is not None and value.isdigit() else None
+
+
+def _load(value: bytes | None) -> tuple[int, int] | None:
+    parts = (value or b'').split(b',')
+    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts):  # noqa: PLR2004
+        return None
+    return int(parts[0]), int(parts[1])
--- /dev/null
+++ b/citrondyke/platform/settings_file.py
@@ -0,0 +1,110 @@
+"""The platform's settings file, decoded into the gateway's settings."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from citrondyke.errors import SettingsInvalidError
+from citrondyke.gateway.settings import Address, GatewaySettings, StoreSettings
+from citrondyke.ids import AvailabilityZone, InstanceId
+
+__all__ = ('FILE_VARIABLE', 'load_platform_settings', 'platform_settings')
+
+FILE_VARIABLE = 'CITRONDYKE_NODE_FILE'
+#: Descriptors that the platform reserves for files.
+RESERVED_FDS = 200
+#: A call of a caller holds its own connection and one to a backend server; the rest is for peers,
+#: the store and idle connections.
+FDS_PER_CALLER = 3
+
+
+class _Listen(msgspec.Struct):
+    frontend: str
+    ready: str
+
+
+class _Limits(msgspec.Struct):
+    memory_mb: int = 128
+    max_fds: int = 4_096
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float = 8.0
+    status_s: float = 120.0
+
+
+class _Platform(msgspec.Struct):
+    #: Of the store; nothing else of the platform has an address.
+    address: str
+    row_bytes: int = 65_536
+    blob_bytes: int = 8_388_608
+
+
+class _File(msgspec.Struct):
+    node_name: str
+    ip: str
+    zone: str
+    #: First and last port that is free, both included.
+    internal_ports: tuple[int, int]
+    listen: _Listen
+    platform: _Platform
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+    #: Addresses of the operators' interface of some instances; only the IPs are of use here.
+    seeds: tuple[str, ...] = ()
+
+
+def load_platform_settings(metrics_port: int) -> GatewaySettings:
+    """Read the file that the platform names.
+
+    :raises SettingsInvalidError: naming file, key and what is wrong.
+    """
+    name = os.environ.get(FILE_VARIABLE, '')
+    if not name:
+        raise SettingsInvalidError(FILE_VARIABLE, '', name, 'the path of a settings file')
+    try:
+        text = Path(name).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsInvalidError(name, '', str(error), 'a readable text file') from error
+    return platform_settings(text, name, metrics_port)
+
+
+def platform_settings(text: str, name: str, metrics_port: int) -> GatewaySettings:
+    """Decode the text of a settings file; unknown fields are passed over.
+
+    :raises SettingsInvalidError: naming file, key and what is wrong.
+    """
+    try:
+        file = msgspec.toml.decode(text, type=_File, strict=False)
+        seed_ips = tuple(_address(seed).ip for seed in file.seeds)
+        return GatewaySettings(
+            instance_id=InstanceId(file.node_name),
+            zone=AvailabilityZone(file.zone),
+            ip=file.ip,
+            callers=_address(file.listen.frontend),
+            health=_address(file.listen.ready),
+            peer_port=file.internal_ports[0],
+            metrics_port=metrics_port,
+            seed_ips=tuple(ip for ip in seed_ips if ip != file.ip),
+            store=StoreSettings(
+                address=_address(file.platform.address),
+                row_bytes=file.platform.row_bytes,
+                object_bytes=file.platform.blob_bytes,
+            ),
+            memory_bytes=file.limits.memory_mb * 1024 * 1024,
+            connections_limit=(file.limits.max_fds - RESERVED_FDS) // FDS_PER_CALLER,
+            stop_within_ms=file.bounds.grace_s * 1e3,
+            lapsed_grace_ms=2_200.0,
+            job_kept_ms=file.bounds.status_s * 1e3,
+        )
+    except (msgspec.ValidationError, tomllib.TOMLDecodeError, ValueError) as error:
+        raise SettingsInvalidError(name, '', str(error), 'the fields of the platform') from error
+
+
+def _address(text: str) -> Address:
+    ip, _, port = text.rpartition(':')
+    return Address(ip, int(port))
--- /dev/null
+++ b/citrondyke/platform/store_client.py
@@ -0,0 +1,229 @@
+"""The platform's store: rows, feeds and objects over its HTTP calls."""
+
+from __future__ import annotations
+
+import base64
+from typing import TYPE_CHECKING, TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from citrondyke.errors.broken_reply import BreakKind
+from citrondyke.gateway.http_client import HttpAnswer, HttpClient, HttpFailure
+from citrondyke.ids import ObjectKey
+from citrondyke.storage.failure import (
+    AMBIGUOUS,
+    FULL,
+    HISTORY_LOST,
+    MISSING,
+    UNAVAILABLE,
+    PlatformFailure,
+)
+from citrondyke.storage.object_store import ObjectStore
+from citrondyke.storage.partitioned_table import (
+    Feed,
+    Listing,
+    PartCommitted,
+    PartConflict,
+    PartitionedTable,
+    PartRow,
+    PartTransaction,
+)
+
+if TYPE_CHECKING:
+    from citrondyke.gateway.server_connection import Headers
+
+__all__ = ('PlatformObjects', 'PlatformTable')
+
+Decoded = TypeVar('Decoded')
+
+JSON: Headers = [(b'Content-Type', b'application/json')]
+PRECONDITION_FAILED = 412
+GONE = 410
+TOO_MANY = 429
+UNAVAILABLE_STATUS = 503
+INSUFFICIENT_STORAGE = 507
+NOT_FOUND = 404
+OK = 200
+
+
+class _Row(msgspec.Struct, omit_defaults=True):
+    table: str
+    key: str
+    part: str = ''
+    value: str | None = None
+    ver: int | None = None
+    #: In a feed only: the row was dropped.
+    deleted: bool = False
+
+
+class _Transaction(msgspec.Struct):
+    expected_rev: list[_Row]
+    puts: list[_Row]
+    remove: list[_Row]
+
+
+class _Rows(msgspec.Struct):
+    #: The newest version of the whole store, not of these rows.
+    ver: int
+    rows: list[_Row] = []
+    has_more: bool = False
+
+
+class _Parts(msgspec.Struct):
+    parts: list[str] = []
+
+
+class _Names(msgspec.Struct):
+    names: list[str] = []
+    has_more: bool = False
+
+
+class PlatformTable(PartitionedTable):
+    """Rows and feeds."""
+
+    def __init__(self, http: HttpClient, call_timeout_ms: float) -> None:
+        """Use a client.
+
+        :param call_timeout_ms: of each call; a feed's waiting time comes on top.
+        """
+        self._http = http
+        self._timeout_ms = call_timeout_ms
+
+    def transact(
+        self, transaction: PartTransaction
+    ) -> PartCommitted | PartConflict | PlatformFailure:
+        """Try a transaction, once."""
+        part = transaction.part
+        body = _Transaction(
+            [_Row(each.table, each.key, part, ver=each.version) for each in transaction.conditions],
+            [_Row(each.table, each.key, part, _to_text(each.value)) for each in transaction.puts],
+            [_Row(each.table, each.key, part) for each in transaction.removals],
+        )
+        answer = self._http.call(
+            'POST', '/-/rows-tx', msgspec.json.encode(body), JSON, self._timeout_ms
+        )
+        rows = _decode(answer, _Rows, also=(PRECONDITION_FAILED,))
+        if isinstance(rows, PlatformFailure):
+            return rows
+        if isinstance(answer, HttpAnswer) and answer.status == PRECONDITION_FAILED:
+            return PartConflict(tuple(_from_row(row) for row in rows.rows), rows.ver)
+        return PartCommitted(rows.ver)
+
+    def read(
+        self, table: str, part: str, from_key: str = '', limit: int = 500
+    ) -> Listing | PlatformFailure:
+        """Read rows of a part from a key on."""
+        query = {'table': table, 'part': part, 'limit': str(limit)}
+        if from_key:
+            query['from'] = from_key
+        rows = self._get('/-/rows-get', query, _Rows, self._timeout_ms)
+        if isinstance(rows, PlatformFailure):
+            return rows
+        return Listing(tuple(_from_row(row) for row in rows.rows), rows.has_more, rows.ver)
+
+    def list_parts(self, table: str, after: str = '') -> list[str] | PlatformFailure:
+        """List parts behind one."""
+        query = {'table': table} | ({'after': after} if after else {})
+        found = self._get('/-/rows-parts', query, _Parts, self._timeout_ms)
+        return found if isinstance(found, PlatformFailure) else found.parts
+
+    def follow(self, table: str, after_version: int, wait_ms: float) -> Feed | PlatformFailure:
+        """Wait for changes of a table behind a version."""
+        # Here "after" is a version, though in the lists of parts and names it is a name.
+        query = {'table': table, 'after': str(after_version), 'wait_ms': str(int(wait_ms))}
+        rows = self._get('/-/rows-feed', query, _Rows, wait_ms + self._timeout_ms)
+        if isinstance(rows, PlatformFailure):
+            return rows
+        return Feed(tuple(_from_row(row) for row in rows.rows), rows.ver)
+
+    def _get(
+        self, path: str, query: dict[str, str], kind: type[Decoded], timeout_ms: float
+    ) -> Decoded | PlatformFailure:
+        answer = self._http.call('GET', f'{path}?{urlencode(query)}', b'', [], timeout_ms)
+        return _decode(answer, kind)
+
+
+class PlatformObjects(ObjectStore):
+    """Objects."""
+
+    def __init__(self, http: HttpClient, call_timeout_ms: float) -> None:
+        """Use a client."""
+        self._http = http
+        self._timeout_ms = call_timeout_ms
+
+    def put(self, key: ObjectKey, body: bytes) -> PlatformFailure | None:
+        """Store an object."""
+        answer = self._http.call(
+            'PUT', f'/-/blob-put/{quote(key, safe="")}', body, [], self._timeout_ms
+        )
+        return _failure(answer)
+
+    def get(self, key: ObjectKey) -> bytes | PlatformFailure:
+        """Fetch an object."""
+        answer = self._http.call(
+            'GET', f'/-/blob-get/{quote(key, safe="")}', b'', [], self._timeout_ms
+        )
+        failure = _failure(answer)
+        if failure is not None or not isinstance(answer, HttpAnswer):
+            return failure or AMBIGUOUS
+        return answer.body
+
+    def delete(self, key: ObjectKey) -> PlatformFailure | None:
+        """Delete an object."""
+        answer = self._http.call(
+            'DELETE', f'/-/blob-drop/{quote(key, safe="")}', b'', [], self._timeout_ms
+        )
+        return _failure(answer)
+
+    def list_keys(self, prefix: str) -> list[ObjectKey] | PlatformFailure:
+        """List the keys below a prefix, in order."""
+        found: list[ObjectKey] = []
+        while True:
+            query = {'path_prefix': prefix} | ({'after': found[-1]} if found else {})
+            answer = self._http.call(
+                'GET', f'/-/blob-list?{urlencode(query)}', b'', [], self._timeout_ms
+            )
+            page = _decode(answer, _Names)
+            if isinstance(page, PlatformFailure):
+                return page
+            found.extend(ObjectKey(name) for name in page.names)
+            if not page.has_more or not page.names:
+                return found
+
+
+
+def _decode(
+    answer: HttpAnswer | HttpFailure, kind: type[Decoded], also: tuple[int, ...] = ()
+) -> Decoded | PlatformFailure:
+    if not isinstance(answer, HttpAnswer) or answer.status not in (OK, *also):
+        return _failure(answer) or AMBIGUOUS
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.DecodeError:
+        return AMBIGUOUS
+
+
+def _failure(answer: HttpAnswer | HttpFailure) -> PlatformFailure | None:
+    if isinstance(answer, HttpFailure):
+        never_sent = answer.reason.kind is BreakKind.NO_CONNECTION
+        return UNAVAILABLE if never_sent else AMBIGUOUS
+    known = {
+        TOO_MANY: UNAVAILABLE,
+        UNAVAILABLE_STATUS: UNAVAILABLE,
+        NOT_FOUND: MISSING,
+        GONE: HISTORY_LOST,
+        INSUFFICIENT_STORAGE: FULL,
+    }
+    if answer.status in known:
+        return known[answer.status]
+    return None if answer.status < 300 else AMBIGUOUS  # noqa: PLR2004
+
+
+def _to_text(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def _from_row(row: _Row) -> PartRow:
+    value = None if row.deleted or row.value is None else base64.b64decode(row.value)
+    return PartRow(row.table, row.part, row.key, row.ver or 0, value)
--- a/citrondyke/standin/lagging_lists.py
+++ b/citrondyke/standin/lagging_lists.py
@@ -5,7 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from citrondyke.platform.fleet_lists import FleetSnapshot, ListedInstance, ListedServer
+from citrondyke.storage.fleet_lists import FleetSnapshot, ListedInstance, ListedServer
 
 if TYPE_CHECKING:
     from citrondyke.ids import InstanceId, ServerId
--- a/citrondyke/standin/platform_app.py
+++ b/citrondyke/standin/platform_app.py
@@ -10,13 +10,13 @@
 import msgspec
 from sortedcontainers import SortedDict
 
-from citrondyke.platform.fleet_lists import ListedInstance, ListedServer
-from citrondyke.platform.http_table_service import ReadRequest, RowsReply, ScanRequest
-from citrondyke.platform.table_service import Conflict, Transaction
 from citrondyke.standin.cut_handler import cut_connection
 from citrondyke.standin.faults import FaultMode, FaultSwitch
 from citrondyke.standin.lagging_lists import LaggingLists
 from citrondyke.standin.table import Table
+from citrondyke.storage.fleet_lists import ListedInstance, ListedServer
+from citrondyke.storage.http_table_service import ReadRequest, RowsReply, ScanRequest
+from citrondyke.storage.table_service import Conflict, Transaction
 from citrondyke.util.clock import Clock
 from citrondyke.util.hashing import digest_hex
 
--- a/citrondyke/standin/table.py
+++ b/citrondyke/standin/table.py
@@ -7,11 +7,11 @@
 
 from sortedcontainers import SortedDict
 
-from citrondyke.platform.table_service import Committed, Conflict, Row
+from citrondyke.storage.table_service import Committed, Conflict, Row
 
 if TYPE_CHECKING:
     from citrondyke.ids import RowKey
-    from citrondyke.platform.table_service import Transaction
+    from citrondyke.storage.table_service import Transaction
 
 __all__ = ('Table',)
 
--- a/citrondyke/platform/_http_call.py
+++ b/citrondyke/storage/_http_call.py
@@ -12,7 +12,7 @@
     NewConnectionError,
 )
 
-from citrondyke.platform.failure import AMBIGUOUS, MISSING, UNAVAILABLE, PlatformFailure
+from citrondyke.storage.failure import AMBIGUOUS, MISSING, UNAVAILABLE, PlatformFailure
 
 if TYPE_CHECKING:
     from urllib3 import BaseHTTPResponse
--- a/citrondyke/platform/failure.py
+++ b/citrondyke/storage/failure.py
@@ -18,6 +18,10 @@
     AMBIGUOUS = 'ambiguous'
     #: The object is not there.
     MISSING = 'missing'
+    #: The history that was asked for is not kept any more.
+    HISTORY_LOST = 'history_lost'
+    #: The store takes nothing more.
+    FULL = 'full'
 
 
 class PlatformFailure(msgspec.Struct, frozen=True):
@@ -33,3 +37,5 @@
 UNAVAILABLE = PlatformFailure(PlatformFailureReason.UNAVAILABLE)
 AMBIGUOUS = PlatformFailure(PlatformFailureReason.AMBIGUOUS)
 MISSING = PlatformFailure(PlatformFailureReason.MISSING)
+HISTORY_LOST = PlatformFailure(PlatformFailureReason.HISTORY_LOST)
+FULL = PlatformFailure(PlatformFailureReason.FULL)
--- a/citrondyke/platform/fleet_lists.py
+++ b/citrondyke/storage/fleet_lists.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from citrondyke.ids import AvailabilityZone, InstanceId, ServerId, TargetName
-from citrondyke.platform.failure import PlatformFailure
+from citrondyke.storage.failure import PlatformFailure
 
 __all__ = ('FleetLists', 'FleetSnapshot', 'ListedInstance', 'ListedServer', 'ListedState')
 
--- a/citrondyke/platform/http_fleet_lists.py
+++ b/citrondyke/storage/http_fleet_lists.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from citrondyke.platform._http_call import PlatformHttp
-from citrondyke.platform.failure import AMBIGUOUS, PlatformFailure
-from citrondyke.platform.fleet_lists import FleetLists, FleetSnapshot
+from citrondyke.storage._http_call import PlatformHttp
+from citrondyke.storage.failure import AMBIGUOUS, PlatformFailure
+from citrondyke.storage.fleet_lists import FleetLists, FleetSnapshot
 
 __all__ = ('HttpFleetLists', 'http_fleet_lists')
 
--- a/citrondyke/platform/http_object_store.py
+++ b/citrondyke/storage/http_object_store.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from citrondyke.ids import ObjectKey
-from citrondyke.platform._http_call import PlatformHttp
-from citrondyke.platform.failure import PlatformFailure
-from citrondyke.platform.object_store import ObjectStore
+from citrondyke.storage._http_call import PlatformHttp
+from citrondyke.storage.failure import PlatformFailure
+from citrondyke.storage.object_store import ObjectStore
 
 __all__ = ('HttpObjectStore', 'http_object_store')
 
--- a/citrondyke/platform/http_table_service.py
+++ b/citrondyke/storage/http_table_service.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from citrondyke.ids import RowKey
-from citrondyke.platform._http_call import CONFLICT_STATUS, PlatformHttp
-from citrondyke.platform.failure import AMBIGUOUS, PlatformFailure
-from citrondyke.platform.table_service import Committed, Conflict, Row, TableService, Transaction
+from citrondyke.storage._http_call import CONFLICT_STATUS, PlatformHttp
+from citrondyke.storage.failure import AMBIGUOUS, PlatformFailure
+from citrondyke.storage.table_service import Committed, Conflict, Row, TableService, Transaction
 
 __all__ = ('HttpTableService', 'ReadRequest', 'RowsReply', 'ScanRequest', 'http_table_service')
 
--- a/citrondyke/platform/object_store.py
+++ b/citrondyke/storage/object_store.py
@@ -5,7 +5,7 @@
 from abc import ABC, abstractmethod
 
 from citrondyke.ids import ObjectKey
-from citrondyke.platform.failure import PlatformFailure
+from citrondyke.storage.failure import PlatformFailure
 
 __all__ = ('ObjectStore',)
 
--- /dev/null
+++ b/citrondyke/storage/partitioned_table.py
@@ -0,0 +1,127 @@
+"""Tables cut into parts: conditional transactions within one part, and a feed of changes."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+import msgspec
+
+from citrondyke.storage.failure import PlatformFailure
+
+__all__ = (
+    'Feed',
+    'Listing',
+    'PartCommitted',
+    'PartConflict',
+    'PartRow',
+    'PartTransaction',
+    'PartitionedTable',
+    'RowCondition',
+    'RowPut',
+    'RowRemoval',
+)
+
+
+class PartRow(msgspec.Struct, frozen=True):
+    """One row as it stands; in a feed, ``None`` as its value says that it was deleted."""
+
+    table: str
+    part: str
+    key: str
+    #: Grows with every transaction of the whole store.
+    version: int
+    value: bytes | None
+
+
+class RowCondition(msgspec.Struct, frozen=True):
+    """A row's version that a transaction needs; 0 for no such row."""
+
+    table: str
+    key: str
+    version: int
+
+
+class RowPut(msgspec.Struct, frozen=True):
+    """A row to write."""
+
+    table: str
+    key: str
+    value: bytes
+
+
+class RowRemoval(msgspec.Struct, frozen=True):
+    """A row to delete."""
+
+    table: str
+    key: str
+
+
+class PartTransaction(msgspec.Struct, frozen=True):
+    """All of it or nothing, within one part."""
+
+    part: str
+    conditions: tuple[RowCondition, ...] = ()
+    puts: tuple[RowPut, ...] = ()
+    removals: tuple[RowRemoval, ...] = ()
+
+
+class PartCommitted(msgspec.Struct, frozen=True):
+    """The transaction took effect."""
+
+    #: Version of every row that it wrote.
+    version: int
+
+
+class PartConflict(msgspec.Struct, frozen=True):
+    """A condition did not hold; nothing was written.
+
+    The rows are those of the conditions as they stand, at one moment that is not older than the
+    call: a transaction with a condition that cannot hold is a read that is never stale.
+    """
+
+    rows: tuple[PartRow, ...]
+    version: int
+
+    def row(self, table: str, key: str) -> PartRow | None:
+        """Find a row; ``None`` says that it is not there."""
+        return next((row for row in self.rows if (row.table, row.key) == (table, key)), None)
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """Rows in key order as of one moment, which may lie some seconds back."""
+
+    rows: tuple[PartRow, ...]
+    has_more: bool
+    version: int
+
+
+class Feed(msgspec.Struct, frozen=True):
+    """Changes behind a version, in order."""
+
+    rows: tuple[PartRow, ...]
+    #: Ask on from here.
+    version: int
+
+
+class PartitionedTable(ABC):
+    """A client of the store; every call has its own timeout."""
+
+    @abstractmethod
+    def transact(
+        self, transaction: PartTransaction
+    ) -> PartCommitted | PartConflict | PlatformFailure:
+        """Try a transaction, once."""
+
+    @abstractmethod
+    def read(
+        self, table: str, part: str, from_key: str = '', limit: int = 500
+    ) -> Listing | PlatformFailure:
+        """Read rows of a part from a key on."""
+
+    @abstractmethod
+    def list_parts(self, table: str, after: str = '') -> list[str] | PlatformFailure:
+        """List parts behind one; at most 1,000."""
+
+    @abstractmethod
+    def follow(self, table: str, after_version: int, wait_ms: float) -> Feed | PlatformFailure:
+        """Wait for changes of a table behind a version."""
--- a/citrondyke/platform/table_service.py
+++ b/citrondyke/storage/table_service.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from citrondyke.ids import RowKey, WriteId
-from citrondyke.platform.failure import PlatformFailure
+from citrondyke.storage.failure import PlatformFailure
 
 __all__ = ('Check', 'Committed', 'Conflict', 'Row', 'TableService', 'Transaction', 'Write')
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -21,7 +21,7 @@
 )
 from citrondyke.decisions.core.commit import encode_row
 from citrondyke.ids import ClassName, TenantId, WriteId
-from citrondyke.platform.table_service import Check, Transaction, Write
+from citrondyke.storage.table_service import Check, Transaction, Write
 from citrondyke.util.hashing import key_hash
 from tests.support.caller import Caller
 from tests.support.program import Program
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -24,8 +24,8 @@
 from citrondyke.driver.virtual.virtual_instance import VirtualInstance
 from citrondyke.driver.virtual.virtual_server import VirtualEngine, VirtualService
 from citrondyke.ids import AvailabilityZone, ClassName, RequestId, ServerId, TargetName, TenantId
-from citrondyke.platform.fleet_lists import ListedServer
 from citrondyke.standin.engine_curve import EngineCurve
+from citrondyke.storage.fleet_lists import ListedServer
 from tests.support.fleet import entries
 
 __all__ = (
--- a/tests/test_decisions/test_decisions_lost_replies.py
+++ b/tests/test_decisions/test_decisions_lost_replies.py
@@ -12,7 +12,7 @@
 from citrondyke.decisions.once.once_desk import OnceEndKind
 from citrondyke.driver.virtual.virtual_fleet import VirtualFleet
 from citrondyke.ids import ConfigVersion
-from citrondyke.platform.failure import AMBIGUOUS
+from citrondyke.storage.failure import AMBIGUOUS
 from tests.support.fleet import entries
 from tests.support.virtual import job_outcomes, make_fleet, model_lines, order, wait_for_job
 
--- a/tests/test_decisions/test_decisions_online.py
+++ b/tests/test_decisions/test_decisions_online.py
@@ -16,7 +16,7 @@
 from citrondyke.decisions.online.server_view import ServerView
 from citrondyke.driver.virtual.virtual_time import VirtualTime
 from citrondyke.ids import AvailabilityZone, InstanceId, ServerId, TargetName, TenantId
-from citrondyke.platform.fleet_lists import ListedServer
+from citrondyke.storage.fleet_lists import ListedServer
 
 MODEL = TargetName('model')
 LATER = 1e9
--- a/tests/test_decisions/test_decisions_rows.py
+++ b/tests/test_decisions/test_decisions_rows.py
@@ -19,7 +19,7 @@
 from citrondyke.decisions.membership.session_row import SessionRow, SessionState
 from citrondyke.decisions.once.intent_row import IntentRow
 from citrondyke.ids import ClassName, JobId, RowKey, TargetName, TenantId, WriteId
-from citrondyke.platform.table_service import Transaction, Write
+from citrondyke.storage.table_service import Transaction, Write
 from tests.support.virtual import LIMITS, job_outcomes, make_fleet, model_lines, wait_for_job
 
 ROWS: list[tuple[type, dict[str, Any]]] = [
