--- /dev/null
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -0,0 +1,178 @@
+"""A job as its owner runs it: open items, what is finished, what is durable."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from citrondyke.decisions.batch.job import ItemResult, ItemState, JobHead, JobItem
+
+__all__ = ('ItemProgress', 'OwnedJob', 'RunEnd')
+
+#: Pause before an item is tried again after a run that failed, in ms; doubled each time.
+RETRY_MS = 100.0
+RETRY_LONGEST_MS = 2_000.0
+#: Clocks of instances may differ by some seconds: an item is abandoned this much later than its
+#: job allows, so that it never is too early.
+ABANDON_MARGIN_MS = 5_000.0
+#: Items in one commit, and bytes of their texts.
+COMMIT_ITEMS = 40
+COMMIT_BYTES = 400_000
+
+
+class RunEnd(Enum):
+    """How one run of an item at a server ended."""
+
+    COMPLETED = 'completed'
+    #: The server says that the item can never be done.
+    IMPOSSIBLE = 'impossible'
+    #: The server tried and failed.
+    FAILED = 'failed'
+    #: It broke off, was turned away or was cut to make room; it goes on behind its last event.
+    BROKEN = 'broken'
+    #: It was cut to make room for online requests.
+    GAVE_WAY = 'gave_way'
+
+
+class ItemProgress(msgspec.Struct):
+    """What has become of an item so far."""
+
+    item: JobItem
+    texts: list[str] = []
+    last_event_id: int | None = None
+    failures_count: int = 0
+    breaks_in_row: int = 0
+    is_running: bool = False
+    not_before_ms: float = 0.0
+
+
+class OwnedJob:
+    """One job in the hands of its owner."""
+
+    def __init__(
+        self,
+        head: JobHead,
+        version: int,
+        items: Iterable[JobItem],
+        results: Iterable[ItemResult] = (),
+    ) -> None:
+        """Start with what is durable.
+
+        :param version: of the head's row; every commit needs it unchanged.
+        """
+        self.head = head
+        self.version = version
+        #: Durable, by position; only these are shown to callers.
+        self.results: list[ItemResult] = list(results)
+        items = list(items)
+        self._bodies = {item.id: item.body for item in items}
+        done = {result.id for result in self.results}
+        self.open: dict[str, ItemProgress] = {
+            item.id: ItemProgress(item) for item in items if item.id not in done
+        }
+        #: Finished, not durable yet, in the order of their positions.
+        self.finished: list[ItemResult] = []
+        self._in_commit: list[ItemResult] = []
+        self.is_lost = False
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether nothing more is to be done for it."""
+        return self.is_lost or self.head.is_ended or self.head.is_done
+
+    def body(self, item_id: str) -> bytes | None:
+        """Give an item's body; ``None`` when the job has no such item."""
+        return self._bodies.get(item_id)
+
+    def next_item(self, now_ms: float) -> ItemProgress | None:
+        """Choose the item to start: one that has begun first, then in the order handed in."""
+        waiting = [
+            progress
+            for progress in self.open.values()
+            if not progress.is_running and progress.not_before_ms <= now_ms
+        ]
+        if self.is_over or not waiting:
+            return None
+        return next((each for each in waiting if each.last_event_id is not None), waiting[0])
+
+    def end_run(self, progress: ItemProgress, end: RunEnd, now_ms: float, epoch_ms: float) -> None:
+        """Take in how a run ended."""
+        progress.is_running = False
+        if end is RunEnd.COMPLETED:
+            self._finish(progress, ItemState.COMPLETED)
+            return
+        if end is RunEnd.IMPOSSIBLE:
+            self._finish(progress, ItemState.ERRORED)
+            return
+        if end is RunEnd.GAVE_WAY:
+            progress.not_before_ms = now_ms
+            return
+        if end is RunEnd.FAILED:
+            progress.failures_count += 1
+            if progress.failures_count >= self.head.attempts_limit:
+                self._finish(progress, ItemState.ERRORED)
+                return
+        progress.breaks_in_row += 1
+        if epoch_ms >= self.head.abandon_epoch_ms + ABANDON_MARGIN_MS:
+            self._finish(progress, ItemState.ERRORED)
+            return
+        pause_ms = min(RETRY_LONGEST_MS, RETRY_MS * 2.0 ** (progress.breaks_in_row - 1))
+        progress.not_before_ms = now_ms + pause_ms
+
+    def abandon_late(self, epoch_ms: float) -> None:
+        """Give up the items that may be abandoned by now."""
+        if epoch_ms < self.head.abandon_epoch_ms + ABANDON_MARGIN_MS:
+            return
+        for progress in list(self.open.values()):
+            if not progress.is_running:
+                self._finish(progress, ItemState.ERRORED)
+
+    def to_commit(self) -> list[ItemResult]:
+        """Give the next finished results that go into one commit; the same ones until it is known.
+
+        A commit in doubt is tried again as it was: another order in the same positions could
+        show a reader two results at one position.
+        """
+        if self._in_commit:
+            return self._in_commit
+        chosen = self._in_commit
+        size = 0
+        for result in self.finished[:COMMIT_ITEMS]:
+            size += len(result.text)
+            if chosen and size > COMMIT_BYTES:
+                break
+            chosen.append(result)
+        return chosen
+
+    def committed(self, results: list[ItemResult], version: int | None) -> None:
+        """Take note that results are durable.
+
+        :param version: of the head's row, where the commit wrote it.
+        """
+        self.results.extend(results)
+        del self.finished[: len(results)]
+        self._in_commit = []
+        if version is not None:
+            self.version = version
+            self.head = msgspec.structs.replace(self.head, is_done=True)
+
+    def restore(self, item_id: str, last_event_id: int, text: str, failures_count: int) -> None:
+        """Take in how far an earlier owner had brought an item."""
+        progress = self.open.get(item_id)
+        if progress is not None:
+            progress.texts = [text]
+            progress.last_event_id = last_event_id
+            progress.failures_count = failures_count
+
+    def would_be_done(self, results: list[ItemResult]) -> bool:
+        """Tell whether a commit of these results completes the job."""
+        return len(self.results) + len(results) >= self.head.items_count
+
+    def _finish(self, progress: ItemProgress, state: ItemState) -> None:
+        item_id = progress.item.id
+        if self.open.pop(item_id, None) is None:
+            return
+        text = '\n'.join(progress.texts) if state is ItemState.COMPLETED else ''
+        self.finished.append(ItemResult(item_id, state, text))
--- a/citrondyke/decisions/forwarding/admission_rule.py
+++ b/citrondyke/decisions/forwarding/admission_rule.py
@@ -11,7 +11,7 @@
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.forwarding.server_state import ServerState
 
-__all__ = ('Admitted', 'AdmissionRule', 'TurnedAway')
+__all__ = ('AdmissionRule', 'Admitted', 'TurnedAway')
 
 #: Part of a route's target that a request may wait in a server's queue. What lies beyond would be
 #: late for sure, and everyone behind it too.
--- a/citrondyke/decisions/forwarding/listed_rows.py
+++ b/citrondyke/decisions/forwarding/listed_rows.py
@@ -55,9 +55,7 @@
         for row in rows:
             self._apply(row, now_ms)
 
-    def apply_listing(
-        self, rows: Iterable[SeenRow[Value]], version: int, now_ms: float
-    ) -> None:
+    def apply_listing(self, rows: Iterable[SeenRow[Value]], version: int, now_ms: float) -> None:
         """Take in a whole listing as of a version; one older than what is known adds nothing."""
         present = set()
         for row in rows:
--- a/citrondyke/decisions/forwarding/server_state.py
+++ b/citrondyke/decisions/forwarding/server_state.py
@@ -105,9 +105,7 @@
     def batch_peers(self, now_ms: float) -> list[InstanceId]:
         """List the peers that have batch items on it."""
         return [
-            peer
-            for peer, count in self._peers.items()
-            if count.batch and count.until_ms > now_ms
+            peer for peer, count in self._peers.items() if count.batch and count.until_ms > now_ms
         ]
 
     def _fresh(self, now_ms: float) -> list[_PeerCount]:
--- a/citrondyke/gateway/caller_connection.py
+++ b/citrondyke/gateway/caller_connection.py
@@ -105,7 +105,9 @@
             raise BadRequestHeadError(str(error)) from error
         headers = [(bytes(name), bytes(value)) for name, value in request.headers]
         self._ahead = self._http.trailing_data[0]
-        return CallerRequest(bytes(request.method), bytes(request.target), headers, body, arrived_ms)
+        return CallerRequest(
+            bytes(request.method), bytes(request.target), headers, body, arrived_ms
+        )
 
     def watch(self) -> None:
         """End the current greenlet's work by ``CallerGoneError`` when the caller closes."""
@@ -135,8 +137,7 @@
         """Answer an improper request; the connection cannot be used afterwards."""
         phrase = HTTPStatus(status).phrase.encode()
         self._write(
-            b'HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
-            % (status, phrase)
+            b'HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' % (status, phrase)
         )
 
     def start_stream(self, status: int, headers: Headers) -> None:
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -10,6 +10,8 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from citrondyke.decisions.batch.give_way import GiveWay
+from citrondyke.decisions.batch.takeover import LiveInstances, Takeover
 from citrondyke.decisions.core.context import Context
 from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
 from citrondyke.decisions.forwarding.server_book import ServerBook
@@ -18,6 +20,11 @@
 from citrondyke.gateway.forwarder import Forwarder
 from citrondyke.gateway.front import Front
 from citrondyke.gateway.job_door import JobDoor
+from citrondyke.gateway.job_keeper import JobKeeper
+from citrondyke.gateway.job_reader import JobReader
+from citrondyke.gateway.job_runner import JobRunner
+from citrondyke.gateway.job_store import JobStore
+from citrondyke.gateway.membership import INSTANCES_TABLE, Membership
 from citrondyke.gateway.metrics import Metrics
 from citrondyke.gateway.server_sends import ServerSends
 from citrondyke.gateway.small_pages import SmallPages
@@ -42,6 +49,8 @@
 #: Of the time until the process is killed, left for its last steps.
 STOP_MARGIN_MS = 600.0
 LOOK_S = 0.02
+#: Time in which jobs are given back at a stop; what is left is taken over by the others later.
+HAND_OVER_MS = 4_000.0
 
 
 class GatewayInstance:
@@ -52,9 +61,7 @@
         self._settings = settings
         self._outside = outside
         self.clock = SystemClock()
-        self.context = Context(
-            settings.instance_id, settings.zone, self.clock, random.Random()
-        )
+        self.context = Context(settings.instance_id, settings.zone, self.clock, random.Random())
         self.metrics = Metrics()
         self.book = ServerBook(self.context)
         self._store = Dependency(self.clock, 'store')
@@ -75,7 +82,43 @@
             outside.dialect,
             self.metrics,
         )
-        self.jobs = JobDoor(outside.dialect)
+        self._live = LiveInstances(self.context)
+        life = f'{self.context.random.getrandbits(64):016x}'
+        self.membership = Membership(
+            self.context,
+            life,
+            (settings.ip, settings.peer_port),
+            outside.table,
+            self._live,
+            self._store,
+        )
+        job_store = JobStore(outside.table, outside.objects, settings.store.row_bytes)
+        self.runner = JobRunner(
+            self.context,
+            self.beliefs,
+            GiveWay(self.context, self.book),
+            self._sends,
+            outside.dialect,
+            job_store,
+            self.metrics,
+        )
+        self.keeper = JobKeeper(
+            self.context,
+            life,
+            outside.table,
+            job_store,
+            self.runner,
+            Takeover(self.context, self._live),
+        )
+        self.jobs = JobDoor(
+            self.context,
+            life,
+            outside.dialect,
+            job_store,
+            self.runner,
+            JobReader(self.context, job_store),
+            settings.memory_bytes,
+        )
         self.front = Front(
             self.clock,
             self.beliefs,
@@ -106,6 +149,10 @@
             self.beliefs.on_server_rows,
             self.beliefs.on_server_listing,
         )
+        self._follower(INSTANCES_TABLE, self.membership.on_rows, self.membership.on_listing)
+        self.membership.start()
+        self.runner.start()
+        self.keeper.start()
         gevent.spawn(self._run_settle)
         log.info(
             'instance.started',
@@ -127,15 +174,21 @@
         end_ms = started_ms + self._settings.stop_within_ms - STOP_MARGIN_MS
         log.info('instance.stopping', extra={'open_connections': self.front.open_count})
         self.front.is_stopping = True
+        handing_over = gevent.spawn(self._hand_over, started_ms)
         while self.clock.now_ms() < min(started_ms + BALANCER_MS, end_ms):
             gevent.sleep(LOOK_S)
         for server in self._servers[:1]:
             server.stop_accepting()
         while self.front.busy_count and self.clock.now_ms() < end_ms:
             gevent.sleep(LOOK_S)
+        handing_over.join(max(0.0, (end_ms - self.clock.now_ms()) / 1e3))
         self.front.close_idle()
         log.info('instance.stopped', extra={'cut_requests': self.front.busy_count})
 
+    def _hand_over(self, started_ms: float) -> None:
+        self.runner.hand_over(started_ms + HAND_OVER_MS)
+        self.membership.leave()
+
     def _is_ready(self) -> bool:
         return self.beliefs.is_complete and not self._stopping.is_set()
 
@@ -160,4 +213,4 @@
             self.beliefs.settle('grace')
 
     def _on_load_change(self, state: ServerState) -> None:
-        """Tell peers."""
+        """Make room on a server that fills up."""
--- /dev/null
+++ b/citrondyke/gateway/job_keeper.py
@@ -0,0 +1,193 @@
+"""Finds jobs without an owner and takes them over."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+import msgspec
+
+from citrondyke.decisions.batch.owned_job import OwnedJob
+from citrondyke.gateway.job_store import (
+    HEAD_KEY,
+    HEADS_TABLE,
+    CommitVerdict,
+    NoJobReason,
+    StoredHead,
+    decode_head,
+)
+from citrondyke.ids import JobId
+from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.batch.takeover import Takeover
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.gateway.job_runner import JobRunner
+    from citrondyke.gateway.job_store import JobStore
+    from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
+
+__all__ = ('JobKeeper',)
+
+log = logbook.Logger(__name__)
+
+FEED_WAIT_MS = 4_000.0
+FEED_RETRY_MS = 150.0
+#: How often the open jobs are listed beside the feed.
+LIST_EVERY_MS = 3_000.0
+LOOK_EVERY_MS = 250.0
+LOAD_RETRY_MS = 150.0
+
+
+class JobKeeper:
+    """Knows the open jobs' heads and claims those whose owner is gone."""
+
+    def __init__(
+        self,
+        context: Context,
+        life: str,
+        table: PartitionedTable,
+        store: JobStore,
+        runner: JobRunner,
+        takeover: Takeover,
+    ) -> None:
+        """Use the parts handed in."""
+        self._context = context
+        self._life = life
+        self._table = table
+        self._store = store
+        self._runner = runner
+        self._takeover = takeover
+        self._open: dict[JobId, StoredHead] = {}
+        self._claiming: set[JobId] = set()
+
+    def start(self) -> None:
+        """Begin."""
+        gevent.spawn(self._run_feed)
+        gevent.spawn(self._run_list)
+        gevent.spawn(self._run_claims)
+
+    def _run_feed(self) -> None:
+        version = self._newest_version()
+        while True:
+            feed = self._table.follow(HEADS_TABLE, version, FEED_WAIT_MS)
+            if not isinstance(feed, PlatformFailure):
+                version = feed.version
+                for row in feed.rows:
+                    self._take_row(row)
+                continue
+            if version == 0 or feed.reason is PlatformFailureReason.HISTORY_LOST:
+                version = self._newest_version()
+            gevent.sleep(self._context.jittered_ms(FEED_RETRY_MS) / 1e3)
+
+    def _newest_version(self) -> int:
+        page = self._table.read(HEADS_TABLE, '', limit=1)
+        return 0 if isinstance(page, PlatformFailure) else page.version
+
+    def _take_row(self, row: PartRow) -> None:
+        if row.key != HEAD_KEY or row.value is None:
+            return
+        try:
+            head = decode_head(row.value)
+        except msgspec.DecodeError as error:
+            log.warning('head.unreadable', extra={'job_id': row.part, 'detail': str(error)})
+            return
+        self._take(StoredHead(head, row.version))
+
+    def _take(self, stored: StoredHead) -> None:
+        head = stored.head
+        known = self._open.get(head.job_id)
+        if known is not None and known.version >= stored.version:
+            return
+        if head.is_ended or head.is_done:
+            self._open.pop(head.job_id, None)
+            self._takeover.forget(head.job_id)
+        else:
+            self._open[head.job_id] = stored
+        job = self._runner.owned(head.job_id)
+        if job is None or stored.version <= job.version or head.is_done:
+            return
+        if head.is_ended or head.owner_life != self._life:
+            self._runner.lose(head.job_id, 'head changed')
+
+    def _run_list(self) -> None:
+        while True:
+            listed = self._store.open_jobs()
+            if not isinstance(listed, PlatformFailure):
+                for job_id in listed:
+                    if job_id not in self._open and job_id not in self._runner.jobs:
+                        self._refresh(job_id)
+            gevent.sleep(self._context.jittered_ms(LIST_EVERY_MS) / 1e3)
+
+    def _refresh(self, job_id: JobId) -> None:
+        stored = self._store.head(job_id)
+        if isinstance(stored, StoredHead):
+            self._take(stored)
+        elif stored.reason is NoJobReason.UNKNOWN:
+            self._open.pop(job_id, None)
+
+    def _run_claims(self) -> None:
+        while True:
+            gevent.sleep(self._context.jittered_ms(LOOK_EVERY_MS) / 1e3)
+            if self._runner.is_stopping:
+                return
+            for job_id, stored in list(self._open.items()):
+                if job_id in self._runner.jobs or job_id in self._claiming:
+                    continue
+                if self._takeover.is_due(stored.head):
+                    self._claiming.add(job_id)
+                    gevent.spawn(self._claim, stored)
+
+    def _claim(self, stored: StoredHead) -> None:
+        head = stored.head
+        try:
+            wanted = msgspec.structs.replace(
+                head, owner=self._context.instance_id, owner_life=self._life
+            )
+            claimed = self._store.change_head(stored, wanted)
+            log.info(
+                'job.claim',
+                extra={
+                    'job_id': head.job_id,
+                    'owner_before': head.owner,
+                    'version_before': stored.version,
+                    'verdict': 'done' if isinstance(claimed, StoredHead) else claimed.value,
+                },
+            )
+            if isinstance(claimed, StoredHead):
+                self._load(claimed)
+            elif claimed is CommitVerdict.FENCED:
+                self._refresh(head.job_id)
+        finally:
+            self._claiming.discard(head.job_id)
+
+    def _load(self, claimed: StoredHead) -> None:
+        """Read what is durable; nothing from before the claim is good enough."""
+        head = claimed.head
+        self._open[head.job_id] = claimed
+        while not self._runner.is_stopping:
+            items = self._store.items(head)
+            results = self._store.results(head.job_id, 0, claimed.version)
+            progress = self._store.progress(head.job_id)
+            if (
+                isinstance(items, PlatformFailure)
+                or isinstance(results, PlatformFailure)
+                or isinstance(progress, PlatformFailure)
+            ):
+                gevent.sleep(LOAD_RETRY_MS / 1e3)
+                continue
+            job = OwnedJob(head, claimed.version, items, results)
+            for each in progress:
+                job.restore(each.item_id, each.last_event_id, each.text, each.failures_count)
+            log.info(
+                'job.taken_over',
+                extra={
+                    'job_id': head.job_id,
+                    'version': claimed.version,
+                    'listed': len(results),
+                    'open': len(job.open),
+                    'resumed': len(progress),
+                },
+            )
+            self._runner.add(job)
+            return
--- /dev/null
+++ b/citrondyke/gateway/job_reader.py
@@ -0,0 +1,106 @@
+"""Reads jobs that other instances own, from the store, and remembers what never changes."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+
+from citrondyke.gateway.job_store import NoJob, NoJobReason
+from citrondyke.storage.failure import PlatformFailure
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.batch.job import ItemResult, JobHead, JobItem
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.gateway.job_store import JobStore
+    from citrondyke.ids import JobId
+
+__all__ = ('JobReader', 'JobView')
+
+#: While a caller waits for a result, the store is asked so often.
+LOOK_EVERY_MS = 200.0
+#: Texts of results that are remembered; a job of ten items of 165 events has 100 KB.
+REMEMBERED_BYTES = 8 * 1024 * 1024
+HEAD_BYTES = 500
+
+
+class JobView(msgspec.Struct):
+    """What is known of a job for good: its size and its first results."""
+
+    head: JobHead
+    results: list[ItemResult]
+    bodies: dict[str, bytes] | None = None
+    bytes_count: int = HEAD_BYTES
+
+
+class JobReader:
+    """Answers reads at instances that do not own the job."""
+
+    def __init__(self, context: Context, store: JobStore) -> None:
+        """Remember nothing yet."""
+        self._context = context
+        self._store = store
+        self._views: OrderedDict[JobId, JobView] = OrderedDict()
+        self._bytes_count = 0
+
+    def view(self, job_id: JobId) -> JobView | NoJob:
+        """Give what is known of a job, by the store where nothing is."""
+        known = self._views.get(job_id)
+        if known is not None:
+            self._views.move_to_end(job_id)
+            return known
+        stored = self._store.head(job_id)
+        if isinstance(stored, NoJob):
+            return stored
+        return self.remember(stored.head)
+
+    def remember(self, head: JobHead) -> JobView:
+        """Keep a job's head."""
+        view = self._views.get(head.job_id)
+        if view is None:
+            view = self._views[head.job_id] = JobView(head, [])
+            self._grow(view, HEAD_BYTES)
+        return view
+
+    def results(self, view: JobView, after: int, until_ms: float) -> list[ItemResult] | NoJob:
+        """Give results from a position on, waiting for one until a time."""
+        is_sure = False
+        while len(view.results) <= after:
+            found = self._store.results(view.head.job_id, len(view.results))
+            is_sure = not isinstance(found, PlatformFailure)
+            if not isinstance(found, PlatformFailure) and found:
+                self._take(view, found)
+                continue
+            is_whole = len(view.results) >= view.head.items_count
+            if is_whole or self._context.now_ms() + LOOK_EVERY_MS > until_ms:
+                break
+            gevent.sleep(LOOK_EVERY_MS / 1e3)
+        if not is_sure and len(view.results) <= after and after < view.head.items_count:
+            return NoJob(NoJobReason.UNSURE)
+        return view.results[after:]
+
+    def body(self, view: JobView, item_id: str) -> bytes | NoJob | None:
+        """Give an item's body; ``None`` when the job has no such item."""
+        if view.bodies is None:
+            items = self._store.items(view.head)
+            if isinstance(items, PlatformFailure):
+                return NoJob(NoJobReason.UNSURE)
+            self._keep_bodies(view, items)
+        return None if view.bodies is None else view.bodies.get(item_id)
+
+    def _keep_bodies(self, view: JobView, items: list[JobItem]) -> None:
+        view.bodies = {item.id: item.body for item in items}
+        self._grow(view, sum(len(item.body) for item in items))
+
+    def _take(self, view: JobView, found: list[ItemResult]) -> None:
+        view.results.extend(found)
+        self._grow(view, sum(len(result.text) for result in found))
+
+    def _grow(self, view: JobView, count: int) -> None:
+        view.bytes_count += count
+        self._bytes_count += count
+        while self._bytes_count > REMEMBERED_BYTES and len(self._views) > 1:
+            _, oldest = self._views.popitem(last=False)
+            self._bytes_count -= oldest.bytes_count
--- /dev/null
+++ b/citrondyke/gateway/job_runner.py
@@ -0,0 +1,337 @@
+"""Runs the items of the jobs that this instance owns, and makes their results durable."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+from gevent.event import Event
+
+from citrondyke.decisions.batch.give_way import RunningItem
+from citrondyke.decisions.batch.owned_job import RunEnd
+from citrondyke.decisions.forwarding.route_table import NoRoute
+from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
+from citrondyke.errors.gave_way import GaveWayError
+from citrondyke.gateway.event_stream import EventSplitter
+from citrondyke.gateway.job_store import CommitVerdict
+from citrondyke.ids import JobId, RequestId
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.batch.give_way import GiveWay
+    from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.server_state import ServerState
+    from citrondyke.gateway.beliefs import Beliefs
+    from citrondyke.gateway.dialect import Dialect
+    from citrondyke.gateway.job_store import JobStore
+    from citrondyke.gateway.metrics import Metrics
+    from citrondyke.gateway.server_sends import ServerSends
+    from citrondyke.ids import ServiceName
+
+__all__ = ('JobRunner',)
+
+log = logbook.Logger(__name__)
+
+#: Pause between two looks for free places while items wait.
+PUMP_EVERY_MS = 25.0
+#: Results that end within this time share a commit.
+COMMIT_EVERY_MS = 120.0
+#: A server whose queue is full holds an item back for up to some seconds before its first event.
+FIRST_EVENT_MS = 3_000.0
+EVENT_MS = 1_200.0
+#: An owner looks so often whether its jobs still are its own: a cancellation must reach the
+#: servers within 3 s though no feed tells of it.
+HEAD_LOOK_MS = 1_000.0
+ITEM_IMPOSSIBLE = 422
+ITEM_FAILED = 500
+
+
+class JobRunner:
+    """The owner's side of batch jobs."""
+
+    def __init__(
+        self,
+        context: Context,
+        beliefs: Beliefs,
+        give_way: GiveWay,
+        sends: ServerSends,
+        dialect: Dialect,
+        store: JobStore,
+        metrics: Metrics,
+    ) -> None:
+        """Use the parts handed in."""
+        self._context = context
+        self._beliefs = beliefs
+        self._give_way = give_way
+        self._sends = sends
+        self._dialect = dialect
+        self._store = store
+        self._metrics = metrics
+        self.jobs: dict[JobId, OwnedJob] = {}
+        self.is_stopping = False
+        self._running: dict[RunningItem, tuple[OwnedJob, gevent.Greenlet]] = {}
+        self._committing: set[JobId] = set()
+        self._listed: dict[JobId, Event] = {}
+
+    def start(self) -> None:
+        """Begin to run items."""
+        gevent.spawn(self._run_pump)
+        gevent.spawn(self._run_commits)
+        gevent.spawn(self._run_looks)
+
+    def add(self, job: OwnedJob) -> None:
+        """Take a job to run."""
+        self.jobs[job.head.job_id] = job
+        self._pump()
+
+    def owned(self, job_id: JobId) -> OwnedJob | None:
+        """Give a job that is this instance's; ``None`` when it is not."""
+        job = self.jobs.get(job_id)
+        return None if job is None or job.is_lost else job
+
+    def wait_listed(self, job_id: JobId, timeout_ms: float) -> None:
+        """Wait until more results of a job are durable."""
+        event = self._listed.setdefault(job_id, Event())
+        event.wait(timeout_ms / 1e3)
+
+    def lose(self, job_id: JobId, reason: str) -> None:
+        """Let go of a job that is ended or another's; its running items stop at once."""
+        job = self.jobs.pop(job_id, None)
+        if job is None:
+            return
+        job.is_lost = True
+        log.info('job.let_go', extra={'job_id': job_id, 'reason': reason, 'version': job.version})
+        for owner, greenlet in list(self._running.values()):
+            if owner is job:
+                greenlet.kill(GaveWayError, block=False)
+        self._wake(job_id)
+
+    def make_room(self) -> None:
+        """Cut the items that stand in the way of online requests."""
+        if not self._running:
+            return
+        for item in self._give_way.to_cut(self._running):
+            job, greenlet = self._running[item]
+            self._metrics.counters['items_cut'] += 1
+            log.info(
+                'item.gives_way',
+                extra={'job_id': job.head.job_id, 'server_id': item.server_id},
+            )
+            greenlet.kill(GaveWayError, block=False)
+
+    def hand_over(self, until_ms: float) -> None:
+        """Give all jobs back, with how far their items have come, before a planned stop."""
+        self.is_stopping = True
+        for _, greenlet in list(self._running.values()):
+            greenlet.kill(GaveWayError, block=False)
+        gevent.sleep(0)
+        workers = [gevent.spawn(self._give_back, job, until_ms) for job in self.jobs.values()]
+        gevent.joinall(workers, timeout=max(0.0, (until_ms - self._context.now_ms()) / 1e3))
+
+    def _give_back(self, job: OwnedJob, until_ms: float) -> None:
+        while self._context.now_ms() < until_ms:
+            if job.head.job_id in self._committing:
+                gevent.sleep(0.01)
+                continue
+            verdict = CommitVerdict.DONE
+            if job.to_commit():
+                verdict = self._commit_once(job)
+            if verdict is CommitVerdict.DONE and not job.finished:
+                verdict = self._store.release(job, list(job.open.values()))
+                if verdict is CommitVerdict.DONE or job.is_over:
+                    log.info('job.handed_over', extra={'job_id': job.head.job_id})
+                    self.jobs.pop(job.head.job_id, None)
+                    return
+            if verdict is CommitVerdict.FENCED:
+                return
+            gevent.sleep(0.05)
+
+    def _run_pump(self) -> None:
+        while True:
+            gevent.sleep(PUMP_EVERY_MS / 1e3)
+            self.make_room()
+            self._pump()
+
+    def _pump(self) -> None:
+        """Start items while places are free, those of the job that is due first."""
+        if self.is_stopping or not self.jobs:
+            return
+        now_ms = self._context.now_ms()
+        full: set[ServiceName] = set()
+        for job in sorted(self.jobs.values(), key=lambda each: each.head.due_epoch_ms):
+            job.abandon_late(self._context.epoch_ms())
+            while (progress := job.next_item(now_ms)) is not None:
+                service = self._service(job, progress)
+                if service is None or service in full:
+                    break
+                state = self._give_way.choose(service)
+                if state is None:
+                    full.add(service)
+                    break
+                self._begin(job, progress, state)
+
+    def _service(self, job: OwnedJob, progress: ItemProgress) -> ServiceName | None:
+        config = self._beliefs.config
+        route = config.current.find(job.head.host, progress.item.path)
+        if not isinstance(route, NoRoute):
+            weights = [share.weight for share in route.shares]
+            return self._context.random.choices(route.shares, weights)[0].service
+        if config.is_confirmed(self._context.now_ms()):
+            # Configurations never go back, so the route is gone for good.
+            log.info(
+                'item.route_gone',
+                extra={
+                    'job_id': job.head.job_id,
+                    'item_id': progress.item.id,
+                    'config_version': config.current.version,
+                },
+            )
+            self._end(job, progress, RunEnd.IMPOSSIBLE)
+        return None
+
+    def _begin(self, job: OwnedJob, progress: ItemProgress, state: ServerState) -> None:
+        progress.is_running = True
+        item = RunningItem(state.listed.id, self._context.now_ms(), job.head.due_epoch_ms)
+        # The place is counted now, so that the next choice sees it.
+        place = self._sends.place(state, is_batch=True)
+        place.__enter__()
+        greenlet = gevent.spawn(self._run_item, job, progress, state, item, place)
+        self._running[item] = (job, greenlet)
+
+    def _run_item(
+        self,
+        job: OwnedJob,
+        progress: ItemProgress,
+        state: ServerState,
+        item: RunningItem,
+        place: object,
+    ) -> None:
+        end = RunEnd.BROKEN
+        detail = ''
+        started_ms = self._context.now_ms()
+        try:
+            end = self._send_item(job, progress, state)
+        except GaveWayError:
+            end = RunEnd.GAVE_WAY
+        except BrokenReplyError as error:
+            detail = error.message
+            if error.break_kind is not BreakKind.NO_CONNECTION:
+                state.note_failure(self._context.now_ms())
+        finally:
+            self._running.pop(item, None)
+            place.__exit__(None, None, None)  # type: ignore[attr-defined]
+        self._metrics.counters[f'items_{end.value}'] += 1
+        log.info(
+            'item.run',
+            extra={
+                'job_id': job.head.job_id,
+                'item_id': progress.item.id,
+                'server_id': state.listed.id,
+                'end': end.value,
+                'detail': detail,
+                'last_event_id': progress.last_event_id,
+                'took_ms': round(self._context.now_ms() - started_ms, 1),
+            },
+        )
+        self._end(job, progress, end)
+        self._pump()
+
+    def _end(self, job: OwnedJob, progress: ItemProgress, end: RunEnd) -> None:
+        job.end_run(progress, end, self._context.now_ms(), self._context.epoch_ms())
+
+    def _send_item(self, job: OwnedJob, progress: ItemProgress, state: ServerState) -> RunEnd:
+        item = progress.item
+        now_ms = self._context.now_ms()
+        connection = self._sends.connect(state, only_new=False, until_ms=now_ms + FIRST_EVENT_MS)
+        try:
+            headers = self._dialect.server_headers(
+                self._dialect.item_headers(item, job.head.host),
+                state.listed.id,
+                None,
+                progress.last_event_id,
+            )
+            headers.append((b'content-length', str(len(item.body)).encode()))
+            connection.send(b'POST', item.path.encode('latin-1'), headers, item.body)
+            until_ms = self._context.now_ms() + FIRST_EVENT_MS
+            reply = self._sends.read_reply(state, connection, RequestId(item.id), until_ms)
+            status = reply.head.status
+            if reply.facts.was_not_run:
+                raise BrokenReplyError(BreakKind.NO_CONNECTION, f'turned away with {status}')
+            if status >= 300:  # noqa: PLR2004
+                connection.read_body(until_ms, 65_536)
+                return self._end_of_failure(status)
+            splitter = EventSplitter(progress.last_event_id)
+            while (piece := connection.read_piece(until_ms)) is not None:
+                until_ms = self._context.now_ms() + EVENT_MS
+                for event in splitter.feed(piece):
+                    progress.texts.append(event.data.decode('utf-8', 'replace'))
+                    progress.last_event_id = event.id
+                    progress.breaks_in_row = 0
+            if not splitter.is_between_events:
+                raise BrokenReplyError(BreakKind.CUT, 'in the middle of an event')
+            state.note_success()
+            return RunEnd.COMPLETED
+        finally:
+            if connection.is_whole:
+                self._sends.pool.give(state.listed.id, connection)
+            else:
+                connection.close()
+
+    @staticmethod
+    def _end_of_failure(status: int) -> RunEnd:
+        if status == ITEM_IMPOSSIBLE:
+            return RunEnd.IMPOSSIBLE
+        return RunEnd.FAILED if status == ITEM_FAILED else RunEnd.BROKEN
+
+    def _run_commits(self) -> None:
+        while True:
+            gevent.sleep(COMMIT_EVERY_MS / 1e3)
+            for job_id, job in list(self.jobs.items()):
+                if job.finished and job_id not in self._committing and not self.is_stopping:
+                    gevent.spawn(self._commit_once, job)
+
+    def _commit_once(self, job: OwnedJob) -> CommitVerdict:
+        job_id = job.head.job_id
+        self._committing.add(job_id)
+        try:
+            results = job.to_commit()
+            verdict = self._store.commit(job, results)
+        finally:
+            self._committing.discard(job_id)
+        log.info(
+            'job.commit',
+            extra={
+                'job_id': job_id,
+                'verdict': verdict.value,
+                'results': len(results),
+                'listed': len(job.results),
+                'of': job.head.items_count,
+                'version': job.version,
+            },
+        )
+        if verdict is CommitVerdict.FENCED:
+            self.lose(job_id, 'fenced')
+        elif verdict is CommitVerdict.DONE:
+            self._wake(job_id)
+        return verdict
+
+    def _wake(self, job_id: JobId) -> None:
+        event = self._listed.pop(job_id, None)
+        if event is not None:
+            event.set()
+
+    def _run_looks(self) -> None:
+        """Look at the heads of jobs with open items."""
+        while True:
+            gevent.sleep(self._context.jittered_ms(HEAD_LOOK_MS) / 1e3)
+            for job in list(self.jobs.values()):
+                if not job.is_over:
+                    self._look(job)
+
+    def _look(self, job: OwnedJob) -> None:
+        stored = self._store.head(job.head.job_id)
+        if not stored or job.is_over or job.head.job_id in self._committing:
+            return
+        if stored.version != job.version and not stored.head.is_done:
+            self.lose(job.head.job_id, 'head changed')
--- /dev/null
+++ b/citrondyke/gateway/job_store.py
@@ -0,0 +1,397 @@
+"""Jobs in the store: one part for each, its head the fence of everything else."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+import zstandard
+
+from citrondyke.decisions.batch.job import ItemResult, ItemState, JobHead, JobItem
+from citrondyke.ids import InstanceId, JobId, ObjectKey
+from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
+from citrondyke.storage.partitioned_table import (
+    PartCommitted,
+    PartConflict,
+    PartTransaction,
+    RowCondition,
+    RowPut,
+    RowRemoval,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
+    from citrondyke.storage.object_store import ObjectStore
+    from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
+
+__all__ = (
+    'HEADS_TABLE',
+    'HEAD_KEY',
+    'CommitVerdict',
+    'JobStore',
+    'NoJob',
+    'NoJobReason',
+    'SavedProgress',
+    'StoredHead',
+    'decode_head',
+)
+
+Unpacked = TypeVar('Unpacked')
+
+HEADS_TABLE = 'jobs'
+HEAD_KEY = 'head'
+#: A row in it says that a job is open; its parts are the open jobs.
+OPEN_TABLE = 'jobs_open'
+ITEMS_TABLE = 'jobs_items'
+RESULTS_TABLE = 'jobs_results'
+PROGRESS_TABLE = 'jobs_progress'
+#: Items beyond this go into an object: a transaction holds 1 MB, its values in base64.
+INLINE_BYTES = 500_000
+#: Of a row's largest value, left for what is around a text.
+ROW_MARGIN_BYTES = 1_024
+#: A version that no row ever has: the conflict that it brings is a read that is never stale.
+IMPOSSIBLE_VERSION = 2**53
+COMPRESSION_LEVEL = 3
+#: Most that a chunk may unpack to; a caller's body is smaller.
+UNPACKED_LIMIT_BYTES = 64 * 1024 * 1024
+
+
+class StoredHead(msgspec.Struct, frozen=True):
+    """A job's head and its row's version."""
+
+    head: JobHead
+    version: int
+
+
+class NoJobReason(Enum):
+    """Why there is no head to show."""
+
+    #: There certainly is no such job.
+    UNKNOWN = 'unknown'
+    #: The store did not say.
+    UNSURE = 'unsure'
+
+
+class NoJob(msgspec.Struct, frozen=True):
+    """Stands in the place of a head."""
+
+    reason: NoJobReason
+
+    def __bool__(self) -> bool:
+        """Count as no job."""
+        return False
+
+
+UNKNOWN_JOB = NoJob(NoJobReason.UNKNOWN)
+UNSURE = NoJob(NoJobReason.UNSURE)
+
+
+class CommitVerdict(Enum):
+    """What became of a write that needs the head unchanged."""
+
+    DONE = 'done'
+    #: The head changed: the job was ended or belongs to another instance now.
+    FENCED = 'fenced'
+    #: Nothing was written.
+    NOT_WRITTEN = 'not_written'
+    #: It may have been written or may still be; the same write may be tried again.
+    IN_DOUBT = 'in_doubt'
+
+
+class SavedProgress(msgspec.Struct, frozen=True):
+    """How far an item had come when its job changed hands."""
+
+    item_id: str
+    last_event_id: int
+    text: str
+    failures_count: int = 0
+
+
+class _StoredResult(msgspec.Struct, frozen=True):
+    id: str
+    state: ItemState
+    text: str = ''
+    #: Where a text that is larger than a row lies.
+    object_key: str = ''
+
+
+class JobStore:
+    """Reads and writes jobs; every call tells what is certain."""
+
+    def __init__(self, table: PartitionedTable, objects: ObjectStore, row_bytes: int) -> None:
+        """Use the store's clients.
+
+        :param row_bytes: largest value of a row.
+        """
+        self._table = table
+        self._objects = objects
+        self._row_bytes = row_bytes - ROW_MARGIN_BYTES
+
+    def accept(self, head: JobHead, items: Sequence[JobItem]) -> StoredHead | CommitVerdict:
+        """Make a job durable, once; an earlier acceptance of the same job is given instead."""
+        packed = _pack(list(items))
+        chunks = [
+            packed[start : start + self._row_bytes]
+            for start in range(0, len(packed), self._row_bytes)
+        ]
+        in_objects = len(packed) > INLINE_BYTES
+        head = msgspec.structs.replace(head, chunks_count=len(chunks), in_objects=in_objects)
+        puts = [_head_put(head), RowPut(OPEN_TABLE, HEAD_KEY, b'1')]
+        if in_objects:
+            failure = self._objects.put(_items_object(head.job_id), packed)
+            if failure is not None:
+                return CommitVerdict.NOT_WRITTEN
+        else:
+            puts += [RowPut(ITEMS_TABLE, _number(n), chunk) for n, chunk in enumerate(chunks)]
+        wanted = PartTransaction(
+            head.job_id, (RowCondition(HEADS_TABLE, HEAD_KEY, 0),), tuple(puts)
+        )
+        answer = self._table.transact(wanted)
+        if isinstance(answer, PartCommitted):
+            return StoredHead(head, answer.version)
+        if isinstance(answer, PartConflict):
+            row = answer.row(HEADS_TABLE, HEAD_KEY)
+            return _stored(row) if row is not None else CommitVerdict.IN_DOUBT
+        return _verdict(answer)
+
+    def head(self, job_id: JobId) -> StoredHead | NoJob:
+        """Read a job's head as it stands now, never as it stood."""
+        wanted = PartTransaction(job_id, (RowCondition(HEADS_TABLE, HEAD_KEY, IMPOSSIBLE_VERSION),))
+        answer = self._table.transact(wanted)
+        if not isinstance(answer, PartConflict):
+            return UNSURE
+        row = answer.row(HEADS_TABLE, HEAD_KEY)
+        if row is None or row.value is None:
+            return UNKNOWN_JOB
+        return _stored(row)
+
+    def change_head(self, stored: StoredHead, head: JobHead) -> StoredHead | CommitVerdict:
+        """Change a job's head if it is still as it was read."""
+        wanted = PartTransaction(
+            head.job_id,
+            (RowCondition(HEADS_TABLE, HEAD_KEY, stored.version),),
+            (_head_put(head),),
+            (RowRemoval(OPEN_TABLE, HEAD_KEY),) if head.is_ended else (),
+        )
+        answer = self._table.transact(wanted)
+        if isinstance(answer, PartCommitted):
+            return StoredHead(head, answer.version)
+        if isinstance(answer, PartConflict):
+            row = answer.row(HEADS_TABLE, HEAD_KEY)
+            # A lost reply: the row already is what this write makes it.
+            if row is not None and row.value is not None and _stored(row).head == head:
+                return _stored(row)
+            return CommitVerdict.FENCED
+        return _verdict(answer)
+
+    def items(self, head: JobHead) -> list[JobItem] | PlatformFailure:
+        """Read a job's items."""
+        if head.in_objects:
+            packed = self._objects.get(_items_object(head.job_id))
+            if isinstance(packed, PlatformFailure):
+                return packed
+            return _unpack(packed, list[JobItem])
+        rows = self._rows(ITEMS_TABLE, head.job_id)
+        if isinstance(rows, PlatformFailure):
+            return rows
+        if len(rows) < head.chunks_count:
+            # A read from before the acceptance; the next one shows them.
+            return PlatformFailure(PlatformFailureReason.UNAVAILABLE)
+        return _unpack(b''.join(row.value or b'' for row in rows), list[JobItem])
+
+    def results(
+        self, job_id: JobId, after: int, at_least_version: int = 0
+    ) -> list[ItemResult] | PlatformFailure:
+        """Read results from a position on.
+
+        :param at_least_version: a read from before this version is not good enough.
+        """
+        rows = self._rows(RESULTS_TABLE, job_id, _number(after) if after else '', at_least_version)
+        if isinstance(rows, PlatformFailure):
+            return rows
+        found = []
+        for position, row in enumerate(rows, after):
+            if row.key != _number(position):
+                break
+            result = self._result(row)
+            if isinstance(result, PlatformFailure):
+                return result
+            found.append(result)
+        return found
+
+    def commit(self, job: OwnedJob, results: Sequence[ItemResult]) -> CommitVerdict:
+        """Make results durable at the next positions, if the job is still this owner's.
+
+        The positions must be free: a commit that went through without its reply shows itself by
+        its own rows, and is not written a second time.
+        """
+        head = job.head
+        first = len(job.results)
+        is_last = job.would_be_done(list(results))
+        conditions = [RowCondition(HEADS_TABLE, HEAD_KEY, job.version)]
+        puts = []
+        for position, result in enumerate(results, first):
+            value = self._result_value(head.job_id, position, result)
+            if isinstance(value, PlatformFailure):
+                return _verdict(value)
+            conditions.append(RowCondition(RESULTS_TABLE, _number(position), 0))
+            puts.append(RowPut(RESULTS_TABLE, _number(position), value))
+        removals: list[RowRemoval] = []
+        done_head = msgspec.structs.replace(head, is_done=True)
+        if is_last:
+            puts.append(_head_put(done_head))
+            removals.append(RowRemoval(OPEN_TABLE, HEAD_KEY))
+        answer = self._table.transact(
+            PartTransaction(head.job_id, tuple(conditions), tuple(puts), tuple(removals))
+        )
+        if isinstance(answer, PartCommitted):
+            job.committed(list(results), answer.version if is_last else None)
+            return CommitVerdict.DONE
+        if isinstance(answer, PlatformFailure):
+            return _verdict(answer)
+        return self._own_commit(job, results, answer, puts, done_head if is_last else head)
+
+    def release(self, job: OwnedJob, progress: Sequence[ItemProgress]) -> CommitVerdict:
+        """Give a job back with the progress of its items, so that the next owner goes on."""
+        head = msgspec.structs.replace(job.head, owner=InstanceId(''), owner_life='')
+        puts = [_head_put(head)]
+        for each in progress:
+            saved = SavedProgress(
+                each.item.id,
+                each.last_event_id or 0,
+                '\n'.join(each.texts),
+                each.failures_count,
+            )
+            value = _pack(saved)
+            if each.last_event_id is not None and len(value) <= self._row_bytes:
+                puts.append(RowPut(PROGRESS_TABLE, each.item.id, value))
+        wanted = PartTransaction(
+            head.job_id,
+            (RowCondition(HEADS_TABLE, HEAD_KEY, job.version),),
+            tuple(puts[:COMMIT_ROWS]),
+        )
+        answer = self._table.transact(wanted)
+        if isinstance(answer, PartCommitted):
+            return CommitVerdict.DONE
+        return CommitVerdict.FENCED if isinstance(answer, PartConflict) else _verdict(answer)
+
+    def progress(self, job_id: JobId) -> list[SavedProgress] | PlatformFailure:
+        """Read the progress that an earlier owner left."""
+        rows = self._rows(PROGRESS_TABLE, job_id)
+        if isinstance(rows, PlatformFailure):
+            return rows
+        return [_unpack(row.value or b'', SavedProgress) for row in rows]
+
+    def open_jobs(self) -> list[JobId] | PlatformFailure:
+        """List the open jobs; the list may be some seconds old."""
+        found: list[JobId] = []
+        while True:
+            page = self._table.list_parts(OPEN_TABLE, found[-1] if found else '')
+            if isinstance(page, PlatformFailure):
+                return page
+            found.extend(JobId(part) for part in page)
+            if len(page) < PARTS_PAGE:
+                return found
+
+    def _own_commit(
+        self,
+        job: OwnedJob,
+        results: Sequence[ItemResult],
+        conflict: PartConflict,
+        puts: Sequence[RowPut],
+        head: JobHead,
+    ) -> CommitVerdict:
+        """Tell a lost reply from a fence."""
+        for put in puts:
+            row = conflict.row(put.table, put.key)
+            if row is None or row.value != put.value:
+                return CommitVerdict.FENCED
+        row = conflict.row(HEADS_TABLE, HEAD_KEY)
+        if row is None or _stored(row).head != head:
+            return CommitVerdict.FENCED
+        job.committed(list(results), row.version if head.is_done else None)
+        return CommitVerdict.DONE
+
+    def _rows(
+        self, table: str, job_id: JobId, from_key: str = '', at_least_version: int = 0
+    ) -> list[PartRow] | PlatformFailure:
+        rows: list[PartRow] = []
+        while True:
+            page = self._table.read(table, job_id, from_key)
+            if isinstance(page, PlatformFailure):
+                return page
+            if page.version < at_least_version:
+                return PlatformFailure(PlatformFailureReason.UNAVAILABLE)
+            rows.extend(page.rows)
+            if not page.has_more or not page.rows:
+                return rows
+            from_key = page.rows[-1].key + '\0'
+
+    def _result(self, row: PartRow) -> ItemResult | PlatformFailure:
+        stored = _unpack(row.value or b'', _StoredResult)
+        if not stored.object_key:
+            return ItemResult(stored.id, stored.state, stored.text)
+        packed = self._objects.get(ObjectKey(stored.object_key))
+        if isinstance(packed, PlatformFailure):
+            return packed
+        return ItemResult(stored.id, stored.state, _unpack(packed, str))
+
+    def _result_value(
+        self, job_id: JobId, position: int, result: ItemResult
+    ) -> bytes | PlatformFailure:
+        value = _pack(_StoredResult(result.id, result.state, result.text))
+        if len(value) <= self._row_bytes:
+            return value
+        key = ObjectKey(f'job-{job_id}-result-{position}-{result.id}')
+        failure = self._objects.put(key, _pack(result.text))
+        if failure is not None:
+            return failure
+        return _pack(_StoredResult(result.id, result.state, object_key=key))
+
+
+#: Rows in one transaction, the head's included.
+COMMIT_ROWS = 90
+#: Parts in one answer of the store; fewer say that there are no more.
+PARTS_PAGE = 1_000
+
+
+def decode_head(value: bytes) -> JobHead:
+    """Decode a head's row.
+
+    :raises msgspec.DecodeError: when it is none.
+    """
+    return msgspec.json.decode(value, type=JobHead)
+
+
+def _head_put(head: JobHead) -> RowPut:
+    return RowPut(HEADS_TABLE, HEAD_KEY, msgspec.json.encode(head))
+
+
+def _stored(row: PartRow) -> StoredHead:
+    return StoredHead(decode_head(row.value or b''), row.version)
+
+
+def _verdict(failure: PlatformFailure) -> CommitVerdict:
+    if failure.reason is PlatformFailureReason.AMBIGUOUS:
+        return CommitVerdict.IN_DOUBT
+    return CommitVerdict.NOT_WRITTEN
+
+
+def _number(value: int) -> str:
+    return f'{value:08d}'
+
+
+def _items_object(job_id: JobId) -> ObjectKey:
+    return ObjectKey(f'job-{job_id}-items')
+
+
+def _pack(value: object) -> bytes:
+    return zstandard.ZstdCompressor(level=COMPRESSION_LEVEL).compress(msgspec.msgpack.encode(value))
+
+
+def _unpack(value: bytes, kind: type[Unpacked]) -> Unpacked:
+    raw = zstandard.ZstdDecompressor().decompress(value, max_output_size=UNPACKED_LIMIT_BYTES)
+    return msgspec.msgpack.decode(raw, type=kind)
--- /dev/null
+++ b/citrondyke/gateway/membership.py
@@ -0,0 +1,122 @@
+"""Heartbeats of instances in the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+import msgspec
+
+from citrondyke.ids import InstanceId
+from citrondyke.storage.failure import PlatformFailure
+from citrondyke.storage.partitioned_table import PartTransaction, RowPut, RowRemoval
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from citrondyke.decisions.batch.takeover import LiveInstances
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.gateway.dependency import Dependency
+    from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
+
+__all__ = ('INSTANCES_TABLE', 'Heartbeat', 'Membership')
+
+log = logbook.Logger(__name__)
+
+INSTANCES_TABLE = 'instances'
+#: A third of the silence after which an instance is taken for gone.
+BEAT_EVERY_MS = 900.0
+#: A read of the table after a longer gap than this proves nobody's silence.
+LOOK_GAP_MS = 2_600.0
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """An instance's row."""
+
+    life: str
+    ip: str
+    peer_port: int
+    zone: str
+    number: int
+
+
+class Membership:
+    """Writes this instance's heartbeat and takes in the others'."""
+
+    def __init__(
+        self,
+        context: Context,
+        life: str,
+        address: tuple[str, int],
+        table: PartitionedTable,
+        live: LiveInstances,
+        store: Dependency,
+    ) -> None:
+        """Use the parts handed in.
+
+        :param address: of this instance, for its peers.
+        """
+        self._context = context
+        self._life = life
+        self._address = address
+        self._table = table
+        self._live = live
+        self._store = store
+        self._number = 0
+        self._is_leaving = False
+        #: Peers by id, this instance left out.
+        self.peers: dict[InstanceId, Heartbeat] = {}
+
+    def start(self) -> None:
+        """Begin to write heartbeats."""
+        gevent.spawn(self._run)
+
+    def leave(self) -> None:
+        """Take this instance's row away, so that others need not wait for its silence."""
+        self._is_leaving = True
+        removal = RowRemoval(INSTANCES_TABLE, self._context.instance_id)
+        self._table.transact(PartTransaction('', removals=(removal,)))
+
+    def on_rows(self, rows: Iterable[PartRow]) -> None:
+        """Take in changes."""
+        for row in rows:
+            instance_id = InstanceId(row.key)
+            if row.value is None:
+                self._forget(instance_id)
+                continue
+            try:
+                beat = msgspec.json.decode(row.value, type=Heartbeat)
+            except msgspec.DecodeError as error:
+                log.warning('heartbeat.unreadable', extra={'of': row.key, 'detail': str(error)})
+                continue
+            self._live.note(instance_id, beat.life, row.version)
+            if instance_id != self._context.instance_id:
+                self._learn(instance_id, beat)
+
+    def on_listing(self, rows: list[PartRow], _: int) -> None:
+        """Take in a read of the whole table."""
+        self.on_rows(rows)
+        self._live.note_look(LOOK_GAP_MS)
+
+    def _learn(self, instance_id: InstanceId, beat: Heartbeat) -> None:
+        known = self.peers.get(instance_id)
+        self.peers[instance_id] = beat
+        if known is None or known.life != beat.life:
+            log.info('peer.known', extra={'peer': instance_id, 'life': beat.life, 'ip': beat.ip})
+
+    def _forget(self, instance_id: InstanceId) -> None:
+        self._live.note_gone(instance_id)
+        if self.peers.pop(instance_id, None) is not None:
+            log.info('peer.left', extra={'peer': instance_id})
+
+    def _run(self) -> None:
+        while not self._is_leaving:
+            self._number += 1
+            ip, port = self._address
+            beat = Heartbeat(self._life, ip, port, self._context.zone, self._number)
+            put = RowPut(INSTANCES_TABLE, self._context.instance_id, msgspec.json.encode(beat))
+            answer = self._table.transact(PartTransaction('', puts=(put,)))
+            if isinstance(answer, PlatformFailure):
+                self._store.note_failure(f'heartbeat: {answer.reason.value}')
+            gevent.sleep(self._context.jittered_ms(BEAT_EVERY_MS) / 1e3)
--- a/citrondyke/gateway/metrics.py
+++ b/citrondyke/gateway/metrics.py
@@ -81,9 +81,7 @@
         running = 0
         for bound, count in zip((*BUCKETS_MS, '+Inf'), histogram.counts, strict=True):
             running += count
-            lines.append(
-                f'citrondyke_{name}_ms_bucket{{route="{route}",le="{bound}"}} {running}'
-            )
+            lines.append(f'citrondyke_{name}_ms_bucket{{route="{route}",le="{bound}"}} {running}')
         lines.append(f'citrondyke_{name}_ms_sum{{route="{route}"}} {histogram.sum_ms:.1f}')
         lines.append(f'citrondyke_{name}_ms_count{{route="{route}"}} {running}')
     return lines
--- a/citrondyke/gateway/server_connection.py
+++ b/citrondyke/gateway/server_connection.py
@@ -92,9 +92,7 @@
             if not isinstance(event, h11.Response):
                 raise BrokenReplyError(BreakKind.MALFORMED, type(event).__name__)
             headers = [(bytes(name), bytes(value)) for name, value in event.headers.raw_items()]
-            head = ReplyHead(
-                event.status_code, [(name.lower(), value) for name, value in headers]
-            )
+            head = ReplyHead(event.status_code, [(name.lower(), value) for name, value in headers])
             self._note_keep_alive(head)
             return head
 
--- a/citrondyke/gateway/server_sends.py
+++ b/citrondyke/gateway/server_sends.py
@@ -16,7 +16,7 @@
 
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.dialect import Dialect, ReplyFacts
-    from citrondyke.gateway.server_connection import Headers, ReplyHead, ServerConnection
+    from citrondyke.gateway.server_connection import ReplyHead, ServerConnection
     from citrondyke.ids import RequestId
     from citrondyke.util.clock import Clock
 
--- a/citrondyke/gateway/small_pages.py
+++ b/citrondyke/gateway/small_pages.py
@@ -57,7 +57,8 @@
 
 
 def _page(status: bytes, body: bytes) -> bytes:
-    return (
-        b'HTTP/1.1 %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%b'
-        % (status, len(body), body)
+    return b'HTTP/1.1 %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%b' % (
+        status,
+        len(body),
+        body,
     )
--- a/citrondyke/gateway/table_follower.py
+++ b/citrondyke/gateway/table_follower.py
@@ -93,9 +93,7 @@
                 self._on_rows(feed.rows)
                 continue
             if feed.reason is PlatformFailureReason.HISTORY_LOST:
-                log.info(
-                    'feed.history_lost', extra={'table': self._name, 'version': self._version}
-                )
+                log.info('feed.history_lost', extra={'table': self._name, 'version': self._version})
                 # The next read shows what the lost history held; the feed goes on from there.
                 self._version = 0
                 self.read_once()
--- a/citrondyke/platform/store_client.py
+++ b/citrondyke/platform/store_client.py
@@ -192,7 +192,6 @@
                 return found
 
 
-
 def _decode(
     answer: HttpAnswer | HttpFailure, kind: type[Decoded], also: tuple[int, ...] = ()
 ) -> Decoded | PlatformFailure:
