Tell peers what is on each server

Each instance now sends its counts by server to its peers when they change, at most 1,000 datagrams a second, and owners of batch items cut their part of what is too much. Peers also hand on configuration and servers while the store turns an instance away. Ruled out: a steward for each server (one more hop in the way of a cut, and none is needed at 13).

--- a/citrondyke/decisions/forwarding/listed_rows.py
+++ b/citrondyke/decisions/forwarding/listed_rows.py
@@ -46,6 +46,10 @@
         """Give what stands in the rows that are there."""
         return [row.value for row in self._rows.values() if row.value is not None]
 
+    def rows(self) -> list[SeenRow[Value]]:
+        """Give the rows that are there."""
+        return list(self._rows.values())
+
     def note_outage(self, now_ms: float) -> None:
         """Take note that the store did not answer."""
         self._doubtful_until_ms = now_ms + self._grace_ms
--- a/citrondyke/decisions/forwarding/server_book.py
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -6,14 +6,14 @@
 from typing import TYPE_CHECKING
 
 from citrondyke.decisions.forwarding.server_state import ServerState
-from citrondyke.util.hashing import rendezvous_weight
+from citrondyke.util.hashing import content_bucket, rendezvous_weight
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.listed_backend import ListedBackend
     from citrondyke.ids import ServerId, ServiceName
 
-__all__ = ('ServerBook',)
+__all__ = ('ServerBook', 'server_digest')
 
 #: What a server in another availability zone must be better by, in requests: the way there costs
 #: a caller 0.9 to 1.4 ms and bytes between zones cost money, a request ahead costs 30 ms or more.
@@ -26,6 +26,11 @@
 FASTEST_FACTOR = 0.7
 
 
+def server_digest(server_id: ServerId) -> int:
+    """Shorten a server's id for messages between instances."""
+    return content_bucket(server_id.encode()) & 0xFFFF_FFFF
+
+
 class ServerBook:
     """Servers by id and by service."""
 
@@ -34,6 +39,7 @@
         self._context = context
         self._states: dict[ServerId, ServerState] = {}
         self._by_service: dict[ServiceName, list[ServerState]] = {}
+        self._by_digest: dict[int, ServerState] = {}
 
     def replace(self, listed: Iterable[ListedBackend]) -> tuple[list[ServerId], list[ServerId]]:
         """Take in the list of servers.
@@ -51,6 +57,8 @@
                 self._states[server_id] = ServerState(entry)
             else:
                 state.listed = entry
+        if came or went:
+            self._by_digest = {server_digest(each): self._states[each] for each in self._states}
         self._by_service = {}
         for state in self._states.values():
             self._by_service.setdefault(state.listed.service, []).append(state)
@@ -60,6 +68,10 @@
         """Give what is believed of a server; ``None`` when it is not listed any more."""
         return self._states.get(server_id)
 
+    def by_digest(self, digest: int) -> ServerState | None:
+        """Find a server by the digest of its id."""
+        return self._by_digest.get(digest)
+
     def states(self) -> Iterable[ServerState]:
         """Give all servers."""
         return self._states.values()
--- a/citrondyke/gateway/beliefs.py
+++ b/citrondyke/gateway/beliefs.py
@@ -107,6 +107,26 @@
         self.has_servers = True
         self.settle('read')
 
+    def known_servers(self) -> tuple[list[SeenRow[ListedBackend]], int]:
+        """Give the rows of the servers, and the version as of which they were listed."""
+        return self._servers.rows(), self._servers.version
+
+    def take_servers(
+        self, rows: list[SeenRow[ListedBackend]], version: int, *, is_whole: bool
+    ) -> None:
+        """Take in the servers that a peer knows.
+
+        :param is_whole: whether the peer heard from the store just now, so that a server which it
+            does not list is gone.
+        """
+        now_ms = self._context.now_ms()
+        if is_whole:
+            self._servers.apply_listing(rows, version, now_ms)
+        else:
+            self._servers.apply_feed(rows, now_ms)
+        self.has_servers = self.has_servers or bool(rows)
+        self.settle('peer')
+
     def settle(self, source: str) -> None:
         """Make the list of servers what the rows say by now."""
         now_ms = self._context.now_ms()
--- a/citrondyke/gateway/caller_connection.py
+++ b/citrondyke/gateway/caller_connection.py
@@ -142,7 +142,7 @@
 
     def start_stream(self, status: int, headers: Headers) -> None:
         """Send the head of an answer whose length is not known."""
-        self._send_head(status, headers + [(b'Transfer-Encoding', b'chunked')])
+        self._send_head(status, [*headers, (b'Transfer-Encoding', b'chunked')])
 
     def send_piece(self, data: bytes) -> None:
         """Send a piece of a stream.
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -14,6 +14,7 @@
 from citrondyke.decisions.batch.takeover import LiveInstances, Takeover
 from citrondyke.decisions.core.context import Context
 from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
+from citrondyke.decisions.forwarding.load_notices import LoadNotices
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.gateway.beliefs import Beliefs
 from citrondyke.gateway.dependency import Dependency
@@ -26,15 +27,21 @@
 from citrondyke.gateway.job_store import JobStore
 from citrondyke.gateway.membership import INSTANCES_TABLE, Membership
 from citrondyke.gateway.metrics import Metrics
+from citrondyke.gateway.peers import Peers
 from citrondyke.gateway.server_sends import ServerSends
 from citrondyke.gateway.small_pages import SmallPages
 from citrondyke.gateway.table_follower import TableFollower
 from citrondyke.util.clock import SystemClock
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gevent import socket
+
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.outside import Outside
     from citrondyke.gateway.settings import GatewaySettings
+    from citrondyke.storage.partitioned_table import PartRow
 
 __all__ = ('GatewayInstance',)
 
@@ -110,6 +117,17 @@
             self.runner,
             Takeover(self.context, self._live),
         )
+        self.peers = Peers(
+            self.context,
+            settings.peer_port,
+            settings.seed_ips,
+            self.membership,
+            self.beliefs,
+            self._store,
+            LoadNotices(self.context, self.book),
+            self.runner.make_room,
+            self.runner.look_at,
+        )
         self.jobs = JobDoor(
             self.context,
             life,
@@ -117,6 +135,7 @@
             job_store,
             self.runner,
             JobReader(self.context, job_store),
+            self.peers.tell_job_changed,
             settings.memory_bytes,
         )
         self.front = Front(
@@ -149,7 +168,14 @@
             self.beliefs.on_server_rows,
             self.beliefs.on_server_listing,
         )
-        self._follower(INSTANCES_TABLE, self.membership.on_rows, self.membership.on_listing)
+        # Heartbeats change the table all the time, and silences are judged by the second.
+        self._follower(
+            INSTANCES_TABLE,
+            self.membership.on_rows,
+            self.membership.on_listing,
+            with_feed=False,
+        )
+        self.peers.start(settings.ip)
         self.membership.start()
         self.runner.start()
         self.keeper.start()
@@ -192,19 +218,27 @@
     def _is_ready(self) -> bool:
         return self.beliefs.is_complete and not self._stopping.is_set()
 
-    def _listen(self, ip: str, port: int, handle: object) -> None:
+    def _listen(self, ip: str, port: int, handle: Callable[[socket.socket, object], None]) -> None:
         server = StreamServer((ip, port), handle, backlog=BACKLOG)
         server.start()
         self._servers.append(server)
 
-    def _follower(self, name: str, on_rows: object, on_listing: object) -> None:
+    def _follower(
+        self,
+        name: str,
+        on_rows: Callable[[tuple[PartRow, ...]], None],
+        on_listing: Callable[[list[PartRow], int], None],
+        *,
+        with_feed: bool = True,
+    ) -> None:
         TableFollower(
             self.context,
             self._outside.table,
             name,
             self._store,
-            on_rows,  # type: ignore[arg-type]
-            on_listing,  # type: ignore[arg-type]
+            on_rows,
+            on_listing,
+            with_feed=with_feed,
         ).start()
 
     def _run_settle(self) -> None:
@@ -213,4 +247,7 @@
             self.beliefs.settle('grace')
 
     def _on_load_change(self, state: ServerState) -> None:
-        """Make room on a server that fills up."""
+        """Tell peers, and make room on a server that fills up."""
+        self.peers.note_load_change()
+        if state.own.batch and state.own.online:
+            self.runner.make_room()
--- a/citrondyke/gateway/job_door.py
+++ b/citrondyke/gateway/job_door.py
@@ -17,6 +17,8 @@
 from citrondyke.ids import InstanceId, JobId
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from citrondyke.decisions.batch.job import ItemResult, JobItem
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.route import Route
@@ -58,11 +60,13 @@
         store: JobStore,
         runner: JobRunner,
         reader: JobReader,
+        tell_owner: Callable[[JobId, InstanceId], None],
         memory_bytes: int,
     ) -> None:
         """Use the parts handed in.
 
         :param life: names this life of this instance.
+        :param tell_owner: tells a job's owner that its head changed.
         """
         self._context = context
         self._life = life
@@ -70,6 +74,7 @@
         self._store = store
         self._runner = runner
         self._reader = reader
+        self._tell_owner = tell_owner
         self._items_limit_bytes = memory_bytes * MEMORY_SHARE
 
     def submit(
@@ -234,6 +239,7 @@
                 StoredHead,
             ):
                 self._runner.lose(call.job_id, 'ended by its caller')
+                self._tell_owner(call.job_id, stored.head.owner)
                 log.info('job.ended', extra={'job_id': call.job_id})
                 caller.unwatch()
                 self._answer(caller, facts, 200)
--- a/citrondyke/gateway/job_runner.py
+++ b/citrondyke/gateway/job_runner.py
@@ -107,6 +107,12 @@
                 greenlet.kill(GaveWayError, block=False)
         self._wake(job_id)
 
+    def look_at(self, job_id: JobId) -> None:
+        """Look whether a job still is this instance's."""
+        job = self.owned(job_id)
+        if job is not None:
+            gevent.spawn(self._look, job)
+
     def make_room(self) -> None:
         """Cut the items that stand in the way of online requests."""
         if not self._running:
--- a/citrondyke/gateway/membership.py
+++ b/citrondyke/gateway/membership.py
@@ -99,6 +99,17 @@
         self.on_rows(rows)
         self._live.note_look(LOOK_GAP_MS)
 
+    def own_beat(self) -> Heartbeat:
+        """Give this instance's row."""
+        ip, port = self._address
+        return Heartbeat(self._life, ip, port, self._context.zone, self._number)
+
+    def learn_from_peer(self, beats: dict[InstanceId, Heartbeat]) -> None:
+        """Take in the addresses that a peer knows; they prove nobody's life."""
+        for instance_id, beat in beats.items():
+            if instance_id != self._context.instance_id and instance_id not in self.peers:
+                self._learn(instance_id, beat)
+
     def _learn(self, instance_id: InstanceId, beat: Heartbeat) -> None:
         known = self.peers.get(instance_id)
         self.peers[instance_id] = beat
@@ -113,9 +124,8 @@
     def _run(self) -> None:
         while not self._is_leaving:
             self._number += 1
-            ip, port = self._address
-            beat = Heartbeat(self._life, ip, port, self._context.zone, self._number)
-            put = RowPut(INSTANCES_TABLE, self._context.instance_id, msgspec.json.encode(beat))
+            value = msgspec.json.encode(self.own_beat())
+            put = RowPut(INSTANCES_TABLE, self._context.instance_id, value)
             answer = self._table.transact(PartTransaction('', puts=(put,)))
             if isinstance(answer, PlatformFailure):
                 self._store.note_failure(f'heartbeat: {answer.reason.value}')
--- /dev/null
+++ b/citrondyke/gateway/peer_codec.py
@@ -0,0 +1,108 @@
+"""Messages between gateway instances as Cap'n Proto."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import capnp
+import msgspec
+
+from citrondyke.decisions.forwarding.load_notices import ServerLoad
+from citrondyke.ids import ConfigVersion, InstanceId, JobId
+
+__all__ = (
+    'JobChanged',
+    'KnowledgeData',
+    'KnowledgeWanted',
+    'LoadNotice',
+    'PeerMessage',
+    'PeerText',
+    'decode_message',
+    'encode_message',
+)
+
+_SCHEMA = capnp.load(str(Path(__file__).parent.parent / 'peer' / 'gateway.capnp'))
+#: Counts are 16 bits wide on the wire; a server has tens of places.
+COUNT_LIMIT = 65_535
+
+
+class PeerText(msgspec.Struct, frozen=True):
+    """What a message says."""
+
+
+class LoadNotice(PeerText, frozen=True):
+    """Requests that the sender has on servers."""
+
+    loads: list[ServerLoad]
+
+
+class JobChanged(PeerText, frozen=True):
+    """A job's head changed."""
+
+    job_id: JobId
+
+
+class KnowledgeWanted(PeerText, frozen=True):
+    """Asks for all that the receiver knows."""
+
+
+class KnowledgeData(PeerText, frozen=True):
+    """What an instance knows, encoded."""
+
+    data: bytes
+
+
+class PeerMessage(msgspec.Struct, frozen=True):
+    """A message and its sender."""
+
+    sender: InstanceId
+    config_version: ConfigVersion
+    text: PeerText
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Encode a message."""
+    built = _SCHEMA.GatewayMessage.new_message()
+    built.sender = message.sender
+    built.configVersion = message.config_version
+    text = message.text
+    if isinstance(text, LoadNotice):
+        loads = built.init('load', len(text.loads))
+        for place, load in zip(loads, text.loads, strict=True):
+            place.server = load.server
+            place.online = min(load.online, COUNT_LIMIT)
+            place.batch = min(load.batch, COUNT_LIMIT)
+    elif isinstance(text, JobChanged):
+        built.jobChanged = text.job_id
+    elif isinstance(text, KnowledgeData):
+        built.knowledge = text.data
+    else:
+        built.knowledgeWanted = None
+    data: bytes = built.to_bytes_packed()
+    return data
+
+
+def decode_message(data: bytes) -> PeerMessage:
+    """Decode a message.
+
+    :raises ValueError: when the bytes are none.
+    """
+    try:
+        read = _SCHEMA.GatewayMessage.from_bytes_packed(data)
+        text = _READERS[str(read.which())](read)
+        return PeerMessage(InstanceId(read.sender), ConfigVersion(read.configVersion), text)
+    except (capnp.KjException, KeyError, UnicodeDecodeError) as error:
+        raise ValueError(str(error)) from error
+
+
+def _read_load(read: Any) -> PeerText:
+    return LoadNotice([ServerLoad(each.server, each.online, each.batch) for each in read.load])
+
+
+_READERS: dict[str, Any] = {
+    'load': _read_load,
+    'jobChanged': lambda read: JobChanged(JobId(read.jobChanged)),
+    'knowledgeWanted': lambda _: KnowledgeWanted(),
+    'knowledge': lambda read: KnowledgeData(bytes(read.knowledge)),
+}
--- /dev/null
+++ b/citrondyke/gateway/peers.py
@@ -0,0 +1,257 @@
+"""Traffic between instances: datagrams for counts, a stream for what one knows."""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+import msgspec
+from gevent.event import Event
+from gevent.server import DatagramServer, StreamServer
+
+from citrondyke.decisions.forwarding.listed_backend import ListedBackend
+from citrondyke.decisions.forwarding.listed_rows import SeenRow
+from citrondyke.errors.broken_reply import BrokenReplyError
+from citrondyke.gateway.membership import Heartbeat
+from citrondyke.gateway.peer_codec import (
+    JobChanged,
+    KnowledgeData,
+    KnowledgeWanted,
+    LoadNotice,
+    PeerMessage,
+    PeerText,
+    decode_message,
+    encode_message,
+)
+from citrondyke.gateway.sockets import connect, tune
+from citrondyke.ids import InstanceId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gevent import socket
+
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.load_notices import LoadNotices
+    from citrondyke.gateway.beliefs import Beliefs
+    from citrondyke.gateway.dependency import Dependency
+    from citrondyke.gateway.membership import Membership
+    from citrondyke.ids import JobId
+
+__all__ = ('Knowledge', 'Peers')
+
+log = logbook.Logger(__name__)
+
+#: Servers in one datagram: 12 bytes each at the most, and it must fit one packet.
+LOADS_PER_DATAGRAM = 80
+STREAM_TIMEOUT_S = 1.0
+CONNECT_MS = 300.0
+FRAME_LIMIT_BYTES = 16 * 1024 * 1024
+#: While the store does not answer this instance, a peer is asked so often what it knows.
+ASK_EVERY_MS = 400.0
+#: The store counts as out of reach for that after so long without an answer.
+ASK_AFTER_MS = 700.0
+#: A peer that heard from the store within this time knows which servers are gone.
+WHOLE_MS = 1_500.0
+NOTICE_LOOK_S = 0.25
+_LENGTH = struct.Struct('>I')
+
+
+class Knowledge(msgspec.Struct, frozen=True):
+    """What an instance knows from the store."""
+
+    config: bytes
+    #: Time since the store confirmed the configuration.
+    config_age_ms: float
+    servers: list[SeenRow[ListedBackend]]
+    servers_version: int
+    #: Time since the store last answered.
+    store_age_ms: float
+    peers: dict[InstanceId, Heartbeat]
+
+
+class Peers:
+    """One end of the traffic between instances."""
+
+    def __init__(
+        self,
+        context: Context,
+        port: int,
+        seed_ips: tuple[str, ...],
+        membership: Membership,
+        beliefs: Beliefs,
+        store: Dependency,
+        notices: LoadNotices,
+        on_loads: Callable[[], None],
+        on_job: Callable[[JobId], None],
+    ) -> None:
+        """Use the parts handed in; nothing is sent before ``start``.
+
+        :param on_loads: called after a peer's counts were taken in.
+        :param on_job: called when a job's head changed.
+        """
+        self._context = context
+        self._port = port
+        self._seed_ips = seed_ips
+        self._membership = membership
+        self._beliefs = beliefs
+        self._store = store
+        self._notices = notices
+        self._on_loads = on_loads
+        self._on_job = on_job
+        self._changed = Event()
+        self._datagrams: DatagramServer | None = None
+        self._asking = False
+        self.sent_bytes = 0
+
+    def start(self, ip: str) -> None:
+        """Listen and begin to send."""
+        self._datagrams = DatagramServer((ip, self._port), self._on_datagram)
+        self._datagrams.start()
+        StreamServer((ip, self._port), self._on_stream).start()
+        gevent.spawn(self._run_notices)
+        gevent.spawn(self._run_asking)
+
+    def note_load_change(self) -> None:
+        """Have peers told soon."""
+        self._changed.set()
+
+    def tell_job_changed(self, job_id: JobId, owner: InstanceId) -> None:
+        """Tell a job's owner that its head changed; it would find out itself in a second."""
+        self._send(JobChanged(job_id), [owner])
+
+    def _run_notices(self) -> None:
+        while True:
+            self._changed.wait(NOTICE_LOOK_S)
+            pause_ms = self._notices.next_pause_ms(len(self._membership.peers))
+            if pause_ms > 0:
+                gevent.sleep(pause_ms / 1e3)
+            self._changed.clear()
+            loads = self._notices.take()
+            for start in range(0, len(loads), LOADS_PER_DATAGRAM):
+                part = loads[start : start + LOADS_PER_DATAGRAM]
+                self._send(LoadNotice(part), list(self._membership.peers))
+
+    def _send(self, text: PeerText, receivers: list[InstanceId]) -> None:
+        data = encode_message(self._message(text))
+        for receiver in receivers:
+            beat = self._membership.peers.get(receiver)
+            if beat is None or self._datagrams is None:
+                continue
+            self.sent_bytes += len(data)
+            try:
+                self._datagrams.sendto(data, (beat.ip, beat.peer_port))
+            except OSError as error:
+                log.info(
+                    'peer.send_failed', extra={'peer': receiver, 'detail': type(error).__name__}
+                )
+
+    def _message(self, text: PeerText) -> PeerMessage:
+        return PeerMessage(self._context.instance_id, self._beliefs.config.current.version, text)
+
+    def _on_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+        try:
+            message = decode_message(data)
+        except ValueError as error:
+            log.info('peer.unreadable', extra={'ip': address[0], 'detail': str(error)})
+            return
+        if message.config_version > self._beliefs.config.current.version:
+            self._ask_soon(address[0])
+        text = message.text
+        if isinstance(text, LoadNotice):
+            self._notices.note(message.sender, text.loads)
+            self._on_loads()
+        elif isinstance(text, JobChanged):
+            self._on_job(text.job_id)
+
+    def _ask_soon(self, ip: str) -> None:
+        if not self._asking:
+            self._asking = True
+            gevent.spawn(self._ask, ip)
+
+    def _run_asking(self) -> None:
+        """Ask peers while the store does not answer, or before it first has."""
+        while True:
+            gevent.sleep(self._context.jittered_ms(ASK_EVERY_MS) / 1e3)
+            if self._store.silent_ms < ASK_AFTER_MS and self._beliefs.is_complete:
+                continue
+            known = [beat.ip for beat in self._membership.peers.values()]
+            candidates = sorted({*known, *self._seed_ips})
+            if candidates:
+                self._asking = True
+                self._ask(self._context.random.choice(candidates))
+
+    def _ask(self, ip: str) -> None:
+        try:
+            sock = connect(ip, self._port, CONNECT_MS)
+            with sock:
+                sock.settimeout(STREAM_TIMEOUT_S)
+                self._write_frame(sock, KnowledgeWanted())
+                message = self._read_frame(sock)
+            if isinstance(message.text, KnowledgeData):
+                self._take(ip, msgspec.msgpack.decode(message.text.data, type=Knowledge))
+        except (BrokenReplyError, OSError, ValueError) as error:
+            log.info('peer.silent', extra={'ip': ip, 'detail': str(error)[:200]})
+        finally:
+            self._asking = False
+
+    def _take(self, ip: str, knowledge: Knowledge) -> None:
+        if knowledge.config:
+            self._beliefs.offer_config(knowledge.config, f'peer {ip}')
+            self._beliefs.config.confirm(self._context.now_ms() - knowledge.config_age_ms)
+        self._beliefs.take_servers(
+            knowledge.servers,
+            knowledge.servers_version,
+            is_whole=knowledge.store_age_ms < WHOLE_MS,
+        )
+        self._membership.learn_from_peer(knowledge.peers)
+
+    def _on_stream(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        try:
+            tune(sock)
+            sock.settimeout(STREAM_TIMEOUT_S)
+            message = self._read_frame(sock)
+            if isinstance(message.text, KnowledgeWanted):
+                data = msgspec.msgpack.encode(self._knowledge())
+                self._write_frame(sock, KnowledgeData(data))
+        except (OSError, ValueError) as error:
+            log.info('peer.unreadable', extra={'ip': address[0], 'detail': str(error)[:200]})
+        finally:
+            sock.close()
+
+    def _knowledge(self) -> Knowledge:
+        rows, version = self._beliefs.known_servers()
+        config = self._beliefs.config
+        return Knowledge(
+            config.raw,
+            config.age_ms(self._context.now_ms()),
+            rows,
+            version,
+            self._store.silent_ms,
+            {**self._membership.peers, self._context.instance_id: self._membership.own_beat()},
+        )
+
+    def _write_frame(self, sock: socket.socket, text: PeerText) -> None:
+        data = encode_message(self._message(text))
+        self.sent_bytes += len(data)
+        sock.sendall(_LENGTH.pack(len(data)) + data)
+
+    @staticmethod
+    def _read_frame(sock: socket.socket) -> PeerMessage:
+        (length,) = _LENGTH.unpack(_read_exactly(sock, _LENGTH.size))
+        if length > FRAME_LIMIT_BYTES:
+            raise ValueError('frame too large')
+        return decode_message(_read_exactly(sock, length))
+
+
+def _read_exactly(sock: socket.socket, count: int) -> bytes:
+    parts: list[bytes] = []
+    while count:
+        part = sock.recv(min(count, 65_536))
+        if not part:
+            raise ConnectionError
+        parts.append(part)
+        count -= len(part)
+    return b''.join(parts)
--- a/citrondyke/gateway/sockets.py
+++ b/citrondyke/gateway/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket as std_socket
 import struct
 
@@ -48,9 +49,7 @@
 
 def reset(sock: socket.socket) -> None:
     """Close a connection by a reset, so that an answer that ends early cannot look complete."""
-    try:
+    # Where the other end closed already there is nothing left to make clear.
+    with contextlib.suppress(OSError):
         sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_LINGER, struct.pack('ii', 1, 0))
-    except OSError:
-        # Already closed by the other end; there is nothing left to make clear.
-        pass
     sock.close()
--- a/citrondyke/gateway/table_follower.py
+++ b/citrondyke/gateway/table_follower.py
@@ -25,6 +25,9 @@
 #: A feed is asked anew after so long, so that one on a dead connection is noticed.
 FEED_WAIT_MS = 4_000.0
 RETRY_MS = 150.0
+#: Pause after a feed's answer: heartbeats change rows all the time, and changes that come within
+#: it share an answer. A server that leaves may get requests for 2 s after it said so.
+FEED_PAUSE_MS = 250.0
 PAGE_ROWS = 500
 
 
@@ -39,11 +42,14 @@
         dependency: Dependency,
         on_rows: Callable[[tuple[PartRow, ...]], None],
         on_listing: Callable[[list[PartRow], int], None],
+        *,
+        with_feed: bool = True,
     ) -> None:
         """Follow the rows with an empty part.
 
         :param on_rows: called with changes in order.
         :param on_listing: called with all rows and the version as of which they stand.
+        :param with_feed: whether changes matter sooner than by the next read.
         """
         self._context = context
         self._table = table
@@ -51,6 +57,7 @@
         self._dependency = dependency
         self._on_rows = on_rows
         self._on_listing = on_listing
+        self._with_feed = with_feed
         self._version = 0
 
     def start(self) -> None:
@@ -80,7 +87,8 @@
     def _run_reads(self) -> None:
         while not self.read_once():
             gevent.sleep(self._context.jittered_ms(RETRY_MS) / 1e3)
-        gevent.spawn(self._run_feed)
+        if self._with_feed:
+            gevent.spawn(self._run_feed)
         while True:
             gevent.sleep(self._context.jittered_ms(READ_EVERY_MS) / 1e3)
             self.read_once()
@@ -91,6 +99,7 @@
             if not isinstance(feed, PlatformFailure):
                 self._version = max(self._version, feed.version)
                 self._on_rows(feed.rows)
+                gevent.sleep(FEED_PAUSE_MS / 1e3)
                 continue
             if feed.reason is PlatformFailureReason.HISTORY_LOST:
                 log.info('feed.history_lost', extra={'table': self._name, 'version': self._version})
--- /dev/null
+++ b/citrondyke/peer/gateway.capnp
@@ -0,0 +1,27 @@
+@0xb7d2a94c1e5f3086;
+
+# What gateway instances say to each other. Only add fields, never renumber: instances of two
+# versions talk to each other during an upgrade.
+
+struct GatewayMessage {
+  sender @0 :Text;
+  # Newest configuration that the sender has; a receiver that has less asks for it.
+  configVersion @1 :UInt64;
+  union {
+    # Requests that the sender has on servers.
+    load @2 :List(ServerLoad);
+    # A job's head changed; its owner looks at it.
+    jobChanged @3 :Text;
+    # Asks for all that the receiver knows; over a stream.
+    knowledgeWanted @4 :Void;
+    # MessagePack, as it is large and passes between equal types.
+    knowledge @5 :Data;
+  }
+}
+
+struct ServerLoad {
+  # First 32 bits of a digest of the server's id.
+  server @0 :UInt32;
+  online @1 :UInt16;
+  batch @2 :UInt16;
+}
