--- a/citrondyke/cmd/gateway.py
+++ b/citrondyke/cmd/gateway.py
@@ -17,6 +17,7 @@
 from citrondyke.errors import SettingsInvalidError
 from citrondyke.gateway.event_log import EventLogHandler
 from citrondyke.gateway.instance import GatewayInstance
+from citrondyke.gateway.settings_watch import SettingsWatch
 from citrondyke.platform.outside import platform_outside
 from citrondyke.platform.settings_file import load_platform_settings
 from citrondyke.util.clock import SystemClock
@@ -42,6 +43,9 @@
     instance = GatewayInstance(settings, platform_outside(clock, settings))
     gevent.signal_handler(signal.SIGTERM, instance.request_stop)
     gevent.signal_handler(signal.SIGINT, instance.request_stop)
+    watch = SettingsWatch(lambda: load_platform_settings(METRICS_PORT), settings, instance.reload)
+    gevent.signal_handler(signal.SIGHUP, watch.look)
+    watch.start()
     instance.start()
     instance.run_until_stopped()
     handler.flush()
--- a/citrondyke/decisions/batch/owned_job.py
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -158,11 +158,13 @@
             self.version = version
             self.head = msgspec.structs.replace(self.head, is_done=True)
 
-    def restore(self, item_id: str, last_event_id: int, text: str, failures_count: int) -> None:
+    def restore(
+        self, item_id: str, last_event_id: int | None, text: str, failures_count: int
+    ) -> None:
         """Take in how far an earlier owner had brought an item."""
         progress = self.open.get(item_id)
         if progress is not None:
-            progress.texts = [text]
+            progress.texts = [text] if last_event_id is not None else []
             progress.last_event_id = last_event_id
             progress.failures_count = failures_count
 
--- a/citrondyke/gateway/caller_connection.py
+++ b/citrondyke/gateway/caller_connection.py
@@ -270,11 +270,12 @@
             return None
         try:
             self._sock.settimeout(left_ms / 1e3)
-            return self._sock.recv(READ_BYTES)
+            data: bytes = self._sock.recv(READ_BYTES)
         except TimeoutError:
             return None
         except OSError:
             return b''
+        return data
 
     def _watch_close(self, worker: gevent.Greenlet) -> None:
         """Wait for the caller's close while its request is worked on.
--- a/citrondyke/gateway/event_stream.py
+++ b/citrondyke/gateway/event_stream.py
@@ -37,7 +37,7 @@
         :raises BrokenReplyError: when an event is missing or comes twice.
         """
         self._rest += data
-        found = []
+        found: list[StreamEvent] = []
         while True:
             end, width = _end_of_event(self._rest)
             if end < 0:
--- a/citrondyke/gateway/forwarder.py
+++ b/citrondyke/gateway/forwarder.py
@@ -171,7 +171,7 @@
         is_good = False
         detail = ''
         try:
-            with self._sends.place(state, is_batch=False):
+            with self._sends.place(state):
                 connection = self._sends.connect(
                     state,
                     only_new=not forwarding.route.may_repeat,
--- a/citrondyke/gateway/http_client.py
+++ b/citrondyke/gateway/http_client.py
@@ -58,6 +58,14 @@
         self._name = ServerId(f'{ip}:{port}')
         self._pool = ConnectionPool(clock, IDLE_LIMIT)
 
+    def move(self, ip: str, port: int) -> None:
+        """Use another address from now on."""
+        if (ip, port) == (self._ip, self._port):
+            return
+        self._pool.drop(self._name)
+        self._ip, self._port = ip, port
+        self._name = ServerId(f'{ip}:{port}')
+
     def call(
         self, method: str, target: str, body: bytes, headers: Headers, timeout_ms: float
     ) -> HttpAnswer | HttpFailure:
@@ -67,11 +75,12 @@
         way is closed and its place taken by a new one.
         """
         until_ms = self._clock.now_ms() + timeout_ms
+        name = self._name
         connection = None
         try:
             connection = self._connection(timeout_ms)
             all_headers = [
-                (b'Host', self._name.encode()),
+                (b'Host', name.encode()),
                 (b'Content-Length', str(len(body)).encode()),
                 *headers,
             ]
@@ -88,7 +97,7 @@
             if connection is not None:
                 connection.close()
             raise
-        self._pool.give(self._name, connection)
+        self._pool.give(name, connection)
         return HttpAnswer(head.status, content)
 
     def _connection(self, timeout_ms: float) -> ServerConnection:
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -7,6 +7,7 @@
 
 import gevent
 import logbook
+import msgspec
 from gevent.event import Event
 from gevent.server import StreamServer
 
@@ -189,6 +190,19 @@
         """Begin a planned stop."""
         self._stopping.set()
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take in changed settings; addresses to listen on stay as they were at the start."""
+        before = msgspec.structs.asdict(self._settings)
+        changed = [
+            name
+            for name, value in msgspec.structs.asdict(settings).items()
+            if value != before[name]
+        ]
+        self._settings = settings
+        self.peers.seed_ips = settings.seed_ips
+        self._outside.move_store(settings.store.address)
+        log.info('instance.reloaded', extra={'changed': changed})
+
     def run_until_stopped(self) -> None:
         """Serve until a planned stop is asked for, then stop without cutting a request off.
 
--- a/citrondyke/gateway/job_reader.py
+++ b/citrondyke/gateway/job_reader.py
@@ -68,10 +68,13 @@
         """Give results from a position on, waiting for one until a time."""
         is_sure = False
         while len(view.results) <= after:
-            found = self._store.results(view.head.job_id, len(view.results))
+            first = len(view.results)
+            found = self._store.results(view.head.job_id, first)
             is_sure = not isinstance(found, PlatformFailure)
             if not isinstance(found, PlatformFailure) and found:
-                self._take(view, found)
+                # Another caller's read may have brought some of them meanwhile; taken twice,
+                # they would stand at two positions.
+                self._take(view, found[len(view.results) - first :])
                 continue
             is_whole = len(view.results) >= view.head.items_count
             if is_whole or self._context.now_ms() + LOOK_EVERY_MS > until_ms:
--- a/citrondyke/gateway/job_runner.py
+++ b/citrondyke/gateway/job_runner.py
@@ -14,7 +14,7 @@
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.errors.gave_way import GaveWayError
 from citrondyke.gateway.event_stream import EventSplitter
-from citrondyke.gateway.job_store import CommitVerdict
+from citrondyke.gateway.job_store import CommitVerdict, NoJob
 from citrondyke.ids import JobId, RequestId
 
 if TYPE_CHECKING:
@@ -200,9 +200,8 @@
         progress.is_running = True
         item = RunningItem(state.listed.id, self._context.now_ms(), job.head.due_epoch_ms)
         # The place is counted now, so that the next choice sees it.
-        place = self._sends.place(state, is_batch=True)
-        place.__enter__()
-        greenlet = gevent.spawn(self._run_item, job, progress, state, item, place)
+        self._sends.enter(state, is_batch=True)
+        greenlet = gevent.spawn(self._run_item, job, progress, state, item)
         self._running[item] = (job, greenlet)
 
     def _run_item(
@@ -211,7 +210,6 @@
         progress: ItemProgress,
         state: ServerState,
         item: RunningItem,
-        place: object,
     ) -> None:
         end = RunEnd.BROKEN
         detail = ''
@@ -226,7 +224,7 @@
                 state.note_failure(self._context.now_ms())
         finally:
             self._running.pop(item, None)
-            place.__exit__(None, None, None)  # type: ignore[attr-defined]
+            self._sends.leave(state, is_batch=True)
         self._metrics.counters[f'items_{end.value}'] += 1
         log.info(
             'item.run',
@@ -241,6 +239,13 @@
             },
         )
         self._end(job, progress, end)
+        if end is RunEnd.FAILED and progress.item.id in job.open:
+            verdict = self._store.save_progress(job, progress)
+            if verdict is not CommitVerdict.DONE:
+                log.info(
+                    'item.failures_not_kept',
+                    extra={'item_id': progress.item.id, 'verdict': verdict.value},
+                )
         self._pump()
 
     def _end(self, job: OwnedJob, progress: ItemProgress, end: RunEnd) -> None:
@@ -337,7 +342,7 @@
 
     def _look(self, job: OwnedJob) -> None:
         stored = self._store.head(job.head.job_id)
-        if not stored or job.is_over or job.head.job_id in self._committing:
+        if isinstance(stored, NoJob) or job.is_over or job.head.job_id in self._committing:
             return
         if stored.version != job.version and not stored.head.is_done:
             self.lose(job.head.job_id, 'head changed')
--- a/citrondyke/gateway/job_store.py
+++ b/citrondyke/gateway/job_store.py
@@ -105,7 +105,8 @@
     """How far an item had come when its job changed hands."""
 
     item_id: str
-    last_event_id: int
+    #: ``None`` where it begins anew.
+    last_event_id: int | None
     text: str
     failures_count: int = 0
 
@@ -259,15 +260,8 @@
         head = msgspec.structs.replace(job.head, owner=InstanceId(''), owner_life='')
         puts = [_head_put(head)]
         for each in progress:
-            saved = SavedProgress(
-                each.item.id,
-                each.last_event_id or 0,
-                '\n'.join(each.texts),
-                each.failures_count,
-            )
-            value = _pack(saved)
-            if each.last_event_id is not None and len(value) <= self._row_bytes:
-                puts.append(RowPut(PROGRESS_TABLE, each.item.id, value))
+            if each.last_event_id is not None or each.failures_count:
+                puts.append(self._progress_put(each))
         wanted = PartTransaction(
             head.job_id,
             (RowCondition(HEADS_TABLE, HEAD_KEY, job.version),),
@@ -278,6 +272,22 @@
             return CommitVerdict.DONE
         return CommitVerdict.FENCED if isinstance(answer, PartConflict) else _verdict(answer)
 
+    def save_progress(self, job: OwnedJob, progress: ItemProgress) -> CommitVerdict:
+        """Keep how far an item has come and how often it failed, for the next owner.
+
+        Without it an item that fails at each run would be tried anew by every owner, on and on
+        while instances are stopped in turn.
+        """
+        wanted = PartTransaction(
+            job.head.job_id,
+            (RowCondition(HEADS_TABLE, HEAD_KEY, job.version),),
+            (self._progress_put(progress),),
+        )
+        answer = self._table.transact(wanted)
+        if isinstance(answer, PartCommitted):
+            return CommitVerdict.DONE
+        return CommitVerdict.FENCED if isinstance(answer, PartConflict) else _verdict(answer)
+
     def progress(self, job_id: JobId) -> list[SavedProgress] | PlatformFailure:
         """Read the progress that an earlier owner left."""
         rows = self._rows(PROGRESS_TABLE, job_id)
@@ -296,6 +306,20 @@
             if len(page) < PARTS_PAGE:
                 return found
 
+    def _progress_put(self, progress: ItemProgress) -> RowPut:
+        saved = SavedProgress(
+            progress.item.id,
+            progress.last_event_id,
+            '\n'.join(progress.texts),
+            progress.failures_count,
+        )
+        value = _pack(saved)
+        if len(value) > self._row_bytes:
+            # The text is generated again; how often the item failed is what must be kept.
+            saved = SavedProgress(progress.item.id, None, '', progress.failures_count)
+            value = _pack(saved)
+        return RowPut(PROGRESS_TABLE, progress.item.id, value)
+
     def _own_commit(
         self,
         job: OwnedJob,
--- a/citrondyke/gateway/outside.py
+++ b/citrondyke/gateway/outside.py
@@ -7,8 +7,11 @@
 import msgspec
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from citrondyke.gateway.beliefs import RowDecoder
     from citrondyke.gateway.dialect import Dialect
+    from citrondyke.gateway.settings import Address
     from citrondyke.storage.object_store import ObjectStore
     from citrondyke.storage.partitioned_table import PartitionedTable
 
@@ -24,3 +27,5 @@
     servers_table: str
     decoder: RowDecoder
     dialect: Dialect
+    #: Follows a change of the store's address.
+    move_store: Callable[[Address], None]
--- a/citrondyke/gateway/peers.py
+++ b/citrondyke/gateway/peers.py
@@ -94,7 +94,7 @@
         """
         self._context = context
         self._port = port
-        self._seed_ips = seed_ips
+        self.seed_ips = seed_ips
         self._membership = membership
         self._beliefs = beliefs
         self._store = store
@@ -178,7 +178,7 @@
             if self._store.silent_ms < ASK_AFTER_MS and self._beliefs.is_complete:
                 continue
             known = [beat.ip for beat in self._membership.peers.values()]
-            candidates = sorted({*known, *self._seed_ips})
+            candidates = sorted({*known, *self.seed_ips})
             if candidates:
                 self._asking = True
                 self._ask(self._context.random.choice(candidates))
--- a/citrondyke/gateway/server_connection.py
+++ b/citrondyke/gateway/server_connection.py
@@ -186,11 +186,12 @@
             raise BrokenReplyError(BreakKind.SILENT)
         self._sock.settimeout(left_ms / 1e3)
         try:
-            return self._sock.recv(READ_BYTES)
+            data: bytes = self._sock.recv(READ_BYTES)
         except TimeoutError as error:
             raise BrokenReplyError(BreakKind.SILENT) from error
         except OSError as error:
             raise BrokenReplyError(BreakKind.CUT, type(error).__name__) from error
+        return data
 
     def _write(self, data: bytes) -> None:
         try:
--- a/citrondyke/gateway/server_sends.py
+++ b/citrondyke/gateway/server_sends.py
@@ -53,21 +53,28 @@
         self.opened_count = 0
 
     @contextmanager
-    def place(self, state: ServerState, *, is_batch: bool) -> Iterator[None]:
-        """Count a request on a server while it is there."""
-        if is_batch:
-            state.own.batch += 1
-        else:
-            state.own.online += 1
-        self._on_change(state)
+    def place(self, state: ServerState) -> Iterator[None]:
+        """Count an online request on a server while it is there."""
+        self.enter(state, is_batch=False)
         try:
             yield
         finally:
-            if is_batch:
-                state.own.batch -= 1
-            else:
-                state.own.online -= 1
-            self._on_change(state)
+            self.leave(state, is_batch=False)
+
+    def enter(self, state: ServerState, *, is_batch: bool) -> None:
+        """Count one more request on a server."""
+        self._count(state, 1, is_batch=is_batch)
+
+    def leave(self, state: ServerState, *, is_batch: bool) -> None:
+        """Count one request less on a server."""
+        self._count(state, -1, is_batch=is_batch)
+
+    def _count(self, state: ServerState, change: int, *, is_batch: bool) -> None:
+        if is_batch:
+            state.own.batch += change
+        else:
+            state.own.online += change
+        self._on_change(state)
 
     def connect(self, state: ServerState, *, only_new: bool, until_ms: float) -> ServerConnection:
         """Take a kept connection or open one.
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -178,7 +178,7 @@
                 for item in job.requests
             ]
         except (msgspec.DecodeError, binascii.Error) as error:
-            raise InvalidFieldError('requests', str(error)) from error
+            raise InvalidFieldError(f'requests: {error}') from error
 
     def job_page(self, page: JobPage) -> bytes:
         """Write results of a job."""
--- a/citrondyke/platform/outside.py
+++ b/citrondyke/platform/outside.py
@@ -35,4 +35,5 @@
         SERVERS_TABLE,
         RowDecoder(CONFIG_KEY, decode_config, decode_server),
         PlatformDialect(),
+        lambda moved: http.move(moved.ip, moved.port),
     )
--- /dev/null
+++ b/tests/test_forwarding/test_forwarding_config_holder.py
@@ -0,0 +1,30 @@
+"""An accepted configuration never goes back."""
+
+from __future__ import annotations
+
+from citrondyke.decisions.forwarding.config_holder import CONFIRMED_MS, ConfigHolder
+from citrondyke.decisions.forwarding.route_table import RouteTable
+from citrondyke.ids import ConfigVersion
+
+
+def table(version: int) -> RouteTable:
+    return RouteTable(ConfigVersion(version))
+
+
+def test_older_version_from_a_late_read_changes_nothing() -> None:
+    # The feed brought version 9; a read that is seconds old, or a peer that is behind, shows 7.
+    # Routes that version 9 dropped would be served again.
+    holder = ConfigHolder()
+    assert holder.offer(table(7), b'seven')
+    assert holder.offer(table(9), b'nine')
+    assert not holder.offer(table(7), b'seven')
+    assert (holder.current.version, holder.raw) == (9, b'nine')
+
+
+def test_absence_of_a_route_is_certain_only_while_confirmed() -> None:
+    holder = ConfigHolder()
+    holder.offer(table(7), b'')
+    assert not holder.is_confirmed(0.0)
+    holder.confirm(100.0)
+    assert holder.is_confirmed(100.0 + CONFIRMED_MS)
+    assert not holder.is_confirmed(101.0 + CONFIRMED_MS)
--- /dev/null
+++ b/tests/test_gateway/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of requests that run at most once."""
+
+from __future__ import annotations
