--- a/citrondyke/decisions/batch/takeover.py
+++ b/citrondyke/decisions/batch/takeover.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from citrondyke.decisions.batch.job import JobHead
     from citrondyke.decisions.core.context import Context
-    from citrondyke.ids import InstanceId
+    from citrondyke.ids import InstanceId, JobId
 
 __all__ = ('LiveInstances', 'Takeover')
 
@@ -20,6 +20,11 @@
 #: Time that the instance whose turn it is has before the next one may claim too; it may be out
 #: of the store's reach without knowing it.
 TURN_MS = 2_000.0
+#: Longer than an acceptance is tried for, so that it is not claimed in the middle of it.
+OWN_MS = 2_500.0
+#: From an instance's first look at the others until it claims anything: after a stop of all of
+#: them they start within 300 ms of each other and are seen by the next read, a second later.
+SETTLE_MS = 700.0
 
 
 class _Seen(msgspec.Struct):
@@ -28,6 +33,12 @@
     changed_ms: float
 
 
+class _SeenHead(msgspec.Struct):
+    version: int
+    since_ms: float
+    ownerless_ms: float | None = None
+
+
 class LiveInstances:
     """Instances by their heartbeats in the store, judged on this instance's own clock.
 
@@ -40,6 +51,7 @@
         self._context = context
         self._seen: dict[InstanceId, _Seen] = {}
         self._last_look_ms = 0.0
+        self._first_look_ms: float | None = None
 
     def note(self, instance_id: InstanceId, life: str, version: int) -> None:
         """Take in a heartbeat's row."""
@@ -59,13 +71,32 @@
             for seen in self._seen.values():
                 seen.changed_ms = now_ms
         self._last_look_ms = now_ms
+        if self._first_look_ms is None:
+            self._first_look_ms = now_ms
 
-    def is_alive(self, instance_id: InstanceId, life: str) -> bool:
-        """Tell whether one life of an instance still runs."""
-        seen = self._seen.get(instance_id)
-        if seen is None or seen.life != life:
-            return False
-        return self._context.now_ms() - seen.changed_ms < SILENT_MS
+    def is_gone(self, owner: InstanceId, life: str, head_version: int, since_ms: float) -> bool:
+        """Tell whether the owner of a job is certainly gone, or silent for too long.
+
+        :param head_version: of the job's head, in which the owner is named.
+        :param since_ms: when this instance first saw that head.
+        """
+        if not owner:
+            return True
+        seen = self._seen.get(owner)
+        if seen is not None and seen.life != life and seen.version > head_version:
+            # Another life of it began after that head was written.
+            return True
+        # A life that is not known here may have begun a moment ago and claimed the job before its
+        # first heartbeat was read; if that counted as gone, all would claim from each other.
+        is_known = seen is not None and seen.life == life
+        changed_ms = seen.changed_ms if seen is not None and is_known else since_ms
+        return self._context.now_ms() - changed_ms >= SILENT_MS
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether all who run had the time to show it since this instance began to look."""
+        first_ms = self._first_look_ms
+        return first_ms is not None and self._context.now_ms() - first_ms >= SETTLE_MS
 
     def names(self) -> list[InstanceId]:
         """List the instances that are alive, this one included."""
@@ -82,31 +113,46 @@
 class Takeover:
     """Decides when this instance claims a job."""
 
-    def __init__(self, context: Context, instances: LiveInstances) -> None:
-        """Use what is known of the instances."""
+    def __init__(self, context: Context, life: str, instances: LiveInstances) -> None:
+        """Use what is known of the instances.
+
+        :param life: names this life of this instance.
+        """
         self._context = context
+        self._life = life
         self._instances = instances
-        self._ownerless_since_ms: dict[str, float] = {}
+        self._seen: dict[JobId, _SeenHead] = {}
 
-    def is_due(self, head: JobHead) -> bool:
-        """Tell whether this instance claims a job now.
+    def is_due(self, head: JobHead, version: int) -> bool:
+        """Tell whether this instance claims a job that it does not run.
 
         The instances take turns in an order of their own for each job, so that after the loss of
         many the work is spread and two seldom claim the same.
+
+        :param version: of the head's row.
         """
-        if self._instances.is_alive(head.owner, head.owner_life):
-            self._ownerless_since_ms.pop(head.job_id, None)
-            return False
         now_ms = self._context.now_ms()
-        since_ms = self._ownerless_since_ms.setdefault(head.job_id, now_ms)
+        seen = self._seen.get(head.job_id)
+        if seen is None or seen.version != version:
+            seen = self._seen[head.job_id] = _SeenHead(version, now_ms)
+        if head.owner_life == self._life:
+            # An acceptance whose reply never came: nobody else takes it while this instance lives.
+            return now_ms - seen.since_ms >= OWN_MS
+        if not self._instances.is_settled or not self._instances.is_gone(
+            head.owner, head.owner_life, version, seen.since_ms
+        ):
+            seen.ownerless_ms = None
+            return False
+        if seen.ownerless_ms is None:
+            seen.ownerless_ms = now_ms
         order = sorted(
             self._instances.names(),
             key=lambda name: rendezvous_weight(name, head.job_id),
             reverse=True,
         )
         turn = order.index(self._context.instance_id)
-        return now_ms - since_ms >= turn * TURN_MS
+        return now_ms - seen.ownerless_ms >= turn * TURN_MS
 
-    def forget(self, job_id: str) -> None:
+    def forget(self, job_id: JobId) -> None:
         """Drop what is known of a job that is over."""
-        self._ownerless_since_ms.pop(job_id, None)
+        self._seen.pop(job_id, None)
--- a/citrondyke/gateway/front.py
+++ b/citrondyke/gateway/front.py
@@ -88,6 +88,11 @@
             if connection.is_idle:
                 connection.close_now()
 
+    def abort_all(self) -> None:
+        """Reset all connections."""
+        for connection in list(self._open):
+            connection.abort()
+
     def _serve(self, connection: CallerConnection) -> None:
         while True:
             try:
--- a/citrondyke/gateway/http_client.py
+++ b/citrondyke/gateway/http_client.py
@@ -50,8 +50,12 @@
 class HttpClient:
     """A client of one address."""
 
-    def __init__(self, clock: Clock, ip: str, port: int) -> None:
-        """Connect on the first call."""
+    def __init__(self, clock: Clock, ip: str, port: int, source_ip: str = '') -> None:
+        """Connect on the first call.
+
+        :param source_ip: address to connect from; empty for any.
+        """
+        self._source_ip = source_ip
         self._clock = clock
         self._ip = ip
         self._port = port
@@ -105,4 +109,4 @@
         if kept is not None:
             return kept
         connect_ms = min(timeout_ms, CONNECT_MS)
-        return open_connection(self._clock, self._ip, self._port, connect_ms)
+        return open_connection(self._clock, self._ip, self._port, connect_ms, self._source_ip)
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -32,6 +32,7 @@
 from citrondyke.gateway.server_sends import ServerSends
 from citrondyke.gateway.small_pages import SmallPages
 from citrondyke.gateway.table_follower import TableFollower
+from citrondyke.gateway.tasks import Tasks
 from citrondyke.util.clock import SystemClock
 
 if TYPE_CHECKING:
@@ -41,7 +42,7 @@
 
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.outside import Outside
-    from citrondyke.gateway.settings import GatewaySettings
+    from citrondyke.gateway.settings import Address, GatewaySettings
     from citrondyke.storage.partitioned_table import PartRow
 
 __all__ = ('GatewayInstance',)
@@ -71,6 +72,7 @@
         self.clock = SystemClock()
         self.context = Context(settings.instance_id, settings.zone, self.clock, random.Random())
         self.metrics = Metrics()
+        self._tasks = Tasks()
         self.book = ServerBook(self.context)
         self._store = Dependency(self.clock, 'store')
         self._sends = ServerSends(self.clock, outside.dialect, self._on_load_change)
@@ -109,6 +111,7 @@
             outside.dialect,
             job_store,
             self.metrics,
+            self._tasks,
         )
         self.keeper = JobKeeper(
             self.context,
@@ -116,7 +119,8 @@
             outside.table,
             job_store,
             self.runner,
-            Takeover(self.context, self._live),
+            Takeover(self.context, life, self._live),
+            self._tasks,
         )
         self.peers = Peers(
             self.context,
@@ -128,6 +132,7 @@
             LoadNotices(self.context, self.book),
             self.runner.make_room,
             self.runner.look_at,
+            self._tasks,
         )
         self.jobs = JobDoor(
             self.context,
@@ -177,15 +182,28 @@
             with_feed=False,
         )
         self.peers.start(settings.ip)
-        self.membership.start()
+        self.membership.start(self._tasks)
         self.runner.start()
         self.keeper.start()
-        gevent.spawn(self._run_settle)
+        self._tasks.keep(self._run_settle)
         log.info(
             'instance.started',
             extra={'callers': settings.callers.port, 'peers': settings.peer_port},
         )
 
+    @property
+    def address(self) -> Address:
+        """Give the address for callers."""
+        return self._settings.callers
+
+    def abandon(self) -> None:
+        """End without a word, as a killed process does."""
+        self._tasks.end()
+        self.peers.stop()
+        for server in self._servers:
+            server.stop(timeout=0)
+        self.front.abort_all()
+
     def request_stop(self) -> None:
         """Begin a planned stop."""
         self._stopping.set()
@@ -253,7 +271,7 @@
             on_rows,
             on_listing,
             with_feed=with_feed,
-        ).start()
+        ).start(self._tasks)
 
     def _run_settle(self) -> None:
         while True:
--- a/citrondyke/gateway/job_keeper.py
+++ b/citrondyke/gateway/job_keeper.py
@@ -25,6 +25,7 @@
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.job_runner import JobRunner
     from citrondyke.gateway.job_store import JobStore
+    from citrondyke.gateway.tasks import Tasks
     from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
 __all__ = ('JobKeeper',)
@@ -50,22 +51,24 @@
         store: JobStore,
         runner: JobRunner,
         takeover: Takeover,
+        tasks: Tasks,
     ) -> None:
         """Use the parts handed in."""
         self._context = context
         self._life = life
         self._table = table
-        self._store = store
+        self.store = store
         self._runner = runner
         self._takeover = takeover
+        self._tasks = tasks
         self._open: dict[JobId, StoredHead] = {}
         self._claiming: set[JobId] = set()
 
     def start(self) -> None:
         """Begin."""
-        gevent.spawn(self._run_feed)
-        gevent.spawn(self._run_list)
-        gevent.spawn(self._run_claims)
+        self._tasks.keep(self._run_feed)
+        self._tasks.keep(self._run_list)
+        self._tasks.keep(self._run_claims)
 
     def _run_feed(self) -> None:
         version = self._newest_version()
@@ -112,7 +115,7 @@
 
     def _run_list(self) -> None:
         while True:
-            listed = self._store.open_jobs()
+            listed = self.store.open_jobs()
             if not isinstance(listed, PlatformFailure):
                 for job_id in listed:
                     if job_id not in self._open and job_id not in self._runner.jobs:
@@ -120,7 +123,7 @@
             gevent.sleep(self._context.jittered_ms(LIST_EVERY_MS) / 1e3)
 
     def _refresh(self, job_id: JobId) -> None:
-        stored = self._store.head(job_id)
+        stored = self.store.head(job_id)
         if isinstance(stored, StoredHead):
             self._take(stored)
         elif stored.reason is NoJobReason.UNKNOWN:
@@ -134,9 +137,9 @@
             for job_id, stored in list(self._open.items()):
                 if job_id in self._runner.jobs or job_id in self._claiming:
                     continue
-                if self._takeover.is_due(stored.head):
+                if self._takeover.is_due(stored.head, stored.version):
                     self._claiming.add(job_id)
-                    gevent.spawn(self._claim, stored)
+                    self._tasks.spawn(self._claim, stored)
 
     def _claim(self, stored: StoredHead) -> None:
         head = stored.head
@@ -144,7 +147,7 @@
             wanted = msgspec.structs.replace(
                 head, owner=self._context.instance_id, owner_life=self._life
             )
-            claimed = self._store.change_head(stored, wanted)
+            claimed = self.store.change_head(stored, wanted)
             log.info(
                 'job.claim',
                 extra={
@@ -166,9 +169,9 @@
         head = claimed.head
         self._open[head.job_id] = claimed
         while not self._runner.is_stopping:
-            items = self._store.items(head)
-            results = self._store.results(head.job_id, 0, claimed.version)
-            progress = self._store.progress(head.job_id)
+            items = self.store.items(head)
+            results = self.store.results(head.job_id, 0, claimed.version)
+            progress = self.store.progress(head.job_id)
             if (
                 isinstance(items, PlatformFailure)
                 or isinstance(results, PlatformFailure)
--- a/citrondyke/gateway/job_runner.py
+++ b/citrondyke/gateway/job_runner.py
@@ -27,6 +27,7 @@
     from citrondyke.gateway.job_store import JobStore
     from citrondyke.gateway.metrics import Metrics
     from citrondyke.gateway.server_sends import ServerSends
+    from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import ServiceName
 
 __all__ = ('JobRunner',)
@@ -59,6 +60,7 @@
         dialect: Dialect,
         store: JobStore,
         metrics: Metrics,
+        tasks: Tasks,
     ) -> None:
         """Use the parts handed in."""
         self._context = context
@@ -68,6 +70,7 @@
         self._dialect = dialect
         self._store = store
         self._metrics = metrics
+        self._tasks = tasks
         self.jobs: dict[JobId, OwnedJob] = {}
         self.is_stopping = False
         self._running: dict[RunningItem, tuple[OwnedJob, gevent.Greenlet]] = {}
@@ -76,9 +79,9 @@
 
     def start(self) -> None:
         """Begin to run items."""
-        gevent.spawn(self._run_pump)
-        gevent.spawn(self._run_commits)
-        gevent.spawn(self._run_looks)
+        self._tasks.keep(self._run_pump)
+        self._tasks.keep(self._run_commits)
+        self._tasks.keep(self._run_looks)
 
     def add(self, job: OwnedJob) -> None:
         """Take a job to run."""
@@ -111,7 +114,7 @@
         """Look whether a job still is this instance's."""
         job = self.owned(job_id)
         if job is not None:
-            gevent.spawn(self._look, job)
+            self._tasks.spawn(self._look, job)
 
     def make_room(self) -> None:
         """Cut the items that stand in the way of online requests."""
@@ -132,7 +135,7 @@
         for _, greenlet in list(self._running.values()):
             greenlet.kill(GaveWayError, block=False)
         gevent.sleep(0)
-        workers = [gevent.spawn(self._give_back, job, until_ms) for job in self.jobs.values()]
+        workers = [self._tasks.spawn(self._give_back, job, until_ms) for job in self.jobs.values()]
         gevent.joinall(workers, timeout=max(0.0, (until_ms - self._context.now_ms()) / 1e3))
 
     def _give_back(self, job: OwnedJob, until_ms: float) -> None:
@@ -201,7 +204,7 @@
         item = RunningItem(state.listed.id, self._context.now_ms(), job.head.due_epoch_ms)
         # The place is counted now, so that the next choice sees it.
         self._sends.enter(state, is_batch=True)
-        greenlet = gevent.spawn(self._run_item, job, progress, state, item)
+        greenlet = self._tasks.spawn(self._run_item, job, progress, state, item)
         self._running[item] = (job, greenlet)
 
     def _run_item(
@@ -300,7 +303,7 @@
             gevent.sleep(COMMIT_EVERY_MS / 1e3)
             for job_id, job in list(self.jobs.items()):
                 if job.finished and job_id not in self._committing and not self.is_stopping:
-                    gevent.spawn(self._commit_once, job)
+                    self._tasks.spawn(self._commit_once, job)
 
     def _commit_once(self, job: OwnedJob) -> CommitVerdict:
         job_id = job.head.job_id
--- a/citrondyke/gateway/membership.py
+++ b/citrondyke/gateway/membership.py
@@ -18,6 +18,7 @@
     from citrondyke.decisions.batch.takeover import LiveInstances
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.dependency import Dependency
+    from citrondyke.gateway.tasks import Tasks
     from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
 __all__ = ('INSTANCES_TABLE', 'Heartbeat', 'Membership')
@@ -68,9 +69,9 @@
         #: Peers by id, this instance left out.
         self.peers: dict[InstanceId, Heartbeat] = {}
 
-    def start(self) -> None:
+    def start(self, tasks: Tasks) -> None:
         """Begin to write heartbeats."""
-        gevent.spawn(self._run)
+        tasks.keep(self._run)
 
     def leave(self) -> None:
         """Take this instance's row away, so that others need not wait for its silence."""
--- a/citrondyke/gateway/peers.py
+++ b/citrondyke/gateway/peers.py
@@ -38,6 +38,7 @@
     from citrondyke.gateway.beliefs import Beliefs
     from citrondyke.gateway.dependency import Dependency
     from citrondyke.gateway.membership import Membership
+    from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import JobId
 
 __all__ = ('Knowledge', 'Peers')
@@ -86,6 +87,7 @@
         notices: LoadNotices,
         on_loads: Callable[[], None],
         on_job: Callable[[JobId], None],
+        tasks: Tasks,
     ) -> None:
         """Use the parts handed in; nothing is sent before ``start``.
 
@@ -101,6 +103,8 @@
         self._notices = notices
         self._on_loads = on_loads
         self._on_job = on_job
+        self._tasks = tasks
+        self._streams: StreamServer | None = None
         self._changed = Event()
         self._datagrams: DatagramServer | None = None
         self._asking = False
@@ -110,9 +114,16 @@
         """Listen and begin to send."""
         self._datagrams = DatagramServer((ip, self._port), self._on_datagram)
         self._datagrams.start()
-        StreamServer((ip, self._port), self._on_stream).start()
-        gevent.spawn(self._run_notices)
-        gevent.spawn(self._run_asking)
+        self._streams = StreamServer((ip, self._port), self._on_stream)
+        self._streams.start()
+        self._tasks.keep(self._run_notices)
+        self._tasks.keep(self._run_asking)
+
+    def stop(self) -> None:
+        """Listen no more."""
+        for server in (self._datagrams, self._streams):
+            if server is not None:
+                server.stop()
 
     def note_load_change(self) -> None:
         """Have peers told soon."""
@@ -169,7 +180,7 @@
     def _ask_soon(self, ip: str) -> None:
         if not self._asking:
             self._asking = True
-            gevent.spawn(self._ask, ip)
+            self._tasks.spawn(self._ask, ip)
 
     def _run_asking(self) -> None:
         """Ask peers while the store does not answer, or before it first has."""
--- a/citrondyke/gateway/server_connection.py
+++ b/citrondyke/gateway/server_connection.py
@@ -40,12 +40,14 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
-def open_connection(clock: Clock, ip: str, port: int, timeout_ms: float) -> ServerConnection:
+def open_connection(
+    clock: Clock, ip: str, port: int, timeout_ms: float, source_ip: str = ''
+) -> ServerConnection:
     """Connect.
 
     :raises BrokenReplyError: of kind ``NO_CONNECTION``.
     """
-    return ServerConnection(clock, connect(ip, port, timeout_ms))
+    return ServerConnection(clock, connect(ip, port, timeout_ms, source_ip))
 
 
 class ServerConnection:
--- a/citrondyke/gateway/sockets.py
+++ b/citrondyke/gateway/sockets.py
@@ -31,15 +31,19 @@
     sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
 
 
-def connect(ip: str, port: int, timeout_ms: float) -> socket.socket:
+def connect(ip: str, port: int, timeout_ms: float, source_ip: str = '') -> socket.socket:
     """Open a connection.
 
+    :param source_ip: address to connect from; empty for any.
+
     :raises BrokenReplyError: of kind ``NO_CONNECTION``.
     """
     sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
     try:
         tune(sock)
         sock.settimeout(max(0.001, timeout_ms / 1e3))
+        if source_ip:
+            sock.bind((source_ip, 0))
         sock.connect((ip, port))
     except OSError as error:
         sock.close()
--- a/citrondyke/gateway/table_follower.py
+++ b/citrondyke/gateway/table_follower.py
@@ -6,6 +6,7 @@
 
 import gevent
 import logbook
+from gevent.event import Event
 
 from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
 
@@ -14,6 +15,7 @@
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.dependency import Dependency
+    from citrondyke.gateway.tasks import Tasks
     from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
 __all__ = ('TableFollower',)
@@ -59,10 +61,13 @@
         self._on_listing = on_listing
         self._with_feed = with_feed
         self._version = 0
+        self._is_read = Event()
 
-    def start(self) -> None:
+    def start(self, tasks: Tasks) -> None:
         """Begin both."""
-        gevent.spawn(self._run_reads)
+        tasks.keep(self._run_reads)
+        if self._with_feed:
+            tasks.keep(self._run_feed)
 
     def read_once(self) -> bool:
         """Read all rows; tell whether the store answered."""
@@ -87,13 +92,13 @@
     def _run_reads(self) -> None:
         while not self.read_once():
             gevent.sleep(self._context.jittered_ms(RETRY_MS) / 1e3)
-        if self._with_feed:
-            gevent.spawn(self._run_feed)
+        self._is_read.set()
         while True:
             gevent.sleep(self._context.jittered_ms(READ_EVERY_MS) / 1e3)
             self.read_once()
 
     def _run_feed(self) -> None:
+        self._is_read.wait()
         while True:
             feed = self._table.follow(self._name, self._version, FEED_WAIT_MS)
             if not isinstance(feed, PlatformFailure):
--- a/citrondyke/platform/outside.py
+++ b/citrondyke/platform/outside.py
@@ -24,10 +24,13 @@
 __all__ = ('platform_outside',)
 
 
-def platform_outside(clock: Clock, settings: GatewaySettings) -> Outside:
-    """Make the clients of the platform."""
+def platform_outside(clock: Clock, settings: GatewaySettings, source_ip: str = '') -> Outside:
+    """Make the clients of the platform.
+
+    :param source_ip: address to call the store from; empty for any.
+    """
     address = settings.store.address
-    http = HttpClient(clock, address.ip, address.port)
+    http = HttpClient(clock, address.ip, address.port, source_ip)
     return Outside(
         PlatformTable(http, settings.store.call_timeout_ms),
         PlatformObjects(http, settings.store.call_timeout_ms),
--- a/citrondyke/platform/store_client.py
+++ b/citrondyke/platform/store_client.py
@@ -165,9 +165,9 @@
             'GET', f'/-/blob-get/{quote(key, safe="")}', b'', [], self._timeout_ms
         )
         failure = _failure(answer)
-        if failure is not None or not isinstance(answer, HttpAnswer):
-            return failure or AMBIGUOUS
-        return answer.body
+        if failure is not None:
+            return failure
+        return answer.body if isinstance(answer, HttpAnswer) else AMBIGUOUS
 
     def delete(self, key: ObjectKey) -> PlatformFailure | None:
         """Delete an object."""
@@ -196,7 +196,8 @@
     answer: HttpAnswer | HttpFailure, kind: type[Decoded], also: tuple[int, ...] = ()
 ) -> Decoded | PlatformFailure:
     if not isinstance(answer, HttpAnswer) or answer.status not in (OK, *also):
-        return _failure(answer) or AMBIGUOUS
+        failure = _failure(answer)
+        return AMBIGUOUS if failure is None else failure
     try:
         return msgspec.json.decode(answer.body, type=kind)
     except msgspec.DecodeError:
--- /dev/null
+++ b/citrondyke/standin/platform_server.py
@@ -0,0 +1,219 @@
+"""A stand-in of the platform's backend servers, which answers as a test tells it to."""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import gevent
+import gevent.event
+import h11
+import msgspec
+from gevent.server import StreamServer
+
+from citrondyke.gateway.sockets import reset
+from citrondyke.platform.dialect import ATTEMPT, EXPECT_SERVER, LAST_EVENT, LOAD, NOT_RUN, SEAL
+
+if TYPE_CHECKING:
+    from gevent import socket
+
+__all__ = ('Act', 'PlatformServer', 'ServerRun')
+
+READ_BYTES = 65_536
+
+
+class Act(Enum):
+    """How the next request is answered."""
+
+    SERVE = 'serve'
+    REFUSE = 'refuse'
+    FAIL = 'fail'
+    IMPOSSIBLE = 'impossible'
+    #: The request is run, and the connection reset without an answer.
+    CUT = 'cut'
+    #: The request is run and nothing comes.
+    SILENT = 'silent'
+    #: The answer, and a second one behind it.
+    EXTRA = 'extra'
+    #: An answer with another request's id.
+    WRONG_ID = 'wrong_id'
+    #: A success without the server's mark.
+    UNSIGNED = 'unsigned'
+    #: No length; the end of the connection ends it.
+    UNFRAMED = 'unframed'
+    #: No length, and a reset in the middle.
+    UNFRAMED_CUT = 'unframed_cut'
+    #: A stream that breaks off in the middle of an event.
+    CUT_IN_EVENT = 'cut_in_event'
+    #: A stream that falls silent after some events.
+    STALL = 'stall'
+    #: A stream whose events wait until the server is told to go on.
+    HOLD = 'hold'
+
+
+class ServerRun(msgspec.Struct):
+    """One request that the server ran."""
+
+    request_id: str
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+    is_cut: bool = False
+
+
+class PlatformServer:
+    """Runs requests and remembers them; streams have ``events_count`` events of ids from 1."""
+
+    def __init__(self, server_id: str, events_count: int = 6) -> None:
+        """Start listening on loopback."""
+        self.server_id = server_id
+        self.events_count = events_count
+        self.acts: deque[Act] = deque()
+        self.runs: list[ServerRun] = []
+        self.refused_count = 0
+        self.event_gap_ms = 1.0
+        self.answer_ms = 0.0
+        self.go_on = gevent.event.Event()
+        self._server = StreamServer(('127.0.0.1', 0), self._on_connection)
+        self._server.start()
+        self.port: int = self._server.server_port
+
+    def stop(self) -> None:
+        """Listen no more."""
+        self._server.stop()
+
+    def _on_connection(self, sock: socket.socket, _: object) -> None:
+        http = h11.Connection(h11.SERVER)
+        try:
+            while self._one_request(http, sock):
+                http.start_next_cycle()
+        except (OSError, h11.ProtocolError):
+            # The other end closed; what it was sent is in ``runs``.
+            return
+        finally:
+            sock.close()
+
+    def _one_request(self, http: h11.Connection, sock: socket.socket) -> bool:
+        request: h11.Request | None = None
+        body = b''
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                data = sock.recv(READ_BYTES)
+                if not data and request is None:
+                    return False
+                http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage) and request is not None:
+                return self._answer(http, sock, request, body)
+            else:
+                return False
+
+    def _answer(
+        self, http: h11.Connection, sock: socket.socket, request: h11.Request, body: bytes
+    ) -> bool:
+        headers = {bytes(name): bytes(value) for name, value in request.headers}
+        act = self.acts.popleft() if self.acts else Act.SERVE
+        own = [(ATTEMPT, headers.get(ATTEMPT, b'')), (LOAD, b'1,0,8')]
+        if headers.get(EXPECT_SERVER, self.server_id.encode()) != self.server_id.encode():
+            return self._whole(http, sock, 421, [*own, (b'instance-id', b'other')], b'')
+        if act is Act.REFUSE:
+            self.refused_count += 1
+            return self._whole(http, sock, 503, [*own, (NOT_RUN, b'1')], b'')
+        run = ServerRun(
+            headers.get(ATTEMPT, b'').decode(),
+            bytes(request.method),
+            bytes(request.target),
+            headers,
+            body,
+        )
+        self.runs.append(run)
+        gevent.sleep(self.answer_ms / 1e3)
+        signed = [*own, (SEAL, f'seal-{self.server_id}-{len(self.runs)}'.encode())]
+        if act is Act.CUT:
+            reset(sock)
+            return False
+        if act is Act.SILENT:
+            return self._wait_for_close(sock, run)
+        if act is Act.FAIL:
+            return self._whole(http, sock, 500, signed, b'failed')
+        if act is Act.IMPOSSIBLE:
+            return self._whole(http, sock, 422, signed, b'')
+        if act is Act.WRONG_ID:
+            return self._whole(http, sock, 200, [(ATTEMPT, b'other'), signed[-1]], b'other')
+        if act is Act.UNSIGNED:
+            return self._whole(http, sock, 200, own, b'unsigned')
+        if act in (Act.UNFRAMED, Act.UNFRAMED_CUT):
+            return self._unframed(sock, signed, is_cut=act is Act.UNFRAMED_CUT)
+        if b'stream' in run.target:
+            return self._stream(http, sock, signed, run, act)
+        kept = self._whole(http, sock, 200, signed, b'answer to ' + body)
+        if act is Act.EXTRA:
+            sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra')
+        return kept
+
+    def _stream(
+        self,
+        http: h11.Connection,
+        sock: socket.socket,
+        headers: list[tuple[bytes, bytes]],
+        run: ServerRun,
+        act: Act,
+    ) -> bool:
+        first = int(run.headers.get(LAST_EVENT, b'0')) + 1
+        head = [*headers, (b'content-type', b'text/event-stream')]
+        sock.sendall(http.send(h11.Response(status_code=200, headers=head)) or b'')
+        for number in range(first, self.events_count + 1):
+            data = b'id: %d\ndata: text %d\n\n' % (number, number)
+            if act is Act.CUT_IN_EVENT and number == first + 2:
+                sock.sendall(http.send(h11.Data(data=data[:-5])) or b'')
+                reset(sock)
+                return False
+            if act in (Act.STALL, Act.HOLD) and number == first + 2:
+                if act is Act.STALL:
+                    return self._wait_for_close(sock, run)
+                self.go_on.wait()
+            try:
+                sock.sendall(http.send(h11.Data(data=data)) or b'')
+            except OSError:
+                run.is_cut = True
+                raise
+            gevent.sleep(self.event_gap_ms / 1e3)
+        sock.sendall(http.send(h11.EndOfMessage()) or b'')
+        return True
+
+    def _whole(
+        self,
+        http: h11.Connection,
+        sock: socket.socket,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> bool:
+        head = [*headers, (b'content-length', str(len(body)).encode())]
+        data = http.send(h11.Response(status_code=status, headers=head)) or b''
+        if body:
+            data += http.send(h11.Data(data=body)) or b''
+        sock.sendall(data + (http.send(h11.EndOfMessage()) or b''))
+        return True
+
+    @staticmethod
+    def _unframed(sock: socket.socket, headers: list[tuple[bytes, bytes]], *, is_cut: bool) -> bool:
+        lines = b''.join(b'%b: %b\r\n' % pair for pair in headers)
+        sock.sendall(b'HTTP/1.1 200 OK\r\nConnection: close\r\n' + lines + b'\r\nunframed')
+        gevent.sleep(0.01)
+        if is_cut:
+            reset(sock)
+        return False
+
+    @staticmethod
+    def _wait_for_close(sock: socket.socket, run: ServerRun) -> bool:
+        sock.settimeout(30.0)
+        if not sock.recv(1):
+            run.is_cut = True
+        return False
--- /dev/null
+++ b/tests/support/gateway.py
@@ -0,0 +1,274 @@
+"""Gateway instances, a store and servers in one process, on loopback."""
+
+from __future__ import annotations
+
+import base64
+import os
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import gevent
+import h11
+import msgspec
+from gevent import socket
+from gevent.pywsgi import WSGIServer
+
+from citrondyke.gateway.instance import GatewayInstance
+from citrondyke.gateway.settings import Address, GatewaySettings, StoreSettings
+from citrondyke.ids import AvailabilityZone, InstanceId
+from citrondyke.platform.dialect import ATTEMPT
+from citrondyke.platform.outside import platform_outside
+from citrondyke.platform.rows import CONFIG_KEY, CONFIG_TABLE, SERVERS_TABLE
+from citrondyke.standin.platform_server import PlatformServer
+from citrondyke.standin.store_app import StoreApp
+from citrondyke.util.clock import SystemClock
+
+__all__ = ('GatewayFleet', 'Reply', 'wait_until_seen')
+
+LONGEST_S = 30.0
+HOST = 'calls.example'
+#: Below the range that outgoing connections take theirs from.
+CALLERS_PORT, HEALTH_PORT, PEER_PORT = 18_000, 18_001, 18_002
+#: Addresses of their own for each test process, so that none takes a port from another.
+LOOPBACK = f'127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}'
+
+
+def wait_until_seen(look: Callable[[], Any], what: str) -> Any:
+    """Look until there is something; the limit only ends a test that would hang."""
+    with gevent.Timeout(LONGEST_S, AssertionError(f'waited in vain for: {what}')):
+        while not (found := look()):
+            gevent.sleep(0.01)
+    return found
+
+
+class Reply(msgspec.Struct):
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    #: Whether it came whole; what ends early does not.
+    is_whole: bool
+
+
+def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """A route as the operator writes it."""
+    return {
+        'name': name,
+        'hostname': HOST,
+        'path_prefix': f'/{name}/',
+        'type': kind,
+        'timeout_ms': 5_000,
+        'slo_ms': 300,
+        'priority': 0,
+        'service': service,
+        'max_attempts': 3,
+        'resumable': False,
+        **more,
+    }
+
+
+ROUTES = [
+    route('fetch', 'idempotent', 'app'),
+    route('order', 'non_idempotent', 'app'),
+    route('stream', 'streaming', 'lm', resumable=True),
+    route('stream-once', 'streaming', 'lm', max_attempts=1),
+    route('batch-stream', 'batch', 'lm', completion_slo_ms=18_000, max_wait_s=40),
+]
+
+
+class GatewayFleet:
+    """A small deployment."""
+
+    def __init__(self) -> None:
+        self.clock = SystemClock()
+        self.store = StoreApp()
+        self._wsgi = WSGIServer(('127.0.0.1', 0), self.store, log=None, error_log=None)
+        self._wsgi.start()
+        self.servers: dict[str, PlatformServer] = {}
+        self.instances: list[GatewayInstance] = []
+
+    def configure(self, version: int = 1, routes: list[dict[str, Any]] | None = None) -> None:
+        """Write the operator's configuration."""
+        config = {
+            'version': version,
+            'routes': ROUTES if routes is None else routes,
+            'services': [{'name': 'app'}, {'name': 'lm'}],
+            'limits': {
+                'max_header_bytes': 16_384,
+                'max_body_bytes': 100_000,
+                'header_timeout_ms': 3_000,
+                'idle_timeout_ms': 15_000,
+            },
+        }
+        self.store.put(CONFIG_TABLE, CONFIG_KEY, msgspec.json.encode(config))
+
+    def add_server(self, name: str, service: str, **row: Any) -> PlatformServer:
+        """Start a server and list it."""
+        server = self.servers[name] = PlatformServer(name)
+        self.list_server(name, service, **row)
+        return server
+
+    def list_server(self, name: str, service: str, **row: Any) -> None:
+        """Write a server's entry."""
+        entry = {
+            'service': service,
+            'address': f'127.0.0.1:{self.servers[name].port}',
+            'zone': 'zone-a',
+            'slots': 4,
+            'state': 'ready',
+            'seq': 1,
+            **row,
+        }
+        self.store.put(SERVERS_TABLE, name, msgspec.json.encode(entry))
+
+    def start_instance(self, **more: Any) -> GatewayInstance:
+        """Start an instance at an address of its own."""
+        ip = f'{LOOPBACK}.{11 + len(self.instances)}'
+        store = StoreSettings(
+            address=Address('127.0.0.1', self._wsgi.server_port), call_timeout_ms=300.0
+        )
+        wanted: dict[str, Any] = {
+            'instance_id': InstanceId(f'instance-{len(self.instances)}'),
+            'zone': AvailabilityZone('zone-a'),
+            'ip': ip,
+            'callers': Address(ip, CALLERS_PORT),
+            'health': Address(ip, HEALTH_PORT),
+            'peer_port': PEER_PORT,
+            'metrics_port': 0,
+            'seed_ips': (),
+            'store': store,
+            'memory_bytes': 256 * 1024 * 1024,
+            'connections_limit': 200,
+            'stop_within_ms': 3_000.0,
+            'lapsed_grace_ms': 2_200.0,
+            'job_kept_ms': 120_000.0,
+            **more,
+        }
+        settings = GatewaySettings(**wanted)
+        outside = platform_outside(self.clock, settings, source_ip=ip)
+        instance = GatewayInstance(settings, outside)
+        instance.start()
+        self.instances.append(instance)
+        return instance
+
+    def wait_ready(self) -> None:
+        """Wait until all instances serve and know each other and all servers."""
+        for instance in self.instances:
+            wait_until_seen(lambda: self._is_ready(instance), 'all instances to be ready')  # noqa: B023
+
+    def _is_ready(self, instance: GatewayInstance) -> bool:
+        return (
+            instance.beliefs.is_complete
+            and len(list(instance.book.states())) == len(self.servers)
+            and len(instance.membership.peers) == len(self.instances) - 1
+        )
+
+    def call(
+        self,
+        path: str,
+        body: bytes = b'body',
+        *,
+        at: int = 0,
+        method: str = 'POST',
+        request_id: str = 'request-1',
+        **headers: str,
+    ) -> Reply:
+        """Make a call on a connection of its own."""
+        with self.connection(at) as sock:
+            return exchange(sock, path, body, method=method, request_id=request_id, **headers)
+
+    @contextmanager
+    def connection(self, at: int = 0) -> Iterator[socket.socket]:
+        """Open a connection to an instance."""
+        address = self.instances[at].address
+        with socket.create_connection((address.ip, address.port), timeout=LONGEST_S) as sock:
+            yield sock
+
+    def submit(self, job_id: str, count: int = 3, *, at: int = 0) -> Reply:
+        """Hand a job in."""
+        items = [
+            {
+                'id': f'{job_id}-{n}',
+                'path': '/batch-stream/x',
+                'headers': {'Model': 'm'},
+                'body': base64.b64encode(b'item %d' % n).decode(),
+                'tokens': 10,
+            }
+            for n in range(count)
+        ]
+        body = msgspec.json.encode({'requests': items})
+        return self.call('/batch-stream/job', body, at=at, request_id=job_id)
+
+    def results(self, job_id: str, *, at: int = 0, after: int = 0) -> dict[str, Any]:
+        """Read a job's results."""
+        reply = self.call(f'/-/lots/{job_id}?after={after}', b'', at=at, method='GET')
+        assert reply.status == 200, reply
+        found: dict[str, Any] = msgspec.json.decode(reply.body)
+        return found
+
+    def wait_done(self, job_id: str, *, at: int = 0) -> list[dict[str, Any]]:
+        """Wait until all of a job's items have a result."""
+
+        def look() -> list[dict[str, Any]] | None:
+            page = self.results(job_id, at=at)
+            return page['results'] if page['next'] == page['total'] else None
+
+        found: list[dict[str, Any]] = wait_until_seen(look, f'all results of {job_id}')
+        return found
+
+    def end(self) -> None:
+        """Stop everything."""
+        for instance in self.instances:
+            instance.abandon()
+        for server in self.servers.values():
+            server.stop()
+        self._wsgi.stop(timeout=0)
+
+
+def exchange(
+    sock: socket.socket,
+    path: str,
+    body: bytes,
+    *,
+    method: str = 'POST',
+    request_id: str = 'request-1',
+    **headers: str,
+) -> Reply:
+    """Send one request and read its answer."""
+    http = h11.Connection(h11.CLIENT)
+    named = [(name.replace('_', '-'), value) for name, value in headers.items()]
+    head = [
+        ('Host', HOST),
+        (ATTEMPT.decode(), request_id),
+        ('Content-Length', str(len(body))),
+        *named,
+    ]
+    data = http.send(h11.Request(method=method, target=path, headers=head)) or b''
+    data += (http.send(h11.Data(data=body)) or b'') if body else b''
+    sock.sendall(data + (http.send(h11.EndOfMessage()) or b''))
+    return read_reply(http, sock)
+
+
+def read_reply(http: h11.Connection, sock: socket.socket) -> Reply:
+    """Read an answer to its end."""
+    reply = Reply(0, {}, b'', False)
+    while True:
+        try:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(sock.recv(65_536))
+                continue
+        except (OSError, h11.RemoteProtocolError):
+            return reply
+        if isinstance(event, h11.Response):
+            reply.status = event.status_code
+            reply.headers = {n.decode(): v.decode() for n, v in event.headers}
+        elif isinstance(event, h11.Data):
+            reply.body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            reply.is_whole = True
+            return reply
+        else:
+            return reply
--- /dev/null
+++ b/tests/test_batch/test_batch_takeover.py
@@ -0,0 +1,135 @@
+"""Who claims a job, and when."""
+
+from __future__ import annotations
+
+import msgspec
+
+from citrondyke.decisions.batch.job import JobHead
+from citrondyke.decisions.batch.takeover import (
+    OWN_MS,
+    SETTLE_MS,
+    SILENT_MS,
+    TURN_MS,
+    LiveInstances,
+    Takeover,
+)
+from citrondyke.ids import InstanceId
+from tests.support.manual_clock import ManualClock, manual_context
+from tests.test_batch.test_batch_machine import new_head
+
+GAP_MS = 2_600.0
+
+
+class Watcher:
+    """One instance that watches instance-0, the owner."""
+
+    def __init__(self, clock: ManualClock, name: str = 'instance-1') -> None:
+        context = manual_context(clock, name)
+        self.clock = clock
+        self.live = LiveInstances(context)
+        self.takeover = Takeover(context, f'life of {name}', self.live)
+
+    def look(self, **lives: tuple[str, int]) -> None:
+        """Read the table of heartbeats: life and row version by instance."""
+        for name, (life, version) in lives.items():
+            self.live.note(InstanceId(name.replace('_', '-')), life, version)
+        self.live.note_look(GAP_MS)
+
+    def settle(self, **lives: tuple[str, int]) -> None:
+        self.look(**lives)
+        self.clock.ms += SETTLE_MS
+        self.look(**lives)
+
+
+def owned_by(name: str, life: str) -> JobHead:
+    return msgspec.structs.replace(new_head(0), owner=InstanceId(name), owner_life=life)
+
+
+def test_silent_owner_is_followed_after_three_heartbeats() -> None:
+    watcher = Watcher(ManualClock())
+    head = owned_by('instance-0', 'a')
+    watcher.settle(instance_0=('a', 5))
+    assert not watcher.takeover.is_due(head, 4)
+    for _ in range(3):
+        watcher.clock.ms += SILENT_MS / 3
+        watcher.look(instance_0=('a', 5))
+    assert watcher.takeover.is_due(head, 4)
+
+
+def test_owner_that_beats_keeps_its_job() -> None:
+    watcher = Watcher(ManualClock())
+    head = owned_by('instance-0', 'a')
+    for version in range(5, 25):
+        watcher.clock.ms += 900.0
+        watcher.look(instance_0=('a', version))
+        assert not watcher.takeover.is_due(head, 4)
+
+
+def test_outage_of_the_store_makes_nobody_silent() -> None:
+    # The store is down for 8 s and nobody can renew anything. If that counted as silence, all
+    # instances would take over from all others when it returns.
+    watcher = Watcher(ManualClock())
+    head = owned_by('instance-0', 'a')
+    watcher.settle(instance_0=('a', 5))
+    watcher.clock.ms += 8_000.0
+    watcher.look(instance_0=('a', 5))
+    assert not watcher.takeover.is_due(head, 4)
+
+
+def test_owner_that_began_anew_is_followed_at_once() -> None:
+    watcher = Watcher(ManualClock())
+    head = owned_by('instance-0', 'a')
+    watcher.settle(instance_0=('b', 9))
+    assert watcher.takeover.is_due(head, 4)
+
+
+def test_claim_is_not_taken_for_ownerless_before_its_owner_is_known() -> None:
+    # All instances start anew. One claims a job before its first heartbeat was read by the
+    # others; if they took it for gone, each would claim from the one before, and every item
+    # would run several times.
+    watcher = Watcher(ManualClock())
+    head = owned_by('instance-2', 'new')
+    watcher.settle(instance_2=('old', 5))
+    assert not watcher.takeover.is_due(head, 12)
+    watcher.clock.ms += 900.0
+    watcher.look(instance_2=('new', 13))
+    assert not watcher.takeover.is_due(head, 12)
+
+
+def test_nobody_claims_before_the_others_had_time_to_show() -> None:
+    watcher = Watcher(ManualClock())
+    head = owned_by('', '')
+    assert not watcher.takeover.is_due(head, 4)
+    watcher.look()
+    assert not watcher.takeover.is_due(head, 4)
+    watcher.clock.ms += SETTLE_MS
+    assert watcher.takeover.is_due(head, 4)
+
+
+def test_instances_take_turns() -> None:
+    clock = ManualClock()
+    names = [f'instance-{n}' for n in range(1, 5)]
+    watchers = [Watcher(clock, name) for name in names]
+    lives = {name.replace('-', '_'): ('x', 5) for name in names}
+    for watcher in watchers:
+        watcher.look(**lives)
+    clock.ms += SETTLE_MS
+    head = owned_by('', '')
+    claimed = []
+    for _ in range(4):
+        for watcher in watchers:
+            watcher.look(**{name: ('x', int(clock.ms)) for name in lives})
+        claimed.append(sum(watcher.takeover.is_due(head, 4) for watcher in watchers))
+        clock.ms += TURN_MS
+    assert claimed == [1, 2, 3, 4]
+
+
+def test_own_acceptance_in_doubt_is_claimed_by_its_instance() -> None:
+    # An acceptance took effect without its reply, and the instance does not run the job. Others
+    # see a living owner, so only that instance itself can find it.
+    watcher = Watcher(ManualClock())
+    head = owned_by('instance-1', 'life of instance-1')
+    watcher.settle()
+    assert not watcher.takeover.is_due(head, 4)
+    watcher.clock.ms += OWN_MS
+    assert watcher.takeover.is_due(head, 4)
--- /dev/null
+++ b/tests/test_gateway/test_gateway_forwarding.py
@@ -0,0 +1,224 @@
+"""Requests reach servers byte for byte, and each caller gets its own whole answer."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from citrondyke.standin.platform_server import Act, PlatformServer
+from tests.support.gateway import GatewayFleet, Reply, exchange, wait_until_seen
+
+
+def runs(fleet: GatewayFleet, prefix: str) -> int:
+    return sum(
+        len(server.runs) for name, server in fleet.servers.items() if name.startswith(prefix)
+    )
+
+
+def tell(fleet: GatewayFleet, prefix: str, act: Act, *, times: int = 1) -> None:
+    """Have all servers of a service answer their next requests in one way."""
+    for name, server in fleet.servers.items():
+        if name.startswith(prefix):
+            server.acts.extend([act] * times)
+
+
+def served_by(fleet: GatewayFleet, prefix: str) -> list[PlatformServer]:
+    return [
+        server for name, server in fleet.servers.items() if name.startswith(prefix) and server.runs
+    ]
+
+
+def test_request_arrives_unchanged_and_answer_too(fleet: GatewayFleet) -> None:
+    body = bytes(range(256)) * 40
+    reply = fleet.call('/fetch/a%20b?x=1&y=%2f', body, method='PUT', model='m', x_own='kept')
+    (server,) = served_by(fleet, 'app')
+    (run,) = server.runs
+    assert (run.method, run.target, run.body) == (b'PUT', b'/fetch/a%20b?x=1&y=%2f', body)
+    assert (run.request_id, run.headers[b'model']) == ('request-1', b'm')
+    assert run.headers[b'x-own'] == b'kept'
+    assert run.headers[b'expect-instance'].decode() == server.server_id
+    assert (reply.status, reply.body, reply.is_whole) == (200, b'answer to ' + body, True)
+    assert reply.headers['response-seal'].startswith(f'seal-{server.server_id}')
+
+
+def test_server_is_handed_no_more_time_than_is_left(fleet: GatewayFleet) -> None:
+    fleet.call('/fetch/a', deadline_ms='1200')
+    fleet.call('/fetch/a', deadline_ms='90000', request_id='request-2')
+    left = [
+        int(run.headers[b'deadline-ms'])
+        for server in served_by(fleet, 'app')
+        for run in server.runs
+    ]
+    assert 0 < min(left) <= 1_200
+    assert max(left) <= 5_000
+
+
+@pytest.mark.parametrize(
+    'act', [Act.CUT, Act.WRONG_ID, Act.UNSIGNED, Act.UNFRAMED_CUT, Act.FAIL, Act.REFUSE]
+)
+def test_idempotent_request_is_repeated_elsewhere(fleet: GatewayFleet, act: Act) -> None:
+    # One server breaks off, spoils its answer, fails or is full. The caller sees only the other
+    # server's whole answer.
+    fleet.servers['app-1'].acts.extend([act] * 4)
+    for number in range(8):
+        body = b'mine %d' % number
+        reply = fleet.call('/fetch/a', body, request_id=f'request-{number}')
+        assert (reply.status, reply.body) == (200, b'answer to ' + body)
+    assert len(fleet.servers['app-1'].acts) < 4
+
+
+@pytest.mark.parametrize('act', [Act.CUT, Act.WRONG_ID, Act.UNSIGNED, Act.UNFRAMED_CUT])
+def test_order_that_may_have_run_is_sent_once_and_not_called_not_run(
+    fleet: GatewayFleet, act: Act
+) -> None:
+    # The server books the order, then its answer is lost or spoilt. Sent again it would be booked
+    # twice; answered with 503 the caller would send it again itself.
+    tell(fleet, 'app', act)
+    reply = fleet.call('/order/a', request_id='order-1')
+    assert reply.status == 502
+    assert runs(fleet, 'app') == 1
+
+
+def test_order_refused_by_all_is_not_run_and_has_a_time_to_come_back(fleet: GatewayFleet) -> None:
+    tell(fleet, 'app', Act.REFUSE)
+    reply = fleet.call('/order/a')
+    assert reply.status == 503
+    assert float(reply.headers['retry-after']) > 0
+    assert runs(fleet, 'app') == 0
+
+
+def test_order_refused_by_one_runs_at_the_other(fleet: GatewayFleet) -> None:
+    fleet.servers['app-1'].acts.append(Act.REFUSE)
+    replies = [fleet.call('/order/a', request_id=f'order-{n}') for n in range(4)]
+    assert {reply.status for reply in replies} == {200}
+    assert runs(fleet, 'app') == 4
+
+
+def test_servers_own_failure_is_passed_on_with_its_mark(fleet: GatewayFleet) -> None:
+    tell(fleet, 'app', Act.FAIL, times=3)
+    reply = fleet.call('/fetch/a')
+    assert (reply.status, reply.body) == (500, b'failed')
+    assert reply.headers['response-seal'].startswith('seal-')
+
+
+def test_extra_answer_reaches_nobody(fleet: GatewayFleet) -> None:
+    # A server sends a second answer behind the first. The connection must not be used again: the
+    # next caller would get bytes that belong to no request.
+    tell(fleet, 'app', Act.EXTRA, times=20)
+    for number in range(10):
+        body = b'mine %d' % number
+        reply = fleet.call('/fetch/a', body, request_id=f'request-{number}')
+        assert (reply.status, reply.body) == (200, b'answer to ' + body)
+
+
+def test_answer_without_a_length_is_whole_at_its_end(fleet: GatewayFleet) -> None:
+    tell(fleet, 'app', Act.UNFRAMED)
+    reply = fleet.call('/fetch/a')
+    assert (reply.status, reply.body, reply.is_whole) == (200, b'unframed', True)
+
+
+def test_unknown_route_is_not_found_and_runs_nowhere(fleet: GatewayFleet) -> None:
+    assert fleet.call('/other/a').status == 404
+    assert runs(fleet, 'app') == 0
+
+
+def test_caller_that_leaves_ends_the_servers_work(fleet: GatewayFleet) -> None:
+    # A caller hangs up while its answer is worked on. The server's connection is closed at once,
+    # so that its place is free for others.
+    tell(fleet, 'app', Act.SILENT)
+    with fleet.connection() as sock:
+        gevent.spawn(exchange, sock, '/order/a', b'x')
+        wait_until_seen(lambda: runs(fleet, 'app'), 'the request at a server')
+    (server,) = served_by(fleet, 'app')
+    wait_until_seen(lambda: server.runs[0].is_cut, 'the end of the work')
+    state = fleet.instances[0].book.state(server.server_id)  # type: ignore[arg-type]
+    assert state is not None
+    wait_until_seen(lambda: state.own.online == 0, 'the place to be free')
+
+
+def test_silent_server_is_left_for_another_one(fleet: GatewayFleet) -> None:
+    tell(fleet, 'app', Act.SILENT)
+    fleet.servers['app-2'].acts.clear()
+    replies = [fleet.call('/fetch/a', request_id=f'request-{n}') for n in range(3)]
+    assert {reply.status for reply in replies} == {200}
+
+
+def test_request_that_nobody_answers_gets_its_answer_at_the_routes_timeout(
+    fleet: GatewayFleet,
+) -> None:
+    tell(fleet, 'app', Act.SILENT, times=3)
+    reply = fleet.call('/order/a', deadline_ms='400')
+    assert reply.status == 504
+    assert runs(fleet, 'app') == 1
+
+
+@pytest.mark.parametrize('act', [Act.CUT_IN_EVENT, Act.STALL])
+def test_stream_goes_on_behind_its_last_whole_event(fleet: GatewayFleet, act: Act) -> None:
+    # A server breaks off in the middle of its third event, or falls silent. The caller sees one
+    # stream, each event once, with the headers of the first server.
+    tell(fleet, 'lm', act)
+    fleet.servers['lm-2'].acts.clear()
+    fleet.servers['lm-1'].acts.append(act)
+    for number in range(3):
+        reply = fleet.call('/stream/a', request_id=f'request-{number}')
+        assert reply.is_whole
+        expected = b''.join(b'id: %d\ndata: text %d\n\n' % (n, n) for n in range(1, 7))
+        assert reply.body == expected
+    assert any(b'last-event-id' in run.headers for run in fleet.servers['lm-2'].runs)
+
+
+def test_stream_that_cannot_be_resumed_breaks_off_visibly(fleet: GatewayFleet) -> None:
+    tell(fleet, 'lm', Act.CUT_IN_EVENT)
+    reply = fleet.call('/stream-once/a')
+    assert not reply.is_whole
+    assert reply.body == b'id: 1\ndata: text 1\n\nid: 2\ndata: text 2\n\n'
+    assert runs(fleet, 'lm') == 1
+
+
+def test_caller_may_resume_itself(fleet: GatewayFleet) -> None:
+    reply = fleet.call('/stream/a', last_event_id='4')
+    assert reply.body == b'id: 5\ndata: text 5\n\nid: 6\ndata: text 6\n\n'
+
+
+def test_events_are_passed_on_as_they_come(fleet: GatewayFleet) -> None:
+    tell(fleet, 'lm', Act.HOLD)
+    replies: list[Reply] = []
+    with fleet.connection() as sock:
+        reader = gevent.spawn(lambda: replies.append(exchange(sock, '/stream/a', b'')))
+        (server,) = wait_until_seen(lambda: served_by(fleet, 'lm'), 'the request at a server')
+        gevent.sleep(0.1)
+        assert not replies
+        server.go_on.set()
+        reader.join(10.0)
+    assert replies[0].is_whole
+
+
+def test_address_that_another_server_has_now_runs_nothing_for_us(fleet: GatewayFleet) -> None:
+    # A server ended and its address belongs to another one, which answers 421. The request goes
+    # elsewhere, and that entry gets no more of them.
+    fleet.servers['app-1'].server_id = 'somebody-else'
+    for number in range(6):
+        assert fleet.call('/order/a', request_id=f'order-{number}').status == 200
+    assert not fleet.servers['app-1'].runs
+    assert len(fleet.servers['app-2'].runs) == 6
+
+
+def test_two_lengths_are_turned_away(fleet: GatewayFleet) -> None:
+    with fleet.connection() as sock:
+        sock.sendall(
+            b'POST /fetch/a HTTP/1.1\r\nHost: calls.example\r\nContent-Length: 4\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /order/a HTTP/1.1\r\n\r\n'
+        )
+        assert sock.recv(100).startswith(b'HTTP/1.1 400')
+    assert runs(fleet, 'app') == 0
+
+
+def test_too_large_a_body_is_told(fleet: GatewayFleet) -> None:
+    assert fleet.call('/fetch/a', b'x' * 200_000).status == 413
+
+
+def test_connection_serves_many_requests(fleet: GatewayFleet) -> None:
+    with fleet.connection() as sock:
+        for number in range(5):
+            reply = exchange(sock, '/fetch/a', b'%d' % number, request_id=f'request-{number}')
+            assert reply.body == b'answer to %d' % number
--- /dev/null
+++ b/tests/test_gateway/test_gateway_jobs.py
@@ -0,0 +1,202 @@
+"""Batch jobs: accepted once, run by one owner at a time, readable everywhere."""
+
+from __future__ import annotations
+
+import gevent
+import msgspec
+import pytest
+
+from citrondyke.ids import JobId
+from citrondyke.standin.platform_server import Act
+from tests.support.gateway import ROUTES, GatewayFleet, wait_until_seen
+
+TEXT = '\n'.join(f'text {n}' for n in range(1, 7))
+
+
+def runs_of(fleet: GatewayFleet, item_id: str) -> int:
+    return sum(
+        run.request_id == item_id for server in fleet.servers.values() for run in server.runs
+    )
+
+
+def owner_of(fleet: GatewayFleet, job_id: str) -> int:
+    return next(index for index, each in enumerate(fleet.instances) if job_id in each.runner.jobs)
+
+
+def slow_down(fleet: GatewayFleet, gap_ms: float = 150.0) -> None:
+    for name in ('lm-1', 'lm-2'):
+        fleet.servers[name].event_gap_ms = gap_ms
+
+
+def test_all_items_are_done_and_read_the_same_everywhere(fleet: GatewayFleet) -> None:
+    assert fleet.submit('job-1', 5).status == 202
+    results = fleet.wait_done('job-1', at=0)
+    assert fleet.wait_done('job-1', at=1) == results
+    assert sorted(each['id'] for each in results) == [f'job-1-{n}' for n in range(5)]
+    assert {(each['state'], each['text']) for each in results} == {('completed', TEXT)}
+    page = fleet.results('job-1', at=1, after=3)
+    assert (page['total'], page['next'], page['results']) == (5, 5, results[3:])
+
+
+def test_job_sent_again_elsewhere_is_the_same_job(fleet: GatewayFleet) -> None:
+    # The caller's first answer is lost, and it sends the job again to another instance. Each item
+    # runs once.
+    assert fleet.submit('job-1', at=0).status == 202
+    assert fleet.submit('job-1', at=1).status == 202
+    fleet.wait_done('job-1', at=1)
+    assert fleet.submit('job-1', at=1).status == 202
+    assert [runs_of(fleet, f'job-1-{n}') for n in range(3)] == [1, 1, 1]
+
+
+def test_acceptance_whose_reply_was_lost_is_an_acceptance(fleet: GatewayFleet) -> None:
+    # The store takes the job and its reply is lost. The instance asks again, finds its own row,
+    # and answers 202; the job runs once.
+    fleet.store.faults.lost_reply_share = 1.0
+
+    def mend() -> None:
+        gevent.sleep(0.5)
+        fleet.store.faults.lost_reply_share = 0.0
+
+    gevent.spawn(mend)
+    assert fleet.submit('job-1').status == 202
+    fleet.wait_done('job-1')
+    assert runs_of(fleet, 'job-1-0') == 1
+
+
+def test_job_that_may_be_durable_is_not_called_not_run(fleet: GatewayFleet) -> None:
+    fleet.store.faults.lost_reply_share = 1.0
+    assert fleet.submit('job-1').status == 504
+    fleet.store.faults.lost_reply_share = 0.0
+    fleet.wait_done('job-1', at=1)
+
+
+def test_job_is_refused_while_the_store_refuses(fleet: GatewayFleet) -> None:
+    # Nothing was written, so "not run" is true, and the caller hears when to come back.
+    fleet.store.faults.refused_ips = {'*'}
+    reply = fleet.submit('job-1')
+    assert reply.status == 503
+    assert float(reply.headers['retry-after']) > 0
+    fleet.store.faults.refused_ips = set()
+    gevent.sleep(0.5)
+    assert runs_of(fleet, 'job-1-0') == 0
+    wait_until_seen(
+        lambda: fleet.call('/-/lots/job-1?after=0', b'', method='GET').status == 404,
+        'certainty that there is no such job',
+    )
+
+
+def test_unknown_job_is_404_only_when_that_is_certain(fleet: GatewayFleet) -> None:
+    path = '/-/lots/nothing?after=0'
+    assert fleet.call(path, b'', method='GET').status == 404
+    fleet.store.faults.refused_ips = {'*'}
+    assert fleet.call(path, b'', method='GET').status == 503
+
+
+def test_stale_reads_do_not_hide_an_accepted_job(fleet: GatewayFleet) -> None:
+    fleet.store.faults.stale_at = fleet.store.table.version
+    assert fleet.submit('job-1').status == 202
+    for at in (0, 1):
+        assert fleet.results('job-1', at=at)['total'] == 3
+
+
+def test_killed_owners_job_is_finished_by_another(fleet: GatewayFleet) -> None:
+    # The owner is killed right after the 202, with items half done. Another instance notices its
+    # silence, claims the job and lists every item once.
+    slow_down(fleet)
+    assert fleet.submit('job-1', 6, at=0).status == 202
+    fleet.instances[0].abandon()
+    results = fleet.wait_done('job-1', at=1)
+    assert sorted(each['id'] for each in results) == [f'job-1-{n}' for n in range(6)]
+    assert {each['text'] for each in results} == {TEXT}
+
+
+def test_woken_owner_adds_nothing_to_a_job_that_was_taken_over(fleet: GatewayFleet) -> None:
+    # The owner stands still, another takes the job over, then the first one's commit arrives.
+    # The fence turns it away, and no item is listed twice.
+    slow_down(fleet)
+    assert fleet.submit('job-1', 4, at=0).status == 202
+    first = fleet.instances[0]
+    job = first.runner.jobs[msgspec.convert('job-1', str)]  # type: ignore[index]
+    stored = first.keeper.store.head(job.head.job_id)
+    taken = msgspec.structs.replace(
+        stored.head,  # type: ignore[union-attr]
+        owner=fleet.instances[1].context.instance_id,
+        owner_life='gone',
+    )
+    first.keeper.store.change_head(stored, taken)  # type: ignore[arg-type]
+    results = fleet.wait_done('job-1', at=1)
+    assert sorted(each['id'] for each in results) == [f'job-1-{n}' for n in range(4)]
+
+
+def test_ended_job_stops_and_stays_ended(fleet: GatewayFleet) -> None:
+    # The caller ends the job at an instance that does not own it. The owner stops its items, the
+    # end may be repeated, and bodies are not given any more.
+    slow_down(fleet, 300.0)
+    assert fleet.submit('job-1', 12, at=0).status == 202
+    wait_until_seen(lambda: runs_of(fleet, 'job-1-0'), 'the first item at a server')
+    for at in (1, 0, 1):
+        assert fleet.call('/-/lots/job-1', b'', at=at, method='DELETE').status == 200
+    wait_until_seen(lambda: not fleet.instances[0].runner.jobs, 'the owner to let go')
+    ran = sum(len(server.runs) for server in fleet.servers.values())
+    gevent.sleep(0.6)
+    assert sum(len(server.runs) for server in fleet.servers.values()) == ran
+    path = '/-/items/job-1?id=job-1-0'
+    assert fleet.call(path, b'', at=1, method='GET').status == 404
+
+
+@pytest.mark.parametrize('at', [0, 1])
+def test_bodies_of_open_items_are_given_at_any_instance(fleet: GatewayFleet, at: int) -> None:
+    slow_down(fleet, 300.0)
+    assert fleet.submit('job-1', at=0).status == 202
+    reply = fleet.call('/-/items/job-1?id=job-1-2', b'', at=at, method='GET')
+    assert (reply.status, reply.body) == (200, b'item 2')
+    assert fleet.call('/-/items/job-1?id=other', b'', at=at, method='GET').status == 404
+
+
+def test_item_that_can_never_be_done_is_listed_as_such(fleet: GatewayFleet) -> None:
+    for name in ('lm-1', 'lm-2'):
+        fleet.servers[name].acts.append(Act.IMPOSSIBLE)
+    assert fleet.submit('job-1', 4).status == 202
+    results = fleet.wait_done('job-1')
+    assert sorted(each['state'] for each in results) == ['completed', 'completed'] + ['errored'] * 2
+
+
+def test_cut_item_goes_on_behind_its_last_event(fleet: GatewayFleet) -> None:
+    for name in ('lm-1', 'lm-2'):
+        fleet.servers[name].acts.append(Act.CUT_IN_EVENT)
+    assert fleet.submit('job-1', 2).status == 202
+    assert {each['text'] for each in fleet.wait_done('job-1')} == {TEXT}
+
+
+def test_planned_stop_hands_jobs_over_with_their_progress(fleet: GatewayFleet) -> None:
+    # The owner is asked to stop while its items are half done. Another instance goes on behind
+    # the last event of each at once, without waiting for a silence.
+    slow_down(fleet)
+    assert fleet.submit('job-1', 2, at=0).status == 202
+    items = fleet.instances[0].runner.jobs[JobId('job-1')].open.values()
+    wait_until_seen(lambda: all(each.last_event_id for each in items), 'progress')
+    fleet.instances[0].request_stop()
+    gevent.spawn(fleet.instances[0].run_until_stopped)
+    results = fleet.wait_done('job-1', at=1)
+    assert {each['text'] for each in results} == {TEXT}
+    resumed = [
+        run
+        for server in fleet.servers.values()
+        for run in server.runs
+        if b'last-event-id' in run.headers
+    ]
+    assert len(resumed) == 2
+
+
+def test_items_whose_route_is_gone_are_given_up(fleet: GatewayFleet) -> None:
+    for server in fleet.servers.values():
+        server.acts.extend([Act.REFUSE] * 50)
+    assert fleet.submit('job-1', 2).status == 202
+    fleet.configure(2, [each for each in ROUTES if each['type'] != 'batch'])
+    results = fleet.wait_done('job-1')
+    assert {each['state'] for each in results} == {'errored'}
+
+
+def test_malformed_job_is_told_and_changes_nothing(fleet: GatewayFleet) -> None:
+    assert fleet.call('/batch-stream/x', b'{"requests":[{"id":1}]}').status == 400
+    assert fleet.call('/batch-stream/x', b'{"requests":[').status == 400
