--- a/citrondyke/decisions/forwarding/route.py
+++ b/citrondyke/decisions/forwarding/route.py
@@ -37,7 +37,7 @@
     name: RouteName
     host: str
     #: Begins and ends with a slash.
-    path_prefix: str
+    prefix: str
     kind: RouteKind
     shares: tuple[ServiceShare, ...]
     #: The longest that a caller is kept waiting.
--- a/citrondyke/decisions/forwarding/route_table.py
+++ b/citrondyke/decisions/forwarding/route_table.py
@@ -43,9 +43,9 @@
         """Choose the route of a request: its host's longest prefix that begins the path."""
         best: Route | NoRoute = NO_ROUTE
         for route in self.routes:
-            if route.host != host or not path.startswith(route.path_prefix):
+            if route.host != host or not path.startswith(route.prefix):
                 continue
-            if isinstance(best, NoRoute) or len(route.path_prefix) > len(best.path_prefix):
+            if isinstance(best, NoRoute) or len(route.prefix) > len(best.prefix):
                 best = route
         return best
 
--- a/citrondyke/gateway/dialect.py
+++ b/citrondyke/gateway/dialect.py
@@ -23,6 +23,7 @@
 class CallFacts(msgspec.Struct, frozen=True, kw_only=True):
     """What a caller says of its request."""
 
+    #: Empty when the caller names none.
     request_id: RequestId
     #: Time that the caller will wait, from its send; ``None`` where it states none.
     within_ms: float | None = None
@@ -77,7 +78,7 @@
 
     @abstractmethod
     def call_facts(self, request: CallerRequest) -> CallFacts:
-        """Read what a caller says; a missing id becomes a random one."""
+        """Read what a caller says."""
 
     @abstractmethod
     def server_headers(
--- a/citrondyke/gateway/front.py
+++ b/citrondyke/gateway/front.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import logbook
+import msgspec
 
 from citrondyke.decisions.forwarding.route import RouteKind
 from citrondyke.decisions.forwarding.route_table import NoRoute
@@ -12,17 +13,18 @@
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.caller_connection import CallerConnection
 from citrondyke.gateway.sockets import tune
+from citrondyke.ids import RequestId
 
 if TYPE_CHECKING:
     from gevent import socket
 
+    from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.beliefs import Beliefs
     from citrondyke.gateway.caller_connection import CallerRequest
     from citrondyke.gateway.dialect import Dialect
     from citrondyke.gateway.forwarder import Forwarder
     from citrondyke.gateway.job_door import JobDoor
     from citrondyke.gateway.metrics import Metrics
-    from citrondyke.util.clock import Clock
 
 __all__ = ('Front',)
 
@@ -38,7 +40,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        context: Context,
         beliefs: Beliefs,
         dialect: Dialect,
         forwarder: Forwarder,
@@ -50,7 +52,7 @@
 
         :param connections_limit: open connections; one more gets an answer and is closed.
         """
-        self._clock = clock
+        self._context = context
         self._beliefs = beliefs
         self._dialect = dialect
         self._forwarder = forwarder
@@ -69,7 +71,7 @@
     def on_connection(self, sock: socket.socket, _: object) -> None:
         """Serve one connection until it ends."""
         connection = CallerConnection(
-            self._clock, sock, lambda: self._beliefs.config.current.limits
+            self._context.clock, sock, lambda: self._beliefs.config.current.limits
         )
         self._open.add(connection)
         self._metrics.counters['caller_connections'] += 1
@@ -116,6 +118,9 @@
         if self.is_stopping:
             connection.close_after_answer()
         facts = self._dialect.call_facts(request)
+        if not facts.request_id:
+            request_id = RequestId(f'{self._context.random.getrandbits(64):016x}')
+            facts = msgspec.structs.replace(facts, request_id=request_id)
         if len(self._open) > self._limit:
             connection.close_after_answer()
             headers = self._dialect.own_answer(facts.request_id, TOO_MANY_RETRY_MS)
@@ -138,7 +143,7 @@
         self._forwarder.handle(connection, request, facts, route, table.version)
 
     def _answer_no_route(
-        self, connection: CallerConnection, request: CallerRequest, request_id: str
+        self, connection: CallerConnection, request: CallerRequest, request_id: RequestId
     ) -> None:
         """Say that there is no such route, if that is certain.
 
@@ -146,7 +151,7 @@
         miss a route that was added meanwhile, and says instead that it has not run anything.
         """
         config = self._beliefs.config
-        now_ms = self._clock.now_ms()
+        now_ms = self._context.now_ms()
         is_certain = self._beliefs.is_complete and config.is_confirmed(now_ms)
         status = 404 if is_certain else 503
         log.info(
@@ -161,7 +166,7 @@
             },
         )
         retry_in_ms = None if is_certain else STARTING_RETRY_MS
-        headers = self._dialect.own_answer(request_id, retry_in_ms)  # type: ignore[arg-type]
+        headers = self._dialect.own_answer(request_id, retry_in_ms)
         connection.send_whole(status, headers, b'')
 
     def _turn_away(self, connection: CallerConnection, error: BadRequestHeadError) -> None:
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -145,7 +145,7 @@
             settings.memory_bytes,
         )
         self.front = Front(
-            self.clock,
+            self.context,
             self.beliefs,
             outside.dialect,
             forwarder,
@@ -153,7 +153,7 @@
             self.metrics,
             settings.connections_limit,
         )
-        self._pages = SmallPages(self._is_ready, self.metrics)
+        self._pages = SmallPages(lambda: self.is_ready, self.metrics)
         self._servers: list[StreamServer] = []
         self._stopping = Event()
 
@@ -247,7 +247,9 @@
         self.runner.hand_over(started_ms + HAND_OVER_MS)
         self.membership.leave()
 
-    def _is_ready(self) -> bool:
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send callers."""
         return self.beliefs.is_complete and not self._stopping.is_set()
 
     def _listen(self, ip: str, port: int, handle: Callable[[socket.socket, object], None]) -> None:
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -4,7 +4,6 @@
 
 import base64
 import binascii
-import random
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, unquote
 
@@ -96,7 +95,7 @@
         # The last entry is the request's own; what stands before it is shared.
         shared = prefix.rpartition(',')[0]
         return CallFacts(
-            request_id=RequestId(request_id or f'{random.getrandbits(64):016x}'),
+            request_id=RequestId(request_id),
             within_ms=_number(request.header(DEADLINE)),
             last_event_id=_whole(request.header(LAST_EVENT)),
             prefix=shared,
--- a/citrondyke/platform/rows.py
+++ b/citrondyke/platform/rows.py
@@ -118,7 +118,7 @@
     return Route(
         name=RouteName(route.name),
         host=route.hostname.lower(),
-        path_prefix=route.path_prefix,
+        prefix=route.path_prefix,
         kind=KINDS[route.type],
         shares=tuple(ServiceShare(ServiceName(each.service), each.weight) for each in split),
         timeout_ms=route.timeout_ms,
--- a/tests/test_forwarding/test_forwarding_course.py
+++ b/tests/test_forwarding/test_forwarding_course.py
@@ -15,7 +15,7 @@
     return Route(
         name=RouteName('r'),
         host='h',
-        path_prefix='/p/',
+        prefix='/p/',
         kind=kind,
         shares=(ServiceShare(ServiceName('s'), 1.0),),
         timeout_ms=3_000.0,
--- /dev/null
+++ b/tests/test_platform/test_platform_decoding.py
@@ -0,0 +1,192 @@
+"""The platform's settings, rows and headers, decoded."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from citrondyke.decisions.batch.job import ItemResult, ItemState
+from citrondyke.decisions.forwarding.route import RouteKind
+from citrondyke.decisions.forwarding.route_table import NoRoute
+from citrondyke.errors import InvalidFieldError, SettingsInvalidError
+from citrondyke.gateway.caller_connection import CallerRequest
+from citrondyke.gateway.dialect import JobCallKind, JobPage
+from citrondyke.gateway.server_connection import ReplyHead
+from citrondyke.ids import ServerId
+from citrondyke.platform.dialect import PlatformDialect
+from citrondyke.platform.rows import decode_config, decode_server
+from citrondyke.platform.settings_file import platform_settings
+
+SETTINGS = """
+node_name = "edge-1"
+ip = "10.1.0.35"
+zone = "van-east"
+internal_ports = [7660, 7675]
+seeds = ["10.1.0.35:8146", "10.2.0.28:8146"]
+unknown = "passed over"
+[listen]
+frontend = "10.1.0.35:8144"
+ready = "10.1.0.35:8140"
+[limits]
+memory_mb = 320
+max_fds = 8200
+[bounds]
+grace_s = 8
+[platform]
+address = "10.200.1.7:8142"
+row_bytes = 65536
+"""
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'hostname': 'Calls.Example',
+            'path_prefix': '/a/',
+            'type': 'streaming',
+            'timeout_ms': 5000,
+            'slo_ms': 300,
+            'split': [{'service': 's', 'weight': 90}, {'service': 't', 'weight': 10}],
+            'max_attempts': 2,
+            'resumable': True,
+            'gap_slo_ms': 200,
+        },
+        {
+            'name': 'r-2',
+            'hostname': 'calls.example',
+            'path_prefix': '/a/b/',
+            'type': 'non_idempotent',
+            'timeout_ms': 900,
+            'service': 's',
+        },
+    ],
+    'services': [{'name': 's', 'engine': {'slots': 8}}],
+    'limits': {'max_header_bytes': 100},
+}
+
+
+def request(method: bytes, target: bytes, **headers: str) -> CallerRequest:
+    pairs = [(name.replace('_', '-').encode(), value.encode()) for name, value in headers.items()]
+    return CallerRequest(method, target, pairs, b'', 0.0)
+
+
+def test_settings_are_decoded_into_the_products_words() -> None:
+    settings = platform_settings(SETTINGS, 'boot.toml', 9000)
+    assert (settings.instance_id, settings.zone, settings.peer_port) == ('edge-1', 'van-east', 7660)
+    assert (settings.callers.port, settings.health.port) == (8144, 8140)
+    assert settings.seed_ips == ('10.2.0.28',)
+    assert settings.stop_within_ms == 8_000.0
+    assert settings.memory_bytes == 320 * 1024 * 1024
+
+
+@pytest.mark.parametrize(
+    'change',
+    [('ip = "10.1.0.35"', ''), ('"10.200.1.7:8142"', '"nowhere"'), ('[7660, 7675]', '"x"')],
+)
+def test_wrong_settings_name_their_file(change: tuple[str, str]) -> None:
+    with pytest.raises(SettingsInvalidError) as caught:
+        platform_settings(SETTINGS.replace(*change), 'boot.toml', 0)
+    assert 'boot.toml' in caught.value.message
+
+
+def test_longest_prefix_of_the_host_is_the_route() -> None:
+    table = decode_config(msgspec.json.encode(CONFIG))
+    first = table.find('calls.example', '/a/x')
+    second = table.find('calls.example', '/a/b/x')
+    assert not isinstance(first, NoRoute)
+    assert not isinstance(second, NoRoute)
+    assert (first.name, first.kind, first.may_repeat) == ('r-1', RouteKind.STREAM, True)
+    assert [(each.service, each.weight) for each in first.shares] == [('s', 90), ('t', 10)]
+    assert (second.name, second.kind, second.may_repeat) == ('r-2', RouteKind.ONCE, False)
+    assert isinstance(table.find('calls.example', '/b/'), NoRoute)
+    assert isinstance(table.find('other.example', '/a/x'), NoRoute)
+    assert table.limits.head_bytes == 100
+
+
+def test_server_that_is_not_ready_is_leaving() -> None:
+    row = {'service': 's', 'address': '10.0.0.1:80', 'zone': 'z', 'slots': 8, 'state': 'draining'}
+    server = decode_server('i-1', msgspec.json.encode(row))
+    assert (server.id, server.ip, server.port, server.slots_count) == ('i-1', '10.0.0.1', 80, 8)
+    assert server.is_leaving
+    assert not decode_server('i-1', msgspec.json.encode({**row, 'state': 'ready'})).is_leaving
+
+
+def test_headers_of_one_connection_are_not_passed_on() -> None:
+    headers = [
+        (b'host', b'h'),
+        (b'attempt-id', b'a'),
+        (b'connection', b'close, x-mine'),
+        (b'x-mine', b'1'),
+        (b'keep-alive', b'timeout=5'),
+        (b'transfer-encoding', b'chunked'),
+        (b'deadline-ms', b'90000'),
+        (b'expect-instance', b'forged'),
+        (b'model', b'm'),
+    ]
+    made = PlatformDialect().server_headers(headers, ServerId('i-1'), 1_200.7, 4)
+    assert made == [
+        (b'host', b'h'),
+        (b'attempt-id', b'a'),
+        (b'model', b'm'),
+        (b'expect-instance', b'i-1'),
+        (b'deadline-ms', b'1200'),
+        (b'last-event-id', b'4'),
+    ]
+
+
+def test_replies_tell_whether_they_ran() -> None:
+    facts = PlatformDialect().reply_facts
+    mark = (b'response-seal', b'x')
+    assert facts(ReplyHead(200, [mark])).is_signed
+    assert not facts(ReplyHead(200, [mark, (b'content-encoding', b'gzip')])).is_signed
+    assert facts(ReplyHead(503, [(b'not-executed', b'1')])).was_not_run
+    assert not facts(ReplyHead(503, [mark])).was_not_run
+    assert facts(ReplyHead(421, [])).is_misplaced
+    assert facts(ReplyHead(200, [(b'instance-load', b'3,1,8')])).load == (3, 1)
+    assert facts(ReplyHead(200, [(b'instance-load', b'many')])).load is None
+
+
+def test_job_calls_are_recognized() -> None:
+    dialect = PlatformDialect()
+    read = dialect.job_call(request(b'GET', b'/-/lots/j%2F1?after=12', wait_ms='1000'))
+    assert read is not None
+    assert (read.kind, read.job_id, read.after, read.wait_ms) == (
+        JobCallKind.READ,
+        'j/1',
+        12,
+        1000.0,
+    )
+    body = dialect.job_call(request(b'GET', b'/-/items/j?id=i'))
+    assert body is not None
+    assert (body.kind, body.item_id) == (JobCallKind.ITEM_BODY, 'i')
+    end = dialect.job_call(request(b'DELETE', b'/-/lots/j'))
+    assert end is not None
+    assert end.kind is JobCallKind.END
+    assert dialect.job_call(request(b'POST', b'/-/lots/j')) is None
+
+
+def test_page_of_results_is_written_as_asked_for() -> None:
+    page = JobPage(40, 12, [ItemResult('i', ItemState.COMPLETED, 'a\nb')])
+    assert msgspec.json.decode(PlatformDialect().job_page(page)) == {
+        'total': 40,
+        'next': 13,
+        'results': [{'id': 'i', 'state': 'completed', 'text': 'a\nb'}],
+    }
+
+
+@given(st.binary(max_size=300))
+def test_any_job_body_is_read_or_told(body: bytes) -> None:
+    try:
+        PlatformDialect().job_items(body)
+    except InvalidFieldError as error:
+        assert error.message
+
+
+@given(st.binary(max_size=60), st.binary(max_size=60))
+def test_any_headers_are_read(name: bytes, value: bytes) -> None:
+    dialect = PlatformDialect()
+    pairs = [(name.lower(), value), (b'deadline-ms', value), (b'last-event-id', value)]
+    dialect.call_facts(CallerRequest(b'GET', b'/', pairs, b'', 0.0))
+    dialect.reply_facts(ReplyHead(200, [(b'instance-load', value), (b'attempt-id', value)]))
--- /dev/null
+++ b/tests/test_platform/test_platform_names.py
@@ -0,0 +1,40 @@
+"""The platform's names stand in its adapter only."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import citrondyke
+
+ROOT = Path(citrondyke.__file__).parent
+#: The stand-ins speak as the platform does; everything else speaks the product's words.
+ALLOWED = ('platform', 'standin')
+NAMES = re.compile(
+    r'attempt-id|deadline-ms|prefix-hash|response-seal|expect-instance|not-executed'
+    r'|instance-load|instance-id\b|token-usage|wait-ms|weight-versions|expect-version'
+    r'|rows-tx|rows-get|rows-feed|rows-parts|blob-put|blob-get|blob-drop|blob-list|/-/'
+    r'|expected_rev|path_prefix|max_attempts|slo_ms|completion_slo_ms|max_wait_s'
+    r'|non_idempotent|header_timeout_ms|idle_timeout_ms|max_header_bytes|max_body_bytes'
+    r'|internal_ports|heartbeat_ms|control_plane|node_file|cold_left_ms|next_lot|\blots\b',
+    re.IGNORECASE,
+)
+
+
+def test_names_of_the_platform_stay_in_the_adapter() -> None:
+    # Another platform is another adapter. A name that leaks makes its change a change everywhere.
+    found = []
+    for file in sorted(ROOT.rglob('*.py')):
+        if file.relative_to(ROOT).parts[0] in ALLOWED:
+            continue
+        for number, line in enumerate(file.read_text().splitlines(), 1):
+            if NAMES.search(line):
+                found.append(f'{file.relative_to(ROOT)}:{number}: {line.strip()}')
+    assert not found
+
+
+def test_adapter_decides_nothing() -> None:
+    # Timers, retries and chance are decisions; they stand where they are tested without the wire.
+    for file in sorted((ROOT / 'platform').rglob('*.py')):
+        text = file.read_text()
+        assert not re.search(r'\bsleep\(|\bspawn\(|\brandom\b|now_ms\(', text), file
