Judge others' silence only while own heartbeats are written

Silence now counts only while this instance's own heartbeats are written, and a head that was written a moment ago shows a living owner. Ruled out: claims that race (the fence turned every second one away, as meant). Tests: heartbeats that cannot be written; a fresh head (both failed first).

--- a/citrondyke/decisions/batch/takeover.py
+++ b/citrondyke/decisions/batch/takeover.py
@@ -25,6 +25,9 @@
 #: From an instance's first look at the others until it claims anything: after a stop of all of
 #: them they start within 300 ms of each other and are seen by the next read, a second later.
 SETTLE_MS = 700.0
+#: Longest time between two written heartbeats that is no gap: one is written every 900 ms, and
+#: the store can take 300 ms for it.
+BEAT_GAP_MS = 1_700.0
 
 
 class _Seen(msgspec.Struct):
@@ -42,15 +45,16 @@
 class LiveInstances:
     """Instances by their heartbeats in the store, judged on this instance's own clock.
 
-    Time in which the store did not answer does not count: nobody could renew anything, and all
-    would take over from all.
+    Only time in which this instance's own heartbeats were written counts. The store may refuse
+    them while it shows the rows, for all instances or for the part that holds them: nobody could
+    renew anything then, and all would take over from all, again and again.
     """
 
     def __init__(self, context: Context) -> None:
         """Start knowing nobody."""
         self._context = context
         self._seen: dict[InstanceId, _Seen] = {}
-        self._last_look_ms = 0.0
+        self._beat_ms = float('-inf')
         self._first_look_ms: float | None = None
 
     def note(self, instance_id: InstanceId, life: str, version: int) -> None:
@@ -64,15 +68,23 @@
         """Take in that an instance took its row away."""
         self._seen.pop(instance_id, None)
 
-    def note_look(self, longest_gap_ms: float) -> None:
-        """Take note that the store was read; after a gap all silences begin anew."""
+    def note_beat(self) -> None:
+        """Take note that an own heartbeat was written; after a gap all silences begin anew."""
         now_ms = self._context.now_ms()
-        if self._last_look_ms and now_ms - self._last_look_ms > longest_gap_ms:
+        if not self.is_beating:
             for seen in self._seen.values():
                 seen.changed_ms = now_ms
-        self._last_look_ms = now_ms
+        self._beat_ms = now_ms
+
+    def note_look(self) -> None:
+        """Take note that the others' heartbeats were read."""
         if self._first_look_ms is None:
-            self._first_look_ms = now_ms
+            self._first_look_ms = self._context.now_ms()
+
+    @property
+    def is_beating(self) -> bool:
+        """Tell whether this instance's own heartbeats are written."""
+        return self._context.now_ms() - self._beat_ms <= BEAT_GAP_MS
 
     def is_gone(self, owner: InstanceId, life: str, head_version: int, since_ms: float) -> bool:
         """Tell whether the owner of a job is certainly gone, or silent for too long.
@@ -88,14 +100,18 @@
             return True
         # A life that is not known here may have begun a moment ago and claimed the job before its
         # first heartbeat was read; if that counted as gone, all would claim from each other.
-        is_known = seen is not None and seen.life == life
-        changed_ms = seen.changed_ms if seen is not None and is_known else since_ms
-        return self._context.now_ms() - changed_ms >= SILENT_MS
+        # And a head that was written a moment ago shows that its owner was alive then.
+        shown_ms = since_ms
+        if seen is not None and seen.life == life:
+            shown_ms = max(since_ms, seen.changed_ms)
+        return self._context.now_ms() - shown_ms >= SILENT_MS
 
     @property
     def is_settled(self) -> bool:
         """Tell whether all who run had the time to show it since this instance began to look."""
         first_ms = self._first_look_ms
+        if not self.is_beating:
+            return False
         return first_ms is not None and self._context.now_ms() - first_ms >= SETTLE_MS
 
     def names(self) -> list[InstanceId]:
--- a/citrondyke/gateway/membership.py
+++ b/citrondyke/gateway/membership.py
@@ -10,7 +10,7 @@
 
 from citrondyke.ids import InstanceId
 from citrondyke.storage.failure import PlatformFailure
-from citrondyke.storage.partitioned_table import PartTransaction, RowPut, RowRemoval
+from citrondyke.storage.partitioned_table import PartCommitted, PartTransaction, RowPut, RowRemoval
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -28,8 +28,6 @@
 INSTANCES_TABLE = 'instances'
 #: A third of the silence after which an instance is taken for gone.
 BEAT_EVERY_MS = 900.0
-#: A read of the table after a longer gap than this proves nobody's silence.
-LOOK_GAP_MS = 2_600.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
@@ -98,7 +96,7 @@
     def on_listing(self, rows: list[PartRow], _: int) -> None:
         """Take in a read of the whole table."""
         self.on_rows(rows)
-        self._live.note_look(LOOK_GAP_MS)
+        self._live.note_look()
 
     def own_beat(self) -> Heartbeat:
         """Give this instance's row."""
@@ -128,6 +126,8 @@
             value = msgspec.json.encode(self.own_beat())
             put = RowPut(INSTANCES_TABLE, self._context.instance_id, value)
             answer = self._table.transact(PartTransaction('', puts=(put,)))
-            if isinstance(answer, PlatformFailure):
+            if isinstance(answer, PartCommitted):
+                self._live.note_beat()
+            elif isinstance(answer, PlatformFailure):
                 self._store.note_failure(f'heartbeat: {answer.reason.value}')
             gevent.sleep(self._context.jittered_ms(BEAT_EVERY_MS) / 1e3)
--- a/tests/test_batch/test_batch_takeover.py
+++ b/tests/test_batch/test_batch_takeover.py
@@ -17,8 +17,6 @@
 from tests.support.manual_clock import ManualClock, manual_context
 from tests.test_batch.test_batch_machine import new_head
 
-GAP_MS = 2_600.0
-
 
 class Watcher:
     """One instance that watches instance-0, the owner."""
@@ -33,7 +31,8 @@
         """Read the table of heartbeats: life and row version by instance."""
         for name, (life, version) in lives.items():
             self.live.note(InstanceId(name.replace('_', '-')), life, version)
-        self.live.note_look(GAP_MS)
+        self.live.note_look()
+        self.live.note_beat()
 
     def settle(self, **lives: tuple[str, int]) -> None:
         self.look(**lives)
@@ -56,6 +55,30 @@
     assert watcher.takeover.is_due(head, 4)
 
 
+def test_heartbeats_that_cannot_be_written_make_nobody_silent() -> None:
+    # The store refuses the part that holds the heartbeats for 5 s and still shows its rows. All
+    # look silent to all; nobody claims, neither then nor when it takes them again.
+    watcher = Watcher(ManualClock())
+    head = owned_by('instance-0', 'a')
+    watcher.settle(instance_0=('a', 5))
+    for _ in range(10):
+        watcher.clock.ms += 500.0
+        watcher.live.note(InstanceId('instance-0'), 'a', 5)
+        watcher.live.note_look()
+        assert not watcher.takeover.is_due(head, 4)
+    watcher.look(instance_0=('a', 5))
+    assert not watcher.takeover.is_due(head, 4)
+
+
+def test_head_written_a_moment_ago_shows_a_living_owner() -> None:
+    watcher = Watcher(ManualClock())
+    watcher.settle(instance_0=('a', 5))
+    for _ in range(4):
+        watcher.clock.ms += 900.0
+        watcher.look(instance_0=('a', 5))
+    assert not watcher.takeover.is_due(owned_by('instance-0', 'a'), 12)
+
+
 def test_owner_that_beats_keeps_its_job() -> None:
     watcher = Watcher(ManualClock())
     head = owned_by('instance-0', 'a')
@@ -103,6 +126,7 @@
     watcher.look()
     assert not watcher.takeover.is_due(head, 4)
     watcher.clock.ms += SETTLE_MS
+    watcher.look()
     assert watcher.takeover.is_due(head, 4)
 
 
