Explain a request, a job or an item from log files; bound the log under a full pipe

citrondykectl explain ID LOGFILES joins the lines of several instances, shows what they believed around it, and names the cause or the line that is missing. Wrong files, cut lines and unknown ids get typed errors. Tests: courses over two instances, the three kinds of failed request, a killed instance, lines left out; the log with a pipe that nobody reads (requests go on).

--- a/citrondyke/cmd/citrondykectl.py
+++ b/citrondyke/cmd/citrondykectl.py
@@ -15,6 +15,7 @@
 from citrondyke.cmd.ctl import tables
 from citrondyke.cmd.ctl.client import OperatorClient
 from citrondyke.cmd.ctl.exit_code import ExitCode
+from citrondyke.cmd.ctl.explain import explain_id, explanation_tables
 from citrondyke.cmd.ctl.failure import CtlError
 from citrondyke.cmd.ctl.options import Options
 from citrondyke.decisions.configuration.configuration import ConfigSnapshot
@@ -245,6 +246,15 @@
         raise CtlError(ExitCode.FAILED, f'the outcome is not the stated one: {stated}')
 
 
+@app.command(name='explain')
+def explain(wanted: str, *files: Path, json: bool = False) -> None:
+    """Join the lines of several instances' logs about a request, job or item, and its cause.
+
+    Example: ``citrondykectl explain 9c41d07be2a35f68 edge-*.log``.
+    """
+    _show(Options(json=json), explain_id(wanted, *files), explanation_tables)
+
+
 @jobs_app.command(name='list')
 def jobs_list(options: Shared = Options()) -> None:  # noqa: B008
     """List the open jobs by deadline."""
--- /dev/null
+++ b/tests/test_gateway/test_gateway_event_log.py
@@ -0,0 +1,105 @@
+"""Log lines are bounded and never hold a request up."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Iterator
+from typing import Any
+
+import logbook
+import pytest
+
+from citrondyke.gateway.event_log import LINES_PER_KIND_S, QUEUE_LINES, EventLogHandler
+from citrondyke.gateway.event_log import WRITE_BYTES as CHUNK
+from tests.support.gateway import GatewayFleet
+from tests.support.manual_clock import ManualClock
+
+log = logbook.Logger('test')
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    ends = os.pipe()
+    yield ends
+    for end in ends:
+        os.close(end)
+
+
+def read_lines(fd: int) -> list[dict[str, Any]]:
+    os.set_blocking(fd, False)
+    data = b''
+    while True:
+        try:
+            part = os.read(fd, 65_536)
+        except BlockingIOError:
+            break
+        data += part
+    return [json.loads(line) for line in data.splitlines()]
+
+
+def test_each_kind_has_a_bound_and_the_rest_is_counted(pipe: tuple[int, int]) -> None:
+    # A burst of one kind of event must not push out the one line that explains it.
+    clock = ManualClock()
+    handler = EventLogHandler(clock, {'instance': 'edge-1'}, pipe[1])
+    with handler.applicationbound():
+        for number in range(LINES_PER_KIND_S + 30):
+            log.info('burst', extra={'number': number})
+        log.info('cause', extra={'why': 'this'})
+        handler.flush()
+        clock.ms += 1_000.0
+        handler.flush()
+    lines = read_lines(pipe[0])
+    assert [line['event'] for line in lines].count('burst') == LINES_PER_KIND_S
+    assert lines[LINES_PER_KIND_S]['why'] == 'this'
+    assert lines[-1]['counts'] == {'burst': 30}
+
+
+def test_reader_that_does_not_read_blocks_nothing(pipe: tuple[int, int]) -> None:
+    # Whoever collects the logs stands still and the pipe is full. Writing would block the whole
+    # process, and every caller with it; lines wait in a bounded queue instead.
+    clock = ManualClock()
+    handler = EventLogHandler(clock, {}, pipe[1])
+    with handler.applicationbound():
+        for number in range(QUEUE_LINES * 2):
+            clock.ms += 10.0
+            log.info('event', extra={'number': number, 'padding': 'x' * 200})
+            handler.flush()
+        first = read_lines(pipe[0])
+        assert first
+        while True:
+            handler.flush()
+            more = read_lines(pipe[0])
+            if not more:
+                break
+            first += more
+    numbers = [line['number'] for line in first if line['event'] == 'event']
+    assert numbers == sorted(numbers)
+    assert len(numbers) < QUEUE_LINES * 2
+
+
+def test_requests_go_on_while_nobody_reads_the_log(
+    fleet: GatewayFleet, pipe: tuple[int, int]
+) -> None:
+    os.set_blocking(pipe[1], False)
+    with pytest.raises(BlockingIOError):
+        while True:
+            os.write(pipe[1], b'x' * CHUNK)
+    os.set_blocking(pipe[1], True)
+    handler = EventLogHandler(fleet.clock, {}, pipe[1])
+    with handler.applicationbound():
+        for number in range(20):
+            assert fleet.call('/fetch/a', request_id=f'request-{number}').status == 200
+            handler.flush()
+
+
+def test_reader_that_is_gone_ends_nothing() -> None:
+    read, write = os.pipe()
+    os.close(read)
+    handler = EventLogHandler(ManualClock(), {}, write)
+    with handler.applicationbound():
+        log.info('event')
+        handler.flush()
+        log.info('event')
+        handler.flush()
+    os.close(write)
--- /dev/null
+++ b/tests/test_operator/test_operator_explain.py
@@ -0,0 +1,145 @@
+"""From the id of a failed request to its cause, by the logs alone."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from citrondyke.errors.log_unreadable import LogUnreadableError
+from citrondyke.errors.unknown_id import UnknownIdError
+from citrondyke.operator.explanation import explain
+from citrondyke.operator.log_events import read_log_events
+
+
+def write(file: Path, *events: dict[str, Any], prefix: str = '') -> Path:
+    lines = [prefix + json.dumps({'instance': file.stem, **event}) for event in events]
+    file.write_text('\n'.join(lines) + '\n')
+    return file
+
+
+def event(kind: str, time_s: float, **fields: Any) -> dict[str, Any]:
+    return {'time': f'{time_s:.3f}', 'event': kind, **fields}
+
+
+def test_course_is_joined_over_instances(tmp_path: Path) -> None:
+    # A job is accepted at one instance and finished by another; the lines of both are one course.
+    first = write(
+        tmp_path / 'edge-1.log',
+        event('job.accepted', 10.0, job_id='j', items=2),
+        event('item.run', 11.0, job_id='j', item_id='j-0', end='broken'),
+        prefix='  10.0000 edge-1 ',
+    )
+    second = write(
+        tmp_path / 'edge-2.log',
+        event('dependency.lost', 12.0, dependency='store'),
+        event('job.taken_over', 13.0, job_id='j'),
+        event('item.run', 14.0, job_id='j', item_id='j-0', end='completed'),
+        event('job.commit', 14.2, job_id='j', listed=2, of=2),
+    )
+    found = explain('j', read_log_events([second, first]))
+    assert [each.instance for each in found.course] == ['edge-1'] * 2 + ['edge-2'] * 3
+    assert 'edge-1 accepted 2 items' in found.cause
+    assert 'edge-2 took it over' in found.cause
+    assert '2 of 2 results were listed' in found.cause
+    assert [each.event for each in found.around] == ['dependency.lost']
+    item = explain('j-0', read_log_events([second, first]))
+    assert '1 runs of items ended as broken' in item.cause
+
+
+def test_request_turned_away_names_the_load_that_decided(tmp_path: Path) -> None:
+    file = write(
+        tmp_path / 'edge-1.log',
+        event(
+            'request.turned_away',
+            1.0,
+            request_id='r',
+            best_server='i-1',
+            online_count=14,
+            batch_count=0,
+            slots=8,
+            expected_wait_ms=320.0,
+        ),
+        event('request.end', 1.0, request_id='r', end='turned_away'),
+    )
+    cause = explain('r', read_log_events([file])).cause
+    assert 'i-1, had 14 online requests' in cause
+    assert '320.0 ms' in cause
+
+
+def test_request_cut_at_a_server_names_server_and_failure(tmp_path: Path) -> None:
+    file = write(
+        tmp_path / 'edge-1.log',
+        event(
+            'send.failed',
+            1.0,
+            request_id='r',
+            server_id='i-1',
+            outcome='unknown',
+            detail='cut: closed',
+            took_ms=80.0,
+        ),
+        event('request.end', 1.1, request_id='r', end='broken'),
+    )
+    cause = explain('r', read_log_events([file])).cause
+    assert 'may have run it' in cause
+    assert 'i-1' in cause
+    assert 'cut: closed' in cause
+
+
+def test_stale_configuration_is_named_with_its_age(tmp_path: Path) -> None:
+    file = write(
+        tmp_path / 'edge-1.log',
+        event(
+            'request.no_route',
+            1.0,
+            request_id='r',
+            status=503,
+            config_version=7,
+            confirmed_age_ms=4100,
+            host='h',
+            path='/p/',
+        ),
+    )
+    cause = explain('r', read_log_events([file])).cause
+    assert 'Configuration 7' in cause
+    assert '4100 ms' in cause
+
+
+def test_request_of_a_killed_instance_is_told_by_what_is_missing(tmp_path: Path) -> None:
+    # The instance was killed in the middle of the request: its last line is cut, and its next
+    # start shows when.
+    file = write(
+        tmp_path / 'edge-1.log',
+        event('send.failed', 1.0, request_id='r', server_id='i-1', outcome='refused'),
+        event('instance.started', 4.0),
+    )
+    with file.open('a') as lines:
+        lines.write('{"time":"4.1","event":"request.e')
+    found = explain('r', read_log_events([file]))
+    assert 'started again at 4.000' in found.cause
+    assert found.missing == ['request.end', '1 lines are cut or no JSON']
+
+
+def test_lines_left_out_under_load_are_named(tmp_path: Path) -> None:
+    file = write(
+        tmp_path / 'edge-1.log',
+        event('request.end', 1.0, request_id='r', end='timed_out'),
+        {'event': 'log.left_out', 'counts': {'send.failed': 30}},
+    )
+    found = explain('r', read_log_events([file]))
+    assert found.missing == ['send.failed', '30 lines send.failed were left out under load']
+
+
+def test_wrong_files_and_unknown_ids_are_told(tmp_path: Path) -> None:
+    file = write(tmp_path / 'edge-1.log', event('instance.started', 1.0))
+    with pytest.raises(UnknownIdError, match='in none of 1 events'):
+        explain('r', read_log_events([file]))
+    with pytest.raises(LogUnreadableError, match=r'nothing\.log'):
+        read_log_events([tmp_path / 'nothing.log'])
+    empty = tmp_path / 'other.txt'
+    empty.write_text('no events here\n')
+    with pytest.raises(LogUnreadableError, match='no event in it'):
+        read_log_events([empty])
