--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -159,6 +159,7 @@
         )
         self._pages = SmallPages(lambda: self.is_ready, self.metrics)
         self._servers: list[StreamServer] = []
+        self._add_gauges()
         self._stopping = Event()
 
     def start(self) -> None:
@@ -286,6 +287,19 @@
             gevent.sleep(SETTLE_EVERY_S)
             self.beliefs.settle('grace')
 
+    def _add_gauges(self) -> None:
+        config = self.beliefs.config
+        for name, read in (
+            ('config_version', lambda: float(config.current.version)),
+            ('config_age_ms', lambda: min(1e9, config.age_ms(self.clock.now_ms()))),
+            ('servers', lambda: float(len(list(self.book.states())))),
+            ('open_connections', lambda: float(self.front.open_count)),
+            ('owned_jobs', lambda: float(len(self.runner.jobs))),
+            ('store_silent_ms', lambda: self._store.silent_ms),
+            ('peer_bytes_sent', lambda: float(self.peers.sent_bytes)),
+        ):
+            self.metrics.add_gauge(name, read)
+
     def _relay(self, call: StoreCall) -> StoreAnswer:
         return self.peers.relay(call)
 
