Let finished jobs go: from their owner's memory at once, from the store after their readers' time

Cause: an owner kept each job it had finished for good, and nothing ever left the store, whose objects end at 400 MB.

--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -26,6 +26,7 @@
 from citrondyke.gateway.job_reader import JobReader
 from citrondyke.gateway.job_runner import JobRunner
 from citrondyke.gateway.job_store import JobStore
+from citrondyke.gateway.job_sweeper import JobSweeper
 from citrondyke.gateway.membership import INSTANCES_TABLE, Membership
 from citrondyke.gateway.metrics import Metrics
 from citrondyke.gateway.peers import Peers
@@ -106,6 +107,7 @@
             self._live,
         )
         job_store = JobStore(table, outside.objects, settings.store.row_bytes)
+        reader = JobReader(self.context, job_store)
         self.runner = JobRunner(
             self.context,
             self.beliefs,
@@ -115,7 +117,9 @@
             job_store,
             self.metrics,
             self._tasks,
+            reader.adopt,
         )
+        self.sweeper = JobSweeper(self.context, job_store, self._live, settings.job_kept_ms)
         self.keeper = JobKeeper(
             self.context,
             life,
@@ -144,7 +148,7 @@
             outside.dialect,
             job_store,
             self.runner,
-            JobReader(self.context, job_store),
+            reader,
             self.peers.tell_job_changed,
             settings.memory_bytes,
         )
@@ -191,6 +195,7 @@
         self.membership.start(self._tasks)
         self.runner.start()
         self.keeper.start()
+        self.sweeper.start(self._tasks)
         self._tasks.keep(self._run_settle)
         log.info(
             'instance.started',
--- a/citrondyke/gateway/job_reader.py
+++ b/citrondyke/gateway/job_reader.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from citrondyke.decisions.batch.job import ItemResult, JobHead, JobItem
+    from citrondyke.decisions.batch.owned_job import OwnedJob
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.job_store import JobStore
     from citrondyke.ids import JobId
@@ -64,6 +65,11 @@
             self._grow(view, HEAD_BYTES)
         return view
 
+    def adopt(self, job: OwnedJob) -> None:
+        """Keep the results of a job that this instance has finished."""
+        view = self.remember(job.head)
+        self._take(view, job.results[len(view.results) :])
+
     def results(self, view: JobView, after: int, until_ms: float) -> list[ItemResult] | NoJob:
         """Give results from a position on, waiting for one until a time."""
         is_sure = False
--- a/citrondyke/gateway/job_runner.py
+++ b/citrondyke/gateway/job_runner.py
@@ -20,6 +20,8 @@
 from citrondyke.ids import JobId
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from citrondyke.decisions.batch.give_way import GiveWay
     from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
     from citrondyke.decisions.core.context import Context
@@ -72,8 +74,12 @@
         store: JobStore,
         metrics: Metrics,
         tasks: Tasks,
+        on_done: Callable[[OwnedJob], None],
     ) -> None:
-        """Use the parts handed in."""
+        """Use the parts handed in.
+
+        :param on_done: takes a job whose results all are durable.
+        """
         self._context = context
         self._beliefs = beliefs
         self._give_way = give_way
@@ -81,6 +87,7 @@
         self._store = store
         self._metrics = metrics
         self._tasks = tasks
+        self._on_done = on_done
         self.jobs: dict[JobId, OwnedJob] = {}
         self.is_stopping = False
         self._sender = ItemSender(context, sends, dialect)
@@ -322,6 +329,10 @@
         if verdict is CommitVerdict.FENCED:
             self.lose(job_id, 'fenced')
         elif verdict is CommitVerdict.DONE:
+            if job.head.is_done:
+                # Whoever reads it from now on needs no owner.
+                self.jobs.pop(job_id, None)
+                self._on_done(job)
             self._wake(job_id)
         return verdict
 
--- a/citrondyke/gateway/job_store.py
+++ b/citrondyke/gateway/job_store.py
@@ -296,17 +296,65 @@
             return rows
         return [_unpack(row.value or b'', SavedProgress) for row in rows]
 
+    def all_jobs(self) -> list[JobId] | PlatformFailure:
+        """List all jobs that are kept."""
+        return self._parts(HEADS_TABLE)
+
+    def delete(self, stored: StoredHead) -> CommitVerdict:
+        """Delete a job that nobody may ask for any more, its head last.
+
+        While the head is there a delete that was cut short is found and goes on.
+        """
+        job_id = stored.head.job_id
+        if stored.head.in_objects:
+            self._objects.delete(_items_object(job_id))
+        for table in (RESULTS_TABLE, ITEMS_TABLE, PROGRESS_TABLE, OPEN_TABLE):
+            rows = self._rows(table, job_id)
+            if isinstance(rows, PlatformFailure):
+                return _verdict(rows)
+            for row in rows:
+                self._delete_object(table, row)
+            verdict = self._remove_rows(stored, table, [row.key for row in rows])
+            if verdict is not CommitVerdict.DONE:
+                return verdict
+        return self._remove_rows(stored, HEADS_TABLE, [HEAD_KEY])
+
     def open_jobs(self) -> list[JobId] | PlatformFailure:
         """List the open jobs; the list may be some seconds old."""
+        return self._parts(OPEN_TABLE)
+
+    def _parts(self, table: str) -> list[JobId] | PlatformFailure:
         found: list[JobId] = []
         while True:
-            page = self._table.list_parts(OPEN_TABLE, found[-1] if found else '')
+            page = self._table.list_parts(table, found[-1] if found else '')
             if isinstance(page, PlatformFailure):
                 return page
             found.extend(JobId(part) for part in page)
             if len(page) < PARTS_PAGE:
                 return found
 
+    def _remove_rows(self, stored: StoredHead, table: str, keys: list[str]) -> CommitVerdict:
+        for start in range(0, len(keys), COMMIT_ROWS):
+            wanted = PartTransaction(
+                stored.head.job_id,
+                (RowCondition(HEADS_TABLE, HEAD_KEY, stored.version),),
+                (),
+                tuple(RowRemoval(table, key) for key in keys[start : start + COMMIT_ROWS]),
+            )
+            answer = self._table.transact(wanted)
+            if isinstance(answer, PartConflict):
+                return CommitVerdict.FENCED
+            if isinstance(answer, PlatformFailure):
+                return _verdict(answer)
+        return CommitVerdict.DONE
+
+    def _delete_object(self, table: str, row: PartRow) -> None:
+        if table != RESULTS_TABLE:
+            return
+        stored = _unpack(row.value or b'', _StoredResult)
+        if stored.object_key:
+            self._objects.delete(ObjectKey(stored.object_key))
+
     def _progress_put(self, progress: ItemProgress) -> RowPut:
         saved = SavedProgress(
             progress.item.id,
--- /dev/null
+++ b/citrondyke/gateway/job_sweeper.py
@@ -0,0 +1,105 @@
+"""Deletes jobs that nobody may ask for any more."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+
+from citrondyke.gateway.job_store import CommitVerdict, StoredHead
+from citrondyke.storage.failure import PlatformFailure
+from citrondyke.util.hashing import rendezvous_weight
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.batch.job import JobHead
+    from citrondyke.decisions.batch.takeover import LiveInstances
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.gateway.job_store import JobStore
+    from citrondyke.gateway.tasks import Tasks
+    from citrondyke.ids import JobId
+
+__all__ = ('JobSweeper',)
+
+log = logbook.Logger(__name__)
+
+#: One list and one read of each old head a minute, shared between the instances.
+SWEEP_EVERY_MS = 60_000.0
+#: Beyond the time for which a job must stay readable: clocks of instances differ by seconds, and
+#: nobody minds a job that is kept a little longer.
+MARGIN_MS = 60_000.0
+#: Jobs deleted at one go, so that a sweep after a long outage does not take the store's rate.
+JOBS_PER_SWEEP = 50
+PAUSE_S = 0.05
+
+
+def may_go(head: JobHead, kept_ms: float, epoch_ms: float) -> bool:
+    """Tell whether a job may be deleted: it is over, and its readers' time too."""
+    if not (head.is_done or head.is_ended):
+        return False
+    return epoch_ms > max(head.accepted_epoch_ms, head.due_epoch_ms) + kept_ms + MARGIN_MS
+
+
+class JobSweeper:
+    """Each job is looked at by one of the instances that are alive."""
+
+    def __init__(
+        self, context: Context, store: JobStore, live: LiveInstances, kept_ms: float
+    ) -> None:
+        """Use the parts handed in.
+
+        :param kept_ms: how long a job stays readable.
+        """
+        self._context = context
+        self._store = store
+        self._live = live
+        self._kept_ms = kept_ms
+        #: Until when a job cannot be deleted, so that its head is not read each time.
+        self._not_before_ms: dict[JobId, float] = {}
+
+    def start(self, tasks: Tasks) -> None:
+        """Begin."""
+        tasks.keep(self._run)
+
+    def sweep(self) -> int:
+        """Delete what may go; give the number of jobs."""
+        listed = self._store.all_jobs()
+        if isinstance(listed, PlatformFailure):
+            return 0
+        known = set(listed)
+        self._not_before_ms = {
+            job_id: until for job_id, until in self._not_before_ms.items() if job_id in known
+        }
+        deleted = 0
+        for job_id in listed:
+            if self._is_own(job_id) and self._sweep_one(job_id):
+                deleted += 1
+                gevent.sleep(PAUSE_S)
+            if deleted >= JOBS_PER_SWEEP:
+                break
+        if deleted:
+            log.info('jobs.swept', extra={'deleted': deleted, 'kept': len(listed) - deleted})
+        return deleted
+
+    def _is_own(self, job_id: JobId) -> bool:
+        names = self._live.names()
+        chosen = max(names, key=lambda name: rendezvous_weight(name, job_id))
+        return chosen == self._context.instance_id
+
+    def _sweep_one(self, job_id: JobId) -> bool:
+        epoch_ms = self._context.epoch_ms()
+        if self._not_before_ms.get(job_id, 0.0) > epoch_ms:
+            return False
+        stored = self._store.head(job_id)
+        if not isinstance(stored, StoredHead):
+            return False
+        if not may_go(stored.head, self._kept_ms, epoch_ms):
+            over_ms = max(stored.head.accepted_epoch_ms, stored.head.due_epoch_ms)
+            self._not_before_ms[job_id] = over_ms + self._kept_ms + MARGIN_MS
+            return False
+        return self._store.delete(stored) is CommitVerdict.DONE
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(self._context.jittered_ms(SWEEP_EVERY_MS) / 1e3)
+            self.sweep()
--- a/citrondyke/platform/store_client.py
+++ b/citrondyke/platform/store_client.py
@@ -174,7 +174,8 @@
         answer = self._http.call(
             'DELETE', f'/-/blob-drop/{quote(key, safe="")}', b'', [], self._timeout_ms
         )
-        return _failure(answer)
+        failure = _failure(answer)
+        return None if failure == MISSING else failure
 
     def list_keys(self, prefix: str) -> list[ObjectKey] | PlatformFailure:
         """List the keys below a prefix, in order."""
--- a/citrondyke/storage/http_object_store.py
+++ b/citrondyke/storage/http_object_store.py
@@ -8,7 +8,7 @@
 
 from citrondyke.ids import ObjectKey
 from citrondyke.storage._http_call import PlatformHttp
-from citrondyke.storage.failure import PlatformFailure
+from citrondyke.storage.failure import MISSING, PlatformFailure
 from citrondyke.storage.object_store import ObjectStore
 
 __all__ = ('HttpObjectStore', 'http_object_store')
@@ -39,6 +39,11 @@
         answer = self._http.call('GET', f'/objects/{quote(key)}')
         return answer if isinstance(answer, PlatformFailure) else answer[1]
 
+    def delete(self, key: ObjectKey) -> PlatformFailure | None:
+        """Delete an object; one that is not there counts as deleted."""
+        answer = self._http.call('DELETE', f'/objects/{quote(key)}')
+        return answer if isinstance(answer, PlatformFailure) and answer != MISSING else None
+
     def list_keys(self, prefix: str) -> list[ObjectKey] | PlatformFailure:
         """List the keys below a prefix, in order."""
         answer = self._http.call('GET', f'/objects?prefix={quote(prefix, safe="")}')
--- a/citrondyke/storage/object_store.py
+++ b/citrondyke/storage/object_store.py
@@ -21,6 +21,10 @@
     def get(self, key: ObjectKey) -> bytes | PlatformFailure:
         """Fetch an object."""
 
+    @abstractmethod
+    def delete(self, key: ObjectKey) -> PlatformFailure | None:
+        """Delete an object; one that is not there counts as deleted."""
+
     @abstractmethod
     def list_keys(self, prefix: str) -> list[ObjectKey] | PlatformFailure:
         """List the keys below a prefix, in order."""
--- a/tests/support/flaky_table.py
+++ b/tests/support/flaky_table.py
@@ -65,5 +65,9 @@
     def get(self, key: ObjectKey) -> bytes | PlatformFailure:
         return self.objects.get(key, MISSING)
 
+    def delete(self, key: ObjectKey) -> PlatformFailure | None:
+        self.objects.pop(key, None)
+        return None
+
     def list_keys(self, prefix: str) -> list[ObjectKey] | PlatformFailure:
         return sorted(key for key in self.objects if key.startswith(prefix))
