--- a/citrondyke/decisions/batch/takeover.py
+++ b/citrondyke/decisions/batch/takeover.py
@@ -61,12 +61,13 @@
         self._look_ms = float('-inf')
         self._first_look_ms = 0.0
 
-    def note(self, instance_id: InstanceId, life: str, version: int) -> None:
-        """Take in a heartbeat's row."""
+    def note(self, instance_id: InstanceId, life: str, version: int) -> bool:
+        """Take in a heartbeat's row; tell whether it is a new one."""
         seen = self._seen.get(instance_id)
         if seen is not None and version <= seen.version:
-            return
+            return False
         self._seen[instance_id] = _Seen(life, version, self._context.now_ms())
+        return True
 
     def note_gone(self, instance_id: InstanceId) -> None:
         """Take in that an instance took its row away."""
@@ -119,6 +120,17 @@
             return False
         return self._context.now_ms() - self._first_look_ms >= SETTLE_MS
 
+    def silent(self, longest_ms: float) -> list[InstanceId]:
+        """List the instances that were silent for longer, while that could be judged."""
+        if not self.is_settled:
+            return []
+        now_ms = self._context.now_ms()
+        return [
+            instance_id
+            for instance_id, seen in self._seen.items()
+            if now_ms - seen.changed_ms >= longest_ms and instance_id != self._context.instance_id
+        ]
+
     @property
     def _is_looking(self) -> bool:
         return self._context.now_ms() - self._look_ms <= LOOK_GAP_MS
--- a/citrondyke/gateway/membership.py
+++ b/citrondyke/gateway/membership.py
@@ -10,7 +10,13 @@
 
 from citrondyke.ids import InstanceId
 from citrondyke.storage.failure import PlatformFailure
-from citrondyke.storage.partitioned_table import PartCommitted, PartTransaction, RowPut, RowRemoval
+from citrondyke.storage.partitioned_table import (
+    PartCommitted,
+    PartTransaction,
+    RowCondition,
+    RowPut,
+    RowRemoval,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -27,6 +33,10 @@
 INSTANCES_TABLE = 'instances'
 #: A third of the silence after which an instance is taken for gone.
 BEAT_EVERY_MS = 900.0
+#: Silence after which a peer is not sent anything any more: longer than a machine is frozen.
+GONE_MS = 8_000.0
+#: Silence after which its row is taken away.
+ROW_GONE_MS = 60_000.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
@@ -86,14 +96,36 @@
             except msgspec.DecodeError as error:
                 log.warning('heartbeat.unreadable', extra={'of': row.key, 'detail': str(error)})
                 continue
-            self._live.note(instance_id, beat.life, row.version)
-            if instance_id != self._context.instance_id:
+            is_news = self._live.note(instance_id, beat.life, row.version)
+            if is_news and instance_id != self._context.instance_id:
                 self._learn(instance_id, beat)
 
     def on_listing(self, rows: list[PartRow], _: int) -> None:
         """Take in a read of the whole table."""
         self.on_rows(rows)
         self._live.note_look()
+        self._drop_silent({row.key: row.version for row in rows})
+
+    def _drop_silent(self, versions: dict[str, int]) -> None:
+        """Forget peers that are gone; one of the others takes their rows away.
+
+        A machine that was removed for good leaves its row behind. Calls that go by way of a peer
+        would try it each time and wait for a connection that never comes.
+        """
+        for instance_id in self._live.silent(GONE_MS):
+            if self.peers.pop(instance_id, None) is not None:
+                log.info('peer.gone', extra={'peer': instance_id, 'silent_ms': GONE_MS})
+        names = self._live.names()
+        if names[0] != self._context.instance_id:
+            return
+        for instance_id in self._live.silent(ROW_GONE_MS):
+            version = versions.get(instance_id)
+            if version is None:
+                self._live.note_gone(instance_id)
+                continue
+            condition = RowCondition(INSTANCES_TABLE, instance_id, version)
+            removal = RowRemoval(INSTANCES_TABLE, instance_id)
+            self._table.transact(PartTransaction('', (condition,), (), (removal,)))
 
     def own_beat(self) -> Heartbeat:
         """Give this instance's row."""
--- a/citrondyke/gateway/relayed_table.py
+++ b/citrondyke/gateway/relayed_table.py
@@ -49,6 +49,8 @@
 USUAL_SHARE = 0.2
 #: After a direct call has failed, calls go to a peer first for so long.
 DETOUR_MS = 400.0
+#: A detour that begins within this time of the last one's end is the same trouble.
+QUIET_MS = 3_000.0
 
 
 class TransactCall(msgspec.Struct, frozen=True, tag='transact'):
@@ -184,7 +186,7 @@
         answer = perform(self._direct, call)
         now_ms = self._clock.now_ms()
         if answer.failure is not None and _may_be_answered_elsewhere(answer):
-            if now_ms >= self._detour_until_ms:
+            if now_ms >= self._detour_until_ms + QUIET_MS:
                 log.info('store.detour', extra={'reason': answer.failure.value})
             self._detour_until_ms = now_ms + DETOUR_MS
         else:
