Share free places among owners that have not heard of each other yet

A start now costs a share of what is free, for the time in which it is not known to the others; owners cut once in that time; from 30 instances on a request looks at a few servers by chance, since the least loaded one looks so to all. Ruled out: fewer notices (older counts), more retries.

--- a/citrondyke/decisions/batch/give_way.py
+++ b/citrondyke/decisions/batch/give_way.py
@@ -9,6 +9,7 @@
 import msgspec
 
 if TYPE_CHECKING:
+    from citrondyke.decisions.batch.start_pace import StartPace
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_book import ServerBook
     from citrondyke.decisions.forwarding.server_state import ServerState
@@ -24,6 +25,8 @@
 AT_RISK_MS = 1_500.0
 #: Errors of the estimate of what is left: later than this an item is late whatever is done.
 LATE_MS = -300.0
+#: Servers of the own availability zone are so much likelier: bytes between zones cost money.
+OWN_ZONE_FACTOR = 2.0
 
 
 class Urgency(Enum):
@@ -65,27 +68,35 @@
     one and all although each of them had given way for nothing.
     """
 
-    def __init__(self, context: Context, book: ServerBook) -> None:
+    def __init__(self, context: Context, book: ServerBook, pace: StartPace) -> None:
         """Use what is known of the servers."""
         self._context = context
         self._book = book
+        self._pace = pace
+        self._cut_ms: dict[ServerId, float] = {}
 
     def choose(self, service: ServiceName, urgency_now: Urgency) -> ServerState | None:
         """Choose the server for an item; ``None`` while all places are needed."""
         now_ms = self._context.now_ms()
-        best = None
-        best_room = float('-inf')
+        rooms: list[int] = []
+        states: list[ServerState] = []
         for state in self._book.usable(service):
             if state.ejected_until_ms > now_ms:
                 continue
             free = state.listed.slots_count - FREE_PLACES - state.total_count(now_ms)
-            if free < 1 and not (urgency_now is Urgency.AT_RISK and _may_hold(state, now_ms)):
-                continue
-            room = free + 0.5 * (state.listed.zone == self._context.zone)
-            room += 0.1 * self._context.random.random()
-            if room > best_room:
-                best, best_room = state, room
-        return best
+            if free < 1 and urgency_now is Urgency.AT_RISK and _may_hold(state, now_ms):
+                free = 1
+            if free >= 1:
+                rooms.append(free)
+                states.append(state)
+        if not states or not self._pace.take(service, sum(rooms)):
+            return None
+        # By chance, the emptier the likelier: the emptiest one looks so to all at once.
+        weights = [
+            room * room * (OWN_ZONE_FACTOR if state.listed.zone == self._context.zone else 1.0)
+            for room, state in zip(rooms, states, strict=True)
+        ]
+        return self._context.random.choices(states, weights)[0]
 
     def to_cut(self, running: Iterable[RunningItem]) -> list[RunningItem]:
         """Choose the items that stop now, the youngest first.
@@ -107,9 +118,13 @@
     def _cut_at(
         self, state: ServerState, items: list[RunningItem], now_ms: float
     ) -> list[RunningItem]:
+        # What the other owners cut is not known yet; cutting again before would be too much.
+        if now_ms - self._cut_ms.get(state.listed.id, float('-inf')) < self._pace.gap_ms:
+            return []
         count = self._count_to_cut(state, len(items), now_ms)
         if not count:
             return []
+        self._cut_ms[state.listed.id] = now_ms
         order = [Urgency.LATE, Urgency.PATIENT, Urgency.AT_RISK]
         items.sort(key=lambda item: (order.index(item.urgency), -item.started_ms))
         cut = items[:count]
--- a/citrondyke/decisions/forwarding/admission_rule.py
+++ b/citrondyke/decisions/forwarding/admission_rule.py
@@ -8,8 +8,6 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.forwarding.server_book import ServerBook
@@ -55,16 +53,10 @@
     the shortest wait, they meet the same burst again and are turned away for good.
     """
 
-    def __init__(
-        self, context: Context, book: ServerBook, instances_count: Callable[[], int]
-    ) -> None:
-        """Start without a measurement.
-
-        :param instances_count: instances that send to the same servers, this one included.
-        """
+    def __init__(self, context: Context, book: ServerBook) -> None:
+        """Start without a measurement."""
         self._context = context
         self._book = book
-        self._instances_count = instances_count
         self._stay_ms: dict[RouteName, float] = {}
         self._turned_away_ms: dict[ServiceName, deque[float]] = {}
 
@@ -95,7 +87,7 @@
         while recent and recent[0] <= now_ms - EXPECTED_BACK_MS:
             recent.popleft()
         slots = sum(each.listed.slots_count for each in self._book.usable(service))
-        own_pace_per_ms = max(1, slots) / stay_ms / max(1, self._instances_count())
+        own_pace_per_ms = max(1, slots) / stay_ms / max(1, self._book.instances_count)
         back_ms = len(recent) / own_pace_per_ms
         recent.append(now_ms)
         retry_ms = min(LONGEST_RETRY_MS, max(SHORTEST_RETRY_MS, late_ms + back_ms))
--- a/citrondyke/decisions/forwarding/load_notices.py
+++ b/citrondyke/decisions/forwarding/load_notices.py
@@ -13,7 +13,7 @@
     from citrondyke.decisions.forwarding.server_book import ServerBook
     from citrondyke.ids import InstanceId, ServerId
 
-__all__ = ('LoadNotices', 'ServerLoad')
+__all__ = ('LoadNotices', 'ServerLoad', 'notice_gap_ms')
 
 #: Datagrams that an instance sends in a second at most: with n peers a change waits n ms at the
 #: longest, 12 ms at 13 instances.
@@ -22,6 +22,11 @@
 RENEW_MS = 500.0
 
 
+def notice_gap_ms(peers_count: int) -> float:
+    """Give the time between two notices of one instance."""
+    return peers_count * 1e3 / DATAGRAMS_PER_S
+
+
 class ServerLoad(msgspec.Struct, frozen=True):
     """What the sender has on one server."""
 
@@ -43,8 +48,7 @@
 
     def next_pause_ms(self, peers_count: int) -> float:
         """Give the time until the next notice may go out."""
-        gap_ms = peers_count * 1e3 / DATAGRAMS_PER_S
-        return max(0.0, self._sent_ms + gap_ms - self._context.now_ms())
+        return max(0.0, self._sent_ms + notice_gap_ms(peers_count) - self._context.now_ms())
 
     def take(self) -> list[ServerLoad]:
         """Give what peers are to be told now; nothing when nothing changed."""
--- a/citrondyke/decisions/forwarding/server_book.py
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -24,6 +24,9 @@
 #: A server's times count within these bounds of the service's mean.
 SLOWEST_FACTOR = 4.0
 FASTEST_FACTOR = 0.7
+#: From so many instances on counts are over 30 ms old, as long as a request stays ahead.
+SAMPLE_FROM_INSTANCES = 30
+SAMPLE = 3
 
 
 def server_digest(server_id: ServerId) -> int:
@@ -40,6 +43,8 @@
         self._states: dict[ServerId, ServerState] = {}
         self._by_service: dict[ServiceName, list[ServerState]] = {}
         self._by_digest: dict[int, ServerState] = {}
+        #: Instances that send to the same servers, this one included.
+        self.instances_count = 1
 
     def replace(self, listed: Iterable[ListedBackend]) -> tuple[list[ServerId], list[ServerId]]:
         """Take in the list of servers.
@@ -108,13 +113,31 @@
         mean_ms = _mean_time(usable)
         preferred = self._preferred(usable, prefix)
         return min(
-            usable,
+            self._sampled(usable, preferred),
             key=lambda state: (
                 self._cost(state, mean_ms, now_ms) - PREFIX_GAIN * (state is preferred),
                 self._context.random.random(),
             ),
         )
 
+    def _sampled(
+        self, usable: list[ServerState], preferred: ServerState | None
+    ) -> list[ServerState]:
+        """Look at a few servers only where counts are old.
+
+        The least loaded one looks so to all instances until they hear of each other's requests;
+        with 69 instances the busiest server had 1.67 times the mean.
+        """
+        if self.instances_count < SAMPLE_FROM_INSTANCES or len(usable) <= SAMPLE:
+            return usable
+        chosen = self._context.random.sample(usable, SAMPLE)
+        near = [state for state in usable if state.listed.zone == self._context.zone]
+        if near:
+            chosen.append(self._context.random.choice(near))
+        if preferred is not None and preferred not in chosen:
+            chosen.append(preferred)
+        return chosen
+
     def _cost(self, state: ServerState, mean_ms: float, now_ms: float) -> float:
         slots = state.listed.slots_count
         total = state.total_count(now_ms)
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -12,6 +12,7 @@
 from gevent.server import StreamServer
 
 from citrondyke.decisions.batch.give_way import GiveWay
+from citrondyke.decisions.batch.start_pace import StartPace
 from citrondyke.decisions.batch.takeover import LiveInstances, Takeover
 from citrondyke.decisions.core.context import Context
 from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
@@ -91,7 +92,7 @@
         forwarder = Forwarder(
             self.context,
             self.book,
-            AdmissionRule(self.context, self.book, lambda: len(self.membership.peers) + 1),
+            AdmissionRule(self.context, self.book),
             self._sends,
             outside.dialect,
             RequestLog(self.context, self.metrics),
@@ -112,7 +113,9 @@
         self.runner = JobRunner(
             self.context,
             self.beliefs,
-            GiveWay(self.context, self.book),
+            GiveWay(
+                self.context, self.book, StartPace(self.context, lambda: self.book.instances_count)
+            ),
             self._sends,
             outside.dialect,
             job_store,
@@ -291,6 +294,7 @@
     def _run_settle(self) -> None:
         while True:
             gevent.sleep(SETTLE_EVERY_S)
+            self.book.instances_count = len(self.membership.peers) + 1
             self.beliefs.settle('grace')
 
     def _add_gauges(self) -> None:
--- a/tests/test_batch/test_batch_give_way.py
+++ b/tests/test_batch/test_batch_give_way.py
@@ -10,6 +10,7 @@
     urgency,
 )
 from citrondyke.decisions.batch.run_length import RunLengths
+from citrondyke.decisions.batch.start_pace import StartPace
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.decisions.forwarding.server_state import ServerState
@@ -24,9 +25,10 @@
 class Floor:
     """One server of eight places, as one owner of items sees it."""
 
-    def __init__(self) -> None:
+    def __init__(self, seed: int = 1) -> None:
         self.clock = ManualClock()
-        context = manual_context(self.clock)
+        self.instances = 1
+        context = manual_context(self.clock, seed=seed)
         self.book = ServerBook(context)
         self.book.replace(
             [
@@ -40,7 +42,8 @@
                 )
             ]
         )
-        self.give_way = GiveWay(context, self.book)
+        self.pace = StartPace(context, lambda: self.instances)
+        self.give_way = GiveWay(context, self.book, self.pace)
 
     @property
     def state(self) -> ServerState:
@@ -53,6 +56,7 @@
             RunningItem(number, A, float(number), each) for number, each in enumerate(urgencies)
         ]
         self.state.own.batch = len(items)
+        self.clock.ms += self.pace.gap_ms
         return [item.urgency for item in self.give_way.to_cut(items)]
 
 
@@ -121,3 +125,38 @@
     assert urgency(10_000.0, 0.0, left_ms) is Urgency.PATIENT
     assert urgency(left_ms + AT_RISK_MS, 0.0, left_ms) is Urgency.AT_RISK
     assert urgency(left_ms - 1_000.0, 0.0, left_ms) is Urgency.LATE
+
+
+def test_owners_that_do_not_hear_of_each_other_yet_do_not_fill_queues() -> None:
+    # 70 instances have items waiting and all see the same four free places. Until they hear of
+    # each other's starts, about as many items start as there are places, not 70 times as many.
+    started = 0
+    for seed in range(70):
+        floor = Floor(seed)
+        floor.instances = 70
+        floor.state.own.online = SLOTS - 5
+        for _ in range(3):
+            floor.clock.ms += 20.0 + seed % 5
+            started += floor.give_way.choose(SERVICE, Urgency.PATIENT) is not None
+    assert started <= 12
+
+
+def test_small_fleet_starts_items_without_delay() -> None:
+    floor = Floor()
+    floor.instances = 2
+    started = 0
+    for _ in range(4):
+        started += floor.give_way.choose(SERVICE, Urgency.PATIENT) is not None
+    assert started >= 3
+
+
+def test_owner_cuts_once_until_it_hears_what_the_others_cut() -> None:
+    floor = Floor()
+    floor.instances = 70
+    floor.state.own.online = 3
+    items = [RunningItem(number, A, 0.0, Urgency.PATIENT) for number in range(8)]
+    floor.state.own.batch = 8
+    assert len(floor.give_way.to_cut(items)) == 3
+    assert floor.give_way.to_cut(items) == []
+    floor.clock.ms += floor.pace.gap_ms
+    assert len(floor.give_way.to_cut(items)) == 3
--- a/tests/test_forwarding/test_forwarding_admission.py
+++ b/tests/test_forwarding/test_forwarding_admission.py
@@ -39,7 +39,8 @@
             )
             for name in ('a', 'b')
         )
-        self.rule = AdmissionRule(context, self.book, lambda: 10)
+        self.rule = AdmissionRule(context, self.book)
+        self.book.instances_count = 10
         self.route = route(RouteKind.STREAM)
         self.rule.note_stay(self.route, STAY_MS)
 
