Break two import circles, split the operators' tool and the replay

run_daemon stands by itself, so that citrondyked and its embedded form no longer import each other; an instance in virtual time needs its surroundings, not the fleet; the jobs commands, what is shown and a trace's outcome have modules of their own.

--- a/citrondyke/cmd/citrondykectl.py
+++ b/citrondyke/cmd/citrondykectl.py
@@ -10,14 +10,15 @@
 
 import msgspec
 from cyclopts import App, Parameter
-from rich.console import Console
 
 from citrondyke.cmd.ctl import tables
 from citrondyke.cmd.ctl.client import OperatorClient
 from citrondyke.cmd.ctl.exit_code import ExitCode
 from citrondyke.cmd.ctl.explain import explain_id, explanation_tables
 from citrondyke.cmd.ctl.failure import CtlError
+from citrondyke.cmd.ctl.jobs import jobs_app
 from citrondyke.cmd.ctl.options import Options
+from citrondyke.cmd.ctl.show import console, show
 from citrondyke.decisions.configuration.configuration import ConfigSnapshot
 from citrondyke.decisions.configuration.entries import (
     ClassEntry,
@@ -28,10 +29,10 @@
 )
 from citrondyke.decisions.evidence.record import OutcomeRecord
 from citrondyke.decisions.evidence.report import EvidenceReport
-from citrondyke.driver.virtual.replay import TraceOutcome
 from citrondyke.driver.virtual.replay import replay as run_trace
 from citrondyke.driver.virtual.trace import events_of_records, read_trace
-from citrondyke.entry.operator_shapes import JobSummary, JobView, StatusReport
+from citrondyke.driver.virtual.trace_outcome import TraceOutcome
+from citrondyke.entry.operator_shapes import StatusReport
 from citrondyke.ids import ClassName, TenantId
 from citrondyke.operator.measures import MeasureReport
 from citrondyke.util.hashing import key_hash
@@ -50,13 +51,11 @@
 config_app = App(name='config', help='Look at and change the configuration.')
 class_app = App(name='class', help='Create, change and remove classes of work.')
 tenant_app = App(name='tenant', help='Create, change and remove tenants.')
-jobs_app = App(name='jobs', help='Look at and cancel jobs.')
 for _group in (config_app, class_app, tenant_app, jobs_app):
     app.command(_group)
 
 app.register_install_completion_command()
 
-console = Console()
 Shared = Annotated[Options, Parameter(name='*')]
 
 
@@ -64,7 +63,7 @@
 def get(options: Shared = Options()) -> None:  # noqa: B008
     """Show all entries. Example: ``citrondykectl config get --json > config.json``."""
     client = OperatorClient(options)
-    _show(options, client.config(), tables.config_table)
+    show(options, client.config(), tables.config_table)
 
 
 @config_app.command
@@ -72,7 +71,7 @@
     """Show what ``apply FILE`` would change."""
     current = OperatorClient(options).config()
     edits = _edits(current, _read_entries(file))
-    _show(options, edits, tables.edits_table)
+    show(options, edits, tables.edits_table)
 
 
 @config_app.command
@@ -93,7 +92,7 @@
 @config_app.command
 def history(*, after: int = 0, options: Shared = Options()) -> None:  # noqa: B008
     """Show every change behind a version: who, when, before and after."""
-    _show(options, OperatorClient(options).history(after), tables.history_table)
+    show(options, OperatorClient(options).history(after), tables.history_table)
 
 
 @class_app.command(name='set')
@@ -161,7 +160,7 @@
 def status(options: Shared = Options()) -> None:  # noqa: B008
     """Show instances, zones, the version in force, servers and their stewards."""
     answer = OperatorClient(options).get('/operator/v1/status', StatusReport)
-    _show(options, answer, tables.status_table)
+    show(options, answer, tables.status_table)
 
 
 @app.command
@@ -181,7 +180,7 @@
         if wanted not in groups:
             raise CtlError(ExitCode.NOT_FOUND, f'no requests of {wanted} were seen here')
         groups = {wanted: groups[wanted]}
-    _show(options, groups, tables.histogram_tables)
+    show(options, groups, tables.histogram_tables)
 
 
 @app.command
@@ -199,7 +198,7 @@
     """
     query = urlencode({'class': class_name or '', **_span(from_, to)})
     found = OperatorClient(options).get(f'/operator/v1/report?{query}', EvidenceReport)
-    _show(options, found, tables.report_tables)
+    show(options, found, tables.report_tables)
     if verify and found.faults:
         raise CtlError(ExitCode.FAILED, f'{len(found.faults)} faults in the records')
 
@@ -237,7 +236,7 @@
         outcome = run_trace(read_trace(trace))
     except (OSError, ValueError) as error:
         raise CtlError(ExitCode.WRONG_CALL, f'{trace}: {error}') from error
-    _show(options, outcome, tables.outcome_table)
+    show(options, outcome, tables.outcome_table)
     stated_file = trace.with_suffix('.outcome.json')
     if not stated_file.exists():
         return
@@ -252,28 +251,7 @@
 
     Example: ``citrondykectl explain 9c41d07be2a35f68 edge-*.log``.
     """
-    _show(Options(json=json), explain_id(wanted, *files), explanation_tables)
-
-
-@jobs_app.command(name='list')
-def jobs_list(options: Shared = Options()) -> None:  # noqa: B008
-    """List the open jobs by deadline."""
-    answer = OperatorClient(options).get('/operator/v1/jobs', list[JobSummary])
-    _show(options, answer, tables.jobs_table)
-
-
-@jobs_app.command(name='show')
-def jobs_show(job_id: str, *, options: Shared = Options()) -> None:  # noqa: B008
-    """Show a job's progress, its forecast finish, and whether it is at risk."""
-    answer = OperatorClient(options).get(f'/operator/v1/jobs/{job_id}', JobView)
-    _show(options, answer, tables.job_view)
-
-
-@jobs_app.command(name='cancel')
-def jobs_cancel(job_id: str, *, options: Shared = Options()) -> None:  # noqa: B008
-    """Stop a job; what is visible already stays."""
-    answer = OperatorClient(options).post(f'/operator/v1/jobs/{job_id}/cancel')
-    _show(options, answer, lambda body: [f'{body["job_id"]}: {body["state"]}'])
+    show(Options(json=json), explain_id(wanted, *files), explanation_tables)
 
 
 def _set(options: Options, entry: ConfigEntry) -> None:
@@ -295,7 +273,7 @@
 
 
 def _accepted(options: Options, change: Any) -> None:
-    _show(options, change, lambda body: [f'version {body["version"]} is accepted'])
+    show(options, change, lambda body: [f'version {body["version"]} is accepted'])
 
 
 def _read_entries(file: Path) -> dict[str, ConfigEntry]:
@@ -317,15 +295,6 @@
     return edits + [{'name': name, 'after': None} for name in removed]
 
 
-def _show(options: Options, value: Any, draw: Any) -> None:
-    """Print for programs or for people."""
-    if options.json:
-        sys.stdout.buffer.write(msgspec.json.format(msgspec.json.encode(value), indent=2) + b'\n')
-        return
-    for part in draw(value):
-        console.print(part)
-
-
 def main() -> None:
     """Run the program; the exit code tells the kind of failure."""
     try:
--- a/citrondyke/cmd/citrondyked.py
+++ b/citrondyke/cmd/citrondyked.py
@@ -2,28 +2,24 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 from pathlib import Path
 from typing import Annotated
 
-import gevent
 import logbook
 from cyclopts import App, Parameter
 
 from citrondyke.cmd import patch  # noqa: F401  (first: it patches the standard library)
-from citrondyke.daemon import Daemon
+from citrondyke.cmd.run_daemon import run_daemon
 from citrondyke.errors import SettingsInvalidError
 from citrondyke.platform.settings_file import is_platform_file, platform_settings
-from citrondyke.settings import DaemonSettings, load_settings
-from citrondyke.util.json_log import JsonLinesHandler
+from citrondyke.settings import load_settings
 
 __all__ = ('app', 'main')
 
 app = App(name='citrondyked', help='Serve online and batch inference on one fleet.')
 
 EXIT_SETTINGS = 2
-EXIT_FAILED = 1
 
 
 @app.default
@@ -68,21 +64,6 @@
     return 0
 
 
-def run_daemon(settings: DaemonSettings) -> int:
-    """Run an instance until SIGTERM or SIGINT."""
-    handler = JsonLinesHandler(
-        settings.logs.level,
-        {'instance': settings.instance.id, 'zone': settings.instance.zone},
-    )
-    with handler.applicationbound():
-        daemon = Daemon(settings)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, daemon.request_stop)
-        daemon.start()
-        is_planned = daemon.run_until_stopped()
-    return 0 if is_planned else EXIT_FAILED
-
-
 def main() -> None:
     """Run the program."""
     with logbook.NullHandler():
--- a/citrondyke/cmd/ctl/tables.py
+++ b/citrondyke/cmd/ctl/tables.py
@@ -21,7 +21,7 @@
     entry_name,
 )
 from citrondyke.decisions.evidence.report import EvidenceReport
-from citrondyke.driver.virtual.replay import TraceOutcome
+from citrondyke.driver.virtual.trace_outcome import TraceOutcome
 from citrondyke.entry.operator_shapes import JobSummary, JobView, StatusReport
 from citrondyke.operator.histogram import HistogramData, SparseHistogram
 from citrondyke.operator.terminal import histogram_table
--- a/citrondyke/cmd/embedded.py
+++ b/citrondyke/cmd/embedded.py
@@ -7,6 +7,7 @@
 import gevent
 import msgspec
 
+from citrondyke.cmd.run_daemon import run_daemon
 from citrondyke.decisions.configuration.change import first_change, log_row_key
 from citrondyke.decisions.configuration.entries import (
     ClassEntry,
@@ -83,8 +84,6 @@
 
     :param port: the instance's; the stand-ins take some after it.
     """
-    from citrondyke.cmd.citrondyked import run_daemon
-
     clock = SystemClock()
     app, platform = platform_app(clock)
     _start(port + PLATFORM_OFFSET, app)
--- a/citrondyke/driver/virtual/replay.py
+++ b/citrondyke/driver/virtual/replay.py
@@ -21,6 +21,7 @@
 from citrondyke.decisions.online.request import OnlineEnd, OnlineRequest
 from citrondyke.decisions.steward import SERVICE_PREFIX
 from citrondyke.driver.virtual.trace import Trace, TraceEvent, TraceEventKind
+from citrondyke.driver.virtual.trace_outcome import JobOutcome, TraceOutcome
 from citrondyke.driver.virtual.virtual_fleet import VirtualFleet
 from citrondyke.driver.virtual.virtual_instance import VirtualInstance
 from citrondyke.driver.virtual.virtual_server import VirtualEngine, VirtualService
@@ -29,7 +30,7 @@
 from citrondyke.standin.faults import FaultMode
 from citrondyke.storage.fleet_lists import ListedServer
 
-__all__ = ('JobOutcome', 'TraceOutcome', 'replay')
+__all__ = ('replay',)
 
 READY_MS = 1000.0
 LOAD_LAG_MS = 100.0
@@ -37,27 +38,6 @@
 DRAIN_LOOK_MS = 20.0
 
 
-class JobOutcome(msgspec.Struct, frozen=True):
-    """How a job of the trace ended."""
-
-    state: str
-    succeeded: int
-    failed: int
-    is_on_time: bool
-
-
-class TraceOutcome(msgspec.Struct, kw_only=True):
-    """What a run of a trace came to; the same trace always gives the same."""
-
-    chats: dict[str, int]
-    #: Chats whose first token came within their class's target.
-    chats_in_time: int
-    orders: dict[str, int]
-    #: The most times that any one order ran.
-    order_runs_most: int
-    jobs: dict[str, JobOutcome]
-
-
 class _Replay:
     """One run."""
 
--- a/citrondyke/driver/virtual/virtual_instance.py
+++ b/citrondyke/driver/virtual/virtual_instance.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.ops import Workflow
-    from citrondyke.driver.virtual.virtual_fleet import VirtualFleet
+    from citrondyke.driver.virtual.surroundings import Surroundings
     from citrondyke.storage.fleet_lists import ListedInstance
 
 __all__ = ('VirtualInstance',)
@@ -39,7 +39,7 @@
     """Runs an instance's workflows; it can be killed or frozen at any point between effects."""
 
     def __init__(
-        self, fleet: VirtualFleet, listed: ListedInstance, limits: InstanceLimits, seed: int
+        self, fleet: Surroundings, listed: ListedInstance, limits: InstanceLimits, seed: int
     ) -> None:
         """Start an instance with nothing in its memory."""
         self.listed = listed
@@ -170,7 +170,7 @@
     def __init__(
         self,
         host: VirtualInstance,
-        fleet: VirtualFleet,
+        fleet: Surroundings,
         call: ServerCall,
         answer: Callable[[Any], None],
     ) -> None:
--- a/tests/test_driver/test_driver_replay.py
+++ b/tests/test_driver/test_driver_replay.py
@@ -8,8 +8,9 @@
 import pytest
 
 from citrondyke.decisions.evidence.record import OutcomeRecord, RecordKind
-from citrondyke.driver.virtual.replay import TraceOutcome, replay
+from citrondyke.driver.virtual.replay import replay
 from citrondyke.driver.virtual.trace import TraceEventKind, events_of_records, read_trace
+from citrondyke.driver.virtual.trace_outcome import TraceOutcome
 from citrondyke.ids import ClassName, TargetName, TenantId
 
 TRACES = Path(__file__).parents[2] / 'traces'
