Log the choice of a server before the send; a refused job's cause; bound what is remembered

A request whose instance was killed left no line at all: request.sent tells the server and what it was chosen by. explain names who refused a job and why. Deletions of servers are remembered up to 2,000.

--- a/citrondyke/decisions/forwarding/listed_rows.py
+++ b/citrondyke/decisions/forwarding/listed_rows.py
@@ -11,6 +11,9 @@
 
 Value = TypeVar('Value')
 
+#: Deletions that are remembered; reads lag by seconds, and no fleet replaces so many servers then.
+DELETED_LIMIT = 2_000
+
 
 class SeenRow(msgspec.Struct, Generic[Value], frozen=True):
     """One row as a read or a feed showed it; ``None`` where it was deleted."""
@@ -94,6 +97,8 @@
 
     def _drop(self, key: str, version: int, now_ms: float) -> None:
         self._deleted[key] = max(version, self._deleted.get(key, 0))
+        if len(self._deleted) > DELETED_LIMIT:
+            self._deleted.pop(min(self._deleted, key=self._deleted.__getitem__))
         if now_ms >= self._doubtful_until_ms:
             self._missing.pop(key, None)
             self._rows.pop(key, None)
--- a/citrondyke/gateway/forwarder.py
+++ b/citrondyke/gateway/forwarder.py
@@ -109,6 +109,7 @@
                     return self._refuse(
                         caller, forwarding, RequestEnd.NOT_RUN, admitted.retry_in_ms
                     )
+            self._log.sent(forwarding, state, admitted.expected_wait_ms)
             result = self._send(caller, forwarding, state, admitted.expected_wait_ms)
             if isinstance(result, RequestEnd):
                 return result
--- a/citrondyke/gateway/request_log.py
+++ b/citrondyke/gateway/request_log.py
@@ -47,6 +47,27 @@
             },
         )
 
+    def sent(self, forwarding: Forwarding, state: ServerState, expected_wait_ms: float) -> None:
+        """Tell which server was chosen, and by what.
+
+        It is written before the send: of a request whose instance is killed it is all there is.
+        """
+        now_ms = self._context.now_ms()
+        log.info(
+            'request.sent',
+            extra={
+                'request_id': forwarding.facts.request_id,
+                'route': forwarding.route.name,
+                'config_version': forwarding.config_version,
+                'server_id': state.listed.id,
+                'online_count': state.online_count(now_ms),
+                'batch_count': state.batch_count(now_ms),
+                'expected_wait_ms': round(expected_wait_ms, 1),
+                'sends_before': forwarding.course.sends_count,
+                'last_event_id': forwarding.last_event_id,
+            },
+        )
+
     def send_failed(
         self,
         forwarding: Forwarding,
--- a/citrondyke/operator/explanation.py
+++ b/citrondyke/operator/explanation.py
@@ -173,8 +173,13 @@
     accepted = next((event for event in course if event.event == 'job.accepted'), None)
     if accepted is not None:
         parts.append(f'{accepted.instance} accepted {accepted.get("items")} items.')
-    else:
+    elif 'job.refused' not in kinds:
         missing.append('job.accepted')
+    parts += [
+        f'{event.instance} did not take it: {event.get("reason")}.'
+        for event in course
+        if event.event == 'job.refused'
+    ]
     owners = [event for event in course if event.event in ('job.taken_over', 'job.handed_over')]
     parts += [
         f'{event.instance} {"took it over" if event.event == "job.taken_over" else "gave it back"}'
--- a/tests/test_operator/test_operator_explain.py
+++ b/tests/test_operator/test_operator_explain.py
@@ -113,7 +113,7 @@
     # start shows when.
     file = write(
         tmp_path / 'edge-1.log',
-        event('send.failed', 1.0, request_id='r', server_id='i-1', outcome='refused'),
+        event('request.sent', 1.0, request_id='r', server_id='i-1'),
         event('instance.started', 4.0),
     )
     with file.open('a') as lines:
@@ -123,6 +123,13 @@
     assert found.missing == ['request.end', '1 lines are cut or no JSON']
 
 
+def test_refused_job_names_who_refused_it_and_why(tmp_path: Path) -> None:
+    file = write(tmp_path / 'edge-1.log', event('job.refused', 1.0, job_id='j', reason='in_doubt'))
+    found = explain('j', read_log_events([file]))
+    assert 'edge-1 did not take it: in_doubt' in found.cause
+    assert found.missing == []
+
+
 def test_lines_left_out_under_load_are_named(tmp_path: Path) -> None:
     file = write(
         tmp_path / 'edge-1.log',
