Drop what nobody reads; timeout is the term

RouteTable.named and its services, the store's largest object: decoded and never used. Comments of earlier work said time limit. Answers of up to 4 MB are held until they are whole, as large as a body.

--- a/citrondyke/decisions/forwarding/route_table.py
+++ b/citrondyke/decisions/forwarding/route_table.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from citrondyke.decisions.forwarding.route import Route, RouteLimits
-from citrondyke.ids import ConfigVersion, RouteName, ServiceName
+from citrondyke.ids import ConfigVersion
 
 __all__ = ('EMPTY_ROUTE_TABLE', 'NO_ROUTE', 'NoRoute', 'NoRouteReason', 'RouteTable')
 
@@ -36,7 +36,6 @@
 
     version: ConfigVersion
     routes: tuple[Route, ...] = ()
-    services: tuple[ServiceName, ...] = ()
     limits: RouteLimits = RouteLimits()
 
     def find(self, host: str, path: str) -> Route | NoRoute:
@@ -49,9 +48,5 @@
                 best = route
         return best
 
-    def named(self, name: RouteName) -> Route | NoRoute:
-        """Find a route by its name."""
-        return next((route for route in self.routes if route.name == name), NO_ROUTE)
-
 
 EMPTY_ROUTE_TABLE = RouteTable(ConfigVersion(0))
--- a/citrondyke/decisions/instance.py
+++ b/citrondyke/decisions/instance.py
@@ -87,7 +87,7 @@
     gossip_every_ms: float = 1000.0
     #: Pause between two looks at the load of each server that this instance looks after.
     load_poll_every_ms: float = 1000.0
-    #: Time limit of such a look.
+    #: Timeout of such a look.
     load_poll_timeout_ms: float = 400.0
     #: Online requests that may wait for a place, for each target.
     waiting_limit: int = 256
--- a/citrondyke/driver/virtual/virtual_platform.py
+++ b/citrondyke/driver/virtual/virtual_platform.py
@@ -16,7 +16,7 @@
 
 __all__ = ('VirtualPlatform',)
 
-#: Time limit of an instance's calls.
+#: Timeout of an instance's calls.
 TIMEOUT_MS = 1500.0
 
 
--- a/citrondyke/entry/bodies.py
+++ b/citrondyke/entry/bodies.py
@@ -41,7 +41,7 @@
     """Read a body piece by piece.
 
     A sender that stops half-way would hold its connection for ever; the whole body has one
-    time limit, so that sending a byte now and then does not help.
+    timeout, so that sending a byte now and then does not help.
 
     :raises SlowSenderError: when it does not arrive within ``within_ms``.
     """
--- a/citrondyke/gateway/forwarder.py
+++ b/citrondyke/gateway/forwarder.py
@@ -34,7 +34,7 @@
 __all__ = ('Forwarder',)
 
 #: Answers up to this are held until they are whole, so that a broken one can be repeated.
-HELD_ANSWER_BYTES = 1024 * 1024
+HELD_ANSWER_BYTES = 4 * 1024 * 1024
 EVENT_STREAM = b'text/event-stream'
 #: When a caller may come back after all servers were out of reach: the list of servers follows a
 #: crash within three heartbeats, an ejected server is tried again after 800 ms.
--- a/citrondyke/gateway/settings.py
+++ b/citrondyke/gateway/settings.py
@@ -24,8 +24,6 @@
     call_timeout_ms: float = 1_200.0
     #: Largest value of a row.
     row_bytes: int = 65_536
-    #: Largest object.
-    object_bytes: int = 8_388_608
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/citrondyke/platform/rows.py
+++ b/citrondyke/platform/rows.py
@@ -46,10 +46,6 @@
     max_wait_s: float = 0.0
 
 
-class _Service(msgspec.Struct, frozen=True):
-    name: str
-
-
 class _Limits(msgspec.Struct, frozen=True):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
@@ -62,7 +58,6 @@
 class _Config(msgspec.Struct, frozen=True):
     version: int
     routes: list[_Route] = []
-    services: list[_Service] = []
     limits: _Limits = _Limits()
 
 
@@ -84,7 +79,6 @@
     return RouteTable(
         ConfigVersion(config.version),
         tuple(_route(route) for route in config.routes if route.type in KINDS),
-        tuple(ServiceName(service.name) for service in config.services),
         RouteLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
--- a/citrondyke/platform/settings_file.py
+++ b/citrondyke/platform/settings_file.py
@@ -41,7 +41,6 @@
     #: Of the store; nothing else of the platform has an address.
     address: str
     row_bytes: int = 65_536
-    blob_bytes: int = 8_388_608
 
 
 class _File(msgspec.Struct, frozen=True):
@@ -101,7 +100,6 @@
             store=StoreSettings(
                 address=_address(file.platform.address),
                 row_bytes=file.platform.row_bytes,
-                object_bytes=file.platform.blob_bytes,
             ),
             memory_bytes=file.limits.memory_mb * 1024 * 1024,
             connections_limit=(file.limits.max_fds - RESERVED_FDS) // FDS_PER_CALLER,
--- a/citrondyke/settings/model.py
+++ b/citrondyke/settings/model.py
@@ -54,7 +54,7 @@
     objects_url: Url
     #: The lists of instances and backend servers.
     lists_url: Url
-    #: Time limit of one call.
+    #: Timeout of one call.
     timeout_ms: PositiveMs = 1500.0
 
 
--- a/citrondyke/standin/platform_app.py
+++ b/citrondyke/standin/platform_app.py
@@ -22,7 +22,7 @@
 
 __all__ = ('PlatformApp', 'PlatformCounts', 'platform_app')
 
-#: Longer than any client's time limit.
+#: Longer than any client's timeout.
 HANG_S = 60.0
 SERVICES = ('table', 'objects', 'lists')
 
--- a/citrondyke/storage/_http_call.py
+++ b/citrondyke/storage/_http_call.py
@@ -31,7 +31,7 @@
     def __init__(self, url: str, timeout_ms: float, connections: int = 16) -> None:
         """Open nothing yet.
 
-        :param timeout_ms: time limit of each call.
+        :param timeout_ms: timeout of each call.
         """
         self._pool = urllib3.connection_from_url(
             url,
--- a/citrondyke/storage/http_fleet_lists.py
+++ b/citrondyke/storage/http_fleet_lists.py
@@ -14,7 +14,7 @@
 def http_fleet_lists(url: str, timeout_ms: float) -> HttpFleetLists:
     """Make a client.
 
-    :param timeout_ms: time limit of each call.
+    :param timeout_ms: timeout of each call.
     """
     return HttpFleetLists(PlatformHttp(url, timeout_ms))
 
--- a/citrondyke/storage/http_object_store.py
+++ b/citrondyke/storage/http_object_store.py
@@ -17,7 +17,7 @@
 def http_object_store(url: str, timeout_ms: float) -> HttpObjectStore:
     """Make a client.
 
-    :param timeout_ms: time limit of each call.
+    :param timeout_ms: timeout of each call.
     """
     return HttpObjectStore(PlatformHttp(url, timeout_ms))
 
--- a/citrondyke/storage/http_table_service.py
+++ b/citrondyke/storage/http_table_service.py
@@ -37,7 +37,7 @@
 def http_table_service(url: str, timeout_ms: float) -> HttpTableService:
     """Make a client.
 
-    :param timeout_ms: time limit of each call.
+    :param timeout_ms: timeout of each call.
     """
     return HttpTableService(PlatformHttp(url, timeout_ms))
 
--- a/citrondyke/storage/object_store.py
+++ b/citrondyke/storage/object_store.py
@@ -11,7 +11,7 @@
 
 
 class ObjectStore(ABC):
-    """A client of the object store; every call has its own time limit."""
+    """A client of the object store; every call has its own timeout."""
 
     @abstractmethod
     def put(self, key: ObjectKey, body: bytes) -> PlatformFailure | None:
--- a/citrondyke/storage/table_service.py
+++ b/citrondyke/storage/table_service.py
@@ -68,7 +68,7 @@
 
 
 class TableService(ABC):
-    """A client of the table service; every call has its own time limit."""
+    """A client of the table service; every call has its own timeout."""
 
     @abstractmethod
     def transact(self, transaction: Transaction) -> Committed | Conflict | PlatformFailure:
