Count what a reader holds once; an older confirmation does not replace a newer one

Cause: JobReader.remember made a view that already counted its head and then grew by it, so a forgotten job gave back 500 bytes more than it had added; a view that was forgotten while its caller waited grew the count for good. ConfigHolder.confirm took any time, so a peer's age of 3 s replaced the store's own answer of a moment ago and callers of routes that do not exist got 503 in place of 404. Ruled out: double counting in adopt() and results(), both go through _grow once. Conclusion: both bounds mean what they say again.

--- a/citrondyke/decisions/forwarding/config_holder.py
+++ b/citrondyke/decisions/forwarding/config_holder.py
@@ -34,8 +34,8 @@
         return True
 
     def confirm(self, now_ms: float) -> None:
-        """Note that the store was asked and showed nothing newer."""
-        self._confirmed_ms = now_ms
+        """Note that the store was asked and showed nothing newer; a peer may tell of it late."""
+        self._confirmed_ms = max(self._confirmed_ms, now_ms)
 
     def age_ms(self, now_ms: float) -> float:
         """Give the time since the store last confirmed it."""
--- a/citrondyke/gateway/job_reader.py
+++ b/citrondyke/gateway/job_reader.py
@@ -33,7 +33,7 @@
     head: JobHead
     results: list[ItemResult]
     bodies: dict[str, bytes] | None = None
-    bytes_count: int = HEAD_BYTES
+    bytes_count: int = 0
 
 
 class JobReader:
@@ -44,7 +44,12 @@
         self._context = context
         self._store = store
         self._views: OrderedDict[JobId, JobView] = OrderedDict()
-        self._bytes_count = 0
+        self.remembered_bytes = 0
+
+    @property
+    def remembered_count(self) -> int:
+        """Count the jobs that are remembered."""
+        return len(self._views)
 
     def view(self, job_id: JobId) -> JobView | NoJob:
         """Give what is known of a job, by the store where nothing is."""
@@ -108,8 +113,11 @@
         self._grow(view, sum(len(result.text) for result in found))
 
     def _grow(self, view: JobView, count: int) -> None:
+        if self._views.get(view.head.job_id) is not view:
+            # Forgotten while its caller waited: it goes with that caller's answer.
+            return
         view.bytes_count += count
-        self._bytes_count += count
-        while self._bytes_count > REMEMBERED_BYTES and len(self._views) > 1:
+        self.remembered_bytes += count
+        while self.remembered_bytes > REMEMBERED_BYTES and len(self._views) > 1:
             _, oldest = self._views.popitem(last=False)
-            self._bytes_count -= oldest.bytes_count
+            self.remembered_bytes -= oldest.bytes_count
--- a/tests/test_forwarding/test_forwarding_config_holder.py
+++ b/tests/test_forwarding/test_forwarding_config_holder.py
@@ -28,3 +28,15 @@
     holder.confirm(100.0)
     assert holder.is_confirmed(100.0 + CONFIRMED_MS)
     assert not holder.is_confirmed(101.0 + CONFIRMED_MS)
+
+
+def test_older_confirmation_of_a_peer_changes_nothing() -> None:
+    # The store confirmed the configuration a moment ago; then a peer tells when it last heard from
+    # the store, which is longer ago. A caller who asks for a route that does not exist is told so
+    # and not to come back.
+    holder = ConfigHolder()
+    holder.offer(table(7), b'')
+    holder.confirm(10_000.0)
+    holder.confirm(7_000.0)
+    assert holder.age_ms(10_000.0) == 0.0
+    assert holder.is_confirmed(10_000.0 + CONFIRMED_MS)
