--- a/citrondyke/gateway/job_door.py
+++ b/citrondyke/gateway/job_door.py
@@ -95,16 +95,16 @@
             self._answer(caller, facts, 400)
             return
         if self._owned.is_stopping or self._owned.held_bytes() > self._items_limit_bytes:
-            self._log_refused(facts, 'stopping or full')
+            self._log_refused(facts, request, 'stopping or full')
             self._answer(caller, facts, 503, RETRY_IN_MS)
             return
         head = self._new_head(JobId(facts.request_id), request, route, items)
         accepted = self._accept(head, items)
         if isinstance(accepted, StoredHead):
-            self._take(accepted, items)
+            self._take(accepted, items, request)
             self._answer(caller, facts, 202)
             return
-        self._log_refused(facts, accepted.value)
+        self._log_refused(facts, request, accepted.value)
         if accepted is CommitVerdict.IN_DOUBT:
             # It may become durable yet, so "not run" would not be true.
             self._answer(caller, facts, 504)
@@ -139,7 +139,7 @@
                 return verdict
             gevent.sleep(self._context.jittered_ms(PAUSE_MS) / 1e3)
 
-    def _take(self, accepted: StoredHead, items: list[JobItem]) -> None:
+    def _take(self, accepted: StoredHead, items: list[JobItem], request: CallerRequest) -> None:
         head = accepted.head
         self._reader.remember(head)
         is_own = (head.owner, head.owner_life) == (self._context.instance_id, self._life)
@@ -153,6 +153,7 @@
                 'owner': head.owner,
                 'version': accepted.version,
                 'is_repeat': not is_own or is_known,
+                'took_ms': self._took_ms(request),
             },
         )
         if is_own and not is_known and not head.is_ended and not head.is_done:
@@ -282,8 +283,18 @@
         headers = self._dialect.own_answer(facts.request_id, retry_in_ms)
         caller.send_whole(status, headers, b'')
 
-    def _log_refused(self, facts: CallFacts, reason: str) -> None:
-        log.info('job.refused', extra={'job_id': facts.request_id, 'reason': reason})
+    def _log_refused(self, facts: CallFacts, request: CallerRequest, reason: str) -> None:
+        log.info(
+            'job.refused',
+            extra={
+                'job_id': facts.request_id,
+                'reason': reason,
+                'took_ms': self._took_ms(request),
+            },
+        )
+
+    def _took_ms(self, request: CallerRequest) -> float:
+        return round(self._context.now_ms() - request.arrived_ms, 1)
 
 
 def _cut_page(results: list[ItemResult]) -> list[ItemResult]:
