--- a/benchmarks/gateway_load.py
+++ b/benchmarks/gateway_load.py
@@ -17,7 +17,7 @@
 from citrondyke.decisions.core.context import Context
 from citrondyke.decisions.forwarding.admission_rule import AdmissionRule, TurnedAway
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
-from citrondyke.decisions.forwarding.load_notices import RENEW_MS, notice_gap_ms
+from citrondyke.decisions.forwarding.load_notices import RENEW_MS
 from citrondyke.decisions.forwarding.route import Route, RouteKind, ServiceShare
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.ids import AvailabilityZone, InstanceId, RouteName, ServerId, ServiceName
@@ -160,7 +160,7 @@
         self.batch_ms = 0.0
         self._policies = [self._new_instance(policy, n) for n in range(INSTANCES)]
         self._ways = [
-            GiveWay(each.context, each.book, StartPace(each.context, lambda: INSTANCES))
+            GiveWay(each.context, each.book, StartPace(each.context, each.book.neighbours))
             for each in self._policies
         ]
         self._arrivals(per_s)
@@ -187,7 +187,8 @@
             InstanceId(f'i{number}'), AvailabilityZone('z'), self.clock, random.Random(number)
         )
         book = ServerBook(context)
-        book.instances_count = INSTANCES
+        others = [InstanceId(f'i{n}') for n in range(INSTANCES) if n != number]
+        book.neighbours.replace(dict.fromkeys(others, context.zone))
         book.replace(
             ListedBackend(
                 id=server_id,
@@ -309,7 +310,8 @@
                     if self._with_batch and self._gives_way:
                         self._cut(index, self._ways[index])
 
-        self._at(self.clock.ms + 1.5 + notice_gap_ms(INSTANCES) / 2, tell)
+        gap_ms = own.book.neighbours.gap_ms
+        self._at(self.clock.ms + 1.5 + gap_ms / 2, tell)
 
     def _pump(self) -> None:
         for instance, way in enumerate(self._ways):
--- a/citrondyke/decisions/batch/give_way.py
+++ b/citrondyke/decisions/batch/give_way.py
@@ -8,13 +8,13 @@
 
 import msgspec
 
+from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.util.hashing import rendezvous_weight
 
 if TYPE_CHECKING:
     from citrondyke.decisions.batch.start_pace import StartPace
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_book import ServerBook
-    from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.ids import InstanceId, ServerId, ServiceName
 
 __all__ = ('GiveWay', 'RunningItem', 'Urgency', 'urgency')
@@ -62,6 +62,11 @@
     urgency: Urgency
 
 
+class _Room(msgspec.Struct, frozen=True):
+    state: ServerState
+    free: int
+
+
 class GiveWay:
     """Fills the places that online requests leave, and clears them again.
 
@@ -78,27 +83,31 @@
         self._cut_ms: dict[ServerId, float] = {}
 
     def choose(self, service: ServiceName, urgency_now: Urgency) -> ServerState | None:
-        """Choose the server for an item; ``None`` while all places are needed."""
+        """Choose the server for an item; ``None`` while all places are needed.
+
+        In a large fleet servers of the own zone come first: an online request that comes to
+        another one hears of the item's owner late.
+        """
         now_ms = self._context.now_ms()
-        rooms: list[int] = []
-        states: list[ServerState] = []
-        for state in self._book.usable(service):
-            if state.ejected_until_ms > now_ms:
-                continue
-            free = state.listed.slots_count - FREE_PLACES - state.total_count(now_ms)
-            if free < 1 and urgency_now is Urgency.AT_RISK and _may_hold(state, now_ms):
-                free = 1
-            if free >= 1:
-                rooms.append(free)
-                states.append(state)
-        if not states or not self._pace.take(service, sum(rooms)):
+        rooms = [
+            _Room(state, free)
+            for state in self._book.usable(service)
+            if (free := self._free(state, urgency_now, now_ms)) >= 1
+        ]
+        near = [room for room in rooms if room.state.listed.zone == self._context.zone]
+        if not self._book.neighbours.is_zoned:
+            near = rooms
+        chosen = near or rooms
+        free_count = sum(room.free for room in chosen)
+        if not chosen or not self._pace.take(service, free_count, is_far=not near):
             return None
         # By chance, the emptier the likelier: the emptiest one looks so to all at once.
         weights = [
-            room * room * (OWN_ZONE_FACTOR if state.listed.zone == self._context.zone else 1.0)
-            for room, state in zip(rooms, states, strict=True)
+            room.free**2
+            * (OWN_ZONE_FACTOR if room.state.listed.zone == self._context.zone else 1.0)
+            for room in chosen
         ]
-        return self._context.random.choices(states, weights)[0]
+        return self._context.random.choices(chosen, weights)[0].state
 
     def to_cut(self, running: Iterable[RunningItem]) -> list[RunningItem]:
         """Choose the items that stop now, the youngest first.
@@ -151,6 +160,16 @@
         )
         return min(own_count, max(0, excess - before))
 
+    @staticmethod
+    def _free(state: ServerState, urgency_now: Urgency, now_ms: float) -> int:
+        """Count the places of a server that an item may take."""
+        if state.ejected_until_ms > now_ms:
+            return 0
+        free = state.listed.slots_count - FREE_PLACES - state.total_count(now_ms)
+        if free < 1 and urgency_now is Urgency.AT_RISK and _may_hold(state, now_ms):
+            return 1
+        return free
+
     @staticmethod
     def _rank(instance_id: InstanceId, state: ServerState) -> int:
         return rendezvous_weight(instance_id, state.listed.id)
--- a/citrondyke/decisions/batch/start_pace.py
+++ b/citrondyke/decisions/batch/start_pace.py
@@ -6,12 +6,11 @@
 
 import msgspec
 
-from citrondyke.decisions.forwarding.load_notices import notice_gap_ms
+from citrondyke.decisions.forwarding.load_notices import TOTALS_EVERY_MS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.neighbours import Neighbours
     from citrondyke.ids import ServiceName
 
 __all__ = ('StartPace',)
@@ -28,31 +27,36 @@
 class StartPace:
     """Shares the free places of a service between all who may want them.
 
-    Counts of peers are as old as the gap between notices, 1 ms for each instance. If every owner
-    took each place that looks free, 69 instances filled the queues of 45 servers again and again:
-    31,606 of 41,114 sends were turned away and no item came to its end.
+    Counts of neighbours are as old as the gap between notices, 1 ms for each of them, and those of
+    other zones in a large fleet up to half a second. If every owner took each place that looks
+    free, 69 instances filled the queues of 45 servers again and again: 31,606 of 41,114 sends were
+    turned away and no item came to its end.
     """
 
-    def __init__(self, context: Context, instances_count: Callable[[], int]) -> None:
+    def __init__(self, context: Context, neighbours: Neighbours) -> None:
         """Start without a start taken."""
         self._context = context
-        self._instances_count = instances_count
-        self._budgets: dict[ServiceName, _Budget] = {}
+        self._neighbours = neighbours
+        self._budgets: dict[tuple[ServiceName, bool], _Budget] = {}
 
     @property
     def gap_ms(self) -> float:
-        """Give the time after which what was started is known everywhere."""
-        return max(SHORTEST_GAP_MS, notice_gap_ms(self._instances_count()))
+        """Give the time after which what was started is known to all neighbours."""
+        return max(SHORTEST_GAP_MS, self._neighbours.gap_ms)
 
-    def take(self, service: ServiceName, free_count: int) -> bool:
+    def take(self, service: ServiceName, free_count: int, *, is_far: bool = False) -> bool:
         """Ask for one start.
 
-        :param free_count: places that look free at all servers of the service.
+        :param free_count: places that look free at the servers that come into question.
+        :param is_far: whether they are in other zones of a large fleet, shared with everybody.
         """
         now_ms = self._context.now_ms()
-        share = free_count / max(1, self._instances_count())
-        budget = self._budgets.setdefault(service, _Budget(share, now_ms))
-        gaps = min(1.0, (now_ms - budget.at_ms) / self.gap_ms)
+        neighbours = self._neighbours
+        sharers = neighbours.instances_count if is_far else neighbours.near_count
+        share = free_count / sharers
+        budget = self._budgets.setdefault((service, is_far), _Budget(share, now_ms))
+        gap_ms = TOTALS_EVERY_MS if is_far else self.gap_ms
+        gaps = min(1.0, (now_ms - budget.at_ms) / gap_ms)
         budget.starts = min(max(1.0, share), budget.starts + gaps * share)
         budget.at_ms = now_ms
         if budget.starts >= 1.0:
--- a/citrondyke/decisions/batch/takeover.py
+++ b/citrondyke/decisions/batch/takeover.py
@@ -60,6 +60,8 @@
         self._beat_ms = float('-inf')
         self._look_ms = float('-inf')
         self._first_look_ms = 0.0
+        #: By how much heartbeats and looks are rarer than in a small fleet; silences grow with it.
+        self.pace = 1.0
 
     def note(self, instance_id: InstanceId, life: str, version: int) -> bool:
         """Take in a heartbeat's row; tell whether it is a new one."""
@@ -91,7 +93,7 @@
     @property
     def is_beating(self) -> bool:
         """Tell whether this instance's own heartbeats are written."""
-        return self._context.now_ms() - self._beat_ms <= BEAT_GAP_MS
+        return self._context.now_ms() - self._beat_ms <= BEAT_GAP_MS * self.pace
 
     def is_gone(self, owner: InstanceId, life: str, head_version: int, since_ms: float) -> bool:
         """Tell whether the owner of a job is certainly gone, or silent for too long.
@@ -111,7 +113,7 @@
         shown_ms = since_ms
         if seen is not None and seen.life == life:
             shown_ms = max(since_ms, seen.changed_ms)
-        return self._context.now_ms() - shown_ms >= SILENT_MS
+        return self._context.now_ms() - shown_ms >= SILENT_MS * self.pace
 
     @property
     def is_settled(self) -> bool:
@@ -133,7 +135,7 @@
 
     @property
     def _is_looking(self) -> bool:
-        return self._context.now_ms() - self._look_ms <= LOOK_GAP_MS
+        return self._context.now_ms() - self._look_ms <= LOOK_GAP_MS * self.pace
 
     def _forgive(self, now_ms: float) -> None:
         for seen in self._seen.values():
@@ -145,7 +147,7 @@
         found = {
             instance_id
             for instance_id, seen in self._seen.items()
-            if now_ms - seen.changed_ms < SILENT_MS
+            if now_ms - seen.changed_ms < SILENT_MS * self.pace
         }
         found.add(self._context.instance_id)
         return sorted(found)
--- a/citrondyke/decisions/forwarding/admission_rule.py
+++ b/citrondyke/decisions/forwarding/admission_rule.py
@@ -87,7 +87,7 @@
         while recent and recent[0] <= now_ms - EXPECTED_BACK_MS:
             recent.popleft()
         slots = sum(each.listed.slots_count for each in self._book.usable(service))
-        own_pace_per_ms = max(1, slots) / stay_ms / max(1, self._book.instances_count)
+        own_pace_per_ms = max(1, slots) / stay_ms / max(1, self._book.neighbours.instances_count)
         back_ms = len(recent) / own_pace_per_ms
         recent.append(now_ms)
         retry_ms = min(LONGEST_RETRY_MS, max(SHORTEST_RETRY_MS, late_ms + back_ms))
--- a/citrondyke/decisions/forwarding/load_notices.py
+++ b/citrondyke/decisions/forwarding/load_notices.py
@@ -11,30 +11,32 @@
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_book import ServerBook
-    from citrondyke.ids import InstanceId, ServerId
+    from citrondyke.ids import AvailabilityZone, InstanceId, ServerId
 
-__all__ = ('LoadNotices', 'ServerLoad', 'notice_gap_ms')
+__all__ = ('LoadNotices', 'ServerLoad')
 
-#: Datagrams that an instance sends in a second at most: with n peers a change waits n ms at the
-#: longest, 12 ms at 13 instances.
-DATAGRAMS_PER_S = 1_000.0
 #: Counts that are not zero are told again, since datagrams get lost and counts lapse.
 RENEW_MS = 500.0
-
-
-def notice_gap_ms(peers_count: int) -> float:
-    """Give the time between two notices of one instance."""
-    return peers_count * 1e3 / DATAGRAMS_PER_S
+#: How often an instance of a large fleet tells one instance of each other zone what is on the
+#: servers of its own zone; with as many instances in each zone all hear of it that often.
+TOTALS_EVERY_MS = 500.0
 
 
 class ServerLoad(msgspec.Struct, frozen=True):
-    """What the sender has on one server."""
+    """What the sender has on one server; in totals, what all have."""
 
     server: int
     online: int
     batch: int
 
 
+class AddressedLoads(msgspec.Struct, frozen=True):
+    """Counts and those who are told them."""
+
+    receivers: list[InstanceId]
+    loads: list[ServerLoad]
+
+
 class LoadNotices:
     """Tells peers what changed, a bounded number of times a second."""
 
@@ -45,10 +47,12 @@
         self._told: dict[ServerId, tuple[int, int]] = {}
         self._renewed_ms = 0.0
         self._sent_ms = float('-inf')
+        self._totals_ms = float('-inf')
 
-    def next_pause_ms(self, peers_count: int) -> float:
+    def next_pause_ms(self) -> float:
         """Give the time until the next notice may go out."""
-        return max(0.0, self._sent_ms + notice_gap_ms(peers_count) - self._context.now_ms())
+        gap_ms = self._book.neighbours.gap_ms
+        return max(0.0, self._sent_ms + gap_ms - self._context.now_ms())
 
     def take(self) -> list[ServerLoad]:
         """Give what peers are to be told now; nothing when nothing changed."""
@@ -72,6 +76,52 @@
             self._sent_ms = now_ms
         return loads
 
+    def address(self, loads: list[ServerLoad]) -> list[AddressedLoads]:
+        """Choose who is told of which counts.
+
+        Besides the neighbours these are, for a server of another availability zone, the instances
+        of that zone, and whoever runs batch items on a server: an online request that has come to
+        it would wait until its owner hears of it.
+        """
+        if not loads:
+            return []
+        neighbours = self._book.neighbours
+        addressed = [AddressedLoads(neighbours.near(), loads)]
+        if not neighbours.is_zoned:
+            return addressed
+        own_zone = self._context.zone
+        by_zone: dict[AvailabilityZone, list[ServerLoad]] = {}
+        by_owner: dict[InstanceId, list[ServerLoad]] = {}
+        for load in loads:
+            state = self._book.by_digest(load.server)
+            if state is None:
+                continue
+            zone = state.listed.zone
+            if zone != own_zone:
+                by_zone.setdefault(zone, []).append(load)
+            for owner in state.batch_by_peer(self._context.now_ms()):
+                if neighbours.zone(owner) not in (own_zone, zone):
+                    by_owner.setdefault(owner, []).append(load)
+        addressed += [AddressedLoads(neighbours.in_zone(zone), by_zone[zone]) for zone in by_zone]
+        addressed += [AddressedLoads([owner], by_owner[owner]) for owner in by_owner]
+        return addressed
+
+    def take_totals(self) -> list[ServerLoad]:
+        """Give what all instances have on the servers of this zone, when that is to be told."""
+        now_ms = self._context.now_ms()
+        if not self._book.neighbours.is_zoned or now_ms - self._totals_ms < TOTALS_EVERY_MS:
+            return []
+        self._totals_ms = now_ms
+        return [
+            ServerLoad(
+                server_digest(state.listed.id),
+                state.online_count(now_ms),
+                state.batch_count(now_ms),
+            )
+            for state in self._book.states()
+            if state.listed.zone == self._context.zone
+        ]
+
     def note(self, peer: InstanceId, loads: list[ServerLoad]) -> None:
         """Take in what a peer has on servers."""
         now_ms = self._context.now_ms()
@@ -79,3 +129,11 @@
             state = self._book.by_digest(load.server)
             if state is not None:
                 state.note_peer(peer, load.online, load.batch, now_ms)
+
+    def note_totals(self, loads: list[ServerLoad]) -> None:
+        """Take in what all instances have on the servers of another zone."""
+        now_ms = self._context.now_ms()
+        for load in loads:
+            state = self._book.by_digest(load.server)
+            if state is not None and state.listed.zone != self._context.zone:
+                state.note_total(load.online, load.batch, now_ms)
--- /dev/null
+++ b/citrondyke/decisions/forwarding/neighbours.py
@@ -0,0 +1,96 @@
+"""Which instances tell each other of every request, and how often all of them call the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.ids import AvailabilityZone, InstanceId
+
+__all__ = ('Neighbours',)
+
+#: Fleets up to this tell all of all. Beyond it only an availability zone does: 89 instances that
+#: told each other of 250 requests a second each got and sent 500 datagrams a second.
+MESH_LIMIT = 24
+#: Datagrams that an instance sends to its neighbours in a second at most: with n of them a change
+#: waits n ms at the longest, 12 ms at 13 instances.
+DATAGRAMS_PER_S = 1_000.0
+#: Fleets beyond this call the store more rarely, in proportion, so that heartbeats and the reads
+#: of them, whose size grows with the fleet too, stay within its rates; at most three times.
+PACED_FROM = 45
+SLOWEST_PACE = 3.0
+
+
+class Neighbours:
+    """The other instances by availability zone.
+
+    Counts of requests must be tens of ms old at the most where requests are placed by them, or
+    all instances choose the server that looked free last. In a large fleet that is kept up for
+    the servers of an instance's own zone, by the instances of that zone and by all who use them;
+    what is on the others is heard of as a sum, twice a second.
+    """
+
+    def __init__(self, context: Context) -> None:
+        """Start alone."""
+        self._context = context
+        self._by_zone: dict[AvailabilityZone, list[InstanceId]] = {}
+        self._zones: dict[InstanceId, AvailabilityZone] = {}
+
+    def replace(self, zones: Mapping[InstanceId, AvailabilityZone]) -> None:
+        """Take in the other instances that there are."""
+        if zones == self._zones:
+            return
+        self._zones = dict(zones)
+        self._by_zone = {}
+        for instance_id, zone in zones.items():
+            self._by_zone.setdefault(zone, []).append(instance_id)
+
+    @property
+    def instances_count(self) -> int:
+        """Count all instances, this one included."""
+        return len(self._zones) + 1
+
+    @property
+    def is_zoned(self) -> bool:
+        """Tell whether only the own zone's requests are heard of at once."""
+        return self.instances_count > MESH_LIMIT
+
+    @property
+    def near_count(self) -> int:
+        """Count the instances that hear of each other at once, this one included."""
+        return len(self.near()) + 1
+
+    @property
+    def gap_ms(self) -> float:
+        """Give the time between two notices of one instance."""
+        return len(self.near()) * 1e3 / DATAGRAMS_PER_S
+
+    @property
+    def store_pace(self) -> float:
+        """Give the factor by which calls of the store are rarer than in a small fleet."""
+        return min(SLOWEST_PACE, max(1.0, self.instances_count / PACED_FROM))
+
+    def near(self) -> list[InstanceId]:
+        """List the instances that are told of every change."""
+        if self.is_zoned:
+            return self.in_zone(self._context.zone)
+        return list(self._zones)
+
+    def in_zone(self, zone: AvailabilityZone) -> list[InstanceId]:
+        """List the other instances of an availability zone."""
+        return self._by_zone.get(zone, [])
+
+    def zone(self, instance_id: InstanceId) -> AvailabilityZone | None:
+        """Give an instance's availability zone; ``None`` when it is not known."""
+        return self._zones.get(instance_id)
+
+    def one_in_each_other_zone(self) -> list[InstanceId]:
+        """Draw one instance from each other availability zone."""
+        return [
+            self._context.random.choice(instances)
+            for zone, instances in self._by_zone.items()
+            if zone != self._context.zone
+        ]
--- a/citrondyke/decisions/forwarding/server_book.py
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection, Iterable
 from typing import TYPE_CHECKING
 
+from citrondyke.decisions.forwarding.neighbours import Neighbours
 from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.util.hashing import content_bucket, rendezvous_weight
 
@@ -24,9 +25,13 @@
 #: A server's times count within these bounds of the service's mean.
 SLOWEST_FACTOR = 4.0
 FASTEST_FACTOR = 0.7
-#: From so many instances on counts are over 30 ms old, as long as a request stays ahead.
-SAMPLE_FROM_INSTANCES = 30
-SAMPLE = 3
+#: ... and where its counts are heard of twice a second only: in that time its zone and two others
+#: may have chosen it as well.
+FAR_ZONE_COST = 1.5
+#: Servers of other zones that are looked at for one request in a large fleet. The least loaded of
+#: all looks so to all instances until they hear of each other's requests; with 69 instances the
+#: busiest server had 1.67 times the mean.
+FAR_SAMPLE = 2
 
 
 def server_digest(server_id: ServerId) -> int:
@@ -43,8 +48,8 @@
         self._states: dict[ServerId, ServerState] = {}
         self._by_service: dict[ServiceName, list[ServerState]] = {}
         self._by_digest: dict[int, ServerState] = {}
-        #: Instances that send to the same servers, this one included.
-        self.instances_count = 1
+        #: Instances that send to the same servers.
+        self.neighbours = Neighbours(context)
 
     def replace(self, listed: Iterable[ListedBackend]) -> tuple[list[ServerId], list[ServerId]]:
         """Take in the list of servers.
@@ -111,32 +116,32 @@
             return None
         now_ms = self._context.now_ms()
         mean_ms = _mean_time(usable)
-        preferred = self._preferred(usable, prefix)
+        best = self._cheapest(self._looked_at(usable), mean_ms, prefix, now_ms)
+        if self.neighbours.is_zoned and best.total_count(now_ms) >= best.listed.slots_count:
+            # A request must not wait or be turned away while a server elsewhere has a place.
+            best = self._cheapest(usable, mean_ms, prefix, now_ms)
+        return best
+
+    def _cheapest(
+        self, states: list[ServerState], mean_ms: float, prefix: str, now_ms: float
+    ) -> ServerState:
+        preferred = self._preferred(states, prefix)
         return min(
-            self._sampled(usable, preferred),
+            states,
             key=lambda state: (
                 self._cost(state, mean_ms, now_ms) - PREFIX_GAIN * (state is preferred),
                 self._context.random.random(),
             ),
         )
 
-    def _sampled(
-        self, usable: list[ServerState], preferred: ServerState | None
-    ) -> list[ServerState]:
-        """Look at a few servers only where counts are old.
-
-        The least loaded one looks so to all instances until they hear of each other's requests;
-        with 69 instances the busiest server had 1.67 times the mean.
-        """
-        if self.instances_count < SAMPLE_FROM_INSTANCES or len(usable) <= SAMPLE:
+    def _looked_at(self, usable: list[ServerState]) -> list[ServerState]:
+        """Leave most servers of other zones out where their counts are old."""
+        if not self.neighbours.is_zoned:
             return usable
-        chosen = self._context.random.sample(usable, SAMPLE)
         near = [state for state in usable if state.listed.zone == self._context.zone]
-        if near:
-            chosen.append(self._context.random.choice(near))
-        if preferred is not None and preferred not in chosen:
-            chosen.append(preferred)
-        return chosen
+        far = [state for state in usable if state.listed.zone != self._context.zone]
+        far_count = min(len(far), FAR_SAMPLE if near else FAR_SAMPLE + 1)
+        return near + self._context.random.sample(far, far_count)
 
     def _cost(self, state: ServerState, mean_ms: float, now_ms: float) -> float:
         slots = state.listed.slots_count
@@ -149,7 +154,9 @@
             cost = (cost + 1.0) * factor
         else:
             cost += 1.0
-        return cost + OTHER_ZONE_COST * (state.listed.zone != self._context.zone)
+        if state.listed.zone == self._context.zone:
+            return cost
+        return cost + (FAR_ZONE_COST if self.neighbours.is_zoned else OTHER_ZONE_COST)
 
     @staticmethod
     def _preferred(usable: list[ServerState], prefix: str) -> ServerState | None:
--- a/citrondyke/decisions/forwarding/server_state.py
+++ b/citrondyke/decisions/forwarding/server_state.py
@@ -59,6 +59,8 @@
         #: Mean time of its answers (of its first events, for streams); 0 before the first.
         self.mean_ms = 0.0
         self._peers: dict[InstanceId, _PeerCount] = {}
+        #: What all instances have on it, where they are not all heard of one by one.
+        self._total = _PeerCount(0, 0, 0.0)
         self._stated = 0
         self._stated_until_ms = 0.0
 
@@ -69,6 +71,10 @@
         else:
             self._peers.pop(peer, None)
 
+    def note_total(self, online: int, batch: int, now_ms: float) -> None:
+        """Take in what all instances have on the server, as its own zone knows it."""
+        self._total = _PeerCount(online, batch, now_ms + PEER_COUNT_MS)
+
     def note_stated_load(self, running: int, waiting: int, now_ms: float) -> None:
         """Take in what the server says of itself."""
         self._stated = running + waiting
@@ -103,11 +109,13 @@
 
     def online_count(self, now_ms: float) -> int:
         """Count the online requests on it, by all instances."""
-        return self.own.online + sum(peer.online for peer in self._fresh(now_ms))
+        counted = self.own.online + sum(peer.online for peer in self._fresh(now_ms))
+        return max(counted, self._total.online) if now_ms < self._total.until_ms else counted
 
     def batch_count(self, now_ms: float) -> int:
         """Count the batch items on it, by all instances."""
-        return self.own.batch + sum(peer.batch for peer in self._fresh(now_ms))
+        counted = self.own.batch + sum(peer.batch for peer in self._fresh(now_ms))
+        return max(counted, self._total.batch) if now_ms < self._total.until_ms else counted
 
     def total_count(self, now_ms: float) -> int:
         """Count all requests on it: the larger of the sum of counts and its own statement."""
--- /dev/null
+++ b/citrondyke/gateway/change_feed.py
@@ -0,0 +1,75 @@
+"""The loop over a table's feed of changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+
+from citrondyke.gateway.pauses import retry_ms
+from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
+
+__all__ = ('ChangeFeed',)
+
+log = logbook.Logger(__name__)
+
+#: A feed is asked anew after so long, so that one on a dead connection is noticed.
+FEED_WAIT_MS = 4_000.0
+#: Pause after a feed's answer: heartbeats change rows all the time, and changes that come within
+#: it share an answer. A server that leaves may get requests for 2 s after it said so.
+FEED_PAUSE_MS = 250.0
+
+
+class ChangeFeed:
+    """Hands on changes in their order, and begins anew where the history is lost."""
+
+    def __init__(
+        self,
+        context: Context,
+        table: PartitionedTable,
+        name: str,
+        pace: Callable[[], float],
+        on_rows: Callable[[tuple[PartRow, ...]], None],
+        read_anew: Callable[[], int],
+    ) -> None:
+        """Follow one table.
+
+        :param pace: gives the factor by which calls are rarer than in a small fleet.
+        :param read_anew: finds out what the feed did not tell, and gives the version from which
+            it goes on; 0 where the store did not answer.
+        """
+        self._context = context
+        self._table = table
+        self._name = name
+        self._pace = pace
+        self._on_rows = on_rows
+        self._read_anew = read_anew
+
+    def run(self, version: int = 0) -> None:
+        """Follow it for good.
+
+        :param version: behind which to begin; 0 where nothing has been read yet.
+        """
+        failures_count = 0
+        while True:
+            version = version or self._read_anew()
+            if version:
+                feed = self._table.follow(self._name, version, FEED_WAIT_MS)
+                if not isinstance(feed, PlatformFailure):
+                    version = feed.version
+                    failures_count = 0
+                    self._on_rows(feed.rows)
+                    gevent.sleep(FEED_PAUSE_MS * self._pace() / 1e3)
+                    continue
+                if feed.reason is PlatformFailureReason.HISTORY_LOST:
+                    log.info('feed.history_lost', extra={'table': self._name, 'version': version})
+                    version = 0
+            failures_count += 1
+            gevent.sleep(self._context.jittered_ms(retry_ms(failures_count)) / 1e3)
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -29,6 +29,7 @@
 from citrondyke.gateway.job_runner import JobRunner
 from citrondyke.gateway.job_store import JobStore
 from citrondyke.gateway.job_sweeper import JobSweeper
+from citrondyke.gateway.load_exchange import LoadExchange
 from citrondyke.gateway.membership import INSTANCES_TABLE, Membership
 from citrondyke.gateway.metrics import Metrics
 from citrondyke.gateway.owned_jobs import OwnedJobs
@@ -118,9 +119,7 @@
         self.runner = JobRunner(
             self.context,
             self.beliefs,
-            GiveWay(
-                self.context, self.book, StartPace(self.context, lambda: self.book.instances_count)
-            ),
+            GiveWay(self.context, self.book, StartPace(self.context, self.book.neighbours)),
             self._sends,
             outside.dialect,
             self.owned,
@@ -137,8 +136,12 @@
             self.owned,
             self.runner,
             Takeover(self.context, life, self._live),
+            self._store_pace,
             self._tasks,
         )
+        self._loads = LoadExchange(
+            LoadNotices(self.context, self.book), self.book.neighbours, self.runner.make_room
+        )
         self.peers = Peers(
             self.context,
             settings.peer_port,
@@ -146,8 +149,7 @@
             self.membership,
             self.beliefs,
             self._store,
-            LoadNotices(self.context, self.book),
-            self.runner.make_room,
+            self._loads.take,
             committer.look_at,
             outside.table,
             self._tasks,
@@ -203,6 +205,7 @@
             with_feed=False,
         )
         self.peers.start(settings.ip)
+        self._loads.start(self._tasks, self.peers.send)
         self.membership.start(self._tasks)
         self.runner.start()
         self._committer.start()
@@ -296,15 +299,22 @@
             self._store if table is None else None,
             on_rows,
             on_listing,
+            self._store_pace,
             with_feed=with_feed,
         ).start(self._tasks)
 
     def _run_settle(self) -> None:
         while True:
             gevent.sleep(SETTLE_EVERY_S)
-            self.book.instances_count = len(self.membership.peers) + 1
+            self.book.neighbours.replace(
+                {instance_id: beat.zone for instance_id, beat in self.membership.peers.items()}
+            )
+            self._live.pace = self._store_pace()
             self.beliefs.settle('grace')
 
+    def _store_pace(self) -> float:
+        return self.book.neighbours.store_pace
+
     def _add_gauges(self) -> None:
         config = self.beliefs.config
         for name, read in (
@@ -323,6 +333,6 @@
 
     def _on_load_change(self, state: ServerState) -> None:
         """Tell peers, and make room on a server that fills up."""
-        self.peers.note_load_change()
+        self._loads.note_change()
         if state.own.batch and state.own.online:
             self.runner.make_room()
--- a/citrondyke/gateway/job_keeper.py
+++ b/citrondyke/gateway/job_keeper.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from citrondyke.decisions.batch.owned_job import OwnedJob
+from citrondyke.gateway.change_feed import ChangeFeed
 from citrondyke.gateway.job_rows import (
     HEAD_KEY,
     HEADS_TABLE,
@@ -18,9 +19,11 @@
     decode_head,
 )
 from citrondyke.ids import JobId
-from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
+from citrondyke.storage.failure import PlatformFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
     from citrondyke.decisions.batch.takeover import Takeover
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.job_runner import JobRunner
@@ -33,8 +36,6 @@
 
 log = logbook.Logger(__name__)
 
-FEED_WAIT_MS = 4_000.0
-FEED_RETRY_MS = 150.0
 #: How often the open jobs are listed beside the feed.
 LIST_EVERY_MS = 3_000.0
 LOOK_EVERY_MS = 250.0
@@ -53,9 +54,13 @@
         owned: OwnedJobs,
         runner: JobRunner,
         takeover: Takeover,
+        pace: Callable[[], float],
         tasks: Tasks,
     ) -> None:
-        """Use the parts handed in."""
+        """Use the parts handed in.
+
+        :param pace: gives the factor by which calls are rarer than in a small fleet.
+        """
         self._context = context
         self._life = life
         self._table = table
@@ -66,25 +71,20 @@
         self._tasks = tasks
         self._open: dict[JobId, StoredHead] = {}
         self._claiming: set[JobId] = set()
+        self._pace = pace
+        self._feed = ChangeFeed(
+            context, table, HEADS_TABLE, pace, self._take_rows, self._newest_version
+        )
 
     def start(self) -> None:
         """Begin."""
-        self._tasks.keep(self._run_feed)
+        self._tasks.keep(self._feed.run)
         self._tasks.keep(self._run_list)
         self._tasks.keep(self._run_claims)
 
-    def _run_feed(self) -> None:
-        version = self._newest_version()
-        while True:
-            feed = self._table.follow(HEADS_TABLE, version, FEED_WAIT_MS)
-            if not isinstance(feed, PlatformFailure):
-                version = feed.version
-                for row in feed.rows:
-                    self._take_row(row)
-                continue
-            if version == 0 or feed.reason is PlatformFailureReason.HISTORY_LOST:
-                version = self._newest_version()
-            gevent.sleep(self._context.jittered_ms(FEED_RETRY_MS) / 1e3)
+    def _take_rows(self, rows: Iterable[PartRow]) -> None:
+        for row in rows:
+            self._take_row(row)
 
     def _newest_version(self) -> int:
         page = self._table.read(HEADS_TABLE, '', limit=1)
@@ -123,7 +123,7 @@
                 for job_id in listed:
                     if job_id not in self._open and job_id not in self._owned.by_id:
                         self._refresh(job_id)
-            gevent.sleep(self._context.jittered_ms(LIST_EVERY_MS) / 1e3)
+            gevent.sleep(self._context.jittered_ms(LIST_EVERY_MS * self._pace()) / 1e3)
 
     def _refresh(self, job_id: JobId) -> None:
         stored = self.store.head(job_id)
--- /dev/null
+++ b/citrondyke/gateway/load_exchange.py
@@ -0,0 +1,77 @@
+"""Tells peers what this instance has on each server, and takes in what they have."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import Event
+
+from citrondyke.gateway.peer_codec import LoadNotice, LoadTotals
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.forwarding.load_notices import LoadNotices
+    from citrondyke.decisions.forwarding.neighbours import Neighbours
+    from citrondyke.gateway.peer_codec import PeerText
+    from citrondyke.gateway.tasks import Tasks
+    from citrondyke.ids import InstanceId
+
+__all__ = ('LoadExchange',)
+
+#: Servers in one datagram: 12 bytes each at the most, and it must fit one packet.
+LOADS_PER_DATAGRAM = 80
+#: Time without a change after which it is looked whether counts are to be told again.
+LOOK_S = 0.25
+
+
+class LoadExchange:
+    """Carries counts between this instance's view of the servers and its peers."""
+
+    def __init__(
+        self, notices: LoadNotices, neighbours: Neighbours, on_loads: Callable[[], None]
+    ) -> None:
+        """Use the decisions handed in.
+
+        :param on_loads: called after a peer's counts were taken in.
+        """
+        self._notices = notices
+        self._neighbours = neighbours
+        self._on_loads = on_loads
+        self._changed = Event()
+
+    def start(self, tasks: Tasks, send: Callable[[PeerText, list[InstanceId]], None]) -> None:
+        """Begin to tell.
+
+        :param send: sends a datagram to some peers.
+        """
+        tasks.keep(lambda: self._run(send))
+
+    def note_change(self) -> None:
+        """Have peers told soon."""
+        self._changed.set()
+
+    def take(self, sender: InstanceId, text: LoadNotice | LoadTotals) -> None:
+        """Take in what a peer tells."""
+        if isinstance(text, LoadNotice):
+            self._notices.note(sender, text.loads)
+        else:
+            self._notices.note_totals(text.loads)
+        self._on_loads()
+
+    def _run(self, send: Callable[[PeerText, list[InstanceId]], None]) -> None:
+        while True:
+            self._changed.wait(LOOK_S)
+            pause_ms = self._notices.next_pause_ms()
+            if pause_ms > 0:
+                gevent.sleep(pause_ms / 1e3)
+            self._changed.clear()
+            for addressed in self._notices.address(self._notices.take()):
+                for start in range(0, len(addressed.loads), LOADS_PER_DATAGRAM):
+                    part = addressed.loads[start : start + LOADS_PER_DATAGRAM]
+                    send(LoadNotice(part), addressed.receivers)
+            totals = self._notices.take_totals()
+            for start in range(0, len(totals), LOADS_PER_DATAGRAM):
+                part = totals[start : start + LOADS_PER_DATAGRAM]
+                send(LoadTotals(part), self._neighbours.one_in_each_other_zone())
--- a/citrondyke/gateway/membership.py
+++ b/citrondyke/gateway/membership.py
@@ -8,7 +8,7 @@
 import logbook
 import msgspec
 
-from citrondyke.ids import InstanceId
+from citrondyke.ids import AvailabilityZone, InstanceId
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import (
     PartCommitted,
@@ -45,7 +45,7 @@
     life: str
     ip: str
     peer_port: int
-    zone: str
+    zone: AvailabilityZone
     number: int
 
 
@@ -159,4 +159,4 @@
                 self._live.note_beat()
             elif isinstance(answer, PlatformFailure):
                 log.info('heartbeat.failed', extra={'reason': answer.reason.value})
-            gevent.sleep(self._context.jittered_ms(BEAT_EVERY_MS) / 1e3)
+            gevent.sleep(self._context.jittered_ms(BEAT_EVERY_MS * self._live.pace) / 1e3)
--- a/citrondyke/gateway/peer_codec.py
+++ b/citrondyke/gateway/peer_codec.py
@@ -16,6 +16,7 @@
     'KnowledgeData',
     'KnowledgeWanted',
     'LoadNotice',
+    'LoadTotals',
     'PeerMessage',
     'PeerText',
     'StoreAnswerData',
@@ -39,6 +40,12 @@
     loads: list[ServerLoad]
 
 
+class LoadTotals(PeerText, frozen=True):
+    """Requests that all instances have on the servers of the sender's availability zone."""
+
+    loads: list[ServerLoad]
+
+
 class JobChanged(PeerText, frozen=True):
     """A job's head changed."""
 
@@ -82,11 +89,9 @@
     built.configVersion = message.config_version
     text = message.text
     if isinstance(text, LoadNotice):
-        loads = built.init('load', len(text.loads))
-        for place, load in zip(loads, text.loads, strict=True):
-            place.server = load.server
-            place.online = min(load.online, COUNT_LIMIT)
-            place.batch = min(load.batch, COUNT_LIMIT)
+        _write_loads(built.init('load', len(text.loads)), text.loads)
+    elif isinstance(text, LoadTotals):
+        _write_loads(built.init('loadTotals', len(text.loads)), text.loads)
     elif isinstance(text, JobChanged):
         built.jobChanged = text.job_id
     elif isinstance(text, KnowledgeData):
@@ -116,12 +121,20 @@
         raise ValueError(str(error)) from error
 
 
-def _read_load(read: Any) -> PeerText:
-    return LoadNotice([ServerLoad(each.server, each.online, each.batch) for each in read.load])
+def _write_loads(places: Any, loads: list[ServerLoad]) -> None:
+    for place, load in zip(places, loads, strict=True):
+        place.server = load.server
+        place.online = min(load.online, COUNT_LIMIT)
+        place.batch = min(load.batch, COUNT_LIMIT)
+
+
+def _read_loads(places: Any) -> list[ServerLoad]:
+    return [ServerLoad(each.server, each.online, each.batch) for each in places]
 
 
 _READERS: dict[str, Any] = {
-    'load': _read_load,
+    'load': lambda read: LoadNotice(_read_loads(read.load)),
+    'loadTotals': lambda read: LoadTotals(_read_loads(read.loadTotals)),
     'jobChanged': lambda read: JobChanged(JobId(read.jobChanged)),
     'knowledgeWanted': lambda _: KnowledgeWanted(),
     'storeCall': lambda read: StoreCallData(bytes(read.storeCall)),
--- a/citrondyke/gateway/peers.py
+++ b/citrondyke/gateway/peers.py
@@ -7,7 +7,6 @@
 import gevent
 import logbook
 import msgspec
-from gevent.event import Event
 from gevent.server import DatagramServer, StreamServer
 
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
@@ -19,6 +18,7 @@
     KnowledgeData,
     KnowledgeWanted,
     LoadNotice,
+    LoadTotals,
     PeerMessage,
     PeerText,
     StoreAnswerData,
@@ -38,7 +38,6 @@
     from gevent import socket
 
     from citrondyke.decisions.core.context import Context
-    from citrondyke.decisions.forwarding.load_notices import LoadNotices
     from citrondyke.gateway.beliefs import Beliefs
     from citrondyke.gateway.dependency import Dependency
     from citrondyke.gateway.membership import Membership
@@ -50,8 +49,6 @@
 
 log = logbook.Logger(__name__)
 
-#: Servers in one datagram: 12 bytes each at the most, and it must fit one packet.
-LOADS_PER_DATAGRAM = 80
 STREAM_TIMEOUT_S = 1.5
 #: Peers that are asked to make one call of the store.
 RELAY_TRIES = 2
@@ -63,7 +60,6 @@
 ASK_AFTER_MS = 700.0
 #: A peer that heard from the store within this time knows which servers are gone.
 WHOLE_MS = 1_500.0
-NOTICE_LOOK_S = 0.25
 
 
 class Knowledge(msgspec.Struct, frozen=True):
@@ -90,15 +86,14 @@
         membership: Membership,
         beliefs: Beliefs,
         store: Dependency,
-        notices: LoadNotices,
-        on_loads: Callable[[], None],
+        on_loads: Callable[[InstanceId, LoadNotice | LoadTotals], None],
         on_job: Callable[[JobId], None],
         table: PartitionedTable,
         tasks: Tasks,
     ) -> None:
         """Use the parts handed in; nothing is sent before ``start``.
 
-        :param on_loads: called after a peer's counts were taken in.
+        :param on_loads: takes what a peer tells of its counts.
         :param on_job: called when a job's head changed.
         :param table: the store by the direct way, for peers that it does not answer.
         """
@@ -108,13 +103,11 @@
         self._membership = membership
         self._beliefs = beliefs
         self._store = store
-        self._notices = notices
         self._on_loads = on_loads
         self._on_job = on_job
         self._table = table
         self._tasks = tasks
         self._streams: StreamServer | None = None
-        self._changed = Event()
         self._datagrams: DatagramServer | None = None
         self._asking = False
         self.sent_bytes = 0
@@ -125,7 +118,6 @@
         self._datagrams.start()
         self._streams = StreamServer((ip, self._port), self._on_stream)
         self._streams.start()
-        self._tasks.keep(self._run_notices)
         self._tasks.keep(self._run_asking)
 
     def stop(self) -> None:
@@ -156,27 +148,12 @@
                 log.info('peer.silent', extra={'ip': beat.ip, 'detail': str(error)[:200]})
         return StoreAnswer(failure=failure)
 
-    def note_load_change(self) -> None:
-        """Have peers told soon."""
-        self._changed.set()
-
     def tell_job_changed(self, job_id: JobId, owner: InstanceId) -> None:
         """Tell a job's owner that its head changed; it would find out itself in a second."""
-        self._send(JobChanged(job_id), [owner])
+        self.send(JobChanged(job_id), [owner])
 
-    def _run_notices(self) -> None:
-        while True:
-            self._changed.wait(NOTICE_LOOK_S)
-            pause_ms = self._notices.next_pause_ms(len(self._membership.peers))
-            if pause_ms > 0:
-                gevent.sleep(pause_ms / 1e3)
-            self._changed.clear()
-            loads = self._notices.take()
-            for start in range(0, len(loads), LOADS_PER_DATAGRAM):
-                part = loads[start : start + LOADS_PER_DATAGRAM]
-                self._send(LoadNotice(part), list(self._membership.peers))
-
-    def _send(self, text: PeerText, receivers: list[InstanceId]) -> None:
+    def send(self, text: PeerText, receivers: list[InstanceId]) -> None:
+        """Send a datagram to some peers; who is not known is left out."""
         data = encode_message(self._message(text))
         for receiver in receivers:
             beat = self._membership.peers.get(receiver)
@@ -202,9 +179,8 @@
         if message.config_version > self._beliefs.config.current.version:
             self._ask_soon(address[0])
         text = message.text
-        if isinstance(text, LoadNotice):
-            self._notices.note(message.sender, text.loads)
-            self._on_loads()
+        if isinstance(text, LoadNotice | LoadTotals):
+            self._on_loads(message.sender, text)
         elif isinstance(text, JobChanged):
             self._on_job(text.job_id)
 
--- a/citrondyke/gateway/table_follower.py
+++ b/citrondyke/gateway/table_follower.py
@@ -5,10 +5,11 @@
 from typing import TYPE_CHECKING
 
 import gevent
-import logbook
 from gevent.event import Event
 
-from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
+from citrondyke.gateway.change_feed import ChangeFeed
+from citrondyke.gateway.pauses import retry_ms
+from citrondyke.storage.failure import PlatformFailure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,16 +21,8 @@
 
 __all__ = ('TableFollower',)
 
-log = logbook.Logger(__name__)
-
 #: A feed can fall silent without an end; the reads beside it bound what is missed to this.
 READ_EVERY_MS = 1_000.0
-#: A feed is asked anew after so long, so that one on a dead connection is noticed.
-FEED_WAIT_MS = 4_000.0
-RETRY_MS = 150.0
-#: Pause after a feed's answer: heartbeats change rows all the time, and changes that come within
-#: it share an answer. A server that leaves may get requests for 2 s after it said so.
-FEED_PAUSE_MS = 250.0
 PAGE_ROWS = 500
 
 
@@ -44,6 +37,7 @@
         dependency: Dependency | None,
         on_rows: Callable[[tuple[PartRow, ...]], None],
         on_listing: Callable[[list[PartRow], int], None],
+        pace: Callable[[], float],
         *,
         with_feed: bool = True,
     ) -> None:
@@ -52,17 +46,19 @@
         :param dependency: told of answers and failures; ``None`` where calls go by way of peers.
         :param on_rows: called with changes in order.
         :param on_listing: called with all rows and the version as of which they stand.
+        :param pace: gives the factor by which calls are rarer than in a small fleet.
         :param with_feed: whether changes matter sooner than by the next read.
         """
         self._context = context
         self._table = table
         self._name = name
         self._dependency = dependency
-        self._on_rows = on_rows
         self._on_listing = on_listing
         self._with_feed = with_feed
+        self._pace = pace
         self._version = 0
         self._is_read = Event()
+        self._feed = ChangeFeed(context, table, name, pace, on_rows, self._read_anew)
 
     def start(self, tasks: Tasks) -> None:
         """Begin both."""
@@ -93,25 +89,20 @@
         return True
 
     def _run_reads(self) -> None:
-        while not self.read_once():
-            gevent.sleep(self._context.jittered_ms(RETRY_MS) / 1e3)
-        self._is_read.set()
+        failures_count = 0
         while True:
-            gevent.sleep(self._context.jittered_ms(READ_EVERY_MS) / 1e3)
-            self.read_once()
+            if self.read_once():
+                self._is_read.set()
+                failures_count = 0
+                pause_ms = READ_EVERY_MS * self._pace()
+            else:
+                failures_count += 1
+                pause_ms = retry_ms(failures_count)
+            gevent.sleep(self._context.jittered_ms(pause_ms) / 1e3)
 
     def _run_feed(self) -> None:
         self._is_read.wait()
-        while True:
-            feed = self._table.follow(self._name, self._version, FEED_WAIT_MS)
-            if not isinstance(feed, PlatformFailure):
-                self._version = max(self._version, feed.version)
-                self._on_rows(feed.rows)
-                gevent.sleep(FEED_PAUSE_MS / 1e3)
-                continue
-            if feed.reason is PlatformFailureReason.HISTORY_LOST:
-                log.info('feed.history_lost', extra={'table': self._name, 'version': self._version})
-                # The next read shows what the lost history held; the feed goes on from there.
-                self._version = 0
-                self.read_once()
-            gevent.sleep(self._context.jittered_ms(RETRY_MS) / 1e3)
+        self._feed.run(self._version)
+
+    def _read_anew(self) -> int:
+        return self._version if self.read_once() else 0
--- a/citrondyke/peer/gateway.capnp
+++ b/citrondyke/peer/gateway.capnp
@@ -19,6 +19,8 @@
     # A call of the store that the sender cannot make itself; MessagePack, over a stream.
     storeCall @6 :Data;
     storeAnswer @7 :Data;
+    # What all instances have on the servers of the sender's availability zone.
+    loadTotals @8 :List(ServerLoad);
   }
 }
 
--- a/tests/test_batch/test_batch_give_way.py
+++ b/tests/test_batch/test_batch_give_way.py
@@ -16,6 +16,7 @@
 from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.ids import AvailabilityZone, InstanceId, RouteName, ServerId, ServiceName
 from tests.support.manual_clock import ManualClock, manual_context
+from tests.support.peers import other_instances
 
 SERVICE = ServiceName('lm')
 A = ServerId('a')
@@ -27,7 +28,6 @@
 
     def __init__(self, seed: int = 1, name: str = 'instance-0') -> None:
         self.clock = ManualClock()
-        self.instances = 1
         context = manual_context(self.clock, name, seed=seed)
         self.book = ServerBook(context)
         self.book.replace(
@@ -42,7 +42,7 @@
                 )
             ]
         )
-        self.pace = StartPace(context, lambda: self.instances)
+        self.pace = StartPace(context, self.book.neighbours)
         self.give_way = GiveWay(context, self.book, self.pace)
 
     @property
@@ -140,7 +140,7 @@
     started = 0
     for seed in range(70):
         floor = Floor(seed)
-        floor.instances = 70
+        floor.book.neighbours.replace(other_instances(69))
         floor.state.own.online = SLOTS - 5
         for _ in range(3):
             floor.clock.ms += 20.0 + seed % 5
@@ -150,7 +150,7 @@
 
 def test_small_fleet_starts_items_without_delay() -> None:
     floor = Floor()
-    floor.instances = 2
+    floor.book.neighbours.replace(other_instances(1))
     started = 0
     for _ in range(4):
         started += floor.give_way.choose(SERVICE, Urgency.PATIENT) is not None
@@ -159,7 +159,7 @@
 
 def test_owner_cuts_once_until_it_hears_what_the_others_cut() -> None:
     floor = Floor()
-    floor.instances = 70
+    floor.book.neighbours.replace(other_instances(69))
     floor.state.own.online = 3
     items = [RunningItem(number, A, 0.0, Urgency.PATIENT) for number in range(8)]
     floor.state.own.batch = 8
--- a/tests/test_batch/test_batch_takeover.py
+++ b/tests/test_batch/test_batch_takeover.py
@@ -157,3 +157,23 @@
     assert not watcher.takeover.is_due(head, 4)
     watcher.clock.ms += OWN_MS
     assert watcher.takeover.is_due(head, 4)
+
+
+def test_rarer_heartbeats_of_a_large_fleet_are_no_silence() -> None:
+    # In a fleet of 90 instances heartbeats are written every 1.8 s and read every 2 s. The job of
+    # an owner that lives must not be taken over for that; one that is gone loses it later.
+    clock = ManualClock()
+    live = LiveInstances(manual_context(clock))
+    live.pace = 2.0
+    owner = InstanceId('instance-0')
+    since_ms = clock.ms
+    for version in range(1, 6):
+        live.note_beat()
+        live.note(owner, 'life', version)
+        live.note_look()
+        clock.ms += 3_300.0
+        assert live.is_beating
+        assert live.is_settled
+        assert not live.is_gone(owner, 'life', 0, since_ms)
+    clock.ms += 2_700.0
+    assert live.is_gone(owner, 'life', 0, since_ms)
--- a/tests/test_forwarding/test_forwarding_admission.py
+++ b/tests/test_forwarding/test_forwarding_admission.py
@@ -15,6 +15,7 @@
 from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.ids import AvailabilityZone, ServerId, ServiceName
 from tests.support.manual_clock import ManualClock, manual_context
+from tests.support.peers import other_instances
 from tests.test_forwarding.test_forwarding_course import route
 
 STAY_MS = 800.0
@@ -40,7 +41,7 @@
             for name in ('a', 'b')
         )
         self.rule = AdmissionRule(context, self.book)
-        self.book.instances_count = 10
+        self.book.neighbours.replace(other_instances(9))
         self.route = route(RouteKind.STREAM)
         self.rule.note_stay(self.route, STAY_MS)
 
--- /dev/null
+++ b/tests/test_forwarding/test_forwarding_neighbours.py
@@ -0,0 +1,200 @@
+"""In a large fleet counts stay fresh where requests are placed by them, and cost little."""
+
+from __future__ import annotations
+
+from random import Random
+
+from citrondyke.decisions.forwarding.listed_backend import ListedBackend
+from citrondyke.decisions.forwarding.load_notices import LoadNotices, ServerLoad
+from citrondyke.decisions.forwarding.neighbours import MESH_LIMIT, PACED_FROM, Neighbours
+from citrondyke.decisions.forwarding.server_book import ServerBook, server_digest
+from citrondyke.decisions.forwarding.server_state import ServerState
+from citrondyke.ids import AvailabilityZone, InstanceId, ServerId, ServiceName
+from tests.support.manual_clock import ManualClock, manual_context
+from tests.support.peers import other_instances
+
+ZONES = ('zone-a', 'zone-b', 'zone-c', 'zone-d')
+SERVICE = ServiceName('lm')
+SERVERS = 36
+PER_ZONE = 22
+
+
+class Node:
+    """One instance's counts and what it tells."""
+
+    def __init__(self, clock: ManualClock, zone: str, number: int) -> None:
+        self.context = manual_context(clock, f'{zone}-{number}', zone, seed=number)
+        self.book = ServerBook(self.context)
+        self.book.replace(
+            ListedBackend(
+                id=ServerId(f's{n}'),
+                service=SERVICE,
+                ip='',
+                port=1,
+                zone=AvailabilityZone(ZONES[n % len(ZONES)]),
+                slots_count=7,
+            )
+            for n in range(SERVERS)
+        )
+        self.notices = LoadNotices(self.context, self.book)
+
+    def state(self, server_id: str) -> ServerState:
+        found = self.book.state(ServerId(server_id))
+        assert found is not None
+        return found
+
+
+class Fleet:
+    """88 instances in four zones, and the datagrams between them."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.nodes = {
+            InstanceId(f'{zone}-{n}'): Node(self.clock, zone, n)
+            for zone in ZONES
+            for n in range(PER_ZONE)
+        }
+        zones = {instance_id: node.context.zone for instance_id, node in self.nodes.items()}
+        for instance_id, node in self.nodes.items():
+            node.book.neighbours.replace(
+                {other: zone for other, zone in zones.items() if other != instance_id}
+            )
+        self.datagrams = 0
+
+    def node(self, name: str) -> Node:
+        return self.nodes[InstanceId(name)]
+
+    def tell(self, node: Node) -> None:
+        """Deliver what an instance has to tell."""
+        for addressed in node.notices.address(node.notices.take()):
+            self.datagrams += len(addressed.receivers)
+            for receiver in addressed.receivers:
+                self.nodes[receiver].notices.note(node.context.instance_id, addressed.loads)
+
+    def tell_totals(self) -> None:
+        """Deliver everybody's sums."""
+        for node in self.nodes.values():
+            totals = node.notices.take_totals()
+            for receiver in node.book.neighbours.one_in_each_other_zone():
+                self.datagrams += 1
+                self.nodes[receiver].notices.note_totals(totals)
+
+
+def test_small_fleet_tells_all() -> None:
+    neighbours = Neighbours(manual_context())
+    neighbours.replace(other_instances(6) | other_instances(6, 'zone-b'))
+    assert not neighbours.is_zoned
+    assert len(neighbours.near()) == 12
+    assert neighbours.store_pace == 1.0
+
+
+def test_calls_of_the_store_grow_slower_than_the_fleet() -> None:
+    # Each instance reads all heartbeats; if 370 did so every second as 13 do, the reads alone
+    # would be 370 rows each for 370 instances, and the writes half of what the store takes.
+    neighbours = Neighbours(manual_context())
+    neighbours.replace(other_instances(2 * PACED_FROM - 1))
+    assert neighbours.store_pace == 2.0
+    neighbours.replace(other_instances(10_000))
+    assert neighbours.store_pace == 3.0
+
+
+def test_request_is_told_to_the_zone_and_no_further() -> None:
+    fleet = Fleet()
+    assert len(fleet.nodes) > MESH_LIMIT
+    sender = fleet.node('zone-a-0')
+    sender.state('s0').own.online = 1
+    fleet.tell(sender)
+    assert fleet.datagrams == PER_ZONE - 1
+    assert fleet.node('zone-a-7').state('s0').online_count(fleet.clock.ms) == 1
+
+
+def test_server_of_another_zone_is_known_there_at_once() -> None:
+    # An instance of zone a sends to a server of zone b. The instances of zone b place most of
+    # their requests there and must count it, or they overfill the server.
+    fleet = Fleet()
+    sender = fleet.node('zone-a-0')
+    sender.state('s1').own.online = 1
+    fleet.tell(sender)
+    assert fleet.node('zone-b-3').state('s1').online_count(fleet.clock.ms) == 1
+    assert fleet.node('zone-c-3').state('s1').online_count(fleet.clock.ms) == 0
+
+
+def test_owner_of_an_item_in_another_zone_hears_of_the_online_request() -> None:
+    # An instance of zone a runs a batch item at a server of zone b. An online request that comes
+    # to that server from zone b would wait for its place until the owner hears of it.
+    fleet = Fleet()
+    owner = fleet.node('zone-a-0')
+    owner.state('s1').own.batch = 1
+    fleet.tell(owner)
+    caller = fleet.node('zone-b-5')
+    caller.state('s1').own.online = 7
+    fleet.tell(caller)
+    assert owner.state('s1').online_count(fleet.clock.ms) == 7
+
+
+def test_other_zones_hear_of_sums() -> None:
+    fleet = Fleet()
+    for n in range(3):
+        node = fleet.node(f'zone-b-{n}')
+        node.state('s1').own.online = 2
+        fleet.tell(node)
+    fleet.tell_totals()
+    told = [
+        node.state('s1').online_count(fleet.clock.ms)
+        for name, node in fleet.nodes.items()
+        if name.startswith('zone-c')
+    ]
+    # Each hears of it from somebody within some rounds of half a second; in one, most do.
+    assert sum(count == 6 for count in told) >= PER_ZONE // 2
+
+
+def test_own_zones_counts_are_never_replaced_by_a_sum() -> None:
+    # A sum is up to half a second old. An instance knows the servers of its own zone better.
+    fleet = Fleet()
+    node = fleet.node('zone-a-0')
+    node.notices.note_totals([ServerLoad(server_digest(ServerId('s0')), 7, 0)])
+    assert node.state('s0').online_count(fleet.clock.ms) == 0
+
+
+def test_request_goes_to_another_zone_rather_than_wait() -> None:
+    # All servers of the own zone are full; two of 27 others have a place. A caller must not be
+    # turned away or wait for that reason.
+    node = Fleet().node('zone-a-0')
+    for state in node.book.states():
+        state.own.online = 7
+    node.state('s1').own.online = 3
+    chosen = node.book.choose(SERVICE, (), '')
+    assert chosen is node.state('s1')
+
+
+def test_load_is_even_and_the_datagrams_are_few() -> None:
+    # 125 requests a second of 700 ms each at 88 instances, which tell each other of each start
+    # and end after some ms. The busiest server has little more than the mean, and an instance
+    # sends and gets a quarter of the datagrams that a mesh of all would take.
+    fleet = Fleet()
+    random = Random(3)
+    names = list(fleet.nodes)
+    running: list[tuple[float, Node, ServerState]] = []
+    peaks = []
+    for number in range(625):
+        fleet.clock.ms += 8.0
+        while running and running[0][0] <= fleet.clock.ms:
+            _, node, state = running.pop(0)
+            state.own.online -= 1
+            fleet.tell(node)
+        node = fleet.nodes[random.choice(names)]
+        chosen = node.book.choose(SERVICE, (), '')
+        assert chosen is not None
+        chosen.own.online += 1
+        fleet.tell(node)
+        running.append((fleet.clock.ms + 700.0, node, chosen))
+        if number % 62 == 0:
+            fleet.tell_totals()
+        if number > 100:
+            counts = [0] * SERVERS
+            for _, _, state in running:
+                counts[int(state.listed.id[1:])] += 1
+            peaks.append(max(counts) / (len(running) / SERVERS))
+    assert sum(peaks) / len(peaks) < 2.0
+    changes = 2 * 625
+    assert fleet.datagrams < 0.4 * changes * (len(names) - 1)
--- a/tests/test_gateway/test_gateway_membership.py
+++ b/tests/test_gateway/test_gateway_membership.py
@@ -12,7 +12,7 @@
     Heartbeat,
     Membership,
 )
-from citrondyke.ids import InstanceId
+from citrondyke.ids import AvailabilityZone, InstanceId
 from citrondyke.storage.partitioned_table import Listing, PartTransaction, RowPut
 from tests.support.flaky_table import FlakyTable
 from tests.support.manual_clock import ManualClock, manual_context
@@ -33,7 +33,7 @@
 
     def peer_beats(self) -> None:
         self.number += 1
-        beat = Heartbeat('a', '10.0.0.9', 1, 'zone-a', self.number)
+        beat = Heartbeat('a', '10.0.0.9', 1, AvailabilityZone('zone-a'), self.number)
         put = RowPut(INSTANCES_TABLE, PEER, msgspec.json.encode(beat))
         self.table.transact(PartTransaction('', puts=(put,)))
 
--- a/tests/test_gateway/test_gateway_peer_codec.py
+++ b/tests/test_gateway/test_gateway_peer_codec.py
@@ -15,6 +15,7 @@
     KnowledgeData,
     KnowledgeWanted,
     LoadNotice,
+    LoadTotals,
     PeerMessage,
     PeerText,
     StoreAnswerData,
@@ -26,6 +27,7 @@
 
 TEXTS: list[PeerText] = [
     LoadNotice([ServerLoad(2**32 - 1, 3, 4), ServerLoad(0, 0, 0)]),
+    LoadTotals([ServerLoad(7, 65_535, 0)]),
     JobChanged(JobId('job')),
     KnowledgeWanted(),
     KnowledgeData(b'\0' * 100),
