--- a/citrondyke/decisions/batch/job.py
+++ b/citrondyke/decisions/batch/job.py
@@ -8,7 +8,12 @@
 
 from citrondyke.ids import InstanceId, JobId, RouteName
 
-__all__ = ('ItemResult', 'ItemState', 'JobHead', 'JobItem')
+__all__ = ('ItemResult', 'ItemState', 'JobHead', 'JobItem', 'cut_page')
+
+#: Bytes of results in one answer; its limit is 1 MB.
+PAGE_BYTES = 900_000
+#: Around each result.
+FRAME_BYTES = 64
 
 
 class ItemState(Enum):
@@ -61,3 +66,13 @@
     is_ended: bool = False
     #: All items have a result.
     is_done: bool = False
+
+
+def cut_page(results: list[ItemResult]) -> list[ItemResult]:
+    """Take as many results as one answer holds; one at least."""
+    size = 0
+    for count, result in enumerate(results):
+        size += len(result.text) + len(result.id) + FRAME_BYTES
+        if size > PAGE_BYTES and count:
+            return results[:count]
+    return results
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -26,6 +26,7 @@
 from citrondyke.gateway.job_door import JobDoor
 from citrondyke.gateway.job_keeper import JobKeeper
 from citrondyke.gateway.job_reader import JobReader
+from citrondyke.gateway.job_removal import JobRemoval
 from citrondyke.gateway.job_runner import JobRunner
 from citrondyke.gateway.job_store import JobStore
 from citrondyke.gateway.job_sweeper import JobSweeper
@@ -127,7 +128,13 @@
             self.metrics,
             self._tasks,
         )
-        self.sweeper = JobSweeper(self.context, job_store, self._live, settings.job_kept_ms)
+        self.sweeper = JobSweeper(
+            self.context,
+            job_store,
+            JobRemoval(table, outside.objects),
+            self._live,
+            settings.job_kept_ms,
+        )
         self.keeper = JobKeeper(
             self.context,
             life,
--- a/citrondyke/gateway/job_door.py
+++ b/citrondyke/gateway/job_door.py
@@ -8,7 +8,7 @@
 import logbook
 import msgspec
 
-from citrondyke.decisions.batch.job import JobHead
+from citrondyke.decisions.batch.job import JobHead, cut_page
 from citrondyke.decisions.batch.owned_job import OwnedJob
 from citrondyke.errors import InvalidFieldError
 from citrondyke.errors.caller_gone import CallerGoneError
@@ -43,8 +43,6 @@
 #: Bytes of items in the hands of one instance beyond which it takes no further job, as a part of
 #: its memory: they are held twice while they are packed.
 MEMORY_SHARE = 0.15
-#: Bytes of results in one answer; its limit is 1 MB.
-PAGE_BYTES = 900_000
 #: The longest that a read waits for a result.
 WAIT_LIMIT_MS = 2_000.0
 JSON_TYPE = (b'content-type', b'application/json')
@@ -200,7 +198,7 @@
             if isinstance(results, NoJob):
                 self._answer_no_job(caller, call, facts, results)
                 return
-        page = JobPage(total, call.after, _cut_page(results))
+        page = JobPage(total, call.after, cut_page(results))
         headers = [*self._dialect.own_answer(facts.request_id, None), JSON_TYPE]
         caller.unwatch()
         caller.send_whole(200, headers, self._dialect.job_page(page))
@@ -295,13 +293,3 @@
 
     def _took_ms(self, request: CallerRequest) -> float:
         return round(self._context.now_ms() - request.arrived_ms, 1)
-
-
-def _cut_page(results: list[ItemResult]) -> list[ItemResult]:
-    """Take as many results as one answer holds; one at least."""
-    size = 0
-    for count, result in enumerate(results):
-        size += len(result.text) + len(result.id) + 64
-        if size > PAGE_BYTES and count:
-            return results[:count]
-    return results
--- a/citrondyke/gateway/job_rows.py
+++ b/citrondyke/gateway/job_rows.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 import zstandard
@@ -13,6 +13,9 @@
 from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
 from citrondyke.storage.partitioned_table import PartRow, RowPut
 
+if TYPE_CHECKING:
+    from citrondyke.decisions.batch.owned_job import ItemProgress
+
 __all__ = (
     'CommitVerdict',
     'NoJob',
@@ -25,6 +28,7 @@
     'items_object',
     'pack',
     'position_key',
+    'progress_put',
     'stored_head',
     'unpack',
     'verdict_of',
@@ -40,6 +44,8 @@
 RESULTS_TABLE = 'jobs_results'
 PROGRESS_TABLE = 'jobs_progress'
 COMPRESSION_LEVEL = 3
+#: Rows in one transaction, the head's included; the store takes 100.
+COMMIT_ROWS = 90
 #: Most that a chunk may unpack to; a caller's body is smaller.
 UNPACKED_LIMIT_BYTES = 64 * 1024 * 1024
 
@@ -120,6 +126,21 @@
     return StoredHead(decode_head(row.value or b''), row.version)
 
 
+def progress_put(progress: ItemProgress, limit_bytes: int) -> RowPut:
+    """Make the write of how far an item has come."""
+    saved = SavedProgress(
+        progress.item.id,
+        progress.last_event_id,
+        '\n'.join(progress.texts),
+        progress.failures_count,
+    )
+    value = pack(saved)
+    if len(value) > limit_bytes:
+        # The text is generated again; how often the item failed is what must be kept.
+        value = pack(SavedProgress(progress.item.id, None, '', progress.failures_count))
+    return RowPut(PROGRESS_TABLE, progress.item.id, value)
+
+
 def verdict_of(failure: PlatformFailure) -> CommitVerdict:
     """Tell what a failed call leaves certain."""
     if failure.reason is PlatformFailureReason.AMBIGUOUS:
--- a/citrondyke/gateway/job_store.py
+++ b/citrondyke/gateway/job_store.py
@@ -8,6 +8,7 @@
 
 from citrondyke.decisions.batch.job import ItemResult, JobHead, JobItem
 from citrondyke.gateway.job_rows import (
+    COMMIT_ROWS,
     HEAD_KEY,
     HEADS_TABLE,
     ITEMS_TABLE,
@@ -24,6 +25,7 @@
     items_object,
     pack,
     position_key,
+    progress_put,
     stored_head,
     unpack,
     verdict_of,
@@ -54,10 +56,6 @@
 ROW_MARGIN_BYTES = 1_024
 #: A version that no row ever has: the conflict that it brings is a read that is never stale.
 IMPOSSIBLE_VERSION = 2**53
-#: Rows in one transaction, the head's included.
-COMMIT_ROWS = 90
-#: Parts in one answer of the store; fewer say that there are no more.
-PARTS_PAGE = 1_000
 UNKNOWN_JOB = NoJob(NoJobReason.UNKNOWN)
 UNSURE = NoJob(NoJobReason.UNSURE)
 
@@ -218,7 +216,7 @@
         puts = [head_put(head)]
         for each in progress:
             if each.last_event_id is not None or each.failures_count:
-                puts.append(self._progress_put(each))
+                puts.append(progress_put(each, self._row_bytes))
         wanted = PartTransaction(
             head.job_id,
             (RowCondition(HEADS_TABLE, HEAD_KEY, job.version),),
@@ -239,7 +237,7 @@
         wanted = PartTransaction(
             job.head.job_id,
             (RowCondition(HEADS_TABLE, HEAD_KEY, job.version),),
-            tuple(self._progress_put(each) for each in progress[:COMMIT_ROWS]),
+            tuple(progress_put(each, self._row_bytes) for each in progress[:COMMIT_ROWS]),
         )
         answer = self._table.transact(wanted)
         if isinstance(answer, PartCommitted):
@@ -253,78 +251,12 @@
             return rows
         return [unpack(row.value or b'', SavedProgress) for row in rows]
 
-    def all_jobs(self) -> list[JobId] | PlatformFailure:
-        """List all jobs that are kept."""
-        return self._parts(HEADS_TABLE)
-
-    def delete(self, stored: StoredHead) -> CommitVerdict:
-        """Delete a job that nobody may ask for any more, its head last.
-
-        While the head is there a delete that was cut short is found and goes on.
-        """
-        job_id = stored.head.job_id
-        if stored.head.in_objects:
-            self._objects.delete(items_object(job_id))
-        for table in (RESULTS_TABLE, ITEMS_TABLE, PROGRESS_TABLE, OPEN_TABLE):
-            rows = self._rows(table, job_id)
-            if isinstance(rows, PlatformFailure):
-                return verdict_of(rows)
-            for row in rows:
-                self._delete_object(table, row)
-            verdict = self._remove_rows(stored, table, [row.key for row in rows])
-            if verdict is not CommitVerdict.DONE:
-                return verdict
-        return self._remove_rows(stored, HEADS_TABLE, [HEAD_KEY])
-
     def open_jobs(self) -> list[JobId] | PlatformFailure:
         """List the open jobs; the list may be some seconds old."""
-        return self._parts(OPEN_TABLE)
-
-    def _parts(self, table: str) -> list[JobId] | PlatformFailure:
-        found: list[JobId] = []
-        while True:
-            page = self._table.list_parts(table, found[-1] if found else '')
-            if isinstance(page, PlatformFailure):
-                return page
-            found.extend(JobId(part) for part in page)
-            if len(page) < PARTS_PAGE:
-                return found
-
-    def _remove_rows(self, stored: StoredHead, table: str, keys: list[str]) -> CommitVerdict:
-        for start in range(0, len(keys), COMMIT_ROWS):
-            wanted = PartTransaction(
-                stored.head.job_id,
-                (RowCondition(HEADS_TABLE, HEAD_KEY, stored.version),),
-                (),
-                tuple(RowRemoval(table, key) for key in keys[start : start + COMMIT_ROWS]),
-            )
-            answer = self._table.transact(wanted)
-            if isinstance(answer, PartConflict):
-                return CommitVerdict.FENCED
-            if isinstance(answer, PlatformFailure):
-                return verdict_of(answer)
-        return CommitVerdict.DONE
-
-    def _delete_object(self, table: str, row: PartRow) -> None:
-        if table != RESULTS_TABLE:
-            return
-        stored = unpack(row.value or b'', StoredResult)
-        if stored.object_key:
-            self._objects.delete(ObjectKey(stored.object_key))
-
-    def _progress_put(self, progress: ItemProgress) -> RowPut:
-        saved = SavedProgress(
-            progress.item.id,
-            progress.last_event_id,
-            '\n'.join(progress.texts),
-            progress.failures_count,
-        )
-        value = pack(saved)
-        if len(value) > self._row_bytes:
-            # The text is generated again; how often the item failed is what must be kept.
-            saved = SavedProgress(progress.item.id, None, '', progress.failures_count)
-            value = pack(saved)
-        return RowPut(PROGRESS_TABLE, progress.item.id, value)
+        listed = self._table.parts_all(OPEN_TABLE)
+        if isinstance(listed, PlatformFailure):
+            return listed
+        return [JobId(part) for part in listed]
 
     def _own_commit(
         self,
@@ -347,18 +279,13 @@
 
     def _rows(
         self, table: str, job_id: JobId, from_key: str = '', at_least_version: int = 0
-    ) -> list[PartRow] | PlatformFailure:
-        rows: list[PartRow] = []
-        while True:
-            page = self._table.read(table, job_id, from_key)
-            if isinstance(page, PlatformFailure):
-                return page
-            if page.version < at_least_version:
-                return PlatformFailure(PlatformFailureReason.UNAVAILABLE)
-            rows.extend(page.rows)
-            if not page.has_more or not page.rows:
-                return rows
-            from_key = page.rows[-1].key + '\0'
+    ) -> tuple[PartRow, ...] | PlatformFailure:
+        listing = self._table.read_all(table, job_id, from_key)
+        if isinstance(listing, PlatformFailure):
+            return listing
+        if listing.version < at_least_version:
+            return PlatformFailure(PlatformFailureReason.UNAVAILABLE)
+        return listing.rows
 
     def _result(self, row: PartRow) -> ItemResult | PlatformFailure:
         stored = unpack(row.value or b'', StoredResult)
--- a/citrondyke/gateway/job_sweeper.py
+++ b/citrondyke/gateway/job_sweeper.py
@@ -15,6 +15,7 @@
     from citrondyke.decisions.batch.job import JobHead
     from citrondyke.decisions.batch.takeover import LiveInstances
     from citrondyke.decisions.core.context import Context
+    from citrondyke.gateway.job_removal import JobRemoval
     from citrondyke.gateway.job_store import JobStore
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import JobId
@@ -44,7 +45,12 @@
     """Each job is looked at by one of the instances that are alive."""
 
     def __init__(
-        self, context: Context, store: JobStore, live: LiveInstances, kept_ms: float
+        self,
+        context: Context,
+        store: JobStore,
+        removal: JobRemoval,
+        live: LiveInstances,
+        kept_ms: float,
     ) -> None:
         """Use the parts handed in.
 
@@ -52,6 +58,7 @@
         """
         self._context = context
         self._store = store
+        self._removal = removal
         self._live = live
         self._kept_ms = kept_ms
         #: Until when a job cannot be deleted, so that its head is not read each time.
@@ -63,7 +70,7 @@
 
     def sweep(self) -> int:
         """Delete what may go; give the number of jobs."""
-        listed = self._store.all_jobs()
+        listed = self._removal.all_jobs()
         if isinstance(listed, PlatformFailure):
             return 0
         known = set(listed)
@@ -97,7 +104,7 @@
             over_ms = max(stored.head.accepted_epoch_ms, stored.head.due_epoch_ms)
             self._not_before_ms[job_id] = over_ms + self._kept_ms + MARGIN_MS
             return False
-        return self._store.delete(stored) is CommitVerdict.DONE
+        return self._removal.delete(stored) is CommitVerdict.DONE
 
     def _run(self) -> None:
         while True:
--- a/citrondyke/gateway/table_follower.py
+++ b/citrondyke/gateway/table_follower.py
@@ -23,7 +23,6 @@
 
 #: A feed can fall silent without an end; the reads beside it bound what is missed to this.
 READ_EVERY_MS = 1_000.0
-PAGE_ROWS = 500
 
 
 class TableFollower:
@@ -68,24 +67,15 @@
 
     def read_once(self) -> bool:
         """Read all rows; tell whether the store answered."""
-        rows: list[PartRow] = []
-        from_key = ''
-        version = 0
-        while True:
-            page = self._table.read(self._name, '', from_key, PAGE_ROWS)
-            if isinstance(page, PlatformFailure):
-                if self._dependency is not None:
-                    self._dependency.note_failure(f'read {self._name}: {page.reason.value}')
-                return False
-            rows.extend(page.rows)
-            version = version or page.version
-            if not page.has_more or not page.rows:
-                break
-            from_key = page.rows[-1].key + '\0'
+        listing = self._table.read_all(self._name, '')
+        if isinstance(listing, PlatformFailure):
+            if self._dependency is not None:
+                self._dependency.note_failure(f'read {self._name}: {listing.reason.value}')
+            return False
         if self._dependency is not None:
             self._dependency.note_answer()
-        self._on_listing(rows, version)
-        self._version = max(self._version, version)
+        self._on_listing(list(listing.rows), listing.version)
+        self._version = max(self._version, listing.version)
         return True
 
     def _run_reads(self) -> None:
--- a/citrondyke/storage/partitioned_table.py
+++ b/citrondyke/storage/partitioned_table.py
@@ -21,6 +21,9 @@
     'RowRemoval',
 )
 
+#: Parts in one answer of the store; fewer say that there are no more.
+PARTS_PAGE = 1_000
+
 
 class PartRow(msgspec.Struct, frozen=True):
     """One row as it stands; in a feed, ``None`` as its value says that it was deleted."""
@@ -123,6 +126,34 @@
     ) -> Listing | PlatformFailure:
         """Read rows of a part from a key on."""
 
+    def read_all(self, table: str, part: str, from_key: str = '') -> Listing | PlatformFailure:
+        """Read all rows of a part from a key on, page by page.
+
+        :returns: as of the oldest of its pages.
+        """
+        rows: list[PartRow] = []
+        version: int | None = None
+        while True:
+            page = self.read(table, part, from_key)
+            if isinstance(page, PlatformFailure):
+                return page
+            rows.extend(page.rows)
+            version = page.version if version is None else min(version, page.version)
+            if not page.has_more or not page.rows:
+                return Listing(tuple(rows), has_more=False, version=version)
+            from_key = page.rows[-1].key + '\0'
+
+    def parts_all(self, table: str) -> list[str] | PlatformFailure:
+        """List all parts of a table."""
+        found: list[str] = []
+        while True:
+            page = self.list_parts(table, found[-1] if found else '')
+            if isinstance(page, PlatformFailure):
+                return page
+            found.extend(page)
+            if len(page) < PARTS_PAGE:
+                return found
+
     @abstractmethod
     def list_parts(self, table: str, after: str = '') -> list[str] | PlatformFailure:
         """List parts behind one; at most 1,000."""
--- a/tests/test_gateway/test_gateway_job_sweeper.py
+++ b/tests/test_gateway/test_gateway_job_sweeper.py
@@ -10,6 +10,7 @@
 from citrondyke.decisions.batch.job import ItemResult, ItemState
 from citrondyke.decisions.batch.owned_job import OwnedJob
 from citrondyke.decisions.batch.takeover import LiveInstances
+from citrondyke.gateway.job_removal import JobRemoval
 from citrondyke.gateway.job_rows import CommitVerdict, NoJob, StoredHead
 from citrondyke.gateway.job_store import JobStore
 from citrondyke.gateway.job_sweeper import MARGIN_MS, JobSweeper
@@ -37,8 +38,9 @@
         accepted = self.store.accept(head, ITEMS)
         assert isinstance(accepted, StoredHead)
         self.job = OwnedJob(accepted.head, accepted.version, ITEMS)
+        self.removal = JobRemoval(self.table, self.objects)
         live = LiveInstances(self.context)
-        self.sweeper = JobSweeper(self.context, self.store, live, KEPT_MS)
+        self.sweeper = JobSweeper(self.context, self.store, self.removal, live, KEPT_MS)
 
     def finish(self, text: str = 'text') -> None:
         results = [ItemResult(item.id, ItemState.COMPLETED, text) for item in ITEMS]
@@ -54,7 +56,7 @@
     shelf.clock.ms += MARGIN_MS + 1.0
     assert shelf.sweeper.sweep() == 1
     assert isinstance(shelf.store.head(JOB), NoJob)
-    assert shelf.store.all_jobs() == []
+    assert shelf.removal.all_jobs() == []
 
 
 def test_open_job_stays_however_old() -> None:
@@ -83,7 +85,7 @@
     stored = shelf.store.head(JOB)
     assert isinstance(stored, StoredHead)
     shelf.table.trouble = Trouble.REFUSED
-    assert shelf.store.delete(stored) is CommitVerdict.NOT_WRITTEN
-    assert shelf.store.all_jobs() == [JOB]
+    assert shelf.removal.delete(stored) is CommitVerdict.NOT_WRITTEN
+    assert shelf.removal.all_jobs() == [JOB]
     assert shelf.sweeper.sweep() == 1
-    assert shelf.store.all_jobs() == []
+    assert shelf.removal.all_jobs() == []
