Wait for the last server that may run a request; patience by route, not by server alone

Change: the usual time is kept for each route, and once no other server may be tried the run is waited for until the caller's deadline, streams too. Tests: a route of 90 ms beside one of 2 ms; the last of two servers.

--- a/citrondyke/decisions/forwarding/course.py
+++ b/citrondyke/decisions/forwarding/course.py
@@ -71,6 +71,15 @@
             return True
         return self._route.may_repeat and len(self._ran_at) < self._route.attempts_limit
 
+    @property
+    def is_last_run(self) -> bool:
+        """Tell whether no other server may be tried once the next one may have run the request.
+
+        What runs then is waited for as long as its caller waits: cut, it would be given up for
+        nothing.
+        """
+        return not self._route.may_repeat or len(self._ran_at) + 1 >= self._route.attempts_limit
+
     @property
     def verdict(self) -> Verdict:
         """Tell what is known."""
--- a/citrondyke/gateway/forwarder.py
+++ b/citrondyke/gateway/forwarder.py
@@ -8,10 +8,7 @@
 
 from citrondyke.decisions.forwarding.admission_rule import TurnedAway
 from citrondyke.decisions.forwarding.course import Course, SendOutcome, Verdict
-from citrondyke.decisions.forwarding.patience import (
-    first_answer_patience_ms,
-    next_event_patience_ms,
-)
+from citrondyke.decisions.forwarding.patience import EVENT_MS, Patience
 from citrondyke.decisions.forwarding.route import RouteKind
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.errors.caller_gone import CallerGoneError
@@ -61,6 +58,7 @@
         self._sends = sends
         self._dialect = dialect
         self._log = log
+        self._patience = Patience()
 
     def handle(
         self,
@@ -209,7 +207,7 @@
         if reply.head.status >= SERVER_FAILURE:
             return _HeldFailure(reply.head.status, headers, body)
         now_ms = self._context.now_ms()
-        state.note_time(now_ms - started_ms)
+        self._note_time(forwarding, state, now_ms - started_ms)
         forwarding.first_answer_ms = now_ms
         caller.unwatch()
         caller.send_whole(reply.head.status, headers, body)
@@ -238,7 +236,8 @@
                 continue
             if is_first:
                 is_first = False
-                state.note_time(self._context.now_ms() - started_ms)
+                took_ms = self._context.now_ms() - started_ms
+                self._note_time(forwarding, state, took_ms)
             self._begin_stream(caller, forwarding, reply)
             caller.send_piece(b''.join(event.raw for event in events))
             forwarding.events_count += len(events)
@@ -261,15 +260,15 @@
     def _first_until_ms(
         self, forwarding: Forwarding, state: ServerState, expected_wait_ms: float
     ) -> float:
-        if not forwarding.route.may_repeat or forwarding.route.attempts_limit < 2:  # noqa: PLR2004
+        if forwarding.course.is_last_run:
             return forwarding.until_ms
-        patience_ms = first_answer_patience_ms(forwarding.route, state, expected_wait_ms)
+        patience_ms = self._patience.first_answer_ms(forwarding.route, state, expected_wait_ms)
         return min(forwarding.until_ms, self._context.now_ms() + patience_ms)
 
     def _event_until_ms(self, forwarding: Forwarding) -> float:
-        if not forwarding.route.is_resumable:
+        if not forwarding.route.is_resumable or forwarding.course.is_last_run:
             return forwarding.until_ms
-        return min(forwarding.until_ms, self._context.now_ms() + next_event_patience_ms())
+        return min(forwarding.until_ms, self._context.now_ms() + EVENT_MS)
 
     def _give_up(
         self, caller: CallerConnection, forwarding: Forwarding, failure: _HeldFailure | None
@@ -304,6 +303,10 @@
         caller.send_whole(503, headers, b'')
         return end
 
+    def _note_time(self, forwarding: Forwarding, state: ServerState, took_ms: float) -> None:
+        state.note_time(took_ms)
+        self._patience.note(forwarding.route, took_ms)
+
     def _left_ms(self, forwarding: Forwarding) -> float:
         return forwarding.until_ms - self._context.now_ms()
 
--- a/tests/test_forwarding/test_forwarding_dark_server.py
+++ b/tests/test_forwarding/test_forwarding_dark_server.py
@@ -4,15 +4,16 @@
 
 from random import Random
 
+import msgspec
 import pytest
 
 from citrondyke.decisions.forwarding.course import Course, SendOutcome
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
-from citrondyke.decisions.forwarding.patience import CONNECT_MS, first_answer_patience_ms
+from citrondyke.decisions.forwarding.patience import CONNECT_MS, Patience
 from citrondyke.decisions.forwarding.route import Route, RouteKind
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.decisions.forwarding.server_state import ServerState
-from citrondyke.ids import AvailabilityZone, ServerId, ServiceName
+from citrondyke.ids import AvailabilityZone, RouteName, ServerId, ServiceName
 from tests.support.manual_clock import ManualClock, manual_context
 from tests.test_forwarding.test_forwarding_course import route
 
@@ -41,12 +42,14 @@
             )
             for number in range(SERVERS)
         )
+        self.patience = Patience()
         for state in self.book.states():
             state.note_time(FIRST_EVENT_MS)
 
     def serve(self, served_by: Route) -> float:
         """Serve one request; give the time until its first event."""
         course = Course(served_by)
+        self.patience.note(served_by, FIRST_EVENT_MS)
         started_ms = self._clock.now_ms()
         while course.may_send:
             state = self.book.choose(SERVICE, course.avoid, '')
@@ -60,7 +63,7 @@
 
     def _try_dark(self, served_by: Route, state: ServerState) -> SendOutcome:
         if self._keeps_connections:
-            self._clock.ms += first_answer_patience_ms(served_by, state, 0.0)
+            self._clock.ms += self.patience.first_answer_ms(served_by, state, 0.0)
             state.note_failure(self._clock.now_ms())
             return SendOutcome.UNKNOWN
         self._clock.ms += CONNECT_MS
@@ -87,3 +90,31 @@
     if not keeps_connections:
         # Nothing takes connections there, so that one try is enough to know.
         assert met_count <= 2 * INSTANCES
+
+
+def test_long_request_is_not_cut_since_others_are_short() -> None:
+    # A service answers look-ups in 90 ms and trivial calls of another route in 2 ms. A look-up
+    # that takes its time must not be cut while its server works, or it is cut everywhere.
+    patience = Patience()
+    clock = ManualClock()
+    state = next(iter(Instance(clock, keeps_connections=True).book.states()))
+    look_up = msgspec.structs.replace(route(RouteKind.IDEMPOTENT), target_ms=400.0)
+    trivial = msgspec.structs.replace(look_up, name=RouteName('trivial'))
+    for _ in range(20):
+        patience.note(look_up, 90.0)
+        patience.note(trivial, 2.0)
+        state.note_time(2.0)
+    assert patience.first_answer_ms(look_up, state, 0.0) >= 5 * 90.0
+
+
+def test_last_server_is_waited_for() -> None:
+    # Two servers may run a request, and the first was given up as silent. The second takes its
+    # time as well; to give it up too would fail a request that is being worked on.
+    course = Course(route(RouteKind.IDEMPOTENT, attempts=2))
+    assert not course.is_last_run
+    course.note(DARK, SendOutcome.NOT_SENT)
+    assert not course.is_last_run
+    course.note(ServerId('s-1'), SendOutcome.UNKNOWN)
+    assert course.may_send
+    assert course.is_last_run
+    assert Course(route(RouteKind.ONCE, attempts=3)).is_last_run
