--- /dev/null
+++ b/citrondyke/gateway/followers.py
@@ -0,0 +1,68 @@
+"""Which tables an instance follows, and who takes in what they show."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citrondyke.gateway.membership import INSTANCES_TABLE
+from citrondyke.gateway.table_follower import TableFollower
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.gateway.beliefs import Beliefs
+    from citrondyke.gateway.dependency import Dependency
+    from citrondyke.gateway.membership import Membership
+    from citrondyke.gateway.outside import Outside
+    from citrondyke.gateway.tasks import Tasks
+    from citrondyke.storage.partitioned_table import PartitionedTable
+
+__all__ = ('follow_beliefs', 'follow_instances')
+
+
+def follow_beliefs(
+    context: Context,
+    outside: Outside,
+    beliefs: Beliefs,
+    store: Dependency,
+    pace: Callable[[], float],
+    tasks: Tasks,
+) -> None:
+    """Follow the configuration and the list of servers.
+
+    :param store: told whether the store answers.
+    :param pace: gives the factor by which calls are rarer than in a small fleet.
+    """
+    for name, on_rows, on_listing in (
+        (outside.config_table, beliefs.on_config_rows, beliefs.on_config_listing),
+        (outside.servers_table, beliefs.on_server_rows, beliefs.on_server_listing),
+    ):
+        TableFollower(
+            context, outside.table, name, store, on_rows, on_listing, pace, with_feed=True
+        ).start(tasks)
+
+
+def follow_instances(
+    context: Context,
+    table: PartitionedTable,
+    membership: Membership,
+    pace: Callable[[], float],
+    tasks: Tasks,
+) -> None:
+    """Follow the heartbeats, without a feed.
+
+    They change all the time, and silences are judged by the second.
+
+    :param table: by way of peers where the store does not answer.
+    """
+    TableFollower(
+        context,
+        table,
+        INSTANCES_TABLE,
+        None,
+        membership.on_rows,
+        membership.on_listing,
+        pace,
+        with_feed=False,
+    ).start(tasks)
--- a/citrondyke/gateway/forwarder.py
+++ b/citrondyke/gateway/forwarder.py
@@ -8,11 +8,11 @@
 
 from citrondyke.decisions.forwarding.admission_rule import TurnedAway
 from citrondyke.decisions.forwarding.course import Course, SendOutcome, Verdict
-from citrondyke.decisions.forwarding.patience import EVENT_MS, Patience
+from citrondyke.decisions.forwarding.patience import Patience
 from citrondyke.decisions.forwarding.route import RouteKind
-from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
+from citrondyke.errors.broken_reply import BrokenReplyError
 from citrondyke.errors.caller_gone import CallerGoneError
-from citrondyke.gateway.event_stream import EventSplitter
+from citrondyke.gateway.event_relay import EventRelay
 from citrondyke.gateway.forwarding import Forwarding, RequestEnd
 
 if TYPE_CHECKING:
@@ -59,6 +59,7 @@
         self._dialect = dialect
         self._log = log
         self._patience = Patience()
+        self._relay = EventRelay(context, dialect)
 
     def handle(
         self,
@@ -199,64 +200,21 @@
         kind = reply.head.header(b'content-type') or b''
         is_stream = forwarding.route.kind is RouteKind.STREAM and kind.startswith(EVENT_STREAM)
         if is_stream and reply.head.status < 300:  # noqa: PLR2004
-            self._relay_events(caller, forwarding, state, reply, started_ms)
+            self._relay.relay(
+                caller, forwarding, reply, lambda: self._note_time(forwarding, state, started_ms)
+            )
             return RequestEnd.DONE
         until_ms = forwarding.until_ms
         body = reply.connection.read_body(until_ms, HELD_ANSWER_BYTES)
         headers = self._dialect.answer_headers(reply.head)
         if reply.head.status >= SERVER_FAILURE:
             return _HeldFailure(reply.head.status, headers, body)
-        now_ms = self._context.now_ms()
-        self._note_time(forwarding, state, now_ms - started_ms)
-        forwarding.first_answer_ms = now_ms
+        self._note_time(forwarding, state, started_ms)
+        forwarding.first_answer_ms = self._context.now_ms()
         caller.unwatch()
         caller.send_whole(reply.head.status, headers, body)
         return RequestEnd.DONE
 
-    def _relay_events(
-        self,
-        caller: CallerConnection,
-        forwarding: Forwarding,
-        state: ServerState,
-        reply: OpenReply,
-        started_ms: float,
-    ) -> None:
-        """Pass whole events on as they come.
-
-        :raises BrokenReplyError: when the stream breaks off; what the caller has is noted.
-        """
-        splitter = EventSplitter(forwarding.last_event_id)
-        is_first = True
-        while True:
-            piece = reply.connection.read_piece(self._event_until_ms(forwarding))
-            if piece is None:
-                break
-            events = splitter.feed(piece)
-            if not events:
-                continue
-            if is_first:
-                is_first = False
-                took_ms = self._context.now_ms() - started_ms
-                self._note_time(forwarding, state, took_ms)
-            self._begin_stream(caller, forwarding, reply)
-            caller.send_piece(b''.join(event.raw for event in events))
-            forwarding.events_count += len(events)
-            forwarding.last_event_id = splitter.last_id
-        if not splitter.is_between_events:
-            raise BrokenReplyError(BreakKind.CUT, 'in the middle of an event')
-        self._begin_stream(caller, forwarding, reply)
-        caller.unwatch()
-        caller.end_stream()
-
-    def _begin_stream(
-        self, caller: CallerConnection, forwarding: Forwarding, reply: OpenReply
-    ) -> None:
-        if forwarding.has_begun:
-            return
-        forwarding.has_begun = True
-        forwarding.first_answer_ms = self._context.now_ms()
-        caller.start_stream(reply.head.status, self._dialect.answer_headers(reply.head))
-
     def _first_until_ms(
         self, forwarding: Forwarding, state: ServerState, expected_wait_ms: float
     ) -> float:
@@ -265,11 +223,6 @@
         patience_ms = self._patience.first_answer_ms(forwarding.route, state, expected_wait_ms)
         return min(forwarding.until_ms, self._context.now_ms() + patience_ms)
 
-    def _event_until_ms(self, forwarding: Forwarding) -> float:
-        if not forwarding.route.is_resumable or forwarding.course.is_last_run:
-            return forwarding.until_ms
-        return min(forwarding.until_ms, self._context.now_ms() + EVENT_MS)
-
     def _give_up(
         self, caller: CallerConnection, forwarding: Forwarding, failure: _HeldFailure | None
     ) -> RequestEnd:
@@ -303,7 +256,8 @@
         caller.send_whole(503, headers, b'')
         return end
 
-    def _note_time(self, forwarding: Forwarding, state: ServerState, took_ms: float) -> None:
+    def _note_time(self, forwarding: Forwarding, state: ServerState, started_ms: float) -> None:
+        took_ms = self._context.now_ms() - started_ms
         state.note_time(took_ms)
         self._patience.note(forwarding.route, took_ms)
 
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -20,6 +20,7 @@
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.gateway.beliefs import Beliefs
 from citrondyke.gateway.dependency import Dependency
+from citrondyke.gateway.followers import follow_beliefs, follow_instances
 from citrondyke.gateway.forwarder import Forwarder
 from citrondyke.gateway.front import Front
 from citrondyke.gateway.job_committer import JobCommitter
@@ -31,15 +32,15 @@
 from citrondyke.gateway.job_store import JobStore
 from citrondyke.gateway.job_sweeper import JobSweeper
 from citrondyke.gateway.load_exchange import LoadExchange
-from citrondyke.gateway.membership import INSTANCES_TABLE, Membership
+from citrondyke.gateway.membership import Membership
 from citrondyke.gateway.metrics import Metrics
 from citrondyke.gateway.owned_jobs import OwnedJobs
 from citrondyke.gateway.peers import Peers
+from citrondyke.gateway.planned_stop import PlannedStop
 from citrondyke.gateway.relayed_table import RelayedTable
 from citrondyke.gateway.request_log import RequestLog
 from citrondyke.gateway.server_sends import ServerSends
 from citrondyke.gateway.small_pages import SmallPages
-from citrondyke.gateway.table_follower import TableFollower
 from citrondyke.gateway.tasks import Tasks
 from citrondyke.util.clock import SystemClock
 
@@ -52,7 +53,6 @@
     from citrondyke.gateway.outside import Outside
     from citrondyke.gateway.relayed_table import StoreAnswer, StoreCall
     from citrondyke.gateway.settings import Address, GatewaySettings
-    from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
 __all__ = ('GatewayInstance',)
 
@@ -62,13 +62,6 @@
 #: again after a second.
 BACKLOG = 1_024
 SETTLE_EVERY_S = 0.1
-#: After SIGTERM the balancer looks once a second and needs two misses; it may look just before.
-BALANCER_MS = 2_700.0
-#: Of the time until the process is killed, left for its last steps.
-STOP_MARGIN_MS = 600.0
-LOOK_S = 0.02
-#: Time in which jobs are given back at a stop; what is left is taken over by the others later.
-HAND_OVER_MS = 4_000.0
 
 
 class GatewayInstance:
@@ -193,24 +186,15 @@
         self._listen(settings.health.ip, settings.health.port, self._pages.on_connection)
         if settings.metrics_port:
             self._listen(settings.ip, settings.metrics_port, self._pages.on_connection)
-        self._follower(
-            self._outside.config_table,
-            self.beliefs.on_config_rows,
-            self.beliefs.on_config_listing,
-        )
-        self._follower(
-            self._outside.servers_table,
-            self.beliefs.on_server_rows,
-            self.beliefs.on_server_listing,
-        )
-        # Heartbeats change the table all the time, and silences are judged by the second.
-        self._follower(
-            INSTANCES_TABLE,
-            self.membership.on_rows,
-            self.membership.on_listing,
-            table=self._table,
-            with_feed=False,
+        follow_beliefs(
+            self.context,
+            self._outside,
+            self.beliefs,
+            self._store,
+            self._store_pace,
+            self._tasks,
         )
+        follow_instances(self.context, self._table, self.membership, self._store_pace, self._tasks)
         self.peers.start(settings.ip)
         self._loads.start(self._tasks, self.peers.send)
         self.membership.start(self._tasks)
@@ -255,29 +239,13 @@
         log.info('instance.reloaded', extra={'changed': changed})
 
     def run_until_stopped(self) -> None:
-        """Serve until a planned stop is asked for, then stop without cutting a request off.
-
-        The health check says no first; what the balancer still sends is served, each answer
-        closes its connection, and connections on which nothing was asked end last.
-        """
+        """Serve until a planned stop is asked for, and carry it out."""
         self._stopping.wait()
-        started_ms = self.clock.now_ms()
-        end_ms = started_ms + self._settings.stop_within_ms - STOP_MARGIN_MS
-        log.info('instance.stopping', extra={'open_connections': self.front.open_count})
-        self.front.is_stopping = True
-        handing_over = gevent.spawn(self._hand_over, started_ms)
-        while self.clock.now_ms() < min(started_ms + BALANCER_MS, end_ms):
-            gevent.sleep(LOOK_S)
-        for server in self._servers[:1]:
-            server.stop_accepting()
-        while self.front.busy_count and self.clock.now_ms() < end_ms:
-            gevent.sleep(LOOK_S)
-        handing_over.join(max(0.0, (end_ms - self.clock.now_ms()) / 1e3))
-        self.front.close_idle()
-        log.info('instance.stopped', extra={'cut_requests': self.front.busy_count})
+        stop = PlannedStop(self.clock, self.front, self._servers[0], self._hand_over)
+        stop.run(self._settings.stop_within_ms)
 
-    def _hand_over(self, started_ms: float) -> None:
-        self.runner.hand_over(started_ms + HAND_OVER_MS)
+    def _hand_over(self, until_ms: float) -> None:
+        self.runner.hand_over(until_ms)
         self.membership.leave()
 
     @property
@@ -290,26 +258,6 @@
         server.start()
         self._servers.append(server)
 
-    def _follower(
-        self,
-        name: str,
-        on_rows: Callable[[tuple[PartRow, ...]], None],
-        on_listing: Callable[[list[PartRow], int], None],
-        *,
-        table: PartitionedTable | None = None,
-        with_feed: bool = True,
-    ) -> None:
-        TableFollower(
-            self.context,
-            table or self._outside.table,
-            name,
-            self._store if table is None else None,
-            on_rows,
-            on_listing,
-            self._store_pace,
-            with_feed=with_feed,
-        ).start(self._tasks)
-
     def _run_settle(self) -> None:
         while True:
             gevent.sleep(SETTLE_EVERY_S)
--- /dev/null
+++ b/citrondyke/gateway/planned_stop.py
@@ -0,0 +1,72 @@
+"""The course of a planned stop."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gevent.server import StreamServer
+
+    from citrondyke.gateway.front import Front
+    from citrondyke.util.clock import Clock
+
+__all__ = ('PlannedStop',)
+
+log = logbook.Logger(__name__)
+
+#: After SIGTERM the balancer looks once a second and needs two misses; it may look just before.
+BALANCER_MS = 2_700.0
+#: Of the time until the process is killed, left for its last steps.
+STOP_MARGIN_MS = 600.0
+LOOK_S = 0.02
+#: Time in which jobs are given back at a stop; what is left is taken over by the others later.
+HAND_OVER_MS = 4_000.0
+
+
+class PlannedStop:
+    """Ends the service without cutting a request off.
+
+    The health check says no first; what the balancer still sends is served, each answer closes
+    its connection, and connections on which nothing was asked end last.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        front: Front,
+        listener: StreamServer,
+        hand_over: Callable[[float], None],
+    ) -> None:
+        """Use the parts handed in.
+
+        :param listener: takes the callers' connections.
+        :param hand_over: gives jobs back until a time.
+        """
+        self._clock = clock
+        self._front = front
+        self._listener = listener
+        self._hand_over = hand_over
+
+    def run(self, within_ms: float) -> None:
+        """Carry it out.
+
+        :param within_ms: time from now on after which the process is killed.
+        """
+        started_ms = self._clock.now_ms()
+        end_ms = started_ms + within_ms - STOP_MARGIN_MS
+        log.info('instance.stopping', extra={'open_connections': self._front.open_count})
+        self._front.is_stopping = True
+        handing_over = gevent.spawn(self._hand_over, started_ms + HAND_OVER_MS)
+        while self._clock.now_ms() < min(started_ms + BALANCER_MS, end_ms):
+            gevent.sleep(LOOK_S)
+        self._listener.stop_accepting()
+        while self._front.busy_count and self._clock.now_ms() < end_ms:
+            gevent.sleep(LOOK_S)
+        handing_over.join(max(0.0, (end_ms - self._clock.now_ms()) / 1e3))
+        self._front.close_idle()
+        log.info('instance.stopped', extra={'cut_requests': self._front.busy_count})
