--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -9,7 +9,7 @@
 
 from benchmarks.figure import Figure, Relation
 from benchmarks.scenario import Scenario, ScenarioRun, poisson_arrivals
-from citrondyke.decisions.instance import InstanceLimits
+from citrondyke.decisions.instance_limits import InstanceLimits
 from citrondyke.ids import ConfigVersion
 from citrondyke.peer.codec import Envelope, PeerCodec
 from citrondyke.standin.engine_curve import EngineCurve
--- a/benchmarks/scenario.py
+++ b/benchmarks/scenario.py
@@ -16,7 +16,7 @@
     TenantEntry,
 )
 from citrondyke.decisions.core.signal import Signal
-from citrondyke.decisions.instance import InstanceLimits
+from citrondyke.decisions.instance_limits import InstanceLimits
 from citrondyke.decisions.online.request import OnlineEnd, OnlineEndKind, OnlineRequest
 from citrondyke.decisions.online.server_view import ServerView
 from citrondyke.decisions.sharing.server_share import ServerShare
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -23,7 +23,7 @@
 from citrondyke.decisions.configuration.configuration import ConfigSnapshot, Configuration
 from citrondyke.decisions.configuration.entries import ConfigEntry, TenantEntry
 from citrondyke.decisions.core.context import Context
-from citrondyke.decisions.instance import InstanceLimits
+from citrondyke.decisions.instance_limits import InstanceLimits
 from citrondyke.decisions.jobs.job_file_reader import JobFileReader
 from citrondyke.decisions.membership.members import Members
 from citrondyke.decisions.online.fleet import Fleet
--- a/citrondyke/decisions/instance.py
+++ b/citrondyke/decisions/instance.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from citrondyke.decisions.configuration.change import ConfigChange
 from citrondyke.decisions.configuration.keeper import ConfigKeeper
 from citrondyke.decisions.core.ops import (
@@ -18,6 +16,7 @@
 )
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.decisions.evidence.journal import EvidenceJournal
+from citrondyke.decisions.instance_limits import InstanceLimits
 from citrondyke.decisions.jobs.acceptance import JobAcceptance
 from citrondyke.decisions.jobs.claimer import Claimer
 from citrondyke.decisions.jobs.sweeper import Sweeper
@@ -64,7 +63,7 @@
         TenantId,
     )
 
-__all__ = ('Instance', 'InstanceLimits')
+__all__ = ('Instance',)
 
 #: Looks further apart than this many lease times do not prove that a holder is gone.
 LEASE_LOOK_GAP = 0.75
@@ -72,45 +71,6 @@
 PULL_PAUSE_MS = 200.0
 
 
-class InstanceLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """The bounds and pauses of one instance's decisions."""
-
-    #: How long an instance's lease counter must stand still before others take its work over.
-    lease_ms: float = 10_000.0
-    #: Pause between two renewals of the lease.
-    lease_renew_every_ms: float = 3000.0
-    #: Pause between two looks at the configuration's log, beside what peers push.
-    config_poll_every_ms: float = 1500.0
-    #: Pause between two looks at the platform's lists.
-    lists_poll_every_ms: float = 1000.0
-    #: Pause between two pings; each goes to one peer.
-    gossip_every_ms: float = 1000.0
-    #: Pause between two looks at the load of each server that this instance looks after.
-    load_poll_every_ms: float = 1000.0
-    #: Timeout of such a look.
-    load_poll_timeout_ms: float = 400.0
-    #: Online requests that may wait for a place, for each target.
-    waiting_limit: int = 256
-    #: Online requests that a server is taken to bear before its steward has learned it.
-    first_online_limit: int = 64
-    #: Items of a job that are claimed and committed together.
-    segment_items: int = 256
-    #: Outcomes of a job become visible at the latest so long after the first of them.
-    part_every_ms: float = 5000.0
-    #: Segments held at once for each target.
-    held_segments_limit: int = 4
-    #: Looks for batch work, over all instances, a second.
-    fleet_looks_per_s: float = 200.0
-    #: Shortest pause between two looks for batch work.
-    shortest_look_ms: float = 250.0
-    #: Group transactions for requests that run at most once, over all instances, a second.
-    fleet_intent_transactions_per_s: float = 55.0
-    #: Pause between two objects of outcome records.
-    evidence_every_ms: float = 60_000.0
-    #: Outcome records that may wait for the object store.
-    evidence_records_limit: int = 100_000
-
-
 class Instance:
     """Everything that one instance decides, with no I/O of its own."""
 
--- a/citrondyke/driver/virtual/replay.py
+++ b/citrondyke/driver/virtual/replay.py
@@ -15,7 +15,7 @@
     TenantEntry,
 )
 from citrondyke.decisions.core.signal import Signal
-from citrondyke.decisions.instance import InstanceLimits
+from citrondyke.decisions.instance_limits import InstanceLimits
 from citrondyke.decisions.jobs.job_wish import AcceptedJob
 from citrondyke.decisions.jobs.rows import JobRow, job_row_key
 from citrondyke.decisions.online.request import OnlineEnd, OnlineRequest
--- a/citrondyke/driver/virtual/virtual_fleet.py
+++ b/citrondyke/driver/virtual/virtual_fleet.py
@@ -10,7 +10,7 @@
 from citrondyke.decisions.configuration.change import ConfigChange, first_change, log_row_key
 from citrondyke.decisions.configuration.entries import ConfigEntry
 from citrondyke.decisions.core.commit import encode_row
-from citrondyke.decisions.instance import InstanceLimits
+from citrondyke.decisions.instance_limits import InstanceLimits
 from citrondyke.decisions.jobs.job_file_reader import BadLine, JobFileReader, JobFileSummary
 from citrondyke.decisions.jobs.job_wish import AcceptedJob, JobRefusal, JobResult, JobWish
 from citrondyke.decisions.jobs.rows import input_object_key
--- a/citrondyke/driver/virtual/virtual_instance.py
+++ b/citrondyke/driver/virtual/virtual_instance.py
@@ -17,7 +17,8 @@
     WorkflowEnded,
 )
 from citrondyke.decisions.core.server_call import ReplyKind, ServerCall, ServerReply
-from citrondyke.decisions.instance import Instance, InstanceLimits
+from citrondyke.decisions.instance import Instance
+from citrondyke.decisions.instance_limits import InstanceLimits
 from citrondyke.driver.virtual.virtual_server import CallSink
 
 if TYPE_CHECKING:
--- a/citrondyke/settings/model.py
+++ b/citrondyke/settings/model.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from citrondyke.decisions.instance import InstanceLimits
+from citrondyke.decisions.instance_limits import InstanceLimits
 
 __all__ = (
     'DaemonSettings',
--- a/citrondyke/standin/engine_app.py
+++ b/citrondyke/standin/engine_app.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import time
 from collections import deque
 from collections.abc import Iterator
 from typing import Any
@@ -15,10 +14,11 @@
 from gevent.queue import SimpleQueue
 
 from citrondyke.standin.cut_handler import cut_connection
+from citrondyke.standin.engine_answer import CHARS_PER_TOKEN, EngineAnswer
 from citrondyke.standin.engine_curve import EngineCurve
 from citrondyke.standin.engine_faults import BackendFaults
 from citrondyke.standin.engine_model import EngineModel, EngineStream, EngineToken
-from citrondyke.standin.engine_text import prompt_seed, token_text
+from citrondyke.standin.engine_text import prompt_seed
 from citrondyke.util.clock import Clock
 
 __all__ = ('EngineApp', 'LoadReport', 'engine_app', 'prompt_text')
@@ -26,7 +26,6 @@
 NEVER_MARK = '[[never]]'
 CRASH_MARK = '[[crash]]'
 DEFAULT_MAX_TOKENS = 16
-CHARS_PER_TOKEN = 4
 PREFIX_CHARS = 256
 
 
@@ -135,7 +134,7 @@
             return _refuse(503, 'overloaded')
         request_id = bottle.request.headers.get('X-Request-Id') or f'req-{self._streams_count}'
         self._runs[request_id] = self._runs.get(request_id, 0) + 1
-        answer = _Answer(self, request, prompt, request_id, chat=chat)
+        answer = EngineAnswer(request.model, prompt, request_id, chat=chat)
         stream_id = self._submit(request, prompt, request_id)
         if self.faults.cut_before_answer_left > 0:
             self.faults.cut_before_answer_left -= 1
@@ -225,75 +224,6 @@
             self._loads.append((self._clock.now_ms(), report))
 
 
-class _Answer:
-    """Writes one answer in the published shapes."""
-
-    def __init__(
-        self, app: EngineApp, request: _GenerateRequest, prompt: str, request_id: str, *, chat: bool
-    ) -> None:
-        self._request = request
-        self._prompt = prompt
-        self._seed = prompt_seed(prompt)
-        self._chat = chat
-        self._id = ('chatcmpl-' if chat else 'cmpl-') + request_id
-        self._created = int(time.time())
-
-    def whole(self, tokens: Iterator[EngineToken]) -> bytes:
-        """Give the plain answer."""
-        text = ''.join(token_text(self._seed, token.index) for token in tokens)
-        choice: dict[str, Any] = {'index': 0, 'finish_reason': 'length', 'logprobs': None}
-        if self._chat:
-            choice['message'] = {'role': 'assistant', 'content': text}
-        else:
-            choice['text'] = text
-        body = self._head('chat.completion' if self._chat else 'text_completion')
-        body['choices'] = [choice]
-        body['usage'] = self._usage(len(text.split()))
-        return msgspec.json.encode(body)
-
-    def frames(self, tokens: Iterator[EngineToken]) -> Iterator[bytes]:
-        """Give the streamed answer, a frame for each token."""
-        for token in tokens:
-            yield self._frame(token)
-        yield b'data: [DONE]\n\n'
-
-    def _frame(self, token: EngineToken) -> bytes:
-        text = token_text(self._seed, token.index)
-        choice: dict[str, Any] = {
-            'index': 0,
-            'finish_reason': 'length' if token.last else None,
-            'logprobs': None,
-        }
-        if self._chat:
-            delta = {'content': text}
-            if token.index == 0:
-                delta['role'] = 'assistant'
-            choice['delta'] = delta
-        else:
-            choice['text'] = text
-        body = self._head('chat.completion.chunk' if self._chat else 'text_completion')
-        body['choices'] = [choice]
-        if token.last:
-            body['usage'] = self._usage(token.index + 1)
-        return b'data: ' + msgspec.json.encode(body) + b'\n\n'
-
-    def _head(self, kind: str) -> dict[str, Any]:
-        return {
-            'id': self._id,
-            'object': kind,
-            'created': self._created,
-            'model': self._request.model,
-        }
-
-    def _usage(self, completion_tokens: int) -> dict[str, int]:
-        prompt_tokens = max(1, len(self._prompt) // CHARS_PER_TOKEN)
-        return {
-            'prompt_tokens': prompt_tokens,
-            'completion_tokens': completion_tokens,
-            'total_tokens': prompt_tokens + completion_tokens,
-        }
-
-
 def _refuse(status: int, message: str) -> bytes:
     bottle.response.status = status
     bottle.response.content_type = 'application/json'
