--- a/citrondyke/gateway/request_log.py
+++ b/citrondyke/gateway/request_log.py
@@ -60,6 +60,7 @@
                 'route': forwarding.route.name,
                 'config_version': forwarding.config_version,
                 'server_id': state.listed.id,
+                'server_zone': state.listed.zone,
                 'online_count': state.online_count(now_ms),
                 'batch_count': state.batch_count(now_ms),
                 'expected_wait_ms': round(expected_wait_ms, 1),
