--- a/tests/test_batch/test_batch_give_way.py
+++ b/tests/test_batch/test_batch_give_way.py
@@ -11,12 +11,11 @@
 )
 from citrondyke.decisions.batch.run_length import RunLengths
 from citrondyke.decisions.batch.start_pace import StartPace
-from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.decisions.forwarding.server_state import ServerState
-from citrondyke.ids import AvailabilityZone, InstanceId, RouteName, ServerId, ServiceName
+from citrondyke.ids import InstanceId, RouteName, ServerId, ServiceName
 from tests.support.manual_clock import ManualClock, manual_context
-from tests.support.peers import other_instances
+from tests.support.peers import listed_server, other_instances
 
 SERVICE = ServiceName('lm')
 A = ServerId('a')
@@ -30,18 +29,7 @@
         self.clock = ManualClock()
         context = manual_context(self.clock, name, seed=seed)
         self.book = ServerBook(context)
-        self.book.replace(
-            [
-                ListedBackend(
-                    id=A,
-                    service=SERVICE,
-                    ip='',
-                    port=1,
-                    zone=AvailabilityZone('zone-a'),
-                    slots_count=SLOTS,
-                )
-            ]
-        )
+        self.book.replace([listed_server(A, SERVICE, SLOTS)])
         self.pace = StartPace(context, self.book.neighbours)
         self.give_way = GiveWay(context, self.book, self.pace)
 
--- a/tests/test_forwarding/test_forwarding_admission.py
+++ b/tests/test_forwarding/test_forwarding_admission.py
@@ -9,13 +9,12 @@
     Admitted,
     TurnedAway,
 )
-from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.route import RouteKind
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.decisions.forwarding.server_state import ServerState
-from citrondyke.ids import AvailabilityZone, ServerId, ServiceName
+from citrondyke.ids import ServiceName
 from tests.support.manual_clock import ManualClock, manual_context
-from tests.support.peers import other_instances
+from tests.support.peers import listed_server, other_instances
 from tests.test_forwarding.test_forwarding_course import route
 
 STAY_MS = 800.0
@@ -29,17 +28,7 @@
         self.clock = ManualClock()
         context = manual_context(self.clock)
         self.book = ServerBook(context)
-        self.book.replace(
-            ListedBackend(
-                id=ServerId(name),
-                service=ServiceName('s'),
-                ip='',
-                port=1,
-                zone=AvailabilityZone('zone-a'),
-                slots_count=SLOTS,
-            )
-            for name in ('a', 'b')
-        )
+        self.book.replace(listed_server(name, 's', SLOTS) for name in ('a', 'b'))
         self.rule = AdmissionRule(context, self.book)
         self.book.neighbours.replace(other_instances(9))
         self.route = route(RouteKind.STREAM)
--- a/tests/test_forwarding/test_forwarding_dark_server.py
+++ b/tests/test_forwarding/test_forwarding_dark_server.py
@@ -8,13 +8,13 @@
 import pytest
 
 from citrondyke.decisions.forwarding.course import Course, SendOutcome
-from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.patience import CONNECT_MS, Patience
 from citrondyke.decisions.forwarding.route import Route, RouteKind
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.decisions.forwarding.server_state import ServerState
-from citrondyke.ids import AvailabilityZone, RouteName, ServerId, ServiceName
+from citrondyke.ids import RouteName, ServerId, ServiceName
 from tests.support.manual_clock import ManualClock, manual_context
+from tests.support.peers import listed_server
 from tests.test_forwarding.test_forwarding_course import route
 
 SERVICE = ServiceName('s')
@@ -31,17 +31,7 @@
         self._clock = clock
         self._keeps_connections = keeps_connections
         self.book = ServerBook(manual_context(clock))
-        self.book.replace(
-            ListedBackend(
-                id=ServerId(f's-{number}'),
-                service=SERVICE,
-                ip='',
-                port=1,
-                zone=AvailabilityZone('zone-a'),
-                slots_count=8,
-            )
-            for number in range(SERVERS)
-        )
+        self.book.replace(listed_server(f's-{number}', SERVICE, 8) for number in range(SERVERS))
         self.patience = Patience()
         for state in self.book.states():
             state.note_time(FIRST_EVENT_MS)
--- a/tests/test_forwarding/test_forwarding_neighbours.py
+++ b/tests/test_forwarding/test_forwarding_neighbours.py
@@ -4,14 +4,13 @@
 
 from random import Random
 
-from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.load_notices import LoadNotices, ServerLoad
 from citrondyke.decisions.forwarding.neighbours import MESH_LIMIT, PACED_FROM, Neighbours
 from citrondyke.decisions.forwarding.server_book import ServerBook, server_digest
 from citrondyke.decisions.forwarding.server_state import ServerState
-from citrondyke.ids import AvailabilityZone, InstanceId, ServerId, ServiceName
+from citrondyke.ids import InstanceId, ServerId, ServiceName
 from tests.support.manual_clock import ManualClock, manual_context
-from tests.support.peers import other_instances
+from tests.support.peers import listed_server, other_instances
 
 ZONES = ('zone-a', 'zone-b', 'zone-c', 'zone-d')
 SERVICE = ServiceName('lm')
@@ -26,15 +25,7 @@
         self.context = manual_context(clock, f'{zone}-{number}', zone, seed=number)
         self.book = ServerBook(self.context)
         self.book.replace(
-            ListedBackend(
-                id=ServerId(f's{n}'),
-                service=SERVICE,
-                ip='',
-                port=1,
-                zone=AvailabilityZone(ZONES[n % len(ZONES)]),
-                slots_count=7,
-            )
-            for n in range(SERVERS)
+            listed_server(f's{n}', SERVICE, 7, ZONES[n % len(ZONES)]) for n in range(SERVERS)
         )
         self.notices = LoadNotices(self.context, self.book)
 
