An order that ends during a commit stays marked as sent

A commit takes the outcomes that there are when it begins, stores their objects, and then wrote as started only the items without any outcome. An item that ended in between was neither in the commit nor marked; when its holder died, or handed the segment back at a planned stop, the next one sent it again. Ruled out: shared ports of runs beside each other (they fail at their start), a wrong proof of not sent in the client, a service whose entry is not known yet (taken as not repeatable). Change: what may not be repeated stays marked until its outcome is durable, and a segment is handed back only with all outcomes. What may be repeated is marked as before, so that nothing that ended is blamed for a death.

--- a/citrondyke/decisions/jobs/held_segment.py
+++ b/citrondyke/decisions/jobs/held_segment.py
@@ -147,9 +147,24 @@
         self._offered = self._offered | ItemSet.of(chosen)
         return [self.items[position] for position in chosen]
 
-    def started(self) -> ItemSet:
-        """Give the items that are or may be at a backend server."""
-        return self._offered & self.unfinished
+    def started_beside(self, positions: ItemSet) -> ItemSet:
+        """Give the items that a commit of some outcomes must leave marked as started.
+
+        What may not be repeated stays marked until its outcome is durable: one that ends while
+        the commit is under way is not part of it, and the next holder would send it again. What
+        may be repeated is marked only while it is at a server, since what ended did not kill its
+        holder.
+
+        :param positions: whose outcomes the commit makes durable.
+        """
+        if self.is_repeatable:
+            return self._offered & self.unfinished
+        return self._offered & (self.remaining - positions)
+
+    @property
+    def is_given_back(self) -> bool:
+        """Tell whether its row names no holder any more."""
+        return not self.row.owner
 
     def record(self, position: int, outcome: ItemOutcome) -> None:
         """Take in an item's outcome; the first one stands."""
--- a/citrondyke/decisions/jobs/part_committer.py
+++ b/citrondyke/decisions/jobs/part_committer.py
@@ -119,9 +119,13 @@
         return ''
 
     def _row_after(self, held: HeldSegment, positions: list[int]) -> TodoRow:
-        remaining = held.remaining - ItemSet.of(positions)
-        is_released = held.is_releasing and not held.running_count
-        started = held.started() if held.is_careful else ItemSet()
+        committed = ItemSet.of(positions)
+        remaining = held.remaining - committed
+        # An outcome that came after the commit began goes into the next one; handed back before,
+        # its item would run again.
+        is_whole = not (ItemSet.of(held.outcomes) - committed)
+        is_released = held.is_releasing and not held.running_count and is_whole
+        started = held.started_beside(committed) if held.is_careful else ItemSet()
         if is_released:
             started = ItemSet()
         attempts = {each: count for each, count in held.attempts.items() if each in remaining}
--- a/citrondyke/decisions/jobs/worker.py
+++ b/citrondyke/decisions/jobs/worker.py
@@ -213,8 +213,10 @@
             elif not held.is_releasing and (window := held.next_window()):
                 _offer(held, window, pool)
             if not held.unfinished or (held.is_releasing and not held.running_count):
-                yield from self._committer.commit_part(held)
-                break
+                is_committed = yield from self._committer.commit_part(held)
+                if not is_committed or not held.remaining or held.is_given_back:
+                    break
+                continue
             until_ms = self._context.now_ms() + self._limits.part_every_ms
             fired = yield from wait_for(changed, until_ms)
             if not fired and held.outcomes and not held.is_lost:
--- /dev/null
+++ b/tests/test_jobs/test_jobs_part_committer.py
@@ -0,0 +1,129 @@
+"""What a holder of a segment leaves behind when it dies between two commits."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from typing import Any
+
+import msgspec
+import pytest
+
+from citrondyke.decisions.core.ops import Op, PutObject, Transact
+from citrondyke.decisions.jobs.held_segment import HeldSegment
+from citrondyke.decisions.jobs.item_set import ItemSet
+from citrondyke.decisions.jobs.outcome import ItemOutcome
+from citrondyke.decisions.jobs.part_committer import PartCommitter
+from citrondyke.decisions.jobs.rows import JobRow, JobState, TodoRow
+from citrondyke.ids import ClassName, JobId, TargetName, TenantId
+from citrondyke.storage.table_service import Committed
+from tests.support.manual_clock import manual_context
+
+ITEMS = 4
+LINES = b'\n'.join(
+    b'{"custom_id":"%d","method":"POST","url":"/services/orders/place","body":{}}' % number
+    for number in range(ITEMS)
+)
+
+
+def new_segment(*, is_repeatable: bool = False) -> HeldSegment:
+    job = JobRow(
+        tenant_id=TenantId('t'),
+        class_name=ClassName('c'),
+        target=TargetName('service:orders'),
+        endpoint='/services/orders/place',
+        file_id='f',
+        upload_id='u',
+        items_count=ITEMS,
+        segments_count=1,
+        segment_items=ITEMS,
+        digest='',
+        state=JobState.RUNNING,
+        created_epoch_ms=0.0,
+        deadline_epoch_ms=1e15,
+        expires_epoch_ms=1e15,
+    )
+    row = TodoRow(
+        items_count=ITEMS,
+        remaining=ItemSet.first(ITEMS).text(),
+        fence=1,
+        owner='owner',
+        deaths=1,
+    )
+    held = HeldSegment(JobId('job'), job, 1, 0, row, 1, is_repeatable=is_repeatable)
+    held.load(LINES, is_after_death=False)
+    held.next_window()
+    return held
+
+
+def written_row(op: Op) -> TodoRow:
+    assert isinstance(op, Transact)
+    value = next(
+        write.value
+        for write in op.transaction.writes
+        if b'"remaining"' in bytes(write.value or b'')
+    )
+    return msgspec.json.decode(value, type=TodoRow)
+
+
+def until_transaction(steps: Generator[Op, Any, bool], op: Op) -> Op:
+    while isinstance(op, PutObject):
+        op = steps.send(None)
+    return op
+
+
+def outcome(held: HeldSegment, position: int) -> None:
+    held.record(position, ItemOutcome(is_success=True, line=b'{}'))
+
+
+def test_order_that_ended_during_a_commit_is_not_sent_by_the_next_holder() -> None:
+    # Orders of a job are at their service. While the outcome of the first is on its way to the
+    # object store, the second ends as well; then the holder dies. What the commit wrote must
+    # still say that the second was sent: the next holder would place that order once more.
+    held = new_segment()
+    outcome(held, 0)
+    steps = PartCommitter(manual_context(), lambda _: None).commit_part(held)
+    op = next(steps)
+    assert isinstance(op, PutObject)
+    outcome(held, 1)
+    row = written_row(until_transaction(steps, op))
+    assert list(ItemSet.parse(row.remaining)) == [1, 2, 3]
+    assert list(ItemSet.parse(row.started)) == [1, 2, 3]
+
+
+def test_segment_is_not_handed_back_with_an_outcome_that_is_not_visible() -> None:
+    # A holder that stops gives its segment back when its last order ends during a commit. That
+    # order's outcome is not in the commit; handed back now, it would be placed once more.
+    held = new_segment()
+    for position in (0, 2, 3):
+        outcome(held, position)
+    held.is_releasing = True
+    steps = PartCommitter(manual_context(), lambda _: None).commit_part(held)
+    op = next(steps)
+    outcome(held, 1)
+    op = until_transaction(steps, op)
+    row = written_row(op)
+    assert row.owner == 'owner'
+    assert list(ItemSet.parse(row.started)) == [1]
+    assert not held.is_given_back
+    with pytest.raises(StopIteration) as end:
+        steps.send(Committed(2))
+    assert end.value.value is True
+    # The next commit has all outcomes, and gives the segment back.
+    assert not held.is_given_back
+    again = PartCommitter(manual_context(), lambda _: None).commit_part(held)
+    op = until_transaction(again, next(again))
+    with pytest.raises(StopIteration):
+        again.send(Committed(3))
+    assert held.is_given_back
+
+
+def test_repeatable_item_that_ended_is_not_blamed_for_its_holders_death() -> None:
+    # The same with items that may be repeated, whose holder died once before. The item that has
+    # ended did not kill the holder, and must not be taken for the one that does.
+    held = new_segment(is_repeatable=True)
+    outcome(held, 0)
+    steps = PartCommitter(manual_context(), lambda _: None).commit_part(held)
+    op = next(steps)
+    outcome(held, 1)
+    row = written_row(until_transaction(steps, op))
+    assert list(ItemSet.parse(row.started)) == [2, 3]
