--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -15,10 +15,10 @@
 from typing import Any
 
 import msgspec
-import numpy as np
 
 from benchmarks.call_cost import cpu_ms
 from benchmarks.control import control_cost
+from benchmarks.fitted_line import Slope, fit
 from benchmarks.scenario import MODEL, Scenario, ScenarioRun
 from citrondyke.decisions.configuration.configuration import ConfigSnapshot, Configuration
 from citrondyke.decisions.configuration.entries import ConfigEntry, TenantEntry
@@ -42,47 +42,12 @@
 from tests.support.fleet import Fleet as RealFleet
 from tests.support.job_lines import chat_lines
 
-__all__ = ('Slope', 'main')
+__all__ = ('main',)
 
 PAGE = Path(__file__).parent.parent / 'docs' / 'capacity_slopes.md'
 RESULTS = Path(__file__).parent / 'slopes.json'
 
 
-class Slope(msgspec.Struct, frozen=True, kw_only=True):
-    """A line fitted to measurements at several sizes."""
-
-    name: str
-    #: What the sizes count.
-    per: str
-    unit: str
-    sizes: list[float]
-    values: list[float]
-    slope: float
-    intercept: float
-    #: Largest distance of a measurement from the line, as a part of the largest value.
-    error: float
-
-
-def fit(name: str, per: str, unit: str, points: list[tuple[float, float]]) -> Slope:
-    """Fit a line by least squares."""
-    sizes = [size for size, _ in points]
-    values = [value for _, value in points]
-    slope, intercept = (float(each) for each in np.polyfit(sizes, values, 1))
-    misses = [
-        abs(value - (slope * size + intercept)) for size, value in zip(sizes, values, strict=True)
-    ]
-    return Slope(
-        name=name,
-        per=per,
-        unit=unit,
-        sizes=sizes,
-        values=[round(value, 4) for value in values],
-        slope=slope,
-        intercept=intercept,
-        error=max(misses) / max(abs(value) for value in values),
-    )
-
-
 def _memory(build: Callable[[], Any]) -> float:
     """Give the bytes that stay allocated while what ``build`` gives is held."""
     gc.collect()
--- a/citrondyke/decisions/jobs/claimer.py
+++ b/citrondyke/decisions/jobs/claimer.py
@@ -8,9 +8,9 @@
 
 from citrondyke.decisions.core.commit import CommitDoubt, commit, transaction
 from citrondyke.decisions.core.ops import get_object, read_rows, scan_rows
-from citrondyke.decisions.jobs.acceptance import ROWS_PER_TRANSACTION, todo_rows
 from citrondyke.decisions.jobs.held_segment import HeldSegment
 from citrondyke.decisions.jobs.item_set import ItemSet
+from citrondyke.decisions.jobs.job_facts import ROWS_PER_TRANSACTION, todo_rows
 from citrondyke.decisions.jobs.job_wish import AcceptedJob
 from citrondyke.decisions.jobs.rows import (
     JobRow,
--- /dev/null
+++ b/citrondyke/decisions/jobs/job_facts.py
@@ -0,0 +1,70 @@
+"""What follows from a job alone: its name, its record, its rows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citrondyke.decisions.evidence.record import OutcomeRecord, RecordKind
+from citrondyke.decisions.jobs.item_set import ItemSet
+from citrondyke.decisions.jobs.rows import JobRow, JobState, TodoRow, todo_row_key
+from citrondyke.ids import JobId
+from citrondyke.util.hashing import digest_hex
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.jobs.job_wish import JobWish
+    from citrondyke.ids import RowKey
+
+__all__ = ('ROWS_PER_TRANSACTION', 'job_digest', 'job_id_of', 'job_record', 'todo_rows')
+
+#: Todo rows that one transaction writes.
+ROWS_PER_TRANSACTION = 64
+
+
+def job_id_of(wish: JobWish, file_digest: str) -> JobId:
+    """Name a job by tenant and key, or without a key by what is to be done.
+
+    Every instance gives the same wish the same name, so a resend finds the first job wherever
+    and whenever it arrives, also at the same moment.
+    """
+    identity = wish.idempotency_key or job_digest(wish, file_digest)
+    kind = 'key' if wish.idempotency_key else 'content'
+    return JobId('batch_' + digest_hex(wish.tenant_id.encode(), kind.encode(), identity.encode()))
+
+
+def job_digest(wish: JobWish, file_digest: str) -> str:
+    """Digest what a job is to do."""
+    return digest_hex(file_digest.encode(), wish.endpoint.encode(), wish.class_name.encode())
+
+
+def job_record(kind: RecordKind, job_id: JobId, row: JobRow) -> OutcomeRecord:
+    """Write down that a job was accepted or is over."""
+    is_ended = kind is RecordKind.JOB_ENDED
+    ended_ms = row.finished_epoch_ms or row.created_epoch_ms
+    is_kept = None
+    if is_ended and row.state is not JobState.CANCELLED:
+        is_kept = row.state is JobState.COMPLETED and ended_ms <= row.deadline_epoch_ms
+    return OutcomeRecord(
+        at_epoch_ms=ended_ms,
+        kind=kind,
+        tenant_id=row.tenant_id,
+        class_name=row.class_name,
+        target=row.target,
+        request_id=job_id,
+        outcome=row.state.value,
+        is_kept=is_kept,
+        total_ms=ended_ms - row.created_epoch_ms,
+        items_count=row.items_count,
+        succeeded_count=row.succeeded_count,
+        failed_count=row.failed_count,
+        deadline_epoch_ms=row.deadline_epoch_ms,
+    )
+
+
+def todo_rows(job_id: JobId, job: JobRow, first: int, count: int) -> list[tuple[RowKey, TodoRow]]:
+    """Make the rows of segments ``first`` and on, at most ``count``."""
+    rows: list[tuple[RowKey, TodoRow]] = []
+    for segment in range(first, min(first + count, job.segments_count)):
+        size = min(job.segment_items, job.items_count - segment * job.segment_items)
+        row = TodoRow(items_count=size, remaining=ItemSet.first(size).text())
+        rows.append((todo_row_key(job_id, segment), row))
+    return rows
--- a/citrondyke/decisions/jobs/sweeper.py
+++ b/citrondyke/decisions/jobs/sweeper.py
@@ -9,8 +9,8 @@
 from citrondyke.decisions.core.commit import CommitDoubt, commit, transaction
 from citrondyke.decisions.core.ops import read_rows, scan_rows
 from citrondyke.decisions.evidence.record import RecordKind
-from citrondyke.decisions.jobs.acceptance import job_record, todo_rows
 from citrondyke.decisions.jobs.item_set import ItemSet
+from citrondyke.decisions.jobs.job_facts import job_record, todo_rows
 from citrondyke.decisions.jobs.job_wish import AcceptedJob, JobRefusal
 from citrondyke.decisions.jobs.rows import (
     JobState,
--- a/citrondyke/decisions/once/once_desk.py
+++ b/citrondyke/decisions/once/once_desk.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -22,6 +21,7 @@
     StoredReply,
     intent_row_key,
 )
+from citrondyke.decisions.once.once_end import OnceEnd, OnceEndKind
 from citrondyke.decisions.online.request import OnlineEndKind
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.table_service import Committed
@@ -39,7 +39,7 @@
     from citrondyke.ids import RowKey
     from citrondyke.storage.table_service import Row
 
-__all__ = ('OnceDesk', 'OnceEnd', 'OnceEndKind')
+__all__ = ('OnceDesk',)
 
 #: How long a claim may wait for the table service before the caller is turned away.
 CLAIM_LIMIT_MS = 4000.0
@@ -51,33 +51,6 @@
 PERSIST_PAUSE_MS = 1000.0
 
 
-class OnceEndKind(Enum):
-    """What the caller is told."""
-
-    ANSWERED = 'answered'
-    #: The key was used before with other content.
-    CONFLICT = 'conflict'
-    #: Never ran, and never will by this claim.
-    NOT_RUN = 'not_run'
-    UNKNOWN = 'unknown'
-    #: It ran; its outcome is not stored yet.
-    NOT_DURABLE = 'not_durable'
-    #: Another instance still has it.
-    IN_PROGRESS = 'in_progress'
-    #: The table service does not answer; never ran.
-    PLATFORM_DOWN = 'platform_down'
-
-
-class OnceEnd(msgspec.Struct, frozen=True):
-    """The one outcome."""
-
-    kind: OnceEndKind
-    reply: StoredReply | None = None
-    refusal: Refusal | None = None
-    #: Whether the answer was stored before and is given again.
-    is_replay: bool = False
-
-
 class OnceDesk:
     """Stores the intent before the dispatch and the outcome before the answer.
 
--- a/citrondyke/entry/online_door.py
+++ b/citrondyke/entry/online_door.py
@@ -12,7 +12,7 @@
 from citrondyke.backend.sse import DONE_FRAME
 from citrondyke.decisions.configuration.entries import ClassKind, TenantEntry
 from citrondyke.decisions.core.signal import Signal
-from citrondyke.decisions.once.once_desk import OnceEndKind
+from citrondyke.decisions.once.once_end import OnceEndKind
 from citrondyke.decisions.online.request import OnlineEnd, OnlineEndKind, OnlineRequest
 from citrondyke.decisions.steward import SERVICE_PREFIX
 from citrondyke.entry.answers import answer_error, error_body, json_answer
--- a/citrondyke/entry/online_errors.py
+++ b/citrondyke/entry/online_errors.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from citrondyke.decisions.once.once_desk import OnceEnd, OnceEndKind
+from citrondyke.decisions.once.once_end import OnceEnd, OnceEndKind
 from citrondyke.decisions.online.refusal import Refusal, RefusalReason
 from citrondyke.decisions.online.request import OnlineEnd, OnlineEndKind
 from citrondyke.errors import (
--- a/tests/test_decisions/test_decisions_crash_points.py
+++ b/tests/test_decisions/test_decisions_crash_points.py
@@ -9,7 +9,7 @@
 
 from citrondyke.decisions.core.runner import Effect
 from citrondyke.decisions.jobs.rows import TodoRow
-from citrondyke.decisions.once.once_desk import OnceEndKind
+from citrondyke.decisions.once.once_end import OnceEndKind
 from citrondyke.driver.virtual.virtual_fleet import VirtualFleet
 from citrondyke.driver.virtual.virtual_instance import VirtualInstance
 from citrondyke.ids import RowKey
--- a/tests/test_decisions/test_decisions_lost_replies.py
+++ b/tests/test_decisions/test_decisions_lost_replies.py
@@ -9,7 +9,7 @@
 from citrondyke.decisions.configuration.change import ConfigChange
 from citrondyke.decisions.configuration.proposal import ConfigProposal, WantedEdit
 from citrondyke.decisions.core import ops
-from citrondyke.decisions.once.once_desk import OnceEndKind
+from citrondyke.decisions.once.once_end import OnceEndKind
 from citrondyke.driver.virtual.virtual_fleet import VirtualFleet
 from citrondyke.ids import ConfigVersion
 from citrondyke.storage.failure import AMBIGUOUS
--- a/tests/test_decisions/test_decisions_machine.py
+++ b/tests/test_decisions/test_decisions_machine.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from citrondyke.decisions.jobs.job_wish import AcceptedJob
-from citrondyke.decisions.once.once_desk import OnceEndKind
+from citrondyke.decisions.once.once_end import OnceEndKind
 from citrondyke.driver.virtual.virtual_instance import VirtualInstance
 from citrondyke.standin.faults import FaultMode
 from tests.support.virtual import LIMITS, job_outcomes, make_fleet, model_lines, order, wait_for_job
