--- a/citrondyke/decisions/forwarding/server_book.py
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -137,7 +137,7 @@
 
         Their counts are up to half a second old, and several zones choose the same one: of 271
         requests sent there 39 waited for their first event for over 250 ms, of 733 to servers of
-        the own zone 3 (quiet day at 69 instances).
+        the own zone 3 (20 s of bursts at 69 instances, as one zone logged them).
         """
         if not self.neighbours.is_zoned:
             return usable
--- a/citrondyke/gateway/pauses.py
+++ b/citrondyke/gateway/pauses.py
@@ -5,8 +5,8 @@
 __all__ = ('retry_ms',)
 
 #: The first pause is shorter than anybody waits for; the longest is a fraction of the 2 s within
-#: which all must know what changed in an outage. With 150 ms throughout, 31 instances that the
-#: store refused called it 25 times a second each.
+#: which all must know what changed in an outage. With 150 ms throughout, an instance that the
+#: store refuses calls it 25 times a second.
 FIRST_MS = 150.0
 FACTOR = 1.6
 LONGEST_MS = 600.0
