--- a/benchmarks/gateway_load.py
+++ b/benchmarks/gateway_load.py
@@ -26,6 +26,9 @@
 __all__ = ('load_figures',)
 
 INSTANCES = 10
+#: A few requests decide a 99th percentile: alone, the seeds give 1.1 to 3.4 times that without
+#: batch, whatever the policy's last change.
+SEEDS = (7, 8, 9, 10, 11)
 SERVERS = 5
 SLOTS = 8
 #: A stream of 28 events occupies a place for about so long.
@@ -146,9 +149,10 @@
         *,
         with_batch: bool = False,
         gives_way: bool = True,
+        seed: int = SEEDS[0],
     ) -> None:
         self.clock = _VirtualClock()
-        self._random = random.Random(7)
+        self._random = random.Random(seed)
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._servers = {ServerId(f's{n}'): _Server([], deque()) for n in range(servers_count)}
@@ -359,24 +363,24 @@
                     relation=Relation.AT_LEAST,
                 )
             )
-    off = _p99(_Play(_Ours, SERVERS, 20.7).run().first_ms)
+    off = _p99(_plays())
     for label, gives_way, harm_bound in (('', True, 3.0), (' (no giving way)', False, None)):
-        play = _Play(_Ours, SERVERS, 20.7, with_batch=True, gives_way=gives_way).run()
+        plays = _plays(with_batch=True, gives_way=gives_way)
         figures.append(
             Figure(
                 name=f'gateway: first event p99, batch backlogged ÷ off{label}',
-                value=_p99(play.first_ms) / off,
+                value=_p99(plays) / off,
                 baseline=off,
                 bound=harm_bound,
                 goal=1.05 if gives_way else None,
                 relation=Relation.AT_MOST if harm_bound else Relation.NONE,
             )
         )
-        busy_ms = play.batch_ms + len(play.first_ms) * STAY_MS
+        busy_ms = sum(play.batch_ms + len(play.first_ms) * STAY_MS for play in plays)
         figures.append(
             Figure(
                 name=f'gateway: places used, batch backlogged{label}',
-                value=busy_ms / (SERVERS * SLOTS * LENGTH_MS),
+                value=busy_ms / (SERVERS * SLOTS * LENGTH_MS * len(plays)),
                 bound=0.75 if gives_way else None,
                 relation=Relation.AT_LEAST if gives_way else Relation.NONE,
             )
@@ -384,5 +388,13 @@
     return figures
 
 
-def _p99(values: list[float]) -> float:
-    return sorted(values)[int(len(values) * 0.99)]
+def _plays(*, with_batch: bool = False, gives_way: bool = True) -> list[_Play]:
+    return [
+        _Play(_Ours, SERVERS, 20.7, with_batch=with_batch, gives_way=gives_way, seed=seed).run()
+        for seed in SEEDS
+    ]
+
+
+def _p99(plays: list[_Play]) -> float:
+    values = sorted(value for play in plays for value in play.first_ms)
+    return values[int(len(values) * 0.99)]
--- a/citrondyke/decisions/batch/start_pace.py
+++ b/citrondyke/decisions/batch/start_pace.py
@@ -17,6 +17,8 @@
 
 #: Shortest time in which peers hear of a start: a datagram's way and the look at it.
 SHORTEST_GAP_MS = 5.0
+#: A datagram's way between two availability zones.
+WAY_MS = 1.0
 
 
 class _Budget(msgspec.Struct):
@@ -42,7 +44,7 @@
     @property
     def gap_ms(self) -> float:
         """Give the time after which what was started is known to all neighbours."""
-        return max(SHORTEST_GAP_MS, self._neighbours.gap_ms)
+        return max(SHORTEST_GAP_MS, self._neighbours.gap_ms + WAY_MS)
 
     def take(self, service: ServiceName, free_count: int, *, is_far: bool = False) -> bool:
         """Ask for one start.
