--- a/benchmarks/gateway_load.py
+++ b/benchmarks/gateway_load.py
@@ -20,7 +20,14 @@
 from citrondyke.decisions.forwarding.load_notices import RENEW_MS
 from citrondyke.decisions.forwarding.route import Route, RouteKind, ServiceShare
 from citrondyke.decisions.forwarding.server_book import ServerBook
-from citrondyke.ids import AvailabilityZone, InstanceId, RouteName, ServerId, ServiceName
+from citrondyke.ids import (
+    AvailabilityZone,
+    InstanceId,
+    RouteName,
+    ServerId,
+    ServerLife,
+    ServiceName,
+)
 from citrondyke.util.clock import Clock
 
 __all__ = ('load_figures',)
@@ -325,6 +332,11 @@
                 self._count(instance, state.listed.id, batch=1)
                 self._enter(state.listed.id, _Run(instance, None, ITEM_MS))
 
+    def _life(self, instance: int, server_id: ServerId) -> ServerLife:
+        state = self._policies[instance].book.state(server_id)
+        assert state is not None
+        return state.life
+
     def _cut(self, instance: int, way: GiveWay) -> None:
         runs = [
             (server_id, run)
@@ -333,7 +345,7 @@
             if run.request is None and run.instance == instance
         ]
         items = [
-            RunningItem(number, server_id, run.started_ms, Urgency.PATIENT)
+            RunningItem(number, self._life(instance, server_id), run.started_ms, Urgency.PATIENT)
             for number, (server_id, run) in enumerate(runs)
         ]
         for item in way.to_cut(items):
--- a/citrondyke/decisions/batch/give_way.py
+++ b/citrondyke/decisions/batch/give_way.py
@@ -15,7 +15,7 @@
     from citrondyke.decisions.batch.start_pace import StartPace
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_book import ServerBook
-    from citrondyke.ids import InstanceId, ServerId, ServiceName
+    from citrondyke.ids import InstanceId, ServerLife, ServiceName
 
 __all__ = ('GiveWay', 'RunningItem', 'Urgency', 'urgency')
 
@@ -57,7 +57,7 @@
     """A batch item on a server; the number is its owner's."""
 
     number: int
-    server_id: ServerId
+    life: ServerLife
     started_ms: float
     urgency: Urgency
 
@@ -80,7 +80,7 @@
         self._context = context
         self._book = book
         self._pace = pace
-        self._cut_ms: dict[ServerId, float] = {}
+        self._cut_ms: dict[ServerLife, float] = {}
 
     def choose(self, service: ServiceName, urgency_now: Urgency) -> ServerState | None:
         """Choose the server for an item; ``None`` while all places are needed.
@@ -117,12 +117,12 @@
         nothing, and if each cut a part by chance, online requests would wait for who does.
         """
         now_ms = self._context.now_ms()
-        by_server: dict[ServerId, list[RunningItem]] = {}
+        by_server: dict[ServerLife, list[RunningItem]] = {}
         for item in running:
-            by_server.setdefault(item.server_id, []).append(item)
+            by_server.setdefault(item.life, []).append(item)
         chosen = []
-        for server_id, items in by_server.items():
-            state = self._book.state(server_id)
+        for life, items in by_server.items():
+            state = self._book.of_life(life)
             if state is not None:
                 chosen.extend(self._cut_at(state, items, now_ms))
         return chosen
@@ -131,12 +131,12 @@
         self, state: ServerState, items: list[RunningItem], now_ms: float
     ) -> list[RunningItem]:
         # What the other owners cut is not known yet; cutting again before would be too much.
-        if now_ms - self._cut_ms.get(state.listed.id, float('-inf')) < self._pace.gap_ms:
+        if now_ms - self._cut_ms.get(state.life, float('-inf')) < self._pace.gap_ms:
             return []
         count = self._count_to_cut(state, len(items), now_ms)
         if not count:
             return []
-        self._cut_ms[state.listed.id] = now_ms
+        self._cut_ms[state.life] = now_ms
         order = [Urgency.LATE, Urgency.PATIENT, Urgency.AT_RISK]
         items.sort(key=lambda item: (order.index(item.urgency), -item.started_ms))
         cut = items[:count]
--- a/citrondyke/decisions/forwarding/course.py
+++ b/citrondyke/decisions/forwarding/course.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from citrondyke.decisions.forwarding.route import Route
-    from citrondyke.ids import ServerId
+    from citrondyke.ids import ServerLife
 
 __all__ = ('Course', 'SendOutcome', 'Verdict')
 
@@ -48,19 +48,19 @@
     def __init__(self, route: Route) -> None:
         """Start with nothing sent."""
         self._route = route
-        self.avoid: set[ServerId] = set()
+        self.avoid: set[ServerLife] = set()
         self.sends_count = 0
-        self._ran_at: set[ServerId] = set()
+        self._ran_at: set[ServerLife] = set()
         self._refusals_count = 0
 
-    def note(self, server_id: ServerId, outcome: SendOutcome) -> None:
+    def note(self, life: ServerLife, outcome: SendOutcome) -> None:
         """Take in how a send ended."""
         self.sends_count += 1
-        self.avoid.add(server_id)
+        self.avoid.add(life)
         if outcome in (SendOutcome.NOT_SENT, SendOutcome.REFUSED):
             self._refusals_count += 1
         else:
-            self._ran_at.add(server_id)
+            self._ran_at.add(life)
 
     @property
     def may_send(self) -> bool:
--- a/citrondyke/decisions/forwarding/listed_rows.py
+++ b/citrondyke/decisions/forwarding/listed_rows.py
@@ -11,16 +11,21 @@
 
 Value = TypeVar('Value')
 
-#: Deletions that are remembered; reads lag by seconds, and no fleet replaces so many servers then.
-DELETED_LIMIT = 2_000
+#: Deletions, and lives, that are remembered; reads lag by seconds, and no fleet replaces so many
+#: servers then.
+REMEMBERED_LIMIT = 2_000
 
 
 class SeenRow(msgspec.Struct, Generic[Value], frozen=True):
-    """One row as a read or a feed showed it; ``None`` where it was deleted."""
+    """One row as a read or a feed showed it; ``None`` where it holds nothing to use."""
 
     key: str
     version: int
     value: Value | None
+    #: When the life that wrote it began; ``None`` where it does not say.
+    born_epoch_ms: int | None = None
+    #: It stands in the table, but by another writer, so that it holds nothing to use.
+    is_foreign: bool = False
 
 
 class ListedRows(Generic[Value]):
@@ -40,6 +45,9 @@
         self._rows: dict[str, SeenRow[Value]] = {}
         #: Versions of deletions, so that a late read does not bring a row back.
         self._deleted: dict[str, int] = {}
+        #: The latest life seen of each key. A write of an earlier life may be done seconds late,
+        #: after the next life's; taken in, requests would name a life that is over.
+        self._born: dict[str, int] = {}
         #: Rows to be dropped unless they come back, by the time from which that holds.
         self._missing: dict[str, float] = {}
         self._doubtful_until_ms = 0.0
@@ -84,23 +92,52 @@
 
     def _apply(self, row: SeenRow[Value], now_ms: float) -> None:
         known = self._rows.get(row.key)
-        newest = max(known.version if known else 0, self._deleted.get(row.key, 0))
-        if row.version < newest or (row.version == newest and row.key not in self._missing):
+        if self._is_outdated(row, known):
+            return
+        if row.is_foreign:
+            # Whoever wrote it, the server's own entry is not there any more; an outage of the
+            # store is no reason to believe that it still is.
+            self._remember_deletion(row.key, row.version)
+            self._forget(row.key)
             return
         if row.value is None:
-            self._deleted[row.key] = row.version
+            self._remember_deletion(row.key, row.version)
             if known is not None:
                 self._drop(row.key, row.version, now_ms)
             return
+        if row.born_epoch_ms is not None:
+            self._born[row.key] = row.born_epoch_ms
+            _bound(self._born)
         self._missing.pop(row.key, None)
         self._rows[row.key] = row
 
+    def _is_outdated(self, row: SeenRow[Value], known: SeenRow[Value] | None) -> bool:
+        """Tell whether a row is no news: the order is by life where stated, else by version."""
+        deleted = self._deleted.get(row.key, 0)
+        born, latest_born = row.born_epoch_ms, self._born.get(row.key)
+        if born is not None and latest_born is not None and born != latest_born:
+            return born < latest_born or row.version <= deleted
+        newest = max(known.version if known else 0, deleted)
+        if row.version == newest:
+            return row.key not in self._missing
+        return row.version < newest
+
     def _drop(self, key: str, version: int, now_ms: float) -> None:
-        self._deleted[key] = max(version, self._deleted.get(key, 0))
-        if len(self._deleted) > DELETED_LIMIT:
-            self._deleted.pop(min(self._deleted, key=self._deleted.__getitem__))
+        self._remember_deletion(key, version)
         if now_ms >= self._doubtful_until_ms:
-            self._missing.pop(key, None)
-            self._rows.pop(key, None)
+            self._forget(key)
             return
         self._missing.setdefault(key, self._doubtful_until_ms)
+
+    def _forget(self, key: str) -> None:
+        self._missing.pop(key, None)
+        self._rows.pop(key, None)
+
+    def _remember_deletion(self, key: str, version: int) -> None:
+        self._deleted[key] = max(version, self._deleted.get(key, 0))
+        _bound(self._deleted)
+
+
+def _bound(remembered: dict[str, int]) -> None:
+    if len(remembered) > REMEMBERED_LIMIT:
+        remembered.pop(min(remembered, key=remembered.__getitem__))
--- a/citrondyke/decisions/forwarding/load_notices.py
+++ b/citrondyke/decisions/forwarding/load_notices.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_book import ServerBook
-    from citrondyke.ids import AvailabilityZone, InstanceId, ServerId
+    from citrondyke.ids import AvailabilityZone, InstanceId, ServerLife
 
 __all__ = ('LoadNotices', 'ServerLoad')
 
@@ -44,7 +44,7 @@
         """Start having told nothing."""
         self._context = context
         self._book = book
-        self._told: dict[ServerId, tuple[int, int]] = {}
+        self._told: dict[ServerLife, tuple[int, int]] = {}
         self._renewed_ms = 0.0
         self._sent_ms = float('-inf')
         self._totals_ms = float('-inf')
@@ -63,15 +63,14 @@
         loads = []
         listed = set()
         for state in self._book.states():
-            server_id = state.listed.id
-            listed.add(server_id)
+            listed.add(state.life)
             counts = (state.own.online, state.own.batch)
-            told = self._told.get(server_id, (0, 0))
+            told = self._told.get(state.life, (0, 0))
             if counts != told or (is_renewal and counts != (0, 0)):
-                self._told[server_id] = counts
-                loads.append(ServerLoad(server_digest(server_id), *counts))
-        for server_id in [each for each in self._told if each not in listed]:
-            del self._told[server_id]
+                self._told[state.life] = counts
+                loads.append(ServerLoad(server_digest(state.listed), *counts))
+        for life in [each for each in self._told if each not in listed]:
+            del self._told[life]
         if loads:
             self._sent_ms = now_ms
         return loads
@@ -114,7 +113,7 @@
         self._totals_ms = now_ms
         return [
             ServerLoad(
-                server_digest(state.listed.id),
+                server_digest(state.listed),
                 state.online_count(now_ms),
                 state.batch_count(now_ms),
             )
--- a/citrondyke/decisions/forwarding/server_book.py
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -5,16 +5,19 @@
 from collections.abc import Collection, Iterable
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from citrondyke.decisions.forwarding.neighbours import Neighbours
 from citrondyke.decisions.forwarding.server_state import ServerState
+from citrondyke.ids import ServerId, ServerLife
 from citrondyke.util.hashing import content_bucket, rendezvous_weight
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.listed_backend import ListedBackend
-    from citrondyke.ids import ServerId, ServiceName
+    from citrondyke.ids import ServiceName
 
-__all__ = ('ServerBook', 'server_digest')
+__all__ = ('BookChange', 'ServerBook', 'server_digest')
 
 #: What a server in another availability zone must be better by, in requests: the way there costs
 #: a caller 0.9 to 1.4 ms and bytes between zones cost money, a request ahead costs 30 ms or more.
@@ -32,9 +35,25 @@
 LOOKED_AT = 3
 
 
-def server_digest(server_id: ServerId) -> int:
-    """Shorten a server's id for messages between instances."""
-    return content_bucket(server_id.encode()) & 0xFFFF_FFFF
+def server_digest(listed: ListedBackend) -> int:
+    """Shorten what names a server's life for messages between instances.
+
+    A notice about an earlier life would otherwise count on the next one.
+    """
+    return content_bucket(listed.stated_life.encode()) & 0xFFFF_FFFF
+
+
+class BookChange(msgspec.Struct):
+    """What a new list of servers changed."""
+
+    came: list[ServerId] = []
+    went: list[ServerState] = []
+    #: Lives that are over, as the next one has begun; what is on its way to them is lost.
+    ended: list[ServerState] = []
+
+    def __bool__(self) -> bool:
+        """Tell whether anything changed."""
+        return bool(self.came or self.went or self.ended)
 
 
 class ServerBook:
@@ -44,47 +63,68 @@
         """Start without a server."""
         self._context = context
         self._states: dict[ServerId, ServerState] = {}
+        self._by_life: dict[ServerLife, ServerState] = {}
+        self._lives_count = 0
         self._by_service: dict[ServiceName, list[ServerState]] = {}
         self._by_digest: dict[int, ServerState] = {}
         #: Instances that send to the same servers.
         self.neighbours = Neighbours(context)
 
-    def replace(self, listed: Iterable[ListedBackend]) -> tuple[list[ServerId], list[ServerId]]:
+    def replace(self, listed: Iterable[ListedBackend]) -> BookChange:
         """Take in the list of servers.
 
-        :returns: the ids that came and those that went.
+        A later life of a known server is a server of its own: counts, failures, times and
+        connections of the one before say nothing of it.
         """
+        change = BookChange()
         wanted = {entry.id: entry for entry in listed}
-        came = [server_id for server_id in wanted if server_id not in self._states]
-        went = [server_id for server_id in self._states if server_id not in wanted]
-        for server_id in went:
-            del self._states[server_id]
+        for server_id in [each for each in self._states if each not in wanted]:
+            change.went.append(self._states.pop(server_id))
         for server_id, entry in wanted.items():
             state = self._states.get(server_id)
+            if state is not None and entry.is_later_life_than(state.listed):
+                change.ended.append(self._states.pop(server_id))
+                state = None
             if state is None:
-                self._states[server_id] = ServerState(entry)
+                change.came.append(server_id)
+                self._states[server_id] = ServerState(entry, self._life(entry))
             else:
                 state.listed = entry
-        if came or went:
-            self._by_digest = {server_digest(each): self._states[each] for each in self._states}
+        for state in (*change.went, *change.ended):
+            state.is_gone = True
+        if change:
+            states = self._states.values()
+            self._by_digest = {server_digest(state.listed): state for state in states}
+            self._by_life = {state.life: state for state in states}
         self._by_service = {}
         for state in self._states.values():
             self._by_service.setdefault(state.listed.service, []).append(state)
-        return came, went
+        return change
+
+    def _life(self, entry: ListedBackend) -> ServerLife:
+        """Name a life so that no other one that this instance has seen has its name."""
+        if entry.born_epoch_ms is not None:
+            return entry.stated_life
+        self._lives_count += 1
+        return ServerLife(f'{entry.id}~{self._lives_count}')
 
     def state(self, server_id: ServerId) -> ServerState | None:
         """Give what is believed of a server; ``None`` when it is not listed any more."""
         return self._states.get(server_id)
 
+    def of_life(self, life: ServerLife) -> ServerState | None:
+        """Find a server by its life; ``None`` when that is over."""
+        return self._by_life.get(life)
+
     def by_digest(self, digest: int) -> ServerState | None:
-        """Find a server by the digest of its id."""
+        """Find a server by the digest of its life."""
         return self._by_digest.get(digest)
 
     def states(self) -> Iterable[ServerState]:
         """Give all servers."""
         return self._states.values()
 
-    def usable(self, service: ServiceName, avoid: Collection[ServerId] = ()) -> list[ServerState]:
+    def usable(self, service: ServiceName, avoid: Collection[ServerLife] = ()) -> list[ServerState]:
         """List the servers that take new work.
 
         Ejected ones are left out while others are there; if all are ejected, all count, since a
@@ -94,19 +134,17 @@
         open_ones = [
             state
             for state in self._by_service.get(service, ())
-            if not state.listed.is_leaving
-            and not state.is_misplaced
-            and state.listed.id not in avoid
+            if not state.listed.is_leaving and not state.is_misplaced and state.life not in avoid
         ]
         sound = [state for state in open_ones if state.ejected_until_ms <= now_ms]
         return sound or open_ones
 
     def choose(
-        self, service: ServiceName, avoid: Collection[ServerId], prefix: str
+        self, service: ServiceName, avoid: Collection[ServerLife], prefix: str
     ) -> ServerState | None:
         """Choose the server of an online request; ``None`` when no server takes work.
 
-        :param avoid: servers that had the request already.
+        :param avoid: lives of servers that had the request already.
         :param prefix: names the shared part of its prompt; empty where there is none.
         """
         usable = self.usable(service, avoid)
--- a/citrondyke/decisions/forwarding/server_state.py
+++ b/citrondyke/decisions/forwarding/server_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
-from citrondyke.ids import InstanceId
+from citrondyke.ids import InstanceId, ServerLife
 
 __all__ = ('ServerState', 'WorkCount')
 
@@ -46,11 +46,17 @@
 
 
 class ServerState:
-    """One server: its entry, the requests on it, its times and failures."""
+    """One life of one server: its entry, the requests on it, its times and failures."""
 
-    def __init__(self, listed: ListedBackend) -> None:
-        """Start without a request on it."""
+    def __init__(self, listed: ListedBackend, life: ServerLife) -> None:
+        """Start without a request on it.
+
+        :param life: names this life at this instance.
+        """
         self.listed = listed
+        self.life = life
+        #: It is listed no more, or a later life has begun.
+        self.is_gone = False
         self.own = WorkCount()
         self.failures_count = 0
         self.ejected_until_ms = 0.0
--- a/citrondyke/gateway/beliefs.py
+++ b/citrondyke/gateway/beliefs.py
@@ -9,6 +9,8 @@
 
 from citrondyke.decisions.forwarding.config_holder import ConfigHolder
 from citrondyke.decisions.forwarding.listed_rows import ListedRows, SeenRow
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.unreadable_rows import UnreadableRows
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -17,8 +19,8 @@
     from citrondyke.decisions.forwarding.listed_backend import ListedBackend
     from citrondyke.decisions.forwarding.route_table import RouteTable
     from citrondyke.decisions.forwarding.server_book import ServerBook
+    from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.dependency import Dependency
-    from citrondyke.ids import ServerId
     from citrondyke.storage.partitioned_table import PartRow
 
 __all__ = ('Beliefs', 'RowDecoder')
@@ -44,11 +46,13 @@
         book: ServerBook,
         store: Dependency,
         lapsed_grace_ms: float,
-        on_server_gone: Callable[[ServerId], None],
+        on_server_gone: Callable[[ServerState], None],
+        on_life_over: Callable[[ServerState], None],
     ) -> None:
         """Start believing nothing.
 
         :param on_server_gone: called for each server that is listed no more.
+        :param on_life_over: called for each life of a server that the next one has followed.
         """
         self.config = ConfigHolder()
         self.has_servers = False
@@ -58,30 +62,44 @@
         self._store = store
         self._servers: ListedRows[ListedBackend] = ListedRows(lapsed_grace_ms)
         self._on_server_gone = on_server_gone
+        self._on_life_over = on_life_over
+        self._unreadable_configs = UnreadableRows('configuration')
+        self._unreadable_servers = UnreadableRows('servers')
 
     @property
     def is_complete(self) -> bool:
         """Tell whether requests can be served by them."""
         return self.config.current.version > 0 and self.has_servers
 
-    def on_config_rows(self, rows: Iterable[PartRow]) -> None:
-        """Take in rows of the operator's table."""
-        for row in rows:
-            if row.key == self._decoder.config_key and row.value is not None:
-                self.offer_config(row.value, 'store')
+    def on_config_changes(self, rows: Iterable[PartRow]) -> None:
+        """Take in changes of the operator's table."""
+        self._take_config(rows)
 
     def on_config_listing(self, rows: Iterable[PartRow], _: int) -> None:
         """Take in a read of the operator's table."""
-        self.on_config_rows(rows)
-        self.config.confirm(self._context.now_ms())
+        # One that cannot be read may hold routes that are not known here.
+        if self._take_config(rows):
+            self.config.confirm(self._context.now_ms())
+
+    def _take_config(self, rows: Iterable[PartRow]) -> bool:
+        """Take in configurations; tell whether all were read."""
+        is_read = True
+        for row in rows:
+            if row.key != self._decoder.config_key or row.value is None:
+                continue
+            try:
+                self.offer_config(row.value, 'store')
+            except UnreadableBytesError as error:
+                self._unreadable_configs.note(row.key, row.version, error.message)
+                is_read = False
+        return is_read
 
     def offer_config(self, raw: bytes, source: str) -> None:
-        """Take in a configuration."""
-        try:
-            table = self._decoder.config(raw)
-        except msgspec.DecodeError as error:
-            log.warning('config.unreadable', extra={'source': source, 'detail': str(error)})
-            return
+        """Take in a configuration.
+
+        :raises UnreadableBytesError: when the bytes hold none.
+        """
+        table = self._decoder.config(raw)
         before = self.config.current.version
         age_ms = self.config.age_ms(self._context.now_ms())
         if self.config.offer(table, raw):
@@ -137,19 +155,22 @@
         leaving_before = {
             state.listed.id for state in self._book.states() if state.listed.is_leaving
         }
-        came, went = self._book.replace(listed)
-        for server_id in went:
-            self._on_server_gone(server_id)
+        change = self._book.replace(listed)
+        for state in change.went:
+            self._on_server_gone(state)
+        for state in change.ended:
+            self._on_life_over(state)
         leaving = [
             entry.id for entry in listed if entry.is_leaving and entry.id not in leaving_before
         ]
-        if came or went or leaving:
+        if change or leaving:
             log.info(
                 'servers.changed',
                 extra={
                     'source': source,
-                    'came': came,
-                    'went': went,
+                    'came': change.came,
+                    'went': [state.listed.id for state in change.went],
+                    'lives_over': [state.life for state in change.ended],
                     'leaving': leaving,
                     'count': len(listed),
                     'store_version': self._servers.version,
@@ -157,16 +178,16 @@
             )
 
     def _decoded(self, rows: Iterable[PartRow]) -> list[SeenRow[ListedBackend]]:
-        seen = []
+        seen: list[SeenRow[ListedBackend]] = []
         for row in rows:
-            value = None
-            if row.value is not None:
-                try:
-                    value = self._decoder.server(row.key, row.value)
-                except (msgspec.DecodeError, ValueError) as error:
-                    log.warning(
-                        'server.unreadable', extra={'server_id': row.key, 'detail': str(error)}
-                    )
-                    continue
-            seen.append(SeenRow(row.key, row.version, value))
+            if row.value is None:
+                seen.append(SeenRow(row.key, row.version, None))
+                continue
+            try:
+                server = self._decoder.server(row.key, row.value)
+            except UnreadableBytesError as error:
+                self._unreadable_servers.note(row.key, row.version, error.message)
+                seen.append(SeenRow(row.key, row.version, None, is_foreign=True))
+                continue
+            seen.append(SeenRow(row.key, row.version, server, server.born_epoch_ms))
         return seen
--- a/citrondyke/gateway/connection_pool.py
+++ b/citrondyke/gateway/connection_pool.py
@@ -1,32 +1,35 @@
-"""Idle connections to backend servers, by server."""
+"""Idle connections, by what they lead to."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Hashable
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 if TYPE_CHECKING:
     from citrondyke.gateway.server_connection import ServerConnection
-    from citrondyke.ids import ServerId
     from citrondyke.util.clock import Clock
 
 __all__ = ('ConnectionPool',)
 
 
-class ConnectionPool:
-    """Keeps a few idle connections to each server, the one used last first."""
+Key = TypeVar('Key', bound=Hashable)
+
+
+class ConnectionPool(Generic[Key]):
+    """Keeps a few idle connections to each target, the one used last first."""
 
     def __init__(self, clock: Clock, idle_limit: int) -> None:
         """Start empty.
 
-        :param idle_limit: idle connections kept to each server.
+        :param idle_limit: idle connections kept to each target.
         """
         self._clock = clock
         self._idle_limit = idle_limit
-        self._idle: dict[ServerId, list[ServerConnection]] = {}
+        self._idle: dict[Key, list[ServerConnection]] = {}
 
-    def take(self, server_id: ServerId) -> ServerConnection | None:
+    def take(self, target: Key) -> ServerConnection | None:
         """Take an idle connection that still looks good; ``None`` where there is none."""
-        idle = self._idle.get(server_id)
+        idle = self._idle.get(target)
         now_ms = self._clock.now_ms()
         while idle:
             connection = idle.pop()
@@ -35,15 +38,15 @@
             connection.close()
         return None
 
-    def give(self, server_id: ServerId, connection: ServerConnection) -> None:
+    def give(self, target: Key, connection: ServerConnection) -> None:
         """Give a connection back; one that may not be used again is closed."""
-        idle = self._idle.setdefault(server_id, [])
+        idle = self._idle.setdefault(target, [])
         if not connection.may_keep or len(idle) >= self._idle_limit:
             connection.close()
             return
         idle.append(connection)
 
-    def drop(self, server_id: ServerId) -> None:
-        """Close all idle connections to a server."""
-        for connection in self._idle.pop(server_id, []):
+    def drop(self, target: Key) -> None:
+        """Close all idle connections to a target."""
+        for connection in self._idle.pop(target, []):
             connection.close()
--- a/citrondyke/gateway/followers.py
+++ b/citrondyke/gateway/followers.py
@@ -35,7 +35,7 @@
     :param pace: gives the factor by which calls are rarer than in a small fleet.
     """
     for name, on_rows, on_listing in (
-        (outside.config_table, beliefs.on_config_rows, beliefs.on_config_listing),
+        (outside.config_table, beliefs.on_config_changes, beliefs.on_config_listing),
         (outside.servers_table, beliefs.on_server_rows, beliefs.on_server_listing),
     ):
         TableFollower(
--- a/citrondyke/gateway/forwarder.py
+++ b/citrondyke/gateway/forwarder.py
@@ -170,12 +170,12 @@
             raise
         finally:
             if connection is not None:
-                self._sends.pool.give(state.listed.id, connection)
+                self._sends.release(state, connection)
             if is_good:
                 self._rule.note_stay(forwarding.route, self._context.now_ms() - started_ms)
                 state.note_success()
             else:
-                forwarding.course.note(state.listed.id, outcome)
+                forwarding.course.note(state.life, outcome)
                 self._log.send_failed(forwarding, state, outcome, detail, started_ms)
 
     def _write_request(
--- a/citrondyke/gateway/http_client.py
+++ b/citrondyke/gateway/http_client.py
@@ -9,7 +9,6 @@
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.gateway.connection_pool import ConnectionPool
 from citrondyke.gateway.server_connection import open_connection
-from citrondyke.ids import ServerId
 
 if TYPE_CHECKING:
     from citrondyke.gateway.server_connection import Headers, ServerConnection
@@ -59,8 +58,8 @@
         self._clock = clock
         self._ip = ip
         self._port = port
-        self._name = ServerId(f'{ip}:{port}')
-        self._pool = ConnectionPool(clock, IDLE_LIMIT)
+        self._name = f'{ip}:{port}'
+        self._pool: ConnectionPool[str] = ConnectionPool(clock, IDLE_LIMIT)
 
     def move(self, ip: str, port: int) -> None:
         """Use another address from now on."""
@@ -68,7 +67,7 @@
             return
         self._pool.drop(self._name)
         self._ip, self._port = ip, port
-        self._name = ServerId(f'{ip}:{port}')
+        self._name = f'{ip}:{port}'
 
     def call(
         self, method: str, target: str, body: bytes, headers: Headers, timeout_ms: float
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -85,7 +85,8 @@
             self.book,
             self._store,
             settings.lapsed_grace_ms,
-            self._sends.pool.drop,
+            self._sends.forget,
+            self._sends.end_life,
         )
         forwarder = Forwarder(
             self.context,
--- a/citrondyke/gateway/item_sender.py
+++ b/citrondyke/gateway/item_sender.py
@@ -46,7 +46,7 @@
         try:
             return self._exchange(connection, progress, host, state)
         finally:
-            self._sends.pool.give(state.listed.id, connection)
+            self._sends.release(state, connection)
 
     def _exchange(
         self,
--- a/citrondyke/gateway/job_keeper.py
+++ b/citrondyke/gateway/job_keeper.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from citrondyke.decisions.batch.owned_job import OwnedJob
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.change_feed import ChangeFeed
 from citrondyke.gateway.job_rows import (
     HEAD_KEY,
@@ -18,6 +19,8 @@
     StoredHead,
     decode_head,
 )
+from citrondyke.gateway.pauses import retry_ms
+from citrondyke.gateway.unreadable_rows import UnreadableRows
 from citrondyke.ids import JobId
 from citrondyke.storage.failure import PlatformFailure
 
@@ -39,7 +42,6 @@
 #: How often the open jobs are listed beside the feed.
 LIST_EVERY_MS = 3_000.0
 LOOK_EVERY_MS = 250.0
-LOAD_RETRY_MS = 150.0
 
 
 class JobKeeper:
@@ -71,6 +73,7 @@
         self._tasks = tasks
         self._open: dict[JobId, StoredHead] = {}
         self._claiming: set[JobId] = set()
+        self._unreadable = UnreadableRows(HEADS_TABLE)
         self._pace = pace
         self._feed = ChangeFeed(
             context, table, HEADS_TABLE, pace, self._take_rows, self._newest_version
@@ -95,8 +98,8 @@
             return
         try:
             head = decode_head(row.value)
-        except msgspec.DecodeError as error:
-            log.warning('head.unreadable', extra={'job_id': row.part, 'detail': str(error)})
+        except UnreadableBytesError as error:
+            self._unreadable.note(row.part, row.version, error.message)
             return
         self._take(StoredHead(head, row.version))
 
@@ -188,6 +191,7 @@
         """Read what is durable; nothing from before the claim is good enough."""
         head = claimed.head
         self._open[head.job_id] = claimed
+        failures_count = 0
         while not self._owned.is_stopping:
             items = self.store.items(head)
             results = self.store.results(head.job_id, 0, claimed.version)
@@ -197,7 +201,8 @@
                 or isinstance(results, PlatformFailure)
                 or isinstance(progress, PlatformFailure)
             ):
-                gevent.sleep(LOAD_RETRY_MS / 1e3)
+                failures_count += 1
+                gevent.sleep(retry_ms(failures_count) / 1e3)
                 continue
             job = OwnedJob(head, claimed.version, items, results)
             for each in progress:
--- a/citrondyke/gateway/job_removal.py
+++ b/citrondyke/gateway/job_removal.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.job_rows import (
     COMMIT_ROWS,
     HEAD_KEY,
@@ -16,6 +17,7 @@
     StoredResult,
     items_object,
     unpack,
+    unreadable_rows,
     verdict_of,
 )
 from citrondyke.ids import JobId, ObjectKey
@@ -87,6 +89,10 @@
     def _delete_object(self, table: str, row: PartRow) -> None:
         if table != RESULTS_TABLE:
             return
-        stored = unpack(row.value or b'', StoredResult)
+        try:
+            stored = unpack(row.value or b'', StoredResult)
+        except UnreadableBytesError as error:
+            unreadable_rows.note(f'{table}/{row.part}/{row.key}', row.version, error.message)
+            return
         if stored.object_key:
             self._objects.delete(ObjectKey(stored.object_key))
--- a/citrondyke/gateway/job_rows.py
+++ b/citrondyke/gateway/job_rows.py
@@ -9,9 +9,12 @@
 import zstandard
 
 from citrondyke.decisions.batch.job import ItemState, JobHead
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.unreadable_rows import UnreadableRows
 from citrondyke.ids import JobId, ObjectKey
 from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
 from citrondyke.storage.partitioned_table import PartRow, RowPut
+from citrondyke.util.decoding import decode_json, decode_msgpack, decompress
 
 if TYPE_CHECKING:
     from citrondyke.decisions.batch.owned_job import ItemProgress
@@ -31,11 +34,15 @@
     'progress_put',
     'stored_head',
     'unpack',
+    'unreadable_rows',
     'verdict_of',
 )
 
 Unpacked = TypeVar('Unpacked')
 
+#: Of the tables of jobs, whoever reads them.
+unreadable_rows = UnreadableRows('jobs')
+
 HEADS_TABLE = 'jobs'
 HEAD_KEY = 'head'
 #: A row in it says that a job is open; its parts are the open jobs.
@@ -111,9 +118,9 @@
 def decode_head(value: bytes) -> JobHead:
     """Decode a head's row.
 
-    :raises msgspec.DecodeError: when it is none.
+    :raises UnreadableBytesError: when it is none.
     """
-    return msgspec.json.decode(value, type=JobHead)
+    return decode_json(value, JobHead)
 
 
 def head_put(head: JobHead) -> RowPut:
@@ -121,9 +128,15 @@
     return RowPut(HEADS_TABLE, HEAD_KEY, msgspec.json.encode(head))
 
 
-def stored_head(row: PartRow) -> StoredHead:
-    """Read a head's row."""
-    return StoredHead(decode_head(row.value or b''), row.version)
+def stored_head(row: PartRow | None) -> StoredHead | NoJob:
+    """Read a head's row; one that cannot be read says nothing of whether there is such a job."""
+    if row is None or row.value is None:
+        return NoJob(NoJobReason.UNKNOWN)
+    try:
+        return StoredHead(decode_head(row.value), row.version)
+    except UnreadableBytesError as error:
+        unreadable_rows.note(f'{HEADS_TABLE}/{row.part}', row.version, error.message)
+        return NoJob(NoJobReason.UNSURE)
 
 
 def progress_put(progress: ItemProgress, limit_bytes: int) -> RowPut:
@@ -164,6 +177,8 @@
 
 
 def unpack(value: bytes, kind: type[Unpacked]) -> Unpacked:
-    """Decode a value."""
-    raw = zstandard.ZstdDecompressor().decompress(value, max_output_size=UNPACKED_LIMIT_BYTES)
-    return msgspec.msgpack.decode(raw, type=kind)
+    """Decode a value.
+
+    :raises UnreadableBytesError: when it is none of this kind.
+    """
+    return decode_msgpack(decompress(value, UNPACKED_LIMIT_BYTES), kind)
--- a/citrondyke/gateway/job_runner.py
+++ b/citrondyke/gateway/job_runner.py
@@ -28,7 +28,7 @@
     from citrondyke.gateway.owned_jobs import OwnedJobs
     from citrondyke.gateway.server_sends import ServerSends
     from citrondyke.gateway.tasks import Tasks
-    from citrondyke.ids import ServerId, ServiceName
+    from citrondyke.ids import ServiceName
 
 __all__ = ('JobRunner',)
 
@@ -41,7 +41,7 @@
 class _Run(msgspec.Struct, frozen=True, eq=False):
     job: OwnedJob
     progress: ItemProgress
-    server_id: ServerId
+    state: ServerState
     started_ms: float
     greenlet: gevent.Greenlet
 
@@ -98,7 +98,7 @@
         running = [
             RunningItem(
                 number,
-                run.server_id,
+                run.state.life,
                 run.started_ms,
                 self._urgency(run.job, run.progress, epoch_ms),
             )
@@ -112,7 +112,7 @@
                 extra={
                     'job_id': run.job.head.job_id,
                     'item_id': run.progress.item.id,
-                    'server_id': item.server_id,
+                    'server_id': run.state.listed.id,
                     'urgency': item.urgency.value,
                 },
             )
@@ -193,7 +193,7 @@
         number = self._runs_count
         started_ms = self._context.now_ms()
         greenlet = self._tasks.spawn(self._run_item, number, job, progress, state)
-        self._runs[number] = _Run(job, progress, state.listed.id, started_ms, greenlet)
+        self._runs[number] = _Run(job, progress, state, started_ms, greenlet)
 
     def _run_item(
         self, number: int, job: OwnedJob, progress: ItemProgress, state: ServerState
--- a/citrondyke/gateway/job_store.py
+++ b/citrondyke/gateway/job_store.py
@@ -7,18 +7,17 @@
 import msgspec
 
 from citrondyke.decisions.batch.job import ItemResult, JobHead, JobItem
+from citrondyke.gateway.job_contents import JobContents
 from citrondyke.gateway.job_rows import (
     COMMIT_ROWS,
     HEAD_KEY,
     HEADS_TABLE,
     ITEMS_TABLE,
     OPEN_TABLE,
-    PROGRESS_TABLE,
     RESULTS_TABLE,
     CommitVerdict,
     NoJob,
     NoJobReason,
-    SavedProgress,
     StoredHead,
     StoredResult,
     head_put,
@@ -27,11 +26,10 @@
     position_key,
     progress_put,
     stored_head,
-    unpack,
     verdict_of,
 )
 from citrondyke.ids import InstanceId, JobId, ObjectKey
-from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
+from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import (
     PartCommitted,
     PartConflict,
@@ -46,7 +44,7 @@
 
     from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
     from citrondyke.storage.object_store import ObjectStore
-    from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
+    from citrondyke.storage.partitioned_table import PartitionedTable
 
 __all__ = ('JobStore',)
 
@@ -56,11 +54,10 @@
 ROW_MARGIN_BYTES = 1_024
 #: A version that no row ever has: the conflict that it brings is a read that is never stale.
 IMPOSSIBLE_VERSION = 2**53
-UNKNOWN_JOB = NoJob(NoJobReason.UNKNOWN)
 UNSURE = NoJob(NoJobReason.UNSURE)
 
 
-class JobStore:
+class JobStore(JobContents):
     """Reads and writes jobs; every call tells what is certain."""
 
     def __init__(self, table: PartitionedTable, objects: ObjectStore, row_bytes: int) -> None:
@@ -68,8 +65,7 @@
 
         :param row_bytes: largest value of a row.
         """
-        self._table = table
-        self._objects = objects
+        super().__init__(table, objects)
         self._row_bytes = row_bytes - ROW_MARGIN_BYTES
 
     @property
@@ -100,8 +96,8 @@
         if isinstance(answer, PartCommitted):
             return StoredHead(head, answer.version)
         if isinstance(answer, PartConflict):
-            row = answer.row(HEADS_TABLE, HEAD_KEY)
-            return stored_head(row) if row is not None else CommitVerdict.IN_DOUBT
+            found = stored_head(answer.row(HEADS_TABLE, HEAD_KEY))
+            return found if isinstance(found, StoredHead) else CommitVerdict.IN_DOUBT
         return verdict_of(answer)
 
     def head(self, job_id: JobId) -> StoredHead | NoJob:
@@ -110,10 +106,7 @@
         answer = self._table.transact(wanted)
         if not isinstance(answer, PartConflict):
             return UNSURE
-        row = answer.row(HEADS_TABLE, HEAD_KEY)
-        if row is None or row.value is None:
-            return UNKNOWN_JOB
-        return stored_head(row)
+        return stored_head(answer.row(HEADS_TABLE, HEAD_KEY))
 
     def read_head(self, job_id: JobId) -> StoredHead | NoJob:
         """Read a job's head as it stands, or as it stood some seconds ago."""
@@ -134,50 +127,13 @@
         if isinstance(answer, PartCommitted):
             return StoredHead(head, answer.version)
         if isinstance(answer, PartConflict):
-            row = answer.row(HEADS_TABLE, HEAD_KEY)
+            found = stored_head(answer.row(HEADS_TABLE, HEAD_KEY))
             # A lost reply: the row already is what this write makes it.
-            if row is not None and row.value is not None and stored_head(row).head == head:
-                return stored_head(row)
+            if isinstance(found, StoredHead) and found.head == head:
+                return found
             return CommitVerdict.FENCED
         return verdict_of(answer)
 
-    def items(self, head: JobHead) -> list[JobItem] | PlatformFailure:
-        """Read a job's items."""
-        if head.in_objects:
-            packed = self._objects.get(items_object(head.job_id))
-            if isinstance(packed, PlatformFailure):
-                return packed
-            return unpack(packed, list[JobItem])
-        rows = self._rows(ITEMS_TABLE, head.job_id)
-        if isinstance(rows, PlatformFailure):
-            return rows
-        if len(rows) < head.chunks_count:
-            # A read from before the acceptance; the next one shows them.
-            return PlatformFailure(PlatformFailureReason.UNAVAILABLE)
-        return unpack(b''.join(row.value or b'' for row in rows), list[JobItem])
-
-    def results(
-        self, job_id: JobId, after: int, at_least_version: int = 0
-    ) -> list[ItemResult] | PlatformFailure:
-        """Read results from a position on.
-
-        :param at_least_version: a read from before this version is not good enough.
-        """
-        rows = self._rows(
-            RESULTS_TABLE, job_id, position_key(after) if after else '', at_least_version
-        )
-        if isinstance(rows, PlatformFailure):
-            return rows
-        found = []
-        for position, row in enumerate(rows, after):
-            if row.key != position_key(position):
-                break
-            result = self._result(row)
-            if isinstance(result, PlatformFailure):
-                return result
-            found.append(result)
-        return found
-
     def commit(self, job: OwnedJob, results: Sequence[ItemResult]) -> CommitVerdict:
         """Make results durable at the next positions, if the job is still this owner's.
 
@@ -244,13 +200,6 @@
             return CommitVerdict.DONE
         return CommitVerdict.FENCED if isinstance(answer, PartConflict) else verdict_of(answer)
 
-    def progress(self, job_id: JobId) -> list[SavedProgress] | PlatformFailure:
-        """Read the progress that an earlier owner left."""
-        rows = self._rows(PROGRESS_TABLE, job_id)
-        if isinstance(rows, PlatformFailure):
-            return rows
-        return [unpack(row.value or b'', SavedProgress) for row in rows]
-
     def open_jobs(self) -> list[JobId] | PlatformFailure:
         """List the open jobs; the list may be some seconds old."""
         listed = self._table.parts_all(OPEN_TABLE)
@@ -271,31 +220,12 @@
             row = conflict.row(put.table, put.key)
             if row is None or row.value != put.value:
                 return CommitVerdict.FENCED
-        row = conflict.row(HEADS_TABLE, HEAD_KEY)
-        if row is None or stored_head(row).head != head:
+        found = stored_head(conflict.row(HEADS_TABLE, HEAD_KEY))
+        if not isinstance(found, StoredHead) or found.head != head:
             return CommitVerdict.FENCED
-        job.committed(list(results), row.version if head.is_done else None)
+        job.committed(list(results), found.version if head.is_done else None)
         return CommitVerdict.DONE
 
-    def _rows(
-        self, table: str, job_id: JobId, from_key: str = '', at_least_version: int = 0
-    ) -> tuple[PartRow, ...] | PlatformFailure:
-        listing = self._table.read_all(table, job_id, from_key)
-        if isinstance(listing, PlatformFailure):
-            return listing
-        if listing.version < at_least_version:
-            return PlatformFailure(PlatformFailureReason.UNAVAILABLE)
-        return listing.rows
-
-    def _result(self, row: PartRow) -> ItemResult | PlatformFailure:
-        stored = unpack(row.value or b'', StoredResult)
-        if not stored.object_key:
-            return ItemResult(stored.id, stored.state, stored.text)
-        packed = self._objects.get(ObjectKey(stored.object_key))
-        if isinstance(packed, PlatformFailure):
-            return packed
-        return ItemResult(stored.id, stored.state, unpack(packed, str))
-
     def _result_value(
         self, job_id: JobId, position: int, result: ItemResult
     ) -> bytes | PlatformFailure:
--- a/citrondyke/gateway/membership.py
+++ b/citrondyke/gateway/membership.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import gevent
 import logbook
 import msgspec
 
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.unreadable_rows import UnreadableRows
 from citrondyke.ids import AvailabilityZone, InstanceId
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import (
@@ -17,6 +19,7 @@
     RowPut,
     RowRemoval,
 )
+from citrondyke.util.decoding import decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -39,12 +42,16 @@
 ROW_GONE_MS = 60_000.0
 
 
+#: Peers are called by IP; anything else would be looked up as a name.
+IP_PATTERN = r'^\d{1,3}(\.\d{1,3}){3}$'
+
+
 class Heartbeat(msgspec.Struct, frozen=True):
     """An instance's row."""
 
     life: str
-    ip: str
-    peer_port: int
+    ip: Annotated[str, msgspec.Meta(pattern=IP_PATTERN)]
+    peer_port: Annotated[int, msgspec.Meta(ge=1, le=65_535)]
     zone: AvailabilityZone
     number: int
 
@@ -71,6 +78,7 @@
         self._live = live
         self._number = 0
         self._is_leaving = False
+        self._unreadable = UnreadableRows(INSTANCES_TABLE)
         #: Peers by id, this instance left out.
         self.peers: dict[InstanceId, Heartbeat] = {}
 
@@ -92,9 +100,9 @@
                 self._forget(instance_id)
                 continue
             try:
-                beat = msgspec.json.decode(row.value, type=Heartbeat)
-            except msgspec.DecodeError as error:
-                log.warning('heartbeat.unreadable', extra={'of': row.key, 'detail': str(error)})
+                beat = decode_json(row.value, Heartbeat)
+            except UnreadableBytesError as error:
+                self._unreadable.note(row.key, row.version, error.message)
                 continue
             is_news = self._live.note(instance_id, beat.life, row.version)
             if is_news and instance_id != self._context.instance_id:
--- a/citrondyke/gateway/peers.py
+++ b/citrondyke/gateway/peers.py
@@ -30,6 +30,7 @@
 from citrondyke.gateway.sockets import connect, tune
 from citrondyke.ids import InstanceId
 from citrondyke.storage.failure import PlatformFailureReason
+from citrondyke.util.decoding import decode_msgpack
 from citrondyke.util.frames import read_frame, write_frame
 
 if TYPE_CHECKING:
@@ -137,7 +138,7 @@
             try:
                 message = self._exchange(beat.ip, data)
                 if isinstance(message.text, StoreAnswerData):
-                    answer = msgspec.msgpack.decode(message.text.data, type=StoreAnswer)
+                    answer = decode_msgpack(message.text.data, StoreAnswer)
                     if answer.failure is not PlatformFailureReason.UNAVAILABLE:
                         return answer
             except BrokenReplyError as error:
@@ -205,7 +206,7 @@
         try:
             message = self._exchange(ip, KnowledgeWanted())
             if isinstance(message.text, KnowledgeData):
-                self._take(ip, msgspec.msgpack.decode(message.text.data, type=Knowledge))
+                self._take(ip, decode_msgpack(message.text.data, Knowledge))
         except (BrokenReplyError, OSError, ValueError) as error:
             log.info('peer.silent', extra={'ip': ip, 'detail': str(error)[:200]})
         finally:
@@ -242,7 +243,7 @@
                 data = msgspec.msgpack.encode(self._knowledge())
                 self._write_frame(sock, KnowledgeData(data))
             elif isinstance(message.text, StoreCallData):
-                call: StoreCall = msgspec.msgpack.decode(message.text.data, type=StoreCall)
+                call: StoreCall = decode_msgpack(message.text.data, StoreCall)  # type: ignore[arg-type]
                 answer = self._perform(call)
                 self._write_frame(sock, StoreAnswerData(msgspec.msgpack.encode(answer)))
         except (OSError, ValueError) as error:
--- a/citrondyke/gateway/server_connection.py
+++ b/citrondyke/gateway/server_connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+from socket import SHUT_RDWR
 from typing import TYPE_CHECKING
 
 import gevent
@@ -160,6 +162,11 @@
         # Either the end of the connection or bytes that nobody asked for.
         return False
 
+    def sever(self) -> None:
+        """End it for whoever waits for an answer on it; that one closes it."""
+        with suppress(OSError):
+            self._sock.shutdown(SHUT_RDWR)
+
     def close(self) -> None:
         """Close; a server drops what it still does for it."""
         if self._writer is not None:
--- a/citrondyke/gateway/server_sends.py
+++ b/citrondyke/gateway/server_sends.py
@@ -18,7 +18,7 @@
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.dialect import Dialect, ReplyFacts
     from citrondyke.gateway.server_connection import ReplyHead, ServerConnection
-    from citrondyke.ids import RequestId
+    from citrondyke.ids import RequestId, ServerLife
     from citrondyke.util.clock import Clock
 
 __all__ = ('OpenReply', 'ServerSends')
@@ -47,7 +47,8 @@
         self._clock = clock
         self._dialect = dialect
         self._on_change = on_change
-        self.pool = ConnectionPool(clock, IDLE_PER_SERVER)
+        self._idle: ConnectionPool[ServerLife] = ConnectionPool(clock, IDLE_PER_SERVER)
+        self._in_use: dict[ServerLife, set[ServerConnection]] = {}
 
     @contextmanager
     def place(self, state: ServerState) -> Iterator[None]:
@@ -80,18 +81,43 @@
             after a cut on it.
         :raises BrokenReplyError: of kind ``NO_CONNECTION``: nothing was sent.
         """
-        listed = state.listed
-        kept = None if only_new else self.pool.take(listed.id)
-        if kept is not None:
-            return kept
-        left_ms = min(CONNECT_MS, until_ms - self._clock.now_ms())
-        try:
-            connection = open_connection(self._clock, listed.ip, listed.port, left_ms)
-        except BrokenReplyError:
-            state.note_unreachable(self._clock.now_ms())
-            raise
+        connection = None if only_new else self._idle.take(state.life)
+        if connection is None:
+            left_ms = min(CONNECT_MS, until_ms - self._clock.now_ms())
+            listed = state.listed
+            try:
+                connection = open_connection(self._clock, listed.ip, listed.port, left_ms)
+            except BrokenReplyError:
+                state.note_unreachable(self._clock.now_ms())
+                raise
+        self._in_use.setdefault(state.life, set()).add(connection)
         return connection
 
+    def release(self, state: ServerState, connection: ServerConnection) -> None:
+        """Keep a connection for the next request where it may be used again, else close it."""
+        in_use = self._in_use.get(state.life, set())
+        in_use.discard(connection)
+        if not in_use:
+            self._in_use.pop(state.life, None)
+        if state.is_gone:
+            connection.close()
+        else:
+            self._idle.give(state.life, connection)
+
+    def forget(self, state: ServerState) -> None:
+        """Close the idle connections to a server that is listed no more; it may still answer."""
+        self._idle.drop(state.life)
+
+    def end_life(self, state: ServerState) -> None:
+        """Break off what is on its way to a life that is over.
+
+        Behind a cut nothing tells the callers' side that the server has crashed: without this
+        they would wait for answers that never come until their own timeouts.
+        """
+        self._idle.drop(state.life)
+        for connection in self._in_use.get(state.life, ()):
+            connection.sever()
+
     def read_reply(
         self,
         state: ServerState,
--- a/citrondyke/ids.py
+++ b/citrondyke/ids.py
@@ -15,6 +15,7 @@
     'RouteName',
     'RowKey',
     'ServerId',
+    'ServerLife',
     'ServiceName',
     'SessionId',
     'TargetName',
@@ -33,6 +34,8 @@
 RouteName = NewType('RouteName', str)
 RowKey = NewType('RowKey', str)
 ServerId = NewType('ServerId', str)
+#: One life of one backend server, which may start again under its id.
+ServerLife = NewType('ServerLife', str)
 ServiceName = NewType('ServiceName', str)
 #: One life of one instance: ``<instance>#<epoch>``.
 SessionId = NewType('SessionId', str)
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -11,6 +11,7 @@
 
 from citrondyke.decisions.batch.job import JobItem
 from citrondyke.errors import InvalidFieldError
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.dialect import (
     CallFacts,
     Dialect,
@@ -20,6 +21,7 @@
     ReplyFacts,
 )
 from citrondyke.ids import JobId, RequestId, ServerId
+from citrondyke.util.decoding import decode_json
 
 if TYPE_CHECKING:
     from citrondyke.gateway.caller_connection import CallerRequest
@@ -165,7 +167,7 @@
     def job_items(self, body: bytes) -> list[JobItem]:
         """Read the items of a submitted job."""
         try:
-            job = msgspec.json.decode(body, type=_Job)
+            job = decode_json(body, _Job)
             return [
                 JobItem(
                     id=item.id,
@@ -176,7 +178,7 @@
                 )
                 for item in job.requests
             ]
-        except (msgspec.DecodeError, binascii.Error) as error:
+        except (UnreadableBytesError, binascii.Error) as error:
             raise InvalidFieldError(f'requests: {error}') from error
 
     def job_page(self, page: JobPage) -> bytes:
--- a/citrondyke/platform/rows.py
+++ b/citrondyke/platform/rows.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
+from typing import Annotated, Literal
+
 import msgspec
 
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.route import Route, RouteKind, RouteLimits, ServiceShare
 from citrondyke.decisions.forwarding.route_table import RouteTable
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.ids import AvailabilityZone, ConfigVersion, RouteName, ServerId, ServiceName
+from citrondyke.util.decoding import decode_json
 
 __all__ = ('CONFIG_KEY', 'CONFIG_TABLE', 'SERVERS_TABLE', 'decode_config', 'decode_server')
 
@@ -21,6 +27,14 @@
     'streaming': RouteKind.STREAM,
     'batch': RouteKind.BATCH,
 }
+#: Ids go into a header as they are: printable ASCII, up to the length of a key.
+ID_PATTERN = re.compile(r'[!-~]{1,200}')
+#: What a counter on the wire between instances holds.
+Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+#: Places of a server: counts of requests on it are 16 bits wide on that wire.
+Slots = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
+PORT_LIMIT = 65_535
 
 
 class _Share(msgspec.Struct, frozen=True):
@@ -44,6 +58,8 @@
     completion_slo_ms: float = 0.0
     #: Not a wait of a caller: how old an item may grow before it may be abandoned.
     max_wait_s: float = 0.0
+    #: Not requests but tokens that may wait on the route; 0 is no limit.
+    max_count: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -56,25 +72,31 @@
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: Counter
     routes: list[_Route] = []
     limits: _Limits = _Limits()
 
 
 class _Server(msgspec.Struct, frozen=True):
-    service: str
+    service: NonEmpty
     address: str
-    zone: str
-    slots: int = 1
-    state: str = 'ready'
+    zone: NonEmpty
+    version: str
+    slots: Slots
+    state: Literal['ready', 'draining']
+    cold_left_ms: float
+    #: Of this life's writes.
+    seq: Counter
+    #: Start of this life, in Unix ms; stated on some deployments only.
+    born: Counter | msgspec.UnsetType = msgspec.UNSET
 
 
 def decode_config(value: bytes) -> RouteTable:
     """Decode the operator's configuration.
 
-    :raises msgspec.DecodeError: when it is none.
+    :raises UnreadableBytesError: when it is none.
     """
-    config = msgspec.json.decode(value, type=_Config)
+    config = decode_json(value, _Config)
     limits = config.limits
     return RouteTable(
         ConfigVersion(config.version),
@@ -91,22 +113,39 @@
 def decode_server(key: str, value: bytes) -> ListedBackend:
     """Decode a backend server's row.
 
-    :raises msgspec.DecodeError: when it is none.
-    :raises ValueError: when its address is none.
+    An entry with a field missing, of another type or out of range was not written by a server:
+    requests sent to what it names would be lost, or would run at whoever is there.
+
+    :raises UnreadableBytesError: when it is none.
     """
-    server = msgspec.json.decode(value, type=_Server)
-    ip, _, port = server.address.rpartition(':')
+    if not ID_PATTERN.fullmatch(key):
+        raise UnreadableBytesError(f'the key {key!r} is no id')
+    server = decode_json(value, _Server)
+    ip, port = _address(server.address)
     return ListedBackend(
         id=ServerId(key),
         service=ServiceName(server.service),
         ip=ip,
-        port=int(port),
+        port=port,
         zone=AvailabilityZone(server.zone),
         slots_count=server.slots,
-        is_leaving=server.state != 'ready',
+        is_leaving=server.state == 'draining',
+        born_epoch_ms=None if server.born is msgspec.UNSET else server.born,
+        seq=server.seq,
     )
 
 
+def _address(text: str) -> tuple[str, int]:
+    ip, _, port = text.rpartition(':')
+    try:
+        ipaddress.IPv4Address(ip)
+    except ValueError as error:
+        raise UnreadableBytesError(f'address: {error}') from error
+    if not (port.isascii() and port.isdigit() and 1 <= int(port) <= PORT_LIMIT):
+        raise UnreadableBytesError(f'address: port {port!r}')
+    return ip, int(port)
+
+
 def _route(route: _Route) -> Route:
     split = route.split or [_Share(route.service)]
     return Route(
@@ -122,4 +161,5 @@
         is_resumable=route.resumable,
         completion_target_ms=route.completion_slo_ms,
         item_wait_ms=route.max_wait_s * 1e3,
+        waiting_tokens_limit=route.max_count,
     )
--- a/citrondyke/platform/store_client.py
+++ b/citrondyke/platform/store_client.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import base64
+import binascii
 from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import quote, urlencode
 
+import logbook
 import msgspec
 
 from citrondyke.errors.broken_reply import BreakKind
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.http_client import HttpAnswer, HttpClient, HttpFailure
 from citrondyke.ids import ObjectKey
 from citrondyke.storage.failure import (
@@ -29,6 +32,7 @@
     PartRow,
     PartTransaction,
 )
+from citrondyke.util.decoding import decode_json
 
 if TYPE_CHECKING:
     from citrondyke.gateway.server_connection import Headers
@@ -37,6 +41,8 @@
 
 Decoded = TypeVar('Decoded')
 
+log = logbook.Logger(__name__)
+
 JSON: Headers = [(b'Content-Type', b'application/json')]
 PRECONDITION_FAILED = 412
 GONE = 410
@@ -45,6 +51,8 @@
 INSUFFICIENT_STORAGE = 507
 NOT_FOUND = 404
 OK = 200
+#: Stands for bytes that were no base64: neither JSON, MessagePack nor compressed.
+UNREADABLE_VALUE = b'\xc1'
 
 
 class _Row(msgspec.Struct, omit_defaults=True):
@@ -200,8 +208,9 @@
         failure = _failure(answer)
         return AMBIGUOUS if failure is None else failure
     try:
-        return msgspec.json.decode(answer.body, type=kind)
-    except msgspec.DecodeError:
+        return decode_json(answer.body, kind)
+    except UnreadableBytesError as error:
+        log.warning('store.unreadable', extra={'detail': error.message})
         return AMBIGUOUS
 
 
@@ -226,5 +235,14 @@
 
 
 def _from_row(row: _Row) -> PartRow:
-    value = None if row.deleted or row.value is None else base64.b64decode(row.value)
-    return PartRow(row.table, row.part, row.key, row.ver or 0, value)
+    return PartRow(row.table, row.part, row.key, row.ver or 0, _value(row))
+
+
+def _value(row: _Row) -> bytes | None:
+    if row.deleted or row.value is None:
+        return None
+    try:
+        return base64.b64decode(row.value, validate=True)
+    except (binascii.Error, ValueError):
+        # One row must not hide the others of its answer; no reader takes this for a value.
+        return UNREADABLE_VALUE
--- a/citrondyke/storage/failure.py
+++ b/citrondyke/storage/failure.py
@@ -22,6 +22,8 @@
     HISTORY_LOST = 'history_lost'
     #: The store takes nothing more.
     FULL = 'full'
+    #: What is there cannot be read.
+    UNREADABLE = 'unreadable'
 
 
 class PlatformFailure(msgspec.Struct, frozen=True):
@@ -39,3 +41,4 @@
 MISSING = PlatformFailure(PlatformFailureReason.MISSING)
 HISTORY_LOST = PlatformFailure(PlatformFailureReason.HISTORY_LOST)
 FULL = PlatformFailure(PlatformFailureReason.FULL)
+UNREADABLE = PlatformFailure(PlatformFailureReason.UNREADABLE)
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -116,8 +116,10 @@
             'service': service,
             'address': f'127.0.0.1:{self.servers[name].port}',
             'zone': 'zone-a',
+            'version': 'v1',
             'slots': 4,
             'state': 'ready',
+            'cold_left_ms': 0,
             'seq': 1,
             **row,
         }
--- a/tests/support/peers.py
+++ b/tests/support/peers.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.ids import AvailabilityZone, InstanceId, ServerId, ServiceName
 
-__all__ = ('listed_server', 'other_instances')
+__all__ = ('listed_server', 'other_instances', 'server_row')
 
 
 def other_instances(count: int, zone: str = 'zone-a') -> dict[InstanceId, AvailabilityZone]:
@@ -13,8 +15,23 @@
     return {InstanceId(f'{zone}-{n}'): AvailabilityZone(zone) for n in range(count)}
 
 
+def server_row(**changed: Any) -> dict[str, Any]:
+    """A server's entry as it writes it."""
+    return {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'cold_left_ms': 0,
+        'seq': 4,
+        **changed,
+    }
+
+
 def listed_server(
-    name: str, service: str, slots_count: int = 8, zone: str = 'zone-a'
+    name: str, service: str, slots_count: int = 8, zone: str = 'zone-a', **more: Any
 ) -> ListedBackend:
     """Make an entry of the list of servers."""
     return ListedBackend(
@@ -24,4 +41,5 @@
         port=1,
         zone=AvailabilityZone(zone),
         slots_count=slots_count,
+        **more,
     )
--- a/tests/test_batch/test_batch_give_way.py
+++ b/tests/test_batch/test_batch_give_way.py
@@ -41,7 +41,8 @@
 
     def cut(self, *urgencies: Urgency) -> list[Urgency]:
         items = [
-            RunningItem(number, A, float(number), each) for number, each in enumerate(urgencies)
+            RunningItem(number, self.state.life, float(number), each)
+            for number, each in enumerate(urgencies)
         ]
         self.state.own.batch = len(items)
         self.clock.ms += self.pace.gap_ms
@@ -149,7 +150,7 @@
     floor = Floor()
     floor.book.neighbours.replace(other_instances(69))
     floor.state.own.online = 3
-    items = [RunningItem(number, A, 0.0, Urgency.PATIENT) for number in range(8)]
+    items = [RunningItem(number, floor.state.life, 0.0, Urgency.PATIENT) for number in range(8)]
     floor.state.own.batch = 8
     assert len(floor.give_way.to_cut(items)) == 3
     assert floor.give_way.to_cut(items) == []
--- a/tests/test_forwarding/test_forwarding_course.py
+++ b/tests/test_forwarding/test_forwarding_course.py
@@ -6,9 +6,9 @@
 
 from citrondyke.decisions.forwarding.course import Course, SendOutcome, Verdict
 from citrondyke.decisions.forwarding.route import Route, RouteKind, ServiceShare
-from citrondyke.ids import RouteName, ServerId, ServiceName
+from citrondyke.ids import RouteName, ServerLife, ServiceName
 
-A, B, C = ServerId('a'), ServerId('b'), ServerId('c')
+A, B, C = ServerLife('a'), ServerLife('b'), ServerLife('c')
 
 
 def route(kind: RouteKind, attempts: int = 2, *, is_resumable: bool = False) -> Route:
@@ -75,6 +75,6 @@
     course = Course(route(RouteKind.IDEMPOTENT))
     for name in 'abcd':
         assert course.may_send
-        course.note(ServerId(name), SendOutcome.REFUSED)
+        course.note(ServerLife(name), SendOutcome.REFUSED)
     assert not course.may_send
     assert course.verdict is Verdict.NOT_RUN
--- a/tests/test_forwarding/test_forwarding_dark_server.py
+++ b/tests/test_forwarding/test_forwarding_dark_server.py
@@ -12,7 +12,7 @@
 from citrondyke.decisions.forwarding.route import Route, RouteKind
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.decisions.forwarding.server_state import ServerState
-from citrondyke.ids import RouteName, ServerId, ServiceName
+from citrondyke.ids import RouteName, ServerId, ServerLife, ServiceName
 from tests.support.manual_clock import ManualClock, manual_context
 from tests.support.peers import listed_server
 from tests.test_forwarding.test_forwarding_course import route
@@ -48,7 +48,7 @@
                 self._clock.ms += FIRST_EVENT_MS
                 state.note_success()
                 return self._clock.now_ms() - started_ms
-            course.note(DARK, self._try_dark(served_by, state))
+            course.note(state.life, self._try_dark(served_by, state))
         return float('inf')
 
     def _try_dark(self, served_by: Route, state: ServerState) -> SendOutcome:
@@ -102,9 +102,9 @@
     # time as well; to give it up too would fail a request that is being worked on.
     course = Course(route(RouteKind.IDEMPOTENT, attempts=2))
     assert not course.is_last_run
-    course.note(DARK, SendOutcome.NOT_SENT)
+    course.note(ServerLife(DARK), SendOutcome.NOT_SENT)
     assert not course.is_last_run
-    course.note(ServerId('s-1'), SendOutcome.UNKNOWN)
+    course.note(ServerLife('s-1'), SendOutcome.UNKNOWN)
     assert course.may_send
     assert course.is_last_run
     assert Course(route(RouteKind.ONCE, attempts=3)).is_last_run
--- a/tests/test_forwarding/test_forwarding_neighbours.py
+++ b/tests/test_forwarding/test_forwarding_neighbours.py
@@ -143,7 +143,7 @@
     # A sum is up to half a second old. An instance knows the servers of its own zone better.
     fleet = Fleet()
     node = fleet.node('zone-a-0')
-    node.notices.note_totals([ServerLoad(server_digest(ServerId('s0')), 7, 0)])
+    node.notices.note_totals([ServerLoad(server_digest(node.state('s0').listed), 7, 0)])
     assert node.state('s0').online_count(fleet.clock.ms) == 0
 
 
--- a/tests/test_platform/test_platform_decoding.py
+++ b/tests/test_platform/test_platform_decoding.py
@@ -22,6 +22,7 @@
 from citrondyke.platform.dialect import PlatformDialect
 from citrondyke.platform.rows import decode_config, decode_server
 from citrondyke.platform.settings_file import platform_settings
+from tests.support.peers import server_row
 
 SETTINGS = """
 node_name = "edge-1"
@@ -110,7 +111,7 @@
 
 
 def test_server_that_is_not_ready_is_leaving() -> None:
-    row = {'service': 's', 'address': '10.0.0.1:80', 'zone': 'z', 'slots': 8, 'state': 'draining'}
+    row = server_row(state='draining')
     server = decode_server('i-1', msgspec.json.encode(row))
     assert (server.id, server.ip, server.port, server.slots_count) == ('i-1', '10.0.0.1', 80, 8)
     assert server.is_leaving
--- /dev/null
+++ b/tests/test_platform/test_platform_foreign_entries.py
@@ -0,0 +1,174 @@
+"""Entries of the list of servers that no server wrote."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from citrondyke.decisions.forwarding.listed_backend import ListedBackend
+from citrondyke.decisions.forwarding.server_book import ServerBook
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.beliefs import Beliefs, RowDecoder
+from citrondyke.gateway.dependency import Dependency
+from citrondyke.ids import ServerId
+from citrondyke.platform.rows import CONFIG_KEY, SERVERS_TABLE, decode_config, decode_server
+from citrondyke.storage.partitioned_table import PartRow
+from citrondyke.util.decoding import decode_msgpack, decompress
+from tests.support.manual_clock import ManualClock, manual_context
+from tests.support.peers import server_row
+
+DEEP = b'{"a":' + b'[' * 5_000 + b']' * 5_000 + b'}'
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+def without(name: str) -> dict[str, Any]:
+    return {key: value for key, value in server_row().items() if key != name}
+
+
+WRONG = [
+    *(without(name) for name in server_row()),
+    *(server_row(**{name: None}) for name in server_row()),
+    *(server_row(**{name: ['x']}) for name in server_row()),
+    server_row(state='asleep'),
+    server_row(service=''),
+    *(server_row(slots=slots) for slots in (0, -3, 10**30, 1.5, True, '8')),
+    *(server_row(seq=seq) for seq in (-1, 1.5, '4')),
+    *(server_row(born=born) for born in (None, 1.5, '1700000000000', True, -1, 2**64)),
+    *(
+        server_row(address=address)
+        for address in ('10.0.0.1:99999999', '10.0.0.1:-1', '10.0.0.1:0', '10.0.0.1', ':80')
+    ),
+    *(
+        server_row(address=address)
+        for address in ('localhost:80', '10.0.0.256:80', '10.0.0.1: 80', '10.0.0.1:٨٠', '')
+    ),
+]
+
+
+class Believer:
+    """What one instance believes, without a store."""
+
+    def __init__(self) -> None:
+        clock = ManualClock()
+        context = manual_context(clock)
+        self.book = ServerBook(context)
+        decoder = RowDecoder(CONFIG_KEY, decode_config, decode_server)
+        self.over: list[str] = []
+        self.beliefs = Beliefs(
+            context,
+            decoder,
+            self.book,
+            Dependency(clock, 'store'),
+            2_200.0,
+            lambda _: None,
+            lambda state: self.over.append(state.listed.id),
+        )
+
+    def ids(self) -> set[str]:
+        return {state.listed.id for state in self.book.states()}
+
+
+def row(key: str, version: int, value: bytes) -> PartRow:
+    return PartRow(SERVERS_TABLE, '', key, version, value)
+
+
+GOOD = msgspec.json.encode(server_row())
+
+
+@pytest.mark.parametrize('entry', WRONG, ids=lambda entry: str(entry)[:60])
+def test_entry_by_another_writer_names_no_server(entry: dict[str, Any]) -> None:
+    with pytest.raises(UnreadableBytesError):
+        decode_server('i-1', msgspec.json.encode(entry))
+
+
+@pytest.mark.parametrize('key', ['', 'i 1', 'i-1\r\nHost: x', 'ï-1', 'i' * 201])
+def test_key_that_no_header_can_carry_names_no_server(key: str) -> None:
+    with pytest.raises(UnreadableBytesError):
+        decode_server(key, GOOD)
+
+
+def test_unknown_fields_are_passed_over() -> None:
+    assert decode_server('i-1', msgspec.json.encode(server_row(stage='x', models=[{}]))).seq == 4
+
+
+@pytest.mark.parametrize('raw', [b'', b'\xff\xfe', DEEP, b'[]', b'null', b'{"service":"\\ud800"}'])
+def test_feed_and_read_agree_on_an_unreadable_entry(raw: bytes) -> None:
+    # Another writer puts something over a server's entry. Kept by the feed and dropped by the
+    # next read, the server would get requests for as long as no read comes; an exception past
+    # the handler would end the follower's task for good.
+    by_feed, by_read = Believer(), Believer()
+    before = [row('i-1', 5, GOOD), row('i-2', 6, GOOD)]
+    for believer in (by_feed, by_read):
+        believer.beliefs.on_server_listing(before, 6)
+    by_feed.beliefs.on_server_rows([row('i-1', 7, raw)])
+    by_read.beliefs.on_server_listing([row('i-1', 7, raw), row('i-2', 6, GOOD)], 7)
+    assert by_feed.ids() == by_read.ids() == {'i-2'}
+    for believer in (by_feed, by_read):
+        believer.beliefs.on_server_rows([row('i-1', 8, GOOD)])
+        assert believer.ids() == {'i-1', 'i-2'}
+
+
+def test_outage_keeps_no_server_whose_entry_another_writer_holds() -> None:
+    believer = Believer()
+    believer.beliefs.on_server_listing([row('i-1', 5, GOOD)], 5)
+    believer.beliefs._servers.note_outage(1_000.0)
+    believer.beliefs.on_server_rows([row('i-1', 7, b'?')])
+    assert believer.ids() == set()
+
+
+def test_unreadable_configuration_confirms_nothing() -> None:
+    # A version that cannot be read may hold the route that a caller asks for; "no such route"
+    # would be final for it.
+    believer = Believer()
+    config = msgspec.json.encode({'version': 1, 'routes': []})
+    believer.beliefs.on_config_listing([PartRow('op', '', CONFIG_KEY, 3, config)], 3)
+    assert believer.beliefs.config.is_confirmed(1_000.0)
+    for raw in (DEEP, b'\xff', b'{"version":"x"}', b'{"version":-1}'):
+        other = Believer()
+        other.beliefs.on_config_listing([PartRow('op', '', CONFIG_KEY, 4, raw)], 4)
+        assert not other.beliefs.config.is_confirmed(1_000.0)
+
+
+@given(
+    st.binary()
+    | JSON_VALUES.map(msgspec.json.encode)
+    | st.builds(
+        lambda name, value: msgspec.json.encode(server_row(**{name: value})),
+        st.sampled_from([*server_row(), 'born']),
+        JSON_VALUES,
+    )
+    | st.builds(
+        lambda at, byte: GOOD[:at] + bytes([byte]) + GOOD[at:],
+        st.integers(0, 120),
+        st.integers(0, 255),
+    )
+)
+def test_no_bytes_leave_the_decoder_or_change_another_entry(raw: bytes) -> None:
+    believer = Believer()
+    believer.beliefs.on_server_listing([row('i-2', 6, GOOD)], 6)
+    believer.beliefs.on_server_rows([row('i-1', 7, raw)])
+    believer.beliefs.on_config_changes([PartRow('op', '', CONFIG_KEY, 8, raw)])
+    state = believer.book.state(ServerId('i-2'))
+    assert state is not None
+    assert state.listed == decode_server('i-2', GOOD)
+    for other in believer.ids() - {'i-2'}:
+        found = believer.book.state(ServerId(other))
+        assert found is not None
+        assert 1 <= found.listed.port <= 65_535
+        assert found.listed.slots_count >= 1
+
+
+@given(st.binary())
+def test_packed_bytes_never_raise_anything_else(raw: bytes) -> None:
+    for decode in (lambda: decompress(raw, 1_000), lambda: decode_msgpack(raw, ListedBackend)):
+        with contextlib.suppress(UnreadableBytesError):
+            decode()
