Keep accepted batch tokens within a route's bound over all instances

Cause: max_count of a batch route was read by nothing. Weighed: a counter row in each acceptance (transactions over two parts are not offered: cross_shard is false in the settings, and one hot row), counts from reads only (ten that accept at once pass the bound), allowances. Change: each instance holds a share of the bound in a row of its life; acceptances within it cost one transaction as before; a share grows by a write that fails if anybody's grew since the read, and shrinks freely. Jobs of lives that are gone count by their heads, and 8 s long by their share. A job without room gets 429 with the time at which room is expected, unless it was accepted before. The job door is split: intake and questions. Figures: state machine of ten instances over lost and late writes, kills, claims, ends and changed bounds; it first found a job refused for a share of a life long gone.

--- a/citrondyke/decisions/batch/job.py
+++ b/citrondyke/decisions/batch/job.py
@@ -63,6 +63,10 @@
     due_epoch_ms: float
     abandon_epoch_ms: float
     attempts_limit: int
+    #: Of all items: their prompts and longest answers.
+    tokens: int = 0
+    #: The life that owned it before this one; empty where there was none.
+    life_before: str = ''
     is_ended: bool = False
     #: All items have a result.
     is_done: bool = False
--- a/citrondyke/decisions/batch/owned_job.py
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -89,6 +89,11 @@
         """Tell whether nothing more is to be done for it."""
         return self.is_lost or self.head.is_ended or self.head.is_done
 
+    @property
+    def waiting_tokens(self) -> int:
+        """Add up the tokens of the items that no server has finished."""
+        return sum(progress.item.tokens for progress in self.open.values())
+
     def body(self, item_id: str) -> bytes | None:
         """Give an item's body; ``None`` when the job has no such item."""
         return self._bodies.get(item_id)
--- a/citrondyke/gateway/front.py
+++ b/citrondyke/gateway/front.py
@@ -24,6 +24,7 @@
     from citrondyke.gateway.dialect import Dialect
     from citrondyke.gateway.forwarder import Forwarder
     from citrondyke.gateway.job_door import JobDoor
+    from citrondyke.gateway.job_intake import JobIntake
     from citrondyke.gateway.metrics import Metrics
 
 __all__ = ('Front',)
@@ -44,6 +45,7 @@
         beliefs: Beliefs,
         dialect: Dialect,
         forwarder: Forwarder,
+        intake: JobIntake,
         jobs: JobDoor,
         metrics: Metrics,
         connections_limit: int,
@@ -56,6 +58,7 @@
         self._beliefs = beliefs
         self._dialect = dialect
         self._forwarder = forwarder
+        self._intake = intake
         self._jobs = jobs
         self._metrics = metrics
         self._limit = connections_limit
@@ -138,7 +141,7 @@
             self._answer_no_route(connection, request, facts.request_id)
             return
         if route.kind is RouteKind.BATCH and request.method == b'POST':
-            self._jobs.submit(connection, request, facts, route)
+            self._intake.submit(connection, request, facts, route)
             return
         self._forwarder.handle(connection, request, facts, route, table.version)
 
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -25,6 +25,7 @@
 from citrondyke.gateway.front import Front
 from citrondyke.gateway.job_committer import JobCommitter
 from citrondyke.gateway.job_door import JobDoor
+from citrondyke.gateway.job_intake import JobIntake
 from citrondyke.gateway.job_keeper import JobKeeper
 from citrondyke.gateway.job_reader import JobReader
 from citrondyke.gateway.job_removal import JobRemoval
@@ -42,6 +43,8 @@
 from citrondyke.gateway.server_sends import ServerSends
 from citrondyke.gateway.small_pages import SmallPages
 from citrondyke.gateway.tasks import Tasks
+from citrondyke.gateway.token_shares import TokenShares
+from citrondyke.gateway.waiting_tokens import WaitingTokens
 from citrondyke.util.clock import SystemClock
 
 if TYPE_CHECKING:
@@ -53,6 +56,7 @@
     from citrondyke.gateway.outside import Outside
     from citrondyke.gateway.relayed_table import StoreAnswer, StoreCall
     from citrondyke.gateway.settings import Address, GatewaySettings
+    from citrondyke.ids import InstanceId
 
 __all__ = ('GatewayInstance',)
 
@@ -156,7 +160,19 @@
             outside.table,
             self._tasks,
         )
-        self.jobs = JobDoor(
+        self.waiting = WaitingTokens(
+            self.context,
+            life,
+            TokenShares(table, life),
+            self.owned,
+            self.keeper.open_heads,
+            self._is_gone,
+            lambda: self.beliefs.config.current.routes,
+            lambda: [beat.life for beat in self.membership.peers.values()],
+            settings.tokens_overshoot,
+        )
+        self.owned.when_taken_over(self.waiting.note_taken_over)
+        intake = JobIntake(
             self.context,
             life,
             outside.dialect,
@@ -164,14 +180,23 @@
             self.owned,
             self.runner,
             reader,
-            self.peers.tell_job_changed,
+            self.waiting,
             settings.memory_bytes,
         )
+        self.jobs = JobDoor(
+            self.context,
+            outside.dialect,
+            job_store,
+            self.owned,
+            reader,
+            self.peers.tell_job_changed,
+        )
         self.front = Front(
             self.context,
             self.beliefs,
             outside.dialect,
             forwarder,
+            intake,
             self.jobs,
             self.metrics,
             settings.connections_limit,
@@ -203,6 +228,7 @@
         self.runner.start()
         self._committer.start()
         self.keeper.start()
+        self.waiting.start(self._tasks, self._store_pace)
         self.sweeper.start(self._tasks)
         self._tasks.keep(self._run_settle)
         log.info(
@@ -248,6 +274,7 @@
 
     def _hand_over(self, until_ms: float) -> None:
         self.runner.hand_over(until_ms)
+        self.waiting.leave()
         self.membership.leave()
 
     @property
@@ -269,6 +296,11 @@
             self._live.pace = self._store_pace()
             self.beliefs.settle('grace')
 
+    def _is_gone(self, owner: InstanceId, life: str, version: int, since_ms: float) -> bool:
+        # Before the open jobs are known, what a life that is gone has left cannot be counted by
+        # its jobs.
+        return self.keeper.is_listed and self._live.is_gone(owner, life, version, since_ms)
+
     def _store_pace(self) -> float:
         return self.book.neighbours.store_pace
 
--- /dev/null
+++ b/citrondyke/gateway/job_intake.py
@@ -0,0 +1,206 @@
+"""Takes batch jobs in: each once, however often it comes, and only where it fits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+import msgspec
+
+from citrondyke.decisions.batch.job import JobHead
+from citrondyke.decisions.batch.owned_job import OwnedJob
+from citrondyke.decisions.batch.waiting_bound import NoRoom
+from citrondyke.errors import InvalidFieldError
+from citrondyke.gateway.job_rows import CommitVerdict, NoJobReason, StoredHead
+from citrondyke.ids import InstanceId, JobId
+from citrondyke.storage.failure import PlatformFailure
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.batch.job import JobItem
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.route import Route
+    from citrondyke.gateway.caller_connection import CallerConnection, CallerRequest
+    from citrondyke.gateway.dialect import CallFacts, Dialect
+    from citrondyke.gateway.job_reader import JobReader
+    from citrondyke.gateway.job_runner import JobRunner
+    from citrondyke.gateway.job_store import JobStore
+    from citrondyke.gateway.owned_jobs import OwnedJobs
+    from citrondyke.gateway.waiting_tokens import WaitingTokens
+
+__all__ = ('JobIntake',)
+
+log = logbook.Logger(__name__)
+
+#: A job that cannot be made durable within this time is answered, so that its caller can try
+#: another instance; of the routes' 4,000 ms that leaves room for two more tries.
+ACCEPT_WITHIN_MS = 1_500.0
+PAUSE_MS = 60.0
+#: A try that has less time is not begun: cut off, it would leave in doubt what was certain. By way
+#: of a peer one takes 150 ms and more.
+SHORTEST_TRY_MS = 300.0
+RETRY_IN_MS = 250.0
+#: Bytes of items in the hands of one instance beyond which it takes no further job, as a part of
+#: its memory: they are held twice while they are packed.
+MEMORY_SHARE = 0.15
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    """What the caller is told."""
+
+    status: int
+    reason: str = ''
+    retry_in_ms: float | None = None
+
+
+#: The job may become durable yet, so that "not run" would not be true.
+IN_DOUBT = _Answer(504, CommitVerdict.IN_DOUBT.value)
+
+
+class JobIntake:
+    """Accepts jobs."""
+
+    def __init__(
+        self,
+        context: Context,
+        life: str,
+        dialect: Dialect,
+        store: JobStore,
+        owned: OwnedJobs,
+        runner: JobRunner,
+        reader: JobReader,
+        waiting: WaitingTokens,
+        memory_bytes: int,
+    ) -> None:
+        """Use the parts handed in.
+
+        :param life: names this life of this instance.
+        """
+        self._context = context
+        self._life = life
+        self._dialect = dialect
+        self._store = store
+        self._owned = owned
+        self._runner = runner
+        self._reader = reader
+        self._waiting = waiting
+        self._items_limit_bytes = memory_bytes * MEMORY_SHARE
+
+    def submit(
+        self,
+        caller: CallerConnection,
+        request: CallerRequest,
+        facts: CallFacts,
+        route: Route,
+    ) -> None:
+        """Take a job in, once, however often it is sent."""
+        answer = self._take_in(request, facts, route)
+        if answer.reason:
+            log.info(
+                'job.refused',
+                extra={
+                    'job_id': facts.request_id,
+                    'reason': answer.reason,
+                    'status': answer.status,
+                    'retry_in_ms': answer.retry_in_ms,
+                    'took_ms': self._took_ms(request),
+                },
+            )
+        headers = self._dialect.own_answer(facts.request_id, answer.retry_in_ms)
+        caller.send_whole(answer.status, headers, b'')
+
+    def _take_in(self, request: CallerRequest, facts: CallFacts, route: Route) -> _Answer:
+        try:
+            items = self._dialect.job_items(request.body)
+        except InvalidFieldError as error:
+            return _Answer(400, error.message)
+        if self._owned.is_stopping or self._owned.held_bytes() > self._items_limit_bytes:
+            return _Answer(503, 'stopping or full', RETRY_IN_MS)
+        head = self._new_head(JobId(facts.request_id), request, route, items)
+        until_ms = self._context.now_ms() + ACCEPT_WITHIN_MS
+        reserved = self._waiting.reserve(route, head.job_id, head.tokens, until_ms)
+        if isinstance(reserved, NoRoom):
+            return self._refuse(head, reserved, request)
+        if isinstance(reserved, PlatformFailure):
+            return _Answer(503, f'room unknown: {reserved.reason.value}', RETRY_IN_MS)
+        accepted = self._accept(head, items, until_ms)
+        if isinstance(accepted, StoredHead):
+            self._take(accepted, items, request)
+        is_in_doubt = accepted is CommitVerdict.IN_DOUBT
+        self._waiting.settle(route.name, head.job_id, in_doubt=is_in_doubt)
+        if isinstance(accepted, StoredHead):
+            return _Answer(202)
+        if is_in_doubt:
+            return IN_DOUBT
+        return _Answer(503, accepted.value, RETRY_IN_MS)
+
+    def _refuse(self, head: JobHead, no_room: NoRoom, request: CallerRequest) -> _Answer:
+        """Turn a job away that does not fit, unless it was accepted before."""
+        stored = self._store.head(head.job_id)
+        if isinstance(stored, StoredHead):
+            self._take(stored, [], request)
+            return _Answer(202)
+        if stored.reason is NoJobReason.UNKNOWN:
+            return _Answer(429, 'no room', no_room.retry_in_ms)
+        return IN_DOUBT
+
+    def _accept(
+        self, head: JobHead, items: list[JobItem], until_ms: float
+    ) -> StoredHead | CommitVerdict:
+        verdict = CommitVerdict.NOT_WRITTEN
+        while True:
+            # A try that is cut off here may still take effect, so that it counts as in doubt.
+            answer: StoredHead | CommitVerdict = CommitVerdict.IN_DOUBT
+            with gevent.Timeout(max(0.0, until_ms - self._context.now_ms()) / 1e3, False):
+                answer = self._store.accept(head, items)
+            if isinstance(answer, StoredHead):
+                return answer
+            if answer is CommitVerdict.IN_DOUBT:
+                verdict = answer
+            if self._context.now_ms() + PAUSE_MS + SHORTEST_TRY_MS > until_ms:
+                return verdict
+            gevent.sleep(self._context.jittered_ms(PAUSE_MS) / 1e3)
+
+    def _take(self, accepted: StoredHead, items: list[JobItem], request: CallerRequest) -> None:
+        head = accepted.head
+        self._reader.remember(head)
+        is_own = (head.owner, head.owner_life) == (self._context.instance_id, self._life)
+        is_known = head.job_id in self._owned.by_id
+        log.info(
+            'job.accepted',
+            extra={
+                'job_id': head.job_id,
+                'route': head.route,
+                'items': head.items_count,
+                'tokens': head.tokens,
+                'owner': head.owner,
+                'version': accepted.version,
+                'is_repeat': not is_own or is_known,
+                'took_ms': self._took_ms(request),
+            },
+        )
+        if is_own and items and not is_known and not head.is_ended and not head.is_done:
+            self._runner.add(OwnedJob(head, accepted.version, items))
+
+    def _new_head(
+        self, job_id: JobId, request: CallerRequest, route: Route, items: list[JobItem]
+    ) -> JobHead:
+        now_ms = self._context.epoch_ms()
+        return JobHead(
+            job_id=job_id,
+            route=route.name,
+            host=request.host,
+            items_count=len(items),
+            chunks_count=0,
+            in_objects=False,
+            owner=InstanceId(self._context.instance_id),
+            owner_life=self._life,
+            accepted_epoch_ms=now_ms,
+            due_epoch_ms=now_ms + route.completion_target_ms,
+            abandon_epoch_ms=now_ms + (route.item_wait_ms or route.completion_target_ms * 4),
+            attempts_limit=route.attempts_limit,
+            tokens=sum(item.tokens for item in items),
+        )
+
+    def _took_ms(self, request: CallerRequest) -> float:
+        return round(self._context.now_ms() - request.arrived_ms, 1)
--- a/citrondyke/gateway/job_keeper.py
+++ b/citrondyke/gateway/job_keeper.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from citrondyke.decisions.batch.job import JobHead
     from citrondyke.decisions.batch.takeover import Takeover
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.job_runner import JobRunner
@@ -72,6 +73,8 @@
         self._takeover = takeover
         self._tasks = tasks
         self._open: dict[JobId, StoredHead] = {}
+        #: Whether all open jobs were known once since the start.
+        self.is_listed = False
         self._claiming: set[JobId] = set()
         self._unreadable = UnreadableRows(HEADS_TABLE)
         self._pace = pace
@@ -119,6 +122,10 @@
         if head.is_ended or head.owner_life != self._life:
             self._owned.lose(head.job_id, 'head changed')
 
+    def open_heads(self) -> list[JobHead]:
+        """Give the heads of the open jobs that are known."""
+        return [stored.head for stored in self._open.values()]
+
     @property
     def open_count(self) -> int:
         """Count the open jobs that are known, those of others included."""
@@ -134,11 +141,15 @@
         listed = self.store.open_jobs()
         if isinstance(listed, PlatformFailure):
             return
+        is_whole = True
         for job_id in listed:
             if job_id not in self._open and job_id not in self._owned.by_id:
                 stored = self.store.read_head(job_id)
                 if isinstance(stored, StoredHead):
                     self._take(stored)
+                else:
+                    is_whole = False
+        self.is_listed = self.is_listed or is_whole
 
     def _run_list(self) -> None:
         while True:
@@ -168,7 +179,10 @@
         head = stored.head
         try:
             wanted = msgspec.structs.replace(
-                head, owner=self._context.instance_id, owner_life=self._life
+                head,
+                owner=self._context.instance_id,
+                owner_life=self._life,
+                life_before=head.owner_life,
             )
             claimed = self.store.change_head(stored, wanted)
             log.info(
@@ -218,4 +232,5 @@
                 },
             )
             self._runner.add(job)
+            self._owned.note_taken_over()
             return
--- a/citrondyke/gateway/job_store.py
+++ b/citrondyke/gateway/job_store.py
@@ -31,6 +31,7 @@
 from citrondyke.ids import InstanceId, JobId, ObjectKey
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import (
+    IMPOSSIBLE_VERSION,
     PartCommitted,
     PartConflict,
     PartTransaction,
@@ -52,8 +53,6 @@
 INLINE_BYTES = 500_000
 #: Of a row's largest value, left for what is around a text.
 ROW_MARGIN_BYTES = 1_024
-#: A version that no row ever has: the conflict that it brings is a read that is never stale.
-IMPOSSIBLE_VERSION = 2**53
 UNSURE = NoJob(NoJobReason.UNSURE)
 
 
--- a/citrondyke/gateway/owned_jobs.py
+++ b/citrondyke/gateway/owned_jobs.py
@@ -29,11 +29,16 @@
         self._listed: dict[JobId, Event] = {}
         self._on_lost: Callable[[OwnedJob], None] = _ignore
         self._has_some = Event()
+        self.note_taken_over: Callable[[], None] = _nobody
 
     def when_lost(self, on_lost: Callable[[OwnedJob], None]) -> None:
         """Have somebody told of each job that is let go while its items may run."""
         self._on_lost = on_lost
 
+    def when_taken_over(self, on_taken_over: Callable[[], None]) -> None:
+        """Have somebody told of jobs that belonged to another instance before."""
+        self.note_taken_over = on_taken_over
+
     def add(self, job: OwnedJob) -> None:
         """Take a job in."""
         self.by_id[job.head.job_id] = job
@@ -83,5 +88,9 @@
             event.set()
 
 
+def _nobody() -> None:
+    """Stand in until somebody wants to be told."""
+
+
 def _ignore(_: OwnedJob) -> None:
     """Stand in until somebody wants to be told."""
--- a/citrondyke/gateway/settings.py
+++ b/citrondyke/gateway/settings.py
@@ -49,3 +49,5 @@
     lapsed_grace_ms: float
     #: How long a job stays readable after it was submitted.
     job_kept_ms: float
+    #: Part by which accepted tokens may pass a route's bound.
+    tokens_overshoot: float = 0.1
--- a/citrondyke/platform/settings_file.py
+++ b/citrondyke/platform/settings_file.py
@@ -35,6 +35,8 @@
 class _Bounds(msgspec.Struct, frozen=True):
     grace_s: float = 8.0
     status_s: float = 120.0
+    #: A part of the bound, though the name says quota.
+    quota_overshoot: float = 0.1
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -106,6 +108,7 @@
             stop_within_ms=file.bounds.grace_s * 1e3,
             lapsed_grace_ms=2_200.0,
             job_kept_ms=file.bounds.status_s * 1e3,
+            tokens_overshoot=file.bounds.quota_overshoot,
         )
     except (msgspec.ValidationError, tomllib.TOMLDecodeError, ValueError) as error:
         raise SettingsInvalidError(name, '', str(error), 'the fields of the platform') from error
--- a/citrondyke/storage/partitioned_table.py
+++ b/citrondyke/storage/partitioned_table.py
@@ -9,6 +9,7 @@
 from citrondyke.storage.failure import PlatformFailure
 
 __all__ = (
+    'IMPOSSIBLE_VERSION',
     'Feed',
     'Listing',
     'PartCommitted',
@@ -23,6 +24,8 @@
 
 #: Parts in one answer of the store; fewer say that there are no more.
 PARTS_PAGE = 1_000
+#: A version that no row ever has: the conflict that it brings is a read that is never stale.
+IMPOSSIBLE_VERSION = 2**53
 
 
 class PartRow(msgspec.Struct, frozen=True):
