Take datagrams without a greenlet for each, and read counts in one go

Change: one loop takes them; counts travel as bytes inside the message, as a list's elements cost 2 us each.

--- a/citrondyke/gateway/peer_codec.py
+++ b/citrondyke/gateway/peer_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 from pathlib import Path
 from typing import Any
 
@@ -28,6 +29,8 @@
 _SCHEMA = capnp.load(str(Path(__file__).parent.parent / 'peer' / 'gateway.capnp'))
 #: Counts are 16 bits wide on the wire; a server has tens of places.
 COUNT_LIMIT = 65_535
+#: A server's digest and its counts.
+_LOAD = struct.Struct('<IHH')
 
 
 class PeerText(msgspec.Struct, frozen=True):
@@ -89,9 +92,9 @@
     built.configVersion = message.config_version
     text = message.text
     if isinstance(text, LoadNotice):
-        _write_loads(built.init('load', len(text.loads)), text.loads)
+        built.loadBytes = _pack_loads(text.loads)
     elif isinstance(text, LoadTotals):
-        _write_loads(built.init('loadTotals', len(text.loads)), text.loads)
+        built.loadTotalsBytes = _pack_loads(text.loads)
     elif isinstance(text, JobChanged):
         built.jobChanged = text.job_id
     elif isinstance(text, KnowledgeData):
@@ -117,15 +120,19 @@
         with _SCHEMA.GatewayMessage.from_bytes(data) as read:
             text = _READERS[str(read.which())](read)
             return PeerMessage(InstanceId(read.sender), ConfigVersion(read.configVersion), text)
-    except (capnp.KjException, KeyError, UnicodeDecodeError) as error:
+    except (capnp.KjException, KeyError, UnicodeDecodeError, struct.error) as error:
         raise ValueError(str(error)) from error
 
 
-def _write_loads(places: Any, loads: list[ServerLoad]) -> None:
-    for place, load in zip(places, loads, strict=True):
-        place.server = load.server
-        place.online = min(load.online, COUNT_LIMIT)
-        place.batch = min(load.batch, COUNT_LIMIT)
+def _pack_loads(loads: list[ServerLoad]) -> bytes:
+    return b''.join(
+        _LOAD.pack(load.server, min(load.online, COUNT_LIMIT), min(load.batch, COUNT_LIMIT))
+        for load in loads
+    )
+
+
+def _unpack_loads(data: bytes) -> list[ServerLoad]:
+    return [ServerLoad(*fields) for fields in _LOAD.iter_unpack(data)]
 
 
 def _read_loads(places: Any) -> list[ServerLoad]:
@@ -133,6 +140,9 @@
 
 
 _READERS: dict[str, Any] = {
+    'loadBytes': lambda read: LoadNotice(_unpack_loads(read.loadBytes)),
+    'loadTotalsBytes': lambda read: LoadTotals(_unpack_loads(read.loadTotalsBytes)),
+    # From instances of an earlier version, during an upgrade.
     'load': lambda read: LoadNotice(_read_loads(read.load)),
     'loadTotals': lambda read: LoadTotals(_read_loads(read.loadTotals)),
     'jobChanged': lambda read: JobChanged(JobId(read.jobChanged)),
--- a/citrondyke/gateway/peers.py
+++ b/citrondyke/gateway/peers.py
@@ -7,7 +7,8 @@
 import gevent
 import logbook
 import msgspec
-from gevent.server import DatagramServer, StreamServer
+from gevent import socket
+from gevent.server import StreamServer
 
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.listed_rows import SeenRow
@@ -36,8 +37,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from gevent import socket
-
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.beliefs import Beliefs
     from citrondyke.gateway.dependency import Dependency
@@ -55,6 +54,9 @@
 RELAY_TRIES = 2
 CONNECT_MS = 300.0
 FRAME_LIMIT_BYTES = 16 * 1024 * 1024
+DATAGRAM_LIMIT_BYTES = 65_535
+#: Datagrams that are taken before others get their turn.
+DATAGRAMS_AT_ONCE = 64
 #: While the store does not answer this instance, a peer is asked so often what it knows.
 ASK_EVERY_MS = 400.0
 #: The store counts as out of reach for that after so long without an answer.
@@ -109,23 +111,25 @@
         self._table = table
         self._tasks = tasks
         self._streams: StreamServer | None = None
-        self._datagrams: DatagramServer | None = None
+        self._datagrams: socket.socket | None = None
         self._asking = False
         self.sent_bytes = 0
 
     def start(self, ip: str) -> None:
         """Listen and begin to send."""
-        self._datagrams = DatagramServer((ip, self._port), self._on_datagram)
-        self._datagrams.start()
+        self._datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._datagrams.bind((ip, self._port))
         self._streams = StreamServer((ip, self._port), self._on_stream)
         self._streams.start()
         self._tasks.keep(self._run_asking)
+        self._tasks.keep(self._run_datagrams)
 
     def stop(self) -> None:
         """Listen no more."""
-        for server in (self._datagrams, self._streams):
-            if server is not None:
-                server.stop()
+        if self._datagrams is not None:
+            self._datagrams.close()
+        if self._streams is not None:
+            self._streams.stop()
 
     def relay(self, call: StoreCall) -> StoreAnswer:
         """Have a peer make a call of the store."""
@@ -171,6 +175,22 @@
     def _message(self, text: PeerText) -> PeerMessage:
         return PeerMessage(self._context.instance_id, self._beliefs.config.current.version, text)
 
+    def _run_datagrams(self) -> None:
+        """Take datagrams as they come.
+
+        A server of the library starts a greenlet for each one: 15.7 us of processor time in place
+        of 3.7 (10,000 datagrams in one process, the sending taken off), for hundreds a second.
+        """
+        if self._datagrams is None:
+            return
+        taken_count = 0
+        while True:
+            data, address = self._datagrams.recvfrom(DATAGRAM_LIMIT_BYTES)
+            self._on_datagram(data, address)
+            taken_count += 1
+            if taken_count % DATAGRAMS_AT_ONCE == 0:
+                gevent.sleep(0)
+
     def _on_datagram(self, data: bytes, address: tuple[str, int]) -> None:
         try:
             message = decode_message(data)
--- a/citrondyke/peer/gateway.capnp
+++ b/citrondyke/peer/gateway.capnp
@@ -21,6 +21,10 @@
     storeAnswer @7 :Data;
     # What all instances have on the servers of the sender's availability zone.
     loadTotals @8 :List(ServerLoad);
+    # The same two as 8 bytes each: server, online, batch, little-endian. They come hundreds of
+    # times a second, and a list's elements are read one field at a time.
+    loadBytes @9 :Data;
+    loadTotalsBytes @10 :Data;
   }
 }
 
