--- a/citrondyke/decisions/forwarding/server_book.py
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -33,7 +33,8 @@
 FAR_ZONE_COST = 1.5
 #: What a server that fails all requests is worse by, in requests. One that fails every second one
 #: seldom fails two in a row, so that it is not ejected: 400 requests to five servers, one of them
-#: such, had up to 23 failures without this and at most 10 with it (replay of even load, five seeds).
+#: such, had up to 23 failures without this and at most 10 with it (replay of
+#: even load, five seeds).
 FAILING_COST = 12.0
 #: Servers that are looked at for one request in a large fleet where the own zone has fewer.
 LOOKED_AT = 3
