--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -20,6 +20,7 @@
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.gateway.beliefs import Beliefs
 from citrondyke.gateway.dependency import Dependency
+from citrondyke.gateway.fleet_facts import FleetFacts
 from citrondyke.gateway.followers import follow_beliefs, follow_instances
 from citrondyke.gateway.forwarder import Forwarder
 from citrondyke.gateway.front import Front
@@ -165,10 +166,12 @@
             life,
             TokenShares(table, life),
             self.owned,
-            self.keeper.open_heads,
-            self._gone_for_ms,
+            FleetFacts(
+                self.keeper.open_heads,
+                self._gone_for_ms,
+                lambda: [beat.life for beat in self.membership.peers.values()],
+            ),
             lambda: self.beliefs.config.current.routes,
-            lambda: [beat.life for beat in self.membership.peers.values()],
             settings.tokens_overshoot,
         )
         self.owned.when_taken_over(self.waiting.note_taken_over)
--- a/tests/test_batch/test_batch_waiting_bound.py
+++ b/tests/test_batch/test_batch_waiting_bound.py
@@ -21,6 +21,7 @@
     count_others,
 )
 from citrondyke.decisions.forwarding.route import Route, RouteKind, ServiceShare
+from citrondyke.gateway.fleet_facts import FleetFacts
 from citrondyke.gateway.job_rows import (
     HEAD_KEY,
     HEADS_TABLE,
@@ -30,8 +31,9 @@
 )
 from citrondyke.gateway.job_store import JobStore
 from citrondyke.gateway.owned_jobs import OwnedJobs
+from citrondyke.gateway.route_tokens import Reservation
 from citrondyke.gateway.token_shares import TokenShares
-from citrondyke.gateway.waiting_tokens import Reservation, WaitingTokens
+from citrondyke.gateway.waiting_tokens import WaitingTokens
 from citrondyke.ids import InstanceId, JobId, RouteName, ServiceName
 from citrondyke.storage.partitioned_table import (
     Listing,
@@ -98,10 +100,12 @@
             life,
             TokenShares(fleet.table, life),
             self.owned,
-            lambda: [each.head for each in fleet.open_jobs()],
-            lambda _instance, other, _version, _since: fleet.gone_for_ms(other),
+            FleetFacts(
+                lambda: [each.head for each in fleet.open_jobs()],
+                lambda _instance, other, _version, _since: fleet.gone_for_ms(other),
+                lambda: [node.life for node in fleet.nodes if node is not self],
+            ),
             lambda: [fleet.route],
-            lambda: [node.life for node in fleet.nodes if node is not self],
             OVERSHOOT,
         )
 
