--- a/citrondyke/decisions/batch/drain_rate.py
+++ b/citrondyke/decisions/batch/drain_rate.py
@@ -24,7 +24,7 @@
         self._all_left: tuple[float, int] | None = None
 
     def note_accepted(self, tokens: int) -> None:
-        """Take in what came into this instance's count, or less than 0 where it did not after all."""
+        """Take in what came into this instance's count; less than 0 where it did not after all."""
         self._accepted += tokens
 
     def note_used(self, used: int) -> None:
