--- a/citrondyke/platform/settings_file.py
+++ b/citrondyke/platform/settings_file.py
@@ -12,7 +12,13 @@
 from citrondyke.gateway.settings import Address, GatewaySettings, StoreSettings
 from citrondyke.ids import AvailabilityZone, InstanceId
 
-__all__ = ('FILE_VARIABLE', 'is_platform_file', 'load_platform_settings', 'platform_settings')
+__all__ = (
+    'FILE_VARIABLE',
+    'PlatformFile',
+    'is_platform_file',
+    'load_platform_settings',
+    'platform_settings',
+)
 
 FILE_VARIABLE = 'CITRONDYKE_NODE_FILE'
 #: Descriptors that the platform reserves for files.
@@ -23,37 +29,61 @@
 
 
 class _Listen(msgspec.Struct, frozen=True):
+    """Addresses that the instance listens on, ``IP:PORT``."""
+
+    #: For callers.
     frontend: str
+    #: For the balancer's health check.
     ready: str
 
 
 class _Limits(msgspec.Struct, frozen=True):
+    """What the process may use."""
+
+    #: Beyond it the process is killed, in MB.
     memory_mb: int = 128
+    #: Descriptors; 200 of them are not for connections.
     max_fds: int = 4_096
 
 
 class _Bounds(msgspec.Struct, frozen=True):
+    """Times and parts that the platform holds the instance to."""
+
+    #: From SIGTERM until the process is killed, in s.
     grace_s: float = 8.0
+    #: How long a batch job stays readable after it was submitted, in s.
     status_s: float = 120.0
-    #: A part of the bound, though the name says quota.
+    #: Part by which accepted tokens may pass a batch route's bound.
     quota_overshoot: float = 0.1
 
 
 class _Platform(msgspec.Struct, frozen=True):
+    """The platform's store."""
+
     #: Of the store; nothing else of the platform has an address.
     address: str
+    #: Largest value of a row, in bytes.
     row_bytes: int = 65_536
 
 
-class _File(msgspec.Struct, frozen=True):
+class PlatformFile(msgspec.Struct, frozen=True):
+    """The file that ``CITRONDYKE_NODE_FILE`` names; other keys are passed over."""
+
+    #: The instance's id.
     node_name: str
+    #: Its address, for peers.
     ip: str
+    #: Its availability zone.
     zone: str
     #: First and last port that is free, both included.
     internal_ports: tuple[int, int]
+    #: Table of addresses to listen on.
     listen: _Listen
+    #: Table of the store.
     platform: _Platform
+    #: Table of what the process may use.
     limits: _Limits = _Limits()
+    #: Table of bounds.
     bounds: _Bounds = _Bounds()
     #: Addresses of the operators' interface of some instances; only the IPs are of use here.
     seeds: tuple[str, ...] = ()
@@ -88,7 +118,7 @@
     :raises SettingsInvalidError: naming file, key and what is wrong.
     """
     try:
-        file = msgspec.toml.decode(text, type=_File, strict=False)
+        file = msgspec.toml.decode(text, type=PlatformFile, strict=False)
         seed_ips = tuple(_address(seed).ip for seed in file.seeds)
         return GatewaySettings(
             instance_id=InstanceId(file.node_name),
