A share that could not be written is tried again with the next look, not at once

Cause: read in the diff: a conflict asked for a look at once; while reads are seconds old each instance would have read and written as fast as the store answers. Ruled out: a growing pause (the next look comes in 0.3 to 1 s anyway). Change: looks that are asked for come 50 ms apart, a conflict waits for the next one.

--- a/citrondyke/gateway/route_tokens.py
+++ b/citrondyke/gateway/route_tokens.py
@@ -301,14 +301,14 @@
         if isinstance(answer, PartCommitted):
             self._take_own(share, answer.version, route, is_within=is_within)
             log.info('tokens.share', extra={'route': route.name, 'held': held, 'used': used})
-        elif isinstance(answer, PartConflict):
-            # The next look reads anew.
-            self._look_again()
-        else:
-            log.info(
-                'tokens.share_not_written',
-                extra={'route': route.name, 'used': used, 'reason': answer.reason.value},
-            )
+            return
+        # The next look tries again. At once would be in vain where reads are seconds old: each
+        # instance would read and write as fast as the store answers until they are not.
+        reason = 'conflict' if isinstance(answer, PartConflict) else answer.reason.value
+        log.info(
+            'tokens.share_not_written',
+            extra={'route': route.name, 'used': used, 'reason': reason},
+        )
 
     def _drop_gone(self, route: Route, read: SharesRead) -> None:
         for life, share in read.shares.items():
--- a/citrondyke/gateway/waiting_tokens.py
+++ b/citrondyke/gateway/waiting_tokens.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
 from gevent.event import Event
 
 from citrondyke.gateway.route_tokens import NEAR_LOOK_MS, Reservation, RouteTokens
@@ -26,6 +27,8 @@
 #: How often an instance with jobs looks at the shares far from the bound: what it holds in vain is
 #: given back within two looks.
 LOOK_MS = 1_000.0
+#: Looks that are asked for come this much apart: jobs in a row each use up what is held in vain.
+SHORTEST_LOOK_MS = 50.0
 
 
 class WaitingTokens:
@@ -94,6 +97,7 @@
             is_near = any(tokens.is_near for tokens in self._by_route.values())
             pause_ms = (NEAR_LOOK_MS if is_near else LOOK_MS) * pace()
             self._wanted.wait(self._context.jittered_ms(pause_ms) / 1e3)
+            gevent.sleep(SHORTEST_LOOK_MS / 1e3)
             self._wanted.clear()
             for route in self._routes():
                 if route.waiting_tokens_limit:
