A test waits for a restarted process to answer before it looks at its answers

Change: it waits for the first answer, which must be 503, and looks again a second later: as strict, and once more.

--- a/tests/test_operator/test_operator_config.py
+++ b/tests/test_operator/test_operator_config.py
@@ -75,10 +75,14 @@
     assert (refused.status, refused.error['run']) == (503, 'not_run')
     fleet.program('instance-1').kill()
     fleet.start_instance('instance-1')
+    restarted = fleet.caller('instance-1')
+    # From its first answer on, however long the process takes to begin.
+    first = wait_until(lambda: restarted.try_call('GET', '/health/ready'), 'the restarted one')
+    assert first.status == 503
     time.sleep(1.0)
-    ready = fleet.caller('instance-1').try_call('GET', '/health/ready')
-    assert ready is not None
-    assert ready.status == 503
+    later = restarted.try_call('GET', '/health/ready')
+    assert later is not None
+    assert later.status == 503
     fleet.fault('table', 'none')
     fleet.wait_ready('instance-1')
     assert version(fleet, 'instance-1') == 2
