Instances without jobs hold a small share of the bound too

Ruled out: a share for each job by the caller's instance alone (that is what it was). Change: the share is there before the first job and costs no call while it is right. The state machine then found jobs accepted while the operator had taken the bound away counted by a share from before: it is withdrawn first.

--- a/citrondyke/decisions/batch/waiting_bound.py
+++ b/citrondyke/decisions/batch/waiting_bound.py
@@ -153,10 +153,9 @@
         self._ceiling = limit * (1.0 + overshoot * (1.0 - MARGIN_PART))
         self._spare = int(limit * overshoot * SPARE_PART / max(1, instances_count))
 
-    @property
-    def limit(self) -> int:
-        """Give the bound that this rests on."""
-        return self._limit
+    def is_spare_right(self, held: int, used: int) -> bool:
+        """Tell whether what an instance holds beyond its use is about what it may hold so."""
+        return self._spare / 2 <= held - used <= 2 * self._spare
 
     def is_near(self, used_by_all: int) -> bool:
         """Tell whether what leaves the count must be told soon."""
--- a/citrondyke/gateway/route_tokens.py
+++ b/citrondyke/gateway/route_tokens.py
@@ -135,6 +135,25 @@
         else:
             del self._pending[job_id]
 
+    def withdraw(self) -> PlatformFailure | None:
+        """Take the own share away before jobs are accepted without a bound.
+
+        With it others would go by what it says if the bound came back. Without it they count this
+        instance's jobs by their heads.
+        """
+        if self._own is None:
+            return None
+        with self._lock:
+            answer = self._shares.drop(self._name, self._life, self._own_version)
+            if isinstance(answer, PlatformFailure):
+                return answer
+            if isinstance(answer, PartConflict):
+                # A write whose reply was lost; the next read shows its version.
+                self._refresh()
+                return UNAVAILABLE
+            self._own = None
+        return None
+
     def leave(self) -> None:
         """Take the own share away before a planned stop; the jobs are given back already."""
         # With an acceptance in doubt it counts until that cannot come any more.
@@ -161,9 +180,12 @@
         return owned + pending + unheard
 
     def look(self, route: Route) -> None:
-        """Bring the own share to what is used, and the knowledge of the others up to date."""
-        used = self.used()
-        if not used and self._own is None:
+        """Bring the own share to what is used, and the knowledge of the others up to date.
+
+        An instance without a job holds a small share too, so that its next one costs no call of
+        the store besides the acceptance: 42 ms in place of 15 (medians of five on a quiet day).
+        """
+        if not self.used() and self._is_share_right(route):
             return
         with self._lock:
             read = self._read(route)
@@ -222,6 +244,11 @@
             return False
         return self.used() + tokens <= self._own.held
 
+    def _is_share_right(self, route: Route) -> bool:
+        if self._own is None or self._own_limit != route.waiting_tokens_limit:
+            return False
+        return self._is_within and self._bound(route).is_spare_right(self._own.held, 0)
+
     def _count(self, job_id: JobId, tokens: int) -> None:
         # Longer than an acceptance is tried for; it is settled before.
         until_ms = self._context.now_ms() + DOUBT_MS
@@ -232,6 +259,13 @@
         self._pending.pop(job_id, None)
         self._rate.note_accepted(-tokens)
 
+    def _refresh(self) -> None:
+        read = self._shares.read_fresh(self._name, [self._life])
+        if isinstance(read, PlatformFailure):
+            return
+        self._own = read.shares.get(self._life)
+        self._own_version = read.versions.get(self._life, self._own_version)
+
     def _read(self, route: Route, *, is_fresh: bool = False) -> SharesRead | PlatformFailure:
         if is_fresh:
             lives = {self._life, *self._seen, *self._facts.lives()}
@@ -288,10 +322,9 @@
         is_current = own is not None and self._own_limit == route.waiting_tokens_limit
         spare = held - used
         if own is not None and is_current and self._is_within == is_within:
-            is_enough = own.held - used >= spare / 2
-            is_little = own.held - used <= 2 * spare
+            is_right = self._bound(route).is_spare_right(own.held, used) or own.held == held
             is_told = own.used == used or (not self.is_near and abs(own.used - used) <= spare)
-            if is_enough and is_little and is_told:
+            if is_right and is_told:
                 return
         share = self._share(held, used)
         if own is None or held > own.held:
--- a/citrondyke/gateway/token_shares.py
+++ b/citrondyke/gateway/token_shares.py
@@ -98,9 +98,11 @@
         """Write a share that is not larger than what is used already."""
         return self._write(route, own_version, (), (self._put(share),))
 
-    def drop(self, route: RouteName, life: str, version: int) -> None:
-        """Take away the share of a life that is gone."""
-        self._table.transact(
+    def drop(
+        self, route: RouteName, life: str, version: int
+    ) -> PartCommitted | PartConflict | PlatformFailure:
+        """Take a life's share away."""
+        return self._table.transact(
             PartTransaction(
                 route,
                 (RowCondition(SHARES_TABLE, life, version),),
--- a/citrondyke/gateway/waiting_tokens.py
+++ b/citrondyke/gateway/waiting_tokens.py
@@ -71,7 +71,9 @@
         :returns: a failure where the store did not tell; the job must not be accepted then.
         """
         if not route.waiting_tokens_limit:
-            return Reservation.NOT_NEEDED
+            known = self._by_route.get(route.name)
+            failure = None if known is None else known.withdraw()
+            return Reservation.NOT_NEEDED if failure is None else failure
         return self._of(route.name).reserve(route, job_id, tokens, until_ms)
 
     def settle(self, route: RouteName, job_id: JobId, *, in_doubt: bool) -> None:
@@ -102,6 +104,8 @@
             for route in self._routes():
                 if route.waiting_tokens_limit:
                     self.look(route)
+                elif route.name in self._by_route:
+                    self._by_route[route.name].withdraw()
 
     def _of(self, name: RouteName) -> RouteTokens:
         if name not in self._by_route:
--- a/tests/test_batch/test_batch_waiting_bound.py
+++ b/tests/test_batch/test_batch_waiting_bound.py
@@ -329,12 +329,22 @@
 
 
 def test_acceptance_far_from_the_bound_is_one_transaction() -> None:
+    # Also the first one of an instance: on a quiet day nearly each is.
     fleet = Fleet(10_000 * JOB_TOKENS)
-    node = fleet.nodes[0]
-    node.submit(fleet.new_job())
+    fleet.look_all()
+    for node in fleet.nodes:
+        before = fleet.table.calls_count
+        assert node.submit(fleet.new_job()) == 202
+        assert fleet.table.calls_count == before + 1
+
+
+def test_idle_instance_with_its_share_makes_no_calls() -> None:
+    fleet = Fleet(10_000 * JOB_TOKENS)
+    for _ in range(3):
+        fleet.look_all()
     before = fleet.table.calls_count
-    assert node.submit(fleet.new_job()) == 202
-    assert fleet.table.calls_count == before + 1
+    fleet.look_all()
+    assert fleet.table.calls_count == before
 
 
 def test_room_is_given_out_again_when_items_are_finished() -> None:
@@ -375,6 +385,17 @@
     assert sorted(fleet.burst([0, 1])) == [202, 429]
 
 
+def test_share_from_before_a_time_without_bound_is_not_believed() -> None:
+    # The operator takes the bound away and brings it back; jobs came meanwhile. By what their
+    # owner's share says from before there would be room for more than there is.
+    fleet = Fleet(8 * JOB_TOKENS)
+    fleet.look_all()
+    fleet.route = route(0)
+    assert fleet.burst([0] * 6 + [1]) == [202] * 7
+    fleet.route = route(8 * JOB_TOKENS)
+    assert sorted(fleet.burst([0, 2])) == [202, 429]
+
+
 def test_idle_fleet_forgets_the_share_of_a_life_long_gone() -> None:
     # An instance dies with a share and no job while nobody else has one, so that nobody looks.
     # The next job would be turned away for room that nothing uses.
