--- a/citrondyke/gateway/route_tokens.py
+++ b/citrondyke/gateway/route_tokens.py
@@ -144,6 +144,8 @@
         if self._own is None:
             return None
         with self._lock:
+            if self._own is None:
+                return None
             answer = self._shares.drop(self._name, self._life, self._own_version)
             if isinstance(answer, PlatformFailure):
                 return answer
