--- a/citrondyke/gateway/route_tokens.py
+++ b/citrondyke/gateway/route_tokens.py
@@ -184,8 +184,8 @@
     def look(self, route: Route) -> None:
         """Bring the own share to what is used, and the knowledge of the others up to date.
 
-        An instance without a job holds a small share too, so that its next one costs no call of
-        the store besides the acceptance: 42 ms in place of 15 (medians of five on a quiet day).
+        An instance without a job holds a small share too, so that a job that fits into it costs no
+        call of the store besides the acceptance.
         """
         if not self.used() and self._is_share_right(route):
             return
