--- a/citrondyke/gateway/caller_connection.py
+++ b/citrondyke/gateway/caller_connection.py
@@ -156,7 +156,7 @@
         :raises CallerGoneError: when the caller does not take it.
         """
         if self._is_chunked and data:
-            # Framed here: the library's checks took 25 us a piece, a quarter of passing it on.
+            # Framed here: the library checks its whole state anew for each piece.
             framed = b'%x\r\n%b\r\n' % (len(data), data)
         else:
             framed = self._http.send(h11.Data(data=data)) or b''
--- a/citrondyke/gateway/reply_reader.py
+++ b/citrondyke/gateway/reply_reader.py
@@ -34,8 +34,9 @@
 class ReplyReader:
     """Takes bytes; gives the head, the pieces of the body and whether that is whole.
 
-    The library calls the ``on_`` methods. It is one in C: with one in Python a streamed event cost
-    about 60 us more of processor time, and a large fleet passes thousands of them on a second.
+    The library calls the ``on_`` methods. It is one in C: a streamed event takes 141 us of
+    processor time, 234 with one in Python on both sides (700 streams of 21 events, one play each),
+    and a large fleet passes thousands of them on a second.
     """
 
     def __init__(self, *, is_bodiless: bool) -> None:
--- a/citrondyke/gateway/route_tokens.py
+++ b/citrondyke/gateway/route_tokens.py
@@ -321,7 +321,7 @@
         is_within: bool,
     ) -> None:
         own = self._own
-        is_current = own is not None and self._own_limit == route.waiting_tokens_limit
+        is_current = self._own_limit == route.waiting_tokens_limit
         spare = held - used
         if own is not None and is_current and self._is_within == is_within:
             is_right = self._bound(route).is_spare_right(own.held, used) or own.held == held
--- a/citrondyke/gateway/server_connection.py
+++ b/citrondyke/gateway/server_connection.py
@@ -51,14 +51,12 @@
         self._says_close = False
         #: When it last brought anything, or was sent the request.
         self.heard_ms = clock.now_ms()
-        self.is_used = False
 
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a whole request.
 
         :raises BrokenReplyError: of kind ``CUT``; the server may have read it.
         """
-        self.is_used = True
         self.heard_ms = self._clock.now_ms()
         self._reply = ReplyReader(is_bodiless=method == b'HEAD')
         data = write_head(b'%b %b HTTP/1.1' % (method, target), headers) + body
--- a/citrondyke/gateway/token_shares.py
+++ b/citrondyke/gateway/token_shares.py
@@ -95,7 +95,7 @@
     def shrink(
         self, route: RouteName, own_version: int, share: TokenShare
     ) -> PartCommitted | PartConflict | PlatformFailure:
-        """Write a share that is not larger than what is used already."""
+        """Write a share that is not larger than the one before."""
         return self._write(route, own_version, (), (self._put(share),))
 
     def drop(
