--- a/tests/test_batch/test_batch_waiting_bound.py
+++ b/tests/test_batch/test_batch_waiting_bound.py
@@ -429,3 +429,16 @@
     assert counted == OtherShares(0, 0, 0)
     counted = count_others(shares, 'b', lambda _life, _share: ShareStanding.DOUBTFUL, [], ROUTE)
     assert counted.held == 500
+
+
+def test_share_from_before_the_bound_was_raised_and_lowered_is_not_believed() -> None:
+    # The operator raises the bound and lowers it again before an instance with a share has
+    # looked. Its share is from before, others have filled the room since: another job would pass
+    # the bound.
+    fleet = Fleet(3 * JOB_TOKENS)
+    assert fleet.burst([5]) == [202]
+    fleet.nodes[5].finish(ITEMS)
+    fleet.route = route(40 * JOB_TOKENS)
+    assert fleet.burst([0] * 5) == [202] * 5
+    fleet.route = route(3 * JOB_TOKENS)
+    assert fleet.burst([5]) == [429]
