A share of the bound names its configuration; a stopped instance's share counts on

Cause (both red tests): a share was tied to the bound's figure, so that a bound that went from 3 jobs to 40 and back before an instance looked left it a share that others had filled the room of meanwhile. A share now names the version of the configuration, in its row too; under another version it allows nothing until it was read anew, and a row is renewed for the new version only if nobody's share grew since the read that it rests on.

Three more holes of the same kind, found by reading and by a planned stop that the state machine lacked, each with a test that failed first: - an instance that is stopped took its share away, or its heartbeat's removal dated its silence to when its row was first seen, so that an acceptance in doubt counted for nobody. It marks its share as left before its jobs are given back; it counts for 8 s, less the jobs that are known by their heads. - a share whose shrinking lost its reply was still believed at its old size. - a nearly finished job of a dead instance, counted as a whole by its head, hid an acceptance in doubt behind it: the row tells the finished tokens of open jobs. A released job now names the life before it, so that it is not counted twice.

Ruled out: telling versions apart by the bound's figure (the hole itself).

--- a/citrondyke/decisions/batch/takeover.py
+++ b/citrondyke/decisions/batch/takeover.py
@@ -31,6 +31,8 @@
 #: Longest time between two reads of the others' heartbeats that is no gap; they are read every
 #: second.
 LOOK_GAP_MS = 2_000.0
+#: Lives that are remembered after their rows were taken away: all of a large fleet, twice.
+LEFT_LIMIT = 2_000
 
 
 class _Seen(msgspec.Struct):
@@ -59,6 +61,8 @@
         """Start knowing nobody."""
         self._context = context
         self._seen: dict[InstanceId, _Seen] = {}
+        #: Since when lives are gone whose rows were taken away, in that order.
+        self._left: dict[str, float] = {}
         self._beat_ms = float('-inf')
         self._look_ms = float('-inf')
         self._first_look_ms = 0.0
@@ -77,8 +81,14 @@
         return True
 
     def note_gone(self, instance_id: InstanceId) -> None:
-        """Take in that an instance took its row away."""
-        self._seen.pop(instance_id, None)
+        """Take in that an instance's row was taken away, by itself or after a long silence."""
+        seen = self._seen.pop(instance_id, None)
+        if seen is None:
+            return
+        now_ms = self._context.now_ms()
+        self._left[seen.life] = min(now_ms, seen.changed_ms + SILENT_MS * self.pace)
+        while len(self._left) > LEFT_LIMIT:
+            del self._left[next(iter(self._left))]
 
     def note_beat(self) -> None:
         """Take note that an own heartbeat was written; after a gap all silences begin anew."""
@@ -123,6 +133,9 @@
         if seen is not None and seen.life != life and seen.version > row_version:
             # Another life of it began after that row was written.
             return now_ms - seen.since_ms
+        if seen is None and life in self._left:
+            # Not since its row in question was seen: it ran on, and what it sent last may come.
+            return now_ms - self._left[life]
         # A life that is not known here may have begun a moment ago and claimed the job before its
         # first heartbeat was read; if that counted as gone, all would claim from each other.
         # And a head that was written a moment ago shows that its owner was alive then.
--- a/citrondyke/decisions/batch/waiting_bound.py
+++ b/citrondyke/decisions/batch/waiting_bound.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from citrondyke.ids import InstanceId
+from citrondyke.ids import ConfigVersion, InstanceId
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -16,6 +16,7 @@
     from citrondyke.ids import RouteName
 
 __all__ = (
+    'NO_CONFIGURATION',
     'Allowed',
     'NoRoom',
     'OtherShares',
@@ -38,6 +39,8 @@
 #: takes 300 ms to show that items are finished, and nobody waits longer than seconds.
 SOONEST_MS = 300.0
 LATEST_MS = 5_000.0
+#: Stands in a share for the configuration under which nothing is allowed.
+NO_CONFIGURATION = ConfigVersion(0)
 #: Where nothing has left the count yet, there is no rate to go by.
 UNKNOWN_RATE_MS = 1_000.0
 
@@ -52,6 +55,15 @@
     used: int
     #: Tokens that have left its count since its start; the rate of it tells when there is room.
     left: int = 0
+    #: Configuration under whose bound it was given; it allows nothing under another one, as the
+    #: bound may have been another in between, with others that filled the room. None where all
+    #: shares passed the bound: what jobs leave then is no room to accept others.
+    config_version: ConfigVersion = NO_CONFIGURATION
+    #: Tokens of the finished items of its open jobs. Who counts its jobs by their heads, as wholes,
+    #: needs it to tell what else the share covers.
+    finished: int = 0
+    #: It stops, as planned: the share only counts, for what it sent to the store last.
+    has_left: bool = False
 
 
 class OtherShares(msgspec.Struct, frozen=True):
@@ -126,8 +138,8 @@
             orphaned.pop(life, None)
             total = total.plus(max(share.held, share.used), share.used, share.left)
         elif stands is ShareStanding.DOUBTFUL:
-            doubtful = share.held - orphaned.get(life, 0) - claimed.get(life, 0)
-            total = total.plus(max(0, doubtful), max(0, doubtful), 0)
+            known = orphaned.get(life, 0) + claimed.get(life, 0) - share.finished
+            total = total.plus(max(0, share.held - known), max(0, share.used - known), 0)
     whole = sum(orphaned.values())
     return total.plus(whole, whole, 0)
 
--- a/citrondyke/decisions/forwarding/route_table.py
+++ b/citrondyke/decisions/forwarding/route_table.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from enum import Enum
+from functools import cached_property
 
 import msgspec
 
 from citrondyke.decisions.forwarding.route import Route, RouteLimits
-from citrondyke.ids import ConfigVersion
+from citrondyke.ids import ConfigVersion, RouteName
 
 __all__ = ('EMPTY_ROUTE_TABLE', 'NO_ROUTE', 'NoRoute', 'NoRouteReason', 'RouteTable')
 
@@ -31,22 +32,51 @@
 NO_ROUTE = NoRoute(NoRouteReason.UNKNOWN)
 
 
-class RouteTable(msgspec.Struct, frozen=True):
-    """Routes by host, the longest prefix first."""
+class _HostRoutes(msgspec.Struct, frozen=True):
+    by_prefix: dict[str, Route]
+    #: Lengths of the prefixes, the longest first.
+    lengths: tuple[int, ...]
+
+
+class RouteTable(msgspec.Struct, frozen=True, dict=True):
+    """All routes of one version of the configuration."""
 
     version: ConfigVersion
     routes: tuple[Route, ...] = ()
     limits: RouteLimits = RouteLimits()
 
+    @cached_property
+    def by_name(self) -> dict[RouteName, Route]:
+        """Give the routes by their names."""
+        return {route.name: route for route in self.routes}
+
     def find(self, host: str, path: str) -> Route | NoRoute:
-        """Choose the route of a request: its host's longest prefix that begins the path."""
-        best: Route | NoRoute = NO_ROUTE
+        """Choose the route of a request: its host's longest prefix that begins the path.
+
+        A configuration may hold thousands of routes, and each request needs one: only as many
+        looks are made as the host's prefixes have different lengths.
+        """
+        routes = self._by_host.get(host)
+        if routes is None:
+            return NO_ROUTE
+        for length in routes.lengths:
+            route = routes.by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return NO_ROUTE
+
+    @cached_property
+    def _by_host(self) -> dict[str, _HostRoutes]:
+        prefixes: dict[str, dict[str, Route]] = {}
         for route in self.routes:
-            if route.host != host or not path.startswith(route.prefix):
-                continue
-            if isinstance(best, NoRoute) or len(route.prefix) > len(best.prefix):
-                best = route
-        return best
+            # Of two with the same prefix the first counts.
+            prefixes.setdefault(route.host, {}).setdefault(route.prefix, route)
+        return {
+            host: _HostRoutes(
+                by_prefix, tuple(sorted({len(prefix) for prefix in by_prefix}, reverse=True))
+            )
+            for host, by_prefix in prefixes.items()
+        }
 
 
 EMPTY_ROUTE_TABLE = RouteTable(ConfigVersion(0))
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -171,7 +171,7 @@
                 self._gone_for_ms,
                 lambda: [beat.life for beat in self.membership.peers.values()],
             ),
-            lambda: self.beliefs.config.current.routes,
+            lambda: self.beliefs.config.current,
             settings.tokens_overshoot,
         )
         self.owned.when_taken_over(self.waiting.note_taken_over)
@@ -276,8 +276,12 @@
         stop.run(self._settings.stop_within_ms)
 
     def _hand_over(self, until_ms: float) -> None:
+        self.owned.is_stopping = True
+        leaving = gevent.spawn(self.waiting.leave)
+        # Its count is taken before the jobs are given back.
+        gevent.sleep(0)
         self.runner.hand_over(until_ms)
-        self.waiting.leave()
+        leaving.join(max(0.0, (until_ms - self.clock.now_ms()) / 1e3))
         self.membership.leave()
 
     @property
--- a/citrondyke/gateway/job_keeper.py
+++ b/citrondyke/gateway/job_keeper.py
@@ -182,7 +182,8 @@
                 head,
                 owner=self._context.instance_id,
                 owner_life=self._life,
-                life_before=head.owner_life,
+                # Kept where it was given back.
+                life_before=head.owner_life or head.life_before,
             )
             claimed = self.store.change_head(stored, wanted)
             log.info(
--- a/citrondyke/gateway/job_store.py
+++ b/citrondyke/gateway/job_store.py
@@ -167,7 +167,12 @@
 
     def release(self, job: OwnedJob, progress: Sequence[ItemProgress]) -> CommitVerdict:
         """Give a job back with the progress of its items, so that the next owner goes on."""
-        head = msgspec.structs.replace(job.head, owner=InstanceId(''), owner_life='')
+        head = msgspec.structs.replace(
+            job.head,
+            owner=InstanceId(''),
+            owner_life='',
+            life_before=job.head.owner_life,
+        )
         puts = [head_put(head)]
         for each in progress:
             if each.last_event_id is not None or each.failures_count:
--- a/citrondyke/gateway/route_tokens.py
+++ b/citrondyke/gateway/route_tokens.py
@@ -12,13 +12,14 @@
 
 from citrondyke.decisions.batch.drain_rate import DrainRate
 from citrondyke.decisions.batch.waiting_bound import (
+    NO_CONFIGURATION,
     NoRoom,
     OtherShares,
-    ShareStanding,
     TokenShare,
     WaitingBound,
-    count_others,
 )
+from citrondyke.gateway.seen_shares import SeenShares
+from citrondyke.gateway.waiting_count import WaitingCount
 from citrondyke.storage.failure import UNAVAILABLE, PlatformFailure
 from citrondyke.storage.partitioned_table import PartCommitted, PartConflict
 
@@ -30,7 +31,7 @@
     from citrondyke.gateway.fleet_facts import FleetFacts
     from citrondyke.gateway.owned_jobs import OwnedJobs
     from citrondyke.gateway.token_shares import SharesRead, TokenShares
-    from citrondyke.ids import JobId, RouteName
+    from citrondyke.ids import ConfigVersion, JobId, RouteName
 
 __all__ = ('NEAR_LOOK_MS', 'Reservation', 'RouteTokens')
 
@@ -41,8 +42,6 @@
 NEAR_LOOK_MS = 300.0
 #: Pause after a share of somebody else grew first: a few times what the store needs for one write.
 CONFLICT_MS = 15.0
-#: An acceptance whose reply was lost may be done up to 6 s later; until then its tokens count.
-DOUBT_MS = 8_000.0
 
 
 class Reservation(Enum):
@@ -54,16 +53,6 @@
     NOT_NEEDED = 'not_needed'
 
 
-class _Pending(msgspec.Struct, frozen=True):
-    tokens: int
-    until_ms: float
-
-
-class _Seen(msgspec.Struct, frozen=True):
-    version: int
-    since_ms: float
-
-
 class RouteTokens:
     """Reserves room for jobs, and tells the others what is used."""
 
@@ -87,7 +76,6 @@
         self._life = life
         self._name = name
         self._shares = shares
-        self._owned = owned
         self._facts = facts
         self._overshoot = overshoot
         self._look_again = look_again
@@ -95,45 +83,42 @@
         #: The own share as far as it is durable for certain.
         self._own: TokenShare | None = None
         self._own_version = 0
-        #: The bound under which it was given.
-        self._own_limit = 0
-        #: Whether all shares were within it then. Jobs that were accepted under a larger bound, or
-        #: taken over, can pass it; what they leave is no room to accept others.
-        self._is_within = False
-        self._pending: dict[JobId, _Pending] = {}
-        self._seen: dict[str, _Seen] = {}
+        #: Whether the row may hold less than the own share: a write of it is in doubt.
+        self._is_own_in_doubt = False
+        self._is_leaving = False
+        self._count = WaitingCount(context, life, name, owned, facts)
+        self._seen = SeenShares(context, life, facts)
         self._rate = DrainRate()
         #: Whether the bound is near, so that what is finished must be told soon.
         self.is_near = False
 
     def reserve(
-        self, route: Route, job_id: JobId, tokens: int, until_ms: float
+        self,
+        route: Route,
+        config_version: ConfigVersion,
+        job_id: JobId,
+        tokens: int,
+        until_ms: float,
     ) -> Reservation | NoRoom | PlatformFailure:
         """Count a job's tokens before it is accepted.
 
+        :param config_version: of the configuration that the route is of.
         :returns: a failure where the store did not tell; the job must not be accepted then.
         """
-        if job_id in self._owned.by_id or job_id in self._pending:
+        if self._count.has(job_id):
             return Reservation.NOT_NEEDED
-        if not self._lock.locked() and self._fits_share(route, tokens):
-            self._count(job_id, tokens)
-            if not self._fits_share(route, tokens):
+        if not self._lock.locked() and self._fits_share(config_version, tokens):
+            self._add(job_id, tokens)
+            if not self._fits_share(config_version, tokens):
                 # The next one is to find room without waiting for the store.
                 self._look_again()
             return Reservation.DONE
         with self._lock:
-            return self._reserve_by_store(route, job_id, tokens, until_ms)
+            return self._reserve_by_store(route, config_version, job_id, tokens, until_ms)
 
     def settle(self, job_id: JobId, *, in_doubt: bool) -> None:
         """Take in how an acceptance ended; one in doubt counts until it cannot come any more."""
-        pending = self._pending.get(job_id)
-        if pending is None:
-            return
-        if in_doubt:
-            until_ms = self._context.now_ms() + DOUBT_MS
-            self._pending[job_id] = msgspec.structs.replace(pending, until_ms=until_ms)
-        else:
-            del self._pending[job_id]
+        self._count.settle(job_id, in_doubt=in_doubt)
 
     def withdraw(self) -> PlatformFailure | None:
         """Take the own share away before jobs are accepted without a bound.
@@ -157,108 +142,124 @@
         return None
 
     def leave(self) -> None:
-        """Take the own share away before a planned stop; the jobs are given back already."""
-        # With an acceptance in doubt it counts until that cannot come any more.
-        if self._own is not None and not self._pending:
-            self._shares.drop(self._name, self._life, self._own_version)
-
-    def used(self) -> int:
-        """Count the tokens that wait at this instance."""
-        now_ms = self._context.now_ms()
-        for job_id in [each for each, one in self._pending.items() if one.until_ms <= now_ms]:
-            del self._pending[job_id]
-        by_id = self._owned.by_id
-        owned = sum(job.waiting_tokens for job in by_id.values() if job.head.route == self._name)
-        pending = sum(each.tokens for job_id, each in self._pending.items() if job_id not in by_id)
-        # Accepted by this instance though it heard of it by the store only.
-        unheard = sum(
-            head.tokens
-            for head in self._facts.heads()
-            if head.owner_life == self._life
-            and head.route == self._name
-            and head.job_id not in by_id
-            and head.job_id not in self._pending
-        )
-        return owned + pending + unheard
+        """Accept nothing more before a planned stop; the jobs are given back after it.
 
-    def look(self, route: Route) -> None:
+        The others count the share from now on like that of a life that is gone. An acceptance in
+        doubt may still be done late, and a job that was accepted a moment ago may not be known to
+        them: with the share gone, its room would be given away and the bound passed.
+        """
+        # As it stands now; jobs may be given back while the lock is waited for.
+        used, finished = self._count.used(), self._count.finished()
+        self._is_leaving = True
+        with self._lock:
+            if self._own is None:
+                return
+            if not used and not finished:
+                self._shares.drop(self._name, self._life, self._own_version)
+                return
+            share = msgspec.structs.replace(
+                self._own,
+                held=max(self._own.held, used),
+                used=used,
+                finished=finished,
+                has_left=True,
+            )
+            answer = self._shares.shrink(self._name, self._own_version, share)
+            log.info(
+                'tokens.left',
+                extra={
+                    'route': self._name,
+                    'used': used,
+                    'finished': finished,
+                    'written': isinstance(answer, PartCommitted),
+                },
+            )
+
+    def look(self, route: Route, config_version: ConfigVersion) -> None:
         """Bring the own share to what is used, and the knowledge of the others up to date.
 
         An instance without a job holds a small share too, so that a job that fits into it costs no
         call of the store besides the acceptance.
         """
-        if not self.used() and self._is_share_right(route):
+        if not self._count.used() and self._is_share_right(route, config_version):
             return
         with self._lock:
             read = self._read(route)
-            if isinstance(read, PlatformFailure):
+            if isinstance(read, PlatformFailure) or self._is_leaving:
                 return
-            used = self.used()
+            used = self._count.used()
             self._rate.note_used(used)
-            others = self._others(route, read)
+            others = self._seen.others(read, route.name)
             bound = self._bound(route)
             self.is_near = bound.is_near(others.used + used)
             self._rate.note_others(others.left, self._context.now_ms())
             held = bound.share_for(used, others)
             is_within = bound.is_within(held, others)
-            self._write_own(route, read, used, held, is_within=is_within)
-            self._drop_gone(route, read)
+            share = self._share(held, used, config_version if is_within else NO_CONFIGURATION)
+            if self._is_to_be_written(bound, share):
+                self._write_own(route, read, share)
+            for life, version in self._seen.gone(read):
+                self._shares.drop(route.name, life, version)
 
     def _reserve_by_store(
-        self, route: Route, job_id: JobId, tokens: int, until_ms: float
+        self,
+        route: Route,
+        config_version: ConfigVersion,
+        job_id: JobId,
+        tokens: int,
+        until_ms: float,
     ) -> Reservation | NoRoom | PlatformFailure:
         bound = self._bound(route)
         is_fresh = False
-        while True:
-            if self._fits_share(route, tokens):
-                self._count(job_id, tokens)
+        while not self._is_leaving:
+            if self._fits_share(config_version, tokens):
+                self._add(job_id, tokens)
                 return Reservation.DONE
             read = self._read(route, is_fresh=is_fresh)
             if isinstance(read, PlatformFailure):
                 return read
-            used = self.used()
-            others = self._others(route, read)
+            used = self._count.used()
+            others = self._seen.others(read, route.name)
             self.is_near = bound.is_near(others.used + used)
             decided = bound.decide(used, tokens, others, self._rate.tokens_per_s)
             if isinstance(decided, NoRoom):
                 self._log_no_room(route, job_id, tokens, used, others, decided)
                 return decided
-            self._count(job_id, tokens)
-            share = self._share(decided.held, used + tokens)
+            self._add(job_id, tokens)
+            share = self._share(decided.held, used + tokens, config_version)
             answer = self._shares.grow(route.name, read, share)
             if isinstance(answer, PartCommitted):
-                self._take_own(share, answer.version, route, is_within=True)
+                self._take_own(share, answer.version)
                 return Reservation.DONE
-            self._uncount(job_id, tokens)
+            self._take_back(job_id, tokens)
             if isinstance(answer, PlatformFailure):
                 return answer
             # Somebody else's share grew first, or the read was seconds old.
             is_fresh = True
             pause_ms = self._context.jittered_ms(CONFLICT_MS, share=0.9)
             if self._context.now_ms() + pause_ms >= until_ms:
-                return UNAVAILABLE
+                break
             gevent.sleep(pause_ms / 1e3)
+        return UNAVAILABLE
 
-    def _fits_share(self, route: Route, tokens: int) -> bool:
-        if self._own is None or self._own_limit != route.waiting_tokens_limit:
-            return False
-        if not self._is_within:
+    def _fits_share(self, config_version: ConfigVersion, tokens: int) -> bool:
+        own = self._own
+        if own is None or self._is_leaving or own.config_version != config_version:
             return False
-        return self.used() + tokens <= self._own.held
+        return self._count.used() + tokens <= own.held
 
-    def _is_share_right(self, route: Route) -> bool:
-        if self._own is None or self._own_limit != route.waiting_tokens_limit:
+    def _is_share_right(self, route: Route, config_version: ConfigVersion) -> bool:
+        own = self._own
+        if own is None or self._is_own_in_doubt or own.config_version != config_version:
             return False
-        return self._is_within and self._bound(route).is_spare_right(self._own.held, 0)
+        return self._bound(route).is_spare_right(own.held, 0)
 
-    def _count(self, job_id: JobId, tokens: int) -> None:
-        # Longer than an acceptance is tried for; it is settled before.
-        until_ms = self._context.now_ms() + DOUBT_MS
-        self._pending[job_id] = _Pending(tokens, until_ms)
+    def _add(self, job_id: JobId, tokens: int) -> None:
+        self._count.add(job_id, tokens)
         self._rate.note_accepted(tokens)
 
-    def _uncount(self, job_id: JobId, tokens: int) -> None:
-        self._pending.pop(job_id, None)
+    def _take_back(self, job_id: JobId, tokens: int) -> None:
+        self._count.remove(job_id)
         self._rate.note_accepted(-tokens)
 
     def _refresh(self) -> None:
@@ -270,88 +271,78 @@
 
     def _read(self, route: Route, *, is_fresh: bool = False) -> SharesRead | PlatformFailure:
         if is_fresh:
-            lives = {self._life, *self._seen, *self._facts.lives()}
+            lives = {self._life, *self._seen.lives(), *self._facts.lives()}
             read = self._shares.read_fresh(route.name, sorted(lives))
         else:
             read = self._shares.read(route.name)
         if isinstance(read, PlatformFailure):
             return read
-        now_ms = self._context.now_ms()
-        for life, version in read.versions.items():
-            seen = self._seen.get(life)
-            if seen is None or seen.version != version:
-                self._seen[life] = _Seen(version, now_ms)
-        for life in [each for each in self._seen if each not in read.versions]:
-            del self._seen[life]
+        self._seen.note(read)
         own, version = read.shares.get(self._life), read.versions.get(self._life, 0)
         if own is not None and version > self._own_version:
             # A write whose reply was lost.
-            self._own, self._own_version = own, version
+            self._take_own(own, version)
         return read
 
-    def _others(self, route: Route, read: SharesRead) -> OtherShares:
-        def standing(life: str, share: TokenShare) -> ShareStanding:
-            seen = self._seen[life]
-            gone_ms = self._facts.gone_for_ms(share.instance, life, seen.version, seen.since_ms)
-            if gone_ms is None:
-                return ShareStanding.ALIVE
-            return ShareStanding.DOUBTFUL if gone_ms < DOUBT_MS else ShareStanding.GONE
-
-        return count_others(read.shares, self._life, standing, self._facts.heads(), route.name)
-
     def _bound(self, route: Route) -> WaitingBound:
         instances_count = len(list(self._facts.lives())) + 1
         return WaitingBound(route.waiting_tokens_limit, self._overshoot, instances_count)
 
-    def _share(self, held: int, used: int) -> TokenShare:
-        return TokenShare(self._context.instance_id, held, used, self._rate.left)
+    def _share(self, held: int, used: int, config_version: ConfigVersion) -> TokenShare:
+        return TokenShare(
+            self._context.instance_id,
+            held,
+            used,
+            self._rate.left,
+            config_version,
+            self._count.finished(),
+        )
 
-    def _take_own(self, share: TokenShare, version: int, route: Route, *, is_within: bool) -> None:
+    def _take_own(self, share: TokenShare, version: int) -> None:
         self._own, self._own_version = share, version
-        self._own_limit = route.waiting_tokens_limit
-        self._is_within = is_within
+        self._is_own_in_doubt = False
 
-    def _write_own(
-        self,
-        route: Route,
-        read: SharesRead,
-        used: int,
-        held: int,
-        *,
-        is_within: bool,
-    ) -> None:
+    def _is_to_be_written(self, bound: WaitingBound, share: TokenShare) -> bool:
         own = self._own
-        is_current = self._own_limit == route.waiting_tokens_limit
-        spare = held - used
-        if own is not None and is_current and self._is_within == is_within:
-            is_right = self._bound(route).is_spare_right(own.held, used) or own.held == held
-            is_told = own.used == used or (not self.is_near and abs(own.used - used) <= spare)
-            if is_right and is_told:
-                return
-        share = self._share(held, used)
-        if own is None or held > own.held:
+        if own is None or self._is_own_in_doubt or own.config_version != share.config_version:
+            return True
+        is_right = bound.is_spare_right(own.held, share.used) or own.held == share.held
+        off = max(abs(own.used - share.used), abs(own.finished - share.finished))
+        return not is_right or off > (0 if self.is_near else share.held - share.used)
+
+    def _write_own(self, route: Route, read: SharesRead, share: TokenShare) -> None:
+        own = self._own
+        if own is None or share.held > own.held:
             answer = self._shares.grow(route.name, read, share)
         else:
-            answer = self._shares.shrink(route.name, self._own_version, share)
+            # A lost reply leaves it open which of the two the row holds: the smaller is believed,
+            # as others may have filled the rest.
+            self._own = msgspec.structs.replace(own, held=share.held)
+            self._is_own_in_doubt = True
+            if share.config_version in (own.config_version, NO_CONFIGURATION):
+                answer = self._shares.shrink(route.name, self._own_version, share)
+            else:
+                answer = self._shares.renew(route.name, read, share)
         if isinstance(answer, PartCommitted):
-            self._take_own(share, answer.version, route, is_within=is_within)
-            log.info('tokens.share', extra={'route': route.name, 'held': held, 'used': used})
+            self._take_own(share, answer.version)
+            log.info(
+                'tokens.share',
+                extra={
+                    'route': route.name,
+                    'held': share.held,
+                    'used': share.used,
+                    'config_version': share.config_version,
+                },
+            )
             return
         # The next look tries again. At once would be in vain where reads are seconds old: each
         # instance would read and write as fast as the store answers until they are not.
         reason = 'conflict' if isinstance(answer, PartConflict) else answer.reason.value
         log.info(
             'tokens.share_not_written',
-            extra={'route': route.name, 'used': used, 'reason': reason},
+            extra={'route': route.name, 'used': share.used, 'reason': reason},
         )
 
-    def _drop_gone(self, route: Route, read: SharesRead) -> None:
-        for life, share in read.shares.items():
-            seen = self._seen[life]
-            gone_ms = self._facts.gone_for_ms(share.instance, life, seen.version, seen.since_ms)
-            if life != self._life and gone_ms is not None and gone_ms >= DOUBT_MS:
-                self._shares.drop(route.name, life, seen.version)
-
     @staticmethod
     def _log_no_room(
         route: Route,
--- a/citrondyke/gateway/token_shares.py
+++ b/citrondyke/gateway/token_shares.py
@@ -92,6 +92,20 @@
             (self._put(share), RowPut(SHARES_TABLE, TURN_KEY, self._own_life.encode())),
         )
 
+    def renew(
+        self, route: RouteName, read: SharesRead, share: TokenShare
+    ) -> PartCommitted | PartConflict | PlatformFailure:
+        """Write a share that is not larger but allows more, if nobody's grew since the read.
+
+        Several may do so at once: each counted the others' shares as they were, and none grows.
+        """
+        return self._write(
+            route,
+            read.versions.get(self._own_life, 0),
+            (RowCondition(SHARES_TABLE, TURN_KEY, read.turn_version),),
+            (self._put(share),),
+        )
+
     def shrink(
         self, route: RouteName, own_version: int, share: TokenShare
     ) -> PartCommitted | PartConflict | PlatformFailure:
--- /dev/null
+++ b/citrondyke/gateway/waiting_count.py
@@ -0,0 +1,97 @@
+"""Counts the tokens of one route's batch items that wait at this instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from citrondyke.decisions.batch.job import JobHead
+    from citrondyke.decisions.batch.owned_job import OwnedJob
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.gateway.fleet_facts import FleetFacts
+    from citrondyke.gateway.owned_jobs import OwnedJobs
+    from citrondyke.ids import JobId, RouteName
+
+__all__ = ('DOUBT_MS', 'WaitingCount')
+
+#: An acceptance whose reply was lost may be done up to 6 s later; until then its tokens count.
+DOUBT_MS = 8_000.0
+
+
+class _Pending(msgspec.Struct, frozen=True):
+    tokens: int
+    until_ms: float
+
+
+class WaitingCount:
+    """Counts jobs that are accepted, and those that are about to be."""
+
+    def __init__(
+        self,
+        context: Context,
+        life: str,
+        route: RouteName,
+        owned: OwnedJobs,
+        facts: FleetFacts,
+    ) -> None:
+        """Count nothing yet.
+
+        :param life: names this life of this instance.
+        """
+        self._context = context
+        self._life = life
+        self._route = route
+        self._owned = owned
+        self._facts = facts
+        self._pending: dict[JobId, _Pending] = {}
+
+    def has(self, job_id: JobId) -> bool:
+        """Tell whether a job is counted already."""
+        return job_id in self._owned.by_id or job_id in self._pending
+
+    def add(self, job_id: JobId, tokens: int) -> None:
+        """Count a job that is about to be accepted; ``settle`` is called before its time is up."""
+        self._pending[job_id] = _Pending(tokens, self._context.now_ms() + DOUBT_MS)
+
+    def remove(self, job_id: JobId) -> None:
+        """Count a job no more: it is not sent to the store."""
+        self._pending.pop(job_id, None)
+
+    def settle(self, job_id: JobId, *, in_doubt: bool) -> None:
+        """Take in how an acceptance ended; one in doubt counts until it cannot come any more."""
+        pending = self._pending.get(job_id)
+        if pending is not None and in_doubt:
+            self.add(job_id, pending.tokens)
+        else:
+            self.remove(job_id)
+
+    def used(self) -> int:
+        """Count the tokens that no server has finished."""
+        now_ms = self._context.now_ms()
+        for job_id in [each for each, one in self._pending.items() if one.until_ms <= now_ms]:
+            del self._pending[job_id]
+        by_id = self._owned.by_id
+        owned = sum(job.waiting_tokens for job in self._jobs())
+        pending = sum(each.tokens for job_id, each in self._pending.items() if job_id not in by_id)
+        return owned + pending + sum(head.tokens for head in self._unheard())
+
+    def finished(self) -> int:
+        """Count the tokens of the finished items of open jobs."""
+        return sum(job.head.tokens - job.waiting_tokens for job in self._jobs())
+
+    def _jobs(self) -> Iterable[OwnedJob]:
+        return [job for job in self._owned.by_id.values() if job.head.route == self._route]
+
+    def _unheard(self) -> Iterable[JobHead]:
+        """List the jobs that this instance accepted though it heard of it by the store only."""
+        return [
+            head
+            for head in self._facts.heads()
+            if head.owner_life == self._life
+            and head.route == self._route
+            and not self.has(head.job_id)
+        ]
--- a/citrondyke/gateway/waiting_tokens.py
+++ b/citrondyke/gateway/waiting_tokens.py
@@ -10,16 +10,17 @@
 from citrondyke.gateway.route_tokens import NEAR_LOOK_MS, Reservation, RouteTokens
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from citrondyke.decisions.batch.waiting_bound import NoRoom
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.route import Route
+    from citrondyke.decisions.forwarding.route_table import RouteTable
     from citrondyke.gateway.fleet_facts import FleetFacts
     from citrondyke.gateway.owned_jobs import OwnedJobs
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.gateway.token_shares import TokenShares
-    from citrondyke.ids import JobId, RouteName
+    from citrondyke.ids import ConfigVersion, JobId, RouteName
     from citrondyke.storage.failure import PlatformFailure
 
 __all__ = ('WaitingTokens',)
@@ -41,12 +42,12 @@
         shares: TokenShares,
         owned: OwnedJobs,
         facts: FleetFacts,
-        routes: Callable[[], Iterable[Route]],
+        config: Callable[[], RouteTable],
         overshoot: float,
     ) -> None:
         """Use the parts handed in.
 
-        :param routes: gives the routes of the configuration.
+        :param config: gives the configuration in force.
         :param overshoot: tolerated part of a bound beyond it.
         """
         self._context = context
@@ -54,7 +55,7 @@
         self._shares = shares
         self._owned = owned
         self._facts = facts
-        self._routes = routes
+        self._config = config
         self._overshoot = overshoot
         self._by_route: dict[RouteName, RouteTokens] = {}
         self._wanted = Event()
@@ -70,11 +71,14 @@
 
         :returns: a failure where the store did not tell; the job must not be accepted then.
         """
+        config = self._config()
+        # It may be of a configuration from before the body was read.
+        route = config.by_name.get(route.name, route)
         if not route.waiting_tokens_limit:
             known = self._by_route.get(route.name)
             failure = None if known is None else known.withdraw()
             return Reservation.NOT_NEEDED if failure is None else failure
-        return self._of(route.name).reserve(route, job_id, tokens, until_ms)
+        return self._of(route.name).reserve(route, config.version, job_id, tokens, until_ms)
 
     def settle(self, route: RouteName, job_id: JobId, *, in_doubt: bool) -> None:
         """Take in how an acceptance ended; one in doubt counts until it cannot come any more."""
@@ -86,13 +90,13 @@
         self._wanted.set()
 
     def leave(self) -> None:
-        """Take the own shares away before a planned stop; the jobs are given back already."""
+        """Accept nothing more before a planned stop; the jobs are given back after it."""
         for tokens in self._by_route.values():
             tokens.leave()
 
-    def look(self, route: Route) -> None:
+    def look(self, route: Route, config_version: ConfigVersion) -> None:
         """Bring the own share of a route to what is used."""
-        self._of(route.name).look(route)
+        self._of(route.name).look(route, config_version)
 
     def _run(self, pace: Callable[[], float]) -> None:
         while True:
@@ -101,9 +105,10 @@
             self._wanted.wait(self._context.jittered_ms(pause_ms) / 1e3)
             gevent.sleep(SHORTEST_LOOK_MS / 1e3)
             self._wanted.clear()
-            for route in self._routes():
+            config = self._config()
+            for route in config.routes:
                 if route.waiting_tokens_limit:
-                    self.look(route)
+                    self.look(route, config.version)
                 elif route.name in self._by_route:
                     self._by_route[route.name].withdraw()
 
--- a/tests/test_batch/test_batch_takeover.py
+++ b/tests/test_batch/test_batch_takeover.py
@@ -177,3 +177,29 @@
         assert not live.is_gone(owner, 'life', 0, since_ms)
     clock.ms += 2_700.0
     assert live.is_gone(owner, 'life', 0, since_ms)
+
+
+def test_instance_that_left_is_gone_since_it_left() -> None:
+    # An instance writes a row, runs on for a long time and stops as planned. What it sent to the
+    # store last may come for seconds from then on, not from when the row was first seen.
+    watcher = Watcher(ManualClock())
+    watcher.settle(instance_0=('a', 5))
+    row_seen_ms = watcher.clock.ms
+    for beat in range(20):
+        watcher.clock.ms += 900.0
+        watcher.look(instance_0=('a', 6 + beat))
+    watcher.live.note_gone(InstanceId('instance-0'))
+    watcher.clock.ms += 100.0
+    assert watcher.live.gone_for_ms(InstanceId('instance-0'), 'a', 4, row_seen_ms) == 100.0
+
+
+def test_instance_whose_row_is_taken_away_was_gone_since_its_silence() -> None:
+    watcher = Watcher(ManualClock())
+    watcher.settle(instance_0=('a', 5))
+    row_seen_ms = 0.0
+    for _ in range(20):
+        watcher.clock.ms += 900.0
+        watcher.look(instance_0=('a', 5))
+    before = watcher.live.gone_for_ms(InstanceId('instance-0'), 'a', 4, row_seen_ms)
+    watcher.live.note_gone(InstanceId('instance-0'))
+    assert watcher.live.gone_for_ms(InstanceId('instance-0'), 'a', 4, row_seen_ms) == before
--- a/tests/test_batch/test_batch_waiting_bound.py
+++ b/tests/test_batch/test_batch_waiting_bound.py
@@ -21,6 +21,7 @@
     count_others,
 )
 from citrondyke.decisions.forwarding.route import Route, RouteKind, ServiceShare
+from citrondyke.decisions.forwarding.route_table import RouteTable
 from citrondyke.gateway.fleet_facts import FleetFacts
 from citrondyke.gateway.job_rows import (
     HEAD_KEY,
@@ -34,7 +35,7 @@
 from citrondyke.gateway.route_tokens import Reservation
 from citrondyke.gateway.token_shares import TokenShares
 from citrondyke.gateway.waiting_tokens import WaitingTokens
-from citrondyke.ids import InstanceId, JobId, RouteName, ServiceName
+from citrondyke.ids import ConfigVersion, InstanceId, JobId, RouteName, ServiceName
 from citrondyke.storage.partitioned_table import (
     Listing,
     PartCommitted,
@@ -43,6 +44,7 @@
 )
 from tests.support.flaky_table import FlakyTable, MemoryObjects, Trouble
 from tests.support.manual_clock import ManualClock, manual_context
+from tests.test_batch.test_batch_machine import new_head
 
 ROUTE = RouteName('letters')
 OVERSHOOT = 0.1
@@ -105,7 +107,7 @@
                 lambda _instance, other, _version, _since: fleet.gone_for_ms(other),
                 lambda: [node.life for node in fleet.nodes if node is not self],
             ),
-            lambda: [fleet.route],
+            lambda: fleet.config,
             OVERSHOOT,
         )
 
@@ -166,7 +168,7 @@
     def __init__(self, limit: int) -> None:
         self.clock = ManualClock()
         self.table = YieldingTable()
-        self.route = route(limit)
+        self.config = RouteTable(ConfigVersion(1), (route(limit),))
         #: When lives ended.
         self.gone: dict[str, float] = {}
         self.finished: set[str] = set()
@@ -175,9 +177,30 @@
         self.nodes: list[Node] = []
         self.nodes += [self.new_node(number) for number in range(INSTANCES)]
 
+    @property
+    def route(self) -> Route:
+        return self.config.routes[0]
+
+    @route.setter
+    def route(self, changed: Route) -> None:
+        self.config = RouteTable(ConfigVersion(self.config.version + 1), (changed,))
+
     def kill(self, node: Node) -> None:
         self.gone[node.life] = self.clock.ms
 
+    def leave(self, node: Node, trouble: Trouble = Trouble.NONE) -> None:
+        """Stop a node as planned, with trouble in the first call that it makes for it."""
+        self.table.trouble = trouble
+        node.owned.is_stopping = True
+        leaving = gevent.spawn(node.waiting.leave)
+        gevent.sleep(0)
+        for job in list(node.owned.by_id.values()):
+            if node.store.release(job, []) is CommitVerdict.DONE:
+                node.owned.drop(job.head.job_id)
+        leaving.join()
+        self.table.trouble = Trouble.NONE
+        self.kill(node)
+
     def gone_for_ms(self, life: str) -> float | None:
         return self.clock.ms - self.gone[life] if life in self.gone else None
 
@@ -227,7 +250,7 @@
     def look_all(self) -> None:
         self.clock.ms += 300.0
         for node in self.nodes:
-            node.waiting.look(self.route)
+            node.waiting.look(self.route, self.config.version)
 
 
 class BoundMachine(RuleBasedStateMachine):
@@ -250,6 +273,11 @@
         self.fleet.kill(self.fleet.nodes[number])
         self.fleet.nodes[number] = self.fleet.new_node(number)
 
+    @rule(number=WHO, trouble=TROUBLES)
+    def leave(self, number: int, trouble: Trouble) -> None:
+        self.fleet.leave(self.fleet.nodes[number], trouble)
+        self.fleet.nodes[number] = self.fleet.new_node(number)
+
     @rule()
     def kill_all(self) -> None:
         for number in range(INSTANCES):
@@ -260,16 +288,19 @@
         node = self.fleet.nodes[number]
         for stored in self.fleet.open_jobs():
             head = stored.head
-            if head.owner_life not in self.fleet.gone:
+            if head.owner_life and head.owner_life not in self.fleet.gone:
                 continue
             wanted = msgspec.structs.replace(
-                head, owner=node.instance_id, owner_life=node.life, life_before=head.owner_life
+                head,
+                owner=node.instance_id,
+                owner_life=node.life,
+                life_before=head.owner_life or head.life_before,
             )
             claimed = node.store.change_head(stored, wanted)
             items = node.store.items(head)
             if isinstance(claimed, StoredHead) and isinstance(items, list):
                 node.owned.add(OwnedJob(claimed.head, claimed.version, items))
-        node.waiting.look(self.fleet.route)
+        node.waiting.look(self.fleet.route, self.fleet.config.version)
 
     @rule(number=WHO)
     def end(self, number: int) -> None:
@@ -281,7 +312,7 @@
     @rule(number=WHO, trouble=TROUBLES)
     def look(self, number: int, trouble: Trouble) -> None:
         self.fleet.table.trouble = trouble
-        self.fleet.nodes[number].waiting.look(self.fleet.route)
+        self.fleet.nodes[number].waiting.look(self.fleet.route, self.fleet.config.version)
         self.fleet.table.trouble = Trouble.NONE
 
     @rule()
@@ -442,3 +473,42 @@
     assert fleet.burst([0] * 5) == [202] * 5
     fleet.route = route(3 * JOB_TOKENS)
     assert fleet.burst([5]) == [429]
+
+
+def test_late_acceptance_of_a_stopped_instance_keeps_its_room() -> None:
+    # An instance sends an acceptance whose reply is lost, and is stopped as planned. The store
+    # does it seconds later. With the share gone at once the room would have been given away.
+    fleet = Fleet(2 * JOB_TOKENS)
+    assert fleet.burst([0]) == [202]
+    node = fleet.nodes[1]
+    reserved = node.waiting.reserve(fleet.route, JobId('late'), JOB_TOKENS, 1e9)
+    assert reserved is Reservation.DONE
+    node.waiting.settle(ROUTE, JobId('late'), in_doubt=True)
+    fleet.look_all()
+    fleet.clock.ms += 6_000.0
+    fleet.leave(node)
+    fleet.look_all()
+    assert fleet.burst([2]) == [429]
+    fleet.clock.ms += 9_000.0
+    assert fleet.burst([2]) == [202]
+
+
+def test_share_whose_shrinking_is_in_doubt_allows_the_smaller() -> None:
+    # An instance has finished its jobs and gives room back; the reply is lost. Others fill the
+    # room that they see. By what it held before it would accept as much again.
+    fleet = Fleet(8 * JOB_TOKENS)
+    assert fleet.burst([0] * 4) == [202] * 4
+    fleet.nodes[0].finish(4 * ITEMS)
+    fleet.table.trouble = Trouble.REPLY_LOST
+    fleet.nodes[0].waiting.look(fleet.route, fleet.config.version)
+    assert fleet.burst([1] * 8) == [202] * 8
+    assert fleet.burst([0] * 4) == [429] * 4
+
+
+def test_finished_items_of_a_job_do_not_hide_an_acceptance_in_doubt() -> None:
+    # An instance dies with a job that is nearly done and an acceptance that comes late. The job
+    # counts as a whole then; taken off the share, it would leave nothing for the other.
+    shares = {'a': TokenShare(InstanceId('i'), 1_100, 1_100, finished=900)}
+    head = msgspec.structs.replace(new_head(0), route=ROUTE, owner_life='a', tokens=1_000)
+    counted = count_others(shares, 'b', lambda _life, _share: ShareStanding.DOUBTFUL, [head], ROUTE)
+    assert counted.held == 2_000
