Sums go to other zones in rotation; a share in doubt does not outlive a time without bound; traffic by kind

Cause (sums): each instance told a drawn one of each other zone, so that a third heard nothing of a zone in half a second and some nothing in two. What is sent to peers is counted by kind and by near or far, as metrics and in a line each 10 s.

--- a/citrondyke/decisions/forwarding/load_notices.py
+++ b/citrondyke/decisions/forwarding/load_notices.py
@@ -47,7 +47,9 @@
         self._told: dict[ServerLife, tuple[int, int]] = {}
         self._renewed_ms = 0.0
         self._sent_ms = float('-inf')
-        self._totals_ms = float('-inf')
+        #: Turn in which totals were last told. Turns are counted by the wall clock, so that all
+        #: are in the same one, about.
+        self.totals_turn = 0
 
     def next_pause_ms(self) -> float:
         """Give the time until the next notice may go out."""
@@ -107,10 +109,11 @@
 
     def take_totals(self) -> list[ServerLoad]:
         """Give what all instances have on the servers of this zone, when that is to be told."""
-        now_ms = self._context.now_ms()
-        if not self._book.neighbours.is_zoned or now_ms - self._totals_ms < TOTALS_EVERY_MS:
+        turn = int(self._context.epoch_ms() // TOTALS_EVERY_MS)
+        if not self._book.neighbours.is_zoned or turn == self.totals_turn:
             return []
-        self._totals_ms = now_ms
+        self.totals_turn = turn
+        now_ms = self._context.now_ms()
         return [
             ServerLoad(
                 server_digest(state.listed),
--- a/citrondyke/decisions/forwarding/neighbours.py
+++ b/citrondyke/decisions/forwarding/neighbours.py
@@ -49,6 +49,8 @@
         self._by_zone = {}
         for instance_id, zone in zones.items():
             self._by_zone.setdefault(zone, []).append(instance_id)
+        for instances in self._by_zone.values():
+            instances.sort()
 
     @property
     def instances_count(self) -> int:
@@ -89,10 +91,17 @@
         """Give an instance's availability zone; ``None`` when it is not known."""
         return self._zones.get(instance_id)
 
-    def one_in_each_other_zone(self) -> list[InstanceId]:
-        """Draw one instance from each other availability zone."""
+    def one_in_each_other_zone(self, turn: int) -> list[InstanceId]:
+        """Give one instance of each other availability zone, another one each turn.
+
+        Those of one zone begin at different places of the others, so that in each turn all of
+        another zone are told by somebody, as far as there are as many here. Drawn by chance, a
+        third of them heard nothing in a turn, and some nothing in four.
+        """
+        own = sorted((*self.in_zone(self._context.zone), self._context.instance_id))
+        place = own.index(self._context.instance_id)
         return [
-            self._context.random.choice(instances)
+            instances[(place + turn) % len(instances)]
             for zone, instances in self._by_zone.items()
             if zone != self._context.zone
         ]
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -37,6 +37,7 @@
 from citrondyke.gateway.membership import Membership
 from citrondyke.gateway.metrics import Metrics
 from citrondyke.gateway.owned_jobs import OwnedJobs
+from citrondyke.gateway.peer_traffic import PeerTraffic
 from citrondyke.gateway.peers import Peers
 from citrondyke.gateway.planned_stop import PlannedStop
 from citrondyke.gateway.relayed_table import RelayedTable
@@ -159,6 +160,7 @@
             self._loads.take,
             committer.look_at,
             outside.table,
+            PeerTraffic(self.context, self.metrics),
             self._store_pace,
             self._tasks,
         )
@@ -325,7 +327,6 @@
             ('open_connections', lambda: float(self.front.open_count)),
             ('owned_jobs', lambda: float(len(self.owned.by_id))),
             ('store_silent_ms', lambda: self._store.silent_ms),
-            ('peer_bytes_sent', lambda: float(self.peers.sent_bytes)),
         ):
             self.metrics.add_gauge(name, read)
 
--- a/citrondyke/gateway/load_exchange.py
+++ b/citrondyke/gateway/load_exchange.py
@@ -74,4 +74,5 @@
             totals = self._notices.take_totals()
             for start in range(0, len(totals), LOADS_PER_DATAGRAM):
                 part = totals[start : start + LOADS_PER_DATAGRAM]
-                send(LoadTotals(part), self._neighbours.one_in_each_other_zone())
+                receivers = self._neighbours.one_in_each_other_zone(self._notices.totals_turn)
+                send(LoadTotals(part), receivers)
--- a/citrondyke/gateway/peers.py
+++ b/citrondyke/gateway/peers.py
@@ -38,6 +38,7 @@
     from citrondyke.gateway.beliefs import Beliefs
     from citrondyke.gateway.dependency import Dependency
     from citrondyke.gateway.membership import Membership
+    from citrondyke.gateway.peer_traffic import PeerTraffic
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import JobId
     from citrondyke.storage.partitioned_table import PartitionedTable
@@ -70,6 +71,7 @@
         on_loads: Callable[[InstanceId, LoadNotice | LoadTotals], None],
         on_job: Callable[[JobId], None],
         table: PartitionedTable,
+        traffic: PeerTraffic,
         pace: Callable[[], float],
         tasks: Tasks,
     ) -> None:
@@ -78,6 +80,7 @@
         :param on_loads: takes what a peer tells of its counts.
         :param on_job: called when a job's head changed.
         :param table: the store by the direct way, for peers that it does not answer.
+        :param traffic: told of what is sent.
         :param pace: gives the factor by which calls are rarer than in a small fleet.
         """
         self._context = context
@@ -102,7 +105,7 @@
             pace,
             tasks,
         )
-        self.sent_bytes = 0
+        self._traffic = traffic
 
     def start(self, ip: str) -> None:
         """Listen and begin to send."""
@@ -112,6 +115,7 @@
         self._streams.start()
         self._knowledge.start()
         self._tasks.keep(self._run_datagrams)
+        self._tasks.keep(self._traffic.run)
 
     def stop(self) -> None:
         """Listen no more."""
@@ -153,7 +157,7 @@
             beat = self._membership.peers.get(receiver)
             if beat is None or self._datagrams is None:
                 continue
-            self.sent_bytes += len(data)
+            self._traffic.note(text, len(data), beat.zone)
             try:
                 self._datagrams.sendto(data, (beat.ip, beat.peer_port))
             except OSError as error:
@@ -201,7 +205,7 @@
         """
         with connect(ip, self._port, CONNECT_MS) as sock:
             sock.settimeout(STREAM_TIMEOUT_S)
-            self._write_frame(sock, text)
+            self._write_frame(sock, ip, text)
             return self._read_frame(sock)
 
     def _on_stream(self, sock: socket.socket, address: tuple[str, int]) -> None:
@@ -211,11 +215,12 @@
             message = self._read_frame(sock)
             if isinstance(message.text, KnowledgeWanted):
                 known = self._knowledge.answer(message.text, message.config_version)
-                self._write_frame(sock, known)
+                self._write_frame(sock, address[0], known)
             elif isinstance(message.text, StoreCallData):
                 call: StoreCall = decode_msgpack(message.text.data, StoreCall)  # type: ignore[arg-type]
                 answer = self._perform(call)
-                self._write_frame(sock, StoreAnswerData(msgspec.msgpack.encode(answer)))
+                answered = StoreAnswerData(msgspec.msgpack.encode(answer))
+                self._write_frame(sock, address[0], answered)
         except (OSError, ValueError) as error:
             log.info('peer.unreadable', extra={'ip': address[0], 'detail': str(error)[:200]})
         finally:
@@ -226,9 +231,10 @@
             return StoreAnswer(failure=PlatformFailureReason.UNAVAILABLE)
         return perform(self._table, call)
 
-    def _write_frame(self, sock: socket.socket, text: PeerText) -> None:
+    def _write_frame(self, sock: socket.socket, ip: str, text: PeerText) -> None:
         data = encode_message(self._message(text))
-        self.sent_bytes += len(data)
+        zones = [beat.zone for beat in self._membership.peers.values() if beat.ip == ip]
+        self._traffic.note(text, len(data), zones[0] if zones else None)
         write_frame(sock, data)
 
     @staticmethod
--- a/citrondyke/gateway/route_tokens.py
+++ b/citrondyke/gateway/route_tokens.py
@@ -126,20 +126,19 @@
         With it others would go by what it says if the bound came back. Without it they count this
         instance's jobs by their heads.
         """
-        if self._own is None:
+        if self._own is None and not self._is_own_in_doubt:
             return None
         with self._lock:
+            if self._is_own_in_doubt and not self._make_certain():
+                return UNAVAILABLE
             if self._own is None:
                 return None
             answer = self._shares.drop(self._name, self._life, self._own_version)
-            if isinstance(answer, PlatformFailure):
-                return answer
-            if isinstance(answer, PartConflict):
-                # A write whose reply was lost; the next read shows its version.
-                self._refresh()
-                return UNAVAILABLE
-            self._own = None
-        return None
+            if isinstance(answer, PartCommitted):
+                self._own = None
+                return None
+            self._is_own_in_doubt = True
+            return UNAVAILABLE
 
     def leave(self) -> None:
         """Accept nothing more before a planned stop; the jobs are given back after it.
@@ -265,12 +264,21 @@
         self._count.remove(job_id)
         self._rate.note_accepted(-tokens)
 
-    def _refresh(self) -> None:
+    def _make_certain(self) -> bool:
+        """Write the own share so that no earlier write of it can come any more.
+
+        Those that would make it grow, or bring it back, need the turn as it was before.
+        """
         read = self._shares.read_fresh(self._name, [self._life])
         if isinstance(read, PlatformFailure):
-            return
-        self._own = read.shares.get(self._life)
-        self._own_version = read.versions.get(self._life, self._own_version)
+            return False
+        used = self._count.used()
+        share = self._share(used, used, NO_CONFIGURATION)
+        answer = self._shares.grow(self._name, read, share)
+        if not isinstance(answer, PartCommitted):
+            return False
+        self._take_own(share, answer.version)
+        return True
 
     def _read(self, route: Route, *, is_fresh: bool = False) -> SharesRead | PlatformFailure:
         if is_fresh:
