A test waits until the first life of a server is known before the second comes

It failed once beside load 11 (504 in place of 502). Traced: with the first entry unseen the instance knows no birth and the same sequence, so that the second is no later life (run without the first entry: 504 each time). The test asks as before, after the entry is known.

--- a/tests/test_gateway/test_gateway_forwarding.py
+++ b/tests/test_gateway/test_gateway_forwarding.py
@@ -229,6 +229,15 @@
     # says so; the caller would wait for an answer that never comes until its own timeout.
     for name in ('lm-1', 'lm-2'):
         fleet.list_server(name, 'lm', born=1_000)
+    # Unknown to the instance, the first life could not be told from the next.
+    wait_until_seen(
+        lambda: [
+            state
+            for state in fleet.instances[0].book.states()
+            if state.listed.born_epoch_ms == 1_000
+        ][1:],
+        'the first life of both servers',
+    )
     tell(fleet, 'lm', Act.SILENT)
     replies: list[Reply] = []
     with fleet.connection() as sock:
