--- /dev/null
+++ b/citrondyke/gateway/batch_side.py
@@ -0,0 +1,174 @@
+"""The batch side of an instance: its parts put together, started and stopped."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+
+from citrondyke.decisions.batch.give_way import GiveWay
+from citrondyke.decisions.batch.start_pace import StartPace
+from citrondyke.decisions.batch.takeover import LiveInstances, Takeover
+from citrondyke.decisions.core.context import Context
+from citrondyke.decisions.forwarding.server_book import ServerBook
+from citrondyke.gateway.beliefs import Beliefs
+from citrondyke.gateway.fleet_facts import FleetFacts
+from citrondyke.gateway.job_committer import JobCommitter
+from citrondyke.gateway.job_door import JobDoor
+from citrondyke.gateway.job_intake import JobIntake
+from citrondyke.gateway.job_keeper import JobKeeper
+from citrondyke.gateway.job_reader import JobReader
+from citrondyke.gateway.job_removal import JobRemoval
+from citrondyke.gateway.job_runner import JobRunner
+from citrondyke.gateway.job_store import JobStore
+from citrondyke.gateway.job_sweeper import JobSweeper
+from citrondyke.gateway.membership import Membership
+from citrondyke.gateway.metrics import Metrics
+from citrondyke.gateway.owned_jobs import OwnedJobs
+from citrondyke.gateway.server_sends import ServerSends
+from citrondyke.gateway.tasks import Tasks
+from citrondyke.gateway.token_shares import TokenShares
+from citrondyke.gateway.waiting_tokens import WaitingTokens
+from citrondyke.storage.partitioned_table import PartitionedTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.gateway.outside import Outside
+    from citrondyke.gateway.settings import GatewaySettings
+    from citrondyke.ids import InstanceId, JobId
+
+__all__ = ('BatchSide', 'BatchSurroundings')
+
+
+class BatchSurroundings(msgspec.Struct, frozen=True):
+    """The parts of an instance that its batch side works with."""
+
+    context: Context
+    table: PartitionedTable
+    beliefs: Beliefs
+    book: ServerBook
+    sends: ServerSends
+    membership: Membership
+    live: LiveInstances
+    metrics: Metrics
+    tasks: Tasks
+
+
+class BatchSide:
+    """Takes jobs in, runs their items, keeps and shows what comes of them."""
+
+    def __init__(
+        self, around: BatchSurroundings, life: str, settings: GatewaySettings, outside: Outside
+    ) -> None:
+        """Put the parts together.
+
+        :param life: names this life of this instance.
+        """
+        self._around = around
+        self._outside = outside
+        context, tasks = around.context, around.tasks
+        self.store = JobStore(around.table, outside.objects, settings.store.row_bytes)
+        self._reader = JobReader(context, self.store)
+        self.owned = OwnedJobs()
+        self.committer = JobCommitter(context, self.owned, self.store, tasks, self._reader.adopt)
+        self.runner = JobRunner(
+            context,
+            around.beliefs,
+            GiveWay(context, around.book, StartPace(context, around.book.neighbours)),
+            around.sends,
+            outside.dialect,
+            self.owned,
+            self.committer,
+            around.metrics,
+            tasks,
+        )
+        self._sweeper = JobSweeper(
+            context,
+            self.store,
+            JobRemoval(around.table, outside.objects),
+            around.live,
+            settings.job_kept_ms,
+        )
+        self.keeper = JobKeeper(
+            context,
+            life,
+            around.table,
+            self.store,
+            self.owned,
+            self.runner,
+            Takeover(context, life, around.live),
+            self._store_pace,
+            tasks,
+        )
+        self.waiting = WaitingTokens(
+            context,
+            life,
+            TokenShares(around.table, life),
+            self.owned,
+            FleetFacts(
+                self.keeper.open_heads,
+                self._gone_for_ms,
+                lambda: [beat.life for beat in around.membership.peers.values()],
+            ),
+            lambda: around.beliefs.config.current,
+            settings.tokens_overshoot,
+        )
+        self.owned.when_taken_over(self.waiting.note_taken_over)
+        self.intake = JobIntake(
+            context,
+            life,
+            outside.dialect,
+            self.store,
+            self.owned,
+            self.runner,
+            self._reader,
+            self.waiting,
+            settings.memory_bytes,
+        )
+
+    def door(self, tell_owner: Callable[[JobId, InstanceId], None]) -> JobDoor:
+        """Make the part that answers questions about jobs.
+
+        :param tell_owner: tells a job's owner that its head changed.
+        """
+        around = self._around
+        return JobDoor(
+            around.context,
+            self._outside.dialect,
+            self.store,
+            self.owned,
+            self._reader,
+            tell_owner,
+        )
+
+    def start(self) -> None:
+        """Begin to follow the jobs and to run items."""
+        tasks = self._around.tasks
+        self.runner.start()
+        self.committer.start()
+        self.keeper.start()
+        self.waiting.start(tasks, self._store_pace)
+        self._sweeper.start(tasks)
+
+    def hand_over(self, until_ms: float) -> None:
+        """Give all jobs back before a planned stop."""
+        self.owned.is_stopping = True
+        leaving = gevent.spawn(self.waiting.leave)
+        # What waits is counted before the jobs are given back.
+        gevent.sleep(0)
+        self.runner.hand_over(until_ms)
+        leaving.join(max(0.0, (until_ms - self._around.context.now_ms()) / 1e3))
+
+    def _store_pace(self) -> float:
+        return self._around.book.neighbours.store_pace
+
+    def _gone_for_ms(
+        self, owner: InstanceId, life: str, version: int, since_ms: float
+    ) -> float | None:
+        # Before the open jobs are known, what a life that is gone has left cannot be counted by
+        # its jobs.
+        if not self.keeper.is_listed:
+            return None
+        return self._around.live.gone_for_ms(owner, life, version, since_ms)
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -11,32 +11,20 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from citrondyke.decisions.batch.give_way import GiveWay
-from citrondyke.decisions.batch.start_pace import StartPace
-from citrondyke.decisions.batch.takeover import LiveInstances, Takeover
+from citrondyke.decisions.batch.takeover import LiveInstances
 from citrondyke.decisions.core.context import Context
 from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
 from citrondyke.decisions.forwarding.load_notices import LoadNotices
 from citrondyke.decisions.forwarding.server_book import ServerBook
+from citrondyke.gateway.batch_side import BatchSide, BatchSurroundings
 from citrondyke.gateway.beliefs import Beliefs
 from citrondyke.gateway.dependency import Dependency
-from citrondyke.gateway.fleet_facts import FleetFacts
 from citrondyke.gateway.followers import follow_beliefs, follow_instances
 from citrondyke.gateway.forwarder import Forwarder
 from citrondyke.gateway.front import Front
-from citrondyke.gateway.job_committer import JobCommitter
-from citrondyke.gateway.job_door import JobDoor
-from citrondyke.gateway.job_intake import JobIntake
-from citrondyke.gateway.job_keeper import JobKeeper
-from citrondyke.gateway.job_reader import JobReader
-from citrondyke.gateway.job_removal import JobRemoval
-from citrondyke.gateway.job_runner import JobRunner
-from citrondyke.gateway.job_store import JobStore
-from citrondyke.gateway.job_sweeper import JobSweeper
 from citrondyke.gateway.load_exchange import LoadExchange
 from citrondyke.gateway.membership import Membership
 from citrondyke.gateway.metrics import Metrics
-from citrondyke.gateway.owned_jobs import OwnedJobs
 from citrondyke.gateway.peer_traffic import PeerTraffic
 from citrondyke.gateway.peers import Peers
 from citrondyke.gateway.planned_stop import PlannedStop
@@ -45,8 +33,6 @@
 from citrondyke.gateway.server_sends import ServerSends
 from citrondyke.gateway.small_pages import SmallPages
 from citrondyke.gateway.tasks import Tasks
-from citrondyke.gateway.token_shares import TokenShares
-from citrondyke.gateway.waiting_tokens import WaitingTokens
 from citrondyke.util.clock import SystemClock
 
 if TYPE_CHECKING:
@@ -58,7 +44,6 @@
     from citrondyke.gateway.outside import Outside
     from citrondyke.gateway.relayed_table import StoreAnswer, StoreCall
     from citrondyke.gateway.settings import Address, GatewaySettings
-    from citrondyke.ids import InstanceId
 
 __all__ = ('GatewayInstance',)
 
@@ -113,42 +98,20 @@
             table,
             self._live,
         )
-        job_store = JobStore(table, outside.objects, settings.store.row_bytes)
-        reader = JobReader(self.context, job_store)
-        self.owned = OwnedJobs()
-        committer = JobCommitter(self.context, self.owned, job_store, self._tasks, reader.adopt)
-        self._committer = committer
-        self.runner = JobRunner(
+        surroundings = BatchSurroundings(
             self.context,
+            table,
             self.beliefs,
-            GiveWay(self.context, self.book, StartPace(self.context, self.book.neighbours)),
+            self.book,
             self._sends,
-            outside.dialect,
-            self.owned,
-            committer,
-            self.metrics,
-            self._tasks,
-        )
-        self.sweeper = JobSweeper(
-            self.context,
-            job_store,
-            JobRemoval(table, outside.objects),
+            self.membership,
             self._live,
-            settings.job_kept_ms,
-        )
-        self.keeper = JobKeeper(
-            self.context,
-            life,
-            table,
-            job_store,
-            self.owned,
-            self.runner,
-            Takeover(self.context, life, self._live),
-            self._store_pace,
+            self.metrics,
             self._tasks,
         )
+        self.batch = BatchSide(surroundings, life, settings, outside)
         self._loads = LoadExchange(
-            LoadNotices(self.context, self.book), self.book.neighbours, self.runner.make_room
+            LoadNotices(self.context, self.book), self.book.neighbours, self.batch.runner.make_room
         )
         self.peers = Peers(
             self.context,
@@ -158,51 +121,19 @@
             self.beliefs,
             self._store,
             self._loads.take,
-            committer.look_at,
+            self.batch.committer.look_at,
             outside.table,
             PeerTraffic(self.context, self.metrics),
             self._store_pace,
             self._tasks,
         )
-        self.waiting = WaitingTokens(
-            self.context,
-            life,
-            TokenShares(table, life),
-            self.owned,
-            FleetFacts(
-                self.keeper.open_heads,
-                self._gone_for_ms,
-                lambda: [beat.life for beat in self.membership.peers.values()],
-            ),
-            lambda: self.beliefs.config.current,
-            settings.tokens_overshoot,
-        )
-        self.owned.when_taken_over(self.waiting.note_taken_over)
-        intake = JobIntake(
-            self.context,
-            life,
-            outside.dialect,
-            job_store,
-            self.owned,
-            self.runner,
-            reader,
-            self.waiting,
-            settings.memory_bytes,
-        )
-        self.jobs = JobDoor(
-            self.context,
-            outside.dialect,
-            job_store,
-            self.owned,
-            reader,
-            self.peers.tell_job_changed,
-        )
+        self.jobs = self.batch.door(self.peers.tell_job_changed)
         self.front = Front(
             self.context,
             self.beliefs,
             outside.dialect,
             forwarder,
-            intake,
+            self.batch.intake,
             self.jobs,
             self.metrics,
             settings.connections_limit,
@@ -231,11 +162,7 @@
         self.peers.start(settings.ip)
         self._loads.start(self._tasks, self.peers.send)
         self.membership.start(self._tasks)
-        self.runner.start()
-        self._committer.start()
-        self.keeper.start()
-        self.waiting.start(self._tasks, self._store_pace)
-        self.sweeper.start(self._tasks)
+        self.batch.start()
         self._tasks.keep(self._run_settle)
         log.info(
             'instance.started',
@@ -279,12 +206,7 @@
         stop.run(self._settings.stop_within_ms)
 
     def _hand_over(self, until_ms: float) -> None:
-        self.owned.is_stopping = True
-        leaving = gevent.spawn(self.waiting.leave)
-        # Its count is taken before the jobs are given back.
-        gevent.sleep(0)
-        self.runner.hand_over(until_ms)
-        leaving.join(max(0.0, (until_ms - self.clock.now_ms()) / 1e3))
+        self.batch.hand_over(until_ms)
         self.membership.leave()
 
     @property
@@ -306,15 +228,6 @@
             self._live.pace = self._store_pace()
             self.beliefs.settle('grace')
 
-    def _gone_for_ms(
-        self, owner: InstanceId, life: str, version: int, since_ms: float
-    ) -> float | None:
-        # Before the open jobs are known, what a life that is gone has left cannot be counted by
-        # its jobs.
-        if not self.keeper.is_listed:
-            return None
-        return self._live.gone_for_ms(owner, life, version, since_ms)
-
     def _store_pace(self) -> float:
         return self.book.neighbours.store_pace
 
@@ -325,7 +238,7 @@
             ('config_age_ms', lambda: min(1e9, config.age_ms(self.clock.now_ms()))),
             ('servers', lambda: float(len(list(self.book.states())))),
             ('open_connections', lambda: float(self.front.open_count)),
-            ('owned_jobs', lambda: float(len(self.owned.by_id))),
+            ('owned_jobs', lambda: float(len(self.batch.owned.by_id))),
             ('store_silent_ms', lambda: self._store.silent_ms),
         ):
             self.metrics.add_gauge(name, read)
@@ -337,4 +250,4 @@
         """Tell peers, and make room on a server that fills up."""
         self._loads.note_change()
         if state.own.batch and state.own.online:
-            self.runner.make_room()
+            self.batch.runner.make_room()
--- a/tests/test_gateway/test_gateway_jobs.py
+++ b/tests/test_gateway/test_gateway_jobs.py
@@ -22,7 +22,9 @@
 
 
 def owner_of(fleet: GatewayFleet, job_id: str) -> int:
-    return next(index for index, each in enumerate(fleet.instances) if job_id in each.owned.by_id)
+    return next(
+        index for index, each in enumerate(fleet.instances) if job_id in each.batch.owned.by_id
+    )
 
 
 def slow_down(fleet: GatewayFleet, gap_ms: float = 150.0) -> None:
@@ -133,14 +135,14 @@
     slow_down(fleet)
     assert fleet.submit('job-1', 4, at=0).status == 202
     first = fleet.instances[0]
-    job = first.owned.by_id[msgspec.convert('job-1', str)]  # type: ignore[index]
-    stored = first.keeper.store.head(job.head.job_id)
+    job = first.batch.owned.by_id[msgspec.convert('job-1', str)]  # type: ignore[index]
+    stored = first.batch.keeper.store.head(job.head.job_id)
     taken = msgspec.structs.replace(
         stored.head,  # type: ignore[union-attr]
         owner=fleet.instances[1].context.instance_id,
         owner_life='gone',
     )
-    first.keeper.store.change_head(stored, taken)  # type: ignore[arg-type]
+    first.batch.keeper.store.change_head(stored, taken)  # type: ignore[arg-type]
     results = fleet.wait_done('job-1', at=1)
     assert sorted(each['id'] for each in results) == [f'job-1-{n}' for n in range(4)]
 
@@ -153,7 +155,7 @@
     wait_until_seen(lambda: runs_of(fleet, 'job-1-0'), 'the first item at a server')
     for at in (1, 0, 1):
         assert fleet.call('/-/lots/job-1', b'', at=at, method='DELETE').status == 200
-    wait_until_seen(lambda: not fleet.instances[0].owned.by_id, 'the owner to let go')
+    wait_until_seen(lambda: not fleet.instances[0].batch.owned.by_id, 'the owner to let go')
     ran = sum(len(server.runs) for server in fleet.servers.values())
     gevent.sleep(0.6)
     assert sum(len(server.runs) for server in fleet.servers.values()) == ran
@@ -176,7 +178,7 @@
     # A peer's online request takes the place of an item in the moment between its choice and its
     # run. Taken for running from then on, the item would never be listed, and the caller would
     # ask for it for good.
-    runner = fleet.instances[0].runner
+    runner = fleet.instances[0].batch.runner
     begin = runner._begin
 
     def begin_and_cut(*arguments: Any) -> None:
@@ -216,7 +218,7 @@
     # the last event of each at once, without waiting for a silence.
     slow_down(fleet)
     assert fleet.submit('job-1', 2, at=0).status == 202
-    items = fleet.instances[0].owned.by_id[JobId('job-1')].open.values()
+    items = fleet.instances[0].batch.owned.by_id[JobId('job-1')].open.values()
     wait_until_seen(lambda: all(each.last_event_id for each in items), 'progress')
     fleet.instances[0].request_stop()
     gevent.spawn(fleet.instances[0].run_until_stopped)
--- a/tests/test_gateway/test_gateway_relay.py
+++ b/tests/test_gateway/test_gateway_relay.py
@@ -71,7 +71,7 @@
     assert fleet.submit('job-1', 2, at=1).status == 202
     refuse(fleet, 1)
     gevent.sleep(3.8)
-    assert 'job-1' in fleet.instances[1].owned.by_id
+    assert 'job-1' in fleet.instances[1].batch.owned.by_id
     fleet.wait_done('job-1', at=0)
     ran = [run.request_id for server in fleet.servers.values() for run in server.runs]
     assert sorted(ran) == ['job-1-0', 'job-1-1']
