Heads of open jobs are read within half of what the store takes

Cause (reading): after a loss of all power each instance reads the head of each open job at once: 195 instances and 600 jobs are 117,000 reads against 16,000 a second, while the configuration, without which nobody serves, waits behind them.

--- a/citrondyke/decisions/batch/takeover.py
+++ b/citrondyke/decisions/batch/takeover.py
@@ -145,6 +145,16 @@
         silent_ms = now_ms - shown_ms - SILENT_MS * self.pace
         return silent_ms if silent_ms >= 0 else None
 
+    @property
+    def has_looked(self) -> bool:
+        """Tell whether the others' heartbeats were ever read."""
+        return self._look_ms > float('-inf')
+
+    @property
+    def count(self) -> int:
+        """Count the instances whose rows are there, this one's included."""
+        return max(1, len(self._seen))
+
     @property
     def is_settled(self) -> bool:
         """Tell whether all who run had the time to show it since this instance began to look."""
@@ -196,6 +206,11 @@
         self._instances = instances
         self._seen: dict[JobId, _SeenHead] = {}
 
+    @property
+    def knows_instances(self) -> bool:
+        """Tell whether the others' heartbeats were ever read."""
+        return self._instances.has_looked
+
     def is_due(self, head: JobHead, version: int) -> bool:
         """Tell whether this instance claims a job that it does not run.
 
--- a/citrondyke/gateway/batch_side.py
+++ b/citrondyke/gateway/batch_side.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from citrondyke.decisions.batch.give_way import GiveWay
+from citrondyke.decisions.batch.read_budget import ReadBudget
 from citrondyke.decisions.batch.start_pace import StartPace
 from citrondyke.decisions.batch.takeover import LiveInstances, Takeover
 from citrondyke.decisions.core.context import Context
@@ -99,6 +100,7 @@
             self.owned,
             self.runner,
             Takeover(context, life, around.live),
+            ReadBudget(context, settings.store.reads_per_s, lambda: around.live.count),
             self._store_pace,
             tasks,
         )
--- a/citrondyke/gateway/job_keeper.py
+++ b/citrondyke/gateway/job_keeper.py
@@ -28,6 +28,7 @@
     from collections.abc import Callable, Iterable
 
     from citrondyke.decisions.batch.job import JobHead
+    from citrondyke.decisions.batch.read_budget import ReadBudget
     from citrondyke.decisions.batch.takeover import Takeover
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.job_runner import JobRunner
@@ -43,6 +44,9 @@
 #: How often the open jobs are listed beside the feed.
 LIST_EVERY_MS = 3_000.0
 LOOK_EVERY_MS = 250.0
+#: Longest wait of the first list for the first look at the other instances.
+FIRST_LOOK_MS = 500.0
+FIRST_PAUSE_S = 0.02
 
 
 class JobKeeper:
@@ -57,15 +61,18 @@
         owned: OwnedJobs,
         runner: JobRunner,
         takeover: Takeover,
+        budget: ReadBudget,
         pace: Callable[[], float],
         tasks: Tasks,
     ) -> None:
         """Use the parts handed in.
 
+        :param budget: of reads of heads.
         :param pace: gives the factor by which calls are rarer than in a small fleet.
         """
         self._context = context
         self._life = life
+        self._budget = budget
         self._table = table
         self.store = store
         self._owned = owned
@@ -142,16 +149,26 @@
         if isinstance(listed, PlatformFailure):
             return
         is_whole = True
+        # By chance, so that each job is known to somebody soon though nobody reads all at once.
+        self._context.random.shuffle(listed)
         for job_id in listed:
-            if job_id not in self._open and job_id not in self._owned.by_id:
-                stored = self.store.read_head(job_id)
-                if isinstance(stored, StoredHead):
-                    self._take(stored)
-                else:
-                    is_whole = False
+            if job_id in self._open or job_id in self._owned.by_id:
+                continue
+            wait_ms = self._budget.take()
+            if wait_ms > 0:
+                gevent.sleep(wait_ms / 1e3)
+            stored = self.store.read_head(job_id)
+            if isinstance(stored, StoredHead):
+                self._take(stored)
+            else:
+                is_whole = False
         self.is_listed = self.is_listed or is_whole
 
     def _run_list(self) -> None:
+        # How many share the reads is not known before; nothing else depends on it.
+        with gevent.Timeout(FIRST_LOOK_MS / 1e3, False):
+            while not self._takeover.knows_instances:
+                gevent.sleep(FIRST_PAUSE_S)
         while True:
             self.list_once()
             gevent.sleep(self._context.jittered_ms(LIST_EVERY_MS * self._pace()) / 1e3)
--- a/citrondyke/gateway/settings.py
+++ b/citrondyke/gateway/settings.py
@@ -24,6 +24,8 @@
     call_timeout_ms: float = 1_200.0
     #: Largest value of a row.
     row_bytes: int = 65_536
+    #: Reads a second that it takes from all instances together.
+    reads_per_s: float = 2_000.0
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/citrondyke/platform/settings_file.py
+++ b/citrondyke/platform/settings_file.py
@@ -5,6 +5,7 @@
 import os
 import tomllib
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -64,6 +65,8 @@
     address: str
     #: Largest value of a row, in bytes.
     row_bytes: int = 65_536
+    #: Read calls a second that the store takes from all instances together.
+    reads_per_s: Annotated[float, msgspec.Meta(gt=0)] = 2_000.0
 
 
 class PlatformFile(msgspec.Struct, frozen=True):
@@ -132,6 +135,7 @@
             store=StoreSettings(
                 address=_address(file.platform.address),
                 row_bytes=file.platform.row_bytes,
+                reads_per_s=file.platform.reads_per_s,
             ),
             memory_bytes=file.limits.memory_mb * 1024 * 1024,
             connections_limit=(file.limits.max_fds - RESERVED_FDS) // FDS_PER_CALLER,
--- a/tests/test_gateway/test_gateway_job_keeper.py
+++ b/tests/test_gateway/test_gateway_job_keeper.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from citrondyke.decisions.batch.read_budget import ReadBudget
 from citrondyke.decisions.batch.takeover import LiveInstances, Takeover
 from citrondyke.gateway.job_keeper import JobKeeper
 from citrondyke.gateway.job_rows import StoredHead
@@ -40,6 +41,7 @@
         # Nothing is claimed here, so that nothing is handed to a runner.
         cast('JobRunner', None),
         Takeover(context, 'life', LiveInstances(context)),
+        ReadBudget(context, 2_000.0, lambda: 13),
         lambda: 1.0,
         Tasks(),
     )
