--- a/citrondyke/decisions/forwarding/neighbours.py
+++ b/citrondyke/decisions/forwarding/neighbours.py
@@ -12,10 +12,9 @@
 
 __all__ = ('Neighbours',)
 
-#: Fleets up to this tell all of all. Beyond it only an availability zone does: 89 instances that
-#: tell each other of each start and end of 250 requests a second get and send 500 datagrams a
-#: second each. They used 0.058 of a core each (63 s of even load, requests included), with zones
-#: 0.031 (its first 30 s only).
+#: Fleets up to this tell all of all, so that each request finds the free place wherever it is.
+#: Beyond it only an availability zone does: hearing of each start and end of everybody's requests
+#: would take an instance more processor time than its own callers do.
 MESH_LIMIT = 24
 #: Datagrams that an instance sends to its neighbours in a second at most: with n of them a change
 #: waits n ms at the longest, 12 ms at 13 instances.
--- a/citrondyke/decisions/forwarding/server_book.py
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -20,10 +20,10 @@
 __all__ = ('BookChange', 'ServerBook', 'server_digest')
 
 #: What a server in another availability zone must be better by, in requests: the way there costs
-#: a caller 0.9 to 1.4 ms and bytes between zones cost money, a request ahead costs 30 ms or more.
+#: a caller a millisecond and the operator bytes between zones, a request ahead tens of ms.
 OTHER_ZONE_COST = 0.4
-#: What a server that has read the shared part of a prompt before is better by, in requests: 200
-#: tokens less to read are 1 to 2 ms.
+#: What a server that has read the shared part of a prompt before is better by, in requests: the
+#: caller's first event comes sooner by what need not be read again, less than by a free place.
 PREFIX_GAIN = 0.6
 #: A server's times count within these bounds of the service's mean.
 SLOWEST_FACTOR = 4.0
--- a/citrondyke/gateway/route_tokens.py
+++ b/citrondyke/gateway/route_tokens.py
@@ -7,7 +7,6 @@
 
 import gevent
 import logbook
-import msgspec
 from gevent.lock import BoundedSemaphore
 
 from citrondyke.decisions.batch.drain_rate import DrainRate
@@ -18,10 +17,11 @@
     TokenShare,
     WaitingBound,
 )
+from citrondyke.gateway.own_share import OwnShare
 from citrondyke.gateway.seen_shares import SeenShares
 from citrondyke.gateway.waiting_count import WaitingCount
 from citrondyke.storage.failure import UNAVAILABLE, PlatformFailure
-from citrondyke.storage.partitioned_table import PartCommitted, PartConflict
+from citrondyke.storage.partitioned_table import PartCommitted
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -80,11 +80,7 @@
         self._overshoot = overshoot
         self._look_again = look_again
         self._lock = BoundedSemaphore(1)
-        #: The own share as far as it is durable for certain.
-        self._own: TokenShare | None = None
-        self._own_version = 0
-        #: Whether the row may differ from the own share: a write of it is in doubt.
-        self._is_own_in_doubt = False
+        self._own = OwnShare(name, life, shares)
         self._is_leaving = False
         self._count = WaitingCount(context, life, name, owned, facts)
         self._seen = SeenShares(context, life, facts)
@@ -126,19 +122,11 @@
         With it others would go by what it says if the bound came back. Without it they count this
         instance's jobs by their heads.
         """
-        if self._own is None and not self._is_own_in_doubt:
+        if self._own.share is None and not self._own.is_in_doubt:
             return None
         with self._lock:
-            if self._is_own_in_doubt and not self._make_certain():
-                return UNAVAILABLE
-            if self._own is None:
-                return None
-            answer = self._shares.drop(self._name, self._life, self._own_version)
-            if isinstance(answer, PartCommitted):
-                self._own = None
-                return None
-            self._is_own_in_doubt = True
-            return UNAVAILABLE
+            used = self._count.used()
+            return self._own.withdraw(self._share(used, used, NO_CONFIGURATION))
 
     def leave(self) -> None:
         """Accept nothing more before a planned stop; the jobs are given back after it.
@@ -151,28 +139,7 @@
         used, finished = self._count.used(), self._count.finished()
         self._is_leaving = True
         with self._lock:
-            if self._own is None:
-                return
-            if not used and not finished:
-                self._shares.drop(self._name, self._life, self._own_version)
-                return
-            share = msgspec.structs.replace(
-                self._own,
-                held=max(self._own.held, used),
-                used=used,
-                finished=finished,
-                has_left=True,
-            )
-            answer = self._shares.shrink(self._name, self._own_version, share)
-            log.info(
-                'tokens.left',
-                extra={
-                    'route': self._name,
-                    'used': used,
-                    'finished': finished,
-                    'written': isinstance(answer, PartCommitted),
-                },
-            )
+            self._own.leave(used, finished)
 
     def look(self, route: Route, config_version: ConfigVersion) -> None:
         """Bring the own share to what is used, and the knowledge of the others up to date.
@@ -196,7 +163,7 @@
             is_within = bound.is_within(held, others)
             share = self._share(held, used, config_version if is_within else NO_CONFIGURATION)
             if self._is_to_be_written(bound, share):
-                self._write_own(route, read, share)
+                self._own.write(read, share)
             for life, version in self._seen.gone(read):
                 self._shares.drop(route.name, life, version)
 
@@ -226,14 +193,11 @@
                 return decided
             self._add(job_id, tokens)
             share = self._share(decided.held, used + tokens, config_version)
-            answer = self._shares.grow(route.name, read, share)
+            answer = self._own.grow(read, share)
             if isinstance(answer, PartCommitted):
-                self._take_own(share, answer.version)
                 return Reservation.DONE
             self._take_back(job_id, tokens)
             if isinstance(answer, PlatformFailure):
-                # Done without a reply, it would keep the room from the others for good.
-                self._is_own_in_doubt = True
                 self._look_again()
                 return answer
             # Somebody else's share grew first, or the read was seconds old.
@@ -245,16 +209,15 @@
         return UNAVAILABLE
 
     def _fits_share(self, config_version: ConfigVersion, tokens: int) -> bool:
-        own = self._own
-        if own is None or self._is_leaving or own.config_version != config_version:
+        if self._is_leaving:
             return False
-        return self._count.used() + tokens <= own.held
+        return self._own.allows(config_version, self._count.used() + tokens)
 
     def _is_share_right(self, route: Route, config_version: ConfigVersion) -> bool:
-        own = self._own
-        if own is None or self._is_own_in_doubt or own.config_version != config_version:
+        share = self._own.share
+        if share is None or self._own.is_in_doubt or share.config_version != config_version:
             return False
-        return self._bound(route).is_spare_right(own.held, 0)
+        return self._bound(route).is_spare_right(share.held, 0)
 
     def _add(self, job_id: JobId, tokens: int) -> None:
         self._count.add(job_id, tokens)
@@ -264,22 +227,6 @@
         self._count.remove(job_id)
         self._rate.note_accepted(-tokens)
 
-    def _make_certain(self) -> bool:
-        """Write the own share so that no earlier write of it can come any more.
-
-        Those that would make it grow, or bring it back, need the turn as it was before.
-        """
-        read = self._shares.read_fresh(self._name, [self._life])
-        if isinstance(read, PlatformFailure):
-            return False
-        used = self._count.used()
-        share = self._share(used, used, NO_CONFIGURATION)
-        answer = self._shares.grow(self._name, read, share)
-        if not isinstance(answer, PartCommitted):
-            return False
-        self._take_own(share, answer.version)
-        return True
-
     def _read(self, route: Route, *, is_fresh: bool = False) -> SharesRead | PlatformFailure:
         if is_fresh:
             lives = {self._life, *self._seen.lives(), *self._facts.lives()}
@@ -289,10 +236,7 @@
         if isinstance(read, PlatformFailure):
             return read
         self._seen.note(read)
-        own, version = read.shares.get(self._life), read.versions.get(self._life, 0)
-        if own is not None and version > self._own_version:
-            # A write whose reply was lost.
-            self._take_own(own, version)
+        self._own.take_read(read)
         return read
 
     def _bound(self, route: Route) -> WaitingBound:
@@ -309,51 +253,14 @@
             self._count.finished(),
         )
 
-    def _take_own(self, share: TokenShare, version: int) -> None:
-        self._own, self._own_version = share, version
-        self._is_own_in_doubt = False
-
     def _is_to_be_written(self, bound: WaitingBound, share: TokenShare) -> bool:
-        own = self._own
-        if own is None or self._is_own_in_doubt or own.config_version != share.config_version:
+        own = self._own.share
+        if own is None or self._own.is_in_doubt or own.config_version != share.config_version:
             return True
         is_right = bound.is_spare_right(own.held, share.used) or own.held == share.held
         off = max(abs(own.used - share.used), abs(own.finished - share.finished))
         return not is_right or off > (0 if self.is_near else share.held - share.used)
 
-    def _write_own(self, route: Route, read: SharesRead, share: TokenShare) -> None:
-        own = self._own
-        # A lost reply leaves it open which of the two the row holds: the smaller is believed, as
-        # others may have filled the rest, and the next look writes again.
-        self._is_own_in_doubt = True
-        if own is None or share.held > own.held:
-            answer = self._shares.grow(route.name, read, share)
-        else:
-            self._own = msgspec.structs.replace(own, held=share.held)
-            if share.config_version in (own.config_version, NO_CONFIGURATION):
-                answer = self._shares.shrink(route.name, self._own_version, share)
-            else:
-                answer = self._shares.renew(route.name, read, share)
-        if isinstance(answer, PartCommitted):
-            self._take_own(share, answer.version)
-            log.info(
-                'tokens.share',
-                extra={
-                    'route': route.name,
-                    'held': share.held,
-                    'used': share.used,
-                    'config_version': share.config_version,
-                },
-            )
-            return
-        # The next look tries again. At once would be in vain where reads are seconds old: each
-        # instance would read and write as fast as the store answers until they are not.
-        reason = 'conflict' if isinstance(answer, PartConflict) else answer.reason.value
-        log.info(
-            'tokens.share_not_written',
-            extra={'route': route.name, 'used': share.used, 'reason': reason},
-        )
-
     @staticmethod
     def _log_no_room(
         route: Route,
