--- a/citrondyke/gateway/peers.py
+++ b/citrondyke/gateway/peers.py
@@ -95,7 +95,7 @@
         self._tasks = tasks
         self._streams: StreamServer | None = None
         self._datagrams: socket.socket | None = None
-        self._knowledge = KnowledgeExchange(
+        self.knowledge = KnowledgeExchange(
             context,
             lambda: self.seed_ips,
             membership,
@@ -113,7 +113,7 @@
         self._datagrams.bind((ip, self._port))
         self._streams = StreamServer((ip, self._port), self._on_stream)
         self._streams.start()
-        self._knowledge.start()
+        self.knowledge.start()
         self._tasks.keep(self._run_datagrams)
         self._tasks.keep(self._traffic.run)
 
@@ -190,7 +190,7 @@
         except ValueError as error:
             log.info('peer.unreadable', extra={'ip': address[0], 'detail': str(error)})
             return
-        self._knowledge.note_version(message.config_version, address[0])
+        self.knowledge.note_version(message.config_version, address[0])
         text = message.text
         if isinstance(text, LoadNotice | LoadTotals):
             self._on_loads(message.sender, text)
@@ -214,7 +214,7 @@
             sock.settimeout(STREAM_TIMEOUT_S)
             message = self._read_frame(sock)
             if isinstance(message.text, KnowledgeWanted):
-                known = self._knowledge.answer(message.text, message.config_version)
+                known = self.knowledge.answer(message.text, message.config_version)
                 self._write_frame(sock, address[0], known)
             elif isinstance(message.text, StoreCallData):
                 call: StoreCall = decode_msgpack(message.text.data, StoreCall)  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/test_gateway/test_gateway_knowledge.py
@@ -0,0 +1,55 @@
+"""Peers tell what the asking instance lacks, and are asked only while the store does not answer."""
+
+from __future__ import annotations
+
+import gevent
+
+from citrondyke.gateway.knowledge_exchange import Knowledge
+from citrondyke.gateway.peer_codec import KnowledgeData, KnowledgeWanted
+from citrondyke.ids import ConfigVersion
+from citrondyke.util.decoding import decode_msgpack
+from tests.support.gateway import GatewayFleet, wait_until_seen
+
+
+def known(fleet: GatewayFleet, instances_count: int, version: int) -> Knowledge:
+    """Ask the first instance without a socket."""
+    exchange = fleet.instances[0].peers.knowledge
+    data = exchange.answer(KnowledgeWanted(instances_count), ConfigVersion(version))
+    assert isinstance(data, KnowledgeData)
+    return decode_msgpack(data.data, Knowledge)
+
+
+def asks_count(fleet: GatewayFleet) -> int:
+    return sum(
+        count
+        for instance in fleet.instances
+        for name, count in instance.metrics.counters.items()
+        if name.startswith('peer_messages_sent_KnowledgeWanted')
+    )
+
+
+def test_answer_leaves_out_what_the_asking_instance_has(fleet: GatewayFleet) -> None:
+    # A configuration may hold thousands of routes. While the store is away all ask, again and
+    # again, and each was told the whole of it each time.
+    version = fleet.instances[0].beliefs.config.current.version
+    behind = known(fleet, instances_count=1, version=version - 1)
+    assert behind.config
+    assert len(behind.peers) == len(fleet.instances)
+    level = known(fleet, instances_count=len(fleet.instances), version=version)
+    assert not level.config
+    assert not level.peers
+    assert len(level.servers) == len(fleet.servers)
+
+
+def test_peers_are_not_asked_while_the_store_answers(fleet: GatewayFleet) -> None:
+    # In a large fleet the store is read so rarely that seconds pass between two answers. Taken
+    # for an outage, that had all instances ask their peers for everything they know.
+    before = asks_count(fleet)
+    gevent.sleep(2.0)
+    assert asks_count(fleet) == before
+
+
+def test_peers_are_asked_while_the_store_refuses(fleet: GatewayFleet) -> None:
+    fleet.store.faults.refused_ips = {fleet.instances[1].address.ip}
+    before = asks_count(fleet)
+    wait_until_seen(lambda: asks_count(fleet) > before, 'a question to a peer')
