--- a/citrondyke/driver/virtual/replay.py
+++ b/citrondyke/driver/virtual/replay.py
@@ -10,30 +10,22 @@
 
 from citrondyke.decisions.configuration.entries import (
     ClassKind,
-    ConfigEntry,
-    ServiceEntry,
-    TenantEntry,
 )
 from citrondyke.decisions.core.signal import Signal
-from citrondyke.decisions.instance_limits import InstanceLimits
 from citrondyke.decisions.jobs.job_wish import AcceptedJob
 from citrondyke.decisions.jobs.rows import JobRow, job_row_key
 from citrondyke.decisions.online.request import OnlineEnd, OnlineRequest
 from citrondyke.decisions.steward import SERVICE_PREFIX
 from citrondyke.driver.virtual.trace import Trace, TraceEvent, TraceEventKind
+from citrondyke.driver.virtual.trace_fleet import TraceFleet
 from citrondyke.driver.virtual.trace_outcome import JobOutcome, TraceOutcome
-from citrondyke.driver.virtual.virtual_fleet import VirtualFleet
 from citrondyke.driver.virtual.virtual_instance import VirtualInstance
-from citrondyke.driver.virtual.virtual_server import VirtualEngine, VirtualService
-from citrondyke.ids import AvailabilityZone, ClassName, RequestId, ServerId, TargetName, TenantId
-from citrondyke.standin.engine_curve import EngineCurve
+from citrondyke.ids import ClassName, RequestId, ServerId, TargetName, TenantId
 from citrondyke.standin.faults import FaultMode
-from citrondyke.storage.fleet_lists import ListedServer
 
 __all__ = ('replay',)
 
 READY_MS = 1000.0
-LOAD_LAG_MS = 100.0
 STOP_WITHIN_MS = 10_000.0
 DRAIN_LOOK_MS = 20.0
 
@@ -44,15 +36,8 @@
     def __init__(self, trace: Trace) -> None:
         self._trace = trace
         self._header = trace.header
-        self._fleet = VirtualFleet(trace.header.seed)
-        self._limits = InstanceLimits(
-            lease_ms=trace.header.lease_ms,
-            lease_renew_every_ms=trace.header.lease_ms / 5,
-            segment_items=64,
-            part_every_ms=500.0,
-            lists_poll_every_ms=500.0,
-            gossip_every_ms=300.0,
-        )
+        self._parts = TraceFleet(trace)
+        self._fleet = self._parts.virtual
         self._chats: list[tuple[TraceEvent, OnlineEnd, float | None]] = []
         self._orders: dict[str, list[Any]] = {}
         self._jobs: dict[str, AcceptedJob] = {}
@@ -62,7 +47,6 @@
 
     def run(self) -> TraceOutcome:
         """Run it to its end."""
-        self._build()
         time = self._fleet.time
         time.run_until(READY_MS)
         for event in self._trace.events:
@@ -70,51 +54,6 @@
         time.run_until(READY_MS + self._header.length_ms)
         return self._outcome()
 
-    def _build(self) -> None:
-        self._fleet.configure(self._entries())
-        for server in self._header.servers:
-            listed = ListedServer(
-                ServerId(server.id),
-                '10.0.0.2',
-                1,
-                AvailabilityZone(server.zone),
-                TargetName(server.target),
-            )
-            if server.target.startswith(SERVICE_PREFIX):
-                made = VirtualService(listed, self._fleet.time, server.run_ms)
-                self._fleet.add_server(made)
-                continue
-            curve = EngineCurve(base_ms=server.base_ms, knee_streams=server.knee_streams)
-            self._fleet.add_server(VirtualEngine(listed, self._fleet.time, curve, LOAD_LAG_MS))
-        for number in range(self._header.instances):
-            self._start(number)
-
-    def _entries(self) -> list[ConfigEntry]:
-        classes = self._header.classes
-        online = next(each.name for each in classes if each.kind is ClassKind.ONLINE)
-        batch = next(each.name for each in classes if each.kind is ClassKind.BATCH)
-        tenants = sorted({event.tenant for event in self._trace.events})
-        services = sorted(
-            {
-                server.target[len(SERVICE_PREFIX) :]
-                for server in self._header.servers
-                if server.target.startswith(SERVICE_PREFIX)
-            }
-        )
-        return [
-            *classes,
-            *(
-                TenantEntry(
-                    id=TenantId(name), key_hashes=(), online_class=online, batch_class=batch
-                )
-                for name in tenants
-            ),
-            *(ServiceEntry(name=name, is_repeatable=False) for name in services),
-        ]
-
-    def _start(self, number: int) -> VirtualInstance:
-        return self._fleet.add_instance(f'i{number}', f'zone-{number % 3 + 1}', self._limits)
-
     def _host(self, event: TraceEvent) -> VirtualInstance | None:
         """Choose as the balancer does: in turns among those whose health check is good."""
         if event.instance >= 0:
@@ -127,14 +66,6 @@
         self._turn += 1
         return hosts[self._turn % len(hosts)] if hosts else None
 
-    def _target(self, *, is_service: bool) -> str:
-        """Give the trace's model, or its service."""
-        return next(
-            server.target
-            for server in self._header.servers
-            if server.target.startswith(SERVICE_PREFIX) == is_service
-        )
-
     def _named(self, number: int) -> VirtualInstance:
         return list(self._fleet.instances.values())[number]
 
@@ -145,7 +76,7 @@
             TraceEventKind.JOB: self._job,
             TraceEventKind.CANCEL: self._cancel,
             TraceEventKind.KILL: lambda event: self._named(event.instance).kill(),
-            TraceEventKind.RESTART: lambda event: self._start(event.instance),
+            TraceEventKind.RESTART: lambda event: self._parts.start(event.instance),
             TraceEventKind.FREEZE: lambda event: self._named(event.instance).freeze(),
             TraceEventKind.WAKE: lambda event: self._named(event.instance).wake(),
             TraceEventKind.REPLACE: self._replace,
@@ -159,7 +90,7 @@
         host = self._host(event)
         if host is None:
             return
-        target = self._target(is_service=False)
+        target = self._parts.target(is_service=False)
         body = {'max_tokens': event.tokens, 'prompt_tokens': event.prompt_tokens}
         request = self._request(event, target, '/v1/completions', body, is_repeatable=True)
         began_ms = self._fleet.time.now_ms()
@@ -178,7 +109,7 @@
         host = self._host(event)
         if host is None:
             return
-        target = self._target(is_service=True)
+        target = self._parts.target(is_service=True)
         request = self._request(event, target, '/place', {}, is_repeatable=False)
         ends = self._orders.setdefault(event.name, [])
 
@@ -224,7 +155,7 @@
         host = self._host(event)
         if host is None:
             return
-        target = self._target(is_service=False)
+        target = self._parts.target(is_service=False)
         lines = []
         for number in range(event.items):
             body: dict[str, Any] = {
@@ -264,7 +195,7 @@
 
         def gone() -> None:
             host.kill()
-            self._start(event.instance)
+            self._parts.start(event.instance)
 
         until_ms = self._fleet.time.now_ms() + STOP_WITHIN_MS
         host.start(host.instance.leave(until_ms), ended)
