--- a/citrondyke/cmd/citrondykectl.py
+++ b/citrondyke/cmd/citrondykectl.py
@@ -18,6 +18,7 @@
 from citrondyke.cmd.ctl.explain import explain_id, explanation_tables
 from citrondyke.cmd.ctl.failure import CtlError
 from citrondyke.cmd.ctl.jobs import jobs_app
+from citrondyke.cmd.ctl.losses import draw_losses, losses_of, losses_tables, read_losses
 from citrondyke.cmd.ctl.options import Options
 from citrondyke.cmd.ctl.show import console, show
 from citrondyke.decisions.evidence.record import OutcomeRecord
@@ -145,6 +146,46 @@
     show(Options(json=json), explain_id(wanted, *files), explanation_tables)
 
 
+@app.command(name='losses')
+def losses(
+    *files: Path,
+    target: tuple[str, ...] = (),
+    window_s: float = 2.0,
+    before: Path | None = None,
+    plot: Path | None = None,
+    json: bool = False,
+) -> None:
+    """Put each lost or late request and item down to a cause, by the logs of all instances.
+
+    Example: ``citrondykectl losses edge-*.log --target r-a22d3kh=300 --before last.json``.
+
+    :param files: log lines of all instances.
+    :param target: ROUTE=MS: until the first answer, or from a job's acceptance until its items
+        are durable; * stands for all other routes of requests.
+    :param window_s: length of the windows that losses are counted in.
+    :param before: a report of another run, as --json writes it, to compare with.
+    :param plot: an image file for the causes over time.
+    :param json: print a record for programs.
+    """
+    report = losses_of(files, _targets(target), window_s)
+    earlier = read_losses(before) if before else None
+    if plot is not None:
+        draw_losses(report, plot)
+    show(Options(json=json), report, lambda found: losses_tables(found, earlier))
+
+
+def _targets(pairs: tuple[str, ...]) -> dict[str, float]:
+    targets = {}
+    for pair in pairs:
+        route, _, value = pair.rpartition('=')
+        try:
+            targets[route] = float(value)
+        except ValueError as error:
+            reason = f'--target {pair}: give ROUTE=MS, as in r-a22d3kh=300'
+            raise CtlError(ExitCode.WRONG_CALL, reason) from error
+    return targets
+
+
 def _span(from_: datetime | None, to: datetime | None) -> dict[str, str]:
     times = {'from': from_, 'to': to}
     return {name: str(time.timestamp() * 1e3) for name, time in times.items() if time}
--- /dev/null
+++ b/citrondyke/operator/loss_causes.py
@@ -0,0 +1,139 @@
+"""Puts each lost or late request and item down to a cause, by the logs of all instances."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.operator.item_course import item_cause
+from citrondyke.operator.loss_report import Loss, LossCause, LossReport
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from citrondyke.operator.log_events import LogEvent, LogEvents
+
+__all__ = ('find_losses',)
+
+#: Part of its target that a request was expected to wait, from which on the place is the cause.
+WAIT_SHARE = 0.25
+ENDS = {
+    'turned_away': LossCause.TURNED_AWAY,
+    'no_server': LossCause.NO_SERVER,
+    'not_run': LossCause.NO_SERVER,
+    'broken': LossCause.BROKE_OFF,
+    'cut_midway': LossCause.BROKE_OFF,
+    'server_failure': LossCause.SERVER_FAILED,
+    'timed_out': LossCause.TIMED_OUT,
+    'caller_gone': LossCause.CALLER_LEFT,
+}
+NOT_TAKEN = frozenset(('request.no_route', 'request.too_many', 'request.improper'))
+
+
+def find_losses(logs: LogEvents, targets_ms: Mapping[str, float], window_s: float) -> LossReport:
+    """Go over all requests and items.
+
+    :param targets_ms: by route: until the first answer, or from a job's acceptance until its
+        items are durable; ``*`` stands for all other routes of requests. What is late on routes
+        without one is not told.
+    :param window_s: length of the windows that losses are counted in.
+    """
+    from_s = logs.events[0].time_s if logs.events else 0.0
+    found = _Losses(LossReport(from_s, window_s))
+    _note_requests(logs.events, targets_ms, found)
+    _note_items(logs.events, targets_ms, found)
+    report = found.report
+    report.losses.sort(key=lambda loss: -loss.count)
+    report.missing += [
+        f'{count} lines {kind} were left out under load'
+        for kind, count in sorted(logs.left_out.items())
+    ]
+    if logs.unreadable_count:
+        report.missing.append(f'{logs.unreadable_count} lines are cut or no JSON')
+    return report
+
+
+class _Losses:
+    def __init__(self, report: LossReport) -> None:
+        self.report = report
+        self._by_cause: dict[tuple[str, LossCause], Loss] = {}
+
+    def note(self, cause: LossCause, route: str, time_s: float, example: str) -> None:
+        loss = self._by_cause.get((route, cause))
+        if loss is None:
+            loss = self._by_cause[route, cause] = Loss(cause, route, example=example)
+            self.report.losses.append(loss)
+        window = int((time_s - self.report.from_s) // self.report.window_s)
+        loss.count += 1
+        loss.by_window[window] = loss.by_window.get(window, 0) + 1
+
+
+class _Request(msgspec.Struct):
+    sent: LogEvent | None = None
+    end: LogEvent | None = None
+
+
+def _note_requests(events: list[LogEvent], targets_ms: Mapping[str, float], found: _Losses) -> None:
+    requests: dict[str, _Request] = {}
+    for event in events:
+        request_id = str(event.get('request_id') or '')
+        if event.event in NOT_TAKEN:
+            found.report.requests_count += 1
+            found.note(LossCause.NOT_TAKEN, '', event.time_s, request_id)
+        elif event.event == 'request.sent':
+            requests.setdefault(request_id, _Request()).sent = event
+        elif event.event == 'request.end':
+            requests.setdefault(request_id, _Request()).end = event
+        elif event.event == 'job.refused':
+            found.note(LossCause.JOB_REFUSED, '', event.time_s, str(event.get('job_id')))
+    found.report.requests_count += len(requests)
+    for request_id, request in requests.items():
+        cause = _request_cause(request, targets_ms)
+        last = request.end or request.sent
+        if cause is not None and last is not None:
+            found.note(cause, str(last.get('route') or ''), last.time_s, request_id)
+
+
+def _request_cause(request: _Request, targets_ms: Mapping[str, float]) -> LossCause | None:
+    end, sent = request.end, request.sent
+    if end is None:
+        return LossCause.INSTANCE_LOST
+    if end.get('end') != 'done':
+        return ENDS.get(str(end.get('end')), LossCause.BROKE_OFF)
+    target_ms = targets_ms.get(str(end.get('route')), targets_ms.get('*', float('inf')))
+    if float(end.get('first_ms') or 0.0) <= target_ms:
+        return None
+    if int(end.get('sends') or 0) > 1:
+        return LossCause.LATE_SENT_AGAIN
+    expected_ms = float(sent.get('expected_wait_ms') or 0.0) if sent is not None else 0.0
+    if expected_ms >= WAIT_SHARE * target_ms:
+        return LossCause.LATE_FOR_PLACE
+    return LossCause.LATE_AT_SERVER
+
+
+def _note_items(events: list[LogEvent], targets_ms: Mapping[str, float], found: _Losses) -> None:
+    accepted: dict[str, LogEvent] = {}
+    lines: dict[str, list[LogEvent]] = {}
+    for event in events:
+        job_id = str(event.get('job_id') or '')
+        if event.event == 'job.accepted' and not event.get('is_repeat'):
+            accepted.setdefault(job_id, event)
+        elif event.event in ('item.run', 'job.taken_over', 'job.commit', 'job.ended'):
+            lines.setdefault(job_id, []).append(event)
+    for job_id, start in accepted.items():
+        course = lines.get(job_id, [])
+        count = int(start.get('items') or 0)
+        found.report.items_count += count
+        if any(event.event == 'job.ended' for event in course):
+            # Nothing more was owed; which items came before is told by their results only.
+            continue
+        route = str(start.get('route') or '')
+        target_ms = targets_ms.get(route, float('inf'))
+        items = {str(event.get('item_id')) for event in course if event.event == 'item.run'}
+        for item_id in sorted(items):
+            cause = item_cause(item_id, start, course, target_ms)
+            if cause is not None:
+                found.note(cause, route, start.time_s + target_ms / 1e3, item_id)
+        for _ in range(count - len(items)):
+            found.note(LossCause.ITEM_NEVER_RAN, route, start.time_s, job_id)
--- /dev/null
+++ b/tests/test_operator/test_operator_losses.py
@@ -0,0 +1,126 @@
+"""Each lost or late request and item has one cause."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from citrondyke.cmd.citrondykectl import app
+from citrondyke.cmd.ctl.exit_code import ExitCode
+from citrondyke.cmd.ctl.failure import CtlError
+from citrondyke.operator.log_events import LogEvent, LogEvents
+from citrondyke.operator.loss_causes import find_losses
+from citrondyke.operator.loss_report import LossCause, LossReport
+
+TARGETS = {'calls': 300.0, 'letters': 10_000.0}
+
+
+def line(time_s: float, event: str, **fields: Any) -> LogEvent:
+    return LogEvent(time_s, 'instance-1', event, {'event': event, **fields})
+
+
+def causes(*events: LogEvent) -> dict[LossCause, int]:
+    report = find_losses(LogEvents(list(events)), TARGETS, 2.0)
+    return {loss.cause: loss.count for loss in report.losses}
+
+
+def ended(end: str, sends: int = 1, first_ms: float = 20.0) -> LogEvent:
+    fields = {'route': 'calls', 'end': end, 'sends': sends, 'first_ms': first_ms}
+    return line(1.0, 'request.end', request_id='a', **fields)
+
+
+def sent(expected_wait_ms: float = 0.0) -> LogEvent:
+    fields = {'route': 'calls', 'expected_wait_ms': expected_wait_ms}
+    return line(0.5, 'request.sent', request_id='a', **fields)
+
+
+@pytest.mark.parametrize(
+    ('events', 'cause'),
+    [
+        ([ended('turned_away')], LossCause.TURNED_AWAY),
+        ([sent(), ended('broken')], LossCause.BROKE_OFF),
+        ([sent()], LossCause.INSTANCE_LOST),
+        ([sent(200.0), ended('done', first_ms=400.0)], LossCause.LATE_FOR_PLACE),
+        ([sent(), ended('done', first_ms=400.0)], LossCause.LATE_AT_SERVER),
+        ([sent(), ended('done', sends=2, first_ms=400.0)], LossCause.LATE_SENT_AGAIN),
+        ([line(1.0, 'request.no_route', request_id='a')], LossCause.NOT_TAKEN),
+        ([line(1.0, 'job.refused', job_id='j')], LossCause.JOB_REFUSED),
+    ],
+)
+def test_request_has_its_cause(events: list[LogEvent], cause: LossCause) -> None:
+    assert causes(*events) == {cause: 1}
+
+
+def test_request_in_time_is_no_loss() -> None:
+    assert causes(sent(), ended('done', first_ms=299.0)) == {}
+
+
+def accepted(items: int = 1) -> LogEvent:
+    return line(0.0, 'job.accepted', job_id='j', route='letters', items=items)
+
+
+def run(time_s: float, end: str, took_ms: float) -> LogEvent:
+    return line(time_s, 'item.run', job_id='j', item_id='i', end=end, took_ms=took_ms)
+
+
+def commit(time_s: float) -> LogEvent:
+    return line(time_s, 'job.commit', job_id='j', verdict='done')
+
+
+@pytest.mark.parametrize(
+    ('events', 'cause'),
+    [
+        ([run(9.0, 'completed', 1_000.0), commit(10.5)], LossCause.ITEM_FOR_PLACE),
+        ([run(8.0, 'completed', 7_900.0), commit(10.5)], LossCause.ITEM_RUNNING),
+        ([run(1.0, 'completed', 900.0), commit(10.5)], LossCause.ITEM_COMMIT),
+        (
+            [run(1.0, 'gave_way', 900.0), run(10.0, 'completed', 500.0), commit(10.5)],
+            LossCause.ITEM_CUT,
+        ),
+        (
+            [
+                run(1.0, 'gave_way', 900.0),
+                line(9.0, 'job.taken_over', job_id='j'),
+                run(10.2, 'completed', 500.0),
+                commit(10.5),
+            ],
+            LossCause.ITEM_OWNER_LOST,
+        ),
+        ([], LossCause.ITEM_NEVER_RAN),
+    ],
+)
+def test_late_item_has_what_took_most_of_its_time(events: list[LogEvent], cause: LossCause) -> None:
+    assert causes(accepted(), *events) == {cause: 1}
+
+
+def test_item_in_time_and_items_of_an_ended_job_are_no_loss() -> None:
+    assert causes(accepted(), run(9.0, 'completed', 8_000.0), commit(9.9)) == {}
+    assert causes(accepted(3), line(2.0, 'job.ended', job_id='j')) == {}
+
+
+def test_two_runs_are_compared(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    # An operator keeps the record of one day and looks at what changed with the next version.
+    log = tmp_path / 'i.log'
+    fields = {'request_id': 'a', 'route': 'calls', 'end': 'turned_away'}
+    log.write_bytes(msgspec.json.encode({'time': '1.0', 'event': 'request.end', **fields}))
+    app(['losses', str(log), '--json'], result_action='return_value')
+    record = capsys.readouterr().out
+    assert msgspec.json.decode(record, type=LossReport).requests_count == 1
+    before = tmp_path / 'before.json'
+    before.write_text(record)
+    app(['losses', str(log), '--before', str(before)], result_action='return_value')
+    assert 'turned away' in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    'words', [[], ['no.log'], ['a.log', '--target', 'x'], ['a.log', '--before', 'a.log']]
+)
+def test_wrong_call_is_told(tmp_path: Path, words: list[str]) -> None:
+    (tmp_path / 'a.log').write_text('{"time": "1", "event": "x"}\n')
+    places = [str(tmp_path / word) if word.endswith('.log') else word for word in words]
+    with pytest.raises(CtlError) as failure:
+        app(['losses', *places], result_action='return_value')
+    assert failure.value.exit_code is ExitCode.WRONG_CALL
