--- a/benchmarks/gateway_load.py
+++ b/benchmarks/gateway_load.py
@@ -5,28 +5,33 @@
 import heapq
 import itertools
 import random
-from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
 
 import msgspec
 
 from benchmarks.figure import Figure, Relation
+from benchmarks.gateway_policies import (
+    AIM_MS,
+    SERVICE,
+    STAY_MS,
+    LeastLoadedOnly,
+    NoWaiting,
+    Ours,
+    Policy,
+    RandomOfTwo,
+)
 from citrondyke.decisions.batch.give_way import GiveWay, RunningItem, Urgency
 from citrondyke.decisions.batch.start_pace import StartPace
 from citrondyke.decisions.core.context import Context
-from citrondyke.decisions.forwarding.admission_rule import AdmissionRule, TurnedAway
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.load_notices import RENEW_MS
-from citrondyke.decisions.forwarding.route import Route, RouteKind, ServiceShare
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.ids import (
     AvailabilityZone,
     InstanceId,
-    RouteName,
     ServerId,
     ServerLife,
-    ServiceName,
 )
 from citrondyke.util.clock import Clock
 
@@ -38,27 +43,14 @@
 SEEDS = (7, 8, 9, 10, 11)
 SERVERS = 5
 SLOTS = 8
-#: A stream of 28 events occupies a place for about so long.
-STAY_MS = 760.0
 #: From the start of a run to its first event.
 FIRST_EVENT_MS = 12.0
-AIM_MS = 300.0
 #: The traffic's steps: share of the mean, for so long.
 STEPS = ((0.383, 3_400.0), (1.87, 2_400.0))
 LENGTH_MS = 40_000.0
 ITEM_MS = 5_000.0
 #: Worth of an answer in its aim, a late one, and one in its aim from a second try.
 IN_AIM, LATE, SECOND_TRY = 1.0, 0.15, 0.575
-SERVICE = ServiceName('lm')
-ROUTE = Route(
-    name=RouteName('r'),
-    host='h',
-    prefix='/p/',
-    kind=RouteKind.STREAM,
-    shares=(ServiceShare(SERVICE, 1.0),),
-    timeout_ms=5_000.0,
-    target_ms=AIM_MS,
-)
 
 
 class _VirtualClock(Clock):
@@ -92,65 +84,12 @@
     queue: deque[_Run]
 
 
-class _Policy(ABC):
-    """How one instance chooses; gives a server's number, or when to come back."""
-
-    def __init__(self, context: Context, book: ServerBook) -> None:
-        self.context = context
-        self.book = book
-        self.rule = AdmissionRule(context, book)
-        self.rule.note_stay(ROUTE, STAY_MS)
-
-    @abstractmethod
-    def choose(self) -> ServerId | float:
-        """Choose."""
-
-
-class _Ours(_Policy):
-    def choose(self) -> ServerId | float:
-        state = self.book.choose(SERVICE, (), '')
-        assert state is not None
-        answer = self.rule.decide(ROUTE, state, 5_000.0)
-        if isinstance(answer, TurnedAway):
-            return answer.retry_in_ms
-        return state.listed.id
-
-
-class _LeastLoadedOnly(_Policy):
-    """No bound on the wait."""
-
-    def choose(self) -> ServerId | float:
-        state = self.book.choose(SERVICE, (), '')
-        assert state is not None
-        return state.listed.id
-
-
-class _RandomOfTwo(_Policy):
-    """The better of two, by this instance's own requests only, and no bound."""
-
-    def choose(self) -> ServerId | float:
-        pair = self.context.random.sample(list(self.book.states()), 2)
-        return min(pair, key=lambda state: state.own.online).listed.id
-
-
-class _NoWaiting(_Policy):
-    """A free place or none, asked back after the shortest time."""
-
-    def choose(self) -> ServerId | float:
-        state = self.book.choose(SERVICE, (), '')
-        assert state is not None
-        now_ms = self.context.now_ms()
-        if state.online_count(now_ms) >= state.listed.slots_count:
-            return 60.0 * (1.0 + self.context.random.random())
-        return state.listed.id
-
-
 class _Play:
     """One load on one policy."""
 
     def __init__(
         self,
-        policy: type[_Policy],
+        policy: type[Policy],
         servers_count: int,
         per_s: float,
         *,
@@ -193,7 +132,7 @@
     def mean_worth(self) -> float:
         return self.worth / max(1, self.asked)
 
-    def _new_instance(self, policy: type[_Policy], number: int) -> _Policy:
+    def _new_instance(self, policy: type[Policy], number: int) -> Policy:
         context = Context(
             InstanceId(f'i{number}'), AvailabilityZone('z'), self.clock, random.Random(number)
         )
@@ -359,11 +298,11 @@
     """Compare with baselines on the same load; ratios of mean worth, and harm of batch."""
     figures = []
     for name, servers_count, per_s in (('bursts', SERVERS, 20.7), ('two of five servers', 2, 20.7)):
-        ours = _Play(_Ours, servers_count, per_s).run().mean_worth
+        ours = _Play(Ours, servers_count, per_s).run().mean_worth
         for label, policy, bound in (
-            ('least loaded only', _LeastLoadedOnly, 0.99),
-            ('random of two', _RandomOfTwo, 1.0),
-            ('no waiting', _NoWaiting, 0.98),
+            ('least loaded only', LeastLoadedOnly, 0.99),
+            ('random of two', RandomOfTwo, 1.0),
+            ('no waiting', NoWaiting, 0.98),
         ):
             theirs = _Play(policy, servers_count, per_s).run().mean_worth
             figures.append(
@@ -402,7 +341,7 @@
 
 def _plays(*, with_batch: bool = False, gives_way: bool = True) -> list[_Play]:
     return [
-        _Play(_Ours, SERVERS, 20.7, with_batch=with_batch, gives_way=gives_way, seed=seed).run()
+        _Play(Ours, SERVERS, 20.7, with_batch=with_batch, gives_way=gives_way, seed=seed).run()
         for seed in SEEDS
     ]
 
--- /dev/null
+++ b/benchmarks/gateway_policies.py
@@ -0,0 +1,99 @@
+"""The gateway's choice of a server, and simpler ones that it is compared with."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from citrondyke.decisions.forwarding.admission_rule import AdmissionRule, TurnedAway
+from citrondyke.decisions.forwarding.route import Route, RouteKind, ServiceShare
+from citrondyke.ids import RouteName, ServerId, ServiceName
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.server_book import ServerBook
+
+__all__ = (
+    'AIM_MS',
+    'SERVICE',
+    'STAY_MS',
+    'LeastLoadedOnly',
+    'NoWaiting',
+    'Ours',
+    'Policy',
+    'RandomOfTwo',
+)
+
+#: A stream of 28 events occupies a place for about so long.
+STAY_MS = 760.0
+AIM_MS = 300.0
+SERVICE = ServiceName('lm')
+ROUTE = Route(
+    name=RouteName('r'),
+    host='h',
+    prefix='/p/',
+    kind=RouteKind.STREAM,
+    shares=(ServiceShare(SERVICE, 1.0),),
+    timeout_ms=5_000.0,
+    target_ms=AIM_MS,
+)
+
+
+class Policy(ABC):
+    """How one instance chooses; gives a server's number, or when to come back."""
+
+    def __init__(self, context: Context, book: ServerBook) -> None:
+        """Use what one instance believes of the servers."""
+        self.context = context
+        self.book = book
+        self.rule = AdmissionRule(context, book)
+        self.rule.note_stay(ROUTE, STAY_MS)
+
+    @abstractmethod
+    def choose(self) -> ServerId | float:
+        """Choose."""
+
+
+class Ours(Policy):
+    """What the gateway does."""
+
+    def choose(self) -> ServerId | float:
+        """Choose."""
+        state = self.book.choose(SERVICE, (), '')
+        assert state is not None
+        answer = self.rule.decide(ROUTE, state, 5_000.0)
+        if isinstance(answer, TurnedAway):
+            return answer.retry_in_ms
+        return state.listed.id
+
+
+class LeastLoadedOnly(Policy):
+    """No bound on the wait."""
+
+    def choose(self) -> ServerId | float:
+        """Choose."""
+        state = self.book.choose(SERVICE, (), '')
+        assert state is not None
+        return state.listed.id
+
+
+class RandomOfTwo(Policy):
+    """The better of two, by this instance's own requests only, and no bound."""
+
+    def choose(self) -> ServerId | float:
+        """Choose."""
+        pair = self.context.random.sample(list(self.book.states()), 2)
+        return min(pair, key=lambda state: state.own.online).listed.id
+
+
+class NoWaiting(Policy):
+    """A free place or none, asked back after the shortest time."""
+
+    def choose(self) -> ServerId | float:
+        """Choose."""
+        state = self.book.choose(SERVICE, (), '')
+        assert state is not None
+        now_ms = self.context.now_ms()
+        if state.online_count(now_ms) >= state.listed.slots_count:
+            return 60.0 * (1.0 + self.context.random.random())
+        return state.listed.id
