--- a/tests/test_soak/soak.py
+++ b/tests/test_soak/soak.py
@@ -31,7 +31,17 @@
 SETTLE_S = 25.0
 #: After it a process that was asked to stop is killed, as the platform does.
 STOP_WITHIN_S = 10.0
-ACTS = (Act.CUT, Act.REFUSE, Act.FAIL, Act.STALL, Act.SILENT, Act.EXTRA, Act.CUT_IN_EVENT)
+ACTS = (
+    Act.CUT,
+    Act.REFUSE,
+    Act.FAIL,
+    Act.STALL,
+    Act.SILENT,
+    Act.EXTRA,
+    Act.WRONG_ID,
+    Act.UNSIGNED,
+    Act.CUT_IN_EVENT,
+)
 
 
 class Soak:
