--- a/tests/test_soak/test_soak_promises.py
+++ b/tests/test_soak/test_soak_promises.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import os
+import signal
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -24,6 +26,21 @@
     return tuple(int(each) for each in stated.split(',')) if stated else SEEDS
 
 
+@pytest.fixture
+def ended_tidily() -> Iterator[None]:
+    """Have a run that is told to end stop the processes that it started."""
+
+    def leave(number: int, _: object) -> None:
+        raise SystemExit(128 + number)
+
+    kinds = (signal.SIGTERM, signal.SIGHUP)
+    before = [signal.signal(kind, leave) for kind in kinds]
+    yield
+    for kind, handler in zip(kinds, before, strict=True):
+        signal.signal(kind, handler)
+
+
+@pytest.mark.usefixtures('ended_tidily')
 @pytest.mark.parametrize('seed', wanted_seeds())
 def test_promises_hold_in_a_soak(seed: int, tmp_path: Path) -> None:
     # Instances are killed, frozen and stopped, their store and servers cut off, slowed and reset,
