--- a/citrondyke/cmd/citrondykectl.py
+++ b/citrondyke/cmd/citrondykectl.py
@@ -167,25 +167,13 @@
     :param plot: an image file for the causes over time.
     :param json: print a record for programs.
     """
-    report = losses_of(files, _targets(target), window_s)
+    report = losses_of(files, target, window_s)
     earlier = read_losses(before) if before else None
     if plot is not None:
         draw_losses(report, plot)
     show(Options(json=json), report, lambda found: losses_tables(found, earlier))
 
 
-def _targets(pairs: tuple[str, ...]) -> dict[str, float]:
-    targets = {}
-    for pair in pairs:
-        route, _, value = pair.rpartition('=')
-        try:
-            targets[route] = float(value)
-        except ValueError as error:
-            reason = f'--target {pair}: give ROUTE=MS, as in r-a22d3kh=300'
-            raise CtlError(ExitCode.WRONG_CALL, reason) from error
-    return targets
-
-
 def _span(from_: datetime | None, to: datetime | None) -> dict[str, str]:
     times = {'from': from_, 'to': to}
     return {name: str(time.timestamp() * 1e3) for name, time in times.items() if time}
--- a/citrondyke/cmd/ctl/losses.py
+++ b/citrondyke/cmd/ctl/losses.py
@@ -21,17 +21,18 @@
 DRAWN_LIMIT = 8
 
 
-def losses_of(files: tuple[Path, ...], targets: dict[str, float], window_s: float) -> LossReport:
+def losses_of(files: tuple[Path, ...], targets: tuple[str, ...], window_s: float) -> LossReport:
     """Read log files and find what was lost.
 
-    :raises CtlError: for files that cannot be read and a window that is none.
+    :param targets: ROUTE=MS each.
+    :raises CtlError: for files that cannot be read, and targets or a window that are none.
     """
     if not files:
         raise CtlError(ExitCode.WRONG_CALL, 'give at least one log file')
     if window_s <= 0:
         raise CtlError(ExitCode.WRONG_CALL, '--window-s: give more than 0 seconds')
     try:
-        return find_losses(read_log_events(files), targets, window_s)
+        return find_losses(read_log_events(files), _targets(targets), window_s)
     except LogUnreadableError as error:
         raise CtlError(ExitCode.WRONG_CALL, error.message) from error
 
@@ -100,3 +101,15 @@
         raise CtlError(ExitCode.WRONG_CALL, f'{file}: {error}') from error
     finally:
         plt.close(figure)
+
+
+def _targets(pairs: tuple[str, ...]) -> dict[str, float]:
+    targets = {}
+    for pair in pairs:
+        route, _, value = pair.rpartition('=')
+        try:
+            targets[route] = float(value)
+        except ValueError as error:
+            reason = f'--target {pair}: give ROUTE=MS, as in r-a22d3kh=300'
+            raise CtlError(ExitCode.WRONG_CALL, reason) from error
+    return targets
--- a/citrondyke/decisions/batch/read_budget.py
+++ b/citrondyke/decisions/batch/read_budget.py
@@ -31,6 +31,7 @@
         """Start full.
 
         :param reads_per_s: that the store takes from all instances together.
+        :param instances_count: counts them, this one included.
         """
         self._context = context
         self._reads_per_s = reads_per_s
@@ -40,7 +41,7 @@
     def take(self) -> float:
         """Take one read; give how long to wait before it, in ms."""
         now_ms = self._context.now_ms()
-        gap_ms = max(1, self._instances_count()) * 1e3 / (self._reads_per_s * SHARE)
+        gap_ms = self._instances_count() * 1e3 / (self._reads_per_s * SHARE)
         # Reads are owed from the moment on at which the bucket would be full again.
         self._full_ms = max(self._full_ms, now_ms - SAVED_MS) + gap_ms
         return max(0.0, self._full_ms - now_ms)
--- a/citrondyke/decisions/forwarding/neighbours.py
+++ b/citrondyke/decisions/forwarding/neighbours.py
@@ -97,8 +97,8 @@
         another zone are told by somebody, as far as there are as many here. Drawn by chance, a
         third of them heard nothing in a turn, and some nothing in four.
         """
-        own = sorted((*self.in_zone(self._context.zone), self._context.instance_id))
-        place = own.index(self._context.instance_id)
+        own_id = self._context.instance_id
+        place = sum(other < own_id for other in self.in_zone(self._context.zone))
         return [
             instances[(place + turn) % len(instances)]
             for zone, instances in self._by_zone.items()
--- a/citrondyke/gateway/batch_side.py
+++ b/citrondyke/gateway/batch_side.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import gevent
@@ -34,8 +35,6 @@
 from citrondyke.storage.partitioned_table import PartitionedTable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from citrondyke.gateway.outside import Outside
     from citrondyke.gateway.settings import GatewaySettings
     from citrondyke.ids import InstanceId, JobId
@@ -54,6 +53,8 @@
     membership: Membership
     live: LiveInstances
     metrics: Metrics
+    #: Gives the factor by which calls of the store are rarer than in a small fleet.
+    pace: Callable[[], float]
     tasks: Tasks
 
 
@@ -101,7 +102,7 @@
             self.runner,
             Takeover(context, life, around.live),
             ReadBudget(context, settings.store.reads_per_s, lambda: around.live.count),
-            self._store_pace,
+            around.pace,
             tasks,
         )
         self.waiting = WaitingTokens(
@@ -147,12 +148,12 @@
 
     def start(self) -> None:
         """Begin to follow the jobs and to run items."""
-        tasks = self._around.tasks
+        around = self._around
         self.runner.start()
         self.committer.start()
         self.keeper.start()
-        self.waiting.start(tasks, self._store_pace)
-        self._sweeper.start(tasks)
+        self.waiting.start(around.tasks, around.pace)
+        self._sweeper.start(around.tasks)
 
     def hand_over(self, until_ms: float) -> None:
         """Give all jobs back before a planned stop."""
@@ -163,9 +164,6 @@
         self.runner.hand_over(until_ms)
         leaving.join(max(0.0, (until_ms - self._around.context.now_ms()) / 1e3))
 
-    def _store_pace(self) -> float:
-        return self._around.book.neighbours.store_pace
-
     def _gone_for_ms(
         self, owner: InstanceId, life: str, version: int, since_ms: float
     ) -> float | None:
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -107,6 +107,7 @@
             self.membership,
             self._live,
             self.metrics,
+            self._store_pace,
             self._tasks,
         )
         self.batch = BatchSide(surroundings, life, settings, outside)
--- a/citrondyke/gateway/load_exchange.py
+++ b/citrondyke/gateway/load_exchange.py
@@ -72,7 +72,8 @@
                     part = addressed.loads[start : start + LOADS_PER_DATAGRAM]
                     send(LoadNotice(part), addressed.receivers)
             totals = self._notices.take_totals()
+            if not totals:
+                continue
+            receivers = self._neighbours.one_in_each_other_zone(self._notices.totals_turn)
             for start in range(0, len(totals), LOADS_PER_DATAGRAM):
-                part = totals[start : start + LOADS_PER_DATAGRAM]
-                receivers = self._neighbours.one_in_each_other_zone(self._notices.totals_turn)
-                send(LoadTotals(part), receivers)
+                send(LoadTotals(totals[start : start + LOADS_PER_DATAGRAM]), receivers)
--- a/citrondyke/gateway/own_share.py
+++ b/citrondyke/gateway/own_share.py
@@ -41,6 +41,11 @@
         #: Whether the row may differ from the share.
         self.is_in_doubt = False
 
+    def is_certain_under(self, config_version: ConfigVersion) -> bool:
+        """Tell whether the row certainly is a share that was given under a configuration."""
+        share = self.share
+        return share is not None and not self.is_in_doubt and share.config_version == config_version
+
     def allows(self, config_version: ConfigVersion, used: int) -> bool:
         """Tell whether so much may be used without asking anybody."""
         share = self.share
@@ -67,11 +72,12 @@
     def write(self, read: SharesRead, share: TokenShare) -> None:
         """Bring the row to a share, by what was read of the others'."""
         before = self.share
+        # Until the answer is there, and for good where none comes.
+        self.is_in_doubt = True
         if before is None or share.held > before.held:
-            answer = self.grow(read, share)
+            answer = self._shares.grow(self._route, read, share)
         else:
             self.share = msgspec.structs.replace(before, held=share.held)
-            self.is_in_doubt = True
             if share.config_version in (before.config_version, NO_CONFIGURATION):
                 answer = self._shares.shrink(self._route, self._version, share)
             else:
@@ -90,7 +96,6 @@
             return
         # The next look tries again. At once would be in vain where reads are seconds old: each
         # instance would read and write as fast as the store answers until they are not.
-        self.is_in_doubt = True
         reason = 'conflict' if isinstance(answer, PartConflict) else answer.reason.value
         log.info(
             'tokens.share_not_written',
--- a/citrondyke/gateway/peer_traffic.py
+++ b/citrondyke/gateway/peer_traffic.py
@@ -9,6 +9,8 @@
 import logbook
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.metrics import Metrics
     from citrondyke.gateway.peer_codec import PeerText
@@ -32,16 +34,21 @@
         self._metrics = metrics
         self._since_line: Counter[str] = Counter()
 
-    def note(self, text: PeerText, size_bytes: int, zone: AvailabilityZone | None) -> None:
-        """Count a message that was sent.
+    def note(
+        self, text: PeerText, size_bytes: int, zones: Sequence[AvailabilityZone | None]
+    ) -> None:
+        """Count a message that was sent, once for all of its receivers.
 
-        :param zone: of its receiver; ``None`` where it is not known.
+        :param zones: of the receivers; ``None`` for one whose zone is not known.
         """
-        where = 'near' if zone == self._context.zone else 'far'
-        kind = f'{type(text).__name__}_{where}'
-        self._since_line[kind] += size_bytes
-        self._metrics.counters[f'peer_bytes_sent_{kind}'] += size_bytes
-        self._metrics.counters[f'peer_messages_sent_{kind}'] += 1
+        near_count = zones.count(self._context.zone)
+        for where, count in (('near', near_count), ('far', len(zones) - near_count)):
+            if not count:
+                continue
+            kind = f'{type(text).__name__}_{where}'
+            self._since_line[kind] += size_bytes * count
+            self._metrics.counters[f'peer_bytes_sent_{kind}'] += size_bytes * count
+            self._metrics.counters[f'peer_messages_sent_{kind}'] += count
 
     def run(self) -> None:
         """Log what was sent, for good."""
--- a/citrondyke/gateway/peers.py
+++ b/citrondyke/gateway/peers.py
@@ -40,7 +40,7 @@
     from citrondyke.gateway.membership import Membership
     from citrondyke.gateway.peer_traffic import PeerTraffic
     from citrondyke.gateway.tasks import Tasks
-    from citrondyke.ids import JobId
+    from citrondyke.ids import AvailabilityZone, JobId
     from citrondyke.storage.partitioned_table import PartitionedTable
 
 __all__ = ('Peers',)
@@ -153,17 +153,19 @@
     def send(self, text: PeerText, receivers: list[InstanceId]) -> None:
         """Send a datagram to some peers; who is not known is left out."""
         data = encode_message(self._message(text))
+        zones: list[AvailabilityZone | None] = []
         for receiver in receivers:
             beat = self._membership.peers.get(receiver)
             if beat is None or self._datagrams is None:
                 continue
-            self._traffic.note(text, len(data), beat.zone)
+            zones.append(beat.zone)
             try:
                 self._datagrams.sendto(data, (beat.ip, beat.peer_port))
             except OSError as error:
                 log.info(
                     'peer.send_failed', extra={'peer': receiver, 'detail': type(error).__name__}
                 )
+        self._traffic.note(text, len(data), zones)
 
     def _message(self, text: PeerText) -> PeerMessage:
         return PeerMessage(self._context.instance_id, self._beliefs.config.current.version, text)
@@ -233,8 +235,9 @@
 
     def _write_frame(self, sock: socket.socket, ip: str, text: PeerText) -> None:
         data = encode_message(self._message(text))
-        zones = [beat.zone for beat in self._membership.peers.values() if beat.ip == ip]
-        self._traffic.note(text, len(data), zones[0] if zones else None)
+        peers = self._membership.peers.values()
+        zone = next((beat.zone for beat in peers if beat.ip == ip), None)
+        self._traffic.note(text, len(data), [zone])
         write_frame(sock, data)
 
     @staticmethod
--- a/citrondyke/gateway/route_tokens.py
+++ b/citrondyke/gateway/route_tokens.py
@@ -215,7 +215,7 @@
 
     def _is_share_right(self, route: Route, config_version: ConfigVersion) -> bool:
         share = self._own.share
-        if share is None or self._own.is_in_doubt or share.config_version != config_version:
+        if share is None or not self._own.is_certain_under(config_version):
             return False
         return self._bound(route).is_spare_right(share.held, 0)
 
@@ -255,7 +255,7 @@
 
     def _is_to_be_written(self, bound: WaitingBound, share: TokenShare) -> bool:
         own = self._own.share
-        if own is None or self._own.is_in_doubt or own.config_version != share.config_version:
+        if own is None or not self._own.is_certain_under(share.config_version):
             return True
         is_right = bound.is_spare_right(own.held, share.used) or own.held == share.held
         off = max(abs(own.used - share.used), abs(own.finished - share.finished))
--- a/citrondyke/gateway/table_follower.py
+++ b/citrondyke/gateway/table_follower.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import gevent
 from gevent.event import Event
@@ -21,6 +21,8 @@
 
 __all__ = ('TableFollower',)
 
+Answer = TypeVar('Answer')
+
 #: A feed can fall silent without an end; the reads beside it bound what is missed to this.
 READ_EVERY_MS = 1_000.0
 #: Bytes of values a second that one instance may spend on whole reads of a table that it can be
@@ -78,15 +80,9 @@
 
     def read_once(self) -> bool:
         """Read all rows; tell whether the store answered."""
-        if self._dependency is not None:
-            self._dependency.note_call()
-        listing = self._table.read_all(self._name, '')
+        listing = self._watched('read', lambda: self._table.read_all(self._name, ''))
         if isinstance(listing, PlatformFailure):
-            if self._dependency is not None:
-                self._dependency.note_failure(f'read {self._name}: {listing.reason.value}')
             return False
-        if self._dependency is not None:
-            self._dependency.note_answer()
         self._on_listing(list(listing.rows), listing.version)
         self._version = max(self._version, listing.version)
         size_bytes = sum(len(row.value or b'') for row in listing.rows)
@@ -101,17 +97,9 @@
         """
         if self._on_current is None or self._context.now_ms() >= self._whole_again_ms:
             return self.read_once()
-        if self._dependency is not None:
-            self._dependency.note_call()
-        feed = self._table.follow(self._name, self._version, 0.0)
+        feed = self._watched('feed', lambda: self._table.follow(self._name, self._version, 0.0))
         if isinstance(feed, PlatformFailure):
-            if feed.reason is PlatformFailureReason.HISTORY_LOST:
-                return self.read_once()
-            if self._dependency is not None:
-                self._dependency.note_failure(f'feed {self._name}: {feed.reason.value}')
-            return False
-        if self._dependency is not None:
-            self._dependency.note_answer()
+            return feed.reason is PlatformFailureReason.HISTORY_LOST and self.read_once()
         self._on_rows(feed.rows)
         # Looks go on behind the last whole read: the store may hide changes for a moment and name
         # a version beyond them, and a look behind that would never show them.
@@ -121,6 +109,22 @@
             self._on_current()
         return True
 
+    def _watched(
+        self, what: str, call: Callable[[], Answer | PlatformFailure]
+    ) -> Answer | PlatformFailure:
+        """Make a call, and have the dependency told of it and of what became of it."""
+        dependency = self._dependency
+        if dependency is None:
+            return call()
+        dependency.note_call()
+        answer = call()
+        if not isinstance(answer, PlatformFailure):
+            dependency.note_answer()
+        elif answer.reason is not PlatformFailureReason.HISTORY_LOST:
+            # That one is an answer, and a whole read follows it.
+            dependency.note_failure(f'{what} {self._name}: {answer.reason.value}')
+        return answer
+
     def _run_reads(self) -> None:
         failures_count = 0
         while True:
--- a/citrondyke/operator/item_course.py
+++ b/citrondyke/operator/item_course.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from citrondyke.operator.loss_report import LossCause
 
 if TYPE_CHECKING:
@@ -19,6 +21,15 @@
 }
 
 
+class _Spent(msgspec.Struct):
+    """Seconds by what they went to."""
+
+    spent_s: dict[LossCause, float]
+    is_finished: bool = False
+    #: When the result was durable, if it was.
+    durable_s: float | None = None
+
+
 def item_cause(
     item_id: str, accepted: LogEvent, course: list[LogEvent], target_ms: float
 ) -> LossCause | None:
@@ -27,20 +38,18 @@
     :param accepted: the line of its job's acceptance.
     :param course: the lines of its job, in order.
     """
-    spent_s, durable_s = _spent(item_id, accepted, course)
-    if durable_s is not None and (durable_s - accepted.time_s) * 1e3 <= target_ms:
+    where = _spent(item_id, accepted, course)
+    if where.durable_s is not None and (where.durable_s - accepted.time_s) * 1e3 <= target_ms:
         return None
-    if durable_s is None and target_ms == float('inf') and _is_finished(item_id, course):
+    if where.durable_s is None and where.is_finished and target_ms == float('inf'):
         # Made durable in a commit whose line is not there; without a target it is no loss.
         return None
-    return max(spent_s, key=lambda cause: spent_s[cause])
+    return max(where.spent_s, key=lambda cause: where.spent_s[cause])
 
 
-def _spent(
-    item_id: str, accepted: LogEvent, course: list[LogEvent]
-) -> tuple[dict[LossCause, float], float | None]:
-    """Give the seconds by what they went to, and when the result was durable, if it was."""
-    spent: dict[LossCause, float] = {LossCause.ITEM_FOR_PLACE: 0.0}
+def _spent(item_id: str, accepted: LogEvent, course: list[LogEvent]) -> _Spent:
+    where = _Spent({LossCause.ITEM_FOR_PLACE: 0.0})
+    spent = where.spent_s
     at_s = accepted.time_s
     waiting = LossCause.ITEM_FOR_PLACE
     finished_s = None
@@ -58,20 +67,14 @@
             waiting = AFTER.get(end, LossCause.ITEM_FOR_PLACE)
             if end in ('completed', 'impossible'):
                 finished_s = at_s
+                where.is_finished = True
         elif _is_commit(event) and finished_s is not None:
             _add(spent, LossCause.ITEM_COMMIT, event.time_s - finished_s)
-            return spent, event.time_s
+            where.durable_s = event.time_s
+            return where
     if finished_s is None and course:
         _add(spent, waiting, course[-1].time_s - at_s)
-    return spent, None
-
-
-def _is_finished(item_id: str, course: list[LogEvent]) -> bool:
-    return any(
-        event.get('item_id') == item_id and event.get('end') in ('completed', 'impossible')
-        for event in course
-        if event.event == 'item.run'
-    )
+    return where
 
 
 def _is_commit(event: LogEvent) -> bool:
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -23,6 +23,7 @@
 from citrondyke.standin.platform_server import PlatformServer
 from citrondyke.standin.store_app import StoreApp
 from citrondyke.util.clock import SystemClock
+from tests.support.peers import server_row
 
 __all__ = ('GatewayFleet', 'Reply', 'wait_until_seen')
 
@@ -112,17 +113,9 @@
 
     def list_server(self, name: str, service: str, **row: Any) -> None:
         """Write a server's entry."""
-        entry = {
-            'service': service,
-            'address': f'127.0.0.1:{self.servers[name].port}',
-            'zone': 'zone-a',
-            'version': 'v1',
-            'slots': 4,
-            'state': 'ready',
-            'cold_left_ms': 0,
-            'seq': 1,
-            **row,
-        }
+        address = f'127.0.0.1:{self.servers[name].port}'
+        own = {'service': service, 'address': address, 'zone': 'zone-a', 'slots': 4, 'seq': 1}
+        entry = server_row(**{**own, **row})
         self.store.put(SERVERS_TABLE, name, msgspec.json.encode(entry))
 
     def store_settings(self, call_timeout_ms: float) -> StoreSettings:
--- a/tests/test_soak/soak.py
+++ b/tests/test_soak/soak.py
@@ -4,8 +4,8 @@
 
 import base64
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import gevent
@@ -169,9 +169,9 @@
     def _harm(self, random: Random) -> None:
         """Do one thing after another; with two of these they overlap."""
         harms: list[Callable[[Random], None]] = [
-            self._kill,
-            self._freeze,
-            self._stop,
+            partial(self._harm_instance, act=self._kill),
+            partial(self._harm_instance, act=self._freeze),
+            partial(self._harm_instance, act=self._stop),
             self._cut_store,
             self._cut_store,
             self._cut_server,
@@ -187,52 +187,36 @@
     def _note(self, what: str) -> None:
         self.faults.append(f'{time.monotonic() - self._started_s:.2f} s: {what}')
 
-    @contextmanager
-    def _one_instance(self, random: Random) -> Iterator[tuple[int, Program] | None]:
-        """Take an instance that runs and that nobody else stops or starts meanwhile."""
+    def _harm_instance(self, random: Random, act: Callable[[Random, int, Program], None]) -> None:
+        """Harm an instance that runs and that nobody else stops or starts meanwhile."""
         number = random.randrange(self._fleet.instances_count)
         program = self._fleet.program(number)
         if program is None or number in self._taken:
-            yield None
             return
         self._taken.add(number)
         try:
-            yield number, program
+            self._note(f'{act.__name__[1:]} {number}')
+            act(random, number, program)
         finally:
             self._taken.discard(number)
 
-    def _kill(self, random: Random) -> None:
-        with self._one_instance(random) as chosen:
-            if chosen is None:
-                return
-            number, program = chosen
-            self._note(f'kill {number}')
-            program.kill()
-            gevent.sleep(random.uniform(0.1, 1.0))
-            self._fleet.start(number)
-
-    def _freeze(self, random: Random) -> None:
-        with self._one_instance(random) as chosen:
-            if chosen is None:
-                return
-            number, program = chosen
-            self._note(f'freeze {number}')
-            program.freeze()
-            gevent.sleep(random.uniform(0.3, 4.0))
-            program.wake()
-
-    def _stop(self, random: Random) -> None:
-        with self._one_instance(random) as chosen:
-            if chosen is None:
-                return
-            number, program = chosen
-            self._note(f'stop {number}')
-            program.ask_to_stop()
-            with gevent.Timeout(STOP_WITHIN_S, False):
-                while program.is_running:
-                    gevent.sleep(0.05)
-            program.end()
-            self._fleet.start(number)
+    def _kill(self, random: Random, number: int, program: Program) -> None:
+        program.kill()
+        gevent.sleep(random.uniform(0.1, 1.0))
+        self._fleet.start(number)
+
+    def _freeze(self, random: Random, _: int, program: Program) -> None:
+        program.freeze()
+        gevent.sleep(random.uniform(0.3, 4.0))
+        program.wake()
+
+    def _stop(self, _: Random, number: int, program: Program) -> None:
+        program.ask_to_stop()
+        with gevent.Timeout(STOP_WITHIN_S, False):
+            while program.is_running:
+                gevent.sleep(0.05)
+        program.end()
+        self._fleet.start(number)
 
     def _cut_store(self, random: Random) -> None:
         proxy = random.choice(self._fleet.store_proxies)
--- a/tests/test_soak/soak_fleet.py
+++ b/tests/test_soak/soak_fleet.py
@@ -16,6 +16,7 @@
 from citrondyke.standin.platform_server import PlatformServer
 from citrondyke.standin.store_app import StoreApp
 from tests.support.gateway import ROUTES, route
+from tests.support.peers import server_row
 from tests.support.program import Program
 from tests.test_soak.fault_proxy import FaultProxy
 
@@ -74,16 +75,14 @@
         """Write a server's entry."""
         self.seqs[name] = self.seqs.get(name, 0) + 1
         number = int(name.rpartition('-')[2])
-        entry = {
-            'service': self.services[name],
-            'address': f'127.0.0.1:{self.server_proxies[name].port}',
-            'zone': ZONES[number % len(ZONES)],
-            'version': 'v1',
-            'slots': 6,
-            'state': state,
-            'cold_left_ms': 0,
-            'seq': self.seqs[name],
-        }
+        entry = server_row(
+            service=self.services[name],
+            address=f'127.0.0.1:{self.server_proxies[name].port}',
+            zone=ZONES[number % len(ZONES)],
+            slots=6,
+            state=state,
+            seq=self.seqs[name],
+        )
         self.store.put(SERVERS_TABLE, name, msgspec.json.encode(entry))
 
     def leave_server(self, name: str) -> None:
