Logs name the content of what broke off at a server

Cause: two attempts at the same work have ids of their own, and nothing in a line shows that they are the same; an incident of servers ended one after the other could not be put down to one request or to load by the logs. Change: send.failed (where it may have run) and item.run (where it broke off) carry a digest of method, host, target and body, and how long ago the server's first event came. Digested only then: nothing is added to a request that goes well.

--- /dev/null
+++ b/citrondyke/decisions/crashes/content.py
@@ -0,0 +1,37 @@
+"""What makes two requests the same work."""
+
+from __future__ import annotations
+
+import msgspec
+
+from citrondyke.ids import ContentDigest
+from citrondyke.util.hashing import content_bucket, digest_hex
+
+__all__ = ('RequestContent', 'content_of', 'target_bucket')
+
+#: Hexadecimal digits of a digest: 80 bits, so that nobody finds a request that another one's
+#: verdict would hold up.
+DIGEST_DIGITS = 20
+
+
+class RequestContent(msgspec.Struct, frozen=True):
+    """Names what a request asks for, whoever's attempt it is."""
+
+    digest: ContentDigest
+    #: Of the method, host and target alone: looked up before a body is digested.
+    target: int
+
+
+def content_of(method: bytes, host: bytes, target: bytes, body: bytes) -> RequestContent:
+    """Name a request by what does not change when it comes again.
+
+    Headers are left out: callers make request ids, deadlines and resume positions anew for each
+    attempt, and a name that changed with them would begin each attempt from nothing.
+    """
+    digest = digest_hex(method, host, target, body)[:DIGEST_DIGITS]
+    return RequestContent(ContentDigest(digest), target_bucket(method, host, target))
+
+
+def target_bucket(method: bytes, host: bytes, target: bytes) -> int:
+    """Give a number of 32 bits that requests for one target share."""
+    return content_bucket(b'\0'.join((method, host, target))) & 0xFFFF_FFFF
--- a/citrondyke/gateway/forwarder.py
+++ b/citrondyke/gateway/forwarder.py
@@ -130,6 +130,7 @@
     ) -> RequestEnd | _HeldFailure | None:
         """Send to one server; ``None`` when another may be tried."""
         started_ms = self._context.now_ms()
+        forwarding.server_first_ms = None
         outcome = SendOutcome.NOT_SENT
         connection = None
         is_good = False
@@ -279,7 +280,9 @@
         return end
 
     def _note_time(self, forwarding: Forwarding, state: ServerState, started_ms: float) -> None:
-        took_ms = self._context.now_ms() - started_ms
+        now_ms = self._context.now_ms()
+        forwarding.server_first_ms = now_ms
+        took_ms = now_ms - started_ms
         state.note_time(took_ms)
         self._patience.note(forwarding.route, took_ms)
 
--- a/citrondyke/gateway/job_runner.py
+++ b/citrondyke/gateway/job_runner.py
@@ -11,6 +11,7 @@
 from citrondyke.decisions.batch.give_way import RunningItem, Urgency, urgency
 from citrondyke.decisions.batch.owned_job import RunEnd
 from citrondyke.decisions.batch.run_length import RunLengths
+from citrondyke.decisions.crashes.content import RequestContent, content_of
 from citrondyke.decisions.forwarding.route_table import NoRoute
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.errors.gave_way import GaveWayError
@@ -47,6 +48,13 @@
     has_begun: bool = False
     is_cut: bool = False
 
+    @property
+    def content(self) -> RequestContent:
+        """Name what is asked of the server."""
+        item = self.progress.item
+        host = self.job.head.host.encode('latin-1')
+        return content_of(b'POST', host, item.path.encode('latin-1'), item.body)
+
     def cut(self) -> None:
         """Stop it.
 
@@ -246,6 +254,7 @@
                 'detail': detail,
                 'last_event_id': progress.last_event_id,
                 'took_ms': round(took_ms, 1),
+                'content': run.content.digest if end is RunEnd.BROKEN else None,
             },
         )
         self._end(job, progress, end)
--- a/citrondyke/gateway/request_log.py
+++ b/citrondyke/gateway/request_log.py
@@ -6,12 +6,12 @@
 
 import logbook
 
+from citrondyke.decisions.forwarding.course import SendOutcome
 from citrondyke.gateway.forwarding import RequestEnd
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.admission_rule import TurnedAway
-    from citrondyke.decisions.forwarding.course import SendOutcome
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.forwarding import Forwarding
     from citrondyke.gateway.metrics import Metrics
@@ -77,7 +77,13 @@
         detail: str,
         started_ms: float,
     ) -> None:
-        """Tell how a send to a server failed."""
+        """Tell how a send to a server failed, and of what may have run what it was.
+
+        Attempts at the same work have ids of their own: without their content a server that ends
+        under a request that comes again looks like any other that ends.
+        """
+        may_have_run = outcome is SendOutcome.UNKNOWN
+        first_ms = forwarding.server_first_ms
         log.info(
             'send.failed',
             extra={
@@ -90,6 +96,10 @@
                 'last_event_id': forwarding.last_event_id,
                 'failures_in_row': state.failures_count,
                 'left_ms': round(forwarding.until_ms - self._context.now_ms(), 1),
+                'content': forwarding.content.digest if may_have_run else None,
+                'since_first_event_ms': (
+                    None if first_ms is None else round(self._context.now_ms() - first_ms, 1)
+                ),
             },
         )
 
--- a/citrondyke/ids.py
+++ b/citrondyke/ids.py
@@ -8,6 +8,7 @@
     'AvailabilityZone',
     'ClassName',
     'ConfigVersion',
+    'ContentDigest',
     'InstanceId',
     'JobId',
     'ObjectKey',
@@ -27,6 +28,8 @@
 ClassName = NewType('ClassName', str)
 #: Counts accepted configuration changes from 1; 0 is the empty configuration.
 ConfigVersion = NewType('ConfigVersion', int)
+#: Names what a request asks for, whichever attempt brings it.
+ContentDigest = NewType('ContentDigest', str)
 InstanceId = NewType('InstanceId', str)
 JobId = NewType('JobId', str)
 ObjectKey = NewType('ObjectKey', str)
--- /dev/null
+++ b/tests/test_crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package ``crashes``."""
