Ends that one instance alone has seen are added to a suspect's row

Cause: one end is not worth a row, and an instance that its peers do not reach told nobody of it: each side counted less than the limit. Test: two instances without datagrams, with one and two ends; both know three.

--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -76,11 +76,14 @@
         table = RelayedTable(self.clock, outside.table, self._relay, self._store, self._tasks)
         self._table = table
         self.suspects = SuspectBook(self.context)
+        self.suspect_store = SuspectStore(
+            self.context, table, self._store, self.suspects, self._store_pace
+        )
         self.guard = CrashGuard(
             self.context,
             self.book,
             self.suspects,
-            SuspectStore(self.context, table, self._store, self.suspects, self._store_pace),
+            self.suspect_store,
             self.metrics,
             self._tasks,
         )
--- a/citrondyke/gateway/suspect_store.py
+++ b/citrondyke/gateway/suspect_store.py
@@ -9,11 +9,13 @@
 import msgspec
 from gevent.event import Event
 
+from citrondyke.decisions.crashes.content import RequestContent
 from citrondyke.decisions.crashes.suspect import SuspectRow
 from citrondyke.decisions.crashes.suspect_book import STORED_SCORE, Standing
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.change_feed import ChangeFeed
 from citrondyke.gateway.unreadable_rows import UnreadableRows
+from citrondyke.ids import ContentDigest
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import (
     PartCommitted,
@@ -28,7 +30,6 @@
     from collections.abc import Callable, Iterable
 
     from citrondyke.decisions.core.context import Context
-    from citrondyke.decisions.crashes.content import RequestContent
     from citrondyke.decisions.crashes.suspect_book import SuspectBook
     from citrondyke.gateway.dependency import Dependency
     from citrondyke.gateway.tasks import Tasks
@@ -154,7 +155,11 @@
             except UnreadableBytesError as error:
                 self._unreadable.note(row.key, row.version, error.message)
                 continue
-            if known.digest == row.key and self._suspects.join(known):
+            if known.digest != row.key:
+                continue
+            is_news = self._suspects.join(known)
+            self._add_own(known)
+            if is_news:
                 log.info(
                     'suspect.known',
                     extra={
@@ -166,6 +171,17 @@
                     },
                 )
 
+    def _add_own(self, known: SuspectRow) -> None:
+        """Have written what this instance knows beyond a row.
+
+        One end is not worth a row, so that what an instance saw alone while its peers did not
+        reach it would stay unknown to them for good.
+        """
+        content = RequestContent(ContentDigest(known.digest), known.target)
+        own = self._suspects.row(content)
+        if own is not None and own.era == known.era and own.lives.keys() - known.lives.keys():
+            self.save(content)
+
     def _read_anew(self) -> int:
         listing = self._table.read_all(SUSPECTS_TABLE, '')
         if isinstance(listing, PlatformFailure):
--- a/tests/test_gateway/test_gateway_crashes.py
+++ b/tests/test_gateway/test_gateway_crashes.py
@@ -137,3 +137,16 @@
 
     wait_until_seen(look, 'the results of the other items')
     assert fleet.runs_of(b'item 1') <= ENOUGH + MORE
+
+
+def test_ends_seen_by_one_instance_alone_are_added_to_the_row(fleet: GatewayFleet) -> None:
+    # Instances do not reach each other, only the store: each has seen other servers end. Together
+    # they are three, and all must know.
+    content = content_of(b'POST', HOST.encode(), b'/fetch/a', DEADLY)
+    for instance, servers in zip(fleet.instances, ((1,), (2, 3)), strict=True):
+        instance.peers.stop()
+        for server in servers:
+            instance.suspects.note_end(content, server, is_fresh=True)
+    fleet.instances[1].suspect_store.save(content)
+    for instance in fleet.instances:
+        wait_until_seen(lambda: instance.guard.ends_count(content) == 3.0, 'all three ends')  # noqa: B023
