--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -17,6 +17,8 @@
 from citrondyke.platform.dialect import ATTEMPT, EXPECT_SERVER, LAST_EVENT, LOAD, NOT_RUN, SEAL
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gevent import socket
 
 __all__ = ('Act', 'PlatformServer', 'ServerRun')
@@ -24,6 +26,10 @@
 READ_BYTES = 65_536
 
 
+def _nobody() -> None:
+    """Stand where nobody is told."""
+
+
 class Act(Enum):
     """How the next request is answered."""
 
@@ -85,6 +91,8 @@
         #: Bodies of requests whose connections it resets; it lives on.
         self.cut_bodies: set[bytes] = set()
         self.is_ended = False
+        #: Called when it has ended.
+        self.on_end: Callable[[], object] = _nobody
         self._open: set[socket.socket] = set()
         self._server = StreamServer(('127.0.0.1', 0), self._on_connection)
         self._server.start()
@@ -100,6 +108,7 @@
         self._server.stop(timeout=0)
         for sock in list(self._open):
             reset(sock)
+        self.on_end()
 
     def _on_connection(self, sock: socket.socket, _: object) -> None:
         http = h11.Connection(h11.SERVER)
--- a/tests/test_soak/soak.py
+++ b/tests/test_soak/soak.py
@@ -63,7 +63,7 @@
     def run(self) -> list[str]:
         """Play it, heal everything and give the promises that were broken."""
         workers = [self._call for _ in range(CALLERS)] + [self._hand_in for _ in range(JOB_CALLERS)]
-        workers += [self._operate, self._harm, self._harm]
+        workers += [self._operate, self._harm, self._harm, self._ask_deadly]
         gevent.joinall(
             [
                 gevent.spawn(worker, Random(self._seed * 100 + n))
@@ -110,6 +110,20 @@
                 sock = None
             gevent.sleep(random.uniform(0.0, 0.15))
 
+    def _ask_deadly(self, random: Random) -> None:
+        """Ask for work that ends its servers, again and again and anywhere."""
+        gevent.sleep(random.uniform(0.0, 1.0))
+        kind = random.choice(('fetch', 'stream'))
+        body = f'ends its server {self._seed}'.encode()
+        self._note(f'deadly {kind}')
+        self.witness.deadly_bodies.add(body)
+        self._fleet.deadly_bodies.add(body)
+        while self._goes_on():
+            request_id = self._new_id('deadly')
+            reply = self._ask(random, f'/{kind}/x', body, request_id)
+            self.witness.asked.append(Asked(request_id, kind, body, reply))
+            gevent.sleep(random.uniform(0.05, 0.4))
+
     def _hand_in(self, random: Random) -> None:
         while self._goes_on():
             job_id = self._new_id('job')
@@ -260,7 +274,12 @@
 
     def _replace_server(self, random: Random) -> None:
         """Have a server leave as planned, once its successor is there."""
-        name = random.choice(sorted(set(self._fleet.servers) - set(self._fleet.left_s)))
+        stays = {
+            name
+            for name, server in self._fleet.servers.items()
+            if name not in self._fleet.left_s and not server.is_ended
+        }
+        name = random.choice(sorted(stays))
         service = self._fleet.services[name]
         successor = f'{service}-{len(self._fleet.servers)}'
         self._note(f'{name} is replaced by {successor}')
--- a/tests/test_soak/soak_fleet.py
+++ b/tests/test_soak/soak_fleet.py
@@ -4,6 +4,7 @@
 
 import os
 import time
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -26,6 +27,8 @@
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 SERVERS = {'app': 3, 'lm': 4}
 READY_WITHIN_S = 30.0
+#: From a server's end until it is off the list.
+LAPSE_S = 1.5
 
 
 class SoakFleet:
@@ -50,6 +53,8 @@
         self.seqs: dict[str, int] = {}
         #: When a server said that it leaves.
         self.left_s: dict[str, float] = {}
+        #: Bodies under which servers end.
+        self.deadly_bodies: set[bytes] = set()
         self.programs: list[Program | None] = [None] * instances_count
         self.version = 0
         self.configure()
@@ -67,10 +72,20 @@
     def add_server(self, name: str, service: str) -> None:
         """Start a server and list it."""
         self.servers[name] = server = PlatformServer(name)
+        server.deadly_bodies = self.deadly_bodies
+        server.on_end = partial(gevent.spawn, self._restart, name)
         self.server_proxies[name] = FaultProxy('127.0.0.1', server.port)
         self.services[name] = service
         self.list_server(name)
 
+    def _restart(self, name: str) -> None:
+        """Have a server that ended lapse, and start it anew as another one."""
+        self.server_proxies[name].stop()
+        gevent.sleep(LAPSE_S)
+        if name not in self.left_s:
+            self.add_server(f'{self.services[name]}-{len(self.servers)}', self.services[name])
+        self.store.remove(SERVERS_TABLE, name)
+
     def list_server(self, name: str, state: str = 'ready') -> None:
         """Write a server's entry."""
         self.seqs[name] = self.seqs.get(name, 0) + 1
--- a/tests/test_soak/test_soak_promises.py
+++ b/tests/test_soak/test_soak_promises.py
@@ -13,7 +13,7 @@
 from tests.support.gateway import Reply
 from tests.test_soak.soak import Soak
 from tests.test_soak.soak_fleet import SoakFleet
-from tests.test_soak.witness import LEAVE_S, STREAM, TEXT, Asked, JobSeen, Witness
+from tests.test_soak.witness import LEAVE_S, NEWS_S, STREAM, TEXT, Asked, JobSeen, Witness
 
 #: Seeds that CI plays; each one that ever showed a fault stays here with its cause.
 SEEDS = (1,)
@@ -124,6 +124,18 @@
     assert len(judged(runs, asked, jobs, left_s)) == 1
 
 
+def test_witness_finds_a_deadly_request_that_goes_on() -> None:
+    # Three servers end; news come round; four sends more are one too many.
+    for beyond, wrong_count in ((3, 0), (4, 1)):
+        server = PlatformServer('server')
+        server.stop()
+        times_s = [0.0, 1.0, 2.0, *(2.0 + NEWS_S + 1.0 + n for n in range(beyond))]
+        server.runs = [run_of(f'r-{at_s}', began_s=at_s) for at_s in times_s]
+        witness = Witness()
+        witness.deadly_bodies.add(b'')
+        assert len(witness.judge([server], {})) == wrong_count
+
+
 def test_witness_finds_nothing_where_all_is_kept() -> None:
     kept = answer('order', 200, b'answer to x')
     assert judged([run_of('a')], (kept,), (job([503, 202], DONE),)) == []
--- a/tests/test_soak/witness.py
+++ b/tests/test_soak/witness.py
@@ -19,6 +19,11 @@
 #: A leaving server may get requests for so long after it said so, in s; more than the platform's
 #: 2 s, as the entry goes through proxies here.
 LEAVE_S = 4.0
+#: Servers that may end under one request, and sends beyond them, once the news of the last end had
+#: this long to come round; an instance that nobody reaches is cut off for less.
+ENDS_LIMIT = 3
+SENDS_BEYOND = 3
+NEWS_S = 3.0
 TEXT = '\n'.join(f'text {number}' for number in range(1, EVENTS + 1))
 STREAM = b''.join(b'id: %d\ndata: text %d\n\n' % (n, n) for n in range(1, EVENTS + 1))
 
@@ -56,6 +61,8 @@
         self.asked: list[Asked] = []
         self.jobs: dict[str, JobSeen] = {}
         self.wrong: list[str] = []
+        #: Bodies under which servers end.
+        self.deadly_bodies: set[bytes] = set()
 
     def complain(self, what: str) -> None:
         """Note a broken promise."""
@@ -78,6 +85,8 @@
             for run in server.runs:
                 runs.setdefault(run.request_id, []).append(run)
             self._judge_leaving(server, left_s.get(server.server_id))
+        for body in self.deadly_bodies:
+            self._judge_deadly(body, servers)
         for asked in self.asked:
             self._judge_answer(asked, runs.get(asked.request_id, []))
         for job in self.jobs.values():
@@ -91,6 +100,16 @@
         if late:
             self.complain(f'{server.server_id} got {len(late)} requests after it left')
 
+    def _judge_deadly(self, body: bytes, servers: list[PlatformServer]) -> None:
+        began_s = sorted(
+            run.began_s for server in servers for run in server.runs if run.body == body
+        )
+        if len(began_s) < ENDS_LIMIT:
+            return
+        late = [each for each in began_s if each > began_s[ENDS_LIMIT - 1] + NEWS_S]
+        if len(late) > SENDS_BEYOND:
+            self.complain(f'{body!r} was sent {len(late)} times more; it ran {len(began_s)} times')
+
     def _judge_answer(self, asked: Asked, runs: list[ServerRun]) -> None:
         reply, name = asked.reply, f'{asked.kind} {asked.request_id}'
         if asked.kind in ('order', 'stream-once') and len(runs) > 1:
