At the first end that an instance sees it looks for the suspect's row

Cause: an instance that was cut off has missed the datagrams and may wait on a dead feed for some seconds; by itself it would end three servers more. Test: a book that knows nothing but its own first end knows all four after the look.

--- a/citrondyke/gateway/suspect_store.py
+++ b/citrondyke/gateway/suspect_store.py
@@ -92,10 +92,7 @@
         tasks.keep(self._run_tidy)
 
     def save(self, content: RequestContent) -> None:
-        """Have a row written soon, where others must know of it or have it already."""
-        is_known = content.digest in self._versions
-        if self._suspects.score(content) < STORED_SCORE and not is_known:
-            return
+        """Have a row written soon, where others must know of it; else have it looked for."""
         if len(self._waiting) < WAITING_LIMIT:
             self._waiting[content.digest] = content
             self._has_some.set()
@@ -119,6 +116,21 @@
                 return True
         return False
 
+    def look(self, content: RequestContent) -> None:
+        """Read a row that others may have written.
+
+        An instance that was cut off has missed their datagrams and waits on a feed that is dead:
+        it would end three servers more by itself before it knew.
+        """
+        listing = self._table.read(SUSPECTS_TABLE, '', content.digest, limit=1)
+        if isinstance(listing, PlatformFailure):
+            log.info(
+                'suspect.not_read',
+                extra={'content': content.digest, 'reason': listing.reason.value},
+            )
+            return
+        self._take_rows(row for row in listing.rows if row.key == content.digest)
+
     def _put(self, row: SuspectRow) -> bool | None:
         """Write a row; tell whether it stands, ``None`` where the store did not say."""
         version = self._versions.get(row.digest, 0)
@@ -196,9 +208,15 @@
             del self._waiting[digest]
             if not self._waiting:
                 self._has_some.clear()
-            self._write(content)
+            if self._is_worth_a_row(content):
+                self._write(content)
+            else:
+                self.look(content)
             gevent.sleep(WRITE_GAP_S)
 
+    def _is_worth_a_row(self, content: RequestContent) -> bool:
+        return content.digest in self._versions or self._suspects.score(content) >= STORED_SCORE
+
     def _write(self, content: RequestContent) -> None:
         for _ in range(TRIES):
             row = self._suspects.row(content)
--- a/tests/test_gateway/test_gateway_suspect_store.py
+++ b/tests/test_gateway/test_gateway_suspect_store.py
@@ -86,3 +86,23 @@
         assert member.claim()
         floor.members[0] = member = Member(floor.clock, floor.table, 'again')
         floor.clock.ms += FIRST_TRIAL_PAUSE_MS
+
+
+def test_instance_that_missed_all_news_learns_it_from_the_row(floor: Floor) -> None:
+    # It was cut off while others saw three servers end, and hangs on a dead feed. At the first
+    # end that it sees itself it looks for the row, instead of ending three servers more.
+    first, missed = floor.members[0], SuspectBook(manual_context(floor.clock, 'missed'))
+    assert first.claim()
+    store = SuspectStore(
+        manual_context(floor.clock, 'missed'),
+        floor.table,
+        Dependency(floor.clock, 'store'),
+        missed,
+        lambda: 1.0,
+    )
+    missed.note_end(CULPRIT, 4, is_fresh=True)
+    store.look(other := content_of(b'POST', b'h', b'/p/', b'other'))
+    assert missed.score(other) == 0.0
+    assert missed.score(CULPRIT) == 1.0
+    store.look(CULPRIT)
+    assert missed.score(CULPRIT) == 4.0
