After a break it is found out whether the server has ended before the request is sent on

Cause: those who are cut off by a crash were sent on in the same millisecond, before its end was counted, and so by load alone: to the same server, where the culprit is again.

--- a/citrondyke/decisions/crashes/life_watch.py
+++ b/citrondyke/decisions/crashes/life_watch.py
@@ -75,8 +75,8 @@
         """Tell whether a server is known to have ended."""
         return server in self._ended_ms
 
-    def note_alive(self, server: int, asked_ms: float) -> None:
-        """Take in that a server took a connection.
+    def note_alive(self, server: int, asked_ms: float) -> bool:
+        """Take in that a server took a connection; tell whether more broke off since.
 
         :param asked_ms: when the connection was begun.
         """
@@ -87,6 +87,7 @@
         ]
         if kept:
             self._broken[server] = kept
+        return any(each.at_ms > asked_ms for each in kept)
 
     def _forget_old(self) -> None:
         oldest_ms = self._context.now_ms() - KEPT_MS
--- a/citrondyke/gateway/crash_guard.py
+++ b/citrondyke/gateway/crash_guard.py
@@ -11,7 +11,7 @@
 from citrondyke.decisions.crashes.content import target_bucket
 from citrondyke.decisions.crashes.life_watch import BrokenOff, LifeWatch
 from citrondyke.decisions.crashes.news_queue import NewsKind, NewsQueue, SuspectNews
-from citrondyke.decisions.crashes.suspect_book import ENDS_LIMIT, Standing, SuspectBook
+from citrondyke.decisions.crashes.suspect_book import Standing, SuspectBook
 from citrondyke.decisions.forwarding.server_book import server_digest
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.gateway.peer_codec import CrashNews
@@ -145,8 +145,9 @@
     ) -> None:
         """Take in that a request broke off at a server, and find out whether that has ended.
 
-        A request that one more end would stop waits for the answer: sent on before, it would meet
-        the next server while the last one's end is not counted yet.
+        The request waits for the answer, some ms: sent on before, it would meet the next server
+        while the last one's end is not counted yet, and all who were there would choose by load
+        alone, which is the same server for all of them.
 
         :param first_event_ms: when the server's first event came; ``None`` before that.
         """
@@ -164,8 +165,7 @@
         probe = self._probes.get(server)
         if probe is None:
             probe = self._probes[server] = self._tasks.spawn(self._probe, server, state)
-        if self._suspects.score(content) + 1.0 >= ENDS_LIMIT:
-            probe.join(PROBE_MS / 1e3)
+        probe.join(PROBE_MS / 1e3)
 
     def note_no_connection(self, state: ServerState, error: BrokenReplyError) -> None:
         """Take in that a server took no connection."""
@@ -200,10 +200,12 @@
             self._end(news.server, 'peer')
 
     def _probe(self, server: int, state: ServerState) -> None:
-        asked_ms = self._context.now_ms()
         try:
-            connect(state.listed.ip, state.listed.port, PROBE_MS).close()
-            self._watch.note_alive(server, asked_ms)
+            is_settled = False
+            while not is_settled:
+                asked_ms = self._context.now_ms()
+                connect(state.listed.ip, state.listed.port, PROBE_MS).close()
+                is_settled = not self._watch.note_alive(server, asked_ms)
         except BrokenReplyError as error:
             if _is_refusal(error):
                 self._end(server, 'refused')
--- a/citrondyke/gateway/forwarder.py
+++ b/citrondyke/gateway/forwarder.py
@@ -98,6 +98,8 @@
         while course.may_send and self._left_ms(forwarding) > 0:
             standing = self._guard.standing(forwarding)
             if standing in (Standing.STOPPED, Standing.ON_TRIAL):
+                if failure is not None:
+                    break
                 return self._stop(caller, forwarding, standing)
             state = self._choose(forwarding, standing)
             if state is None:
--- a/tests/test_crashes/test_crashes_life_watch.py
+++ b/tests/test_crashes/test_crashes_life_watch.py
@@ -63,7 +63,8 @@
     asked_ms = desk.clock.ms
     desk.clock.ms += 1.0
     desk.break_off()
-    desk.watch.note_alive(SERVER, asked_ms)
+    # It is asked again.
+    assert desk.watch.note_alive(SERVER, asked_ms)
     assert desk.counted() == [content(b'a')]
 
 
