--- a/tests/test_soak/soak_fleet.py
+++ b/tests/test_soak/soak_fleet.py
@@ -34,7 +34,9 @@
 class SoakFleet:
     """A deployment of its own on loopback addresses of its own."""
 
-    def __init__(self, folder: Path, instances_count: int) -> None:
+    def __init__(
+        self, folder: Path, instances_count: int, services: dict[str, int] = SERVERS
+    ) -> None:
         """Start the store and the servers; instances start by ``start``."""
         self.folder = folder
         self.instances_count = instances_count
@@ -58,7 +60,7 @@
         self.programs: list[Program | None] = [None] * instances_count
         self.version = 0
         self.configure()
-        for service, count in SERVERS.items():
+        for service, count in services.items():
             for number in range(count):
                 self.add_server(f'{service}-{number}', service)
 
