In a large fleet one end is told to three instances, two ends to all

Change: one end goes to three instances chosen by the content (rendezvous), which collect; whoever knows of two tells everybody all of them, once each. Small fleets tell all as before. After: 144 datagrams at the most in the test; with one datagram in ten lost, 99 of 100 instances know of three ends seen by three different instances.

--- a/citrondyke/decisions/crashes/news_queue.py
+++ b/citrondyke/decisions/crashes/news_queue.py
@@ -12,14 +12,16 @@
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
 
-__all__ = ('NewsKind', 'NewsQueue', 'SuspectNews')
+__all__ = ('NewsKind', 'NewsQueue', 'SuspectNews', 'TellableNews')
 
 #: When the same is told again, in ms after it was told before: one datagram in a hundred is lost,
 #: and a link that loses many is harmed for seconds.
 AGAIN_AFTER_MS = (100.0, 700.0)
+#: How often a thing is told.
+TIMES = len(AGAIN_AFTER_MS) + 1
 #: Requests in one message, 16 bytes each; it must fit one packet.
 PER_MESSAGE = 60
-#: Between two messages: with 195 instances one that tells all the time sends 3,900 datagrams/s.
+#: Between two messages: one that tells 195 instances all the time sends 3,900 datagrams/s.
 GAP_MS = 50.0
 #: What waits to be told; the least suspected is left out.
 WAITING_LIMIT = 512
@@ -41,16 +43,28 @@
     kind: NewsKind
 
 
+class TellableNews(msgspec.Struct, frozen=True):
+    """What goes into one message."""
+
+    #: Digest of the life of the server that ended; 0 where none has.
+    server: int
+    news: list[SuspectNews]
+    #: Whether everybody is to know, not only who collects what is seen.
+    is_wide: bool
+
+
 class _Waiting(msgspec.Struct):
     server: int
     news: SuspectNews
     rank: float
     due_ms: float
+    is_wide: bool
+    times_left: int
     told_count: int = 0
 
 
 class NewsQueue:
-    """Tells each thing three times, a bounded number of messages a second."""
+    """Tells each thing some times, a bounded number of messages a second."""
 
     def __init__(self, context: Context) -> None:
         """Start with nothing to tell."""
@@ -58,13 +72,24 @@
         self._waiting: list[_Waiting] = []
         self._sent_ms = float('-inf')
 
-    def add(self, server: int, news: SuspectNews, score: float) -> None:
+    def add(
+        self,
+        server: int,
+        news: SuspectNews,
+        score: float,
+        *,
+        is_wide: bool = True,
+        times: int = TIMES,
+    ) -> None:
         """Have something told.
 
         :param server: digest of the life of the server that ended; 0 for a success.
+        :param is_wide: whether everybody is to know.
+        :param times: how often it is told.
         """
         rank = float('inf') if news.kind is NewsKind.SURVIVED else score
-        self._waiting.append(_Waiting(server, news, rank, self._context.now_ms()))
+        now_ms = self._context.now_ms()
+        self._waiting.append(_Waiting(server, news, rank, now_ms, is_wide, times))
         if len(self._waiting) > WAITING_LIMIT:
             self._waiting.remove(min(self._waiting, key=lambda each: each.rank))
 
@@ -75,20 +100,22 @@
         due_ms = min(each.due_ms for each in self._waiting)
         return max(0.0, max(due_ms, self._sent_ms + GAP_MS) - self._context.now_ms())
 
-    def take(self) -> tuple[int, list[SuspectNews]]:
-        """Give the server and the requests of the next message; none where nothing is due."""
+    def take(self) -> TellableNews | None:
+        """Give the next message; ``None`` where nothing is due."""
         now_ms = self._context.now_ms()
         due = [each for each in self._waiting if each.due_ms <= now_ms]
         if not due:
-            return 0, []
+            return None
         due.sort(key=lambda each: (each.told_count, -each.rank))
-        server = due[0].server
-        chosen = [each for each in due if each.server == server][:PER_MESSAGE]
+        server, is_wide = due[0].server, due[0].is_wide
+        chosen = [each for each in due if (each.server, each.is_wide) == (server, is_wide)]
+        del chosen[PER_MESSAGE:]
         for each in chosen:
-            if each.told_count >= len(AGAIN_AFTER_MS):
+            each.times_left -= 1
+            if not each.times_left:
                 self._waiting.remove(each)
                 continue
-            each.due_ms = now_ms + AGAIN_AFTER_MS[each.told_count]
+            each.due_ms = now_ms + AGAIN_AFTER_MS[min(each.told_count, len(AGAIN_AFTER_MS) - 1)]
             each.told_count += 1
         self._sent_ms = now_ms
-        return server, [each.news for each in chosen]
+        return TellableNews(server, [each.news for each in chosen], is_wide)
--- a/citrondyke/decisions/forwarding/neighbours.py
+++ b/citrondyke/decisions/forwarding/neighbours.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from heapq import nlargest
 from typing import TYPE_CHECKING
 
+from citrondyke.util.hashing import rendezvous_weight
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -19,6 +22,9 @@
 #: Datagrams that an instance sends to its neighbours in a second at most: with n of them a change
 #: waits n ms at the longest, 12 ms at 13 instances.
 DATAGRAMS_PER_S = 1_000.0
+#: Instances that collect what is seen of one thing: half of all may be lost at once, and then one
+#: of three is left seven times in eight.
+REGISTRARS = 3
 #: Fleets beyond this call the store more rarely, in proportion, so that heartbeats and the reads
 #: of them, whose size grows with the fleet too, stay within its rates; at most three times.
 PACED_FROM = 45
@@ -82,6 +88,18 @@
             return self.in_zone(self._context.zone)
         return list(self._zones)
 
+    def everybody(self) -> list[InstanceId]:
+        """List all other instances; for what seldom has to be told."""
+        return list(self._zones)
+
+    def registrars(self, name: str) -> list[InstanceId]:
+        """Choose the instances that collect what is seen of something; this one may be one.
+
+        All choose the same ones, as far as they know of the same instances.
+        """
+        everybody = [*self._zones, self._context.instance_id]
+        return nlargest(REGISTRARS, everybody, key=lambda each: rendezvous_weight(each, name))
+
     def in_zone(self, zone: AvailabilityZone) -> list[InstanceId]:
         """List the other instances of an availability zone."""
         return self._by_zone.get(zone, [])
--- a/citrondyke/gateway/crash_guard.py
+++ b/citrondyke/gateway/crash_guard.py
@@ -6,16 +6,15 @@
 
 import gevent
 import logbook
-from gevent.event import Event
 
 from citrondyke.decisions.crashes.content import target_bucket
 from citrondyke.decisions.crashes.life_watch import BrokenOff, LifeWatch
-from citrondyke.decisions.crashes.news_queue import NewsKind, NewsQueue, SuspectNews
+from citrondyke.decisions.crashes.news_queue import NewsKind
 from citrondyke.decisions.crashes.suspect_book import Standing, SuspectBook
 from citrondyke.decisions.forwarding.server_book import server_digest
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
-from citrondyke.gateway.peer_codec import CrashNews
 from citrondyke.gateway.sockets import connect
+from citrondyke.gateway.suspect_teller import SuspectTeller
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -26,9 +25,10 @@
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.forwarding import Forwarding
     from citrondyke.gateway.metrics import Metrics
-    from citrondyke.gateway.peer_codec import PeerText
+    from citrondyke.gateway.peer_codec import CrashNews, PeerText
     from citrondyke.gateway.suspect_store import SuspectStore
     from citrondyke.gateway.tasks import Tasks
+    from citrondyke.ids import InstanceId
 
 __all__ = ('CrashGuard',)
 
@@ -64,17 +64,16 @@
         self._metrics = metrics
         self._tasks = tasks
         self._watch = LifeWatch(context)
-        self._news = NewsQueue(context)
-        self._has_news = Event()
+        self.teller = SuspectTeller(context, book.neighbours, suspects)
         self._probes: dict[int, gevent.Greenlet] = {}
 
-    def start(self, tell: Callable[[PeerText], None]) -> None:
+    def start(self, send: Callable[[PeerText, list[InstanceId]], None]) -> None:
         """Begin to tell and to follow.
 
-        :param tell: sends a datagram to all peers.
+        :param send: sends a datagram to some peers.
         """
         self._store.start(self._tasks)
-        self._tasks.keep(lambda: self._run_news(tell))
+        self.teller.start(self._tasks, send)
 
     def standing(self, forwarding: Forwarding) -> Standing:
         """Tell what may be done with an online request; its body is looked at for suspects only."""
@@ -131,9 +130,10 @@
         survivor = content()
         if not self._suspects.concerns(survivor.target):
             return
+        was_known = self.teller.is_known_to_all(survivor)
         if self._suspects.note_survived(survivor):
             self._log_cleared(survivor, 'own')
-            self._tell(0, SuspectNews(survivor, NewsKind.SURVIVED))
+            self.teller.tell_survived(survivor, is_wide=was_known)
             self._store.save(survivor)
 
     def note_broken(
@@ -194,8 +194,10 @@
                     self._log_cleared(each.content, 'peer')
                 continue
             is_fresh = each.kind is NewsKind.FRESH
+            was_known = self.teller.is_known_to_all(each.content)
             if self._suspects.note_end(each.content, news.server, is_fresh=is_fresh):
                 self._log_counted(each.content, news.server, 'peer', is_fresh=is_fresh)
+                self._make_known(each.content, was_known=was_known)
         if news.server:
             self._end(news.server, 'peer')
 
@@ -225,28 +227,19 @@
 
     def _count(self, server: int, broken: Iterable[BrokenOff]) -> None:
         for each in broken:
+            was_known = self.teller.is_known_to_all(each.content)
             if not self._suspects.note_end(each.content, server, is_fresh=each.is_fresh):
                 continue
             self._log_counted(each.content, server, 'own', is_fresh=each.is_fresh)
-            kind = NewsKind.FRESH if each.is_fresh else NewsKind.BEGUN
-            self._tell(server, SuspectNews(each.content, kind))
+            self.teller.tell_end(server, each.content, is_fresh=each.is_fresh)
+            self._make_known(each.content, was_known=was_known)
             self._store.save(each.content)
 
-    def _tell(self, server: int, news: SuspectNews) -> None:
-        self._news.add(server, news, self._suspects.score(news.content))
-        self._has_news.set()
-
-    def _run_news(self, tell: Callable[[PeerText], None]) -> None:
-        while True:
-            pause_ms = self._news.next_pause_ms()
-            if pause_ms is None:
-                self._has_news.clear()
-                self._has_news.wait()
-                continue
-            gevent.sleep(pause_ms / 1e3)
-            server, news = self._news.take()
-            if news:
-                tell(CrashNews(server, news))
+    def _make_known(self, content: RequestContent, *, was_known: bool) -> None:
+        """Tell everybody of what only those who collect have known."""
+        if not was_known and self.teller.is_known_to_all(content):
+            self.teller.tell_all_ends(content)
+            self._store.save(content)
 
     def _log_ended(self, server: int, how: str, broken: list[BrokenOff]) -> None:
         state = self._book.by_digest(server)
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -181,7 +181,7 @@
         follow_instances(self.context, self._table, self.membership, self._store_pace, self._tasks)
         self.peers.start(settings.ip)
         self._loads.start(self._tasks, self.peers.send)
-        self.guard.start(self.peers.tell_all)
+        self.guard.start(self.peers.send)
         self.membership.start(self._tasks)
         self.batch.start()
         self._tasks.keep(self._run_settle)
--- a/citrondyke/gateway/peers.py
+++ b/citrondyke/gateway/peers.py
@@ -157,10 +157,6 @@
         """Tell a job's owner that its head changed; it would find out itself in a second."""
         self.send(JobChanged(job_id), [owner])
 
-    def tell_all(self, text: PeerText) -> None:
-        """Send a datagram to all peers; for what seldom happens."""
-        self.send(text, list(self._membership.peers))
-
     def send(self, text: PeerText, receivers: list[InstanceId]) -> None:
         """Send a datagram to some peers; who is not known is left out."""
         data = encode_message(self._message(text))
--- /dev/null
+++ b/citrondyke/gateway/suspect_teller.py
@@ -0,0 +1,112 @@
+"""Tells peers of requests under which servers end: few of one end, everybody of more."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import Event
+
+from citrondyke.decisions.crashes.news_queue import NewsKind, NewsQueue, SuspectNews
+from citrondyke.decisions.crashes.suspect import FRESH_WEIGHT
+from citrondyke.decisions.crashes.suspect_book import STORED_SCORE
+from citrondyke.gateway.peer_codec import CrashNews
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.crashes.content import RequestContent
+    from citrondyke.decisions.crashes.suspect_book import SuspectBook
+    from citrondyke.decisions.forwarding.neighbours import Neighbours
+    from citrondyke.gateway.peer_codec import PeerText
+    from citrondyke.gateway.tasks import Tasks
+    from citrondyke.ids import InstanceId
+
+__all__ = ('SuspectTeller',)
+
+
+class SuspectTeller:
+    """Sends news of suspects, a bounded number of messages a second."""
+
+    def __init__(self, context: Context, neighbours: Neighbours, suspects: SuspectBook) -> None:
+        """Start with nothing to tell."""
+        self._neighbours = neighbours
+        self._suspects = suspects
+        self._news = NewsQueue(context)
+        self._has_news = Event()
+
+    def start(self, tasks: Tasks, send: Callable[[PeerText, list[InstanceId]], None]) -> None:
+        """Begin to tell.
+
+        :param send: sends a datagram to some peers.
+        """
+        tasks.keep(lambda: self._run(send))
+
+    def is_known_to_all(self, content: RequestContent) -> bool:
+        """Tell whether all instances are told of a suspect.
+
+        In a large fleet one end is told to those only who collect what is seen of it. Eight
+        requests are on a server that ends, nearly all of them innocent: told to 195 instances
+        three times over, and taken back after the next answer, they are 9,000 datagrams.
+        """
+        is_grave = self._suspects.score(content) >= STORED_SCORE
+        return is_grave or not self._neighbours.is_zoned
+
+    def tell_end(self, server: int, content: RequestContent, *, is_fresh: bool) -> None:
+        """Have peers told of a server's end under a request."""
+        kind = NewsKind.FRESH if is_fresh else NewsKind.BEGUN
+        self._add(server, SuspectNews(content, kind), is_wide=self.is_known_to_all(content))
+
+    def tell_survived(self, content: RequestContent, *, is_wide: bool) -> None:
+        """Have peers told of a whole answer.
+
+        :param is_wide: whether all knew of the suspect before.
+        """
+        self._add(0, SuspectNews(content, NewsKind.SURVIVED), is_wide=is_wide)
+
+    def tell_all_ends(self, content: RequestContent) -> None:
+        """Have everybody told all that is known of a suspect; each who collects does so once."""
+        row = self._suspects.row(content)
+        if row is None:
+            return
+        score = self._suspects.score(content)
+        for server, weight in row.lives.items():
+            kind = NewsKind.FRESH if weight >= FRESH_WEIGHT else NewsKind.BEGUN
+            self._news.add(server, SuspectNews(content, kind), score, times=1)
+        self._has_news.set()
+
+    def next_pause_ms(self) -> float | None:
+        """Give the time until something is to be told; ``None`` while there is nothing."""
+        return self._news.next_pause_ms()
+
+    def take(self) -> list[tuple[CrashNews, list[InstanceId]]]:
+        """Give the messages that are due, each with who gets it."""
+        message = self._news.take()
+        if message is None:
+            return []
+        if message.is_wide:
+            return [(CrashNews(message.server, message.news), self._neighbours.everybody())]
+        by_receiver: dict[InstanceId, list[SuspectNews]] = {}
+        for news in message.news:
+            for receiver in self._neighbours.registrars(news.content.digest):
+                by_receiver.setdefault(receiver, []).append(news)
+        return [
+            (CrashNews(message.server, found), [receiver])
+            for receiver, found in by_receiver.items()
+        ]
+
+    def _add(self, server: int, news: SuspectNews, *, is_wide: bool) -> None:
+        self._news.add(server, news, self._suspects.score(news.content), is_wide=is_wide)
+        self._has_news.set()
+
+    def _run(self, send: Callable[[PeerText, list[InstanceId]], None]) -> None:
+        while True:
+            pause_ms = self.next_pause_ms()
+            if pause_ms is None:
+                self._has_news.clear()
+                self._has_news.wait()
+                continue
+            gevent.sleep(pause_ms / 1e3)
+            for news, receivers in self.take():
+                send(news, receivers)
--- a/tests/test_crashes/test_crashes_news.py
+++ b/tests/test_crashes/test_crashes_news.py
@@ -18,9 +18,9 @@
     told = []
     while (pause_ms := queue.next_pause_ms()) is not None:
         clock.ms += pause_ms
-        server, found = queue.take()
-        if found:
-            told.append((clock.ms, server, found))
+        message = queue.take()
+        if message is not None:
+            told.append((clock.ms, message.server, message.news))
     return told
 
 
@@ -57,3 +57,18 @@
     told = {each for _, _, found in drain(queue, clock) for each in found}
     assert {news(1), news(2, NewsKind.SURVIVED)} <= told
     assert len(told) <= 512
+
+
+def test_what_everybody_and_what_few_are_told_goes_apart() -> None:
+    clock = ManualClock()
+    queue = NewsQueue(manual_context(clock))
+    queue.add(1, news(1), 1.0, is_wide=False)
+    queue.add(1, news(2), 2.0, times=1)
+    first = queue.take()
+    clock.ms += GAP_MS
+    second = queue.take()
+    assert first is not None
+    assert second is not None
+    assert (first.is_wide, first.news) == (True, [news(2)])
+    assert (second.is_wide, second.news) == (False, [news(1)])
+    assert len(drain(queue, clock)) == 2
--- /dev/null
+++ b/tests/test_gateway/test_gateway_crash_fleet.py
@@ -0,0 +1,129 @@
+"""Instances of a large fleet tell each other of ends, each what it saw, at a bounded cost."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from citrondyke.decisions.core.context import Context
+from citrondyke.decisions.crashes.content import RequestContent, content_of
+from citrondyke.decisions.crashes.suspect_book import Standing, SuspectBook
+from citrondyke.decisions.forwarding.server_book import ServerBook
+from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
+from citrondyke.gateway.crash_guard import CrashGuard
+from citrondyke.gateway.dependency import Dependency
+from citrondyke.gateway.metrics import Metrics
+from citrondyke.gateway.suspect_store import SuspectStore
+from citrondyke.gateway.tasks import Tasks
+from citrondyke.ids import AvailabilityZone, InstanceId, ServerId
+from citrondyke.standin.part_table import PartTable
+from tests.support.manual_clock import ManualClock, manual_context
+from tests.support.peers import listed_server
+
+SERVERS = 20
+CULPRIT = content_of(b'POST', b'h', b'/p/', b'culprit')
+
+
+class Member:
+    """One instance without sockets."""
+
+    def __init__(self, context: Context, table: PartTable) -> None:
+        self.book = ServerBook(context)
+        self.book.replace(listed_server(f's-{n}', 's') for n in range(SERVERS))
+        self.suspects = SuspectBook(context)
+        dependency = Dependency(context.clock, 'store')
+        store = SuspectStore(context, table, dependency, self.suspects, lambda: 1.0)
+        self.guard = CrashGuard(context, self.book, self.suspects, store, Metrics(), Tasks())
+
+    def see_end(self, server: int, *contents: RequestContent) -> None:
+        """Have requests break off at a server that then refuses connections."""
+        state = self.book.state(ServerId(f's-{server}'))
+        assert state is not None
+        for content in contents:
+            self.guard.note_broken(state, content, BreakKind.SILENT, None)
+        refused = BrokenReplyError(BreakKind.NO_CONNECTION)
+        refused.__cause__ = ConnectionRefusedError()
+        self.guard.note_no_connection(state, refused)
+
+
+class LargeFleet:
+    """Instances in six zones, and datagrams of which some are lost."""
+
+    def __init__(self, instances_count: int, lost_share: float = 0.0) -> None:
+        self.clock = ManualClock()
+        self.sent_count = 0
+        self._lost_share = lost_share
+        self._random = random.Random(instances_count)
+        zones = {
+            InstanceId(f'i-{n}'): AvailabilityZone(f'zone-{n % 6}') for n in range(instances_count)
+        }
+        table = PartTable()
+        self.members = {
+            name: Member(manual_context(self.clock, name, zone), table)
+            for name, zone in zones.items()
+        }
+        for name, member in self.members.items():
+            member.book.neighbours.replace({n: z for n, z in zones.items() if n != name})
+
+    def some(self, count: int) -> list[Member]:
+        return self._random.sample(list(self.members.values()), count)
+
+    def deliver(self) -> None:
+        """Carry datagrams until nobody has anything to tell."""
+        while pauses := [
+            pause_ms
+            for member in self.members.values()
+            if (pause_ms := member.guard.teller.next_pause_ms()) is not None
+        ]:
+            self.clock.ms += min(pauses)
+            for member in self.members.values():
+                for news, receivers in member.guard.teller.take():
+                    self.sent_count += len(receivers)
+                    for receiver in receivers:
+                        is_lost = self._random.random() < self._lost_share
+                        if receiver in self.members and not is_lost:
+                            self.members[receiver].guard.take(news)
+
+
+@pytest.mark.parametrize(('instances_count', 'lost_share'), [(10, 0.1), (60, 0.1), (195, 0.0)])
+def test_ends_seen_by_different_instances_stop_a_request_everywhere(
+    instances_count: int, lost_share: float
+) -> None:
+    # Each attempt comes to another instance, so that nobody sees two of the ends; one datagram in
+    # ten is lost.
+    fleet = LargeFleet(instances_count, lost_share)
+    for server, member in enumerate(fleet.some(3)):
+        member.see_end(server, CULPRIT)
+        fleet.deliver()
+    standings = [member.suspects.standing(CULPRIT) for member in fleet.members.values()]
+    assert standings.count(Standing.STOPPED) >= 0.99 * instances_count
+
+
+def test_whole_answer_clears_what_everybody_knows() -> None:
+    fleet = LargeFleet(60)
+    for server, member in enumerate(fleet.some(2)):
+        member.see_end(server, CULPRIT)
+        fleet.deliver()
+    assert all(member.suspects.score(CULPRIT) == 2.0 for member in fleet.members.values())
+    fleet.some(1)[0].guard.note_survived(lambda: CULPRIT)
+    fleet.deliver()
+    assert not any(member.suspects.score(CULPRIT) for member in fleet.members.values())
+
+
+def test_crash_with_innocent_requests_costs_few_datagrams() -> None:
+    # A server ends in a fleet of 195 with eight requests of eight instances on it; all of them are
+    # answered well elsewhere. Told to all by all they would be 9,312 datagrams.
+    fleet = LargeFleet(195)
+    witnesses = fleet.some(8)
+    contents = [content_of(b'POST', b'h', b'/p/', b'%d' % n) for n in range(8)]
+    for member, content in zip(witnesses, contents, strict=True):
+        member.see_end(0, content)
+    fleet.deliver()
+    for member, content in zip(witnesses, contents, strict=True):
+        member.guard.note_survived(lambda: content)  # noqa: B023
+    fleet.deliver()
+    assert fleet.sent_count <= 8 * 2 * 3 * 3
+    assert not any(
+        member.suspects.score(content) for member in fleet.members.values() for content in contents
+    )
