--- a/tests/test_gateway/test_gateway_crashes.py
+++ b/tests/test_gateway/test_gateway_crashes.py
@@ -37,8 +37,8 @@
 
 
 def test_request_that_has_ended_three_servers_is_stopped(fleet: GatewayFleet) -> None:
-    # All language servers of a site were lost six times in 75 s: a request ended each server that
-    # began to run it, its caller came again with the same work under a new id, and each attempt
+    # 44 language servers of a site of five ended in 75 s: a request ended each server that began
+    # to run it, its caller came again with the same work under a new id, and each attempt
     # was sent to as many servers as its route allows. Limits were kept by attempt and by instance,
     # so nobody saw that it was the same one. What settled it was that nothing else was common to
     # the lost servers: 15 to 18 had ended under one request, in lines like "send.failed ...
