A server's own failure does not clear a suspect

Cause: a server that fails part of its requests, health good, answers 500 without having begun to run the request; that took back all that was counted, so that the request could end three servers more. Found by reading; the test failed before (0 ends counted after the 500, 2 expected). A whole answer below 500, or an item's 422, clears as before.

--- a/citrondyke/decisions/crashes/suspect_book.py
+++ b/citrondyke/decisions/crashes/suspect_book.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from citrondyke.decisions.crashes.content import RequestContent
 from citrondyke.decisions.crashes.suspect import (
     BEGUN_WEIGHT,
@@ -138,16 +140,13 @@
     def trial_row(self, content: RequestContent) -> SuspectRow:
         """Give what the store must hold before a trial begins."""
         suspect = self._suspect(content)
-        tried = suspect.row()
-        return SuspectRow(
-            **{
-                **{name: getattr(tried, name) for name in tried.__struct_fields__},
-                'trials': suspect.trials + 1,
-                'tried_epoch_ms': self._context.epoch_ms(),
-                'score_at_trial': suspect.score,
-                'changed_epoch_ms': self._context.epoch_ms(),
-                'claim': self._context.new_write_id(),
-            }
+        return msgspec.structs.replace(
+            suspect.row(),
+            trials=suspect.trials + 1,
+            tried_epoch_ms=self._context.epoch_ms(),
+            score_at_trial=suspect.score,
+            changed_epoch_ms=self._context.epoch_ms(),
+            claim=self._context.new_write_id(),
         )
 
     def note_trial_refused(self, content: RequestContent) -> None:
--- a/citrondyke/gateway/crash_guard.py
+++ b/citrondyke/gateway/crash_guard.py
@@ -121,7 +121,10 @@
         self._store.save(content)
 
     def note_survived(self, content: Callable[[], RequestContent]) -> None:
-        """Take in that a server answered a request whole; it clears a suspect.
+        """Take in that a server answered a request whole and well; it clears a suspect.
+
+        A server may fail requests that it has not begun to run: a trial that met such a one would
+        set a request free that goes on to end three servers more.
 
         :param content: names it.
         """
--- a/citrondyke/gateway/forwarder.py
+++ b/citrondyke/gateway/forwarder.py
@@ -180,8 +180,6 @@
                     outcome = SendOutcome.FAILED
                     detail = str(reply.head.status)
                     state.note_failure(self._context.now_ms())
-                    # It has failed, and its server has not ended.
-                    self._guard.note_survived(lambda: forwarding.content)
                     return result
                 is_good = True
                 return result
--- a/citrondyke/gateway/job_runner.py
+++ b/citrondyke/gateway/job_runner.py
@@ -231,8 +231,8 @@
                 raise GaveWayError
             if self._may_send(run):
                 end = self._sender.run(progress, job.head.host, state)
-                # Also where it failed: its server has not ended.
-                self._guard.note_survived(lambda: run.content)
+                if end in (RunEnd.COMPLETED, RunEnd.IMPOSSIBLE):
+                    self._guard.note_survived(lambda: run.content)
             else:
                 end = RunEnd.STOPPED
         except GaveWayError:
--- a/tests/test_crashes/test_crashes_suspects.py
+++ b/tests/test_crashes/test_crashes_suspects.py
@@ -4,6 +4,7 @@
 
 import random
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -202,11 +203,8 @@
 ) -> None:
     # Lives of a later era are other servers' than those of an earlier one.
     apart = [
-        SuspectRow(
-            **{
-                **{name: getattr(row, name) for name in row.__struct_fields__},
-                'lives': {server + 10 * row.era: weight for server, weight in row.lives.items()},
-            }
+        msgspec.structs.replace(
+            row, lives={server + 10 * row.era: weight for server, weight in row.lives.items()}
         )
         for row in found
     ]
--- a/tests/test_gateway/test_gateway_crashes.py
+++ b/tests/test_gateway/test_gateway_crashes.py
@@ -150,3 +150,15 @@
     fleet.instances[1].suspect_store.save(content)
     for instance in fleet.instances:
         wait_until_seen(lambda: instance.guard.ends_count(content) == 3.0, 'all three ends')  # noqa: B023
+
+
+def test_servers_own_failure_clears_nothing(fleet: GatewayFleet) -> None:
+    # Two servers have ended under it. The next one fails every request, this one too, before it
+    # begins to run it; that proves nothing.
+    ask_again_and_again(fleet, 1)
+    for server in fleet.servers.values():
+        server.deadly_bodies.clear()
+        server.acts.extend([Act.FAIL] * 4)
+    content = content_of(b'POST', HOST.encode(), b'/fetch/a', DEADLY)
+    assert fleet.call('/fetch/a', DEADLY, request_id='failed').status == 500
+    assert fleet.instances[0].guard.ends_count(content) == 2.0
