A suspect's row that is seen after the success is cleared too

Cause: an instance clears what it knows; a row that it has not seen stayed as it was, and after a start of all instances it would stop a request that was answered well. The test waits in vain before, and passes now.

--- a/citrondyke/gateway/suspect_store.py
+++ b/citrondyke/gateway/suspect_store.py
@@ -187,11 +187,15 @@
         """Have written what this instance knows beyond a row.
 
         One end is not worth a row, so that what an instance saw alone while its peers did not
-        reach it would stay unknown to them for good.
+        reach it would stay unknown to them for good; and a row that it had not seen when the
+        request was answered well would stop that request again after the next start.
         """
         content = RequestContent(ContentDigest(known.digest), known.target)
         own = self._suspects.row(content)
-        if own is not None and own.era == known.era and own.lives.keys() - known.lives.keys():
+        if own is None:
+            return
+        has_more_ends = own.era == known.era and own.lives.keys() - known.lives.keys()
+        if own.era > known.era or has_more_ends:
             self.save(content)
 
     def _read_anew(self) -> int:
--- a/tests/test_gateway/test_gateway_suspect_store.py
+++ b/tests/test_gateway/test_gateway_suspect_store.py
@@ -10,6 +10,7 @@
 from citrondyke.gateway.suspect_store import SILENT_MS, SuspectStore
 from citrondyke.storage.partitioned_table import PartTransaction, RowPut
 from tests.support.flaky_table import FlakyTable, Trouble
+from tests.support.gateway import HOST, GatewayFleet, wait_until_seen
 from tests.support.manual_clock import ManualClock, manual_context
 
 CULPRIT = content_of(b'POST', b'h', b'/p/', b'culprit')
@@ -106,3 +107,17 @@
     assert missed.score(CULPRIT) == 1.0
     store.look(CULPRIT)
     assert missed.score(CULPRIT) == 4.0
+
+
+def test_row_seen_after_the_success_is_cleared_too(fleet: GatewayFleet) -> None:
+    # A request is answered well at an instance that has not seen its row yet. Left as it is, the
+    # row would stop the request once all instances have started anew.
+    content = content_of(b'POST', HOST.encode(), b'/fetch/a', b'well')
+    first, second = fleet.instances
+    second.peers.stop()
+    second.suspects.note_end(content, 1, is_fresh=True)
+    second.guard.note_survived(lambda: content)
+    for server in (1, 2, 3):
+        first.suspects.note_end(content, server, is_fresh=True)
+    first.suspect_store.save(content)
+    wait_until_seen(lambda: not first.suspects.score(content), 'the row to be cleared')
