A suspect's row is written once the store is back

Cause: four tries in half a second, then the row was given up; a store that is down for seconds left no row, and a loss of all power would have made the request free again. It is tried again each second now. The test waits in vain for a fifth try on the code before. Found by reading the whole change.

--- a/citrondyke/gateway/suspect_store.py
+++ b/citrondyke/gateway/suspect_store.py
@@ -46,6 +46,8 @@
 WRITE_GAP_S = 0.1
 #: Rows that wait to be written; more than a crash of several servers brings.
 WAITING_LIMIT = 200
+#: Before a row that could not be written is tried again: the store is out of reach for seconds.
+RETRY_MS = 1_000.0
 TIDY_EVERY_S = 600.0
 #: No trial is asked for while calls of the store have had no answer for so long: a caller must not
 #: wait for what cannot be had.
@@ -79,6 +81,8 @@
         self._suspects = suspects
         self._versions: dict[str, int] = {}
         self._waiting: dict[str, RequestContent] = {}
+        #: Calls that the store did not answer.
+        self.failed_count = 0
         self._has_some = Event()
         self._unreadable = UnreadableRows(SUSPECTS_TABLE)
         self._feed = ChangeFeed(
@@ -138,6 +142,7 @@
         put = RowPut(SUSPECTS_TABLE, row.digest, msgspec.json.encode(row))
         answer = self._table.transact(PartTransaction('', (condition,), (put,)))
         if isinstance(answer, PlatformFailure):
+            self.failed_count += 1
             log.info(
                 'suspect.not_written',
                 extra={'content': row.digest, 'reason': answer.reason.value},
@@ -212,22 +217,29 @@
             del self._waiting[digest]
             if not self._waiting:
                 self._has_some.clear()
-            if self._is_worth_a_row(content):
-                self._write(content)
-            else:
+            if not self._is_worth_a_row(content):
                 self.look(content)
+            elif not self._write(content):
+                # Left out, it would be forgotten with this instance once the store is back.
+                self.save(content)
+                gevent.sleep(self._context.jittered_ms(RETRY_MS) / 1e3)
             gevent.sleep(WRITE_GAP_S)
 
     def _is_worth_a_row(self, content: RequestContent) -> bool:
         return content.digest in self._versions or self._suspects.score(content) >= STORED_SCORE
 
-    def _write(self, content: RequestContent) -> None:
+    def _write(self, content: RequestContent) -> bool:
+        """Write a row with what others have written; tell whether it stands."""
         for _ in range(TRIES):
             row = self._suspects.row(content)
-            if row is None or self._put(row):
-                return
+            written = row is None or self._put(row)
+            if written:
+                return True
+            if written is None:
+                return False
             gevent.sleep(self._context.jittered_ms(WRITE_GAP_S * 1e3, 0.5) / 1e3)
         log.info('suspect.not_written', extra={'content': content.digest, 'reason': 'contended'})
+        return False
 
     def _run_tidy(self) -> None:
         while True:
--- a/tests/test_gateway/test_gateway_suspect_store.py
+++ b/tests/test_gateway/test_gateway_suspect_store.py
@@ -7,7 +7,7 @@
 from citrondyke.decisions.crashes.content import content_of
 from citrondyke.decisions.crashes.suspect_book import FIRST_TRIAL_PAUSE_MS, Standing, SuspectBook
 from citrondyke.gateway.dependency import Dependency
-from citrondyke.gateway.suspect_store import SILENT_MS, SuspectStore
+from citrondyke.gateway.suspect_store import SILENT_MS, TRIES, SuspectStore
 from citrondyke.storage.partitioned_table import PartTransaction, RowPut
 from tests.support.flaky_table import FlakyTable, Trouble
 from tests.support.gateway import HOST, GatewayFleet, wait_until_seen
@@ -121,3 +121,18 @@
         first.suspects.note_end(content, server, is_fresh=True)
     first.suspect_store.save(content)
     wait_until_seen(lambda: not first.suspects.score(content), 'the row to be cleared')
+
+
+def test_row_is_written_once_the_store_is_back(fleet: GatewayFleet) -> None:
+    # Three servers end while the store refuses everybody. Once it is back the row must be there,
+    # or a loss of all power would make the request free again.
+    content = content_of(b'POST', HOST.encode(), b'/fetch/a', b'deadly')
+    (first, other), faults = fleet.instances, fleet.store.faults
+    faults.refused_ips = {'*'}
+    for server in (1, 2, 3):
+        first.suspects.note_end(content, server, is_fresh=True)
+    first.suspect_store.save(content)
+    wait_until_seen(lambda: first.suspect_store.failed_count > TRIES, 'tries in vain')
+    faults.refused_ips = set()
+    other.peers.stop()
+    wait_until_seen(lambda: other.suspects.score(content) == 3.0, 'the row')
