An item that breaks off does not wait for word of its server's end

Cause: an item that is told to make room while it waits there ended without a word, counted as running for good, and its job was never done. Online requests wait as before: their end is caught.

--- a/citrondyke/gateway/crash_guard.py
+++ b/citrondyke/gateway/crash_guard.py
@@ -145,6 +145,8 @@
         content: RequestContent,
         kind: BreakKind,
         first_event_ms: float | None,
+        *,
+        waits: bool = True,
     ) -> None:
         """Take in that a request broke off at a server, and find out whether that has ended.
 
@@ -153,6 +155,7 @@
         alone, which is the same server for all of them.
 
         :param first_event_ms: when the server's first event came; ``None`` before that.
+        :param waits: whether the caller's greenlet may be held up, and so be ended here.
         """
         server = server_digest(state.listed)
         if state.listed.is_leaving or (state.is_gone and not self._watch.has_ended(server)):
@@ -168,7 +171,8 @@
         probe = self._probes.get(server)
         if probe is None:
             probe = self._probes[server] = self._tasks.spawn(self._probe, server, state)
-        probe.join(PROBE_MS / 1e3)
+        if waits:
+            probe.join(PROBE_MS / 1e3)
 
     def note_no_connection(self, state: ServerState, error: BrokenReplyError) -> None:
         """Take in that a server took no connection."""
--- a/citrondyke/gateway/job_runner.py
+++ b/citrondyke/gateway/job_runner.py
@@ -243,8 +243,9 @@
                 self._guard.note_no_connection(state, error)
             else:
                 state.note_failure(self._context.now_ms())
+                # An item that is told to make room while it waits here would stay open for good.
                 self._guard.note_broken(
-                    state, run.content, error.break_kind, progress.first_event_ms
+                    state, run.content, error.break_kind, progress.first_event_ms, waits=False
                 )
         except Exception:
             # An item whose run ended without a word would stay open for good.
--- a/tests/test_gateway/test_gateway_crashes.py
+++ b/tests/test_gateway/test_gateway_crashes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gevent
+import pytest
 
 from citrondyke.decisions.crashes.content import content_of
 from citrondyke.gateway.suspect_store import SUSPECTS_TABLE
@@ -162,3 +163,22 @@
     content = content_of(b'POST', HOST.encode(), b'/fetch/a', DEADLY)
     assert fleet.call('/fetch/a', DEADLY, request_id='failed').status == 500
     assert fleet.instances[0].guard.ends_count(content) == 2.0
+
+
+def test_item_that_makes_room_while_its_servers_end_is_looked_for_goes_on(
+    fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Items break off at a server, and nobody knows yet whether it has ended. In that moment they
+    # are told to make room. Ended there, they would count as running for good and never be done.
+    runner = fleet.instances[0].batch.runner
+
+    def tell_to_make_room(*_: object) -> None:
+        for run in list(runner._runs.values()):
+            run.cut()
+        gevent.sleep(0.05)
+
+    monkeypatch.setattr(fleet.instances[0].guard, '_probe', tell_to_make_room)
+    for server in fleet.servers.values():
+        server.acts.extend([Act.CUT] * 2)
+    assert fleet.submit('job', 4).status == 202
+    assert len(fleet.wait_done('job')) == 4
