What a request asks for is named once, and its body is digested for suspects only

Change: AskedWork names a request as far as that is wanted, once; one method tells what may be done with both.

--- a/citrondyke/gateway/crash_guard.py
+++ b/citrondyke/gateway/crash_guard.py
@@ -7,7 +7,6 @@
 import gevent
 import logbook
 
-from citrondyke.decisions.crashes.content import target_bucket
 from citrondyke.decisions.crashes.life_watch import BrokenOff, LifeWatch
 from citrondyke.decisions.crashes.news_queue import NewsKind
 from citrondyke.decisions.crashes.suspect_book import Standing, SuspectBook
@@ -20,10 +19,9 @@
     from collections.abc import Callable, Iterable
 
     from citrondyke.decisions.core.context import Context
-    from citrondyke.decisions.crashes.content import RequestContent
+    from citrondyke.decisions.crashes.content import AskedWork, RequestContent
     from citrondyke.decisions.forwarding.server_book import ServerBook
     from citrondyke.decisions.forwarding.server_state import ServerState
-    from citrondyke.gateway.forwarding import Forwarding
     from citrondyke.gateway.metrics import Metrics
     from citrondyke.gateway.peer_codec import CrashNews, PeerText
     from citrondyke.gateway.suspect_store import SuspectStore
@@ -75,24 +73,14 @@
         self._store.start(self._tasks)
         self.teller.start(self._tasks, send)
 
-    def standing(self, forwarding: Forwarding) -> Standing:
-        """Tell what may be done with an online request; its body is looked at for suspects only."""
-        if not len(self._suspects):
+    def standing(self, work: AskedWork, *, is_item: bool = False) -> Standing:
+        """Tell what may be done with a request; its body is looked at for suspects only."""
+        if not self._may_be_suspect(work):
             return Standing.FREE
-        request = forwarding.request
-        host = request.host.encode('latin-1')
-        if not self._suspects.concerns(target_bucket(request.method, host, request.target)):
-            return Standing.FREE
-        return self._suspects.standing(forwarding.content)
-
-    def item_standing(self, content: Callable[[], RequestContent]) -> Standing:
-        """Tell what may be done with a batch item.
+        return self._suspects.standing(work.content, is_item=is_item)
 
-        :param content: names it.
-        """
-        if not len(self._suspects):
-            return Standing.FREE
-        return self._suspects.standing(content(), is_item=True)
+    def _may_be_suspect(self, work: AskedWork) -> bool:
+        return len(self._suspects) > 0 and self._suspects.concerns(work.target)
 
     def ends_count(self, content: RequestContent) -> float:
         """Give the servers that have ended under a request, weighed."""
@@ -120,19 +108,15 @@
         self._suspects.note_trial_refused(content)
         self._store.save(content)
 
-    def note_survived(self, content: Callable[[], RequestContent]) -> None:
+    def note_survived(self, work: AskedWork) -> None:
         """Take in that a server answered a request whole and well; it clears a suspect.
 
         A server may fail requests that it has not begun to run: a trial that met such a one would
         set a request free that goes on to end three servers more.
-
-        :param content: names it.
         """
-        if not len(self._suspects):
-            return
-        survivor = content()
-        if not self._suspects.concerns(survivor.target):
+        if not self._may_be_suspect(work):
             return
+        survivor = work.content
         was_known = self.teller.is_known_to_all(survivor)
         if self._suspects.note_survived(survivor):
             self._log_cleared(survivor, 'own')
--- a/citrondyke/gateway/forwarder.py
+++ b/citrondyke/gateway/forwarder.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from citrondyke.decisions.crashes.content import AskedWork
 from citrondyke.decisions.crashes.suspect_book import Standing
 from citrondyke.decisions.forwarding.admission_rule import TurnedAway
 from citrondyke.decisions.forwarding.course import Course, SendOutcome, Verdict
@@ -75,6 +76,7 @@
         within_ms = min(route.timeout_ms, facts.within_ms or route.timeout_ms)
         forwarding = Forwarding(
             request=request,
+            work=AskedWork(request.method, request.host, request.target, request.body),
             facts=facts,
             route=route,
             config_version=version,
@@ -96,7 +98,7 @@
         course = forwarding.course
         failure: HeldFailure | None = None
         while course.may_send and self._left_ms(forwarding) > 0:
-            standing = self._guard.standing(forwarding)
+            standing = self._guard.standing(forwarding.work)
             if standing in (Standing.STOPPED, Standing.ON_TRIAL):
                 if failure is not None:
                     break
@@ -116,7 +118,7 @@
                         caller, forwarding, RequestEnd.NOT_RUN, admitted.retry_in_ms
                     )
             if standing is Standing.TRIAL_DUE and not self._claim_trial(forwarding):
-                return self._stop(caller, forwarding, self._guard.standing(forwarding))
+                return self._stop(caller, forwarding, self._guard.standing(forwarding.work))
             self._log.sent(forwarding, state, admitted.expected_wait_ms)
             result = self._send(caller, forwarding, state, admitted.expected_wait_ms)
             if isinstance(result, RequestEnd):
@@ -202,7 +204,7 @@
             if connection is not None:
                 self._sends.release(state, connection)
             if is_good:
-                self._guard.note_survived(lambda: forwarding.content)
+                self._guard.note_survived(forwarding.work)
                 self._rule.note_stay(forwarding.route, self._context.now_ms() - started_ms)
                 state.note_success()
             else:
--- a/citrondyke/gateway/forwarding.py
+++ b/citrondyke/gateway/forwarding.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from citrondyke.decisions.crashes.content import RequestContent, content_of
+from citrondyke.decisions.crashes.content import AskedWork, RequestContent
 from citrondyke.decisions.forwarding.course import Course
 from citrondyke.decisions.forwarding.route import Route
 from citrondyke.gateway.caller_connection import CallerRequest
@@ -39,6 +39,8 @@
     """One request on its way."""
 
     request: CallerRequest
+    #: What it asks for, whichever attempt this is.
+    work: AskedWork
     facts: CallFacts
     route: Route
     config_version: ConfigVersion
@@ -53,13 +55,8 @@
     events_count: int = 0
     #: When the server that has the request now brought its first event; ``None`` before that.
     server_first_ms: float | None = None
-    _content: RequestContent | None = None
 
     @property
     def content(self) -> RequestContent:
-        """Name what is asked for; digested when it is first wanted, which it seldom is."""
-        if self._content is None:
-            request = self.request
-            host = request.host.encode('latin-1')
-            self._content = content_of(request.method, host, request.target, request.body)
-        return self._content
+        """Name what is asked for."""
+        return self.work.content
--- a/citrondyke/gateway/job_runner.py
+++ b/citrondyke/gateway/job_runner.py
@@ -11,7 +11,7 @@
 from citrondyke.decisions.batch.give_way import RunningItem, Urgency, urgency
 from citrondyke.decisions.batch.owned_job import RunEnd
 from citrondyke.decisions.batch.run_length import RunLengths
-from citrondyke.decisions.crashes.content import RequestContent, content_of
+from citrondyke.decisions.crashes.content import AskedWork
 from citrondyke.decisions.crashes.suspect_book import Standing
 from citrondyke.decisions.forwarding.route_table import NoRoute
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
@@ -46,17 +46,11 @@
     progress: ItemProgress
     state: ServerState
     started_ms: float
+    work: AskedWork
     greenlet: gevent.Greenlet | None = None
     has_begun: bool = False
     is_cut: bool = False
 
-    @property
-    def content(self) -> RequestContent:
-        """Name what is asked of the server."""
-        item = self.progress.item
-        host = self.job.head.host.encode('latin-1')
-        return content_of(b'POST', host, item.path.encode('latin-1'), item.body)
-
     def cut(self) -> None:
         """Stop it.
 
@@ -215,7 +209,9 @@
         self._sends.enter(state, is_batch=True)
         self._runs_count += 1
         number = self._runs_count
-        run = _Run(job, progress, state, self._context.now_ms())
+        item = progress.item
+        work = AskedWork(b'POST', job.head.host, item.path.encode('latin-1'), item.body)
+        run = _Run(job, progress, state, self._context.now_ms(), work)
         self._runs[number] = run
         run.greenlet = self._tasks.spawn(self._run_item, number, run)
 
@@ -232,7 +228,7 @@
             if self._may_send(run):
                 end = self._sender.run(progress, job.head.host, state)
                 if end in (RunEnd.COMPLETED, RunEnd.IMPOSSIBLE):
-                    self._guard.note_survived(lambda: run.content)
+                    self._guard.note_survived(run.work)
             else:
                 end = RunEnd.STOPPED
         except GaveWayError:
@@ -245,7 +241,7 @@
                 state.note_failure(self._context.now_ms())
                 # An item that is told to make room while it waits here would stay open for good.
                 self._guard.note_broken(
-                    state, run.content, error.break_kind, progress.first_event_ms, waits=False
+                    state, run.work.content, error.break_kind, progress.first_event_ms, waits=False
                 )
         except Exception:
             # An item whose run ended without a word would stay open for good.
@@ -269,7 +265,7 @@
                 'detail': detail,
                 'last_event_id': progress.last_event_id,
                 'took_ms': round(took_ms, 1),
-                'content': run.content.digest if end is RunEnd.BROKEN else None,
+                'content': run.work.content.digest if end is RunEnd.BROKEN else None,
             },
         )
         self._end(job, progress, end)
@@ -278,9 +274,9 @@
         self._pump()
 
     def _may_send(self, run: _Run) -> bool:
-        standing = self._guard.item_standing(lambda: run.content)
+        standing = self._guard.standing(run.work, is_item=True)
         if standing is Standing.TRIAL_DUE:
-            return self._guard.claim_trial(run.content, run.progress.item.id, is_item=True)
+            return self._guard.claim_trial(run.work.content, run.progress.item.id, is_item=True)
         return standing in (Standing.FREE, Standing.SUSPECTED)
 
     def _end(self, job: OwnedJob, progress: ItemProgress, end: RunEnd) -> None:
--- a/tests/test_gateway/test_gateway_crash_fleet.py
+++ b/tests/test_gateway/test_gateway_crash_fleet.py
@@ -7,7 +7,7 @@
 import pytest
 
 from citrondyke.decisions.core.context import Context
-from citrondyke.decisions.crashes.content import RequestContent, content_of
+from citrondyke.decisions.crashes.content import AskedWork, RequestContent
 from citrondyke.decisions.crashes.suspect_book import Standing, SuspectBook
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
@@ -22,7 +22,8 @@
 from tests.support.peers import listed_server
 
 SERVERS = 20
-CULPRIT = content_of(b'POST', b'h', b'/p/', b'culprit')
+CULPRIT_WORK = AskedWork(b'POST', 'h', b'/p/', b'culprit')
+CULPRIT = CULPRIT_WORK.content
 
 
 class Member:
@@ -106,7 +107,7 @@
         member.see_end(server, CULPRIT)
         fleet.deliver()
     assert all(member.suspects.score(CULPRIT) == 2.0 for member in fleet.members.values())
-    fleet.some(1)[0].guard.note_survived(lambda: CULPRIT)
+    fleet.some(1)[0].guard.note_survived(CULPRIT_WORK)
     fleet.deliver()
     assert not any(member.suspects.score(CULPRIT) for member in fleet.members.values())
 
@@ -116,12 +117,13 @@
     # answered well elsewhere. Told to all by all they would be 9,312 datagrams.
     fleet = LargeFleet(195)
     witnesses = fleet.some(8)
-    contents = [content_of(b'POST', b'h', b'/p/', b'%d' % n) for n in range(8)]
+    works = [AskedWork(b'POST', 'h', b'/p/', b'%d' % n) for n in range(8)]
+    contents = [work.content for work in works]
     for member, content in zip(witnesses, contents, strict=True):
         member.see_end(0, content)
     fleet.deliver()
-    for member, content in zip(witnesses, contents, strict=True):
-        member.guard.note_survived(lambda: content)  # noqa: B023
+    for member, work in zip(witnesses, works, strict=True):
+        member.guard.note_survived(work)
     fleet.deliver()
     assert fleet.sent_count <= 8 * 2 * 3 * 3
     assert not any(
--- a/tests/test_gateway/test_gateway_suspect_store.py
+++ b/tests/test_gateway/test_gateway_suspect_store.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from citrondyke.decisions.crashes.content import content_of
+from citrondyke.decisions.crashes.content import AskedWork, content_of
 from citrondyke.decisions.crashes.suspect_book import FIRST_TRIAL_PAUSE_MS, Standing, SuspectBook
 from citrondyke.gateway.dependency import Dependency
 from citrondyke.gateway.suspect_store import SILENT_MS, TRIES, SuspectStore
@@ -112,11 +112,12 @@
 def test_row_seen_after_the_success_is_cleared_too(fleet: GatewayFleet) -> None:
     # A request is answered well at an instance that has not seen its row yet. Left as it is, the
     # row would stop the request once all instances have started anew.
-    content = content_of(b'POST', HOST.encode(), b'/fetch/a', b'well')
+    work = AskedWork(b'POST', HOST, b'/fetch/a', b'well')
+    content = work.content
     first, second = fleet.instances
     second.peers.stop()
     second.suspects.note_end(content, 1, is_fresh=True)
-    second.guard.note_survived(lambda: content)
+    second.guard.note_survived(work)
     for server in (1, 2, 3):
         first.suspects.note_end(content, server, is_fresh=True)
     first.suspect_store.save(content)
