--- a/benchmarks/instance_cost.py
+++ b/benchmarks/instance_cost.py
@@ -16,8 +16,8 @@
 from gevent import socket
 
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
-from citrondyke.gateway.membership import INSTANCES_TABLE, Heartbeat
-from citrondyke.gateway.peer_codec import LoadNotice, PeerMessage, encode_message
+from citrondyke.gateway.peers.membership import INSTANCES_TABLE, Heartbeat
+from citrondyke.gateway.peers.peer_codec import LoadNotice, PeerMessage, encode_message
 from citrondyke.ids import AvailabilityZone, ConfigVersion, InstanceId
 from citrondyke.util.hashing import content_bucket
 from tests.support.gateway import exchange
--- a/citrondyke/gateway/beliefs.py
+++ b/citrondyke/gateway/beliefs/beliefs.py
@@ -10,7 +10,7 @@
 from citrondyke.decisions.forwarding.config_holder import ConfigHolder
 from citrondyke.decisions.forwarding.listed_rows import ListedRows, SeenRow
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
-from citrondyke.gateway.unreadable_rows import UnreadableRows
+from citrondyke.gateway.beliefs.unreadable_rows import UnreadableRows
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -20,7 +20,7 @@
     from citrondyke.decisions.forwarding.route_table import RouteTable
     from citrondyke.decisions.forwarding.server_book import ServerBook
     from citrondyke.decisions.forwarding.server_state import ServerState
-    from citrondyke.gateway.dependency import Dependency
+    from citrondyke.gateway.beliefs.dependency import Dependency
     from citrondyke.storage.partitioned_table import PartRow
 
 __all__ = ('Beliefs', 'RowDecoder')
--- a/citrondyke/gateway/followers.py
+++ b/citrondyke/gateway/beliefs/followers.py
@@ -4,17 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from citrondyke.gateway.membership import INSTANCES_TABLE
-from citrondyke.gateway.table_follower import TableFollower
+from citrondyke.gateway.beliefs.table_follower import TableFollower
+from citrondyke.gateway.peers.membership import INSTANCES_TABLE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from citrondyke.decisions.core.context import Context
-    from citrondyke.gateway.beliefs import Beliefs
-    from citrondyke.gateway.dependency import Dependency
-    from citrondyke.gateway.membership import Membership
+    from citrondyke.gateway.beliefs.beliefs import Beliefs
+    from citrondyke.gateway.beliefs.dependency import Dependency
     from citrondyke.gateway.outside import Outside
+    from citrondyke.gateway.peers.membership import Membership
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.storage.partitioned_table import PartitionedTable
 
--- a/citrondyke/gateway/table_follower.py
+++ b/citrondyke/gateway/beliefs/table_follower.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent.event import Event
 
-from citrondyke.gateway.change_feed import ChangeFeed
+from citrondyke.gateway.beliefs.change_feed import ChangeFeed
 from citrondyke.gateway.pauses import retry_ms
 from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
 
@@ -15,7 +15,7 @@
     from collections.abc import Callable
 
     from citrondyke.decisions.core.context import Context
-    from citrondyke.gateway.dependency import Dependency
+    from citrondyke.gateway.beliefs.dependency import Dependency
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
--- /dev/null
+++ b/citrondyke/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: their connections, requests and answers."""
--- a/citrondyke/gateway/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -12,8 +12,8 @@
 
 from citrondyke.errors.bad_request_head import BadRequestHeadError
 from citrondyke.errors.caller_gone import CallerGoneError
+from citrondyke.gateway.callers.strict_head import check_head
 from citrondyke.gateway.sockets import reset
-from citrondyke.gateway.strict_head import check_head
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/citrondyke/gateway/event_relay.py
+++ b/citrondyke/gateway/callers/event_relay.py
@@ -6,16 +6,16 @@
 
 from citrondyke.decisions.forwarding.patience import EVENT_MS
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
-from citrondyke.gateway.event_stream import EventSplitter
+from citrondyke.gateway.callers.event_stream import EventSplitter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from citrondyke.decisions.core.context import Context
-    from citrondyke.gateway.caller_connection import CallerConnection
+    from citrondyke.gateway.callers.caller_connection import CallerConnection
+    from citrondyke.gateway.callers.forwarding import Forwarding
     from citrondyke.gateway.dialect import Dialect
-    from citrondyke.gateway.forwarding import Forwarding
-    from citrondyke.gateway.server_sends import OpenReply
+    from citrondyke.gateway.servers.server_sends import OpenReply
 
 __all__ = ('EventRelay',)
 
--- a/citrondyke/gateway/final_answers.py
+++ b/citrondyke/gateway/callers/final_answers.py
@@ -7,13 +7,13 @@
 import msgspec
 
 from citrondyke.decisions.forwarding.course import Verdict
-from citrondyke.gateway.forwarding import RequestEnd
+from citrondyke.gateway.callers.forwarding import RequestEnd
 from citrondyke.gateway.http_head import Headers
 
 if TYPE_CHECKING:
-    from citrondyke.gateway.caller_connection import CallerConnection
+    from citrondyke.gateway.callers.caller_connection import CallerConnection
+    from citrondyke.gateway.callers.forwarding import Forwarding
     from citrondyke.gateway.dialect import Dialect
-    from citrondyke.gateway.forwarding import Forwarding
 
 __all__ = ('FinalAnswers', 'HeldFailure')
 
--- a/citrondyke/gateway/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -12,9 +12,9 @@
 from citrondyke.decisions.forwarding.route import RouteKind
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.errors.caller_gone import CallerGoneError
-from citrondyke.gateway.event_relay import EventRelay
-from citrondyke.gateway.final_answers import FinalAnswers, HeldFailure
-from citrondyke.gateway.forwarding import Forwarding, RequestEnd
+from citrondyke.gateway.callers.event_relay import EventRelay
+from citrondyke.gateway.callers.final_answers import FinalAnswers, HeldFailure
+from citrondyke.gateway.callers.forwarding import Forwarding, RequestEnd
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
@@ -22,13 +22,13 @@
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.forwarding.server_book import ServerBook
     from citrondyke.decisions.forwarding.server_state import ServerState
-    from citrondyke.gateway.caller_connection import CallerConnection, CallerRequest
-    from citrondyke.gateway.crash_guard import CrashGuard
+    from citrondyke.gateway.callers.caller_connection import CallerConnection, CallerRequest
+    from citrondyke.gateway.callers.request_log import RequestLog
     from citrondyke.gateway.dialect import CallFacts, Dialect
     from citrondyke.gateway.http_head import Headers
-    from citrondyke.gateway.request_log import RequestLog
-    from citrondyke.gateway.server_connection import ServerConnection
-    from citrondyke.gateway.server_sends import OpenReply, ServerSends
+    from citrondyke.gateway.servers.crash_guard import CrashGuard
+    from citrondyke.gateway.servers.server_connection import ServerConnection
+    from citrondyke.gateway.servers.server_sends import OpenReply, ServerSends
     from citrondyke.ids import ConfigVersion
 
 __all__ = ('Forwarder',)
--- a/citrondyke/gateway/forwarding.py
+++ b/citrondyke/gateway/callers/forwarding.py
@@ -9,7 +9,7 @@
 from citrondyke.decisions.crashes.content import AskedWork, RequestContent
 from citrondyke.decisions.forwarding.course import Course
 from citrondyke.decisions.forwarding.route import Route
-from citrondyke.gateway.caller_connection import CallerRequest
+from citrondyke.gateway.callers.caller_connection import CallerRequest
 from citrondyke.gateway.dialect import CallFacts
 from citrondyke.ids import ConfigVersion
 
--- a/citrondyke/gateway/front.py
+++ b/citrondyke/gateway/callers/front.py
@@ -11,7 +11,7 @@
 from citrondyke.decisions.forwarding.route_table import NoRoute
 from citrondyke.errors.bad_request_head import BadRequestHeadError
 from citrondyke.errors.caller_gone import CallerGoneError
-from citrondyke.gateway.caller_connection import CallerConnection
+from citrondyke.gateway.callers.caller_connection import CallerConnection
 from citrondyke.gateway.sockets import tune
 from citrondyke.ids import RequestId
 
@@ -19,12 +19,12 @@
     from gevent import socket
 
     from citrondyke.decisions.core.context import Context
-    from citrondyke.gateway.beliefs import Beliefs
-    from citrondyke.gateway.caller_connection import CallerRequest
+    from citrondyke.gateway.beliefs.beliefs import Beliefs
+    from citrondyke.gateway.callers.caller_connection import CallerRequest
+    from citrondyke.gateway.callers.forwarder import Forwarder
     from citrondyke.gateway.dialect import Dialect
-    from citrondyke.gateway.forwarder import Forwarder
-    from citrondyke.gateway.job_door import JobDoor
-    from citrondyke.gateway.job_intake import JobIntake
+    from citrondyke.gateway.jobs.job_door import JobDoor
+    from citrondyke.gateway.jobs.job_intake import JobIntake
     from citrondyke.gateway.metrics import Metrics
 
 __all__ = ('Front',)
--- a/citrondyke/gateway/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -7,14 +7,14 @@
 import logbook
 
 from citrondyke.decisions.forwarding.course import SendOutcome
-from citrondyke.gateway.forwarding import RequestEnd
+from citrondyke.gateway.callers.forwarding import RequestEnd
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.crashes.suspect_book import Standing
     from citrondyke.decisions.forwarding.admission_rule import TurnedAway
     from citrondyke.decisions.forwarding.server_state import ServerState
-    from citrondyke.gateway.forwarding import Forwarding
+    from citrondyke.gateway.callers.forwarding import Forwarding
     from citrondyke.gateway.metrics import Metrics
 
 __all__ = ('RequestLog',)
--- a/citrondyke/gateway/dialect.py
+++ b/citrondyke/gateway/dialect.py
@@ -14,9 +14,9 @@
     from collections.abc import Sequence
 
     from citrondyke.decisions.batch.job import ItemResult, JobItem
-    from citrondyke.gateway.caller_connection import CallerRequest
+    from citrondyke.gateway.callers.caller_connection import CallerRequest
     from citrondyke.gateway.http_head import Headers
-    from citrondyke.gateway.reply_reader import ReplyHead
+    from citrondyke.gateway.servers.reply_reader import ReplyHead
 
 __all__ = ('CallFacts', 'Dialect', 'JobCall', 'JobCallKind', 'JobPage', 'ReplyFacts')
 
--- a/citrondyke/gateway/http_client.py
+++ b/citrondyke/gateway/http_client.py
@@ -7,12 +7,12 @@
 import msgspec
 
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
-from citrondyke.gateway.connection_pool import ConnectionPool
-from citrondyke.gateway.server_connection import open_connection
+from citrondyke.gateway.servers.connection_pool import ConnectionPool
+from citrondyke.gateway.servers.server_connection import open_connection
 
 if TYPE_CHECKING:
     from citrondyke.gateway.http_head import Headers
-    from citrondyke.gateway.server_connection import ServerConnection
+    from citrondyke.gateway.servers.server_connection import ServerConnection
     from citrondyke.util.clock import Clock
 
 __all__ = ('HttpAnswer', 'HttpClient', 'HttpFailure', 'HttpFailureReason')
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -17,24 +17,24 @@
 from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
 from citrondyke.decisions.forwarding.load_notices import LoadNotices
 from citrondyke.decisions.forwarding.server_book import ServerBook
-from citrondyke.gateway.batch_side import BatchSide, BatchSurroundings
-from citrondyke.gateway.beliefs import Beliefs
-from citrondyke.gateway.crash_guard import CrashGuard
-from citrondyke.gateway.dependency import Dependency
-from citrondyke.gateway.followers import follow_beliefs, follow_instances
-from citrondyke.gateway.forwarder import Forwarder
-from citrondyke.gateway.front import Front
-from citrondyke.gateway.load_exchange import LoadExchange
-from citrondyke.gateway.membership import Membership
+from citrondyke.gateway.beliefs.beliefs import Beliefs
+from citrondyke.gateway.beliefs.dependency import Dependency
+from citrondyke.gateway.beliefs.followers import follow_beliefs, follow_instances
+from citrondyke.gateway.callers.forwarder import Forwarder
+from citrondyke.gateway.callers.front import Front
+from citrondyke.gateway.callers.request_log import RequestLog
+from citrondyke.gateway.callers.small_pages import SmallPages
+from citrondyke.gateway.jobs.batch_side import BatchSide, BatchSurroundings
 from citrondyke.gateway.metrics import Metrics
-from citrondyke.gateway.peer_traffic import PeerTraffic
-from citrondyke.gateway.peers import Peers
+from citrondyke.gateway.peers.load_exchange import LoadExchange
+from citrondyke.gateway.peers.membership import Membership
+from citrondyke.gateway.peers.peer_traffic import PeerTraffic
+from citrondyke.gateway.peers.peers import Peers
+from citrondyke.gateway.peers.relayed_table import RelayedTable
 from citrondyke.gateway.planned_stop import PlannedStop
-from citrondyke.gateway.relayed_table import RelayedTable
-from citrondyke.gateway.request_log import RequestLog
-from citrondyke.gateway.server_sends import ServerSends
-from citrondyke.gateway.small_pages import SmallPages
-from citrondyke.gateway.suspect_store import SuspectStore
+from citrondyke.gateway.servers.crash_guard import CrashGuard
+from citrondyke.gateway.servers.server_sends import ServerSends
+from citrondyke.gateway.servers.suspect_store import SuspectStore
 from citrondyke.gateway.tasks import Tasks
 from citrondyke.util.clock import SystemClock
 
@@ -45,7 +45,7 @@
 
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.outside import Outside
-    from citrondyke.gateway.relayed_table import StoreAnswer, StoreCall
+    from citrondyke.gateway.peers.relayed_table import StoreAnswer, StoreCall
     from citrondyke.gateway.settings import Address, GatewaySettings
 
 __all__ = ('GatewayInstance',)
--- /dev/null
+++ b/citrondyke/gateway/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: accepted, run, kept and shown."""
--- a/citrondyke/gateway/batch_side.py
+++ b/citrondyke/gateway/jobs/batch_side.py
@@ -14,25 +14,25 @@
 from citrondyke.decisions.batch.takeover import LiveInstances, Takeover
 from citrondyke.decisions.core.context import Context
 from citrondyke.decisions.forwarding.server_book import ServerBook
-from citrondyke.gateway.beliefs import Beliefs
-from citrondyke.gateway.crash_guard import CrashGuard
-from citrondyke.gateway.fleet_facts import FleetFacts
-from citrondyke.gateway.job_committer import JobCommitter
-from citrondyke.gateway.job_door import JobDoor
-from citrondyke.gateway.job_intake import JobIntake
-from citrondyke.gateway.job_keeper import JobKeeper
-from citrondyke.gateway.job_reader import JobReader
-from citrondyke.gateway.job_removal import JobRemoval
-from citrondyke.gateway.job_runner import JobRunner
-from citrondyke.gateway.job_store import JobStore
-from citrondyke.gateway.job_sweeper import JobSweeper
-from citrondyke.gateway.membership import Membership
+from citrondyke.gateway.beliefs.beliefs import Beliefs
+from citrondyke.gateway.beliefs.fleet_facts import FleetFacts
+from citrondyke.gateway.jobs.job_committer import JobCommitter
+from citrondyke.gateway.jobs.job_door import JobDoor
+from citrondyke.gateway.jobs.job_intake import JobIntake
+from citrondyke.gateway.jobs.job_keeper import JobKeeper
+from citrondyke.gateway.jobs.job_reader import JobReader
+from citrondyke.gateway.jobs.job_removal import JobRemoval
+from citrondyke.gateway.jobs.job_runner import JobRunner
+from citrondyke.gateway.jobs.job_store import JobStore
+from citrondyke.gateway.jobs.job_sweeper import JobSweeper
+from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
+from citrondyke.gateway.jobs.token_shares import TokenShares
+from citrondyke.gateway.jobs.waiting_tokens import WaitingTokens
 from citrondyke.gateway.metrics import Metrics
-from citrondyke.gateway.owned_jobs import OwnedJobs
-from citrondyke.gateway.server_sends import ServerSends
+from citrondyke.gateway.peers.membership import Membership
+from citrondyke.gateway.servers.crash_guard import CrashGuard
+from citrondyke.gateway.servers.server_sends import ServerSends
 from citrondyke.gateway.tasks import Tasks
-from citrondyke.gateway.token_shares import TokenShares
-from citrondyke.gateway.waiting_tokens import WaitingTokens
 from citrondyke.storage.partitioned_table import PartitionedTable
 
 if TYPE_CHECKING:
--- a/citrondyke/gateway/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -8,7 +8,7 @@
 
 from citrondyke.decisions.batch.owned_job import RunEnd
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
-from citrondyke.gateway.event_stream import EventSplitter
+from citrondyke.gateway.callers.event_stream import EventSplitter
 from citrondyke.ids import RequestId
 
 if TYPE_CHECKING:
@@ -18,8 +18,8 @@
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.dialect import Dialect
-    from citrondyke.gateway.server_connection import ServerConnection
-    from citrondyke.gateway.server_sends import ServerSends
+    from citrondyke.gateway.servers.server_connection import ServerConnection
+    from citrondyke.gateway.servers.server_sends import ServerSends
 
 __all__ = ('ItemSender',)
 
--- a/citrondyke/gateway/job_committer.py
+++ b/citrondyke/gateway/jobs/job_committer.py
@@ -7,16 +7,16 @@
 import gevent
 import logbook
 
-from citrondyke.gateway.job_rows import CommitVerdict, NoJob
+from citrondyke.gateway.jobs.job_rows import CommitVerdict, NoJob
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
     from citrondyke.decisions.core.context import Context
-    from citrondyke.gateway.job_rows import StoredHead
-    from citrondyke.gateway.job_store import JobStore
-    from citrondyke.gateway.owned_jobs import OwnedJobs
+    from citrondyke.gateway.jobs.job_rows import StoredHead
+    from citrondyke.gateway.jobs.job_store import JobStore
+    from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import JobId
 
--- a/citrondyke/gateway/job_contents.py
+++ b/citrondyke/gateway/jobs/job_contents.py
@@ -6,7 +6,7 @@
 
 from citrondyke.decisions.batch.job import ItemResult, JobHead, JobItem
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
-from citrondyke.gateway.job_rows import (
+from citrondyke.gateway.jobs.job_rows import (
     ITEMS_TABLE,
     PROGRESS_TABLE,
     RESULTS_TABLE,
--- a/citrondyke/gateway/job_door.py
+++ b/citrondyke/gateway/jobs/job_door.py
@@ -11,18 +11,18 @@
 from citrondyke.decisions.batch.job import cut_page
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.dialect import JobCallKind, JobPage
-from citrondyke.gateway.job_rows import NoJob, NoJobReason, StoredHead
+from citrondyke.gateway.jobs.job_rows import NoJob, NoJobReason, StoredHead
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from citrondyke.decisions.batch.job import ItemResult
     from citrondyke.decisions.core.context import Context
-    from citrondyke.gateway.caller_connection import CallerConnection
+    from citrondyke.gateway.callers.caller_connection import CallerConnection
     from citrondyke.gateway.dialect import CallFacts, Dialect, JobCall
-    from citrondyke.gateway.job_reader import JobReader
-    from citrondyke.gateway.job_store import JobStore
-    from citrondyke.gateway.owned_jobs import OwnedJobs
+    from citrondyke.gateway.jobs.job_reader import JobReader
+    from citrondyke.gateway.jobs.job_store import JobStore
+    from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
     from citrondyke.ids import InstanceId, JobId
 
 __all__ = ('JobDoor',)
--- a/citrondyke/gateway/job_intake.py
+++ b/citrondyke/gateway/jobs/job_intake.py
@@ -12,7 +12,7 @@
 from citrondyke.decisions.batch.owned_job import OwnedJob
 from citrondyke.decisions.batch.waiting_bound import NoRoom
 from citrondyke.errors import InvalidFieldError
-from citrondyke.gateway.job_rows import CommitVerdict, NoJobReason, StoredHead
+from citrondyke.gateway.jobs.job_rows import CommitVerdict, NoJobReason, StoredHead
 from citrondyke.ids import InstanceId, JobId
 from citrondyke.storage.failure import PlatformFailure
 
@@ -20,13 +20,13 @@
     from citrondyke.decisions.batch.job import JobItem
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.route import Route
-    from citrondyke.gateway.caller_connection import CallerConnection, CallerRequest
+    from citrondyke.gateway.callers.caller_connection import CallerConnection, CallerRequest
     from citrondyke.gateway.dialect import CallFacts, Dialect
-    from citrondyke.gateway.job_reader import JobReader
-    from citrondyke.gateway.job_runner import JobRunner
-    from citrondyke.gateway.job_store import JobStore
-    from citrondyke.gateway.owned_jobs import OwnedJobs
-    from citrondyke.gateway.waiting_tokens import WaitingTokens
+    from citrondyke.gateway.jobs.job_reader import JobReader
+    from citrondyke.gateway.jobs.job_runner import JobRunner
+    from citrondyke.gateway.jobs.job_store import JobStore
+    from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
+    from citrondyke.gateway.jobs.waiting_tokens import WaitingTokens
 
 __all__ = ('JobIntake',)
 
--- a/citrondyke/gateway/job_keeper.py
+++ b/citrondyke/gateway/jobs/job_keeper.py
@@ -10,8 +10,9 @@
 
 from citrondyke.decisions.batch.owned_job import OwnedJob
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
-from citrondyke.gateway.change_feed import ChangeFeed
-from citrondyke.gateway.job_rows import (
+from citrondyke.gateway.beliefs.change_feed import ChangeFeed
+from citrondyke.gateway.beliefs.unreadable_rows import UnreadableRows
+from citrondyke.gateway.jobs.job_rows import (
     HEAD_KEY,
     HEADS_TABLE,
     CommitVerdict,
@@ -20,7 +21,6 @@
     decode_head,
 )
 from citrondyke.gateway.pauses import retry_ms
-from citrondyke.gateway.unreadable_rows import UnreadableRows
 from citrondyke.ids import JobId
 from citrondyke.storage.failure import PlatformFailure
 
@@ -31,9 +31,9 @@
     from citrondyke.decisions.batch.read_budget import ReadBudget
     from citrondyke.decisions.batch.takeover import Takeover
     from citrondyke.decisions.core.context import Context
-    from citrondyke.gateway.job_runner import JobRunner
-    from citrondyke.gateway.job_store import JobStore
-    from citrondyke.gateway.owned_jobs import OwnedJobs
+    from citrondyke.gateway.jobs.job_runner import JobRunner
+    from citrondyke.gateway.jobs.job_store import JobStore
+    from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
--- a/citrondyke/gateway/job_reader.py
+++ b/citrondyke/gateway/jobs/job_reader.py
@@ -8,14 +8,14 @@
 import gevent
 import msgspec
 
-from citrondyke.gateway.job_rows import NoJob, NoJobReason
+from citrondyke.gateway.jobs.job_rows import NoJob, NoJobReason
 from citrondyke.storage.failure import PlatformFailure
 
 if TYPE_CHECKING:
     from citrondyke.decisions.batch.job import ItemResult, JobHead, JobItem
     from citrondyke.decisions.batch.owned_job import OwnedJob
     from citrondyke.decisions.core.context import Context
-    from citrondyke.gateway.job_store import JobStore
+    from citrondyke.gateway.jobs.job_store import JobStore
     from citrondyke.ids import JobId
 
 __all__ = ('JobReader', 'JobView')
--- a/citrondyke/gateway/job_removal.py
+++ b/citrondyke/gateway/jobs/job_removal.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
-from citrondyke.gateway.job_rows import (
+from citrondyke.gateway.jobs.job_rows import (
     COMMIT_ROWS,
     HEAD_KEY,
     HEADS_TABLE,
@@ -30,7 +30,7 @@
 )
 
 if TYPE_CHECKING:
-    from citrondyke.gateway.job_rows import StoredHead
+    from citrondyke.gateway.jobs.job_rows import StoredHead
     from citrondyke.storage.object_store import ObjectStore
     from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
--- a/citrondyke/gateway/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -16,20 +16,20 @@
 from citrondyke.decisions.forwarding.route_table import NoRoute
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.errors.gave_way import GaveWayError
-from citrondyke.gateway.item_sender import ItemSender
+from citrondyke.gateway.jobs.item_sender import ItemSender
 
 if TYPE_CHECKING:
     from citrondyke.decisions.batch.give_way import GiveWay
     from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_state import ServerState
-    from citrondyke.gateway.beliefs import Beliefs
-    from citrondyke.gateway.crash_guard import CrashGuard
+    from citrondyke.gateway.beliefs.beliefs import Beliefs
     from citrondyke.gateway.dialect import Dialect
-    from citrondyke.gateway.job_committer import JobCommitter
+    from citrondyke.gateway.jobs.job_committer import JobCommitter
+    from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
     from citrondyke.gateway.metrics import Metrics
-    from citrondyke.gateway.owned_jobs import OwnedJobs
-    from citrondyke.gateway.server_sends import ServerSends
+    from citrondyke.gateway.servers.crash_guard import CrashGuard
+    from citrondyke.gateway.servers.server_sends import ServerSends
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import ServiceName
 
--- a/citrondyke/gateway/job_store.py
+++ b/citrondyke/gateway/jobs/job_store.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from citrondyke.decisions.batch.job import ItemResult, JobHead, JobItem
-from citrondyke.gateway.job_contents import JobContents
-from citrondyke.gateway.job_rows import (
+from citrondyke.gateway.jobs.job_contents import JobContents
+from citrondyke.gateway.jobs.job_rows import (
     COMMIT_ROWS,
     HEAD_KEY,
     HEADS_TABLE,
--- a/citrondyke/gateway/job_sweeper.py
+++ b/citrondyke/gateway/jobs/job_sweeper.py
@@ -7,7 +7,7 @@
 import gevent
 import logbook
 
-from citrondyke.gateway.job_rows import CommitVerdict, StoredHead
+from citrondyke.gateway.jobs.job_rows import CommitVerdict, StoredHead
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.util.hashing import rendezvous_weight
 
@@ -15,8 +15,8 @@
     from citrondyke.decisions.batch.job import JobHead
     from citrondyke.decisions.batch.takeover import LiveInstances
     from citrondyke.decisions.core.context import Context
-    from citrondyke.gateway.job_removal import JobRemoval
-    from citrondyke.gateway.job_store import JobStore
+    from citrondyke.gateway.jobs.job_removal import JobRemoval
+    from citrondyke.gateway.jobs.job_store import JobStore
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import JobId
 
--- a/citrondyke/gateway/own_share.py
+++ b/citrondyke/gateway/jobs/own_share.py
@@ -12,7 +12,7 @@
 from citrondyke.storage.partitioned_table import PartCommitted, PartConflict
 
 if TYPE_CHECKING:
-    from citrondyke.gateway.token_shares import SharesRead, TokenShares
+    from citrondyke.gateway.jobs.token_shares import SharesRead, TokenShares
     from citrondyke.ids import ConfigVersion, RouteName
 
 __all__ = ('OwnShare',)
--- a/citrondyke/gateway/route_tokens.py
+++ b/citrondyke/gateway/jobs/route_tokens.py
@@ -17,9 +17,9 @@
     TokenShare,
     WaitingBound,
 )
-from citrondyke.gateway.own_share import OwnShare
-from citrondyke.gateway.seen_shares import SeenShares
-from citrondyke.gateway.waiting_count import WaitingCount
+from citrondyke.gateway.jobs.own_share import OwnShare
+from citrondyke.gateway.jobs.seen_shares import SeenShares
+from citrondyke.gateway.jobs.waiting_count import WaitingCount
 from citrondyke.storage.failure import UNAVAILABLE, PlatformFailure
 from citrondyke.storage.partitioned_table import PartCommitted
 
@@ -28,9 +28,9 @@
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.route import Route
-    from citrondyke.gateway.fleet_facts import FleetFacts
-    from citrondyke.gateway.owned_jobs import OwnedJobs
-    from citrondyke.gateway.token_shares import SharesRead, TokenShares
+    from citrondyke.gateway.beliefs.fleet_facts import FleetFacts
+    from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
+    from citrondyke.gateway.jobs.token_shares import SharesRead, TokenShares
     from citrondyke.ids import ConfigVersion, JobId, RouteName
 
 __all__ = ('NEAR_LOOK_MS', 'Reservation', 'RouteTokens')
--- a/citrondyke/gateway/seen_shares.py
+++ b/citrondyke/gateway/jobs/seen_shares.py
@@ -7,15 +7,15 @@
 import msgspec
 
 from citrondyke.decisions.batch.waiting_bound import OtherShares, ShareStanding, count_others
-from citrondyke.gateway.waiting_count import DOUBT_MS
+from citrondyke.gateway.jobs.waiting_count import DOUBT_MS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from citrondyke.decisions.batch.waiting_bound import TokenShare
     from citrondyke.decisions.core.context import Context
-    from citrondyke.gateway.fleet_facts import FleetFacts
-    from citrondyke.gateway.token_shares import SharesRead
+    from citrondyke.gateway.beliefs.fleet_facts import FleetFacts
+    from citrondyke.gateway.jobs.token_shares import SharesRead
     from citrondyke.ids import RouteName
 
 __all__ = ('SeenShares',)
--- a/citrondyke/gateway/token_shares.py
+++ b/citrondyke/gateway/jobs/token_shares.py
@@ -8,7 +8,7 @@
 
 from citrondyke.decisions.batch.waiting_bound import TokenShare
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
-from citrondyke.gateway.unreadable_rows import UnreadableRows
+from citrondyke.gateway.beliefs.unreadable_rows import UnreadableRows
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import (
     IMPOSSIBLE_VERSION,
--- a/citrondyke/gateway/waiting_count.py
+++ b/citrondyke/gateway/jobs/waiting_count.py
@@ -12,8 +12,8 @@
     from citrondyke.decisions.batch.job import JobHead
     from citrondyke.decisions.batch.owned_job import OwnedJob
     from citrondyke.decisions.core.context import Context
-    from citrondyke.gateway.fleet_facts import FleetFacts
-    from citrondyke.gateway.owned_jobs import OwnedJobs
+    from citrondyke.gateway.beliefs.fleet_facts import FleetFacts
+    from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
     from citrondyke.ids import JobId, RouteName
 
 __all__ = ('DOUBT_MS', 'WaitingCount')
--- a/citrondyke/gateway/waiting_tokens.py
+++ b/citrondyke/gateway/jobs/waiting_tokens.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent.event import Event
 
-from citrondyke.gateway.route_tokens import NEAR_LOOK_MS, Reservation, RouteTokens
+from citrondyke.gateway.jobs.route_tokens import NEAR_LOOK_MS, Reservation, RouteTokens
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,10 +16,10 @@
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.forwarding.route_table import RouteTable
-    from citrondyke.gateway.fleet_facts import FleetFacts
-    from citrondyke.gateway.owned_jobs import OwnedJobs
+    from citrondyke.gateway.beliefs.fleet_facts import FleetFacts
+    from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
+    from citrondyke.gateway.jobs.token_shares import TokenShares
     from citrondyke.gateway.tasks import Tasks
-    from citrondyke.gateway.token_shares import TokenShares
     from citrondyke.ids import ConfigVersion, JobId, RouteName
     from citrondyke.storage.failure import PlatformFailure
 
--- a/citrondyke/gateway/outside.py
+++ b/citrondyke/gateway/outside.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from citrondyke.gateway.beliefs import RowDecoder
+    from citrondyke.gateway.beliefs.beliefs import RowDecoder
     from citrondyke.gateway.dialect import Dialect
     from citrondyke.gateway.settings import Address
     from citrondyke.storage.object_store import ObjectStore
--- a/citrondyke/gateway/knowledge_exchange.py
+++ b/citrondyke/gateway/peers/knowledge_exchange.py
@@ -12,8 +12,13 @@
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.listed_rows import SeenRow
 from citrondyke.errors.broken_reply import BrokenReplyError
-from citrondyke.gateway.membership import Heartbeat
-from citrondyke.gateway.peer_codec import KnowledgeData, KnowledgeWanted, PeerMessage, PeerText
+from citrondyke.gateway.peers.membership import Heartbeat
+from citrondyke.gateway.peers.peer_codec import (
+    KnowledgeData,
+    KnowledgeWanted,
+    PeerMessage,
+    PeerText,
+)
 from citrondyke.ids import ConfigVersion, InstanceId
 from citrondyke.util.decoding import decode_msgpack
 
@@ -22,9 +27,9 @@
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.crashes.suspect_book import SuspectBook
-    from citrondyke.gateway.beliefs import Beliefs
-    from citrondyke.gateway.dependency import Dependency
-    from citrondyke.gateway.membership import Membership
+    from citrondyke.gateway.beliefs.beliefs import Beliefs
+    from citrondyke.gateway.beliefs.dependency import Dependency
+    from citrondyke.gateway.peers.membership import Membership
     from citrondyke.gateway.tasks import Tasks
 
 __all__ = ('ASK_AFTER_MS', 'Knowledge', 'KnowledgeExchange')
--- a/citrondyke/gateway/load_exchange.py
+++ b/citrondyke/gateway/peers/load_exchange.py
@@ -7,14 +7,14 @@
 import gevent
 from gevent.event import Event
 
-from citrondyke.gateway.peer_codec import LoadNotice, LoadTotals
+from citrondyke.gateway.peers.peer_codec import LoadNotice, LoadTotals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from citrondyke.decisions.forwarding.load_notices import LoadNotices
     from citrondyke.decisions.forwarding.neighbours import Neighbours
-    from citrondyke.gateway.peer_codec import PeerText
+    from citrondyke.gateway.peers.peer_codec import PeerText
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import InstanceId
 
--- a/citrondyke/gateway/membership.py
+++ b/citrondyke/gateway/peers/membership.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
-from citrondyke.gateway.unreadable_rows import UnreadableRows
+from citrondyke.gateway.beliefs.unreadable_rows import UnreadableRows
 from citrondyke.ids import AvailabilityZone, InstanceId
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import (
--- a/citrondyke/gateway/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -29,7 +29,7 @@
     'encode_message',
 )
 
-_SCHEMA = capnp.load(str(Path(__file__).parent.parent / 'peer' / 'gateway.capnp'))
+_SCHEMA = capnp.load(str(Path(__file__).parents[2] / 'peer' / 'gateway.capnp'))
 #: Counts are 16 bits wide on the wire; a server has tens of places.
 COUNT_LIMIT = 65_535
 #: A server's digest and its counts.
--- a/citrondyke/gateway/peer_traffic.py
+++ b/citrondyke/gateway/peers/peer_traffic.py
@@ -13,7 +13,7 @@
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.metrics import Metrics
-    from citrondyke.gateway.peer_codec import PeerText
+    from citrondyke.gateway.peers.peer_codec import PeerText
     from citrondyke.ids import AvailabilityZone
 
 __all__ = ('PeerTraffic',)
--- a/citrondyke/gateway/peers.py
+++ b/citrondyke/gateway/peers/peers.py
@@ -12,8 +12,8 @@
 from gevent.socket import wait_read
 
 from citrondyke.errors.broken_reply import BrokenReplyError
-from citrondyke.gateway.knowledge_exchange import ASK_AFTER_MS, KnowledgeExchange
-from citrondyke.gateway.peer_codec import (
+from citrondyke.gateway.peers.knowledge_exchange import ASK_AFTER_MS, KnowledgeExchange
+from citrondyke.gateway.peers.peer_codec import (
     CrashNews,
     JobChanged,
     KnowledgeWanted,
@@ -26,7 +26,7 @@
     decode_message,
     encode_message,
 )
-from citrondyke.gateway.relayed_table import StoreAnswer, StoreCall, perform
+from citrondyke.gateway.peers.relayed_table import StoreAnswer, StoreCall, perform
 from citrondyke.gateway.sockets import connect, tune
 from citrondyke.ids import InstanceId
 from citrondyke.storage.failure import PlatformFailureReason
@@ -38,10 +38,10 @@
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.crashes.suspect_book import SuspectBook
-    from citrondyke.gateway.beliefs import Beliefs
-    from citrondyke.gateway.dependency import Dependency
-    from citrondyke.gateway.membership import Membership
-    from citrondyke.gateway.peer_traffic import PeerTraffic
+    from citrondyke.gateway.beliefs.beliefs import Beliefs
+    from citrondyke.gateway.beliefs.dependency import Dependency
+    from citrondyke.gateway.peers.membership import Membership
+    from citrondyke.gateway.peers.peer_traffic import PeerTraffic
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import AvailabilityZone, JobId
     from citrondyke.storage.partitioned_table import PartitionedTable
--- a/citrondyke/gateway/relayed_table.py
+++ b/citrondyke/gateway/peers/relayed_table.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from citrondyke.gateway.dependency import Dependency
+    from citrondyke.gateway.beliefs.dependency import Dependency
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.util.clock import Clock
 
--- a/citrondyke/gateway/suspect_teller.py
+++ b/citrondyke/gateway/peers/suspect_teller.py
@@ -10,7 +10,7 @@
 from citrondyke.decisions.crashes.news_queue import NewsKind, NewsQueue, SuspectNews
 from citrondyke.decisions.crashes.suspect import FRESH_WEIGHT
 from citrondyke.decisions.crashes.suspect_book import STORED_SCORE
-from citrondyke.gateway.peer_codec import CrashNews
+from citrondyke.gateway.peers.peer_codec import CrashNews
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,7 +19,7 @@
     from citrondyke.decisions.crashes.content import RequestContent
     from citrondyke.decisions.crashes.suspect_book import SuspectBook
     from citrondyke.decisions.forwarding.neighbours import Neighbours
-    from citrondyke.gateway.peer_codec import PeerText
+    from citrondyke.gateway.peers.peer_codec import PeerText
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import InstanceId
 
--- a/citrondyke/gateway/planned_stop.py
+++ b/citrondyke/gateway/planned_stop.py
@@ -12,7 +12,7 @@
 
     from gevent.server import StreamServer
 
-    from citrondyke.gateway.front import Front
+    from citrondyke.gateway.callers.front import Front
     from citrondyke.util.clock import Clock
 
 __all__ = ('PlannedStop',)
--- /dev/null
+++ b/citrondyke/gateway/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: connections to them, their answers and their ends."""
--- a/citrondyke/gateway/connection_pool.py
+++ b/citrondyke/gateway/servers/connection_pool.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 if TYPE_CHECKING:
-    from citrondyke.gateway.server_connection import ServerConnection
+    from citrondyke.gateway.servers.server_connection import ServerConnection
     from citrondyke.util.clock import Clock
 
 __all__ = ('ConnectionPool',)
--- a/citrondyke/gateway/crash_guard.py
+++ b/citrondyke/gateway/servers/crash_guard.py
@@ -12,8 +12,8 @@
 from citrondyke.decisions.crashes.suspect_book import Standing, SuspectBook
 from citrondyke.decisions.forwarding.server_book import server_digest
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
+from citrondyke.gateway.peers.suspect_teller import SuspectTeller
 from citrondyke.gateway.sockets import connect
-from citrondyke.gateway.suspect_teller import SuspectTeller
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -23,8 +23,8 @@
     from citrondyke.decisions.forwarding.server_book import ServerBook
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.metrics import Metrics
-    from citrondyke.gateway.peer_codec import CrashNews, PeerText
-    from citrondyke.gateway.suspect_store import SuspectStore
+    from citrondyke.gateway.peers.peer_codec import CrashNews, PeerText
+    from citrondyke.gateway.servers.suspect_store import SuspectStore
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import InstanceId
 
--- a/citrondyke/gateway/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -10,14 +10,14 @@
 
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.gateway.http_head import write_head
-from citrondyke.gateway.reply_reader import ReplyReader
+from citrondyke.gateway.servers.reply_reader import ReplyReader
 from citrondyke.gateway.sockets import connect
 
 if TYPE_CHECKING:
     from gevent import socket
 
     from citrondyke.gateway.http_head import Headers
-    from citrondyke.gateway.reply_reader import ReplyHead
+    from citrondyke.gateway.servers.reply_reader import ReplyHead
     from citrondyke.util.clock import Clock
 
 __all__ = ('ServerConnection', 'open_connection')
--- a/citrondyke/gateway/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -9,16 +9,16 @@
 
 from citrondyke.decisions.forwarding.patience import CONNECT_MS
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
-from citrondyke.gateway.connection_pool import ConnectionPool
-from citrondyke.gateway.server_connection import open_connection
+from citrondyke.gateway.servers.connection_pool import ConnectionPool
+from citrondyke.gateway.servers.server_connection import open_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.dialect import Dialect, ReplyFacts
-    from citrondyke.gateway.reply_reader import ReplyHead
-    from citrondyke.gateway.server_connection import ServerConnection
+    from citrondyke.gateway.servers.reply_reader import ReplyHead
+    from citrondyke.gateway.servers.server_connection import ServerConnection
     from citrondyke.ids import RequestId, ServerLife
     from citrondyke.util.clock import Clock
 
--- a/citrondyke/gateway/suspect_store.py
+++ b/citrondyke/gateway/servers/suspect_store.py
@@ -13,8 +13,8 @@
 from citrondyke.decisions.crashes.suspect import SuspectRow
 from citrondyke.decisions.crashes.suspect_book import STORED_SCORE, Standing
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
-from citrondyke.gateway.change_feed import ChangeFeed
-from citrondyke.gateway.unreadable_rows import UnreadableRows
+from citrondyke.gateway.beliefs.change_feed import ChangeFeed
+from citrondyke.gateway.beliefs.unreadable_rows import UnreadableRows
 from citrondyke.ids import ContentDigest
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import (
@@ -31,7 +31,7 @@
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.crashes.suspect_book import SuspectBook
-    from citrondyke.gateway.dependency import Dependency
+    from citrondyke.gateway.beliefs.dependency import Dependency
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -25,9 +25,9 @@
 from citrondyke.util.decoding import decode_json
 
 if TYPE_CHECKING:
-    from citrondyke.gateway.caller_connection import CallerRequest
+    from citrondyke.gateway.callers.caller_connection import CallerRequest
     from citrondyke.gateway.http_head import Headers
-    from citrondyke.gateway.reply_reader import ReplyHead
+    from citrondyke.gateway.servers.reply_reader import ReplyHead
 
 __all__ = ('PlatformDialect',)
 
--- a/citrondyke/platform/outside.py
+++ b/citrondyke/platform/outside.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from citrondyke.gateway.beliefs import RowDecoder
+from citrondyke.gateway.beliefs.beliefs import RowDecoder
 from citrondyke.gateway.http_client import HttpClient
 from citrondyke.gateway.outside import Outside
 from citrondyke.platform.dialect import PlatformDialect
--- a/tests/test_batch/test_batch_machine.py
+++ b/tests/test_batch/test_batch_machine.py
@@ -9,8 +9,8 @@
 
 from citrondyke.decisions.batch.job import ItemResult, JobHead, JobItem
 from citrondyke.decisions.batch.owned_job import OwnedJob, RunEnd
-from citrondyke.gateway.job_rows import CommitVerdict, NoJob, StoredHead
-from citrondyke.gateway.job_store import JobStore
+from citrondyke.gateway.jobs.job_rows import CommitVerdict, NoJob, StoredHead
+from citrondyke.gateway.jobs.job_store import JobStore
 from citrondyke.ids import InstanceId, JobId, RouteName
 from tests.support.flaky_table import FlakyTable, MemoryObjects, Trouble
 
--- a/tests/test_batch/test_batch_owned_job.py
+++ b/tests/test_batch/test_batch_owned_job.py
@@ -4,8 +4,8 @@
 
 from citrondyke.decisions.batch.job import ItemState, JobItem
 from citrondyke.decisions.batch.owned_job import ABANDON_MARGIN_MS, OwnedJob, RunEnd
-from citrondyke.gateway.job_rows import CommitVerdict, StoredHead
-from citrondyke.gateway.job_store import JobStore
+from citrondyke.gateway.jobs.job_rows import CommitVerdict, StoredHead
+from citrondyke.gateway.jobs.job_store import JobStore
 from tests.support.flaky_table import FlakyTable, MemoryObjects
 from tests.test_batch.test_batch_machine import new_head
 
--- a/tests/test_batch/test_batch_waiting_bound.py
+++ b/tests/test_batch/test_batch_waiting_bound.py
@@ -22,19 +22,19 @@
 )
 from citrondyke.decisions.forwarding.route import Route, RouteKind, ServiceShare
 from citrondyke.decisions.forwarding.route_table import RouteTable
-from citrondyke.gateway.fleet_facts import FleetFacts
-from citrondyke.gateway.job_rows import (
+from citrondyke.gateway.beliefs.fleet_facts import FleetFacts
+from citrondyke.gateway.jobs.job_rows import (
     HEAD_KEY,
     HEADS_TABLE,
     CommitVerdict,
     StoredHead,
     decode_head,
 )
-from citrondyke.gateway.job_store import JobStore
-from citrondyke.gateway.owned_jobs import OwnedJobs
-from citrondyke.gateway.route_tokens import Reservation
-from citrondyke.gateway.token_shares import TokenShares
-from citrondyke.gateway.waiting_tokens import WaitingTokens
+from citrondyke.gateway.jobs.job_store import JobStore
+from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
+from citrondyke.gateway.jobs.route_tokens import Reservation
+from citrondyke.gateway.jobs.token_shares import TokenShares
+from citrondyke.gateway.jobs.waiting_tokens import WaitingTokens
 from citrondyke.ids import ConfigVersion, InstanceId, JobId, RouteName, ServiceName
 from citrondyke.storage.partitioned_table import (
     Listing,
--- a/tests/test_gateway/test_gateway_table_follower.py
+++ b/tests/test_gateway/test_beliefs/test_beliefs_table_follower.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from citrondyke.gateway.dependency import Dependency
-from citrondyke.gateway.table_follower import WHOLE_READS_BYTES_PER_S, TableFollower
+from citrondyke.gateway.beliefs.dependency import Dependency
+from citrondyke.gateway.beliefs.table_follower import WHOLE_READS_BYTES_PER_S, TableFollower
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import Feed, Listing, PartRow, PartTransaction, RowPut
 from tests.support.flaky_table import FlakyTable
--- a/tests/test_gateway/test_gateway_event_stream.py
+++ b/tests/test_gateway/test_callers/test_callers_event_stream.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from citrondyke.errors.broken_reply import BrokenReplyError
-from citrondyke.gateway.event_stream import EventSplitter
+from citrondyke.gateway.callers.event_stream import EventSplitter
 
 
 def event(number: int, data: str = 'x') -> bytes:
--- a/tests/test_gateway/test_gateway_forwarding.py
+++ b/tests/test_gateway/test_callers/test_callers_forwarding.py
@@ -7,7 +7,7 @@
 
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
 from citrondyke.decisions.forwarding.server_book import server_digest
-from citrondyke.gateway.peer_codec import LoadNotice
+from citrondyke.gateway.peers.peer_codec import LoadNotice
 from citrondyke.standin.platform_server import Act, PlatformServer
 from tests.support.gateway import GatewayFleet, Reply, exchange, wait_until_seen
 
--- a/tests/test_gateway/test_gateway_strict_head.py
+++ b/tests/test_gateway/test_callers/test_callers_strict_head.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from citrondyke.errors.bad_request_head import BadRequestHeadError
-from citrondyke.gateway.strict_head import check_head
+from citrondyke.gateway.callers.strict_head import check_head
 
 GOOD = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n'
 
--- a/tests/test_gateway/test_gateway_job_committer.py
+++ b/tests/test_gateway/test_jobs/test_jobs_job_committer.py
@@ -6,10 +6,10 @@
 import msgspec
 
 from citrondyke.decisions.batch.owned_job import OwnedJob
-from citrondyke.gateway.job_committer import SAVE_EVERY_MS, SAVE_FACTOR, JobCommitter
-from citrondyke.gateway.job_rows import StoredHead
-from citrondyke.gateway.job_store import JobStore
-from citrondyke.gateway.owned_jobs import OwnedJobs
+from citrondyke.gateway.jobs.job_committer import SAVE_EVERY_MS, SAVE_FACTOR, JobCommitter
+from citrondyke.gateway.jobs.job_rows import StoredHead
+from citrondyke.gateway.jobs.job_store import JobStore
+from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
 from citrondyke.gateway.tasks import Tasks
 from citrondyke.storage.partitioned_table import (
     Listing,
--- a/tests/test_gateway/test_gateway_job_keeper.py
+++ b/tests/test_gateway/test_jobs/test_jobs_job_keeper.py
@@ -8,11 +8,11 @@
 
 from citrondyke.decisions.batch.read_budget import ReadBudget
 from citrondyke.decisions.batch.takeover import LiveInstances, Takeover
-from citrondyke.gateway.job_keeper import JobKeeper
-from citrondyke.gateway.job_rows import StoredHead
-from citrondyke.gateway.job_runner import JobRunner
-from citrondyke.gateway.job_store import JobStore
-from citrondyke.gateway.owned_jobs import OwnedJobs
+from citrondyke.gateway.jobs.job_keeper import JobKeeper
+from citrondyke.gateway.jobs.job_rows import StoredHead
+from citrondyke.gateway.jobs.job_runner import JobRunner
+from citrondyke.gateway.jobs.job_store import JobStore
+from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
 from citrondyke.gateway.tasks import Tasks
 from citrondyke.ids import JobId
 from tests.support.flaky_table import CountingTable, MemoryObjects
--- a/tests/test_gateway/test_gateway_job_reader.py
+++ b/tests/test_gateway/test_jobs/test_jobs_job_reader.py
@@ -7,14 +7,14 @@
 
 from citrondyke.decisions.batch.job import ItemResult, ItemState
 from citrondyke.decisions.batch.owned_job import OwnedJob
-from citrondyke.gateway.job_reader import (
+from citrondyke.gateway.jobs.job_reader import (
     HEAD_BYTES,
     REMEMBERED_BYTES,
     JobReader,
     JobView,
 )
-from citrondyke.gateway.job_rows import CommitVerdict, StoredHead
-from citrondyke.gateway.job_store import JobStore
+from citrondyke.gateway.jobs.job_rows import CommitVerdict, StoredHead
+from citrondyke.gateway.jobs.job_store import JobStore
 from citrondyke.ids import JobId
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import Listing
--- a/tests/test_gateway/test_gateway_job_sweeper.py
+++ b/tests/test_gateway/test_jobs/test_jobs_job_sweeper.py
@@ -10,10 +10,10 @@
 from citrondyke.decisions.batch.job import ItemResult, ItemState
 from citrondyke.decisions.batch.owned_job import OwnedJob
 from citrondyke.decisions.batch.takeover import LiveInstances
-from citrondyke.gateway.job_removal import JobRemoval
-from citrondyke.gateway.job_rows import CommitVerdict, NoJob, StoredHead
-from citrondyke.gateway.job_store import JobStore
-from citrondyke.gateway.job_sweeper import MARGIN_MS, JobSweeper
+from citrondyke.gateway.jobs.job_removal import JobRemoval
+from citrondyke.gateway.jobs.job_rows import CommitVerdict, NoJob, StoredHead
+from citrondyke.gateway.jobs.job_store import JobStore
+from citrondyke.gateway.jobs.job_sweeper import MARGIN_MS, JobSweeper
 from tests.support.flaky_table import FlakyTable, MemoryObjects, Trouble
 from tests.support.manual_clock import ManualClock, manual_context
 from tests.test_batch.test_batch_machine import ITEMS, JOB, new_head
--- a/tests/test_gateway/test_gateway_knowledge.py
+++ b/tests/test_gateway/test_peers/test_peers_knowledge.py
@@ -4,8 +4,8 @@
 
 import gevent
 
-from citrondyke.gateway.knowledge_exchange import Knowledge
-from citrondyke.gateway.peer_codec import KnowledgeData, KnowledgeWanted
+from citrondyke.gateway.peers.knowledge_exchange import Knowledge
+from citrondyke.gateway.peers.peer_codec import KnowledgeData, KnowledgeWanted
 from citrondyke.ids import ConfigVersion
 from citrondyke.util.decoding import decode_msgpack
 from tests.support.gateway import GatewayFleet, wait_until_seen
--- a/tests/test_gateway/test_gateway_membership.py
+++ b/tests/test_gateway/test_peers/test_peers_membership.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from citrondyke.decisions.batch.takeover import LiveInstances
-from citrondyke.gateway.membership import (
+from citrondyke.gateway.peers.membership import (
     GONE_MS,
     INSTANCES_TABLE,
     ROW_GONE_MS,
--- a/tests/test_gateway/test_gateway_peer_codec.py
+++ b/tests/test_gateway/test_peers/test_peers_peer_codec.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
-from citrondyke.gateway.peer_codec import (
+from citrondyke.gateway.peers.peer_codec import (
     JobChanged,
     KnowledgeData,
     KnowledgeWanted,
--- a/tests/test_gateway/test_gateway_relay.py
+++ b/tests/test_gateway/test_peers/test_peers_relay.py
@@ -7,8 +7,8 @@
 import gevent
 import pytest
 
-from citrondyke.gateway.dependency import Dependency
-from citrondyke.gateway.relayed_table import (
+from citrondyke.gateway.beliefs.dependency import Dependency
+from citrondyke.gateway.peers.relayed_table import (
     ReadCall,
     RelayedTable,
     StoreAnswer,
--- a/tests/test_gateway/test_gateway_crash_fleet.py
+++ b/tests/test_gateway/test_servers/test_servers_crash_fleet.py
@@ -11,10 +11,10 @@
 from citrondyke.decisions.crashes.suspect_book import Standing, SuspectBook
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
-from citrondyke.gateway.crash_guard import CrashGuard
-from citrondyke.gateway.dependency import Dependency
+from citrondyke.gateway.beliefs.dependency import Dependency
 from citrondyke.gateway.metrics import Metrics
-from citrondyke.gateway.suspect_store import SuspectStore
+from citrondyke.gateway.servers.crash_guard import CrashGuard
+from citrondyke.gateway.servers.suspect_store import SuspectStore
 from citrondyke.gateway.tasks import Tasks
 from citrondyke.ids import AvailabilityZone, InstanceId, ServerId
 from citrondyke.standin.part_table import PartTable
--- a/tests/test_gateway/test_gateway_crashes.py
+++ b/tests/test_gateway/test_servers/test_servers_crashes.py
@@ -6,7 +6,7 @@
 import pytest
 
 from citrondyke.decisions.crashes.content import content_of
-from citrondyke.gateway.suspect_store import SUSPECTS_TABLE
+from citrondyke.gateway.servers.suspect_store import SUSPECTS_TABLE
 from citrondyke.standin.platform_server import Act
 from citrondyke.storage.partitioned_table import Listing
 from tests.support.gateway import HOST, GatewayFleet, wait_until_seen
--- a/tests/test_gateway/test_gateway_reply_reader.py
+++ b/tests/test_gateway/test_servers/test_servers_reply_reader.py
@@ -11,7 +11,7 @@
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.errors.invalid_header import InvalidHeaderError
 from citrondyke.gateway.http_head import write_head
-from citrondyke.gateway.reply_reader import ReplyReader
+from citrondyke.gateway.servers.reply_reader import ReplyReader
 
 LENGTH = b'HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nhello'
 CHUNKS = (
--- a/tests/test_gateway/test_gateway_suspect_store.py
+++ b/tests/test_gateway/test_servers/test_servers_suspect_store.py
@@ -6,8 +6,8 @@
 
 from citrondyke.decisions.crashes.content import AskedWork, content_of
 from citrondyke.decisions.crashes.suspect_book import FIRST_TRIAL_PAUSE_MS, Standing, SuspectBook
-from citrondyke.gateway.dependency import Dependency
-from citrondyke.gateway.suspect_store import SILENT_MS, TRIES, SuspectStore
+from citrondyke.gateway.beliefs.dependency import Dependency
+from citrondyke.gateway.servers.suspect_store import SILENT_MS, TRIES, SuspectStore
 from citrondyke.storage.partitioned_table import PartTransaction, RowPut
 from tests.support.flaky_table import FlakyTable, Trouble
 from tests.support.gateway import HOST, GatewayFleet, wait_until_seen
--- a/tests/test_platform/test_platform_foreign_entries.py
+++ b/tests/test_platform/test_platform_foreign_entries.py
@@ -13,8 +13,8 @@
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.server_book import ServerBook
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
-from citrondyke.gateway.beliefs import Beliefs, RowDecoder
-from citrondyke.gateway.dependency import Dependency
+from citrondyke.gateway.beliefs.beliefs import Beliefs, RowDecoder
+from citrondyke.gateway.beliefs.dependency import Dependency
 from citrondyke.ids import ServerId
 from citrondyke.platform.rows import CONFIG_KEY, SERVERS_TABLE, decode_config, decode_server
 from citrondyke.storage.partitioned_table import PartRow
