--- a/citrondyke/decisions/batch/job.py
+++ b/citrondyke/decisions/batch/job.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from citrondyke.ids import InstanceId, JobId, RouteName
+from citrondyke.ids import InstanceId, JobId, RouteName, TenantId
 
-__all__ = ('ItemResult', 'ItemState', 'JobHead', 'JobItem', 'cut_page')
+__all__ = ('ItemResult', 'ItemState', 'JobHead', 'JobItem', 'bound_name', 'cut_page')
 
 #: Bytes of results in one answer; its limit is 1 MB.
 PAGE_BYTES = 900_000
@@ -70,6 +70,18 @@
     is_ended: bool = False
     #: All items have a result.
     is_done: bool = False
+    #: Whose job it is; empty for anybody's.
+    account: TenantId = TenantId('')
+
+    @property
+    def bound(self) -> RouteName:
+        """Name the bound on waiting tokens that it counts in."""
+        return bound_name(self.route, self.account)
+
+
+def bound_name(route: RouteName, account: TenantId) -> RouteName:
+    """Name the bound on waiting tokens of a route, or of an account on it."""
+    return RouteName(f'{route} {account}') if account else route
 
 
 def cut_page(results: list[ItemResult]) -> list[ItemResult]:
--- a/citrondyke/decisions/batch/waiting_bound.py
+++ b/citrondyke/decisions/batch/waiting_bound.py
@@ -125,9 +125,9 @@
     orphaned: dict[str, int] = {}
     claimed: dict[str, int] = {}
     for head in heads:
-        if head.route == route and head.owner_life != own_life:
+        if head.bound == route and head.owner_life != own_life:
             orphaned[head.owner_life] = orphaned.get(head.owner_life, 0) + head.tokens
-        if head.route == route:
+        if head.bound == route:
             claimed[head.life_before] = claimed.get(head.life_before, 0) + head.tokens
     for life, share in shares.items():
         if life == own_life:
--- a/citrondyke/decisions/configuration/configuration.py
+++ b/citrondyke/decisions/configuration/configuration.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import hmac
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from citrondyke.decisions.accounts.key_index import KeyIndex
 from citrondyke.decisions.configuration.entries import (
     ClassEntry,
     ClassKind,
@@ -50,16 +50,16 @@
         """Start empty, at version 0."""
         self.version = ConfigVersion(0)
         self._entries: dict[str, ConfigEntry] = {}
-        self._tenant_by_key: dict[str, TenantEntry] = {}
-        self._operator_by_key: dict[str, OperatorEntry] = {}
+        self._tenant_keys: KeyIndex[TenantEntry] = KeyIndex()
+        self._operator_keys: KeyIndex[OperatorEntry] = KeyIndex()
 
     def restore(self, snapshot: ConfigSnapshot) -> None:
         """Take the place of a snapshot, if it is newer."""
         if snapshot.version <= self.version:
             return
         self._entries.clear()
-        self._tenant_by_key.clear()
-        self._operator_by_key.clear()
+        self._tenant_keys.clear()
+        self._operator_keys.clear()
         for entry in snapshot.entries:
             self._put(entry_name(entry), entry)
         self.version = snapshot.version
@@ -96,20 +96,12 @@
         return found if isinstance(found, ServiceEntry) else None
 
     def tenant_of_key(self, secret: str) -> TenantEntry | None:
-        """Find whose key this is.
-
-        The look-up is by the key's digest, so its timing tells nothing of a stored key; the
-        digests are compared in constant time on top of that.
-        """
-        digest = key_hash(secret)
-        found = self._tenant_by_key.get(digest)
-        return found if _holds(found, digest) else None
+        """Find whose key this is."""
+        return self._tenant_keys.find(key_hash(secret))
 
     def operator_of_key(self, secret: str) -> OperatorEntry | None:
         """Find which operator's key this is."""
-        digest = key_hash(secret)
-        found = self._operator_by_key.get(digest)
-        return found if _holds(found, digest) else None
+        return self._operator_keys.find(key_hash(secret))
 
     def online_classes(self) -> list[ClassEntry]:
         """List the classes with an online target."""
@@ -135,21 +127,13 @@
     def _put(self, name: str, entry: ConfigEntry | None) -> None:
         before = self._entries.pop(name, None)
         if isinstance(before, TenantEntry):
-            for digest in before.key_hashes:
-                self._tenant_by_key.pop(digest, None)
+            self._tenant_keys.drop(before.key_hashes)
         if isinstance(before, OperatorEntry):
-            for digest in before.key_hashes:
-                self._operator_by_key.pop(digest, None)
+            self._operator_keys.drop(before.key_hashes)
         if entry is None:
             return
         self._entries[name] = entry
         if isinstance(entry, TenantEntry):
-            self._tenant_by_key.update(dict.fromkeys(entry.key_hashes, entry))
+            self._tenant_keys.add(entry, entry.key_hashes)
         if isinstance(entry, OperatorEntry):
-            self._operator_by_key.update(dict.fromkeys(entry.key_hashes, entry))
-
-
-def _holds(entry: TenantEntry | OperatorEntry | None, digest: str) -> bool:
-    if entry is None:
-        return False
-    return any(hmac.compare_digest(held, digest) for held in entry.key_hashes)
+            self._operator_keys.add(entry, entry.key_hashes)
--- a/citrondyke/decisions/forwarding/config_holder.py
+++ b/citrondyke/decisions/forwarding/config_holder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from citrondyke.decisions.forwarding.route_table import EMPTY_ROUTE_TABLE, RouteTable
+from citrondyke.ids import ConfigVersion
 
 __all__ = ('ConfigHolder',)
 
@@ -21,26 +22,33 @@
     def __init__(self) -> None:
         """Start without a configuration."""
         self.current: RouteTable = EMPTY_ROUTE_TABLE
-        #: The configuration as the operator wrote it, for peers.
-        self.raw = b''
         self._confirmed_ms = float('-inf')
+        self._heard_version = ConfigVersion(0)
 
-    def offer(self, table: RouteTable, raw: bytes) -> bool:
+    def offer(self, table: RouteTable) -> bool:
         """Take in a configuration; tell whether it is new."""
         if table.version <= self.current.version:
             return False
         self.current = table
-        self.raw = raw
         return True
 
     def confirm(self, now_ms: float) -> None:
         """Note that the store was asked and showed nothing newer; a peer may tell of it late."""
         self._confirmed_ms = max(self._confirmed_ms, now_ms)
 
+    def note_heard(self, version: ConfigVersion) -> None:
+        """Take in that a peer has a version."""
+        self._heard_version = max(self._heard_version, version)
+
     def age_ms(self, now_ms: float) -> float:
         """Give the time since the store last confirmed it."""
         return now_ms - self._confirmed_ms
 
     def is_confirmed(self, now_ms: float) -> bool:
-        """Tell whether what it does not hold does not exist."""
-        return self.age_ms(now_ms) <= CONFIRMED_MS
+        """Tell whether what it does not hold does not exist.
+
+        What a peer has already is on its way here: a key that was just added would be refused for
+        good by an instance that is a moment behind.
+        """
+        is_behind = self._heard_version > self.current.version
+        return not is_behind and self.age_ms(now_ms) <= CONFIRMED_MS
--- a/citrondyke/decisions/forwarding/route.py
+++ b/citrondyke/decisions/forwarding/route.py
@@ -58,9 +58,11 @@
     completion_target_ms: float = 0.0
     #: Batch jobs: from the first submission until an item may be abandoned.
     item_wait_ms: float = 0.0
-    #: Batch jobs: tokens of accepted items that no server has finished, at all instances; 0 is no
-    #: limit.
+    #: Batch jobs: tokens of an account's accepted items that no server has finished, at all
+    #: instances; 0 is no limit.
     waiting_tokens_limit: int = 0
+    #: Whether it may be used without a key.
+    is_public: bool = False
 
     def pick_service(self, random: Random) -> ServiceName:
         """Draw the service of one request by the shares."""
--- a/citrondyke/decisions/forwarding/route_table.py
+++ b/citrondyke/decisions/forwarding/route_table.py
@@ -7,7 +7,14 @@
 
 import msgspec
 
-from citrondyke.decisions.forwarding.route import Route, RouteLimits
+from citrondyke.decisions.accounts.account import (
+    ANYBODY,
+    Account,
+    NoAccount,
+    NoAccountReason,
+)
+from citrondyke.decisions.accounts.key_index import KeyIndex
+from citrondyke.decisions.forwarding.route import Route, RouteKind, RouteLimits
 from citrondyke.ids import ConfigVersion, RouteName
 
 __all__ = ('EMPTY_ROUTE_TABLE', 'NO_ROUTE', 'NoRoute', 'NoRouteReason', 'RouteTable')
@@ -44,6 +51,8 @@
     version: ConfigVersion
     routes: tuple[Route, ...] = ()
     limits: RouteLimits = RouteLimits()
+    #: ``None`` where callers need no key; with an empty list nobody has one.
+    accounts: tuple[Account, ...] | None = None
 
     @cached_property
     def by_name(self) -> dict[RouteName, Route]:
@@ -65,6 +74,33 @@
                 return route
         return NO_ROUTE
 
+    def account_of(self, key_digest: str, *, is_public: bool) -> Account | NoAccount:
+        """Find whose request it is.
+
+        :param key_digest: of the key that it brings; empty where it brings none.
+        :param is_public: whether it may come without one.
+        """
+        if self.accounts is None:
+            return ANYBODY
+        account = self._keys.find(key_digest) if key_digest else None
+        if account is not None:
+            return account
+        if is_public:
+            return ANYBODY
+        unknown = NoAccountReason.UNKNOWN_KEY if key_digest else NoAccountReason.NO_KEY
+        return NoAccount(unknown)
+
+    def has_public_batch(self, host: str) -> bool:
+        """Tell whether jobs of a host may be asked for without a key."""
+        routes = self._by_host.get(host)
+        return routes is not None and any(
+            route.is_public and route.kind is RouteKind.BATCH for route in routes.by_prefix.values()
+        )
+
+    @cached_property
+    def _keys(self) -> KeyIndex[Account]:
+        return KeyIndex((account, account.key_hashes) for account in self.accounts or ())
+
     @cached_property
     def _by_host(self) -> dict[str, _HostRoutes]:
         prefixes: dict[str, dict[str, Route]] = {}
--- a/citrondyke/gateway/beliefs/beliefs.py
+++ b/citrondyke/gateway/beliefs/beliefs.py
@@ -110,14 +110,17 @@
                 self._is_config_unreadable = True
 
     def offer_config(self, raw: bytes, source: str) -> None:
-        """Take in a configuration.
+        """Take in a configuration as the operator wrote it.
 
         :raises UnreadableBytesError: when the bytes hold none.
         """
-        table = self._decoder.config(raw)
+        self.offer_table(self._decoder.config(raw), source)
+
+    def offer_table(self, table: RouteTable, source: str) -> None:
+        """Take in a configuration."""
         before = self.config.current.version
         age_ms = self.config.age_ms(self._context.now_ms())
-        if self.config.offer(table, raw):
+        if self.config.offer(table):
             log.info(
                 'config.taken',
                 extra={
@@ -125,6 +128,7 @@
                     'version': table.version,
                     'version_before': before,
                     'routes': len(table.routes),
+                    'accounts': None if table.accounts is None else len(table.accounts),
                     'confirmed_age_ms': round(min(age_ms, 1e9)),
                 },
             )
--- a/citrondyke/gateway/callers/final_answers.py
+++ b/citrondyke/gateway/callers/final_answers.py
@@ -91,6 +91,10 @@
         caller.send_whole(503, headers, b'')
         return end
 
+    def refuse_key(self, caller: CallerConnection, forwarding: Forwarding) -> RequestEnd:
+        """Answer a request whose key was taken away before another server was tried."""
+        return self._fail(caller, forwarding, RequestEnd.KEY_GONE, 401)
+
     def _fail(
         self, caller: CallerConnection, forwarding: Forwarding, end: RequestEnd, status: int
     ) -> RequestEnd:
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -17,8 +17,10 @@
 from citrondyke.gateway.callers.forwarding import Forwarding, RequestEnd
 
 if TYPE_CHECKING:
+    from citrondyke.decisions.accounts.account import Account
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
+    from citrondyke.decisions.forwarding.config_holder import ConfigHolder
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.forwarding.server_book import ServerBook
     from citrondyke.decisions.forwarding.server_state import ServerState
@@ -29,7 +31,6 @@
     from citrondyke.gateway.servers.crash_guard import CrashGuard
     from citrondyke.gateway.servers.server_connection import ServerConnection
     from citrondyke.gateway.servers.server_sends import OpenReply, ServerSends
-    from citrondyke.ids import ConfigVersion
 
 __all__ = ('Forwarder',)
 
@@ -51,9 +52,11 @@
         guard: CrashGuard,
         dialect: Dialect,
         log: RequestLog,
+        config: ConfigHolder,
     ) -> None:
         """Use the parts handed in."""
         self._context = context
+        self._config = config
         self._book = book
         self._rule = rule
         self._sends = sends
@@ -69,17 +72,18 @@
         caller: CallerConnection,
         request: CallerRequest,
         facts: CallFacts,
+        account: Account,
         route: Route,
-        version: ConfigVersion,
     ) -> None:
-        """Answer one request."""
+        """Answer one request of an account."""
         within_ms = min(route.timeout_ms, facts.within_ms or route.timeout_ms)
         forwarding = Forwarding(
             request=request,
             work=AskedWork(request.method, request.host, request.target, request.body),
             facts=facts,
+            account=account,
             route=route,
-            config_version=version,
+            config_version=self._config.current.version,
             course=Course(route),
             until_ms=request.arrived_ms + within_ms,
             last_event_id=facts.last_event_id,
@@ -98,6 +102,8 @@
         course = forwarding.course
         failure: HeldFailure | None = None
         while course.may_send and self._left_ms(forwarding) > 0:
+            if course.sends_count and not self._is_key_in_force(forwarding):
+                return self._answers.refuse_key(caller, forwarding)
             standing = self._guard.standing(forwarding.work)
             if standing in (Standing.STOPPED, Standing.ON_TRIAL):
                 if failure is not None:
@@ -131,6 +137,17 @@
             caller, forwarding, failure, is_out_of_time=self._is_out_of_time(forwarding)
         )
 
+    def _is_key_in_force(self, forwarding: Forwarding) -> bool:
+        """Tell whether a request may be sent once more: its key may have gone while it waited.
+
+        A stream that has begun goes on: its caller was allowed when it asked.
+        """
+        if forwarding.has_begun:
+            return True
+        is_public = forwarding.route.is_public
+        digest = forwarding.facts.key_digest
+        return bool(self._config.current.account_of(digest, is_public=is_public))
+
     def _choose(self, forwarding: Forwarding, standing: Standing) -> ServerState | None:
         service = forwarding.route.pick_service(self._context.random)
         if standing is not Standing.FREE:
@@ -226,7 +243,11 @@
     ) -> None:
         request = forwarding.request
         headers: Headers = self._dialect.server_headers(
-            request.headers, state.listed.id, self._left_ms(forwarding), forwarding.last_event_id
+            request.headers,
+            state.listed.id,
+            self._left_ms(forwarding),
+            forwarding.last_event_id,
+            forwarding.account.id,
         )
         if request.body or request.method not in (b'GET', b'HEAD', b'DELETE'):
             headers.append((b'content-length', str(len(request.body)).encode()))
--- a/citrondyke/gateway/callers/forwarding.py
+++ b/citrondyke/gateway/callers/forwarding.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from citrondyke.decisions.accounts.account import Account
 from citrondyke.decisions.crashes.content import AskedWork, RequestContent
 from citrondyke.decisions.forwarding.course import Course
 from citrondyke.decisions.forwarding.route import Route
@@ -29,6 +30,8 @@
     TIMED_OUT = 'timed_out'
     CUT_MIDWAY = 'cut_midway'
     CALLER_GONE = 'caller_gone'
+    #: The key was taken away while no server had the request.
+    KEY_GONE = 'key_gone'
     #: Too many servers have ended under the same work.
     STOPPED = 'stopped'
     #: It is being found out whether servers end under the same work.
@@ -42,6 +45,8 @@
     #: What it asks for, whichever attempt this is.
     work: AskedWork
     facts: CallFacts
+    #: Whose request it is.
+    account: Account
     route: Route
     config_version: ConfigVersion
     course: Course
--- a/citrondyke/gateway/callers/front.py
+++ b/citrondyke/gateway/callers/front.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import logbook
 import msgspec
 
+from citrondyke.decisions.accounts.account import NoAccount
 from citrondyke.decisions.forwarding.route import RouteKind
 from citrondyke.decisions.forwarding.route_table import NoRoute
 from citrondyke.errors.bad_request_head import BadRequestHeadError
@@ -22,7 +24,7 @@
     from citrondyke.gateway.beliefs.beliefs import Beliefs
     from citrondyke.gateway.callers.caller_connection import CallerRequest
     from citrondyke.gateway.callers.forwarder import Forwarder
-    from citrondyke.gateway.dialect import Dialect
+    from citrondyke.gateway.dialect import CallFacts, Dialect
     from citrondyke.gateway.jobs.job_door import JobDoor
     from citrondyke.gateway.jobs.job_intake import JobIntake
     from citrondyke.gateway.metrics import Metrics
@@ -131,46 +133,75 @@
             connection.send_whole(503, headers, b'')
             return
         call = self._dialect.job_call(request)
+        table = self._beliefs.config.current
         if call is not None:
-            self._jobs.handle(connection, call, facts)
+            is_public = table.has_public_batch(request.host)
+            account = table.account_of(facts.key_digest, is_public=is_public)
+            if isinstance(account, NoAccount):
+                self._answer_no_account(connection, request, facts, account)
+            else:
+                self._jobs.handle(connection, call, facts, account)
             return
-        config = self._beliefs.config
-        table = config.current
         route = table.find(request.host, request.path)
         if isinstance(route, NoRoute):
             self._answer_no_route(connection, request, facts.request_id)
             return
-        if route.kind is RouteKind.BATCH and request.method == b'POST':
-            self._intake.submit(connection, request, facts, route)
-            return
-        self._forwarder.handle(connection, request, facts, route, table.version)
+        account = table.account_of(facts.key_digest, is_public=route.is_public)
+        if isinstance(account, NoAccount):
+            self._answer_no_account(connection, request, facts, account)
+        elif route.kind is RouteKind.BATCH and request.method == b'POST':
+            self._intake.submit(connection, request, facts, route, account)
+        else:
+            self._forwarder.handle(connection, request, facts, account, route)
 
     def _answer_no_route(
         self, connection: CallerConnection, request: CallerRequest, request_id: RequestId
     ) -> None:
-        """Say that there is no such route, if that is certain.
+        status = self._status_if_certain(404)
+        detail = {'host': request.host, 'path': request.path}
+        self._log_no('request.no_route', request_id, status, detail)
+        self._answer_no(connection, request_id, status)
+
+    def _answer_no_account(
+        self,
+        connection: CallerConnection,
+        request: CallerRequest,
+        facts: CallFacts,
+        missing: NoAccount,
+    ) -> None:
+        self._metrics.counters['requests_no_account'] += 1
+        status = self._status_if_certain(401)
+        detail = {'host': request.host, 'path': request.path, 'reason': missing.reason.value}
+        self._log_no('request.no_account', facts.request_id, status, detail)
+        self._answer_no(connection, facts.request_id, status)
 
-        A 404 is final for callers; an instance that has not heard from the store for a while may
-        miss a route that was added meanwhile, and says instead that it has not run anything.
+    def _status_if_certain(self, status: int) -> int:
+        """Give a status that is final for callers if it is certain.
+
+        An instance that has not heard from the store for a while may miss a route or a key that was
+        added meanwhile, and says instead that it has not run anything.
         """
+        is_confirmed = self._beliefs.config.is_confirmed(self._context.now_ms())
+        return status if self._beliefs.is_complete and is_confirmed else 503
+
+    def _log_no(
+        self, kind: str, request_id: RequestId, status: int, detail: dict[str, str]
+    ) -> None:
         config = self._beliefs.config
-        now_ms = self._context.now_ms()
-        is_certain = self._beliefs.is_complete and config.is_confirmed(now_ms)
-        status = 404 if is_certain else 503
         log.info(
-            'request.no_route',
+            kind,
             extra={
                 'request_id': request_id,
-                'host': request.host,
-                'path': request.path,
+                **detail,
                 'config_version': config.current.version,
-                'confirmed_age_ms': round(min(config.age_ms(now_ms), 1e9)),
+                'confirmed_age_ms': round(min(config.age_ms(self._context.now_ms()), 1e9)),
                 'status': status,
             },
         )
-        retry_in_ms = None if is_certain else STARTING_RETRY_MS
-        headers = self._dialect.own_answer(request_id, retry_in_ms)
-        connection.send_whole(status, headers, b'')
+
+    def _answer_no(self, connection: CallerConnection, request_id: RequestId, status: int) -> None:
+        retry_in_ms = STARTING_RETRY_MS if status == HTTPStatus.SERVICE_UNAVAILABLE else None
+        connection.send_whole(status, self._dialect.own_answer(request_id, retry_in_ms), b'')
 
     def _turn_away(self, connection: CallerConnection, error: BadRequestHeadError) -> None:
         log.info('request.improper', extra={'status': error.status, 'detail': error.message})
--- a/citrondyke/gateway/dialect.py
+++ b/citrondyke/gateway/dialect.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from citrondyke.ids import JobId, RequestId, ServerId
+from citrondyke.ids import JobId, RequestId, ServerId, TenantId
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -32,6 +32,8 @@
     last_event_id: int | None = None
     #: Names the shared part of the prompt; empty where there is none.
     prefix: str = ''
+    #: Digest of the key that it brings; empty where it brings none.
+    key_digest: str = ''
 
 
 class ReplyFacts(msgspec.Struct, frozen=True, kw_only=True):
@@ -88,11 +90,13 @@
         server_id: ServerId,
         left_ms: float | None,
         last_event_id: int | None,
+        account_id: TenantId,
     ) -> Headers:
-        """Make the headers of a request to a server from a caller's.
+        """Make the headers of a request to a server from a caller's, whose key stays here.
 
         :param left_ms: what the server may take; ``None`` for no bound.
         :param last_event_id: the stream goes on behind it; ``None`` from its start.
+        :param account_id: whose request it is; empty for anybody's.
         """
 
     @abstractmethod
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -104,6 +104,7 @@
             self.guard,
             outside.dialect,
             RequestLog(self.context, self.metrics),
+            self.beliefs.config,
         )
         self._live = LiveInstances(self.context)
         life = f'{self.context.random.getrandbits(64):016x}'
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from citrondyke.decisions.batch.job import JobHead
     from citrondyke.decisions.batch.owned_job import ItemProgress
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_state import ServerState
@@ -54,15 +55,15 @@
         self._sends = sends
         self._dialect = dialect
 
-    def run(self, progress: ItemProgress, host: str, state: ServerState) -> RunEnd:
-        """Run an item from behind its last event.
+    def run(self, progress: ItemProgress, head: JobHead, state: ServerState) -> RunEnd:
+        """Run an item of a job from behind its last event.
 
         :raises BrokenReplyError: when the run breaks off.
         """
         until_ms = self._context.now_ms() + FIRST_EVENT_MS
         connection = self._sends.connect(state, only_new=False, until_ms=until_ms)
         try:
-            return self._exchange(connection, progress, host, state)
+            return self._exchange(connection, progress, head, state)
         finally:
             self._sends.release(state, connection)
 
@@ -70,16 +71,17 @@
         self,
         connection: ServerConnection,
         progress: ItemProgress,
-        host: str,
+        head: JobHead,
         state: ServerState,
     ) -> RunEnd:
         item = progress.item
         progress.first_event_ms = None
         headers = self._dialect.server_headers(
-            self._dialect.item_headers(item, host),
+            self._dialect.item_headers(item, head.host),
             state.listed.id,
             None,
             progress.last_event_id,
+            head.account,
         )
         headers.append((b'content-length', str(len(item.body)).encode()))
         connection.send(b'POST', item.path.encode('latin-1'), headers, item.body)
--- a/citrondyke/gateway/jobs/job_door.py
+++ b/citrondyke/gateway/jobs/job_door.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from citrondyke.decisions.accounts.account import Account
     from citrondyke.decisions.batch.job import ItemResult
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.callers.caller_connection import CallerConnection
@@ -35,6 +36,8 @@
 RETRY_IN_MS = 250.0
 #: The longest that a read waits for a result.
 WAIT_LIMIT_MS = 2_000.0
+#: Another account's job; told like one that does not exist.
+FOREIGN = NoJob(NoJobReason.FOREIGN)
 JSON_TYPE = (b'content-type', b'application/json')
 
 
@@ -61,25 +64,32 @@
         self._reader = reader
         self._tell_owner = tell_owner
 
-    def handle(self, caller: CallerConnection, call: JobCall, facts: CallFacts) -> None:
-        """Answer a question about a job."""
+    def handle(
+        self, caller: CallerConnection, call: JobCall, facts: CallFacts, account: Account
+    ) -> None:
+        """Answer an account's question about a job; others' jobs do not exist for it."""
         caller.watch()
         try:
             if call.kind is JobCallKind.READ:
-                self._read(caller, call, facts)
+                self._read(caller, call, facts, account)
             elif call.kind is JobCallKind.ITEM_BODY:
-                self._item_body(caller, call, facts)
+                self._item_body(caller, call, facts, account)
             else:
-                self._end(caller, call, facts)
+                self._end(caller, call, facts, account)
         except CallerGoneError:
             caller.abort()
         finally:
             caller.unwatch()
 
-    def _read(self, caller: CallerConnection, call: JobCall, facts: CallFacts) -> None:
+    def _read(
+        self, caller: CallerConnection, call: JobCall, facts: CallFacts, account: Account
+    ) -> None:
         until_ms = self._context.now_ms() + min(call.wait_ms, WAIT_LIMIT_MS)
         job = self._owned.owned(call.job_id)
         results: list[ItemResult] | NoJob
+        if job is not None and job.head.account != account.id:
+            self._answer_no_job(caller, call, facts, FOREIGN)
+            return
         if job is not None:
             while len(job.results) <= call.after and not job.is_over:
                 left_ms = until_ms - self._context.now_ms()
@@ -90,6 +100,8 @@
             results = job.results[call.after :]
         else:
             view = self._reader.view(call.job_id)
+            if not isinstance(view, NoJob) and view.head.account != account.id:
+                view = FOREIGN
             if isinstance(view, NoJob):
                 self._answer_no_job(caller, call, facts, view)
                 return
@@ -103,13 +115,17 @@
         caller.unwatch()
         caller.send_whole(200, headers, self._dialect.job_page(page))
 
-    def _item_body(self, caller: CallerConnection, call: JobCall, facts: CallFacts) -> None:
+    def _item_body(
+        self, caller: CallerConnection, call: JobCall, facts: CallFacts, account: Account
+    ) -> None:
         job = self._owned.owned(call.job_id)
         body: bytes | NoJob | None
-        if job is not None:
+        if job is not None and job.head.account != account.id:
+            body = FOREIGN
+        elif job is not None:
             body = None if job.head.is_ended else job.body(call.item_id)
         else:
-            stored = self._store.head(call.job_id)
+            stored = self._head(call.job_id, account)
             if isinstance(stored, NoJob):
                 self._answer_no_job(caller, call, facts, stored)
                 return
@@ -126,12 +142,14 @@
             return
         caller.send_whole(200, self._dialect.own_answer(facts.request_id, None), body)
 
-    def _end(self, caller: CallerConnection, call: JobCall, facts: CallFacts) -> None:
+    def _end(
+        self, caller: CallerConnection, call: JobCall, facts: CallFacts, account: Account
+    ) -> None:
         until_ms = self._context.now_ms() + CHANGE_WITHIN_MS
         while True:
-            stored = self._store.head(call.job_id)
+            stored = self._head(call.job_id, account)
             if isinstance(stored, NoJob):
-                if stored.reason is NoJobReason.UNKNOWN:
+                if stored.reason is not NoJobReason.UNSURE:
                     self._answer_no_job(caller, call, facts, stored)
                     return
             elif stored.head.is_ended or isinstance(
@@ -153,6 +171,12 @@
                 return
             gevent.sleep(self._context.jittered_ms(PAUSE_MS) / 1e3)
 
+    def _head(self, job_id: JobId, account: Account) -> StoredHead | NoJob:
+        stored = self._store.head(job_id)
+        if isinstance(stored, StoredHead) and stored.head.account != account.id:
+            return FOREIGN
+        return stored
+
     def _answer_no_job(
         self, caller: CallerConnection, call: JobCall, facts: CallFacts, missing: NoJob
     ) -> None:
@@ -166,10 +190,10 @@
             },
         )
         caller.unwatch()
-        if missing.reason is NoJobReason.UNKNOWN:
-            self._answer(caller, facts, 404)
-        else:
+        if missing.reason is NoJobReason.UNSURE:
             self._answer(caller, facts, 503, RETRY_IN_MS)
+        else:
+            self._answer(caller, facts, 404)
 
     def _answer(
         self,
--- a/citrondyke/gateway/jobs/job_intake.py
+++ b/citrondyke/gateway/jobs/job_intake.py
@@ -17,6 +17,7 @@
 from citrondyke.storage.failure import PlatformFailure
 
 if TYPE_CHECKING:
+    from citrondyke.decisions.accounts.account import Account
     from citrondyke.decisions.batch.job import JobItem
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.route import Route
@@ -57,6 +58,10 @@
 IN_DOUBT = _Answer(504, CommitVerdict.IN_DOUBT.value)
 
 
+#: Another account's job has this id; that is all that may be told of it.
+FOREIGN = _Answer(404, 'id of another account')
+
+
 class JobIntake:
     """Accepts jobs."""
 
@@ -92,9 +97,10 @@
         request: CallerRequest,
         facts: CallFacts,
         route: Route,
+        account: Account,
     ) -> None:
-        """Take a job in, once, however often it is sent."""
-        answer = self._take_in(request, facts, route)
+        """Take an account's job in, once, however often it is sent."""
+        answer = self._take_in(request, facts, route, account)
         if answer.reason:
             log.info(
                 'job.refused',
@@ -109,25 +115,30 @@
         headers = self._dialect.own_answer(facts.request_id, answer.retry_in_ms)
         caller.send_whole(answer.status, headers, b'')
 
-    def _take_in(self, request: CallerRequest, facts: CallFacts, route: Route) -> _Answer:
+    def _take_in(
+        self, request: CallerRequest, facts: CallFacts, route: Route, account: Account
+    ) -> _Answer:
         try:
             items = self._dialect.job_items(request.body)
         except InvalidFieldError as error:
             return _Answer(400, error.message)
         if self._owned.is_stopping or self._owned.held_bytes() > self._items_limit_bytes:
             return _Answer(503, 'stopping or full', RETRY_IN_MS)
-        head = self._new_head(JobId(facts.request_id), request, route, items)
+        head = self._new_head(JobId(facts.request_id), request, route, account, items)
         until_ms = self._context.now_ms() + ACCEPT_WITHIN_MS
-        reserved = self._waiting.reserve(route, head.job_id, head.tokens, until_ms)
+        reserved = self._waiting.reserve(route, head.job_id, head.tokens, until_ms, account.id)
         if isinstance(reserved, NoRoom):
             return self._refuse(head, reserved, request)
         if isinstance(reserved, PlatformFailure):
             return _Answer(503, f'room unknown: {reserved.reason.value}', RETRY_IN_MS)
         accepted = self._accept(head, items, until_ms)
-        if isinstance(accepted, StoredHead):
+        is_foreign = isinstance(accepted, StoredHead) and accepted.head.account != account.id
+        if isinstance(accepted, StoredHead) and not is_foreign:
             self._take(accepted, items, request)
         is_in_doubt = accepted is CommitVerdict.IN_DOUBT
-        self._waiting.settle(route.name, head.job_id, in_doubt=is_in_doubt)
+        self._waiting.settle(head.bound, head.job_id, in_doubt=is_in_doubt)
+        if is_foreign:
+            return FOREIGN
         if isinstance(accepted, StoredHead):
             return _Answer(202)
         if is_in_doubt:
@@ -138,6 +149,8 @@
         """Turn a job away that does not fit, unless it was accepted before."""
         stored = self._store.head(head.job_id)
         if isinstance(stored, StoredHead):
+            if stored.head.account != head.account:
+                return FOREIGN
             self._take(stored, [], request)
             return _Answer(202)
         if stored.reason is NoJobReason.UNKNOWN:
@@ -171,6 +184,7 @@
             extra={
                 'job_id': head.job_id,
                 'route': head.route,
+                'account': head.account,
                 'items': head.items_count,
                 'tokens': head.tokens,
                 'owner': head.owner,
@@ -183,7 +197,12 @@
             self._runner.add(OwnedJob(head, accepted.version, items))
 
     def _new_head(
-        self, job_id: JobId, request: CallerRequest, route: Route, items: list[JobItem]
+        self,
+        job_id: JobId,
+        request: CallerRequest,
+        route: Route,
+        account: Account,
+        items: list[JobItem],
     ) -> JobHead:
         now_ms = self._context.epoch_ms()
         return JobHead(
@@ -200,6 +219,7 @@
             abandon_epoch_ms=now_ms + (route.item_wait_ms or route.completion_target_ms * 4),
             attempts_limit=route.attempts_limit,
             tokens=sum(item.tokens for item in items),
+            account=account.id,
         )
 
     def _took_ms(self, request: CallerRequest) -> float:
--- a/citrondyke/gateway/jobs/job_rows.py
+++ b/citrondyke/gateway/jobs/job_rows.py
@@ -69,6 +69,8 @@
 
     #: There certainly is no such job.
     UNKNOWN = 'unknown'
+    #: It belongs to another account.
+    FOREIGN = 'foreign'
     #: The store did not say.
     UNSURE = 'unsure'
 
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -226,7 +226,7 @@
             if run.is_cut:
                 raise GaveWayError
             if self._may_send(run):
-                end = self._sender.run(progress, job.head.host, state)
+                end = self._sender.run(progress, job.head, state)
                 if end in (RunEnd.COMPLETED, RunEnd.IMPOSSIBLE):
                     self._guard.note_survived(run.work)
             else:
--- a/citrondyke/gateway/jobs/waiting_count.py
+++ b/citrondyke/gateway/jobs/waiting_count.py
@@ -84,7 +84,7 @@
         return sum(job.head.tokens - job.waiting_tokens for job in self._jobs())
 
     def _jobs(self) -> Iterable[OwnedJob]:
-        return [job for job in self._owned.by_id.values() if job.head.route == self._route]
+        return [job for job in self._owned.by_id.values() if job.head.bound == self._route]
 
     def _unheard(self) -> Iterable[JobHead]:
         """List the jobs that this instance accepted though it heard of it by the store only."""
@@ -92,6 +92,6 @@
             head
             for head in self._facts.heads()
             if head.owner_life == self._life
-            and head.route == self._route
+            and head.bound == self._route
             and not self.has(head.job_id)
         ]
--- a/citrondyke/gateway/jobs/waiting_tokens.py
+++ b/citrondyke/gateway/jobs/waiting_tokens.py
@@ -1,16 +1,22 @@
-"""Keeps the tokens of accepted batch items within each route's bound, over all instances."""
+"""Keeps the tokens of accepted batch items within each bound, over all instances.
+
+A bound is a route's, or where callers have accounts that of each account on the route.
+"""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 import gevent
+import msgspec
 from gevent.event import Event
 
+from citrondyke.decisions.accounts.account import ANYBODY
+from citrondyke.decisions.batch.job import bound_name
 from citrondyke.gateway.jobs.route_tokens import NEAR_LOOK_MS, Reservation, RouteTokens
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from citrondyke.decisions.batch.waiting_bound import NoRoom
     from citrondyke.decisions.core.context import Context
@@ -20,7 +26,7 @@
     from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
     from citrondyke.gateway.jobs.token_shares import TokenShares
     from citrondyke.gateway.tasks import Tasks
-    from citrondyke.ids import ConfigVersion, JobId, RouteName
+    from citrondyke.ids import ConfigVersion, JobId, RouteName, TenantId
     from citrondyke.storage.failure import PlatformFailure
 
 __all__ = ('WaitingTokens',)
@@ -57,7 +63,10 @@
         self._facts = facts
         self._config = config
         self._overshoot = overshoot
-        self._by_route: dict[RouteName, RouteTokens] = {}
+        #: By the name of the bound.
+        self._by_bound: dict[RouteName, RouteTokens] = {}
+        #: Routes and accounts that jobs were handed in for here.
+        self._used: set[tuple[RouteName, TenantId]] = set()
         self._wanted = Event()
 
     def start(self, tasks: Tasks, pace: Callable[[], float]) -> None:
@@ -65,25 +74,32 @@
         tasks.keep(lambda: self._run(pace))
 
     def reserve(
-        self, route: Route, job_id: JobId, tokens: int, until_ms: float
+        self,
+        route: Route,
+        job_id: JobId,
+        tokens: int,
+        until_ms: float,
+        account: TenantId = ANYBODY.id,
     ) -> Reservation | NoRoom | PlatformFailure:
         """Count a job's tokens before it is accepted.
 
+        :param account: whose job it is.
         :returns: a failure where the store did not tell; the job must not be accepted then.
         """
         config = self._config()
         # It may be of a configuration from before the body was read.
-        route = config.by_name.get(route.name, route)
+        self._used.add((route.name, account))
+        route = _bounded(config.by_name.get(route.name, route), account)
         if not route.waiting_tokens_limit:
-            known = self._by_route.get(route.name)
+            known = self._by_bound.get(route.name)
             failure = None if known is None else known.withdraw()
             return Reservation.NOT_NEEDED if failure is None else failure
         return self._of(route.name).reserve(route, config.version, job_id, tokens, until_ms)
 
-    def settle(self, route: RouteName, job_id: JobId, *, in_doubt: bool) -> None:
+    def settle(self, bound: RouteName, job_id: JobId, *, in_doubt: bool) -> None:
         """Take in how an acceptance ended; one in doubt counts until it cannot come any more."""
-        if route in self._by_route:
-            self._by_route[route].settle(job_id, in_doubt=in_doubt)
+        if bound in self._by_bound:
+            self._by_bound[bound].settle(job_id, in_doubt=in_doubt)
 
     def note_taken_over(self) -> None:
         """Have the own share told soon: jobs of somebody else belong to this instance now."""
@@ -91,7 +107,7 @@
 
     def leave(self) -> None:
         """Accept nothing more before a planned stop; the jobs are given back after it."""
-        for tokens in self._by_route.values():
+        for tokens in self._by_bound.values():
             tokens.leave()
 
     def look(self, route: Route, config_version: ConfigVersion) -> None:
@@ -100,21 +116,33 @@
 
     def _run(self, pace: Callable[[], float]) -> None:
         while True:
-            is_near = any(tokens.is_near for tokens in self._by_route.values())
+            is_near = any(tokens.is_near for tokens in self._by_bound.values())
             pause_ms = (NEAR_LOOK_MS if is_near else LOOK_MS) * pace()
             self._wanted.wait(self._context.jittered_ms(pause_ms) / 1e3)
             gevent.sleep(SHORTEST_LOOK_MS / 1e3)
             self._wanted.clear()
             config = self._config()
-            for route in config.routes:
+            for route in self._routes_to_look_at(config):
                 if route.waiting_tokens_limit:
                     self.look(route, config.version)
-                elif route.name in self._by_route:
-                    self._by_route[route.name].withdraw()
+                elif route.name in self._by_bound:
+                    self._by_bound[route.name].withdraw()
+
+    def _routes_to_look_at(self, config: RouteTable) -> Iterable[Route]:
+        """List the routes by their bounds, of accounts only those that have used one here."""
+        if config.accounts is None:
+            return config.routes
+        heads = [job.head for job in self._owned.by_id.values()]
+        used = self._used | {(head.route, head.account) for head in heads}
+        return [
+            _bounded(config.by_name[name], account)
+            for name, account in sorted(used)
+            if name in config.by_name
+        ]
 
     def _of(self, name: RouteName) -> RouteTokens:
-        if name not in self._by_route:
-            self._by_route[name] = RouteTokens(
+        if name not in self._by_bound:
+            self._by_bound[name] = RouteTokens(
                 self._context,
                 self._life,
                 name,
@@ -124,4 +152,9 @@
                 self._overshoot,
                 self._wanted.set,
             )
-        return self._by_route[name]
+        return self._by_bound[name]
+
+
+def _bounded(route: Route, account: TenantId) -> Route:
+    """Give a route by the name of its bound."""
+    return msgspec.structs.replace(route, name=bound_name(route.name, account))
--- a/citrondyke/gateway/peers/knowledge_exchange.py
+++ b/citrondyke/gateway/peers/knowledge_exchange.py
@@ -11,6 +11,7 @@
 from citrondyke.decisions.crashes.suspect import SuspectRow
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.listed_rows import SeenRow
+from citrondyke.decisions.forwarding.route_table import RouteTable
 from citrondyke.errors.broken_reply import BrokenReplyError
 from citrondyke.gateway.peers.membership import Heartbeat
 from citrondyke.gateway.peers.peer_codec import (
@@ -54,7 +55,8 @@
 class Knowledge(msgspec.Struct, frozen=True):
     """What an instance knows from the store."""
 
-    #: Empty where the asking instance has it already.
+    #: As the operator wrote it, with the keys of accounts: only from instances of an earlier
+    #: version, during an upgrade.
     config: bytes
     #: Time since the store confirmed the configuration.
     config_age_ms: float
@@ -66,6 +68,8 @@
     peers: dict[InstanceId, Heartbeat]
     #: Requests under which servers have ended.
     suspects: list[SuspectRow] = []
+    #: The configuration, with digests of keys; ``None`` where the asking instance has it already.
+    table: RouteTable | None = None
 
 
 class KnowledgeExchange:
@@ -106,6 +110,7 @@
 
     def note_version(self, version: ConfigVersion, ip: str) -> None:
         """Take in which configuration a peer has."""
+        self._beliefs.config.note_heard(version)
         if version > self._beliefs.config.current.version and not self._is_asking:
             self._is_asking = True
             self._tasks.spawn(self._ask_if_behind, version, ip)
@@ -117,13 +122,14 @@
         is_newer = config.current.version > asker_version
         peers = {**self._membership.peers, self._context.instance_id: self._membership.own_beat()}
         knowledge = Knowledge(
-            config.raw if is_newer else b'',
+            b'',
             config.age_ms(self._context.now_ms()),
             rows,
             version,
             self._store.answer_age_ms,
             peers if len(peers) > wanted.instances_count else {},
             self._suspects.stored_rows(),
+            config.current if is_newer else None,
         )
         return KnowledgeData(msgspec.msgpack.encode(knowledge))
 
@@ -166,7 +172,9 @@
 
     def _take(self, ip: str, version: ConfigVersion, knowledge: Knowledge) -> None:
         config = self._beliefs.config
-        if knowledge.config:
+        if knowledge.table is not None:
+            self._beliefs.offer_table(knowledge.table, f'peer {ip}')
+        elif knowledge.config:
             self._beliefs.offer_config(knowledge.config, f'peer {ip}')
         if version == config.current.version:
             config.confirm(self._context.now_ms() - knowledge.config_age_ms)
--- a/citrondyke/operator/loss_causes.py
+++ b/citrondyke/operator/loss_causes.py
@@ -30,7 +30,9 @@
     'timed_out': LossCause.TIMED_OUT,
     'caller_gone': LossCause.CALLER_LEFT,
 }
-NOT_TAKEN = frozenset(('request.no_route', 'request.too_many', 'request.improper'))
+NOT_TAKEN = frozenset(
+    ('request.no_route', 'request.no_account', 'request.too_many', 'request.improper')
+)
 
 
 def find_losses(logs: LogEvents, targets_ms: Mapping[str, float], window_s: float) -> LossReport:
--- a/citrondyke/operator/request_course.py
+++ b/citrondyke/operator/request_course.py
@@ -28,6 +28,8 @@
     by_kind = {event.event: event for event in course}
     if 'request.no_route' in by_kind:
         return _no_route(by_kind['request.no_route']), []
+    if 'request.no_account' in by_kind:
+        return _no_account(by_kind['request.no_account']), []
     if 'request.too_many' in by_kind:
         return 'The instance had as many connections as it may have.', []
     if 'job.refused' in by_kind:
@@ -46,6 +48,7 @@
         'it may not run again.',
         'timed_out': 'No whole answer came before the deadline.',
         'cut_midway': 'Its stream broke off and may not go on elsewhere.',
+        'key_gone': 'Its key was taken away before another server was tried.',
         'stopped': _stopped(by_kind.get('request.stopped')),
         'on_trial': _stopped(by_kind.get('request.stopped')),
         'server_failure': 'The servers answered with a failure, which was passed on.',
@@ -76,6 +79,15 @@
     return ' '.join(parts)
 
 
+def _no_account(event: LogEvent) -> str:
+    brought = 'brought no key' if event.get('reason') == 'no_key' else 'brought a key of nobody'
+    cause = f'It {brought}, by configuration {event.get("config_version")}.'
+    if event.get('status') == 401:  # noqa: PLR2004
+        return cause
+    age_ms = event.get('confirmed_age_ms')
+    return f'{cause} That was not certain: the store had last confirmed it {age_ms} ms before.'
+
+
 def _no_route(event: LogEvent) -> str:
     if event.get('status') == 404:  # noqa: PLR2004
         return (
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -21,8 +21,9 @@
     ReplyFacts,
 )
 from citrondyke.gateway.http_head import check_headers
-from citrondyke.ids import JobId, RequestId, ServerId
+from citrondyke.ids import JobId, RequestId, ServerId, TenantId
 from citrondyke.util.decoding import decode_json
+from citrondyke.util.hashing import key_hash
 
 if TYPE_CHECKING:
     from citrondyke.gateway.callers.caller_connection import CallerRequest
@@ -43,6 +44,9 @@
 #: Of a server: running, waiting, slots.
 LOAD = b'instance-load'
 WAIT = b'wait-ms'
+KEY = b'x-api-key'
+#: The account of the key that a request brought, for its server.
+ACCOUNT = b'tenant'
 MISDIRECTED = 421
 #: Headers that concern one connection only, and those that this instance sets anew.
 HOP_HEADERS = frozenset(
@@ -60,7 +64,7 @@
         b'expect',
     )
 )
-SET_ANEW = frozenset((DEADLINE, EXPECT_SERVER, LAST_EVENT))
+SET_ANEW = frozenset((DEADLINE, EXPECT_SERVER, LAST_EVENT, KEY, ACCOUNT))
 RESULTS_PATH = '/-/lots/'
 ITEMS_PATH = '/-/items/'
 #: What can stand in a request's first line.
@@ -105,6 +109,7 @@
             within_ms=_number(request.header(DEADLINE)),
             last_event_id=_whole(request.header(LAST_EVENT)),
             prefix=shared,
+            key_digest=_key_digest(request),
         )
 
     def server_headers(
@@ -113,6 +118,7 @@
         server_id: ServerId,
         left_ms: float | None,
         last_event_id: int | None,
+        account_id: TenantId,
     ) -> Headers:
         """Make the headers of a request to a server from a caller's."""
         made = [pair for pair in _end_to_end(headers) if pair[0] not in SET_ANEW]
@@ -121,6 +127,8 @@
             made.append((DEADLINE, str(max(1, int(left_ms))).encode()))
         if last_event_id is not None:
             made.append((LAST_EVENT, str(last_event_id).encode()))
+        if account_id:
+            made.append((ACCOUNT, account_id.encode()))
         return made
 
     def reply_facts(self, head: ReplyHead) -> ReplyFacts:
@@ -220,6 +228,12 @@
         raise InvalidFieldError(f'path: {item.path[:80]!r}')
 
 
+def _key_digest(request: CallerRequest) -> str:
+    """Digest the key at once, so that its text goes no further; two keys are nobody's."""
+    keys = [value for name, value in request.headers if name == KEY]
+    return key_hash(b','.join(keys).decode('latin-1')) if keys else ''
+
+
 def _end_to_end(headers: Headers) -> Headers:
     named: set[bytes] = set()
     for name, value in headers:
--- a/citrondyke/platform/rows.py
+++ b/citrondyke/platform/rows.py
@@ -8,12 +8,21 @@
 
 import msgspec
 
+from citrondyke.decisions.accounts.account import Account
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
 from citrondyke.decisions.forwarding.route import Route, RouteKind, RouteLimits, ServiceShare
 from citrondyke.decisions.forwarding.route_table import RouteTable
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
-from citrondyke.ids import AvailabilityZone, ConfigVersion, RouteName, ServerId, ServiceName
+from citrondyke.ids import (
+    AvailabilityZone,
+    ConfigVersion,
+    RouteName,
+    ServerId,
+    ServiceName,
+    TenantId,
+)
 from citrondyke.util.decoding import decode_json
+from citrondyke.util.hashing import key_hash
 
 __all__ = ('CONFIG_KEY', 'CONFIG_TABLE', 'SERVERS_TABLE', 'decode_config', 'decode_server')
 
@@ -35,6 +44,9 @@
 Slots = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
 PORT_LIMIT = 65_535
+#: Accounts and keys of one configuration; with as many as these it takes 40 MB.
+ACCOUNTS_LIMIT = 20_000
+KEYS_LIMIT = 50_000
 
 
 class _Share(msgspec.Struct, frozen=True):
@@ -60,6 +72,8 @@
     max_wait_s: float = 0.0
     #: Not requests but tokens that may wait on the route; 0 is no limit.
     max_count: Annotated[int, msgspec.Meta(ge=0)] = 0
+    #: Needs no key.
+    public: bool = False
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -71,10 +85,20 @@
     idle_timeout_ms: float = 15_000.0
 
 
+class _Tenant(msgspec.Struct, frozen=True):
+    name: Annotated[str, msgspec.Meta(pattern=r'^[!-~]{1,100}$')]
+    api_keys: list[NonEmpty]
+    priority: int | None = None
+    #: 0 is no limit.
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
 class _Config(msgspec.Struct, frozen=True):
     version: Counter
     routes: list[_Route] = []
     limits: _Limits = _Limits()
+    tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Server(msgspec.Struct, frozen=True):
@@ -107,9 +131,43 @@
             limits.header_timeout_ms,
             limits.idle_timeout_ms,
         ),
+        None if config.tenants is msgspec.UNSET else _accounts(config.tenants),
     )
 
 
+def _accounts(tenants: list[_Tenant]) -> tuple[Account, ...]:
+    """Check the accounts and make them; errors name the field, never a key.
+
+    :raises UnreadableBytesError: when a name or a key stands twice, or there are too many.
+    """
+    if len(tenants) > ACCOUNTS_LIMIT:
+        raise UnreadableBytesError(f'tenants: {len(tenants)}, at most {ACCOUNTS_LIMIT}')
+    names: set[str] = set()
+    holders: dict[str, int] = {}
+    made = []
+    for place, tenant in enumerate(tenants):
+        if tenant.name in names:
+            raise UnreadableBytesError(f'tenants[{place}].name: {tenant.name!r} stands twice')
+        names.add(tenant.name)
+        for key in tenant.api_keys:
+            if holders.setdefault(key, place) != place:
+                raise UnreadableBytesError(
+                    f'tenants[{place}].api_keys: tenants[{holders[key]}] holds one of them too'
+                )
+        if len(holders) > KEYS_LIMIT:
+            raise UnreadableBytesError(f'tenants[{place}].api_keys: more than {KEYS_LIMIT} keys')
+        made.append(
+            Account(
+                id=TenantId(tenant.name),
+                key_hashes=tuple(key_hash(key) for key in tenant.api_keys),
+                priority=tenant.priority,
+                rate_per_s=tenant.rate_per_s,
+                burst=tenant.burst,
+            )
+        )
+    return tuple(made)
+
+
 def decode_server(key: str, value: bytes) -> ListedBackend:
     """Decode a backend server's row.
 
@@ -162,4 +220,5 @@
         completion_target_ms=route.completion_slo_ms,
         item_wait_ms=route.max_wait_s * 1e3,
         waiting_tokens_limit=route.max_count,
+        is_public=route.public,
     )
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -53,6 +53,11 @@
     is_whole: bool
 
 
+def account(name: str, *keys: str, **more: Any) -> dict[str, Any]:
+    """A client account as the operator writes it."""
+    return {'name': name, 'api_keys': list(keys), **more}
+
+
 def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
     """A route as the operator writes it."""
     return {
@@ -92,9 +97,14 @@
         self.ended: list[PlatformServer] = []
         self.instances: list[GatewayInstance] = []
 
-    def configure(self, version: int = 1, routes: list[dict[str, Any]] | None = None) -> None:
-        """Write the operator's configuration."""
-        config = {
+    def configure(
+        self,
+        version: int = 1,
+        routes: list[dict[str, Any]] | None = None,
+        accounts: list[dict[str, Any]] | None = None,
+    ) -> None:
+        """Write the operator's configuration; without accounts nobody needs a key."""
+        config: dict[str, Any] = {
             'version': version,
             'routes': ROUTES if routes is None else routes,
             'services': [{'name': 'app'}, {'name': 'lm'}],
@@ -105,8 +115,17 @@
                 'idle_timeout_ms': 15_000,
             },
         }
+        if accounts is not None:
+            config['tenants'] = accounts
         self.store.put(CONFIG_TABLE, CONFIG_KEY, msgspec.json.encode(config))
 
+    def wait_version(self, version: int) -> None:
+        """Wait until all instances have a version of the configuration."""
+        wait_until_seen(
+            lambda: all(each.beliefs.config.current.version >= version for each in self.instances),
+            f'version {version} everywhere',
+        )
+
     def add_server(self, name: str, service: str, **row: Any) -> PlatformServer:
         """Start a server and list it."""
         server = self.servers[name] = PlatformServer(name)
@@ -205,7 +224,7 @@
         with socket.create_connection((address.ip, address.port), timeout=LONGEST_S) as sock:
             yield sock
 
-    def submit(self, job_id: str, count: int = 3, *, at: int = 0) -> Reply:
+    def submit(self, job_id: str, count: int = 3, *, at: int = 0, **headers: str) -> Reply:
         """Hand a job in."""
         items = [
             {
@@ -218,20 +237,22 @@
             for n in range(count)
         ]
         body = msgspec.json.encode({'requests': items})
-        return self.call('/batch-stream/job', body, at=at, request_id=job_id)
+        return self.call('/batch-stream/job', body, at=at, request_id=job_id, **headers)
 
-    def results(self, job_id: str, *, at: int = 0, after: int = 0) -> dict[str, Any]:
+    def results(
+        self, job_id: str, *, at: int = 0, after: int = 0, **headers: Any
+    ) -> dict[str, Any]:
         """Read a job's results."""
-        reply = self.call(f'/-/lots/{job_id}?after={after}', b'', at=at, method='GET')
+        reply = self.call(f'/-/lots/{job_id}?after={after}', b'', at=at, method='GET', **headers)
         assert reply.status == 200, reply
         found: dict[str, Any] = msgspec.json.decode(reply.body)
         return found
 
-    def wait_done(self, job_id: str, *, at: int = 0) -> list[dict[str, Any]]:
+    def wait_done(self, job_id: str, *, at: int = 0, **headers: Any) -> list[dict[str, Any]]:
         """Wait until all of a job's items have a result."""
 
         def look() -> list[dict[str, Any]] | None:
-            page = self.results(job_id, at=at)
+            page = self.results(job_id, at=at, **headers)
             return page['results'] if page['next'] == page['total'] else None
 
         found: list[dict[str, Any]] = wait_until_seen(look, f'all results of {job_id}')
--- a/tests/test_forwarding/test_forwarding_config_holder.py
+++ b/tests/test_forwarding/test_forwarding_config_holder.py
@@ -15,15 +15,15 @@
     # The feed brought version 9; a read that is seconds old, or a peer that is behind, shows 7.
     # Routes that version 9 dropped would be served again.
     holder = ConfigHolder()
-    assert holder.offer(table(7), b'seven')
-    assert holder.offer(table(9), b'nine')
-    assert not holder.offer(table(7), b'seven')
-    assert (holder.current.version, holder.raw) == (9, b'nine')
+    assert holder.offer(table(7))
+    assert holder.offer(table(9))
+    assert not holder.offer(table(7))
+    assert holder.current == table(9)
 
 
 def test_absence_of_a_route_is_certain_only_while_confirmed() -> None:
     holder = ConfigHolder()
-    holder.offer(table(7), b'')
+    holder.offer(table(7))
     assert not holder.is_confirmed(0.0)
     holder.confirm(100.0)
     assert holder.is_confirmed(100.0 + CONFIRMED_MS)
@@ -35,8 +35,20 @@
     # the store, which is longer ago. A caller who asks for a route that does not exist is told so
     # and not to come back.
     holder = ConfigHolder()
-    holder.offer(table(7), b'')
+    holder.offer(table(7))
     holder.confirm(10_000.0)
     holder.confirm(7_000.0)
     assert holder.age_ms(10_000.0) == 0.0
     assert holder.is_confirmed(10_000.0 + CONFIRMED_MS)
+
+
+def test_absence_is_not_certain_once_a_peer_has_a_newer_version() -> None:
+    # A key is added; a peer has the new version and the store's news is still on its way here. A
+    # caller with the new key who is told 401 never comes back with it.
+    holder = ConfigHolder()
+    holder.offer(table(7))
+    holder.confirm(100.0)
+    holder.note_heard(ConfigVersion(8))
+    assert not holder.is_confirmed(100.0)
+    holder.offer(table(8))
+    assert holder.is_confirmed(100.0)
--- /dev/null
+++ b/tests/test_gateway/test_callers/test_callers_keys.py
@@ -0,0 +1,136 @@
+"""Keys of client accounts: who is served, what servers are told, and whose jobs are whose."""
+
+from __future__ import annotations
+
+import pytest
+
+from citrondyke.gateway.peers.peer_codec import KnowledgeWanted
+from citrondyke.ids import ConfigVersion
+from tests.support.gateway import (
+    HOST,
+    ROUTES,
+    GatewayFleet,
+    account,
+    exchange,
+    route,
+    wait_until_seen,
+)
+
+ACME, OTHER = 'key-of-acme', 'key-of-other'
+
+
+@pytest.fixture
+def keyed(fleet: GatewayFleet) -> GatewayFleet:
+    """A fleet whose configuration has two accounts and a public route."""
+    routes = [*ROUTES, route('open', 'idempotent', 'app', public=True)]
+    accounts = [account('acme', ACME, 'second-of-acme'), account('other', OTHER)]
+    fleet.configure(2, routes, accounts)
+    fleet.wait_version(2)
+    return fleet
+
+
+def seen_headers(fleet: GatewayFleet) -> list[dict[bytes, bytes]]:
+    return [run.headers for server in fleet.servers.values() for run in server.runs]
+
+
+@pytest.mark.parametrize('path', ['/fetch/x', '/stream/x'])
+def test_server_is_told_the_account_and_never_the_key(keyed: GatewayFleet, path: str) -> None:
+    # A caller names another account in the header by which servers learn whose request it is. A
+    # server that believes it would show one customer's data to another.
+    reply = keyed.call(path, x_api_key=ACME, tenant='other')
+    assert reply.status == 200
+    (headers,) = seen_headers(keyed)
+    assert headers[b'tenant'] == b'acme'
+    assert b'x-api-key' not in headers
+
+
+@pytest.mark.parametrize('key', ['', 'nobodys', ACME[:-1], f'{ACME},{OTHER}'])
+def test_who_has_no_key_in_force_is_told_401_and_reaches_no_server(
+    keyed: GatewayFleet, key: str
+) -> None:
+    assert keyed.call('/fetch/x', x_api_key=key).status == 401
+    assert keyed.call('/fetch/x', request_id='bare').status == 401
+    assert keyed.submit('job-1', x_api_key=key).status == 401
+    assert not seen_headers(keyed)
+
+
+def test_public_route_needs_no_key(keyed: GatewayFleet) -> None:
+    assert keyed.call('/open/x', request_id='without').status == 200
+    assert keyed.call('/open/x', request_id='with', x_api_key=ACME).status == 200
+    assert keyed.call('/open/x', request_id='unknown', x_api_key='nobodys').status == 200
+    told = [headers.get(b'tenant') for headers in seen_headers(keyed)]
+    assert sorted(str(each) for each in told) == ['None', 'None', "b'acme'"]
+    assert not [headers for headers in seen_headers(keyed) if b'x-api-key' in headers]
+
+
+def test_removed_key_is_refused_on_a_connection_that_was_kept(keyed: GatewayFleet) -> None:
+    # An employee leaves and the operator takes the key away; the program goes on by the connection
+    # that it has had open all day. Judged at the connection's start it would be served for good.
+    with keyed.connection() as sock:
+        assert exchange(sock, '/fetch/x', b'', x_api_key=ACME).status == 200
+        keyed.configure(3, accounts=[account('acme', 'second-of-acme')])
+        keyed.wait_version(3)
+        assert exchange(sock, '/fetch/x', b'', request_id='late', x_api_key=ACME).status == 401
+        reply = exchange(sock, '/fetch/x', b'', request_id='new', x_api_key='second-of-acme')
+        assert reply.status == 200
+
+
+def test_key_that_may_be_newer_than_what_is_known_is_asked_back(keyed: GatewayFleet) -> None:
+    # The store turns this instance away. Whether the key was added meanwhile it cannot know; told
+    # 401 its caller would never try it again.
+    keyed.store.faults.refused_ips = {each.address.ip for each in keyed.instances}
+    config = keyed.instances[0].beliefs.config
+    now_ms = keyed.instances[0].context.now_ms
+    wait_until_seen(lambda: not config.is_confirmed(now_ms()), 'the configuration to grow old')
+    reply = keyed.call('/fetch/x', x_api_key='nobodys')
+    assert reply.status == 503
+    assert float(reply.headers['retry-after']) > 0
+    assert keyed.call('/fetch/x', request_id='known', x_api_key=ACME).status == 200
+
+
+def test_job_belongs_to_its_account(keyed: GatewayFleet) -> None:
+    # Whoever learns a job's id from a log must not read another customer's results, end the job, or
+    # be told that there is such a job.
+    assert keyed.submit('job-1', x_api_key=ACME).status == 202
+    done = keyed.wait_done('job-1', at=1, x_api_key='second-of-acme')
+    assert len(done) == 3
+    assert {headers.get(b'tenant') for headers in seen_headers(keyed)} == {b'acme'}
+    for at in (0, 1):
+        for method, path in (
+            ('GET', '/-/lots/job-1?after=0'),
+            ('GET', '/-/items/job-1?id=job-1-0'),
+            ('DELETE', '/-/lots/job-1'),
+        ):
+            reply = keyed.call(path, b'', at=at, method=method, x_api_key=OTHER)
+            missing = keyed.call(f'{path}-none', b'', at=at, method=method, x_api_key=OTHER)
+            assert (reply.status, reply.body) == (missing.status, missing.body) == (404, b'')
+            assert keyed.call(path, b'', at=at, method=method).status == 401
+    assert keyed.submit('job-1', at=1, x_api_key=OTHER).status == 404
+    assert len(keyed.results('job-1', x_api_key=ACME)['results']) == 3
+
+
+def test_job_goes_on_when_its_key_is_taken_away(keyed: GatewayFleet) -> None:
+    for name in ('lm-1', 'lm-2'):
+        keyed.servers[name].event_gap_ms = 60.0
+    assert keyed.submit('job-1', x_api_key=ACME).status == 202
+    keyed.configure(3, accounts=[account('acme', 'third-of-acme'), account('other', OTHER)])
+    keyed.wait_version(3)
+    assert len(keyed.wait_done('job-1', x_api_key='third-of-acme')) == 3
+
+
+def test_peer_is_told_digests_and_no_keys(keyed: GatewayFleet) -> None:
+    # What instances tell each other passes over the network in the clear.
+    knowledge = keyed.instances[0].peers.knowledge
+
+    told = knowledge.answer(KnowledgeWanted(0), ConfigVersion(0)).data
+    assert HOST.encode() in told
+    assert ACME.encode() not in told
+
+
+def test_unreadable_accounts_leave_the_version_before_in_force(keyed: GatewayFleet) -> None:
+    # A key that two accounts hold is nobody's for certain. Taken as one of theirs, requests of one
+    # customer would run in the other's name.
+    keyed.configure(3, accounts=[account('acme', ACME), account('other', ACME)])
+    keyed.configure(4, accounts=[account('acme', ACME, rate_per_s=-1)])
+    assert keyed.call('/fetch/x', x_api_key=OTHER).status == 200
+    assert keyed.instances[0].beliefs.config.current.version == 2
--- a/tests/test_gateway/test_peers/test_peers_knowledge.py
+++ b/tests/test_gateway/test_peers/test_peers_knowledge.py
@@ -33,10 +33,10 @@
     # again, and each was told the whole of it each time.
     version = fleet.instances[0].beliefs.config.current.version
     behind = known(fleet, instances_count=1, version=version - 1)
-    assert behind.config
+    assert behind.table == fleet.instances[0].beliefs.config.current
     assert len(behind.peers) == len(fleet.instances)
     level = known(fleet, instances_count=len(fleet.instances), version=version)
-    assert not level.config
+    assert level.table is None
     assert not level.peers
     assert len(level.servers) == len(fleet.servers)
 
--- /dev/null
+++ b/tests/test_platform/test_platform_accounts.py
@@ -0,0 +1,62 @@
+"""Accounts in the operator's configuration: what is refused, and which field is named."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from citrondyke.decisions.accounts.account import ANYBODY, Account, NoAccount, NoAccountReason
+from citrondyke.decisions.forwarding.route_table import RouteTable
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.platform.rows import ACCOUNTS_LIMIT, decode_config
+from citrondyke.util.hashing import key_hash
+
+
+def table(*accounts: dict[str, Any]) -> RouteTable:
+    return decode_config(msgspec.json.encode({'version': 3, 'tenants': list(accounts)}))
+
+
+def test_accounts_are_found_by_the_digest_of_any_of_their_keys() -> None:
+    found = table(
+        {'name': 'acme', 'api_keys': ['a', 'b'], 'priority': 1, 'rate_per_s': 54, 'burst': 5}
+    )
+    for key in ('a', 'b'):
+        account = found.account_of(key_hash(key), is_public=False)
+        assert isinstance(account, Account)
+        assert (account.id, account.priority, account.rate_per_s) == ('acme', 1, 54.0)
+    unknown = found.account_of(key_hash('c'), is_public=False)
+    assert unknown == NoAccount(NoAccountReason.UNKNOWN_KEY)
+    assert found.account_of('', is_public=False) == NoAccount(NoAccountReason.NO_KEY)
+    assert found.account_of('', is_public=True) is ANYBODY
+
+
+def test_keys_are_needed_as_soon_as_the_configuration_speaks_of_accounts() -> None:
+    # The operator removes the last account. Read like a configuration without accounts, the whole
+    # fleet would be open to anybody.
+    assert not table().account_of('', is_public=False)
+    open_table = decode_config(msgspec.json.encode({'version': 3}))
+    assert open_table.account_of('', is_public=False) is ANYBODY
+
+
+@pytest.mark.parametrize(
+    ('accounts', 'field'),
+    [
+        ([{'name': 'a', 'api_keys': ['k1']}, {'name': 'b', 'api_keys': ['k1']}], 'tenants[1].api'),
+        ([{'name': 'a', 'api_keys': ['']}], 'tenants[0].api_keys'),
+        ([{'name': '', 'api_keys': ['k1']}], 'tenants[0].name'),
+        ([{'name': 'a b', 'api_keys': ['k1']}], 'tenants[0].name'),
+        ([{'name': 'a', 'api_keys': []}, {'name': 'a', 'api_keys': []}], 'tenants[1].name'),
+        ([{'name': 'a', 'api_keys': ['k1'], 'rate_per_s': -1}], 'tenants[0].rate_per_s'),
+        ([{'name': 'a', 'api_keys': ['k1'], 'burst': 'x'}], 'tenants[0].burst'),
+        ([{'name': f'a{n}', 'api_keys': []} for n in range(ACCOUNTS_LIMIT + 1)], 'tenants'),
+    ],
+)
+def test_bad_account_is_refused_by_its_field_and_without_its_key(
+    accounts: list[dict[str, Any]], field: str
+) -> None:
+    with pytest.raises(UnreadableBytesError) as caught:
+        table(*accounts)
+    assert field in caught.value.message
+    assert 'k1' not in caught.value.message
--- a/tests/test_platform/test_platform_decoding.py
+++ b/tests/test_platform/test_platform_decoding.py
@@ -18,7 +18,7 @@
 from citrondyke.gateway.callers.caller_connection import CallerRequest
 from citrondyke.gateway.dialect import JobCallKind, JobPage
 from citrondyke.gateway.servers.reply_reader import ReplyHead
-from citrondyke.ids import ServerId
+from citrondyke.ids import ServerId, TenantId
 from citrondyke.platform.dialect import PlatformDialect
 from citrondyke.platform.rows import decode_config, decode_server
 from citrondyke.platform.settings_file import platform_settings
@@ -128,9 +128,11 @@
         (b'transfer-encoding', b'chunked'),
         (b'deadline-ms', b'90000'),
         (b'expect-instance', b'forged'),
+        (b'x-api-key', b'secret'),
+        (b'tenant', b'forged'),
         (b'model', b'm'),
     ]
-    made = PlatformDialect().server_headers(headers, ServerId('i-1'), 1_200.7, 4)
+    made = PlatformDialect().server_headers(headers, ServerId('i-1'), 1_200.7, 4, TenantId('acme'))
     assert made == [
         (b'host', b'h'),
         (b'attempt-id', b'a'),
@@ -138,6 +140,7 @@
         (b'expect-instance', b'i-1'),
         (b'deadline-ms', b'1200'),
         (b'last-event-id', b'4'),
+        (b'tenant', b'acme'),
     ]
 
 
