Accounts are held to their limits over the whole fleet, by one steward each

Most accounts have fewer requests a second than there are instances, so that a split into parts fits none.

The tolerance comes from the settings file. Ruled out: rows of the store (a call for each use; away in outages), fixed shares.

--- /dev/null
+++ b/citrondyke/decisions/accounts/tolerance.py
@@ -0,0 +1,43 @@
+"""What may pass an account's limit, and what of it is used for what."""
+
+from __future__ import annotations
+
+import msgspec
+
+__all__ = ('LimitTolerance',)
+
+#: Parts of the slack. A quarter lets callers through whose requests come unevenly; three fifths go
+#: to three keepers that stand in for a steward that is gone; the rest is for what comes twice.
+SPARE_PART = 0.25
+STAND_IN_PART = 0.15
+STAND_IN_REFILL_PART = 0.05
+STAND_IN_FIRST_PART = 0.1
+#: Part of the overshoot of the rate that each of them may let through.
+STAND_IN_RATE_PART = 0.2
+
+
+class LimitTolerance(msgspec.Struct, frozen=True, kw_only=True):
+    """In any window there may be (rate x window + burst) x (1 + overshoot) + slack uses."""
+
+    window_ms: float = 5_000.0
+    overshoot: float = 0.0
+    slack: float = 0.0
+
+    def depth(self, burst: float) -> float:
+        """Give a steward's bucket."""
+        return burst + self.slack * SPARE_PART
+
+    @property
+    def stand_in_depth(self) -> float:
+        """Give the bucket of a keeper that stands in."""
+        return self.slack * STAND_IN_PART
+
+    @property
+    def stand_in_first(self) -> float:
+        """Give what a life begins with: after a loss of all, accounts go on without a steward."""
+        return self.slack * STAND_IN_FIRST_PART
+
+    def stand_in_rate_per_s(self, rate_per_s: float) -> float:
+        """Give how fast the bucket of a keeper that stands in fills."""
+        refill_per_s = self.slack * STAND_IN_REFILL_PART / self.window_ms * 1e3
+        return rate_per_s * self.overshoot * STAND_IN_RATE_PART + refill_per_s
--- a/citrondyke/decisions/forwarding/config_holder.py
+++ b/citrondyke/decisions/forwarding/config_holder.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from citrondyke.decisions.accounts.account import Account
 from citrondyke.decisions.forwarding.route_table import EMPTY_ROUTE_TABLE, RouteTable
-from citrondyke.ids import ConfigVersion
+from citrondyke.ids import ConfigVersion, TenantId
 
 __all__ = ('ConfigHolder',)
 
@@ -32,6 +33,10 @@
         self.current = table
         return True
 
+    def account(self, account_id: TenantId) -> Account | None:
+        """Find an account in the configuration in force."""
+        return self.current.account(account_id)
+
     def confirm(self, now_ms: float) -> None:
         """Note that the store was asked and showed nothing newer; a peer may tell of it late."""
         self._confirmed_ms = max(self._confirmed_ms, now_ms)
--- a/citrondyke/decisions/forwarding/route_table.py
+++ b/citrondyke/decisions/forwarding/route_table.py
@@ -15,7 +15,7 @@
 )
 from citrondyke.decisions.accounts.key_index import KeyIndex
 from citrondyke.decisions.forwarding.route import Route, RouteKind, RouteLimits
-from citrondyke.ids import ConfigVersion, RouteName
+from citrondyke.ids import ConfigVersion, RouteName, TenantId
 
 __all__ = ('EMPTY_ROUTE_TABLE', 'NO_ROUTE', 'NoRoute', 'NoRouteReason', 'RouteTable')
 
@@ -90,6 +90,10 @@
         unknown = NoAccountReason.UNKNOWN_KEY if key_digest else NoAccountReason.NO_KEY
         return NoAccount(unknown)
 
+    def account(self, account_id: TenantId) -> Account | None:
+        """Find an account by its name."""
+        return self._accounts_by_id.get(account_id)
+
     def has_public_batch(self, host: str) -> bool:
         """Tell whether jobs of a host may be asked for without a key."""
         routes = self._by_host.get(host)
@@ -97,6 +101,10 @@
             route.is_public and route.kind is RouteKind.BATCH for route in routes.by_prefix.values()
         )
 
+    @cached_property
+    def _accounts_by_id(self) -> dict[TenantId, Account]:
+        return {account.id: account for account in self.accounts or ()}
+
     @cached_property
     def _keys(self) -> KeyIndex[Account]:
         return KeyIndex((account, account.key_hashes) for account in self.accounts or ())
--- /dev/null
+++ b/citrondyke/gateway/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: whether one may have another request."""
--- /dev/null
+++ b/citrondyke/gateway/accounts/limit_exchange.py
@@ -0,0 +1,174 @@
+"""Asks the stewards of accounts, and answers as one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+from gevent import socket
+from gevent.event import AsyncResult
+
+from citrondyke.decisions.accounts.fleet_limits import LimitVerdict, Question, VerdictKind
+from citrondyke.decisions.accounts.limit_messages import UseAnswered
+from citrondyke.decisions.accounts.slot_lease import RENEW_MS
+from citrondyke.gateway.peers.peer_codec import (
+    LimitText,
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.accounts.account import Account
+    from citrondyke.decisions.accounts.limit_messages import Addressed, LimitMessage
+    from citrondyke.decisions.accounts.steward_limits import StewardLimits
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.config_holder import ConfigHolder
+    from citrondyke.gateway.metrics import Metrics
+    from citrondyke.gateway.peers.membership import Membership
+    from citrondyke.gateway.tasks import Tasks
+    from citrondyke.ids import InstanceId
+
+__all__ = ('LimitExchange',)
+
+log = logbook.Logger(__name__)
+
+#: A keeper that has not answered within this is taken for silent: some tens of ways there and back
+#: between availability zones, a tenth of the time in which an answer is expected.
+ANSWER_MS = 40.0
+#: Datagrams get lost; who was silent is asked once more before a caller is told "unknown".
+ROUNDS = 2
+DATAGRAM_LIMIT_BYTES = 65_535
+#: From the port for other messages between instances. Those may lie unread for a while in a large
+#: fleet; a caller waits for these.
+PORT_AFTER_PEERS = 1
+
+
+class LimitExchange:
+    """Carries questions for uses, and leases, over datagrams of their own."""
+
+    def __init__(
+        self,
+        context: Context,
+        limits: StewardLimits,
+        config: ConfigHolder,
+        membership: Membership,
+        metrics: Metrics,
+        peer_port: int,
+        tasks: Tasks,
+    ) -> None:
+        """Use the parts handed in; nothing is sent before ``start``."""
+        self._context = context
+        self._limits = limits
+        self._config = config
+        self._membership = membership
+        self._metrics = metrics
+        self._port = peer_port + PORT_AFTER_PEERS
+        self._tasks = tasks
+        self._socket: socket.socket | None = None
+        self._waiting: dict[int, AsyncResult] = {}
+        self._held_slots: tuple[int, ...] = ()
+
+    def start(self, ip: str) -> None:
+        """Listen and begin to ask for leases."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((ip, self._port))
+        self._tasks.keep(self._run_receive)
+        self._tasks.keep(self._run_leases)
+
+    def stop(self) -> None:
+        """Listen no more."""
+        if self._socket is not None:
+            self._socket.close()
+
+    def use(self, account: Account) -> LimitVerdict:
+        """Find out whether an account may have one more request, asking for it where needed."""
+        tried: set[InstanceId] = set()
+        rounds = 1
+        while True:
+            step = self._limits.next_step(account, tried)
+            if isinstance(step, Question):
+                tried.add(step.receiver)
+                answer = self._ask(step)
+                if answer is None:
+                    self._limits.note_silent(account, step.receiver)
+                    log.info('limit.keeper_silent', extra={'peer': step.receiver})
+                    continue
+                verdict = self._limits.note_answer(account, step.receiver, answer)
+                if verdict is not None:
+                    return self._counted(account, verdict)
+            elif step.kind is VerdictKind.UNKNOWN and rounds < ROUNDS:
+                rounds += 1
+                tried.clear()
+            else:
+                return self._counted(account, step)
+
+    def held_slots(self) -> tuple[int, ...]:
+        """List the slots whose accounts this instance counts."""
+        return self._limits.held_slots()
+
+    def _counted(self, account: Account, verdict: LimitVerdict) -> LimitVerdict:
+        if account.has_limit:
+            self._metrics.note_account(account.id, verdict.kind.value)
+        return verdict
+
+    def _ask(self, question: Question) -> UseAnswered | None:
+        result = self._waiting[question.number] = AsyncResult()
+        try:
+            if not self._send(question.receiver, question.message):
+                return None
+            answer = result.get(timeout=ANSWER_MS / 1e3)
+        except gevent.Timeout:
+            return None
+        finally:
+            self._waiting.pop(question.number, None)
+        return answer if isinstance(answer, UseAnswered) else None
+
+    def _run_receive(self) -> None:
+        while self._socket is not None:
+            data, address = self._socket.recvfrom(DATAGRAM_LIMIT_BYTES)
+            try:
+                message = decode_message(data)
+            except ValueError as error:
+                log.info('peer.unreadable', extra={'ip': address[0], 'detail': str(error)})
+                continue
+            if isinstance(message.text, LimitText):
+                self._take(message.sender, message.text)
+
+    def _take(self, sender: InstanceId, text: LimitText) -> None:
+        message = text.message
+        if not isinstance(message, UseAnswered):
+            self._send_all(self._limits.take(sender, message))
+            return
+        waiting = self._waiting.get(message.number)
+        if waiting is not None:
+            waiting.set(message)
+
+    def _run_leases(self) -> None:
+        while True:
+            gevent.sleep(self._context.jittered_ms(RENEW_MS, share=0.1) / 1e3)
+            accounts = self._config.current.accounts
+            if accounts and any(account.has_limit for account in accounts):
+                self._send_all(self._limits.tick())
+            held = self._limits.held_slots()
+            if held != self._held_slots:
+                self._held_slots = held
+                log.info('limit.slots', extra={'held': held, 'known': self._membership.count})
+
+    def _send_all(self, addressed: list[Addressed]) -> None:
+        for each in addressed:
+            self._send(each.receiver, each.message)
+
+    def _send(self, receiver: InstanceId, message: LimitMessage) -> bool:
+        beat = self._membership.peers.get(receiver)
+        if beat is None or self._socket is None:
+            return False
+        version = self._config.current.version
+        text = PeerMessage(self._context.instance_id, version, LimitText(message))
+        try:
+            self._socket.sendto(encode_message(text), (beat.ip, beat.peer_port + PORT_AFTER_PEERS))
+        except OSError as error:
+            log.info('peer.send_failed', extra={'peer': receiver, 'detail': type(error).__name__})
+            return False
+        return True
--- a/citrondyke/gateway/callers/final_answers.py
+++ b/citrondyke/gateway/callers/final_answers.py
@@ -91,6 +91,15 @@
         caller.send_whole(503, headers, b'')
         return end
 
+    def refuse_over_limit(
+        self, caller: CallerConnection, forwarding: Forwarding, retry_in_ms: float
+    ) -> RequestEnd:
+        """Tell the caller that its account has had what it may, and when there is room again."""
+        headers = self._dialect.own_answer(forwarding.facts.request_id, retry_in_ms)
+        caller.unwatch()
+        caller.send_whole(429, headers, b'')
+        return RequestEnd.OVER_LIMIT
+
     def refuse_key(self, caller: CallerConnection, forwarding: Forwarding) -> RequestEnd:
         """Answer a request whose key was taken away before another server was tried."""
         return self._fail(caller, forwarding, RequestEnd.KEY_GONE, 401)
--- a/citrondyke/gateway/callers/forwarding.py
+++ b/citrondyke/gateway/callers/forwarding.py
@@ -30,6 +30,10 @@
     TIMED_OUT = 'timed_out'
     CUT_MIDWAY = 'cut_midway'
     CALLER_GONE = 'caller_gone'
+    #: The account has had what its limit allows.
+    OVER_LIMIT = 'over_limit'
+    #: Nobody could say whether it has.
+    LIMIT_UNKNOWN = 'limit_unknown'
     #: The key was taken away while no server had the request.
     KEY_GONE = 'key_gone'
     #: Too many servers have ended under the same work.
@@ -52,6 +56,8 @@
     course: Course
     #: Until when the caller or the route lets it take.
     until_ms: float
+    #: Whether it is counted in its account's limit.
+    is_counted: bool = False
     #: The last event that the caller has; ``None`` before the first.
     last_event_id: int | None = None
     #: Whether the head of a stream went to the caller.
--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -10,6 +10,7 @@
 from citrondyke.gateway.callers.forwarding import RequestEnd
 
 if TYPE_CHECKING:
+    from citrondyke.decisions.accounts.fleet_limits import LimitVerdict
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.crashes.suspect_book import Standing
     from citrondyke.decisions.forwarding.admission_rule import TurnedAway
@@ -48,6 +49,23 @@
             },
         )
 
+    def over_limit(self, forwarding: Forwarding, verdict: LimitVerdict, asked_ms: float) -> None:
+        """Tell that a request is not sent because of its account's limit, and who said so."""
+        log.info(
+            'request.over_limit',
+            extra={
+                'request_id': forwarding.facts.request_id,
+                'account': forwarding.account.id,
+                'verdict': verdict.kind.value,
+                'by': verdict.by,
+                'asked_ms': round(self._context.now_ms() - asked_ms, 1),
+                'rate_per_s': forwarding.account.rate_per_s,
+                'burst': forwarding.account.burst,
+                'config_version': forwarding.config_version,
+                'retry_in_ms': round(verdict.retry_in_ms, 1),
+            },
+        )
+
     def sent(self, forwarding: Forwarding, state: ServerState, expected_wait_ms: float) -> None:
         """Tell which server was chosen, and by what.
 
@@ -59,6 +77,7 @@
             extra={
                 'request_id': forwarding.facts.request_id,
                 'route': forwarding.route.name,
+                'account': forwarding.account.id,
                 'config_version': forwarding.config_version,
                 'server_id': state.listed.id,
                 'server_zone': state.listed.zone,
@@ -135,11 +154,14 @@
         took_ms = now_ms - forwarding.request.arrived_ms
         first_ms = (forwarding.first_answer_ms or now_ms) - forwarding.request.arrived_ms
         self._metrics.note_request(forwarding.route.name, end.value, first_ms, took_ms)
+        if forwarding.account.id and end is RequestEnd.DONE:
+            self._metrics.note_account_answer(forwarding.account.id, first_ms)
         log.info(
             'request.end',
             extra={
                 'request_id': forwarding.facts.request_id,
                 'route': forwarding.route.name,
+                'account': forwarding.account.id,
                 'config_version': forwarding.config_version,
                 'end': end.value,
                 'sends': forwarding.course.sends_count + (end is RequestEnd.DONE),
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -11,12 +11,14 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from citrondyke.decisions.accounts.steward_limits import StewardLimits
 from citrondyke.decisions.batch.takeover import LiveInstances
 from citrondyke.decisions.core.context import Context
 from citrondyke.decisions.crashes.suspect_book import SuspectBook
 from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
 from citrondyke.decisions.forwarding.load_notices import LoadNotices
 from citrondyke.decisions.forwarding.server_book import ServerBook
+from citrondyke.gateway.accounts.limit_exchange import LimitExchange
 from citrondyke.gateway.beliefs.beliefs import Beliefs
 from citrondyke.gateway.beliefs.dependency import Dependency
 from citrondyke.gateway.beliefs.followers import follow_beliefs, follow_instances
@@ -96,6 +98,29 @@
             self._on_server_gone,
             self._on_life_over,
         )
+        self._live = LiveInstances(self.context)
+        life = f'{self.context.random.getrandbits(64):016x}'
+        self.membership = Membership(
+            self.context,
+            life,
+            (settings.ip, settings.peer_port),
+            table,
+            self._live,
+        )
+        self.limits = LimitExchange(
+            self.context,
+            StewardLimits(
+                self.context,
+                self.membership.everybody,
+                self.beliefs.config.account,
+                settings.limit_tolerance,
+            ),
+            self.beliefs.config,
+            self.membership,
+            self.metrics,
+            settings.peer_port,
+            self._tasks,
+        )
         forwarder = Forwarder(
             self.context,
             self.book,
@@ -105,15 +130,7 @@
             outside.dialect,
             RequestLog(self.context, self.metrics),
             self.beliefs.config,
-        )
-        self._live = LiveInstances(self.context)
-        life = f'{self.context.random.getrandbits(64):016x}'
-        self.membership = Membership(
-            self.context,
-            life,
-            (settings.ip, settings.peer_port),
-            table,
-            self._live,
+            self.limits,
         )
         surroundings = BatchSurroundings(
             self.context,
@@ -183,6 +200,7 @@
         )
         follow_instances(self.context, self._table, self.membership, self._store_pace, self._tasks)
         self.peers.start(settings.ip)
+        self.limits.start(settings.ip)
         self._loads.start(self._tasks, self.peers.send)
         self.guard.start(self.peers.send)
         self.membership.start(self._tasks)
@@ -202,6 +220,7 @@
         """End without a word, as a killed process does."""
         self._tasks.end()
         self.peers.stop()
+        self.limits.stop()
         for server in self._servers:
             server.stop(timeout=0)
         self.front.abort_all()
--- a/citrondyke/gateway/metrics.py
+++ b/citrondyke/gateway/metrics.py
@@ -16,6 +16,8 @@
 BUCKETS_MS = (5, 10, 20, 50, 100, 200, 300, 400, 500, 750, 1_000, 2_000, 5_000)
 #: Routes with series of their own; later ones are counted together.
 ROUTES_LIMIT = 200
+#: Accounts with series of their own.
+ACCOUNTS_LIMIT = 100
 OTHER = 'other'
 
 
@@ -42,6 +44,8 @@
         self._ends: Counter[tuple[str, str]] = Counter()
         self._first: dict[str, _Histogram] = {}
         self._total: dict[str, _Histogram] = {}
+        self._accounts: dict[str, Counter[str]] = {}
+        self._account_first: dict[str, _Histogram] = {}
         self._gauges: list[tuple[str, Callable[[], float]]] = []
 
     def add_gauge(self, name: str, read: Callable[[], float]) -> None:
@@ -55,17 +59,35 @@
         self._histogram(self._first, name).add(first_ms)
         self._histogram(self._total, name).add(took_ms)
 
+    def note_account(self, account: str, verdict: str) -> None:
+        """Count a request of an account by what was said of its limit."""
+        self._accounts.setdefault(self._account_name(account), Counter())[verdict] += 1
+
+    def note_account_answer(self, account: str, first_ms: float) -> None:
+        """Count how long an account's request waited for the first of its answer."""
+        self._histogram(self._account_first, self._account_name(account)).add(first_ms)
+
+    def _account_name(self, account: str) -> str:
+        known = account in self._accounts or account in self._account_first
+        count = max(len(self._accounts), len(self._account_first))
+        return account if known or count < ACCOUNTS_LIMIT else OTHER
+
     def text(self) -> str:
         """Give everything in the text format."""
         lines = []
         for (route, end), count in sorted(self._ends.items()):
             lines.append(f'citrondyke_requests_total{{route="{route}",end="{end}"}} {count}')
+        for account, counts in sorted(self._accounts.items()):
+            for verdict, count in sorted(counts.items()):
+                labels = f'account="{account}",verdict="{verdict}"'
+                lines.append(f'citrondyke_account_uses_total{{{labels}}} {count}')
         for name, count in sorted(self.counters.items()):
             lines.append(f'citrondyke_{name}_total {count}')
         for name, read in self._gauges:
             lines.append(f'citrondyke_{name} {read():g}')
         lines += _histogram_lines('first_answer', self._first)
         lines += _histogram_lines('answer', self._total)
+        lines += _histogram_lines('account_first_answer', self._account_first, 'account')
         return '\n'.join(lines) + '\n'
 
     @staticmethod
@@ -75,13 +97,16 @@
         return where[name]
 
 
-def _histogram_lines(name: str, histograms: dict[str, _Histogram]) -> list[str]:
+def _histogram_lines(
+    name: str, histograms: dict[str, _Histogram], label: str = 'route'
+) -> list[str]:
     lines = []
-    for route, histogram in sorted(histograms.items()):
+    for labelled, histogram in sorted(histograms.items()):
+        which = f'{label}="{labelled}"'
         running = 0
         for bound, count in zip((*BUCKETS_MS, '+Inf'), histogram.counts, strict=True):
             running += count
-            lines.append(f'citrondyke_{name}_ms_bucket{{route="{route}",le="{bound}"}} {running}')
-        lines.append(f'citrondyke_{name}_ms_sum{{route="{route}"}} {histogram.sum_ms:.1f}')
-        lines.append(f'citrondyke_{name}_ms_count{{route="{route}"}} {running}')
+            lines.append(f'citrondyke_{name}_ms_bucket{{{which},le="{bound}"}} {running}')
+        lines.append(f'citrondyke_{name}_ms_sum{{{which}}} {histogram.sum_ms:.1f}')
+        lines.append(f'citrondyke_{name}_ms_count{{{which}}} {running}')
     return lines
--- a/citrondyke/gateway/peers/membership.py
+++ b/citrondyke/gateway/peers/membership.py
@@ -81,6 +81,9 @@
         self._unreadable = UnreadableRows(INSTANCES_TABLE)
         #: Peers by id, this instance left out.
         self.peers: dict[InstanceId, Heartbeat] = {}
+        #: Whether a whole list of the instances was seen, by the store or a peer.
+        self.is_known = False
+        self._everybody: tuple[InstanceId, ...] = ()
 
     def start(self, tasks: Tasks) -> None:
         """Begin to write heartbeats."""
@@ -111,6 +114,7 @@
     def on_listing(self, rows: list[PartRow], _: int) -> None:
         """Take in a read of the whole table."""
         self.on_rows(rows)
+        self.is_known = True
         self._live.note_look()
         self._drop_silent({row.key: row.version for row in rows})
 
@@ -145,6 +149,23 @@
         for instance_id, beat in beats.items():
             if instance_id != self._context.instance_id and instance_id not in self.peers:
                 self._learn(instance_id, beat)
+        self.is_known = self.is_known or bool(beats)
+
+    @property
+    def count(self) -> int:
+        """Count the instances that are known, this one included."""
+        return len(self.peers) + 1
+
+    def everybody(self) -> tuple[InstanceId, ...]:
+        """List all instances, this one included; none while they are not known.
+
+        The same object as long as nobody comes or goes.
+        """
+        if not self.is_known:
+            return ()
+        if len(self._everybody) != self.count or not self.peers.keys() <= set(self._everybody):
+            self._everybody = (*self.peers, self._context.instance_id)
+        return self._everybody
 
     def _learn(self, instance_id: InstanceId, beat: Heartbeat) -> None:
         known = self.peers.get(instance_id)
--- a/citrondyke/gateway/peers/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -9,16 +9,25 @@
 import capnp
 import msgspec
 
+from citrondyke.decisions.accounts.limit_messages import (
+    LeaseAnswered,
+    LeaseAsked,
+    LimitMessage,
+    UseAnswered,
+    UseAsked,
+    UseOutcome,
+)
 from citrondyke.decisions.crashes.content import RequestContent
 from citrondyke.decisions.crashes.news_queue import NewsKind, SuspectNews
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
-from citrondyke.ids import ConfigVersion, ContentDigest, InstanceId, JobId
+from citrondyke.ids import ConfigVersion, ContentDigest, InstanceId, JobId, TenantId
 
 __all__ = (
     'CrashNews',
     'JobChanged',
     'KnowledgeData',
     'KnowledgeWanted',
+    'LimitText',
     'LoadNotice',
     'LoadTotals',
     'PeerMessage',
@@ -38,6 +47,14 @@
 _SUSPECT = struct.Struct('<10sIB')
 
 
+_OUTCOME_NAMES = {
+    UseOutcome.GRANTED: 'granted',
+    UseOutcome.REFUSED: 'refused',
+    UseOutcome.NOT_STEWARD: 'notSteward',
+}
+_OUTCOMES = {name: outcome for outcome, name in _OUTCOME_NAMES.items()}
+
+
 class PeerText(msgspec.Struct, frozen=True):
     """What a message says."""
 
@@ -93,6 +110,12 @@
     data: bytes
 
 
+class LimitText(PeerText, frozen=True):
+    """What is told of the uses of accounts."""
+
+    message: LimitMessage
+
+
 class PeerMessage(msgspec.Struct, frozen=True):
     """A message and its sender."""
 
@@ -123,6 +146,8 @@
         built.storeCall = text.data
     elif isinstance(text, StoreAnswerData):
         built.storeAnswer = text.data
+    elif isinstance(text, LimitText):
+        _build_limit(built, text.message)
     elif isinstance(text, KnowledgeWanted):
         built.init('knowledgeAsked').instancesCount = text.instances_count
     else:
@@ -134,6 +159,41 @@
     return data
 
 
+def _build_limit(built: Any, message: LimitMessage) -> None:
+    if isinstance(message, UseAsked):
+        asked = built.init('useAsked')
+        asked.number, asked.account = message.number, message.account
+    elif isinstance(message, UseAnswered):
+        answered = built.init('useAnswered')
+        answered.number = message.number
+        answered.outcome = _OUTCOME_NAMES[message.outcome]
+        answered.retryInMs, answered.pauseMs = message.retry_in_ms, message.pause_ms
+        answered.isSteward = message.is_steward
+    elif isinstance(message, LeaseAsked):
+        lease = built.init('leaseAsked')
+        lease.slot, lease.number = message.slot, message.number
+    elif isinstance(message, LeaseAnswered):
+        word = built.init('leaseAnswered')
+        word.slot, word.number = message.slot, message.number
+        word.isGranted = message.is_granted
+    else:
+        raise TypeError(type(message).__name__)
+
+
+def _read_use_answered(read: Any) -> LimitText:
+    answered = read.useAnswered
+    outcome = _OUTCOMES[str(answered.outcome)]
+    return LimitText(
+        UseAnswered(
+            answered.number,
+            outcome,
+            answered.retryInMs,
+            answered.pauseMs,
+            answered.isSteward,
+        )
+    )
+
+
 def decode_message(data: bytes) -> PeerMessage:
     """Decode a message.
 
@@ -187,6 +247,16 @@
     ),
     'jobChanged': lambda read: JobChanged(JobId(read.jobChanged)),
     'knowledgeAsked': lambda read: KnowledgeWanted(read.knowledgeAsked.instancesCount),
+    'useAsked': lambda read: LimitText(
+        UseAsked(read.useAsked.number, TenantId(read.useAsked.account))
+    ),
+    'useAnswered': _read_use_answered,
+    'leaseAsked': lambda read: LimitText(LeaseAsked(read.leaseAsked.slot, read.leaseAsked.number)),
+    'leaseAnswered': lambda read: LimitText(
+        LeaseAnswered(
+            read.leaseAnswered.slot, read.leaseAnswered.number, read.leaseAnswered.isGranted
+        )
+    ),
     'knowledgeWanted': lambda _: KnowledgeWanted(),
     'storeCall': lambda read: StoreCallData(bytes(read.storeCall)),
     'storeAnswer': lambda read: StoreAnswerData(bytes(read.storeAnswer)),
--- a/citrondyke/gateway/settings.py
+++ b/citrondyke/gateway/settings.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from citrondyke.decisions.accounts.tolerance import LimitTolerance
 from citrondyke.ids import AvailabilityZone, InstanceId
 
 __all__ = ('Address', 'GatewaySettings', 'StoreSettings')
@@ -53,3 +54,5 @@
     job_kept_ms: float
     #: Part by which accepted tokens may pass a route's bound.
     tokens_overshoot: float = 0.1
+    #: What may pass an account's limit on requests.
+    limit_tolerance: LimitTolerance = LimitTolerance()
--- a/citrondyke/peer/gateway.capnp
+++ b/citrondyke/peer/gateway.capnp
@@ -29,9 +29,46 @@
     knowledgeAsked @11 :KnowledgeAsked;
     # Requests that were under way at a server that ended, or were answered well.
     suspects @12 :SuspectNews;
+    # One request of an account: may it be sent to a server?
+    useAsked @13 :UseAsked;
+    useAnswered @14 :UseAnswered;
+    # The lease by which one instance counts the accounts of a slot.
+    leaseAsked @15 :LeaseAsked;
+    leaseAnswered @16 :LeaseAnswered;
   }
 }
 
+struct UseAsked {
+  number @0 :UInt32;
+  account @1 :Text;
+}
+
+struct UseAnswered {
+  number @0 :UInt32;
+  outcome @1 :Outcome;
+  # When the caller may come back, and for how long the sender need not ask again.
+  retryInMs @2 :Float32;
+  pauseMs @3 :Float32;
+  isSteward @4 :Bool;
+
+  enum Outcome {
+    granted @0;
+    refused @1;
+    notSteward @2;
+  }
+}
+
+struct LeaseAsked {
+  slot @0 :UInt16;
+  number @1 :UInt32;
+}
+
+struct LeaseAnswered {
+  slot @0 :UInt16;
+  number @1 :UInt32;
+  isGranted @2 :Bool;
+}
+
 struct SuspectNews {
   # Digest of the server's life; 0 where none has ended.
   server @0 :UInt32;
--- a/citrondyke/platform/settings_file.py
+++ b/citrondyke/platform/settings_file.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from citrondyke.decisions.accounts.tolerance import LimitTolerance
 from citrondyke.errors import SettingsInvalidError
 from citrondyke.gateway.settings import Address, GatewaySettings, StoreSettings
 from citrondyke.ids import AvailabilityZone, InstanceId
@@ -54,8 +55,13 @@
     grace_s: float = 8.0
     #: How long a batch job stays readable after it was submitted, in s.
     status_s: float = 120.0
-    #: Part by which accepted tokens may pass a batch route's bound.
-    quota_overshoot: float = 0.1
+    #: Part by which accepted tokens may pass a batch route's bound, and an account's requests in
+    #: a window its limit.
+    quota_overshoot: Annotated[float, msgspec.Meta(ge=0)] = 0.1
+    #: Requests of an account that may come on top of that in a window.
+    quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    #: Length of the window, in s.
+    quota_window_s: Annotated[float, msgspec.Meta(gt=0)] = 5.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -143,6 +149,11 @@
             lapsed_grace_ms=2_200.0,
             job_kept_ms=file.bounds.status_s * 1e3,
             tokens_overshoot=file.bounds.quota_overshoot,
+            limit_tolerance=LimitTolerance(
+                window_ms=file.bounds.quota_window_s * 1e3,
+                overshoot=file.bounds.quota_overshoot,
+                slack=file.bounds.quota_slack,
+            ),
         )
     except (msgspec.ValidationError, tomllib.TOMLDecodeError, ValueError) as error:
         raise SettingsInvalidError(name, '', str(error), 'the fields of the platform') from error
--- a/citrondyke/util/clock.py
+++ b/citrondyke/util/clock.py
@@ -19,6 +19,14 @@
     def epoch_ms(self) -> float:
         """Give the wall clock's time, in milliseconds since 1970."""
 
+    def fence_ms(self) -> float:
+        """Give a monotonic time that goes on while the machine is suspended, in milliseconds.
+
+        What another instance takes over after a while must be over here too, also for a machine
+        that was suspended meanwhile; by the steady clock it would go on where it was.
+        """
+        return self.now_ms()
+
 
 class SystemClock(Clock):
     """The machine's clocks."""
@@ -30,3 +38,7 @@
     def epoch_ms(self) -> float:
         """Give the wall clock's time, in milliseconds since 1970."""
         return time.time() * 1e3
+
+    def fence_ms(self) -> float:
+        """Give a monotonic time that goes on while the machine is suspended, in milliseconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1e3
--- /dev/null
+++ b/tests/support/limit_world.py
@@ -0,0 +1,263 @@
+"""Instances that keep limits, in virtual time: cut off, ended, paused, suspended, told late."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Callable
+from itertools import count
+
+import msgspec
+
+from citrondyke.decisions.accounts.account import Account
+from citrondyke.decisions.accounts.fleet_limits import FleetLimits, LimitVerdict, VerdictKind
+from citrondyke.decisions.accounts.limit_messages import Addressed, UseAnswered
+from citrondyke.decisions.accounts.tolerance import LimitTolerance
+from citrondyke.decisions.core.context import Context
+from citrondyke.ids import AvailabilityZone, InstanceId, TenantId
+from citrondyke.util.clock import Clock
+
+__all__ = ('WINDOW_MS', 'LimitWorld', 'Make', 'allowed_in_window')
+
+WINDOW_MS = 5_000.0
+DELAY_MS = 1.0
+ASK_MS = 40.0
+ROUNDS = 2
+#: A change of the fleet or of the configuration is known everywhere within this.
+LAG_MS = 2_000.0
+TICK_MS = 300.0
+
+TOLERANCE = LimitTolerance(window_ms=WINDOW_MS, overshoot=0.1, slack=20.0)
+
+Make = Callable[
+    [
+        Context,
+        Callable[[], tuple[InstanceId, ...]],
+        Callable[[TenantId], Account | None],
+        LimitTolerance,
+    ],
+    FleetLimits,
+]
+
+
+def allowed_in_window(account: Account) -> float:
+    """The bound of the users' rule on any span of five seconds."""
+    uses = account.rate_per_s * WINDOW_MS / 1e3 + account.burst
+    return uses * (1 + TOLERANCE.overshoot) + TOLERANCE.slack
+
+
+class _NodeClock(Clock):
+    def __init__(self, world: LimitWorld) -> None:
+        self._world = world
+        self.suspended_ms = 0.0
+
+    def now_ms(self) -> float:
+        return self._world.now_ms - self.suspended_ms
+
+    def epoch_ms(self) -> float:
+        return self._world.now_ms
+
+    def fence_ms(self) -> float:
+        return self._world.now_ms
+
+
+class Node(msgspec.Struct, eq=False):
+    """One life of one instance."""
+
+    id: InstanceId
+    clock: _NodeClock
+    limits: FleetLimits
+    members: tuple[InstanceId, ...]
+    accounts: dict[TenantId, Account]
+    silent_until_ms: float = 0.0
+    is_dead: bool = False
+
+
+class LimitWorld:
+    """A fleet and what its accounts got."""
+
+    def __init__(
+        self, make: Make, instances_count: int, accounts: list[Account], seed: int = 1
+    ) -> None:
+        self.random = random.Random(seed)
+        self.now_ms = 0.0
+        self._make = make
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self.accounts = {account.id: account for account in accounts}
+        self.nodes: dict[InstanceId, Node] = {}
+        self.cuts: set[frozenset[InstanceId]] = set()
+        self.uses_ms: dict[TenantId, list[float]] = {}
+        self.verdicts: Counter[tuple[TenantId, VerdictKind]] = Counter()
+        self.waits_ms: list[float] = []
+        self.messages: Counter[InstanceId] = Counter()
+        self.tick_ms = TICK_MS
+        #: What is called with the answer to a question, by asking instance and number.
+        self._waiting: dict[tuple[InstanceId, int], Callable[[UseAnswered | None], None]] = {}
+        for number in range(instances_count):
+            self._start(InstanceId(f'instance-{number}'))
+        for node in self.nodes.values():
+            node.members = tuple(self.nodes)
+
+    def run(self, for_ms: float) -> None:
+        """Let time pass."""
+        until_ms = self.now_ms + for_ms
+        while self._events and self._events[0][0] <= until_ms:
+            self.now_ms, _, act = heapq.heappop(self._events)
+            act()
+        self.now_ms = until_ms
+
+    def at(self, delay_ms: float, act: Callable[[], None]) -> None:
+        """Have something happen later."""
+        heapq.heappush(self._events, (self.now_ms + delay_ms, next(self._order), act))
+
+    def load(self, account: TenantId, per_s: float, for_ms: float) -> None:
+        """Have an account's callers come to all instances, at random."""
+        at_ms = 0.0
+        while (at_ms := at_ms + self.random.expovariate(per_s) * 1e3) < for_ms:
+            self.at(at_ms, lambda: self.call(account))
+
+    def call(self, account: TenantId) -> None:
+        """Have a request come to some instance that runs."""
+        running = [node for node in self.nodes.values() if not node.is_dead]
+        if not running:
+            return
+        node = self.random.choice(running)
+        known = node.accounts[account]
+        self._go_on(node, known, set(), 1, self.now_ms)
+
+    def kill(self, name: InstanceId, back_ms: float | None) -> None:
+        """End an instance; it is back after a while, or for good not."""
+        self.nodes[name].is_dead = True
+        if back_ms is not None:
+            self.at(back_ms, lambda: self._start(name))
+        else:
+            self._tell_members(frozenset(self.nodes) - {name})
+
+    def add(self, name: InstanceId) -> None:
+        """Add an instance; the others hear of it late."""
+        self._start(name)
+        self._tell_members(frozenset(self.nodes))
+
+    def pause(self, name: InstanceId, for_ms: float, *, suspended: bool) -> None:
+        """Stop an instance for a while; suspended, its steady clock stands still too."""
+        node = self.nodes[name]
+        node.silent_until_ms = self.now_ms + for_ms
+        if suspended:
+            node.clock.suspended_ms += for_ms
+
+    def change(self, account: Account) -> None:
+        """Change a limit; each instance hears of it within the lag."""
+        self.accounts[account.id] = account
+        for node in self.nodes.values():
+            self.at(
+                self.random.uniform(0, LAG_MS),
+                lambda node=node: node.accounts.__setitem__(account.id, account),  # type: ignore[misc]
+            )
+
+    def largest_window(self, account: TenantId, from_ms: float = 0.0) -> int:
+        """The most uses in any span of the window."""
+        uses = sorted(at for at in self.uses_ms.get(account, []) if at >= from_ms)
+        return max(
+            (index + 1 - bisect_left(uses, at - WINDOW_MS) for index, at in enumerate(uses)),
+            default=0,
+        )
+
+    def _start(self, name: InstanceId) -> None:
+        clock = _NodeClock(self)
+        context = Context(
+            name, AvailabilityZone('zone-a'), clock, random.Random(self.random.random())
+        )
+        before = self.nodes.get(name)
+        members = before.members if before else (*self.nodes, name)
+        node = Node(name, clock, None, members, dict(self.accounts))  # type: ignore[arg-type]
+        node.limits = self._make(context, lambda: node.members, node.accounts.get, TOLERANCE)
+        self.nodes[name] = node
+        self.at(self.random.uniform(0, self.tick_ms), lambda: self._tick(node))
+
+    def _tell_members(self, names: frozenset[InstanceId]) -> None:
+        for node in self.nodes.values():
+            self.at(
+                self.random.uniform(0, LAG_MS),
+                lambda node=node: setattr(node, 'members', tuple(sorted(names))),  # type: ignore[misc]
+            )
+
+    def _tick(self, node: Node) -> None:
+        if node.is_dead:
+            return
+        if node.silent_until_ms <= self.now_ms:
+            self._send(node, node.limits.tick())
+        self.at(self.tick_ms * self.random.uniform(0.9, 1.1), lambda: self._tick(node))
+
+    def _send(self, sender: Node, addressed: list[Addressed]) -> None:
+        for each in addressed:
+            self.messages[sender.id] += 1
+            if frozenset((sender.id, each.receiver)) not in self.cuts:
+                self.at(
+                    DELAY_MS * self.random.uniform(0.5, 2),
+                    lambda each=each: self._deliver(sender.id, each),  # type: ignore[misc]
+                )
+
+    def _deliver(self, sender: InstanceId, each: Addressed) -> None:
+        node = self.nodes.get(each.receiver)
+        if node is None or node.is_dead:
+            return
+        if node.silent_until_ms > self.now_ms:
+            wait_ms = node.silent_until_ms - self.now_ms
+            self.at(wait_ms, lambda: self._deliver(sender, each))
+        elif isinstance(each.message, UseAnswered):
+            waiting = self._waiting.pop((node.id, each.message.number), None)
+            if waiting is not None:
+                waiting(each.message)
+        else:
+            self._send(node, node.limits.take(sender, each.message))
+
+    def _go_on(
+        self,
+        node: Node,
+        account: Account,
+        tried: set[InstanceId],
+        rounds: int,
+        began_ms: float,
+    ) -> None:
+        if node.is_dead:
+            return
+        if node.silent_until_ms > self.now_ms:
+            wait_ms = node.silent_until_ms - self.now_ms
+            self.at(wait_ms, lambda: self._go_on(node, account, tried, rounds, began_ms))
+            return
+        step = node.limits.next_step(account, tried)
+        if isinstance(step, LimitVerdict):
+            if step.kind is VerdictKind.UNKNOWN and rounds < ROUNDS:
+                self._go_on(node, account, set(), rounds + 1, began_ms)
+            else:
+                self._end(account, step, began_ms)
+            return
+
+        def answered(answer: UseAnswered | None) -> None:
+            if self._waiting.pop((node.id, step.number), None) is None and answer is None:
+                return
+            if node.is_dead:
+                return
+            tried.add(step.receiver)
+            verdict = None
+            if answer is None:
+                node.limits.note_silent(account, step.receiver)
+            else:
+                verdict = node.limits.note_answer(account, step.receiver, answer)
+            if verdict is None:
+                self._go_on(node, account, tried, rounds, began_ms)
+            else:
+                self._end(account, verdict, began_ms)
+
+        self._waiting[node.id, step.number] = answered
+        self.at(ASK_MS, lambda: answered(None))
+        self._send(node, [Addressed(step.receiver, step.message)])
+
+    def _end(self, account: Account, verdict: LimitVerdict, began_ms: float) -> None:
+        self.verdicts[account.id, verdict.kind] += 1
+        self.waits_ms.append(self.now_ms - began_ms)
+        if verdict.kind is VerdictKind.WITHIN:
+            self.uses_ms.setdefault(account.id, []).append(self.now_ms)
--- /dev/null
+++ b/tests/test_accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of client accounts and their limits."""
--- /dev/null
+++ b/tests/test_gateway/test_callers/test_callers_limits.py
@@ -0,0 +1,72 @@
+"""Limits of accounts on real instances: all together let through what the account may have."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import gevent
+import pytest
+
+from citrondyke.decisions.accounts.slots import SLOTS_COUNT
+from citrondyke.decisions.accounts.tolerance import LimitTolerance
+from tests.support.gateway import ROUTES, GatewayFleet, account, wait_until_seen
+
+KEY, OTHER = 'key-of-acme', 'key-of-other'
+
+
+@pytest.fixture
+def limited(fleet: GatewayFleet) -> GatewayFleet:
+    """A fleet in which one account may have a burst of ten and next to nothing a second."""
+    accounts = [account('acme', KEY, rate_per_s=0.5, burst=10), account('other', OTHER)]
+    fleet.configure(2, ROUTES, accounts)
+    fleet.wait_version(2)
+    wait_until_seen(
+        lambda: sum(len(each.limits.held_slots()) for each in fleet.instances) == SLOTS_COUNT,
+        'a steward for each slot',
+    )
+    return fleet
+
+
+def ask(fleet: GatewayFleet, count: int, key: str) -> Counter[int]:
+    """Call all instances in turn."""
+    workers = [
+        gevent.spawn(fleet.call, '/fetch/x', at=n % 2, request_id=f'{key}-{n}', x_api_key=key)
+        for n in range(count)
+    ]
+    gevent.joinall(workers)
+    return Counter(worker.value.status for worker in workers)
+
+
+def test_account_over_its_limit_is_refused_at_once_by_all_together(limited: GatewayFleet) -> None:
+    # A program runs wild and asks both instances. Each alone would let a whole burst through.
+    gevent.sleep(1.0)
+    statuses = ask(limited, 30, KEY)
+    assert set(statuses) <= {200, 429}
+    assert statuses[200] <= 10 + 2
+    ran = sum(len(server.runs) for server in limited.servers.values())
+    assert ran == statuses[200]
+    reply = limited.call('/fetch/x', request_id='late', x_api_key=KEY)
+    assert reply.status == 429
+    assert float(reply.headers['retry-after']) > 0
+    for number in range(10):
+        reply = limited.call('/fetch/x', request_id=f'other-{number}', x_api_key=OTHER)
+        assert reply.status == 200
+
+
+def test_steward_that_is_gone_is_followed(limited: GatewayFleet) -> None:
+    # One of two instances ends; the other one must not refuse for good what nobody counts.
+    limited.instances[1].abandon()
+    assert wait_until_seen(
+        lambda: limited.call('/fetch/x', request_id='again', x_api_key=KEY).status == 200,
+        'a steward after the one that ended',
+    )
+
+
+def test_tolerance_of_the_settings_is_used_for_uneven_callers() -> None:
+    tolerance = LimitTolerance(overshoot=0.1, slack=20.0)
+    rate_per_s, burst = 54.0, 54.0
+    window_s = tolerance.window_ms / 1e3
+    allowed = (rate_per_s * window_s + burst) * (1 + tolerance.overshoot) + tolerance.slack
+    steward = rate_per_s * window_s + tolerance.depth(burst)
+    stand_in = tolerance.stand_in_rate_per_s(rate_per_s) * window_s + tolerance.stand_in_depth
+    assert steward + 3 * stand_in <= allowed
