Full servers: heavy accounts and less urgent requests step back, and nobody is starved

Load pattern: a server at 1.7 times what it does, one account at nine times each of eight others, within its limit. First come first served turns all away alike. Change: with a queue at the server, an account that asked for more than twice the mean of the others in 4 s waits at most two fifths as long, two times in three; so does a request that is less urgent than one that was turned away in the last second, by the account's priority before the route's. A free place is anybody's.

--- a/citrondyke/decisions/accounts/account.py
+++ b/citrondyke/decisions/accounts/account.py
@@ -28,6 +28,10 @@
         """Count as an account."""
         return True
 
+    def priority_on(self, route_priority: int) -> int:
+        """Give the priority of its requests on a route."""
+        return route_priority if self.priority is None else self.priority
+
     @property
     def has_limit(self) -> bool:
         """Tell whether its requests are counted."""
--- a/citrondyke/decisions/forwarding/admission_rule.py
+++ b/citrondyke/decisions/forwarding/admission_rule.py
@@ -7,7 +7,11 @@
 
 import msgspec
 
+from citrondyke.decisions.accounts.account import ANYBODY
+from citrondyke.decisions.accounts.turns import Turns
+
 if TYPE_CHECKING:
+    from citrondyke.decisions.accounts.account import Account
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.forwarding.server_book import ServerBook
@@ -19,6 +23,8 @@
 #: Part of a route's target that a request may wait in a server's queue. What lies beyond would be
 #: late for sure, and everyone behind it too.
 WAIT_SHARE = 0.8
+#: Part of that wait for who steps back: the rest of the queue is for the others.
+STEP_BACK_SHARE = 0.4
 #: Time that a request occupies a place before the first one has ended, in ms.
 FIRST_STAY_MS = 200.0
 STAY_SHARE = 0.1
@@ -57,6 +63,7 @@
         """Start without a measurement."""
         self._context = context
         self._book = book
+        self._turns = Turns(context)
         self._stay_ms: dict[RouteName, float] = {}
         self._turned_away_ms: dict[ServiceName, deque[float]] = {}
 
@@ -65,19 +72,35 @@
         known = self._stay_ms.get(route.name, stay_ms)
         self._stay_ms[route.name] = known + STAY_SHARE * (stay_ms - known)
 
-    def decide(self, route: Route, state: ServerState, left_ms: float) -> Admitted | TurnedAway:
+    def decide(
+        self,
+        route: Route,
+        state: ServerState,
+        left_ms: float,
+        account: Account = ANYBODY,
+    ) -> Admitted | TurnedAway:
         """Decide for the best server.
 
         :param left_ms: time until the caller's deadline.
+        :param account: whose request it is.
         """
+        service = state.listed.service
+        priority = account.priority_on(route.priority)
+        self._turns.note(service, account.id)
         now_ms = self._context.now_ms()
         slots = max(1, state.listed.slots_count)
         ahead = state.online_count(now_ms) + state.held_count(now_ms) - slots + 1
         stay_ms = self._stay_ms.get(route.name, FIRST_STAY_MS)
         wait_ms = max(0.0, ahead * stay_ms / slots)
-        if wait_ms <= WAIT_SHARE * route.target_ms and wait_ms < left_ms:
+        if wait_ms <= 0.0 < left_ms:
+            return Admitted(0.0)
+        longest_ms = WAIT_SHARE * route.target_ms
+        if self._turns.steps_back(service, account.id, priority):
+            longest_ms *= STEP_BACK_SHARE
+        if wait_ms <= longest_ms and wait_ms < left_ms:
             return Admitted(wait_ms)
-        late_ms = wait_ms - WAIT_SHARE * route.target_ms
+        self._turns.note_turned_away(service, priority)
+        late_ms = wait_ms - longest_ms
         return TurnedAway(wait_ms, self._retry_in_ms(state, stay_ms, late_ms))
 
     def _retry_in_ms(self, state: ServerState, stay_ms: float, late_ms: float) -> float:
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -154,7 +154,9 @@
             state = self._choose(forwarding, standing)
             if state is None:
                 return None
-            admitted = self._rule.decide(forwarding.route, state, self._left_ms(forwarding))
+            admitted = self._rule.decide(
+                forwarding.route, state, self._left_ms(forwarding), forwarding.account
+            )
             if isinstance(admitted, TurnedAway):
                 end = self._turn_away(caller, forwarding, state, admitted)
                 if end is not None:
--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -39,6 +39,7 @@
             extra={
                 'request_id': forwarding.facts.request_id,
                 'route': forwarding.route.name,
+                'account': forwarding.account.id,
                 'config_version': forwarding.config_version,
                 'best_server': state.listed.id,
                 'online_count': state.online_count(now_ms),
