Operators see accounts, limits and suspects: explain, two commands, metrics by account

Cause: a refusal by key or limit could not be told from another one, and which requests are suspected was in logs only. Ruled out: the page at the port of the health check, which others may reach. No key in any of them. Tests: each cause, the page of a running instance, counts of several instances put together.

--- a/citrondyke/cmd/citrondykectl.py
+++ b/citrondyke/cmd/citrondykectl.py
@@ -12,6 +12,12 @@
 from cyclopts import App, Parameter
 
 from citrondyke.cmd.ctl import tables
+from citrondyke.cmd.ctl.accounts import (
+    accounts_table,
+    read_states,
+    suspects_of,
+    suspects_table,
+)
 from citrondyke.cmd.ctl.client import OperatorClient
 from citrondyke.cmd.ctl.config import class_app, config_app, tenant_app
 from citrondyke.cmd.ctl.exit_code import ExitCode
@@ -27,6 +33,7 @@
 from citrondyke.driver.virtual.trace import events_of_records, read_trace
 from citrondyke.driver.virtual.trace_outcome import TraceOutcome
 from citrondyke.entry.operator_shapes import StatusReport
+from citrondyke.operator.account_report import merge_states
 from citrondyke.operator.measures import MeasureReport
 
 __all__ = ('app', 'main')
@@ -137,6 +144,27 @@
         raise CtlError(ExitCode.FAILED, f'the outcome is not the stated one: {stated}')
 
 
+@app.command
+def accounts(*addresses: str, json: bool = False) -> None:
+    """Show client accounts with their limits, uses in the window and refusals.
+
+    Example: ``citrondykectl accounts 10.1.0.35:9464 10.1.0.36:9464``. An account's window is
+    known to the one instance that counts it: give all of them.
+
+    :param addresses: the instances' metrics addresses.
+    """
+    show(Options(json=json), merge_states(read_states(addresses)), accounts_table)
+
+
+@app.command
+def suspects(*addresses: str, json: bool = False) -> None:
+    """Show requests that are suspected of ending their servers or stopped, and why.
+
+    :param addresses: the instances' metrics addresses.
+    """
+    show(Options(json=json), suspects_of(read_states(addresses)), suspects_table)
+
+
 @app.command(name='explain')
 def explain(wanted: str, *files: Path, json: bool = False) -> None:
     """Join the lines of several instances' logs about a request, job or item, and its cause.
--- a/citrondyke/decisions/accounts/steward_limits.py
+++ b/citrondyke/decisions/accounts/steward_limits.py
@@ -23,6 +23,7 @@
 from citrondyke.decisions.accounts.refusals import Refusals
 from citrondyke.decisions.accounts.slot_lease import SlotLease
 from citrondyke.decisions.accounts.slots import SLOTS_COUNT, Slots, slot_of
+from citrondyke.decisions.accounts.window_count import StewardCount, WindowCount
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -68,6 +69,8 @@
         self._bucket_leases: dict[TenantId, float] = {}
         self._stand_ins: dict[TenantId, TokenBucket] = {}
         self._refusals = Refusals(context)
+        self._uses: dict[TenantId, WindowCount] = {}
+        self._refused: dict[TenantId, WindowCount] = {}
         self._began_ms = context.clock.fence_ms()
         self._silent_until_ms: dict[InstanceId, float] = {}
         self._stewards: dict[int, InstanceId] = {}
@@ -138,6 +141,23 @@
         """List the slots whose accounts this instance counts."""
         return tuple(slot for slot, lease in enumerate(self._leases) if lease.is_held)
 
+    def window(self, account: TenantId) -> StewardCount | None:
+        """Give what this instance has counted in the last window; ``None`` if it does not count."""
+        if not self.is_steward_of(account):
+            return None
+        now_ms = self._context.clock.fence_ms()
+        counts = [
+            found[account].count(now_ms) if account in found else 0
+            for found in (self._uses, self._refused)
+        ]
+        return StewardCount(*counts)
+
+    def _note(self, counts: dict[TenantId, WindowCount], account: TenantId) -> None:
+        found = counts.get(account)
+        if found is None:
+            found = counts[account] = WindowCount(self._tolerance.window_ms)
+        found.note(self._context.clock.fence_ms())
+
     def _order(self, slot: int) -> list[InstanceId]:
         """List the keepers to ask: the known steward first, the silent ones last."""
         now_ms = self._context.now_ms()
@@ -161,7 +181,9 @@
             self._tolerance.depth(account.burst),
             self._context.clock.fence_ms(),
         ):
+            self._note(self._uses, account.id)
             return UseAnswered(number, UseOutcome.GRANTED, is_steward=True)
+        self._note(self._refused, account.id)
         wait_ms = self._buckets[account.id].wait_ms(account.rate_per_s)
         retry_in_ms, pause_ms = self._refusals.refuse(account, asker, wait_ms)
         return UseAnswered(number, UseOutcome.REFUSED, retry_in_ms, pause_ms, is_steward=True)
--- a/citrondyke/decisions/crashes/suspect_book.py
+++ b/citrondyke/decisions/crashes/suspect_book.py
@@ -84,6 +84,15 @@
         """Count the suspects."""
         return len(self._by_digest)
 
+    def contents(self) -> list[RequestContent]:
+        """List the suspects."""
+        return [suspect.content for suspect in self._by_digest.values() if suspect.lives]
+
+    def trials(self, content: RequestContent) -> int:
+        """Count the trials of a request."""
+        suspect = self._by_digest.get(content.digest)
+        return 0 if suspect is None else suspect.trials
+
     def concerns(self, target: int) -> bool:
         """Tell whether a request for a target may be a suspect."""
         return target in self._targets
--- a/citrondyke/gateway/callers/small_pages.py
+++ b/citrondyke/gateway/callers/small_pages.py
@@ -1,4 +1,4 @@
-"""The health check and the metrics page, on connections of their own."""
+"""The health check and the operator's pages, on connections of their own."""
 
 from __future__ import annotations
 
@@ -20,12 +20,21 @@
 
 
 class SmallPages:
-    """Answers ``GET`` of the metrics page, and of anything else with the state of health."""
+    """Answers ``GET`` of the operator's pages, and of anything else with the state of health."""
 
-    def __init__(self, is_ready: Callable[[], bool], metrics: Metrics) -> None:
-        """Use the parts handed in."""
+    def __init__(
+        self,
+        is_ready: Callable[[], bool],
+        metrics: Metrics,
+        state: Callable[[], bytes] | None = None,
+    ) -> None:
+        """Use the parts handed in.
+
+        :param state: gives what operators are told; ``None`` at a port that others ask too.
+        """
         self._is_ready = is_ready
         self._metrics = metrics
+        self._state = state
 
     def on_connection(self, sock: socket.socket, _: object) -> None:
         """Answer until the other end closes."""
@@ -53,6 +62,8 @@
         path = head.split(b' ')[1] if head.count(b' ') else b''
         if path.startswith(b'/metrics'):
             return _page(b'200 OK', self._metrics.text().encode())
+        if path == b'/state' and self._state is not None:
+            return _page(b'200 OK', self._state())
         return _page(b'200 OK' if self._is_ready() else b'503 Service Unavailable', b'')
 
 
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -28,6 +28,7 @@
 from citrondyke.gateway.callers.small_pages import SmallPages
 from citrondyke.gateway.jobs.batch_side import BatchSide, BatchSurroundings
 from citrondyke.gateway.metrics import Metrics
+from citrondyke.gateway.operator_state import OperatorState
 from citrondyke.gateway.peers.load_exchange import LoadExchange
 from citrondyke.gateway.peers.membership import Membership
 from citrondyke.gateway.peers.peer_traffic import PeerTraffic
@@ -107,14 +108,15 @@
             table,
             self._live,
         )
+        limits = StewardLimits(
+            self.context,
+            self.membership.everybody,
+            self.beliefs.config.account,
+            settings.limit_tolerance,
+        )
         self.limits = LimitExchange(
             self.context,
-            StewardLimits(
-                self.context,
-                self.membership.everybody,
-                self.beliefs.config.account,
-                settings.limit_tolerance,
-            ),
+            limits,
             self.beliefs.config,
             self.membership,
             self.metrics,
@@ -179,6 +181,10 @@
             settings.connections_limit,
         )
         self._pages = SmallPages(lambda: self.is_ready, self.metrics)
+        state = OperatorState(
+            settings.instance_id, self.beliefs.config, limits, self.suspects, self.metrics
+        )
+        self._operator_pages = SmallPages(lambda: self.is_ready, self.metrics, state.page)
         self._servers: list[StreamServer] = []
         self._add_gauges()
         self._stopping = Event()
@@ -189,7 +195,8 @@
         self._listen(settings.callers.ip, settings.callers.port, self.front.on_connection)
         self._listen(settings.health.ip, settings.health.port, self._pages.on_connection)
         if settings.metrics_port:
-            self._listen(settings.ip, settings.metrics_port, self._pages.on_connection)
+            port = settings.metrics_port
+            self._listen(settings.ip, port, self._operator_pages.on_connection)
         follow_beliefs(
             self.context,
             self._outside,
--- a/citrondyke/gateway/metrics.py
+++ b/citrondyke/gateway/metrics.py
@@ -63,6 +63,10 @@
         """Count a request of an account by what was said of its limit."""
         self._accounts.setdefault(self._account_name(account), Counter())[verdict] += 1
 
+    def account_verdicts(self, account: str) -> dict[str, int]:
+        """Give how often what was said of an account's limit here."""
+        return dict(self._accounts.get(account, {}))
+
     def note_account_answer(self, account: str, first_ms: float) -> None:
         """Count how long an account's request waited for the first of its answer."""
         self._histogram(self._account_first, self._account_name(account)).add(first_ms)
--- /dev/null
+++ b/citrondyke/gateway/operator_state.py
@@ -0,0 +1,65 @@
+"""What an instance tells its operator of accounts and of suspected requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.operator.account_report import AccountState, InstanceState, SuspectState
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.accounts.steward_limits import StewardLimits
+    from citrondyke.decisions.crashes.suspect_book import SuspectBook
+    from citrondyke.decisions.forwarding.config_holder import ConfigHolder
+    from citrondyke.gateway.metrics import Metrics
+    from citrondyke.ids import InstanceId
+
+__all__ = ('OperatorState',)
+
+
+class OperatorState:
+    """Puts the state together when it is asked for."""
+
+    def __init__(
+        self,
+        instance_id: InstanceId,
+        config: ConfigHolder,
+        limits: StewardLimits,
+        suspects: SuspectBook,
+        metrics: Metrics,
+    ) -> None:
+        """Use the parts handed in."""
+        self._instance_id = instance_id
+        self._config = config
+        self._limits = limits
+        self._suspects = suspects
+        self._metrics = metrics
+
+    def page(self) -> bytes:
+        """Give the state as JSON."""
+        table = self._config.current
+        state = InstanceState(
+            instance=self._instance_id,
+            config_version=table.version,
+            accounts=[
+                AccountState(
+                    id=account.id,
+                    rate_per_s=account.rate_per_s,
+                    burst=account.burst,
+                    verdicts=self._metrics.account_verdicts(account.id),
+                    steward=self._limits.window(account.id),
+                )
+                for account in table.accounts or ()
+            ],
+            suspects=[
+                SuspectState(
+                    content=content.digest,
+                    standing=self._suspects.standing(content).value,
+                    servers_ended=self._suspects.score(content),
+                    trials=self._suspects.trials(content),
+                )
+                for content in self._suspects.contents()
+            ],
+        )
+        return msgspec.json.encode(state)
--- a/citrondyke/operator/explanation.py
+++ b/citrondyke/operator/explanation.py
@@ -17,6 +17,8 @@
 BELIEFS = frozenset(
     (
         'config.taken',
+        'limit.keeper_silent',
+        'limit.slots',
         'servers.changed',
         'server.ended',
         'dependency.lost',
--- a/citrondyke/operator/loss_causes.py
+++ b/citrondyke/operator/loss_causes.py
@@ -20,6 +20,9 @@
 WAIT_SHARE = 0.25
 ENDS = {
     'turned_away': LossCause.TURNED_AWAY,
+    'over_limit': LossCause.OVER_LIMIT,
+    'limit_unknown': LossCause.OVER_LIMIT,
+    'key_gone': LossCause.NOT_TAKEN,
     'no_server': LossCause.NO_SERVER,
     'not_run': LossCause.NO_SERVER,
     'broken': LossCause.BROKE_OFF,
--- a/citrondyke/operator/loss_report.py
+++ b/citrondyke/operator/loss_report.py
@@ -14,6 +14,8 @@
 
     #: No place was to be expected in time.
     TURNED_AWAY = 'turned away'
+    #: Its account had had what its limit allows, or nobody could say.
+    OVER_LIMIT = 'over the limit of its account'
     #: Each server that was asked turned it away, or none took work.
     NO_SERVER = 'no server took it'
     #: No route, too many connections, an improper head.
--- a/citrondyke/operator/request_course.py
+++ b/citrondyke/operator/request_course.py
@@ -48,6 +48,8 @@
         'it may not run again.',
         'timed_out': 'No whole answer came before the deadline.',
         'cut_midway': 'Its stream broke off and may not go on elsewhere.',
+        'over_limit': _limit(by_kind.get('request.over_limit')),
+        'limit_unknown': _limit(by_kind.get('request.over_limit')),
         'key_gone': 'Its key was taken away before another server was tried.',
         'stopped': _stopped(by_kind.get('request.stopped')),
         'on_trial': _stopped(by_kind.get('request.stopped')),
@@ -56,6 +58,8 @@
     }
     cause = reasons.get(str(end.get('end')), f'It ended as {end.get("end")}.')
     missing = []
+    if end.get('end') in ('over_limit', 'limit_unknown') and 'request.over_limit' not in by_kind:
+        missing.append('request.over_limit')
     if end.get('end') == 'turned_away' and turned_away is None:
         missing.append('request.turned_away')
     if end.get('end') in ('broken', 'timed_out', 'cut_midway', 'not_run') and not sends:
@@ -79,6 +83,18 @@
     return ' '.join(parts)
 
 
+def _limit(event: LogEvent | None) -> str:
+    if event is None:
+        return 'It was not sent because of the limit of its account.'
+    account = event.get('account')
+    limit = f'{event.get("rate_per_s")} a second and {event.get("burst")} at once'
+    if event.get('verdict') == 'over':
+        return (
+            f'Account {account} had had its {limit}, as {event.get("by") or "this instance"} said.'
+        )
+    return f'Nobody could say whether account {account} had had its {limit}.'
+
+
 def _no_account(event: LogEvent) -> str:
     brought = 'brought no key' if event.get('reason') == 'no_key' else 'brought a key of nobody'
     cause = f'It {brought}, by configuration {event.get("config_version")}.'
--- a/tests/test_gateway/test_callers/test_callers_limits.py
+++ b/tests/test_gateway/test_callers/test_callers_limits.py
@@ -5,10 +5,18 @@
 from collections import Counter
 
 import gevent
+import msgspec
 import pytest
 
+from citrondyke.cmd.ctl.accounts import read_states
 from citrondyke.decisions.accounts.slots import SLOTS_COUNT
 from citrondyke.decisions.accounts.tolerance import LimitTolerance
+from citrondyke.decisions.accounts.window_count import StewardCount
+from citrondyke.operator.account_report import (
+    AccountState,
+    InstanceState,
+    merge_states,
+)
 from tests.support.gateway import ROUTES, GatewayFleet, account, wait_until_seen
 
 KEY, OTHER = 'key-of-acme', 'key-of-other'
@@ -53,6 +61,32 @@
         assert reply.status == 200
 
 
+def test_operator_sees_limits_uses_and_refusals(fleet: GatewayFleet) -> None:
+    fleet.configure(2, ROUTES, [account('acme', KEY, rate_per_s=0.5, burst=2)])
+    watched = fleet.start_instance(metrics_port=18_009)
+    fleet.wait_ready()
+    wait_until_seen(lambda: fleet.call('/fetch/x', at=2, x_api_key=KEY).status == 429, 'a refusal')
+    # The tool waits for its answer in a thread, as the instance runs in this one.
+    address = f'{watched.address.ip}:18009'
+    (state,) = gevent.get_hub().threadpool.apply(read_states, ([address],))
+    (report,) = merge_states([state])
+    assert (report.id, report.rate_per_s, report.burst) == ('acme', 0.5, 2.0)
+    assert report.verdicts['over'] >= 1
+    assert KEY not in msgspec.json.encode(state).decode()
+
+
+def test_window_of_the_steward_goes_before_what_others_do_not_know() -> None:
+    known = AccountState(id='a', rate_per_s=2, burst=1, steward=StewardCount(5, 3))
+    unknown = AccountState(id='a', rate_per_s=1, burst=1, verdicts={'over': 2})
+    states = [
+        InstanceState(instance='i-1', config_version=2, accounts=[known]),
+        InstanceState(instance='i-2', config_version=1, accounts=[unknown]),
+    ]
+    (report,) = merge_states(states)
+    assert (report.uses, report.refused_in_window, report.rate_per_s) == (5, 3, 2)
+    assert report.verdicts == {'over': 2}
+
+
 def test_steward_that_is_gone_is_followed(limited: GatewayFleet) -> None:
     # One of two instances ends; the other one must not refuse for good what nobody counts.
     limited.instances[1].abandon()
--- a/tests/test_operator/test_operator_explain.py
+++ b/tests/test_operator/test_operator_explain.py
@@ -170,3 +170,43 @@
     assert '2 servers ended under it, with 2 attempts. 1 attempts were stopped' in found.cause
     assert [each.event for each in found.around] == ['server.ended']
     assert '3.0 servers had ended under the same work, c' in explain('r3', logs).cause
+
+
+@pytest.mark.parametrize(
+    ('fields', 'cause'),
+    [
+        ({'reason': 'unknown_key', 'status': 401}, 'a key of nobody, by configuration 7.'),
+        ({'reason': 'no_key', 'status': 503, 'confirmed_age_ms': 9_000}, 'confirmed it 9000 ms'),
+    ],
+)
+def test_request_without_an_account_is_explained(
+    tmp_path: Path, fields: dict[str, object], cause: str
+) -> None:
+    line = event('request.no_account', 1.0, request_id='r', config_version=7, **fields)
+    file = write(tmp_path / 'edge-1.log', line)
+    assert cause in explain('r', read_log_events([file])).cause
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'cause'),
+    [('over', 'had had its 5 a second and 2 at once, as edge-9'), ('unknown', 'Nobody could say')],
+)
+def test_refusal_by_the_limit_of_an_account_is_explained(
+    tmp_path: Path, verdict: str, cause: str
+) -> None:
+    line = event(
+        'request.over_limit',
+        1.0,
+        request_id='r',
+        account='acme',
+        verdict=verdict,
+        by='edge-9',
+        rate_per_s=5,
+        burst=2,
+    )
+    end = 'over_limit' if verdict == 'over' else 'limit_unknown'
+    file = write(tmp_path / 'edge-1.log', line, event('request.end', 1.1, request_id='r', end=end))
+    found = explain('r', read_log_events([file]))
+    assert cause in found.cause
+    assert 'acme' in found.cause
+    assert not found.missing
