The soak has accounts, keys that come and go, and one account far over its limit

It checks from what servers saw: whose request it is, that no key went on, that nobody's key ran anything, and that no window holds more of the hot account than its bound. Checks of the witness itself: a wrong account, a key at a server, a key of nobody, one request too many in a window.

--- a/tests/test_soak/soak.py
+++ b/tests/test_soak/soak.py
@@ -17,7 +17,13 @@
 from tests.support.gateway import Reply, exchange
 from tests.support.program import Program
 from tests.test_soak.fault_proxy import Harm
-from tests.test_soak.soak_fleet import CALLERS_PORT, SoakFleet
+from tests.test_soak.soak_fleet import (
+    CALLERS_PORT,
+    HOT_KEY,
+    STEADY_KEY,
+    SoakFleet,
+    changing_key,
+)
 from tests.test_soak.witness import Asked, JobSeen, Witness
 
 __all__ = ('Soak',)
@@ -25,6 +31,7 @@
 KINDS = ('fetch', 'order', 'stream', 'stream-once')
 CALLERS = 8
 JOB_CALLERS = 3
+HOT_CALLERS = 3
 ITEMS = 4
 ANSWER_WITHIN_S = 8.0
 #: Time after the faults in which everything accepted must be done.
@@ -64,6 +71,7 @@
         """Play it, heal everything and give the promises that were broken."""
         workers = [self._call for _ in range(CALLERS)] + [self._hand_in for _ in range(JOB_CALLERS)]
         workers += [self._operate, self._harm, self._harm, self._ask_deadly]
+        workers += [self._ask_hot] * HOT_CALLERS + [self._ask_with_other_keys]
         gevent.joinall(
             [
                 gevent.spawn(worker, Random(self._seed * 100 + n))
@@ -124,6 +132,26 @@
             self.witness.asked.append(Asked(request_id, kind, body, reply))
             gevent.sleep(random.uniform(0.05, 0.4))
 
+    def _ask_hot(self, random: Random) -> None:
+        """Ask for many times what the account may have, at all instances."""
+        while self._goes_on():
+            request_id = self._new_id('hot')
+            self.witness.note_hot(request_id)
+            body = b'body of ' + request_id.encode()
+            reply = self._ask(random, '/fetch/x', body, request_id, key=HOT_KEY)
+            self.witness.asked.append(Asked(request_id, 'fetch', body, reply))
+            gevent.sleep(random.uniform(0.0, 0.1))
+
+    def _ask_with_other_keys(self, random: Random) -> None:
+        """Ask with keys that come and go, and with such as nobody ever held."""
+        while self._goes_on():
+            is_nobodys = random.random() < 0.5
+            request_id = self._new_id('nobodys' if is_nobodys else 'changing')
+            version = self._fleet.version - random.randrange(4)
+            key = 'key-of-nobody' if is_nobodys else changing_key(version)
+            self._ask(random, '/fetch/x', b'', request_id, key=key)
+            gevent.sleep(random.uniform(0.0, 0.1))
+
     def _hand_in(self, random: Random) -> None:
         while self._goes_on():
             job_id = self._new_id('job')
@@ -167,13 +195,19 @@
             self.witness.note_page(job, after, msgspec.json.decode(reply.body))
 
     def _ask(
-        self, random: Random, path: str, body: bytes, request_id: str, method: str = 'POST'
+        self,
+        random: Random,
+        path: str,
+        body: bytes,
+        request_id: str,
+        method: str = 'POST',
+        key: str = STEADY_KEY,
     ) -> Reply:
         sock = self._connect(random)
         if sock is None:
             return Reply(0, {}, b'', False)
         with sock:
-            return _exchange(sock, path, body, request_id, method)
+            return _exchange(sock, path, body, request_id, method, key)
 
     def _operate(self, random: Random) -> None:
         while self._goes_on():
@@ -312,10 +346,17 @@
 
 
 def _exchange(
-    sock: socket.socket, path: str, body: bytes, request_id: str, method: str = 'POST'
+    sock: socket.socket,
+    path: str,
+    body: bytes,
+    request_id: str,
+    method: str = 'POST',
+    key: str = STEADY_KEY,
 ) -> Reply:
     """Make one exchange; a connection that breaks gives an answer without a status."""
     try:
-        return exchange(sock, path, body, method=method, request_id=request_id)
+        return exchange(
+            sock, path, body, method=method, request_id=request_id, x_api_key=key, tenant='forged'
+        )
     except (OSError, h11.LocalProtocolError):
         return Reply(0, {}, b'', False)
--- a/tests/test_soak/soak_fleet.py
+++ b/tests/test_soak/soak_fleet.py
@@ -16,12 +16,19 @@
 from citrondyke.platform.settings_file import FILE_VARIABLE
 from citrondyke.standin.platform_server import PlatformServer
 from citrondyke.standin.store_app import StoreApp
-from tests.support.gateway import ROUTES, route
+from tests.support.gateway import ROUTES, account, route
 from tests.support.peers import server_row
 from tests.support.program import Program
 from tests.test_soak.fault_proxy import FaultProxy
 
-__all__ = ('SoakFleet',)
+__all__ = (
+    'HOT_ALLOWED',
+    'HOT_KEY',
+    'STEADY_KEY',
+    'WINDOW_S',
+    'SoakFleet',
+    'changing_key',
+)
 
 CALLERS_PORT, HEALTH_PORT, PEER_PORT = 18_100, 18_101, 18_102
 ZONES = ('zone-a', 'zone-b', 'zone-c')
@@ -29,6 +36,16 @@
 READY_WITHIN_S = 30.0
 #: From a server's end until it is off the list.
 LAPSE_S = 1.5
+STEADY_KEY, HOT_KEY = 'key-of-steady', 'key-of-hot'
+HOT_RATE_PER_S, HOT_BURST = 5.0, 5.0
+WINDOW_S, OVERSHOOT, SLACK = 5, 0.1, 20
+#: Requests of the hot account that servers may run in any window.
+HOT_ALLOWED = (HOT_RATE_PER_S * WINDOW_S + HOT_BURST) * (1 + OVERSHOOT) + SLACK
+
+
+def changing_key(version: int) -> str:
+    """Give the key that a version of the configuration brings in."""
+    return f'key-of-changing-{version}'
 
 
 class SoakFleet:
@@ -68,7 +85,18 @@
         """Write the next configuration, with a route of its own."""
         self.version += 1
         routes = [*ROUTES, route(f'added-{self.version}', 'idempotent', 'app')]
-        config: dict[str, Any] = {'version': self.version, 'routes': routes, 'limits': {}}
+        accounts = [
+            account('steady', STEADY_KEY),
+            account('hot', HOT_KEY, rate_per_s=HOT_RATE_PER_S, burst=HOT_BURST),
+            # One key is on its way out, one is new.
+            account('changing', *(changing_key(self.version - n) for n in (0, 1))),
+        ]
+        config: dict[str, Any] = {
+            'version': self.version,
+            'routes': routes,
+            'limits': {},
+            'tenants': accounts,
+        }
         self.store.put(CONFIG_TABLE, CONFIG_KEY, msgspec.json.encode(config))
 
     def add_server(self, name: str, service: str) -> None:
@@ -122,6 +150,10 @@
                 f'zone = "{ZONES[number % len(ZONES)]}"',
                 f'internal_ports = [{PEER_PORT}, {PEER_PORT + 2}]',
                 f'seeds = ["{self.ip(0)}:1", "{self.ip(1)}:1"]',
+                '[bounds]',
+                f'quota_window_s = {WINDOW_S}',
+                f'quota_overshoot = {OVERSHOOT}',
+                f'quota_slack = {SLACK}',
                 '[listen]',
                 f'frontend = "{ip}:{CALLERS_PORT}"',
                 f'ready = "{ip}:{HEALTH_PORT}"',
--- a/tests/test_soak/test_soak_promises.py
+++ b/tests/test_soak/test_soak_promises.py
@@ -12,7 +12,7 @@
 from citrondyke.standin.platform_server import Act, PlatformServer, ServerRun
 from tests.support.gateway import Reply
 from tests.test_soak.soak import Soak
-from tests.test_soak.soak_fleet import SoakFleet
+from tests.test_soak.soak_fleet import HOT_ALLOWED, WINDOW_S, SoakFleet
 from tests.test_soak.witness import LEAVE_S, NEWS_S, STREAM, TEXT, Asked, JobSeen, Witness
 
 #: Seeds that CI plays; each one that ever showed a fault stays here with its cause.
@@ -136,6 +136,37 @@
         assert len(witness.judge([server], {})) == wrong_count
 
 
+@pytest.mark.parametrize(
+    ('request_id', 'headers'),
+    [
+        ('hot-1', {b'tenant': b'steady'}),
+        ('fetch-1', {b'tenant': b'hot'}),
+        ('fetch-2', {b'tenant': b'steady', b'x-api-key': b'k'}),
+        ('nobodys-1', {b'tenant': b'steady'}),
+    ],
+)
+def test_witness_finds_a_wrong_account_and_a_key_at_a_server(
+    request_id: str, headers: dict[bytes, bytes]
+) -> None:
+    run = run_of(request_id)
+    run.headers = headers
+    assert len(judged([run])) == 1
+
+
+def test_witness_finds_a_window_with_too_many() -> None:
+    # What was sent before the window, or begun after it, does not count in it.
+    for count, wrong_count in ((int(HOT_ALLOWED), 0), (int(HOT_ALLOWED) + 1, 1)):
+        server = PlatformServer('server')
+        server.stop()
+        witness = Witness()
+        for number in range(count):
+            witness.hot_sent_s[f'hot-{number}'] = number / 100
+            server.runs.append(run_of(f'hot-{number}', began_s=number / 100 + 1))
+        witness.hot_sent_s['hot-early'] = -0.1
+        server.runs.append(run_of('hot-early', began_s=WINDOW_S + 0.5))
+        assert len(witness.judge([server], {})) == wrong_count
+
+
 def test_witness_finds_nothing_where_all_is_kept() -> None:
     kept = answer('order', 200, b'answer to x')
     assert judged([run_of('a')], (kept,), (job([503, 202], DONE),)) == []
--- a/tests/test_soak/witness.py
+++ b/tests/test_soak/witness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 from collections.abc import Iterable
 from typing import Any
@@ -10,6 +11,7 @@
 
 from citrondyke.standin.platform_server import Act, PlatformServer, ServerRun
 from tests.support.gateway import Reply
+from tests.test_soak.soak_fleet import HOT_ALLOWED, WINDOW_S
 
 __all__ = ('Asked', 'JobSeen', 'Witness')
 
@@ -63,11 +65,17 @@
         self.wrong: list[str] = []
         #: Bodies under which servers end.
         self.deadly_bodies: set[bytes] = set()
+        #: When requests of the hot account were sent.
+        self.hot_sent_s: dict[str, float] = {}
 
     def complain(self, what: str) -> None:
         """Note a broken promise."""
         self.wrong.append(what)
 
+    def note_hot(self, request_id: str) -> None:
+        """Take in that a request of the hot account is sent."""
+        self.hot_sent_s[request_id] = time.monotonic()
+
     def note_page(self, job: JobSeen, after: int, page: dict[str, Any]) -> None:
         """Take in a read of results; what stood at a position stays there."""
         if page['total'] != len(job.item_ids):
@@ -85,6 +93,8 @@
             for run in server.runs:
                 runs.setdefault(run.request_id, []).append(run)
             self._judge_leaving(server, left_s.get(server.server_id))
+            self._judge_keys(server)
+        self._judge_window(runs)
         for body in self.deadly_bodies:
             self._judge_deadly(body, servers)
         for asked in self.asked:
@@ -100,6 +110,31 @@
         if late:
             self.complain(f'{server.server_id} got {len(late)} requests after it left')
 
+    def _judge_keys(self, server: PlatformServer) -> None:
+        """A server learns whose request it is from the instances, and never a key."""
+        for run in server.runs:
+            kind = run.request_id.partition('-')[0]
+            account = {'hot': b'hot', 'changing': b'changing'}.get(kind, b'steady')
+            if run.headers and run.headers.get(b'tenant') != account:
+                self.complain(f'{run.request_id} ran as {run.headers.get(b"tenant")!r}')
+            if b'x-api-key' in run.headers:
+                self.complain(f'the key of {run.request_id} went on to a server')
+            if kind == 'nobodys':
+                self.complain(f"{run.request_id} ran though its key is nobody's")
+
+    def _judge_window(self, runs: dict[str, list[ServerRun]]) -> None:
+        """Count what was sent and begun in each window that begins with a request."""
+        begun = sorted(
+            (sent_s, min(run.began_s for run in runs[request_id]))
+            for request_id, sent_s in self.hot_sent_s.items()
+            if runs.get(request_id)
+        )
+        for place, (from_s, _) in enumerate(begun):
+            inside = sum(began_s <= from_s + WINDOW_S for _, began_s in begun[place:])
+            if inside > HOT_ALLOWED:
+                self.complain(f'{inside} requests of the hot account in a window')
+                return
+
     def _judge_deadly(self, body: bytes, servers: list[PlatformServer]) -> None:
         began_s = sorted(
             run.began_s for server in servers for run in server.runs if run.body == body
