--- a/benchmarks/gateway_load.py
+++ b/benchmarks/gateway_load.py
@@ -35,7 +35,7 @@
 )
 from citrondyke.util.clock import Clock
 
-__all__ = ('load_figures',)
+__all__ = ('Play', 'load_figures')
 
 INSTANCES = 10
 #: A few requests decide a 99th percentile: alone, the seeds give 1.1 to 3.4 times that without
@@ -84,7 +84,7 @@
     queue: deque[_Run]
 
 
-class _Play:
+class Play:
     """One load on one policy."""
 
     def __init__(
@@ -118,7 +118,7 @@
         if with_batch:
             self._every(25.0, self._pump)
 
-    def run(self) -> _Play:
+    def run(self) -> Play:
         """Play to the end."""
         while self._heap:
             at_ms, _, work = heapq.heappop(self._heap)
@@ -130,6 +130,7 @@
 
     @property
     def mean_worth(self) -> float:
+        """Give the mean worth of an answer."""
         return self.worth / max(1, self.asked)
 
     def _new_instance(self, policy: type[Policy], number: int) -> Policy:
@@ -298,13 +299,13 @@
     """Compare with baselines on the same load; ratios of mean worth, and harm of batch."""
     figures = []
     for name, servers_count, per_s in (('bursts', SERVERS, 20.7), ('two of five servers', 2, 20.7)):
-        ours = _Play(Ours, servers_count, per_s).run().mean_worth
+        ours = Play(Ours, servers_count, per_s).run().mean_worth
         for label, policy, bound in (
             ('least loaded only', LeastLoadedOnly, 0.99),
             ('random of two', RandomOfTwo, 1.0),
             ('no waiting', NoWaiting, 0.98),
         ):
-            theirs = _Play(policy, servers_count, per_s).run().mean_worth
+            theirs = Play(policy, servers_count, per_s).run().mean_worth
             figures.append(
                 Figure(
                     name=f'gateway, {name}: worth of answers ÷ {label}',
@@ -339,13 +340,13 @@
     return figures
 
 
-def _plays(*, with_batch: bool = False, gives_way: bool = True) -> list[_Play]:
+def _plays(*, with_batch: bool = False, gives_way: bool = True) -> list[Play]:
     return [
-        _Play(Ours, SERVERS, 20.7, with_batch=with_batch, gives_way=gives_way, seed=seed).run()
+        Play(Ours, SERVERS, 20.7, with_batch=with_batch, gives_way=gives_way, seed=seed).run()
         for seed in SEEDS
     ]
 
 
-def _p99(plays: list[_Play]) -> float:
+def _p99(plays: list[Play]) -> float:
     values = sorted(value for play in plays for value in play.first_ms)
     return values[int(len(values) * 0.99)]
--- a/benchmarks/gateway_policies.py
+++ b/benchmarks/gateway_policies.py
@@ -5,13 +5,14 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
-from citrondyke.decisions.forwarding.admission_rule import AdmissionRule, TurnedAway
+from citrondyke.decisions.forwarding.admission_rule import AdmissionRule, Admitted, TurnedAway
 from citrondyke.decisions.forwarding.route import Route, RouteKind, ServiceShare
 from citrondyke.ids import RouteName, ServerId, ServiceName
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_book import ServerBook
+    from citrondyke.decisions.forwarding.server_state import ServerState
 
 __all__ = (
     'AIM_MS',
@@ -49,6 +50,10 @@
         self.rule = AdmissionRule(context, book)
         self.rule.note_stay(ROUTE, STAY_MS)
 
+    def decide(self, state: ServerState) -> Admitted | TurnedAway:
+        """Give what the gateway's rule says of a server."""
+        return self.rule.decide(ROUTE, state, 5_000.0)
+
     @abstractmethod
     def choose(self) -> ServerId | float:
         """Choose."""
@@ -61,7 +66,7 @@
         """Choose."""
         state = self.book.choose(SERVICE, (), '')
         assert state is not None
-        answer = self.rule.decide(ROUTE, state, 5_000.0)
+        answer = self.decide(state)
         if isinstance(answer, TurnedAway):
             return answer.retry_in_ms
         return state.listed.id
