--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -29,7 +29,8 @@
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.forwarding.server_book import ServerBook
     from citrondyke.gateway.accounts.limit_exchange import LimitExchange
-    from citrondyke.gateway.callers.caller_connection import CallerConnection, CallerRequest
+    from citrondyke.gateway.callers.caller_connection import CallerConnection
+    from citrondyke.gateway.callers.caller_request import CallerRequest
     from citrondyke.gateway.callers.request_log import RequestLog
     from citrondyke.gateway.dialect import CallFacts, Dialect
     from citrondyke.gateway.http_head import Headers
--- a/citrondyke/gateway/callers/forwarding.py
+++ b/citrondyke/gateway/callers/forwarding.py
@@ -10,7 +10,7 @@
 from citrondyke.decisions.crashes.content import AskedWork, RequestContent
 from citrondyke.decisions.forwarding.course import Course
 from citrondyke.decisions.forwarding.route import Route
-from citrondyke.gateway.callers.caller_connection import CallerRequest
+from citrondyke.gateway.callers.caller_request import CallerRequest
 from citrondyke.gateway.dialect import CallFacts
 from citrondyke.ids import ConfigVersion
 
--- a/citrondyke/gateway/callers/front.py
+++ b/citrondyke/gateway/callers/front.py
@@ -22,7 +22,7 @@
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.beliefs.beliefs import Beliefs
-    from citrondyke.gateway.callers.caller_connection import CallerRequest
+    from citrondyke.gateway.callers.caller_request import CallerRequest
     from citrondyke.gateway.callers.forwarder import Forwarder
     from citrondyke.gateway.dialect import CallFacts, Dialect
     from citrondyke.gateway.jobs.job_door import JobDoor
--- /dev/null
+++ b/citrondyke/gateway/callers/request_reader.py
@@ -0,0 +1,148 @@
+"""Reads the requests of one caller's connection strictly and within their bounds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import h11
+
+from citrondyke.errors.bad_request_head import BadRequestHeadError
+from citrondyke.errors.caller_gone import CallerGoneError
+from citrondyke.gateway.callers.caller_request import CallerRequest
+from citrondyke.gateway.callers.strict_head import check_head
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gevent import socket
+
+    from citrondyke.decisions.forwarding.route import RouteLimits
+    from citrondyke.util.clock import Clock
+
+__all__ = ('READ_BYTES', 'RequestReader')
+
+READ_BYTES = 65_536
+HEAD_END = b'\r\n\r\n'
+
+
+class RequestReader:
+    """The reading side; what was read beyond a request is kept for the next one."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        sock: socket.socket,
+        limits: Callable[[], RouteLimits],
+        write: Callable[[bytes], None],
+    ) -> None:
+        """Use an accepted socket.
+
+        :param write: sends an interim answer to a caller that waits for one.
+        """
+        self._clock = clock
+        self._sock = sock
+        self._limits = limits
+        self._write = write
+        #: State of the exchange under way.
+        self.http = h11.Connection(h11.SERVER)
+        #: Bytes that were read behind the request.
+        self.ahead = b''
+        #: Whether nothing of a request was read: such a connection may end at any time.
+        self.is_idle = True
+
+    def read(self) -> CallerRequest | None:
+        """Read the next request; ``None`` when the caller closed or was idle for too long.
+
+        :raises BadRequestHeadError: when it is improper, too large or too slow.
+        """
+        self.is_idle = True
+        limits = self._limits()
+        head = self._read_raw_head(limits)
+        if head is None:
+            return None
+        arrived_ms = self._clock.now_ms()
+        check_head(head)
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes + 1)
+        self.http.receive_data(head)
+        try:
+            request = self.http.next_event()
+            if not isinstance(request, h11.Request):
+                raise BadRequestHeadError('no request line')
+            body = self._read_body(limits)
+        except h11.RemoteProtocolError as error:
+            raise BadRequestHeadError(str(error)) from error
+        headers = [(bytes(name), bytes(value)) for name, value in request.headers]
+        self.ahead = self.http.trailing_data[0]
+        return CallerRequest(
+            bytes(request.method), bytes(request.target), headers, body, arrived_ms
+        )
+
+    def _read_raw_head(self, limits: RouteLimits) -> bytes | None:
+        data = self.ahead
+        self.ahead = b''
+        until_ms = self._clock.now_ms() + limits.idle_within_ms
+        while True:
+            if self.is_idle and data.lstrip(b'\r\n'):
+                self.is_idle = False
+                until_ms = self._clock.now_ms() + limits.head_within_ms
+            data = data.lstrip(b'\r\n') if self.is_idle or data[:1] in b'\r\n' else data
+            end = data.find(HEAD_END)
+            if end >= 0:
+                end += len(HEAD_END)
+                if end > limits.head_bytes:
+                    raise BadRequestHeadError('head too large', 431)
+                self.ahead = data[end:]
+                return data[:end]
+            if len(data) > limits.head_bytes:
+                raise BadRequestHeadError('head too large', 431)
+            if b'\n\n' in data:
+                raise BadRequestHeadError('line feeds alone')
+            more = self._receive(until_ms)
+            if more is None:
+                if self.is_idle:
+                    return None
+                raise BadRequestHeadError('head too slow', 408)
+            if not more:
+                return None
+            data += more
+
+    def _read_body(self, limits: RouteLimits) -> bytes:
+        self.http.receive_data(self.ahead) if self.ahead else None
+        self.ahead = b''
+        if self.http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[], reason=b'Continue')
+            self._write(self.http.send(go_on) or b'')
+        parts: list[bytes] = []
+        size = 0
+        until_ms = self._clock.now_ms() + limits.idle_within_ms
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                more = self._receive(until_ms)
+                if more is None:
+                    raise BadRequestHeadError('body too slow', 408)
+                if not more:
+                    raise CallerGoneError
+                self.http.receive_data(more)
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    raise BadRequestHeadError('body too large', 413)
+            elif isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            else:
+                raise CallerGoneError
+
+    def _receive(self, until_ms: float) -> bytes | None:
+        left_ms = until_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            return None
+        try:
+            self._sock.settimeout(left_ms / 1e3)
+            data: bytes = self._sock.recv(READ_BYTES)
+        except TimeoutError:
+            return None
+        except OSError:
+            return b''
+        return data
--- a/citrondyke/gateway/dialect.py
+++ b/citrondyke/gateway/dialect.py
@@ -14,7 +14,7 @@
     from collections.abc import Sequence
 
     from citrondyke.decisions.batch.job import ItemResult, JobItem
-    from citrondyke.gateway.callers.caller_connection import CallerRequest
+    from citrondyke.gateway.callers.caller_request import CallerRequest
     from citrondyke.gateway.http_head import Headers
     from citrondyke.gateway.servers.reply_reader import ReplyHead
 
--- a/citrondyke/gateway/jobs/job_intake.py
+++ b/citrondyke/gateway/jobs/job_intake.py
@@ -21,7 +21,8 @@
     from citrondyke.decisions.batch.job import JobItem
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.route import Route
-    from citrondyke.gateway.callers.caller_connection import CallerConnection, CallerRequest
+    from citrondyke.gateway.callers.caller_connection import CallerConnection
+    from citrondyke.gateway.callers.caller_request import CallerRequest
     from citrondyke.gateway.dialect import CallFacts, Dialect
     from citrondyke.gateway.jobs.job_reader import JobReader
     from citrondyke.gateway.jobs.job_runner import JobRunner
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -26,7 +26,7 @@
 from citrondyke.util.hashing import key_hash
 
 if TYPE_CHECKING:
-    from citrondyke.gateway.callers.caller_connection import CallerRequest
+    from citrondyke.gateway.callers.caller_request import CallerRequest
     from citrondyke.gateway.http_head import Headers
     from citrondyke.gateway.servers.reply_reader import ReplyHead
 
--- a/tests/test_platform/test_platform_decoding.py
+++ b/tests/test_platform/test_platform_decoding.py
@@ -15,7 +15,7 @@
 from citrondyke.decisions.forwarding.route import RouteKind
 from citrondyke.decisions.forwarding.route_table import NoRoute
 from citrondyke.errors import InvalidFieldError, SettingsInvalidError
-from citrondyke.gateway.callers.caller_connection import CallerRequest
+from citrondyke.gateway.callers.caller_request import CallerRequest
 from citrondyke.gateway.dialect import JobCallKind, JobPage
 from citrondyke.gateway.servers.reply_reader import ReplyHead
 from citrondyke.ids import ServerId, TenantId
