--- /dev/null
+++ b/citrondyke/gateway/callers/admitter.py
@@ -0,0 +1,146 @@
+"""Finds an online request a place on a server that its account may take."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.decisions.accounts.fleet_limits import VerdictKind
+from citrondyke.decisions.crashes.suspect_book import Standing
+from citrondyke.decisions.forwarding.admission_rule import TurnedAway
+from citrondyke.decisions.forwarding.course import Verdict
+from citrondyke.decisions.forwarding.server_state import ServerState
+from citrondyke.gateway.callers.forwarding import RequestEnd
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.accounts.fleet_limits import LimitVerdict
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
+    from citrondyke.decisions.forwarding.config_holder import ConfigHolder
+    from citrondyke.decisions.forwarding.server_book import ServerBook
+    from citrondyke.gateway.accounts.limit_exchange import LimitExchange
+    from citrondyke.gateway.callers.caller_connection import CallerConnection
+    from citrondyke.gateway.callers.final_answers import FinalAnswers
+    from citrondyke.gateway.callers.forwarding import Forwarding
+    from citrondyke.gateway.callers.request_log import RequestLog
+
+__all__ = ('Admitter', 'Place')
+
+#: A server that was chosen so long ago is chosen anew.
+FRESH_CHOICE_MS = 5.0
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Where a request is to be sent."""
+
+    state: ServerState
+    expected_wait_ms: float
+
+
+class Admitter:
+    """Chooses a server, looks whether there is a place in time, and has the account counted."""
+
+    def __init__(
+        self,
+        context: Context,
+        book: ServerBook,
+        rule: AdmissionRule,
+        config: ConfigHolder,
+        limits: LimitExchange,
+        answers: FinalAnswers,
+        log: RequestLog,
+    ) -> None:
+        """Use the parts handed in."""
+        self._context = context
+        self._book = book
+        self._rule = rule
+        self._config = config
+        self._limits = limits
+        self._answers = answers
+        self._log = log
+
+    def note_stay(self, forwarding: Forwarding, stay_ms: float) -> None:
+        """Take in how long a request occupied its place."""
+        self._rule.note_stay(forwarding.route, stay_ms)
+
+    def admit(
+        self, caller: CallerConnection, forwarding: Forwarding, standing: Standing
+    ) -> Place | RequestEnd | None:
+        """Choose a server with a place in time, and count the request; ``None`` without a server.
+
+        The place comes first: a request that has none would use up a part of its account's limit.
+        """
+        while True:
+            state = self._choose(forwarding, standing)
+            if state is None:
+                return None
+            admitted = self._rule.decide(
+                forwarding.route,
+                state,
+                forwarding.until_ms - self._context.now_ms(),
+                forwarding.account,
+            )
+            if isinstance(admitted, TurnedAway):
+                end = self._turn_away(caller, forwarding, state, admitted)
+                if end is not None:
+                    return end
+            if not forwarding.is_counted:
+                asked_ms = self._context.now_ms()
+                verdict = self._limits.use(forwarding.account)
+                if verdict.kind is not VerdictKind.WITHIN:
+                    return self._refuse_over_limit(caller, forwarding, verdict, asked_ms)
+                forwarding.is_counted = True
+                if self._context.now_ms() - asked_ms > FRESH_CHOICE_MS:
+                    # Others may have taken the place meanwhile.
+                    continue
+            return Place(state, admitted.expected_wait_ms)
+
+    def _turn_away(
+        self,
+        caller: CallerConnection,
+        forwarding: Forwarding,
+        state: ServerState,
+        admitted: TurnedAway,
+    ) -> RequestEnd | None:
+        """Turn a request away that has certainly not run; ``None`` for any other."""
+        if forwarding.course.sends_count == 0:
+            self._log.turned_away(forwarding, state, admitted)
+            end = RequestEnd.TURNED_AWAY
+        elif forwarding.course.verdict is Verdict.NOT_RUN:
+            end = RequestEnd.NOT_RUN
+        else:
+            return None
+        return self._answers.refuse(caller, forwarding, end, admitted.retry_in_ms)
+
+    def _refuse_over_limit(
+        self,
+        caller: CallerConnection,
+        forwarding: Forwarding,
+        verdict: LimitVerdict,
+        asked_ms: float,
+    ) -> RequestEnd:
+        self._log.over_limit(forwarding, verdict, asked_ms)
+        if verdict.kind is VerdictKind.OVER:
+            return self._answers.refuse_over_limit(caller, forwarding, verdict.retry_in_ms)
+        return self._answers.refuse(
+            caller, forwarding, RequestEnd.LIMIT_UNKNOWN, verdict.retry_in_ms
+        )
+
+    def is_key_in_force(self, forwarding: Forwarding) -> bool:
+        """Tell whether a request may be sent once more: its key may have gone while it waited.
+
+        A stream that has begun goes on: its caller was allowed when it asked.
+        """
+        if forwarding.has_begun:
+            return True
+        is_public = forwarding.route.is_public
+        digest = forwarding.facts.key_digest
+        return bool(self._config.current.account_of(digest, is_public=is_public))
+
+    def _choose(self, forwarding: Forwarding, standing: Standing) -> ServerState | None:
+        service = forwarding.route.pick_service(self._context.random)
+        if standing is not Standing.FREE:
+            digest = forwarding.content.digest
+            return self._book.choose_apart(service, forwarding.course.avoid, digest)
+        return self._book.choose(service, forwarding.course.avoid, forwarding.facts.prefix)
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -4,33 +4,27 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from citrondyke.decisions.accounts.fleet_limits import VerdictKind
 from citrondyke.decisions.crashes.content import AskedWork
 from citrondyke.decisions.crashes.suspect_book import Standing
-from citrondyke.decisions.forwarding.admission_rule import TurnedAway
-from citrondyke.decisions.forwarding.course import Course, SendOutcome, Verdict
+from citrondyke.decisions.forwarding.course import Course, SendOutcome
 from citrondyke.decisions.forwarding.patience import EVENT_MS, Patience
 from citrondyke.decisions.forwarding.route import RouteKind
 from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.event_relay import EventRelay
-from citrondyke.gateway.callers.final_answers import FinalAnswers, HeldFailure
+from citrondyke.gateway.callers.final_answers import HeldFailure
 from citrondyke.gateway.callers.forwarding import Forwarding, RequestEnd
 
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.account import Account
-    from citrondyke.decisions.accounts.fleet_limits import LimitVerdict
     from citrondyke.decisions.core.context import Context
-    from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
     from citrondyke.decisions.forwarding.config_holder import ConfigHolder
     from citrondyke.decisions.forwarding.route import Route
-    from citrondyke.decisions.forwarding.server_book import ServerBook
-    from citrondyke.gateway.accounts.limit_exchange import LimitExchange
+    from citrondyke.gateway.callers.admitter import Admitter
     from citrondyke.gateway.callers.caller_connection import CallerConnection
     from citrondyke.gateway.callers.caller_request import CallerRequest
+    from citrondyke.gateway.callers.final_answers import FinalAnswers
     from citrondyke.gateway.callers.request_log import RequestLog
     from citrondyke.gateway.dialect import CallFacts, Dialect
     from citrondyke.gateway.http_head import Headers
@@ -42,42 +36,32 @@
 
 #: Answers up to this are held until they are whole, so that a broken one can be repeated.
 HELD_ANSWER_BYTES = 4 * 1024 * 1024
-#: A server that was chosen so long ago is chosen anew.
-FRESH_CHOICE_MS = 5.0
 EVENT_STREAM = b'text/event-stream'
 SERVER_FAILURE = 500
 
 
-class _Place(msgspec.Struct, frozen=True):
-    state: ServerState
-    expected_wait_ms: float
-
-
 class Forwarder:
-    """Chooses servers, repeats what may be repeated, and answers."""
+    """Sends, repeats what may be repeated, and answers."""
 
     def __init__(
         self,
         context: Context,
-        book: ServerBook,
-        rule: AdmissionRule,
+        admitter: Admitter,
         sends: ServerSends,
         guard: CrashGuard,
         dialect: Dialect,
+        answers: FinalAnswers,
         log: RequestLog,
         config: ConfigHolder,
-        limits: LimitExchange,
     ) -> None:
         """Use the parts handed in."""
         self._context = context
         self._config = config
-        self._limits = limits
-        self._book = book
-        self._rule = rule
+        self._admitter = admitter
         self._sends = sends
         self._guard = guard
         self._dialect = dialect
-        self._answers = FinalAnswers(dialect)
+        self._answers = answers
         self._log = log
         self._patience = Patience()
         self._relay = EventRelay(context, dialect)
@@ -117,14 +101,14 @@
         course = forwarding.course
         failure: HeldFailure | None = None
         while course.may_send and self._left_ms(forwarding) > 0:
-            if course.sends_count and not self._is_key_in_force(forwarding):
+            if course.sends_count and not self._admitter.is_key_in_force(forwarding):
                 return self._answers.refuse_key(caller, forwarding)
             standing = self._guard.standing(forwarding.work)
             if standing in (Standing.STOPPED, Standing.ON_TRIAL):
                 if failure is not None:
                     break
                 return self._stop(caller, forwarding, standing)
-            admitted = self._admit(caller, forwarding, standing)
+            admitted = self._admitter.admit(caller, forwarding, standing)
             if isinstance(admitted, RequestEnd):
                 return admitted
             if admitted is None:
@@ -144,84 +128,6 @@
             caller, forwarding, failure, is_out_of_time=self._is_out_of_time(forwarding)
         )
 
-    def _admit(
-        self, caller: CallerConnection, forwarding: Forwarding, standing: Standing
-    ) -> _Place | RequestEnd | None:
-        """Choose a server with a place in time, and count the request; ``None`` without a server.
-
-        The place comes first: a request that has none would use up a part of its account's limit.
-        """
-        while True:
-            state = self._choose(forwarding, standing)
-            if state is None:
-                return None
-            admitted = self._rule.decide(
-                forwarding.route, state, self._left_ms(forwarding), forwarding.account
-            )
-            if isinstance(admitted, TurnedAway):
-                end = self._turn_away(caller, forwarding, state, admitted)
-                if end is not None:
-                    return end
-            if not forwarding.is_counted:
-                asked_ms = self._context.now_ms()
-                verdict = self._limits.use(forwarding.account)
-                if verdict.kind is not VerdictKind.WITHIN:
-                    return self._refuse_over_limit(caller, forwarding, verdict, asked_ms)
-                forwarding.is_counted = True
-                if self._context.now_ms() - asked_ms > FRESH_CHOICE_MS:
-                    # Others may have taken the place meanwhile.
-                    continue
-            return _Place(state, admitted.expected_wait_ms)
-
-    def _turn_away(
-        self,
-        caller: CallerConnection,
-        forwarding: Forwarding,
-        state: ServerState,
-        admitted: TurnedAway,
-    ) -> RequestEnd | None:
-        """Turn a request away that has certainly not run; ``None`` for any other."""
-        if forwarding.course.sends_count == 0:
-            self._log.turned_away(forwarding, state, admitted)
-            end = RequestEnd.TURNED_AWAY
-        elif forwarding.course.verdict is Verdict.NOT_RUN:
-            end = RequestEnd.NOT_RUN
-        else:
-            return None
-        return self._answers.refuse(caller, forwarding, end, admitted.retry_in_ms)
-
-    def _refuse_over_limit(
-        self,
-        caller: CallerConnection,
-        forwarding: Forwarding,
-        verdict: LimitVerdict,
-        asked_ms: float,
-    ) -> RequestEnd:
-        self._log.over_limit(forwarding, verdict, asked_ms)
-        if verdict.kind is VerdictKind.OVER:
-            return self._answers.refuse_over_limit(caller, forwarding, verdict.retry_in_ms)
-        return self._answers.refuse(
-            caller, forwarding, RequestEnd.LIMIT_UNKNOWN, verdict.retry_in_ms
-        )
-
-    def _is_key_in_force(self, forwarding: Forwarding) -> bool:
-        """Tell whether a request may be sent once more: its key may have gone while it waited.
-
-        A stream that has begun goes on: its caller was allowed when it asked.
-        """
-        if forwarding.has_begun:
-            return True
-        is_public = forwarding.route.is_public
-        digest = forwarding.facts.key_digest
-        return bool(self._config.current.account_of(digest, is_public=is_public))
-
-    def _choose(self, forwarding: Forwarding, standing: Standing) -> ServerState | None:
-        service = forwarding.route.pick_service(self._context.random)
-        if standing is not Standing.FREE:
-            digest = forwarding.content.digest
-            return self._book.choose_apart(service, forwarding.course.avoid, digest)
-        return self._book.choose(service, forwarding.course.avoid, forwarding.facts.prefix)
-
     def _claim_trial(self, forwarding: Forwarding) -> bool:
         return self._guard.claim_trial(forwarding.content, forwarding.facts.request_id)
 
@@ -289,7 +195,7 @@
                 self._sends.release(state, connection)
             if is_good:
                 self._guard.note_survived(forwarding.work)
-                self._rule.note_stay(forwarding.route, self._context.now_ms() - started_ms)
+                self._admitter.note_stay(forwarding, self._context.now_ms() - started_ms)
                 state.note_success()
             else:
                 forwarding.course.note(state.life, outcome)
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -22,10 +22,13 @@
 from citrondyke.gateway.beliefs.beliefs import Beliefs
 from citrondyke.gateway.beliefs.dependency import Dependency
 from citrondyke.gateway.beliefs.followers import follow_beliefs, follow_instances
+from citrondyke.gateway.callers.admitter import Admitter
+from citrondyke.gateway.callers.final_answers import FinalAnswers
 from citrondyke.gateway.callers.forwarder import Forwarder
 from citrondyke.gateway.callers.front import Front
 from citrondyke.gateway.callers.request_log import RequestLog
 from citrondyke.gateway.callers.small_pages import SmallPages
+from citrondyke.gateway.gauges import add_gauges
 from citrondyke.gateway.jobs.batch_side import BatchSide, BatchSurroundings
 from citrondyke.gateway.metrics import Metrics
 from citrondyke.gateway.operator_state import OperatorState
@@ -79,13 +82,13 @@
         self.metrics = Metrics()
         self._tasks = Tasks()
         self.book = ServerBook(self.context)
-        self._store = Dependency(self.clock, 'store')
+        self.store = Dependency(self.clock, 'store')
         self._sends = ServerSends(self.clock, outside.dialect, self._on_load_change)
-        table = RelayedTable(self.clock, outside.table, self._relay, self._store, self._tasks)
+        table = RelayedTable(self.clock, outside.table, self._relay, self.store, self._tasks)
         self._table = table
         self.suspects = SuspectBook(self.context)
         self.suspect_store = SuspectStore(
-            self.context, table, self._store, self.suspects, self._store_pace
+            self.context, table, self.store, self.suspects, self._store_pace
         )
         self.guard = CrashGuard(
             self.context,
@@ -99,7 +102,7 @@
             self.context,
             outside.decoder,
             self.book,
-            self._store,
+            self.store,
             settings.lapsed_grace_ms,
             self._on_server_gone,
             self._on_life_over,
@@ -129,16 +132,26 @@
             settings.peer_port,
             self._tasks,
         )
-        forwarder = Forwarder(
+        request_log = RequestLog(self.context, self.metrics)
+        answers = FinalAnswers(outside.dialect)
+        admitter = Admitter(
             self.context,
             self.book,
             AdmissionRule(self.context, self.book),
+            self.beliefs.config,
+            self.limits,
+            answers,
+            request_log,
+        )
+        forwarder = Forwarder(
+            self.context,
+            admitter,
             self._sends,
             self.guard,
             outside.dialect,
-            RequestLog(self.context, self.metrics),
+            answers,
+            request_log,
             self.beliefs.config,
-            self.limits,
         )
         surroundings = BatchSurroundings(
             self.context,
@@ -163,7 +176,7 @@
             settings.seed_ips,
             self.membership,
             self.beliefs,
-            self._store,
+            self.store,
             self.suspects,
             self._loads.take,
             self.batch.committer.look_at,
@@ -192,7 +205,7 @@
         )
         self._operator_pages = SmallPages(lambda: self.is_ready, self.metrics, state.page)
         self._servers: list[StreamServer] = []
-        self._add_gauges()
+        add_gauges(self)
         self._stopping = Event()
 
     def start(self) -> None:
@@ -207,7 +220,7 @@
             self.context,
             self._outside,
             self.beliefs,
-            self._store,
+            self.store,
             self._store_pace,
             self._tasks,
         )
@@ -287,19 +300,6 @@
     def _store_pace(self) -> float:
         return self.book.neighbours.store_pace
 
-    def _add_gauges(self) -> None:
-        config = self.beliefs.config
-        for name, read in (
-            ('config_version', lambda: float(config.current.version)),
-            ('config_age_ms', lambda: min(1e9, config.age_ms(self.clock.now_ms()))),
-            ('servers', lambda: float(len(list(self.book.states())))),
-            ('open_connections', lambda: float(self.front.open_count)),
-            ('owned_jobs', lambda: float(len(self.batch.owned.by_id))),
-            ('suspects', lambda: float(len(self.suspects))),
-            ('store_silent_ms', lambda: self._store.silent_ms),
-        ):
-            self.metrics.add_gauge(name, read)
-
     def _gather_ms(self) -> float:
         return self.book.neighbours.gather_ms(is_owner=bool(self.batch.owned.by_id))
 
