Two internal ports are needed, and said so; settings of the limits are checked

Cause: questions for uses go over a port of their own, the second of the range; a range of one would have failed at the start without a word. Tests: a range of one, a negative slack, a window of nothing name their file; the platform's new names stay in the adapter.

--- a/citrondyke/platform/settings_file.py
+++ b/citrondyke/platform/settings_file.py
@@ -128,6 +128,11 @@
     """
     try:
         file = msgspec.toml.decode(text, type=PlatformFile, strict=False)
+        first_port, last_port = file.internal_ports
+        if last_port <= first_port:
+            raise SettingsInvalidError(
+                name, 'internal_ports', str(file.internal_ports), 'two ports'
+            )
         seed_ips = tuple(_address(seed).ip for seed in file.seeds)
         return GatewaySettings(
             instance_id=InstanceId(file.node_name),
--- a/tests/test_platform/test_platform_decoding.py
+++ b/tests/test_platform/test_platform_decoding.py
@@ -11,6 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from citrondyke.decisions.accounts.tolerance import LimitTolerance
 from citrondyke.decisions.batch.job import ItemResult, ItemState
 from citrondyke.decisions.forwarding.route import RouteKind
 from citrondyke.decisions.forwarding.route_table import NoRoute
@@ -84,11 +85,22 @@
     assert settings.seed_ips == ('10.2.0.28',)
     assert settings.stop_within_ms == 8_000.0
     assert settings.memory_bytes == 320 * 1024 * 1024
+    assert settings.limit_tolerance == LimitTolerance(overshoot=0.1)
+    stated = SETTINGS.replace('grace_s = 8', 'quota_slack = 20\nquota_window_s = 7')
+    tolerance = platform_settings(stated, 'boot.toml', 9000).limit_tolerance
+    assert tolerance == LimitTolerance(window_ms=7_000.0, overshoot=0.1, slack=20.0)
 
 
 @pytest.mark.parametrize(
     'change',
-    [('ip = "10.1.0.35"', ''), ('"10.200.1.7:8142"', '"nowhere"'), ('[7660, 7675]', '"x"')],
+    [
+        ('ip = "10.1.0.35"', ''),
+        ('"10.200.1.7:8142"', '"nowhere"'),
+        ('[7660, 7675]', '"x"'),
+        ('[7660, 7675]', '[7660, 7660]'),
+        ('grace_s = 8', 'quota_slack = -1'),
+        ('grace_s = 8', 'quota_window_s = 0'),
+    ],
 )
 def test_wrong_settings_name_their_file(change: tuple[str, str]) -> None:
     with pytest.raises(SettingsInvalidError) as caught:
--- a/tests/test_platform/test_platform_names.py
+++ b/tests/test_platform/test_platform_names.py
@@ -16,6 +16,7 @@
     r'|rows-tx|rows-get|rows-feed|rows-parts|blob-put|blob-get|blob-drop|blob-list|/-/'
     r'|expected_rev|path_prefix|max_attempts|slo_ms|completion_slo_ms|max_wait_s'
     r'|non_idempotent|header_timeout_ms|idle_timeout_ms|max_header_bytes|max_body_bytes'
+    r'|x-api-key|api_keys|quota_window_s|quota_overshoot|quota_slack|revoke_ms'
     r'|internal_ports|heartbeat_ms|control_plane|node_file|cold_left_ms|next_lot|\blots\b',
     re.IGNORECASE,
 )
