An instance without limited accounts wakes once a second for them, not five times

Cause: the loop of leases went on where no account has a limit, as on all earlier deployments. Ruled out: starting it with the first such configuration only, as limits come and go. Tests as before.

--- a/citrondyke/decisions/forwarding/route_table.py
+++ b/citrondyke/decisions/forwarding/route_table.py
@@ -101,6 +101,11 @@
             route.is_public and route.kind is RouteKind.BATCH for route in routes.by_prefix.values()
         )
 
+    @cached_property
+    def has_limits(self) -> bool:
+        """Tell whether some account's requests are counted."""
+        return any(account.has_limit for account in self.accounts or ())
+
     @cached_property
     def _accounts_by_id(self) -> dict[TenantId, Account]:
         return {account.id: account for account in self.accounts or ()}
--- a/citrondyke/gateway/accounts/limit_exchange.py
+++ b/citrondyke/gateway/accounts/limit_exchange.py
@@ -40,6 +40,8 @@
 #: Datagrams get lost; who was silent is asked once more before a caller is told "unknown".
 ROUNDS = 2
 DATAGRAM_LIMIT_BYTES = 65_535
+#: Pause between two looks whether some account has a limit by now.
+IDLE_MS = 1_000.0
 #: From the port for other messages between instances. Those may lie unread for a while in a large
 #: fleet; a caller waits for these.
 PORT_AFTER_PEERS = 1
@@ -147,9 +149,10 @@
 
     def _run_leases(self) -> None:
         while True:
-            gevent.sleep(self._context.jittered_ms(RENEW_MS, share=0.1) / 1e3)
-            accounts = self._config.current.accounts
-            if accounts and any(account.has_limit for account in accounts):
+            has_limits = self._config.current.has_limits
+            pause_ms = RENEW_MS if has_limits else IDLE_MS
+            gevent.sleep(self._context.jittered_ms(pause_ms, share=0.1) / 1e3)
+            if has_limits:
                 self._send_all(self._limits.tick())
             held = self._limits.held_slots()
             if held != self._held_slots:
