After a loss of all, leases are asked for often, and callers come back when there may be a steward

Change: in the first 3 s of a life leases are asked for each 50 ms instead of 200, and callers are asked back for when the promises of the lives before are over. Ruled out: taking a lease at once when all keepers are young: a holder that a newcomer's view leaves out may still count. Test: the time to come back after a loss of all, and later.

--- a/citrondyke/decisions/accounts/steward_limits.py
+++ b/citrondyke/decisions/accounts/steward_limits.py
@@ -39,6 +39,10 @@
 SILENT_MS = 1_000.0
 #: When a caller may come back after nobody could say: a lease passes on within two seconds.
 UNKNOWN_RETRY_MS = 400.0
+#: From a process's begin until its slots have a steward again after a loss of all: the promises of
+#: the lives before, and the starts of the slowest machines.
+START_MS = 1_400.0
+STARTING_MS = 3_000.0
 
 
 class StewardLimits(FleetLimits):
@@ -98,7 +102,20 @@
             verdict = self.note_answer(account, own_id, self._answer(own_id, 0, account))
             if verdict is not None:
                 return verdict
-        return LimitVerdict(VerdictKind.UNKNOWN, self._context.jittered_ms(UNKNOWN_RETRY_MS, 0.5))
+        return LimitVerdict(VerdictKind.UNKNOWN, self._unknown_retry_ms())
+
+    def _unknown_retry_ms(self) -> float:
+        """Give when somebody may say again; after a loss of all nobody may before all promises end.
+
+        Callers come back once: asked back sooner they would be refused for good.
+        """
+        age_ms = self._context.clock.fence_ms() - self._began_ms
+        return self._context.jittered_ms(max(UNKNOWN_RETRY_MS, START_MS - age_ms), 0.25)
+
+    @property
+    def is_starting(self) -> bool:
+        """Tell whether this life is young, so that leases are to be asked for often."""
+        return self._context.clock.fence_ms() - self._began_ms < STARTING_MS
 
     def note_answer(
         self, account: Account, sender: InstanceId, answer: UseAnswered
--- a/citrondyke/gateway/accounts/limit_exchange.py
+++ b/citrondyke/gateway/accounts/limit_exchange.py
@@ -42,6 +42,9 @@
 DATAGRAM_LIMIT_BYTES = 65_535
 #: Pause between two looks whether some account has a limit by now.
 IDLE_MS = 1_000.0
+#: Between two questions for leases in the first seconds of a life, in which requests are refused
+#: until there is a steward.
+STARTING_RENEW_MS = 50.0
 #: From the port for other messages between instances. Those may lie unread for a while in a large
 #: fleet; a caller waits for these.
 PORT_AFTER_PEERS = 1
@@ -150,7 +153,7 @@
     def _run_leases(self) -> None:
         while True:
             has_limits = self._config.current.has_limits
-            pause_ms = RENEW_MS if has_limits else IDLE_MS
+            pause_ms = self._pause_ms() if has_limits else IDLE_MS
             gevent.sleep(self._context.jittered_ms(pause_ms, share=0.1) / 1e3)
             if has_limits:
                 self._send_all(self._limits.tick())
@@ -159,6 +162,10 @@
                 self._held_slots = held
                 log.info('limit.slots', extra={'held': held, 'known': self._membership.count})
 
+    def _pause_ms(self) -> float:
+        """Give the pause until leases are asked for again; it is short while there may be none."""
+        return STARTING_RENEW_MS if self._limits.is_starting else RENEW_MS
+
     def _send_all(self, addressed: list[Addressed]) -> None:
         for each in addressed:
             self._send(each.receiver, each.message)
--- a/tests/test_accounts/test_accounts_limits.py
+++ b/tests/test_accounts/test_accounts_limits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from citrondyke.decisions.accounts.account import Account
-from citrondyke.decisions.accounts.fleet_limits import VerdictKind
+from citrondyke.decisions.accounts.fleet_limits import LimitVerdict, VerdictKind
 from citrondyke.decisions.accounts.steward_limits import StewardLimits
 from citrondyke.ids import InstanceId, TenantId
 from tests.support.limit_world import LimitWorld, allowed_in_window
@@ -175,6 +175,25 @@
     assert max(retries) - min(retries) > 200.0
 
 
+def test_caller_is_asked_back_when_there_may_be_a_steward_again() -> None:
+    # All have lost power and the first callers come. Asked back after a moment, each would be
+    # refused a second time and not come a third.
+    made = world(20)
+    for name in list(made.nodes):
+        made.kill(name, 100.0)
+    made.run(150.0)
+    for node in made.nodes.values():
+        tried = set(made.nodes)
+        step = node.limits.next_step(LARGE, tried)
+        assert isinstance(step, LimitVerdict)
+        assert step.kind is VerdictKind.UNKNOWN
+        assert 900.0 <= step.retry_in_ms <= 1_750.0
+    made.run(3_000.0)
+    step = next(iter(made.nodes.values())).limits.next_step(LARGE, set(made.nodes))
+    assert isinstance(step, LimitVerdict)
+    assert step.retry_in_ms <= 500.0
+
+
 def keeps(limits: object, account: Account) -> bool:
     assert isinstance(limits, StewardLimits)
     return limits.is_steward_of(account.id)
