Interfaces of the parts for hard load: fields of messages, how slow a server is

Cause: parts are built side by side and must not number the same fields twice, nor wait for each other's names. Ruled out: numbers given at the merge, as the schema bears no gaps and no renumbering. The change: six data fields of messages between instances and the factor by which work takes longer on a server, 1 so far. Nothing reads or sends them yet. Conclusion: each part fills in its own.

--- a/citrondyke/decisions/forwarding/server_state.py
+++ b/citrondyke/decisions/forwarding/server_state.py
@@ -145,6 +145,10 @@
         counted = self.online_count(now_ms) + self.batch_count(now_ms)
         return max(counted, self._stated) if now_ms < self._stated_until_ms else counted
 
+    def slowness(self, now_ms: float) -> float:
+        """Give how many times as long as usual in its service work takes on it."""
+        return 1.0
+
     @property
     def held_limit(self) -> int:
         """Give the places that batch items at risk may keep from online requests."""
--- a/citrondyke/peer/gateway.capnp
+++ b/citrondyke/peer/gateway.capnp
@@ -35,6 +35,18 @@
     # The lease by which one instance counts the accounts of a slot.
     leaseAsked @15 :LeaseAsked;
     leaseAnswered @16 :LeaseAnswered;
+    # What the steward of a slot has let through, for its keepers.
+    useCounts @17 :Data;
+    # Places in the future that a steward has given to an instance.
+    usePlaces @18 :Data;
+    # Failures and successes that the sender has seen at servers.
+    serverEvidence @19 :Data;
+    # Batch items that wait at the sender.
+    batchNeed @20 :Data;
+    # Knowledge that the sender hands on without being asked; over a stream.
+    knowledgeOffered @21 :Data;
+    # How far the sender has read the list of servers.
+    listPosition @22 :Data;
   }
 }
 
