One budget for the bytes that an instance holds for callers and servers

Cause: bodies had a bound each, answers held whole 4 MB each, and their sum none: on 200 MB some fifty large answers to slow readers end the process with all its callers. Ruled out: answers passed on piece by piece, as a broken one could not be repeated; budgets by server, as a server's memory is not told.

--- /dev/null
+++ b/citrondyke/decisions/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes that an instance holds for callers and servers."""
--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -9,18 +9,20 @@
 import h11
 from gevent.socket import wait_read
 
+from citrondyke.decisions.memory.byte_budget import HeldKind
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.request_reader import READ_BYTES, RequestReader
 from citrondyke.gateway.sockets import reset
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from gevent import socket
 
     from citrondyke.decisions.forwarding.route import RouteLimits
+    from citrondyke.decisions.memory.byte_budget import ByteBudget
     from citrondyke.gateway.callers.caller_request import CallerRequest
-    from citrondyke.gateway.http_head import Headers
+    from citrondyke.gateway.http_head import Header, Headers
     from citrondyke.util.clock import Clock
 
 __all__ = ('CallerConnection',)
@@ -35,11 +37,16 @@
     """Reads requests and writes their answers, one at a time."""
 
     def __init__(
-        self, clock: Clock, sock: socket.socket, limits: Callable[[], RouteLimits]
+        self,
+        clock: Clock,
+        sock: socket.socket,
+        limits: Callable[[], RouteLimits],
+        budget: ByteBudget,
     ) -> None:
         """Use an accepted socket."""
         self._sock = sock
-        self._reader = RequestReader(clock, sock, limits, self._write)
+        self._held = budget.open(HeldKind.REQUEST)
+        self._reader = RequestReader(clock, sock, limits, self._write, self._held)
         self._watch: gevent.Greenlet | None = None
         self._closes_after = False
         self._is_closed = False
@@ -57,6 +64,7 @@
         """Read the next request; ``None`` when the caller closed or was idle for too long.
 
         :raises BadRequestHeadError: when it is improper, too large or too slow.
+        :raises MemoryFullError: when the instance has no room for its body.
         """
         request = self._reader.read()
         if request is not None:
@@ -91,13 +99,19 @@
         data = self._http.send(h11.Data(data=body)) if body else b''
         self._write(head + (data or b'') + (self._http.send(h11.EndOfMessage()) or b''))
 
-    def refuse_improper(self, status: int) -> None:
-        """Answer an improper request; the connection cannot be used afterwards."""
+    def refuse_unread(self, status: int, headers: Sequence[Header] = ()) -> None:
+        """Answer a request that was not read whole; the connection cannot be used afterwards."""
         phrase = HTTPStatus(status).phrase.encode()
+        lines = b''.join(b'%b: %b\r\n' % header for header in headers)
         self._write(
-            b'HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' % (status, phrase)
+            b'HTTP/1.1 %d %b\r\n%bContent-Length: 0\r\nConnection: close\r\n\r\n'
+            % (status, phrase, lines)
         )
 
+    def release_request(self) -> None:
+        """Let the body of the last request go."""
+        self._held.release()
+
     def start_stream(self, status: int, headers: Headers) -> None:
         """Begin an answer whose length is not known; its head goes out with the first piece."""
         self._unsent = self._head(status, [*headers, (b'Transfer-Encoding', b'chunked')])
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -10,17 +10,20 @@
 from citrondyke.decisions.forwarding.patience import EVENT_MS, Patience
 from citrondyke.decisions.forwarding.route import RouteKind
 from citrondyke.decisions.forwarding.server_state import ServerState
+from citrondyke.decisions.memory.byte_budget import HeldKind
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.event_relay import EventRelay
 from citrondyke.gateway.callers.final_answers import HeldFailure
 from citrondyke.gateway.callers.forwarding import Forwarding, RequestEnd
+from citrondyke.gateway.callers.held_answer import read_held_answer
 
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.account import Account
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.config_holder import ConfigHolder
     from citrondyke.decisions.forwarding.route import Route
+    from citrondyke.decisions.memory.byte_budget import ByteBudget, HeldBytes
     from citrondyke.gateway.callers.admitter import Admitter
     from citrondyke.gateway.callers.caller_connection import CallerConnection
     from citrondyke.gateway.callers.caller_request import CallerRequest
@@ -34,8 +37,6 @@
 
 __all__ = ('Forwarder',)
 
-#: Answers up to this are held until they are whole, so that a broken one can be repeated.
-HELD_ANSWER_BYTES = 4 * 1024 * 1024
 EVENT_STREAM = b'text/event-stream'
 SERVER_FAILURE = 500
 
@@ -53,8 +54,10 @@
         answers: FinalAnswers,
         log: RequestLog,
         config: ConfigHolder,
+        budget: ByteBudget,
     ) -> None:
         """Use the parts handed in."""
+        self._budget = budget
         self._context = context
         self._config = config
         self._admitter = admitter
@@ -241,8 +244,23 @@
                 caller, forwarding, reply, lambda: self._note_time(forwarding, state, started_ms)
             )
             return RequestEnd.DONE
-        until_ms = forwarding.until_ms
-        body = reply.connection.read_body(until_ms, HELD_ANSWER_BYTES)
+        held = self._budget.open(HeldKind.ANSWER)
+        try:
+            return self._pass_on_whole(caller, forwarding, state, reply, started_ms, held)
+        finally:
+            held.release()
+
+    def _pass_on_whole(
+        self,
+        caller: CallerConnection,
+        forwarding: Forwarding,
+        state: ServerState,
+        reply: OpenReply,
+        started_ms: float,
+        held: HeldBytes,
+    ) -> RequestEnd | HeldFailure:
+        clock, until_ms = self._context.clock, forwarding.until_ms
+        body = read_held_answer(reply.connection, held, clock, until_ms)
         headers = self._dialect.answer_headers(reply.head)
         if reply.head.status >= SERVER_FAILURE:
             return HeldFailure(reply.head.status, headers, body)
--- a/citrondyke/gateway/callers/front.py
+++ b/citrondyke/gateway/callers/front.py
@@ -13,6 +13,7 @@
 from citrondyke.decisions.forwarding.route_table import NoRoute
 from citrondyke.errors.bad_request_head import BadRequestHeadError
 from citrondyke.errors.caller_gone import CallerGoneError
+from citrondyke.errors.memory_full import MemoryFullError
 from citrondyke.gateway.callers.caller_connection import CallerConnection
 from citrondyke.gateway.sockets import tune
 from citrondyke.ids import RequestId
@@ -21,6 +22,7 @@
     from gevent import socket
 
     from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.memory.byte_budget import ByteBudget
     from citrondyke.gateway.beliefs.beliefs import Beliefs
     from citrondyke.gateway.callers.caller_request import CallerRequest
     from citrondyke.gateway.callers.forwarder import Forwarder
@@ -51,6 +53,7 @@
         jobs: JobDoor,
         metrics: Metrics,
         connections_limit: int,
+        budget: ByteBudget,
     ) -> None:
         """Use the parts handed in.
 
@@ -64,6 +67,7 @@
         self._jobs = jobs
         self._metrics = metrics
         self._limit = connections_limit
+        self._budget = budget
         self._open: set[CallerConnection] = set()
         self.busy_count = 0
         self.is_stopping = False
@@ -76,7 +80,10 @@
     def on_connection(self, sock: socket.socket, _: object) -> None:
         """Serve one connection until it ends."""
         connection = CallerConnection(
-            self._context.clock, sock, lambda: self._beliefs.config.current.limits
+            self._context.clock,
+            sock,
+            lambda: self._beliefs.config.current.limits,
+            self._budget,
         )
         self._open.add(connection)
         self._metrics.counters['caller_connections'] += 1
@@ -87,6 +94,7 @@
             # The caller left between two requests or while it was told something.
             connection.abort()
         finally:
+            connection.release_request()
             self._open.discard(connection)
 
     def close_idle(self) -> None:
@@ -107,6 +115,9 @@
             except BadRequestHeadError as error:
                 self._turn_away(connection, error)
                 return
+            except MemoryFullError as error:
+                self._refuse_body(connection, error.request)
+                return
             if request is None:
                 connection.close()
                 return
@@ -115,6 +126,7 @@
                 self._answer(connection, request)
             finally:
                 self.busy_count -= 1
+                connection.release_request()
             if not connection.may_continue:
                 connection.close()
                 return
@@ -203,7 +215,15 @@
         retry_in_ms = STARTING_RETRY_MS if status == HTTPStatus.SERVICE_UNAVAILABLE else None
         connection.send_whole(status, self._dialect.own_answer(request_id, retry_in_ms), b'')
 
+    def _refuse_body(self, connection: CallerConnection, request: CallerRequest) -> None:
+        facts = self._dialect.call_facts(request)
+        self._metrics.counters['requests_no_memory'] += 1
+        log.info('request.no_memory', extra={'request_id': facts.request_id})
+        headers = self._dialect.own_answer(facts.request_id, TOO_MANY_RETRY_MS)
+        connection.refuse_unread(503, headers)
+        connection.close()
+
     def _turn_away(self, connection: CallerConnection, error: BadRequestHeadError) -> None:
         log.info('request.improper', extra={'status': error.status, 'detail': error.message})
-        connection.refuse_improper(error.status)
+        connection.refuse_unread(error.status)
         connection.close()
--- a/citrondyke/gateway/callers/request_reader.py
+++ b/citrondyke/gateway/callers/request_reader.py
@@ -8,6 +8,7 @@
 
 from citrondyke.errors.bad_request_head import BadRequestHeadError
 from citrondyke.errors.caller_gone import CallerGoneError
+from citrondyke.errors.memory_full import MemoryFullError
 from citrondyke.gateway.callers.caller_request import CallerRequest
 from citrondyke.gateway.callers.strict_head import check_head
 
@@ -17,6 +18,7 @@
     from gevent import socket
 
     from citrondyke.decisions.forwarding.route import RouteLimits
+    from citrondyke.decisions.memory.byte_budget import HeldBytes
     from citrondyke.util.clock import Clock
 
 __all__ = ('READ_BYTES', 'RequestReader')
@@ -34,15 +36,18 @@
         sock: socket.socket,
         limits: Callable[[], RouteLimits],
         write: Callable[[bytes], None],
+        held: HeldBytes,
     ) -> None:
         """Use an accepted socket.
 
         :param write: sends an interim answer to a caller that waits for one.
+        :param held: the body of the request under way, in the instance's budget of bytes.
         """
         self._clock = clock
         self._sock = sock
         self._limits = limits
         self._write = write
+        self._held = held
         #: State of the exchange under way.
         self.http = h11.Connection(h11.SERVER)
         #: Bytes that were read behind the request.
@@ -54,8 +59,10 @@
         """Read the next request; ``None`` when the caller closed or was idle for too long.
 
         :raises BadRequestHeadError: when it is improper, too large or too slow.
+        :raises MemoryFullError: when the instance has no room for its body.
         """
         self.is_idle = True
+        self._held.release()
         limits = self._limits()
         head = self._read_raw_head(limits)
         if head is None:
@@ -72,10 +79,13 @@
         except h11.RemoteProtocolError as error:
             raise BadRequestHeadError(str(error)) from error
         headers = [(bytes(name), bytes(value)) for name, value in request.headers]
-        self.ahead = self.http.trailing_data[0]
-        return CallerRequest(
-            bytes(request.method), bytes(request.target), headers, body, arrived_ms
+        made = CallerRequest(
+            bytes(request.method), bytes(request.target), headers, body or b'', arrived_ms
         )
+        if body is None:
+            raise MemoryFullError(made)
+        self.ahead = self.http.trailing_data[0]
+        return made
 
     def _read_raw_head(self, limits: RouteLimits) -> bytes | None:
         data = self.ahead
@@ -106,7 +116,8 @@
                 return None
             data += more
 
-    def _read_body(self, limits: RouteLimits) -> bytes:
+    def _read_body(self, limits: RouteLimits) -> bytes | None:
+        """Read a whole body; ``None`` where the instance has no room for it."""
         self.http.receive_data(self.ahead) if self.ahead else None
         self.ahead = b''
         if self.http.they_are_waiting_for_100_continue:
@@ -127,6 +138,8 @@
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
+                if not self._held.take(len(event.data)):
+                    return None
                 if size > limits.body_bytes:
                     raise BadRequestHeadError('body too large', 413)
             elif isinstance(event, h11.EndOfMessage):
--- a/citrondyke/gateway/gauges.py
+++ b/citrondyke/gateway/gauges.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from citrondyke.decisions.memory.byte_budget import HeldKind
+
 if TYPE_CHECKING:
     from citrondyke.gateway.instance import GatewayInstance
 
@@ -21,6 +23,8 @@
         ('owned_jobs', lambda: float(len(instance.batch.owned.by_id))),
         ('suspects', lambda: float(len(instance.suspects))),
         ('limit_slots', lambda: float(len(instance.limits.held_slots()))),
+        ('held_request_bytes', lambda: float(instance.budget.bytes_of(HeldKind.REQUEST))),
+        ('held_answer_bytes', lambda: float(instance.budget.bytes_of(HeldKind.ANSWER))),
         ('store_silent_ms', lambda: instance.store.silent_ms),
     ):
         instance.metrics.add_gauge(name, read)
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -18,6 +18,7 @@
 from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
 from citrondyke.decisions.forwarding.load_notices import LoadNotices
 from citrondyke.decisions.forwarding.server_book import ServerBook
+from citrondyke.decisions.memory.byte_budget import budget_for
 from citrondyke.gateway.accounts.limit_exchange import LimitExchange
 from citrondyke.gateway.beliefs.beliefs import Beliefs
 from citrondyke.gateway.beliefs.dependency import Dependency
@@ -132,6 +133,7 @@
             settings.peer_port,
             self._tasks,
         )
+        self.budget = budget_for(settings.memory_bytes)
         request_log = RequestLog(self.context, self.metrics)
         answers = FinalAnswers(outside.dialect)
         admitter = Admitter(
@@ -152,6 +154,7 @@
             answers,
             request_log,
             self.beliefs.config,
+            self.budget,
         )
         surroundings = BatchSurroundings(
             self.context,
@@ -198,6 +201,7 @@
             self.jobs,
             self.metrics,
             settings.connections_limit,
+            self.budget,
         )
         self._pages = SmallPages(lambda: self.is_ready, self.metrics)
         state = OperatorState(
--- /dev/null
+++ b/tests/test_memory/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the budget of held bytes."""
