Each test process claims a range of ports of its own

Cause: free_ports gave ranges by the worker's name and the parent's number: two runs whose parents are equal modulo five, a worker that replaces a lost one and a fifth worker had the same ports; one test's program could listen where another's was to. Shown by a run: two processes of the same name got the same 20 ports. Ruled out: ports of the kernel, which can be taken between the look and the program's start. The change: a process claims a range by holding its first port while it lives.

--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import itertools
-import os
 import socket
 from collections.abc import Iterable
+from functools import cache
 from pathlib import Path
 from typing import Any
 
@@ -32,10 +32,11 @@
 OTHER_TENANT_KEY = 'other-tenant-key'
 PEER_KEY = 'a-key-for-tests-only'
 FIRST_PORT = 12_000
-PORTS_PER_WORKER = 1000
-WORKERS = 4
-RUNS = 5
+PORTS_PER_PROCESS = 500
+RANGES = 40
 _PORTS = itertools.count()
+#: Held open, so that no other process claims the same range.
+_GUARDS: list[socket.socket] = []
 ZONES = ('zone-1', 'zone-2', 'zone-3')
 SETTINGS = """
 [instance]
@@ -87,21 +88,36 @@
 def free_ports(count: int) -> list[int]:
     """Find ports on loopback that nothing listens on, all different.
 
-    Each worker of the test runner has a range of its own, below those that the kernel gives to
-    outgoing connections: a port that is only free at the moment of the look can be taken by
-    another test before its program listens. Two runs beside each other seldom share ranges.
+    Each process that asks has a range of its own, below those that the kernel gives to outgoing
+    connections: a port that is only free at the moment of the look can be taken by another test
+    before its program listens.
     """
-    worker = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0').removeprefix('gw'))
-    run = os.getppid() % RUNS
-    first = FIRST_PORT + (run * WORKERS + worker % WORKERS) * PORTS_PER_WORKER
+    first = _own_range()
     found: list[int] = []
     while len(found) < count:
-        port = first + next(_PORTS) % PORTS_PER_WORKER
+        port = first + 1 + next(_PORTS) % (PORTS_PER_PROCESS - 1)
         if _is_free(port):
             found.append(port)
     return found
 
 
+@cache
+def _own_range() -> int:
+    """Claim a range for as long as this process lives, by holding its first port."""
+    for number in range(RANGES):
+        first = FIRST_PORT + number * PORTS_PER_PROCESS
+        guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            guard.bind(('127.0.0.1', first))
+            guard.listen()
+        except OSError:
+            guard.close()
+            continue
+        _GUARDS.append(guard)
+        return first
+    raise RuntimeError('all ranges of ports are taken')
+
+
 def _is_free(port: int) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as sock:
--- a/tests/test_gateway/test_callers/test_callers_memory.py
+++ b/tests/test_gateway/test_callers/test_callers_memory.py
@@ -39,7 +39,12 @@
     # room, and comes whole.
     budget = fleet.instances[0].budget
     others = fill(budget, HeldKind.ANSWER)
-    gevent.spawn_later(0.2, lambda: [held.release() for held in others])
+
+    def read_on() -> None:
+        for held in others:
+            held.release()
+
+    gevent.spawn_later(0.2, read_on)
     reply = fleet.call('/fetch/x', b'', at=0)
     assert (reply.status, reply.is_whole) == (200, True)
     assert budget.bytes_of(HeldKind.ANSWER) == 0
