Listen before anything is imported

Cause: the callers' address was bound last, after all imports (95 ms of processor time on a whole core, a quarter of a second and more on a small share), so after a loss of all callers were refused at both tries. Ruled out: reading the settings file first (a TOML reader and msgspec cost tens of ms); the module socket (7 ms where its extension takes 0.3 ms); SO_REUSEPORT. Change: cmd/gateway.py binds the addresses that the deploy file puts into the environment, then imports the rest; the front and the health page take the sockets over. Requests that come before the configuration wait for it in bounded number and time.

--- a/citrondyke/cmd/gateway.py
+++ b/citrondyke/cmd/gateway.py
@@ -1,61 +1,35 @@
-"""The gateway's daemon: one instance on the users' platform."""
+"""The gateway's daemon: one instance on the users' platform.
+
+It listens before it imports its parts, so that callers who come meanwhile wait for it.
+"""
 
 from __future__ import annotations
 
-import faulthandler
 import os
-import signal
 import sys
 
 # First of all: the other imports take longer than what follows.
-from citrondyke.util.process_start import PROCESS_BEGAN_MS
-
-# The loop is pinned: libev over epoll, never io_uring, whatever a later library would choose.
-os.environ.setdefault('GEVENT_LOOP', 'libev-cext')
-os.environ.setdefault('GEVENT_BACKEND', 'epoll')
-# Addresses are numbers here, so no thread pool is needed to look names up.
-os.environ.setdefault('GEVENT_RESOLVER', 'block')
-
-import gevent
-
-from citrondyke.errors import SettingsInvalidError
-from citrondyke.gateway.event_log import EventLogHandler
-from citrondyke.gateway.instance import GatewayInstance
-from citrondyke.gateway.settings_watch import SettingsWatch
-from citrondyke.platform.outside import platform_outside
-from citrondyke.platform.settings_file import load_platform_settings
-from citrondyke.util.clock import SystemClock
+from citrondyke.util.process_start import PROCESS_BEGAN_MS  # isort: skip
+from citrondyke.platform.early_addresses import early_addresses
+from citrondyke.util.early_sockets import EarlySockets
+from citrondyke.util.start_steps import StartSteps
 
 __all__ = ('main',)
 
-#: As the deploy file names it.
-METRICS_PORT = 9_464
-EXIT_SETTINGS = 2
-
 
 def main() -> int:
     """Run one instance until SIGTERM."""
-    try:
-        settings = load_platform_settings(METRICS_PORT)
-    except SettingsInvalidError as error:
-        print(f'citrondyke gateway: {error.message}', file=sys.stderr)
-        return EXIT_SETTINGS
-    # A crash in an extension module leaves the Python stack on standard error.
-    faulthandler.enable()
-    clock = SystemClock()
-    handler = EventLogHandler(clock, {'instance': settings.instance_id})
-    handler.push_application()
-    handler.start()
-    instance = GatewayInstance(settings, platform_outside(clock, settings), PROCESS_BEGAN_MS)
-    gevent.signal_handler(signal.SIGTERM, instance.request_stop)
-    gevent.signal_handler(signal.SIGINT, instance.request_stop)
-    watch = SettingsWatch(lambda: load_platform_settings(METRICS_PORT), settings, instance.reload)
-    gevent.signal_handler(signal.SIGHUP, watch.look)
-    watch.start()
-    instance.start()
-    instance.run_until_stopped()
-    handler.flush()
-    return 0
+    steps = StartSteps()
+    sockets = EarlySockets(early_addresses(os.environ))
+    steps.note('listening')
+    import signal
+
+    # By default it would end the process. The settings are read later anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from citrondyke.cmd.run_gateway import run_gateway
+
+    steps.note('imported')
+    return run_gateway(sockets, steps, PROCESS_BEGAN_MS)
 
 
 if __name__ == '__main__':
--- a/citrondyke/gateway/callers/front.py
+++ b/citrondyke/gateway/callers/front.py
@@ -24,6 +24,7 @@
     from citrondyke.gateway.beliefs.beliefs import Beliefs
     from citrondyke.gateway.callers.caller_request import CallerRequest
     from citrondyke.gateway.callers.forwarder import Forwarder
+    from citrondyke.gateway.callers.start_gate import StartGate
     from citrondyke.gateway.dialect import CallFacts, Dialect
     from citrondyke.gateway.jobs.job_door import JobDoor
     from citrondyke.gateway.jobs.job_intake import JobIntake
@@ -33,8 +34,8 @@
 
 log = logbook.Logger(__name__)
 
-#: When a caller may come back to an instance that does not know the configuration yet.
-STARTING_RETRY_MS = 200.0
+#: When a caller may come back to an instance that is not sure of the configuration.
+UNSURE_RETRY_MS = 200.0
 TOO_MANY_RETRY_MS = 300.0
 
 
@@ -50,6 +51,7 @@
         intake: JobIntake,
         jobs: JobDoor,
         metrics: Metrics,
+        gate: StartGate,
         connections_limit: int,
     ) -> None:
         """Use the parts handed in.
@@ -63,6 +65,7 @@
         self._intake = intake
         self._jobs = jobs
         self._metrics = metrics
+        self._gate = gate
         self._limit = connections_limit
         self._open: set[CallerConnection] = set()
         self.busy_count = 0
@@ -132,6 +135,11 @@
             log.info('request.too_many', extra={'request_id': facts.request_id})
             connection.send_whole(503, headers, b'')
             return
+        if not self._beliefs.is_complete:
+            self._gate.wait(facts.within_ms)
+            if not self._beliefs.config.current.version:
+                self._answer_not_started(connection, request, facts.request_id)
+                return
         call = self._dialect.job_call(request)
         table = self._beliefs.config.current
         if call is not None:
@@ -154,6 +162,14 @@
         else:
             self._forwarder.handle(connection, request, facts, account, route)
 
+    def _answer_not_started(
+        self, connection: CallerConnection, request: CallerRequest, request_id: RequestId
+    ) -> None:
+        detail = {'host': request.host, 'path': request.path}
+        self._log_no('request.not_started', request_id, 503, detail)
+        headers = self._dialect.own_answer(request_id, self._gate.retry_in_ms())
+        connection.send_whole(503, headers, b'')
+
     def _answer_no_route(
         self, connection: CallerConnection, request: CallerRequest, request_id: RequestId
     ) -> None:
@@ -200,7 +216,7 @@
         )
 
     def _answer_no(self, connection: CallerConnection, request_id: RequestId, status: int) -> None:
-        retry_in_ms = STARTING_RETRY_MS if status == HTTPStatus.SERVICE_UNAVAILABLE else None
+        retry_in_ms = UNSURE_RETRY_MS if status == HTTPStatus.SERVICE_UNAVAILABLE else None
         connection.send_whole(status, self._dialect.own_answer(request_id, retry_in_ms), b'')
 
     def _turn_away(self, connection: CallerConnection, error: BadRequestHeadError) -> None:
--- /dev/null
+++ b/citrondyke/gateway/callers/start_gate.py
@@ -0,0 +1,90 @@
+"""Where requests wait until an instance that has just started can serve them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+from gevent.event import Event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.start_hold import StartHold
+    from citrondyke.util.start_steps import StartSteps
+
+__all__ = ('StartGate',)
+
+log = logbook.Logger(__name__)
+
+LOOK_S = 0.01
+#: Once the start has taken so many looks, it is the store's silence that lasts.
+LOOKS_OFTEN = 200
+LOOK_LATER_S = 0.05
+
+
+class StartGate:
+    """Lets requests through once the configuration and the list of servers are known."""
+
+    def __init__(
+        self,
+        context: Context,
+        hold: StartHold,
+        is_complete: Callable[[], bool],
+        steps: StartSteps | None,
+    ) -> None:
+        """Use the parts handed in.
+
+        :param is_complete: tells whether requests can be served.
+        """
+        self._context = context
+        self._hold = hold
+        self._is_complete = is_complete
+        self._steps = steps
+        self._opened = Event()
+        self._held_total = 0
+        #: From the start of the process, or of this instance; 0 before it serves.
+        self.opened_after_ms = 0.0
+
+    def retry_in_ms(self) -> float:
+        """Tell when a caller who is turned away should come again."""
+        return self._hold.retry_in_ms()
+
+    def wait(self, within_ms: float | None) -> None:
+        """Wait until requests can be served, as long as is of use to a caller.
+
+        :param within_ms: how long the caller will wait.
+        """
+        if self._opened.is_set():
+            return
+        until_ms = self._hold.begin(within_ms)
+        if until_ms is None:
+            return
+        self._held_total += 1
+        try:
+            self._opened.wait((until_ms - self._context.now_ms()) / 1e3)
+        finally:
+            self._hold.end()
+
+    def run(self) -> None:
+        """Open it when the time has come."""
+        began_ms = self._context.now_ms()
+        looks = 0
+        while not self._is_complete():
+            looks += 1
+            gevent.sleep(LOOK_S if looks < LOOKS_OFTEN else LOOK_LATER_S)
+        self._opened.set()
+        self.opened_after_ms = waited_ms = self._context.now_ms() - began_ms
+        if self._steps is not None:
+            self._steps.note('serving')
+            self.opened_after_ms = self._steps.done_ms['serving']
+        log.info(
+            'instance.serving',
+            extra={
+                'waited_ms': round(waited_ms, 1),
+                'held_requests': self._held_total,
+                'steps_ms': None if self._steps is None else self._steps.done_ms,
+            },
+        )
--- a/citrondyke/gateway/gauges.py
+++ b/citrondyke/gateway/gauges.py
@@ -2,15 +2,39 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from citrondyke.gateway.instance import GatewayInstance
+    from citrondyke.decisions.crashes.suspect_book import SuspectBook
+    from citrondyke.decisions.forwarding.server_book import ServerBook
+    from citrondyke.gateway.accounts.limit_exchange import LimitExchange
+    from citrondyke.gateway.beliefs.beliefs import Beliefs
+    from citrondyke.gateway.beliefs.dependency import Dependency
+    from citrondyke.gateway.callers.front import Front
+    from citrondyke.gateway.callers.start_gate import StartGate
+    from citrondyke.gateway.jobs.batch_side import BatchSide
+    from citrondyke.gateway.metrics import Metrics
+    from citrondyke.util.clock import SystemClock
 
-__all__ = ('add_gauges',)
+__all__ = ('GaugeSource', 'add_gauges')
 
 
-def add_gauges(instance: GatewayInstance) -> None:
+class GaugeSource(Protocol):
+    """The parts of an instance that are read."""
+
+    clock: SystemClock
+    metrics: Metrics
+    beliefs: Beliefs
+    book: ServerBook
+    front: Front
+    gate: StartGate
+    batch: BatchSide
+    suspects: SuspectBook
+    limits: LimitExchange
+    store: Dependency
+
+
+def add_gauges(instance: GaugeSource) -> None:
     """Show what the instance believes and has in hand."""
     config = instance.beliefs.config
     for name, read in (
@@ -21,6 +45,7 @@
         ('owned_jobs', lambda: float(len(instance.batch.owned.by_id))),
         ('suspects', lambda: float(len(instance.suspects))),
         ('limit_slots', lambda: float(len(instance.limits.held_slots()))),
+        ('start_ms', lambda: instance.gate.opened_after_ms),
         ('store_silent_ms', lambda: instance.store.silent_ms),
     ):
         instance.metrics.add_gauge(name, read)
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -8,6 +8,7 @@
 import gevent
 import logbook
 import msgspec
+from gevent import socket
 from gevent.event import Event
 from gevent.server import StreamServer
 
@@ -18,6 +19,7 @@
 from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
 from citrondyke.decisions.forwarding.load_notices import LoadNotices
 from citrondyke.decisions.forwarding.server_book import ServerBook
+from citrondyke.decisions.forwarding.start_hold import StartHold
 from citrondyke.gateway.accounts.limit_exchange import LimitExchange
 from citrondyke.gateway.beliefs.beliefs import Beliefs
 from citrondyke.gateway.beliefs.dependency import Dependency
@@ -28,6 +30,7 @@
 from citrondyke.gateway.callers.front import Front
 from citrondyke.gateway.callers.request_log import RequestLog
 from citrondyke.gateway.callers.small_pages import SmallPages
+from citrondyke.gateway.callers.start_gate import StartGate
 from citrondyke.gateway.gauges import add_gauges
 from citrondyke.gateway.jobs.batch_side import BatchSide, BatchSurroundings
 from citrondyke.gateway.metrics import Metrics
@@ -43,24 +46,21 @@
 from citrondyke.gateway.servers.suspect_store import SuspectStore
 from citrondyke.gateway.tasks import Tasks
 from citrondyke.util.clock import SystemClock
+from citrondyke.util.early_sockets import BACKLOG, EarlySockets
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from gevent import socket
-
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.outside import Outside
     from citrondyke.gateway.peers.relayed_table import StoreAnswer, StoreCall
     from citrondyke.gateway.settings import Address, GatewaySettings
+    from citrondyke.util.start_steps import StartSteps
 
 __all__ = ('GatewayInstance',)
 
 log = logbook.Logger(__name__)
 
-#: New connections that wait to be accepted; beyond it their first packet is dropped and comes
-#: again after a second.
-BACKLOG = 1_024
 #: Servers that lapsed in an outage are dropped within this of their time; 2 s are allowed.
 SETTLE_EVERY_S = 0.25
 
@@ -69,12 +69,21 @@
     """Runs until it is told to stop."""
 
     def __init__(
-        self, settings: GatewaySettings, outside: Outside, began_ms: float | None = None
+        self,
+        settings: GatewaySettings,
+        outside: Outside,
+        began_ms: float | None = None,
+        sockets: EarlySockets | None = None,
+        steps: StartSteps | None = None,
     ) -> None:
-        """Put the parts together; nothing listens before ``start``.
+        """Put the parts together; nothing is accepted before ``start``.
 
         :param began_ms: start of its process by the fence clock, where it has one to itself.
+        :param sockets: those that listen already; taken over with what waits in them.
+        :param steps: of the process's start.
         """
+        self._sockets = EarlySockets(()) if sockets is None else sockets
+        self._steps = steps
         self._settings = settings
         self._outside = outside
         self.clock = SystemClock()
@@ -189,6 +198,9 @@
         )
         self.book.when_choosing(self.peers.look)
         self.jobs = self.batch.door(self.peers.tell_job_changed)
+        self.gate = StartGate(
+            self.context, StartHold(self.context), lambda: self.beliefs.is_complete, steps
+        )
         self.front = Front(
             self.context,
             self.beliefs,
@@ -197,6 +209,7 @@
             self.batch.intake,
             self.jobs,
             self.metrics,
+            self.gate,
             settings.connections_limit,
         )
         self._pages = SmallPages(lambda: self.is_ready, self.metrics)
@@ -216,6 +229,7 @@
         if settings.metrics_port:
             port = settings.metrics_port
             self._listen(settings.ip, port, self._operator_pages.on_connection)
+        self._sockets.close()
         follow_beliefs(
             self.context,
             self._outside,
@@ -232,9 +246,16 @@
         self.membership.start(self._tasks)
         self.batch.start()
         self._tasks.keep(self._run_settle)
+        self._tasks.spawn(self.gate.run)
+        if self._steps is not None:
+            self._steps.note('started')
         log.info(
             'instance.started',
-            extra={'callers': settings.callers.port, 'peers': settings.peer_port},
+            extra={
+                'callers': settings.callers.port,
+                'peers': settings.peer_port,
+                **self._start_detail(),
+            },
         )
 
     @property
@@ -284,10 +305,22 @@
         return self.beliefs.is_complete and not self._stopping.is_set()
 
     def _listen(self, ip: str, port: int, handle: Callable[[socket.socket, object], None]) -> None:
-        server = StreamServer((ip, port), handle, backlog=BACKLOG)
+        early = self._sockets.take(ip, port)
+        if early is None:
+            server = StreamServer((ip, port), handle, backlog=BACKLOG)
+        else:
+            server = StreamServer(socket.socket(fileno=early), handle)
         server.start()
         self._servers.append(server)
 
+    def _start_detail(self) -> dict[str, object]:
+        if self._steps is None:
+            return {}
+        return {
+            'interpreter_cpu_ms': self._steps.interpreter_cpu_ms,
+            'steps_ms': dict(self._steps.done_ms),
+        }
+
     def _run_settle(self) -> None:
         while True:
             gevent.sleep(SETTLE_EVERY_S)
--- /dev/null
+++ b/citrondyke/util/start_steps.py
@@ -0,0 +1,24 @@
+"""Times of the steps of a process's start."""
+
+from __future__ import annotations
+
+import time
+
+from citrondyke.util.process_start import PROCESS_BEGAN_MS
+
+__all__ = ('StartSteps',)
+
+
+class StartSteps:
+    """Keeps when each step was done, in ms from the first line of the program."""
+
+    def __init__(self) -> None:
+        """Start with what was before the first line: processor time only."""
+        #: Of the interpreter, until this was made.
+        self.interpreter_cpu_ms = round(time.process_time() * 1e3, 1)
+        self.done_ms: dict[str, float] = {}
+
+    def note(self, step: str) -> None:
+        """Note that a step is done."""
+        now_ms = time.clock_gettime(time.CLOCK_BOOTTIME) * 1e3
+        self.done_ms[step] = round(now_ms - PROCESS_BEGAN_MS, 1)
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -157,6 +157,11 @@
         servers = [*self.servers.values(), *self.ended]
         return sum(run.body == body for server in servers for run in server.runs)
 
+    @property
+    def store_address(self) -> str:
+        """Give the store's address."""
+        return f'127.0.0.1:{self._wsgi.server_port}'
+
     def store_settings(self, call_timeout_ms: float) -> StoreSettings:
         """Give the settings of the store for an instance."""
         return StoreSettings(
