--- a/citrondyke/cmd/gateway.py
+++ b/citrondyke/cmd/gateway.py
@@ -11,10 +11,15 @@
 # First of all: the other imports take longer than what follows.
 from citrondyke.util.process_start import PROCESS_BEGAN_MS  # isort: skip
 from citrondyke.platform.early_addresses import early_addresses
+from citrondyke.util.code_bundle import LIBRARY, PACKAGES, open_bundle
 from citrondyke.util.early_sockets import EarlySockets
 from citrondyke.util.start_steps import StartSteps
 
-__all__ = ('main',)
+__all__ = ('BUNDLE_FILE', 'bundle_roots', 'main')
+
+_PACKAGE = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+#: Made by the build, beside the package.
+BUNDLE_FILE = f'{_PACKAGE}.bundle'
 
 
 def main() -> int:
@@ -22,15 +27,31 @@
     steps = StartSteps()
     sockets = EarlySockets(early_addresses(os.environ))
     steps.note('listening')
+    bundle = open_bundle(BUNDLE_FILE, bundle_roots())
+    import gc
     import signal
 
     # By default it would end the process. The settings are read later anyway.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # What is imported stays: looking for garbage among it only takes time.
+    gc.disable()
+    from citrondyke.cmd.lean_imports import put_off_unused
+
+    put_off_unused()
     from citrondyke.cmd.run_gateway import run_gateway
 
+    if bundle is not None:
+        bundle.close()
+    gc.freeze()
+    gc.enable()
     steps.note('imported')
     return run_gateway(sockets, steps, PROCESS_BEGAN_MS)
 
 
+def bundle_roots() -> dict[str, str]:
+    """Give the folders of the modules in a bundle: the package and its libraries, and Python's."""
+    return {PACKAGES: os.path.dirname(_PACKAGE), LIBRARY: os.path.dirname(os.__file__)}
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- /dev/null
+++ b/citrondyke/cmd/lean_imports.py
@@ -0,0 +1,18 @@
+"""Leaves out of the start what libraries import and this program never uses."""
+
+from __future__ import annotations
+
+from citrondyke.util.put_off import put_off
+
+__all__ = ('put_off_unused',)
+
+
+def put_off_unused() -> None:
+    """Put off parts of the standard library; to be called before any library is imported."""
+    # pycapnp takes one class of it; its event loop is never run here.
+    put_off('asyncio', ('asyncio.protocols',))
+    # logbook's handlers for mail and for packed files.
+    put_off('ssl')
+    put_off('gzip')
+    # For tracebacks of sources, and messages of uncommon errors.
+    put_off('tokenize')
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -320,10 +320,7 @@
     def _start_detail(self) -> dict[str, object]:
         if self._steps is None:
             return {}
-        return {
-            'interpreter_cpu_ms': self._steps.interpreter_cpu_ms,
-            'steps_ms': dict(self._steps.done_ms),
-        }
+        return {'steps_ms': dict(self._steps.done_ms)}
 
     def _run_settle(self) -> None:
         while True:
--- a/citrondyke/util/start_steps.py
+++ b/citrondyke/util/start_steps.py
@@ -13,9 +13,7 @@
     """Keeps when each step was done, in ms from the first line of the program."""
 
     def __init__(self) -> None:
-        """Start with what was before the first line: processor time only."""
-        #: Of the interpreter, until this was made.
-        self.interpreter_cpu_ms = round(time.process_time() * 1e3, 1)
+        """Start with none."""
         self.done_ms: dict[str, float] = {}
 
     def note(self, step: str) -> None:
