--- a/tests/support/gateway_process.py
+++ b/tests/support/gateway_process.py
@@ -31,9 +31,13 @@
 class GatewayProcess:
     """One that a test started, and only that."""
 
-    def __init__(self, folder: Path, ip: str, store: str) -> None:
-        """Write its settings; nothing runs yet."""
+    def __init__(self, folder: Path, ip: str, store: str, tree: str = '') -> None:
+        """Write its settings; nothing runs yet.
+
+        :param tree: folder that the package is taken from; empty for this program's own.
+        """
         self.ip = ip
+        self._path = tree or os.pathsep.join(sys.path)
         self.callers, self.health = (ip, 18_000), (ip, 18_001)
         self.file = folder / f'{ip}.toml'
         self.file.write_text(SETTINGS.format(ip=ip, store=store))
@@ -51,7 +55,7 @@
                 [sys.executable, '-P', '-S', '-m', 'citrondyke.cmd.gateway'],
                 stdout=out,
                 stderr=out,
-                env={**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path), **variables},
+                env={**os.environ, 'PYTHONPATH': self._path, **variables},
             )
 
     def connect(self) -> socket.socket | None:
