--- a/citrondyke/cmd/lean_imports.py
+++ b/citrondyke/cmd/lean_imports.py
@@ -1,4 +1,4 @@
-"""Leaves out of the start what libraries import and this program never uses."""
+"""Leaves out of the start what is imported, but used later or never."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 def put_off_unused() -> None:
-    """Put off parts of the standard library; to be called before any library is imported."""
+    """Put off the modules below; to be called before any library is imported."""
     # pycapnp takes one class of it; its event loop is never run here.
     put_off('asyncio', ('asyncio.protocols',))
     # logbook's handlers for mail and for packed files.
@@ -18,6 +18,10 @@
     put_off('hashlib', ('_sha1',))
     # On this version of Python, all that is taken of it but one decorator is in ``typing``.
     put_off('typing_extensions', ('typing', 'citrondyke.util.deprecated'))
+    # msgspec knows UUIDs, whose module asks for the system's name.
+    put_off('platform', ('citrondyke.util.system_name',))
+    # For the rows of jobs, and what peers know; it asks for the name of the interpreter as well.
+    put_off('zstandard')
     # For addresses in brackets, which no URL here has.
     put_off('ipaddress')
     # For tracebacks of sources, and messages of uncommon errors.
