--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -253,6 +253,7 @@
         self._tasks.spawn(self.gate.run)
         if self._steps is not None:
             self._steps.note('started')
+        self._tasks.keep(lambda: self._outside.traffic.run(self.metrics))
         log.info(
             'instance.started',
             extra={
--- a/citrondyke/gateway/outside.py
+++ b/citrondyke/gateway/outside.py
@@ -12,6 +12,7 @@
     from citrondyke.gateway.beliefs.beliefs import RowDecoder
     from citrondyke.gateway.dialect import Dialect
     from citrondyke.gateway.settings import Address
+    from citrondyke.gateway.store_traffic import StoreTraffic
     from citrondyke.storage.object_store import ObjectStore
     from citrondyke.storage.partitioned_table import PartitionedTable
 
@@ -29,3 +30,5 @@
     dialect: Dialect
     #: Follows a change of the store's address.
     move_store: Callable[[Address], None]
+    #: Counts what is read from the store.
+    traffic: StoreTraffic
--- a/citrondyke/platform/outside.py
+++ b/citrondyke/platform/outside.py
@@ -7,6 +7,7 @@
 from citrondyke.gateway.beliefs.beliefs import RowDecoder
 from citrondyke.gateway.http_client import HttpClient
 from citrondyke.gateway.outside import Outside
+from citrondyke.gateway.store_traffic import StoreTraffic
 from citrondyke.platform.dialect import PlatformDialect
 from citrondyke.platform.rows import (
     CONFIG_KEY,
@@ -31,12 +32,14 @@
     """
     address = settings.store.address
     http = HttpClient(clock, address.ip, address.port, source_ip)
+    traffic = StoreTraffic()
     return Outside(
-        PlatformTable(http, settings.store.call_timeout_ms),
+        PlatformTable(http, settings.store.call_timeout_ms, traffic),
         PlatformObjects(http, settings.store.call_timeout_ms),
         CONFIG_TABLE,
         SERVERS_TABLE,
         RowDecoder(CONFIG_KEY, decode_config, decode_server),
         PlatformDialect(),
         lambda moved: http.move(moved.ip, moved.port),
+        traffic,
     )
--- a/citrondyke/platform/store_client.py
+++ b/citrondyke/platform/store_client.py
@@ -36,6 +36,7 @@
 
 if TYPE_CHECKING:
     from citrondyke.gateway.http_head import Headers
+    from citrondyke.gateway.store_traffic import StoreTraffic
 
 __all__ = ('PlatformObjects', 'PlatformTable')
 
@@ -90,13 +91,17 @@
 class PlatformTable(PartitionedTable):
     """Rows and feeds."""
 
-    def __init__(self, http: HttpClient, call_timeout_ms: float) -> None:
+    def __init__(
+        self, http: HttpClient, call_timeout_ms: float, traffic: StoreTraffic | None = None
+    ) -> None:
         """Use a client.
 
         :param call_timeout_ms: of each call; a feed's waiting time comes on top.
+        :param traffic: told of the bytes of answers.
         """
         self._http = http
         self._timeout_ms = call_timeout_ms
+        self._traffic = traffic
 
     def transact(
         self, transaction: PartTransaction
@@ -111,6 +116,9 @@
         answer = self._http.call(
             'POST', '/-/rows-tx', msgspec.json.encode(body), JSON, self._timeout_ms
         )
+        tables = {each.table for each in transaction.puts}
+        tables.update(each.table for each in transaction.removals)
+        self._note('write', '+'.join(sorted(tables)), answer)
         rows = _decode(answer, _Rows, also=(PRECONDITION_FAILED,))
         if isinstance(rows, PlatformFailure):
             return rows
@@ -149,8 +157,16 @@
         self, path: str, query: dict[str, str], kind: type[Decoded], timeout_ms: float
     ) -> Decoded | PlatformFailure:
         answer = self._http.call('GET', f'{path}?{urlencode(query)}', b'', [], timeout_ms)
+        self._note(path.rpartition('-')[2], query['table'], answer)
         return _decode(answer, kind)
 
+    def _note(self, kind: str, table: str, answer: HttpAnswer | HttpFailure) -> None:
+        if self._traffic is None:
+            return
+        size_bytes = len(answer.body) if isinstance(answer, HttpAnswer) else 0
+        is_answered = isinstance(answer, HttpAnswer) and answer.status in (OK, PRECONDITION_FAILED)
+        self._traffic.note(kind, table, size_bytes, is_answered=is_answered)
+
 
 class PlatformObjects(ObjectStore):
     """Objects."""
