Two instances of a zone read the list of servers for the others

Cause: 300 instances before 3,000 servers read 1.3 MB each at their start and again as proof, and each change some four times. Change: readers by rendezvous over the zone's live instances follow the list at the pace of a small fleet and tell their zone positions and differences; who is covered by a reader's word leaves its own reads, and goes on with them 900 ms after the last one. Heartbeats tell the size of the list, by which it is decided whether this pays, also at a start of all. Also: an unreadable answer of a peer ended the greenlet that asks for knowledge; it is logged now.

--- a/citrondyke/decisions/forwarding/listed_rows.py
+++ b/citrondyke/decisions/forwarding/listed_rows.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 import msgspec
 
+from citrondyke.decisions.knowledge.list_journal import ListJournal
+from citrondyke.util.hashing import content_bucket
+
 __all__ = ('ListedRows', 'SeenRow')
 
 Value = TypeVar('Value')
@@ -51,9 +54,17 @@
         #: Rows to be dropped unless they come back, by the time from which that holds.
         self._missing: dict[str, float] = {}
         self._doubtful_until_ms = 0.0
+        #: As of which versions rows were gone, for neighbours.
+        self._gone: dict[str, int] = {}
+        self._journal = ListJournal()
         self.version = 0
-        #: Grows whenever what is there changes.
-        self.revision = 0
+        #: Of the keys and versions of all rows that are there.
+        self.digest = 0
+
+    @property
+    def revision(self) -> int:
+        """Give the number of changes so far of what is there."""
+        return self._journal.number
 
     def values(self) -> list[Value]:
         """Give what stands in the rows that are there."""
@@ -68,6 +79,25 @@
         """Give the rows that are there."""
         return list(self._rows.values())
 
+    def changes_since(self, revision: int) -> list[SeenRow[Value]] | None:
+        """Give the rows that changed behind a revision, as they are by now.
+
+        :returns: ``None`` where that is not remembered any more.
+        """
+        keys = self._journal.changed_since(revision)
+        if keys is None:
+            return None
+        found: list[SeenRow[Value]] = []
+        for key in keys:
+            row = self._rows.get(key)
+            if row is None:
+                gone = self._gone.get(key)
+                if gone is None:
+                    return None
+                row = SeenRow(key, gone, None)
+            found.append(row)
+        return found
+
     def note_outage(self, now_ms: float) -> None:
         """Take note that the store did not answer."""
         self._doubtful_until_ms = now_ms + self._grace_ms
@@ -88,7 +118,7 @@
         self.version = version
         for key, known in list(self._rows.items()):
             if key not in present and known.version <= version:
-                self._drop(key, known.version, now_ms)
+                self._drop(key, known.version, now_ms, max(version, known.version + 1))
 
     def settle(self, now_ms: float) -> None:
         """Drop what was missing for long enough."""
@@ -104,19 +134,21 @@
             # Whoever wrote it, the server's own entry is not there any more; an outage of the
             # store is no reason to believe that it still is.
             self._remember_deletion(row.key, row.version)
+            self._note_gone(row.key, row.version)
             self._forget(row.key)
             return
         if row.value is None:
             self._remember_deletion(row.key, row.version)
             if known is not None:
-                self._drop(row.key, row.version, now_ms)
+                self._drop(row.key, row.version, now_ms, row.version)
             return
         if row.born_epoch_ms is not None:
             self._born[row.key] = row.born_epoch_ms
             _bound(self._born)
         self._missing.pop(row.key, None)
         self._rows[row.key] = row
-        self.revision += 1
+        self.digest ^= _row_digest(row) ^ (0 if known is None else _row_digest(known))
+        self._journal.note(row.key, len(self._rows))
 
     def _is_outdated(self, row: SeenRow[Value], known: SeenRow[Value] | None) -> bool:
         """Tell whether a row is no news: the order is by life where stated, else by version."""
@@ -129,8 +161,14 @@
             return row.key not in self._missing
         return row.version < newest
 
-    def _drop(self, key: str, version: int, now_ms: float) -> None:
+    def _drop(self, key: str, version: int, now_ms: float, gone_version: int) -> None:
+        """Drop a row.
+
+        :param version: up to which writes of it are outdated.
+        :param gone_version: as of which the store did not hold it, later than its last write.
+        """
         self._remember_deletion(key, version)
+        self._note_gone(key, gone_version)
         if now_ms >= self._doubtful_until_ms:
             self._forget(key)
             return
@@ -138,14 +176,24 @@
 
     def _forget(self, key: str) -> None:
         self._missing.pop(key, None)
-        if self._rows.pop(key, None) is not None:
-            self.revision += 1
+        row = self._rows.pop(key, None)
+        if row is not None:
+            self.digest ^= _row_digest(row)
+            self._journal.note(key, len(self._rows))
+
+    def _note_gone(self, key: str, version: int) -> None:
+        self._gone[key] = max(version, self._gone.get(key, 0))
+        _bound(self._gone)
 
     def _remember_deletion(self, key: str, version: int) -> None:
         self._deleted[key] = max(version, self._deleted.get(key, 0))
         _bound(self._deleted)
 
 
+def _row_digest(row: SeenRow[Any]) -> int:
+    return content_bucket(f'{row.key}\0{row.version}'.encode())
+
+
 def _bound(remembered: dict[str, int]) -> None:
     if len(remembered) > REMEMBERED_LIMIT:
         remembered.pop(min(remembered, key=remembered.__getitem__))
--- /dev/null
+++ b/citrondyke/decisions/knowledge/reader_watch.py
@@ -0,0 +1,142 @@
+"""What a follower has heard of its readers, and whether that stands for reads of its own."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.decisions.knowledge.list_position import ListPosition
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.ids import InstanceId
+
+__all__ = ('Lack', 'ReaderWatch')
+
+#: Readers tell how far they are three times a second, and two of them do: two lost datagrams of
+#: each are no silence yet. Servers that leave may get requests for 2 s, in which a follower must
+#: have noticed the silence and asked the store.
+SILENT_MS = 900.0
+#: A reader that has not heard from the store for longer covers nobody. It asks each second.
+FRESH_MS = 1_600.0
+#: For so long lists may differ before all rows are asked for: one of the two hears of a change
+#: first, at most a pause of the other's feed before it.
+DIFFERS_MS = 1_500.0
+#: Time between two questions for all rows; two lists may differ for seconds after an outage, as
+#: each drops lapsed rows at its own time.
+WHOLE_AGAIN_MS = 5_000.0
+READERS_LIMIT = 16
+
+
+class Lack(Enum):
+    """What is to be asked of a reader."""
+
+    NOTHING = 'nothing'
+    CHANGES = 'changes'
+    EVERYTHING = 'everything'
+
+
+class _Heard(msgspec.Struct):
+    life: str
+    #: Up to which all changes that this reader told are known here; -1 where none are.
+    number: int
+    heard_ms: float
+    #: Its last word was that it has the same whole list.
+    is_level: bool = False
+    differs_since_ms: float | None = None
+    whole_asked_ms: float = float('-inf')
+
+
+class ReaderWatch:
+    """Coverage is a lease: each word of a reader with the same list extends it."""
+
+    def __init__(self, context: Context) -> None:
+        """Start having heard of nobody."""
+        self._context = context
+        self._heard: dict[InstanceId, _Heard] = {}
+        self._covered_until_ms = float('-inf')
+        #: Whose word covered last.
+        self.source: InstanceId | None = None
+
+    @property
+    def is_covered(self) -> bool:
+        """Tell whether the store need not be asked for the list."""
+        return self._context.now_ms() < self._covered_until_ms
+
+    @property
+    def has_reader(self) -> bool:
+        """Tell whether some reader was heard a moment ago."""
+        since_ms = self._context.now_ms() - SILENT_MS
+        return any(heard.heard_ms >= since_ms for heard in self._heard.values())
+
+    def known(self, reader: InstanceId) -> ListPosition:
+        """Say for a question how far a reader was heard."""
+        heard = self._heard.get(reader)
+        if heard is None or heard.number < 0:
+            return ListPosition('', 0)
+        return ListPosition(heard.life, heard.number)
+
+    def note_position(self, reader: InstanceId, told: ListPosition, own_digest: int) -> Lack:
+        """Take in how far a reader is; tell what is to be asked of it."""
+        now_ms = self._context.now_ms()
+        heard = self._of(reader, told.life)
+        heard.heard_ms = now_ms
+        heard.is_level = told.is_whole and told.digest == own_digest
+        if heard.is_level:
+            heard.number = told.number
+            heard.differs_since_ms = None
+            until_ms = now_ms + min(SILENT_MS, FRESH_MS - told.age_ms)
+            if until_ms > self._covered_until_ms:
+                self._covered_until_ms = until_ms
+                self.source = reader
+            return Lack.NOTHING
+        if heard.differs_since_ms is None:
+            heard.differs_since_ms = now_ms
+        if 0 <= heard.number < told.number:
+            return Lack.CHANGES
+        return self._lack_of_everything(heard, now_ms)
+
+    def is_level(self, reader: InstanceId) -> bool:
+        """Tell whether a reader's last word was that it has the list that is known here."""
+        heard = self._heard.get(reader)
+        return heard is not None and heard.is_level
+
+    def note_failure(self, reader: InstanceId) -> None:
+        """Take in that a reader did not answer; it may be asked again soon."""
+        heard = self._heard.get(reader)
+        if heard is not None:
+            heard.whole_asked_ms = float('-inf')
+
+    def note_changes(self, reader: InstanceId, life: str, since: int, number: int) -> bool:
+        """Take in that a reader told all changes between two numbers; tell if none is missing."""
+        heard = self._of(reader, life)
+        heard.heard_ms = self._context.now_ms()
+        is_whole = since <= max(0, heard.number)
+        if is_whole:
+            heard.number = max(heard.number, number)
+        return is_whole
+
+    def _lack_of_everything(self, heard: _Heard, now_ms: float) -> Lack:
+        """Ask for all rows where nobody covers, or where the lists differ for long."""
+        since_ms = heard.differs_since_ms
+        differs_long = since_ms is not None and now_ms - since_ms >= DIFFERS_MS
+        if self.is_covered and not differs_long:
+            return Lack.NOTHING
+        if heard.number >= 0 and not differs_long:
+            return Lack.NOTHING
+        if now_ms - heard.whole_asked_ms < WHOLE_AGAIN_MS:
+            return Lack.NOTHING
+        heard.whole_asked_ms = now_ms
+        heard.number = -1
+        return Lack.EVERYTHING
+
+    def _of(self, reader: InstanceId, life: str) -> _Heard:
+        heard = self._heard.pop(reader, None)
+        if heard is None or heard.life != life:
+            heard = _Heard(life, -1, self._context.now_ms())
+        self._heard[reader] = heard
+        while len(self._heard) > READERS_LIMIT:
+            del self._heard[next(iter(self._heard))]
+        return heard
--- a/citrondyke/gateway/beliefs/beliefs.py
+++ b/citrondyke/gateway/beliefs/beliefs.py
@@ -73,9 +73,14 @@
         #: The newest configuration may hold routes that are not known here.
         self._is_config_unreadable = False
         self._settled_revision = -1
+        self._on_settled: Callable[[], None] | None = None
         self._unreadable_configs = UnreadableRows('configuration')
         self._unreadable_servers = UnreadableRows('servers')
 
+    def when_settled(self, call: Callable[[], None]) -> None:
+        """Have something called whenever the list of servers was taken in."""
+        self._on_settled = call
+
     @property
     def is_complete(self) -> bool:
         """Tell whether requests can be served by them."""
@@ -149,6 +154,20 @@
         self.has_servers = True
         self.settle('read')
 
+    @property
+    def list_revision(self) -> int:
+        """Give the number of changes of the list of servers so far."""
+        return self._servers.revision
+
+    @property
+    def list_digest(self) -> int:
+        """Give a digest of the list of servers; equal lists have equal ones."""
+        return self._servers.digest
+
+    def servers_since(self, revision: int) -> list[SeenRow[ListedBackend]] | None:
+        """Give the rows of the servers that changed since; ``None`` where that is not known."""
+        return self._servers.changes_since(revision)
+
     def known_servers(self) -> tuple[list[SeenRow[ListedBackend]], int]:
         """Give the rows of the servers, and the version as of which they were listed."""
         return self._servers.rows(), self._servers.version
@@ -175,6 +194,8 @@
         if self._store.is_lost:
             self._servers.note_outage(now_ms)
         self._servers.settle(now_ms)
+        if self._on_settled is not None:
+            self._on_settled()
         if self._servers.revision == self._settled_revision:
             return
         self._settled_revision = self._servers.revision
--- a/citrondyke/gateway/beliefs/change_feed.py
+++ b/citrondyke/gateway/beliefs/change_feed.py
@@ -7,6 +7,7 @@
 import gevent
 import logbook
 
+from citrondyke.gateway.beliefs.cover import NoCover
 from citrondyke.gateway.pauses import retry_ms
 from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
 
@@ -14,6 +15,7 @@
     from collections.abc import Callable
 
     from citrondyke.decisions.core.context import Context
+    from citrondyke.gateway.beliefs.cover import Cover
     from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
 __all__ = ('ChangeFeed',)
@@ -38,12 +40,16 @@
         pace: Callable[[], float],
         on_rows: Callable[[tuple[PartRow, ...]], None],
         read_anew: Callable[[], int],
+        cover: Cover | None = None,
+        resume_behind: Callable[[], int] = lambda: 0,
     ) -> None:
         """Follow one table.
 
         :param pace: gives the factor by which calls are rarer than in a small fleet.
         :param read_anew: finds out what the feed did not tell, and gives the version from which
             it goes on; 0 where the store did not answer.
+        :param cover: tells whether somebody else follows it; ``None`` where nobody does.
+        :param resume_behind: gives the version behind which to go on after that; 0 for none.
         """
         self._context = context
         self._table = table
@@ -51,6 +57,8 @@
         self._pace = pace
         self._on_rows = on_rows
         self._read_anew = read_anew
+        self._cover = NoCover() if cover is None else cover
+        self._resume_behind = resume_behind
 
     def run(self, version: int = 0) -> None:
         """Follow it for good.
@@ -59,6 +67,8 @@
         """
         failures_count = 0
         while True:
+            if self._cover.is_covered:
+                version = self._wait_while_covered()
             version = version or self._read_anew()
             if version:
                 feed = self._table.follow(self._name, version, FEED_WAIT_MS)
@@ -73,3 +83,9 @@
                     version = 0
             failures_count += 1
             gevent.sleep(self._context.jittered_ms(retry_ms(failures_count)) / 1e3)
+
+    def _wait_while_covered(self) -> int:
+        """Leave it to others while they tell of changes; give the version to go on behind."""
+        while self._cover.is_covered:
+            gevent.sleep(self._context.jittered_ms(FEED_PAUSE_MS) / 1e3)
+        return self._resume_behind()
--- a/citrondyke/gateway/beliefs/followers.py
+++ b/citrondyke/gateway/beliefs/followers.py
@@ -12,6 +12,7 @@
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.beliefs.beliefs import Beliefs
+    from citrondyke.gateway.beliefs.cover import Cover
     from citrondyke.gateway.beliefs.dependency import Dependency
     from citrondyke.gateway.outside import Outside
     from citrondyke.gateway.peers.membership import Membership
@@ -28,11 +29,14 @@
     store: Dependency,
     pace: Callable[[], float],
     tasks: Tasks,
-) -> None:
+    cover: Cover,
+) -> TableFollower:
     """Follow the configuration and the list of servers.
 
     :param store: told whether the store answers.
     :param pace: gives the factor by which calls are rarer than in a small fleet.
+    :param cover: tells whether others read the list of servers for this instance.
+    :returns: what follows the list of servers.
     """
     TableFollower(
         context,
@@ -44,7 +48,7 @@
         pace,
         beliefs.on_config_current,
     ).start(tasks)
-    TableFollower(
+    servers = TableFollower(
         context,
         outside.table,
         outside.servers_table,
@@ -53,7 +57,10 @@
         beliefs.on_server_listing,
         pace,
         beliefs.on_servers_current,
-    ).start(tasks)
+        cover=cover,
+    )
+    servers.start(tasks)
+    return servers
 
 
 def follow_instances(
--- a/citrondyke/gateway/beliefs/table_follower.py
+++ b/citrondyke/gateway/beliefs/table_follower.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 
 from citrondyke.gateway.beliefs.change_feed import ChangeFeed
+from citrondyke.gateway.beliefs.cover import NoCover
 from citrondyke.gateway.pauses import retry_ms
 from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
 
@@ -16,6 +17,7 @@
     from collections.abc import Callable
 
     from citrondyke.decisions.core.context import Context
+    from citrondyke.gateway.beliefs.cover import Cover
     from citrondyke.gateway.beliefs.dependency import Dependency
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.storage.partitioned_table import Listing, PartitionedTable, PartRow
@@ -34,6 +36,11 @@
 #: A look for changes goes back so far behind the one before. The store may hide changes for a
 #: second and name a version beyond them, and a look behind that would never show them.
 LOOK_BACK_MS = 5_000.0
+#: While others read the table for this instance, it looks so often itself: a proof that two readers
+#: do not both miss a change for good, and short against the time for which the store remembers.
+PROOF_EVERY_MS = 10_000.0
+#: ... and reads the whole of it by so much more rarely.
+WHOLE_PROOF_FACTOR = 8.0
 
 
 class TableFollower:
@@ -51,6 +58,7 @@
         on_current: Callable[[], None] | None = None,
         *,
         with_feed: bool = True,
+        cover: Cover | None = None,
     ) -> None:
         """Follow the rows with an empty part.
 
@@ -61,6 +69,7 @@
         :param on_current: called when a look for changes alone has shown how all rows are by now;
             ``None`` where only whole reads will do.
         :param with_feed: whether changes matter sooner than by the next read.
+        :param cover: tells whether somebody else reads it; ``None`` where nobody does.
         """
         self._context = context
         self._table = table
@@ -71,13 +80,27 @@
         self._on_current = on_current
         self._with_feed = with_feed
         self._pace = pace
+        self._cover = NoCover() if cover is None else cover
         self._version = 0
+        #: Of the values, by the last whole read or by whoever made it.
+        self.size_bytes = 0
+        self._answered_ms = float('-inf')
         #: When a whole read may be made again rather than a look for changes.
         self._whole_again_ms = float('-inf')
         #: Versions up to which looks showed everything, with their times, the oldest first.
         self._looks: deque[tuple[float, int]] = deque()
+        self._proven_ms = float('-inf')
         self._is_read = Event()
-        self._feed = ChangeFeed(context, table, name, pace, on_rows, self._read_anew)
+        self._feed = ChangeFeed(
+            context,
+            table,
+            name,
+            self._pace_now,
+            self._on_feed,
+            self._read_anew,
+            self._cover,
+            self._resume_behind,
+        )
 
     def start(self, tasks: Tasks) -> None:
         """Begin both."""
@@ -85,6 +108,38 @@
         if self._with_feed:
             tasks.keep(self._run_feed)
 
+    @property
+    def has_read_all(self) -> bool:
+        """Tell whether all rows were seen."""
+        return self._version > 0
+
+    @property
+    def version(self) -> int:
+        """Give the version up to which looks showed all changes; 0 before the first."""
+        return self._version
+
+    @property
+    def answer_age_ms(self) -> float:
+        """Give the time since the store last told this instance of the table."""
+        return self._context.now_ms() - self._answered_ms
+
+    def adopt(self, version: int, size_bytes: int) -> None:
+        """Go on from where somebody else has read to, should that be needed.
+
+        :param version: up to which all changes are known here by way of others.
+        """
+        now_ms = self._context.now_ms()
+        self.size_bytes = size_bytes
+        if self._whole_again_ms == float('-inf'):
+            pause_ms = WHOLE_PROOF_FACTOR * size_bytes / WHOLE_READS_BYTES_PER_S * 1e3
+            self._whole_again_ms = now_ms + self._context.jittered_ms(pause_ms)
+            self._proven_ms = now_ms
+        if version > self._version:
+            self._version = version
+            self._looks.append((now_ms, version))
+            self._drop_old_looks()
+        self._is_read.set()
+
     def read_once(self) -> bool:
         """Read all rows; tell whether the store answered."""
         on_page = None if self._version else self._take_first_page
@@ -93,8 +148,10 @@
             return False
         self._on_listing(list(listing.rows), listing.version)
         self._version = max(self._version, listing.version)
-        size_bytes = sum(len(row.value or b'') for row in listing.rows)
-        pause_ms = size_bytes / WHOLE_READS_BYTES_PER_S * 1e3
+        self.size_bytes = sum(len(row.value or b'') for row in listing.rows)
+        pause_ms = self.size_bytes / WHOLE_READS_BYTES_PER_S * 1e3
+        if self._cover.is_covered:
+            pause_ms *= WHOLE_PROOF_FACTOR
         self._whole_again_ms = self._context.now_ms() + pause_ms
         self._looks.clear()
         self._looks.append((self._context.now_ms(), self._version))
@@ -120,10 +177,25 @@
 
     def _look_behind(self) -> int:
         """Give the version of the newest look that is old enough, or of the last whole read."""
+        self._drop_old_looks()
+        return self._looks[0][1]
+
+    def _drop_old_looks(self) -> None:
         from_ms = self._context.now_ms() - LOOK_BACK_MS
         while len(self._looks) > 1 and self._looks[1][0] <= from_ms:
             self._looks.popleft()
-        return self._looks[0][1]
+
+    def _resume_behind(self) -> int:
+        """Give the version behind which a feed goes on after others read; 0 for a whole read."""
+        return self._look_behind() if self._looks else 0
+
+    def _on_feed(self, rows: tuple[PartRow, ...]) -> None:
+        self._answered_ms = self._context.now_ms()
+        self._on_rows(rows)
+
+    def _pace_now(self) -> float:
+        """Give the pace; who reads for others is as quick as in a small fleet."""
+        return 1.0 if self._cover.reads_for_others else self._pace()
 
     def _take_first_page(self, page: Listing) -> None:
         """Hand on the rows of the first read as they come: some are enough to begin with.
@@ -143,19 +215,27 @@
         dependency.note_call()
         answer = call()
         if not isinstance(answer, PlatformFailure):
+            self._answered_ms = self._context.now_ms()
             dependency.note_answer()
         elif answer.reason is not PlatformFailureReason.HISTORY_LOST:
             # That one is an answer, and a whole read follows it.
             dependency.note_failure(f'{what} {self._name}: {answer.reason.value}')
         return answer
 
+    def _is_proof_due(self) -> bool:
+        return self._context.now_ms() - self._proven_ms >= PROOF_EVERY_MS
+
     def _run_reads(self) -> None:
+        self._cover.hold_first_read()
         failures_count = 0
         while True:
-            if self.look_once():
+            if self._cover.is_covered and not self._is_proof_due():
+                pause_ms = READ_EVERY_MS * self._pace_now()
+            elif self.look_once():
+                self._proven_ms = self._context.now_ms()
                 self._is_read.set()
                 failures_count = 0
-                pause_ms = READ_EVERY_MS * self._pace()
+                pause_ms = READ_EVERY_MS * self._pace_now()
             else:
                 failures_count += 1
                 pause_ms = retry_ms(failures_count)
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -195,6 +195,8 @@
             self.guard.take,
             outside.table,
             PeerTraffic(self.context, self.metrics),
+            self._live,
+            self.metrics,
             self._store_pace,
             self._gather_ms,
             self._tasks,
@@ -234,14 +236,16 @@
             port = settings.metrics_port
             self._listen(settings.ip, port, self._operator_pages.on_connection)
         self._sockets.close()
-        follow_beliefs(
+        servers_follower = follow_beliefs(
             self.context,
             self._outside,
             self.beliefs,
             self.store,
             self._store_pace,
             self._tasks,
+            self.peers.list_readers,
         )
+        self.peers.list_readers.start(servers_follower)
         follow_instances(self.context, self._table, self.membership, self._store_pace, self._tasks)
         self.peers.start(settings.ip)
         self.limits.start(settings.ip)
@@ -334,6 +338,7 @@
             )
             self._live.pace = self._store_pace()
             self.beliefs.settle('grace')
+            self.peers.list_readers.look()
 
     def _store_pace(self) -> float:
         return self.book.neighbours.store_pace
--- a/citrondyke/gateway/peers/knowledge_exchange.py
+++ b/citrondyke/gateway/peers/knowledge_exchange.py
@@ -13,6 +13,7 @@
 from citrondyke.decisions.forwarding.listed_rows import SeenRow
 from citrondyke.decisions.forwarding.route_table import RouteTable
 from citrondyke.errors.broken_reply import BrokenReplyError
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.peers.membership import Heartbeat
 from citrondyke.gateway.peers.peer_codec import (
     KnowledgeData,
@@ -165,7 +166,7 @@
             if isinstance(message.text, KnowledgeData):
                 knowledge = decode_msgpack(message.text.data, Knowledge)
                 self._take(ip, message.config_version, knowledge)
-        except (BrokenReplyError, OSError, ValueError) as error:
+        except (BrokenReplyError, UnreadableBytesError, OSError, ValueError) as error:
             log.info('peer.silent', extra={'ip': ip, 'detail': str(error)[:200]})
         finally:
             self._is_asking = False
--- /dev/null
+++ b/citrondyke/gateway/peers/list_readers.py
@@ -0,0 +1,188 @@
+"""Few instances of a zone read the list of servers for the others, where that pays."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+
+from citrondyke.decisions.knowledge.reader_rule import ReaderRule
+from citrondyke.gateway.beliefs.cover import Cover
+from citrondyke.gateway.peers.list_listener import ListListener
+from citrondyke.gateway.peers.list_teller import ListTeller
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.batch.takeover import LiveInstances
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.gateway.beliefs.beliefs import Beliefs
+    from citrondyke.gateway.beliefs.table_follower import TableFollower
+    from citrondyke.gateway.metrics import Metrics
+    from citrondyke.gateway.peers.membership import Membership
+    from citrondyke.gateway.peers.peer_codec import (
+        ListOffered,
+        ListTold,
+        PeerMessage,
+        PeerText,
+    )
+    from citrondyke.gateway.tasks import Tasks
+    from citrondyke.ids import ConfigVersion, InstanceId
+
+__all__ = ('ListReaders',)
+
+log = logbook.Logger(__name__)
+
+#: At its start an instance waits so long at most to learn of the others.
+MEMBERS_WITHIN_MS = 500.0
+MEMBERS_LOOK_MS = 15.0
+#: ... and so long at least for what readers read that start at the same moment: their start takes
+#: some hundred ms, the read of the list as much again.
+HOLD_MS = 1_200.0
+#: Bytes a second that all instances together take from the store when nobody has read for them:
+#: a quarter of what its link carries. They begin at a time drawn from the span that this needs.
+START_BYTES_PER_S = 125_000_000.0
+ASK_EVERY_MS = 200.0
+#: A row takes twice the bytes of its value on the store's link.
+WIRE_FACTOR = 2.0
+#: An instance is taken for gone after so long without a heartbeat, when readers are chosen.
+SILENT_MS = 3_000.0
+
+
+class ListReaders(Cover):
+    """Decides by itself whether this instance reads, tells, or listens."""
+
+    def __init__(
+        self,
+        context: Context,
+        membership: Membership,
+        live: LiveInstances,
+        beliefs: Beliefs,
+        metrics: Metrics,
+        send: Callable[[PeerText, list[InstanceId]], None],
+        exchange: Callable[[str, PeerText], PeerMessage],
+        tasks: Tasks,
+    ) -> None:
+        """Start as one who reads for itself alone.
+
+        :param send: sends a datagram to some peers.
+        :param exchange: asks the instance with an IP over a stream.
+        """
+        self._context = context
+        self._membership = membership
+        self._live = live
+        self._rule = ReaderRule(context)
+        self._follower: TableFollower | None = None
+        self._teller = ListTeller(context, beliefs, metrics, send, self._audience, tasks)
+        self._listener = ListListener(context, beliefs, metrics, exchange, tasks)
+        beliefs.when_settled(self._teller.note_change)
+        for name, read in (
+            ('list_is_reader', lambda: float(self._teller.is_reader)),
+            ('list_is_covered', lambda: float(self.is_covered)),
+            ('list_store_age_ms', self._store_age_ms),
+        ):
+            metrics.add_gauge(name, read)
+
+    def start(self, follower: TableFollower) -> None:
+        """Begin to tell and to listen.
+
+        :param follower: reads the list of servers here.
+        """
+        self._follower = follower
+        self._teller.start(follower)
+        self._listener.start(follower)
+
+    @property
+    def is_covered(self) -> bool:
+        """Tell whether a reader of the zone reads the list for this instance."""
+        return self._listener.watch.is_covered and not self._teller.is_reader
+
+    @property
+    def reads_for_others(self) -> bool:
+        """Tell whether this instance is a reader."""
+        return self._teller.is_reader
+
+    def look(self) -> None:
+        """Judge anew whether this instance is a reader."""
+        readers = self._readers()
+        self._teller.be_reader(
+            is_reader=self._context.instance_id in readers, others=len(self._audience())
+        )
+        self._listener.look()
+        if self._follower is not None:
+            self._membership.list_bytes = self._follower.size_bytes
+
+    def take(self, sender: InstanceId, ip: str, text: ListTold | ListOffered) -> None:
+        """Take in what a reader told; another reader's word is no news to one."""
+        if not self._teller.is_reader:
+            self._listener.take(sender, ip, text)
+
+    def answer(self, asked: ListTold, config_version: ConfigVersion) -> ListOffered:
+        """Give what who asks lacks."""
+        return self._teller.answer(asked.position, config_version)
+
+    def hold_first_read(self) -> None:
+        """Leave the first read to the readers of the zone, for a bounded time.
+
+        After a loss of all, all instances would read the whole list within the same second, more
+        than the store's link carries, and each whose read is refused would begin anew.
+        """
+        if not self._wait_for_members():
+            return
+        self.look()
+        list_bytes = self._list_bytes()
+        if self._teller.is_reader or not self._readers():
+            return
+        span_ms = list_bytes * WIRE_FACTOR * self._membership.count / START_BYTES_PER_S * 1e3
+        until_ms = self._context.now_ms() + HOLD_MS + self._context.random.random() * span_ms
+        log.info('list.first_read_held', extra={'list_bytes': list_bytes})
+        while not self.is_covered and self._context.now_ms() < until_ms:
+            self._ask_readers()
+            self.look()
+            if self._teller.is_reader:
+                return
+            gevent.sleep(self._context.jittered_ms(ASK_EVERY_MS, 0.5) / 1e3)
+
+    def _wait_for_members(self) -> bool:
+        until_ms = self._context.now_ms() + MEMBERS_WITHIN_MS
+        while not self._membership.is_known and self._context.now_ms() < until_ms:
+            gevent.sleep(MEMBERS_LOOK_MS / 1e3)
+        return self._membership.is_known
+
+    def _ask_readers(self) -> None:
+        """Ask those who should be readers, until one is heard of."""
+        if self._listener.watch.has_reader:
+            return
+        for reader in self._readers():
+            beat = self._membership.peers.get(reader)
+            if beat is not None and self._listener.ask(reader, beat.ip):
+                return
+
+    def _readers(self) -> list[InstanceId]:
+        """Name the readers of the own zone; none where everybody reads."""
+        if not self._membership.is_known:
+            return []
+        if not self._rule.pays(self._list_bytes(), self._membership.count):
+            return []
+        gone = set(self._live.silent(SILENT_MS * self._live.pace))
+        members = [each for each in self._audience() if each not in gone]
+        return self._rule.readers([*members, self._context.instance_id])
+
+    def _audience(self) -> list[InstanceId]:
+        """List the other instances of the zone that can be told."""
+        return [
+            instance_id
+            for instance_id, beat in self._membership.peers.items()
+            if beat.zone == self._context.zone and beat.list_bytes >= 0
+        ]
+
+    def _list_bytes(self) -> int:
+        """Give the size of the list, by what the others say where it is not known here."""
+        own_bytes = 0 if self._follower is None else self._follower.size_bytes
+        if own_bytes:
+            return own_bytes
+        return max((beat.list_bytes for beat in self._membership.peers.values()), default=0)
+
+    def _store_age_ms(self) -> float:
+        return 0.0 if self._follower is None else min(1e9, self._follower.answer_age_ms)
--- /dev/null
+++ b/citrondyke/gateway/peers/list_teller.py
@@ -0,0 +1,174 @@
+"""The reader's side: tells its availability zone of the list of servers that it reads."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import gevent
+import logbook
+from gevent.event import Event
+
+from citrondyke.decisions.knowledge.list_offer import ListOffer
+from citrondyke.decisions.knowledge.list_position import ListPosition
+from citrondyke.gateway.peers.list_codec import encode_offer
+from citrondyke.gateway.peers.peer_codec import ListOffered, ListTold
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.gateway.beliefs.beliefs import Beliefs
+    from citrondyke.gateway.beliefs.table_follower import TableFollower
+    from citrondyke.gateway.metrics import Metrics
+    from citrondyke.gateway.peers.peer_codec import PeerText
+    from citrondyke.gateway.tasks import Tasks
+    from citrondyke.ids import ConfigVersion, InstanceId
+
+__all__ = ('ListTeller',)
+
+log = logbook.Logger(__name__)
+
+#: Three words are lost or late before a follower takes its reader for silent.
+TELL_EVERY_MS = 300.0
+#: Changes that come within it are told together; pages of a whole read too.
+GATHER_MS = 60.0
+#: More is fetched over a stream: a datagram of many packets is lost with any of them.
+DATAGRAM_BYTES = 8_192
+#: Encoded answers that are kept, as all of a zone ask for the same.
+KEPT_ANSWERS = 6
+
+
+class ListTeller:
+    """Silent unless this instance is a reader."""
+
+    def __init__(
+        self,
+        context: Context,
+        beliefs: Beliefs,
+        metrics: Metrics,
+        send: Callable[[PeerText, list[InstanceId]], None],
+        audience: Callable[[], list[InstanceId]],
+        tasks: Tasks,
+    ) -> None:
+        """Start as no reader.
+
+        :param send: sends a datagram to some peers.
+        :param audience: gives the other instances of the zone.
+        """
+        self._life = f'{context.random.getrandbits(64):016x}'
+        self._beliefs = beliefs
+        self._metrics = metrics
+        self._send = send
+        self._audience = audience
+        self._tasks = tasks
+        self._follower: TableFollower | None = None
+        self._is_reader = False
+        self._woken = Event()
+        #: Up to which number the zone was told.
+        self._told = 0
+        self._kept: OrderedDict[tuple[int, int, int], bytes] = OrderedDict()
+
+    @property
+    def is_reader(self) -> bool:
+        """Tell whether this instance reads for its zone."""
+        return self._is_reader
+
+    def start(self, follower: TableFollower) -> None:
+        """Begin to tell when it is this instance's turn.
+
+        :param follower: reads the list of servers here.
+        """
+        self._follower = follower
+        self._tasks.keep(self._run)
+
+    def be_reader(self, *, is_reader: bool, others: int) -> None:
+        """Take in whether this instance is a reader."""
+        if is_reader == self._is_reader:
+            return
+        self._is_reader = is_reader
+        log.info('list.reader', extra={'is_reader': is_reader, 'followers': others})
+        self._woken.set()
+
+    def note_change(self) -> None:
+        """Have the zone told soon where the list has changed."""
+        if self._is_reader and self._beliefs.list_revision != self._told:
+            self._woken.set()
+
+    def position(self) -> ListPosition:
+        """Give how far the list is known here."""
+        follower = self._follower
+        if follower is None:
+            return ListPosition(self._life, 0)
+        return ListPosition(
+            self._life,
+            self._beliefs.list_revision,
+            self._beliefs.list_digest,
+            follower.has_read_all and self._is_reader,
+            follower.version,
+            min(1e9, follower.answer_age_ms),
+            follower.size_bytes,
+        )
+
+    def answer(self, asked: ListPosition, config_version: ConfigVersion) -> ListOffered:
+        """Give what who asks lacks.
+
+        :param asked: what it has heard of this instance.
+        :param config_version: that it has.
+        """
+        number = self._beliefs.list_revision
+        since = asked.number if asked.life == self._life else -1
+        has_config = self._beliefs.config.current.version <= config_version
+        key = (since, number, 0 if has_config else self._beliefs.config.current.version)
+        kept = self._kept.get(key)
+        if kept is None:
+            kept = encode_offer(self._offer(since, with_config=not has_config))
+            self._kept[key] = kept
+            while len(self._kept) > KEPT_ANSWERS:
+                self._kept.popitem(last=False)
+        self._metrics.counters['list_answers'] += 1
+        return ListOffered(kept, self.position())
+
+    def _offer(self, since: int, *, with_config: bool) -> ListOffer:
+        config = self._beliefs.config
+        changes = None if since < 0 else self._beliefs.servers_since(since)
+        listing_version = None
+        is_everything = changes is None
+        if changes is None:
+            changes, version = self._beliefs.known_servers()
+            since = 0
+            # A list that was not read whole says of no server that it is gone.
+            listing_version = version or None
+        return ListOffer(
+            self._life,
+            since,
+            self._beliefs.list_revision,
+            changes,
+            is_everything,
+            listing_version,
+            config.current if with_config else None,
+        )
+
+    def _run(self) -> None:
+        while True:
+            if not self._is_reader:
+                self._woken.clear()
+                self._woken.wait()
+                continue
+            if self._woken.wait(TELL_EVERY_MS / 1e3):
+                gevent.sleep(GATHER_MS / 1e3)
+            self._woken.clear()
+            if self._is_reader:
+                self._tell()
+
+    def _tell(self) -> None:
+        audience = self._audience()
+        number = self._beliefs.list_revision
+        if 0 < self._told < number and audience:
+            offered = encode_offer(self._offer(self._told, with_config=False))
+            if len(offered) <= DATAGRAM_BYTES:
+                self._told = number
+                self._send(ListOffered(offered, self.position()), audience)
+                return
+        self._told = number
+        self._send(ListTold(self.position()), audience)
--- a/citrondyke/gateway/peers/membership.py
+++ b/citrondyke/gateway/peers/membership.py
@@ -54,6 +54,9 @@
     peer_port: Annotated[int, msgspec.Meta(ge=1, le=65_535)]
     zone: AvailabilityZone
     number: int
+    #: Of the values of the list of servers that it knows, for whoever starts; -1 from instances of
+    #: an earlier version, who neither tell nor listen.
+    list_bytes: int = -1
 
 
 class Membership:
@@ -84,6 +87,8 @@
         #: Whether a whole list of the instances was seen, by the store or a peer.
         self.is_known = False
         self._everybody: tuple[InstanceId, ...] = ()
+        #: Told with each heartbeat.
+        self.list_bytes = 0
 
     def start(self, tasks: Tasks) -> None:
         """Begin to write heartbeats."""
@@ -142,7 +147,7 @@
     def own_beat(self) -> Heartbeat:
         """Give this instance's row."""
         ip, port = self._address
-        return Heartbeat(self._life, ip, port, self._context.zone, self._number)
+        return Heartbeat(self._life, ip, port, self._context.zone, self._number, self.list_bytes)
 
     def learn_from_peer(self, beats: dict[InstanceId, Heartbeat]) -> None:
         """Take in the addresses that a peer knows; they prove nobody's life."""
--- a/citrondyke/gateway/peers/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -20,7 +20,10 @@
 from citrondyke.decisions.crashes.content import RequestContent
 from citrondyke.decisions.crashes.news_queue import NewsKind, SuspectNews
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
+from citrondyke.decisions.knowledge.list_position import ListPosition
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.ids import ConfigVersion, ContentDigest, InstanceId, JobId, TenantId
+from citrondyke.util.decoding import decode_msgpack
 
 __all__ = (
     'CrashNews',
@@ -28,6 +31,8 @@
     'KnowledgeData',
     'KnowledgeWanted',
     'LimitText',
+    'ListOffered',
+    'ListTold',
     'LoadNotice',
     'LoadTotals',
     'PeerMessage',
@@ -116,6 +121,19 @@
     message: LimitMessage
 
 
+class ListTold(PeerText, frozen=True):
+    """How far a reader knows the list of servers; over a stream, how far who asks has heard it."""
+
+    position: ListPosition
+
+
+class ListOffered(PeerText, frozen=True):
+    """Rows of that list, encoded, and how far the reader is."""
+
+    data: bytes
+    position: ListPosition
+
+
 class PeerMessage(msgspec.Struct, frozen=True):
     """A message and its sender."""
 
@@ -146,6 +164,10 @@
         built.storeCall = text.data
     elif isinstance(text, StoreAnswerData):
         built.storeAnswer = text.data
+    elif isinstance(text, ListTold):
+        built.listPosition = msgspec.msgpack.encode(text.position)
+    elif isinstance(text, ListOffered):
+        built.knowledgeOffered = msgspec.msgpack.encode(text)
     elif isinstance(text, LimitText):
         _build_limit(built, text.message)
     elif isinstance(text, KnowledgeWanted):
@@ -203,7 +225,13 @@
         with _SCHEMA.GatewayMessage.from_bytes(data) as read:
             text = _READERS[str(read.which())](read)
             return PeerMessage(InstanceId(read.sender), ConfigVersion(read.configVersion), text)
-    except (capnp.KjException, KeyError, UnicodeDecodeError, struct.error) as error:
+    except (
+        capnp.KjException,
+        KeyError,
+        UnicodeDecodeError,
+        UnreadableBytesError,
+        struct.error,
+    ) as error:
         raise ValueError(str(error)) from error
 
 
@@ -264,4 +292,6 @@
     'storeCall': lambda read: StoreCallData(bytes(read.storeCall)),
     'storeAnswer': lambda read: StoreAnswerData(bytes(read.storeAnswer)),
     'knowledge': lambda read: KnowledgeData(bytes(read.knowledge)),
+    'listPosition': lambda read: ListTold(decode_msgpack(bytes(read.listPosition), ListPosition)),
+    'knowledgeOffered': lambda read: decode_msgpack(bytes(read.knowledgeOffered), ListOffered),
 }
--- a/citrondyke/gateway/peers/peers.py
+++ b/citrondyke/gateway/peers/peers.py
@@ -13,10 +13,13 @@
 
 from citrondyke.errors.broken_reply import BrokenReplyError
 from citrondyke.gateway.peers.knowledge_exchange import ASK_AFTER_MS, KnowledgeExchange
+from citrondyke.gateway.peers.list_readers import ListReaders
 from citrondyke.gateway.peers.peer_codec import (
     CrashNews,
     JobChanged,
     KnowledgeWanted,
+    ListOffered,
+    ListTold,
     LoadNotice,
     LoadTotals,
     PeerMessage,
@@ -36,10 +39,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from citrondyke.decisions.batch.takeover import LiveInstances
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.crashes.suspect_book import SuspectBook
     from citrondyke.gateway.beliefs.beliefs import Beliefs
     from citrondyke.gateway.beliefs.dependency import Dependency
+    from citrondyke.gateway.metrics import Metrics
     from citrondyke.gateway.peers.membership import Membership
     from citrondyke.gateway.peers.peer_traffic import PeerTraffic
     from citrondyke.gateway.tasks import Tasks
@@ -77,6 +82,8 @@
         on_crash: Callable[[CrashNews], None],
         table: PartitionedTable,
         traffic: PeerTraffic,
+        live: LiveInstances,
+        metrics: Metrics,
         pace: Callable[[], float],
         gather_ms: Callable[[], float],
         tasks: Tasks,
@@ -88,6 +95,7 @@
         :param on_crash: takes what a peer tells of servers that ended.
         :param table: the store by the direct way, for peers that it does not answer.
         :param traffic: told of what is sent.
+        :param live: judges silences of peers.
         :param pace: gives the factor by which calls are rarer than in a small fleet.
         :param gather_ms: gives the time for which datagrams may wait; 0 for none.
         """
@@ -118,6 +126,9 @@
             tasks,
         )
         self._traffic = traffic
+        self.list_readers = ListReaders(
+            context, membership, live, beliefs, metrics, self.send, self._exchange, tasks
+        )
 
     def start(self, ip: str) -> None:
         """Listen and begin to send."""
@@ -232,6 +243,8 @@
             self._on_job(text.job_id)
         elif isinstance(text, CrashNews):
             self._on_crash(text)
+        elif isinstance(text, ListTold | ListOffered):
+            self.list_readers.take(message.sender, address[0], text)
 
     def _exchange(self, ip: str, text: PeerText) -> PeerMessage:
         """Ask a peer over a stream.
@@ -252,6 +265,9 @@
             if isinstance(message.text, KnowledgeWanted):
                 known = self.knowledge.answer(message.text, message.config_version)
                 self._write_frame(sock, address[0], known)
+            elif isinstance(message.text, ListTold):
+                offered = self.list_readers.answer(message.text, message.config_version)
+                self._write_frame(sock, address[0], offered)
             elif isinstance(message.text, StoreCallData):
                 call: StoreCall = decode_msgpack(message.text.data, StoreCall)  # type: ignore[arg-type]
                 answer = self._perform(call)
--- /dev/null
+++ b/tests/test_decisions/test_decisions_list_readers.py
@@ -0,0 +1,142 @@
+"""What a reader of the list of servers tells, and when a follower may rely on it."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from citrondyke.decisions.forwarding.listed_rows import ListedRows, SeenRow
+from citrondyke.decisions.knowledge.list_position import ListPosition
+from citrondyke.decisions.knowledge.reader_rule import PAYS_BYTES, STOPS_SHARE, ReaderRule
+from citrondyke.decisions.knowledge.reader_watch import (
+    DIFFERS_MS,
+    FRESH_MS,
+    SILENT_MS,
+    Lack,
+    ReaderWatch,
+)
+from citrondyke.ids import InstanceId
+from tests.support.manual_clock import ManualClock, manual_context
+
+READER, SECOND = InstanceId('reader'), InstanceId('second')
+DIGEST = 7
+
+
+def position(number: int, *, digest: int = DIGEST, age_ms: float = 0.0) -> ListPosition:
+    return ListPosition('life', number, digest, is_whole=True, age_ms=age_ms)
+
+
+class Listening:
+    """A follower's watch and its clock."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.watch = ReaderWatch(manual_context(self.clock))
+
+    def hear(self, told: ListPosition, reader: InstanceId = READER) -> Lack:
+        return self.watch.note_position(reader, told, DIGEST)
+
+
+def test_reader_covers_until_it_is_silent() -> None:
+    at = Listening()
+    assert at.hear(position(3)) is Lack.NOTHING
+    at.clock.ms += SILENT_MS - 1
+    assert at.watch.is_covered
+    at.clock.ms += 1
+    assert not at.watch.is_covered
+
+
+def test_reader_without_word_from_the_store_covers_nobody() -> None:
+    at = Listening()
+    at.hear(position(3, age_ms=FRESH_MS - 100))
+    at.clock.ms += 100
+    assert not at.watch.is_covered
+    at.hear(position(3, age_ms=FRESH_MS))
+    assert not at.watch.is_covered
+
+
+def test_second_reader_with_the_same_list_covers_without_a_question() -> None:
+    at = Listening()
+    at.hear(position(3))
+    assert at.hear(position(40), SECOND) is Lack.NOTHING
+    at.clock.ms += SILENT_MS
+    assert at.hear(position(40), SECOND) is Lack.NOTHING
+    assert at.watch.is_covered
+
+
+def test_lost_changes_are_asked_for_and_a_list_that_differs_for_long_as_a_whole() -> None:
+    at = Listening()
+    assert at.hear(position(3, digest=1)) is Lack.EVERYTHING
+    at.watch.note_changes(READER, 'life', 0, 3)
+    assert at.hear(position(4, digest=2)) is Lack.CHANGES
+    at.watch.note_changes(READER, 'life', 3, 4)
+    assert at.hear(position(4, digest=2)) is Lack.NOTHING
+    at.clock.ms += DIFFERS_MS
+    # Asked for a moment ago; each question brings hundreds of KB.
+    assert at.hear(position(4, digest=2)) is Lack.NOTHING
+    at.clock.ms += 5_000.0
+    assert at.hear(position(4, digest=2)) is Lack.EVERYTHING
+    assert not at.watch.is_covered
+
+
+def test_next_life_of_a_reader_counts_anew() -> None:
+    at = Listening()
+    at.hear(position(30))
+    told = ListPosition('next', 40, 1, is_whole=True)
+    at.clock.ms += SILENT_MS
+    assert at.hear(told) is Lack.EVERYTHING
+
+
+def test_few_bytes_are_read_by_everybody_and_the_rule_does_not_flap() -> None:
+    rule = ReaderRule(manual_context())
+    assert not rule.pays(PAYS_BYTES // 30 - 1, 30)
+    assert rule.pays(PAYS_BYTES // 300 + 1, 300)
+    assert rule.pays(int(PAYS_BYTES * STOPS_SHARE) // 300 + 1, 300)
+    assert not rule.pays(int(PAYS_BYTES * STOPS_SHARE) // 300 - 1, 300)
+
+
+def test_all_choose_the_same_readers_and_a_small_zone_none() -> None:
+    rule = ReaderRule(manual_context())
+    members = [InstanceId(f'instance-{number}') for number in range(75)]
+    readers = rule.readers(members)
+    assert readers == rule.readers(reversed(members))
+    assert len(readers) == 2
+    assert rule.readers([each for each in members if each != readers[0]])[0] == readers[1]
+    assert rule.readers(members[:4]) == []
+
+
+changes = st.lists(
+    st.tuples(st.sampled_from('abcde'), st.sampled_from(['put', 'drop', 'list'])), max_size=30
+)
+
+
+@given(changes, st.lists(st.integers(0, 29), max_size=6))
+def test_follower_of_changes_has_the_readers_list(
+    made: list[tuple[str, str]], told_after: list[int]
+) -> None:
+    reader: ListedRows[str] = ListedRows(0.0)
+    follower: ListedRows[str] = ListedRows(0.0)
+    told = 0
+    for version, (key, what) in enumerate(made, 1):
+        if what == 'list':
+            kept = [row for row in reader.rows() if row.key != key]
+            reader.apply_listing(kept, version, 0.0)
+        else:
+            value = 'x' if what == 'put' else None
+            reader.apply_feed([SeenRow(key, version, value)], 0.0)
+        if version in told_after:
+            follower.apply_feed(reader.changes_since(told) or [], 0.0)
+            told = reader.revision
+            assert follower.digest == reader.digest
+    follower.apply_feed(reader.changes_since(told) or [], 0.0)
+    assert follower.digest == reader.digest
+    assert sorted(row.key for row in follower.rows()) == sorted(row.key for row in reader.rows())
+
+
+def test_changes_that_are_forgotten_are_told_as_a_whole() -> None:
+    rows: ListedRows[str] = ListedRows(0.0)
+    for number in range(1, 5_000):
+        rows.apply_feed([SeenRow(f'k{number}', 2 * number, 'x')], 0.0)
+        rows.apply_feed([SeenRow(f'k{number}', 2 * number + 1, None)], 0.0)
+    assert rows.changes_since(10) is None
+    assert rows.changes_since(rows.revision) == []
--- a/tests/test_gateway/test_peers/test_peers_peer_codec.py
+++ b/tests/test_gateway/test_peers/test_peers_peer_codec.py
@@ -10,10 +10,13 @@
 from hypothesis import strategies as st
 
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
+from citrondyke.decisions.knowledge.list_position import ListPosition
 from citrondyke.gateway.peers.peer_codec import (
     JobChanged,
     KnowledgeData,
     KnowledgeWanted,
+    ListOffered,
+    ListTold,
     LoadNotice,
     LoadTotals,
     PeerMessage,
@@ -31,6 +34,8 @@
     JobChanged(JobId('job')),
     KnowledgeWanted(),
     KnowledgeData(b'\0' * 100),
+    ListTold(ListPosition('life', 3, 2**64 - 1, is_whole=True, store_version=2**40)),
+    ListOffered(b'\0' * 100, ListPosition('life', 3)),
 ]
 
 
