--- a/citrondyke/decisions/knowledge/list_position.py
+++ b/citrondyke/decisions/knowledge/list_position.py
@@ -18,7 +18,7 @@
     digest: int = 0
     #: Whether the reader has seen the whole list.
     is_whole: bool = False
-    #: Up to which all changes were seen.
+    #: Up to which the store has certainly shown all changes.
     store_version: int = 0
     #: Time since the store last told the reader of the list.
     age_ms: float = 0.0
--- a/citrondyke/gateway/beliefs/table_follower.py
+++ b/citrondyke/gateway/beliefs/table_follower.py
@@ -114,9 +114,12 @@
         return self._version > 0
 
     @property
-    def version(self) -> int:
-        """Give the version up to which looks showed all changes; 0 before the first."""
-        return self._version
+    def settled_version(self) -> int:
+        """Give the version of the newest look that is old enough; 0 before the first.
+
+        What the store hid for a moment lies behind it, unless it was the very first look.
+        """
+        return self._look_behind() if self._looks else 0
 
     @property
     def answer_age_ms(self) -> float:
@@ -187,7 +190,7 @@
 
     def _resume_behind(self) -> int:
         """Give the version behind which a feed goes on after others read; 0 for a whole read."""
-        return self._look_behind() if self._looks else 0
+        return self.settled_version
 
     def _on_feed(self, rows: tuple[PartRow, ...]) -> None:
         self._answered_ms = self._context.now_ms()
--- a/citrondyke/gateway/peers/knowledge_exchange.py
+++ b/citrondyke/gateway/peers/knowledge_exchange.py
@@ -71,6 +71,8 @@
     suspects: list[SuspectRow] = []
     #: The configuration, with digests of keys; ``None`` where the asking instance has it already.
     table: RouteTable | None = None
+    #: The asking instance has the same list of servers, which is left out.
+    has_same_servers: bool = False
 
 
 class KnowledgeExchange:
@@ -86,6 +88,7 @@
         suspects: SuspectBook,
         exchange: Callable[[str, PeerText], PeerMessage],
         pace: Callable[[], float],
+        is_served_elsewhere: Callable[[], bool],
         tasks: Tasks,
     ) -> None:
         """Use the parts handed in.
@@ -93,6 +96,7 @@
         :param seed_ips: gives instances to ask before any is known.
         :param exchange: asks the instance with an IP over a stream.
         :param pace: gives the factor by which calls are rarer than in a small fleet.
+        :param is_served_elsewhere: tells whether readers of the zone are asked at this moment.
         """
         self._context = context
         self._seed_ips = seed_ips
@@ -102,6 +106,7 @@
         self._suspects = suspects
         self._exchange = exchange
         self._pace = pace
+        self._is_served_elsewhere = is_served_elsewhere
         self._tasks = tasks
         self._is_asking = False
 
@@ -120,17 +125,19 @@
         """Tell what this instance knows beyond the asking one."""
         rows, version = self._beliefs.known_servers()
         config = self._beliefs.config
+        has_same = self._beliefs.list_digest == wanted.list_digest != 0
         is_newer = config.current.version > asker_version
         peers = {**self._membership.peers, self._context.instance_id: self._membership.own_beat()}
         knowledge = Knowledge(
             b'',
             config.age_ms(self._context.now_ms()),
-            rows,
+            [] if has_same else rows,
             version,
             self._store.answer_age_ms,
             peers if len(peers) > wanted.instances_count else {},
             self._suspects.stored_rows(),
             config.current if is_newer else None,
+            has_same,
         )
         return KnowledgeData(msgspec.msgpack.encode(knowledge))
 
@@ -139,7 +146,8 @@
         while True:
             pace = self._pace() if self._beliefs.is_complete else 1.0
             gevent.sleep(self._context.jittered_ms(ASK_EVERY_MS * pace) / 1e3)
-            if self._store.silent_ms < ASK_AFTER_MS and self._beliefs.is_complete:
+            is_silent = self._store.silent_ms >= ASK_AFTER_MS
+            if not is_silent and (self._beliefs.is_complete or self._is_served_elsewhere()):
                 continue
             candidates = self._candidates()
             if candidates and not self._is_asking:
@@ -161,8 +169,9 @@
         self._ask(ip)
 
     def _ask(self, ip: str) -> None:
+        wanted = KnowledgeWanted(len(self._membership.peers) + 1, self._beliefs.list_digest)
         try:
-            message = self._exchange(ip, KnowledgeWanted(len(self._membership.peers) + 1))
+            message = self._exchange(ip, wanted)
             if isinstance(message.text, KnowledgeData):
                 knowledge = decode_msgpack(message.text.data, Knowledge)
                 self._take(ip, message.config_version, knowledge)
@@ -179,11 +188,12 @@
             self._beliefs.offer_config(knowledge.config, f'peer {ip}')
         if version == config.current.version:
             config.confirm(self._context.now_ms() - knowledge.config_age_ms)
-        self._beliefs.take_servers(
-            knowledge.servers,
-            knowledge.servers_version,
-            is_whole=knowledge.store_age_ms < WHOLE_MS,
-        )
+        if not knowledge.has_same_servers:
+            self._beliefs.take_servers(
+                knowledge.servers,
+                knowledge.servers_version,
+                is_whole=knowledge.store_age_ms < WHOLE_MS,
+            )
         self._membership.learn_from_peer(knowledge.peers)
         for row in knowledge.suspects:
             self._suspects.join(row)
--- a/citrondyke/gateway/peers/list_readers.py
+++ b/citrondyke/gateway/peers/list_readers.py
@@ -35,8 +35,7 @@
 log = logbook.Logger(__name__)
 
 #: At its start an instance waits so long at most to learn of the others.
-MEMBERS_WITHIN_MS = 500.0
-MEMBERS_LOOK_MS = 15.0
+MEMBERS_WITHIN_MS = 250.0
 #: ... and so long at least for what readers read that start at the same moment: their start takes
 #: some hundred ms, the read of the list as much again.
 HOLD_MS = 1_200.0
@@ -74,6 +73,8 @@
         self._live = live
         self._rule = ReaderRule(context)
         self._follower: TableFollower | None = None
+        #: Whether the first read is left to the readers of the zone at this moment.
+        self.is_holding = False
         self._teller = ListTeller(context, beliefs, metrics, send, self._audience, tasks)
         self._listener = ListListener(context, beliefs, metrics, exchange, tasks)
         beliefs.when_settled(self._teller.note_change)
@@ -128,7 +129,7 @@
         After a loss of all, all instances would read the whole list within the same second, more
         than the store's link carries, and each whose read is refused would begin anew.
         """
-        if not self._wait_for_members():
+        if not self._membership.wait_known(MEMBERS_WITHIN_MS):
             return
         self.look()
         list_bytes = self._list_bytes()
@@ -137,18 +138,16 @@
         span_ms = list_bytes * WIRE_FACTOR * self._membership.count / START_BYTES_PER_S * 1e3
         until_ms = self._context.now_ms() + HOLD_MS + self._context.random.random() * span_ms
         log.info('list.first_read_held', extra={'list_bytes': list_bytes})
-        while not self.is_covered and self._context.now_ms() < until_ms:
-            self._ask_readers()
-            self.look()
-            if self._teller.is_reader:
-                return
-            gevent.sleep(self._context.jittered_ms(ASK_EVERY_MS, 0.5) / 1e3)
-
-    def _wait_for_members(self) -> bool:
-        until_ms = self._context.now_ms() + MEMBERS_WITHIN_MS
-        while not self._membership.is_known and self._context.now_ms() < until_ms:
-            gevent.sleep(MEMBERS_LOOK_MS / 1e3)
-        return self._membership.is_known
+        self.is_holding = True
+        try:
+            while not self.is_covered and self._context.now_ms() < until_ms:
+                self._ask_readers()
+                self.look()
+                if self._teller.is_reader:
+                    return
+                gevent.sleep(self._context.jittered_ms(ASK_EVERY_MS, 0.5) / 1e3)
+        finally:
+            self.is_holding = False
 
     def _ask_readers(self) -> None:
         """Ask those who should be readers, until one is heard of."""
--- a/citrondyke/gateway/peers/list_teller.py
+++ b/citrondyke/gateway/peers/list_teller.py
@@ -105,7 +105,7 @@
             self._beliefs.list_revision,
             self._beliefs.list_digest,
             follower.has_read_all and self._is_reader,
-            follower.version,
+            follower.settled_version,
             min(1e9, follower.answer_age_ms),
             follower.size_bytes,
         )
--- a/citrondyke/gateway/peers/membership.py
+++ b/citrondyke/gateway/peers/membership.py
@@ -7,6 +7,7 @@
 import gevent
 import logbook
 import msgspec
+from gevent.event import Event
 
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.beliefs.unreadable_rows import UnreadableRows
@@ -86,6 +87,7 @@
         self.peers: dict[InstanceId, Heartbeat] = {}
         #: Whether a whole list of the instances was seen, by the store or a peer.
         self.is_known = False
+        self._known = Event()
         self._everybody: tuple[InstanceId, ...] = ()
         #: Told with each heartbeat.
         self.list_bytes = 0
@@ -119,7 +121,7 @@
     def on_listing(self, rows: list[PartRow], _: int) -> None:
         """Take in a read of the whole table."""
         self.on_rows(rows)
-        self.is_known = True
+        self._note_known()
         self._live.note_look()
         self._drop_silent({row.key: row.version for row in rows})
 
@@ -154,7 +156,17 @@
         for instance_id, beat in beats.items():
             if instance_id != self._context.instance_id and instance_id not in self.peers:
                 self._learn(instance_id, beat)
-        self.is_known = self.is_known or bool(beats)
+        if beats:
+            self._note_known()
+
+    def wait_known(self, longest_ms: float) -> bool:
+        """Wait until a whole list of the instances was seen; tell whether one was."""
+        self._known.wait(longest_ms / 1e3)
+        return self.is_known
+
+    def _note_known(self) -> None:
+        self.is_known = True
+        self._known.set()
 
     @property
     def count(self) -> int:
--- a/citrondyke/gateway/peers/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -95,6 +95,8 @@
 
     #: Instances of which the sender has the address, itself included.
     instances_count: int = 0
+    #: Of the list of servers that the sender has; 0 for none.
+    list_digest: int = 0
 
 
 class KnowledgeData(PeerText, frozen=True):
@@ -171,7 +173,8 @@
     elif isinstance(text, LimitText):
         _build_limit(built, text.message)
     elif isinstance(text, KnowledgeWanted):
-        built.init('knowledgeAsked').instancesCount = text.instances_count
+        wanted = built.init('knowledgeAsked')
+        wanted.instancesCount, wanted.listDigest = text.instances_count, text.list_digest
     else:
         # Each kind has its field above; a new one without would ask peers for something else.
         raise TypeError(type(text).__name__)
@@ -274,7 +277,9 @@
         read.suspects.server, _unpack_suspects(read.suspects.requests)
     ),
     'jobChanged': lambda read: JobChanged(JobId(read.jobChanged)),
-    'knowledgeAsked': lambda read: KnowledgeWanted(read.knowledgeAsked.instancesCount),
+    'knowledgeAsked': lambda read: KnowledgeWanted(
+        read.knowledgeAsked.instancesCount, read.knowledgeAsked.listDigest
+    ),
     'useAsked': lambda read: LimitText(
         UseAsked(read.useAsked.number, TenantId(read.useAsked.account))
     ),
--- a/citrondyke/gateway/peers/peers.py
+++ b/citrondyke/gateway/peers/peers.py
@@ -123,6 +123,7 @@
             suspects,
             self._exchange,
             pace,
+            lambda: self.list_readers.is_holding,
             tasks,
         )
         self._traffic = traffic
--- a/citrondyke/peer/gateway.capnp
+++ b/citrondyke/peer/gateway.capnp
@@ -94,6 +94,8 @@
 struct KnowledgeAsked {
   # Instances of which the sender has the address, itself included.
   instancesCount @0 :UInt32;
+  # Of the list of servers that the sender has; the same list is left out of the answer.
+  listDigest @1 :UInt64;
 }
 
 struct ServerLoad {
--- a/tests/test_gateway/test_peers/test_peers_knowledge.py
+++ b/tests/test_gateway/test_peers/test_peers_knowledge.py
@@ -53,3 +53,19 @@
     fleet.store.faults.refused_ips = {fleet.instances[1].address.ip}
     before = asks_count(fleet)
     wait_until_seen(lambda: asks_count(fleet) > before, 'a question to a peer')
+
+
+def test_answer_leaves_out_the_list_that_the_asking_instance_has(fleet: GatewayFleet) -> None:
+    # While the store is away 300 instances ask each other more than once a second; each answer
+    # brought 500 KB of servers, though all had the same ones.
+    asking = fleet.instances[1].beliefs
+    exchange = fleet.instances[0].peers.knowledge
+    data = exchange.answer(
+        KnowledgeWanted(2, asking.list_digest), fleet.instances[1].beliefs.config.current.version
+    )
+    known_there = decode_msgpack(data.data, Knowledge)
+    assert known_there.has_same_servers
+    assert not known_there.servers
+    before = list(asking.known_servers()[0])
+    fleet.instances[1].peers.knowledge._ask(fleet.instances[0].address.ip)
+    assert asking.known_servers()[0] == before
