--- a/citrondyke/gateway/peers/list_readers.py
+++ b/citrondyke/gateway/peers/list_readers.py
@@ -106,10 +106,7 @@
 
     def look(self) -> None:
         """Judge anew whether this instance is a reader."""
-        readers = self._readers()
-        self._teller.be_reader(
-            is_reader=self._context.instance_id in readers, others=len(self._audience())
-        )
+        self._teller.be_reader(is_reader=self._context.instance_id in self._readers())
         self._listener.look()
         if self._follower is not None:
             self._membership.list_bytes = self._follower.size_bytes
--- a/citrondyke/gateway/peers/list_teller.py
+++ b/citrondyke/gateway/peers/list_teller.py
@@ -82,12 +82,13 @@
         self._follower = follower
         self._tasks.keep(self._run)
 
-    def be_reader(self, *, is_reader: bool, others: int) -> None:
+    def be_reader(self, *, is_reader: bool) -> None:
         """Take in whether this instance is a reader."""
         if is_reader == self._is_reader:
             return
         self._is_reader = is_reader
-        log.info('list.reader', extra={'is_reader': is_reader, 'followers': others})
+        followers = len(self._audience())
+        log.info('list.reader', extra={'is_reader': is_reader, 'followers': followers})
         self._woken.set()
 
     def note_change(self) -> None:
