--- a/citrondyke/decisions/knowledge/list_position.py
+++ b/citrondyke/decisions/knowledge/list_position.py
@@ -24,3 +24,8 @@
     age_ms: float = 0.0
     #: Of the values of the list.
     size_bytes: int = 0
+    #: Up to which the store has certainly shown all changes of the configuration; 0 where the
+    #: reader cannot read the newest one.
+    config_store_version: int = 0
+    #: Of the configuration.
+    config_bytes: int = 0
--- a/citrondyke/gateway/beliefs/beliefs.py
+++ b/citrondyke/gateway/beliefs/beliefs.py
@@ -86,6 +86,11 @@
         """Tell whether requests can be served by them."""
         return self.config.current.version > 0 and self.has_servers
 
+    @property
+    def is_config_readable(self) -> bool:
+        """Tell whether the newest configuration of the store is the one that is known."""
+        return not self._is_config_unreadable
+
     def on_config_changes(self, rows: Iterable[PartRow]) -> None:
         """Take in changes of the operator's table."""
         self._take_config(rows)
--- a/citrondyke/gateway/beliefs/followers.py
+++ b/citrondyke/gateway/beliefs/followers.py
@@ -28,17 +28,18 @@
     beliefs: Beliefs,
     store: Dependency,
     pace: Callable[[], float],
-    tasks: Tasks,
-    cover: Cover,
-) -> TableFollower:
+    config_cover: Cover,
+    servers_cover: Cover,
+) -> tuple[TableFollower, TableFollower]:
     """Follow the configuration and the list of servers.
 
     :param store: told whether the store answers.
     :param pace: gives the factor by which calls are rarer than in a small fleet.
-    :param cover: tells whether others read the list of servers for this instance.
-    :returns: what follows the list of servers.
+    :param config_cover: tells whether others read the configuration for this instance.
+    :param servers_cover: the same for the list of servers.
+    :returns: what follows the configuration, and what the list of servers.
     """
-    TableFollower(
+    config = TableFollower(
         context,
         outside.table,
         outside.config_table,
@@ -47,7 +48,8 @@
         beliefs.on_config_listing,
         pace,
         beliefs.on_config_current,
-    ).start(tasks)
+        cover=config_cover,
+    )
     servers = TableFollower(
         context,
         outside.table,
@@ -57,10 +59,9 @@
         beliefs.on_server_listing,
         pace,
         beliefs.on_servers_current,
-        cover=cover,
+        cover=servers_cover,
     )
-    servers.start(tasks)
-    return servers
+    return config, servers
 
 
 def follow_instances(
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -236,16 +236,19 @@
             port = settings.metrics_port
             self._listen(settings.ip, port, self._operator_pages.on_connection)
         self._sockets.close()
-        servers_follower = follow_beliefs(
+        readers = self.peers.list_readers
+        config_follower, servers_follower = follow_beliefs(
             self.context,
             self._outside,
             self.beliefs,
             self.store,
             self._store_pace,
-            self._tasks,
-            self.peers.list_readers,
+            readers.config_cover,
+            readers,
         )
-        self.peers.list_readers.start(servers_follower)
+        readers.start(config_follower, servers_follower)
+        for follower in (config_follower, servers_follower):
+            follower.start(self._tasks)
         follow_instances(self.context, self._table, self.membership, self._store_pace, self._tasks)
         self.peers.start(settings.ip)
         self.limits.start(settings.ip)
--- a/citrondyke/gateway/peers/list_listener.py
+++ b/citrondyke/gateway/peers/list_listener.py
@@ -51,14 +51,17 @@
         self._exchange = exchange
         self._tasks = tasks
         self._follower: TableFollower | None = None
+        self._config_follower: TableFollower | None = None
         self._is_asking = False
         self._was_covered = False
 
-    def start(self, follower: TableFollower) -> None:
+    def start(self, config_follower: TableFollower, follower: TableFollower) -> None:
         """Take in what is heard from now on.
 
+        :param config_follower: reads the configuration here.
         :param follower: reads the list of servers where nobody else does.
         """
+        self._config_follower = config_follower
         self._follower = follower
 
     def take(self, sender: InstanceId, ip: str, text: ListTold | ListOffered) -> None:
@@ -94,6 +97,8 @@
             self._is_asking = False
         self._take_offer(message.sender, offer)
         self._note(message.sender, offered.position)
+        if message.config_version == self._beliefs.config.current.version:
+            self._adopt_config(offered.position)
         log.info(
             'list.offer_taken',
             extra={
@@ -134,6 +139,12 @@
             )
         self.watch.note_changes(reader, offer.life, offer.since, offer.number)
 
+    def _adopt_config(self, told: ListPosition) -> None:
+        """Spare the first read of the configuration: the reader's is in force here too."""
+        config = self._config_follower
+        if config is not None and not config.has_read_all and told.config_store_version:
+            config.adopt(told.config_store_version, told.config_bytes)
+
     def _note(self, reader: InstanceId, told: ListPosition) -> Lack:
         lack = self.watch.note_position(reader, told, self._beliefs.list_digest)
         if lack is Lack.NOTHING and self.watch.is_level(reader) and self._follower is not None:
--- a/citrondyke/gateway/peers/list_readers.py
+++ b/citrondyke/gateway/peers/list_readers.py
@@ -6,9 +6,11 @@
 
 import gevent
 import logbook
+from gevent.event import Event
 
 from citrondyke.decisions.knowledge.reader_rule import ReaderRule
 from citrondyke.gateway.beliefs.cover import Cover
+from citrondyke.gateway.peers.config_cover import ConfigCover
 from citrondyke.gateway.peers.list_listener import ListListener
 from citrondyke.gateway.peers.list_teller import ListTeller
 
@@ -36,6 +38,8 @@
 
 #: At its start an instance waits so long at most to learn of the others.
 MEMBERS_WITHIN_MS = 250.0
+#: ... of which the read of the configuration waits no longer than this.
+DECIDED_WITHIN_MS = 60.0
 #: ... and so long at least for what readers read that start at the same moment: their start takes
 #: some hundred ms, the read of the list as much again.
 HOLD_MS = 1_200.0
@@ -73,8 +77,11 @@
         self._live = live
         self._rule = ReaderRule(context)
         self._follower: TableFollower | None = None
+        self._config_follower: TableFollower | None = None
+        self._decided = Event()
         #: Whether the first read is left to the readers of the zone at this moment.
         self.is_holding = False
+        self.config_cover = ConfigCover(self._wait_decided, self._is_config_awaited)
         self._teller = ListTeller(context, beliefs, metrics, send, self._audience, tasks)
         self._listener = ListListener(context, beliefs, metrics, exchange, tasks)
         beliefs.when_settled(self._teller.note_change)
@@ -85,14 +92,16 @@
         ):
             metrics.add_gauge(name, read)
 
-    def start(self, follower: TableFollower) -> None:
+    def start(self, config_follower: TableFollower, follower: TableFollower) -> None:
         """Begin to tell and to listen.
 
+        :param config_follower: reads the configuration here.
         :param follower: reads the list of servers here.
         """
+        self._config_follower = config_follower
         self._follower = follower
-        self._teller.start(follower)
-        self._listener.start(follower)
+        self._teller.start(config_follower, follower)
+        self._listener.start(config_follower, follower)
 
     @property
     def is_covered(self) -> bool:
@@ -126,16 +135,14 @@
         After a loss of all, all instances would read the whole list within the same second, more
         than the store's link carries, and each whose read is refused would begin anew.
         """
-        if not self._membership.wait_known(MEMBERS_WITHIN_MS):
-            return
-        self.look()
-        list_bytes = self._list_bytes()
-        if self._teller.is_reader or not self._readers():
+        list_bytes = self._hold_bytes()
+        self.is_holding = list_bytes > 0
+        self._decided.set()
+        if not self.is_holding:
             return
         span_ms = list_bytes * WIRE_FACTOR * self._membership.count / START_BYTES_PER_S * 1e3
         until_ms = self._context.now_ms() + HOLD_MS + self._context.random.random() * span_ms
         log.info('list.first_read_held', extra={'list_bytes': list_bytes})
-        self.is_holding = True
         try:
             while not self.is_covered and self._context.now_ms() < until_ms:
                 self._ask_readers()
@@ -146,6 +153,23 @@
         finally:
             self.is_holding = False
 
+    def _hold_bytes(self) -> int:
+        """Give the bytes of the list if its first read is left to readers; else 0."""
+        if not self._membership.wait_known(MEMBERS_WITHIN_MS):
+            return 0
+        self.look()
+        if self._teller.is_reader or not self._readers():
+            return 0
+        return self._list_bytes()
+
+    def _wait_decided(self) -> bool:
+        self._decided.wait(DECIDED_WITHIN_MS / 1e3)
+        return self.is_holding
+
+    def _is_config_awaited(self) -> bool:
+        config = self._config_follower
+        return self.is_holding and config is not None and not config.has_read_all
+
     def _ask_readers(self) -> None:
         """Ask those who should be readers, until one is heard of."""
         if self._listener.watch.has_reader:
--- a/citrondyke/gateway/peers/list_teller.py
+++ b/citrondyke/gateway/peers/list_teller.py
@@ -63,6 +63,7 @@
         self._audience = audience
         self._tasks = tasks
         self._follower: TableFollower | None = None
+        self._config_follower: TableFollower | None = None
         self._is_reader = False
         self._woken = Event()
         #: Up to which number the zone was told.
@@ -74,11 +75,13 @@
         """Tell whether this instance reads for its zone."""
         return self._is_reader
 
-    def start(self, follower: TableFollower) -> None:
+    def start(self, config_follower: TableFollower, follower: TableFollower) -> None:
         """Begin to tell when it is this instance's turn.
 
+        :param config_follower: reads the configuration here.
         :param follower: reads the list of servers here.
         """
+        self._config_follower = config_follower
         self._follower = follower
         self._tasks.keep(self._run)
 
@@ -98,8 +101,8 @@
 
     def position(self) -> ListPosition:
         """Give how far the list is known here."""
-        follower = self._follower
-        if follower is None:
+        follower, config = self._follower, self._config_follower
+        if follower is None or config is None:
             return ListPosition(self._life, 0)
         return ListPosition(
             self._life,
@@ -109,6 +112,8 @@
             follower.settled_version,
             min(1e9, follower.answer_age_ms),
             follower.size_bytes,
+            config.settled_version if self._beliefs.is_config_readable else 0,
+            config.size_bytes,
         )
 
     def answer(self, asked: ListPosition, config_version: ConfigVersion) -> ListOffered:
--- a/tests/test_gateway/test_peers/test_peers_list_readers.py
+++ b/tests/test_gateway/test_peers/test_peers_list_readers.py
@@ -13,7 +13,7 @@
 from citrondyke.gateway.instance import GatewayInstance
 from citrondyke.gateway.peers.membership import INSTANCES_TABLE
 from citrondyke.ids import AvailabilityZone
-from citrondyke.platform.rows import SERVERS_TABLE
+from citrondyke.platform.rows import CONFIG_TABLE, SERVERS_TABLE
 from tests.support.gateway import GatewayFleet, wait_until_seen
 
 INSTANCES = 6
@@ -28,11 +28,16 @@
         super().__init__()
         #: Calls of the list of servers, by the address of who made them.
         self.calls_by_ip: Counter[str] = Counter()
+        #: Whole reads of the configuration, likewise.
+        self.config_reads: Counter[str] = Counter()
         answer = self.store.__call__
 
         def counted(environ: dict[str, str], start_response: object) -> object:
             if f'table={SERVERS_TABLE}' in environ.get('QUERY_STRING', ''):
                 self.calls_by_ip[environ['REMOTE_ADDR']] += 1
+            is_read = environ['PATH_INFO'] == '/-/rows-get'
+            if is_read and f'table={CONFIG_TABLE}' in environ['QUERY_STRING']:
+                self.config_reads[environ['REMOTE_ADDR']] += 1
             return answer(environ, start_response)
 
         self._wsgi.application = counted
@@ -182,12 +187,19 @@
     for instance in list(readers.instances):
         readers.drop(instance)
     readers.calls_by_ip.clear()
+    readers.config_reads.clear()
     for _ in range(INSTANCES):
         readers.start_instance()
     wait_until_seen(
         lambda: all(each.beliefs.is_complete for each in readers.instances), 'all to serve'
     )
     assert len(readers.calls_by_ip) <= 2
+    assert len(readers.config_reads) <= 2
+    # Who has the configuration from a reader hears of the next one like all others.
+    readers.configure(version=2)
+    began_s = time.monotonic()
+    readers.wait_version(2)
+    assert time.monotonic() - began_s < DRAIN_S
 
 
 def test_start_of_all_with_both_readers_gone_for_good(readers: ReadersFleet) -> None:
