--- a/citrondyke/gateway/peers/list_readers.py
+++ b/citrondyke/gateway/peers/list_readers.py
@@ -144,7 +144,7 @@
         until_ms = self._context.now_ms() + HOLD_MS + self._context.random.random() * span_ms
         log.info('list.first_read_held', extra={'list_bytes': list_bytes})
         try:
-            while not self.is_covered and self._context.now_ms() < until_ms:
+            while self._is_lacking and self._context.now_ms() < until_ms:
                 self._ask_readers()
                 self.look()
                 if self._teller.is_reader:
@@ -166,13 +166,18 @@
         self._decided.wait(DECIDED_WITHIN_MS / 1e3)
         return self.is_holding
 
+    @property
+    def _is_lacking(self) -> bool:
+        return not self.is_covered or self._is_config_awaited()
+
     def _is_config_awaited(self) -> bool:
         config = self._config_follower
         return self.is_holding and config is not None and not config.has_read_all
 
     def _ask_readers(self) -> None:
         """Ask those who should be readers, until one is heard of."""
-        if self._listener.watch.has_reader:
+        if self._listener.watch.has_reader and not self.is_covered:
+            # Its next word says what is missing; what comes then is on its way.
             return
         for reader in self._readers():
             beat = self._membership.peers.get(reader)
