--- a/citrondyke/gateway/peers/knowledge_exchange.py
+++ b/citrondyke/gateway/peers/knowledge_exchange.py
@@ -14,6 +14,7 @@
 from citrondyke.decisions.forwarding.route_table import RouteTable
 from citrondyke.errors.broken_reply import BrokenReplyError
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.peers.list_codec import compress_large, expand
 from citrondyke.gateway.peers.membership import Heartbeat
 from citrondyke.gateway.peers.peer_codec import (
     KnowledgeData,
@@ -49,6 +50,8 @@
 BEHIND_MS = 1_000.0
 #: A peer that heard from the store within this time knows which servers are gone.
 WHOLE_MS = 1_500.0
+#: Smaller answers are sent as they are: they take few packets in any case.
+COMPRESS_FROM_BYTES = 4_096
 #: Share of the questions that go to the own zone. All of a zone may be cut off from the store.
 NEAR_SHARE = 0.7
 
@@ -139,7 +142,10 @@
             config.current if is_newer else None,
             has_same,
         )
-        return KnowledgeData(msgspec.msgpack.encode(knowledge))
+        data = msgspec.msgpack.encode(knowledge)
+        if wanted.takes_compressed and len(data) >= COMPRESS_FROM_BYTES:
+            data = compress_large(data)
+        return KnowledgeData(data)
 
     def _run(self) -> None:
         """Ask peers while the store does not answer, or before it first has."""
@@ -169,11 +175,13 @@
         self._ask(ip)
 
     def _ask(self, ip: str) -> None:
-        wanted = KnowledgeWanted(len(self._membership.peers) + 1, self._beliefs.list_digest)
+        wanted = KnowledgeWanted(
+            len(self._membership.peers) + 1, self._beliefs.list_digest, takes_compressed=True
+        )
         try:
             message = self._exchange(ip, wanted)
             if isinstance(message.text, KnowledgeData):
-                knowledge = decode_msgpack(message.text.data, Knowledge)
+                knowledge = decode_msgpack(expand(message.text.data), Knowledge)
                 self._take(ip, message.config_version, knowledge)
         except (BrokenReplyError, UnreadableBytesError, OSError, ValueError) as error:
             log.info('peer.silent', extra={'ip': ip, 'detail': str(error)[:200]})
--- a/citrondyke/gateway/peers/list_codec.py
+++ b/citrondyke/gateway/peers/list_codec.py
@@ -8,17 +8,19 @@
 from citrondyke.decisions.knowledge.list_offer import ListOffer
 from citrondyke.util.decoding import decode_msgpack, decompress
 
-__all__ = ('decode_offer', 'encode_offer')
+__all__ = ('compress_large', 'decode_offer', 'encode_offer', 'expand')
 
 #: Rows resemble each other: the fastest level leaves a fraction of them.
 LEVEL = 1
 #: No list of servers is longer; bytes that swell beyond it come from no instance.
 OFFER_LIMIT_BYTES = 64 * 1024 * 1024
+#: With which compressed bytes begin, and no MessagePack of ours.
+MAGIC = b'\x28\xb5\x2f\xfd'
 
 
 def encode_offer(offer: ListOffer) -> bytes:
     """Encode and compress rows that are handed on."""
-    return zstandard.ZstdCompressor(level=LEVEL).compress(msgspec.msgpack.encode(offer))
+    return compress_large(msgspec.msgpack.encode(offer))
 
 
 def decode_offer(data: bytes) -> ListOffer:
@@ -27,3 +29,16 @@
     :raises UnreadableBytesError: when the bytes are none.
     """
     return decode_msgpack(decompress(data, OFFER_LIMIT_BYTES), ListOffer)
+
+
+def compress_large(data: bytes) -> bytes:
+    """Compress what is worth it."""
+    return zstandard.ZstdCompressor(level=LEVEL).compress(data)
+
+
+def expand(data: bytes) -> bytes:
+    """Decompress what was compressed, and leave the rest as it is.
+
+    :raises UnreadableBytesError: when it swells beyond any list.
+    """
+    return decompress(data, OFFER_LIMIT_BYTES) if data.startswith(MAGIC) else data
--- a/citrondyke/gateway/peers/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -97,6 +97,8 @@
     instances_count: int = 0
     #: Of the list of servers that the sender has; 0 for none.
     list_digest: int = 0
+    #: Instances of an earlier version do not.
+    takes_compressed: bool = False
 
 
 class KnowledgeData(PeerText, frozen=True):
@@ -175,6 +177,7 @@
     elif isinstance(text, KnowledgeWanted):
         wanted = built.init('knowledgeAsked')
         wanted.instancesCount, wanted.listDigest = text.instances_count, text.list_digest
+        wanted.takesCompressed = text.takes_compressed
     else:
         # Each kind has its field above; a new one without would ask peers for something else.
         raise TypeError(type(text).__name__)
@@ -278,7 +281,9 @@
     ),
     'jobChanged': lambda read: JobChanged(JobId(read.jobChanged)),
     'knowledgeAsked': lambda read: KnowledgeWanted(
-        read.knowledgeAsked.instancesCount, read.knowledgeAsked.listDigest
+        read.knowledgeAsked.instancesCount,
+        read.knowledgeAsked.listDigest,
+        read.knowledgeAsked.takesCompressed,
     ),
     'useAsked': lambda read: LimitText(
         UseAsked(read.useAsked.number, TenantId(read.useAsked.account))
--- a/citrondyke/peer/gateway.capnp
+++ b/citrondyke/peer/gateway.capnp
@@ -96,6 +96,8 @@
   instancesCount @0 :UInt32;
   # Of the list of servers that the sender has; the same list is left out of the answer.
   listDigest @1 :UInt64;
+  # The answer may be compressed.
+  takesCompressed @2 :Bool;
 }
 
 struct ServerLoad {
--- a/tests/test_gateway/test_peers/test_peers_knowledge.py
+++ b/tests/test_gateway/test_peers/test_peers_knowledge.py
@@ -5,6 +5,7 @@
 import gevent
 
 from citrondyke.gateway.peers.knowledge_exchange import Knowledge
+from citrondyke.gateway.peers.list_codec import expand
 from citrondyke.gateway.peers.peer_codec import KnowledgeData, KnowledgeWanted
 from citrondyke.ids import ConfigVersion
 from citrondyke.util.decoding import decode_msgpack
@@ -66,6 +67,10 @@
     known_there = decode_msgpack(data.data, Knowledge)
     assert known_there.has_same_servers
     assert not known_there.servers
+    whole = exchange.answer(KnowledgeWanted(0, takes_compressed=True), ConfigVersion(0))
+    plain = exchange.answer(KnowledgeWanted(), ConfigVersion(0))
+    assert len(whole.data) <= len(plain.data)
+    assert decode_msgpack(expand(whole.data), Knowledge).servers
     before = list(asking.known_servers()[0])
     fleet.instances[1].peers.knowledge._ask(fleet.instances[0].address.ip)
     assert asking.known_servers()[0] == before
