--- a/citrondyke/gateway/beliefs/table_follower.py
+++ b/citrondyke/gateway/beliefs/table_follower.py
@@ -28,8 +28,8 @@
 
 #: A feed can fall silent without an end; the reads beside it bound what is missed to this.
 READ_EVERY_MS = 1_000.0
-#: ... and those of who reads for others, who stop relying on it 1.6 s after the store's last answer,
-#: which a slow store may take 300 ms for.
+#: ... and those of one who reads for others: they rely on it until 1.6 s after the store's last
+#: answer, for which a slow store takes 300 ms.
 READ_FOR_OTHERS_EVERY_MS = 600.0
 #: Bytes of values a second that one instance may spend on whole reads of a table that it can be
 #: told the changes of instead: the configuration of thousands of routes has 350 KB, the list of
