--- a/citrondyke/gateway/peers/knowledge_exchange.py
+++ b/citrondyke/gateway/peers/knowledge_exchange.py
@@ -43,6 +43,9 @@
 #: large fleet all ask more rarely, as all call the store more rarely: an outage must not turn
 #: into traffic that grows with the square of the instances.
 ASK_EVERY_MS = 400.0
+#: Whoever starts asks so soon: longer than the store takes for a configuration and one page of
+#: servers, while callers wait for the first instance that is back where the store is away.
+FIRST_ASK_MS = 150.0
 #: The store counts as out of reach for that when its calls had no answer for so long.
 ASK_AFTER_MS = 700.0
 #: A peer with a newer configuration is asked for it after so long, if the store's feed has not
@@ -149,9 +152,10 @@
 
     def _run(self) -> None:
         """Ask peers while the store does not answer, or before it first has."""
+        pause_ms = FIRST_ASK_MS
         while True:
-            pace = self._pace() if self._beliefs.is_complete else 1.0
-            gevent.sleep(self._context.jittered_ms(ASK_EVERY_MS * pace) / 1e3)
+            gevent.sleep(self._context.jittered_ms(pause_ms) / 1e3)
+            pause_ms = ASK_EVERY_MS * (self._pace() if self._beliefs.is_complete else 1.0)
             is_silent = self._store.silent_ms >= ASK_AFTER_MS
             if not is_silent and (self._beliefs.is_complete or self._is_served_elsewhere()):
                 continue
--- a/tests/test_gateway/test_peers/test_peers_knowledge.py
+++ b/tests/test_gateway/test_peers/test_peers_knowledge.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import gevent
 
 from citrondyke.gateway.peers.knowledge_exchange import Knowledge
@@ -74,3 +76,14 @@
     before = list(asking.known_servers()[0])
     fleet.instances[1].peers.knowledge._ask(fleet.instances[0].address.ip)
     assert asking.known_servers()[0] == before
+
+
+def test_start_without_the_store_is_served_by_a_seed_at_once(fleet: GatewayFleet) -> None:
+    # A rolling stop while the store is away: each instance that comes back knows nothing, and a
+    # caller's first target is 300 ms.
+    fleet.store.faults.refused_ips = {'*'}
+    fleet.store.faults.is_silent = True
+    began_s = time.monotonic()
+    started = fleet.start_instance(seed_ips=(fleet.instances[0].address.ip,))
+    wait_until_seen(lambda: started.beliefs.is_complete, 'the new instance to serve')
+    assert time.monotonic() - began_s < 0.3
