Merge: large lists from neighbours

Two readers a zone read a large list of servers and hand it on, once what all read comes to 16 MB. Read by the lead; tests of beliefs, peers, decisions and forwarding pass.

--- a/citrondyke/gateway/beliefs/followers.py
+++ b/citrondyke/gateway/beliefs/followers.py
@@ -12,6 +12,7 @@
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.beliefs.beliefs import Beliefs
+    from citrondyke.gateway.beliefs.cover import Cover
     from citrondyke.gateway.beliefs.dependency import Dependency
     from citrondyke.gateway.outside import Outside
     from citrondyke.gateway.peers.membership import Membership
@@ -27,14 +28,18 @@
     beliefs: Beliefs,
     store: Dependency,
     pace: Callable[[], float],
-    tasks: Tasks,
-) -> None:
+    config_cover: Cover,
+    servers_cover: Cover,
+) -> tuple[TableFollower, TableFollower]:
     """Follow the configuration and the list of servers.
 
     :param store: told whether the store answers.
     :param pace: gives the factor by which calls are rarer than in a small fleet.
+    :param config_cover: tells whether others read the configuration for this instance.
+    :param servers_cover: the same for the list of servers.
+    :returns: what follows the configuration, and what the list of servers.
     """
-    TableFollower(
+    config = TableFollower(
         context,
         outside.table,
         outside.config_table,
@@ -43,8 +48,9 @@
         beliefs.on_config_listing,
         pace,
         beliefs.on_config_current,
-    ).start(tasks)
-    TableFollower(
+        cover=config_cover,
+    )
+    servers = TableFollower(
         context,
         outside.table,
         outside.servers_table,
@@ -53,7 +59,9 @@
         beliefs.on_server_listing,
         pace,
         beliefs.on_servers_current,
-    ).start(tasks)
+        cover=servers_cover,
+    )
+    return config, servers
 
 
 def follow_instances(
--- a/citrondyke/gateway/peers/knowledge_exchange.py
+++ b/citrondyke/gateway/peers/knowledge_exchange.py
@@ -13,6 +13,8 @@
 from citrondyke.decisions.forwarding.listed_rows import SeenRow
 from citrondyke.decisions.forwarding.route_table import RouteTable
 from citrondyke.errors.broken_reply import BrokenReplyError
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.peers.list_codec import compress_large, expand
 from citrondyke.gateway.peers.membership import Heartbeat
 from citrondyke.gateway.peers.peer_codec import (
     KnowledgeData,
@@ -41,6 +43,9 @@
 #: large fleet all ask more rarely, as all call the store more rarely: an outage must not turn
 #: into traffic that grows with the square of the instances.
 ASK_EVERY_MS = 400.0
+#: Whoever starts asks so soon: longer than the store takes for a configuration and one page of
+#: servers, while callers wait for the first instance that is back where the store is away.
+FIRST_ASK_MS = 150.0
 #: The store counts as out of reach for that when its calls had no answer for so long.
 ASK_AFTER_MS = 700.0
 #: A peer with a newer configuration is asked for it after so long, if the store's feed has not
@@ -48,6 +53,8 @@
 BEHIND_MS = 1_000.0
 #: A peer that heard from the store within this time knows which servers are gone.
 WHOLE_MS = 1_500.0
+#: Smaller answers are sent as they are: they take few packets in any case.
+COMPRESS_FROM_BYTES = 4_096
 #: Share of the questions that go to the own zone. All of a zone may be cut off from the store.
 NEAR_SHARE = 0.7
 
@@ -70,6 +77,8 @@
     suspects: list[SuspectRow] = []
     #: The configuration, with digests of keys; ``None`` where the asking instance has it already.
     table: RouteTable | None = None
+    #: The asking instance has the same list of servers, which is left out.
+    has_same_servers: bool = False
 
 
 class KnowledgeExchange:
@@ -85,6 +94,7 @@
         suspects: SuspectBook,
         exchange: Callable[[str, PeerText], PeerMessage],
         pace: Callable[[], float],
+        is_served_elsewhere: Callable[[], bool],
         tasks: Tasks,
     ) -> None:
         """Use the parts handed in.
@@ -92,6 +102,7 @@
         :param seed_ips: gives instances to ask before any is known.
         :param exchange: asks the instance with an IP over a stream.
         :param pace: gives the factor by which calls are rarer than in a small fleet.
+        :param is_served_elsewhere: tells whether readers of the zone are asked at this moment.
         """
         self._context = context
         self._seed_ips = seed_ips
@@ -101,6 +112,7 @@
         self._suspects = suspects
         self._exchange = exchange
         self._pace = pace
+        self._is_served_elsewhere = is_served_elsewhere
         self._tasks = tasks
         self._is_asking = False
 
@@ -119,26 +131,33 @@
         """Tell what this instance knows beyond the asking one."""
         rows, version = self._beliefs.known_servers()
         config = self._beliefs.config
+        has_same = self._beliefs.list_digest == wanted.list_digest != 0
         is_newer = config.current.version > asker_version
         peers = {**self._membership.peers, self._context.instance_id: self._membership.own_beat()}
         knowledge = Knowledge(
             b'',
             config.age_ms(self._context.now_ms()),
-            rows,
+            [] if has_same else rows,
             version,
             self._store.answer_age_ms,
             peers if len(peers) > wanted.instances_count else {},
             self._suspects.stored_rows(),
             config.current if is_newer else None,
+            has_same,
         )
-        return KnowledgeData(msgspec.msgpack.encode(knowledge))
+        data = msgspec.msgpack.encode(knowledge)
+        if wanted.takes_compressed and len(data) >= COMPRESS_FROM_BYTES:
+            data = compress_large(data)
+        return KnowledgeData(data)
 
     def _run(self) -> None:
         """Ask peers while the store does not answer, or before it first has."""
+        pause_ms = FIRST_ASK_MS
         while True:
-            pace = self._pace() if self._beliefs.is_complete else 1.0
-            gevent.sleep(self._context.jittered_ms(ASK_EVERY_MS * pace) / 1e3)
-            if self._store.silent_ms < ASK_AFTER_MS and self._beliefs.is_complete:
+            gevent.sleep(self._context.jittered_ms(pause_ms) / 1e3)
+            pause_ms = ASK_EVERY_MS * (self._pace() if self._beliefs.is_complete else 1.0)
+            is_silent = self._store.silent_ms >= ASK_AFTER_MS
+            if not is_silent and (self._beliefs.is_complete or self._is_served_elsewhere()):
                 continue
             candidates = self._candidates()
             if candidates and not self._is_asking:
@@ -160,12 +179,15 @@
         self._ask(ip)
 
     def _ask(self, ip: str) -> None:
+        wanted = KnowledgeWanted(
+            len(self._membership.peers) + 1, self._beliefs.list_digest, takes_compressed=True
+        )
         try:
-            message = self._exchange(ip, KnowledgeWanted(len(self._membership.peers) + 1))
+            message = self._exchange(ip, wanted)
             if isinstance(message.text, KnowledgeData):
-                knowledge = decode_msgpack(message.text.data, Knowledge)
+                knowledge = decode_msgpack(expand(message.text.data), Knowledge)
                 self._take(ip, message.config_version, knowledge)
-        except (BrokenReplyError, OSError, ValueError) as error:
+        except (BrokenReplyError, UnreadableBytesError, OSError, ValueError) as error:
             log.info('peer.silent', extra={'ip': ip, 'detail': str(error)[:200]})
         finally:
             self._is_asking = False
@@ -178,11 +200,12 @@
             self._beliefs.offer_config(knowledge.config, f'peer {ip}')
         if version == config.current.version:
             config.confirm(self._context.now_ms() - knowledge.config_age_ms)
-        self._beliefs.take_servers(
-            knowledge.servers,
-            knowledge.servers_version,
-            is_whole=knowledge.store_age_ms < WHOLE_MS,
-        )
+        if not knowledge.has_same_servers:
+            self._beliefs.take_servers(
+                knowledge.servers,
+                knowledge.servers_version,
+                is_whole=knowledge.store_age_ms < WHOLE_MS,
+            )
         self._membership.learn_from_peer(knowledge.peers)
         for row in knowledge.suspects:
             self._suspects.join(row)
--- a/tests/test_gateway/test_peers/test_peers_knowledge.py
+++ b/tests/test_gateway/test_peers/test_peers_knowledge.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import time
+
 import gevent
 
 from citrondyke.gateway.peers.knowledge_exchange import Knowledge
+from citrondyke.gateway.peers.list_codec import expand
 from citrondyke.gateway.peers.peer_codec import KnowledgeData, KnowledgeWanted
 from citrondyke.ids import ConfigVersion
 from citrondyke.util.decoding import decode_msgpack
@@ -53,3 +56,34 @@
     fleet.store.faults.refused_ips = {fleet.instances[1].address.ip}
     before = asks_count(fleet)
     wait_until_seen(lambda: asks_count(fleet) > before, 'a question to a peer')
+
+
+def test_answer_leaves_out_the_list_that_the_asking_instance_has(fleet: GatewayFleet) -> None:
+    # While the store is away 300 instances ask each other more than once a second; each answer
+    # brought 500 KB of servers, though all had the same ones.
+    asking = fleet.instances[1].beliefs
+    exchange = fleet.instances[0].peers.knowledge
+    data = exchange.answer(
+        KnowledgeWanted(2, asking.list_digest), fleet.instances[1].beliefs.config.current.version
+    )
+    known_there = decode_msgpack(data.data, Knowledge)
+    assert known_there.has_same_servers
+    assert not known_there.servers
+    whole = exchange.answer(KnowledgeWanted(0, takes_compressed=True), ConfigVersion(0))
+    plain = exchange.answer(KnowledgeWanted(), ConfigVersion(0))
+    assert len(whole.data) <= len(plain.data)
+    assert decode_msgpack(expand(whole.data), Knowledge).servers
+    before = list(asking.known_servers()[0])
+    fleet.instances[1].peers.knowledge._ask(fleet.instances[0].address.ip)
+    assert asking.known_servers()[0] == before
+
+
+def test_start_without_the_store_is_served_by_a_seed_at_once(fleet: GatewayFleet) -> None:
+    # A rolling stop while the store is away: each instance that comes back knows nothing, and a
+    # caller's first target is 300 ms.
+    fleet.store.faults.refused_ips = {'*'}
+    fleet.store.faults.is_silent = True
+    began_s = time.monotonic()
+    started = fleet.start_instance(seed_ips=(fleet.instances[0].address.ip,))
+    wait_until_seen(lambda: started.beliefs.is_complete, 'the new instance to serve')
+    assert time.monotonic() - began_s < 0.3
