--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -181,6 +181,7 @@
             self._loads.take,
             self.batch.committer.look_at,
             self.guard.take,
+            self.batch.take_needs,
             outside.table,
             PeerTraffic(self.context, self.metrics),
             self._store_pace,
@@ -188,6 +189,7 @@
             self._tasks,
         )
         self.book.when_choosing(self.peers.look)
+        self.batch.use_peers(self.peers.look, self.peers.send)
         self.jobs = self.batch.door(self.peers.tell_job_changed)
         self.front = Front(
             self.context,
