--- a/citrondyke/gateway/peers/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -4,7 +4,7 @@
 
 import os
 import struct
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import capnp
 import msgspec
@@ -17,15 +17,21 @@
     UseAsked,
     UseOutcome,
 )
+from citrondyke.decisions.batch.batch_need import ToldNeed
 from citrondyke.decisions.crashes.content import RequestContent
 from citrondyke.decisions.crashes.news_queue import NewsKind, SuspectNews
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
 from citrondyke.decisions.knowledge.list_position import ListPosition
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.peers.need_codec import pack_needs, unpack_needs
 from citrondyke.ids import ConfigVersion, ContentDigest, InstanceId, JobId, TenantId
 from citrondyke.util.decoding import decode_msgpack
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = (
+    'BatchNeeds',
     'CrashNews',
     'JobChanged',
     'KnowledgeData',
@@ -85,6 +91,12 @@
     news: list[SuspectNews]
 
 
+class BatchNeeds(PeerText, frozen=True):
+    """Batch items that wait at the sender; none where the list is empty."""
+
+    needs: list[ToldNeed]
+
+
 class JobChanged(PeerText, frozen=True):
     """A job's head changed."""
 
@@ -152,42 +164,38 @@
     built = _SCHEMA.GatewayMessage.new_message()
     built.sender = message.sender
     built.configVersion = message.config_version
-    text = message.text
-    if isinstance(text, LoadNotice):
-        built.loadBytes = _pack_loads(text.loads)
-    elif isinstance(text, LoadTotals):
-        built.loadTotalsBytes = _pack_loads(text.loads)
-    elif isinstance(text, CrashNews):
-        told = built.init('suspects')
-        told.server = text.server
-        told.requests = _pack_suspects(text.news)
-    elif isinstance(text, JobChanged):
-        built.jobChanged = text.job_id
-    elif isinstance(text, KnowledgeData):
-        built.knowledge = text.data
-    elif isinstance(text, StoreCallData):
-        built.storeCall = text.data
-    elif isinstance(text, StoreAnswerData):
-        built.storeAnswer = text.data
-    elif isinstance(text, ListTold):
-        built.listPosition = msgspec.msgpack.encode(text.position)
-    elif isinstance(text, ListOffered):
-        built.knowledgeOffered = msgspec.msgpack.encode(text)
-    elif isinstance(text, LimitText):
-        _build_limit(built, text.message)
-    elif isinstance(text, KnowledgeWanted):
-        wanted = built.init('knowledgeAsked')
-        wanted.instancesCount, wanted.listDigest = text.instances_count, text.list_digest
-        wanted.takesCompressed = text.takes_compressed
-    else:
-        # Each kind has its field above; a new one without would ask peers for something else.
-        raise TypeError(type(text).__name__)
+    write = _WRITERS.get(type(message.text))
+    if write is None:
+        # Each kind has its field; a new one without would ask peers for something else.
+        raise TypeError(type(message.text).__name__)
+    write(built, message.text)
     # Not packed: the library's packed writer ended processes by a segmentation fault on messages
     # of over 8 KB whose packed form is longer than the plain one, as of compressed values.
     data: bytes = built.to_bytes()
     return data
 
 
+def _write_suspects(built: Any, text: CrashNews) -> None:
+    told = built.init('suspects')
+    told.server = text.server
+    told.requests = _pack_suspects(text.news)
+
+
+def _write_wanted(built: Any, text: KnowledgeWanted) -> None:
+    wanted = built.init('knowledgeAsked')
+    wanted.instancesCount, wanted.listDigest = text.instances_count, text.list_digest
+    wanted.takesCompressed = text.takes_compressed
+
+
+def _field(name: str, encode: Callable[[Any], Any]) -> Callable[[Any, Any], None]:
+    """Make what writes a kind of message that is one field."""
+
+    def write(built: Any, text: Any) -> None:
+        setattr(built, name, encode(text))
+
+    return write
+
+
 def _build_limit(built: Any, message: LimitMessage) -> None:
     if isinstance(message, UseAsked):
         asked = built.init('useAsked')
@@ -271,6 +279,20 @@
     return [ServerLoad(each.server, each.online, each.batch) for each in places]
 
 
+_WRITERS: dict[type[PeerText], Callable[[Any, Any], None]] = {
+    LoadNotice: _field('loadBytes', lambda text: _pack_loads(text.loads)),
+    LoadTotals: _field('loadTotalsBytes', lambda text: _pack_loads(text.loads)),
+    CrashNews: _write_suspects,
+    BatchNeeds: _field('batchNeed', lambda text: pack_needs(text.needs)),
+    JobChanged: _field('jobChanged', lambda text: text.job_id),
+    KnowledgeWanted: _write_wanted,
+    KnowledgeData: _field('knowledge', lambda text: text.data),
+    StoreCallData: _field('storeCall', lambda text: text.data),
+    StoreAnswerData: _field('storeAnswer', lambda text: text.data),
+    ListTold: _field('listPosition', lambda text: msgspec.msgpack.encode(text.position)),
+    ListOffered: _field('knowledgeOffered', msgspec.msgpack.encode),
+    LimitText: lambda built, text: _build_limit(built, text.message),
+}
 _READERS: dict[str, Any] = {
     'loadBytes': lambda read: LoadNotice(_unpack_loads(read.loadBytes)),
     'loadTotalsBytes': lambda read: LoadTotals(_unpack_loads(read.loadTotalsBytes)),
@@ -280,6 +302,7 @@
     'suspects': lambda read: CrashNews(
         read.suspects.server, _unpack_suspects(read.suspects.requests)
     ),
+    'batchNeed': lambda read: BatchNeeds(unpack_needs(bytes(read.batchNeed))),
     'jobChanged': lambda read: JobChanged(JobId(read.jobChanged)),
     'knowledgeAsked': lambda read: KnowledgeWanted(
         read.knowledgeAsked.instancesCount,
