--- a/citrondyke/gateway/beliefs/beliefs.py
+++ b/citrondyke/gateway/beliefs/beliefs.py
@@ -164,6 +164,11 @@
         """Give the number of changes of the list of servers so far."""
         return self._servers.revision
 
+    @property
+    def servers_count(self) -> int:
+        """Count the servers in the list."""
+        return self._servers.count
+
     @property
     def list_digest(self) -> int:
         """Give a digest of the list of servers; equal lists have equal ones."""
--- a/citrondyke/gateway/beliefs/table_follower.py
+++ b/citrondyke/gateway/beliefs/table_follower.py
@@ -87,6 +87,8 @@
         self._version = 0
         #: Of the values, by the last whole read or by whoever made it.
         self.size_bytes = 0
+        #: Of the values of the rows that the store showed last, on average.
+        self.row_bytes = 0.0
         self._answered_ms = float('-inf')
         #: When a whole read may be made again rather than a look for changes.
         self._whole_again_ms = float('-inf')
@@ -197,6 +199,8 @@
 
     def _on_feed(self, rows: tuple[PartRow, ...]) -> None:
         self._answered_ms = self._context.now_ms()
+        if rows:
+            self.row_bytes = sum(len(row.value or b'') for row in rows) / len(rows)
         self._on_rows(rows)
 
     def _pace_now(self) -> float:
--- a/citrondyke/gateway/peers/list_readers.py
+++ b/citrondyke/gateway/peers/list_readers.py
@@ -75,6 +75,7 @@
         self._context = context
         self._membership = membership
         self._live = live
+        self._beliefs = beliefs
         self._rule = ReaderRule(context)
         self._follower: TableFollower | None = None
         self._config_follower: TableFollower | None = None
@@ -117,8 +118,8 @@
         """Judge anew whether this instance is a reader."""
         self._teller.be_reader(is_reader=self._context.instance_id in self._readers())
         self._listener.look()
-        if self._follower is not None:
-            self._membership.list_bytes = self._follower.size_bytes
+        if self._follower is not None and self._beliefs.has_servers:
+            self._membership.list_bytes = self._list_bytes()
 
     def take(self, sender: InstanceId, ip: str, text: ListTold | ListOffered) -> None:
         """Take in what a reader told; another reader's word is no news to one."""
@@ -204,9 +205,12 @@
 
     def _list_bytes(self) -> int:
         """Give the size of the list, by what the others say where it is not known here."""
-        own_bytes = 0 if self._follower is None else self._follower.size_bytes
-        if own_bytes:
-            return own_bytes
+        follower = self._follower
+        if follower is not None:
+            # At the first start of a deployment the servers come one by one, after the whole read.
+            own_bytes = int(follower.row_bytes * self._beliefs.servers_count)
+            if own_bytes := max(own_bytes, follower.size_bytes):
+                return own_bytes
         return max((beat.list_bytes for beat in self._membership.peers.values()), default=0)
 
     def _store_age_ms(self) -> float:
