--- a/benchmarks/counted_limits.py
+++ b/benchmarks/counted_limits.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from citrondyke.decisions.accounts.bucket import TokenBucket
+from benchmarks.drained_bucket import DrainedBucket
 from citrondyke.decisions.accounts.fleet_limits import (
     FleetLimits,
     LimitVerdict,
@@ -15,6 +15,7 @@
     Addressed,
     LimitMessage,
     UseAnswered,
+    UseNeed,
 )
 from citrondyke.ids import TenantId
 
@@ -53,13 +54,15 @@
         self._members = members
         self._find = find
         self._tolerance = tolerance
-        self._buckets: dict[TenantId, TokenBucket] = {}
+        self._buckets: dict[TenantId, DrainedBucket] = {}
         self._untold: dict[TenantId, int] = {}
         self._began_ms = context.clock.fence_ms()
 
-    def next_step(self, account: Account, tried: set[InstanceId]) -> LimitVerdict | Question:
+    def next_step(
+        self, account: Account, need: UseNeed, tried: set[InstanceId]
+    ) -> LimitVerdict | Question:
         """Decide about one request."""
-        del tried
+        del need, tried
         if not account.has_limit:
             return LimitVerdict(VerdictKind.WITHIN)
         now_ms = self._context.clock.fence_ms()
@@ -97,5 +100,5 @@
         own_id = self._context.instance_id
         return [Addressed(each, told) for each in self._members() if each != own_id]
 
-    def _bucket(self, account: Account) -> TokenBucket:
-        return self._buckets.setdefault(account.id, TokenBucket(self._began_ms))
+    def _bucket(self, account: Account) -> DrainedBucket:
+        return self._buckets.setdefault(account.id, DrainedBucket(self._began_ms))
--- /dev/null
+++ b/citrondyke/decisions/accounts/account_uses.py
@@ -0,0 +1,101 @@
+"""What a steward lets one account have in one lease."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citrondyke.decisions.accounts.tolerance import ADVANCE_MS, GRANT_MS
+from citrondyke.decisions.accounts.use_ring import UseRing
+from citrondyke.decisions.places.kept_places import KeptPlaces
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.accounts.account import Account
+    from citrondyke.decisions.accounts.bucket import TokenBucket
+    from citrondyke.decisions.accounts.tolerance import LimitTolerance
+
+__all__ = ('AccountUses',)
+
+#: Places due before a moment push it back by their number; a few looks settle it.
+LOOKS = 4
+
+
+class AccountUses:
+    """Counts an account's window; the uses that nobody counted here are bounded by the level."""
+
+    def __init__(self, tolerance: LimitTolerance, bucket: TokenBucket, since_ms: float) -> None:
+        """Begin with a lease.
+
+        :param since_ms: since when the ring knows all uses.
+        """
+        self._tolerance = tolerance
+        self._bucket = bucket
+        self._since_ms = since_ms
+        self._ring = UseRing(tolerance.window_ms + GRANT_MS)
+        self._refused = UseRing(tolerance.window_ms)
+        #: The highest depth in this lease; by it keepers know the floor of an account not named.
+        self.highest_depth = 0.0
+        self.places = KeptPlaces()
+
+    def level(self, account: Account, now_ms: float) -> float:
+        """Give what is left before the account has had all of its burst."""
+        depth = self._tolerance.depth(account.rate_per_s, account.burst)
+        self.highest_depth = max(self.highest_depth, depth)
+        return self._bucket.level(account.rate_per_s, depth, now_ms)
+
+    def fill(self, count: float) -> None:
+        """Take in that the account had more left."""
+        self._bucket.add(count)
+
+    def knows_window(self, now_ms: float) -> bool:
+        """Tell whether all uses of the window were counted here."""
+        return now_ms >= self._since_ms + self._tolerance.window_ms + GRANT_MS
+
+    def free_at_ms(
+        self, account: Account, now_ms: float, *, may_advance: bool, is_place: bool
+    ) -> float:
+        """Give when the next use may begin.
+
+        :param is_place: whether it is one for which a place is kept; others wait for the places
+            that fall due before them.
+        """
+        at_ms = self._free_behind(account, now_ms, 0, may_advance=may_advance)
+        if is_place:
+            return at_ms
+        for _ in range(LOOKS):
+            ahead = self.places.due_by(at_ms)
+            later_ms = self._free_behind(account, now_ms, ahead, may_advance=may_advance)
+            if later_ms <= at_ms:
+                break
+            at_ms = later_ms
+        return at_ms
+
+    def take(self, at_ms: float) -> None:
+        """Count a use that begins at a moment."""
+        self._bucket.add(-1.0)
+        self._ring.note(at_ms)
+
+    def note_refused(self, now_ms: float) -> None:
+        """Count a refusal."""
+        self._refused.note(now_ms)
+
+    def uses_count(self, now_ms: float) -> int:
+        """Give how many uses there were in the last window."""
+        return self._ring.count(now_ms)
+
+    def refused_count(self, now_ms: float) -> int:
+        """Give how many refusals there were in the last window."""
+        return self._refused.count(now_ms)
+
+    def _free_behind(
+        self, account: Account, now_ms: float, ahead: int, *, may_advance: bool
+    ) -> float:
+        rate_per_s = account.rate_per_s
+        level = self.level(account, now_ms) - ahead
+        by_level_ms = now_ms + max(0.0, 1.0 - level) / rate_per_s * 1e3
+        if level >= 1.0 or not may_advance or not self.knows_window(now_ms):
+            return by_level_ms
+        lowest = 1.0 - rate_per_s * ADVANCE_MS / 1e3
+        ahead_ms = now_ms + max(0.0, lowest - level) / rate_per_s * 1e3
+        allowed = self._tolerance.window_uses(rate_per_s, account.burst)
+        room_ms = self._ring.room_at_ms(now_ms, allowed, ahead + 1)
+        return min(by_level_ms, max(ahead_ms, room_ms))
--- a/citrondyke/decisions/accounts/bucket.py
+++ b/citrondyke/decisions/accounts/bucket.py
@@ -15,21 +15,18 @@
 
     def take(self, rate_per_s: float, depth: float, now_ms: float) -> bool:
         """Take one use out, by the limit as it is now; one that was lowered holds at once."""
-        self._fill(rate_per_s, depth, now_ms)
-        if self._level < 1.0:
+        if self.level(rate_per_s, depth, now_ms) < 1.0:
             return False
-        self._level -= 1.0
+        self.add(-1.0)
         return True
 
-    def drain(self, count: int) -> None:
-        """Take out what was used elsewhere; below nothing it fills up first."""
-        self._level -= count
-
-    def wait_ms(self, rate_per_s: float) -> float:
-        """Give the time until there is room for one, as of the last ``take``."""
-        return max(0.0, 1.0 - self._level) / rate_per_s * 1e3
-
-    def _fill(self, rate_per_s: float, depth: float, now_ms: float) -> None:
+    def level(self, rate_per_s: float, depth: float, now_ms: float) -> float:
+        """Give what is in it, by the limit as it is now."""
         added = max(0.0, now_ms - self._at_ms) * rate_per_s / 1e3
         self._level = min(depth, self._level + added)
         self._at_ms = max(self._at_ms, now_ms)
+        return self._level
+
+    def add(self, count: float) -> None:
+        """Put some in, or take some out also where there is nothing: it fills up first."""
+        self._level += count
--- a/citrondyke/decisions/accounts/fleet_limits.py
+++ b/citrondyke/decisions/accounts/fleet_limits.py
@@ -12,7 +12,13 @@
 
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.account import Account
-    from citrondyke.decisions.accounts.limit_messages import Addressed, LimitMessage, UseAnswered
+    from citrondyke.decisions.accounts.limit_messages import (
+        Addressed,
+        LimitMessage,
+        UseAnswered,
+        UseNeed,
+    )
+    from citrondyke.decisions.accounts.marks import MarkCall, MarkRow
 
 __all__ = ('FleetLimits', 'LimitVerdict', 'Question', 'VerdictKind')
 
@@ -34,6 +40,10 @@
     retry_in_ms: float = 0.0
     #: Who said so; empty for this instance itself.
     by: InstanceId = InstanceId('')
+    #: When the request may be sent, where it may.
+    start_in_ms: float = 0.0
+    #: Whether a place is kept for the caller.
+    is_kept: bool = False
 
 
 class Question(msgspec.Struct, frozen=True):
@@ -53,9 +63,12 @@
     """
 
     @abstractmethod
-    def next_step(self, account: Account, tried: set[InstanceId]) -> LimitVerdict | Question:
+    def next_step(
+        self, account: Account, need: UseNeed, tried: set[InstanceId]
+    ) -> LimitVerdict | Question:
         """Decide about one request, or tell who must be asked.
 
+        :param need: what the request needs of the limit.
         :param tried: who was asked for this request already.
         """
 
@@ -76,3 +89,16 @@
     @abstractmethod
     def tick(self) -> list[Addressed]:
         """Give what is to be sent from time to time."""
+
+    def to_send(self) -> list[Addressed]:
+        """Give what is to be sent after a step beside the question."""
+        return []
+
+    def mark_calls(self) -> list[MarkCall]:
+        """Give what the store is to be asked now."""
+        return []
+
+    def note_marks(self, call: MarkCall, row: MarkRow | None) -> list[Addressed]:
+        """Take in what the store answered, ``None`` where it did not, and give what to send."""
+        del call, row
+        return []
--- a/citrondyke/decisions/accounts/slot_lease.py
+++ b/citrondyke/decisions/accounts/slot_lease.py
@@ -6,8 +6,14 @@
 
 import msgspec
 
-from citrondyke.decisions.accounts.limit_messages import Addressed, LeaseAnswered, LeaseAsked
+from citrondyke.decisions.accounts.limit_messages import (
+    Addressed,
+    LeaseAnswered,
+    LeaseAsked,
+    SlotCopy,
+)
 from citrondyke.ids import InstanceId
+from citrondyke.util.hashing import content_bucket
 
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.slots import Slots
@@ -26,15 +32,28 @@
 #: Keepers that have been the same for so long are the same to everybody: heartbeats of newcomers
 #: are read every three seconds in the largest fleets.
 VIEW_MS = 4_000.0
+#: A copy of a lease that was last heard of so long ago may not be that of the last one: others may
+#: have become keepers meanwhile, unknown to this one.
+COPY_MS = 3_000.0
 
 
 class _Ask(msgspec.Struct):
     asked_ms: float
     #: Since when each keeper that gave its word has promised nobody else.
     granted: dict[InstanceId, float] = {}
+    #: What each of them knows of the last lease.
+    copies: dict[InstanceId, SlotCopy | None] = {}
     is_refused: bool = False
 
 
+class _HeardCopy(msgspec.Struct):
+    copy: SlotCopy
+    holder: InstanceId
+    #: When it came, and when its holder was last heard of.
+    taken_ms: float
+    heard_ms: float
+
+
 class SlotLease:
     """Holder, candidate and witness of one slot, by the clock that runs on in a suspended machine.
 
@@ -69,12 +88,43 @@
         #: Since when certainly nobody else has counted the slot's accounts; each time that the
         #: lease is taken over it is another one.
         self.held_since_ms = float('-inf')
+        #: What is certainly known of the lease before this one.
+        self.copy_before: SlotCopy | None = None
+        self._heard_copy: _HeardCopy | None = None
 
     @property
     def is_held(self) -> bool:
         """Tell whether this instance counts the slot's accounts now."""
         return self._now_ms() < self._held_until_ms
 
+    @property
+    def held_until_ms(self) -> float:
+        """Give when the lease ends if it is not renewed."""
+        return self._held_until_ms
+
+    def other_keepers(self) -> list[InstanceId]:
+        """List who keeps the slot beside this instance."""
+        return [each for each in self._look_at_keepers() if each != self._context.instance_id]
+
+    def keepers_name(self) -> int:
+        """Name the set of keepers; all of one set give it the same name."""
+        return content_bucket('\n'.join(sorted(self._look_at_keepers())).encode()) & 0xFFFF_FFFF
+
+    def note_own_copy(self, copy: SlotCopy) -> None:
+        """Take in what this instance, as the holder, knows of its lease."""
+        now_ms = self._now_ms()
+        self._heard_copy = _HeardCopy(copy, self._context.instance_id, now_ms, now_ms)
+
+    def take_copy(self, sender: InstanceId, copy: SlotCopy) -> bool:
+        """Take in a holder's floors; tell whether this keeper will hand them on."""
+        if self._promised_to != sender or self.is_held:
+            return False
+        known = self._heard_copy
+        now_ms = self._now_ms()
+        if known is None or known.copy.era != copy.era or known.copy.number <= copy.number:
+            self._heard_copy = _HeardCopy(copy, sender, now_ms, now_ms)
+        return True
+
     def tick(self) -> list[Addressed]:
         """Ask for the lease where it is this instance's turn."""
         keepers = self._look_at_keepers()
@@ -83,7 +133,11 @@
             return []
         now_ms = self._now_ms()
         if not self._promise(own_id):
-            return []
+            # The life before may have given its word. Others that know who is about to ask do not
+            # ask themselves meanwhile, which would split the words of the keepers.
+            is_new = not self._promised_to
+            early = LeaseAsked(self._slot, 0, is_early=True)
+            return [Addressed(each, early) for each in self.other_keepers() if is_new]
         if len(keepers) == 1:
             self._hold(_Ask(now_ms), keepers)
             return []
@@ -91,17 +145,26 @@
         self._asks[self._next_number] = _Ask(now_ms)
         for number in [n for n, ask in self._asks.items() if ask.asked_ms < now_ms - LEASE_MS]:
             del self._asks[number]
-        asked = LeaseAsked(self._slot, self._next_number)
+        asked = LeaseAsked(self._slot, self._next_number, self.is_held)
         return [Addressed(keeper, asked) for keeper in keepers if keeper != own_id]
 
     def take_asked(self, sender: InstanceId, asked: LeaseAsked) -> list[Addressed]:
         """Answer as a witness."""
         keepers = self._look_at_keepers()
+        if asked.is_early:
+            self._heard_ms[sender] = self._now_ms()
+            if not self.is_held:
+                self._asked_ms[sender] = self._now_ms()
+            return []
         self._asked_ms[sender] = self._heard_ms[sender] = self._now_ms()
+        if self._heard_copy is not None and self._heard_copy.holder == sender:
+            self._heard_copy.heard_ms = self._now_ms()
         is_known = sender in keepers and self._context.instance_id in keepers
         is_granted = is_known and not self.is_held and self._promise(sender)
         free_ms = self._now_ms() - self._free_since_ms
-        return [Addressed(sender, LeaseAnswered(self._slot, asked.number, is_granted, free_ms))]
+        copy = self._copy_now() if is_granted and not asked.is_renewal else None
+        answer = LeaseAnswered(self._slot, asked.number, is_granted, free_ms, copy)
+        return [Addressed(sender, answer)]
 
     def take_answered(self, sender: InstanceId, answered: LeaseAnswered) -> None:
         """Take a witness's word in."""
@@ -112,6 +175,7 @@
             return
         if answered.is_granted:
             ask.granted[sender] = self._now_ms() - answered.free_ms
+            ask.copies[sender] = answered.copy
         else:
             ask.is_refused = True
         has_words = len(ask.granted) + 1 > len(keepers) / 2
@@ -148,8 +212,12 @@
         now_ms = self._now_ms()
         if self._promised_to != candidate and now_ms < self._promised_until_ms:
             return False
-        if self._promised_to and self._promised_to != candidate:
-            self._free_since_ms = max(self._free_since_ms, self._promised_until_ms)
+        if self._promised_to != candidate:
+            if self._promised_to:
+                self._free_since_ms = max(self._free_since_ms, self._promised_until_ms)
+            if self._heard_copy is not None and self._heard_copy.holder != self._promised_to:
+                # Whoever had the word since may have had the lease too.
+                self._heard_copy = None
         self._promised_to = candidate
         self._promised_until_ms = now_ms + PROMISE_MS
         return True
@@ -157,8 +225,36 @@
     def _hold(self, ask: _Ask, keepers: list[InstanceId]) -> None:
         if not self.is_held:
             self.held_since_ms = self._nobody_since_ms(ask, keepers)
+            self.copy_before = self._agreed_copy(ask)
         self._held_until_ms = max(self._held_until_ms, ask.asked_ms + LEASE_MS)
 
+    def _copy_now(self) -> SlotCopy | None:
+        """Give what this keeper knows of the last lease; ``None`` where it may not be the last."""
+        known = self._heard_copy
+        now_ms = self._now_ms()
+        if known is None:
+            return None
+        heard_ms = known.heard_ms
+        if known.holder == self._context.instance_id:
+            heard_ms = max(heard_ms, min(now_ms, self._held_until_ms))
+        if now_ms - heard_ms > COPY_MS:
+            return None
+        filled_ms = known.copy.filled_ms + now_ms - known.taken_ms
+        return msgspec.structs.replace(known.copy, filled_ms=filled_ms)
+
+    def _agreed_copy(self, ask: _Ask) -> SlotCopy | None:
+        """Give the newest copy if all keepers that gave their word know the same lease.
+
+        One that knows another lease, or none, may have missed the last one or be the only one
+        that has not.
+        """
+        copies = [self._copy_now(), *ask.copies.values()]
+        name = self.keepers_name()
+        known = [each for each in copies if each is not None and each.keepers == name]
+        if len(known) < len(copies) or len({each.era for each in known}) != 1:
+            return None
+        return max(known, key=lambda each: each.number)
+
     def _nobody_since_ms(self, ask: _Ask, keepers: list[InstanceId]) -> float:
         """Give since when nobody has held the lease, by the words of all keepers.
 
--- /dev/null
+++ b/citrondyke/decisions/accounts/slot_steward.py
@@ -0,0 +1,266 @@
+"""The steward of one slot in one lease."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.decisions.accounts.account_uses import AccountUses
+from citrondyke.decisions.accounts.bucket import TokenBucket
+from citrondyke.decisions.accounts.floors import Floors, usual_floor
+from citrondyke.decisions.accounts.limit_messages import (
+    Addressed,
+    FloorsTold,
+    UseAnswered,
+    UseNeed,
+    UseOutcome,
+)
+from citrondyke.decisions.accounts.marks import SlotMarks
+from citrondyke.decisions.accounts.tolerance import ADVANCE_MS
+from citrondyke.decisions.accounts.window_count import StewardCount
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.accounts.account import Account
+    from citrondyke.decisions.accounts.marks import MarkCall, MarkRow
+    from citrondyke.decisions.accounts.refusals import Refusals
+    from citrondyke.decisions.accounts.slot_lease import SlotLease
+    from citrondyke.decisions.accounts.tolerance import LimitTolerance
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.ids import InstanceId, TenantId
+
+__all__ = ('SlotSteward',)
+
+#: Part of the rate that goes to callers who were told a time. In a flood that lasts each of them
+#: takes the place of one who could be served at once; after a short one they use what is left.
+KEPT_SHARE = 0.5
+#: A caller may come so much before its time: times are told in whole milliseconds.
+EARLY_MS = 20.0
+#: Part of the time left that callers wait at the most before they come back.
+REACH_SHARE = 1 / 3
+#: Places are told with so much of that to spare: the way to the caller and back.
+REACH_SLACK_MS = 50.0
+#: What callers are told at the most; beyond seconds it is no use to them.
+LONGEST_RETRY_MS = 5_000.0
+#: Until the store has said which accounts had uses ahead of time; later it is taken for silent.
+READ_MS = 80.0
+#: Until keepers have acknowledged that an account may fall further.
+FLOOR_WAIT_MS = 50.0
+#: Below this part of its depth an account is expected to use all of it up.
+WANT_SHARE = 0.25
+#: Places told to an instance with a refusal, so that it lets their callers ask.
+EXPECTED_LIMIT = 100
+
+
+class _Free(msgspec.Struct, frozen=True):
+    at_ms: float
+    #: Whether keepers allow it.
+    is_told: bool
+
+
+class SlotSteward:
+    """Decides about the accounts of a slot while its lease holds.
+
+    Answers one account that asks for many times its limit: it gets what its window allows, whoever
+    is over it waits for a place that comes in time or is told when to come back, and all others
+    are refused at once.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        tolerance: LimitTolerance,
+        lease: SlotLease,
+        slot: int,
+        refusals: Refusals,
+        find: Callable[[TenantId], Account | None],
+    ) -> None:
+        """Begin a lease that is held.
+
+        :param find: finds an account in the configuration in force.
+        """
+        self._find = find
+        self._context = context
+        self._tolerance = tolerance
+        self._lease = lease
+        self._slot = slot
+        self._refusals = refusals
+        #: Since when nobody else has counted, which names the lease here.
+        self.since_ms = lease.held_since_ms
+        self._before = lease.copy_before
+        #: Whether the marks of the lease before are known, and who had one.
+        self._is_unmarked = False
+        self._marked: frozenset[TenantId] = frozenset()
+        self._uses: dict[TenantId, AccountUses] = {}
+        era = context.random.getrandbits(32)
+        filled_ms = -ADVANCE_MS
+        if self._before is not None:
+            # The copy is as of now; the lease may have begun to count before.
+            self.since_ms, filled_ms = self._now_ms(), self._before.filled_ms
+        self.held_since_ms = lease.held_since_ms
+        self._began_ms = self._now_ms()
+        self._floors = Floors(era, lease.keepers_name(), filled_ms, self.since_ms)
+        self._marks = SlotMarks(slot, era)
+        self._told_number = -1
+        if self._before is not None:
+            for account, floor in self._before.floors.items():
+                self._floors.begin_at(account, floor)
+        lease.note_own_copy(self._floors.copy(self._now_ms()))
+
+    def answer(
+        self, asker: InstanceId, number: int, account: Account, need: UseNeed
+    ) -> UseAnswered:
+        """Decide about one use."""
+        now_ms = self._now_ms()
+        uses = self._of(account)
+        uses.places.lapse(now_ms)
+        place_ms = uses.places.find(need.work)
+        free = self._free(account, uses, now_ms, is_place=place_ms is not None)
+        start_ms = free.at_ms
+        if place_ms is not None:
+            start_ms = max(start_ms, place_ms - EARLY_MS)
+        wait_ms = max(0.0, start_ms - now_ms)
+        is_in_time = wait_ms <= need.may_wait_ms and start_ms <= self._lease.held_until_ms
+        if free.is_told and (wait_ms <= 0.0 or is_in_time):
+            if place_ms is not None:
+                uses.places.take(need.work)
+            uses.take(start_ms)
+            self._look_at_floor(account, uses, now_ms)
+            return UseAnswered(number, UseOutcome.GRANTED, is_steward=True, start_in_ms=wait_ms)
+        self._look_at_floor(account, uses, now_ms)
+        uses.note_refused(now_ms)
+        if self._before is None and not self._is_unmarked and now_ms < self._began_ms + READ_MS:
+            return self._refused(number, now_ms + READ_MS, now_ms, is_kept=False)
+        if place_ms is not None:
+            return self._refused(number, max(start_ms, place_ms), now_ms, is_kept=True)
+        return self._give_place(asker, number, account, need, start_ms)
+
+    def count(self, account: TenantId) -> StewardCount:
+        """Give what was counted of an account."""
+        uses = self._uses.get(account)
+        if uses is None:
+            return StewardCount(0, 0)
+        now_ms = self._now_ms()
+        uses.places.lapse(now_ms)
+        counts = uses.places.counts
+        return StewardCount(
+            uses.uses_count(now_ms),
+            uses.refused_count(now_ms),
+            len(uses.places),
+            counts.taken,
+            counts.lapsed,
+        )
+
+    def to_tell(self) -> list[Addressed]:
+        """Give what keepers are to be told now: a change at once, anything unheard by the tick."""
+        if self._floors.number == self._told_number:
+            return []
+        return self.tick()
+
+    def tick(self) -> list[Addressed]:
+        """Tell the floors to each keeper that has not acknowledged them."""
+        self._told_number = self._floors.number
+        copy = self._floors.copy(self._now_ms())
+        self._lease.note_own_copy(copy)
+        return [
+            Addressed(keeper, FloorsTold(self._slot, copy))
+            for keeper in self._lease.other_keepers()
+            if not self._floors.is_told(keeper)
+        ]
+
+    def note_acknowledged(self, keeper: InstanceId, era: int, number: int) -> None:
+        """Take in that a keeper knows the floors."""
+        self._floors.note_acknowledged(keeper, era, number)
+
+    def next_call(self) -> MarkCall | None:
+        """Give what the store is to be asked."""
+        now_ms = self._now_ms()
+        for account_id in self._marks.accounts:
+            account = self._find(account_id)
+            if account is not None and self._of(account).level(account, now_ms) < 0.0:
+                self._marks.want(account_id, now_ms)
+        return self._marks.next_call(now_ms)
+
+    def note_row(self, call: MarkCall, row: MarkRow | None) -> None:
+        """Take in what the store answered."""
+        if not self._marks.is_call_of(call):
+            return
+        is_first = row is not None and not self._is_unmarked and self._before is None
+        self._marks.note_row(row, self._now_ms())
+        if not is_first or row is None:
+            return
+        # Read after everybody else's lease had ended: who has no mark had nothing ahead of time.
+        self._is_unmarked = True
+        self._floors.add_filled_ms(ADVANCE_MS)
+        self._marked = row.accounts
+        for account, uses in self._uses.items():
+            if account not in row.accounts:
+                found = self._find(account)
+                uses.fill(0.0 if found is None else _advance(found))
+        for account in row.accounts:
+            found = self._find(account)
+            if found is not None:
+                self._floors.lower(account, -_advance(found))
+
+    def _free(self, account: Account, uses: AccountUses, now_ms: float, *, is_place: bool) -> _Free:
+        may_advance = self._marks.has(account.id)
+        at_ms = uses.free_at_ms(account, now_ms, may_advance=may_advance, is_place=is_place)
+        lowest = self._floors.lowest(account, uses.highest_depth, now_ms)
+        if uses.level(account, now_ms) - 1.0 < lowest:
+            return _Free(max(at_ms, now_ms + FLOOR_WAIT_MS), False)
+        return _Free(at_ms, True)
+
+    def _look_at_floor(self, account: Account, uses: AccountUses, now_ms: float) -> None:
+        level = uses.level(account, now_ms)
+        if level < WANT_SHARE * uses.highest_depth and uses.knows_window(now_ms):
+            self._marks.want(account.id, now_ms)
+        self._floors.look(account, uses.highest_depth, level, now_ms)
+
+    def _give_place(
+        self, asker: InstanceId, number: int, account: Account, need: UseNeed, start_ms: float
+    ) -> UseAnswered:
+        now_ms = self._now_ms()
+        places = self._of(account).places
+        due_ms = places.next_due_ms(start_ms, 1e3 / (KEPT_SHARE * account.rate_per_s))
+        is_reached = due_ms - now_ms <= need.left_ms * REACH_SHARE - REACH_SLACK_MS
+        if need.work and is_reached and places.keep(need.work, due_ms):
+            return self._refused(number, due_ms, now_ms, is_kept=True)
+        pause_ms = self._refusals.pause_ms(account, asker)
+        expected = places.keys_due_by(now_ms + pause_ms + EARLY_MS)
+        if len(expected) > EXPECTED_LIMIT:
+            pause_ms, expected = 0.0, []
+        refused = self._refused(number, due_ms, now_ms, is_kept=False)
+        return msgspec.structs.replace(refused, pause_ms=pause_ms, expected=tuple(expected))
+
+    @staticmethod
+    def _refused(number: int, at_ms: float, now_ms: float, *, is_kept: bool) -> UseAnswered:
+        retry_in_ms = min(LONGEST_RETRY_MS, at_ms - now_ms)
+        return UseAnswered(
+            number, UseOutcome.REFUSED, retry_in_ms, is_steward=True, is_kept=is_kept
+        )
+
+    def _of(self, account: Account) -> AccountUses:
+        uses = self._uses.get(account.id)
+        if uses is None:
+            bucket = TokenBucket(self.since_ms, self._first_level(account))
+            uses = AccountUses(self._tolerance, bucket, self.since_ms)
+            uses.level(account, self._now_ms())
+            self._uses[account.id] = uses
+        return uses
+
+    def _first_level(self, account: Account) -> float:
+        if self._before is None:
+            is_free = self._is_unmarked and account.id not in self._marked
+            return 0.0 if is_free else -_advance(account)
+        depth = self._tolerance.depth(account.rate_per_s, account.burst)
+        usual = usual_floor(account, depth, self._before.filled_ms)
+        return min(depth, self._before.floors.get(account.id, usual))
+
+    def _now_ms(self) -> float:
+        return self._context.clock.fence_ms()
+
+
+def _advance(account: Account) -> float:
+    return account.rate_per_s * ADVANCE_MS / 1e3
--- /dev/null
+++ b/citrondyke/decisions/accounts/stand_ins.py
@@ -0,0 +1,33 @@
+"""What a keeper lets through while nobody counts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from citrondyke.decisions.accounts.bucket import TokenBucket
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.accounts.account import Account
+    from citrondyke.decisions.accounts.tolerance import LimitTolerance
+    from citrondyke.ids import TenantId
+
+__all__ = ('StandIns',)
+
+
+class StandIns:
+    """A small part of what may pass a limit, for the time in which a slot has no steward."""
+
+    def __init__(self, tolerance: LimitTolerance, began_ms: float) -> None:
+        """Begin with a life."""
+        self._tolerance = tolerance
+        self._began_ms = began_ms
+        self._buckets: dict[TenantId, TokenBucket] = {}
+
+    def take(self, account: Account, now_ms: float) -> bool:
+        """Take one use out."""
+        bucket = self._buckets.get(account.id)
+        if bucket is None:
+            first = self._tolerance.stand_in_first(account.rate_per_s)
+            bucket = self._buckets[account.id] = TokenBucket(self._began_ms, first)
+        depth = self._tolerance.stand_in_depth(account.rate_per_s)
+        return bucket.take(self._tolerance.stand_in_rate_per_s, depth, now_ms)
--- a/citrondyke/decisions/accounts/steward_limits.py
+++ b/citrondyke/decisions/accounts/steward_limits.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from citrondyke.decisions.accounts.bucket import TokenBucket
 from citrondyke.decisions.accounts.fleet_limits import (
     FleetLimits,
     LimitVerdict,
@@ -13,23 +12,29 @@
 )
 from citrondyke.decisions.accounts.limit_messages import (
     Addressed,
+    FloorsAcknowledged,
+    FloorsTold,
     LeaseAnswered,
     LeaseAsked,
     LimitMessage,
     UseAnswered,
     UseAsked,
+    UseNeed,
     UseOutcome,
 )
 from citrondyke.decisions.accounts.refusals import Refusals
 from citrondyke.decisions.accounts.slot_lease import SlotLease
+from citrondyke.decisions.accounts.slot_steward import SlotSteward
 from citrondyke.decisions.accounts.slots import SLOTS_COUNT, Slots, slot_of
-from citrondyke.decisions.accounts.window_count import StewardCount, WindowCount
+from citrondyke.decisions.accounts.stand_ins import StandIns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from citrondyke.decisions.accounts.account import Account
+    from citrondyke.decisions.accounts.marks import MarkCall, MarkRow
     from citrondyke.decisions.accounts.tolerance import LimitTolerance
+    from citrondyke.decisions.accounts.window_count import StewardCount
     from citrondyke.decisions.core.context import Context
     from citrondyke.ids import InstanceId, TenantId
 
@@ -43,13 +48,14 @@
 #: the lives before, and the starts of the slowest machines.
 START_MS = 1_400.0
 STARTING_MS = 3_000.0
+SLOT_MESSAGES = (LeaseAnswered, FloorsTold, FloorsAcknowledged)
 
 
 class StewardLimits(FleetLimits):
     """Asks the steward of the account's slot; is the steward of some slots itself.
 
-    A request costs one datagram each way, and the count is exact. A steward's bucket starts empty,
-    so that nothing of what the one before it let through has to be known.
+    A request costs one datagram each way, and the count is exact. Who follows a steward starts at
+    levels that are certainly not above the last ones.
     """
 
     def __init__(
@@ -75,21 +81,21 @@
         self._leases = [
             SlotLease(context, self._slots, slot, self._began_ms) for slot in range(SLOTS_COUNT)
         ]
-        self._buckets: dict[TenantId, TokenBucket] = {}
-        self._bucket_leases: dict[TenantId, float] = {}
-        self._stand_ins: dict[TenantId, TokenBucket] = {}
+        self._stewards_of_slots: dict[int, SlotSteward] = {}
+        self._stand_ins = StandIns(tolerance, self._began_ms)
         self._refusals = Refusals(context)
-        self._uses: dict[TenantId, WindowCount] = {}
-        self._refused: dict[TenantId, WindowCount] = {}
         self._silent_until_ms: dict[InstanceId, float] = {}
         self._stewards: dict[int, InstanceId] = {}
         self._numbers = 0
+        self._outbox: list[Addressed] = []
 
-    def next_step(self, account: Account, tried: set[InstanceId]) -> LimitVerdict | Question:
+    def next_step(
+        self, account: Account, need: UseNeed, tried: set[InstanceId]
+    ) -> LimitVerdict | Question:
         """Decide about one request, or tell who must be asked."""
         if not account.has_limit:
             return LimitVerdict(VerdictKind.WITHIN)
-        paused = self._refusals.paused(account.id)
+        paused = self._refusals.paused(account.id, need.work)
         if paused is not None:
             return LimitVerdict(VerdictKind.OVER, paused)
         own_id = self._context.instance_id
@@ -98,8 +104,9 @@
                 continue
             if keeper != own_id:
                 self._numbers += 1
-                return Question(keeper, UseAsked(self._numbers, account.id), self._numbers)
-            verdict = self.note_answer(account, own_id, self._answer(own_id, 0, account))
+                return Question(keeper, UseAsked(self._numbers, account.id, need), self._numbers)
+            verdict = self.note_answer(account, own_id, self._answer(own_id, 0, account, need))
+            self._outbox += self._to_tell(slot_of(account.id))
             if verdict is not None:
                 return verdict
         return LimitVerdict(VerdictKind.UNKNOWN, self._unknown_retry_ms())
@@ -124,10 +131,12 @@
         if answer.is_steward:
             self._stewards[slot_of(account.id)] = sender
         if answer.outcome is UseOutcome.GRANTED:
-            return LimitVerdict(VerdictKind.WITHIN, by=sender)
+            return LimitVerdict(VerdictKind.WITHIN, by=sender, start_in_ms=answer.start_in_ms)
         if answer.outcome is UseOutcome.REFUSED:
-            self._refusals.pause(account.id, answer.pause_ms, answer.retry_in_ms)
-            return LimitVerdict(VerdictKind.OVER, answer.retry_in_ms, sender)
+            self._refusals.pause(account.id, answer)
+            return LimitVerdict(
+                VerdictKind.OVER, answer.retry_in_ms, sender, is_kept=answer.is_kept
+            )
         return None
 
     def note_silent(self, account: Account, receiver: InstanceId) -> None:
@@ -143,17 +152,51 @@
                 # Added a moment ago, and not heard of here yet.
                 answer = UseAnswered(message.number, UseOutcome.NOT_STEWARD)
             else:
-                answer = self._answer(sender, message.number, account)
-            return [Addressed(sender, answer)]
+                answer = self._answer(sender, message.number, account, message.need)
+            return [Addressed(sender, answer), *self._to_tell(slot_of(message.account))]
         if isinstance(message, LeaseAsked):
             return self._leases[message.slot % SLOTS_COUNT].take_asked(sender, message)
+        slot = message.slot % SLOTS_COUNT if isinstance(message, SLOT_MESSAGES) else 0
         if isinstance(message, LeaseAnswered):
-            self._leases[message.slot % SLOTS_COUNT].take_answered(sender, message)
+            self._leases[slot].take_answered(sender, message)
+            self._steward_of(slot)
+            return self._to_tell(slot)
+        if isinstance(message, FloorsTold) and self._leases[slot].take_copy(sender, message.copy):
+            told = FloorsAcknowledged(slot, message.copy.era, message.copy.number)
+            return [Addressed(sender, told)]
+        if isinstance(message, FloorsAcknowledged):
+            steward = self._steward_of(slot)
+            if steward is not None:
+                steward.note_acknowledged(sender, message.era, message.number)
         return []
 
     def tick(self) -> list[Addressed]:
-        """Ask for the leases of the slots that this instance is to keep."""
-        return [asked for lease in self._leases for asked in lease.tick()]
+        """Ask for the leases of the slots that this instance is to keep, and tell what it holds."""
+        sent = [asked for lease in self._leases for asked in lease.tick()]
+        for slot in range(SLOTS_COUNT):
+            steward = self._steward_of(slot)
+            if steward is not None:
+                sent += steward.tick()
+        return sent
+
+    def to_send(self) -> list[Addressed]:
+        """Give what questions to this instance itself brought about."""
+        sent, self._outbox = self._outbox, []
+        return sent
+
+    def mark_calls(self) -> list[MarkCall]:
+        """Give what the store is to be asked now."""
+        held = [self._steward_of(slot) for slot in self._stewards_of_slots]
+        calls = [steward.next_call() for steward in held if steward is not None]
+        return [call for call in calls if call is not None]
+
+    def note_marks(self, call: MarkCall, row: MarkRow | None) -> list[Addressed]:
+        """Take in what the store answered, and give what to send."""
+        steward = self._steward_of(call.slot)
+        if steward is None:
+            return []
+        steward.note_row(call, row)
+        return steward.to_tell()
 
     def is_steward_of(self, account: TenantId) -> bool:
         """Tell whether this instance counts an account now."""
@@ -165,20 +208,8 @@
 
     def window(self, account: TenantId) -> StewardCount | None:
         """Give what this instance has counted in the last window; ``None`` if it does not count."""
-        if not self.is_steward_of(account):
-            return None
-        now_ms = self._context.clock.fence_ms()
-        counts = [
-            found[account].count(now_ms) if account in found else 0
-            for found in (self._uses, self._refused)
-        ]
-        return StewardCount(*counts)
-
-    def _note(self, counts: dict[TenantId, WindowCount], account: TenantId) -> None:
-        found = counts.get(account)
-        if found is None:
-            found = counts[account] = WindowCount(self._tolerance.window_ms)
-        found.note(self._context.clock.fence_ms())
+        steward = self._steward_of(slot_of(account))
+        return None if steward is None else steward.count(account)
 
     def _order(self, slot: int) -> list[InstanceId]:
         """List the keepers to ask: the known steward first, the silent ones last."""
@@ -192,40 +223,33 @@
             ),
         )
 
-    def _answer(self, asker: InstanceId, number: int, account: Account) -> UseAnswered:
-        lease = self._leases[slot_of(account.id)]
+    def _answer(
+        self, asker: InstanceId, number: int, account: Account, need: UseNeed
+    ) -> UseAnswered:
+        slot = slot_of(account.id)
+        steward = self._steward_of(slot)
         if not account.has_limit:
-            return UseAnswered(number, UseOutcome.GRANTED, is_steward=lease.is_held)
-        if not lease.is_held:
-            return self._stand_in(number, account)
-        if self._bucket(lease, account).take(
-            account.rate_per_s,
-            self._tolerance.depth(account.rate_per_s, account.burst),
-            self._context.clock.fence_ms(),
-        ):
-            self._note(self._uses, account.id)
-            return UseAnswered(number, UseOutcome.GRANTED, is_steward=True)
-        self._note(self._refused, account.id)
-        wait_ms = self._buckets[account.id].wait_ms(account.rate_per_s)
-        retry_in_ms, pause_ms = self._refusals.refuse(account, asker, wait_ms)
-        return UseAnswered(number, UseOutcome.REFUSED, retry_in_ms, pause_ms, is_steward=True)
-
-    def _bucket(self, lease: SlotLease, account: Account) -> TokenBucket:
-        if self._bucket_leases.get(account.id) != lease.held_since_ms:
-            self._bucket_leases[account.id] = lease.held_since_ms
-            self._buckets[account.id] = TokenBucket(lease.held_since_ms)
-        return self._buckets[account.id]
-
-    def _stand_in(self, number: int, account: Account) -> UseAnswered:
-        keepers = self._slots.keepers(slot_of(account.id))
-        if self._context.instance_id not in keepers:
-            return UseAnswered(number, UseOutcome.NOT_STEWARD)
-        if account.id not in self._stand_ins:
-            first = self._tolerance.stand_in_first(account.rate_per_s)
-            self._stand_ins[account.id] = TokenBucket(self._began_ms, first)
-        is_taken = self._stand_ins[account.id].take(
-            self._tolerance.stand_in_rate_per_s,
-            self._tolerance.stand_in_depth(account.rate_per_s),
-            self._context.clock.fence_ms(),
+            return UseAnswered(number, UseOutcome.GRANTED, is_steward=steward is not None)
+        if steward is not None:
+            return steward.answer(asker, number, account, need)
+        keepers = self._slots.keepers(slot)
+        is_taken = self._context.instance_id in keepers and self._stand_ins.take(
+            account, self._context.clock.fence_ms()
         )
         return UseAnswered(number, UseOutcome.GRANTED if is_taken else UseOutcome.NOT_STEWARD)
+
+    def _steward_of(self, slot: int) -> SlotSteward | None:
+        """Give the slot's steward where this instance is it now."""
+        lease = self._leases[slot]
+        if not lease.is_held:
+            return None
+        found = self._stewards_of_slots.get(slot)
+        if found is None or found.held_since_ms != lease.held_since_ms:
+            found = self._stewards_of_slots[slot] = SlotSteward(
+                self._context, self._tolerance, lease, slot, self._refusals, self._find
+            )
+        return found
+
+    def _to_tell(self, slot: int) -> list[Addressed]:
+        steward = self._steward_of(slot)
+        return [] if steward is None else steward.to_tell()
--- a/citrondyke/decisions/accounts/tolerance.py
+++ b/citrondyke/decisions/accounts/tolerance.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-__all__ = ('LimitTolerance',)
+__all__ = ('ADVANCE_MS', 'GRANT_MS', 'LimitTolerance')
 
 #: Parts of what may pass a limit. A third lets callers through whose requests come unevenly; three
 #: fifths go to three keepers that stand in for a steward that is gone; the rest is left alone.
@@ -14,6 +14,12 @@
 STAND_IN_FIRST_PART = 0.1
 #: Part of the rate's overshoot in a window that each of them may let through.
 STAND_IN_RATE_PART = 0.2
+#: An account may have so much of its rate ahead of time, where the window has room. Who follows a
+#: steward without knowing what it let through holds the account back for so long.
+ADVANCE_MS = 2_000.0
+#: A grant is used within this time, or asked for anew: one that lay in a machine which stood still
+#: would fall into another window.
+GRANT_MS = 250.0
 
 
 class LimitTolerance(msgspec.Struct, frozen=True, kw_only=True):
@@ -28,6 +34,10 @@
         spare = self.slack + rate_per_s * self.window_ms / 1e3 * self.overshoot
         return burst * (1 + self.overshoot) + spare * SPARE_PART
 
+    def window_uses(self, rate_per_s: float, burst: float) -> float:
+        """Give what a steward may let through in any window."""
+        return rate_per_s * self.window_ms / 1e3 + self.depth(rate_per_s, burst)
+
     def stand_in_depth(self, rate_per_s: float) -> float:
         """Give the bucket of a keeper that stands in."""
         return self.slack * STAND_IN_PART + self._stand_in_rate_part(rate_per_s)
--- /dev/null
+++ b/citrondyke/decisions/accounts/use_ring.py
@@ -0,0 +1,50 @@
+"""Counts what happened in the last window, by cells of time."""
+
+from __future__ import annotations
+
+from collections import deque
+
+__all__ = ('UseRing',)
+
+CELL_MS = 50.0
+
+
+class UseRing:
+    """Counts whole cells that reach into the span: never less than what happened in it.
+
+    Uses that are granted for a moment ahead count at once.
+    """
+
+    def __init__(self, span_ms: float) -> None:
+        """Count nothing yet."""
+        self._span_ms = span_ms
+        self._cells: deque[list[int]] = deque()
+        self._count = 0
+
+    def note(self, at_ms: float) -> None:
+        """Count one more."""
+        index = int(at_ms // CELL_MS)
+        if not self._cells or self._cells[-1][0] < index:
+            self._cells.append([index, 0])
+        self._cells[-1][1] += 1
+        self._count += 1
+
+    def count(self, now_ms: float) -> int:
+        """Give how many there were in the span that ends now."""
+        first = self._first_index(now_ms)
+        while self._cells and self._cells[0][0] < first:
+            self._count -= self._cells.popleft()[1]
+        return self._count
+
+    def room_at_ms(self, now_ms: float, allowed: float, more: int) -> float:
+        """Give when so many more fit below what is allowed."""
+        over = self.count(now_ms) + more - allowed
+        for index, count in self._cells:
+            if over <= 0:
+                break
+            over -= count
+            now_ms = max(now_ms, (index + 1) * CELL_MS + self._span_ms)
+        return now_ms if over <= 0 else float('inf')
+
+    def _first_index(self, now_ms: float) -> int:
+        return int((now_ms - self._span_ms) // CELL_MS)
--- /dev/null
+++ b/citrondyke/decisions/places/__init__.py
@@ -0,0 +1,1 @@
+"""Places in the future: who may come back when, and that it is served then."""
--- a/citrondyke/gateway/accounts/limit_exchange.py
+++ b/citrondyke/gateway/accounts/limit_exchange.py
@@ -6,12 +6,15 @@
 
 import gevent
 import logbook
+import msgspec
 from gevent import socket
 from gevent.event import AsyncResult
 
 from citrondyke.decisions.accounts.fleet_limits import LimitVerdict, Question, VerdictKind
 from citrondyke.decisions.accounts.limit_messages import UseAnswered
 from citrondyke.decisions.accounts.slot_lease import RENEW_MS
+from citrondyke.decisions.accounts.tolerance import GRANT_MS
+from citrondyke.gateway.accounts.mark_store import MarkStore
 from citrondyke.gateway.peers.peer_codec import (
     LimitText,
     PeerMessage,
@@ -21,7 +24,8 @@
 
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.account import Account
-    from citrondyke.decisions.accounts.limit_messages import Addressed, LimitMessage
+    from citrondyke.decisions.accounts.limit_messages import Addressed, LimitMessage, UseNeed
+    from citrondyke.decisions.accounts.marks import MarkCall
     from citrondyke.decisions.accounts.steward_limits import StewardLimits
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.config_holder import ConfigHolder
@@ -29,6 +33,7 @@
     from citrondyke.gateway.peers.membership import Membership
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import InstanceId
+    from citrondyke.storage.partitioned_table import PartitionedTable
 
 __all__ = ('LimitExchange',)
 
@@ -45,6 +50,8 @@
 #: Between two questions for leases in the first seconds of a life, in which requests are refused
 #: until there is a steward.
 STARTING_RENEW_MS = 50.0
+#: Requests of one instance that wait for their place: each holds its body and a connection.
+WAITERS_LIMIT = 100
 #: From the port for other messages between instances. Those may lie unread for a while in a large
 #: fleet; a caller waits for these.
 PORT_AFTER_PEERS = 1
@@ -62,6 +69,7 @@
         metrics: Metrics,
         peer_port: int,
         tasks: Tasks,
+        table: PartitionedTable,
     ) -> None:
         """Use the parts handed in; nothing is sent before ``start``."""
         self._context = context
@@ -74,6 +82,8 @@
         self._socket: socket.socket | None = None
         self._waiting: dict[int, AsyncResult] = {}
         self._held_slots: tuple[int, ...] = ()
+        self._marks = MarkStore(table)
+        self._waiters_count = 0
 
     def start(self, ip: str) -> None:
         """Listen and begin to ask for leases."""
@@ -87,12 +97,42 @@
         if self._socket is not None:
             self._socket.close()
 
-    def use(self, account: Account) -> LimitVerdict:
-        """Find out whether an account may have one more request, asking for it where needed."""
+    def use(self, account: Account, need: UseNeed) -> LimitVerdict:
+        """Find out whether an account may have one more request, and wait until it may begin.
+
+        A grant that is not used at once is asked for anew: by then it is counted in a window that
+        may be over.
+        """
+        if not account.has_limit:
+            return self._limits.next_step(account, need, set())  # type: ignore[return-value]
+        clock = self._context.clock
+        if self._waiters_count >= WAITERS_LIMIT:
+            need = msgspec.structs.replace(need, may_wait_ms=0.0)
+        while True:
+            asked_ms = clock.fence_ms()
+            verdict = self._find_out(account, need)
+            if verdict.start_in_ms > 0.0:
+                self._wait(verdict.start_in_ms - (clock.fence_ms() - asked_ms))
+            late_ms = clock.fence_ms() - asked_ms - verdict.start_in_ms
+            if verdict.kind is not VerdictKind.WITHIN or late_ms <= GRANT_MS:
+                return self._counted(account, verdict)
+            log.info('limit.grant_lapsed', extra={'account': account.id, 'late_ms': late_ms})
+            need = msgspec.structs.replace(need, left_ms=need.left_ms - late_ms, may_wait_ms=0.0)
+
+    def _wait(self, for_ms: float) -> None:
+        self._waiters_count += 1
+        try:
+            gevent.sleep(max(0.0, for_ms) / 1e3)
+        finally:
+            self._waiters_count -= 1
+
+    def _find_out(self, account: Account, need: UseNeed) -> LimitVerdict:
         tried: set[InstanceId] = set()
         rounds = 1
         while True:
-            step = self._limits.next_step(account, tried)
+            step = self._limits.next_step(account, need, tried)
+            self._send_all(self._limits.to_send())
+            self._look_at_marks()
             if isinstance(step, Question):
                 tried.add(step.receiver)
                 answer = self._ask(step)
@@ -102,12 +142,23 @@
                     continue
                 verdict = self._limits.note_answer(account, step.receiver, answer)
                 if verdict is not None:
-                    return self._counted(account, verdict)
+                    return verdict
             elif step.kind is VerdictKind.UNKNOWN and rounds < ROUNDS:
                 rounds += 1
                 tried.clear()
             else:
-                return self._counted(account, step)
+                return step
+
+    def _look_at_marks(self) -> None:
+        for call in self._limits.mark_calls():
+            self._tasks.spawn(self._run_mark_call, call)
+
+    def _run_mark_call(self, call: MarkCall) -> None:
+        row = None
+        try:
+            row = self._marks.run(call)
+        finally:
+            self._send_all(self._limits.note_marks(call, row))
 
     def held_slots(self) -> tuple[int, ...]:
         """List the slots whose accounts this instance counts."""
@@ -116,6 +167,10 @@
     def _counted(self, account: Account, verdict: LimitVerdict) -> LimitVerdict:
         if account.has_limit:
             self._metrics.note_account(account.id, verdict.kind.value)
+            if verdict.is_kept:
+                self._metrics.counters['limit_places_told'] += 1
+            if verdict.start_in_ms > 0.0:
+                self._metrics.counters['limit_places_waited_for'] += 1
         return verdict
 
     def _ask(self, question: Question) -> UseAnswered | None:
@@ -145,6 +200,7 @@
         message = text.message
         if not isinstance(message, UseAnswered):
             self._send_all(self._limits.take(sender, message))
+            self._look_at_marks()
             return
         waiting = self._waiting.get(message.number)
         if waiting is not None:
@@ -157,6 +213,7 @@
             gevent.sleep(self._context.jittered_ms(pause_ms, share=0.1) / 1e3)
             if has_limits:
                 self._send_all(self._limits.tick())
+                self._look_at_marks()
             held = self._limits.held_slots()
             if held != self._held_slots:
                 self._held_slots = held
--- a/citrondyke/gateway/callers/admitter.py
+++ b/citrondyke/gateway/callers/admitter.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from citrondyke.decisions.accounts.fleet_limits import VerdictKind
+from citrondyke.decisions.accounts.limit_messages import UseNeed
 from citrondyke.decisions.crashes.suspect_book import Standing
 from citrondyke.decisions.forwarding.admission_rule import TurnedAway
 from citrondyke.decisions.forwarding.course import Verdict
@@ -29,6 +30,12 @@
 
 #: A server that was chosen so long ago is chosen anew.
 FRESH_CHOICE_MS = 5.0
+#: Hexadecimal digits of the digest by which an account's steward finds a kept place: 32 bits name
+#: a few hundred places of one account.
+WORK_DIGITS = 8
+#: Part of a route's target for which a request waits for its account's next use; the rest is for
+#: its server.
+WAIT_SHARE = 0.6
 
 
 class Place(msgspec.Struct, frozen=True):
@@ -87,7 +94,7 @@
                     return end
             if not forwarding.is_counted:
                 asked_ms = self._context.now_ms()
-                verdict = self._limits.use(forwarding.account)
+                verdict = self._limits.use(forwarding.account, self._need(forwarding))
                 if verdict.kind is not VerdictKind.WITHIN:
                     return self._refuse_over_limit(caller, forwarding, verdict, asked_ms)
                 forwarding.is_counted = True
@@ -96,6 +103,18 @@
                     continue
             return Place(state, admitted.expected_wait_ms)
 
+    def _need(self, forwarding: Forwarding) -> UseNeed:
+        """Tell what a request needs of its account's limit; its place is found by its content."""
+        if not forwarding.account.has_limit:
+            return UseNeed()
+        now_ms = self._context.now_ms()
+        waited_ms = now_ms - forwarding.request.arrived_ms
+        return UseNeed(
+            int(forwarding.content.digest[:WORK_DIGITS], 16),
+            max(0.0, forwarding.until_ms - now_ms),
+            max(0.0, WAIT_SHARE * forwarding.route.target_ms - waited_ms),
+        )
+
     def _turn_away(
         self,
         caller: CallerConnection,
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -141,6 +141,7 @@
             self.metrics,
             settings.peer_port,
             self._tasks,
+            table,
         )
         self.budget = budget_for(settings.memory_bytes)
         request_log = RequestLog(self.context, self.metrics)
--- /dev/null
+++ b/citrondyke/gateway/peers/limit_codec.py
@@ -0,0 +1,131 @@
+"""What instances tell each other of the uses of accounts, as bytes."""
+
+from __future__ import annotations
+
+import struct
+from typing import Any
+
+import msgspec
+
+from citrondyke.decisions.accounts.limit_messages import (
+    FloorsAcknowledged,
+    FloorsTold,
+    LeaseAnswered,
+    LeaseAsked,
+    LimitMessage,
+    SlotCopy,
+    UseAnswered,
+    UseAsked,
+    UseNeed,
+    UseOutcome,
+)
+from citrondyke.ids import TenantId
+
+__all__ = ('LIMIT_READERS', 'build_limit')
+
+_OUTCOME_NAMES = {
+    UseOutcome.GRANTED: 'granted',
+    UseOutcome.REFUSED: 'refused',
+    UseOutcome.NOT_STEWARD: 'notSteward',
+}
+_OUTCOMES = {name: outcome for outcome, name in _OUTCOME_NAMES.items()}
+_WORK = struct.Struct('<I')
+
+
+class _Counts(msgspec.Struct, array_like=True):
+    """A steward's floors, or the answer to them where there is no copy."""
+
+    slot: int
+    era: int
+    number: int
+    copy: SlotCopy | None = None
+
+
+def build_limit(built: Any, message: LimitMessage) -> None:
+    """Put a message of limits into a message between instances.
+
+    :raises TypeError: when there is no field for it.
+    """
+    if isinstance(message, UseAsked):
+        asked = built.init('useAsked')
+        asked.number, asked.account = message.number, message.account
+        asked.work = message.need.work
+        asked.leftMs, asked.mayWaitMs = message.need.left_ms, message.need.may_wait_ms
+    elif isinstance(message, UseAnswered):
+        _build_answered(built.init('useAnswered'), message)
+    elif isinstance(message, LeaseAsked):
+        lease = built.init('leaseAsked')
+        lease.slot, lease.number = message.slot, message.number
+        lease.isRenewal, lease.isEarly = message.is_renewal, message.is_early
+    elif isinstance(message, LeaseAnswered):
+        word = built.init('leaseAnswered')
+        word.slot, word.number = message.slot, message.number
+        word.isGranted, word.freeMs = message.is_granted, message.free_ms
+        if message.copy is not None:
+            word.copy = msgspec.msgpack.encode(message.copy)
+    elif isinstance(message, FloorsTold):
+        copy = message.copy
+        told = _Counts(message.slot, copy.era, copy.number, copy)
+        built.useCounts = msgspec.msgpack.encode(told)
+    elif isinstance(message, FloorsAcknowledged):
+        heard = _Counts(message.slot, message.era, message.number)
+        built.useCounts = msgspec.msgpack.encode(heard)
+    else:
+        raise TypeError(type(message).__name__)
+
+
+def _build_answered(answered: Any, message: UseAnswered) -> None:
+    answered.number = message.number
+    answered.outcome = _OUTCOME_NAMES[message.outcome]
+    answered.retryInMs, answered.pauseMs = message.retry_in_ms, message.pause_ms
+    answered.isSteward = message.is_steward
+    answered.startInMs, answered.isKept = message.start_in_ms, message.is_kept
+    if message.expected:
+        answered.expected = b''.join(_WORK.pack(work) for work in message.expected)
+
+
+def _read_use_asked(read: Any) -> UseAsked:
+    asked = read.useAsked
+    need = UseNeed(asked.work, asked.leftMs, asked.mayWaitMs)
+    return UseAsked(asked.number, TenantId(asked.account), need)
+
+
+def _read_use_answered(read: Any) -> UseAnswered:
+    answered = read.useAnswered
+    return UseAnswered(
+        answered.number,
+        _OUTCOMES[str(answered.outcome)],
+        answered.retryInMs,
+        answered.pauseMs,
+        answered.isSteward,
+        answered.startInMs,
+        answered.isKept,
+        tuple(work for (work,) in _WORK.iter_unpack(bytes(answered.expected))),
+    )
+
+
+def _read_lease_answered(read: Any) -> LeaseAnswered:
+    word = read.leaseAnswered
+    copy = msgspec.msgpack.decode(bytes(word.copy), type=SlotCopy) if word.copy else None
+    return LeaseAnswered(word.slot, word.number, word.isGranted, word.freeMs, copy)
+
+
+def _read_counts(read: Any) -> LimitMessage:
+    counts = msgspec.msgpack.decode(bytes(read.useCounts), type=_Counts)
+    if counts.copy is None:
+        return FloorsAcknowledged(counts.slot, counts.era, counts.number)
+    return FloorsTold(counts.slot, counts.copy)
+
+
+LIMIT_READERS: dict[str, Any] = {
+    'useAsked': _read_use_asked,
+    'useAnswered': _read_use_answered,
+    'leaseAsked': lambda read: LeaseAsked(
+        read.leaseAsked.slot,
+        read.leaseAsked.number,
+        read.leaseAsked.isRenewal,
+        read.leaseAsked.isEarly,
+    ),
+    'leaseAnswered': _read_lease_answered,
+    'useCounts': _read_counts,
+}
--- a/citrondyke/gateway/peers/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -4,27 +4,22 @@
 
 import os
 import struct
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import capnp
 import msgspec
 
-from citrondyke.decisions.accounts.limit_messages import (
-    LeaseAnswered,
-    LeaseAsked,
-    LimitMessage,
-    UseAnswered,
-    UseAsked,
-    UseOutcome,
-)
+from citrondyke.decisions.accounts.limit_messages import LimitMessage
 from citrondyke.decisions.batch.batch_need import ToldNeed
 from citrondyke.decisions.crashes.content import RequestContent
 from citrondyke.decisions.crashes.news_queue import NewsKind, SuspectNews
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
 from citrondyke.decisions.knowledge.list_position import ListPosition
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.peers.limit_codec import LIMIT_READERS, build_limit
 from citrondyke.gateway.peers.need_codec import pack_needs, unpack_needs
-from citrondyke.ids import ConfigVersion, ContentDigest, InstanceId, JobId, TenantId
+from citrondyke.ids import ConfigVersion, ContentDigest, InstanceId, JobId
 from citrondyke.util.decoding import decode_msgpack
 
 if TYPE_CHECKING:
@@ -59,14 +54,6 @@
 _SUSPECT = struct.Struct('<10sIB')
 
 
-_OUTCOME_NAMES = {
-    UseOutcome.GRANTED: 'granted',
-    UseOutcome.REFUSED: 'refused',
-    UseOutcome.NOT_STEWARD: 'notSteward',
-}
-_OUTCOMES = {name: outcome for outcome, name in _OUTCOME_NAMES.items()}
-
-
 class PeerText(msgspec.Struct, frozen=True):
     """What a message says."""
 
@@ -196,41 +183,6 @@
     return write
 
 
-def _build_limit(built: Any, message: LimitMessage) -> None:
-    if isinstance(message, UseAsked):
-        asked = built.init('useAsked')
-        asked.number, asked.account = message.number, message.account
-    elif isinstance(message, UseAnswered):
-        answered = built.init('useAnswered')
-        answered.number = message.number
-        answered.outcome = _OUTCOME_NAMES[message.outcome]
-        answered.retryInMs, answered.pauseMs = message.retry_in_ms, message.pause_ms
-        answered.isSteward = message.is_steward
-    elif isinstance(message, LeaseAsked):
-        lease = built.init('leaseAsked')
-        lease.slot, lease.number = message.slot, message.number
-    elif isinstance(message, LeaseAnswered):
-        word = built.init('leaseAnswered')
-        word.slot, word.number = message.slot, message.number
-        word.isGranted, word.freeMs = message.is_granted, message.free_ms
-    else:
-        raise TypeError(type(message).__name__)
-
-
-def _read_use_answered(read: Any) -> LimitText:
-    answered = read.useAnswered
-    outcome = _OUTCOMES[str(answered.outcome)]
-    return LimitText(
-        UseAnswered(
-            answered.number,
-            outcome,
-            answered.retryInMs,
-            answered.pauseMs,
-            answered.isSteward,
-        )
-    )
-
-
 def decode_message(data: bytes) -> PeerMessage:
     """Decode a message.
 
@@ -246,10 +198,15 @@
         UnicodeDecodeError,
         UnreadableBytesError,
         struct.error,
+        msgspec.MsgspecError,
     ) as error:
         raise ValueError(str(error)) from error
 
 
+def _read_limit(reader: Callable[[Any], LimitMessage], read: Any) -> LimitText:
+    return LimitText(reader(read))
+
+
 def _pack_loads(loads: list[ServerLoad]) -> bytes:
     return b''.join(
         _LOAD.pack(load.server, min(load.online, COUNT_LIMIT), min(load.batch, COUNT_LIMIT))
@@ -291,7 +248,7 @@
     StoreAnswerData: _field('storeAnswer', lambda text: text.data),
     ListTold: _field('listPosition', lambda text: msgspec.msgpack.encode(text.position)),
     ListOffered: _field('knowledgeOffered', msgspec.msgpack.encode),
-    LimitText: lambda built, text: _build_limit(built, text.message),
+    LimitText: lambda built, text: build_limit(built, text.message),
 }
 _READERS: dict[str, Any] = {
     'loadBytes': lambda read: LoadNotice(_unpack_loads(read.loadBytes)),
@@ -309,19 +266,7 @@
         read.knowledgeAsked.listDigest,
         read.knowledgeAsked.takesCompressed,
     ),
-    'useAsked': lambda read: LimitText(
-        UseAsked(read.useAsked.number, TenantId(read.useAsked.account))
-    ),
-    'useAnswered': _read_use_answered,
-    'leaseAsked': lambda read: LimitText(LeaseAsked(read.leaseAsked.slot, read.leaseAsked.number)),
-    'leaseAnswered': lambda read: LimitText(
-        LeaseAnswered(
-            read.leaseAnswered.slot,
-            read.leaseAnswered.number,
-            read.leaseAnswered.isGranted,
-            read.leaseAnswered.freeMs,
-        )
-    ),
+    **{kind: partial(_read_limit, reader) for kind, reader in LIMIT_READERS.items()},
     'knowledgeWanted': lambda _: KnowledgeWanted(),
     'storeCall': lambda read: StoreCallData(bytes(read.storeCall)),
     'storeAnswer': lambda read: StoreAnswerData(bytes(read.storeAnswer)),
--- a/citrondyke/peer/gateway.capnp
+++ b/citrondyke/peer/gateway.capnp
@@ -35,9 +35,9 @@
     # The lease by which one instance counts the accounts of a slot.
     leaseAsked @15 :LeaseAsked;
     leaseAnswered @16 :LeaseAnswered;
-    # What the steward of a slot has let through, for its keepers.
+    # How far the steward of a slot may let accounts fall, for its keepers, and their answer.
     useCounts @17 :Data;
-    # Places in the future that a steward has given to an instance.
+    # Not used: refusals name the places that are kept.
     usePlaces @18 :Data;
     # Failures and successes that the sender has seen at servers.
     serverEvidence @19 :Data;
@@ -53,6 +53,11 @@
 struct UseAsked {
   number @0 :UInt32;
   account @1 :Text;
+  # Names the work asked for; the same when the caller comes back.
+  work @2 :UInt32;
+  # Time until the caller's deadline, and how long the request may wait.
+  leftMs @3 :Float32;
+  mayWaitMs @4 :Float32;
 }
 
 struct UseAnswered {
@@ -62,6 +67,12 @@
   retryInMs @2 :Float32;
   pauseMs @3 :Float32;
   isSteward @4 :Bool;
+  # When a granted use may begin.
+  startInMs @5 :Float32;
+  # Whether a place is kept at the time to come back.
+  isKept @6 :Bool;
+  # Work, 4 bytes each, for which places are kept that fall due while the sender need not ask.
+  expected @7 :Data;
 
   enum Outcome {
     granted @0;
@@ -73,6 +84,9 @@
 struct LeaseAsked {
   slot @0 :UInt16;
   number @1 :UInt32;
+  isRenewal @2 :Bool;
+  # Whether the sender only tells that it will ask.
+  isEarly @3 :Bool;
 }
 
 struct LeaseAnswered {
@@ -81,6 +95,8 @@
   isGranted @2 :Bool;
   # For how long nobody else has had the sender's word.
   freeMs @3 :Float64;
+  # What the sender knows of the last lease; empty where it may not be the last.
+  copy @4 :Data;
 }
 
 struct SuspectNews {
--- a/tests/support/limit_world.py
+++ b/tests/support/limit_world.py
@@ -14,8 +14,14 @@
 
 from citrondyke.decisions.accounts.account import Account
 from citrondyke.decisions.accounts.fleet_limits import FleetLimits, LimitVerdict, VerdictKind
-from citrondyke.decisions.accounts.limit_messages import Addressed, UseAnswered
-from citrondyke.decisions.accounts.tolerance import LimitTolerance
+from citrondyke.decisions.accounts.limit_messages import (
+    Addressed,
+    FloorsTold,
+    UseAnswered,
+    UseNeed,
+)
+from citrondyke.decisions.accounts.marks import MarkCall, MarkRow
+from citrondyke.decisions.accounts.tolerance import GRANT_MS, LimitTolerance
 from citrondyke.decisions.core.context import Context
 from citrondyke.ids import AvailabilityZone, InstanceId, TenantId
 from citrondyke.util.clock import Clock
@@ -29,6 +35,8 @@
 #: A change of the fleet or of the configuration is known everywhere within this.
 LAG_MS = 2_000.0
 TICK_MS = 200.0
+STORE_MS = 4.0
+STORE_TIMEOUT_MS = 300.0
 
 TOLERANCE = LimitTolerance(window_ms=WINDOW_MS, overshoot=0.1, slack=20.0)
 
@@ -58,7 +66,7 @@
         return self._world.now_ms - self.suspended_ms
 
     def epoch_ms(self) -> float:
-        return self._world.now_ms
+        return self._world.now_ms + self._world.epoch_step_ms
 
     def fence_ms(self) -> float:
         return self._world.now_ms
@@ -77,6 +85,20 @@
     is_dead: bool = False
 
 
+class _Asking(msgspec.Struct, eq=False):
+    """One request at one instance."""
+
+    node: Node
+    account: Account
+    need: UseNeed
+    began_ms: float
+    tried: set[InstanceId] = set()
+    rounds: int = 1
+    is_back: bool = False
+    #: Whether it comes back to a place that is kept for it.
+    is_kept: bool = False
+
+
 class LimitWorld:
     """A fleet and what its accounts got."""
 
@@ -96,6 +118,18 @@
         self.verdicts: Counter[tuple[TenantId, VerdictKind]] = Counter()
         self.waits_ms: list[float] = []
         self.messages: Counter[InstanceId] = Counter()
+        #: What requests need of their limit, and what becomes of those that are told a time.
+        self.left_ms = 0.0
+        self.may_wait_ms = 0.0
+        self.told: Counter[str] = Counter()
+        self._works = count(1)
+        #: Rows of marks by slot; they outlive all instances.
+        self.rows: dict[int, MarkRow] = {}
+        self.is_store_silent = False
+        #: Part of the store's answers that get lost.
+        self.lost_part = 0.0
+        self.epoch_step_ms = 0.0
+        self.is_deaf: set[InstanceId] = set()
         self.tick_ms = TICK_MS
         #: What is called with the answer to a question, by asking instance and number.
         self._waiting: dict[tuple[InstanceId, int], Callable[[UseAnswered | None], None]] = {}
@@ -128,8 +162,18 @@
         if not running:
             return
         node = self.random.choice(running)
-        known = node.accounts[account]
-        self._go_on(node, known, set(), 1, self.now_ms)
+        need = UseNeed(next(self._works), self.left_ms, self.may_wait_ms)
+        self._go_on(_Asking(node, node.accounts[account], need, self.now_ms))
+
+    def _come_back(self, asking: _Asking) -> None:
+        running = [node for node in self.nodes.values() if not node.is_dead]
+        if running:
+            node = self.random.choice(running)
+            left_ms = self.left_ms - (self.now_ms - asking.began_ms)
+            need = UseNeed(asking.need.work, left_ms, self.may_wait_ms)
+            account = node.accounts[asking.account.id]
+            back = _Asking(node, account, need, self.now_ms, is_back=True, is_kept=asking.is_kept)
+            self._go_on(back)
 
     def kill(self, name: InstanceId, back_ms: float | None) -> None:
         """End an instance; it is back after a while, or for good not."""
@@ -197,12 +241,14 @@
             return
         if node.silent_until_ms <= self.now_ms:
             self._send(node, node.limits.tick())
+            self._run_marks(node)
         self.at(self.tick_ms * self.random.uniform(0.9, 1.1), lambda: self._tick(node))
 
     def _send(self, sender: Node, addressed: list[Addressed]) -> None:
         for each in addressed:
             self.messages[sender.id] += 1
-            if frozenset((sender.id, each.receiver)) not in self.cuts:
+            is_lost = isinstance(each.message, FloorsTold) and each.receiver in self.is_deaf
+            if frozenset((sender.id, each.receiver)) not in self.cuts and not is_lost:
                 self.at(
                     DELAY_MS * self.random.uniform(0.5, 2),
                     lambda each=each: self._deliver(sender.id, each),  # type: ignore[misc]
@@ -221,27 +267,51 @@
                 waiting(each.message)
         else:
             self._send(node, node.limits.take(sender, each.message))
+            self._run_marks(node)
+
+    def _run_marks(self, node: Node) -> None:
+        for call in node.limits.mark_calls():
+            if self.is_store_silent:
+                self.at(STORE_TIMEOUT_MS, partial(self._marked, node, call, None))
+                continue
+            delay_ms = STORE_MS * self.random.uniform(0.5, 4)
+            self.at(delay_ms / 2, partial(self._at_store, node, call, delay_ms / 2))
+
+    def _at_store(self, node: Node, call: MarkCall, back_ms: float) -> None:
+        row = self.rows.get(call.slot, MarkRow(frozenset(), 0))
+        if call.wanted is not None and call.version == row.version:
+            row = self.rows[call.slot] = MarkRow(call.wanted, row.version + 1)
+        is_lost = self.random.random() < self.lost_part
+        self.at(back_ms, partial(self._marked, node, call, None if is_lost else row))
+
+    def _marked(self, node: Node, call: MarkCall, row: MarkRow | None) -> None:
+        if node.is_dead:
+            return
+        if node.silent_until_ms > self.now_ms:
+            wait_ms = node.silent_until_ms - self.now_ms
+            self.at(wait_ms, partial(self._marked, node, call, row))
+            return
+        self._send(node, node.limits.note_marks(call, row))
+        self._run_marks(node)
 
-    def _go_on(
-        self,
-        node: Node,
-        account: Account,
-        tried: set[InstanceId],
-        rounds: int,
-        began_ms: float,
-    ) -> None:
+    def _go_on(self, asking: _Asking) -> None:
+        node = asking.node
         if node.is_dead:
             return
         if node.silent_until_ms > self.now_ms:
             wait_ms = node.silent_until_ms - self.now_ms
-            self.at(wait_ms, lambda: self._go_on(node, account, tried, rounds, began_ms))
+            self.at(wait_ms, lambda: self._go_on(asking))
             return
-        step = node.limits.next_step(account, tried)
+        asked_ms = self.now_ms
+        step = node.limits.next_step(asking.account, asking.need, asking.tried)
+        self._send(node, node.limits.to_send())
+        self._run_marks(node)
         if isinstance(step, LimitVerdict):
-            if step.kind is VerdictKind.UNKNOWN and rounds < ROUNDS:
-                self._go_on(node, account, set(), rounds + 1, began_ms)
+            if step.kind is VerdictKind.UNKNOWN and asking.rounds < ROUNDS:
+                asking.tried, asking.rounds = set(), asking.rounds + 1
+                self._go_on(asking)
             else:
-                self._end(account, step, began_ms)
+                self._end(asking, step, asked_ms)
             return
 
         def answered(answer: UseAnswered | None) -> None:
@@ -249,23 +319,46 @@
                 return
             if node.is_dead:
                 return
-            tried.add(step.receiver)
+            asking.tried.add(step.receiver)
             verdict = None
             if answer is None:
-                node.limits.note_silent(account, step.receiver)
+                node.limits.note_silent(asking.account, step.receiver)
             else:
-                verdict = node.limits.note_answer(account, step.receiver, answer)
+                verdict = node.limits.note_answer(asking.account, step.receiver, answer)
             if verdict is None:
-                self._go_on(node, account, tried, rounds, began_ms)
+                self._go_on(asking)
             else:
-                self._end(account, verdict, began_ms)
+                self._end(asking, verdict, asked_ms)
 
         self._waiting[node.id, step.number] = answered
         self.at(ASK_MS, lambda: answered(None))
         self._send(node, [Addressed(step.receiver, step.message)])
 
-    def _end(self, account: Account, verdict: LimitVerdict, began_ms: float) -> None:
+    def _end(self, asking: _Asking, verdict: LimitVerdict, asked_ms: float) -> None:
+        if verdict.kind is VerdictKind.WITHIN and verdict.start_in_ms > 0:
+            start_ms = asked_ms + verdict.start_in_ms
+            later = msgspec.structs.replace(verdict, start_in_ms=0.0)
+            self.at(max(0.0, start_ms - self.now_ms), lambda: self._end(asking, later, start_ms))
+            return
+        node = asking.node
+        if node.is_dead:
+            return
+        if verdict.kind is VerdictKind.WITHIN and node.silent_until_ms > self.now_ms:
+            wait_ms = node.silent_until_ms - self.now_ms
+            self.at(wait_ms, lambda: self._end(asking, verdict, asked_ms))
+            return
+        if verdict.kind is VerdictKind.WITHIN and self.now_ms > asked_ms + GRANT_MS:
+            asking.tried, asking.rounds = set(), 1
+            self._go_on(asking)
+            return
+        account = asking.account
+        if asking.is_kept:
+            self.told['served' if verdict.kind is VerdictKind.WITHIN else 'refused'] += 1
         self.verdicts[account.id, verdict.kind] += 1
-        self.waits_ms.append(self.now_ms - began_ms)
+        self.waits_ms.append(self.now_ms - asking.began_ms)
         if verdict.kind is VerdictKind.WITHIN:
             self.uses_ms.setdefault(account.id, []).append(self.now_ms)
+        elif asking.need.left_ms > 0 and not asking.is_back:
+            asking.is_kept = verdict.is_kept
+            back_ms = min(verdict.retry_in_ms, asking.need.left_ms / 3)
+            self.at(back_ms, lambda: self._come_back(asking))
--- a/tests/test_accounts/test_accounts_limits.py
+++ b/tests/test_accounts/test_accounts_limits.py
@@ -7,6 +7,7 @@
 
 from citrondyke.decisions.accounts.account import Account
 from citrondyke.decisions.accounts.fleet_limits import LimitVerdict, VerdictKind
+from citrondyke.decisions.accounts.limit_messages import UseNeed
 from citrondyke.decisions.accounts.steward_limits import StewardLimits
 from citrondyke.ids import InstanceId, TenantId
 from tests.support.limit_world import LimitWorld, allowed_in_window
@@ -170,7 +171,7 @@
     made.run(3_000.0)
     retries = []
     for _ in range(30):
-        step = steward.limits.next_step(LARGE, set())
+        step = steward.limits.next_step(LARGE, UseNeed(), set())
         retries.append(step.retry_in_ms)  # type: ignore[union-attr]
     assert max(retries) - min(retries) > 200.0
 
@@ -184,12 +185,12 @@
     made.run(150.0)
     for node in made.nodes.values():
         tried = set(made.nodes)
-        step = node.limits.next_step(LARGE, tried)
+        step = node.limits.next_step(LARGE, UseNeed(), tried)
         assert isinstance(step, LimitVerdict)
         assert step.kind is VerdictKind.UNKNOWN
         assert 900.0 <= step.retry_in_ms <= 1_750.0
     made.run(3_000.0)
-    step = next(iter(made.nodes.values())).limits.next_step(LARGE, set(made.nodes))
+    step = next(iter(made.nodes.values())).limits.next_step(LARGE, UseNeed(), set(made.nodes))
     assert isinstance(step, LimitVerdict)
     assert step.retry_in_ms <= 500.0
 
--- a/tests/test_accounts/test_accounts_machine.py
+++ b/tests/test_accounts/test_accounts_machine.py
@@ -25,6 +25,8 @@
     def start(self, seed: int) -> None:
         """Start a fleet."""
         self.world = LimitWorld(StewardLimits, FIRST_COUNT, [LARGE, SMALL], seed)
+        self.world.lost_part = 0.02
+        self.world.left_ms, self.world.may_wait_ms = 5_000.0, 240.0
         self.names = list(self.world.nodes)
         self.allowed = {each.id: allowed_in_window(each) for each in (LARGE, SMALL)}
         self.since_ms = {each.id: 0.0 for each in (LARGE, SMALL)}
@@ -74,6 +76,29 @@
         if not self.world.nodes[self.names[place]].is_dead:
             self.world.pause(self.names[place], for_ms, suspended=suspended)
 
+    @rule(parted=st.sets(places, max_size=FIRST_COUNT))
+    def deafen(self, parted: set[int]) -> None:
+        """Have some instances hear nothing of floors."""
+        self.world.is_deaf = {self.names[place] for place in parted}
+
+    @rule(is_silent=st.booleans())
+    def silence_store(self, is_silent: bool) -> None:
+        """Have the store answer nobody, or all again."""
+        self.world.is_store_silent = is_silent
+
+    @rule()
+    def step_clocks(self) -> None:
+        """Step the time of day everywhere."""
+        self.world.epoch_step_ms += self.world.random.uniform(-3e5, 3e5)
+
+    @rule()
+    def kill_steward(self) -> None:
+        """End the instance that counts the large account; it comes back."""
+        for node in list(self.world.nodes.values()):
+            is_steward = not node.is_dead and node.limits.window(LARGE.id) is not None  # type: ignore[attr-defined]
+            if is_steward and sum(not each.is_dead for each in self.world.nodes.values()) > 3:
+                self.world.kill(node.id, 900.0)
+
     @rule(factor=st.sampled_from([0.1, 0.5, 1.0]))
     def change(self, factor: float) -> None:
         """Change the large account's limit; a lower one binds a window after all know it."""
