--- a/citrondyke/decisions/accounts/account_uses.py
+++ b/citrondyke/decisions/accounts/account_uses.py
@@ -13,14 +13,24 @@
     from citrondyke.decisions.accounts.bucket import TokenBucket
     from citrondyke.decisions.accounts.tolerance import LimitTolerance
 
-__all__ = ('AccountUses',)
+__all__ = ('AHEAD_PACE', 'AccountUses')
 
 #: Places due before a moment push it back by their number; a few looks settle it.
 LOOKS = 4
+#: Uses a second ahead of time, by the rate.
+AHEAD_PACE = 2.0
+#: Without a refusal for so long an account is no longer over its limit.
+CALM_MS = 500.0
+#: Callers come in jumps of about a second; what lasts longer is a flood.
+JUMP_MS = 1_500.0
 
 
 class AccountUses:
-    """Counts an account's window; the uses that nobody counted here are bounded by the level."""
+    """Counts an account's window; the uses that nobody counted here are bounded by the level.
+
+    Ahead of time an account gets twice its rate, not all at once: a whole window's uses in a second
+    would fill the servers for everybody.
+    """
 
     def __init__(self, tolerance: LimitTolerance, bucket: TokenBucket, since_ms: float) -> None:
         """Begin with a lease.
@@ -35,6 +45,9 @@
         #: The highest depth in this lease; by it keepers know the floor of an account not named.
         self.highest_depth = 0.0
         self.places = KeptPlaces()
+        self._next_ahead_ms = float('-inf')
+        self._over_since_ms = float('-inf')
+        self._over_ms = float('-inf')
 
     def level(self, account: Account, now_ms: float) -> float:
         """Give what is left before the account has had all of its burst."""
@@ -69,14 +82,25 @@
             at_ms = later_ms
         return at_ms
 
-    def take(self, at_ms: float) -> None:
+    def take(self, account: Account, at_ms: float, now_ms: float) -> None:
         """Count a use that begins at a moment."""
+        if self.level(account, now_ms) < 1.0:
+            gap_ms = 1e3 / (AHEAD_PACE * account.rate_per_s)
+            self._next_ahead_ms = max(self._next_ahead_ms, at_ms) + gap_ms
         self._bucket.add(-1.0)
         self._ring.note(at_ms)
 
     def note_refused(self, now_ms: float) -> None:
         """Count a refusal."""
         self._refused.note(now_ms)
+        if now_ms > self._over_ms + CALM_MS:
+            self._over_since_ms = now_ms
+        self._over_ms = now_ms
+
+    def is_long_over(self, now_ms: float) -> bool:
+        """Tell whether the account has been over its limit for longer than a jump lasts."""
+        is_over = now_ms <= self._over_ms + CALM_MS
+        return is_over and now_ms > self._over_since_ms + JUMP_MS
 
     def uses_count(self, now_ms: float) -> int:
         """Give how many uses there were in the last window."""
@@ -98,4 +122,5 @@
         ahead_ms = now_ms + max(0.0, lowest - level) / rate_per_s * 1e3
         allowed = self._tolerance.window_uses(rate_per_s, account.burst)
         room_ms = self._ring.room_at_ms(now_ms, allowed, ahead + 1)
-        return min(by_level_ms, max(ahead_ms, room_ms))
+        paced_ms = self._next_ahead_ms + ahead / (AHEAD_PACE * rate_per_s) * 1e3
+        return min(by_level_ms, max(ahead_ms, room_ms, paced_ms))
--- a/citrondyke/decisions/accounts/refusals.py
+++ b/citrondyke/decisions/accounts/refusals.py
@@ -41,14 +41,17 @@
         self._askers: dict[TenantId, dict[InstanceId, float]] = {}
         self._pauses: dict[TenantId, _Pause] = {}
 
-    def pause_ms(self, account: Account, asker: InstanceId) -> float:
-        """Give, as a steward, for how long an instance that was refused need not ask."""
+    def pause_ms(self, account: Account, asker: InstanceId, uses_per_s: float) -> float:
+        """Give, as a steward, for how long an instance that was refused need not ask.
+
+        :param uses_per_s: how many uses become free in a second.
+        """
         now_ms = self._context.now_ms()
         askers = self._askers.get(account.id, {})
         askers = {each: at for each, at in askers.items() if at > now_ms - ASKERS_MS}
         askers[asker] = now_ms
         self._askers[account.id] = askers
-        pause_ms = len(askers) / (ASKS_PER_USE * account.rate_per_s) * 1e3
+        pause_ms = len(askers) / (ASKS_PER_USE * uses_per_s) * 1e3
         return min(LONGEST_PAUSE_MS, pause_ms)
 
     def pause(self, account: TenantId, answer: UseAnswered) -> None:
--- a/citrondyke/decisions/accounts/slot_steward.py
+++ b/citrondyke/decisions/accounts/slot_steward.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from citrondyke.decisions.accounts.account_uses import AccountUses
+from citrondyke.decisions.accounts.account_uses import AHEAD_PACE, AccountUses
 from citrondyke.decisions.accounts.bucket import TokenBucket
-from citrondyke.decisions.accounts.floors import Floors, usual_floor
+from citrondyke.decisions.accounts.floors import FLOOR_SHARE, Floors, usual_floor
 from citrondyke.decisions.accounts.limit_messages import (
     Addressed,
     FloorsTold,
@@ -33,9 +33,11 @@
 
 __all__ = ('SlotSteward',)
 
-#: Part of the rate that goes to callers who were told a time. In a flood that lasts each of them
-#: takes the place of one who could be served at once; after a short one they use what is left.
-KEPT_SHARE = 0.5
+#: Part of the rate that goes to callers who were told a time, in a jump and in a flood that lasts:
+#: after a jump they use what is left over, in a flood each of them takes the place of one who could
+#: be served at once.
+KEPT_SHARE_IN_JUMP = 0.5
+KEPT_SHARE = 0.1
 #: A caller may come so much before its time: times are told in whole milliseconds.
 EARLY_MS = 20.0
 #: Part of the time left that callers wait at the most before they come back.
@@ -98,15 +100,18 @@
         filled_ms = -ADVANCE_MS
         if self._before is not None:
             # The copy is as of now; the lease may have begun to count before.
-            self.since_ms, filled_ms = self._now_ms(), self._before.filled_ms
+            # From here on keepers are told of floors below the levels that it gives.
+            self.since_ms, filled_ms = self._now_ms(), min(0.0, self._before.filled_ms)
         self.held_since_ms = lease.held_since_ms
         self._began_ms = self._now_ms()
         self._floors = Floors(era, lease.keepers_name(), filled_ms, self.since_ms)
         self._marks = SlotMarks(slot, era)
         self._told_number = -1
         if self._before is not None:
-            for account, floor in self._before.floors.items():
-                self._floors.begin_at(account, floor)
+            for account_id, floor in self._before.floors.items():
+                account = find(account_id)
+                spare = 0.0 if account is None else FLOOR_SHARE * self._depth(account)
+                self._floors.begin_at(account_id, floor - spare)
         lease.note_own_copy(self._floors.copy(self._now_ms()))
 
     def answer(
@@ -126,7 +131,7 @@
         if free.is_told and (wait_ms <= 0.0 or is_in_time):
             if place_ms is not None:
                 uses.places.take(need.work)
-            uses.take(start_ms)
+            uses.take(account, start_ms, now_ms)
             self._look_at_floor(account, uses, now_ms)
             return UseAnswered(number, UseOutcome.GRANTED, is_steward=True, start_in_ms=wait_ms)
         self._look_at_floor(account, uses, now_ms)
@@ -222,16 +227,21 @@
         self, asker: InstanceId, number: int, account: Account, need: UseNeed, start_ms: float
     ) -> UseAnswered:
         now_ms = self._now_ms()
-        places = self._of(account).places
-        due_ms = places.next_due_ms(start_ms, 1e3 / (KEPT_SHARE * account.rate_per_s))
+        uses = self._of(account)
+        places = uses.places
+        share = KEPT_SHARE if uses.is_long_over(now_ms) else KEPT_SHARE_IN_JUMP
+        due_ms = places.next_due_ms(start_ms, 1e3 / (share * account.rate_per_s))
         is_reached = due_ms - now_ms <= need.left_ms * REACH_SHARE - REACH_SLACK_MS
         if need.work and is_reached and places.keep(need.work, due_ms):
             return self._refused(number, due_ms, now_ms, is_kept=True)
-        pause_ms = self._refusals.pause_ms(account, asker)
+        uses_per_s = account.rate_per_s * (AHEAD_PACE if self._marks.has(account.id) else 1.0)
+        pause_ms = self._refusals.pause_ms(account, asker, uses_per_s)
         expected = places.keys_due_by(now_ms + pause_ms + EARLY_MS)
         if len(expected) > EXPECTED_LIMIT:
             pause_ms, expected = 0.0, []
-        refused = self._refused(number, due_ms, now_ms, is_kept=False)
+        # Nothing is kept, so the time that is told lies past the caller's deadline.
+        at_ms = max(due_ms, now_ms + need.left_ms)
+        refused = self._refused(number, at_ms, now_ms, is_kept=False)
         return msgspec.structs.replace(refused, pause_ms=pause_ms, expected=tuple(expected))
 
     @staticmethod
@@ -254,10 +264,13 @@
         if self._before is None:
             is_free = self._is_unmarked and account.id not in self._marked
             return 0.0 if is_free else -_advance(account)
-        depth = self._tolerance.depth(account.rate_per_s, account.burst)
+        depth = self._depth(account)
         usual = usual_floor(account, depth, self._before.filled_ms)
         return min(depth, self._before.floors.get(account.id, usual))
 
+    def _depth(self, account: Account) -> float:
+        return self._tolerance.depth(account.rate_per_s, account.burst)
+
     def _now_ms(self) -> float:
         return self._context.clock.fence_ms()
 
--- a/citrondyke/decisions/accounts/steward_limits.py
+++ b/citrondyke/decisions/accounts/steward_limits.py
@@ -97,7 +97,7 @@
             return LimitVerdict(VerdictKind.WITHIN)
         paused = self._refusals.paused(account.id, need.work)
         if paused is not None:
-            return LimitVerdict(VerdictKind.OVER, paused)
+            return LimitVerdict(VerdictKind.OVER, max(paused, need.left_ms))
         own_id = self._context.instance_id
         for keeper in self._order(slot_of(account.id)):
             if keeper in tried:
--- a/citrondyke/gateway/callers/admitter.py
+++ b/citrondyke/gateway/callers/admitter.py
@@ -35,7 +35,7 @@
 WORK_DIGITS = 8
 #: Part of a route's target for which a request waits for its account's next use; the rest is for
 #: its server.
-WAIT_SHARE = 0.6
+WAIT_SHARE = 0.4
 
 
 class Place(msgspec.Struct, frozen=True):
--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -64,6 +64,7 @@
                 'burst': forwarding.account.burst,
                 'config_version': forwarding.config_version,
                 'retry_in_ms': round(verdict.retry_in_ms, 1),
+                'is_kept': verdict.is_kept,
             },
         )
 
--- a/tests/test_accounts/test_accounts_limits.py
+++ b/tests/test_accounts/test_accounts_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 import msgspec
 import pytest
 
@@ -168,12 +170,16 @@
     made = world(10)
     steward = next(node for node in made.nodes.values() if keeps(node.limits, LARGE))
     made.load(LARGE.id, LARGE.rate_per_s * 5, 3_000.0)
-    made.run(3_000.0)
+    made.run(4_000.0)
     retries = []
-    for _ in range(30):
-        step = steward.limits.next_step(LARGE, UseNeed(), set())
-        retries.append(step.retry_in_ms)  # type: ignore[union-attr]
+    for number in range(140):
+        step = steward.limits.next_step(LARGE, UseNeed(number + 1, 5_000.0), set())
+        assert isinstance(step, LimitVerdict)
+        if step.is_kept:
+            retries.append(step.retry_in_ms)
     assert max(retries) - min(retries) > 200.0
+    gaps = [later - sooner for sooner, later in pairwise(retries)]
+    assert min(gaps) >= 1e3 / LARGE.rate_per_s
 
 
 def test_caller_is_asked_back_when_there_may_be_a_steward_again() -> None:
