--- a/citrondyke/decisions/accounts/account_uses.py
+++ b/citrondyke/decisions/accounts/account_uses.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from citrondyke.decisions.accounts.slot_lease import LEASE_MS
 from citrondyke.decisions.accounts.tolerance import ADVANCE_MS, GRANT_MS
 from citrondyke.decisions.accounts.use_ring import UseRing
 from citrondyke.decisions.places.kept_places import KeptPlaces
@@ -11,7 +12,8 @@
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.account import Account
     from citrondyke.decisions.accounts.bucket import TokenBucket
-    from citrondyke.decisions.accounts.tolerance import LimitTolerance
+    from citrondyke.decisions.accounts.slot_lease import LEASE_MS
+from citrondyke.decisions.accounts.tolerance import LimitTolerance
 
 __all__ = ('AHEAD_PACE', 'AccountUses')
 
@@ -49,7 +51,12 @@
         """Give what is left before the account has had all of its burst."""
         depth = self._tolerance.depth(account.rate_per_s, account.burst)
         self.highest_depth = max(self.highest_depth, depth)
-        return self._bucket.level(account.rate_per_s, depth, now_ms)
+        level = self._bucket.level(account.rate_per_s, depth, now_ms)
+        # A limit that was lowered would hold back for longer than what it was lowered to.
+        lowest = -account.rate_per_s * (ADVANCE_MS + LEASE_MS) / 1e3
+        if level < lowest:
+            self._bucket.add(lowest - level)
+        return max(level, lowest)
 
     def fill(self, count: float) -> None:
         """Take in that the account had more left."""
--- a/citrondyke/decisions/accounts/marks.py
+++ b/citrondyke/decisions/accounts/marks.py
@@ -19,6 +19,8 @@
 
     accounts: frozenset[TenantId]
     version: int
+    #: Whether the call that is answered wrote it.
+    is_written: bool = False
 
 
 class MarkCall(msgspec.Struct, frozen=True):
@@ -57,7 +59,10 @@
     def has(self, account: TenantId) -> bool:
         """Tell whether an account certainly has its mark and keeps it."""
         row = self._row
-        return row is not None and account in row.accounts and account in self._wanted_until_ms
+        if row is None or not row.is_written:
+            # Written by the lease before, of which a later write may still be under way.
+            return False
+        return account in row.accounts and account in self._wanted_until_ms
 
     def want(self, account: TenantId, now_ms: float) -> None:
         """Ask for a mark, or keep it for longer."""
@@ -75,7 +80,7 @@
             # From here on the account can't have anything ahead of time, whatever the store does.
             del self._wanted_until_ms[account]
         wanted = frozenset(self._wanted_until_ms)
-        if wanted == self._row.accounts:
+        if wanted == self._row.accounts and (self._row.is_written or not wanted):
             return None
         self._is_calling = True
         return MarkCall(self._slot, self._era, wanted, self._row.version)
--- a/citrondyke/gateway/accounts/mark_store.py
+++ b/citrondyke/gateway/accounts/mark_store.py
@@ -54,7 +54,7 @@
         if isinstance(answer, PartCommitted):
             marked = sorted(call.wanted or ())
             log.info('limit.marks', extra={'slot': key, 'accounts': marked[:10]})
-            return MarkRow(call.wanted or frozenset(), answer.version)
+            return MarkRow(call.wanted or frozenset(), answer.version, is_written=True)
         return self._row(key, answer)
 
     @staticmethod
--- a/tests/support/limit_world.py
+++ b/tests/support/limit_world.py
@@ -37,6 +37,8 @@
 TICK_MS = 200.0
 STORE_MS = 4.0
 STORE_TIMEOUT_MS = 300.0
+#: A call that goes by way of a peer may be carried out much later.
+STORE_LATE_MS = 3_000.0
 
 TOLERANCE = LimitTolerance(window_ms=WINDOW_MS, overshoot=0.1, slack=20.0)
 
@@ -275,12 +277,15 @@
                 self.at(STORE_TIMEOUT_MS, partial(self._marked, node, call, None))
                 continue
             delay_ms = STORE_MS * self.random.uniform(0.5, 4)
+            if self.random.random() < self.lost_part:
+                delay_ms += STORE_LATE_MS
             self.at(delay_ms / 2, partial(self._at_store, node, call, delay_ms / 2))
 
     def _at_store(self, node: Node, call: MarkCall, back_ms: float) -> None:
         row = self.rows.get(call.slot, MarkRow(frozenset(), 0))
         if call.wanted is not None and call.version == row.version:
-            row = self.rows[call.slot] = MarkRow(call.wanted, row.version + 1)
+            self.rows[call.slot] = MarkRow(call.wanted, row.version + 1)
+            row = MarkRow(call.wanted, row.version + 1, is_written=True)
         is_lost = self.random.random() < self.lost_part
         self.at(back_ms, partial(self._marked, node, call, None if is_lost else row))
 
--- a/tests/test_accounts/test_accounts_window.py
+++ b/tests/test_accounts/test_accounts_window.py
@@ -242,6 +242,17 @@
     assert asking.slot.count(LARGE.id).uses <= before + 2
 
 
+def test_lowered_limit_is_given_within_seconds_after_uses_ahead_of_time() -> None:
+    # A tenth of the limit must not be owed for what the account had at ten times of it.
+    made = world()
+    made.may_wait_ms = 120.0
+    made.load(LARGE.id, 9 * USUAL_PER_S, 20_000.0)
+    made.run(3_000.0)
+    made.change(msgspec.structs.replace(LARGE, rate_per_s=5.4, burst=5.4))
+    made.run(10_000.0)
+    assert used(made, made.now_ms - 5_000.0, made.now_ms) >= 0.9 * 5.4 * 5
+
+
 def test_nine_of_ten_that_were_told_a_time_are_served_then() -> None:
     # For three seconds an account asks for ten times its usual, at instances of which most refuse
     # without asking; who was refused comes back once, anywhere, with a third of its time.
