--- a/citrondyke/decisions/accounts/account_uses.py
+++ b/citrondyke/decisions/accounts/account_uses.py
@@ -8,6 +8,7 @@
 from citrondyke.decisions.accounts.tolerance import ADVANCE_MS, GRANT_MS
 from citrondyke.decisions.accounts.use_ring import UseRing
 from citrondyke.decisions.places.kept_places import KeptPlaces
+from citrondyke.decisions.places.turned_away_work import TurnedAwayWork
 
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.account import Account
@@ -43,6 +44,7 @@
         #: The highest depth in this lease; by it keepers know the floor of an account not named.
         self.highest_depth = 0.0
         self.places = KeptPlaces()
+        self.turned_away = TurnedAwayWork()
         self._next_ahead_ms = float('-inf')
         #: Until when some instance refuses without asking; it does not know of later places.
         self.paused_until_ms = float('-inf')
--- a/citrondyke/decisions/accounts/limit_messages.py
+++ b/citrondyke/decisions/accounts/limit_messages.py
@@ -54,6 +54,8 @@
     number: int
     account: TenantId
     need: UseNeed = UseNeed()
+    #: Work of the account that the sender has refused without asking.
+    refused: tuple[int, ...] = ()
 
 
 class UseAnswered(LimitMessage, frozen=True):
--- a/citrondyke/decisions/accounts/refusals.py
+++ b/citrondyke/decisions/accounts/refusals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -20,6 +21,8 @@
 ASKS_PER_USE = 2.0
 #: Instances that were refused within this time are expected to ask again.
 ASKERS_MS = 1_000.0
+#: Work told with the next question; a pause is short.
+ALONE_LIMIT = 50
 
 
 class _Pause(msgspec.Struct, frozen=True):
@@ -40,6 +43,8 @@
         self._context = context
         self._askers: dict[TenantId, dict[InstanceId, float]] = {}
         self._pauses: dict[TenantId, _Pause] = {}
+        #: Work refused without asking since the steward was last asked.
+        self._alone: dict[TenantId, deque[int]] = {}
 
     def pause_ms(self, account: Account, asker: InstanceId, uses_per_s: float) -> float:
         """Give, as a steward, for how long an instance that was refused need not ask.
@@ -72,5 +77,10 @@
             return None
         if work in pause.expected:
             return None
+        self._alone.setdefault(account, deque(maxlen=ALONE_LIMIT)).append(work)
         left_ms = max(pause.retry_until_ms, pause.until_ms) - now_ms
         return self._context.jittered_ms(left_ms, 0.25)
+
+    def take_alone(self, account: TenantId) -> tuple[int, ...]:
+        """Give what was refused without asking, to be told with the next question."""
+        return tuple(self._alone.pop(account, ()))
--- a/citrondyke/decisions/accounts/slot_steward.py
+++ b/citrondyke/decisions/accounts/slot_steward.py
@@ -114,13 +114,25 @@
         lease.note_own_copy(self._floors.copy(self._now_ms()))
 
     def answer(
-        self, asker: InstanceId, number: int, account: Account, need: UseNeed
+        self,
+        asker: InstanceId,
+        number: int,
+        account: Account,
+        need: UseNeed,
+        refused: tuple[int, ...] = (),
     ) -> UseAnswered:
-        """Decide about one use."""
+        """Decide about one use.
+
+        :param refused: work of the account that the asker has refused alone.
+        """
         now_ms = self._now_ms()
         uses = self._of(account)
         uses.places.lapse(now_ms)
+        uses.turned_away.note(refused, now_ms)
         place_ms = uses.places.find(need.work)
+        if place_ms is None and uses.turned_away.is_late_again(need.work, now_ms):
+            uses.note_refused(now_ms)
+            return self._refuse(asker, number, account, need, now_ms)
         free = self._free(account, uses, now_ms, is_place=place_ms is not None)
         start_ms = free.at_ms
         if place_ms is not None:
@@ -240,9 +252,19 @@
         is_reached = due_ms - now_ms <= need.left_ms * REACH_SHARE - REACH_SLACK_MS
         if need.work and is_reached and places.keep(need.work, due_ms):
             return self._refused(number, due_ms, now_ms, is_kept=True)
+        uses.turned_away.note((need.work,), now_ms)
+        uses.turned_away.note_over(now_ms)
+        return self._refuse(asker, number, account, need, due_ms)
+
+    def _refuse(
+        self, asker: InstanceId, number: int, account: Account, need: UseNeed, due_ms: float
+    ) -> UseAnswered:
+        """Refuse a request for which nothing is kept, and spare the asker the next questions."""
+        now_ms = self._now_ms()
+        uses = self._of(account)
         uses_per_s = account.rate_per_s * (AHEAD_PACE if self._marks.has(account.id) else 1.0)
         pause_ms = self._refusals.pause_ms(account, asker, uses_per_s)
-        expected = places.keys_due_by(now_ms + pause_ms + EARLY_MS)
+        expected = uses.places.keys_due_by(now_ms + pause_ms + EARLY_MS)
         if len(expected) > EXPECTED_LIMIT:
             pause_ms, expected = 0.0, []
         uses.paused_until_ms = max(uses.paused_until_ms, now_ms + pause_ms)
--- a/citrondyke/decisions/accounts/steward_limits.py
+++ b/citrondyke/decisions/accounts/steward_limits.py
@@ -105,8 +105,11 @@
                 continue
             if keeper != own_id:
                 self._numbers += 1
-                return Question(keeper, UseAsked(self._numbers, account.id, need), self._numbers)
-            verdict = self.note_answer(account, own_id, self._answer(own_id, 0, account, need))
+                refused = self._refusals.take_alone(account.id)
+                asked = UseAsked(self._numbers, account.id, need, refused)
+                return Question(keeper, asked, self._numbers)
+            answer = self._answer(own_id, account, UseAsked(0, account.id, need))
+            verdict = self.note_answer(account, own_id, answer)
             self._outbox += self._to_tell(slot_of(account.id))
             if verdict is not None:
                 return verdict
@@ -153,7 +156,7 @@
                 # Added a moment ago, and not heard of here yet.
                 answer = UseAnswered(message.number, UseOutcome.NOT_STEWARD)
             else:
-                answer = self._answer(sender, message.number, account, message.need)
+                answer = self._answer(sender, account, message)
             return [Addressed(sender, answer), *self._to_tell(slot_of(message.account))]
         if isinstance(message, LeaseAsked):
             return self._leases[message.slot % SLOTS_COUNT].take_asked(sender, message)
@@ -234,15 +237,14 @@
             ),
         )
 
-    def _answer(
-        self, asker: InstanceId, number: int, account: Account, need: UseNeed
-    ) -> UseAnswered:
+    def _answer(self, asker: InstanceId, account: Account, asked: UseAsked) -> UseAnswered:
+        number = asked.number
         slot = slot_of(account.id)
         steward = self._steward_of(slot)
         if not account.has_limit:
             return UseAnswered(number, UseOutcome.GRANTED, is_steward=steward is not None)
         if steward is not None:
-            return steward.answer(asker, number, account, need)
+            return steward.answer(asker, number, account, asked.need, asked.refused)
         keepers = self._slots.keepers(slot)
         is_taken = self._context.instance_id in keepers and self._stand_ins.take(
             account, self._context.clock.fence_ms()
--- /dev/null
+++ b/citrondyke/decisions/places/turned_away_work.py
@@ -0,0 +1,50 @@
+"""Work for which no place was kept, and that comes back all the same."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ('TurnedAwayWork',)
+
+#: Callers come back within a third of the time that they have.
+REMEMBERED_MS = 3_000.0
+REMEMBERED_LIMIT = 4_000
+#: Without a refusal of new work for so long there is room for what comes back.
+CALM_MS = 300.0
+
+
+class TurnedAwayWork:
+    """Tells who comes back without a place while there is not enough for who comes first.
+
+    Answers a flood of which each caller comes twice: whoever comes back is late by then, and takes
+    the use of one who could still be served within its target.
+    """
+
+    def __init__(self) -> None:
+        """Remember nothing yet."""
+        self._at_ms: dict[int, float] = {}
+        self._over_ms = float('-inf')
+
+    def note(self, works: Iterable[int], now_ms: float) -> None:
+        """Take in what was turned away without a place."""
+        for work in works:
+            self._at_ms.pop(work, None)
+            if work:
+                self._at_ms[work] = now_ms
+        while self._at_ms:
+            oldest = next(iter(self._at_ms))
+            is_full = len(self._at_ms) > REMEMBERED_LIMIT
+            if not is_full and self._at_ms[oldest] >= now_ms - REMEMBERED_MS:
+                break
+            del self._at_ms[oldest]
+
+    def note_over(self, now_ms: float) -> None:
+        """Take in that new work was turned away."""
+        self._over_ms = now_ms
+
+    def is_late_again(self, work: int, now_ms: float) -> bool:
+        """Tell whether work comes back while new work is turned away."""
+        return now_ms <= self._over_ms + CALM_MS and work in self._at_ms
--- a/citrondyke/gateway/peers/limit_codec.py
+++ b/citrondyke/gateway/peers/limit_codec.py
@@ -52,6 +52,8 @@
         asked.number, asked.account = message.number, message.account
         asked.work = message.need.work
         asked.leftMs, asked.mayWaitMs = message.need.left_ms, message.need.may_wait_ms
+        if message.refused:
+            asked.refused = _pack_works(message.refused)
     elif isinstance(message, UseAnswered):
         _build_answered(built.init('useAnswered'), message)
     elif isinstance(message, LeaseAsked):
@@ -82,13 +84,22 @@
     answered.isSteward = message.is_steward
     answered.startInMs, answered.isKept = message.start_in_ms, message.is_kept
     if message.expected:
-        answered.expected = b''.join(_WORK.pack(work) for work in message.expected)
+        answered.expected = _pack_works(message.expected)
+
+
+def _pack_works(works: tuple[int, ...]) -> bytes:
+    return b''.join(_WORK.pack(work) for work in works)
+
+
+def _unpack_works(data: Any) -> tuple[int, ...]:
+    return tuple(work for (work,) in _WORK.iter_unpack(bytes(data)))
 
 
 def _read_use_asked(read: Any) -> UseAsked:
     asked = read.useAsked
     need = UseNeed(asked.work, asked.leftMs, asked.mayWaitMs)
-    return UseAsked(asked.number, TenantId(asked.account), need)
+    refused = _unpack_works(asked.refused)
+    return UseAsked(asked.number, TenantId(asked.account), need, refused)
 
 
 def _read_use_answered(read: Any) -> UseAnswered:
@@ -101,7 +112,7 @@
         answered.isSteward,
         answered.startInMs,
         answered.isKept,
-        tuple(work for (work,) in _WORK.iter_unpack(bytes(answered.expected))),
+        _unpack_works(answered.expected),
     )
 
 
--- a/citrondyke/operator/request_course.py
+++ b/citrondyke/operator/request_course.py
@@ -89,9 +89,11 @@
     account = event.get('account')
     limit = f'{event.get("rate_per_s")} a second and {event.get("burst")} at once'
     if event.get('verdict') == 'over':
-        return (
-            f'Account {account} had had its {limit}, as {event.get("by") or "this instance"} said.'
-        )
+        by = event.get('by') or 'this instance'
+        said = f'Account {account} had had its {limit}, as {by} said.'
+        if event.get('is_kept'):
+            said += f' A place was kept for it {event.get("retry_in_ms")} ms later.'
+        return said
     return f'Nobody could say whether account {account} had had its {limit}.'
 
 
--- a/citrondyke/peer/gateway.capnp
+++ b/citrondyke/peer/gateway.capnp
@@ -58,6 +58,8 @@
   # Time until the caller's deadline, and how long the request may wait.
   leftMs @3 :Float32;
   mayWaitMs @4 :Float32;
+  # Work of the account, 4 bytes each, that the sender has refused without asking.
+  refused @5 :Data;
 }
 
 struct UseAnswered {
--- a/tests/test_gateway/test_peers/test_peers_limit_codec.py
+++ b/tests/test_gateway/test_peers/test_peers_limit_codec.py
@@ -35,6 +35,7 @@
     'message',
     [
         UseAsked(1, TenantId('large'), UseNeed(4_000_000_000, 5_000.0, 120.0)),
+        UseAsked(2, TenantId('large'), UseNeed(), (0, 7, 2**32 - 1)),
         UseAnswered(1, UseOutcome.GRANTED, is_steward=True, start_in_ms=80.0),
         UseAnswered(2, UseOutcome.REFUSED, 1_500.0, 64.0, is_steward=True, expected=(5, 2**32 - 1)),
         UseAnswered(3, UseOutcome.REFUSED, 1_500.0, is_steward=True, is_kept=True),
