--- a/citrondyke/decisions/accounts/account_uses.py
+++ b/citrondyke/decisions/accounts/account_uses.py
@@ -20,15 +20,16 @@
 
 #: Places due before a moment push it back by their number; a few looks settle it.
 LOOKS = 4
-#: Uses a second ahead of time, by the rate.
-AHEAD_PACE = 2.0
+#: Uses a second ahead of time, by the rate: a whole window's within the window, and no more at once
+#: than servers bear that are planned for the rates.
+AHEAD_PACE = 1.25
 
 
 class AccountUses:
     """Counts an account's window; the uses that nobody counted here are bounded by the level.
 
-    Ahead of time an account gets twice its rate, not all at once: a whole window's uses in a second
-    would fill the servers for everybody.
+    Ahead of time an account gets a little more than its rate, not all at once: a whole window's
+    uses in a second would fill the servers, and leave nothing until the window is over.
     """
 
     def __init__(self, tolerance: LimitTolerance, bucket: TokenBucket, since_ms: float) -> None:
--- a/citrondyke/gateway/callers/admitter.py
+++ b/citrondyke/gateway/callers/admitter.py
@@ -94,7 +94,9 @@
                     return end
             if not forwarding.is_counted:
                 asked_ms = self._context.now_ms()
-                verdict = self._limits.use(forwarding.account, self._need(forwarding))
+                verdict = self._limits.use(
+                    forwarding.account, self._need(forwarding, admitted.expected_wait_ms)
+                )
                 if verdict.kind is not VerdictKind.WITHIN:
                     return self._refuse_over_limit(caller, forwarding, verdict, asked_ms)
                 forwarding.is_counted = True
@@ -103,8 +105,11 @@
                     continue
             return Place(state, admitted.expected_wait_ms)
 
-    def _need(self, forwarding: Forwarding) -> UseNeed:
-        """Tell what a request needs of its account's limit; its place is found by its content."""
+    def _need(self, forwarding: Forwarding, expected_wait_ms: float) -> UseNeed:
+        """Tell what a request needs of its account's limit; its place is found by its content.
+
+        :param expected_wait_ms: at its server, from which the time that it may wait is taken off.
+        """
         if not forwarding.account.has_limit:
             return UseNeed()
         now_ms = self._context.now_ms()
@@ -112,7 +117,7 @@
         return UseNeed(
             int(forwarding.content.digest[:WORK_DIGITS], 16),
             max(0.0, forwarding.until_ms - now_ms),
-            max(0.0, WAIT_SHARE * forwarding.route.target_ms - waited_ms),
+            max(0.0, WAIT_SHARE * forwarding.route.target_ms - waited_ms - expected_wait_ms),
         )
 
     def _turn_away(
