--- a/citrondyke/decisions/accounts/tolerance.py
+++ b/citrondyke/decisions/accounts/tolerance.py
@@ -14,9 +14,10 @@
 STAND_IN_FIRST_PART = 0.1
 #: Part of the rate's overshoot in a window that each of them may let through.
 STAND_IN_RATE_PART = 0.2
-#: An account may have so much of its rate ahead of time, where the window has room. Who follows a
-#: steward without knowing what it let through holds the account back for so long.
-ADVANCE_MS = 2_000.0
+#: An account may have so much of its rate ahead of time, where the window has room: at a quarter
+#: above its rate it has had its window's uses by then. Who follows a steward without knowing what
+#: it let through holds the account back for so long, about the time that a lease takes.
+ADVANCE_MS = 1_000.0
 #: A grant is used within this time, or asked for anew: one that lay in a machine which stood still
 #: would fall into another window.
 GRANT_MS = 250.0
