Read how long work takes on a server, and learn its speed

The fourth figure of the load header was dropped, and with it the whole header when it was no number. It is read, bounded, aged towards its mean, and ignored with one line a life where it can be no measurement. The speed of a life is learned from its answers against the usual ones of the route; slowness is both, 1.0 where a server states nothing.

--- a/citrondyke/decisions/forwarding/server_state.py
+++ b/citrondyke/decisions/forwarding/server_state.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
+from citrondyke.decisions.servers.learned_speed import LearnedSpeed
+from citrondyke.decisions.servers.stated_pace import StatedPace
 from citrondyke.ids import InstanceId, ServerLife
 
 __all__ = ('PEER_COUNT_MS', 'ServerState', 'WorkCount')
 
-import msgspec
-
 #: Load that a server states of itself is believed for so long: it tells of the moment of its
 #: answer, and a request for tokens runs for some 700 ms.
 STATED_LOAD_MS = 250.0
+#: Times its places that a server may state to have; servers queue a few times their places.
+STATED_SLOTS = 16
 #: Counts of a peer lapse: it renews them every 500 ms while they are not zero, and one datagram
 #: in a hundred is lost.
 PEER_COUNT_MS = 1_600.0
@@ -72,6 +76,8 @@
         self.is_misplaced = False
         #: Mean time of its answers (of its first events, for streams); 0 before the first.
         self.mean_ms = 0.0
+        self.speed = LearnedSpeed()
+        self.pace = StatedPace()
         self._peers: dict[InstanceId, _PeerCount] = {}
         #: What all instances have on it, where they are not all heard of one by one.
         self._total = _PeerCount(0, 0, 0.0)
@@ -90,8 +96,8 @@
         self._total = _PeerCount(online, batch, now_ms + PEER_COUNT_MS)
 
     def note_stated_load(self, running: int, waiting: int, now_ms: float) -> None:
-        """Take in what the server says of itself."""
-        self._stated = running + waiting
+        """Take in what the server says of itself; counts that it cannot hold are bounded."""
+        self._stated = min(running + waiting, STATED_SLOTS * max(1, self.listed.slots_count))
         self._stated_until_ms = now_ms + STATED_LOAD_MS
 
     def note_time(self, took_ms: float) -> None:
@@ -99,6 +105,10 @@
         share = MEAN_SHARE if self.mean_ms else 1.0
         self.mean_ms += share * (took_ms - self.mean_ms)
 
+    def note_work(self, took_ms: float, usual_ms: float, now_ms: float) -> None:
+        """Compare an answer's time with the usual one of its route on this service."""
+        self.speed.note(took_ms / self.pace.factor(now_ms), usual_ms)
+
     def note_success(self) -> None:
         """Forget failures in a row; their share only shrinks."""
         self._failing *= 1.0 - FAILING_SHARE
@@ -146,8 +156,13 @@
         return max(counted, self._stated) if now_ms < self._stated_until_ms else counted
 
     def slowness(self, now_ms: float) -> float:
-        """Give how many times as long as usual in its service work takes on it."""
-        return 1.0
+        """Give how many times as long as usual in its service work takes on it.
+
+        It is 1.0 for a server that does not state how long work takes there now.
+        """
+        if not self.pace.is_known:
+            return 1.0
+        return self.speed.factor * self.pace.factor(now_ms)
 
     @property
     def held_limit(self) -> int:
--- /dev/null
+++ b/citrondyke/decisions/servers/learned_speed.py
@@ -0,0 +1,30 @@
+"""How quick a server is for its whole life, as its answers show."""
+
+from __future__ import annotations
+
+__all__ = ('LearnedSpeed',)
+
+#: Share of one answer in the mean: times of answers spread by a half, and some ten of them tell
+#: a quick server from a slow one.
+MEAN_SHARE = 0.1
+#: One answer counts within these bounds: one request in a hundred takes five times as long.
+SLOWEST_FACTOR = 3.0
+QUICKEST_FACTOR = 0.3
+
+
+class LearnedSpeed:
+    """Mean of an answer's time over the usual one; 1.0 is the service's middle."""
+
+    def __init__(self) -> None:
+        """Start at the middle of the service."""
+        self.factor = 1.0
+
+    def note(self, took_ms: float, usual_ms: float) -> None:
+        """Take in an answer.
+
+        :param usual_ms: time of an answer to such a request at a server of the middle now.
+        """
+        if usual_ms <= 0.0:
+            return
+        ratio = min(SLOWEST_FACTOR, max(QUICKEST_FACTOR, took_ms / usual_ms))
+        self.factor += MEAN_SHARE * (ratio - self.factor)
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -11,6 +11,7 @@
 from citrondyke.decisions.forwarding.route import RouteKind
 from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.decisions.memory.byte_budget import HeldKind
+from citrondyke.decisions.servers.usual_times import UsualTimes
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.event_relay import EventRelay
@@ -67,6 +68,7 @@
         self._answers = answers
         self._log = log
         self._patience = Patience()
+        self._usual = UsualTimes()
         self._relay = EventRelay(context, dialect)
 
     def handle(
@@ -304,6 +306,8 @@
         took_ms = now_ms - started_ms
         state.note_time(took_ms)
         self._patience.note(forwarding.route, took_ms)
+        usual_ms = self._usual.note(forwarding.route.name, state.listed.service, took_ms)
+        state.note_work(took_ms, usual_ms, now_ms)
 
     def _left_ms(self, forwarding: Forwarding) -> float:
         return forwarding.until_ms - self._context.now_ms()
--- a/citrondyke/gateway/dialect.py
+++ b/citrondyke/gateway/dialect.py
@@ -47,6 +47,9 @@
     is_misplaced: bool
     #: Running and waiting requests, where the server tells.
     load: tuple[int, int] | None = None
+    #: How many times as long as usual work takes on its machine now; ``None`` where it does not
+    #: say, NaN where what it says is no number.
+    pace: float | None = None
 
 
 class JobCallKind(Enum):
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -5,6 +5,7 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+import logbook
 import msgspec
 
 from citrondyke.decisions.forwarding.patience import CONNECT_MS
@@ -24,6 +25,8 @@
 
 __all__ = ('OpenReply', 'ServerSends')
 
+log = logbook.Logger(__name__)
+
 IDLE_PER_SERVER = 12
 
 
@@ -50,6 +53,8 @@
         self._on_change = on_change
         self._idle: ConnectionPool[ServerLife] = ConnectionPool(clock, IDLE_PER_SERVER)
         self._in_use: dict[ServerLife, set[ServerConnection]] = {}
+        #: Lives that stated what cannot be a load, each logged once.
+        self._odd: set[ServerLife] = set()
 
     @contextmanager
     def place(self, state: ServerState) -> Iterator[None]:
@@ -108,6 +113,7 @@
     def forget(self, state: ServerState) -> None:
         """Close the idle connections to a server that is listed no more; it may still answer."""
         self._idle.drop(state.life)
+        self._odd.discard(state.life)
 
     def end_life(self, state: ServerState) -> None:
         """Break off what is on its way to a life that is over.
@@ -136,8 +142,7 @@
         head = connection.read_head(until_ms)
         facts = self._dialect.reply_facts(head)
         now_ms = self._clock.now_ms()
-        if facts.load is not None:
-            state.note_stated_load(*facts.load, now_ms)
+        self._note_load(state, facts, now_ms)
         if facts.is_misplaced:
             state.is_misplaced = True
         if facts.was_not_run:
@@ -147,3 +152,14 @@
         if not facts.is_signed:
             raise BrokenReplyError(BreakKind.MALFORMED, 'an answer without a signature')
         return OpenReply(connection, head, facts)
+
+    def _note_load(self, state: ServerState, facts: ReplyFacts, now_ms: float) -> None:
+        if facts.load is not None:
+            state.note_stated_load(*facts.load, now_ms)
+        if facts.pace is None or state.pace.note(facts.pace, now_ms):
+            return
+        if state.life not in self._odd:
+            self._odd.add(state.life)
+            log.info(
+                'server.odd_load', extra={'server_id': state.listed.id, 'pace': str(facts.pace)}
+            )
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import math
 import re
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, unquote
@@ -139,6 +140,7 @@
             was_not_run=head.header(NOT_RUN) is not None or head.status == MISDIRECTED,
             is_misplaced=head.status == MISDIRECTED,
             load=_load(head.header(LOAD)),
+            pace=_pace(head.header(LOAD)),
         )
 
     def answer_headers(self, head: ReplyHead) -> Headers:
@@ -253,8 +255,25 @@
     return int(value) if value is not None and value.isdigit() else None
 
 
+#: Digits of a count that are read; more are no count of requests, and costly to read.
+COUNT_DIGITS = 9
+
+
 def _load(value: bytes | None) -> tuple[int, int] | None:
+    """Read the running and the waiting requests; whatever stands behind them may be odd."""
+    counts = [_whole(part.strip()[:COUNT_DIGITS]) for part in (value or b'').split(b',')[:2]]
+    if len(counts) < 2 or counts[0] is None or counts[1] is None:  # noqa: PLR2004
+        return None
+    return counts[0], counts[1]
+
+
+#: The figure of how long work takes stands here, in percent of the usual.
+PACE_INDEX = 3
+
+
+def _pace(value: bytes | None) -> float | None:
     parts = (value or b'').split(b',')
-    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts):  # noqa: PLR2004
+    if len(parts) <= PACE_INDEX:
         return None
-    return int(parts[0]), int(parts[1])
+    percent = _number(parts[PACE_INDEX].strip())
+    return math.nan if percent is None else percent / 100.0
--- /dev/null
+++ b/tests/test_servers/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of what the fleet knows of backend servers."""
+
+from __future__ import annotations
