--- a/tests/test_gateway/test_servers/test_servers_evidence.py
+++ b/tests/test_gateway/test_servers/test_servers_evidence.py
@@ -17,6 +17,8 @@
 def test_failure_at_one_instance_keeps_others_from_the_server(fleet: GatewayFleet) -> None:
     # A server answers 500 at once. The other instance, which has sent it nothing, must not lose a
     # request to it that may run once only.
+    neighbours = fleet.instances[0].book.neighbours
+    wait_until_seen(neighbours.everybody, 'the other to be known')
     fleet.servers['app-1'].acts.extend([Act.FAIL] * 50)
     wait_until_seen(
         lambda: fleet.call('/order/a', b'x', at=0).status == 500 or None, 'a failed order'
