Servers that state their pace are chosen by expected finish, among few

By count, servers of 0.6 to 1.6 times the usual time get alike, and the mean time of answers tells of the past. Where servers state how long work takes there now, a request's expected finish decides: slowness (learned speed times the stated pace, aged) and what is on the server; four servers are drawn by weight, all are looked at where the best of them would make the request wait. Others are chosen by counts as before.

A server that was silent and has answered since is not doubted again by the same silence.

--- a/citrondyke/decisions/forwarding/server_book.py
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -9,6 +9,8 @@
 
 from citrondyke.decisions.forwarding.neighbours import Neighbours
 from citrondyke.decisions.forwarding.server_state import ServerState
+from citrondyke.decisions.servers.expected_finish import REQUEST_COST, expected_finish
+from citrondyke.decisions.servers.few_candidates import few_candidates
 from citrondyke.decisions.servers.soundness import Soundness
 from citrondyke.ids import ServerId, ServerLife
 from citrondyke.util.hashing import content_bucket, rendezvous_weight
@@ -188,10 +190,17 @@
             if tried is not None:
                 return tried
         mean_ms = _mean_time(usable)
-        best = self._cheapest(self._looked_at(usable), mean_ms, prefix, now_ms)
-        if self.neighbours.is_zoned and _would_wait(best, now_ms):
+        looked_at = self._looked_at(usable)
+        preferred = self._preferred(looked_at, prefix)
+        few = looked_at
+        if all(state.pace.is_known for state in looked_at):
+            few = few_candidates(looked_at, self._context.random, now_ms)
+            if preferred is not None and preferred not in few:
+                few = [*few, preferred]
+        best = self._cheapest(few, mean_ms, preferred, now_ms)
+        if len(few) < len(usable) and _would_wait(best, now_ms):
             # A request must not wait or be turned away while a server elsewhere has a place.
-            best = self._cheapest(usable, mean_ms, prefix, now_ms)
+            best = self._cheapest(usable, mean_ms, self._preferred(usable, prefix), now_ms)
         return best
 
     def choose_apart(
@@ -215,13 +224,17 @@
         return max(roomy or usable, key=lambda state: rendezvous_weight(state.listed.id, name))
 
     def _cheapest(
-        self, states: list[ServerState], mean_ms: float, prefix: str, now_ms: float
+        self,
+        states: list[ServerState],
+        mean_ms: float,
+        preferred: ServerState | None,
+        now_ms: float,
     ) -> ServerState:
-        preferred = self._preferred(states, prefix)
         return min(
             states,
             key=lambda state: (
-                self._cost(state, mean_ms, now_ms) - PREFIX_GAIN * (state is preferred),
+                self._cost(state, mean_ms, now_ms)
+                - PREFIX_GAIN * _request_cost(state) * (state is preferred),
                 self._context.random.random(),
             ),
         )
@@ -241,21 +254,28 @@
         return near + self._context.random.sample(far, far_count)
 
     def _cost(self, state: ServerState, mean_ms: float, now_ms: float) -> float:
-        slots = state.listed.slots_count
-        total = state.total_count(now_ms)
-        # Batch items make room where all places are taken, so that only online requests count
-        # there; before that a free place is better than one that must be made.
-        cost = float(total) if total < slots else slots + state.online_count(now_ms)
-        if mean_ms and state.mean_ms:
-            factor = min(SLOWEST_FACTOR, max(FASTEST_FACTOR, state.mean_ms / mean_ms))
-            cost = (cost + 1.0) * factor
+        if state.pace.is_known:
+            cost = expected_finish(state, now_ms)
         else:
-            cost += 1.0
+            cost = self._counted_cost(state, mean_ms, now_ms)
         # Quick errors leave a server empty: each counts as a request that is on it.
         cost += FAILING_COST * state.failing(now_ms) + state.record.failures
         if state.listed.zone == self._context.zone:
             return cost
-        return cost + (FAR_ZONE_COST if self.neighbours.is_zoned else OTHER_ZONE_COST)
+        zone_cost = FAR_ZONE_COST if self.neighbours.is_zoned else OTHER_ZONE_COST
+        return cost + zone_cost * _request_cost(state)
+
+    @staticmethod
+    def _counted_cost(state: ServerState, mean_ms: float, now_ms: float) -> float:
+        slots = state.listed.slots_count
+        total = state.total_count(now_ms)
+        # Batch items make room where all places are taken, so that only online requests count
+        # there; before that a free place is better than one that must be made.
+        cost = float(total) if total < slots else slots + state.online_count(now_ms)
+        if not mean_ms or not state.mean_ms:
+            return cost + 1.0
+        factor = min(SLOWEST_FACTOR, max(FASTEST_FACTOR, state.mean_ms / mean_ms))
+        return (cost + 1.0) * factor
 
     @staticmethod
     def _preferred(usable: list[ServerState], prefix: str) -> ServerState | None:
@@ -274,6 +294,11 @@
     return busy_count >= state.listed.slots_count
 
 
+def _request_cost(state: ServerState) -> float:
+    """Give what one request on a server adds to its cost."""
+    return REQUEST_COST if state.pace.is_known else 1.0
+
+
 def _mean_time(states: list[ServerState]) -> float:
     times = sorted(state.mean_ms for state in states if state.mean_ms)
     return times[len(times) // 2] if times else 0.0
--- a/citrondyke/decisions/servers/server_judge.py
+++ b/citrondyke/decisions/servers/server_judge.py
@@ -159,12 +159,11 @@
             return ServerStanding.DOUBTED if is_back else ServerStanding.OUT
         if view.failures >= FAILURES_LIMIT and view.share >= SHARE_LIMIT:
             return ServerStanding.OUT
-        if record.standing is ServerStanding.SOUND:
-            return ServerStanding.DOUBTED if view.witnesses else ServerStanding.SOUND
         # A server that was silent may have been full; what it failed it may fail again.
-        is_settled = silent_ms > WINDOW_MS or not view.failed
-        is_settled = is_settled and recovered > 0
-        return ServerStanding.SOUND if is_settled else ServerStanding.DOUBTED
+        if recovered > 0 and (silent_ms > WINDOW_MS or not view.failed):
+            return ServerStanding.SOUND
+        is_doubted = bool(view.witnesses) or record.standing is ServerStanding.DOUBTED
+        return ServerStanding.DOUBTED if is_doubted else ServerStanding.SOUND
 
     def _believed(self, state: ServerState, view: _View, now_ms: float) -> Collection[InstanceId]:
         """Give the peers whose successes bring a server back here."""
--- /dev/null
+++ b/tests/test_servers/test_servers_uneven.py
@@ -0,0 +1,206 @@
+"""Servers of different speed on machines that slow down, chosen by instances with old counts."""
+
+from __future__ import annotations
+
+from collections import Counter
+from heapq import heappop, heappush
+from random import Random
+from statistics import fmean
+
+import msgspec
+import pytest
+
+from citrondyke.decisions.forwarding import server_book
+from citrondyke.decisions.forwarding.server_book import ServerBook
+from citrondyke.decisions.forwarding.server_state import ServerState
+from citrondyke.decisions.servers.few_candidates import CANDIDATES, few_candidates
+from citrondyke.ids import InstanceId, ServerId, ServiceName
+from tests.support.manual_clock import ManualClock, manual_context
+from tests.support.peers import listed_server
+
+SERVICE = ServiceName('s')
+INSTANCES = 10
+SERVERS = 12
+SLOTS = 8
+#: Time until the first event at a server of the middle with nothing else on it, and of the whole.
+FIRST_MS, STAY_MS = 40.0, 160.0
+#: Age of a peer's counts.
+TELL_MS = 25.0
+SEEDS = range(3)
+
+
+class Result(msgspec.Struct):
+    """What the requests of some seconds got."""
+
+    first_ms: list[float] = []
+    by_server: Counter[int] = msgspec.field(default_factory=Counter)
+
+    @property
+    def mean_ms(self) -> float:
+        return fmean(self.first_ms)
+
+    @property
+    def slowest_ms(self) -> float:
+        """The time of the 99th of 100 requests."""
+        return sorted(self.first_ms)[int(0.99 * len(self.first_ms))]
+
+    @property
+    def unevenness(self) -> float:
+        return max(self.by_server.values()) / (sum(self.by_server.values()) / SERVERS)
+
+
+class Floor:
+    """Instances that tell each other their counts late, and servers with what is on them."""
+
+    def __init__(self, seed: int, speeds: list[float], *, states_pace: bool) -> None:
+        self.clock = ManualClock()
+        self.random = Random(seed)
+        self.speeds = speeds
+        self.states_pace = states_pace
+        self.running = [0] * SERVERS
+        self.books = []
+        self._events: list[tuple[float, int, tuple[int, int, int]]] = []
+        self._number = 0
+        for n in range(INSTANCES):
+            book = ServerBook(manual_context(self.clock, f'i-{n}', seed=100 * seed + n))
+            book.replace(listed_server(f's-{m}', SERVICE, SLOTS) for m in range(SERVERS))
+            self.books.append(book)
+
+    def pace(self, server: int) -> float:
+        """A seventh of the time, 600 ms long each, work takes 2.5 times as long."""
+        return 2.5 if Random(server * 7_919 + int(self.clock.ms / 600)).random() < 0.15 else 1.0
+
+    def run(self, for_ms: float, per_s: float) -> Result:
+        result = Result()
+        until_ms = self.clock.ms + for_ms
+        while True:
+            next_ms = self.clock.ms + self.random.expovariate(per_s / 1e3)
+            while self._events and self._events[0][0] <= next_ms:
+                at_ms, _, event = heappop(self._events)
+                self.clock.ms = max(self.clock.ms, at_ms)
+                self._happen(*event)
+            if next_ms > until_ms:
+                return result
+            self.clock.ms = next_ms
+            self._request(result)
+
+    def _request(self, result: Result) -> None:
+        at = self.random.randrange(INSTANCES)
+        state = self.books[at].choose(SERVICE, (), '')
+        assert state is not None
+        server = int(state.listed.id[2:])
+        slowness = self.speeds[server] * self.pace(server) * (1 + 0.08 * self.running[server])
+        ahead = max(0, self.running[server] - SLOTS + 1)
+        wait_ms = ahead * STAY_MS * slowness / SLOTS
+        spread = self.random.uniform(0.7, 1.3)
+        first_ms = wait_ms + FIRST_MS * slowness * spread
+        self.running[server] += 1
+        if self.states_pace:
+            state.pace.note(self.pace(server), self.clock.ms)
+        state.note_work(first_ms, FIRST_MS * 1.2, self.clock.ms)
+        state.note_time(first_ms)
+        result.first_ms.append(first_ms)
+        result.by_server[server] += 1
+        self._count(at, state, 1)
+        self._later(wait_ms + STAY_MS * slowness * spread, (at, server, -1))
+
+    def _count(self, at: int, state: ServerState, change: int) -> None:
+        state.own.online += change
+        self._later(TELL_MS, (at, int(state.listed.id[2:]), state.own.online))
+
+    def _later(self, in_ms: float, event: tuple[int, int, int]) -> None:
+        self._number += 1
+        heappush(self._events, (self.clock.ms + in_ms, self._number, event))
+
+    def _happen(self, at: int, server: int, told: int) -> None:
+        name = ServerId(f's-{server}')
+        if told < 0:
+            self.running[server] -= 1
+            state = self.books[at].state(name)
+            assert state is not None
+            self._count(at, state, -1)
+            return
+        for number, book in enumerate(self.books):
+            state = book.state(name)
+            if number != at and state is not None:
+                state.note_peer(InstanceId(f'i-{at}'), told, 0, self.clock.ms)
+
+
+UNEVEN = [0.6, 1.0, 1.6] * (SERVERS // 3)
+
+
+def played(
+    monkeypatch: pytest.MonkeyPatch,
+    seed: int,
+    way: str,
+    speeds: list[float] = UNEVEN,
+    per_s: float = 240.0,
+) -> Result:
+    """Play one way of choosing: by counts, the best of all, or among few."""
+    if way == 'best':
+        monkeypatch.setattr(
+            server_book,
+            'few_candidates',
+            lambda states, random, now_ms: few_candidates(states, random, now_ms, SERVERS),
+        )
+    floor = Floor(seed, speeds, states_pace=way != 'counts')
+    floor.run(6_000.0, per_s)
+    result = floor.run(8_000.0, per_s)
+    monkeypatch.undo()
+    return result
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_expected_finish_is_sooner_than_by_counts(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    # Speeds 0.6 to 1.6, machines that are slow for a seventh of the time, counts 25 ms old.
+    counts = played(monkeypatch, seed, 'counts')
+    few = played(monkeypatch, seed, 'few')
+    assert few.mean_ms < counts.mean_ms
+    assert few.slowest_ms < counts.slowest_ms
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_few_candidates_keep_instances_with_old_counts_from_one_server(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    # Counts that are 100 ms old, in which 24 requests are placed: the best server of all gets
+    # them all, and they wait for each other.
+    monkeypatch.setattr(f'{__name__}.TELL_MS', 100.0)
+    best = played(monkeypatch, seed, 'best')
+    monkeypatch.setattr(f'{__name__}.TELL_MS', 100.0)
+    few = played(monkeypatch, seed, 'few')
+    assert few.slowest_ms < 0.8 * best.slowest_ms
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_equal_servers_get_equal_shares(monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
+    few = played(monkeypatch, seed, 'few', [1.0] * SERVERS)
+    assert few.unevenness < 1.3
+
+
+def test_few_candidates_are_drawn_by_speed() -> None:
+    book = ServerBook(manual_context())
+    book.replace(listed_server(f's-{n}', SERVICE) for n in range(9))
+    for state in book.states():
+        state.pace.note(4.0 if state.listed.id == 's-0' else 1.0, 0.0)
+    random = Random(1)
+    drawn: Counter[ServerId] = Counter()
+    for _ in range(2_000):
+        few = few_candidates(list(book.states()), random, 0.0)
+        assert len(few) == CANDIDATES
+        drawn.update(state.listed.id for state in few)
+    assert drawn[ServerId('s-0')] < 0.6 * drawn[ServerId('s-1')]
+
+
+def test_place_elsewhere_is_found_though_it_was_not_drawn() -> None:
+    book = ServerBook(manual_context())
+    book.replace(listed_server(f's-{n}', SERVICE) for n in range(30))
+    for state in book.states():
+        state.pace.note(1.0, 0.0)
+        state.own.online = 0 if state.listed.id == 's-7' else SLOTS
+    for _ in range(20):
+        chosen = book.choose(SERVICE, (), '')
+        assert chosen is not None
+        assert chosen.listed.id == 's-7'
