--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -85,6 +85,8 @@
                 'online_count': state.online_count(now_ms),
                 'batch_count': state.batch_count(now_ms),
                 'expected_wait_ms': round(expected_wait_ms, 1),
+                'server_standing': state.record.standing.value,
+                'slowness': round(state.slowness(now_ms), 2),
                 'sends_before': forwarding.course.sends_count,
                 'last_event_id': forwarding.last_event_id,
             },
--- a/citrondyke/operator/request_course.py
+++ b/citrondyke/operator/request_course.py
@@ -17,6 +17,14 @@
     'unknown': 'the connection broke off or stayed silent after the request was sent',
 }
 
+#: Lines about how an instance holds a server, and the words for it.
+STANDINGS: dict[str, str | None] = {
+    'server.doubted': 'in doubt',
+    'server.out': 'out',
+    'server.back': 'in doubt',
+    'server.sound': None,
+}
+
 
 def request_cause(course: list[LogEvent], events: list[LogEvent]) -> tuple[str, list[str]]:
     """Tell why a request ended as it did.
@@ -64,7 +72,8 @@
         missing.append('request.turned_away')
     if end.get('end') in ('broken', 'timed_out', 'cut_midway', 'not_run') and not sends:
         missing.append('send.failed')
-    return ' '.join([cause, *(_send(send) for send in sends)]), missing
+    told = [f'{_send(send)}{_server_then(send, events)}' for send in sends]
+    return ' '.join([cause, *told]), missing
 
 
 def content_cause(course: list[LogEvent]) -> str:
@@ -146,6 +155,25 @@
     return f'At {event.get("server_id")}: {outcome}{detail} after {event.get("took_ms")} ms.'
 
 
+def _server_then(send: LogEvent, events: list[LogEvent]) -> str:
+    """Tell how the instance held a server that failed a send; nothing where it was sound."""
+    known = [
+        event
+        for event in events
+        if event.event in STANDINGS
+        and event.instance == send.instance
+        and event.get('server_id') == send.get('server_id')
+        and event.time_s <= send.time_s
+    ]
+    if not known or STANDINGS[known[-1].event] is None:
+        return ''
+    last = known[-1]
+    return (
+        f' It had been {STANDINGS[last.event]} there for {send.time_s - last.time_s:.1f} s, '
+        f'by {last.get("failures")} failures that {last.get("witnesses_count")} instances saw.'
+    )
+
+
 def _no_end(course: list[LogEvent], events: list[LogEvent]) -> tuple[str, list[str]]:
     instance = course[-1].instance
     begun = next(
--- a/tests/test_operator/test_operator_explain.py
+++ b/tests/test_operator/test_operator_explain.py
@@ -210,3 +210,16 @@
     assert cause in found.cause
     assert 'acme' in found.cause
     assert not found.missing
+
+
+def test_send_to_a_server_in_doubt_tells_by_whose_evidence(tmp_path: Path) -> None:
+    file = write(
+        tmp_path / 'edge-1.log',
+        event(
+            'server.doubted', 1.0, server_id='i-1', failures=2, witnesses=['a'], witnesses_count=2
+        ),
+        event('send.failed', 1.5, request_id='r', server_id='i-1', outcome='failed', detail='500'),
+        event('request.end', 1.6, request_id='r', end='server_failure', took_ms=9.0),
+    )
+    cause = explain('r', read_log_events([file])).cause
+    assert 'in doubt there for 0.5 s, by 2 failures that 2 instances saw' in cause
