--- a/citrondyke/decisions/forwarding/server_book.py
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -9,6 +9,9 @@
 
 from citrondyke.decisions.forwarding.neighbours import Neighbours
 from citrondyke.decisions.forwarding.server_state import ServerState
+from citrondyke.decisions.servers.expected_finish import REQUEST_COST, expected_finish
+from citrondyke.decisions.servers.few_candidates import few_candidates
+from citrondyke.decisions.servers.soundness import Soundness
 from citrondyke.ids import ServerId, ServerLife
 from citrondyke.util.hashing import content_bucket, rendezvous_weight
 
@@ -75,6 +78,7 @@
         self._look: Callable[[], None] = _nothing_new
         #: Instances that send to the same servers.
         self.neighbours = Neighbours(context)
+        self.soundness = Soundness(context, self.neighbours)
 
     def when_choosing(self, look: Callable[[], None]) -> None:
         """Have the counts of peers brought up to date before each choice."""
@@ -97,7 +101,8 @@
                 state = None
             if state is None:
                 change.came.append(server_id)
-                self._states[server_id] = ServerState(entry, self._life(entry))
+                since_ms = self._context.now_ms()
+                self._states[server_id] = ServerState(entry, self._life(entry), since_ms)
             else:
                 state.listed = entry
         for state in (*change.went, *change.ended):
@@ -141,32 +146,61 @@
         wrong suspicion of all of them must not turn every caller away.
         """
         now_ms = self._context.now_ms()
-        open_ones = [
+        open_ones = self._open_ones(service, avoid)
+        self.soundness.judge(self._by_service.get(service, ()))
+        sound = [state for state in open_ones if not state.is_out(now_ms)]
+        return sound or open_ones
+
+    def _open_ones(self, service: ServiceName, avoid: Collection[ServerLife]) -> list[ServerState]:
+        return [
             state
             for state in self._by_service.get(service, ())
             if not state.listed.is_leaving and not state.is_misplaced and state.life not in avoid
         ]
-        sound = [state for state in open_ones if state.ejected_until_ms <= now_ms]
-        return sound or open_ones
+
+    def judge(self, service: ServiceName) -> None:
+        """Judge the servers of a service by what has become known of them."""
+        self.soundness.judge(self._by_service.get(service, ()))
 
     def choose(
-        self, service: ServiceName, avoid: Collection[ServerLife], prefix: str
+        self,
+        service: ServiceName,
+        avoid: Collection[ServerLife],
+        prefix: str,
+        *,
+        is_once: bool = False,
     ) -> ServerState | None:
         """Choose the server of an online request; ``None`` when no server takes work.
 
         :param avoid: lives of servers that had the request already.
         :param prefix: names the shared part of its prompt; empty where there is none.
+        :param is_once: whether it may run once only.
         """
         self._look()
         usable = self.usable(service, avoid)
         if not usable:
             return None
         now_ms = self._context.now_ms()
+        if is_once:
+            usable = self.soundness.for_once(
+                usable, lambda state: _would_wait(state, now_ms), now_ms
+            )
+        elif not avoid:
+            tried = self.soundness.to_try(self._open_ones(service, avoid))
+            if tried is not None:
+                return tried
         mean_ms = _mean_time(usable)
-        best = self._cheapest(self._looked_at(usable), mean_ms, prefix, now_ms)
-        if self.neighbours.is_zoned and _would_wait(best, now_ms):
+        looked_at = self._looked_at(usable)
+        preferred = self._preferred(looked_at, prefix)
+        few = looked_at
+        if all(state.pace.is_known for state in looked_at):
+            few = few_candidates(looked_at, self._context.random, now_ms)
+            if preferred is not None and preferred not in few:
+                few = [*few, preferred]
+        best = self._cheapest(few, mean_ms, preferred, now_ms)
+        if len(few) < len(usable) and _would_wait(best, now_ms):
             # A request must not wait or be turned away while a server elsewhere has a place.
-            best = self._cheapest(usable, mean_ms, prefix, now_ms)
+            best = self._cheapest(usable, mean_ms, self._preferred(usable, prefix), now_ms)
         return best
 
     def choose_apart(
@@ -190,13 +224,17 @@
         return max(roomy or usable, key=lambda state: rendezvous_weight(state.listed.id, name))
 
     def _cheapest(
-        self, states: list[ServerState], mean_ms: float, prefix: str, now_ms: float
+        self,
+        states: list[ServerState],
+        mean_ms: float,
+        preferred: ServerState | None,
+        now_ms: float,
     ) -> ServerState:
-        preferred = self._preferred(states, prefix)
         return min(
             states,
             key=lambda state: (
-                self._cost(state, mean_ms, now_ms) - PREFIX_GAIN * (state is preferred),
+                self._cost(state, mean_ms, now_ms)
+                - PREFIX_GAIN * _request_cost(state) * (state is preferred),
                 self._context.random.random(),
             ),
         )
@@ -216,20 +254,28 @@
         return near + self._context.random.sample(far, far_count)
 
     def _cost(self, state: ServerState, mean_ms: float, now_ms: float) -> float:
+        if state.pace.is_known:
+            cost = expected_finish(state, now_ms)
+        else:
+            cost = self._counted_cost(state, mean_ms, now_ms)
+        # Quick errors leave a server empty: each counts as a request that is on it.
+        cost += FAILING_COST * state.failing(now_ms) + state.record.failures
+        if state.listed.zone == self._context.zone:
+            return cost
+        zone_cost = FAR_ZONE_COST if self.neighbours.is_zoned else OTHER_ZONE_COST
+        return cost + zone_cost * _request_cost(state)
+
+    @staticmethod
+    def _counted_cost(state: ServerState, mean_ms: float, now_ms: float) -> float:
         slots = state.listed.slots_count
         total = state.total_count(now_ms)
         # Batch items make room where all places are taken, so that only online requests count
         # there; before that a free place is better than one that must be made.
         cost = float(total) if total < slots else slots + state.online_count(now_ms)
-        if mean_ms and state.mean_ms:
-            factor = min(SLOWEST_FACTOR, max(FASTEST_FACTOR, state.mean_ms / mean_ms))
-            cost = (cost + 1.0) * factor
-        else:
-            cost += 1.0
-        cost += FAILING_COST * state.failing(now_ms)
-        if state.listed.zone == self._context.zone:
-            return cost
-        return cost + (FAR_ZONE_COST if self.neighbours.is_zoned else OTHER_ZONE_COST)
+        if not mean_ms or not state.mean_ms:
+            return cost + 1.0
+        factor = min(SLOWEST_FACTOR, max(FASTEST_FACTOR, state.mean_ms / mean_ms))
+        return (cost + 1.0) * factor
 
     @staticmethod
     def _preferred(usable: list[ServerState], prefix: str) -> ServerState | None:
@@ -248,6 +294,11 @@
     return busy_count >= state.listed.slots_count
 
 
+def _request_cost(state: ServerState) -> float:
+    """Give what one request on a server adds to its cost."""
+    return REQUEST_COST if state.pace.is_known else 1.0
+
+
 def _mean_time(states: list[ServerState]) -> float:
     times = sorted(state.mean_ms for state in states if state.mean_ms)
     return times[len(times) // 2] if times else 0.0
--- a/citrondyke/decisions/forwarding/server_state.py
+++ b/citrondyke/decisions/forwarding/server_state.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from citrondyke.decisions.forwarding.listed_backend import ListedBackend
+from citrondyke.decisions.servers.learned_speed import LearnedSpeed
+from citrondyke.decisions.servers.outcomes import NEVER_MS, Outcome
+from citrondyke.decisions.servers.server_record import ServerRecord
+from citrondyke.decisions.servers.standing import ServerStanding
+from citrondyke.decisions.servers.stated_pace import StatedPace
 from citrondyke.ids import InstanceId, ServerLife
 
 __all__ = ('PEER_COUNT_MS', 'ServerState', 'WorkCount')
 
-import msgspec
-
 #: Load that a server states of itself is believed for so long: it tells of the moment of its
 #: answer, and a request for tokens runs for some 700 ms.
 STATED_LOAD_MS = 250.0
+#: Times its places that a server may state to have; servers queue a few times their places.
+STATED_SLOTS = 16
 #: Counts of a peer lapse: it renews them every 500 ms while they are not zero, and one datagram
 #: in a hundred is lost.
 PEER_COUNT_MS = 1_600.0
@@ -54,10 +61,11 @@
 class ServerState:
     """One life of one server: its entry, the requests on it, its times and failures."""
 
-    def __init__(self, listed: ListedBackend, life: ServerLife) -> None:
+    def __init__(self, listed: ListedBackend, life: ServerLife, since_ms: float = NEVER_MS) -> None:
         """Start without a request on it.
 
         :param life: names this life at this instance.
+        :param since_ms: when this instance heard of it.
         """
         self.listed = listed
         self.life = life
@@ -72,6 +80,9 @@
         self.is_misplaced = False
         #: Mean time of its answers (of its first events, for streams); 0 before the first.
         self.mean_ms = 0.0
+        self.record = ServerRecord(since_ms)
+        self.speed = LearnedSpeed()
+        self.pace = StatedPace()
         self._peers: dict[InstanceId, _PeerCount] = {}
         #: What all instances have on it, where they are not all heard of one by one.
         self._total = _PeerCount(0, 0, 0.0)
@@ -90,8 +101,8 @@
         self._total = _PeerCount(online, batch, now_ms + PEER_COUNT_MS)
 
     def note_stated_load(self, running: int, waiting: int, now_ms: float) -> None:
-        """Take in what the server says of itself."""
-        self._stated = running + waiting
+        """Take in what the server says of itself; counts that it cannot hold are bounded."""
+        self._stated = min(running + waiting, STATED_SLOTS * max(1, self.listed.slots_count))
         self._stated_until_ms = now_ms + STATED_LOAD_MS
 
     def note_time(self, took_ms: float) -> None:
@@ -99,15 +110,20 @@
         share = MEAN_SHARE if self.mean_ms else 1.0
         self.mean_ms += share * (took_ms - self.mean_ms)
 
+    def note_work(self, took_ms: float, usual_ms: float, now_ms: float) -> None:
+        """Compare an answer's time with the usual one of its route on this service."""
+        self.speed.note(took_ms / self.pace.factor(now_ms), usual_ms)
+
     def note_success(self) -> None:
         """Forget failures in a row; their share only shrinks."""
         self._failing *= 1.0 - FAILING_SHARE
         self.failures_count = 0
         self.ejected_until_ms = 0.0
 
-    def note_failure(self, now_ms: float) -> None:
-        """Count a failure; enough of them in a row take the server out for a while."""
-        self._failing = self.failing(now_ms)
+    def note_failure(self, now_ms: float, outcome: Outcome = Outcome.UNANSWERED) -> None:
+        """Count a failure; enough of them in a row take the server out for a while, here."""
+        self.record.note(outcome, now_ms)
+        self._failing *= 0.5 ** ((now_ms - self._failing_ms) / FAILING_HALVES_MS)
         self._failing += FAILING_SHARE * (1.0 - self._failing)
         self._failing_ms = now_ms
         self.failures_count += 1
@@ -116,10 +132,18 @@
             pause_ms = min(EJECT_LONGEST_MS, EJECT_MS * 2.0**beyond)
             self.ejected_until_ms = now_ms + pause_ms
 
+    def is_out(self, now_ms: float) -> bool:
+        """Tell whether it gets no requests, by this instance's results or by the fleet's."""
+        return self.ejected_until_ms > now_ms or self.record.standing is ServerStanding.OUT
+
+    def note_answered(self, now_ms: float) -> None:
+        """Take note that it has begun a good answer."""
+        self.record.note(Outcome.SUCCEEDED, now_ms)
+
     def failing(self, now_ms: float) -> float:
-        """Give the share of requests that it failed lately, by this instance."""
+        """Give the share of requests that it failed lately, by this instance or by all."""
         halves_count = (now_ms - self._failing_ms) / FAILING_HALVES_MS
-        return float(self._failing * 0.5**halves_count)
+        return max(float(self._failing * 0.5**halves_count), self.record.failing_share)
 
     def note_unreachable(self, now_ms: float) -> None:
         """Take the server out at once: it takes no connection, so nothing can be wrong but it.
@@ -146,8 +170,13 @@
         return max(counted, self._stated) if now_ms < self._stated_until_ms else counted
 
     def slowness(self, now_ms: float) -> float:
-        """Give how many times as long as usual in its service work takes on it."""
-        return 1.0
+        """Give how many times as long as usual in its service work takes on it.
+
+        It is 1.0 for a server that does not state how long work takes there now.
+        """
+        if not self.pace.is_known:
+            return 1.0
+        return self.speed.factor * self.pace.factor(now_ms)
 
     @property
     def held_limit(self) -> int:
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -5,9 +5,11 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+import logbook
 import msgspec
 
 from citrondyke.decisions.forwarding.patience import CONNECT_MS
+from citrondyke.decisions.servers.outcomes import Outcome
 from citrondyke.errors.broken_reply import BreakKind, BrokenReplyError
 from citrondyke.gateway.servers.connection_pool import ConnectionPool
 from citrondyke.gateway.servers.server_connection import open_connection
@@ -24,7 +26,11 @@
 
 __all__ = ('OpenReply', 'ServerSends')
 
+log = logbook.Logger(__name__)
+
 IDLE_PER_SERVER = 12
+SERVER_FAILURE = 500
+OUT_OF_TIME = 504
 
 
 class OpenReply(msgspec.Struct, frozen=True):
@@ -39,17 +45,25 @@
     """Connections, counts and what answers tell of their servers."""
 
     def __init__(
-        self, clock: Clock, dialect: Dialect, on_change: Callable[[ServerState], None]
+        self,
+        clock: Clock,
+        dialect: Dialect,
+        on_change: Callable[[ServerState], None],
+        on_outcome: Callable[[ServerState], None],
     ) -> None:
         """Start without a connection.
 
         :param on_change: called when this instance's requests on a server change.
+        :param on_outcome: called when a server has answered, well or not.
         """
         self._clock = clock
         self._dialect = dialect
         self._on_change = on_change
+        self._on_outcome = on_outcome
         self._idle: ConnectionPool[ServerLife] = ConnectionPool(clock, IDLE_PER_SERVER)
         self._in_use: dict[ServerLife, set[ServerConnection]] = {}
+        #: Lives that stated what cannot be a load, each logged once.
+        self._odd: set[ServerLife] = set()
 
     @contextmanager
     def place(self, state: ServerState) -> Iterator[None]:
@@ -108,6 +122,7 @@
     def forget(self, state: ServerState) -> None:
         """Close the idle connections to a server that is listed no more; it may still answer."""
         self._idle.drop(state.life)
+        self._odd.discard(state.life)
 
     def end_life(self, state: ServerState) -> None:
         """Break off what is on its way to a life that is over.
@@ -136,8 +151,7 @@
         head = connection.read_head(until_ms)
         facts = self._dialect.reply_facts(head)
         now_ms = self._clock.now_ms()
-        if facts.load is not None:
-            state.note_stated_load(*facts.load, now_ms)
+        self._note_load(state, facts, now_ms)
         if facts.is_misplaced:
             state.is_misplaced = True
         if facts.was_not_run:
@@ -146,4 +160,25 @@
             raise BrokenReplyError(BreakKind.MALFORMED, 'an answer to another request')
         if not facts.is_signed:
             raise BrokenReplyError(BreakKind.MALFORMED, 'an answer without a signature')
+        self._note_status(state, head.status, now_ms)
         return OpenReply(connection, head, facts)
+
+    def _note_status(self, state: ServerState, status: int, now_ms: float) -> None:
+        if status < SERVER_FAILURE:
+            state.note_answered(now_ms)
+        else:
+            # What ran out of time may have been given too little of it.
+            is_late = status == OUT_OF_TIME
+            state.note_failure(now_ms, Outcome.UNANSWERED if is_late else Outcome.FAILED)
+        self._on_outcome(state)
+
+    def _note_load(self, state: ServerState, facts: ReplyFacts, now_ms: float) -> None:
+        if facts.load is not None:
+            state.note_stated_load(*facts.load, now_ms)
+        if facts.pace is None or state.pace.note(facts.pace, now_ms):
+            return
+        if state.life not in self._odd:
+            self._odd.add(state.life)
+            log.info(
+                'server.odd_load', extra={'server_id': state.listed.id, 'pace': str(facts.pace)}
+            )
