--- a/tests/test_decisions/test_decisions_list_readers.py
+++ b/tests/test_decisions/test_decisions_list_readers.py
@@ -15,6 +15,7 @@
     Lack,
     ReaderWatch,
 )
+from citrondyke.gateway.beliefs.change_feed import FEED_PAUSE_MS
 from citrondyke.ids import InstanceId
 from tests.support.manual_clock import ManualClock, manual_context
 
@@ -46,6 +47,14 @@
     assert not at.watch.is_covered
 
 
+def test_a_server_that_leaves_is_heard_of_in_time_though_the_readers_are_gone() -> None:
+    # Both readers are lost right after a word. A follower's own feed goes on when their word has
+    # lapsed and one pause is over; its first answer must come within the 2 s in which servers that
+    # leave may still get requests, with a call of a store that takes 300 ms.
+    longest_ms = SILENT_MS + 1.2 * FEED_PAUSE_MS + 300.0
+    assert longest_ms < 2_000.0
+
+
 def test_reader_without_word_from_the_store_covers_nobody() -> None:
     at = Listening()
     at.hear(position(3, age_ms=FRESH_MS - 100))
