--- a/citrondyke/decisions/accounts/account_uses.py
+++ b/citrondyke/decisions/accounts/account_uses.py
@@ -126,6 +126,6 @@
             return by_level_ms
         lowest = 1.0 - rate_per_s * ADVANCE_MS / 1e3
         ahead_ms = now_ms + max(0.0, lowest - level) / rate_per_s * 1e3
-        allowed = self._tolerance.window_uses(rate_per_s, account.burst)
+        allowed = self._tolerance.promised_uses(rate_per_s, account.burst)
         room_ms = self._ring.room_at_ms(now_ms, allowed, kept + 1)
         return min(by_level_ms, max(ahead_ms, room_ms))
--- a/citrondyke/decisions/accounts/tolerance.py
+++ b/citrondyke/decisions/accounts/tolerance.py
@@ -35,9 +35,12 @@
         spare = self.slack + rate_per_s * self.window_ms / 1e3 * self.overshoot
         return burst * (1 + self.overshoot) + spare * SPARE_PART
 
-    def window_uses(self, rate_per_s: float, burst: float) -> float:
-        """Give what a steward may let through in any window."""
-        return rate_per_s * self.window_ms / 1e3 + self.depth(rate_per_s, burst)
+    def promised_uses(self, rate_per_s: float, burst: float) -> float:
+        """Give what an account is promised in any window; uses ahead of time stay within it.
+
+        What may pass it is needed for requests that are sent a second time.
+        """
+        return rate_per_s * self.window_ms / 1e3 + burst
 
     def stand_in_depth(self, rate_per_s: float) -> float:
         """Give the bucket of a keeper that stands in."""
