Batch items start by what all owners have waiting, and runs are cut only for who waits long

Owners tell their neighbours how many items wait and how these stand to their due times. Free places go to the items that can still be done in time, in the order of their due times; items that will be late, or are so if they are longer than usual, come after them at every owner. Places kept free follow the measured rises of online requests over the service instead of one on each server. A run is cut when a server has had too many requests for a quarter of their target.

--- /dev/null
+++ b/citrondyke/decisions/batch/batch_need.py
@@ -0,0 +1,54 @@
+"""What an owner of batch items tells of those that wait."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import msgspec
+
+from citrondyke.ids import ServiceName
+
+__all__ = ('BatchNeed', 'Prospect', 'ToldNeed', 'prospect')
+
+#: Errors of the estimate of what is left: later than this an item is late whatever is done.
+LATE_MS = -300.0
+
+
+class Prospect(IntEnum):
+    """How likely an item that starts now is done when it is due; the lower the sooner it starts."""
+
+    DOABLE = 0
+    #: It will be late if it is longer than usual.
+    DOUBTFUL = 1
+    LATE = 2
+
+
+class BatchNeed(msgspec.Struct, frozen=True):
+    """The items of one service that wait at one owner and stand best."""
+
+    service: ServiceName
+    prospect: Prospect
+    waiting_count: int
+    #: When the first of them must start to be done in time, by the monotonic clock of whoever
+    #: holds this.
+    start_by_ms: float
+
+
+class ToldNeed(msgspec.Struct, frozen=True, array_like=True):
+    """A need as instances tell it to each other, whose clocks differ."""
+
+    service: ServiceName
+    prospect: int
+    waiting_count: int
+    start_in_ms: float
+
+
+def prospect(spare_ms: float, margin_ms: float) -> Prospect:
+    """Tell how an item stands.
+
+    :param spare_ms: time that is left if it starts now and takes as long as usual.
+    :param margin_ms: by which items are longer than usual, as the case may be.
+    """
+    if spare_ms < LATE_MS:
+        return Prospect.LATE
+    return Prospect.DOABLE if spare_ms >= margin_ms else Prospect.DOUBTFUL
--- a/citrondyke/decisions/batch/give_way.py
+++ b/citrondyke/decisions/batch/give_way.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from enum import Enum
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from citrondyke.decisions.batch.batch_need import LATE_MS
+from citrondyke.decisions.batch.kept_places import KeptPlaces
 from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.util.hashing import rendezvous_weight
 
@@ -19,14 +22,17 @@
 
 __all__ = ('GiveWay', 'RunningItem', 'Urgency', 'urgency')
 
-#: Places on each server that batch items leave free, so that most online requests find one
-#: without an item being cut.
-FREE_PLACES = 1
+#: Places that batch items leave free on each server of another availability zone, whose counts are
+#: old.
+FREE_FAR_PLACES = 1
 #: An item that must run from now on, with no more than this to spare, is at risk: a cut costs it
 #: its due time, while a request that waits for a place is still within its target.
 AT_RISK_MS = 1_500.0
-#: Errors of the estimate of what is left: later than this an item is late whatever is done.
-LATE_MS = -300.0
+#: Part of the target of online requests for which one may wait at a full server before a run is
+#: cut: a place often comes free by itself, and the counts may be behind.
+WAIT_SHARE = 0.25
+#: Longest time over which the least excess of a server is remembered.
+EXCESS_GAP_MS = 500.0
 #: Servers of the own availability zone are so much likelier: bytes between zones cost money.
 OWN_ZONE_FACTOR = 2.0
 
@@ -60,6 +66,16 @@
     life: ServerLife
     started_ms: float
     urgency: Urgency
+    #: Time that it still runs; one that has run for seconds may be nearly done.
+    remaining_ms: float = float('inf')
+    #: Shortest target of the online requests that come to its service.
+    target_ms: float = 0.0
+
+
+class _Excess(msgspec.Struct):
+    """Requests beyond a server's places, in the order of time."""
+
+    seen: deque[tuple[float, int]]
 
 
 class _Room(msgspec.Struct, frozen=True):
@@ -70,9 +86,10 @@
 class GiveWay:
     """Fills the places that online requests leave, and clears them again.
 
-    Batch items give way at once while their due time bears it. Those at risk may keep a quarter
-    of each server's places: with none kept, items of a service that is short of servers were late
-    one and all although each of them had given way for nothing.
+    Batch items give way while their due time bears it, as soon as an online request would wait
+    for too long. Those at risk may keep a quarter of each server's places: with none kept, items
+    of a service that is short of servers were late one and all although each of them had given way
+    for nothing.
     """
 
     def __init__(self, context: Context, book: ServerBook, pace: StartPace) -> None:
@@ -80,13 +97,26 @@
         self._context = context
         self._book = book
         self._pace = pace
+        self.kept = KeptPlaces(context)
         self._cut_ms: dict[ServerLife, float] = {}
+        self._excess: dict[ServerLife, _Excess] = {}
 
     @property
     def is_in_large_fleet(self) -> bool:
         """Tell whether the fleet is so large that processor time counts for more than places."""
         return self._book.neighbours.is_zoned
 
+    def watch(self, service: ServiceName, run_ms: float) -> None:
+        """Follow the online requests of a service whose items wait or run.
+
+        :param run_ms: time that an item usually runs.
+        """
+        now_ms = self._context.now_ms()
+        near, _ = self._split(self._book.usable(service))
+        online = sum(state.online_count(now_ms) for state in near)
+        batch = sum(state.batch_count(now_ms) for state in near)
+        self.kept.note(service, online, batch, run_ms)
+
     def choose(self, service: ServiceName, urgency_now: Urgency) -> ServerState | None:
         """Choose the server for an item; ``None`` while all places are needed.
 
@@ -94,25 +124,59 @@
         another one hears of the item's owner late.
         """
         now_ms = self._context.now_ms()
-        rooms = [
-            _Room(state, free)
-            for state in self._book.usable(service)
-            if (free := self._free(state, urgency_now, now_ms)) >= 1
-        ]
-        near = [room for room in rooms if room.state.listed.zone == self._context.zone]
-        if not self._book.neighbours.is_zoned:
-            near = rooms
-        chosen = near or rooms
-        free_count = sum(room.free for room in chosen)
-        if not chosen or not self._pace.take(service, free_count, is_far=not near):
+        near, far = self._split(self._book.usable(service))
+        rooms = self._near_rooms(service, near, now_ms)
+        is_at_risk = urgency_now is Urgency.AT_RISK
+        if not rooms and is_at_risk:
+            rooms = [_Room(state, 1) for state in near if _may_hold(state, now_ms)]
+        is_far = not rooms
+        if is_far:
+            rooms = _far_rooms(far, now_ms, is_at_risk=is_at_risk)
+        free_count = sum(room.free for room in rooms)
+        if not is_far and near:
+            free_count = min(free_count, max(1, self._spare_count(service, near, now_ms)))
+        if not rooms or not self._pace.take(service, free_count, is_far=is_far):
             return None
         # By chance, the emptier the likelier: the emptiest one looks so to all at once.
         weights = [
             room.free**2
+            / room.state.slowness(now_ms)
             * (OWN_ZONE_FACTOR if room.state.listed.zone == self._context.zone else 1.0)
-            for room in chosen
+            for room in rooms
         ]
-        return self._context.random.choices(chosen, weights)[0].state
+        return self._context.random.choices(rooms, weights)[0].state
+
+    def _split(self, usable: list[ServerState]) -> tuple[list[ServerState], list[ServerState]]:
+        """Part the servers whose counts are fresh from those of a large fleet's other zones."""
+        if not self._book.neighbours.is_zoned:
+            return usable, []
+        zone = self._context.zone
+        near = [state for state in usable if state.listed.zone == zone]
+        return near, [state for state in usable if state.listed.zone != zone]
+
+    def _near_rooms(
+        self, service: ServiceName, near: list[ServerState], now_ms: float
+    ) -> list[_Room]:
+        """List the servers with free places, as long as more are free than are to be kept."""
+        if self._spare_count(service, near, now_ms) < 1:
+            return []
+        return [_Room(state, free) for state in near if (free := _free(state, now_ms)) >= 1]
+
+    def _spare_count(self, service: ServiceName, near: list[ServerState], now_ms: float) -> int:
+        free_count = sum(max(0, _free(state, now_ms)) for state in near)
+        return free_count - self.kept.count(service, len(near))
+
+    def crowded(self, lives: Iterable[ServerLife]) -> set[ServerLife]:
+        """Tell which of some servers have more requests than places, online ones among them."""
+        now_ms = self._context.now_ms()
+        found = set()
+        for life in lives:
+            state = self._book.of_life(life)
+            if state is not None and _excess(state, now_ms) > 0:
+                found.add(life)
+            else:
+                self._excess.pop(life, None)
+        return found
 
     def to_cut(self, running: Iterable[RunningItem]) -> list[RunningItem]:
         """Choose the items that stop now, the youngest first.
@@ -138,12 +202,19 @@
         # What the other owners cut is not known yet; cutting again before would be too much.
         if now_ms - self._cut_ms.get(state.life, float('-inf')) < self._pace.gap_ms:
             return []
-        count = self._count_to_cut(state, len(items), now_ms)
-        if not count:
+        wait_ms = WAIT_SHARE * min(item.target_ms for item in items)
+        count = self._count_to_cut(state, len(items), wait_ms, now_ms)
+        # Those that end soon make room by themselves.
+        ending_count = sum(item.remaining_ms <= wait_ms for item in items)
+        count -= ending_count
+        if count <= 0:
             return []
         self._cut_ms[state.life] = now_ms
+        self._excess.pop(state.life, None)
         order = [Urgency.LATE, Urgency.PATIENT, Urgency.AT_RISK]
-        items.sort(key=lambda item: (order.index(item.urgency), -item.started_ms))
+        items.sort(
+            key=lambda item: (order.index(item.urgency), -item.remaining_ms, -item.started_ms)
+        )
         cut = items[:count]
         batch_left = state.batch_count(now_ms) - len(cut)
         while cut and cut[-1].urgency is Urgency.AT_RISK and batch_left < state.held_limit:
@@ -151,11 +222,11 @@
             batch_left += 1
         return cut
 
-    def _count_to_cut(self, state: ServerState, own_count: int, now_ms: float) -> int:
-        online = state.online_count(now_ms)
-        batch = state.batch_count(now_ms)
-        excess = min(batch, online + batch - state.listed.slots_count)
-        if excess <= 0 or not online:
+    def _count_to_cut(
+        self, state: ServerState, own_count: int, wait_ms: float, now_ms: float
+    ) -> int:
+        excess = self._lasting_excess(state, wait_ms, now_ms)
+        if excess <= 0:
             return 0
         own_rank = self._rank(self._context.instance_id, state)
         before = sum(
@@ -165,23 +236,60 @@
         )
         return min(own_count, max(0, excess - before))
 
-    @staticmethod
-    def _free(state: ServerState, urgency_now: Urgency, now_ms: float) -> int:
-        """Count the places of a server that an item may take."""
-        if state.ejected_until_ms > now_ms:
+    def _lasting_excess(self, state: ServerState, wait_ms: float, now_ms: float) -> int:
+        """Count the requests that were too many all the time for which one may wait.
+
+        Online requests come and go within that time on a server with several of them: what they
+        free themselves needs no run cut.
+        """
+        excess = _excess(state, now_ms)
+        if excess <= 0:
+            self._excess.pop(state.life, None)
+            return 0
+        known = self._excess.setdefault(state.life, _Excess(deque()))
+        seen = known.seen
+        if seen and now_ms - seen[-1][0] > EXCESS_GAP_MS:
+            seen.clear()
+        seen.append((now_ms, excess))
+        # The newest one from before the span still holds at its begin.
+        while len(seen) > 1 and seen[1][0] <= now_ms - wait_ms:
+            seen.popleft()
+        if seen[0][0] > now_ms - wait_ms:
             return 0
-        free = state.listed.slots_count - FREE_PLACES - state.total_count(now_ms)
-        if free < 1 and urgency_now is Urgency.AT_RISK and _may_hold(state, now_ms):
-            return 1
-        return free
+        return min(each for _, each in seen)
 
     @staticmethod
     def _rank(instance_id: InstanceId, state: ServerState) -> int:
         return rendezvous_weight(instance_id, state.listed.id)
 
 
+def _far_rooms(far: list[ServerState], now_ms: float, *, is_at_risk: bool) -> list[_Room]:
+    rooms = []
+    for state in far:
+        free = _free(state, now_ms) - FREE_FAR_PLACES
+        if free < 1 and is_at_risk and _may_hold(state, now_ms):
+            free = 1
+        if free >= 1:
+            rooms.append(_Room(state, free))
+    return rooms
+
+
+def _free(state: ServerState, now_ms: float) -> int:
+    """Count the places of a server that nobody has."""
+    if state.ejected_until_ms > now_ms:
+        return 0
+    return state.listed.slots_count - state.total_count(now_ms)
+
+
+def _excess(state: ServerState, now_ms: float) -> int:
+    """Count the requests beyond the places of a server that batch items would make room for."""
+    online = state.online_count(now_ms)
+    batch = state.batch_count(now_ms)
+    return min(batch, online + batch - state.listed.slots_count) if online else 0
+
+
 def _may_hold(state: ServerState, now_ms: float) -> bool:
     """Tell whether an item at risk may take a place where online requests wait for none yet."""
-    if state.batch_count(now_ms) >= state.held_limit:
+    if state.ejected_until_ms > now_ms or state.batch_count(now_ms) >= state.held_limit:
         return False
     return state.total_count(now_ms) <= state.listed.slots_count
--- /dev/null
+++ b/citrondyke/decisions/batch/need_book.py
@@ -0,0 +1,133 @@
+"""Who else has batch items waiting, and which part of the free places is one's own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from citrondyke.decisions.batch.batch_need import BatchNeed, Prospect, ToldNeed
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.ids import InstanceId, ServiceName
+
+__all__ = ('NeedBook',)
+
+#: A need is told again so often while items wait, since datagrams get lost ...
+RENEW_MS = 250.0
+#: ... and lapses after two of them: an owner that is gone keeps places from the others so long.
+LAPSE_MS = 600.0
+#: Shortest time between two tellings of needs that change with each start.
+TELL_EVERY_MS = 100.0
+#: Items that must start within this time of each other are equally urgent: places change hands
+#: every tens of ms, and items run for seconds.
+EQUAL_MS = 500.0
+
+
+class _Heard(msgspec.Struct, frozen=True):
+    needs: dict[ServiceName, BatchNeed]
+    until_ms: float
+
+
+class NeedBook:
+    """Deals free places to those who have the most urgent items.
+
+    Answers a wave of jobs that is more than the places can do in time. With equal parts for all,
+    owners whose items are late already take as many places as those whose items can still be done,
+    and items become late one and all although half of them could have been in time.
+    """
+
+    def __init__(self, context: Context) -> None:
+        """Start without a need."""
+        self._context = context
+        self._heard: dict[InstanceId, _Heard] = {}
+        self._own: dict[ServiceName, BatchNeed] = {}
+        self._own_since_ms: dict[ServiceName, float] = {}
+        self._told: list[BatchNeed] = []
+        self._told_ms = float('-inf')
+
+    def note_own(self, needs: list[BatchNeed]) -> None:
+        """Take in what waits at this instance; services without waiting items are left out."""
+        now_ms = self._context.now_ms()
+        self._own = {need.service: need for need in needs}
+        self._own_since_ms = {
+            service: self._own_since_ms.get(service, now_ms) for service in self._own
+        }
+
+    def note_peer(self, peer: InstanceId, told: list[ToldNeed]) -> None:
+        """Take in what waits at a peer."""
+        if not told:
+            self._heard.pop(peer, None)
+            return
+        now_ms = self._context.now_ms()
+        needs = {
+            need.service: BatchNeed(
+                need.service,
+                Prospect(need.prospect),
+                need.waiting_count,
+                now_ms + need.start_in_ms,
+            )
+            for need in told
+        }
+        self._heard[peer] = _Heard(needs, now_ms + LAPSE_MS)
+
+    def to_tell(self) -> list[ToldNeed] | None:
+        """Give the needs that peers are to be told now; ``None`` for no message.
+
+        An empty list says that nothing waits any more.
+        """
+        now_ms = self._context.now_ms()
+        own = sorted(self._own.values(), key=lambda need: need.service)
+        if now_ms - self._told_ms < TELL_EVERY_MS:
+            return None
+        is_changed = [_rough(need) for need in own] != [_rough(need) for need in self._told]
+        if not is_changed and (not own or now_ms - self._told_ms < RENEW_MS):
+            return None
+        self._told, self._told_ms = own, now_ms
+        return [
+            ToldNeed(need.service, need.prospect, need.waiting_count, need.start_by_ms - now_ms)
+            for need in own
+        ]
+
+    def knows_others(self, service: ServiceName) -> bool:
+        """Tell whether others who have items waiting have had the time to say so."""
+        since_ms = self._own_since_ms.get(service)
+        return since_ms is not None and self._context.now_ms() - since_ms >= RENEW_MS
+
+    def others(self, service: ServiceName) -> list[BatchNeed]:
+        """List the needs of peers."""
+        now_ms = self._context.now_ms()
+        for peer in [each for each, heard in self._heard.items() if heard.until_ms <= now_ms]:
+            del self._heard[peer]
+        return [heard.needs[service] for heard in self._heard.values() if service in heard.needs]
+
+    def own_part(self, service: ServiceName, free_count: float) -> float:
+        """Give this instance's part of some free places, as places.
+
+        Those whose items stand better come first, and among them those who must start first; who
+        is equal shares by what waits.
+        """
+        own = self._own.get(service)
+        if own is None:
+            return 0.0
+        left = free_count
+        others = self.others(service)
+        before = sum(need.waiting_count for need in others if _order(need) < _order(own))
+        left -= before
+        if left <= 0:
+            return 0.0
+        equal = sum(need.waiting_count for need in others if _order(need) == _order(own))
+        part = left * own.waiting_count / max(1, equal + own.waiting_count)
+        return min(float(own.waiting_count), part)
+
+
+def _order(need: BatchNeed) -> tuple[int, int]:
+    if need.prospect is not Prospect.DOABLE:
+        return need.prospect, 0
+    return need.prospect, int(need.start_by_ms // EQUAL_MS)
+
+
+def _rough(need: BatchNeed) -> tuple[ServiceName, Prospect, int]:
+    """Leave out what changes nobody's part by much."""
+    return need.service, need.prospect, need.waiting_count.bit_length()
--- a/citrondyke/decisions/batch/owned_job.py
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -104,14 +104,20 @@
         """Give an item's body; ``None`` when the job has no such item."""
         return self._bodies.get(item_id)
 
-    def next_item(self, now_ms: float) -> ItemProgress | None:
-        """Choose the item to start: one that has begun first, then in the order handed in."""
-        waiting = [
+    def waiting_items(self, now_ms: float) -> list[ItemProgress]:
+        """List the items that may start, in the order handed in."""
+        if self.is_over:
+            return []
+        return [
             progress
             for progress in self.open.values()
             if not progress.is_running and progress.not_before_ms <= now_ms
         ]
-        if self.is_over or not waiting:
+
+    def next_item(self, now_ms: float) -> ItemProgress | None:
+        """Choose the item to start: one that has begun first, then in the order handed in."""
+        waiting = self.waiting_items(now_ms)
+        if not waiting:
             return None
         return next((each for each in waiting if each.last_event_id is not None), waiting[0])
 
--- a/citrondyke/decisions/batch/run_length.py
+++ b/citrondyke/decisions/batch/run_length.py
@@ -14,17 +14,24 @@
 #: Before anything was measured: an item of 160 events, one each 30 ms.
 FIRST_EVENTS = 160.0
 FIRST_EVENT_MS = 30.0
+#: ... and lengths that differ by a quarter.
+FIRST_DEVIATION = 40.0
 #: Share of a new measurement in the means.
 SHARE = 0.1
+#: Bounds of the margin: counts and ways take some time, and a few odd items must not have the
+#: rest of their route put off.
+SMALLEST_MARGIN_MS = 300.0
+LARGEST_MARGIN_MS = 2_000.0
 
 
 class _Length(msgspec.Struct):
     events: float = FIRST_EVENTS
+    deviation: float = FIRST_DEVIATION
     event_ms: float = FIRST_EVENT_MS
 
 
 class RunLengths:
-    """Mean number of events and mean pace, by route."""
+    """Mean number of events, how far items are from it, and mean pace, by route."""
 
     def __init__(self) -> None:
         """Start with an assumption."""
@@ -33,6 +40,7 @@
     def note_whole(self, route: RouteName, events_count: int) -> None:
         """Take in an item that was completed."""
         length = self._lengths.setdefault(route, _Length())
+        length.deviation += SHARE * (abs(events_count - length.events) - length.deviation)
         length.events += SHARE * (events_count - length.events)
 
     def note_pace(self, route: RouteName, events_count: int, took_ms: float) -> None:
@@ -45,3 +53,9 @@
         """Give the time that an item still runs, behind some events."""
         length = self._lengths.get(route) or _Length()
         return max(1.0, length.events - events_count) * length.event_ms
+
+    def margin_ms(self, route: RouteName) -> float:
+        """Give the time by which most items are at most longer than usual."""
+        length = self._lengths.get(route) or _Length()
+        margin_ms = length.deviation * length.event_ms
+        return min(LARGEST_MARGIN_MS, max(SMALLEST_MARGIN_MS, margin_ms))
--- a/citrondyke/decisions/batch/start_pace.py
+++ b/citrondyke/decisions/batch/start_pace.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from citrondyke.decisions.batch.need_book import NeedBook
 from citrondyke.decisions.forwarding.load_notices import TOTALS_EVERY_MS
 
 if TYPE_CHECKING:
@@ -27,18 +28,21 @@
 
 
 class StartPace:
-    """Shares the free places of a service between all who may want them.
+    """Shares the free places of a service between all who want them.
 
     Counts of neighbours are as old as the gap between notices, 1 ms for each of them, and those of
     other zones in a large fleet up to half a second. If every owner took each place that looks
     free, 69 instances filled the queues of 45 servers again and again: 31,606 of 41,114 sends were
-    turned away and no item came to its end.
+    turned away and no item came to its end. Until an owner has heard who else has items waiting,
+    it shares with all who may have.
     """
 
     def __init__(self, context: Context, neighbours: Neighbours) -> None:
         """Start without a start taken."""
         self._context = context
         self._neighbours = neighbours
+        #: Who has items waiting.
+        self.needs = NeedBook(context)
         self._budgets: dict[tuple[ServiceName, bool], _Budget] = {}
 
     @property
@@ -53,9 +57,7 @@
         :param is_far: whether they are in other zones of a large fleet, shared with everybody.
         """
         now_ms = self._context.now_ms()
-        neighbours = self._neighbours
-        sharers = neighbours.instances_count if is_far else neighbours.near_count
-        share = free_count / sharers
+        share = self._share(service, free_count, is_far=is_far)
         budget = self._budgets.setdefault((service, is_far), _Budget(share, now_ms))
         gap_ms = TOTALS_EVERY_MS if is_far else self.gap_ms
         gaps = min(1.0, (now_ms - budget.at_ms) / gap_ms)
@@ -68,3 +70,15 @@
         # the same moment, when places become free after a burst.
         chance, budget.starts = budget.starts, 0.0
         return self._context.random.random() < chance
+
+    def _share(self, service: ServiceName, free_count: int, *, is_far: bool) -> float:
+        """Give the part of the free places that is this instance's.
+
+        Owners in other zones are not heard of one by one: each zone is taken to have as many.
+        """
+        neighbours = self._neighbours
+        if not self.needs.knows_others(service):
+            return free_count / (neighbours.instances_count if is_far else neighbours.near_count)
+        if is_far:
+            return self.needs.own_part(service, free_count / neighbours.zones_count)
+        return self.needs.own_part(service, free_count)
--- a/citrondyke/decisions/forwarding/neighbours.py
+++ b/citrondyke/decisions/forwarding/neighbours.py
@@ -79,6 +79,11 @@
         """Count the instances that hear of each other at once, this one included."""
         return len(self.near()) + 1
 
+    @property
+    def zones_count(self) -> int:
+        """Count the availability zones with instances, this one's included."""
+        return len(self._by_zone.keys() | {self._context.zone})
+
     @property
     def gap_ms(self) -> float:
         """Give the time between two notices of one instance."""
--- a/citrondyke/decisions/forwarding/route_table.py
+++ b/citrondyke/decisions/forwarding/route_table.py
@@ -15,7 +15,7 @@
 )
 from citrondyke.decisions.accounts.key_index import KeyIndex
 from citrondyke.decisions.forwarding.route import Route, RouteKind, RouteLimits
-from citrondyke.ids import ConfigVersion, RouteName, TenantId
+from citrondyke.ids import ConfigVersion, RouteName, ServiceName, TenantId
 
 __all__ = ('EMPTY_ROUTE_TABLE', 'NO_ROUTE', 'NoRoute', 'NoRouteReason', 'RouteTable')
 
@@ -59,6 +59,16 @@
         """Give the routes by their names."""
         return {route.name: route for route in self.routes}
 
+    @cached_property
+    def shortest_targets_ms(self) -> dict[ServiceName, float]:
+        """Give the shortest target of the online routes to each service."""
+        found: dict[ServiceName, float] = {}
+        for route in self.routes:
+            for share in route.shares if route.kind is not RouteKind.BATCH else ():
+                known_ms = found.get(share.service, route.target_ms)
+                found[share.service] = min(known_ms, route.target_ms)
+        return found
+
     def find(self, host: str, path: str) -> Route | NoRoute:
         """Choose the route of a request: its host's longest prefix that begins the path.
 
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -193,6 +193,7 @@
             self._loads.take,
             self.batch.committer.look_at,
             self.guard.take,
+            self.batch.take_needs,
             outside.table,
             PeerTraffic(self.context, self.metrics),
             self._live,
@@ -202,6 +203,7 @@
             self._tasks,
         )
         self.book.when_choosing(self.peers.look)
+        self.batch.use_peers(self.peers.look, self.peers.send)
         self.jobs = self.batch.door(self.peers.tell_job_changed)
         self.gate = StartGate(
             self.context, StartHold(self.context), lambda: self.beliefs.is_complete, steps
--- a/citrondyke/gateway/jobs/batch_side.py
+++ b/citrondyke/gateway/jobs/batch_side.py
@@ -30,6 +30,7 @@
 from citrondyke.gateway.jobs.waiting_tokens import WaitingTokens
 from citrondyke.gateway.metrics import Metrics
 from citrondyke.gateway.peers.membership import Membership
+from citrondyke.gateway.peers.peer_codec import BatchNeeds
 from citrondyke.gateway.servers.crash_guard import CrashGuard
 from citrondyke.gateway.servers.server_sends import ServerSends
 from citrondyke.gateway.tasks import Tasks
@@ -37,6 +38,7 @@
 
 if TYPE_CHECKING:
     from citrondyke.gateway.outside import Outside
+    from citrondyke.gateway.peers.peer_codec import PeerText
     from citrondyke.gateway.settings import GatewaySettings
     from citrondyke.ids import InstanceId, JobId
 
@@ -77,10 +79,13 @@
         self._reader = JobReader(context, self.store)
         self.owned = OwnedJobs()
         self.committer = JobCommitter(context, self.owned, self.store, tasks, self._reader.adopt)
+        pace = StartPace(context, around.book.neighbours)
+        self._needs = pace.needs
         self.runner = JobRunner(
             context,
             around.beliefs,
-            GiveWay(context, around.book, StartPace(context, around.book.neighbours)),
+            GiveWay(context, around.book, pace),
+            pace.needs,
             around.sends,
             around.guard,
             outside.dialect,
@@ -149,6 +154,21 @@
             tell_owner,
         )
 
+    def use_peers(
+        self, look: Callable[[], None], send: Callable[[PeerText, list[InstanceId]], None]
+    ) -> None:
+        """Tell the neighbours what waits here.
+
+        :param look: takes in what peers have told.
+        :param send: sends a datagram to some peers.
+        """
+        neighbours = self._around.book.neighbours
+        self.runner.use_peers(look, lambda needs: send(BatchNeeds(needs), neighbours.near()))
+
+    def take_needs(self, sender: InstanceId, text: BatchNeeds) -> None:
+        """Take in what waits at a peer."""
+        self._needs.note_peer(sender, text.needs)
+
     def start(self) -> None:
         """Begin to follow the jobs and to run items."""
         around = self._around
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -8,6 +8,7 @@
 import logbook
 import msgspec
 
+from citrondyke.decisions.batch.batch_need import BatchNeed, Prospect, prospect
 from citrondyke.decisions.batch.give_way import RunningItem, Urgency, urgency
 from citrondyke.decisions.batch.owned_job import RunEnd
 from citrondyke.decisions.batch.run_length import RunLengths
@@ -19,7 +20,11 @@
 from citrondyke.gateway.jobs.item_sender import ItemSender
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from citrondyke.decisions.batch.batch_need import ToldNeed
     from citrondyke.decisions.batch.give_way import GiveWay
+    from citrondyke.decisions.batch.need_book import NeedBook
     from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_state import ServerState
@@ -39,6 +44,8 @@
 
 #: Pause between two looks for free places while items wait.
 PUMP_EVERY_MS = 25.0
+#: Pause between two counts of what waits.
+COUNT_EVERY_MS = 100.0
 
 
 class _Run(msgspec.Struct, eq=False):
@@ -62,6 +69,23 @@
             self.greenlet.kill(GaveWayError, block=False)
 
 
+class _Waiting(msgspec.Struct, frozen=True):
+    """The item of a job that starts next."""
+
+    prospect: Prospect
+    spare_ms: float
+
+    @property
+    def order(self) -> tuple[Prospect, float]:
+        """Give the place in the order of starts.
+
+        What will be late if it is longer than usual starts the sooner the likelier it is in time:
+        in the order of due times the places would go to items that become late one and all.
+        """
+        is_doubtful = self.prospect is Prospect.DOUBTFUL
+        return self.prospect, -self.spare_ms if is_doubtful else self.spare_ms
+
+
 class JobRunner:
     """The owner's side of batch jobs."""
 
@@ -70,6 +94,7 @@
         context: Context,
         beliefs: Beliefs,
         give_way: GiveWay,
+        needs: NeedBook,
         sends: ServerSends,
         guard: CrashGuard,
         dialect: Dialect,
@@ -82,6 +107,12 @@
         self._context = context
         self._beliefs = beliefs
         self._give_way = give_way
+        self._needs = needs
+        self._counted_ms = float('-inf')
+        #: Items that wait, as of the last count.
+        self.waiting: dict[Prospect, int] = {}
+        self._look: Callable[[], None] = _nothing_new
+        self._tell: Callable[[list[ToldNeed]], None] = _nobody
         self._sends = sends
         self._guard = guard
         self._owned = owned
@@ -98,6 +129,14 @@
         """Begin to run items."""
         self._tasks.keep(self._run_pump)
 
+    def use_peers(self, look: Callable[[], None], tell: Callable[[list[ToldNeed]], None]) -> None:
+        """Keep in touch with the other owners.
+
+        :param look: takes in what peers have told.
+        :param tell: tells them what waits here.
+        """
+        self._look, self._tell = look, tell
+
     def add(self, job: OwnedJob) -> None:
         """Take a job to run."""
         self._owned.add(job)
@@ -110,21 +149,27 @@
 
     def make_room(self) -> None:
         """Cut the items that stand in the way of online requests."""
-        if not self._runs:
+        crowded = self._give_way.crowded({run.state.life for run in self._runs.values()})
+        if not crowded:
             return
         epoch_ms = self._context.epoch_ms()
+        targets_ms = self._beliefs.config.current.shortest_targets_ms
         running = [
             RunningItem(
                 number,
                 run.state.life,
                 run.started_ms,
                 self._urgency(run.job, run.progress, epoch_ms),
+                self._remaining_ms(run.job, run.progress),
+                targets_ms.get(run.state.listed.service, 0.0),
             )
             for number, run in self._runs.items()
+            if run.state.life in crowded
         ]
         for item in self._give_way.to_cut(running):
             run = self._runs[item.number]
             self._metrics.counters['items_cut'] += 1
+            self._metrics.counters[f'items_cut_{item.urgency.value}'] += 1
             log.info(
                 'item.gives_way',
                 extra={
@@ -132,6 +177,9 @@
                     'item_id': run.progress.item.id,
                     'server_id': run.state.listed.id,
                     'urgency': item.urgency.value,
+                    'online_count': run.state.online_count(self._context.now_ms()),
+                    'batch_count': run.state.batch_count(self._context.now_ms()),
+                    'remaining_ms': round(item.remaining_ms, 1),
                 },
             )
             run.cut()
@@ -152,24 +200,28 @@
         while True:
             self._owned.wait_for_some()
             gevent.sleep(PUMP_EVERY_MS / 1e3)
+            self._look()
             self.make_room()
+            self._count_waiting()
             self._pump()
 
     def _pump(self) -> None:
-        """Start items while places are free, those of the job that is due first.
+        """Start items while places are free, those that stand best first.
 
         Jobs that are late already come last: each place that they take would make another late.
         """
         if self._owned.is_stopping or not self._owned.by_id:
             return
         now_ms, epoch_ms = self._context.now_ms(), self._context.epoch_ms()
-        full: set[tuple[ServiceName, Urgency]] = set()
-        jobs = sorted(
-            self._owned.by_id.values(),
-            key=lambda job: (job.head.due_epoch_ms < epoch_ms, job.head.due_epoch_ms),
-        )
-        for job in jobs:
+        waiting: list[tuple[_Waiting, OwnedJob]] = []
+        for job in self._owned.by_id.values():
             job.abandon_late(epoch_ms)
+            progress = job.next_item(now_ms)
+            if progress is not None:
+                waiting.append((self._waiting(job, progress, epoch_ms), job))
+        waiting.sort(key=lambda each: each[0].order)
+        full: set[tuple[ServiceName, Urgency]] = set()
+        for _, job in waiting:
             while (progress := job.next_item(now_ms)) is not None:
                 service = self._service(job, progress)
                 urgency_now = self._urgency(job, progress, epoch_ms)
@@ -181,9 +233,55 @@
                     break
                 self._begin(job, progress, state)
 
+    def _count_waiting(self) -> None:
+        """Count what waits, for the other owners, and what online requests take."""
+        now_ms, epoch_ms = self._context.now_ms(), self._context.epoch_ms()
+        run_ms: dict[ServiceName, float] = {}
+        counted: dict[ServiceName, dict[Prospect, list[float]]] = {}
+        is_due = now_ms - self._counted_ms >= COUNT_EVERY_MS
+        for job in list(self._owned.by_id.values()):
+            items = job.waiting_items(now_ms)
+            service = self._service(job, items[0]) if items else None
+            if service is None:
+                continue
+            run_ms[service] = self._lengths.remaining_ms(job.head.route, 0)
+            for progress in items if is_due else ():
+                waiting = self._waiting(job, progress, epoch_ms)
+                spares = counted.setdefault(service, {}).setdefault(waiting.prospect, [])
+                spares.append(waiting.spare_ms)
+        for service, usual_ms in run_ms.items():
+            self._give_way.watch(service, usual_ms)
+        if not is_due:
+            return
+        self._counted_ms = now_ms
+        self.waiting = {
+            each: sum(len(spares.get(each, ())) for spares in counted.values()) for each in Prospect
+        }
+        best = {service: min(spares) for service, spares in counted.items()}
+        self._needs.note_own(
+            [
+                BatchNeed(
+                    service,
+                    best[service],
+                    len(spares[best[service]]),
+                    now_ms + min(spares[best[service]]),
+                )
+                for service, spares in counted.items()
+            ]
+        )
+        told = self._needs.to_tell()
+        if told is not None:
+            self._tell(told)
+
+    def _waiting(self, job: OwnedJob, progress: ItemProgress, epoch_ms: float) -> _Waiting:
+        spare_ms = job.head.due_epoch_ms - epoch_ms - self._remaining_ms(job, progress)
+        return _Waiting(prospect(spare_ms, self._lengths.margin_ms(job.head.route)), spare_ms)
+
+    def _remaining_ms(self, job: OwnedJob, progress: ItemProgress) -> float:
+        return self._lengths.remaining_ms(job.head.route, progress.events_count)
+
     def _urgency(self, job: OwnedJob, progress: ItemProgress, epoch_ms: float) -> Urgency:
-        remaining_ms = self._lengths.remaining_ms(job.head.route, progress.events_count)
-        return urgency(job.head.due_epoch_ms, epoch_ms, remaining_ms)
+        return urgency(job.head.due_epoch_ms, epoch_ms, self._remaining_ms(job, progress))
 
     def _service(self, job: OwnedJob, progress: ItemProgress) -> ServiceName | None:
         config = self._beliefs.config
@@ -281,3 +379,11 @@
 
     def _end(self, job: OwnedJob, progress: ItemProgress, end: RunEnd) -> None:
         job.end_run(progress, end, self._context.now_ms(), self._context.epoch_ms())
+
+
+def _nothing_new() -> None:
+    """Stand in until there are peers."""
+
+
+def _nobody(_: list[ToldNeed]) -> None:
+    """Stand in until there are peers."""
--- a/citrondyke/gateway/peers/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -17,15 +17,18 @@
     UseAsked,
     UseOutcome,
 )
+from citrondyke.decisions.batch.batch_need import ToldNeed
 from citrondyke.decisions.crashes.content import RequestContent
 from citrondyke.decisions.crashes.news_queue import NewsKind, SuspectNews
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
 from citrondyke.decisions.knowledge.list_position import ListPosition
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.peers.need_codec import pack_needs, unpack_needs
 from citrondyke.ids import ConfigVersion, ContentDigest, InstanceId, JobId, TenantId
 from citrondyke.util.decoding import decode_msgpack
 
 __all__ = (
+    'BatchNeeds',
     'CrashNews',
     'JobChanged',
     'KnowledgeData',
@@ -85,6 +88,12 @@
     news: list[SuspectNews]
 
 
+class BatchNeeds(PeerText, frozen=True):
+    """Batch items that wait at the sender; none where the list is empty."""
+
+    needs: list[ToldNeed]
+
+
 class JobChanged(PeerText, frozen=True):
     """A job's head changed."""
 
@@ -161,6 +170,8 @@
         told = built.init('suspects')
         told.server = text.server
         told.requests = _pack_suspects(text.news)
+    elif isinstance(text, BatchNeeds):
+        built.batchNeed = pack_needs(text.needs)
     elif isinstance(text, JobChanged):
         built.jobChanged = text.job_id
     elif isinstance(text, KnowledgeData):
@@ -280,6 +291,7 @@
     'suspects': lambda read: CrashNews(
         read.suspects.server, _unpack_suspects(read.suspects.requests)
     ),
+    'batchNeed': lambda read: BatchNeeds(unpack_needs(bytes(read.batchNeed))),
     'jobChanged': lambda read: JobChanged(JobId(read.jobChanged)),
     'knowledgeAsked': lambda read: KnowledgeWanted(
         read.knowledgeAsked.instancesCount,
--- a/citrondyke/gateway/peers/peers.py
+++ b/citrondyke/gateway/peers/peers.py
@@ -15,6 +15,7 @@
 from citrondyke.gateway.peers.knowledge_exchange import ASK_AFTER_MS, KnowledgeExchange
 from citrondyke.gateway.peers.list_readers import ListReaders
 from citrondyke.gateway.peers.peer_codec import (
+    BatchNeeds,
     CrashNews,
     JobChanged,
     KnowledgeWanted,
@@ -80,6 +81,7 @@
         on_loads: Callable[[InstanceId, LoadNotice | LoadTotals], None],
         on_job: Callable[[JobId], None],
         on_crash: Callable[[CrashNews], None],
+        on_needs: Callable[[InstanceId, BatchNeeds], None],
         table: PartitionedTable,
         traffic: PeerTraffic,
         live: LiveInstances,
@@ -93,6 +95,7 @@
         :param on_loads: takes what a peer tells of its counts.
         :param on_job: called when a job's head changed.
         :param on_crash: takes what a peer tells of servers that ended.
+        :param on_needs: takes what a peer tells of batch items that wait there.
         :param table: the store by the direct way, for peers that it does not answer.
         :param traffic: told of what is sent.
         :param live: judges silences of peers.
@@ -109,6 +112,7 @@
         self._on_loads = on_loads
         self._on_job = on_job
         self._on_crash = on_crash
+        self._on_needs = on_needs
         self._table = table
         self._tasks = tasks
         self._streams: StreamServer | None = None
@@ -240,6 +244,8 @@
         text = message.text
         if isinstance(text, LoadNotice | LoadTotals):
             self._on_loads(message.sender, text)
+        elif isinstance(text, BatchNeeds):
+            self._on_needs(message.sender, text)
         elif isinstance(text, JobChanged):
             self._on_job(text.job_id)
         elif isinstance(text, CrashNews):
