--- a/citrondyke/decisions/batch/batch_need.py
+++ b/citrondyke/decisions/batch/batch_need.py
@@ -8,10 +8,7 @@
 
 from citrondyke.ids import ServiceName
 
-__all__ = ('BatchNeed', 'Prospect', 'ToldNeed', 'prospect')
-
-#: Errors of the estimate of what is left: later than this an item is late whatever is done.
-LATE_MS = -300.0
+__all__ = ('BatchNeed', 'Prospect', 'ToldNeed')
 
 
 class Prospect(IntEnum):
@@ -41,14 +38,3 @@
     prospect: int
     waiting_count: int
     start_in_ms: float
-
-
-def prospect(spare_ms: float, margin_ms: float) -> Prospect:
-    """Tell how an item stands.
-
-    :param spare_ms: time that is left if it starts now and takes as long as usual.
-    :param margin_ms: by which items are longer than usual, as the case may be.
-    """
-    if spare_ms < LATE_MS:
-        return Prospect.LATE
-    return Prospect.DOABLE if spare_ms >= margin_ms else Prospect.DOUBTFUL
--- a/citrondyke/decisions/batch/give_way.py
+++ b/citrondyke/decisions/batch/give_way.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from citrondyke.decisions.batch.batch_need import LATE_MS
 from citrondyke.decisions.batch.kept_places import KeptPlaces
+from citrondyke.decisions.batch.outlook import LATE_MS
 from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.util.hashing import rendezvous_weight
 
@@ -30,7 +30,7 @@
 AT_RISK_MS = 1_500.0
 #: Part of the target of online requests for which one may wait at a full server before a run is
 #: cut: a place often comes free by itself, and the counts may be behind.
-WAIT_SHARE = 0.25
+WAIT_SHARE = 0.05
 #: Longest time over which the least excess of a server is remembered.
 EXCESS_GAP_MS = 500.0
 #: Servers of the own availability zone are so much likelier: bytes between zones cost money.
@@ -77,6 +77,10 @@
 
     seen: deque[tuple[float, int]]
 
+    def take_off(self, count: int) -> None:
+        """Take in that runs were cut."""
+        self.seen = deque((at_ms, max(0, excess - count)) for at_ms, excess in self.seen)
+
 
 class _Room(msgspec.Struct, frozen=True):
     state: ServerState
@@ -106,16 +110,11 @@
         """Tell whether the fleet is so large that processor time counts for more than places."""
         return self._book.neighbours.is_zoned
 
-    def watch(self, service: ServiceName, run_ms: float) -> None:
-        """Follow the online requests of a service whose items wait or run.
-
-        :param run_ms: time that an item usually runs.
-        """
+    def watch(self, service: ServiceName) -> None:
+        """Follow the online requests of a service whose items wait."""
         now_ms = self._context.now_ms()
         near, _ = self._split(self._book.usable(service))
-        online = sum(state.online_count(now_ms) for state in near)
-        batch = sum(state.batch_count(now_ms) for state in near)
-        self.kept.note(service, online, batch, run_ms)
+        self.kept.note(service, sum(state.online_count(now_ms) for state in near))
 
     def choose(self, service: ServiceName, urgency_now: Urgency) -> ServerState | None:
         """Choose the server for an item; ``None`` while all places are needed.
@@ -125,16 +124,16 @@
         """
         now_ms = self._context.now_ms()
         near, far = self._split(self._book.usable(service))
-        rooms = self._near_rooms(service, near, now_ms)
         is_at_risk = urgency_now is Urgency.AT_RISK
-        if not rooms and is_at_risk:
-            rooms = [_Room(state, 1) for state in near if _may_hold(state, now_ms)]
+        rooms = [_Room(state, free) for state in near if (free := _free(state, now_ms)) >= 1]
+        free_count = sum(room.free for room in rooms) - self.kept.count(service, len(near))
+        if free_count < 1:
+            rooms = [_Room(state, 1) for state in near if is_at_risk and _may_hold(state, now_ms)]
+            free_count = len(rooms)
         is_far = not rooms
         if is_far:
             rooms = _far_rooms(far, now_ms, is_at_risk=is_at_risk)
-        free_count = sum(room.free for room in rooms)
-        if not is_far and near:
-            free_count = min(free_count, max(1, self._spare_count(service, near, now_ms)))
+            free_count = sum(room.free for room in rooms)
         if not rooms or not self._pace.take(service, free_count, is_far=is_far):
             return None
         # By chance, the emptier the likelier: the emptiest one looks so to all at once.
@@ -154,18 +153,6 @@
         near = [state for state in usable if state.listed.zone == zone]
         return near, [state for state in usable if state.listed.zone != zone]
 
-    def _near_rooms(
-        self, service: ServiceName, near: list[ServerState], now_ms: float
-    ) -> list[_Room]:
-        """List the servers with free places, as long as more are free than are to be kept."""
-        if self._spare_count(service, near, now_ms) < 1:
-            return []
-        return [_Room(state, free) for state in near if (free := _free(state, now_ms)) >= 1]
-
-    def _spare_count(self, service: ServiceName, near: list[ServerState], now_ms: float) -> int:
-        free_count = sum(max(0, _free(state, now_ms)) for state in near)
-        return free_count - self.kept.count(service, len(near))
-
     def crowded(self, lives: Iterable[ServerLife]) -> set[ServerLife]:
         """Tell which of some servers have more requests than places, online ones among them."""
         now_ms = self._context.now_ms()
@@ -210,7 +197,6 @@
         if count <= 0:
             return []
         self._cut_ms[state.life] = now_ms
-        self._excess.pop(state.life, None)
         order = [Urgency.LATE, Urgency.PATIENT, Urgency.AT_RISK]
         items.sort(
             key=lambda item: (order.index(item.urgency), -item.remaining_ms, -item.started_ms)
@@ -220,6 +206,7 @@
         while cut and cut[-1].urgency is Urgency.AT_RISK and batch_left < state.held_limit:
             cut.pop()
             batch_left += 1
+        self._excess[state.life].take_off(len(cut))
         return cut
 
     def _count_to_cut(
--- a/citrondyke/decisions/batch/kept_places.py
+++ b/citrondyke/decisions/batch/kept_places.py
@@ -13,15 +13,15 @@
 
 __all__ = ('KeptPlaces',)
 
-#: Spans over which rises are measured: the shortest is what counts take to come in, the longest
-#: what a streamed request stays.
-SPANS_MS = (50.0, 100.0, 200.0, 400.0, 800.0)
-#: Rises are remembered this long; jumps of the traffic come seconds apart.
-MEMORY_MS = 10_000.0
-#: Rises are kept by parts of the memory.
+#: Until a rise is heard of and runs are cut for it. A run that is cut goes on elsewhere behind its
+#: last event, so that no more need be kept than what comes meanwhile.
+RISE_MS = 50.0
+#: Rises are remembered this long, by parts: a burst and a calm last seconds, and each needs its own.
+MEMORY_MS = 2_000.0
 PART_MS = 1_000.0
-#: Before it has watched so long it knows of no rise, and keeps the most.
-WATCHED_MS = 3_000.0
+#: Before it has watched so long, the rise is taken for a part of what is there.
+WATCHED_MS = 1_000.0
+RISE_PART = 0.125
 #: Without a look for this long, what was seen before is no base to measure from.
 GAP_MS = 500.0
 
@@ -34,16 +34,15 @@
 class _Watched(msgspec.Struct):
     since_ms: float
     samples: deque[_Sample]
-    #: Largest rise for each span, by part of the memory.
-    rises: dict[int, list[float]]
+    #: Largest rise in each part of the memory.
+    rises: dict[int, int]
 
 
 class KeptPlaces:
     """Follows the bursts of online requests.
 
-    Answers bursts beside a backlog of long items. What a burst needs is its rise, less the places
-    that come free by themselves meanwhile; a fixed place on each server is too much over many
-    servers and too little where a burst meets few.
+    Answers bursts beside a backlog of long items. A fixed place on each server is too much over
+    many servers: 45 of 360 places stood free while a wave of items waited for the rest.
     """
 
     def __init__(self, context: Context) -> None:
@@ -51,36 +50,28 @@
         self._context = context
         self._watched: dict[ServiceName, _Watched] = {}
 
-    def note(self, service: ServiceName, online: int, batch: int, run_ms: float) -> None:
-        """Take in what is on the servers.
-
-        :param batch: items on the same servers.
-        :param run_ms: time that an item usually runs.
-        """
+    def note(self, service: ServiceName, online: int) -> None:
+        """Take in how many online requests are on the servers."""
         now_ms = self._context.now_ms()
         watched = self._watched.get(service)
         if watched is None or now_ms - watched.samples[-1].at_ms > GAP_MS:
             watched = self._watched[service] = _Watched(now_ms, deque(), {})
         samples = watched.samples
         samples.append(_Sample(now_ms, online))
-        while now_ms - samples[0].at_ms > SPANS_MS[-1]:
+        while now_ms - samples[0].at_ms > RISE_MS:
             samples.popleft()
         part = int(now_ms // PART_MS)
         for old in [each for each in watched.rises if each < part - MEMORY_MS / PART_MS]:
             del watched.rises[old]
-        rises = watched.rises.setdefault(part, [0.0] * len(SPANS_MS))
-        ends_per_ms = batch / max(1.0, run_ms)
-        for index, span_ms in enumerate(SPANS_MS):
-            lowest = min(each.online for each in samples if now_ms - each.at_ms <= span_ms)
-            # Nothing comes free for online requests before the rise is heard of.
-            ended = ends_per_ms * (span_ms - SPANS_MS[0])
-            rises[index] = max(rises[index], online - lowest - ended)
+        rise = online - min(each.online for each in samples)
+        watched.rises[part] = max(watched.rises.get(part, 0), rise)
 
     def count(self, service: ServiceName, servers_count: int) -> int:
         """Count the places to leave free; one on each server at the most, and one in any case."""
         watched = self._watched.get(service)
-        now_ms = self._context.now_ms()
-        if watched is None or now_ms - watched.since_ms < WATCHED_MS:
+        if watched is None:
             return servers_count
-        needed = max(max(rises) for rises in watched.rises.values())
-        return max(1, min(servers_count, round(needed)))
+        usual = sum(watched.rises.values()) / len(watched.rises)
+        if self._context.now_ms() - watched.since_ms < WATCHED_MS:
+            usual = RISE_PART * watched.samples[-1].online
+        return max(1, min(servers_count, round(usual)))
--- a/citrondyke/decisions/batch/start_pace.py
+++ b/citrondyke/decisions/batch/start_pace.py
@@ -58,7 +58,9 @@
         """
         now_ms = self._context.now_ms()
         share = self._share(service, free_count, is_far=is_far)
-        budget = self._budgets.setdefault((service, is_far), _Budget(share, now_ms))
+        # What looks free far away at first may only not have been told yet.
+        first = 0.0 if is_far else share
+        budget = self._budgets.setdefault((service, is_far), _Budget(first, now_ms))
         gap_ms = TOTALS_EVERY_MS if is_far else self.gap_ms
         gaps = min(1.0, (now_ms - budget.at_ms) / gap_ms)
         budget.starts = min(max(1.0, share), budget.starts + gaps * share)
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import gevent
 import logbook
 import msgspec
 
-from citrondyke.decisions.batch.batch_need import BatchNeed, Prospect, prospect
 from citrondyke.decisions.batch.give_way import RunningItem, Urgency, urgency
+from citrondyke.decisions.batch.outlook import Outlook, count_by_prospect, need_of, outlook
 from citrondyke.decisions.batch.owned_job import RunEnd
 from citrondyke.decisions.batch.run_length import RunLengths
 from citrondyke.decisions.crashes.content import AskedWork
@@ -22,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from citrondyke.decisions.batch.batch_need import ToldNeed
+    from citrondyke.decisions.batch.batch_need import Prospect, ToldNeed
     from citrondyke.decisions.batch.give_way import GiveWay
     from citrondyke.decisions.batch.need_book import NeedBook
     from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
@@ -69,23 +70,6 @@
             self.greenlet.kill(GaveWayError, block=False)
 
 
-class _Waiting(msgspec.Struct, frozen=True):
-    """The item of a job that starts next."""
-
-    prospect: Prospect
-    spare_ms: float
-
-    @property
-    def order(self) -> tuple[Prospect, float]:
-        """Give the place in the order of starts.
-
-        What will be late if it is longer than usual starts the sooner the likelier it is in time:
-        in the order of due times the places would go to items that become late one and all.
-        """
-        is_doubtful = self.prospect is Prospect.DOUBTFUL
-        return self.prospect, -self.spare_ms if is_doubtful else self.spare_ms
-
-
 class JobRunner:
     """The owner's side of batch jobs."""
 
@@ -110,7 +94,7 @@
         self._needs = needs
         self._counted_ms = float('-inf')
         #: Items that wait, as of the last count.
-        self.waiting: dict[Prospect, int] = {}
+        self.waiting: Counter[Prospect] = Counter()
         self._look: Callable[[], None] = _nothing_new
         self._tell: Callable[[list[ToldNeed]], None] = _nobody
         self._sends = sends
@@ -213,12 +197,12 @@
         if self._owned.is_stopping or not self._owned.by_id:
             return
         now_ms, epoch_ms = self._context.now_ms(), self._context.epoch_ms()
-        waiting: list[tuple[_Waiting, OwnedJob]] = []
+        waiting: list[tuple[Outlook, OwnedJob]] = []
         for job in self._owned.by_id.values():
             job.abandon_late(epoch_ms)
             progress = job.next_item(now_ms)
             if progress is not None:
-                waiting.append((self._waiting(job, progress, epoch_ms), job))
+                waiting.append((self._outlook(job, progress, epoch_ms), job))
         waiting.sort(key=lambda each: each[0].order)
         full: set[tuple[ServiceName, Urgency]] = set()
         for _, job in waiting:
@@ -236,46 +220,35 @@
     def _count_waiting(self) -> None:
         """Count what waits, for the other owners, and what online requests take."""
         now_ms, epoch_ms = self._context.now_ms(), self._context.epoch_ms()
-        run_ms: dict[ServiceName, float] = {}
-        counted: dict[ServiceName, dict[Prospect, list[float]]] = {}
         is_due = now_ms - self._counted_ms >= COUNT_EVERY_MS
+        services: set[ServiceName] = set()
+        outlooks: dict[ServiceName, list[Outlook]] = {}
         for job in list(self._owned.by_id.values()):
             items = job.waiting_items(now_ms)
             service = self._service(job, items[0]) if items else None
             if service is None:
                 continue
-            run_ms[service] = self._lengths.remaining_ms(job.head.route, 0)
-            for progress in items if is_due else ():
-                waiting = self._waiting(job, progress, epoch_ms)
-                spares = counted.setdefault(service, {}).setdefault(waiting.prospect, [])
-                spares.append(waiting.spare_ms)
-        for service, usual_ms in run_ms.items():
-            self._give_way.watch(service, usual_ms)
+            services.add(service)
+            if is_due:
+                found = [self._outlook(job, each, epoch_ms) for each in items]
+                outlooks.setdefault(service, []).extend(found)
+        for service in services:
+            self._give_way.watch(service)
         if not is_due:
             return
         self._counted_ms = now_ms
-        self.waiting = {
-            each: sum(len(spares.get(each, ())) for spares in counted.values()) for each in Prospect
-        }
-        best = {service: min(spares) for service, spares in counted.items()}
+        self.waiting = count_by_prospect(each for found in outlooks.values() for each in found)
         self._needs.note_own(
-            [
-                BatchNeed(
-                    service,
-                    best[service],
-                    len(spares[best[service]]),
-                    now_ms + min(spares[best[service]]),
-                )
-                for service, spares in counted.items()
-            ]
+            [need_of(service, found, now_ms) for service, found in outlooks.items()]
         )
         told = self._needs.to_tell()
         if told is not None:
             self._tell(told)
 
-    def _waiting(self, job: OwnedJob, progress: ItemProgress, epoch_ms: float) -> _Waiting:
+    def _outlook(self, job: OwnedJob, progress: ItemProgress, epoch_ms: float) -> Outlook:
         spare_ms = job.head.due_epoch_ms - epoch_ms - self._remaining_ms(job, progress)
-        return _Waiting(prospect(spare_ms, self._lengths.margin_ms(job.head.route)), spare_ms)
+        margin_ms = self._lengths.margin_ms(job.head.route)
+        return outlook(spare_ms, margin_ms, has_begun=progress.last_event_id is not None)
 
     def _remaining_ms(self, job: OwnedJob, progress: ItemProgress) -> float:
         return self._lengths.remaining_ms(job.head.route, progress.events_count)
--- /dev/null
+++ b/tests/test_batch/wave_world.py
@@ -0,0 +1,334 @@
+"""Owners of batch items and online callers on one service, in virtual time."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+
+from citrondyke.decisions.batch.batch_need import ToldNeed
+from citrondyke.decisions.batch.give_way import GiveWay, RunningItem, urgency
+from citrondyke.decisions.batch.outlook import Outlook, need_of, outlook
+from citrondyke.decisions.batch.start_pace import StartPace
+from citrondyke.decisions.forwarding.load_notices import TOTALS_EVERY_MS, LoadNotices, ServerLoad
+from citrondyke.decisions.forwarding.server_book import ServerBook
+from citrondyke.ids import InstanceId, ServerId, ServiceName
+from tests.support.manual_clock import ManualClock, manual_context
+from tests.support.peers import listed_server
+
+__all__ = ('Item', 'WaveWorld')
+
+SERVICE = ServiceName('lm')
+SLOTS = 8
+TARGET_MS = 300.0
+LOOK_MS = 25.0
+COUNT_MS = 100.0
+#: A request stays on a server for so long; a run that goes on elsewhere reads its prompt again.
+STAY_MS = 700.0
+AGAIN_MS = 30.0
+LONGEST_MS = 120_000.0
+
+
+class Item(msgspec.Struct, eq=False):
+    """A batch item, or an online request where it is due at no time."""
+
+    left_ms: float
+    due_ms: float = 0.0
+    server: ServerId | None = None
+    at_instance: int = 0
+    entered_ms: float = 0.0
+    started_ms: float | None = None
+    ended_ms: float | None = None
+    done_ms: float = 0.0
+    cuts_count: int = 0
+
+
+class ZoneTotals(msgspec.Struct):
+    """What all instances have on the servers of a zone."""
+
+    loads: list[ServerLoad]
+
+
+Told = ZoneTotals | list[ServerLoad] | list[ToldNeed]
+
+
+class Instance:
+    """One owner, which takes online requests in as well."""
+
+    def __init__(self, clock: ManualClock, number: int, zone: str) -> None:
+        context = manual_context(clock, f'i{number}', zone, seed=number)
+        self.context = context
+        self.book = ServerBook(context)
+        self.book.when_choosing(self.look)
+        self.pace = StartPace(context, self.book.neighbours)
+        self.way = GiveWay(context, self.book, self.pace)
+        self.notices = LoadNotices(context, self.book)
+        self.inbox: list[tuple[InstanceId, Told]] = []
+        self.waiting: list[Item] = []
+        self.running: list[Item] = []
+        self.is_dead = False
+        self.is_telling = False
+
+    def look(self) -> None:
+        for sender, told in self.inbox:
+            if isinstance(told, ZoneTotals):
+                self.notices.note_totals(told.loads)
+            elif told and isinstance(told[0], ServerLoad):
+                self.notices.note(sender, told)  # type: ignore[arg-type]
+            else:
+                self.pace.needs.note_peer(sender, told)  # type: ignore[arg-type]
+        self.inbox.clear()
+
+
+class Server:
+    """Eight places and a queue in order of arrival."""
+
+    def __init__(self) -> None:
+        self.running: list[Item] = []
+        self.queue: deque[Item] = deque()
+        self.is_down = False
+
+
+class WaveWorld:
+    """Items of some length in a fleet of several zones."""
+
+    def __init__(
+        self,
+        instances_count: int,
+        servers_count: int,
+        zones_count: int = 1,
+        item_ms: float = 1_000.0,
+        spread: float = 0.25,
+        loss: float = 0.0,
+    ) -> None:
+        self.clock = ManualClock()
+        self.random = random.Random(7)
+        self.item_ms, self.spread, self.loss = item_ms, spread, loss
+        zones = [f'zone-{n}' for n in range(zones_count)]
+        self.instances = [
+            Instance(self.clock, n, zones[n % zones_count]) for n in range(instances_count)
+        ]
+        self.by_id = {each.context.instance_id: each for each in self.instances}
+        listed = [
+            listed_server(f's{n}', SERVICE, SLOTS, zones[n % zones_count])
+            for n in range(servers_count)
+        ]
+        self.servers = {each.id: Server() for each in listed}
+        for each in self.instances:
+            others = [other.context for other in self.instances if other is not each]
+            each.book.neighbours.replace({other.instance_id: other.zone for other in others})
+            each.book.replace(listed)
+        self.items: list[Item] = []
+        self.waits_ms: list[float] = []
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        for each in self.instances:
+            self.after(self.random.uniform(0, LOOK_MS), lambda each=each: self._look(each))
+            self.after(
+                self.random.uniform(0, TOTALS_EVERY_MS), lambda each=each: self._tell_totals(each)
+            )
+
+    def after(self, wait_ms: float, work: Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (self.clock.ms + wait_ms, next(self._numbers), work))
+
+    def run(self, until: Callable[[], bool]) -> None:
+        while not until():
+            assert self.clock.ms < LONGEST_MS
+            self.clock.ms, _, work = heapq.heappop(self._heap)
+            work()
+
+    def add(self, instance: Instance, count: int, due_in_ms: float) -> None:
+        """Hand a job in."""
+        for _ in range(count):
+            length_ms = max(0.1, self.random.gauss(1.0, self.spread)) * self.item_ms
+            item = Item(length_ms, self.clock.ms + due_in_ms)
+            self.items.append(item)
+            instance.waiting.append(item)
+
+    def online(self, per_s: Callable[[float], float]) -> None:
+        """Let online requests come from now on.
+
+        :param per_s: gives the rate at a time.
+        """
+
+        def arrive() -> None:
+            instance = self.random.choice(self.instances)
+            state = instance.book.choose(SERVICE, (), '')
+            if state is not None and not instance.is_dead:
+                request = Item(self.random.expovariate(1 / STAY_MS))
+                self._enter(instance, state.listed.id, request)
+            self.after(self.random.expovariate(per_s(self.clock.ms) / 1e3), arrive)
+
+        arrive()
+
+    def crash(self, server_id: ServerId) -> None:
+        """End a server, with all who hear of it."""
+        server = self.servers[server_id]
+        server.is_down = True
+        runs = [*server.running, *server.queue]
+        for each in self.instances:
+            each.book.replace(
+                state.listed for state in list(each.book.states()) if state.listed.id != server_id
+            )
+            for item in [run for run in runs if run in each.running]:
+                self._stop(each, item)
+
+    def kill(self, instance: Instance, heir: Instance) -> None:
+        """End an owner; another one claims its items after some time."""
+        instance.is_dead = True
+        items = instance.waiting + instance.running
+        for item in list(instance.running):
+            self._stop(instance, item)
+        instance.waiting = []
+        self.after(1_000.0, lambda: heir.waiting.extend(items))
+
+    def _look(self, each: Instance) -> None:
+        if each.is_dead:
+            return
+        self.after(LOOK_MS, lambda: self._look(each))
+        each.look()
+        if not each.waiting and not each.running:
+            return
+        self._cut(each)
+        now_ms = self.clock.ms
+        if each.waiting:
+            each.way.watch(SERVICE)
+        if int(now_ms / COUNT_MS) != int((now_ms - LOOK_MS) / COUNT_MS):
+            outlooks = [self._outlook(item) for item in each.waiting]
+            own = [need_of(SERVICE, outlooks, now_ms)] if outlooks else []
+            each.pace.needs.note_own(own)
+            told = each.pace.needs.to_tell()
+            if told is not None:
+                self._send(each, told, each.book.neighbours.near())
+        self._start(each)
+
+    def _outlook(self, item: Item) -> Outlook:
+        spare_ms = item.due_ms - self.clock.ms - self._expected_ms(item)
+        has_begun = item.cuts_count > 0
+        return outlook(spare_ms, self.item_ms * self.spread, has_begun=has_begun)
+
+    def _expected_ms(self, item: Item) -> float:
+        """Expect what an item still takes: how long it is nobody knows before its end."""
+        return max(1.0, self.item_ms - item.done_ms)
+
+    def _start(self, each: Instance) -> None:
+        each.waiting.sort(key=lambda item: self._outlook(item).order)
+        while each.waiting:
+            item = each.waiting[0]
+            urgency_now = urgency(item.due_ms, self.clock.ms, self._expected_ms(item))
+            state = each.way.choose(SERVICE, urgency_now)
+            if state is None:
+                return
+            each.waiting.pop(0)
+            each.running.append(item)
+            self._enter(each, state.listed.id, item)
+
+    def _cut(self, each: Instance) -> None:
+        lives = {
+            state.life: state
+            for item in each.running
+            if item.server and (state := each.book.state(item.server)) is not None
+        }
+        crowded = each.way.crowded(lives)
+        items = [
+            (item, life)
+            for item in each.running
+            for life in crowded
+            if lives[life].listed.id == item.server
+        ]
+        running = []
+        for number, (item, life) in enumerate(items):
+            ran_ms = self.clock.ms - item.started_ms if item.started_ms else 0.0
+            left_ms = self._expected_ms(item) - ran_ms
+            stands = urgency(item.due_ms, self.clock.ms, left_ms)
+            running.append(RunningItem(number, life, item.entered_ms, stands, left_ms, TARGET_MS))
+        for chosen in each.way.to_cut(running):
+            item = items[chosen.number][0]
+            item.cuts_count += 1
+            self._stop(each, item)
+
+    def _enter(self, each: Instance, server_id: ServerId, item: Item) -> None:
+        server = self.servers[server_id]
+        item.server, item.entered_ms, item.started_ms = server_id, self.clock.ms, None
+        item.at_instance = self.instances.index(each)
+        self._count(each, item, 1)
+        server.queue.append(item)
+        self._begin(server)
+
+    def _begin(self, server: Server) -> None:
+        while server.queue and len(server.running) < SLOTS and not server.is_down:
+            item = server.queue.popleft()
+            item.started_ms = self.clock.ms
+            server.running.append(item)
+            if not item.due_ms:
+                self.waits_ms.append(self.clock.ms - item.entered_ms)
+            at = (item.server, item.entered_ms)
+            self.after(item.left_ms, lambda item=item, at=at: self._end(item, at))
+
+    def _end(self, item: Item, at: tuple[ServerId | None, float]) -> None:
+        if (item.server, item.entered_ms) == at:
+            item.ended_ms = self.clock.ms
+            owner = self.instances[item.at_instance]
+            self._leave(owner, item)
+            if item.due_ms and not owner.is_dead:
+                self._start(owner)
+
+    def _stop(self, each: Instance, item: Item) -> None:
+        if item.started_ms is not None:
+            ran_ms = self.clock.ms - item.started_ms
+            item.left_ms += AGAIN_MS - ran_ms
+            item.done_ms += ran_ms - AGAIN_MS
+        self._leave(each, item)
+        if not each.is_dead:
+            each.waiting.append(item)
+
+    def _leave(self, each: Instance, item: Item) -> None:
+        assert item.server is not None
+        server = self.servers[item.server]
+        self._count(each, item, -1)
+        if item in server.running:
+            server.running.remove(item)
+        elif item in server.queue:
+            server.queue.remove(item)
+        if item in each.running:
+            each.running.remove(item)
+        item.server = None
+        self._begin(server)
+
+    def _count(self, each: Instance, item: Item, change: int) -> None:
+        state = each.book.state(item.server or ServerId(''))
+        if state is None:
+            return
+        if item.due_ms:
+            state.own.batch += change
+        else:
+            state.own.online += change
+        if not each.is_telling:
+            each.is_telling = True
+            self.after(each.notices.next_pause_ms(), lambda: self._tell(each))
+
+    def _tell(self, each: Instance) -> None:
+        each.is_telling = False
+        if each.is_dead:
+            return
+        for addressed in each.notices.address(each.notices.take()):
+            self._send(each, addressed.loads, addressed.receivers)
+
+    def _tell_totals(self, each: Instance) -> None:
+        self.after(TOTALS_EVERY_MS, lambda: self._tell_totals(each))
+        totals = [] if each.is_dead else each.notices.take_totals()
+        if totals:
+            turn = each.notices.totals_turn
+            receivers = each.book.neighbours.one_in_each_other_zone(turn)
+            self._send(each, ZoneTotals(totals), receivers)
+
+    def _send(self, each: Instance, told: Told, receivers: list[InstanceId]) -> None:
+        sender = each.context.instance_id
+        for receiver in receivers:
+            if self.random.random() >= self.loss:
+                inbox = self.by_id[receiver].inbox
+                self.after(1.0, lambda inbox=inbox: inbox.append((sender, told)))
