--- a/citrondyke/decisions/batch/kept_places.py
+++ b/citrondyke/decisions/batch/kept_places.py
@@ -16,7 +16,7 @@
 #: Until a rise is heard of and runs are cut for it. A run that is cut goes on elsewhere behind its
 #: last event, so that no more need be kept than what comes meanwhile.
 RISE_MS = 50.0
-#: Rises are remembered this long, by parts: a burst and a calm last seconds, and each needs its own.
+#: Rises are remembered this long, by parts: bursts and calms last seconds, and each needs its own.
 MEMORY_MS = 2_000.0
 PART_MS = 1_000.0
 #: Before it has watched so long, the rise is taken for a part of what is there.
@@ -49,6 +49,8 @@
         """Start without having watched."""
         self._context = context
         self._watched: dict[ServiceName, _Watched] = {}
+        #: Places kept, as of the last choice of a server.
+        self.counts: dict[ServiceName, int] = {}
 
     def note(self, service: ServiceName, online: int) -> None:
         """Take in how many online requests are on the servers."""
@@ -68,6 +70,10 @@
 
     def count(self, service: ServiceName, servers_count: int) -> int:
         """Count the places to leave free; one on each server at the most, and one in any case."""
+        self.counts[service] = count = self._count(service, servers_count)
+        return count
+
+    def _count(self, service: ServiceName, servers_count: int) -> int:
         watched = self._watched.get(service)
         if watched is None:
             return servers_count
--- a/citrondyke/gateway/gauges.py
+++ b/citrondyke/gateway/gauges.py
@@ -5,6 +5,10 @@
 from typing import TYPE_CHECKING, Protocol
 
 from citrondyke.decisions.memory.byte_budget import HeldKind
+from functools import partial
+from typing import TYPE_CHECKING
+
+from citrondyke.decisions.batch.batch_need import Prospect
 
 if TYPE_CHECKING:
     from citrondyke.decisions.crashes.suspect_book import SuspectBook
@@ -47,6 +51,7 @@
         ('servers', lambda: float(len(list(instance.book.states())))),
         ('open_connections', lambda: float(instance.front.open_count)),
         ('owned_jobs', lambda: float(len(instance.batch.owned.by_id))),
+        ('kept_places', lambda: float(instance.batch.runner.kept_places_count())),
         ('suspects', lambda: float(len(instance.suspects))),
         ('limit_slots', lambda: float(len(instance.limits.held_slots()))),
         ('held_request_bytes', lambda: float(instance.budget.bytes_of(HeldKind.REQUEST))),
@@ -55,3 +60,8 @@
         ('store_silent_ms', lambda: instance.store.silent_ms),
     ):
         instance.metrics.add_gauge(name, read)
+    for prospect in Prospect:
+        instance.metrics.add_gauge(
+            f'items_waiting_{prospect.name.lower()}',
+            partial(instance.batch.runner.waiting_count, prospect),
+        )
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -9,6 +9,7 @@
 import logbook
 import msgspec
 
+from citrondyke.decisions.batch.batch_need import Prospect
 from citrondyke.decisions.batch.give_way import RunningItem, Urgency, urgency
 from citrondyke.decisions.batch.outlook import Outlook, count_by_prospect, need_of, outlook
 from citrondyke.decisions.batch.owned_job import RunEnd
@@ -23,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from citrondyke.decisions.batch.batch_need import Prospect, ToldNeed
+    from citrondyke.decisions.batch.batch_need import ToldNeed
     from citrondyke.decisions.batch.give_way import GiveWay
     from citrondyke.decisions.batch.need_book import NeedBook
     from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
@@ -47,6 +48,8 @@
 PUMP_EVERY_MS = 25.0
 #: Pause between two counts of what waits.
 COUNT_EVERY_MS = 100.0
+#: Time between two lines of the log on what waits.
+LOG_EVERY_MS = 1_000.0
 
 
 class _Run(msgspec.Struct, eq=False):
@@ -93,8 +96,8 @@
         self._give_way = give_way
         self._needs = needs
         self._counted_ms = float('-inf')
-        #: Items that wait, as of the last count.
-        self.waiting: Counter[Prospect] = Counter()
+        self._waiting: Counter[Prospect] = Counter()
+        self._logged_ms = float('-inf')
         self._look: Callable[[], None] = _nothing_new
         self._tell: Callable[[list[ToldNeed]], None] = _nobody
         self._sends = sends
@@ -237,13 +240,32 @@
         if not is_due:
             return
         self._counted_ms = now_ms
-        self.waiting = count_by_prospect(each for found in outlooks.values() for each in found)
+        self._waiting = count_by_prospect(each for found in outlooks.values() for each in found)
         self._needs.note_own(
             [need_of(service, found, now_ms) for service, found in outlooks.items()]
         )
         told = self._needs.to_tell()
         if told is not None:
             self._tell(told)
+        if outlooks and now_ms - self._logged_ms >= LOG_EVERY_MS:
+            self._logged_ms = now_ms
+            log.info(
+                'items.wait',
+                extra={
+                    **{each.name.lower(): self._waiting[each] for each in Prospect},
+                    'running': len(self._runs),
+                    'kept_places': self.kept_places_count(),
+                    'other_owners': sum(len(self._needs.others(each)) for each in outlooks),
+                },
+            )
+
+    def waiting_count(self, prospect: Prospect) -> int:
+        """Count the items that wait and stand so."""
+        return self._waiting[prospect] if self._owned.by_id else 0
+
+    def kept_places_count(self) -> int:
+        """Count the places that are kept free for online requests."""
+        return sum(self._give_way.kept.counts.values()) if self._owned.by_id else 0
 
     def _outlook(self, job: OwnedJob, progress: ItemProgress, epoch_ms: float) -> Outlook:
         spare_ms = job.head.due_epoch_ms - epoch_ms - self._remaining_ms(job, progress)
@@ -278,6 +300,7 @@
         progress.is_running = True
         # The place is counted now, so that the next choice sees it.
         self._sends.enter(state, is_batch=True)
+        self._metrics.counters['items_started'] += 1
         self._runs_count += 1
         number = self._runs_count
         item = progress.item
--- a/tests/test_batch/test_batch_give_way.py
+++ b/tests/test_batch/test_batch_give_way.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
+
 from citrondyke.decisions.batch.give_way import (
     AT_RISK_MS,
+    WAIT_SHARE,
     GiveWay,
     RunningItem,
     Urgency,
@@ -156,3 +159,57 @@
     assert floor.give_way.to_cut(items) == []
     floor.clock.ms += floor.pace.gap_ms
     assert len(floor.give_way.to_cut(items)) == 3
+
+
+def running(floor: Floor, target_ms: float, *remaining_ms: float) -> list[RunningItem]:
+    return [
+        RunningItem(number, floor.state.life, 0.0, Urgency.PATIENT, each, target_ms)
+        for number, each in enumerate(remaining_ms)
+    ]
+
+
+def test_no_run_is_cut_for_a_request_that_leaves_meanwhile() -> None:
+    # A server with several online requests has one too many for a moment, again and again.
+    floor = Floor()
+    target_ms = 300.0
+    items = running(floor, target_ms, *[5_000.0] * 6)
+    floor.state.own.batch = 6
+    for _ in range(20):
+        floor.state.own.online = 3
+        assert floor.give_way.to_cut(items) == []
+        floor.clock.ms += WAIT_SHARE * target_ms / 2
+        floor.state.own.online = 2
+        assert floor.give_way.crowded([floor.state.life]) == set()
+        floor.clock.ms += WAIT_SHARE * target_ms / 2
+
+
+def test_run_is_cut_for_a_request_that_would_wait() -> None:
+    floor = Floor()
+    target_ms = 300.0
+    items = running(floor, target_ms, *[1_000.0, 5_000.0, 2_000.0] * 2)
+    floor.state.own.batch, floor.state.own.online = 6, 3
+    assert floor.give_way.to_cut(items) == []
+    floor.clock.ms += WAIT_SHARE * target_ms
+    assert [item.remaining_ms for item in floor.give_way.to_cut(items)] == [5_000.0]
+
+
+def test_run_that_ends_at_once_makes_room_by_itself() -> None:
+    floor = Floor()
+    items = running(floor, 300.0, *[5_000.0] * 5, 10.0)
+    floor.state.own.batch, floor.state.own.online = 6, 3
+    floor.give_way.to_cut(items)
+    floor.clock.ms += WAIT_SHARE * 300.0
+    assert floor.give_way.to_cut(items) == []
+
+
+def test_items_take_no_slow_server_while_a_usual_one_is_as_free(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    floor = Floor()
+    floor.book.replace([listed_server(A, SERVICE, SLOTS), listed_server('b', SERVICE, SLOTS)])
+    monkeypatch.setattr(
+        ServerState, 'slowness', lambda state, _: 4.0 if state.listed.id == A else 1.0
+    )
+    chosen = [floor.give_way.choose(SERVICE, Urgency.PATIENT) for _ in range(200)]
+    on_slow = sum(state is not None and state.listed.id == A for state in chosen)
+    assert on_slow < 0.3 * len(chosen)
--- a/tests/test_batch/wave_world.py
+++ b/tests/test_batch/wave_world.py
@@ -7,6 +7,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -78,7 +79,7 @@
             if isinstance(told, ZoneTotals):
                 self.notices.note_totals(told.loads)
             elif told and isinstance(told[0], ServerLoad):
-                self.notices.note(sender, told)  # type: ignore[arg-type]
+                self.notices.note(sender, told)
             else:
                 self.pace.needs.note_peer(sender, told)  # type: ignore[arg-type]
         self.inbox.clear()
@@ -127,10 +128,8 @@
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         for each in self.instances:
-            self.after(self.random.uniform(0, LOOK_MS), lambda each=each: self._look(each))
-            self.after(
-                self.random.uniform(0, TOTALS_EVERY_MS), lambda each=each: self._tell_totals(each)
-            )
+            self.after(self.random.uniform(0, LOOK_MS), partial(self._look, each))
+            self.after(self.random.uniform(0, TOTALS_EVERY_MS), partial(self._tell_totals, each))
 
     def after(self, wait_ms: float, work: Callable[[], None]) -> None:
         heapq.heappush(self._heap, (self.clock.ms + wait_ms, next(self._numbers), work))
@@ -267,7 +266,7 @@
             if not item.due_ms:
                 self.waits_ms.append(self.clock.ms - item.entered_ms)
             at = (item.server, item.entered_ms)
-            self.after(item.left_ms, lambda item=item, at=at: self._end(item, at))
+            self.after(item.left_ms, partial(self._end, item, at))
 
     def _end(self, item: Item, at: tuple[ServerId | None, float]) -> None:
         if (item.server, item.entered_ms) == at:
@@ -330,5 +329,4 @@
         sender = each.context.instance_id
         for receiver in receivers:
             if self.random.random() >= self.loss:
-                inbox = self.by_id[receiver].inbox
-                self.after(1.0, lambda inbox=inbox: inbox.append((sender, told)))
+                self.after(1.0, partial(self.by_id[receiver].inbox.append, (sender, told)))
