--- a/citrondyke/decisions/batch/give_way.py
+++ b/citrondyke/decisions/batch/give_way.py
@@ -29,8 +29,15 @@
 #: its due time, while a request that waits for a place is still within its target.
 AT_RISK_MS = 1_500.0
 #: Part of the target of online requests for which one may wait at a full server before a run is
-#: cut: a place often comes free by itself, and the counts may be behind.
+#: cut: the counts may be behind ...
 WAIT_SHARE = 0.05
+#: ... and where a place is expected within half of the target, as online requests end: in two
+#: fifths it is there mostly, and what is left is enough for a first event.
+SOON_SHARE = 0.5
+SOON_WAIT_SHARE = 0.4
+#: Time that a streamed request stays on a server, about; the wait is bounded by the target in any
+#: case.
+STAY_MS = 700.0
 #: Longest time over which the least excess of a server is remembered.
 EXCESS_GAP_MS = 500.0
 #: Servers of the own availability zone are so much likelier: bytes between zones cost money.
@@ -189,7 +196,7 @@
         # What the other owners cut is not known yet; cutting again before would be too much.
         if now_ms - self._cut_ms.get(state.life, float('-inf')) < self._pace.gap_ms:
             return []
-        wait_ms = WAIT_SHARE * min(item.target_ms for item in items)
+        wait_ms = _patience_ms(state, min(item.target_ms for item in items), now_ms)
         count = self._count_to_cut(state, len(items), wait_ms, now_ms)
         # Those that end soon make room by themselves.
         ending_count = sum(item.remaining_ms <= wait_ms for item in items)
@@ -275,6 +282,13 @@
     return min(batch, online + batch - state.listed.slots_count) if online else 0
 
 
+def _patience_ms(state: ServerState, target_ms: float, now_ms: float) -> float:
+    """Give the time for which a server may have too many requests before a run is cut."""
+    ends_per_ms = state.online_count(now_ms) / STAY_MS
+    is_soon = _excess(state, now_ms) <= ends_per_ms * SOON_SHARE * target_ms
+    return (SOON_WAIT_SHARE if is_soon else WAIT_SHARE) * target_ms
+
+
 def _may_hold(state: ServerState, now_ms: float) -> bool:
     """Tell whether an item at risk may take a place where online requests wait for none yet."""
     if state.ejected_until_ms > now_ms or state.batch_count(now_ms) >= state.held_limit:
--- a/tests/test_batch/test_batch_give_way.py
+++ b/tests/test_batch/test_batch_give_way.py
@@ -6,6 +6,7 @@
 
 from citrondyke.decisions.batch.give_way import (
     AT_RISK_MS,
+    SOON_WAIT_SHARE,
     WAIT_SHARE,
     GiveWay,
     RunningItem,
@@ -213,3 +214,16 @@
     chosen = [floor.give_way.choose(SERVICE, Urgency.PATIENT) for _ in range(200)]
     on_slow = sum(state is not None and state.listed.id == A for state in chosen)
     assert on_slow < 0.3 * len(chosen)
+
+
+def test_request_waits_for_others_that_end_soon() -> None:
+    # Online requests have filled a quick server. One of them ends every 100 ms.
+    floor = Floor()
+    target_ms = 300.0
+    items = running(floor, target_ms, 5_000.0, 5_000.0)
+    floor.state.own.batch, floor.state.own.online = 2, 7
+    floor.give_way.to_cut(items)
+    floor.clock.ms += 2 * WAIT_SHARE * target_ms
+    assert floor.give_way.to_cut(items) == []
+    floor.clock.ms += SOON_WAIT_SHARE * target_ms
+    assert len(floor.give_way.to_cut(items)) == 1
