--- a/citrondyke/decisions/batch/give_way.py
+++ b/citrondyke/decisions/batch/give_way.py
@@ -28,13 +28,13 @@
 #: An item that must run from now on, with no more than this to spare, is at risk: a cut costs it
 #: its due time, while a request that waits for a place is still within its target.
 AT_RISK_MS = 1_500.0
-#: Part of the target of online requests for which one may wait at a full server before a run is
-#: cut: the counts may be behind ...
+#: Part of the target of online requests for which one may wait at a full server of a large fleet
+#: before a run is cut: the counts may be behind ...
 WAIT_SHARE = 0.05
-#: ... and where a place is expected within half of the target, as online requests end: in two
-#: fifths it is there mostly, and what is left is enough for a first event.
+#: ... and where a place is expected within half of the target, as online requests end, it is given
+#: half of that time.
 SOON_SHARE = 0.5
-SOON_WAIT_SHARE = 0.4
+SOON_WAIT_SHARE = 0.25
 #: Time that a streamed request stays on a server, about; the wait is bounded by the target in any
 #: case.
 STAY_MS = 700.0
@@ -118,7 +118,9 @@
         return self._book.neighbours.is_zoned
 
     def watch(self, service: ServiceName) -> None:
-        """Follow the online requests of a service whose items wait."""
+        """Follow the online requests of a service whose items wait, in a large fleet."""
+        if not self._book.neighbours.is_zoned:
+            return
         now_ms = self._context.now_ms()
         near, _ = self._split(self._book.usable(service))
         self.kept.note(service, sum(state.online_count(now_ms) for state in near))
@@ -133,7 +135,9 @@
         near, far = self._split(self._book.usable(service))
         is_at_risk = urgency_now is Urgency.AT_RISK
         rooms = [_Room(state, free) for state in near if (free := _free(state, now_ms)) >= 1]
-        free_count = sum(room.free for room in rooms) - self.kept.count(service, len(near))
+        free_count = sum(room.free for room in rooms) - self._kept_count(service, len(rooms))
+        # What is kept is of most use where each server has a part of it.
+        rooms = [_Room(room.state, room.free - 1) for room in rooms if room.free > 1] or rooms
         if free_count < 1:
             rooms = [_Room(state, 1) for state in near if is_at_risk and _may_hold(state, now_ms)]
             free_count = len(rooms)
@@ -152,6 +156,15 @@
         ]
         return self._context.random.choices(rooms, weights)[0].state
 
+    def _kept_count(self, service: ServiceName, servers_count: int) -> int:
+        """Count the places to leave free on the servers that have some.
+
+        Where servers are few, each of them needs its own: there is nowhere else to go.
+        """
+        if not self._book.neighbours.is_zoned:
+            return servers_count
+        return self.kept.count(service, servers_count)
+
     def _split(self, usable: list[ServerState]) -> tuple[list[ServerState], list[ServerState]]:
         """Part the servers whose counts are fresh from those of a large fleet's other zones."""
         if not self._book.neighbours.is_zoned:
@@ -196,7 +209,10 @@
         # What the other owners cut is not known yet; cutting again before would be too much.
         if now_ms - self._cut_ms.get(state.life, float('-inf')) < self._pace.gap_ms:
             return []
-        wait_ms = _patience_ms(state, min(item.target_ms for item in items), now_ms)
+        wait_ms = 0.0
+        if self._book.neighbours.is_zoned:
+            # In a smaller fleet counts are ten ms old at the most.
+            wait_ms = _patience_ms(state, min(item.target_ms for item in items), now_ms)
         count = self._count_to_cut(state, len(items), wait_ms, now_ms)
         # Those that end soon make room by themselves.
         ending_count = sum(item.remaining_ms <= wait_ms for item in items)
--- a/tests/test_batch/test_batch_give_way.py
+++ b/tests/test_batch/test_batch_give_way.py
@@ -162,6 +162,12 @@
     assert len(floor.give_way.to_cut(items)) == 3
 
 
+def large_floor() -> Floor:
+    floor = Floor()
+    floor.book.neighbours.replace(other_instances(69))
+    return floor
+
+
 def running(floor: Floor, target_ms: float, *remaining_ms: float) -> list[RunningItem]:
     return [
         RunningItem(number, floor.state.life, 0.0, Urgency.PATIENT, each, target_ms)
@@ -171,7 +177,7 @@
 
 def test_no_run_is_cut_for_a_request_that_leaves_meanwhile() -> None:
     # A server with several online requests has one too many for a moment, again and again.
-    floor = Floor()
+    floor = large_floor()
     target_ms = 300.0
     items = running(floor, target_ms, *[5_000.0] * 6)
     floor.state.own.batch = 6
@@ -185,7 +191,7 @@
 
 
 def test_run_is_cut_for_a_request_that_would_wait() -> None:
-    floor = Floor()
+    floor = large_floor()
     target_ms = 300.0
     items = running(floor, target_ms, *[1_000.0, 5_000.0, 2_000.0] * 2)
     floor.state.own.batch, floor.state.own.online = 6, 3
@@ -195,7 +201,7 @@
 
 
 def test_run_that_ends_at_once_makes_room_by_itself() -> None:
-    floor = Floor()
+    floor = large_floor()
     items = running(floor, 300.0, *[5_000.0] * 5, 10.0)
     floor.state.own.batch, floor.state.own.online = 6, 3
     floor.give_way.to_cut(items)
@@ -218,7 +224,7 @@
 
 def test_request_waits_for_others_that_end_soon() -> None:
     # Online requests have filled a quick server. One of them ends every 100 ms.
-    floor = Floor()
+    floor = large_floor()
     target_ms = 300.0
     items = running(floor, target_ms, 5_000.0, 5_000.0)
     floor.state.own.batch, floor.state.own.online = 2, 7
