--- a/citrondyke/gateway/gauges.py
+++ b/citrondyke/gateway/gauges.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
-
-from citrondyke.decisions.memory.byte_budget import HeldKind
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from citrondyke.decisions.batch.batch_need import Prospect
+from citrondyke.decisions.memory.byte_budget import HeldKind
 
 if TYPE_CHECKING:
     from citrondyke.decisions.crashes.suspect_book import SuspectBook
--- a/citrondyke/gateway/peers/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -156,6 +156,13 @@
     text: PeerText
 
 
+_DATA_FIELDS: dict[type[PeerText], str] = {
+    KnowledgeData: 'knowledge',
+    StoreCallData: 'storeCall',
+    StoreAnswerData: 'storeAnswer',
+}
+
+
 def encode_message(message: PeerMessage) -> bytes:
     """Encode a message."""
     built = _SCHEMA.GatewayMessage.new_message()
@@ -174,12 +181,8 @@
         built.batchNeed = pack_needs(text.needs)
     elif isinstance(text, JobChanged):
         built.jobChanged = text.job_id
-    elif isinstance(text, KnowledgeData):
-        built.knowledge = text.data
-    elif isinstance(text, StoreCallData):
-        built.storeCall = text.data
-    elif isinstance(text, StoreAnswerData):
-        built.storeAnswer = text.data
+    elif isinstance(text, KnowledgeData | StoreCallData | StoreAnswerData):
+        setattr(built, _DATA_FIELDS[type(text)], text.data)
     elif isinstance(text, ListTold):
         built.listPosition = msgspec.msgpack.encode(text.position)
     elif isinstance(text, ListOffered):
