--- a/citrondyke/gateway/peers/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -4,29 +4,27 @@
 
 import os
 import struct
-from typing import Any
+from functools import partial
+from typing import TYPE_CHECKING, Any
 
 import capnp
 import msgspec
 
-from citrondyke.decisions.accounts.limit_messages import (
-    LeaseAnswered,
-    LeaseAsked,
-    LimitMessage,
-    UseAnswered,
-    UseAsked,
-    UseOutcome,
-)
+from citrondyke.decisions.accounts.limit_messages import LimitMessage
 from citrondyke.decisions.batch.batch_need import ToldNeed
 from citrondyke.decisions.crashes.content import RequestContent
 from citrondyke.decisions.crashes.news_queue import NewsKind, SuspectNews
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
 from citrondyke.decisions.knowledge.list_position import ListPosition
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.peers.limit_codec import LIMIT_READERS, build_limit
 from citrondyke.gateway.peers.need_codec import pack_needs, unpack_needs
-from citrondyke.ids import ConfigVersion, ContentDigest, InstanceId, JobId, TenantId
+from citrondyke.ids import ConfigVersion, ContentDigest, InstanceId, JobId
 from citrondyke.util.decoding import decode_msgpack
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = (
     'BatchNeeds',
     'CrashNews',
@@ -56,14 +54,6 @@
 _SUSPECT = struct.Struct('<10sIB')
 
 
-_OUTCOME_NAMES = {
-    UseOutcome.GRANTED: 'granted',
-    UseOutcome.REFUSED: 'refused',
-    UseOutcome.NOT_STEWARD: 'notSteward',
-}
-_OUTCOMES = {name: outcome for outcome, name in _OUTCOME_NAMES.items()}
-
-
 class PeerText(msgspec.Struct, frozen=True):
     """What a message says."""
 
@@ -156,85 +146,41 @@
     text: PeerText
 
 
-_DATA_FIELDS: dict[type[PeerText], str] = {
-    KnowledgeData: 'knowledge',
-    StoreCallData: 'storeCall',
-    StoreAnswerData: 'storeAnswer',
-}
-
-
 def encode_message(message: PeerMessage) -> bytes:
     """Encode a message."""
     built = _SCHEMA.GatewayMessage.new_message()
     built.sender = message.sender
     built.configVersion = message.config_version
-    text = message.text
-    if isinstance(text, LoadNotice):
-        built.loadBytes = _pack_loads(text.loads)
-    elif isinstance(text, LoadTotals):
-        built.loadTotalsBytes = _pack_loads(text.loads)
-    elif isinstance(text, CrashNews):
-        told = built.init('suspects')
-        told.server = text.server
-        told.requests = _pack_suspects(text.news)
-    elif isinstance(text, BatchNeeds):
-        built.batchNeed = pack_needs(text.needs)
-    elif isinstance(text, JobChanged):
-        built.jobChanged = text.job_id
-    elif isinstance(text, KnowledgeData | StoreCallData | StoreAnswerData):
-        setattr(built, _DATA_FIELDS[type(text)], text.data)
-    elif isinstance(text, ListTold):
-        built.listPosition = msgspec.msgpack.encode(text.position)
-    elif isinstance(text, ListOffered):
-        built.knowledgeOffered = msgspec.msgpack.encode(text)
-    elif isinstance(text, LimitText):
-        _build_limit(built, text.message)
-    elif isinstance(text, KnowledgeWanted):
-        wanted = built.init('knowledgeAsked')
-        wanted.instancesCount, wanted.listDigest = text.instances_count, text.list_digest
-        wanted.takesCompressed = text.takes_compressed
-    else:
-        # Each kind has its field above; a new one without would ask peers for something else.
-        raise TypeError(type(text).__name__)
+    write = _WRITERS.get(type(message.text))
+    if write is None:
+        # Each kind has its field; a new one without would ask peers for something else.
+        raise TypeError(type(message.text).__name__)
+    write(built, message.text)
     # Not packed: the library's packed writer ended processes by a segmentation fault on messages
     # of over 8 KB whose packed form is longer than the plain one, as of compressed values.
     data: bytes = built.to_bytes()
     return data
 
 
-def _build_limit(built: Any, message: LimitMessage) -> None:
-    if isinstance(message, UseAsked):
-        asked = built.init('useAsked')
-        asked.number, asked.account = message.number, message.account
-    elif isinstance(message, UseAnswered):
-        answered = built.init('useAnswered')
-        answered.number = message.number
-        answered.outcome = _OUTCOME_NAMES[message.outcome]
-        answered.retryInMs, answered.pauseMs = message.retry_in_ms, message.pause_ms
-        answered.isSteward = message.is_steward
-    elif isinstance(message, LeaseAsked):
-        lease = built.init('leaseAsked')
-        lease.slot, lease.number = message.slot, message.number
-    elif isinstance(message, LeaseAnswered):
-        word = built.init('leaseAnswered')
-        word.slot, word.number = message.slot, message.number
-        word.isGranted, word.freeMs = message.is_granted, message.free_ms
-    else:
-        raise TypeError(type(message).__name__)
-
-
-def _read_use_answered(read: Any) -> LimitText:
-    answered = read.useAnswered
-    outcome = _OUTCOMES[str(answered.outcome)]
-    return LimitText(
-        UseAnswered(
-            answered.number,
-            outcome,
-            answered.retryInMs,
-            answered.pauseMs,
-            answered.isSteward,
-        )
-    )
+def _write_suspects(built: Any, text: CrashNews) -> None:
+    told = built.init('suspects')
+    told.server = text.server
+    told.requests = _pack_suspects(text.news)
+
+
+def _write_wanted(built: Any, text: KnowledgeWanted) -> None:
+    wanted = built.init('knowledgeAsked')
+    wanted.instancesCount, wanted.listDigest = text.instances_count, text.list_digest
+    wanted.takesCompressed = text.takes_compressed
+
+
+def _field(name: str, encode: Callable[[Any], Any]) -> Callable[[Any, Any], None]:
+    """Make what writes a kind of message that is one field."""
+
+    def write(built: Any, text: Any) -> None:
+        setattr(built, name, encode(text))
+
+    return write
 
 
 def decode_message(data: bytes) -> PeerMessage:
@@ -252,10 +198,15 @@
         UnicodeDecodeError,
         UnreadableBytesError,
         struct.error,
+        msgspec.MsgspecError,
     ) as error:
         raise ValueError(str(error)) from error
 
 
+def _read_limit(reader: Callable[[Any], LimitMessage], read: Any) -> LimitText:
+    return LimitText(reader(read))
+
+
 def _pack_loads(loads: list[ServerLoad]) -> bytes:
     return b''.join(
         _LOAD.pack(load.server, min(load.online, COUNT_LIMIT), min(load.batch, COUNT_LIMIT))
@@ -285,6 +236,20 @@
     return [ServerLoad(each.server, each.online, each.batch) for each in places]
 
 
+_WRITERS: dict[type[PeerText], Callable[[Any, Any], None]] = {
+    LoadNotice: _field('loadBytes', lambda text: _pack_loads(text.loads)),
+    LoadTotals: _field('loadTotalsBytes', lambda text: _pack_loads(text.loads)),
+    CrashNews: _write_suspects,
+    BatchNeeds: _field('batchNeed', lambda text: pack_needs(text.needs)),
+    JobChanged: _field('jobChanged', lambda text: text.job_id),
+    KnowledgeWanted: _write_wanted,
+    KnowledgeData: _field('knowledge', lambda text: text.data),
+    StoreCallData: _field('storeCall', lambda text: text.data),
+    StoreAnswerData: _field('storeAnswer', lambda text: text.data),
+    ListTold: _field('listPosition', lambda text: msgspec.msgpack.encode(text.position)),
+    ListOffered: _field('knowledgeOffered', msgspec.msgpack.encode),
+    LimitText: lambda built, text: build_limit(built, text.message),
+}
 _READERS: dict[str, Any] = {
     'loadBytes': lambda read: LoadNotice(_unpack_loads(read.loadBytes)),
     'loadTotalsBytes': lambda read: LoadTotals(_unpack_loads(read.loadTotalsBytes)),
@@ -301,19 +266,7 @@
         read.knowledgeAsked.listDigest,
         read.knowledgeAsked.takesCompressed,
     ),
-    'useAsked': lambda read: LimitText(
-        UseAsked(read.useAsked.number, TenantId(read.useAsked.account))
-    ),
-    'useAnswered': _read_use_answered,
-    'leaseAsked': lambda read: LimitText(LeaseAsked(read.leaseAsked.slot, read.leaseAsked.number)),
-    'leaseAnswered': lambda read: LimitText(
-        LeaseAnswered(
-            read.leaseAnswered.slot,
-            read.leaseAnswered.number,
-            read.leaseAnswered.isGranted,
-            read.leaseAnswered.freeMs,
-        )
-    ),
+    **{kind: partial(_read_limit, reader) for kind, reader in LIMIT_READERS.items()},
     'knowledgeWanted': lambda _: KnowledgeWanted(),
     'storeCall': lambda read: StoreCallData(bytes(read.storeCall)),
     'storeAnswer': lambda read: StoreAnswerData(bytes(read.storeAnswer)),
