--- a/citrondyke/cmd/gateway.py
+++ b/citrondyke/cmd/gateway.py
@@ -8,6 +8,9 @@
 import os
 import sys
 
+# The extension itself, as the module ``signal`` around it takes longer than to listen.
+from _signal import SIG_IGN, SIGHUP, signal  # type: ignore[import-not-found]
+
 # First of all: the other imports take longer than what follows.
 from citrondyke.util.process_start import PROCESS_BEGAN_MS  # isort: skip
 from citrondyke.platform.early_addresses import early_addresses
@@ -25,14 +28,13 @@
 def main() -> int:
     """Run one instance until SIGTERM."""
     steps = StartSteps()
+    # By default it would end the process. The settings are read later anyway.
+    signal(SIGHUP, SIG_IGN)
     sockets = EarlySockets(early_addresses(os.environ))
     steps.note('listening')
     bundle = open_bundle(BUNDLE_FILE, bundle_roots())
     import gc
-    import signal
 
-    # By default it would end the process. The settings are read later anyway.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # What is imported stays: looking for garbage among it only takes time.
     gc.disable()
     from citrondyke.cmd.lean_imports import put_off_unused
--- a/citrondyke/gateway/callers/start_gate.py
+++ b/citrondyke/gateway/callers/start_gate.py
@@ -23,6 +23,8 @@
 #: Once the start has taken so many looks, it is the store's silence that lasts.
 LOOKS_OFTEN = 200
 LOOK_LATER_S = 0.05
+#: Steps that an instance need not come to, as a lease that others hold, are looked for so long.
+MARKS_S = 1.0
 
 
 class StartGate:
@@ -34,15 +36,18 @@
         hold: StartHold,
         is_complete: Callable[[], bool],
         steps: StartSteps | None,
+        marks: dict[str, Callable[[], bool]],
     ) -> None:
         """Use the parts handed in.
 
         :param is_complete: tells whether requests can be served.
+        :param marks: tell by name whether a step of the start is done.
         """
         self._context = context
         self._hold = hold
         self._is_complete = is_complete
         self._steps = steps
+        self._marks = marks
         self._opened = Event()
         self._held_total = 0
         #: From the start of the process, or of this instance; 0 before it serves.
@@ -74,9 +79,11 @@
         looks = 0
         while not self._is_complete():
             looks += 1
+            self._note_marks()
             gevent.sleep(LOOK_S if looks < LOOKS_OFTEN else LOOK_LATER_S)
         self._opened.set()
         self.opened_after_ms = waited_ms = self._context.now_ms() - began_ms
+        self._note_marks()
         if self._steps is not None:
             self._steps.note('serving')
             self.opened_after_ms = self._steps.done_ms['serving']
@@ -85,6 +92,24 @@
             extra={
                 'waited_ms': round(waited_ms, 1),
                 'held_requests': self._held_total,
-                'steps_ms': None if self._steps is None else self._steps.done_ms,
+                'steps_ms': None if self._steps is None else dict(self._steps.done_ms),
             },
         )
+        self._run_marks()
+
+    def _run_marks(self) -> None:
+        """Look for the steps that requests need not wait for, and tell them."""
+        if self._steps is None:
+            return
+        until_ms = self._context.now_ms() + MARKS_S * 1e3
+        while self._marks and self._context.now_ms() < until_ms:
+            gevent.sleep(LOOK_S)
+            self._note_marks()
+        log.info('instance.steps', extra={'steps_ms': self._steps.done_ms})
+
+    def _note_marks(self) -> None:
+        if self._steps is None:
+            return
+        for name in [name for name, is_done in self._marks.items() if is_done()]:
+            self._steps.note(name)
+            del self._marks[name]
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -206,7 +206,16 @@
         self.batch.use_peers(self.peers.look, self.peers.send)
         self.jobs = self.batch.door(self.peers.tell_job_changed)
         self.gate = StartGate(
-            self.context, StartHold(self.context), lambda: self.beliefs.is_complete, steps
+            self.context,
+            StartHold(self.context),
+            lambda: self.beliefs.is_complete,
+            steps,
+            {
+                'configuration': lambda: self.beliefs.config.current.version > 0,
+                'servers': lambda: self.beliefs.has_servers,
+                'peers': lambda: self.membership.is_known,
+                'lease': lambda: bool(self.limits.held_slots()),
+            },
         )
         self.front = Front(
             self.context,
--- a/tests/test_platform/test_platform_decoding.py
+++ b/tests/test_platform/test_platform_decoding.py
@@ -91,6 +91,15 @@
     assert tolerance == LimitTolerance(window_ms=7_000.0, overshoot=0.1, slack=20.0)
 
 
+def test_settings_are_the_same_as_json() -> None:
+    # The template of the deploy file hands them over so; the platform's own file is TOML.
+    text = msgspec.json.encode(msgspec.toml.decode(SETTINGS)).decode()
+    in_json = platform_settings(text, 'boot.toml', 9000)
+    assert in_json == platform_settings(SETTINGS, 'boot.toml', 9000)
+    with pytest.raises(SettingsInvalidError):
+        platform_settings(text[:-1], 'boot.toml', 9000)
+
+
 @pytest.mark.parametrize(
     'change',
     [
