Servers that an instance has not met are taken for ones of the middle

In a large fleet an instance meets each server once in some seconds; those that had not answered it were compared by count with others by expected finish, looked worse and were met by few. Items of batch jobs leave out servers that the fleet holds to be out.

--- a/citrondyke/decisions/batch/give_way.py
+++ b/citrondyke/decisions/batch/give_way.py
@@ -286,7 +286,7 @@
 
 def _free(state: ServerState, now_ms: float) -> int:
     """Count the places of a server that nobody has."""
-    if state.ejected_until_ms > now_ms:
+    if state.is_out(now_ms):
         return 0
     return state.listed.slots_count - state.total_count(now_ms)
 
@@ -307,6 +307,6 @@
 
 def _may_hold(state: ServerState, now_ms: float) -> bool:
     """Tell whether an item at risk may take a place where online requests wait for none yet."""
-    if state.ejected_until_ms > now_ms or state.batch_count(now_ms) >= state.held_limit:
+    if state.is_out(now_ms) or state.batch_count(now_ms) >= state.held_limit:
         return False
     return state.total_count(now_ms) <= state.listed.slots_count
--- a/citrondyke/decisions/forwarding/server_book.py
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -189,14 +189,16 @@
             tried = self.soundness.to_try(self._open_ones(service, avoid))
             if tried is not None:
                 return tried
-        mean_ms = _mean_time(usable)
         looked_at = self._looked_at(usable)
         preferred = self._preferred(looked_at, prefix)
         few = looked_at
-        if all(state.pace.is_known for state in looked_at):
+        # One that has not answered this instance yet is taken for one of the middle.
+        is_paced = any(state.pace.is_known for state in usable)
+        if is_paced:
             few = few_candidates(looked_at, self._context.random, now_ms)
             if preferred is not None and preferred not in few:
                 few = [*few, preferred]
+        mean_ms = None if is_paced else _mean_time(usable)
         best = self._cheapest(few, mean_ms, preferred, now_ms)
         if len(few) < len(usable) and _would_wait(best, now_ms):
             # A request must not wait or be turned away while a server elsewhere has a place.
@@ -226,15 +228,20 @@
     def _cheapest(
         self,
         states: list[ServerState],
-        mean_ms: float,
+        mean_ms: float | None,
         preferred: ServerState | None,
         now_ms: float,
     ) -> ServerState:
+        """Choose the cheapest server.
+
+        :param mean_ms: mean time of answers; ``None`` where the servers state their pace.
+        """
+        request_cost = REQUEST_COST if mean_ms is None else 1.0
         return min(
             states,
             key=lambda state: (
                 self._cost(state, mean_ms, now_ms)
-                - PREFIX_GAIN * _request_cost(state) * (state is preferred),
+                - PREFIX_GAIN * request_cost * (state is preferred),
                 self._context.random.random(),
             ),
         )
@@ -253,17 +260,18 @@
         far_count = min(len(far), max(0, LOOKED_AT - len(near)))
         return near + self._context.random.sample(far, far_count)
 
-    def _cost(self, state: ServerState, mean_ms: float, now_ms: float) -> float:
-        if state.pace.is_known:
+    def _cost(self, state: ServerState, mean_ms: float | None, now_ms: float) -> float:
+        zone_cost = FAR_ZONE_COST if self.neighbours.is_zoned else OTHER_ZONE_COST
+        if mean_ms is None:
             cost = expected_finish(state, now_ms)
+            zone_cost *= REQUEST_COST
         else:
             cost = self._counted_cost(state, mean_ms, now_ms)
         # Quick errors leave a server empty: each counts as a request that is on it.
         cost += FAILING_COST * state.failing(now_ms) + state.record.failures
         if state.listed.zone == self._context.zone:
             return cost
-        zone_cost = FAR_ZONE_COST if self.neighbours.is_zoned else OTHER_ZONE_COST
-        return cost + zone_cost * _request_cost(state)
+        return cost + zone_cost
 
     @staticmethod
     def _counted_cost(state: ServerState, mean_ms: float, now_ms: float) -> float:
@@ -294,11 +302,6 @@
     return busy_count >= state.listed.slots_count
 
 
-def _request_cost(state: ServerState) -> float:
-    """Give what one request on a server adds to its cost."""
-    return REQUEST_COST if state.pace.is_known else 1.0
-
-
 def _mean_time(states: list[ServerState]) -> float:
     times = sorted(state.mean_ms for state in states if state.mean_ms)
     return times[len(times) // 2] if times else 0.0
--- a/tests/test_servers/test_servers_uneven.py
+++ b/tests/test_servers/test_servers_uneven.py
@@ -204,3 +204,17 @@
         chosen = book.choose(SERVICE, (), '')
         assert chosen is not None
         assert chosen.listed.id == 's-7'
+
+
+def test_server_that_has_not_answered_here_yet_gets_requests_too() -> None:
+    # In a large fleet an instance meets each server once in some seconds; those that it has not
+    # met must not look worse for what is on them than those it has.
+    book = ServerBook(manual_context())
+    book.replace(listed_server(f's-{n}', SERVICE) for n in range(8))
+    for state in book.states():
+        state.own.online = 2
+        if state.listed.id in ('s-0', 's-1'):
+            state.pace.note(1.0, 0.0)
+    chosen = Counter(book.choose(SERVICE, (), '') for _ in range(400))
+    assert len(chosen) == 8
+    assert max(chosen.values()) <= 2 * 400 / 8
