--- a/tests/test_gateway/test_peers/test_peers_knowledge.py
+++ b/tests/test_gateway/test_peers/test_peers_knowledge.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
-
 import gevent
+import pytest
 
+from citrondyke.gateway.peers import knowledge_exchange
 from citrondyke.gateway.peers.knowledge_exchange import Knowledge
 from citrondyke.gateway.peers.list_codec import expand
 from citrondyke.gateway.peers.peer_codec import KnowledgeData, KnowledgeWanted
@@ -78,12 +78,14 @@
     assert asking.known_servers()[0] == before
 
 
-def test_start_without_the_store_is_served_by_a_seed_at_once(fleet: GatewayFleet) -> None:
+def test_start_without_the_store_is_served_by_a_seed_at_once(
+    fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # A rolling stop while the store is away: each instance that comes back knows nothing, and a
     # caller's first target is 300 ms.
     fleet.store.faults.refused_ips = {'*'}
     fleet.store.faults.is_silent = True
-    began_s = time.monotonic()
+    # Nobody but the first question can bring it.
+    monkeypatch.setattr(knowledge_exchange, 'ASK_EVERY_MS', 1e6)
     started = fleet.start_instance(seed_ips=(fleet.instances[0].address.ip,))
     wait_until_seen(lambda: started.beliefs.is_complete, 'the new instance to serve')
-    assert time.monotonic() - began_s < 0.3
--- a/tests/test_gateway/test_peers/test_peers_list_readers.py
+++ b/tests/test_gateway/test_peers/test_peers_list_readers.py
@@ -16,7 +16,7 @@
 from citrondyke.gateway.settings import Address
 from citrondyke.ids import AvailabilityZone, InstanceId
 from citrondyke.platform.rows import CONFIG_TABLE, SERVERS_TABLE
-from tests.support.gateway import HEALTH_PORT, GatewayFleet, wait_until_seen
+from tests.support.gateway import HEALTH_PORT, LONGEST_S, GatewayFleet, wait_until_seen
 
 INSTANCES = 6
 
@@ -235,7 +235,7 @@
 
     def hanging(listener: ListListener, reader: InstanceId, ip: str) -> bool:
         if ip == dark_ip:
-            gevent.sleep(0.6)
+            gevent.sleep(2 * LONGEST_S)
             return False
         return ask(listener, reader, ip)
 
@@ -245,7 +245,6 @@
     # No position comes either that would say whom to ask.
     for each in readers.instances:
         each.peers.list_readers._teller._send = lambda *_: None
-    began_s = time.monotonic()
     started = readers.start_instance(
         instance_id=follower.context.instance_id,
         ip=follower.address.ip,
@@ -253,4 +252,3 @@
         health=Address(follower.address.ip, HEALTH_PORT),
     )
     wait_until_seen(lambda: started.beliefs.is_complete, 'the start to be served')
-    assert time.monotonic() - began_s < 0.4
