--- a/citrondyke/decisions/batch/give_way.py
+++ b/citrondyke/decisions/batch/give_way.py
@@ -30,11 +30,11 @@
 AT_RISK_MS = 1_500.0
 #: Part of the target of online requests for which one may wait at a full server of a large fleet
 #: before a run is cut: the counts may be behind ...
-WAIT_SHARE = 0.05
+WAIT_SHARE = 0.1
 #: ... and where a place is expected within half of the target, as online requests end, it is given
-#: half of that time.
+#: four fifths of that time.
 SOON_SHARE = 0.5
-SOON_WAIT_SHARE = 0.25
+SOON_WAIT_SHARE = 0.4
 #: Time that a streamed request stays on a server, about; the wait is bounded by the target in any
 #: case.
 STAY_MS = 700.0
--- a/tests/test_batch/wave_world.py
+++ b/tests/test_batch/wave_world.py
@@ -236,7 +236,7 @@
         items = [
             (item, life)
             for item in each.running
-            for life in crowded
+            for life in sorted(crowded)
             if lives[life].listed.id == item.server
         ]
         running = []
