--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,9 +7,14 @@
 from typing import Any
 
 import pytest
+from hypothesis import settings
 
 from tests.support.fleet import Fleet
 
+# How long an example takes says nothing of the code where the machine is busy.
+settings.register_profile('untimed', deadline=None)
+settings.load_profile('untimed')
+
 
 def pytest_configure(config: pytest.Config) -> None:
     config.addinivalue_line(
