--- a/citrondyke/peer/gateway.capnp
+++ b/citrondyke/peer/gateway.capnp
@@ -37,7 +37,7 @@
     leaseAnswered @16 :LeaseAnswered;
     # How far the steward of a slot may let accounts fall, for its keepers, and their answer.
     useCounts @17 :Data;
-    # Places in the future that a steward has given to an instance; not sent so far.
+    # Not sent. The number is not given to anything else.
     usePlaces @18 :Data;
     # Failures and successes that the sender has seen at servers.
     serverEvidence @19 :Data;
