Only callers that state a deadline are held while the store is away

Cause: callers with jobs state none on the users' platform, and were held by the route's bound, 14.7 s: they left after some 2 to 4 s and asked elsewhere, and the last tries ended without an answer. Ruled out: the store's silence, as the jobs were accepted at 25.1 s when it was back; a guess of the callers' time, as nothing tells it. The change: without a stated deadline the answer comes after 1.5 s as before.

--- a/citrondyke/decisions/batch/acceptance_wait.py
+++ b/citrondyke/decisions/batch/acceptance_wait.py
@@ -42,7 +42,7 @@
     """Begin to make a job durable.
 
     :param deadline_ms: of its caller.
-    :param may_hold: whether there is memory to hold its items for longer.
+    :param may_hold: whether it states one, and there is memory to hold its items for longer.
     """
     elsewhere_at_ms = now_ms + ELSEWHERE_AFTER_MS
     last_at_ms = max(elsewhere_at_ms, deadline_ms - ANSWER_MS) if may_hold else elsewhere_at_ms
--- a/citrondyke/gateway/jobs/job_intake.py
+++ b/citrondyke/gateway/jobs/job_intake.py
@@ -138,8 +138,10 @@
             self._waiting_bytes -= len(request.body)
 
     def _begin_wait(self, request: CallerRequest, facts: CallFacts, route: Route) -> AcceptanceWait:
-        within_ms = min(route.timeout_ms, facts.within_ms or route.timeout_ms)
-        may_hold = self._waiting_bytes <= self._items_limit_bytes * HOLDING_SHARE
+        """Begin the wait for the store; a caller that states no deadline may leave at any time."""
+        within_ms = min(route.timeout_ms, facts.within_ms or 0.0)
+        has_room = self._waiting_bytes <= self._items_limit_bytes * HOLDING_SHARE
+        may_hold = facts.within_ms is not None and has_room
         return begin_wait(self._context.now_ms(), request.arrived_ms + within_ms, may_hold=may_hold)
 
     def _make_durable(
@@ -214,7 +216,7 @@
             gevent.sleep(self._context.jittered_ms(PAUSE_MS) / 1e3)
 
     def _note_failed(self, head: JobHead, wait: AcceptanceWait) -> None:
-        if not wait.is_store_away:
+        if not wait.is_store_away and wait.last_at_ms > wait.elsewhere_at_ms:
             until_ms = wait.last_at_ms - self._context.now_ms()
             log.info('job.held', extra={'job_id': head.job_id, 'longest_ms': round(until_ms)})
         wait.note_failed()
