--- a/citrondyke/decisions/forwarding/listed_rows.py
+++ b/citrondyke/decisions/forwarding/listed_rows.py
@@ -133,12 +133,12 @@
         if row.is_foreign:
             # Whoever wrote it, the server's own entry is not there any more; an outage of the
             # store is no reason to believe that it still is.
-            self._remember_deletion(row.key, row.version)
-            self._note_gone(row.key, row.version)
+            _remember(self._deleted, row.key, row.version)
+            _remember(self._gone, row.key, row.version)
             self._forget(row.key)
             return
         if row.value is None:
-            self._remember_deletion(row.key, row.version)
+            _remember(self._deleted, row.key, row.version)
             if known is not None:
                 self._drop(row.key, row.version, now_ms, row.version)
             return
@@ -167,8 +167,8 @@
         :param version: up to which writes of it are outdated.
         :param gone_version: as of which the store did not hold it, later than its last write.
         """
-        self._remember_deletion(key, version)
-        self._note_gone(key, gone_version)
+        _remember(self._deleted, key, version)
+        _remember(self._gone, key, gone_version)
         if now_ms >= self._doubtful_until_ms:
             self._forget(key)
             return
@@ -181,19 +181,16 @@
             self.digest ^= _row_digest(row)
             self._journal.note(key, len(self._rows))
 
-    def _note_gone(self, key: str, version: int) -> None:
-        self._gone[key] = max(version, self._gone.get(key, 0))
-        _bound(self._gone)
-
-    def _remember_deletion(self, key: str, version: int) -> None:
-        self._deleted[key] = max(version, self._deleted.get(key, 0))
-        _bound(self._deleted)
-
 
 def _row_digest(row: SeenRow[Any]) -> int:
     return content_bucket(f'{row.key}\0{row.version}'.encode())
 
 
+def _remember(versions: dict[str, int], key: str, version: int) -> None:
+    versions[key] = max(version, versions.get(key, 0))
+    _bound(versions)
+
+
 def _bound(remembered: dict[str, int]) -> None:
     if len(remembered) > REMEMBERED_LIMIT:
         remembered.pop(min(remembered, key=remembered.__getitem__))
--- a/citrondyke/decisions/forwarding/server_book.py
+++ b/citrondyke/decisions/forwarding/server_book.py
@@ -145,11 +145,12 @@
         Ejected ones are left out while others are there; if all are ejected, all count, since a
         wrong suspicion of all of them must not turn every caller away.
         """
+        self.judge(service)
+        return self._sound_ones(self._open_ones(service, avoid))
+
+    def _sound_ones(self, open_ones: list[ServerState]) -> list[ServerState]:
         now_ms = self._context.now_ms()
-        open_ones = self._open_ones(service, avoid)
-        self.soundness.judge(self._by_service.get(service, ()))
-        sound = [state for state in open_ones if not state.is_out(now_ms)]
-        return sound or open_ones
+        return [state for state in open_ones if not state.is_out(now_ms)] or open_ones
 
     def _open_ones(self, service: ServiceName, avoid: Collection[ServerLife]) -> list[ServerState]:
         return [
@@ -177,7 +178,9 @@
         :param is_once: whether it may run once only.
         """
         self._look()
-        usable = self.usable(service, avoid)
+        self.judge(service)
+        open_ones = self._open_ones(service, avoid)
+        usable = self._sound_ones(open_ones)
         if not usable:
             return None
         now_ms = self._context.now_ms()
@@ -186,7 +189,7 @@
                 usable, lambda state: _would_wait(state, now_ms), now_ms
             )
         elif not avoid:
-            tried = self.soundness.to_try(self._open_ones(service, avoid))
+            tried = self.soundness.to_try(open_ones)
             if tried is not None:
                 return tried
         looked_at = self._looked_at(usable)
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -18,6 +18,7 @@
 from citrondyke.gateway.callers.final_answers import HeldFailure
 from citrondyke.gateway.callers.forwarding import Forwarding, RequestEnd
 from citrondyke.gateway.callers.held_answer import read_held_answer
+from citrondyke.gateway.servers.server_sends import SERVER_FAILURE
 
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.account import Account
@@ -39,7 +40,6 @@
 __all__ = ('Forwarder',)
 
 EVENT_STREAM = b'text/event-stream'
-SERVER_FAILURE = 500
 
 
 class Forwarder:
--- a/citrondyke/gateway/callers/front.py
+++ b/citrondyke/gateway/callers/front.py
@@ -143,9 +143,8 @@
             facts = msgspec.structs.replace(facts, request_id=request_id)
         if len(self._open) > self._limit:
             connection.close_after_answer()
-            headers = self._dialect.own_answer(facts.request_id, TOO_MANY_RETRY_MS)
             log.info('request.too_many', extra={'request_id': facts.request_id})
-            connection.send_whole(503, headers, b'')
+            self._send_own(connection, facts.request_id, 503, TOO_MANY_RETRY_MS)
             return
         if not self._beliefs.is_complete:
             self._gate.wait(facts.within_ms)
@@ -179,8 +178,7 @@
     ) -> None:
         detail = {'host': request.host, 'path': request.path}
         self._log_no('request.not_started', request_id, 503, detail)
-        headers = self._dialect.own_answer(request_id, self._gate.retry_in_ms())
-        connection.send_whole(503, headers, b'')
+        self._send_own(connection, request_id, 503, self._gate.retry_in_ms())
 
     def _answer_no_route(
         self, connection: CallerConnection, request: CallerRequest, request_id: RequestId
@@ -229,6 +227,15 @@
 
     def _answer_no(self, connection: CallerConnection, request_id: RequestId, status: int) -> None:
         retry_in_ms = UNSURE_RETRY_MS if status == HTTPStatus.SERVICE_UNAVAILABLE else None
+        self._send_own(connection, request_id, status, retry_in_ms)
+
+    def _send_own(
+        self,
+        connection: CallerConnection,
+        request_id: RequestId,
+        status: int,
+        retry_in_ms: float | None,
+    ) -> None:
         connection.send_whole(status, self._dialect.own_answer(request_id, retry_in_ms), b'')
 
     def _refuse_body(self, connection: CallerConnection, request: CallerRequest) -> None:
--- a/citrondyke/gateway/callers/held_answer.py
+++ b/citrondyke/gateway/callers/held_answer.py
@@ -31,15 +31,11 @@
 
     :raises BrokenReplyError: when it breaks off, is too large, or found no room in time.
     """
-    parts: list[bytes] = []
-    size = 0
-    while (piece := connection.read_piece(until_ms)) is not None:
-        parts.append(piece)
-        size += len(piece)
-        if size > HELD_ANSWER_BYTES:
-            raise BrokenReplyError(BreakKind.MALFORMED, f'over {HELD_ANSWER_BYTES} bytes')
-        _wait_for_room(held, len(piece), clock, until_ms)
-    return b''.join(parts)
+    return connection.read_body(
+        until_ms,
+        HELD_ANSWER_BYTES,
+        lambda size_bytes: _wait_for_room(held, size_bytes, clock, until_ms),
+    )
 
 
 def _wait_for_room(held: HeldBytes, size_bytes: int, clock: Clock, until_ms: float) -> None:
--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -37,10 +37,7 @@
         log.info(
             'request.turned_away',
             extra={
-                'request_id': forwarding.facts.request_id,
-                'route': forwarding.route.name,
-                'account': forwarding.account.id,
-                'config_version': forwarding.config_version,
+                **_about(forwarding),
                 'best_server': state.listed.id,
                 'online_count': state.online_count(now_ms),
                 'batch_count': state.batch_count(now_ms),
@@ -77,10 +74,7 @@
         log.info(
             'request.sent',
             extra={
-                'request_id': forwarding.facts.request_id,
-                'route': forwarding.route.name,
-                'account': forwarding.account.id,
-                'config_version': forwarding.config_version,
+                **_about(forwarding),
                 'server_id': state.listed.id,
                 'server_zone': state.listed.zone,
                 'online_count': state.online_count(now_ms),
@@ -163,10 +157,7 @@
         log.info(
             'request.end',
             extra={
-                'request_id': forwarding.facts.request_id,
-                'route': forwarding.route.name,
-                'account': forwarding.account.id,
-                'config_version': forwarding.config_version,
+                **_about(forwarding),
                 'end': end.value,
                 'sends': forwarding.course.sends_count + (end is RequestEnd.DONE),
                 'first_ms': round(first_ms, 1),
@@ -174,3 +165,13 @@
                 'events': forwarding.events_count,
             },
         )
+
+
+def _about(forwarding: Forwarding) -> dict[str, object]:
+    """Name a request, and what it was judged by."""
+    return {
+        'request_id': forwarding.facts.request_id,
+        'route': forwarding.route.name,
+        'account': forwarding.account.id,
+        'config_version': forwarding.config_version,
+    }
--- a/citrondyke/gateway/callers/request_reader.py
+++ b/citrondyke/gateway/callers/request_reader.py
@@ -62,7 +62,6 @@
         :raises MemoryFullError: when the instance has no room for its body.
         """
         self.is_idle = True
-        self._held.release()
         limits = self._limits()
         head = self._read_raw_head(limits)
         if head is None:
--- a/citrondyke/gateway/jobs/job_intake.py
+++ b/citrondyke/gateway/jobs/job_intake.py
@@ -192,10 +192,8 @@
             )
             if not isinstance(reserved, PlatformFailure):
                 return reserved
-            self._note_failed(head, wait)
-            if not self._may_try_again(wait):
+            if not self._waits_for_next_try(head, wait):
                 return reserved
-            gevent.sleep(self._context.jittered_ms(PAUSE_MS) / 1e3)
 
     def _accept(
         self, head: JobHead, items: list[JobItem], wait: AcceptanceWait
@@ -208,23 +206,25 @@
                 answer = self._store.accept(head, items)
             if isinstance(answer, StoredHead):
                 return answer
-            self._note_failed(head, wait)
             if answer is CommitVerdict.IN_DOUBT:
                 verdict = answer
-            if not self._may_try_again(wait):
+            if not self._waits_for_next_try(head, wait):
                 return verdict
-            gevent.sleep(self._context.jittered_ms(PAUSE_MS) / 1e3)
 
-    def _note_failed(self, head: JobHead, wait: AcceptanceWait) -> None:
+    def _waits_for_next_try(self, head: JobHead, wait: AcceptanceWait) -> bool:
+        """Take in that a try failed and pause; tell whether a further one has a chance.
+
+        An instance that stops holds nobody.
+        """
         if not wait.is_store_away and wait.last_at_ms > wait.elsewhere_at_ms:
             until_ms = wait.last_at_ms - self._context.now_ms()
             log.info('job.held', extra={'job_id': head.job_id, 'longest_ms': round(until_ms)})
         wait.note_failed()
-
-    def _may_try_again(self, wait: AcceptanceWait) -> bool:
-        """Tell whether a further try has a chance; an instance that stops holds nobody."""
         is_time_left = self._context.now_ms() + PAUSE_MS + SHORTEST_TRY_MS <= wait.until_ms
-        return is_time_left and not self._owned.is_stopping
+        if not is_time_left or self._owned.is_stopping:
+            return False
+        gevent.sleep(self._context.jittered_ms(PAUSE_MS) / 1e3)
+        return True
 
     def _take(self, accepted: StoredHead, items: list[JobItem], request: CallerRequest) -> None:
         head = accepted.head
--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -14,6 +14,8 @@
 from citrondyke.gateway.sockets import connect
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gevent import socket
 
     from citrondyke.gateway.http_head import Headers
@@ -88,9 +90,15 @@
                 return None
             self._feed(until_ms)
 
-    def read_body(self, until_ms: float, limit_bytes: int) -> bytes:
+    def read_body(
+        self,
+        until_ms: float,
+        limit_bytes: int,
+        on_piece: Callable[[int], None] | None = None,
+    ) -> bytes:
         """Read a whole body.
 
+        :param on_piece: called with the size of each piece before the next one is read.
         :raises BrokenReplyError: when it breaks off or is too large.
         """
         parts: list[bytes] = []
@@ -100,6 +108,8 @@
             size += len(piece)
             if size > limit_bytes:
                 raise BrokenReplyError(BreakKind.MALFORMED, f'over {limit_bytes} bytes')
+            if on_piece is not None:
+                on_piece(len(piece))
         return b''.join(parts)
 
     @property
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -24,11 +24,12 @@
     from citrondyke.ids import RequestId, ServerLife
     from citrondyke.util.clock import Clock
 
-__all__ = ('OpenReply', 'ServerSends')
+__all__ = ('SERVER_FAILURE', 'OpenReply', 'ServerSends')
 
 log = logbook.Logger(__name__)
 
 IDLE_PER_SERVER = 12
+#: Statuses from here on are the server's own failure.
 SERVER_FAILURE = 500
 OUT_OF_TIME = 504
 
