Log failed attempts, ejected servers and requests without a usable server

Three tests end in server_unreachable while their servers live, one in a failed innocent item, and no line says by what the instance judged. Lines added, with the inputs of each decision:

- `attempt failed`: kind, step, error, whether the connection was reused, time left, and how early or late the deadline timer fired;
- `server ejected`, `no usable server`: reason, counts of the target's servers;
- `item attempt failed`: attempts so far, whether it ran isolated, who ran beside.

Behaviour is unchanged.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -6,6 +6,7 @@
 from collections.abc import Generator
 from typing import TYPE_CHECKING, Any
 
+import logbook
 import msgspec
 from gevent import get_hub
 from urllib3.exceptions import HTTPError
@@ -28,6 +29,8 @@
 
 __all__ = ('BackendClient',)
 
+log = logbook.Logger(__name__)
+
 CONNECT_TIMEOUT_MS = 1000.0
 READ_BYTES = 65_536
 REJECTED_STATUSES = frozenset({429, 503})
@@ -85,6 +88,8 @@
             if reply is None:
                 reply = yield from attempt.read(self._answer_limit_bytes)
             is_complete = reply.kind in (ReplyKind.COMPLETE, ReplyKind.REFUSED)
+            if reply.kind is not ReplyKind.COMPLETE:
+                attempt.log_failure(reply)
             return reply
         finally:
             call.cancel.unsubscribe(attempt.abort)
@@ -124,6 +129,29 @@
         self._first_data_ms: float | None = None
         self._events_count = 0
         self._timer: Any = None
+        self._is_reused = connection.sock is not None
+        self._step = 'connect'
+        self._error = ''
+        #: When the deadline timer fired, in milliseconds before the deadline.
+        self._timer_early_ms: float | None = None
+
+    def log_failure(self, reply: ServerReply) -> None:
+        """Log why the attempt brought no complete response, with the times it was judged by."""
+        now_ms = self._clock.now_ms()
+        log.info(
+            'attempt failed',
+            extra={
+                'request_id': self._call.request_id,
+                'server_id': self._call.server_id,
+                'kind': reply.kind.value,
+                'is_reused': self._is_reused,
+                'step': self._step,
+                'error': self._error,
+                'elapsed_ms': round(now_ms - self._started_ms, 2),
+                'remaining_ms': round(self._call.deadline_ms - now_ms, 2),
+                'timer_early_ms': self._timer_early_ms,
+            },
+        )
 
     def close(self) -> None:
         """Stop the deadline timer."""
@@ -131,6 +159,11 @@
             self._timer.stop()
             self._timer.close()
 
+    def expire(self) -> None:
+        """Abort the attempt at its deadline."""
+        self._timer_early_ms = round(self._call.deadline_ms - self._clock.now_ms(), 2)
+        self.abort()
+
     def abort(self) -> None:
         """Shut the connection down, so that a blocked read ends."""
         sock = self.connection.sock
@@ -149,15 +182,17 @@
             self.connection.timeout = min(CONNECT_TIMEOUT_MS / 1e3, self._remaining_s())
             try:
                 self.connection.connect()
-            except (HTTPError, OSError):
+            except (HTTPError, OSError) as error:
+                self._error = type(error).__name__
                 # No byte of the request has been sent.
                 return ServerReply(kind=ReplyKind.UNREACHABLE)
         # One timer covers the deadline of the whole attempt. A socket timeout would start a timer
         # for each read and would be reset when the response head is read.
         self._timer = get_hub().loop.timer(self._remaining_s())
-        self._timer.start(self.abort)
+        self._timer.start(self.expire)
         self.connection.timeout = None
         self.connection.sock.settimeout(None)
+        self._step = 'send'
         try:
             self.connection.request(
                 self._call.method,
@@ -167,7 +202,8 @@
                 preload_content=False,
                 decode_content=False,
             )
-        except (HTTPError, OSError):
+        except (HTTPError, OSError) as error:
+            self._error = type(error).__name__
             # A server may close an idle connection while the request is in transit. It may have
             # received the whole request, so the request cannot be reported as not run.
             return self._failure_reply()
@@ -175,6 +211,7 @@
 
     def read(self, limit_bytes: int) -> Generator[bytes, None, ServerReply]:
         """Read the response, and yield its events if it is streamed."""
+        self._step = 'read'
         try:
             response = self.connection.getresponse()
             status = response.status
@@ -184,7 +221,8 @@
             if self._call.is_streamed and content_type.startswith(EVENT_STREAM):
                 return (yield from self._read_events(response, content_type))
             return self._read_whole(response, content_type, limit_bytes)
-        except (HTTPError, OSError):
+        except (HTTPError, OSError) as error:
+            self._error = type(error).__name__
             return self._failure_reply()
 
     def _read_events(
--- a/citrondyke/daemon.py
+++ b/citrondyke/daemon.py
@@ -18,6 +18,7 @@
 from citrondyke.entry.entry_context import EntryContext
 from citrondyke.entry.server import entry_server
 from citrondyke.ids import AvailabilityZone, InstanceId, ServerId
+from citrondyke.operator.decision_log import DecisionLog
 from citrondyke.operator.request_metrics import RequestMetrics
 from citrondyke.operator.statsd_reporter import StatsdReporter
 from citrondyke.peer.codec import PeerCodec
@@ -47,7 +48,11 @@
         self._clock = SystemClock()
         own = settings.instance
         context = Context(
-            InstanceId(own.id), AvailabilityZone(own.zone), self._clock, random.Random()
+            InstanceId(own.id),
+            AvailabilityZone(own.zone),
+            self._clock,
+            random.Random(),
+            DecisionLog(self._clock).record,
         )
         self.instance = Instance(context, settings.decisions)
         self._peers = PeerNode(
--- a/citrondyke/decisions/core/context.py
+++ b/citrondyke/decisions/core/context.py
@@ -8,8 +8,11 @@
 from citrondyke.util.clock import Clock
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
+    from citrondyke.decisions.core.decision_event import DecisionEvent
+
 __all__ = ('Context',)
 
 
@@ -22,10 +25,12 @@
         zone: AvailabilityZone,
         clock: Clock,
         random: Random,
+        on_event: Callable[[DecisionEvent], None] | None = None,
     ) -> None:
         """Create a context.
 
         :param random: seeded by the host; the same seed gives the same decisions.
+        :param on_event: called with each reported event; must not block.
         """
         self.instance_id = instance_id
         self.zone = zone
@@ -33,6 +38,12 @@
         self.random = random
         self._incarnation = f'{random.getrandbits(64):016x}'
         self._writes_count = 0
+        self._on_event = on_event
+
+    def report(self, event: DecisionEvent) -> None:
+        """Hand an event to the host, which logs it."""
+        if self._on_event is not None:
+            self._on_event(event)
 
     def now_ms(self) -> float:
         """Return the monotonic time, in milliseconds."""
--- a/citrondyke/decisions/jobs/item_runner.py
+++ b/citrondyke/decisions/jobs/item_runner.py
@@ -8,6 +8,7 @@
 from citrondyke.decisions.core.server_call import ReplyKind, ServerCall
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.decisions.jobs.frames import assemble_answer
+from citrondyke.decisions.jobs.item_event import ItemAttemptFailed
 from citrondyke.decisions.jobs.outcome import (
     FailureCode,
     ItemOutcome,
@@ -95,6 +96,7 @@
         pending: PendingItems,
     ) -> Workflow[None]:
         began_ms = self._context.now_ms()
+        beside_at_start = share.batch_count - 1
         call = self._call_of(item, server_id, share, began_ms)
         reply = yield from call_server(call)
         now_ms = self._context.now_ms()
@@ -102,6 +104,7 @@
         self._isolating.discard(server_id)
         self._items.pop(item.request_id, None)
         share.on_batch_end(item.request_id, now_ms)
+        beside_at_end = share.batch_count
         if reply.kind is ReplyKind.COMPLETE:
             share.on_call_end(now_ms - began_ms)
         item.frames.extend(reply.frames)
@@ -110,7 +113,23 @@
             return
         if reply.was_not_run and not held.is_releasing:
             yield from sleep_until(now_ms + REJECTED_PAUSE_MS)
+        attempts_before = item.attempts
+        was_isolated = must_run_isolated(item)
         self._apply_reply(held, item, reply, pending)
+        if item.attempts > attempts_before:
+            self._context.report(
+                ItemAttemptFailed(
+                    request_id=item.request_id,
+                    server_id=server_id,
+                    kind=reply.kind,
+                    status=reply.status,
+                    attempts=item.attempts,
+                    was_isolated=was_isolated,
+                    beside_at_start=beside_at_start,
+                    beside_at_end=beside_at_end,
+                    elapsed_ms=now_ms - began_ms,
+                )
+            )
         if held.is_releasing:
             held.wake_up()
 
--- a/citrondyke/decisions/online/admission.py
+++ b/citrondyke/decisions/online/admission.py
@@ -9,6 +9,7 @@
 
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.decisions.online.rejection import Rejection, RejectionReason
+from citrondyke.decisions.online.routing_event import no_usable_server
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
@@ -91,6 +92,7 @@
         """
         servers = self._fleet.target(target)
         if servers is None or not any(view.accepts_work for view in servers.views):
+            self._context.report(no_usable_server(target, servers, 0, self._context.now_ms()))
             return Rejection(RejectionReason.NO_SERVER, MIN_RETRY_MS * 10)
         state = self._states.setdefault(target, _TargetState())
         if self._has_capacity(state, servers, tenant_id):
--- a/citrondyke/decisions/online/router.py
+++ b/citrondyke/decisions/online/router.py
@@ -6,6 +6,11 @@
 
 from citrondyke.decisions.online.fleet import AFFINITY_BUCKETS
 from citrondyke.decisions.online.rejection import Rejection, RejectionReason
+from citrondyke.decisions.online.routing_event import (
+    EjectionReason,
+    ServerEjected,
+    no_usable_server,
+)
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
@@ -60,6 +65,8 @@
             return Rejection(RejectionReason.NO_SERVER, NO_SERVER_RETRY_MS)
         sampled = self._sample(servers, tried)
         if sampled is None:
+            now_ms = self._context.now_ms()
+            self._context.report(no_usable_server(target, servers, len(tried), now_ms))
             return Rejection(RejectionReason.NO_SERVER, NO_SERVER_RETRY_MS)
         if prefix_bucket is None:
             return sampled
@@ -89,8 +96,10 @@
     def record_failure(self, view: ServerView) -> None:
         """Record a failure; several consecutive ones eject the server."""
         view.failures_in_row += 1
-        if view.failures_in_row >= FAILURES_TO_EJECT or view.is_on_probation:
-            self._eject(view)
+        if view.is_on_probation:
+            self._eject(view, EjectionReason.FAILED_PROBE)
+        elif view.failures_in_row >= FAILURES_TO_EJECT:
+            self._eject(view, EjectionReason.FAILURES)
 
     def record_success(self, view: ServerView, first_frame_ms: float | None) -> None:
         """Record a response and its time to the first token."""
@@ -103,7 +112,7 @@
             view.samples = 0
         view.record_first_frame(first_frame_ms)
         if self._is_slow(view):
-            self._eject(view)
+            self._eject(view, EjectionReason.SLOW)
             return
         view.is_on_probation = False
 
@@ -162,7 +171,7 @@
         median_ms = others[len(others) // 2]
         return view.first_frame_ms > max(median_ms * SLOW_RATIO, median_ms + SLOW_SLACK_MS)
 
-    def _eject(self, view: ServerView) -> None:
+    def _eject(self, view: ServerView, reason: EjectionReason) -> None:
         """Eject a server for a while, unless the others could then not carry the load."""
         now_ms = self._context.now_ms()
         servers = self._fleet.target(view.listed.target)
@@ -173,6 +182,18 @@
         pause_ms = min(EJECT_MS * 2**view.ejections, MAX_EJECT_MS)
         view.ejected_until_ms = now_ms + self._context.jittered_ms(pause_ms)
         view.ejections += 1
+        self._context.report(
+            ServerEjected(
+                target=view.listed.target,
+                server_id=view.listed.id,
+                reason=reason,
+                failures_in_row=view.failures_in_row,
+                first_frame_ms=view.first_frame_ms,
+                own_online=view.own_online,
+                ejections=view.ejections,
+                pause_ms=view.ejected_until_ms - now_ms,
+            )
+        )
         view.is_on_probation = False
         view.failures_in_row = 0
         view.samples = 0
