Use ejected servers before rejecting, and keep own delays out of their record

Callers saw 503 server_unreachable for up to seconds while the servers lived (three tests on busy machines).

Cause, by the lines of (attempt failed, server ejected, no usable server): - test_deadline_in_the_queue_is_not_run, both failing runs of 48: 7 and 12 attempts "cut" before their deadline, each with its own deadline timer fired early; three in a row ejected the only server. A raw gevent timer counts from the start of the loop's iteration. - test_reused_connections_never_mix_answers, the failing run of 72, and test_rolling_replacement_cuts_off_nothing, both failing runs of 48: one server ejected as slow while the other was on probation, or both on probation. An ejected server was banned even if no other was left. Ruled out by the same lines: no attempt failed while connecting, no connection was reset by an engine, no server was leaving.

Change: an ejected server that accepts connections is used if no other is left (not for a request that it interrupted); probed servers count as ejected; the timer counts from now and its abort is never a cut; a deadline while connecting is an outcome of its own, not run and no failure; an established connection is used although a late loop handles the timeout first; a late request's sample ends at its deadline.

That order cannot occur any more: without an attempt the router rejects only if every server is leaving, was tried, or refused the last connection.

Tests: tests/test_backend (three of five fail before; they need a process with gevent's sockets there), five of test_decisions_online fail before.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -15,6 +15,7 @@
 from citrondyke.backend.sse import DONE_EVENT, SseSplitter, event_data
 from citrondyke.decisions.core.ops import ServerLoad
 from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
+from citrondyke.util.open_socket import open_socket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -132,8 +133,8 @@
         self._is_reused = connection.sock is not None
         self._step = 'connect'
         self._error = ''
-        #: When the deadline timer fired, in milliseconds before the deadline.
-        self._timer_early_ms: float | None = None
+        #: When the deadline timer fired, in milliseconds after the deadline.
+        self._timer_late_ms: float | None = None
 
     def log_failure(self, reply: ServerReply) -> None:
         """Log why the attempt brought no complete response, with the times it was judged by."""
@@ -149,7 +150,7 @@
                 'error': self._error,
                 'elapsed_ms': round(now_ms - self._started_ms, 2),
                 'remaining_ms': round(self._call.deadline_ms - now_ms, 2),
-                'timer_early_ms': self._timer_early_ms,
+                'timer_late_ms': self._timer_late_ms,
             },
         )
 
@@ -161,7 +162,7 @@
 
     def expire(self) -> None:
         """Abort the attempt at its deadline."""
-        self._timer_early_ms = round(self._call.deadline_ms - self._clock.now_ms(), 2)
+        self._timer_late_ms = round(self._clock.now_ms() - self._call.deadline_ms, 2)
         self.abort()
 
     def abort(self) -> None:
@@ -179,17 +180,27 @@
         if self._call.cancel.is_fired:
             return ServerReply(kind=ReplyKind.CANCELLED)
         if self.connection.sock is None:
-            self.connection.timeout = min(CONNECT_TIMEOUT_MS / 1e3, self._remaining_s())
+            remaining_s = self._remaining_s()
             try:
-                self.connection.connect()
-            except (HTTPError, OSError) as error:
+                self.connection.sock = open_socket(
+                    self.connection.host,
+                    self.connection.port or 0,
+                    min(CONNECT_TIMEOUT_MS / 1e3, remaining_s),
+                )
+            except OSError as error:
                 self._error = type(error).__name__
                 # No byte of the request has been sent.
-                return ServerReply(kind=ReplyKind.UNREACHABLE)
+                is_expired = (
+                    isinstance(error, TimeoutError) and remaining_s < CONNECT_TIMEOUT_MS / 1e3
+                )
+                return ServerReply(kind=ReplyKind.EXPIRED if is_expired else ReplyKind.UNREACHABLE)
         # One timer covers the deadline of the whole attempt. A socket timeout would start a timer
         # for each read and would be reset when the response head is read.
-        self._timer = get_hub().loop.timer(self._remaining_s())
-        self._timer.start(self.expire)
+        # With a lower priority a late event loop reads the responses that have arrived first.
+        self._timer = get_hub().loop.timer(self._remaining_s(), priority=-1)
+        # Without the update the time counts from the start of the loop's iteration, and the timer
+        # fires early by the time that other greenlets have run since then.
+        self._timer.start(self.expire, update=True)
         self.connection.timeout = None
         self.connection.sock.settimeout(None)
         self._step = 'send'
@@ -270,7 +281,7 @@
     def _failure_reply(self) -> ServerReply:
         if self._call.cancel.is_fired:
             return self._reply(ReplyKind.CANCELLED)
-        if self._clock.now_ms() >= self._call.deadline_ms:
+        if self._timer_late_ms is not None or self._clock.now_ms() >= self._call.deadline_ms:
             return self._reply(ReplyKind.LATE)
         return self._reply(ReplyKind.CUT)
 
--- a/citrondyke/decisions/core/server_call.py
+++ b/citrondyke/decisions/core/server_call.py
@@ -44,6 +44,8 @@
     COMPLETE = 'complete'
     #: The connection failed, so nothing was sent.
     UNREACHABLE = 'unreachable'
+    #: The deadline passed before there was a connection, so nothing was sent.
+    EXPIRED = 'expired'
     #: The backend server rejected the request without running it.
     REFUSED = 'refused'
     #: The request was sent, completely or in part, and the response is incomplete.
@@ -76,4 +78,4 @@
     @property
     def was_not_run(self) -> bool:
         """Return whether the request certainly did not run in this attempt."""
-        return self.kind in (ReplyKind.UNREACHABLE, ReplyKind.REFUSED)
+        return self.kind in (ReplyKind.UNREACHABLE, ReplyKind.EXPIRED, ReplyKind.REFUSED)
--- a/citrondyke/decisions/online/online_dispatcher.py
+++ b/citrondyke/decisions/online/online_dispatcher.py
@@ -107,7 +107,7 @@
             if reply.kind is ReplyKind.COMPLETE:
                 budget.deposit()
                 return self._result(OnlineResultKind.ANSWERED, progress, reply)
-            if reply.kind is ReplyKind.LATE:
+            if reply.kind in (ReplyKind.LATE, ReplyKind.EXPIRED):
                 return self._deadline_result(progress)
             if reply.kind in (ReplyKind.CANCELLED, ReplyKind.CALLER_GONE):
                 return self._result(OnlineResultKind.CALLER_GONE, progress)
@@ -120,14 +120,17 @@
     def _choose(self, request: OnlineRequest, progress: _Progress) -> ServerView | Rejection:
         """Choose a server that has not failed this request yet, if there is one.
 
-        After all servers were tried, those that interrupted the request may be tried again. Those
-        that were unreachable or rejected it are not: every caller would retry them at once.
+        After all servers were tried, those that interrupted the request may be tried again, unless
+        they were ejected: the request may be the cause. Those that were unreachable or rejected it
+        are not: every caller would retry them at once.
         """
         view = self._router.choose(request.target, request.prefix_bucket, progress.tried)
         if isinstance(view, Rejection) and progress.cut:
             progress.tried = tuple(each for each in progress.tried if each not in progress.cut)
             progress.cut = ()
-            return self._router.choose(request.target, request.prefix_bucket, progress.tried)
+            return self._router.choose(
+                request.target, request.prefix_bucket, progress.tried, may_use_ejected=False
+            )
         return view
 
     def _attempt(
@@ -158,11 +161,16 @@
             if view.sampled_request == request.request_id:
                 view.sampled_request = None
             self._on_load_change(view)
-        self._record_reply(reply, view, progress, began_ms)
+        self._record_reply(reply, view, progress, began_ms, request.deadline_ms)
         return reply
 
     def _record_reply(
-        self, reply: ServerReply, view: ServerView, progress: _Progress, began_ms: float
+        self,
+        reply: ServerReply,
+        view: ServerView,
+        progress: _Progress,
+        began_ms: float,
+        deadline_ms: float,
     ) -> None:
         progress.frames_count += reply.frames_count
         if progress.first_frame_ms is None:
@@ -172,16 +180,21 @@
         if reply.kind is ReplyKind.COMPLETE and reply.status < 500:  # noqa: PLR2004
             self._router.record_success(view, reply.first_frame_ms)
             return
+        # Time after the deadline is this instance's own delay, not the server's.
+        waited_ms = min(self._context.now_ms(), deadline_ms) - began_ms
         if reply.kind is ReplyKind.LATE:
             # A missed deadline counts as a slow first token.
-            self._router.record_success(view, self._context.now_ms() - began_ms)
+            self._router.record_success(view, waited_ms)
+            return
+        if reply.kind is ReplyKind.EXPIRED:
+            self._router.record_expired(view, waited_ms)
             return
         if reply.kind in (ReplyKind.CANCELLED, ReplyKind.CALLER_GONE):
             return
         progress.tried = (*progress.tried, view.listed.id)
         if reply.kind is ReplyKind.CUT:
             progress.cut = (*progress.cut, view.listed.id)
-        self._router.record_failure(view)
+        self._router.record_failure(view, was_unreachable=reply.kind is ReplyKind.UNREACHABLE)
 
     def _deadline_result(self, progress: _Progress) -> OnlineResult:
         if not progress.may_have_run:
--- a/citrondyke/decisions/online/router.py
+++ b/citrondyke/decisions/online/router.py
@@ -44,7 +44,8 @@
 class Router:
     """Chooses by prefix affinity with bounded load, else the least loaded of a sample.
 
-    Servers of the instance's own zone are preferred.
+    Servers of the instance's own zone are preferred. An ejected server is used only if no other
+    one is left: a slow response is better for the caller than a rejection.
     """
 
     def __init__(self, context: Context, fleet: Fleet) -> None:
@@ -53,17 +54,25 @@
         self._fleet = fleet
 
     def choose(
-        self, target: TargetName, prefix_bucket: int | None, tried: tuple[ServerId, ...] = ()
+        self,
+        target: TargetName,
+        prefix_bucket: int | None,
+        tried: tuple[ServerId, ...] = (),
+        *,
+        may_use_ejected: bool = True,
     ) -> ServerView | Rejection:
         """Choose a server.
 
         :param prefix_bucket: bucket of the prompt prefix's digest, if requests share one.
         :param tried: servers that this request was already sent to.
+        :param may_use_ejected: whether an ejected server may be chosen if no other one is left.
         """
         servers = self._fleet.target(target)
         if servers is None:
             return Rejection(RejectionReason.NO_SERVER, NO_SERVER_RETRY_MS)
         sampled = self._sample(servers, tried)
+        if sampled is None and may_use_ejected:
+            sampled = self._last_resort(servers, tried)
         if sampled is None:
             now_ms = self._context.now_ms()
             self._context.report(no_usable_server(target, servers, len(tried), now_ms))
@@ -93,9 +102,13 @@
         if servers is not None:
             servers.own_online -= 1
 
-    def record_failure(self, view: ServerView) -> None:
-        """Record a failure; several consecutive ones eject the server."""
+    def record_failure(self, view: ServerView, *, was_unreachable: bool = False) -> None:
+        """Record a failure; several consecutive ones eject the server.
+
+        :param was_unreachable: whether the server accepted no connection.
+        """
         view.failures_in_row += 1
+        view.is_reachable = not was_unreachable
         if view.is_on_probation:
             self._eject(view, EjectionReason.FAILED_PROBE)
         elif view.failures_in_row >= FAILURES_TO_EJECT:
@@ -104,9 +117,20 @@
     def record_success(self, view: ServerView, first_frame_ms: float | None) -> None:
         """Record a response and its time to the first token."""
         view.failures_in_row = 0
+        view.is_reachable = True
         if first_frame_ms is None:
             view.is_on_probation = False
             return
+        self._record_first_frame(view, first_frame_ms)
+
+    def record_expired(self, view: ServerView, waited_ms: float) -> None:
+        """Record that a deadline passed before the server accepted a connection.
+
+        The deadline may have been short, so this is no failure of the server.
+        """
+        self._record_first_frame(view, waited_ms)
+
+    def _record_first_frame(self, view: ServerView, first_frame_ms: float) -> None:
         if view.is_on_probation:
             # Samples from before the ejection no longer apply.
             view.samples = 0
@@ -126,6 +150,22 @@
         best = self._least_loaded(picked, tried)
         return best or self._least_loaded(views, tried)
 
+    def _last_resort(
+        self, servers: TargetServers, tried: tuple[ServerId, ...]
+    ) -> ServerView | None:
+        """Choose among the ejected servers.
+
+        A server to which connections fail is left out: its request would only wait for another
+        failure.
+        """
+        views = [
+            view
+            for view in servers.views
+            if view.accepts_work and view.is_reachable and view.listed.id not in tried
+        ]
+        now_ms = self._context.now_ms()
+        return min(views, key=lambda view: view.load_at(now_ms), default=None)
+
     def _least_loaded(
         self, views: list[ServerView], tried: tuple[ServerId, ...]
     ) -> ServerView | None:
@@ -175,9 +215,14 @@
         """Eject a server for a while, unless the others could then not carry the load."""
         now_ms = self._context.now_ms()
         servers = self._fleet.target(view.listed.target)
-        views = [] if servers is None else servers.views
-        ejected = sum(1 for other in views if other.ejected_until_ms > now_ms)
-        if ejected + 1 > max(1, int(len(views) * EJECTED_SHARE)):
+        views = [] if servers is None else [each for each in servers.views if each.accepts_work]
+        # A server on probation gets one request at a time, so it can't carry the load either.
+        ejected_count = sum(
+            other.is_on_probation or other.ejected_until_ms > now_ms
+            for other in views
+            if other is not view
+        )
+        if ejected_count + 1 > max(1, int(len(views) * EJECTED_SHARE)):
             return
         pause_ms = min(EJECT_MS * 2**view.ejections, MAX_EJECT_MS)
         view.ejected_until_ms = now_ms + self._context.jittered_ms(pause_ms)
--- a/citrondyke/decisions/online/server_view.py
+++ b/citrondyke/decisions/online/server_view.py
@@ -35,6 +35,8 @@
     failures_in_row: int = 0
     ejections: int = 0
     ejected_until_ms: float = 0.0
+    #: Whether the last attempt to connect to it succeeded.
+    is_reachable: bool = True
     #: After an ejection, one request at a time probes whether the server has recovered.
     is_on_probation: bool = False
     first_frame_ms: float = 0.0
--- /dev/null
+++ b/tests/test_backend/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the client of the backend servers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_backend/test_backend_client.py
@@ -0,0 +1,151 @@
+"""A late event loop is not taken for a failure of the backend server."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import gevent
+from gevent import get_hub, socket
+from gevent.monkey import get_original
+
+from citrondyke.backend.client import BackendClient
+from citrondyke.backend.connections import IdleConnections
+from citrondyke.decisions.core.server_call import ReplyKind, ServerCall, ServerReply
+from citrondyke.decisions.core.signal import Signal
+from citrondyke.ids import RequestId, ServerId
+from citrondyke.util.clock import SystemClock
+from citrondyke.util.open_socket import open_socket
+
+#: A socket that blocks its thread, also in a process whose sockets are gevent's.
+std_socket = get_original('socket', 'socket')
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok'
+
+
+class Server(threading.Thread):
+    """A server with a thread of its own, so that it also runs while the event loop is blocked."""
+
+    def __init__(self, *answers_after_s: float) -> None:
+        super().__init__(daemon=True)
+        self._answers_after_s = answers_after_s
+        self._listener = std_socket()
+        self._listener.bind(('127.0.0.1', 0))
+        self._listener.listen(8)
+        self.has_request = threading.Event()
+        self.port: int = self._listener.getsockname()[1]
+
+    def run(self) -> None:
+        with self._listener, self._listener.accept()[0] as sock:
+            for answer_after_s in self._answers_after_s:
+                sock.recv(65_536)
+                self.has_request.set()
+                time.sleep(answer_after_s)
+                sock.sendall(ANSWER)
+            sock.recv(65_536)
+
+
+class Caller:
+    """A client of one server, and the clock of its deadlines."""
+
+    def __init__(self, port: int) -> None:
+        self.clock = SystemClock()
+        self._client = BackendClient(
+            IdleConnections(4), self.clock, lambda _: ('127.0.0.1', port), 65_536
+        )
+
+    def call(self, within_ms: float) -> ServerReply:
+        return self._client.call(
+            ServerCall(
+                server_id=ServerId('server'),
+                request_id=RequestId('request'),
+                method='POST',
+                path='/',
+                body=b'{}',
+                deadline_ms=self.clock.now_ms() + within_ms,
+                cancel=Signal(),
+            )
+        )
+
+
+def start_server(*answers_after_s: float) -> Caller:
+    """Start a server that answers some requests and closes the connection at the next one."""
+    server = Server(*answers_after_s)
+    server.start()
+    return Caller(server.port)
+
+
+def test_deadline_timer_of_a_late_loop_is_not_a_cut() -> None:
+    # Other events take 200 ms of the iteration in which the request is sent. A timer that counts
+    # from the start of the iteration fires before the deadline, and the aborted request looks as if
+    # the server had closed the connection.
+    server = Server(30.0)
+    server.start()
+    caller = Caller(server.port)
+    polled = get_hub().loop.check()
+
+    def block() -> None:
+        if server.has_request.is_set():
+            polled.stop()
+            return
+        time.sleep(0.2)
+
+    polled.start(block)
+    began_ms = caller.clock.now_ms()
+    reply = caller.call(1_500.0)
+    polled.close()
+    assert reply.kind is ReplyKind.LATE
+    assert caller.clock.now_ms() - began_ms >= 1_500.0
+
+
+def test_answer_that_arrived_in_time_is_read_by_a_late_loop() -> None:
+    # The loop is blocked until after the deadline; the answer had arrived before.
+    caller = start_server(0.1)
+    calling = gevent.spawn(caller.call, 200.0)
+    gevent.sleep(0.05)
+    time.sleep(0.4)
+    reply: ServerReply = calling.get()
+    assert (reply.kind, reply.body) == (ReplyKind.COMPLETE, b'ok')
+
+
+def test_connection_established_while_the_loop_was_late_is_used() -> None:
+    # The loop is blocked for longer than the timeout of the connect, which had succeeded, and has
+    # more events to handle afterwards than it polls at once.
+    listener = std_socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen(1)
+    pairs = [socket.socketpair() for _ in range(200)]
+    for _, end in pairs:
+        gevent.spawn(end.recv, 1)
+    gevent.sleep(0.01)
+
+    def block() -> None:
+        for end, _ in pairs:
+            end.send(b'x')
+        time.sleep(0.4)
+
+    opening = gevent.spawn(open_socket, *listener.getsockname(), 0.2)
+    get_hub().loop.run_callback(block)
+    assert opening.get().getpeername() == listener.getsockname()
+    listener.close()
+
+
+def test_deadline_while_connecting_is_not_an_unreachable_server() -> None:
+    # The deadline is shorter than the timeout of a connect: the request has not run, and the
+    # server has not failed.
+    listener = std_socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen(0)
+    filling = [std_socket() for _ in range(8)]
+    for each in filling:
+        each.setblocking(False)
+        each.connect_ex(listener.getsockname())
+    reply = Caller(listener.getsockname()[1]).call(150.0)
+    for each in [*filling, listener]:
+        each.close()
+    assert reply.kind is ReplyKind.EXPIRED
+    assert reply.was_not_run
+
+
+def test_connection_that_the_server_closes_is_a_cut() -> None:
+    assert start_server().call(5_000.0).kind is ReplyKind.CUT
--- a/tests/test_decisions/test_decisions_online.py
+++ b/tests/test_decisions/test_decisions_online.py
@@ -7,15 +7,27 @@
 import pytest
 
 from citrondyke.decisions.core.context import Context
+from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
+from citrondyke.decisions.core.signal import Signal
 from citrondyke.decisions.membership.peer_messages import ServerState
 from citrondyke.decisions.online.admission import Admission, Permit, QueuedRequest
 from citrondyke.decisions.online.fleet import Fleet
+from citrondyke.decisions.online.online_dispatcher import OnlineDispatcher
 from citrondyke.decisions.online.rejection import Rejection, RejectionReason
+from citrondyke.decisions.online.request import OnlineRequest, OnlineResult
 from citrondyke.decisions.online.retry_budget import RetryBudget
 from citrondyke.decisions.online.router import Router
 from citrondyke.decisions.online.server_view import ServerView
 from citrondyke.driver.virtual.virtual_time import VirtualTime
-from citrondyke.ids import AvailabilityZone, InstanceId, ServerId, TargetName, TenantId
+from citrondyke.ids import (
+    AvailabilityZone,
+    ClassName,
+    InstanceId,
+    RequestId,
+    ServerId,
+    TargetName,
+    TenantId,
+)
 from citrondyke.storage.fleet_lists import ListedServer
 
 MODEL = TargetName('model')
@@ -35,6 +47,9 @@
         )
         self.router = Router(context, self.fleet)
         self.admission = Admission(context, self.fleet, waiting_limit=5)
+        self.dispatcher = OnlineDispatcher(
+            context, self.router, self.admission, on_load_change=lambda _: None
+        )
 
     def view(self, number: int) -> ServerView:
         found = self.fleet.view(ServerId(f's{number}'))
@@ -72,6 +87,108 @@
     assert not parts.view(0).is_on_probation
 
 
+def eject(parts: Parts, number: int) -> None:
+    view = parts.view(number)
+    while view.ejected_until_ms <= parts.time.now_ms():
+        parts.router.record_failure(view)
+
+
+def test_probed_and_ejected_servers_are_used_if_no_other_is_left(parts: Parts) -> None:
+    # One server is probed by a single request when the other one fails. Both respond, so every
+    # other request must reach one of them instead of being rejected.
+    eject(parts, 0)
+    parts.time.run_until(5000.0)
+    while (probe := parts.router.choose(MODEL, None)) is not parts.view(0):
+        assert isinstance(probe, ServerView)
+    parts.router.record_start(probe)
+    for _ in range(3):
+        parts.router.record_failure(parts.view(1))
+    chosen = [parts.router.choose(MODEL, None) for _ in range(20)]
+    assert all(isinstance(each, ServerView) for each in chosen)
+
+
+def test_ejected_server_is_used_if_the_other_is_leaving(parts: Parts) -> None:
+    # An ejected server still responds; a rejection would be worse for the caller.
+    eject(parts, 0)
+    parts.fleet.mark_leaving(ServerId('s1'))
+    assert parts.router.choose(MODEL, None) is parts.view(0)
+
+
+def test_probed_server_does_not_let_the_other_be_ejected(parts: Parts) -> None:
+    # A probed server gets one request at a time and can't carry the load of the other one.
+    eject(parts, 0)
+    parts.time.run_until(5000.0)
+    while parts.router.choose(MODEL, None) is not parts.view(0):
+        pass
+    assert parts.view(0).is_on_probation
+    for _ in range(5):
+        parts.router.record_failure(parts.view(1))
+    assert parts.view(1).ejected_until_ms == 0.0
+
+
+def test_only_server_of_a_target_is_used_although_it_is_ejected() -> None:
+    parts = Parts(servers=1)
+    eject(parts, 0)
+    assert parts.router.choose(MODEL, None) is parts.view(0)
+
+
+def test_ejected_server_without_connections_is_no_last_resort(parts: Parts) -> None:
+    # What can't be served is rejected at once instead of waiting for another failed connection.
+    for _ in range(3):
+        parts.router.record_failure(parts.view(0), was_unreachable=True)
+    parts.fleet.mark_leaving(ServerId('s1'))
+    assert isinstance(parts.router.choose(MODEL, None), Rejection)
+
+
+def test_request_that_its_only_server_interrupted_does_not_use_it_while_ejected() -> None:
+    # The request may be the cause of the interruptions.
+    parts = Parts(servers=1)
+    eject(parts, 0)
+    assert isinstance(parts.router.choose(MODEL, None, may_use_ejected=False), Rejection)
+
+
+def dispatch(parts: Parts, reply: ServerReply, ended_ms: float) -> OnlineResult:
+    """Carry out a request with a deadline of 30 ms whose only attempt ends with a reply."""
+    request = OnlineRequest(
+        request_id=RequestId('r'),
+        tenant_id=TenantId('t'),
+        class_name=ClassName('calls'),
+        target=MODEL,
+        method='POST',
+        path='/v1/completions',
+        body=b'{}',
+        is_streamed=True,
+        is_model=True,
+        is_repeatable=True,
+        first_token_target_ms=100.0,
+        deadline_ms=parts.time.now_ms() + 30.0,
+        cancel=Signal(),
+    )
+    workflow = parts.dispatcher.serve(request)
+    next(workflow)
+    parts.time.run_until(ended_ms)
+    with pytest.raises(StopIteration) as ended:
+        workflow.send(reply)
+    result: OnlineResult = ended.value.value
+    return result
+
+
+def test_deadline_while_connecting_is_reported_as_not_run() -> None:
+    # Nothing was sent when the deadline passed, and nothing shows that the server has failed.
+    parts = Parts(servers=1)
+    result = dispatch(parts, ServerReply(kind=ReplyKind.EXPIRED), ended_ms=30.0)
+    assert result.rejection is not None
+    assert result.rejection.reason is RejectionReason.DEADLINE
+    assert (parts.view(0).failures_in_row, parts.view(0).is_reachable) == (0, True)
+
+
+def test_own_delay_after_a_deadline_does_not_make_a_server_slow() -> None:
+    # The loop was late and ended the attempt 270 ms after the deadline.
+    parts = Parts(servers=1)
+    dispatch(parts, ServerReply(kind=ReplyKind.LATE), ended_ms=300.0)
+    assert parts.view(0).first_frame_ms == 30.0
+
+
 def test_leaving_server_gets_no_requests_despite_a_stale_list(parts: Parts) -> None:
     parts.fleet.mark_leaving(ServerId('s0'))
     parts.fleet.update_list([parts.view(0).listed, parts.view(1).listed])
