Gateway: do not take an own deadline or a late loop for a failed server

Cause: a connect whose timeout was the rest of the request's own deadline recorded the server as unreachable, which ejects it at once; a late loop with more ready events than one poll returns handles the timeout of a read or connect before the data, although it arrived in time (shown by the tests: 200 ready sockets, loop blocked for 700 ms). joinall() with a timeout starts from the loop's iteration and ends early.

--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -190,7 +190,9 @@
             self._tasks.spawn(self._committer.release_ownership, job, until_ms)
             for job in self._owned.by_id.values()
         ]
-        gevent.joinall(workers, timeout=max(0.0, (until_ms - self._context.now_ms()) / 1e3))
+        # The timeout of joinall() would count from the start of the event loop's iteration.
+        with gevent.Timeout(max(0.0, (until_ms - self._context.now_ms()) / 1e3), False):
+            gevent.joinall(workers)
 
     def _run_starts(self) -> None:
         while True:
--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -153,13 +153,9 @@
         self._sock.close()
 
     def _receive(self, until_ms: float) -> None:
-        left_ms = until_ms - self._clock.now_ms()
-        if left_ms <= 0:
-            raise BrokenReplyError(ReplyFailureKind.SILENT)
-        self._sock.settimeout(left_ms / 1e3)
         try:
-            data: bytes = self._sock.recv(READ_BYTES)
-        except TimeoutError as error:
+            data = self._receive_until(until_ms)
+        except (TimeoutError, BlockingIOError) as error:
             raise BrokenReplyError(ReplyFailureKind.SILENT) from error
         except OSError as error:
             raise BrokenReplyError(ReplyFailureKind.CUT, type(error).__name__) from error
@@ -169,6 +165,22 @@
         else:
             self._reply.end()
 
+    def _receive_until(self, until_ms: float) -> bytes:
+        """Receive data; after the deadline only what has arrived already.
+
+        An event loop that is late may reach the deadline first, although the server has responded
+        in time. This applies once, so that a server that keeps sending can't extend the deadline.
+        """
+        left_ms = until_ms - self._clock.now_ms()
+        if left_ms > 0:
+            self._sock.settimeout(left_ms / 1e3)
+            with suppress(TimeoutError):
+                return bytes(self._sock.recv(READ_BYTES))
+        if self.last_activity_ms > until_ms:
+            raise TimeoutError
+        self._sock.setblocking(False)
+        return bytes(self._sock.recv(READ_BYTES))
+
     def _write(self, data: bytes) -> None:
         try:
             self._sock.settimeout(2.0)
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -106,8 +106,13 @@
             listed = state.listed
             try:
                 connection = open_connection(self._clock, listed.ip, listed.port, left_ms)
-            except BrokenReplyError:
-                state.record_unreachable(self._clock.now_ms())
+            except BrokenReplyError as error:
+                # If the request's own deadline ended the attempt, the server has not failed.
+                is_expired = left_ms < CONNECT_TIMEOUT_MS and isinstance(
+                    error.__cause__, TimeoutError
+                )
+                if not is_expired:
+                    state.record_unreachable(self._clock.now_ms())
                 raise
         self._in_use.setdefault(state.incarnation, set()).add(connection)
         return connection
--- a/citrondyke/gateway/sockets.py
+++ b/citrondyke/gateway/sockets.py
@@ -5,10 +5,13 @@
 import contextlib
 import socket as std_socket
 import struct
-
-from gevent import socket
+from typing import TYPE_CHECKING
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
+from citrondyke.util.open_socket import open_socket
+
+if TYPE_CHECKING:
+    from gevent import socket
 
 __all__ = ('connect', 'reset', 'tune')
 
@@ -38,17 +41,16 @@
 
     :raises BrokenReplyError: of kind ``NO_CONNECTION``.
     """
-    sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
-    try:
+
+    def prepare(sock: socket.socket) -> None:
         tune(sock)
-        sock.settimeout(max(0.001, timeout_ms / 1e3))
         if source_ip:
             sock.bind((source_ip, 0))
-        sock.connect((ip, port))
+
+    try:
+        return open_socket(ip, port, max(0.001, timeout_ms / 1e3), prepare)
     except OSError as error:
-        sock.close()
         raise BrokenReplyError(ReplyFailureKind.NO_CONNECTION, type(error).__name__) from error
-    return sock
 
 
 def reset(sock: socket.socket) -> None:
