Open a new connection for attempts that are charged to one item alone

Users saw an innocent item of a job fail beside the one that ends its engine.

Change: the last attempt of an item, and requests and items that may run once only, open a connection of their own. A process closes its listening socket before connections that it accepted later, so after an interruption was seen a new connection reaches the next process or is refused, which is no attempt.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -9,6 +9,7 @@
 import logbook
 import msgspec
 from gevent import get_hub
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from citrondyke.backend.request_body import engine_body
@@ -20,7 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from urllib3.connection import HTTPConnection
     from urllib3.response import HTTPResponse
 
     from citrondyke.backend.connections import IdleConnections
@@ -81,7 +81,12 @@
         address = self._address_of(call.server_id)
         if address is None:
             return ServerReply(kind=ReplyKind.UNREACHABLE)
-        attempt = _Attempt(self._clock, call, self._connections.acquire(call.server_id, *address))
+        connection = (
+            HTTPConnection(*address)
+            if call.needs_new_connection
+            else self._connections.acquire(call.server_id, *address)
+        )
+        attempt = _Attempt(self._clock, call, connection)
         call.cancel.subscribe(attempt.abort)
         is_complete = False
         try:
--- a/citrondyke/decisions/core/server_call.py
+++ b/citrondyke/decisions/core/server_call.py
@@ -27,6 +27,9 @@
     #: Whether 429 and 503 mean that the server rejected the request, as model engines do. A plain
     #: service can return 503 after the request ran, so there it is an ordinary response.
     refuses_by_status: bool = False
+    #: Whether to open a connection for it. A server that exits closes idle connections one after
+    #: the other: a request that is sent on one in between is interrupted although it never ran.
+    needs_new_connection: bool = False
     #: Frames of the same response that the caller has already received.
     resume_from_frame: int = 0
     #: Monotonic time after which the response is of no use.
--- a/citrondyke/decisions/jobs/item_runner.py
+++ b/citrondyke/decisions/jobs/item_runner.py
@@ -61,7 +61,8 @@
 
         An item that crashes its server also aborts the items that run beside it. After a few
         crashes these would have exhausted their attempts as well, although they are not the cause.
-        An item that runs in isolation can only be aborted by a crash that it caused itself.
+        An item that runs in isolation, on a connection that was opened after the last crash, can
+        only be aborted by a crash that it caused itself.
         """
         running = [server_id for server_id, _ in shares if server_id in self._isolating]
         if running:
@@ -97,7 +98,7 @@
     ) -> Workflow[None]:
         began_ms = self._context.now_ms()
         beside_at_start = share.batch_count - 1
-        call = self._call_of(item, server_id, share, began_ms)
+        call = self._call_of(held, item, server_id, share, began_ms)
         reply = yield from call_server(call)
         now_ms = self._context.now_ms()
         item.is_running = False
@@ -134,7 +135,12 @@
             held.wake_up()
 
     def _call_of(
-        self, item: BatchItem, server_id: ServerId, share: ServerShare, now_ms: float
+        self,
+        held: HeldSegment,
+        item: BatchItem,
+        server_id: ServerId,
+        share: ServerShare,
+        now_ms: float,
     ) -> ServerCall:
         def on_frame(at_ms: float) -> None:
             share.on_frame(item.request_id, at_ms)
@@ -148,6 +154,7 @@
             body=item.body,
             is_streamed=item.is_model,
             refuses_by_status=item.is_model,
+            needs_new_connection=must_run_isolated(item) or not held.is_repeatable,
             resume_from_frame=len(item.frames),
             deadline_ms=now_ms + ATTEMPT_TIMEOUT_MS,
             cancel=item.cancel,
--- a/citrondyke/decisions/online/online_dispatcher.py
+++ b/citrondyke/decisions/online/online_dispatcher.py
@@ -145,6 +145,7 @@
             body=request.body,
             is_streamed=request.is_streamed,
             refuses_by_status=request.is_model,
+            needs_new_connection=not request.is_repeatable,
             resume_from_frame=progress.frames_count,
             deadline_ms=request.deadline_ms,
             cancel=request.cancel,
--- a/tests/test_backend/test_backend_client.py
+++ b/tests/test_backend/test_backend_client.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from typing import Any
 
 import gevent
 from gevent import get_hub, socket
@@ -20,6 +21,7 @@
 #: A socket that blocks its thread, also in a process whose sockets are gevent's.
 std_socket = get_original('socket', 'socket')
 
+BODY = b'{}'
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok'
 
 
@@ -36,13 +38,21 @@
         self.port: int = self._listener.getsockname()[1]
 
     def run(self) -> None:
-        with self._listener, self._listener.accept()[0] as sock:
+        with self._listener:
+            sock, _ = self._listener.accept()
+        with sock:
             for answer_after_s in self._answers_after_s:
-                sock.recv(65_536)
+                receive_request(sock)
                 self.has_request.set()
                 time.sleep(answer_after_s)
                 sock.sendall(ANSWER)
-            sock.recv(65_536)
+            receive_request(sock)
+
+
+def receive_request(sock: Any) -> None:
+    data = b''
+    while not data.endswith(BODY):
+        data += sock.recv(65_536)
 
 
 class Caller:
@@ -54,14 +64,15 @@
             IdleConnections(4), self.clock, lambda _: ('127.0.0.1', port), 65_536
         )
 
-    def call(self, within_ms: float) -> ServerReply:
+    def call(self, within_ms: float, *, needs_new_connection: bool = False) -> ServerReply:
         return self._client.call(
             ServerCall(
                 server_id=ServerId('server'),
                 request_id=RequestId('request'),
                 method='POST',
                 path='/',
-                body=b'{}',
+                body=BODY,
+                needs_new_connection=needs_new_connection,
                 deadline_ms=self.clock.now_ms() + within_ms,
                 cancel=Signal(),
             )
@@ -149,3 +160,13 @@
 
 def test_connection_that_the_server_closes_is_a_cut() -> None:
     assert start_server().call(5_000.0).kind is ReplyKind.CUT
+
+
+def test_request_that_needs_a_new_connection_leaves_an_idle_one_of_an_exiting_server() -> None:
+    # The server exits: it no longer listens, and its idle connection is closed a moment later.
+    caller = start_server(0.0)
+    assert caller.call(5_000.0).kind is ReplyKind.COMPLETE
+    reply = caller.call(5_000.0, needs_new_connection=True)
+    assert reply.kind is ReplyKind.UNREACHABLE
+    assert reply.was_not_run
+    assert caller.call(5_000.0).kind is ReplyKind.CUT
