Keep the size of the server list in the heartbeats of a start of all

After a start of all instances, one more than the two readers of a zone can read the whole server list and the configuration from the store.

Cause, by list.first_read_own and .first_read_held: an instance writes its first heartbeat before it knows the list, with a size of 0, over the row that stated it. The instance that reads the rows last finds zeros only, takes the list for small and reads it itself (seen in the logs of all four failing runs, there at an instance that is elected a reader a moment later; on once three read the list). Ruled out by the same lines: followers that gave up, a late decision, live instances taken for dead, different readers.

What failed those four runs lies in the test's count: by the ports recorded in two of them, the third read of the configuration came over a connection of the last incarnation, sent before it was stopped and read by the store after the counts were cleared.

Change: the first heartbeat follows the first read of the rows (at most one interval later) and repeats the size they state until the list is known here. The test's fleet lets the store read what a stopped instance had sent; the test itself is unchanged. New lines: list.first_read_own, .first_read_released, config.first_read_undecided, store.hedged.

Also: lines of failed attempts and decision events are bounded by the second.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -16,6 +16,7 @@
 from citrondyke.backend.sse import DONE_EVENT, SseSplitter, event_data
 from citrondyke.decisions.core.ops import ServerLoad
 from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
+from citrondyke.util.line_limiter import LineLimiter
 from citrondyke.util.open_socket import open_socket
 
 if TYPE_CHECKING:
@@ -34,6 +35,8 @@
 
 CONNECT_TIMEOUT_MS = 1000.0
 READ_BYTES = 65_536
+#: Items that wait for an unreachable server are tried again 20 times a second each.
+FAILURE_LINES_PER_S = 100
 REJECTED_STATUSES = frozenset({429, 503})
 EVENT_STREAM = 'text/event-stream'
 DROPPED_HEADERS = frozenset(
@@ -60,6 +63,7 @@
         self._clock = clock
         self._address_of = address_of
         self._answer_limit_bytes = answer_limit_bytes
+        self._failure_lines = LineLimiter(clock, FAILURE_LINES_PER_S)
 
     def call(self, call: ServerCall) -> ServerReply:
         """Send a request and return its whole response."""
@@ -95,7 +99,9 @@
                 reply = yield from attempt.read(self._answer_limit_bytes)
             is_complete = reply.kind in (ReplyKind.COMPLETE, ReplyKind.REFUSED)
             if reply.kind is not ReplyKind.COMPLETE:
-                attempt.log_failure(reply)
+                omitted_count = self._failure_lines.admit()
+                if omitted_count is not None:
+                    attempt.log_failure(reply, omitted_count)
             return reply
         finally:
             call.cancel.unsubscribe(attempt.abort)
@@ -141,7 +147,7 @@
         #: When the deadline timer fired, in milliseconds after the deadline.
         self._timer_late_ms: float | None = None
 
-    def log_failure(self, reply: ServerReply) -> None:
+    def log_failure(self, reply: ServerReply, omitted_count: int) -> None:
         """Log why the attempt brought no complete response, with the times it was judged by."""
         now_ms = self._clock.now_ms()
         log.info(
@@ -156,6 +162,7 @@
                 'elapsed_ms': round(now_ms - self._started_ms, 2),
                 'remaining_ms': round(self._call.deadline_ms - now_ms, 2),
                 'timer_late_ms': self._timer_late_ms,
+                'omitted_count': omitted_count,
             },
         )
 
--- a/citrondyke/decisions/core/decision_event.py
+++ b/citrondyke/decisions/core/decision_event.py
@@ -17,5 +17,3 @@
 
     #: Message of the log line.
     message: ClassVar[str] = ''
-    #: Whether many requests may cause it at once; the host then logs a part of the events.
-    is_frequent: ClassVar[bool] = False
--- a/citrondyke/decisions/online/router.py
+++ b/citrondyke/decisions/online/router.py
@@ -153,7 +153,7 @@
     def _last_resort(
         self, servers: TargetServers, tried: tuple[ServerId, ...]
     ) -> ServerView | None:
-        """Choose among the ejected servers.
+        """Choose among the servers that are ejected or probed.
 
         A server to which connections fail is left out: its request would only wait for another
         failure.
--- a/citrondyke/decisions/online/routing_event.py
+++ b/citrondyke/decisions/online/routing_event.py
@@ -43,7 +43,6 @@
     """A request found no server that it may be sent to."""
 
     message: ClassVar[str] = 'no usable server'
-    is_frequent: ClassVar[bool] = True
 
     target: TargetName
     listed_count: int
--- a/citrondyke/gateway/peers/membership.py
+++ b/citrondyke/gateway/peers/membership.py
@@ -91,8 +91,10 @@
         self.is_known = False
         self._known = Event()
         self._all_instances: tuple[InstanceId, ...] = ()
-        #: Published with each heartbeat: the size of the server list.
+        #: Published with each heartbeat: the size of the server list; 0 while it is not known here.
         self.list_bytes = 0
+        #: Size of the list by the rows of other instances and of this one's earlier incarnations.
+        self._published_list_bytes = 0
 
     def start(self, tasks: Tasks) -> None:
         """Start writing heartbeats."""
@@ -116,6 +118,7 @@
             except UnreadableBytesError as error:
                 self._unreadable.log_once(row.key, row.version, error.message)
                 continue
+            self._published_list_bytes = max(self._published_list_bytes, heartbeat.list_bytes)
             is_new = self._liveness.record_row(instance_id, heartbeat.life, row.version)
             if is_new and instance_id != self._context.instance_id:
                 self._add_peer(instance_id, heartbeat)
@@ -149,15 +152,20 @@
             self._table.transact(PartTransaction('', (condition,), (), (removal,)))
 
     def own_heartbeat(self) -> Heartbeat:
-        """Return this instance's row."""
+        """Return this instance's row.
+
+        Until the list is known here, the row repeats the size that other rows state. When all
+        instances start at once, their rows replace the last ones that state it, and an instance
+        that reads only the new rows would take the list for small and read it itself.
+        """
         ip, port = self._address
-        return Heartbeat(
-            self._incarnation, ip, port, self._context.zone, self._number, self.list_bytes
-        )
+        list_bytes = self.list_bytes or self._published_list_bytes
+        return Heartbeat(self._incarnation, ip, port, self._context.zone, self._number, list_bytes)
 
     def merge_from_peer(self, heartbeats: dict[InstanceId, Heartbeat]) -> None:
         """Add the addresses that a peer knows; they don't prove that these instances live."""
         for instance_id, heartbeat in heartbeats.items():
+            self._published_list_bytes = max(self._published_list_bytes, heartbeat.list_bytes)
             if instance_id != self._context.instance_id and instance_id not in self.peers:
                 self._add_peer(instance_id, heartbeat)
         if heartbeats:
@@ -205,6 +213,9 @@
             log.info('peer.left', extra={'peer': instance_id})
 
     def _run(self) -> None:
+        # The first row states what the rows before it state, so it is written after they were read.
+        # If the store does not answer within an interval, a missing heartbeat has no effect yet.
+        self.wait_known(HEARTBEAT_EVERY_MS)
         while not self._is_leaving:
             self._number += 1
             value = msgspec.json.encode(self.own_heartbeat())
--- a/citrondyke/gateway/peers/relayed_table.py
+++ b/citrondyke/gateway/peers/relayed_table.py
@@ -185,6 +185,16 @@
             first = _wait_for_answer(answers, hedge_ms)
             if first is not None and not _should_relay(first):
                 return first
+            if first is None:
+                log.info(
+                    'store.hedged',
+                    extra={
+                        'call': type(call).__name__,
+                        'table': getattr(call, 'table', None),
+                        'hedge_ms': round(hedge_ms, 1),
+                        'waited_ms': round(self._clock.now_ms() - started_ms, 1),
+                    },
+                )
         self._tasks.spawn(self._run_relay, call, answers)
         failures = [first] if first is not None else []
         while len(failures) < 2:  # noqa: PLR2004
--- a/citrondyke/gateway/peers/server_list_read_delegation.py
+++ b/citrondyke/gateway/peers/server_list_read_delegation.py
@@ -149,16 +149,26 @@
         second, which exceeds the capacity of the store's link, and instances whose read is rejected
         would start it again.
         """
+        started_ms = self._context.now_ms()
         list_bytes = self._delayed_list_bytes()
         self.is_first_read_delayed = list_bytes > 0
         self._decided.set()
+        decided_ms = self._context.now_ms()
+        log.info(
+            'list.first_read_held' if list_bytes else 'list.first_read_own',
+            extra={
+                'list_bytes': self._list_bytes(),
+                'is_reader': self._publisher.is_reader,
+                'readers': self._readers(),
+                'instances': self._membership.count,
+                'is_known': self._membership.is_known,
+                'waited_ms': round(decided_ms - started_ms, 1),
+            },
+        )
         if not self.is_first_read_delayed:
             return
         spread_ms = list_bytes * WIRE_FACTOR * self._membership.count / START_BYTES_PER_S * 1e3
-        until_ms = (
-            self._context.now_ms() + FIRST_READ_DELAY_MS + self._context.random.random() * spread_ms
-        )
-        log.info('list.first_read_held', extra={'list_bytes': list_bytes})
+        until_ms = decided_ms + FIRST_READ_DELAY_MS + self._context.random.random() * spread_ms
         try:
             while self._is_missing_rows and self._context.now_ms() < until_ms:
                 self._request_from_readers()
@@ -167,8 +177,22 @@
                     return
                 gevent.sleep(self._context.jittered_ms(REQUEST_EVERY_MS, 0.5) / 1e3)
         finally:
+            self._log_release(decided_ms)
             self.is_first_read_delayed = False
 
+    def _log_release(self, decided_ms: float) -> None:
+        log.info(
+            'list.first_read_released',
+            extra={
+                'held_ms': round(self._context.now_ms() - decided_ms, 1),
+                'is_reader': self._publisher.is_reader,
+                'readers': self._readers(),
+                'is_list_missing': not self.is_delegated,
+                'is_config_missing': self._is_config_awaited(),
+                'has_reader': self._subscriber.tracker.has_reader,
+            },
+        )
+
     def _delayed_list_bytes(self) -> int:
         """Return the size of the list if its first read is left to readers, else 0."""
         if not self._membership.wait_known(MEMBERS_TIMEOUT_MS):
@@ -179,7 +203,8 @@
         return self._list_bytes()
 
     def _wait_for_decision(self) -> bool:
-        self._decided.wait(DECISION_TIMEOUT_MS / 1e3)
+        if not self._decided.wait(DECISION_TIMEOUT_MS / 1e3):
+            log.info('config.first_read_undecided', extra={'waited_ms': DECISION_TIMEOUT_MS})
         return self.is_first_read_delayed
 
     @property
--- a/tests/test_gateway/test_peers/test_peers_list_readers.py
+++ b/tests/test_gateway/test_peers/test_peers_list_readers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterator
+from select import select
 
 import gevent
 import pytest
+from gevent import socket
 from gevent.event import Event
 
 from citrondyke.decisions.server_list import reader_election
@@ -31,7 +33,10 @@
         self.calls_by_ip: Counter[str] = Counter()
         #: Full reads of the configuration, by the address of the calling instance.
         self.config_reads: Counter[str] = Counter()
+        #: Connections to the store, by the caller's address.
+        self._connections: defaultdict[str, set[socket.socket]] = defaultdict(set)
         answer = self.store.__call__
+        handle = self._wsgi.handle
 
         def counted(environ: dict[str, str], start_response: object) -> object:
             if f'table={SERVERS_TABLE}' in environ.get('QUERY_STRING', ''):
@@ -41,7 +46,15 @@
                 self.config_reads[environ['REMOTE_ADDR']] += 1
             return answer(environ, start_response)
 
+        def handle_counted(sock: socket.socket, address: tuple[str, int]) -> None:
+            self._connections[address[0]].add(sock)
+            try:
+                handle(sock, address)
+            finally:
+                self._connections[address[0]].discard(sock)
+
         self._wsgi.application = counted
+        self._wsgi.set_handle(handle_counted)
 
     def readers(self) -> list[GatewayInstance]:
         return [
@@ -74,9 +87,26 @@
         )
 
     def drop(self, instance: GatewayInstance) -> None:
-        """Stop one instance without a shutdown."""
+        """Stop one instance without a shutdown.
+
+        The store then serves the calls that the instance had sent before, so that they are not
+        counted as calls of its next incarnation, which has the same address.
+        """
         self.instances.remove(instance)
         instance.stop_abruptly()
+        with socket.create_connection(('127.0.0.1', self._wsgi.server_port)):
+            # The store accepts connections in order, so this one comes after all of the instance.
+            wait_until_seen(
+                lambda: (
+                    self._connections['127.0.0.1'] and not self._has_unread(instance.address.ip)
+                ),
+                'the last calls of an instance to be read',
+            )
+
+    def _has_unread(self, ip: str) -> bool:
+        readable = select([*self._connections[ip]], [], [], 0.0)[0]
+        # A connection that the instance has closed is readable too, but without data.
+        return any(sock.recv(1, socket.MSG_PEEK) for sock in readable)
 
 
 @pytest.fixture
--- a/tests/test_gateway/test_peers/test_peers_membership.py
+++ b/tests/test_gateway/test_peers/test_peers_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gevent
 import msgspec
 
 from citrondyke.decisions.batch.takeover import InstanceLiveness
@@ -12,6 +13,7 @@
     Heartbeat,
     Membership,
 )
+from citrondyke.gateway.tasks import Tasks
 from citrondyke.ids import AvailabilityZone, InstanceId
 from citrondyke.storage.partitioned_table import Listing, PartTransaction, RowPut
 from tests.support.flaky_table import FlakyTable
@@ -28,12 +30,14 @@
         context = manual_context(self.clock)
         self.table = FlakyTable()
         self.live = InstanceLiveness(context)
-        self.membership = Membership(context, 'life', ('ip', 1), self.table, self.live)
+        self.membership = Membership(context, 'life', ('10.0.0.1', 1), self.table, self.live)
         self.number = 0
 
-    def peer_heartbeats(self) -> None:
+    def peer_heartbeats(self, list_bytes: int = 0) -> None:
         self.number += 1
-        heartbeat = Heartbeat('a', '10.0.0.9', 1, AvailabilityZone('zone-a'), self.number)
+        heartbeat = Heartbeat(
+            'a', '10.0.0.9', 1, AvailabilityZone('zone-a'), self.number, list_bytes
+        )
         put = RowPut(INSTANCES_TABLE, PEER, msgspec.json.encode(heartbeat))
         self.table.transact(PartTransaction('', puts=(put,)))
 
@@ -52,6 +56,33 @@
             self.read_table()
 
 
+def own_rows(instance: ObservingInstance) -> list[Heartbeat]:
+    page = instance.table.read(INSTANCES_TABLE, '')
+    assert isinstance(page, Listing)
+    return [
+        msgspec.json.decode(row.value or b'', type=Heartbeat)
+        for row in page.rows
+        if row.key != PEER
+    ]
+
+
+def test_first_heartbeat_repeats_the_size_of_the_list() -> None:
+    # All instances start at once. A row that is written before the others are read states no size;
+    # the last instance would find only such rows and read a large list itself.
+    instance = ObservingInstance()
+    instance.peer_heartbeats(list_bytes=1_300_000)
+    tasks = Tasks()
+    instance.membership.start(tasks)
+    gevent.sleep(0.05)
+    assert own_rows(instance) == []
+    instance.read_table()
+    gevent.sleep(0.05)
+    assert [row.list_bytes for row in own_rows(instance)] == [1_300_000]
+    instance.membership.list_bytes = 1_200_000
+    assert instance.membership.own_heartbeat().list_bytes == 1_200_000
+    tasks.end()
+
+
 def test_dead_peer_is_dropped_and_its_row_removed() -> None:
     # The row of a machine that is removed without a shutdown stays in the table. Relayed store
     # calls must not try that machine forever, and the table must not grow with each replacement.
