Start an isolated item only after its server has answered since an interruption

Change: an item that must run isolated starts only if its server has answered a request for its load that was sent after the last interruption there. An exiting process answers nothing, so the answer comes from its successor, and the new connection reaches that one. A server that never reports its load is used as before.

Test: test_isolated_item_waits_until_the_server_has_answered_since_it_interrupted_one.

--- a/citrondyke/decisions/jobs/item_runner.py
+++ b/citrondyke/decisions/jobs/item_runner.py
@@ -46,6 +46,8 @@
         self._items: dict[RequestId, BatchItem] = {}
         #: Servers that run one item in isolation.
         self._isolating: set[ServerId] = set()
+        #: When each server last interrupted an item.
+        self._interrupted_ms: dict[ServerId, float] = {}
 
     def preempt(self, request_ids: list[RequestId]) -> None:
         """Preempt items whose capacity online requests need; they resume later."""
@@ -61,8 +63,7 @@
 
         An item that crashes its server also aborts the items that run beside it. After a few
         crashes these would have exhausted their attempts as well, although they are not the cause.
-        An item that runs in isolation, on a connection that was opened after the last crash, can
-        only be aborted by a crash that it caused itself.
+        An item that runs in isolation can only be aborted by a crash that it caused itself.
         """
         running = [server_id for server_id, _ in shares if server_id in self._isolating]
         if running:
@@ -71,6 +72,21 @@
             return None
         return min(server_id for server_id, _ in shares)
 
+    def may_run_isolated(self, server_id: ServerId, share: ServerShare) -> bool:
+        """Return whether an interruption of the next item would be caused by that item.
+
+        The server must run nothing else of this instance. After an interruption it must also have
+        answered a later request: an exiting process closes its sockets one after the other, and
+        until then it still accepts connections. A server that never reports its load is used
+        without that.
+        """
+        if share.batch_count:
+            return False
+        interrupted_ms = self._interrupted_ms.get(server_id)
+        if interrupted_ms is None or share.alive_at_ms is None:
+            return True
+        return share.alive_at_ms > interrupted_ms
+
     def begin(
         self,
         held: HeldSegment,
@@ -106,6 +122,8 @@
         self._items.pop(item.request_id, None)
         share.on_batch_end(item.request_id, now_ms)
         beside_at_end = share.batch_count
+        if reply.kind is ReplyKind.CUT:
+            self._interrupted_ms[server_id] = now_ms
         if reply.kind is ReplyKind.COMPLETE:
             share.on_call_end(now_ms - began_ms)
         item.frames.extend(reply.frames)
--- a/citrondyke/decisions/jobs/worker.py
+++ b/citrondyke/decisions/jobs/worker.py
@@ -187,7 +187,9 @@
         reserved = self._runner.reserve_isolation_server(pending, shares)
         for server_id, share in shares:
             if server_id == reserved:
-                if share.batch_count == 0 and (suspect := pending.pop_suspect()) is not None:
+                if not self._runner.may_run_isolated(server_id, share):
+                    continue
+                if (suspect := pending.pop_suspect()) is not None:
                     started.append(self._runner.begin(*suspect, server_id, share, pending))
                 continue
             free_capacity = share.free_capacity(self._context.now_ms())
--- a/citrondyke/decisions/sharing/server_share.py
+++ b/citrondyke/decisions/sharing/server_share.py
@@ -32,6 +32,8 @@
         self._external_count = 0.0
         self._peak_count = 0
         self._peak_at_ms = 0.0
+        #: When the last answered request for a load report was sent; ``None`` before the first.
+        self.alive_at_ms: float | None = None
 
     @property
     def batch_count(self) -> int:
--- a/citrondyke/decisions/steward.py
+++ b/citrondyke/decisions/steward.py
@@ -204,8 +204,8 @@
         watched = self._shares.get(server_id)
         leaving_rounds = 0
         while watched is not None:
-            now_ms = self._context.now_ms()
-            load = yield from poll_load(server_id, now_ms + self._timings.poll_timeout_ms)
+            polled_ms = self._context.now_ms()
+            load = yield from poll_load(server_id, polled_ms + self._timings.poll_timeout_ms)
             view = self._fleet.view(server_id)
             if view is None or self._shares.get(server_id) is not watched:
                 return
@@ -213,6 +213,7 @@
             watched.expire_notices(now_ms)
             if load is not None:
                 watched.on_load(load, now_ms)
+                watched.alive_at_ms = polled_ms
                 if load.is_leaving:
                     self._fleet.mark_leaving(server_id)
                 self._preempt_for_online(watched, now_ms)
--- a/tests/test_decisions/test_decisions_item_runner.py
+++ b/tests/test_decisions/test_decisions_item_runner.py
@@ -10,6 +10,7 @@
 
 from citrondyke.decisions.core.context import Context
 from citrondyke.decisions.core.ops import CallServer
+from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
 from citrondyke.decisions.jobs.batch_item import BatchItem
 from citrondyke.decisions.jobs.item_runner import ItemRunner
 from citrondyke.decisions.jobs.pending_items import PendingItems
@@ -17,6 +18,43 @@
 from citrondyke.driver.virtual.virtual_time import VirtualTime
 from citrondyke.ids import AvailabilityZone, InstanceId, RequestId, ServerId
 
+SERVER = ServerId('s')
+
+
+def make_item(attempts: int) -> BatchItem:
+    return BatchItem(
+        position=0,
+        request_id=RequestId('r'),
+        custom_id='c',
+        method='POST',
+        url='/v1/completions',
+        body=b'{}',
+        is_model=True,
+        attempts=attempts,
+    )
+
+
+def test_isolated_item_waits_until_the_server_has_answered_since_it_interrupted_one() -> None:
+    # The exiting server still accepts connections. An item that is sent there in isolation would
+    # be interrupted by the crash of the item before it and use up its last attempt.
+    time = VirtualTime()
+    runner = ItemRunner(Context(InstanceId('i'), AvailabilityZone('z'), time, Random(1)))
+    share = service_share()
+    share.alive_at_ms = 0.0
+    held: Any = SimpleNamespace(is_repeatable=True, is_lost=True)
+    assert runner.may_run_isolated(SERVER, share)
+    workflow = runner.begin(held, make_item(2), SERVER, share, PendingItems())
+    next(workflow)
+    assert not runner.may_run_isolated(SERVER, share)
+    time.run_until(100.0)
+    with pytest.raises(StopIteration):
+        workflow.send(ServerReply(kind=ReplyKind.CUT))
+    assert not runner.may_run_isolated(SERVER, share)
+    share.alive_at_ms = 100.0
+    assert not runner.may_run_isolated(SERVER, share)
+    share.alive_at_ms = 101.0
+    assert runner.may_run_isolated(SERVER, share)
+
 
 @pytest.mark.parametrize(
     ('attempts', 'is_repeatable', 'is_new'),
@@ -28,18 +66,10 @@
     # One item makes the server exit. The next one is sent on an idle connection that the exiting
     # server has not closed yet; its interruption would be counted as its own last attempt.
     context = Context(InstanceId('i'), AvailabilityZone('z'), VirtualTime(), Random(1))
-    item = BatchItem(
-        position=0,
-        request_id=RequestId('r'),
-        custom_id='c',
-        method='POST',
-        url='/v1/completions',
-        body=b'{}',
-        is_model=True,
-        attempts=attempts,
-    )
     held: Any = SimpleNamespace(is_repeatable=is_repeatable)
-    workflow = ItemRunner(context).begin(held, item, ServerId('s'), service_share(), PendingItems())
+    workflow = ItemRunner(context).begin(
+        held, make_item(attempts), SERVER, service_share(), PendingItems()
+    )
     op = next(workflow)
     assert isinstance(op, CallServer)
     assert op.call.needs_new_connection == is_new
