Log the software version of servers and the request that began a stream

A row without a version, or with an empty one or one of over 100 characters, is no server's row (typed error, as for its other fields; accepted before except where it was missing). Nothing else uses them yet.

--- a/citrondyke/decisions/forwarding/server_list_entry.py
+++ b/citrondyke/decisions/forwarding/server_list_entry.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from citrondyke.ids import AvailabilityZone, ServerId, ServerIncarnation, ServiceName
+from citrondyke.ids import (
+    AvailabilityZone,
+    ServerId,
+    ServerIncarnation,
+    ServiceName,
+    SoftwareVersion,
+)
 
 __all__ = ('ServerListEntry',)
 
@@ -25,6 +31,8 @@
     born_epoch_ms: int | None = None
     #: Counts the writes of this incarnation to its entry; restarts with each incarnation.
     seq: int = 0
+    #: ``None`` in entries from instances of an earlier version, which leave it out.
+    software_version: SoftwareVersion | None = None
 
     @property
     def stated_incarnation(self) -> ServerIncarnation:
--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -82,6 +82,7 @@
                 **_common_fields(forwarded),
                 'server_id': state.listed.id,
                 'server_zone': state.listed.zone,
+                'server_version': state.listed.software_version,
                 'online_count': state.online_count(now_ms),
                 'batch_count': state.batch_count(now_ms),
                 'expected_wait_ms': round(expected_wait_ms, 1),
@@ -89,6 +90,7 @@
                 'slowness': round(state.expected_slowdown(now_ms), 2),
                 'sends_before': forwarded.history.sends_count,
                 'last_event_id': forwarded.last_event_id,
+                'begun_by': forwarded.metadata.begun_by,
             },
         )
 
@@ -112,6 +114,7 @@
             extra={
                 'request_id': forwarded.metadata.request_id,
                 'server_id': state.listed.id,
+                'server_version': state.listed.software_version,
                 'address': f'{state.listed.ip}:{state.listed.port}',
                 'outcome': outcome.value,
                 'detail': detail,
--- a/citrondyke/gateway/dialect.py
+++ b/citrondyke/gateway/dialect.py
@@ -30,6 +30,8 @@
     within_ms: float | None = None
     #: Id of the last event of a stream that the caller has received.
     last_event_id: int | None = None
+    #: Request that brought the caller the first event of the stream that it resumes.
+    begun_by: RequestId | None = None
     #: Identifies the shared prefix of the prompt; empty if there is none.
     prefix: str = ''
     #: Digest of the caller's API key; empty if it sends none.
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -374,6 +374,7 @@
                 'job_id': job.head.job_id,
                 'item_id': progress.item.id,
                 'server_id': state.listed.id,
+                'server_version': state.listed.software_version,
                 'end': result.value,
                 'detail': detail,
                 'last_event_id': progress.last_event_id,
--- a/citrondyke/gateway/replication/replicated_state.py
+++ b/citrondyke/gateway/replication/replicated_state.py
@@ -239,6 +239,7 @@
                     'went': [state.listed.id for state in change.removed],
                     'lives_over': [state.incarnation for state in change.restarted],
                     'leaving': leaving,
+                    'versions': _versions_by_service(listed),
                     'count': len(listed),
                     'store_version': self._servers.version,
                 },
@@ -266,3 +267,10 @@
         if len(self._decoded_rows) > max(DECODED_LIMIT, 2 * self._servers.count):
             self._decoded_rows.clear()
         return seen
+
+
+def _versions_by_service(listed: list[ServerListEntry]) -> dict[str, list[str]]:
+    versions: dict[str, set[str]] = {}
+    for entry in listed:
+        versions.setdefault(entry.service, set()).add(entry.software_version or '')
+    return {service: sorted(found) for service, found in versions.items()}
--- a/citrondyke/ids.py
+++ b/citrondyke/ids.py
@@ -19,6 +19,7 @@
     'ServerIncarnation',
     'ServiceName',
     'SessionId',
+    'SoftwareVersion',
     'TargetName',
     'TenantId',
     'WriteId',
@@ -42,6 +43,8 @@
 ServiceName = NewType('ServiceName', str)
 #: Incarnation of an instance: ``<instance>#<epoch>``.
 SessionId = NewType('SessionId', str)
+#: Version of a backend server's software; not of the model that it serves.
+SoftwareVersion = NewType('SoftwareVersion', str)
 #: Target of a request: name of a model, or ``service:<name>``.
 TargetName = NewType('TargetName', str)
 TenantId = NewType('TenantId', str)
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -37,6 +37,8 @@
 #: How long the sender waits: a duration in ms, despite the name of the header.
 TIMEOUT_HEADER = b'deadline-ms'
 LAST_EVENT_HEADER = b'last-event-id'
+#: Request that brought the first event of the stream that a caller resumes.
+BEGUN_BY_HEADER = b'resumes'
 PREFIX_HEADER = b'prefix-hash'
 #: Mark by which a server signs its own responses.
 SEAL_HEADER = b'response-seal'
@@ -105,12 +107,14 @@
         """Read the metadata of a request from its headers."""
         request_id = (request.header(ATTEMPT_HEADER) or b'').decode('latin-1')
         prefix = (request.header(PREFIX_HEADER) or b'').decode('latin-1')
+        begun_by = (request.header(BEGUN_BY_HEADER) or b'').decode('latin-1')
         # The last entry belongs to this request only; the entries before it are shared.
         shared = prefix.rpartition(',')[0]
         return RequestMetadata(
             request_id=RequestId(request_id),
             within_ms=_parse_float(request.header(TIMEOUT_HEADER)),
             last_event_id=_parse_int(request.header(LAST_EVENT_HEADER)),
+            begun_by=RequestId(begun_by) if begun_by else None,
             prefix=shared,
             key_digest=_key_digest(request),
         )
--- a/citrondyke/platform/rows.py
+++ b/citrondyke/platform/rows.py
@@ -19,6 +19,7 @@
     RouteName,
     ServerId,
     ServiceName,
+    SoftwareVersion,
     TenantId,
 )
 from citrondyke.util.decoding import decode_json
@@ -43,6 +44,8 @@
 #: Capacity of a server: counts of its requests have 16 bits in messages between instances.
 SlotsCount = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
+#: Software version of a server, which messages between instances repeat.
+VersionText = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
 MAX_PORT = 65_535
 #: Limits on the accounts and keys of one configuration, which takes 40 MB at both limits.
 MAX_ACCOUNTS = 20_000
@@ -105,7 +108,7 @@
     service: NonEmpty
     address: str
     zone: NonEmpty
-    version: str
+    version: VersionText
     slots: SlotsCount
     state: Literal['ready', 'draining']
     cold_left_ms: float
@@ -190,6 +193,7 @@
         is_leaving=server.state == 'draining',
         born_epoch_ms=None if server.born is msgspec.UNSET else server.born,
         seq=server.seq,
+        software_version=SoftwareVersion(server.version),
     )
 
 
--- a/tests/test_platform/test_platform_foreign_entries.py
+++ b/tests/test_platform/test_platform_foreign_entries.py
@@ -40,6 +40,7 @@
     *(server_row(**{name: ['x']}) for name in server_row()),
     server_row(state='asleep'),
     server_row(service=''),
+    *(server_row(version=version) for version in ('', 'v' * 101, None, 2)),
     *(server_row(slots=slots) for slots in (0, -3, 10**30, 1.5, True, '8')),
     *(server_row(seq=seq) for seq in (-1, 1.5, '4')),
     *(server_row(born=born) for born in (None, 1.5, '1700000000000', True, -1, 2**64)),
