Reproduce streams of two software versions, known to fail

In-process fleets of three instances and two servers of each of two versions, which write their version into their events.

The stand-in states a version only where a test gives one.

--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -28,11 +28,16 @@
 
     from gevent import socket
 
-__all__ = ('AnswerMode', 'PlatformServer', 'ServerRun')
+__all__ = ('AnswerMode', 'PlatformServer', 'ServerRun', 'event_text')
 
 READ_BYTES = 65_536
 
 
+def event_text(number: int, software_version: str = '') -> str:
+    """Return the text of an event; servers that state a version add it."""
+    return f'text {number} {software_version}'.rstrip()
+
+
 def _ignore_crash() -> None:
     """Do nothing; the default of ``on_crash``."""
 
@@ -84,8 +89,9 @@
 class PlatformServer:
     """Runs requests and records them; a stream has ``events_count`` events with ids from 1."""
 
-    def __init__(self, server_id: str, events_count: int = 6) -> None:
+    def __init__(self, server_id: str, events_count: int = 6, software_version: str = '') -> None:
         """Start listening on a free loopback port."""
+        self.software_version = software_version
         self.server_id = server_id
         self.events_count = events_count
         self.answer_modes: deque[AnswerMode] = deque()
@@ -214,7 +220,8 @@
         head = [*headers, (b'content-type', b'text/event-stream')]
         sock.sendall(http.send(h11.Response(status_code=200, headers=head)) or b'')
         for number in range(first, self.events_count + 1):
-            data = b'id: %d\ndata: text %d\n\n' % (number, number)
+            text = event_text(number, self.software_version)
+            data = f'id: {number}\ndata: {text}\n\n'.encode()
             if answer_mode is AnswerMode.CUT_IN_EVENT and number == first + 2:
                 sock.sendall(http.send(h11.Data(data=data[:-5])) or b'')
                 reset(sock)
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -126,9 +126,9 @@
             f'version {version} everywhere',
         )
 
-    def add_server(self, name: str, service: str, **row: Any) -> PlatformServer:
-        """Start a server and list it."""
-        server = self.servers[name] = PlatformServer(name)
+    def add_server(self, name: str, service: str, version: str = '', **row: Any) -> PlatformServer:
+        """Start a server and list it; one that states a version writes it into its events."""
+        server = self.servers[name] = PlatformServer(name, software_version=version)
         self.list_server(name, service, **row)
         return server
 
@@ -136,6 +136,8 @@
         """Write a server's entry."""
         address = f'127.0.0.1:{self.servers[name].port}'
         own = {'service': service, 'address': address, 'zone': 'zone-a', 'slots': 4, 'seq': 1}
+        if self.servers[name].software_version:
+            own['version'] = self.servers[name].software_version
         entry = server_row(**{**own, **row})
         self.store.put(SERVERS_TABLE, name, msgspec.json.encode(entry))
 
--- /dev/null
+++ b/tests/support/streams.py
@@ -0,0 +1,81 @@
+"""Streams that callers begin and take up again."""
+
+from __future__ import annotations
+
+import re
+from contextlib import ExitStack
+
+import h11
+import msgspec
+from gevent import socket
+
+from citrondyke.platform.dialect import ATTEMPT_HEADER
+from tests.support.gateway import HOST, GatewayFleet, Reply
+
+__all__ = ('BegunStream', 'StreamPart', 'events_of', 'versions_of')
+
+EVENT = re.compile(rb'id: (\d+)\ndata: ([^\n]*)\n\n')
+
+
+class StreamPart(msgspec.Struct, frozen=True):
+    """One event as a caller got it."""
+
+    id: int
+    text: str
+
+
+def events_of(data: bytes) -> list[StreamPart]:
+    """Find the whole events in what a caller received."""
+    return [StreamPart(int(number), text.decode()) for number, text in EVENT.findall(data)]
+
+
+def versions_of(events: list[StreamPart]) -> set[str]:
+    """Give the versions of the servers that wrote the events."""
+    return {event.text.split()[2] for event in events}
+
+
+class BegunStream:
+    """A stream whose caller has its first events and keeps its connection open."""
+
+    def __init__(self, fleet: GatewayFleet, request_id: str, at: int = 0) -> None:
+        """Ask for the stream and read its first two events."""
+        self._fleet = fleet
+        self._stack = ExitStack()
+        self.request_id = request_id
+        self._sock: socket.socket = self._stack.enter_context(fleet.connection(at))
+        http = h11.Connection(h11.CLIENT)
+        head = [('Host', HOST), (ATTEMPT_HEADER.decode(), request_id), ('Content-Length', '0')]
+        request = h11.Request(method='POST', target='/stream/x', headers=head)
+        self._sock.sendall(http.send(request) or b'')
+        self._data = b''
+        while len(self.events) < 2:
+            received = self._sock.recv(65_536)
+            assert received, self._data
+            self._data += received
+
+    @property
+    def events(self) -> list[StreamPart]:
+        """The events that the caller has."""
+        return events_of(self._data)
+
+    @property
+    def version(self) -> str:
+        """The version that began it."""
+        (version,) = versions_of(self.events)
+        return version
+
+    def take_up(self, at: int, attempt: int = 2, **headers: str) -> Reply:
+        """Close the connection, and ask another instance for the rest."""
+        self._stack.close()
+        return self._fleet.call(
+            '/stream/x',
+            b'',
+            at=at,
+            request_id=f'{self.request_id}-{attempt}',
+            last_event_id=str(self.events[-1].id),
+            **{'resumes': self.request_id, **headers},
+        )
+
+    def joined_with(self, reply: Reply) -> list[StreamPart]:
+        """Give all that the caller has after it took the stream up."""
+        return self.events + events_of(reply.body)
--- /dev/null
+++ b/tests/test_gateway/test_streams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway's callers."""
--- /dev/null
+++ b/tests/test_gateway/test_streams/test_streams_software_versions.py
@@ -0,0 +1,185 @@
+"""A stream goes on only at the software version that began it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import gevent
+import pytest
+
+from citrondyke.standin.platform_server import AnswerMode, event_text
+from tests.support.gateway import GatewayFleet, wait_until_seen
+from tests.support.streams import BegunStream, events_of, versions_of
+
+EVENTS = 6
+
+
+@pytest.fixture
+def fleet() -> Iterator[GatewayFleet]:
+    """Three instances, and two servers of each of two versions."""
+    made = GatewayFleet()
+    try:
+        made.configure()
+        made.add_server('app-1', 'app')
+        for number in range(4):
+            made.add_server(f'lm-{number}', 'lm', version=f'v{1 + number % 2}')
+        for _ in range(3):
+            made.start_instance()
+        made.wait_ready()
+        yield made
+    finally:
+        made.end()
+
+
+def tell(fleet: GatewayFleet, act: AnswerMode, *, times: int = 1) -> None:
+    for name, server in fleet.servers.items():
+        if name.startswith('lm'):
+            server.answer_modes.extend([act] * times)
+
+
+def begin_streams(fleet: GatewayFleet, count: int, at: int = 0) -> list[BegunStream]:
+    """Have callers begin streams that their servers do not end."""
+    tell(fleet, AnswerMode.HOLD, times=count)
+    begun = [BegunStream(fleet, f'request-{number}', at) for number in range(count)]
+    for server in fleet.servers.values():
+        server.answer_modes.clear()
+    return begun
+
+
+def take_all_up(begun: list[BegunStream], at: int) -> tuple[int, list[set[str]]]:
+    """Have callers take their streams up; give how many went on, and the versions of each."""
+    whole = 0
+    versions = []
+    for stream in begun:
+        reply = stream.take_up(at)
+        events = stream.joined_with(reply)
+        assert [event.id for event in events] == list(range(1, len(events) + 1))
+        versions.append(versions_of(events))
+        whole += len(events) == EVENTS
+        assert reply.status in (200, 503)
+    return whole, versions
+
+
+def test_stream_cut_by_its_server_goes_on_at_its_version(fleet: GatewayFleet) -> None:
+    # A server resets its stream in the middle, and another version's server answers the rest.
+    whole = 0
+    for number in range(20):
+        tell(fleet, AnswerMode.CUT_IN_EVENT)
+        reply = fleet.call('/stream/x', b'', request_id=f'request-{number}', at=number % 3)
+        assert len(versions_of(events_of(reply.body))) == 1
+        whole += reply.is_whole
+        for server in fleet.servers.values():
+            server.answer_modes.clear()
+    assert whole >= 10
+
+
+def test_stream_of_a_killed_instance_goes_on_at_its_version(fleet: GatewayFleet) -> None:
+    # The instance that knows the version is killed; the caller asks another one for the rest.
+    begun = begin_streams(fleet, 8)
+    fleet.instances[0].stop_abruptly()
+    whole, versions = take_all_up(begun, at=1)
+    assert {len(each) for each in versions} == {1}
+    assert whole >= 4
+
+
+def test_stream_goes_on_at_its_version_while_the_store_is_silent(fleet: GatewayFleet) -> None:
+    begun = begin_streams(fleet, 8)
+    fleet.store.faults.refused_ips = {'*'}
+    fleet.store.faults.is_silent = True
+    gevent.sleep(1.0)
+    fleet.instances[0].stop_abruptly()
+    whole, versions = take_all_up(begun, at=2)
+    assert {len(each) for each in versions} == {1}
+    assert whole >= 4
+
+
+def test_stream_begun_before_the_second_version_goes_on_at_the_first() -> None:
+    # When it began there was nothing to remember; then a release brings the second version.
+    fleet = GatewayFleet()
+    try:
+        fleet.configure()
+        for number in range(2):
+            fleet.add_server(f'lm-{number}', 'lm', version='v1')
+        for _ in range(3):
+            fleet.start_instance()
+        fleet.wait_ready()
+        begun = begin_streams(fleet, 6)
+        for number in range(2, 4):
+            fleet.add_server(f'lm-{number}', 'lm', version='v2')
+        fleet.wait_ready()
+        gevent.sleep(0.1)
+        fleet.instances[0].stop_abruptly()
+        whole, versions = take_all_up(begun, at=1)
+        assert versions == [{'v1'}] * 6
+        assert whole >= 3
+    finally:
+        fleet.end()
+
+
+def test_stream_that_nobody_knows_is_refused_at_once(fleet: GatewayFleet) -> None:
+    # All instances lost what they knew; a guess would join two versions.
+    begun = begin_streams(fleet, 6)
+    for instance in fleet.instances:
+        instance.stop_abruptly()
+    fleet.instances.clear()
+    for _ in range(2):
+        fleet.start_instance()
+    fleet.wait_ready()
+    for stream in begun:
+        reply = stream.take_up(at=1)
+        assert (reply.status, reply.is_whole) == (503, True)
+        assert 'retry-after' not in reply.headers
+        runs = [run for server in fleet.servers.values() for run in server.runs]
+        assert f'{stream.request_id}-2' not in {run.request_id for run in runs}
+
+
+def test_stream_whose_version_is_gone_is_refused_without_a_time(fleet: GatewayFleet) -> None:
+    # No server of its version will come back, so a time to come back would be untrue.
+    (stream,) = begin_streams(fleet, 1)
+    for name, server in list(fleet.servers.items()):
+        if server.software_version == stream.version:
+            fleet.list_server(name, 'lm', state='draining', seq=2)
+    wait_until_seen(
+        lambda: all(
+            sum(state.listed.is_leaving for state in each.book.states()) == 2
+            for each in fleet.instances
+        ),
+        'the servers to leave',
+    )
+    reply = stream.take_up(at=1)
+    assert (reply.status, 'retry-after' in reply.headers) == (503, False)
+
+
+def test_item_of_a_job_has_the_text_of_one_version(fleet: GatewayFleet) -> None:
+    # The run of an item is cut and goes on at another version, without any caller involved.
+    tell(fleet, AnswerMode.CUT_IN_EVENT, times=4)
+    assert fleet.submit('job-1', 8).status == 202
+    assert_texts_of_one_version(fleet, 'job-1', at=0)
+
+
+def test_item_of_a_killed_owner_has_the_text_of_one_version(fleet: GatewayFleet) -> None:
+    # The next owner resumes after the saved events, at any server.
+    for name in ('lm-0', 'lm-1', 'lm-2', 'lm-3'):
+        fleet.servers[name].event_gap_ms = 60.0
+        fleet.servers[name].events_count = 80
+    assert fleet.submit('job-1', 8, at=0).status == 202
+    jobs = fleet.instances[0].batch.owned.by_id.values()
+    wait_until_seen(
+        lambda: any(each.saved_event_id for job in jobs for each in job.open.values()),
+        'saved progress',
+    )
+    fleet.instances[0].stop_abruptly()
+    for server in fleet.servers.values():
+        server.event_gap_ms = 1.0
+    assert_texts_of_one_version(fleet, 'job-1', at=1, events_count=80)
+
+
+def assert_texts_of_one_version(
+    fleet: GatewayFleet, job_id: str, *, at: int, events_count: int = EVENTS
+) -> None:
+    expected = {
+        '\n'.join(event_text(number, version) for number in range(1, events_count + 1))
+        for version in ('v1', 'v2')
+    }
+    results = fleet.wait_done(job_id, at=at)
+    assert {result['text'] for result in results} <= expected
