Continue a batch item only at the software version that began it

Texts of items joined events of two versions where a run was cut or preempted and where their owner died; no caller is involved.

An item's progress has the origin of its events, in memory and in its saved row. It is continued by servers of that origin only; while they have no room, items that any server may run go first. If none of them accepts work any more, or the route names another service, the item begins anew from its first event. Progress saved without an origin, by instances of an earlier version, is not continued.

Weighed: beginning anew whenever another version has room would repeat work at each preemption during a release.

--- a/citrondyke/decisions/batch/batch_scheduler.py
+++ b/citrondyke/decisions/batch/batch_scheduler.py
@@ -18,6 +18,7 @@
     from citrondyke.decisions.batch.start_rate_limiter import StartRateLimiter
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_registry import ServerRegistry
+    from citrondyke.decisions.streams.stream_origin import StreamOrigin
     from citrondyke.ids import InstanceId, ServerIncarnation, ServiceName
 
 __all__ = ('BatchScheduler', 'RunningItem', 'Urgency', 'urgency')
@@ -126,14 +127,23 @@
         local, _ = self._split_by_zone(self._registry.eligible_servers(service))
         self.headroom.observe(service, sum(state.online_count(now_ms) for state in local))
 
-    def choose_server(self, service: ServiceName, urgency_now: Urgency) -> ServerState | None:
+    def can_continue(self, origin: StreamOrigin) -> bool:
+        """Return whether any server may continue an item."""
+        return self._registry.can_continue(origin)
+
+    def choose_server(
+        self, service: ServiceName, urgency_now: Urgency, origin: StreamOrigin | None = None
+    ) -> ServerState | None:
         """Choose the server for an item; ``None`` if no capacity is available to it.
 
         In a large fleet servers of the local zone come first: the load on a remote server is
         published late, so that online requests there do not take the item into account in time.
+
+        :param origin: origin of the item's events; ``None`` if any server may run it.
         """
         now_ms = self._context.now_ms()
-        local, remote = self._split_by_zone(self._registry.eligible_servers(service))
+        eligible = self._registry.eligible_servers(service, origin=origin)
+        local, remote = self._split_by_zone(eligible)
         is_at_risk = urgency_now is Urgency.AT_RISK
         candidates = [
             _Candidate(state, free)
--- a/citrondyke/decisions/batch/owned_job.py
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from enum import Enum
 
 import msgspec
 
 from citrondyke.decisions.batch.job import ItemResult, ItemState, JobHead, JobItem
+from citrondyke.decisions.streams.stream_origin import StreamOrigin
 
 __all__ = ('ItemProgress', 'OwnedJob', 'RunResult')
 
@@ -46,6 +47,8 @@
     item: JobItem
     texts: list[str] = []
     last_event_id: int | None = None
+    #: Origin of the events received so far; ``None`` before the first, or if it is not known.
+    origin: StreamOrigin | None = None
     failures_count: int = 0
     consecutive_breaks: int = 0
     is_running: bool = False
@@ -55,6 +58,13 @@
     #: Id of the last event saved in the store.
     saved_event_id: int | None = None
 
+    def drop_events(self) -> None:
+        """Begin anew: the next run generates the text from its first event."""
+        self.texts = []
+        self.last_event_id = None
+        self.saved_event_id = None
+        self.origin = None
+
     @property
     def events_count(self) -> int:
         """Return the number of events received so far."""
@@ -114,9 +124,14 @@
             if not progress.is_running and progress.not_before_ms <= now_ms
         ]
 
-    def next_item(self, now_ms: float) -> ItemProgress | None:
-        """Return the next item to start: interrupted items first, then by order of submission."""
-        waiting = self.waiting_items(now_ms)
+    def next_item(
+        self, now_ms: float, without: Collection[StreamOrigin] = ()
+    ) -> ItemProgress | None:
+        """Return the next item to start: interrupted items first, then by order of submission.
+
+        :param without: origins whose servers have no capacity; their items are left out.
+        """
+        waiting = [each for each in self.waiting_items(now_ms) if each.origin not in without]
         if not waiting:
             return None
         return next((each for each in waiting if each.last_event_id is not None), waiting[0])
@@ -189,14 +204,26 @@
             self.head = msgspec.structs.replace(self.head, is_done=True)
 
     def restore(
-        self, item_id: str, last_event_id: int | None, text: str, failures_count: int
+        self,
+        item_id: str,
+        last_event_id: int | None,
+        text: str,
+        failures_count: int,
+        origin: StreamOrigin | None,
     ) -> None:
-        """Restore the progress that an earlier owner made on an item."""
+        """Restore the progress that an earlier owner made on an item.
+
+        :param origin: origin of the text; ``None`` if it was saved without one. Then any version
+            may have written it, and the item begins anew.
+        """
         progress = self.open.get(item_id)
-        if progress is not None:
-            progress.texts = [text] if last_event_id is not None else []
+        if progress is None:
+            return
+        progress.failures_count = failures_count
+        if last_event_id is not None and origin is not None:
+            progress.texts = [text]
             progress.last_event_id = last_event_id
-            progress.failures_count = failures_count
+            progress.origin = origin
 
     def completes_job(self, results: list[ItemResult]) -> bool:
         """Return whether a commit of these results completes the job."""
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -18,6 +18,7 @@
     from citrondyke.decisions.batch.owned_job import ItemProgress
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_state import ServerState
+    from citrondyke.decisions.streams.stream_origin import StreamOrigin
     from citrondyke.gateway.dialect import Dialect
     from citrondyke.gateway.servers.server_connection import ServerConnection
     from citrondyke.gateway.servers.server_sends import ServerSends
@@ -94,12 +95,16 @@
         if status >= 300:  # noqa: PLR2004
             connection.read_body(until_ms, FAILURE_BODY_BYTES)
             return _result_of_status(status)
-        self._read_events(connection, progress, until_ms)
+        self._read_events(connection, progress, state.listed.origin, until_ms)
         state.record_success()
         return RunResult.COMPLETED
 
     def _read_events(
-        self, connection: ServerConnection, progress: ItemProgress, until_ms: float
+        self,
+        connection: ServerConnection,
+        progress: ItemProgress,
+        origin: StreamOrigin,
+        until_ms: float,
     ) -> None:
         splitter = EventSplitter(progress.last_event_id)
         while (piece := connection.read_chunk(until_ms)) is not None:
@@ -108,6 +113,7 @@
                 progress.first_event_ms = progress.first_event_ms or until_ms - EVENT_TIMEOUT_MS
                 progress.texts.append(event.data.decode('utf-8', 'replace'))
                 progress.last_event_id = event.id
+                progress.origin = origin
                 progress.consecutive_breaks = 0
             if self._polls_rarely():
                 # No caller waits for single events, so they are read in batches.
--- a/citrondyke/gateway/jobs/job_claimer.py
+++ b/citrondyke/gateway/jobs/job_claimer.py
@@ -249,7 +249,9 @@
                 continue
             job = OwnedJob(head, claimed.version, items, results)
             for each in progress:
-                job.restore(each.item_id, each.last_event_id, each.text, each.failures_count)
+                job.restore(
+                    each.item_id, each.last_event_id, each.text, each.failures_count, each.origin
+                )
             log.info(
                 'job.taken_over',
                 extra={
@@ -257,7 +259,7 @@
                     'version': claimed.version,
                     'listed': len(results),
                     'open': len(job.open),
-                    'resumed': len(progress),
+                    'resumed': sum(each.last_event_id is not None for each in job.open.values()),
                 },
             )
             self._runner.add(job)
--- a/citrondyke/gateway/jobs/job_rows.py
+++ b/citrondyke/gateway/jobs/job_rows.py
@@ -9,9 +9,10 @@
 import zstandard
 
 from citrondyke.decisions.batch.job import ItemState, JobHead
+from citrondyke.decisions.streams.stream_origin import StreamOrigin
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
-from citrondyke.ids import JobId, ObjectKey
+from citrondyke.ids import JobId, ObjectKey, ServiceName, SoftwareVersion
 from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
 from citrondyke.storage.partitioned_table import PartRow, RowPut
 from citrondyke.util.decoding import decode_json, decode_msgpack, decompress
@@ -105,6 +106,16 @@
     last_event_id: int | None
     text: str
     failures_count: int = 0
+    #: Origin of the text; left out by instances of an earlier version.
+    service: ServiceName | msgspec.UnsetType = msgspec.UNSET
+    software_version: SoftwareVersion | msgspec.UnsetType = msgspec.UNSET
+
+    @property
+    def origin(self) -> StreamOrigin | None:
+        """Return the origin of the text; ``None`` if it is not stated."""
+        if self.service is msgspec.UNSET or self.software_version is msgspec.UNSET:
+            return None
+        return StreamOrigin(self.service, self.software_version)
 
 
 class StoredResult(msgspec.Struct, frozen=True):
@@ -148,6 +159,8 @@
         progress.last_event_id,
         '\n'.join(progress.texts),
         progress.failures_count,
+        msgspec.UNSET if progress.origin is None else progress.origin.service,
+        msgspec.UNSET if progress.origin is None else progress.origin.version,
     )
     value = pack(saved)
     if len(value) > limit_bytes:
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -34,7 +34,9 @@
     from citrondyke.decisions.batch.batch_scheduler import BatchScheduler
     from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
     from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.forwarding.server_state import ServerState
+    from citrondyke.decisions.streams.stream_origin import StreamOrigin
     from citrondyke.gateway.dialect import Dialect
     from citrondyke.gateway.jobs.job_committer import JobCommitter
     from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
@@ -218,18 +220,26 @@
             if progress is not None:
                 waiting.append((self._priority(job, progress, epoch_ms), job))
         waiting.sort(key=lambda each: each[0].order)
-        full: set[tuple[ServiceName, Urgency]] = set()
+        full: set[tuple[ServiceName, Urgency, StreamOrigin | None]] = set()
         for _, job in waiting:
-            while (progress := job.next_item(now_ms)) is not None:
+            full_origins: set[StreamOrigin] = set()
+            while (progress := job.next_item(now_ms, full_origins)) is not None:
                 service = self._service(job, progress)
-                urgency_now = self._urgency(job, progress, epoch_ms)
-                if service is None or (service, urgency_now) in full:
+                if service is None:
                     break
-                state = self._scheduler.choose_server(service, urgency_now)
-                if state is None:
-                    full.add((service, urgency_now))
+                urgency_now = self._urgency(job, progress, epoch_ms)
+                origin = progress.origin
+                state = None
+                if (service, urgency_now, origin) not in full:
+                    state = self._scheduler.choose_server(service, urgency_now, origin)
+                if state is not None:
+                    self._begin(job, progress, state)
+                    continue
+                full.add((service, urgency_now, origin))
+                if origin is None:
                     break
-                self._begin(job, progress, state)
+                # Items that any server may run need not wait for those of this origin.
+                full_origins.add(origin)
 
     def _count_waiting(self) -> None:
         """Count and publish the waiting items, and observe the online load of their services."""
@@ -293,7 +303,9 @@
         config = self._replicated.config
         route = config.table.find(job.head.host, progress.item.path)
         if not isinstance(route, NoRoute):
-            return route.pick_service(self._context.random)
+            return self._bound_service(job, progress, route) or route.pick_service(
+                self._context.random
+            )
         if config.is_confirmed(self._context.now_ms()):
             # Configuration versions only increase, so the route has been removed permanently.
             log.info(
@@ -307,6 +319,34 @@
             self._end(job, progress, RunResult.IMPOSSIBLE)
         return None
 
+    def _bound_service(
+        self, job: OwnedJob, progress: ItemProgress, route: Route
+    ) -> ServiceName | None:
+        """Return the service that must continue an item; ``None`` if any may begin it.
+
+        An item whose events no server can continue any more begins anew: what another version
+        writes does not fit to them.
+        """
+        origin = progress.origin
+        if origin is None:
+            return None
+        is_named = any(share.service == origin.service for share in route.shares)
+        if is_named and self._scheduler.can_continue(origin):
+            return origin.service
+        log.info(
+            'item.begins_anew',
+            extra={
+                'job_id': job.head.job_id,
+                'item_id': progress.item.id,
+                'last_event_id': progress.last_event_id,
+                'service': origin.service,
+                'server_version': origin.version,
+            },
+        )
+        self._metrics.counters['items_begun_anew'] += 1
+        progress.drop_events()
+        return None
+
     def _begin(self, job: OwnedJob, progress: ItemProgress, state: ServerState) -> None:
         progress.is_running = True
         # The capacity is counted at once, so that the next choice of a server includes it.
--- a/tests/test_batch/test_batch_owned_job.py
+++ b/tests/test_batch/test_batch_owned_job.py
@@ -90,6 +90,6 @@
         ('i0', None, 2)
     ]
     later = owned()
-    later.restore('i0', None, '', kept[0].failures_count)
+    later.restore('i0', None, '', kept[0].failures_count, None)
     later.end_run(later.open['i0'], RunResult.FAILED, 0.0, 0.0)
     assert [each.id for each in later.finished] == ['i0']
