--- a/citrondyke/decisions/jobs/batch_item.py
+++ b/citrondyke/decisions/jobs/batch_item.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from citrondyke.decisions.core.signal import Signal
-from citrondyke.ids import RequestId
+from citrondyke.ids import RequestId, SoftwareVersion
 
 __all__ = ('BatchItem',)
 
@@ -26,6 +26,8 @@
     attempts: int = 0
     #: SSE events of the answer so far; an aborted stream resumes after them.
     frames: list[bytes] = msgspec.field(default_factory=list)
+    #: Software version of the server that sent them; ``None`` without frames or if not stated.
+    software_version: SoftwareVersion | None = None
     #: Aborts the running attempt when fired.
     cancel: Signal[Any] = msgspec.field(default_factory=Signal)
     is_running: bool = False
--- a/citrondyke/decisions/jobs/item_event.py
+++ b/citrondyke/decisions/jobs/item_event.py
@@ -6,9 +6,9 @@
 
 from citrondyke.decisions.core.decision_event import DecisionEvent
 from citrondyke.decisions.core.server_call import ReplyKind
-from citrondyke.ids import RequestId, ServerId
+from citrondyke.ids import RequestId, ServerId, SoftwareVersion
 
-__all__ = ('ItemAttemptFailed',)
+__all__ = ('ItemAttemptFailed', 'ItemBegunAnew')
 
 
 class ItemAttemptFailed(DecisionEvent, frozen=True, kw_only=True):
@@ -28,3 +28,15 @@
     #: ... and when it ended.
     beside_at_end: int
     elapsed_ms: float
+
+
+class ItemBegunAnew(DecisionEvent, frozen=True, kw_only=True):
+    """An interrupted item drops its events, as no server of their software version is left."""
+
+    message: ClassVar[str] = 'item begun anew'
+
+    request_id: RequestId
+    server_id: ServerId
+    frames_count: int
+    version_before: SoftwareVersion | None
+    software_version: SoftwareVersion | None
--- a/citrondyke/decisions/jobs/item_runner.py
+++ b/citrondyke/decisions/jobs/item_runner.py
@@ -8,7 +8,7 @@
 from citrondyke.decisions.core.server_call import ReplyKind, ServerCall
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.decisions.jobs.frames import assemble_answer
-from citrondyke.decisions.jobs.item_event import ItemAttemptFailed
+from citrondyke.decisions.jobs.item_event import ItemAttemptFailed, ItemBegunAnew
 from citrondyke.decisions.jobs.outcome import (
     FailureCode,
     ItemOutcome,
@@ -24,7 +24,7 @@
     from citrondyke.decisions.jobs.held_segment import HeldSegment
     from citrondyke.decisions.jobs.pending_items import PendingItems
     from citrondyke.decisions.sharing.server_share import ServerShare
-    from citrondyke.ids import RequestId, ServerId
+    from citrondyke.ids import RequestId, ServerId, SoftwareVersion
 
 __all__ = ('ItemRunner', 'must_run_isolated')
 
@@ -94,8 +94,26 @@
         server_id: ServerId,
         share: ServerShare,
         pending: PendingItems,
+        software_version: SoftwareVersion | None = None,
     ) -> Workflow[None]:
-        """Register an item as running on a server and return the workflow that runs it."""
+        """Register an item as running on a server and return the workflow that runs it.
+
+        An item whose events another software version has sent begins anew.
+
+        :param software_version: version of the server; ``None`` if it is not stated.
+        """
+        if item.frames and item.software_version != software_version:
+            self._context.report(
+                ItemBegunAnew(
+                    request_id=item.request_id,
+                    server_id=server_id,
+                    frames_count=len(item.frames),
+                    version_before=item.software_version,
+                    software_version=software_version,
+                )
+            )
+            item.frames.clear()
+        item.software_version = software_version
         item.cancel = Signal()
         item.is_running = True
         if must_run_isolated(item):
--- a/citrondyke/decisions/jobs/pending_items.py
+++ b/citrondyke/decisions/jobs/pending_items.py
@@ -9,7 +9,7 @@
 from citrondyke.decisions.core.signal import Signal
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from citrondyke.decisions.jobs.batch_item import BatchItem
     from citrondyke.decisions.jobs.held_segment import HeldSegment
@@ -75,15 +75,29 @@
                 return held, item
         return None
 
-    def pop(self) -> tuple[HeldSegment, BatchItem] | None:
-        """Remove and return the next item; skip items no longer needed."""
-        while self._heap:
-            _, _, _, held, item = heapq.heappop(self._heap)
-            if not self._heap:
-                self._rounds.clear()
-            if _is_pending(held, item):
-                return held, item
-        return None
+    def pop(
+        self, may_run: Callable[[BatchItem], bool] | None = None
+    ) -> tuple[HeldSegment, BatchItem] | None:
+        """Remove and return the next item; skip items no longer needed.
+
+        :param may_run: returns whether an item may run now; others stay in the queue.
+        """
+        left = []
+        found = None
+        while self._heap and found is None:
+            entry = heapq.heappop(self._heap)
+            _, _, _, held, item = entry
+            if not _is_pending(held, item):
+                continue
+            if may_run is None or may_run(item):
+                found = held, item
+            else:
+                left.append(entry)
+        for entry in left:
+            heapq.heappush(self._heap, entry)
+        if not self._heap:
+            self._rounds.clear()
+        return found
 
     def next_wake(self) -> Signal[None]:
         """Return the signal of the next wake-up."""
--- a/citrondyke/decisions/jobs/worker.py
+++ b/citrondyke/decisions/jobs/worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -25,6 +26,8 @@
 from citrondyke.storage.failure import PlatformFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.core.ops import Workflow
     from citrondyke.decisions.jobs.batch_item import BatchItem
@@ -32,7 +35,7 @@
     from citrondyke.decisions.jobs.segment_claimer import SegmentClaimer
     from citrondyke.decisions.jobs.sweeper import Sweeper
     from citrondyke.decisions.steward import Steward
-    from citrondyke.ids import RequestId
+    from citrondyke.ids import RequestId, SoftwareVersion
 
 __all__ = ('Worker', 'WorkerLimits')
 
@@ -185,20 +188,23 @@
         started: list[Workflow[None]] = []
         shares = self._steward.shares_of(target)
         reserved = self._runner.reserve_isolation_server(pending, shares)
+        versions = {self._steward.version_of(server_id) for server_id, _ in shares}
         for server_id, share in shares:
             if server_id == reserved:
                 if not self._runner.may_run_isolated(server_id, share):
                     continue
                 if (suspect := pending.pop_suspect()) is not None:
-                    started.append(self._runner.begin(*suspect, server_id, share, pending))
+                    version = self._steward.version_of(server_id)
+                    started.append(self._runner.begin(*suspect, server_id, share, pending, version))
                 continue
             free_capacity = share.free_capacity(self._context.now_ms())
+            version = self._steward.version_of(server_id)
             while free_capacity > 0:
-                taken = pending.pop()
+                taken = pending.pop(partial(_may_run_at, version, versions))
                 if taken is None:
-                    return started
+                    break
                 free_capacity -= 1
-                started.append(self._runner.begin(*taken, server_id, share, pending))
+                started.append(self._runner.begin(*taken, server_id, share, pending, version))
         return started
 
     def _supervise_segment(self, held: HeldSegment, pending: PendingItems) -> Workflow[None]:
@@ -254,5 +260,19 @@
             pending.push_suspect(held, item)
 
 
+def _may_run_at(
+    version: SoftwareVersion | None, versions: Collection[SoftwareVersion | None], item: BatchItem
+) -> bool:
+    """Return whether an item may run at a server of a version.
+
+    An interrupted item waits for servers of the version that began it, while there are any.
+    """
+    return (
+        not item.frames
+        or item.software_version == version
+        or (item.software_version not in versions)
+    )
+
+
 def _job_state(value: msgspec.Raw) -> JobState:
     return msgspec.json.decode(value, type=JobRow).state
--- a/citrondyke/decisions/online/online_dispatcher.py
+++ b/citrondyke/decisions/online/online_dispatcher.py
@@ -12,6 +12,7 @@
 from citrondyke.decisions.online.rejection import Rejection, RejectionReason
 from citrondyke.decisions.online.request import OnlineResult, OnlineResultKind
 from citrondyke.decisions.online.retry_budget import RetryBudget
+from citrondyke.storage.fleet_lists import ListedServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,6 +38,8 @@
     attempts: int = 0
     #: Frames that the caller has received.
     frames_count: int = 0
+    #: Server that sent the first frame.
+    begun_at: ListedServer | None = None
     may_have_run: bool = False
     first_frame_ms: float | None = None
     tried: tuple[ServerId, ...] = ()
@@ -124,12 +127,18 @@
         they were ejected: the request may be the cause. Those that were unreachable or rejected it
         are not: every caller would retry them at once.
         """
-        view = self._router.choose(request.target, request.prefix_bucket, progress.tried)
+        view = self._router.choose(
+            request.target, request.prefix_bucket, progress.tried, begun_at=progress.begun_at
+        )
         if isinstance(view, Rejection) and progress.cut:
             progress.tried = tuple(each for each in progress.tried if each not in progress.cut)
             progress.cut = ()
             return self._router.choose(
-                request.target, request.prefix_bucket, progress.tried, may_use_ejected=False
+                request.target,
+                request.prefix_bucket,
+                progress.tried,
+                may_use_ejected=False,
+                begun_at=progress.begun_at,
             )
         return view
 
@@ -174,6 +183,8 @@
         deadline_ms: float,
     ) -> None:
         progress.frames_count += reply.frames_count
+        if reply.frames_count and progress.begun_at is None:
+            progress.begun_at = view.listed
         if progress.first_frame_ms is None:
             progress.first_frame_ms = reply.first_frame_ms
         if not reply.was_not_run:
--- a/citrondyke/decisions/online/router.py
+++ b/citrondyke/decisions/online/router.py
@@ -17,6 +17,7 @@
     from citrondyke.decisions.online.fleet import Fleet, TargetServers
     from citrondyke.decisions.online.server_view import ServerView
     from citrondyke.ids import ServerId, TargetName
+    from citrondyke.storage.fleet_lists import ListedServer
 
 __all__ = ('Router',)
 
@@ -60,19 +61,22 @@
         tried: tuple[ServerId, ...] = (),
         *,
         may_use_ejected: bool = True,
+        begun_at: ListedServer | None = None,
     ) -> ServerView | Rejection:
         """Choose a server.
 
         :param prefix_bucket: bucket of the prompt prefix's digest, if requests share one.
         :param tried: servers that this request was already sent to.
         :param may_use_ejected: whether an ejected server may be chosen if no other one is left.
+        :param begun_at: server that began the response; only servers of its software version may
+            continue it. ``None`` if no part of it has arrived.
         """
         servers = self._fleet.target(target)
         if servers is None:
             return Rejection(RejectionReason.NO_SERVER, NO_SERVER_RETRY_MS)
-        sampled = self._sample(servers, tried)
+        sampled = self._sample(servers, tried, begun_at)
         if sampled is None and may_use_ejected:
-            sampled = self._last_resort(servers, tried)
+            sampled = self._last_resort(servers, tried, begun_at)
         if sampled is None:
             now_ms = self._context.now_ms()
             self._context.report(no_usable_server(target, servers, len(tried), now_ms))
@@ -82,7 +86,7 @@
         now_ms = self._context.now_ms()
         bound = sampled.load_at(now_ms) * BOUNDED_LOAD + BOUNDED_LOAD_SLACK
         for view in servers.preferred(prefix_bucket % AFFINITY_BUCKETS):
-            if self._is_usable(view, tried) and view.load_at(now_ms) <= min(
+            if self._is_usable(view, tried, begun_at) and view.load_at(now_ms) <= min(
                 bound, view.online_limit - 1
             ):
                 return view
@@ -140,18 +144,26 @@
             return
         view.is_on_probation = False
 
-    def _sample(self, servers: TargetServers, tried: tuple[ServerId, ...]) -> ServerView | None:
+    def _sample(
+        self,
+        servers: TargetServers,
+        tried: tuple[ServerId, ...],
+        begun_at: ListedServer | None,
+    ) -> ServerView | None:
         views = servers.views
         count = len(views)
         if count <= SAMPLES:
-            return self._least_loaded(views, tried)
+            return self._least_loaded(views, tried, begun_at)
         draw = self._context.random.random
         picked = [views[int(draw() * count)] for _ in range(SAMPLES)]
-        best = self._least_loaded(picked, tried)
-        return best or self._least_loaded(views, tried)
+        best = self._least_loaded(picked, tried, begun_at)
+        return best or self._least_loaded(views, tried, begun_at)
 
     def _last_resort(
-        self, servers: TargetServers, tried: tuple[ServerId, ...]
+        self,
+        servers: TargetServers,
+        tried: tuple[ServerId, ...],
+        begun_at: ListedServer | None,
     ) -> ServerView | None:
         """Choose among the servers that are ejected or probed.
 
@@ -161,20 +173,26 @@
         views = [
             view
             for view in servers.views
-            if view.accepts_work and view.is_reachable and view.listed.id not in tried
+            if view.accepts_work
+            and view.is_reachable
+            and view.listed.id not in tried
+            and view.may_continue(begun_at)
         ]
         now_ms = self._context.now_ms()
         return min(views, key=lambda view: view.load_at(now_ms), default=None)
 
     def _least_loaded(
-        self, views: list[ServerView], tried: tuple[ServerId, ...]
+        self,
+        views: list[ServerView],
+        tried: tuple[ServerId, ...],
+        begun_at: ListedServer | None,
     ) -> ServerView | None:
         best: ServerView | None = None
         best_rank = 0.0
         zone = self._context.zone
         now_ms = self._context.now_ms()
         for view in views:
-            if not self._is_usable(view, tried):
+            if not self._is_usable(view, tried, begun_at):
                 continue
             rank = float(view.load_at(now_ms) + (0 if view.listed.zone == zone else ZONE_SLACK))
             # A random fraction of a request breaks ties, so that equal servers share the load.
@@ -183,9 +201,13 @@
                 best, best_rank = view, rank
         return best
 
-    def _is_usable(self, view: ServerView, tried: tuple[ServerId, ...]) -> bool:
+    def _is_usable(
+        self, view: ServerView, tried: tuple[ServerId, ...], begun_at: ListedServer | None
+    ) -> bool:
         if not view.accepts_work or view.listed.id in tried:
             return False
+        if not view.may_continue(begun_at):
+            return False
         if view.ejected_until_ms == 0.0:
             return True
         if view.ejected_until_ms > self._context.now_ms():
--- a/citrondyke/decisions/online/server_view.py
+++ b/citrondyke/decisions/online/server_view.py
@@ -66,6 +66,15 @@
         """Return whether the list and the steward allow new requests."""
         return not self.is_leaving and self.listed.state is ListedState.LIVE
 
+    def may_continue(self, begun_at: ListedServer | None) -> bool:
+        """Return whether the server may continue a response that another one began.
+
+        What servers of two software versions write does not fit together.
+
+        :param begun_at: server that began it; ``None`` if no part of it has arrived.
+        """
+        return begun_at is None or begun_at.software_version == self.listed.software_version
+
     def apply_report(self, state: ServerState, now_ms: float) -> None:
         """Apply the steward's report."""
         self.reported_at_ms = now_ms
--- a/citrondyke/decisions/steward.py
+++ b/citrondyke/decisions/steward.py
@@ -23,7 +23,7 @@
     from citrondyke.decisions.online.fleet import Fleet
     from citrondyke.decisions.online.server_view import ServerView
     from citrondyke.decisions.sharing.server_share import ServerShare
-    from citrondyke.ids import InstanceId, RequestId
+    from citrondyke.ids import InstanceId, RequestId, SoftwareVersion
 
 __all__ = ('SERVICE_PREFIX', 'Steward', 'StewardTimings')
 
@@ -149,6 +149,11 @@
         ]
         return sorted(shares, key=lambda pair: -pair[1].free_capacity(now_ms))
 
+    def version_of(self, server_id: ServerId) -> SoftwareVersion | None:
+        """Return a server's software version; ``None`` if it is not stated."""
+        view = self._fleet.view(server_id)
+        return None if view is None else view.listed.software_version
+
     def share(self, server_id: ServerId) -> ServerShare | None:
         """Return a server's batch share."""
         return self._shares.get(server_id)
--- a/citrondyke/storage/fleet_lists.py
+++ b/citrondyke/storage/fleet_lists.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from citrondyke.ids import AvailabilityZone, InstanceId, ServerId, TargetName
+from citrondyke.ids import AvailabilityZone, InstanceId, ServerId, SoftwareVersion, TargetName
 from citrondyke.storage.failure import PlatformFailure
 
 __all__ = ('FleetLists', 'FleetSnapshot', 'ListedInstance', 'ListedServer', 'ListedState')
@@ -43,6 +43,8 @@
     state: ListedState = ListedState.LIVE
     #: Whether the server rejects a request with an outdated fencing number.
     checks_fence: bool = False
+    #: ``None`` if the platform does not state it; all such servers count as one version.
+    software_version: SoftwareVersion | None = None
 
 
 class FleetSnapshot(msgspec.Struct, frozen=True):
--- a/tests/test_decisions/test_decisions_item_runner.py
+++ b/tests/test_decisions/test_decisions_item_runner.py
@@ -16,7 +16,7 @@
 from citrondyke.decisions.jobs.pending_items import PendingItems
 from citrondyke.decisions.sharing.service_share import service_share
 from citrondyke.driver.virtual.virtual_time import VirtualTime
-from citrondyke.ids import AvailabilityZone, InstanceId, RequestId, ServerId
+from citrondyke.ids import AvailabilityZone, InstanceId, RequestId, ServerId, SoftwareVersion
 
 SERVER = ServerId('s')
 
@@ -73,3 +73,33 @@
     op = next(workflow)
     assert isinstance(op, CallServer)
     assert op.call.needs_new_connection == is_new
+
+
+@pytest.mark.parametrize(('version', 'resume_from'), [('v1', 2), ('v2', 0), (None, 0)])
+def test_item_does_not_continue_the_events_of_another_version(
+    version: str | None, resume_from: int
+) -> None:
+    item = make_item(0)
+    item.frames = [b'a', b'b']
+    item.software_version = SoftwareVersion('v1')
+    runner = ItemRunner(Context(InstanceId('i'), AvailabilityZone('z'), VirtualTime(), Random(1)))
+    held: Any = SimpleNamespace(is_repeatable=True)
+    stated = None if version is None else SoftwareVersion(version)
+    workflow = runner.begin(held, item, SERVER, service_share(), PendingItems(), stated)
+    op = next(workflow)
+    assert isinstance(op, CallServer)
+    assert (op.call.resume_from_frame, len(item.frames)) == (resume_from, resume_from)
+
+
+def test_item_that_waits_for_its_version_stays_in_the_queue() -> None:
+    # If it left the queue, its job would never finish; if it held the others up, they would wait
+    # beside free servers.
+    pending = PendingItems()
+    job = SimpleNamespace(tenant_id='t', deadline_epoch_ms=0.0)
+    held: Any = SimpleNamespace(job=job, is_lost=False, is_releasing=False, unfinished={0, 1})
+    bound, free = make_item(0), make_item(1)
+    bound.frames, free.position = [b'a'], 1
+    pending.push(held, [bound, free])
+    assert pending.pop(lambda item: not item.frames) == (held, free)
+    assert pending.pop(lambda item: not item.frames) is None
+    assert pending.pop() == (held, bound)
--- a/tests/test_decisions/test_decisions_online.py
+++ b/tests/test_decisions/test_decisions_online.py
@@ -4,9 +4,11 @@
 
 from random import Random
 
+import msgspec
 import pytest
 
 from citrondyke.decisions.core.context import Context
+from citrondyke.decisions.core.ops import CallServer
 from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.decisions.membership.peer_messages import ServerState
@@ -25,6 +27,7 @@
     InstanceId,
     RequestId,
     ServerId,
+    SoftwareVersion,
     TargetName,
     TenantId,
 )
@@ -37,9 +40,9 @@
 class Parts:
     """A fleet of servers with limits of 10, and its clock."""
 
-    def __init__(self, servers: int) -> None:
+    def __init__(self, servers: int, seed: int = 1) -> None:
         self.time = VirtualTime()
-        context = Context(InstanceId('i'), AvailabilityZone('z0'), self.time, Random(1))
+        context = Context(InstanceId('i'), AvailabilityZone('z0'), self.time, Random(seed))
         self.fleet = Fleet(first_online_limit=10)
         self.fleet.update_list(
             ListedServer(ServerId(f's{n}'), 'x', 1, AvailabilityZone('z0'), MODEL)
@@ -147,9 +150,9 @@
     assert isinstance(parts.router.choose(MODEL, None, may_use_ejected=False), Rejection)
 
 
-def dispatch(parts: Parts, reply: ServerReply, ended_ms: float) -> OnlineResult:
-    """Carry out a request with a deadline of 30 ms whose only attempt ends with a reply."""
-    request = OnlineRequest(
+def streamed_request(parts: Parts) -> OnlineRequest:
+    """Make a request with a deadline of 30 ms."""
+    return OnlineRequest(
         request_id=RequestId('r'),
         tenant_id=TenantId('t'),
         class_name=ClassName('calls'),
@@ -164,7 +167,11 @@
         deadline_ms=parts.time.now_ms() + 30.0,
         cancel=Signal(),
     )
-    workflow = parts.dispatcher.serve(request)
+
+
+def dispatch(parts: Parts, reply: ServerReply, ended_ms: float) -> OnlineResult:
+    """Carry out a request whose only attempt ends with a reply."""
+    workflow = parts.dispatcher.serve(streamed_request(parts))
     next(workflow)
     parts.time.run_until(ended_ms)
     with pytest.raises(StopIteration) as ended:
@@ -189,6 +196,35 @@
     assert parts.view(0).first_frame_ms == 30.0
 
 
+def test_response_that_is_cut_goes_on_at_its_software_version() -> None:
+    # Another version would write a text that does not fit to what the caller has.
+    went_on = 0
+    for seed in range(20):
+        parts = Parts(servers=4, seed=seed)
+        listed = [
+            msgspec.structs.replace(
+                parts.view(n).listed, software_version=SoftwareVersion(f'v{n % 2}')
+            )
+            for n in range(4)
+        ]
+        parts.fleet.update_list(listed)
+        workflow = parts.dispatcher.serve(streamed_request(parts))
+        first = next(workflow)
+        assert isinstance(first, CallServer)
+        cut = ServerReply(kind=ReplyKind.CUT, frames_count=2)
+        second = workflow.send(cut)
+        assert isinstance(second, CallServer)
+        versions = {
+            entry.software_version
+            for entry in listed
+            if entry.id in (first.call.server_id, second.call.server_id)
+        }
+        assert len(versions) == 1
+        assert second.call.resume_from_frame == 2
+        went_on += first.call.server_id != second.call.server_id
+    assert went_on == 20
+
+
 def test_leaving_server_gets_no_requests_despite_a_stale_list(parts: Parts) -> None:
     parts.fleet.mark_leaving(ServerId('s0'))
     parts.fleet.update_list([parts.view(0).listed, parts.view(1).listed])
