Complete a server's row that an instance of an earlier version passed on

During an upgrade an instance may have the server list from a peer that leaves software versions out. The store's own row has the same version and was ignored as known, so no server would have continued a stream until its row changed. test_row_from_an_earlier_build_is_completed_by_the_store failed before.

Rows to peers leave out fields with their default, which both builds fill in.

Also tests of the new messages, and of records that no instance writes.

--- a/citrondyke/decisions/forwarding/replicated_rows.py
+++ b/citrondyke/decisions/forwarding/replicated_rows.py
@@ -19,7 +19,7 @@
 TOMBSTONES_LIMIT = 2_000
 
 
-class ObservedRow(msgspec.Struct, Generic[Value], frozen=True):
+class ObservedRow(msgspec.Struct, Generic[Value], frozen=True, omit_defaults=True):
     """One row from a read or a feed; ``value`` is ``None`` if it holds nothing usable."""
 
     key: str
@@ -29,6 +29,8 @@
     born_epoch_ms: int | None = None
     #: The row exists, but another writer wrote it, so that it holds nothing usable.
     is_foreign: bool = False
+    #: An instance of an earlier version passed the row on and left a part of it out.
+    is_partial: bool = False
 
 
 class ReplicatedRows(Generic[Value]):
@@ -165,7 +167,8 @@
             return born < latest_born or row.version <= deleted
         newest = max(known.version if known else 0, deleted)
         if row.version == newest:
-            return row.key not in self._missing
+            is_completed = known is not None and known.is_partial and not row.is_partial
+            return row.key not in self._missing and not is_completed
         return row.version < newest
 
     def _drop(self, key: str, version: int, now_ms: float, deleted_version: int) -> None:
--- a/citrondyke/gateway/replication/replicated_state.py
+++ b/citrondyke/gateway/replication/replicated_state.py
@@ -197,6 +197,7 @@
             ``rows`` was removed.
         """
         now_ms = self._context.now_ms()
+        rows = [_marked_if_partial(row) for row in rows]
         if is_whole:
             self._servers.apply_listing(rows, version, now_ms)
         else:
@@ -269,6 +270,13 @@
         return seen
 
 
+def _marked_if_partial(row: ObservedRow[ServerListEntry]) -> ObservedRow[ServerListEntry]:
+    """Mark a row without a software version, which instances of an earlier version leave out."""
+    if row.value is None or row.value.software_version is not None:
+        return row
+    return msgspec.structs.replace(row, is_partial=True)
+
+
 def _versions_by_service(listed: list[ServerListEntry]) -> dict[str, list[str]]:
     versions: dict[str, set[str]] = {}
     for entry in listed:
--- a/tests/test_gateway/test_peers/test_peers_peer_codec.py
+++ b/tests/test_gateway/test_peers/test_peers_peer_codec.py
@@ -12,6 +12,8 @@
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
 from citrondyke.decisions.server_list.server_list_cursor import ServerListCursor
 from citrondyke.decisions.servers.server_evidence import ServerEvidence
+from citrondyke.decisions.streams.origin_records import OriginRecord
+from citrondyke.decisions.streams.stream_origin import OriginView, StreamOrigin
 from citrondyke.gateway.peers.peer_codec import (
     EvidenceNews,
     JobChanged,
@@ -21,15 +23,19 @@
     ListTold,
     LoadNotice,
     LoadTotals,
+    OriginAsked,
+    OriginTold,
     PeerMessage,
     PeerText,
     StoreAnswerData,
     StoreCallData,
+    StreamOrigins,
     decode_message,
     encode_message,
 )
-from citrondyke.ids import ConfigVersion, InstanceId, JobId
+from citrondyke.ids import ConfigVersion, InstanceId, JobId, ServiceName, SoftwareVersion
 
+ORIGIN = StreamOrigin(ServiceName('lm'), SoftwareVersion('v1'))
 TEXTS: list[PeerText] = [
     LoadNotice([ServerLoad(2**32 - 1, 3, 4), ServerLoad(0, 0, 0)]),
     LoadTotals([ServerLoad(7, 65_535, 0)]),
@@ -44,6 +50,10 @@
     KnowledgeData(b'\0' * 100),
     ListTold(ServerListCursor('life', 3, 2**64 - 1, is_whole=True, store_version=2**40)),
     ListOffered(b'\0' * 100, ServerListCursor('life', 3)),
+    StreamOrigins([OriginRecord(2**63 - 1, 'lm', 'v1', 6_000.0)]),
+    OriginAsked(0, [ServiceName('lm')]),
+    OriginTold(None, 0.0, OriginView(frozenset((ORIGIN,)), is_complete=True)),
+    OriginTold(ORIGIN, 12.5, OriginView(frozenset(), is_complete=False)),
 ]
 
 
@@ -81,3 +91,20 @@
 def test_arbitrary_bytes_raise_nothing_but_value_error(data: bytes) -> None:
     with contextlib.suppress(ValueError):
         decode_message(data)
+
+
+@pytest.mark.parametrize(
+    'record',
+    [
+        OriginRecord(-1, 'lm', 'v1', 1.0),
+        OriginRecord(1, '', 'v1', 1.0),
+        OriginRecord(1, 'lm', '', 1.0),
+        OriginRecord(1, 'lm', 'v' * 300, 1.0),
+        OriginRecord(1, 'lm', 'v1', -1.0),
+        OriginRecord(1, 'lm', 'v1', float('nan')),
+    ],
+)
+def test_invalid_origin_is_rejected(record: OriginRecord) -> None:
+    message = PeerMessage(InstanceId('edge-1'), ConfigVersion(1), StreamOrigins([record]))
+    with pytest.raises(ValueError):
+        decode_message(encode_message(message))
--- a/tests/test_platform/test_platform_foreign_entries.py
+++ b/tests/test_platform/test_platform_foreign_entries.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from citrondyke.decisions.forwarding.server_list_entry import ServerListEntry
+from citrondyke.decisions.forwarding.replicated_rows import ObservedRow
 from citrondyke.decisions.forwarding.server_registry import ServerRegistry
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.replication.dependency import Dependency
@@ -175,3 +176,17 @@
     for decode in (lambda: decompress(raw, 1_000), lambda: decode_msgpack(raw, ServerListEntry)):
         with contextlib.suppress(UnreadableBytesError):
             decode()
+
+
+def test_row_from_an_earlier_build_is_completed_by_the_store() -> None:
+    # During an upgrade a peer passes on a list without software versions. If that row stayed, no
+    # server could continue a stream until its row changes.
+    under_test = StateUnderTest()
+    complete = decode_server('i-1', VALID_ENTRY)
+    partial = msgspec.structs.replace(complete, software_version=None)
+    under_test.replicated.merge_servers([ObservedRow('i-1', 5, partial)], 5, is_whole=True)
+    assert {origin.version for origin in under_test.registry.origins} == {''}
+    under_test.replicated.on_server_rows([row('i-1', 5, VALID_ENTRY)])
+    assert {origin.version for origin in under_test.registry.origins} == {'v1'}
+    under_test.replicated.merge_servers([ObservedRow('i-1', 5, partial)], 6, is_whole=True)
+    assert {origin.version for origin in under_test.registry.origins} == {'v1'}
