Soak: servers of two and three versions, and callers that take streams up

The stand-in's language servers state versions and write them into their events; four callers leave streams after the first event and ask any instance for the rest, beside the kills, freezes, resets, releases and store faults that the soak plays already. Judged: no stream and no item's text of two versions, nothing said not to have run that ran, and of what is taken up at least half as large a share goes on as new streams begin.

Streams take 60 ms instead of 6, so that they are under way at a fault.

--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -10,9 +10,10 @@
 from gevent import socket
 
 from citrondyke.platform.dialect import ATTEMPT_HEADER
+from citrondyke.standin.platform_server import event_text
 from tests.support.gateway import HOST, GatewayFleet, Reply
 
-__all__ = ('BegunStream', 'StreamPart', 'events_of', 'versions_of')
+__all__ = ('BegunStream', 'StreamPart', 'events_of', 'is_one_text', 'versions_of')
 
 EVENT = re.compile(rb'id: (\d+)\ndata: ([^\n]*)\n\n')
 
@@ -34,6 +35,15 @@
     return {event.text.split()[2] for event in events}
 
 
+def is_one_text(events: list[StreamPart]) -> bool:
+    """Tell whether servers of one version wrote the events, from the first one on."""
+    version = events[0].text.partition(' ')[2].partition(' ')[2] if events else ''
+    return all(
+        event == StreamPart(number, event_text(number, version))
+        for number, event in enumerate(events, 1)
+    )
+
+
 class BegunStream:
     """A stream whose caller has its first events and keeps its connection open."""
 
--- a/tests/test_soak/soak.py
+++ b/tests/test_soak/soak.py
@@ -14,8 +14,9 @@
 from gevent import socket
 
 from citrondyke.standin.platform_server import AnswerMode
-from tests.support.gateway import Reply, exchange
+from tests.support.gateway import HOST, Reply, exchange
 from tests.support.program import Program
+from tests.support.streams import StreamPart, events_of
 from tests.test_soak.fault_proxy import Harm
 from tests.test_soak.soak_fleet import (
     CALLERS_PORT,
@@ -24,7 +25,7 @@
     SoakFleet,
     changing_key,
 )
-from tests.test_soak.witness import Asked, JobSeen, Witness
+from tests.test_soak.witness import EVENTS, Asked, JobSeen, TakenUp, Witness
 
 __all__ = ('Soak',)
 
@@ -32,6 +33,9 @@
 CALLERS = 8
 JOB_CALLERS = 3
 HOT_CALLERS = 3
+RETURNING_CALLERS = 4
+#: Attempts of a caller to go on with one stream.
+TAKE_UPS = 3
 ITEMS = 4
 ANSWER_WITHIN_S = 8.0
 #: Time after the faults in which everything accepted must be done.
@@ -72,6 +76,7 @@
         workers = [self._call for _ in range(CALLERS)] + [self._hand_in for _ in range(JOB_CALLERS)]
         workers += [self._operate, self._harm, self._harm, self._ask_deadly]
         workers += [self._ask_hot] * HOT_CALLERS + [self._ask_with_other_keys]
+        workers += [self._take_up] * RETURNING_CALLERS
         gevent.joinall(
             [
                 gevent.spawn(worker, Random(self._seed * 100 + n))
@@ -152,6 +157,50 @@
             self._ask(random, '/fetch/x', b'', request_id, key=key)
             gevent.sleep(random.uniform(0.0, 0.1))
 
+    def _take_up(self, random: Random) -> None:
+        """Leave streams in the middle, and ask any instance for the rest."""
+        while self._goes_on():
+            request_id = self._new_id('stream')
+            body = b'body of ' + request_id.encode()
+            events = self._begin_stream(random, request_id, body)
+            for attempt in range(TAKE_UPS):
+                if not events or events[-1].id == EVENTS:
+                    break
+                gevent.sleep(random.uniform(0.0, 0.4))
+                name = f'{request_id}-{attempt}'
+                reply = self._ask(
+                    random,
+                    '/stream/x',
+                    body,
+                    name,
+                    last_event_id=str(events[-1].id),
+                    resumes=request_id,
+                )
+                if reply.status:
+                    events = events + events_of(reply.body)
+                    self.witness.taken_up.append(TakenUp(name, events, reply))
+            gevent.sleep(random.uniform(0.0, 0.1))
+
+    def _begin_stream(self, random: Random, request_id: str, body: bytes) -> list[StreamPart]:
+        """Read the first events of a stream and close its connection."""
+        sock = self._connect(random)
+        if sock is None:
+            gevent.sleep(0.1)
+            return []
+        head = (
+            f'POST /stream/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {request_id}\r\n'
+            f'X-Api-Key: {STEADY_KEY}\r\nContent-Length: {len(body)}\r\n\r\n'
+        )
+        data = b''
+        with sock:
+            try:
+                sock.sendall(head.encode() + body)
+                while not events_of(data) and (received := sock.recv(65_536)):
+                    data += received
+            except OSError:
+                return events_of(data)
+        return events_of(data)
+
     def _hand_in(self, random: Random) -> None:
         while self._goes_on():
             job_id = self._new_id('job')
@@ -202,12 +251,13 @@
         request_id: str,
         method: str = 'POST',
         key: str = STEADY_KEY,
+        **headers: str,
     ) -> Reply:
         sock = self._connect(random)
         if sock is None:
             return Reply(0, {}, b'', False)
         with sock:
-            return _exchange(sock, path, body, request_id, method, key)
+            return _exchange(sock, path, body, request_id, method, key, **headers)
 
     def _operate(self, random: Random) -> None:
         while self._goes_on():
@@ -352,11 +402,19 @@
     request_id: str,
     method: str = 'POST',
     key: str = STEADY_KEY,
+    **headers: str,
 ) -> Reply:
     """Make one exchange; a connection that breaks gives an answer without a status."""
     try:
         return exchange(
-            sock, path, body, method=method, request_id=request_id, x_api_key=key, tenant='forged'
+            sock,
+            path,
+            body,
+            method=method,
+            request_id=request_id,
+            x_api_key=key,
+            tenant='forged',
+            **headers,
         )
     except (OSError, h11.LocalProtocolError):
         return Reply(0, {}, b'', False)
--- a/tests/test_soak/soak_fleet.py
+++ b/tests/test_soak/soak_fleet.py
@@ -34,6 +34,9 @@
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 SERVERS = {'app': 3, 'lm': 4}
 READY_WITHIN_S = 30.0
+EVENT_GAP_MS = 10.0
+#: Number of a server from which on its version is a later one.
+VERSION_LIFE = 12
 #: From a server's end until it is off the list.
 LAPSE_S = 1.5
 STEADY_KEY, HOT_KEY = 'key-of-steady', 'key-of-hot'
@@ -101,13 +104,19 @@
 
     def add_server(self, name: str, service: str) -> None:
         """Start a server and list it."""
-        self.servers[name] = server = PlatformServer(name)
+        self.servers[name] = server = PlatformServer(name, software_version=self._version(name))
+        server.event_gap_ms = EVENT_GAP_MS
         server.crash_bodies = self.crash_bodies
         server.on_crash = partial(gevent.spawn, self._restart, name)
         self.server_proxies[name] = FaultProxy('127.0.0.1', server.port)
         self.services[name] = service
         self.list_server(name)
 
+    def _version(self, name: str) -> str:
+        """Give the version of a server: two serve side by side, and a third one comes later."""
+        service, _, number = name.rpartition('-')
+        return f'v{1 + int(number) % 2 + int(number) // VERSION_LIFE}' if service == 'lm' else ''
+
     def _restart(self, name: str) -> None:
         """Have a server that ended lapse, and start it anew as another one."""
         self.server_proxies[name].stop()
@@ -127,6 +136,7 @@
             slots=6,
             state=state,
             seq=self.seqs[name],
+            version=self.servers[name].software_version or 'v1',
         )
         self.store.put(SERVERS_TABLE, name, msgspec.json.encode(entry))
 
--- a/tests/test_soak/test_soak_promises.py
+++ b/tests/test_soak/test_soak_promises.py
@@ -9,11 +9,21 @@
 
 import pytest
 
-from citrondyke.standin.platform_server import AnswerMode, PlatformServer, ServerRun
+from citrondyke.standin.platform_server import AnswerMode, PlatformServer, ServerRun, event_text
 from tests.support.gateway import Reply
+from tests.support.streams import StreamPart
 from tests.test_soak.soak import Soak
 from tests.test_soak.soak_fleet import HOT_ALLOWED, WINDOW_S, SoakFleet
-from tests.test_soak.witness import LEAVE_S, NEWS_S, STREAM, TEXT, Asked, JobSeen, Witness
+from tests.test_soak.witness import (
+    LEAVE_S,
+    NEWS_S,
+    STREAM,
+    TEXT,
+    Asked,
+    JobSeen,
+    TakenUp,
+    Witness,
+)
 
 #: Seeds that CI plays; each one that ever showed a fault stays here with its cause.
 #: 13: an account's job was told as unknown by an instance that had no configuration yet.
@@ -61,7 +71,9 @@
     jobs = soak.witness.jobs.values()
     print(
         f'seed {seed}: {len(soak.faults)} faults, {len(soak.witness.asked)} requests, '
-        f'{sum(job.is_accepted for job in jobs)} of {len(jobs)} jobs accepted'
+        f'{sum(job.is_accepted for job in jobs)} of {len(jobs)} jobs accepted, '
+        f'{soak.witness.went_on_share:.2f} of {len(soak.witness.taken_up)} streams went on, '
+        f'{soak.witness.begun_share:.2f} of the new ones began'
     )
     answered = sum(asked.reply.status == 200 for asked in soak.witness.asked)
     assert answered > len(soak.witness.asked) / 4, f'{answered} answered\n{told}'
@@ -175,6 +187,28 @@
     assert judged([run_of('a')], (kept,), (job([503, 202], DONE),)) == []
 
 
+def stream_part(number: int, version: str) -> StreamPart:
+    return StreamPart(number, event_text(number, version))
+
+
+def test_witness_finds_a_stream_of_two_versions() -> None:
+    for versions, wrong_count in ((('v1', 'v1'), 0), (('v1', 'v2'), 1), (('v1', ''), 1)):
+        witness = Witness()
+        events = [stream_part(number, version) for number, version in enumerate(versions, 1)]
+        witness.taken_up = [TakenUp('a-1', events, Reply(200, {}, b'', False))]
+        assert len(witness.judge([], {})) == wrong_count
+
+
+def test_witness_finds_streams_that_do_not_go_on() -> None:
+    witness = Witness()
+    witness.asked = [answer('stream', 503)]
+    refused = TakenUp('a-1', [stream_part(1, 'v1')], Reply(503, {}, b'', True))
+    witness.taken_up = [refused] * 12
+    assert witness.judge([], {}) == []
+    witness.asked = [answer('stream', 200, STREAM)]
+    assert len(witness.judge([], {})) == 1
+
+
 def test_witness_finds_a_position_that_changed() -> None:
     witness = Witness()
     seen = JobSeen('j', ['i'])
--- a/tests/test_soak/witness.py
+++ b/tests/test_soak/witness.py
@@ -11,13 +11,16 @@
 
 from citrondyke.standin.platform_server import AnswerMode, PlatformServer, ServerRun
 from tests.support.gateway import Reply
+from tests.support.streams import StreamPart, events_of, is_one_text
 from tests.test_soak.soak_fleet import HOT_ALLOWED, WINDOW_S
 
-__all__ = ('Asked', 'JobSeen', 'Witness')
+__all__ = ('Asked', 'JobSeen', 'TakenUp', 'Witness')
 
 #: Statuses that promise that a request has not run and never will.
 NOT_RUN = frozenset((408, 421, 429, 503))
 EVENTS = 6
+#: Streams taken up from which on their share counts.
+TAKEN_UP_ENOUGH = 12
 #: A leaving server may get requests for so long after it said so, in s; more than the platform's
 #: 2 s, as the entry goes through proxies here.
 LEAVE_S = 4.0
@@ -26,6 +29,7 @@
 EXITS_LIMIT = 3
 SENDS_BEYOND = 3
 NEWS_S = 3.0
+#: What servers write that state no version.
 TEXT = '\n'.join(f'text {number}' for number in range(1, EVENTS + 1))
 STREAM = b''.join(b'id: %d\ndata: text %d\n\n' % (n, n) for n in range(1, EVENTS + 1))
 
@@ -39,6 +43,15 @@
     reply: Reply
 
 
+class TakenUp(msgspec.Struct):
+    """One attempt of a caller to go on with a stream."""
+
+    request_id: str
+    #: What the caller has of the stream after it.
+    events: list[StreamPart]
+    reply: Reply
+
+
 class JobSeen(msgspec.Struct):
     """One batch job as its caller saw it."""
 
@@ -61,6 +74,7 @@
     def __init__(self) -> None:
         """Start having seen nothing."""
         self.asked: list[Asked] = []
+        self.taken_up: list[TakenUp] = []
         self.jobs: dict[str, JobSeen] = {}
         self.wrong: list[str] = []
         #: Bodies under which servers end.
@@ -101,8 +115,28 @@
             self._judge_answer(asked, runs.get(asked.request_id, []))
         for job in self.jobs.values():
             self._judge_job(job, runs)
+        self._judge_taken_up(runs)
         return self.wrong
 
+    @property
+    def begun_share(self) -> float:
+        """Share of the new streams that servers began."""
+        return _share_of_answers([each.reply for each in self.asked if each.kind == 'stream'])
+
+    @property
+    def went_on_share(self) -> float:
+        """Share of the streams taken up that went on."""
+        return _share_of_answers([each.reply for each in self.taken_up])
+
+    def _judge_taken_up(self, runs: dict[str, list[ServerRun]]) -> None:
+        for taken in self.taken_up:
+            if not is_one_text(taken.events):
+                self.complain(f'{taken.request_id} joined {taken.events}')
+            if taken.reply.status in NOT_RUN and runs.get(taken.request_id):
+                self.complain(f'{taken.request_id} was answered {taken.reply.status} and ran')
+        if len(self.taken_up) >= TAKEN_UP_ENOUGH and self.went_on_share < self.begun_share / 2:
+            self.complain(f'{self.went_on_share:.2f} of the streams taken up went on')
+
     def _judge_leaving(self, server: PlatformServer, left_s: float | None) -> None:
         if left_s is None:
             return
@@ -153,8 +187,12 @@
             self.complain(f'{name} was answered {reply.status} and ran')
         if reply.status != 200 or not reply.is_whole:
             return
-        expected = STREAM if asked.kind.startswith('stream') else b'answer to ' + asked.body
-        if reply.body != expected:
+        if asked.kind.startswith('stream'):
+            events = events_of(reply.body)
+            is_right = len(events) == EVENTS and is_one_text(events)
+        else:
+            is_right = reply.body == b'answer to ' + asked.body
+        if not is_right:
             self.complain(f'{name} has the body {reply.body[:80]!r}')
         if not reply.headers.get('response-seal'):
             self.complain(f'{name} is a success of no server')
@@ -173,7 +211,7 @@
             may_fail = ends[AnswerMode.FAIL] >= 3 or ends[AnswerMode.IMPOSSIBLE] > 0
             if result['state'] != 'completed' and not may_fail:
                 self.complain(f'{job.job_id}: {result["id"]} is {result["state"]}')
-            if result['state'] == 'completed' and result['text'] != TEXT:
+            if result['state'] == 'completed' and not _is_whole_text(result['text']):
                 self.complain(f'{job.job_id}: {result["id"]} has the text {result["text"]!r}')
 
     def _judge_refused(self, job: JobSeen, runs: dict[str, list[ServerRun]]) -> None:
@@ -182,3 +220,12 @@
         ran = [item_id for item_id in job.item_ids if runs.get(item_id)]
         if ran:
             self.complain(f'{job.job_id} was refused by {job.statuses} and {len(ran)} items ran')
+
+
+def _is_whole_text(text: str) -> bool:
+    events = [StreamPart(number, line) for number, line in enumerate(text.split('\n'), 1)]
+    return len(events) == EVENTS and is_one_text(events)
+
+
+def _share_of_answers(replies: list[Reply]) -> float:
+    return sum(reply.status == 200 for reply in replies) / max(1, len(replies))
