Begin a late item anew where its version stays full

With items bound to the version that began them, an item could wait for one full server while the others of its service are idle, until it is abandoned. Once it is late it begins anew at any server; before that it waits, as beginning anew repeats work at each preemption during a release.

test_late_item_begins_anew_while_its_version_has_no_capacity failed before.

--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -228,18 +228,42 @@
                 if service is None:
                     break
                 urgency_now = self._urgency(job, progress, epoch_ms)
-                origin = progress.origin
-                state = None
-                if (service, urgency_now, origin) not in full:
-                    state = self._scheduler.choose_server(service, urgency_now, origin)
+                state = self._choose_server(job, progress, service, urgency_now, full)
                 if state is not None:
                     self._begin(job, progress, state)
                     continue
-                full.add((service, urgency_now, origin))
-                if origin is None:
+                if progress.origin is None:
                     break
                 # Items that any server may run need not wait for those of this origin.
-                full_origins.add(origin)
+                full_origins.add(progress.origin)
+
+    def _choose_server(
+        self,
+        job: OwnedJob,
+        progress: ItemProgress,
+        service: ServiceName,
+        urgency_now: Urgency,
+        full: set[tuple[ServiceName, Urgency, StreamOrigin | None]],
+    ) -> ServerState | None:
+        """Choose the server of an item, and add to ``full`` where there is no capacity.
+
+        An interrupted item waits for the servers that may continue it. Once it is late it begins
+        anew elsewhere instead: those servers may stay full while others have capacity.
+        """
+        origins = [progress.origin]
+        if progress.origin is not None and urgency_now is Urgency.LATE:
+            origins.append(None)
+        for origin in origins:
+            if (service, urgency_now, origin) in full:
+                continue
+            state = self._scheduler.choose_server(service, urgency_now, origin)
+            if state is None:
+                full.add((service, urgency_now, origin))
+                continue
+            if progress.origin is not None and not state.listed.may_continue(progress.origin):
+                self._drop_events(job, progress, progress.origin)
+            return state
+        return None
 
     def _count_waiting(self) -> None:
         """Count and publish the waiting items, and observe the online load of their services."""
@@ -333,6 +357,10 @@
         is_named = any(share.service == origin.service for share in route.shares)
         if is_named and self._scheduler.can_continue(origin):
             return origin.service
+        self._drop_events(job, progress, origin)
+        return None
+
+    def _drop_events(self, job: OwnedJob, progress: ItemProgress, origin: StreamOrigin) -> None:
         log.info(
             'item.begins_anew',
             extra={
@@ -345,7 +373,6 @@
         )
         self._metrics.counters['items_begun_anew'] += 1
         progress.drop_events()
-        return None
 
     def _begin(self, job: OwnedJob, progress: ItemProgress, state: ServerState) -> None:
         progress.is_running = True
--- a/tests/test_gateway/test_streams/test_streams_software_versions.py
+++ b/tests/test_gateway/test_streams/test_streams_software_versions.py
@@ -8,7 +8,7 @@
 import pytest
 
 from citrondyke.standin.platform_server import AnswerMode, event_text
-from tests.support.gateway import GatewayFleet, wait_until_seen
+from tests.support.gateway import ROUTES, GatewayFleet, route, wait_until_seen
 from tests.support.streams import BegunStream, events_of, versions_of
 
 EVENTS = 6
@@ -199,6 +199,32 @@
     assert_texts_of_one_version(fleet, 'job-1', at=1, events_count=80)
 
 
+def test_late_item_begins_anew_while_its_version_has_no_capacity() -> None:
+    # The only server of its version stays full of online requests while another version is idle.
+    fleet = GatewayFleet()
+    try:
+        late = route('batch-stream', 'batch', 'lm', completion_slo_ms=1, max_wait_s=40)
+        fleet.configure(routes=[*ROUTES[:-1], late])
+        fleet.add_server('app-1', 'app')
+        server = fleet.add_server('lm-0', 'lm', version='v1', slots=2)
+        fleet.start_instance()
+        wait_all_known(fleet)
+        server.answer_modes.extend([AnswerMode.HOLD] * 3)
+        assert fleet.submit('job-1', 1).status == 202
+        jobs = fleet.instances[0].batch.owned.by_id.values()
+        wait_until_seen(
+            lambda: any(each.last_event_id for job in jobs for each in job.open.values()),
+            'events of the item',
+        )
+        online = [BegunStream(fleet, f'request-{number}') for number in range(2)]
+        fleet.add_server('lm-1', 'lm', version='v2')
+        (result,) = fleet.wait_done('job-1')
+        assert result['text'] == '\n'.join(event_text(n, 'v2') for n in range(1, EVENTS + 1))
+        assert {stream.version for stream in online} == {'v1'}
+    finally:
+        fleet.end()
+
+
 def assert_texts_of_one_version(
     fleet: GatewayFleet, job_id: str, *, at: int, events_count: int = EVENTS
 ) -> None:
