--- a/citrondyke/operator/loss_causes.py
+++ b/citrondyke/operator/loss_causes.py
@@ -26,6 +26,8 @@
     'key_gone': LossCause.NOT_ACCEPTED,
     'no_server': LossCause.NO_SERVER,
     'not_run': LossCause.NO_SERVER,
+    'origin_unknown': LossCause.ORIGIN_LOST,
+    'origin_gone': LossCause.ORIGIN_LOST,
     'broken': LossCause.ABORTED,
     'cut_midway': LossCause.ABORTED,
     'stopped': LossCause.STOPPED,
--- a/citrondyke/operator/loss_report.py
+++ b/citrondyke/operator/loss_report.py
@@ -22,6 +22,8 @@
     NOT_ACCEPTED = 'not taken by the instance'
     #: Its connection to a server was aborted, or the server did not respond.
     ABORTED = 'broke off at a server'
+    #: No server could continue its stream: the version that began it is not known, or is gone.
+    ORIGIN_LOST = 'no server may continue its stream'
     #: Servers exited under requests of the same content; it was not sent again.
     STOPPED = 'stopped as servers end under it'
     #: The failure response of a server was forwarded.
--- a/citrondyke/operator/request_history.py
+++ b/citrondyke/operator/request_history.py
@@ -55,6 +55,8 @@
         'broken': 'A server may have run it and its answer was incomplete; it must not run again.',
         'timed_out': 'No complete answer arrived before the deadline.',
         'cut_midway': 'Its stream was aborted and must not be resumed at another server.',
+        'origin_unknown': _describe_origin(by_kind.get('stream.origin')),
+        'origin_gone': _describe_origin(by_kind.get('stream.origin')),
         'over_limit': _describe_limit(by_kind.get('request.over_limit')),
         'limit_unknown': _describe_limit(by_kind.get('request.over_limit')),
         'key_gone': 'Its key was removed before another server was tried.',
@@ -69,6 +71,8 @@
         missing.append('request.over_limit')
     if end.get('end') == 'turned_away' and rejection is None:
         missing.append('request.turned_away')
+    if str(end.get('end')).startswith('origin_') and 'stream.origin' not in by_kind:
+        missing.append('stream.origin')
     if end.get('end') in ('broken', 'timed_out', 'cut_midway', 'not_run') and not sends:
         missing.append('send.failed')
     told = [f'{_describe_send(send)}{_describe_health(send, events)}' for send in sends]
@@ -107,6 +111,19 @@
     return f'No instance could check whether account {account} had used up its limit of {limit}.'
 
 
+def _describe_origin(event: LogEvent | None) -> str:
+    if event is None:
+        return 'No server may continue its stream.'
+    begun_by = event.get('begun_by') or 'an unknown request'
+    if event.get('version'):
+        version = f'{event.get("version")} of {event.get("service")}'
+        return f'Version {version} began its stream ({begun_by}); none of its servers takes work.'
+    return (
+        f'No instance knew which version began its stream ({begun_by}): {event.get("reason")}, '
+        f'{event.get("answers")} peers answered.'
+    )
+
+
 def _describe_no_account(event: LogEvent) -> str:
     if event.get('reason') == 'no_configuration':
         return 'The instance had no configuration yet.'
--- a/tests/test_operator/test_operator_explain.py
+++ b/tests/test_operator/test_operator_explain.py
@@ -124,6 +124,33 @@
     assert found.missing == ['request.end', '1 lines are truncated or not JSON']
 
 
+@pytest.mark.parametrize(
+    ('end', 'fields', 'told'),
+    [
+        (
+            'origin_unknown',
+            {'reason': 'several_versions', 'answers': 9},
+            'several_versions, 9 peers',
+        ),
+        (
+            'origin_gone',
+            {'version': 'v1', 'service': 'lm'},
+            'Version v1 of lm began its stream (r-1)',
+        ),
+    ],
+)
+def test_explanation_of_a_refused_stream_names_its_version(
+    tmp_path: Path, end: str, fields: dict[str, Any], told: str
+) -> None:
+    origin = event('stream.origin', 1.0, request_id='r', begun_by='r-1', **fields)
+    file = write(
+        tmp_path / 'edge-1.log', origin, event('request.end', 1.1, request_id='r', end=end)
+    )
+    found = explain('r', read_log_events([file]))
+    assert told in found.cause
+    assert found.missing == []
+
+
 def test_explanation_of_a_rejected_job_names_instance_and_reason(tmp_path: Path) -> None:
     file = write(tmp_path / 'edge-1.log', event('job.refused', 1.0, job_id='j', reason='in_doubt'))
     found = explain('j', read_log_events([file]))
--- a/tests/test_operator/test_operator_losses.py
+++ b/tests/test_operator/test_operator_losses.py
@@ -43,6 +43,8 @@
         ([ended('turned_away')], LossCause.REJECTED),
         ([sent(), ended('broken')], LossCause.ABORTED),
         ([ended('stopped')], LossCause.STOPPED),
+        ([ended('origin_unknown')], LossCause.ORIGIN_LOST),
+        ([ended('origin_gone')], LossCause.ORIGIN_LOST),
         ([sent()], LossCause.INSTANCE_LOST),
         ([sent(200.0), ended('done', first_ms=400.0)], LossCause.LATE_FOR_CAPACITY),
         ([sent(), ended('done', first_ms=400.0)], LossCause.LATE_AT_SERVER),
