--- a/citrondyke/decisions/streams/origin_records.py
+++ b/citrondyke/decisions/streams/origin_records.py
@@ -51,10 +51,6 @@
         self._context = context
         self._kept: dict[int, _Kept] = {}
 
-    def __len__(self) -> int:
-        """Return the number of records, expired ones included."""
-        return len(self._kept)
-
     def add(self, key: int, origin: StreamOrigin, left_ms: float) -> None:
         """Record the origin of a stream, or extend its record."""
         now_ms = self._context.now_ms()
