--- a/citrondyke/gateway/streams/origin_exchange.py
+++ b/citrondyke/gateway/streams/origin_exchange.py
@@ -39,8 +39,8 @@
 
 log = logbook.Logger(__name__)
 
-#: Peers that keep the record of a stream. If the instance of a stream is lost together with three of
-#: nine others, one stream in 84 loses all of its records.
+#: Peers that keep the record of a stream. If its instance is lost together with three of nine
+#: others, one stream in 84 loses all of its records.
 HOLDERS_COUNT = 3
 #: Peers that are asked if the likely holders have no record: instances that know different peers
 #: choose different holders.
