Refuse a stream at once while the store does not answer

After a start of all instances nobody has watched the server list for long enough, so the stored versions of a service are read. While the store is silent that read lasts until its call times out, and the caller is then refused all the same. It is left out once calls have been unanswered for 300 ms, as for claims of probes. Found by reading the change, no log shows such a wait. The new test fails without the change: the origin is read from a store that counts as silent.

--- a/citrondyke/gateway/streams/origin_exchange.py
+++ b/citrondyke/gateway/streams/origin_exchange.py
@@ -53,6 +53,8 @@
 RECORDS_PER_DATAGRAM = 16
 #: Calls of the store without an answer for this long: the server list may be stale.
 STORE_SILENT_MS = 1_000.0
+#: ... and for this long: a caller would wait for a read until its timeout, only to be refused.
+STORE_UNRESPONSIVE_MS = 300.0
 
 
 class _OwnStream(msgspec.Struct):
@@ -237,6 +239,7 @@
         if (
             isinstance(inferred, UnknownOrigin)
             and inferred.reason is OriginUnknownReason.NOT_COVERED
+            and self._store.unanswered_ms < STORE_UNRESPONSIVE_MS
         ):
             stored = self.versions.read(services)
             if stored is not None:
--- a/tests/test_gateway/test_streams/test_streams_origins.py
+++ b/tests/test_gateway/test_streams/test_streams_origins.py
@@ -190,6 +190,18 @@
     assert not fleet.take_up(fleet.names[1], begun_by)
 
 
+def test_refusal_does_not_wait_for_a_silent_store(fleet: OriginFleet) -> None:
+    # A read would last until its timeout, and most likely tell nothing.
+    fleet.begin(fleet.names[0], 'request-1')
+    for name in fleet.names:
+        fleet.kill(name)
+    for name in fleet.names:
+        fleet.start(name)
+    fleet.live[fleet.names[1]]._store.record_call()
+    fleet.clock.ms += 500.0
+    assert not fleet.take_up(fleet.names[1], 'request-1')
+
+
 def test_version_that_was_replaced_before_a_loss_of_all_is_not_forgotten(
     fleet: OriginFleet,
 ) -> None:
