Log the parts of prompts that other requests may share

The timeline of the incident leaves two hypotheses: a cause that different requests share, or servers that end for a cause of their own. No line named what two requests have in common. send.failed and request.end now name the shared parts of the prompt; for batch items the dialect reads them too. Nothing decides by them yet.

--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -22,6 +22,9 @@
 
 log = logbook.Logger(__name__)
 
+#: Parts of a prompt that are named in one line.
+NAMED_PARTS_LIMIT = 8
+
 
 class RequestLog:
     """Logs one line for each decision about a request."""
@@ -123,6 +126,7 @@
                 'failures_in_row': state.failures_count,
                 'left_ms': round(forwarded.until_ms - self._context.now_ms(), 1),
                 'content': forwarded.fingerprint.digest if may_have_run else None,
+                'prompt_parts': forwarded.metadata.prompt_parts[:NAMED_PARTS_LIMIT],
                 'since_first_event_ms': (
                     None if first_ms is None else round(self._context.now_ms() - first_ms, 1)
                 ),
@@ -173,6 +177,7 @@
                 'first_ms': round(first_ms, 1),
                 'took_ms': round(took_ms, 1),
                 'events': forwarded.events_count,
+                'prompt_parts': forwarded.metadata.prompt_parts[:NAMED_PARTS_LIMIT],
             },
         )
 
--- a/citrondyke/gateway/dialect.py
+++ b/citrondyke/gateway/dialect.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from citrondyke.ids import JobId, RequestId, ServerId, TenantId
+from citrondyke.ids import JobId, PromptPart, RequestId, ServerId, TenantId
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -34,6 +34,8 @@
     begun_by: RequestId | None = None
     #: Identifies the shared prefix of the prompt; empty if there is none.
     prefix: str = ''
+    #: Parts of the prompt that other requests may share, in order.
+    prompt_parts: tuple[PromptPart, ...] = ()
     #: Digest of the caller's API key; empty if it sends none.
     key_digest: str = ''
 
@@ -137,3 +139,7 @@
     @abstractmethod
     def item_headers(self, item: JobItem, host: str) -> Headers:
         """Make the initial headers of a batch item's request."""
+
+    @abstractmethod
+    def item_prompt_parts(self, item: JobItem) -> tuple[PromptPart, ...]:
+        """Read the parts of a batch item's prompt that other requests may share, in order."""
--- a/citrondyke/ids.py
+++ b/citrondyke/ids.py
@@ -12,6 +12,7 @@
     'InstanceId',
     'JobId',
     'ObjectKey',
+    'PromptPart',
     'RequestId',
     'RouteName',
     'RowKey',
@@ -34,6 +35,8 @@
 InstanceId = NewType('InstanceId', str)
 JobId = NewType('JobId', str)
 ObjectKey = NewType('ObjectKey', str)
+#: Part of a prompt, by the id that its callers share.
+PromptPart = NewType('PromptPart', str)
 RequestId = NewType('RequestId', str)
 RouteName = NewType('RouteName', str)
 RowKey = NewType('RowKey', str)
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -22,7 +22,7 @@
     RequestMetadata,
 )
 from citrondyke.gateway.http_head import check_headers
-from citrondyke.ids import JobId, RequestId, ServerId, TenantId
+from citrondyke.ids import JobId, PromptPart, RequestId, ServerId, TenantId
 from citrondyke.util.decoding import decode_json
 from citrondyke.util.hashing import key_hash
 
@@ -108,14 +108,14 @@
         request_id = (request.header(ATTEMPT_HEADER) or b'').decode('latin-1')
         prefix = (request.header(PREFIX_HEADER) or b'').decode('latin-1')
         begun_by = (request.header(BEGUN_BY_HEADER) or b'').decode('latin-1')
-        # The last entry belongs to this request only; the entries before it are shared.
-        shared = prefix.rpartition(',')[0]
+        shared = _shared_prefix(prefix)
         return RequestMetadata(
             request_id=RequestId(request_id),
             within_ms=_parse_float(request.header(TIMEOUT_HEADER)),
             last_event_id=_parse_int(request.header(LAST_EVENT_HEADER)),
             begun_by=RequestId(begun_by) if begun_by else None,
             prefix=shared,
+            prompt_parts=_prompt_parts(shared),
             key_digest=_key_digest(request),
         )
 
@@ -225,6 +225,25 @@
         )
         return result
 
+    def item_prompt_parts(self, item: JobItem) -> tuple[PromptPart, ...]:
+        """Read the parts of a batch item's prompt that other requests may share, in order."""
+        name = PREFIX_HEADER.decode()
+        prefix = next((value for key, value in item.headers.items() if key.lower() == name), '')
+        return _prompt_parts(_shared_prefix(prefix))
+
+
+def _shared_prefix(prefix: str) -> str:
+    """Leave out the last entry, which belongs to one request or session only."""
+    return prefix.rpartition(',')[0]
+
+
+def _prompt_parts(shared: str) -> tuple[PromptPart, ...]:
+    """Return the ids of comma-separated ``ID:TOKENS`` entries."""
+    if not shared:
+        return ()
+    ids = [entry.partition(':')[0].strip().lower() for entry in shared.split(',')]
+    return tuple(PromptPart(part) for part in dict.fromkeys(ids) if part)
+
 
 def _check_item(item: _Item) -> None:
     """Check that the id, headers and path of an item are valid in a request.
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -20,6 +20,7 @@
     LAST_EVENT_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
+    PREFIX_HEADER,
     SEAL_HEADER,
 )
 
@@ -85,6 +86,12 @@
     #: Start of the run, by the monotonic clock.
     began_s: float = 0.0
 
+    @property
+    def shared_parts(self) -> set[str]:
+        """Ids of the parts of the prompt; the last one belongs to the request itself."""
+        entries = self.headers.get(PREFIX_HEADER, b'').decode().split(',')[:-1]
+        return {entry.partition(':')[0] for entry in entries}
+
 
 class PlatformServer:
     """Runs requests and records them; a stream has ``events_count`` events with ids from 1."""
@@ -104,6 +111,8 @@
         self.crash_bodies: set[bytes] = set()
         #: Bodies of requests whose connections are reset without a crash of the server.
         self.reset_bodies: set[bytes] = set()
+        #: Parts of prompts that crash the server when it begins to write an answer.
+        self.crash_parts: set[str] = set()
         self.has_crashed = False
         #: Called after a crash.
         self.on_crash: Callable[[], object] = _ignore_crash
@@ -187,6 +196,9 @@
         if answer_mode is AnswerMode.CUT or body in self.reset_bodies:
             reset(sock)
             return False
+        if self._has_crash_part(run) and b'stream' not in run.target:
+            self.crash()
+            return False
         if answer_mode is AnswerMode.SILENT:
             return self._wait_for_close(sock, run)
         if answer_mode is AnswerMode.FAIL:
@@ -208,6 +220,9 @@
             sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra')
         return keeps_connection
 
+    def _has_crash_part(self, run: ServerRun) -> bool:
+        return not self.crash_parts.isdisjoint(run.shared_parts)
+
     def _send_stream(
         self,
         http: h11.Connection,
@@ -235,6 +250,9 @@
             except OSError:
                 run.is_aborted = True
                 raise
+            if self._has_crash_part(run):
+                self.crash()
+                return False
             gevent.sleep(self.event_gap_ms / 1e3)
         sock.sendall(http.send(h11.EndOfMessage()) or b'')
         return True
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -151,6 +151,7 @@
             kind = name.partition('-')[0]
             new = self.add_server(f'{kind}-{len(self.ended) + 100}', kind)
             new.crash_bodies = server.crash_bodies
+            new.crash_parts = server.crash_parts
             new.answer_ms = server.answer_ms
         self.wait_ready()
 
@@ -159,6 +160,11 @@
         servers = [*self.servers.values(), *self.ended]
         return sum(run.body == body for server in servers for run in server.runs)
 
+    def runs_with_part(self, part: str) -> int:
+        """Count the runs of requests with a part in their prompts, at all servers ever."""
+        servers = [*self.servers.values(), *self.ended]
+        return sum(part in run.shared_parts for server in servers for run in server.runs)
+
     @property
     def store_address(self) -> str:
         """Give the store's address."""
