--- a/citrondyke/standin/engine_app.py
+++ b/citrondyke/standin/engine_app.py
@@ -81,6 +81,7 @@
         self._wake = Event()
         self._load_history: deque[tuple[float, LoadReport]] = deque()
         self._streams_count = 0
+        self._crashes_count = 0
         self._runs: dict[str, int] = {}
         self._started_ms: dict[str, float] = {}
         self._ended_ms: dict[str, float] = {}
@@ -118,6 +119,10 @@
         """Answer ``GET /control/running``: the ids of the streams in the engine."""
         return msgspec.json.encode(sorted(self._queues))
 
+    def crashes(self) -> bytes:
+        """Answer ``GET /control/crashes``: how often a prompt crashed the engine."""
+        return msgspec.json.encode(self._crashes_count)
+
     def set_faults(self) -> bytes:
         """Answer ``PUT /control/faults``."""
         self.faults = msgspec.json.decode(bottle.request.body.read(), type=BackendFaults)
@@ -155,6 +160,7 @@
         return answer.frames(tokens)
 
     def _crash(self) -> bytes:
+        self._crashes_count += 1
         if self.faults.crash_exits:
             os._exit(3)
         self._engine.drop_all()
@@ -247,5 +253,6 @@
     app.get('/load', callback=engine.load)
     app.get('/control/runs', callback=engine.runs)
     app.get('/control/running', callback=engine.running)
+    app.get('/control/crashes', callback=engine.crashes)
     app.put('/control/faults', callback=engine.set_faults)
     return app, engine
