--- a/citrondyke/cmd/ctl/accounts.py
+++ b/citrondyke/cmd/ctl/accounts.py
@@ -81,9 +81,10 @@
 
 def suspects_table(suspects: Sequence[SuspectState]) -> Iterator[Table]:
     """Show suspected and blocked requests, and why."""
-    columns = ('content', 'standing', 'servers that ended under it', 'trials')
-    table = Table(*columns, title='suspected requests', title_justify='left')
+    columns = ('digest', 'of', 'standing', 'servers that ended under it', 'trials')
+    table = Table(*columns, title='suspected requests and prompt parts', title_justify='left')
     for suspect in suspects:
         ended = f'{suspect.servers_ended:g}'
-        table.add_row(suspect.content, suspect.standing, ended, str(suspect.trials))
+        kind = 'prompt part' if suspect.is_prompt_part else 'request'
+        table.add_row(suspect.content, kind, suspect.standing, ended, str(suspect.trials))
     yield table
--- a/citrondyke/decisions/crashes/server_exit_detector.py
+++ b/citrondyke/decisions/crashes/server_exit_detector.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from citrondyke.decisions.crashes.request_fingerprint import RequestFingerprint
+from citrondyke.decisions.crashes.suspect_key import SuspectKey
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
@@ -27,11 +27,18 @@
 class InterruptedRequest(msgspec.Struct, frozen=True):
     """A request whose connection to its server broke."""
 
-    content: RequestFingerprint
+    content: SuspectKey
+    #: Parts of its prompt that other requests may share.
+    parts: tuple[SuspectKey, ...]
     #: Whether its response had not started, or only a short time before.
     is_fresh: bool
     at_ms: float
 
+    @property
+    def keys(self) -> tuple[SuspectKey, ...]:
+        """All keys that an exit counts against."""
+        return (self.content, *self.parts)
+
 
 class ServerExitDetector:
     """Distinguishes a server's exit from a broken connection.
@@ -49,15 +56,18 @@
         self._exited_ms: dict[int, float] = {}
 
     def record_interrupted(
-        self, server: int, content: RequestFingerprint, *, is_fresh: bool
+        self, server: int, content: SuspectKey, *parts: SuspectKey, is_fresh: bool
     ) -> bool:
-        """Record an interrupted request; return whether the server is known to have exited."""
+        """Record an interrupted request; return whether the server is known to have exited.
+
+        :param parts: parts of its prompt that other requests may share.
+        """
         self._forget_old()
         if server in self._exited_ms:
             return True
         kept = self._interrupted.setdefault(server, [])
         if len(kept) < REQUESTS_PER_SERVER_LIMIT:
-            kept.append(InterruptedRequest(content, is_fresh, self._context.now_ms()))
+            kept.append(InterruptedRequest(content, parts, is_fresh, self._context.now_ms()))
         return False
 
     def record_server_exited(self, server: int) -> list[InterruptedRequest]:
--- a/citrondyke/decisions/crashes/suspect.py
+++ b/citrondyke/decisions/crashes/suspect.py
@@ -1,10 +1,10 @@
-"""Evidence against one request under which servers exited."""
+"""Evidence against one key of requests under which servers exited."""
 
 from __future__ import annotations
 
 import msgspec
 
-from citrondyke.decisions.crashes.request_fingerprint import RequestFingerprint
+from citrondyke.decisions.crashes.suspect_key import SuspectKey
 
 __all__ = ('BEGUN_WEIGHT', 'FRESH_WEIGHT', 'Suspect', 'SuspectRow')
 
@@ -38,13 +38,13 @@
 
 
 class Suspect(msgspec.Struct):
-    """Evidence against one request since its last success, and its probes.
+    """Evidence against one key since its last success, and its probes.
 
     Merging is commutative and idempotent, so that reports, stored rows and rows from peers may
     arrive in any order and more than once. The fields are those of ``SuspectRow``.
     """
 
-    content: RequestFingerprint
+    key: SuspectKey
     lives: dict[int, float]
     cleared: list[int]
     era: int = 0
@@ -99,8 +99,8 @@
     def row(self) -> SuspectRow:
         """Return the row to store and to send to peers."""
         return SuspectRow(
-            digest=self.content.digest,
-            target=self.content.target,
+            digest=self.key.digest,
+            target=self.key.target,
             lives=dict(self.lives),
             cleared=list(self.cleared),
             era=self.era,
--- a/citrondyke/decisions/crashes/suspect_registry.py
+++ b/citrondyke/decisions/crashes/suspect_registry.py
@@ -1,4 +1,4 @@
-"""Registry of requests suspected of crashing their servers."""
+"""Registry of request contents and prompt parts suspected of crashing servers."""
 
 from __future__ import annotations
 
@@ -8,13 +8,14 @@
 
 import msgspec
 
-from citrondyke.decisions.crashes.request_fingerprint import RequestFingerprint
+from citrondyke.decisions.crashes.proven_parts import ProvenParts
 from citrondyke.decisions.crashes.suspect import (
     BEGUN_WEIGHT,
     FRESH_WEIGHT,
     Suspect,
     SuspectRow,
 )
+from citrondyke.decisions.crashes.suspect_key import PART_TARGET, RequestKeys, SuspectKey
 from citrondyke.ids import ContentDigest
 
 if TYPE_CHECKING:
@@ -22,7 +23,7 @@
 
     from citrondyke.decisions.core.context import Context
 
-__all__ = ('SuspectRegistry', 'SuspectStatus')
+__all__ = ('SuspectRegistry', 'SuspectStatus', 'SuspectVerdict')
 
 #: Weighted server exits after which a request is blocked. With two, requests that ran beside a
 #: poison request on its first two servers would be blocked with it; each additional exit costs all
@@ -37,6 +38,9 @@
 #: Pause before the second probe, doubled for each later one: long enough for an operator to find
 #: out why servers exit, and to fix it.
 PROBE_PAUSE_MS = 600_000.0
+#: Pause before the first probe of a request with several blocked parts. Requests with one of them
+#: are probed earlier, since a probe with several doesn't show which part is harmful.
+SHARED_PROBE_PAUSE_MS = 30_000.0
 #: The same pause for a batch item, whose job must finish by its own deadline.
 ITEM_PROBE_PAUSE_MS = 5_000.0
 #: Probes rejected by a full server that may be repeated.
@@ -52,7 +56,7 @@
 
 
 class SuspectStatus(Enum):
-    """Whether a request may be sent to a server."""
+    """Whether a request may be sent to a server; a later value outweighs an earlier one."""
 
     FREE = 'free'
     #: Sent to a server with few other requests and no other suspects.
@@ -64,19 +68,40 @@
     STOPPED = 'stopped'
 
 
+class SuspectVerdict(msgspec.Struct, frozen=True):
+    """Whether a request may be sent, and the key that decides it."""
+
+    status: SuspectStatus = SuspectStatus.FREE
+    #: ``None`` if no key of the request is a suspect.
+    key: SuspectKey | None = None
+    #: Whether a part of its prompt is a suspect.
+    has_suspected_part: bool = False
+
+    @property
+    def is_blocked(self) -> bool:
+        """Whether the request must not be sent now."""
+        return self.status in (SuspectStatus.STOPPED, SuspectStatus.PROBE_RUNNING)
+
+
+_FREE = SuspectVerdict()
+_STATUS_ORDER = {status: order for order, status in enumerate(SuspectStatus)}
+
+
 class SuspectRegistry:
-    """Counts server exits by the fingerprint of the requests that were in flight there.
+    """Counts server exits by the keys of the requests that were in flight there.
 
     Handles a request that crashes every server that runs it and is retried under new ids through
-    any instance: counted per attempt, each attempt would crash as many servers as its retry limit
-    allows. A crash interrupts all requests on the server, so being in flight there is weak
-    evidence: it counts once per server, less if the response had been streaming for a while, and
-    one complete response at any instance clears all of it.
+    any instance, and requests that differ but share a prompt part that crashes servers: counted per
+    attempt, each attempt would crash as many servers as its retry limit allows. A crash interrupts
+    all requests on the server, so being in flight there is weak evidence: it counts once per
+    server, less if the response had been streaming for a while, not at all for a prompt part that
+    was answered lately, and one complete response at any instance clears all of it.
     """
 
     def __init__(self, context: Context) -> None:
         """Start without any suspects."""
         self._context = context
+        self._proven_parts = ProvenParts(context)
         self._by_digest: dict[ContentDigest, Suspect] = {}
         self._targets: Counter[int] = Counter()
 
@@ -84,41 +109,80 @@
         """Return the number of suspects."""
         return len(self._by_digest)
 
-    def contents(self) -> list[RequestFingerprint]:
-        """List the fingerprints of the current suspects."""
-        return [suspect.content for suspect in self._by_digest.values() if suspect.lives]
+    def suspects(self) -> list[SuspectKey]:
+        """List the keys of the current suspects."""
+        return [suspect.key for suspect in self._by_digest.values() if suspect.lives]
 
-    def probes_count(self, content: RequestFingerprint) -> int:
-        """Return how many probes of a request were claimed."""
-        suspect = self._by_digest.get(content.digest)
+    def probes_count(self, key: SuspectKey) -> int:
+        """Return how many probes of a suspect were claimed."""
+        suspect = self._by_digest.get(key.digest)
         return 0 if suspect is None else suspect.trials
 
     def has_suspects_for(self, target: int) -> bool:
         """Return whether a request for a target may be a suspect.
 
-        :param target: target hash of the request's fingerprint.
+        :param target: target hash of the request's content.
         """
         return target in self._targets
 
-    def score(self, content: RequestFingerprint) -> float:
-        """Return the weighted number of servers that exited under a request."""
-        suspect = self._by_digest.get(content.digest)
+    def score(self, key: SuspectKey) -> float:
+        """Return the weighted number of servers that exited under a key."""
+        suspect = self._by_digest.get(key.digest)
         return 0.0 if suspect is None else suspect.score
 
-    def record_server_exit(
-        self, content: RequestFingerprint, server: int, *, is_fresh: bool
-    ) -> bool:
-        """Count a server's exit against a request; return whether this changed the evidence.
+    def suspected_keys(self, keys: RequestKeys) -> list[SuspectKey]:
+        """Return the keys of a request that are suspects; a body is digested only if it may be."""
+        if not self._targets:
+            return []
+        found: list[SuspectKey] = []
+        if keys.prompt_parts and self.has_suspects_for(PART_TARGET):
+            found.extend(key for key in keys.parts if self.score(key))
+        if self.has_suspects_for(keys.target) and self.score(keys.content):
+            found.append(keys.content)
+        return found
+
+    def verdict_on(self, keys: RequestKeys, *, is_item: bool = False) -> SuspectVerdict:
+        """Return whether a request may be sent: the worst verdict on any of its keys.
+
+        Among equal ones the most specific key decides: the content, or else the last part.
+        """
+        found = [key for key in self.suspected_keys(keys) if not self.is_proven(key)]
+        if not found:
+            return _FREE
+        blocked_parts = [key for key in found if key.is_part and self.score(key) >= EXITS_LIMIT]
+        first_pause_ms = SHARED_PROBE_PAUSE_MS if len(blocked_parts) > 1 else FIRST_PROBE_PAUSE_MS
+        has_part = any(key.is_part for key in found)
+        verdicts = [
+            SuspectVerdict(self._status_of(key, first_pause_ms, is_item=is_item), key, has_part)
+            for key in found
+        ]
+        return max(reversed(verdicts), key=lambda each: _STATUS_ORDER[each.status])
+
+    def record_answered(self, keys: RequestKeys) -> None:
+        """Record that a server answered a request, which proves the parts of its prompt."""
+        if keys.prompt_parts:
+            self._proven_parts.record_answer(keys)
+
+    def is_proven(self, key: SuspectKey) -> bool:
+        """Return whether a key is a prompt part that was answered lately."""
+        return key.is_part and self._proven_parts.is_proven(key)
+
+    def record_server_exit(self, key: SuspectKey, server: int, *, is_fresh: bool) -> bool:
+        """Count a server's exit against a key; return whether this changed the evidence.
+
+        It does not count against a prompt part that was answered lately.
 
         :param server: digest of the server's incarnation.
         :param is_fresh: whether the response had not started, or only a short time before.
         """
+        if self.is_proven(key):
+            return False
         weight = FRESH_WEIGHT if is_fresh else BEGUN_WEIGHT
-        return self._suspect(content).count(server, weight, self._context.epoch_ms())
+        return self._suspect(key).count(server, weight, self._context.epoch_ms())
 
-    def record_survived(self, content: RequestFingerprint) -> bool:
-        """Record a complete response; return whether the request was suspected."""
-        suspect = self._by_digest.get(content.digest)
+    def record_survived(self, key: SuspectKey) -> bool:
+        """Record a complete response; return whether the key was a suspect."""
+        suspect = self._by_digest.get(key.digest)
         if suspect is None or not suspect.lives:
             return False
         suspect.clear(self._context.epoch_ms())
@@ -128,32 +192,35 @@
         """Merge a row from a peer or the store; return whether anything changed."""
         if row.changed_epoch_ms < self._context.epoch_ms() - EVIDENCE_EXPIRY_MS:
             return False
-        content = RequestFingerprint(ContentDigest(row.digest), row.target)
-        return self._suspect(content).merge(row)
+        key = SuspectKey(ContentDigest(row.digest), row.target)
+        return self._suspect(key).merge(row)
 
-    def status_of(self, content: RequestFingerprint, *, is_item: bool = False) -> SuspectStatus:
-        """Return whether a request may be sent to a server."""
-        suspect = self._by_digest.get(content.digest)
+    def status_of(self, key: SuspectKey, *, is_item: bool = False) -> SuspectStatus:
+        """Return whether a request may be sent that has no other suspected key."""
+        return self._status_of(key, FIRST_PROBE_PAUSE_MS, is_item=is_item)
+
+    def _status_of(self, key: SuspectKey, first_pause_ms: float, *, is_item: bool) -> SuspectStatus:
+        suspect = self._by_digest.get(key.digest)
         if suspect is None or not suspect.lives:
             return SuspectStatus.FREE
         if suspect.score < EXITS_LIMIT:
             return SuspectStatus.SUSPECTED
         epoch_ms = self._context.epoch_ms()
-        if _is_probe_due(suspect, epoch_ms, is_item=is_item):
+        if _is_probe_due(suspect, epoch_ms, first_pause_ms, is_item=is_item):
             return SuspectStatus.PROBE_DUE
         is_undecided = suspect.score <= suspect.score_at_trial
         if is_undecided and epoch_ms < suspect.tried_epoch_ms + PROBE_TIMEOUT_MS:
             return SuspectStatus.PROBE_RUNNING
         return SuspectStatus.STOPPED
 
-    def row(self, content: RequestFingerprint) -> SuspectRow | None:
-        """Return the evidence against a request, if any."""
-        suspect = self._by_digest.get(content.digest)
+    def row(self, key: SuspectKey) -> SuspectRow | None:
+        """Return the evidence against a key, if any."""
+        suspect = self._by_digest.get(key.digest)
         return None if suspect is None else suspect.row()
 
-    def probe_row(self, content: RequestFingerprint) -> SuspectRow:
+    def probe_row(self, key: SuspectKey) -> SuspectRow:
         """Return the row that must be stored before a probe starts."""
-        suspect = self._suspect(content)
+        suspect = self._suspect(key)
         return msgspec.structs.replace(
             suspect.row(),
             trials=suspect.trials + 1,
@@ -163,9 +230,9 @@
             claim=self._context.new_write_id(),
         )
 
-    def record_probe_refused(self, content: RequestFingerprint) -> None:
+    def record_probe_refused(self, key: SuspectKey) -> None:
         """Record that no server ran a probe."""
-        suspect = self._by_digest.get(content.digest)
+        suspect = self._by_digest.get(key.digest)
         if suspect is not None:
             suspect.refused += 1
 
@@ -177,6 +244,13 @@
             if suspect.score >= STORED_SCORE or suspect.era
         ]
 
+    def forget(self, digest: ContentDigest) -> bool:
+        """Drop a suspect; return whether there was one."""
+        if digest not in self._by_digest:
+            return False
+        self._drop(digest)
+        return True
+
     def forget_old(self) -> Iterable[ContentDigest]:
         """Drop expired suspects; return their digests."""
         oldest_ms = self._context.epoch_ms() - EVIDENCE_EXPIRY_MS
@@ -189,32 +263,34 @@
             self._drop(digest)
         return expired
 
-    def _suspect(self, content: RequestFingerprint) -> Suspect:
-        suspect = self._by_digest.get(content.digest)
+    def _suspect(self, key: SuspectKey) -> Suspect:
+        suspect = self._by_digest.get(key.digest)
         if suspect is None:
             if len(self._by_digest) >= SUSPECTS_LIMIT:
                 weakest = min(
                     self._by_digest.values(), key=lambda each: (each.score, each.changed_epoch_ms)
                 )
-                self._drop(weakest.content.digest)
-            suspect = Suspect(content, {}, [])
-            self._by_digest[content.digest] = suspect
-            self._targets[content.target] += 1
+                self._drop(weakest.key.digest)
+            suspect = Suspect(key, {}, [])
+            self._by_digest[key.digest] = suspect
+            self._targets[key.target] += 1
         return suspect
 
     def _drop(self, digest: ContentDigest) -> None:
-        target = self._by_digest.pop(digest).content.target
+        target = self._by_digest.pop(digest).key.target
         self._targets[target] -= 1
         if not self._targets[target]:
             del self._targets[target]
 
 
-def _is_probe_due(suspect: Suspect, epoch_ms: float, *, is_item: bool) -> bool:
+def _is_probe_due(
+    suspect: Suspect, epoch_ms: float, first_pause_ms: float, *, is_item: bool
+) -> bool:
     if suspect.trials >= PROBES_LIMIT + suspect.refused:
         return False
     ran = suspect.trials - suspect.refused
     if ran <= 0:
-        is_retry_due = epoch_ms >= suspect.changed_epoch_ms + FIRST_PROBE_PAUSE_MS
+        is_retry_due = epoch_ms >= suspect.changed_epoch_ms + first_pause_ms
         return is_retry_due and suspect.refused < REFUSED_LIMIT
     pause_ms = ITEM_PROBE_PAUSE_MS if is_item else PROBE_PAUSE_MS
     return epoch_ms >= suspect.tried_epoch_ms + pause_ms * 2.0 ** (ran - 1)
--- a/citrondyke/decisions/crashes/suspect_update_queue.py
+++ b/citrondyke/decisions/crashes/suspect_update_queue.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from citrondyke.decisions.crashes.request_fingerprint import RequestFingerprint
+from citrondyke.decisions.crashes.suspect_key import SuspectKey
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.context import Context
@@ -19,7 +19,7 @@
 RESEND_AFTER_MS = (100.0, 700.0)
 #: How often an update is sent.
 SENDS_COUNT = len(RESEND_AFTER_MS) + 1
-#: Requests in one message, 16 bytes each; a message must fit into one packet.
+#: Keys in one message, 16 bytes each; a message must fit into one packet.
 ENTRIES_PER_MESSAGE = 60
 #: Pause between two messages: continuous sending to 195 instances is 3,900 datagrams/s.
 MESSAGE_GAP_MS = 50.0
@@ -34,14 +34,16 @@
     BEGUN = 0
     #: A server exited before or just after the response started.
     FRESH = 1
-    #: The request got a complete response.
+    #: A request got a complete response.
     SURVIVED = 2
+    #: A prompt part was answered lately; tells the one instance that counted an exit against it.
+    PROVEN = 3
 
 
 class SuspectNews(msgspec.Struct, frozen=True):
-    """One update about one request."""
+    """One update about one key of requests."""
 
-    content: RequestFingerprint
+    key: SuspectKey
     kind: SuspectUpdateKind
 
 
@@ -51,7 +53,7 @@
     #: Digest of the incarnation of the exited server; 0 for successes.
     server: int
     news: list[SuspectNews]
-    #: Whether it goes to all peers, not only to those that collect reports on this request.
+    #: Whether it goes to all peers, not only to those that collect reports on these keys.
     is_broadcast: bool
 
 
@@ -87,7 +89,7 @@
 
         :param server: digest of the incarnation of the exited server; 0 for a success.
         :param news: the update.
-        :param score: the request's score; higher ones are sent first.
+        :param score: the key's score; higher ones are sent first.
         :param is_broadcast: whether it goes to all peers.
         :param sends_count: how often it is sent.
         """
--- a/citrondyke/decisions/forwarding/peer_topology.py
+++ b/citrondyke/decisions/forwarding/peer_topology.py
@@ -128,6 +128,10 @@
         instances = [*self._zones, self._context.instance_id]
         return nlargest(REGISTRARS_COUNT, instances, key=lambda each: rendezvous_weight(each, name))
 
+    def is_registrar(self, name: str) -> bool:
+        """Return whether this instance collects observations on a subject."""
+        return self._context.instance_id in self.registrars(name)
+
     def record_holders(self, name: str, count: int) -> list[InstanceId]:
         """Choose other instances that keep records on a subject, over all zones.
 
--- a/citrondyke/decisions/forwarding/send_history.py
+++ b/citrondyke/decisions/forwarding/send_history.py
@@ -71,6 +71,11 @@
             return True
         return self._route.may_repeat and len(self._may_have_run_at) < self._route.attempts_limit
 
+    @property
+    def runs_count(self) -> int:
+        """Count the servers that may have run the request."""
+        return len(self._may_have_run_at)
+
     @property
     def is_last_attempt(self) -> bool:
         """Return whether the next attempt is the last one that may run the request.
--- a/citrondyke/decisions/forwarding/server_registry.py
+++ b/citrondyke/decisions/forwarding/server_registry.py
@@ -257,7 +257,7 @@
         alone, they would all meet on the same server, so that the next crash would not show which
         request caused it and would interrupt all of them again.
 
-        :param name: digest of the request's content.
+        :param name: digest of the request's content, or of the suspected part of its prompt.
         :param origin: origin of the stream to continue; ``None`` for a request that begins.
         """
         self._refresh_counts()
--- a/citrondyke/gateway/callers/admission_controller.py
+++ b/citrondyke/gateway/callers/admission_controller.py
@@ -8,7 +8,6 @@
 
 from citrondyke.decisions.accounts.fleet_rate_limiter import VerdictKind
 from citrondyke.decisions.accounts.limit_messages import UseNeed
-from citrondyke.decisions.crashes.suspect_registry import SuspectStatus
 from citrondyke.decisions.forwarding.admission_rule import Rejected
 from citrondyke.decisions.forwarding.send_history import Verdict
 from citrondyke.decisions.forwarding.server_state import ServerState
@@ -17,6 +16,7 @@
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.fleet_rate_limiter import LimitVerdict
     from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.crashes.suspect_registry import SuspectVerdict
     from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
     from citrondyke.decisions.forwarding.replicated_config import ReplicatedConfig
     from citrondyke.decisions.forwarding.server_registry import ServerRegistry
@@ -72,18 +72,19 @@
         self._rule.record_service_time(forwarded.route, stay_ms)
 
     def admit(
-        self, caller: CallerConnection, forwarded: ForwardedRequest, suspect_status: SuspectStatus
+        self, caller: CallerConnection, forwarded: ForwardedRequest, verdict: SuspectVerdict
     ) -> ChosenServer | RequestResult | None:
         """Choose a server with capacity in time and count the request against its account.
 
         Capacity is checked before the limit: a request without capacity must not use up a part of
         its account's limit.
 
+        :param verdict: whether the request or its prompt is suspected of crashing servers.
         :returns: the server, the result of a request that was rejected, or ``None`` when no server
             is eligible.
         """
         while True:
-            state = self._choose(forwarded, suspect_status)
+            state = self._choose(forwarded, verdict)
             if state is None:
                 return None
             admitted = self._rule.decide(
@@ -99,11 +100,11 @@
                     return end
             if not forwarded.is_counted:
                 asked_ms = self._context.now_ms()
-                verdict = self._limits.acquire_use(
+                limit_verdict = self._limits.acquire_use(
                     forwarded.account, self._need(forwarded, admitted.expected_wait_ms)
                 )
-                if verdict.kind is not VerdictKind.WITHIN:
-                    return self._reject_over_limit(caller, forwarded, verdict, asked_ms)
+                if limit_verdict.kind is not VerdictKind.WITHIN:
+                    return self._reject_over_limit(caller, forwarded, limit_verdict, asked_ms)
                 forwarded.is_counted = True
                 if self._context.now_ms() - asked_ms > CHOICE_VALID_MS:
                     # Other requests may have taken the capacity meanwhile.
@@ -123,7 +124,7 @@
         now_ms = self._context.now_ms()
         waited_ms = now_ms - forwarded.request.arrived_ms
         return UseNeed(
-            int(forwarded.fingerprint.digest[:CONTENT_KEY_DIGITS], 16),
+            int(forwarded.keys.content.digest[:CONTENT_KEY_DIGITS], 16),
             max(0.0, forwarded.until_ms - now_ms),
             max(0.0, LIMIT_WAIT_SHARE * forwarded.route.target_ms - waited_ms - expected_wait_ms),
         )
@@ -182,18 +183,15 @@
         digest = forwarded.metadata.key_digest
         return bool(self._config.table.authenticate(digest, is_public=is_public))
 
-    def _choose(
-        self, forwarded: ForwardedRequest, suspect_status: SuspectStatus
-    ) -> ServerState | None:
+    def _choose(self, forwarded: ForwardedRequest, verdict: SuspectVerdict) -> ServerState | None:
         origin = forwarded.origin
         if origin is None:
             service = forwarded.route.pick_service(self._context.random)
         else:
             service = origin.service
-        if suspect_status is not SuspectStatus.FREE:
-            digest = forwarded.fingerprint.digest
+        if verdict.key is not None:
             return self._book.choose_for_suspect(
-                service, forwarded.history.excluded, digest, origin
+                service, forwarded.history.excluded, verdict.key.digest, origin
             )
         return self._book.choose_server(
             service,
--- a/citrondyke/gateway/callers/event_relay.py
+++ b/citrondyke/gateway/callers/event_relay.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from citrondyke.decisions.crashes.response_phase import STEADY_EVENTS_MS
 from citrondyke.decisions.forwarding.failover_timeouts import EVENT_TIMEOUT_MS
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.callers.event_stream import EventSplitter
@@ -34,15 +35,18 @@
         forwarded: ForwardedRequest,
         reply: OpenReply,
         on_first: Callable[[], None],
+        on_steady: Callable[[], None],
     ) -> None:
         """Relay whole events as they arrive, until the stream ends.
 
         :param on_first: called when the server's first event has arrived.
+        :param on_steady: called once when events have been arriving for ``STEADY_EVENTS_MS``.
         :raises BrokenReplyError: if the stream is truncated; ``forwarded`` records how many events
             the caller has received and the id of the last one.
         """
         splitter = EventSplitter(forwarded.last_event_id)
         is_first = True
+        steady_ms = float('inf')
         while True:
             chunk = reply.connection.read_chunk(self._until_ms(forwarded))
             if chunk is None:
@@ -52,7 +56,11 @@
                 continue
             if is_first:
                 is_first = False
+                steady_ms = self._context.now_ms() + STEADY_EVENTS_MS
                 on_first()
+            elif self._context.now_ms() >= steady_ms:
+                steady_ms = float('inf')
+                on_steady()
             self._begin(caller, forwarded, reply)
             caller.send_chunk(b''.join(event.raw for event in events))
             forwarded.events_count += len(events)
--- a/citrondyke/gateway/callers/forwarded_request.py
+++ b/citrondyke/gateway/callers/forwarded_request.py
@@ -7,10 +7,7 @@
 import msgspec
 
 from citrondyke.decisions.accounts.account import Account
-from citrondyke.decisions.crashes.request_fingerprint import (
-    LazyRequestFingerprint,
-    RequestFingerprint,
-)
+from citrondyke.decisions.crashes.suspect_key import RequestKeys
 from citrondyke.decisions.forwarding.route import Route, RouteKind
 from citrondyke.decisions.forwarding.send_history import SendHistory
 from citrondyke.decisions.streams.stream_origin import StreamOrigin
@@ -44,9 +41,9 @@
     ORIGIN_GONE = 'origin_gone'
     #: The key was revoked while no server had the request.
     KEY_GONE = 'key_gone'
-    #: Too many servers have crashed while running the same content.
+    #: Too many servers have crashed while running the same content, or a part of its prompt.
     STOPPED = 'stopped'
-    #: A probe is running to find out whether the content crashes servers.
+    #: A probe is running to find out whether the content or prompt part crashes servers.
     PROBE_RUNNING = 'on_trial'
 
 
@@ -54,8 +51,8 @@
     """Online request in flight, with what has happened to it so far."""
 
     request: CallerRequest
-    #: Fingerprint of the request; it is the same for all attempts of a caller.
-    lazy_fingerprint: LazyRequestFingerprint
+    #: What it has in common with other attempts and with other requests.
+    keys: RequestKeys
     metadata: RequestMetadata
     account: Account
     route: Route
@@ -86,8 +83,3 @@
         """Request that brought the caller the first event of the stream."""
         begun_by = self.metadata.begun_by if self.resumes_stream else None
         return begun_by or self.metadata.request_id
-
-    @property
-    def fingerprint(self) -> RequestFingerprint:
-        """Fingerprint of the request's content; computing it hashes the body."""
-        return self.lazy_fingerprint.fingerprint
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from citrondyke.decisions.crashes.request_fingerprint import LazyRequestFingerprint
+from citrondyke.decisions.crashes.response_phase import is_past_start
+from citrondyke.decisions.crashes.suspect_key import RequestKeys
 from citrondyke.decisions.crashes.suspect_registry import SuspectStatus
 from citrondyke.decisions.forwarding.failover_timeouts import EVENT_TIMEOUT_MS, FailoverTimeouts
 from citrondyke.decisions.forwarding.route import RouteKind
@@ -24,6 +25,7 @@
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.account import Account
     from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.crashes.suspect_registry import SuspectVerdict
     from citrondyke.decisions.forwarding.replicated_config import ReplicatedConfig
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.memory.byte_budget import ByteBudget, HeldBytes
@@ -42,6 +44,10 @@
 __all__ = ('Forwarder',)
 
 EVENT_STREAM = b'text/event-stream'
+#: Servers that may run one request with a suspected prompt part. If all evidence came from one
+#: request, the sound parts of its prompt would be blocked with the harmful one, since no other
+#: request is answered in between.
+SUSPECT_RUNS_LIMIT = 2
 
 
 class Forwarder:
@@ -87,8 +93,12 @@
         within_ms = min(route.timeout_ms, metadata.within_ms or route.timeout_ms)
         forwarded = ForwardedRequest(
             request=request,
-            lazy_fingerprint=LazyRequestFingerprint(
-                request.method, request.host, request.target, request.body
+            keys=RequestKeys(
+                request.method,
+                request.host,
+                request.target,
+                request.body,
+                metadata.prompt_parts,
             ),
             metadata=metadata,
             account=account,
@@ -100,7 +110,11 @@
         )
         caller.watch()
         try:
-            end = self._find_origin(caller, forwarded) or self._serve(caller, forwarded)
+            end = (
+                self._stop_if_blocked(caller, forwarded)
+                or self._find_origin(caller, forwarded)
+                or self._serve(caller, forwarded)
+            )
         except CallerGoneError:
             caller.abort()
             end = RequestResult.CALLER_GONE
@@ -128,20 +142,23 @@
         while history.may_send and self._left_ms(forwarded) > 0:
             if history.sends_count and not self._admission.is_key_valid(forwarded):
                 return self._responder.reject_revoked_key(caller, forwarded)
-            suspect_status = self._guard.status_of(forwarded.lazy_fingerprint)
-            if suspect_status in (SuspectStatus.STOPPED, SuspectStatus.PROBE_RUNNING):
+            verdict = self._guard.verdict_on(forwarded.keys)
+            if verdict.is_blocked:
                 if failure is not None:
                     break
-                return self._stop(caller, forwarded, suspect_status)
-            admitted = self._admission.admit(caller, forwarded, suspect_status)
+                return self._stop(caller, forwarded, verdict)
+            if verdict.has_suspected_part and history.runs_count >= SUSPECT_RUNS_LIMIT:
+                break
+            admitted = self._admission.admit(caller, forwarded, verdict)
             if isinstance(admitted, RequestResult):
                 return admitted
             if admitted is None:
                 break
-            if suspect_status is SuspectStatus.PROBE_DUE and not self._claim_probe(forwarded):
-                return self._stop(
-                    caller, forwarded, self._guard.status_of(forwarded.lazy_fingerprint)
-                )
+            # Servers may have exited while the request waited for its account's limit.
+            verdict = self._guard.verdict_on(forwarded.keys)
+            is_probe = verdict.status is SuspectStatus.PROBE_DUE
+            if verdict.is_blocked or (is_probe and not self._claim_probe(forwarded, verdict)):
+                return self._stop(caller, forwarded, self._guard.verdict_on(forwarded.keys))
             state = admitted.state
             self._log.sent(forwarded, state, admitted.expected_wait_ms)
             result = self._send(caller, forwarded, state, admitted.expected_wait_ms)
@@ -149,10 +166,8 @@
                 return result
             if isinstance(result, DeferredFailure):
                 failure = result
-            if suspect_status is SuspectStatus.PROBE_DUE and not history.may_have_run_at(
-                state.incarnation
-            ):
-                self._guard.record_probe_refused(forwarded.fingerprint)
+            if is_probe and verdict.key and not history.may_have_run_at(state.incarnation):
+                self._guard.record_probe_refused(verdict.key)
         return self._responder.answer_failed(
             caller,
             forwarded,
@@ -161,16 +176,27 @@
             may_come_back=self._admission.can_continue(forwarded),
         )
 
-    def _claim_probe(self, forwarded: ForwardedRequest) -> bool:
-        return self._guard.claim_probe(forwarded.fingerprint, forwarded.metadata.request_id)
+    def _claim_probe(self, forwarded: ForwardedRequest, verdict: SuspectVerdict) -> bool:
+        return verdict.key is not None and self._guard.claim_probe(
+            verdict.key, forwarded.metadata.request_id
+        )
+
+    def _stop_if_blocked(
+        self, caller: CallerConnection, forwarded: ForwardedRequest
+    ) -> RequestResult | None:
+        """Reject a request whose content or prompt crashes servers, before it waits for others."""
+        self._guard.wait_until_known()
+        verdict = self._guard.verdict_on(forwarded.keys)
+        return self._stop(caller, forwarded, verdict) if verdict.is_blocked else None
 
     def _stop(
-        self, caller: CallerConnection, forwarded: ForwardedRequest, suspect_status: SuspectStatus
+        self, caller: CallerConnection, forwarded: ForwardedRequest, verdict: SuspectVerdict
     ) -> RequestResult:
-        self._log.stopped(forwarded, suspect_status, self._guard.exits_count(forwarded.fingerprint))
+        exits_count = self._guard.exits_count(verdict.key) if verdict.key else 0.0
+        self._log.stopped(forwarded, verdict, exits_count)
         # A probe that could not be claimed because the store did not answer leaves the verdict open
         # too.
-        is_open = suspect_status is not SuspectStatus.STOPPED
+        is_open = verdict.status is not SuspectStatus.STOPPED
         return self._responder.stop(caller, forwarded, is_probe_running=is_open)
 
     def _send(
@@ -186,6 +212,7 @@
         outcome = SendOutcome.NOT_SENT
         connection = None
         is_good = False
+        survived = False
         detail = ''
         try:
             with self._sends.counted(state):
@@ -207,6 +234,7 @@
                     detail = str(reply.head.status)
                     return result
                 is_good = True
+                survived = reply.head.status < 300  # noqa: PLR2004
                 return result
         except BrokenReplyError as error:
             detail = error.message
@@ -226,8 +254,9 @@
         finally:
             if connection is not None:
                 self._sends.release(state, connection)
+            if survived and connection is not None:
+                self._record_survived(forwarded, state, connection)
             if is_good:
-                self._guard.record_survived(forwarded.lazy_fingerprint)
                 self._admission.record_service_time(forwarded, self._context.now_ms() - started_ms)
                 state.record_success()
             else:
@@ -241,9 +270,17 @@
             self._guard.record_connect_failure(state, error)
             return
         self._guard.record_interrupted(
-            state, forwarded.fingerprint, error.failure_kind, forwarded.server_first_ms
+            state, forwarded.keys, error.failure_kind, forwarded.server_first_ms
         )
 
+    def _record_survived(
+        self, forwarded: ForwardedRequest, state: ServerState, connection: ServerConnection
+    ) -> None:
+        if connection.is_framed or is_past_start(forwarded.server_first_ms, self._context.now_ms()):
+            self._guard.record_survived(forwarded.keys)
+        else:
+            self._guard.record_closed(state, forwarded.keys)
+
     def _write_request(
         self, connection: ServerConnection, forwarded: ForwardedRequest, state: ServerState
     ) -> None:
@@ -275,6 +312,7 @@
                 forwarded,
                 reply,
                 lambda: self._record_first_event(forwarded, state, started_ms),
+                lambda: self._guard.record_survived(forwarded.keys),
             )
             return RequestResult.DONE
         held = self._budget.open(HeldKind.ANSWER)
--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.fleet_rate_limiter import LimitVerdict
     from citrondyke.decisions.core.context import Context
-    from citrondyke.decisions.crashes.suspect_registry import SuspectStatus
+    from citrondyke.decisions.crashes.suspect_registry import SuspectVerdict
     from citrondyke.decisions.forwarding.admission_rule import Rejected
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.callers.forwarded_request import ForwardedRequest
@@ -125,7 +125,7 @@
                 'last_event_id': forwarded.last_event_id,
                 'failures_in_row': state.failures_count,
                 'left_ms': round(forwarded.until_ms - self._context.now_ms(), 1),
-                'content': forwarded.fingerprint.digest if may_have_run else None,
+                'content': forwarded.keys.content.digest if may_have_run else None,
                 'prompt_parts': forwarded.metadata.prompt_parts[:NAMED_PARTS_LIMIT],
                 'since_first_event_ms': (
                     None if first_ms is None else round(self._context.now_ms() - first_ms, 1)
@@ -146,15 +146,16 @@
         )
 
     def stopped(
-        self, forwarded: ForwardedRequest, suspect_status: SuspectStatus, exits_count: float
+        self, forwarded: ForwardedRequest, verdict: SuspectVerdict, exits_count: float
     ) -> None:
-        """Log that a request is stopped because its content has crashed servers."""
+        """Log that a request is stopped because its content or prompt has crashed servers."""
         log.info(
             'request.stopped',
             extra={
                 'request_id': forwarded.metadata.request_id,
-                'content': forwarded.fingerprint.digest,
-                'standing': suspect_status.value,
+                'content': forwarded.keys.content.digest,
+                'prompt_part': verdict.key.digest if verdict.key and verdict.key.is_part else None,
+                'standing': verdict.status.value,
                 'servers_ended': round(exits_count, 2),
                 'sends_before': forwarded.history.sends_count,
             },
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -7,6 +7,7 @@
 import gevent
 
 from citrondyke.decisions.batch.owned_job import RunResult
+from citrondyke.decisions.crashes.response_phase import STEADY_EVENTS_MS
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.callers.event_stream import EventSplitter
 from citrondyke.ids import RequestId
@@ -57,15 +58,23 @@
         self._sends = sends
         self._dialect = dialect
 
-    def run(self, progress: ItemProgress, head: JobHead, state: ServerState) -> RunResult:
+    def run(
+        self,
+        progress: ItemProgress,
+        head: JobHead,
+        state: ServerState,
+        on_answered: Callable[[], None],
+    ) -> RunResult:
         """Run an item of a job, resuming after its last event.
 
+        :param on_answered: called when the item counts as answered: after ``STEADY_EVENTS_MS`` of
+            events, and at the end of a response that is told apart from that of its connection.
         :raises BrokenReplyError: if the connection or the reply is interrupted.
         """
         until_ms = self._context.now_ms() + INITIAL_EVENT_MS
         connection = self._sends.connect(state, only_new=False, until_ms=until_ms)
         try:
-            return self._exchange(connection, progress, head, state)
+            return self._exchange(connection, progress, head, state, on_answered)
         finally:
             self._sends.release(state, connection)
 
@@ -75,6 +84,7 @@
         progress: ItemProgress,
         head: JobHead,
         state: ServerState,
+        on_answered: Callable[[], None],
     ) -> RunResult:
         item = progress.item
         progress.first_event_ms = None
@@ -95,8 +105,10 @@
         if status >= 300:  # noqa: PLR2004
             connection.read_body(until_ms, FAILURE_BODY_BYTES)
             return _result_of_status(status)
-        self._read_events(connection, progress, state.listed.origin, until_ms)
+        self._read_events(connection, progress, state.listed.origin, until_ms, on_answered)
         state.record_success()
+        if connection.is_framed:
+            on_answered()
         return RunResult.COMPLETED
 
     def _read_events(
@@ -105,8 +117,10 @@
         progress: ItemProgress,
         origin: StreamOrigin,
         until_ms: float,
+        on_answered: Callable[[], None],
     ) -> None:
         splitter = EventSplitter(progress.last_event_id)
+        is_steady = False
         while (piece := connection.read_chunk(until_ms)) is not None:
             until_ms = self._context.now_ms() + EVENT_TIMEOUT_MS
             for event in splitter.feed(piece):
@@ -115,6 +129,10 @@
                 progress.last_event_id = event.id
                 progress.origin = origin
                 progress.consecutive_breaks = 0
+            first_ms = progress.first_event_ms
+            if not is_steady and first_ms and self._context.now_ms() - first_ms >= STEADY_EVENTS_MS:
+                is_steady = True
+                on_answered()
             if self._polls_rarely():
                 # No caller waits for single events, so they are read in batches.
                 gevent.sleep(READ_PAUSE_S)
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -19,7 +19,7 @@
 )
 from citrondyke.decisions.batch.owned_job import RunResult
 from citrondyke.decisions.batch.run_length import RunLengthEstimator
-from citrondyke.decisions.crashes.request_fingerprint import LazyRequestFingerprint
+from citrondyke.decisions.crashes.suspect_key import RequestKeys
 from citrondyke.decisions.crashes.suspect_registry import SuspectStatus
 from citrondyke.decisions.forwarding.route_table import NoRoute
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
@@ -64,7 +64,7 @@
     progress: ItemProgress
     state: ServerState
     started_ms: float
-    work: LazyRequestFingerprint
+    keys: RequestKeys
     greenlet: gevent.Greenlet | None = None
     has_begun: bool = False
     is_preempted: bool = False
@@ -109,6 +109,7 @@
         self._publish: Callable[[list[DemandNotice]], None] = _publish_nothing
         self._sends = sends
         self._guard = guard
+        self._dialect = dialect
         self._owned = owned
         self._committer = committer
         self._metrics = metrics
@@ -382,10 +383,14 @@
         self._runs_count += 1
         number = self._runs_count
         item = progress.item
-        work = LazyRequestFingerprint(
-            b'POST', job.head.host, item.path.encode('latin-1'), item.body
+        keys = RequestKeys(
+            b'POST',
+            job.head.host,
+            item.path.encode('latin-1'),
+            item.body,
+            self._dialect.item_prompt_parts(item),
         )
-        run = _ItemRun(job, progress, state, self._context.now_ms(), work)
+        run = _ItemRun(job, progress, state, self._context.now_ms(), keys)
         self._runs[number] = run
         run.greenlet = self._tasks.spawn(self._run_item, number, run)
 
@@ -400,9 +405,9 @@
             if run.is_preempted:
                 raise ItemPreemptedError
             if self._may_send(run):
-                result = self._sender.run(progress, job.head, state)
-                if result in (RunResult.COMPLETED, RunResult.IMPOSSIBLE):
-                    self._guard.record_survived(run.work)
+                result = self._sender.run(
+                    progress, job.head, state, lambda: self._guard.record_survived(run.keys)
+                )
             else:
                 result = RunResult.BLOCKED
         except ItemPreemptedError:
@@ -416,7 +421,7 @@
                 # An item that is preempted while it waits here would stay open forever.
                 self._guard.record_interrupted(
                     state,
-                    run.work.fingerprint,
+                    run.keys,
                     error.failure_kind,
                     progress.first_event_ms,
                     may_wait=False,
@@ -446,7 +451,7 @@
                 'detail': detail,
                 'last_event_id': progress.last_event_id,
                 'took_ms': round(took_ms, 1),
-                'content': run.work.fingerprint.digest if result is RunResult.INTERRUPTED else None,
+                'content': run.keys.content.digest if result is RunResult.INTERRUPTED else None,
             },
         )
         self._end(job, progress, result)
@@ -455,10 +460,11 @@
         self._start_items()
 
     def _may_send(self, run: _ItemRun) -> bool:
-        status = self._guard.status_of(run.work, is_item=True)
-        if status is SuspectStatus.PROBE_DUE:
-            return self._guard.claim_probe(run.work.fingerprint, run.progress.item.id, is_item=True)
-        return status in (SuspectStatus.FREE, SuspectStatus.SUSPECTED)
+        self._guard.wait_until_known()
+        verdict = self._guard.verdict_on(run.keys, is_item=True)
+        if verdict.status is SuspectStatus.PROBE_DUE and verdict.key is not None:
+            return self._guard.claim_probe(verdict.key, run.progress.item.id, is_item=True)
+        return not verdict.is_blocked
 
     def _end(self, job: OwnedJob, progress: ItemProgress, result: RunResult) -> None:
         job.end_run(progress, result, self._context.now_ms(), self._context.epoch_ms())
--- a/citrondyke/gateway/operator_state.py
+++ b/citrondyke/gateway/operator_state.py
@@ -54,12 +54,13 @@
             ],
             suspects=[
                 SuspectState(
-                    content=content.digest,
-                    standing=self._suspects.status_of(content).value,
-                    servers_ended=self._suspects.score(content),
-                    trials=self._suspects.probes_count(content),
+                    content=key.digest,
+                    is_prompt_part=key.is_part,
+                    standing=self._suspects.status_of(key).value,
+                    servers_ended=self._suspects.score(key),
+                    trials=self._suspects.probes_count(key),
                 )
-                for content in self._suspects.contents()
+                for key in self._suspects.suspects()
             ],
         )
         return msgspec.json.encode(state)
--- a/citrondyke/gateway/peers/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -12,7 +12,7 @@
 
 from citrondyke.decisions.accounts.limit_messages import LimitMessage
 from citrondyke.decisions.batch.batch_demand import DemandNotice
-from citrondyke.decisions.crashes.request_fingerprint import RequestFingerprint
+from citrondyke.decisions.crashes.suspect_key import SuspectKey
 from citrondyke.decisions.crashes.suspect_update_queue import SuspectNews, SuspectUpdateKind
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
 from citrondyke.decisions.server_list.server_list_cursor import ServerListCursor
@@ -58,7 +58,7 @@
 COUNT_LIMIT = 65_535
 #: A server's digest and its counts of online and batch requests.
 _LOAD = struct.Struct('<IHH')
-#: A request's digest, the bucket of its target, and the kind of the update.
+#: A key's digest, its target, and the kind of the update.
 _SUSPECT = struct.Struct('<10sIB')
 
 
@@ -79,7 +79,7 @@
 
 
 class CrashNews(PeerText, frozen=True):
-    """Requests that were running on a server when it exited, or that ran to their end."""
+    """Keys of requests that were running on a server when it exited, or that ran to their end."""
 
     #: Digest of the server's incarnation; 0 if none has exited.
     server: int
@@ -264,16 +264,13 @@
 
 def _pack_suspects(news: list[SuspectNews]) -> bytes:
     return b''.join(
-        _SUSPECT.pack(bytes.fromhex(each.content.digest), each.content.target, each.kind)
-        for each in news
+        _SUSPECT.pack(bytes.fromhex(each.key.digest), each.key.target, each.kind) for each in news
     )
 
 
 def _unpack_suspects(data: bytes) -> list[SuspectNews]:
     return [
-        SuspectNews(
-            RequestFingerprint(ContentDigest(digest.hex()), target), SuspectUpdateKind(kind)
-        )
+        SuspectNews(SuspectKey(ContentDigest(digest.hex()), target), SuspectUpdateKind(kind))
         for digest, target, kind in _SUSPECT.iter_unpack(data)
     ]
 
--- a/citrondyke/gateway/peers/peers.py
+++ b/citrondyke/gateway/peers/peers.py
@@ -85,7 +85,7 @@
         suspects: SuspectRegistry,
         on_loads: Callable[[InstanceId, LoadNotice | LoadTotals], None],
         on_job: Callable[[JobId], None],
-        on_crash: Callable[[CrashNews], None],
+        on_crash: Callable[[InstanceId, CrashNews], None],
         on_demand: Callable[[InstanceId, BatchNeeds], None],
         on_evidence: Callable[[InstanceId, EvidenceNews], None],
         origins: OriginExchange,
@@ -278,7 +278,7 @@
         elif isinstance(text, JobChanged):
             self._on_job(text.job_id)
         elif isinstance(text, CrashNews):
-            self._on_crash(text)
+            self._on_crash(message.sender, text)
         elif isinstance(text, ListTold | ListOffered):
             self.list_read_delegation.on_message(message.sender, address[0], text)
         elif isinstance(text, EvidenceNews):
--- a/citrondyke/gateway/servers/poison_request_guard.py
+++ b/citrondyke/gateway/servers/poison_request_guard.py
@@ -1,4 +1,4 @@
-"""Detects requests that crash the servers that run them, and stops their retries."""
+"""Detects requests and prompt parts that crash servers, and stops further requests with them."""
 
 from __future__ import annotations
 
@@ -7,8 +7,13 @@
 import gevent
 import logbook
 
+from citrondyke.decisions.crashes.response_phase import is_past_start
 from citrondyke.decisions.crashes.server_exit_detector import InterruptedRequest, ServerExitDetector
-from citrondyke.decisions.crashes.suspect_registry import SuspectRegistry, SuspectStatus
+from citrondyke.decisions.crashes.suspect_registry import (
+    SuspectRegistry,
+    SuspectStatus,
+    SuspectVerdict,
+)
 from citrondyke.decisions.crashes.suspect_update_queue import SuspectUpdateKind
 from citrondyke.decisions.forwarding.server_registry import server_digest
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
@@ -19,10 +24,7 @@
     from collections.abc import Callable, Iterable
 
     from citrondyke.decisions.core.context import Context
-    from citrondyke.decisions.crashes.request_fingerprint import (
-        LazyRequestFingerprint,
-        RequestFingerprint,
-    )
+    from citrondyke.decisions.crashes.suspect_key import RequestKeys, SuspectKey
     from citrondyke.decisions.forwarding.server_registry import ServerRegistry
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.metrics import Metrics
@@ -38,17 +40,15 @@
 #: Connect timeout of the exit check. A live server accepts a connection within some ms; a
 #: partitioned one delays the request that waits for the check by no more than this.
 EXIT_CHECK_MS = 100.0
-#: A request whose response has been arriving for longer than this, the time of some ten events,
-#: has passed the phase in which a poison request crashes its server.
-FRESH_EVENTS_MS = 300.0
-#: Request digests named in one line.
+#: Digests of one kind named in one line.
 NAMED_LIMIT = 8
 
 
 class PoisonRequestGuard:
-    """Tracks the requests under which servers exit, and gives verdicts on whether to send them.
+    """Tracks what servers exit under, and gives verdicts on whether to send a request.
 
-    Exits are counted by request content across all instances: through peers and through the store.
+    Exits are counted by request content and by prompt part across all instances: through peers and
+    through the store.
     """
 
     def __init__(
@@ -79,64 +79,92 @@
         self._store.start(self._tasks)
         self.publisher.start(self._tasks, send)
 
-    def status_of(
-        self, lazy_fingerprint: LazyRequestFingerprint, *, is_item: bool = False
-    ) -> SuspectStatus:
+    def verdict_on(self, keys: RequestKeys, *, is_item: bool = False) -> SuspectVerdict:
         """Return whether a request may be sent; its body is hashed only if it may be a suspect."""
-        if not self._may_be_suspect(lazy_fingerprint):
-            return SuspectStatus.FREE
-        return self._suspects.status_of(lazy_fingerprint.fingerprint, is_item=is_item)
+        return self._suspects.verdict_on(keys, is_item=is_item)
 
-    def _may_be_suspect(self, lazy_fingerprint: LazyRequestFingerprint) -> bool:
-        return len(self._suspects) > 0 and self._suspects.has_suspects_for(lazy_fingerprint.target)
+    def wait_until_known(self) -> None:
+        """Wait until an instance that has just started knows the stored suspects.
 
-    def exits_count(self, fingerprint: RequestFingerprint) -> float:
-        """Return the weighted number of servers that exited while running a request."""
-        return self._suspects.score(fingerprint)
+        Otherwise it would send requests that are stopped everywhere else.
+        """
+        self._store.wait_until_read()
+
+    def exits_count(self, key: SuspectKey) -> float:
+        """Return the weighted number of servers that exited under a key."""
+        return self._suspects.score(key)
 
-    def claim_probe(
-        self, fingerprint: RequestFingerprint, who: str, *, is_item: bool = False
-    ) -> bool:
+    def claim_probe(self, key: SuspectKey, who: str, *, is_item: bool = False) -> bool:
         """Claim the probe of a suspect; return whether this instance got it.
 
         :param who: id of the request or item.
         """
-        is_granted = self._store.claim_probe(fingerprint, is_item=is_item)
+        is_granted = self._store.claim_probe(key, is_item=is_item) or self._claim_alone(key)
         log.info(
             'suspect.trial',
             extra={
                 'item_id' if is_item else 'request_id': who,
-                'content': fingerprint.digest,
-                'servers': round(self._suspects.score(fingerprint), 2),
+                **_key_fields(key),
+                'servers': round(self._suspects.score(key), 2),
                 'granted': is_granted,
             },
         )
         return is_granted
 
-    def record_probe_refused(self, fingerprint: RequestFingerprint) -> None:
+    def _claim_alone(self, key: SuspectKey) -> bool:
+        """Claim the probe of a prompt part while the store is away; one instance may do so.
+
+        Without it a sound part that was blocked with a harmful one would stay blocked until the
+        store is back.
+        """
+        is_due = self._suspects.status_of(key) is SuspectStatus.PROBE_DUE
+        if not (key.is_part and is_due and self._store.is_unresponsive):
+            return False
+        if self._book.topology.registrars(key.digest)[0] != self._context.instance_id:
+            return False
+        self._suspects.merge(self._suspects.probe_row(key))
+        self._store.save(key)
+        return True
+
+    def record_probe_refused(self, key: SuspectKey) -> None:
         """Record that no server ran a probe."""
-        self._suspects.record_probe_refused(fingerprint)
-        self._store.save(fingerprint)
+        self._suspects.record_probe_refused(key)
+        self._store.save(key)
 
-    def record_survived(self, lazy_fingerprint: LazyRequestFingerprint) -> None:
-        """Record a whole and successful response to a request; it clears a suspect.
+    def record_survived(self, keys: RequestKeys) -> None:
+        """Record a whole and successful response to a request; it clears the keys it has.
 
         Error responses don't count: a server may fail requests before it begins to run them. If
         such a probe cleared a suspect, the request would go on to crash three more servers.
         """
-        if not self._may_be_suspect(lazy_fingerprint):
+        self._suspects.record_answered(keys)
+        for key in self._suspects.suspected_keys(keys):
+            self._clear(key, 'own')
+
+    def record_closed(self, state: ServerState, keys: RequestKeys) -> None:
+        """Record a response that ended with its connection, as it also does at a server's exit."""
+        if self._suspects.suspected_keys(keys):
+            self._tasks.spawn(self._confirm_survived, state, keys)
+
+    def _confirm_survived(self, state: ServerState, keys: RequestKeys) -> None:
+        try:
+            connect(state.listed.ip, state.listed.port, EXIT_CHECK_MS).close()
+        except BrokenReplyError as error:
+            log.info('server.unsure', extra={'server_id': state.listed.id, 'detail': error.message})
             return
-        survivor = lazy_fingerprint.fingerprint
-        was_known = self.publisher.is_published_to_all(survivor)
-        if self._suspects.record_survived(survivor):
-            self._log_cleared(survivor, 'own')
-            self.publisher.notify_survived(survivor, is_broadcast=was_known)
-            self._store.save(survivor)
+        self.record_survived(keys)
+
+    def _clear(self, key: SuspectKey, source: str) -> None:
+        was_known = self.publisher.is_published_to_all(key)
+        if self._suspects.record_survived(key):
+            self._log_cleared(key, source)
+            self.publisher.notify_survived(key, is_broadcast=was_known)
+            self._store.save(key)
 
     def record_interrupted(
         self,
         state: ServerState,
-        fingerprint: RequestFingerprint,
+        keys: RequestKeys,
         kind: ReplyFailureKind,
         first_event_ms: float | None,
         *,
@@ -158,11 +186,13 @@
         ):
             # The server exits as planned.
             return
-        since_ms = 0.0 if first_event_ms is None else self._context.now_ms() - first_event_ms
-        is_fresh = since_ms <= FRESH_EVENTS_MS
-        if self._exit_detector.record_interrupted(server, fingerprint, is_fresh=is_fresh):
+        is_fresh = not is_past_start(first_event_ms, self._context.now_ms())
+        if self._exit_detector.record_interrupted(
+            server, keys.content, *keys.parts, is_fresh=is_fresh
+        ):
+            now_ms = self._context.now_ms()
             self._count_exits(
-                server, [InterruptedRequest(fingerprint, is_fresh, self._context.now_ms())]
+                server, [InterruptedRequest(keys.content, keys.parts, is_fresh, now_ms)]
             )
             return
         if kind is not ReplyFailureKind.CUT:
@@ -192,18 +222,22 @@
         if not state.listed.is_leaving:
             self._record_server_exit(server_digest(state.listed), 'next_life')
 
-    def on_message(self, news: CrashNews) -> None:
+    def on_message(self, sender: InstanceId, news: CrashNews) -> None:
         """Apply a message of a peer about exits and survived requests."""
         for each in news.news:
-            if each.kind is SuspectUpdateKind.SURVIVED:
-                if self._suspects.record_survived(each.content):
-                    self._log_cleared(each.content, 'peer')
-                continue
-            is_fresh = each.kind is SuspectUpdateKind.FRESH
-            was_known = self.publisher.is_published_to_all(each.content)
-            if self._suspects.record_server_exit(each.content, news.server, is_fresh=is_fresh):
-                self._log_counted(each.content, news.server, 'peer', is_fresh=is_fresh)
-                self._publish_suspect(each.content, was_known=was_known)
+            if each.kind is SuspectUpdateKind.PROVEN:
+                self._clear(each.key, 'proven')
+            elif each.kind is SuspectUpdateKind.SURVIVED:
+                if self._suspects.record_survived(each.key):
+                    self._log_cleared(each.key, 'peer')
+            elif self._suspects.is_proven(each.key):
+                self.publisher.notify_proven(each.key, sender)
+            else:
+                is_fresh = each.kind is SuspectUpdateKind.FRESH
+                was_known = self.publisher.is_published_to_all(each.key)
+                if self._suspects.record_server_exit(each.key, news.server, is_fresh=is_fresh):
+                    self._log_counted(each.key, news.server, 'peer', is_fresh=is_fresh)
+                    self._publish_suspect(each.key, was_known=was_known)
         if news.server:
             self._record_server_exit(news.server, 'peer')
 
@@ -233,19 +267,23 @@
 
     def _count_exits(self, server: int, broken: Iterable[InterruptedRequest]) -> None:
         for each in broken:
-            was_known = self.publisher.is_published_to_all(each.content)
-            if not self._suspects.record_server_exit(each.content, server, is_fresh=each.is_fresh):
-                continue
-            self._log_counted(each.content, server, 'own', is_fresh=each.is_fresh)
-            self.publisher.notify_end(server, each.content, is_fresh=each.is_fresh)
-            self._publish_suspect(each.content, was_known=was_known)
-            self._store.save(each.content)
-
-    def _publish_suspect(self, fingerprint: RequestFingerprint, *, was_known: bool) -> None:
+            for key in each.keys:
+                self._count_exit(server, key, is_fresh=each.is_fresh)
+
+    def _count_exit(self, server: int, key: SuspectKey, *, is_fresh: bool) -> None:
+        was_known = self.publisher.is_published_to_all(key)
+        if not self._suspects.record_server_exit(key, server, is_fresh=is_fresh):
+            return
+        self._log_counted(key, server, 'own', is_fresh=is_fresh)
+        self.publisher.notify_end(server, key, is_fresh=is_fresh)
+        self._publish_suspect(key, was_known=was_known)
+        self._store.save(key)
+
+    def _publish_suspect(self, key: SuspectKey, *, was_known: bool) -> None:
         """Publish a suspect to all peers if so far only its collecting instances knew of it."""
-        if not was_known and self.publisher.is_published_to_all(fingerprint):
-            self.publisher.notify_all_ends(fingerprint)
-            self._store.save(fingerprint)
+        if not was_known and self.publisher.is_published_to_all(key):
+            self.publisher.notify_all_ends(key)
+            self._store.save(key)
 
     def _log_ended(self, server: int, how: str, broken: list[InterruptedRequest]) -> None:
         state = self._book.by_digest(server)
@@ -257,26 +295,31 @@
                 'how': how,
                 'own_requests': len(broken),
                 'contents': [each.content.digest for each in broken[:NAMED_LIMIT]],
+                'prompt_parts': [
+                    key.digest for key in {key: None for each in broken for key in each.parts}
+                ][:NAMED_LIMIT],
             },
         )
 
-    def _log_counted(
-        self, fingerprint: RequestFingerprint, server: int, source: str, *, is_fresh: bool
-    ) -> None:
+    def _log_counted(self, key: SuspectKey, server: int, source: str, *, is_fresh: bool) -> None:
         log.info(
             'suspect.counted',
             extra={
-                'content': fingerprint.digest,
+                **_key_fields(key),
                 'server': f'{server:08x}',
                 'is_fresh': is_fresh,
-                'servers': round(self._suspects.score(fingerprint), 2),
-                'standing': self._suspects.status_of(fingerprint).value,
+                'servers': round(self._suspects.score(key), 2),
+                'standing': self._suspects.status_of(key).value,
                 'source': source,
             },
         )
 
-    def _log_cleared(self, fingerprint: RequestFingerprint, source: str) -> None:
-        log.info('suspect.cleared', extra={'content': fingerprint.digest, 'source': source})
+    def _log_cleared(self, key: SuspectKey, source: str) -> None:
+        log.info('suspect.cleared', extra={**_key_fields(key), 'source': source})
+
+
+def _key_fields(key: SuspectKey) -> dict[str, str]:
+    return {'prompt_part' if key.is_part else 'content': key.digest}
 
 
 def _is_connection_refused(error: BrokenReplyError) -> bool:
--- a/citrondyke/gateway/servers/reply_reader.py
+++ b/citrondyke/gateway/servers/reply_reader.py
@@ -93,6 +93,11 @@
         self._pieces.clear()
         return taken
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the response has a length or comes in chunks."""
+        return not self._ends_with_connection
+
     @property
     def is_reusable(self) -> bool:
         """Whether the next response on the connection belongs to the next request."""
--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -115,6 +115,11 @@
                 on_chunk(len(chunk))
         return b''.join(parts)
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the response is told apart from the end of the connection."""
+        return self._reply.is_framed
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on the connection.
--- a/citrondyke/gateway/servers/suspect_store.py
+++ b/citrondyke/gateway/servers/suspect_store.py
@@ -9,8 +9,8 @@
 import msgspec
 from gevent.event import Event
 
-from citrondyke.decisions.crashes.request_fingerprint import RequestFingerprint
 from citrondyke.decisions.crashes.suspect import SuspectRow
+from citrondyke.decisions.crashes.suspect_key import SuspectKey
 from citrondyke.decisions.crashes.suspect_registry import STORED_SCORE, SuspectStatus
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.replication.change_feed import ChangeFeed
@@ -53,6 +53,9 @@
 #: No probe is claimed once calls of the store have been unanswered for this long, so that a caller
 #: does not wait for a claim that cannot succeed.
 UNRESPONSIVE_MS = 300.0
+#: How long requests wait for the first read of the rows, once. Peers that answered before the store
+#: have sent the rows, too.
+FIRST_READ_MS = 300.0
 
 
 class SuspectStore:
@@ -82,10 +85,11 @@
         self._store = store
         self._suspects = suspects
         self._versions: dict[str, int] = {}
-        self._pending: dict[str, RequestFingerprint] = {}
+        self._pending: dict[str, SuspectKey] = {}
         #: Calls without a response of the store.
         self.failed_count = 0
         self._has_pending = Event()
+        self._was_read = Event()
         self._unreadable = UnreadableRows(SUSPECTS_TABLE)
         self._feed = ChangeFeed(
             context, table, SUSPECTS_TABLE, interval_factor, self._apply_rows, self._reread
@@ -97,27 +101,35 @@
         tasks.supervise(self._run_writes)
         tasks.supervise(self._run_cleanup)
 
-    def save(self, fingerprint: RequestFingerprint) -> None:
+    def save(self, key: SuspectKey) -> None:
         """Schedule a write of a row if its score requires one, else a read of it."""
         if len(self._pending) < PENDING_LIMIT:
-            self._pending[fingerprint.digest] = fingerprint
+            self._pending[key.digest] = key
             self._has_pending.set()
 
-    def claim_probe(self, fingerprint: RequestFingerprint, *, is_item: bool) -> bool:
+    @property
+    def is_unresponsive(self) -> bool:
+        """Whether calls of the store have been unanswered for too long to wait for a claim."""
+        return self._store.unanswered_ms > UNRESPONSIVE_MS
+
+    def wait_until_read(self) -> None:
+        """Wait until the rows were read for the first time, but not for a store that is away."""
+        if not self._was_read.is_set() and not self._was_read.wait(FIRST_READ_MS / 1e3):
+            self._was_read.set()
+            log.info('suspect.not_read', extra={'content': None, 'reason': 'first read is late'})
+
+    def claim_probe(self, key: SuspectKey, *, is_item: bool) -> bool:
         """Claim the one probe that is due; return whether this instance got it.
 
         If the store does not respond, the claim fails: two concurrent probes would crash two
         servers.
         """
         for _ in range(ATTEMPTS_LIMIT):
-            if self._store.unanswered_ms > UNRESPONSIVE_MS:
+            if self.is_unresponsive:
                 return False
-            if (
-                self._suspects.status_of(fingerprint, is_item=is_item)
-                is not SuspectStatus.PROBE_DUE
-            ):
+            if self._suspects.status_of(key, is_item=is_item) is not SuspectStatus.PROBE_DUE:
                 return False
-            row = self._suspects.probe_row(fingerprint)
+            row = self._suspects.probe_row(key)
             written = self._write_once(row)
             if written is None:
                 return False
@@ -126,20 +138,20 @@
                 return True
         return False
 
-    def read_row(self, fingerprint: RequestFingerprint) -> None:
+    def read_row(self, key: SuspectKey) -> None:
         """Read a row that other instances may have written.
 
         An instance that was partitioned has missed their datagrams and waits on a dead feed.
         Without this read it would let the request crash three more servers before it stops it.
         """
-        listing = self._table.read(SUSPECTS_TABLE, '', fingerprint.digest, limit=1)
+        listing = self._table.read(SUSPECTS_TABLE, '', key.digest, limit=1)
         if isinstance(listing, PlatformFailure):
             log.info(
                 'suspect.not_read',
-                extra={'content': fingerprint.digest, 'reason': listing.reason.value},
+                extra={'content': key.digest, 'reason': listing.reason.value},
             )
             return
-        self._apply_rows(row for row in listing.rows if row.key == fingerprint.digest)
+        self._apply_rows(row for row in listing.rows if row.key == key.digest)
 
     def _write_once(self, row: SuspectRow) -> bool | None:
         """Try to write a row; return whether it is stored, ``None`` if that is uncertain."""
@@ -169,7 +181,7 @@
     def _apply_rows(self, rows: Iterable[PartRow]) -> None:
         for row in rows:
             if row.value is None:
-                self._versions.pop(row.key, None)
+                self._forget(row.key)
                 continue
             if self._versions.get(row.key, 0) > row.version:
                 continue
@@ -195,6 +207,12 @@
                     },
                 )
 
+    def _forget(self, digest: str) -> None:
+        """Drop a suspect whose row was removed: it has expired, or an operator has cleared it."""
+        self._versions.pop(digest, None)
+        if self._suspects.forget(ContentDigest(digest)):
+            log.info('suspect.cleared', extra={'content': digest, 'source': 'store'})
+
     def _save_missing(self, known: SuspectRow) -> None:
         """Schedule a write if this instance knows more than the stored row.
 
@@ -202,58 +220,56 @@
         become known to its peers. And a row that the instance had not seen when the request
         succeeded would stop that request again after the next start.
         """
-        fingerprint = RequestFingerprint(ContentDigest(known.digest), known.target)
-        own = self._suspects.row(fingerprint)
+        key = SuspectKey(ContentDigest(known.digest), known.target)
+        own = self._suspects.row(key)
         if own is None:
             return
         has_more_ends = own.era == known.era and own.lives.keys() - known.lives.keys()
         if own.era > known.era or has_more_ends:
-            self.save(fingerprint)
+            self.save(key)
 
     def _reread(self) -> int:
         listing = self._table.read_all(SUSPECTS_TABLE, '')
         if isinstance(listing, PlatformFailure):
             return 0
+        for digest in self._versions.keys() - {row.key for row in listing.rows}:
+            self._forget(digest)
         self._apply_rows(listing.rows)
+        self._was_read.set()
         return listing.version
 
     def _run_writes(self) -> None:
         while True:
             self._has_pending.wait()
-            digest, fingerprint = next(iter(self._pending.items()))
+            digest, key = next(iter(self._pending.items()))
             del self._pending[digest]
             if not self._pending:
                 self._has_pending.clear()
-            if not self._should_store(fingerprint):
-                self.read_row(fingerprint)
-            elif not self._write(fingerprint):
+            if not self._should_store(key):
+                self.read_row(key)
+            elif not self._write(key):
                 # Without a retry the row would be lost if this instance exits.
-                self.save(fingerprint)
+                self.save(key)
                 gevent.sleep(self._context.jittered_ms(RETRY_MS) / 1e3)
             gevent.sleep(WRITE_GAP_S)
 
-    def _should_store(self, fingerprint: RequestFingerprint) -> bool:
-        return (
-            fingerprint.digest in self._versions
-            or self._suspects.score(fingerprint) >= STORED_SCORE
-        )
+    def _should_store(self, key: SuspectKey) -> bool:
+        return key.digest in self._versions or self._suspects.score(key) >= STORED_SCORE
 
-    def _write(self, fingerprint: RequestFingerprint) -> bool:
+    def _write(self, key: SuspectKey) -> bool:
         """Write a row, merged with what other instances have written; return whether it is stored.
 
         A conflict merges the stored row into the local state, so the next attempt includes it.
         """
         for _ in range(ATTEMPTS_LIMIT):
-            row = self._suspects.row(fingerprint)
+            row = self._suspects.row(key)
             written = row is None or self._write_once(row)
             if written:
                 return True
             if written is None:
                 return False
             gevent.sleep(self._context.jittered_ms(WRITE_GAP_S * 1e3, 0.5) / 1e3)
-        log.info(
-            'suspect.not_written', extra={'content': fingerprint.digest, 'reason': 'contended'}
-        )
+        log.info('suspect.not_written', extra={'content': key.digest, 'reason': 'contended'})
         return False
 
     def _run_cleanup(self) -> None:
--- a/citrondyke/operator/account_report.py
+++ b/citrondyke/operator/account_report.py
@@ -33,10 +33,11 @@
 
 
 class SuspectState(msgspec.Struct, frozen=True, kw_only=True):
-    """A poison suspect at one instance: request content under which servers exited."""
+    """A poison suspect at one instance: a request or prompt part under which servers exited."""
 
-    #: Digest of the request content.
+    #: Digest of the request content, or of the prompt part.
     content: str
+    is_prompt_part: bool = False
     standing: str
     servers_ended: float
     trials: int
--- a/citrondyke/peer/gateway.capnp
+++ b/citrondyke/peer/gateway.capnp
@@ -111,8 +111,9 @@
 struct SuspectNews {
   # Digest of the server's incarnation; 0 if none has exited.
   server @0 :UInt32;
-  # 15 bytes each: the digest of the request's content, the bucket of its target, and the kind of
-  # the update (0: its answer had begun, 1: it had not, 2: the request ran to its end).
+  # 15 bytes each: the digest of the request's content or of a part of its prompt, the bucket of its
+  # target (0 for a part), and the kind of the update (0: its answer had begun, 1: it had not, 2: the
+  # request ran to its end, 3: the part was answered lately).
   requests @1 :Data;
 }
 
