Soak: prompt parts that end servers, in requests and items, and crowds

Requests of which no two are alike share a part that ends the servers of one kind of request; jobs hold an item with it; sound requests share the other part. The witness asks what the operators ask: at most three sends later than 3 s after the fifth end, and from 6 s after it sound requests answered at least half as often as before. Beside the faults, most new connections of forty more callers come to one instance for some seconds.

--- a/tests/test_soak/soak.py
+++ b/tests/test_soak/soak.py
@@ -37,6 +37,11 @@
 #: Attempts of a caller to go on with one stream.
 TAKE_UPS = 3
 ITEMS = 4
+#: Prompt parts: of all requests that may have one, and of those that end their servers.
+SHARED_PART, HARMFUL_PART = '5a5a5a5a', 'bad0bad0'
+#: Callers that come while most new connections go to one instance, and how many of them do.
+CROWD = 40
+CROWDED_SHARE = 0.9
 ANSWER_WITHIN_S = 8.0
 #: Time after the faults in which everything accepted must be done.
 SETTLE_S = 25.0
@@ -70,11 +75,14 @@
         self._ids_count = 0
         #: Instances that somebody stops or starts.
         self._taken: set[int] = set()
+        #: Instance that gets most new connections; ``None`` while they are spread.
+        self._crowded: int | None = None
 
     def run(self) -> list[str]:
         """Play it, heal everything and give the promises that were broken."""
         workers = [self._call for _ in range(CALLERS)] + [self._hand_in for _ in range(JOB_CALLERS)]
         workers += [self._operate, self._harm, self._harm, self._ask_deadly]
+        workers += [self._ask_with_harmful_part, self._hand_in_harmful]
         workers += [self._ask_hot] * HOT_CALLERS + [self._ask_with_other_keys]
         workers += [self._take_up] * RETURNING_CALLERS
         gevent.joinall(
@@ -97,6 +105,8 @@
 
     def _connect(self, random: Random) -> socket.socket | None:
         number = random.randrange(self._fleet.instances_count)
+        if self._crowded is not None and random.random() < CROWDED_SHARE:
+            number = self._crowded
         try:
             sock = socket.create_connection((self._fleet.ip(number), CALLERS_PORT), timeout=1.0)
         except OSError:
@@ -115,8 +125,10 @@
             kind = random.choice(KINDS)
             request_id = self._new_id(kind)
             body = b'body of ' + request_id.encode()
-            reply = _exchange(sock, f'/{kind}/x', body, request_id)
-            self.witness.asked.append(Asked(request_id, kind, body, reply))
+            sent_s = time.monotonic()
+            parts = _prompt(request_id, SHARED_PART)
+            reply = _exchange(sock, f'/{kind}/x', body, request_id, prefix_hash=parts)
+            self.witness.asked.append(Asked(request_id, kind, body, reply, sent_s))
             may_continue = reply.is_whole and reply.headers.get('connection') != 'close'
             if not may_continue or random.random() < 0.2:
                 sock.close()
@@ -137,6 +149,50 @@
             self.witness.asked.append(Asked(request_id, kind, body, reply))
             gevent.sleep(random.uniform(0.05, 0.4))
 
+    def _ask_with_harmful_part(self, random: Random) -> None:
+        """Ask for work of which no two are alike, and which shares a part that ends servers."""
+        gevent.sleep(random.uniform(0.0, 2.0))
+        kind = random.choice(('fetch', 'stream'))
+        order = random.choice(((SHARED_PART, HARMFUL_PART), (HARMFUL_PART, SHARED_PART)))
+        self._note(f'harmful part in {kind}')
+        self.witness.crash_parts[HARMFUL_PART] = kind
+        self._fleet.crash_parts.add(HARMFUL_PART)
+        while self._goes_on():
+            request_id = self._new_id('harmful')
+            body = b'body of ' + request_id.encode()
+            reply = self._ask(
+                random, f'/{kind}/x', body, request_id, prefix_hash=_prompt(request_id, *order)
+            )
+            self.witness.asked.append(Asked(request_id, 'harmful', body, reply))
+            gevent.sleep(random.uniform(0.05, 0.4))
+
+    def _hand_in_harmful(self, random: Random) -> None:
+        """Hand in jobs in which one item has the part; the others must be done."""
+        while self._goes_on():
+            gevent.sleep(random.uniform(1.0, 4.0))
+            job_id = self._new_id('harmfuljob')
+            items = [f'{job_id}-{number}' for number in range(ITEMS)]
+            job = self.witness.jobs[job_id] = JobSeen(job_id, items, harmful_id=items[1])
+            job.statuses.append(self._submit(random, job))
+
+    def _crowd(self, random: Random) -> None:
+        """Have most new connections of more callers come to one instance."""
+        self._crowded = random.randrange(self._fleet.instances_count)
+        self._note(f'crowd at {self._crowded}')
+        until_s = time.monotonic() + random.uniform(1.0, 4.0)
+
+        def call(number: int) -> None:
+            own = Random(random.random() + number)
+            while time.monotonic() < until_s:
+                request_id = self._new_id('fetch')
+                body = b'body of ' + request_id.encode()
+                reply = self._ask(own, '/fetch/x', body, request_id)
+                self.witness.asked.append(Asked(request_id, 'fetch', body, reply))
+                gevent.sleep(own.uniform(0.0, 0.3))
+
+        gevent.joinall([gevent.spawn(call, number) for number in range(CROWD)], raise_error=True)
+        self._crowded = None
+
     def _ask_hot(self, random: Random) -> None:
         """Ask for many times what the account may have, at all instances."""
         while self._goes_on():
@@ -223,7 +279,10 @@
             {
                 'id': item_id,
                 'path': '/batch-stream/x',
-                'headers': {'Model': 'm'},
+                'headers': {
+                    'Model': 'm',
+                    'Prefix-Hash': job.prompt_of(item_id, SHARED_PART, HARMFUL_PART),
+                },
                 'body': base64.b64encode(item_id.encode()).decode(),
                 'tokens': 10,
             }
@@ -277,6 +336,7 @@
             self._misbehave,
             self._misbehave,
             self._replace_server,
+            self._crowd,
         ]
         while self._goes_on():
             gevent.sleep(random.uniform(0.1, 0.8))
@@ -391,10 +451,14 @@
         while waiting and time.monotonic() < until_s:
             for job in waiting:
                 self._read(random, job)
-            waiting = [job for job in waiting if len(job.results) < len(job.item_ids)]
+            waiting = [job for job in waiting if len(job.results) < job.owed_count]
             gevent.sleep(0.2)
 
 
+def _prompt(request_id: str, *parts: str) -> str:
+    return ','.join([*(f'{part}:100' for part in parts), f'{request_id}:250'])
+
+
 def _exchange(
     sock: socket.socket,
     path: str,
--- a/tests/test_soak/soak_fleet.py
+++ b/tests/test_soak/soak_fleet.py
@@ -77,6 +77,8 @@
         self.left_s: dict[str, float] = {}
         #: Bodies under which servers end.
         self.crash_bodies: set[bytes] = set()
+        #: Prompt parts under which servers end.
+        self.crash_parts: set[str] = set()
         self.programs: list[Program | None] = [None] * instances_count
         self.version = 0
         self.configure()
@@ -107,6 +109,7 @@
         self.servers[name] = server = PlatformServer(name, software_version=self._version(name))
         server.event_gap_ms = EVENT_GAP_MS
         server.crash_bodies = self.crash_bodies
+        server.crash_parts = self.crash_parts
         server.on_crash = partial(gevent.spawn, self._restart, name)
         self.server_proxies[name] = FaultProxy('127.0.0.1', server.port)
         self.services[name] = service
--- a/tests/test_soak/witness.py
+++ b/tests/test_soak/witness.py
@@ -27,6 +27,10 @@
 #: Servers that may end under one request, and sends beyond them, once the news of the last end had
 #: this long to come round; an instance that nobody reaches is cut off for less.
 EXITS_LIMIT = 3
+#: The same for a prompt part of requests that differ.
+PART_EXITS_LIMIT = 5
+#: Sound requests from which on their share of answers counts.
+SOUND_ENOUGH = 20
 SENDS_BEYOND = 3
 NEWS_S = 3.0
 #: What servers write that state no version.
@@ -41,6 +45,7 @@
     kind: str
     body: bytes
     reply: Reply
+    sent_s: float = 0.0
 
 
 class TakenUp(msgspec.Struct):
@@ -61,6 +66,18 @@
     #: Results by position, as first read.
     results: dict[int, dict[str, Any]] = {}
     is_ended: bool = False
+    #: Item with a prompt part that ends its servers; nobody waits for it.
+    harmful_id: str = ''
+
+    @property
+    def owed_count(self) -> int:
+        """Count the items that must get a result."""
+        return len(self.item_ids) - bool(self.harmful_id)
+
+    def prompt_of(self, item_id: str, shared: str, harmful: str) -> str:
+        """Name the prompt parts of an item."""
+        parts = [shared, harmful] if item_id == self.harmful_id else [shared]
+        return ','.join(f'{part}:100' for part in [*parts, item_id])
 
     @property
     def is_accepted(self) -> bool:
@@ -79,6 +96,8 @@
         self.wrong: list[str] = []
         #: Bodies under which servers end.
         self.crash_bodies: set[bytes] = set()
+        #: Prompt parts under which servers end, each with the kind of its requests.
+        self.crash_parts: dict[str, str] = {}
         #: When requests of the hot account were sent.
         self.hot_sent_s: dict[str, float] = {}
 
@@ -110,7 +129,10 @@
             self._judge_keys(server)
         self._judge_window(runs)
         for body in self.crash_bodies:
-            self._judge_deadly(body, servers)
+            runs_s = [run.began_s for server in servers for run in server.runs if run.body == body]
+            self._judge_deadly(repr(body), runs_s, EXITS_LIMIT)
+        for part, kind in self.crash_parts.items():
+            self._judge_part(part, kind, servers)
         for asked in self.asked:
             self._judge_answer(asked, runs.get(asked.request_id, []))
         for job in self.jobs.values():
@@ -169,15 +191,33 @@
                 self.complain(f'{inside} requests of the hot account in a window')
                 return
 
-    def _judge_deadly(self, body: bytes, servers: list[PlatformServer]) -> None:
-        began_s = sorted(
-            run.began_s for server in servers for run in server.runs if run.body == body
-        )
-        if len(began_s) < EXITS_LIMIT:
+    def _judge_deadly(self, name: str, runs_s: list[float], limit: int) -> None:
+        began_s = sorted(runs_s)
+        if len(began_s) < limit:
             return
-        late = [each for each in began_s if each > began_s[EXITS_LIMIT - 1] + NEWS_S]
+        late = [each for each in began_s if each > began_s[limit - 1] + NEWS_S]
         if len(late) > SENDS_BEYOND:
-            self.complain(f'{body!r} was sent {len(late)} times more; it ran {len(began_s)} times')
+            self.complain(f'{name} was sent {len(late)} times more; it ran {len(began_s)} times')
+
+    def _judge_part(self, part: str, kind: str, servers: list[PlatformServer]) -> None:
+        """A part is found, and sound requests of the same kind and first part go on."""
+        runs_s = sorted(
+            run.began_s for server in servers for run in server.runs if part in run.shared_parts
+        )
+        self._judge_deadly(f'part {part}', runs_s, PART_EXITS_LIMIT)
+        if not runs_s:
+            return
+        found_s = runs_s[:PART_EXITS_LIMIT][-1] + 2 * NEWS_S
+        sound = [each for each in self.asked if each.kind == kind and each.sent_s]
+        after = [each.reply for each in sound if each.sent_s > found_s]
+        before = [each.reply for each in sound if each.sent_s < runs_s[0]]
+        if min(len(after), len(before)) < SOUND_ENOUGH:
+            return
+        shares = [_share_of_answers(replies) for replies in (after, before)]
+        if shares[0] < shares[1] / 2:
+            self.complain(
+                f'{shares[0]:.2f} of sound requests beside {part}, {shares[1]:.2f} before'
+            )
 
     def _judge_answer(self, asked: Asked, runs: list[ServerRun]) -> None:
         reply, name = asked.reply, f'{asked.kind} {asked.request_id}'
@@ -204,7 +244,9 @@
         if job.is_ended:
             return
         listed = [result['id'] for _, result in sorted(job.results.items())]
-        if Counter(listed) != Counter(job.item_ids):
+        missing = Counter(job.item_ids) - Counter(listed)
+        missing.pop(job.harmful_id, None)
+        if missing or Counter(listed) - Counter(job.item_ids):
             self.complain(f'{job.job_id}: listed {len(listed)} of {len(job.item_ids)} items')
         for result in job.results.values():
             ends = Counter(run.answer_mode for run in runs.get(result['id'], []))
