Stop messages that crash engines in the other stack, by the same rule

The registry of suspects now decides there, too. Parts of a prompt are the messages of a chat but the last, or the first 512 bytes of a text. An engine restarts within moments and may keep its process, so that an interrupted response is what counts, once a second and engine; instances exchange rows of changed evidence. One instance grants the probes of a suspect. Requests get 502 request_blocked without a time; items wait for a probe, and fail with request_blocked once it has crashed, too.

Left: evidence isn't stored there, so that counting begins anew after a loss of all instances.

--- a/citrondyke/decisions/crashes/suspect_registry.py
+++ b/citrondyke/decisions/crashes/suspect_registry.py
@@ -118,6 +118,15 @@
         suspect = self._by_digest.get(key.digest)
         return 0 if suspect is None else suspect.trials
 
+    def has_failed_probe(self, key: SuspectKey) -> bool:
+        """Return whether a server exited under a probe of a suspect, too."""
+        suspect = self._by_digest.get(key.digest)
+        return (
+            suspect is not None
+            and suspect.trials > suspect.refused
+            and suspect.score > suspect.score_at_trial
+        )
+
     def has_suspects_for(self, target: int) -> bool:
         """Return whether a request for a target may be a suspect.
 
--- a/citrondyke/decisions/instance.py
+++ b/citrondyke/decisions/instance.py
@@ -19,6 +19,7 @@
     wait_for,
 )
 from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.crashes.engine_crash_guard import EngineCrashGuard
 from citrondyke.decisions.instance_limits import InstanceLimits
 from citrondyke.decisions.jobs.acceptance import JobAcceptance
 from citrondyke.decisions.jobs.segment_claimer import SegmentClaimer
@@ -33,6 +34,7 @@
     OnlineNotice,
     Ping,
     ServerState,
+    SuspectNotice,
 )
 from citrondyke.decisions.membership.session_lease import SessionLease
 from citrondyke.decisions.notices import OnlineLoadNotices
@@ -108,8 +110,9 @@
             new_share=new_share,
         )
         self.notices = OnlineLoadNotices(context, self.fleet, self.steward)
+        self.crashes = EngineCrashGuard(context, lambda: [peer.id for peer in self.members.peers()])
         self.online = OnlineDispatcher(
-            context, self.router, self.admission, self.notices.on_load_change
+            context, self.router, self.admission, self.notices.on_load_change, self.crashes
         )
         rate_limiter = TransactionRateLimiter(
             limits.fleet_intent_transactions_per_s, lambda: len(self.members.live())
@@ -191,6 +194,8 @@
                     self.config_replica.merge_changes([message.change])
             case JobStopped():
                 self.worker.stop_job(message.job_id)
+            case SuspectNotice():
+                self.crashes.on_notice(message)
         return None
 
     def leave(self, until_ms: float) -> Workflow[None]:
@@ -225,7 +230,7 @@
             held_limit=limits.held_segments_limit,
             poll_every_ms=limits.shortest_look_ms,
         )
-        return Worker(context, claimer, self.sweeper, self.steward, worker_limits)
+        return Worker(context, claimer, self.sweeper, self.steward, worker_limits, self.crashes)
 
     def _preempt(self, request_ids: list[RequestId]) -> None:
         self.worker.preempt(request_ids)
--- a/citrondyke/decisions/jobs/batch_item.py
+++ b/citrondyke/decisions/jobs/batch_item.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.crashes.chat_parts import body_prompt_parts
+from citrondyke.decisions.crashes.suspect_key import RequestKeys
 from citrondyke.ids import RequestId, SoftwareVersion
 
 __all__ = ('BatchItem',)
@@ -33,3 +35,12 @@
     is_running: bool = False
     #: Whether a backend server may have run it for this holder.
     may_have_run: bool = False
+    _keys: RequestKeys | None = None
+
+    @property
+    def keys(self) -> RequestKeys:
+        """Return what it has in common with other requests."""
+        if self._keys is None:
+            parts = body_prompt_parts(self.body) if self.is_model else ()
+            self._keys = RequestKeys(self.method.encode(), '', self.url.encode(), self.body, parts)
+        return self._keys
--- a/citrondyke/decisions/jobs/item_runner.py
+++ b/citrondyke/decisions/jobs/item_runner.py
@@ -7,6 +7,7 @@
 from citrondyke.decisions.core.ops import call_server, sleep_until
 from citrondyke.decisions.core.server_call import ReplyKind, ServerCall
 from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.crashes.engine_crash_guard import EngineCrashGuard
 from citrondyke.decisions.jobs.frames import assemble_answer
 from citrondyke.decisions.jobs.item_event import ItemAttemptFailed, ItemBegunAnew
 from citrondyke.decisions.jobs.outcome import (
@@ -40,8 +41,12 @@
 class ItemRunner:
     """Batch items of this instance that run on backend servers."""
 
-    def __init__(self, context: Context) -> None:
-        """Start without running items."""
+    def __init__(self, context: Context, crashes: EngineCrashGuard | None = None) -> None:
+        """Start without running items.
+
+        :param crashes: evidence of what crashes engines; by default not shared with anybody.
+        """
+        self._crashes = EngineCrashGuard(context) if crashes is None else crashes
         self._context = context
         self._items: dict[RequestId, BatchItem] = {}
         #: Servers that run one item in isolation.
@@ -49,6 +54,30 @@
         #: When each server last interrupted an item.
         self._interrupted_ms: dict[ServerId, float] = {}
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any item may be blocked by a part of its prompt."""
+        return self._crashes.has_suspects
+
+    def may_send(self, item: BatchItem) -> bool:
+        """Return whether an item may run, as far as the parts of its prompt are concerned."""
+        return (
+            not self.has_suspects
+            or not self._crashes.verdict_on(item.keys, is_item=True).is_blocked
+        )
+
+    def is_hopeless(self, item: BatchItem) -> bool:
+        """Return whether an item has a part under which engines crash, also in a probe."""
+        return self._crashes.is_confirmed(item.keys)
+
+    def fail_blocked(self, held: HeldSegment, item: BatchItem) -> None:
+        """Fail an item that will not be sent again; it would stay open until its job expires."""
+        verdict = self._crashes.verdict_on(item.keys, is_item=True)
+        self._crashes.report_blocked(item.request_id, verdict)
+        run = 'unknown' if item.may_have_run or item.attempts else 'not_run'
+        outcome = failed_outcome(item.request_id, item.custom_id, FailureCode.BLOCKED, run)
+        held.record_outcome(item.position, outcome)
+
     def preempt(self, request_ids: list[RequestId]) -> None:
         """Preempt items whose capacity online requests need; they resume later."""
         for request_id in request_ids:
@@ -136,6 +165,10 @@
         reply = yield from call_server(call)
         now_ms = self._context.now_ms()
         item.is_running = False
+        if item.is_model:
+            took_ms = now_ms - began_ms
+            self._crashes.record_reply(item.keys, server_id, reply, took_ms, is_item=True)
+            yield from self._crashes.publish()
         self._isolating.discard(server_id)
         self._items.pop(item.request_id, None)
         share.on_batch_end(item.request_id, now_ms)
--- a/citrondyke/decisions/jobs/outcome.py
+++ b/citrondyke/decisions/jobs/outcome.py
@@ -16,6 +16,8 @@
     #: The backend server rejected the request itself.
     REJECTED = 'request_rejected'
     ATTEMPTS_EXHAUSTED = 'attempts_exhausted'
+    #: Servers crash under a part of its prompt that other requests share.
+    BLOCKED = 'request_blocked'
     #: Several instances died while they ran this item alone.
     KILLED_HOLDER = 'item_killed_holder'
     #: The item may have run and may not be repeated.
--- a/citrondyke/decisions/jobs/worker.py
+++ b/citrondyke/decisions/jobs/worker.py
@@ -30,6 +30,7 @@
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.core.ops import Workflow
+    from citrondyke.decisions.crashes.engine_crash_guard import EngineCrashGuard
     from citrondyke.decisions.jobs.batch_item import BatchItem
     from citrondyke.decisions.jobs.held_segment import HeldSegment
     from citrondyke.decisions.jobs.segment_claimer import SegmentClaimer
@@ -70,6 +71,7 @@
         sweeper: Sweeper,
         steward: Steward,
         limits: WorkerLimits,
+        crashes: EngineCrashGuard | None = None,
     ) -> None:
         """Start with the given collaborators."""
         self._context = context
@@ -79,7 +81,7 @@
         self._limits = limits
         self._pending: dict[TargetName, PendingItems] = {}
         self._held: dict[RowKey, HeldSegment] = {}
-        self._runner = ItemRunner(context)
+        self._runner = ItemRunner(context, crashes)
         self._committer = OutcomeCommitter(context, self._drop_segment)
         self._is_leaving = False
         self._emptied: Signal[None] = Signal()
@@ -186,6 +188,8 @@
     def _start_items(self, target: TargetName, pending: PendingItems) -> list[Workflow[None]]:
         """Start items on all servers with free capacity."""
         started: list[Workflow[None]] = []
+        while self._runner.has_suspects and (blocked := pending.pop(self._runner.is_hopeless)):
+            self._runner.fail_blocked(*blocked)
         shares = self._steward.shares_of(target)
         reserved = self._runner.reserve_isolation_server(pending, shares)
         versions = {self._steward.version_of(server_id) for server_id, _ in shares}
@@ -200,13 +204,21 @@
             free_capacity = share.free_capacity(self._context.now_ms())
             version = self._steward.version_of(server_id)
             while free_capacity > 0:
-                taken = pending.pop(partial(_may_run_at, version, versions))
+                taken = pending.pop(partial(self._may_run_at, version, versions))
                 if taken is None:
                     break
                 free_capacity -= 1
                 started.append(self._runner.begin(*taken, server_id, share, pending, version))
         return started
 
+    def _may_run_at(
+        self,
+        version: SoftwareVersion | None,
+        versions: Collection[SoftwareVersion | None],
+        item: BatchItem,
+    ) -> bool:
+        return _may_run_at(version, versions, item) and self._runner.may_send(item)
+
     def _supervise_segment(self, held: HeldSegment, pending: PendingItems) -> Workflow[None]:
         """Supervise a held segment until it is finished, lost or released."""
         while not held.is_lost:
--- a/citrondyke/decisions/membership/peer_messages.py
+++ b/citrondyke/decisions/membership/peer_messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from citrondyke.decisions.configuration.change import ConfigChange
+from citrondyke.decisions.crashes.suspect import SuspectRow
 from citrondyke.ids import InstanceId, JobId, ServerId
 
 __all__ = (
@@ -20,6 +21,7 @@
     'PeerMessage',
     'Ping',
     'ServerState',
+    'SuspectNotice',
 )
 
 
@@ -90,4 +92,12 @@
     job_id: JobId
 
 
-PeerMessage: TypeAlias = Ping | Ack | OnlineNotice | ServerState | ConfigPush | JobStopped
+class SuspectNotice(msgspec.Struct, frozen=True):
+    """Evidence that a request or a prompt part crashes engines."""
+
+    row: SuspectRow
+
+
+PeerMessage: TypeAlias = (
+    Ping | Ack | OnlineNotice | ServerState | ConfigPush | JobStopped | SuspectNotice
+)
--- a/citrondyke/decisions/online/online_dispatcher.py
+++ b/citrondyke/decisions/online/online_dispatcher.py
@@ -8,6 +8,9 @@
 
 from citrondyke.decisions.core.ops import call_server, wait_for
 from citrondyke.decisions.core.server_call import ReplyKind, ServerCall
+from citrondyke.decisions.crashes.engine_crash_guard import EngineCrashGuard
+from citrondyke.decisions.crashes.suspect_key import RequestKeys
+from citrondyke.decisions.crashes.suspect_registry import SuspectStatus
 from citrondyke.decisions.online.admission import QueuedRequest
 from citrondyke.decisions.online.rejection import Rejection, RejectionReason
 from citrondyke.decisions.online.request import OnlineResult, OnlineResultKind
@@ -30,6 +33,8 @@
 
 #: Maximum number of sends of one request.
 ATTEMPTS_LIMIT = 4
+#: Retry time while a probe of the same content or prompt part is running.
+PROBE_RETRY_MS = 1_000.0
 
 
 class _Progress(msgspec.Struct):
@@ -56,11 +61,14 @@
         router: Router,
         admission: Admission,
         on_load_change: Callable[[ServerView], None],
+        crashes: EngineCrashGuard | None = None,
     ) -> None:
         """Create a dispatcher.
 
         :param on_load_change: called when this instance's requests on a server change.
+        :param crashes: evidence of what crashes engines; by default not shared with anybody.
         """
+        self._crashes = EngineCrashGuard(context) if crashes is None else crashes
         self._context = context
         self._router = router
         self._admission = admission
@@ -69,11 +77,17 @@
 
     def serve(self, request: OnlineRequest) -> Workflow[OnlineResult]:
         """Carry out a request to its single outcome."""
+        keys = RequestKeys(
+            request.method.encode(), '', request.path.encode(), request.body, request.prompt_parts
+        )
+        blocked = self._check_blocked(request, keys)
+        if blocked is not None:
+            return OnlineResult(kind=OnlineResultKind.REFUSED, rejection=blocked)
         permit = yield from self._acquire_permit(request)
         if isinstance(permit, Rejection):
             return OnlineResult(kind=OnlineResultKind.REFUSED, rejection=permit)
         try:
-            return (yield from self._attempt_all(request))
+            return (yield from self._attempt_all(request, keys))
         finally:
             self._admission.release(permit)
 
@@ -97,7 +111,16 @@
                 rejection = self._admission.abandon(request.target, answer)
         return answer.outcome.value if fired else rejection
 
-    def _attempt_all(self, request: OnlineRequest) -> Workflow[OnlineResult]:
+    def _check_blocked(self, request: OnlineRequest, keys: RequestKeys) -> Rejection | None:
+        verdict = self._crashes.verdict_on(keys)
+        if not verdict.is_blocked:
+            return None
+        self._crashes.report_blocked(request.request_id, verdict)
+        if verdict.status is SuspectStatus.STOPPED:
+            return Rejection(RejectionReason.BLOCKED, 0.0)
+        return Rejection(RejectionReason.PROBE_RUNNING, PROBE_RETRY_MS)
+
+    def _attempt_all(self, request: OnlineRequest, keys: RequestKeys) -> Workflow[OnlineResult]:
         progress = _Progress()
         budget = self._budgets.setdefault(request.target, RetryBudget())
         while True:
@@ -106,7 +129,7 @@
             view = self._choose(request, progress)
             if isinstance(view, Rejection):
                 return self._rejected_result(progress, view)
-            reply = yield from self._attempt(request, view, progress)
+            reply = yield from self._attempt(request, view, progress, keys)
             if reply.kind is ReplyKind.COMPLETE:
                 budget.deposit()
                 return self._result(OnlineResultKind.ANSWERED, progress, reply)
@@ -119,6 +142,9 @@
             if progress.attempts >= ATTEMPTS_LIMIT or not budget.withdraw():
                 rejection = Rejection(RejectionReason.RETRY_BUDGET, reply.retry_in_ms or 1000.0)
                 return self._rejected_result(progress, rejection)
+            blocked = self._check_blocked(request, keys)
+            if blocked is not None:
+                return self._rejected_result(progress, blocked)
 
     def _choose(self, request: OnlineRequest, progress: _Progress) -> ServerView | Rejection:
         """Choose a server that has not failed this request yet, if there is one.
@@ -143,7 +169,11 @@
         return view
 
     def _attempt(
-        self, request: OnlineRequest, view: ServerView, progress: _Progress
+        self,
+        request: OnlineRequest,
+        view: ServerView,
+        progress: _Progress,
+        keys: RequestKeys,
     ) -> Workflow[ServerReply]:
         call = ServerCall(
             server_id=view.listed.id,
@@ -172,6 +202,9 @@
                 view.sampled_request = None
             self._on_load_change(view)
         self._record_reply(reply, view, progress, began_ms, request.deadline_ms)
+        took_ms = self._context.now_ms() - began_ms
+        self._crashes.record_reply(keys, view.listed.id, reply, took_ms)
+        yield from self._crashes.publish()
         return reply
 
     def _record_reply(
--- a/citrondyke/decisions/online/rejection.py
+++ b/citrondyke/decisions/online/rejection.py
@@ -22,6 +22,10 @@
     DEADLINE = 'deadline'
     #: Recent failures used up the retry budget.
     RETRY_BUDGET = 'retry_budget'
+    #: Servers have crashed under the request, or under a part of its prompt.
+    BLOCKED = 'blocked'
+    #: A probe of it is running.
+    PROBE_RUNNING = 'probe_running'
     #: The caller disconnected.
     CALLER_GONE = 'caller_gone'
 
--- a/citrondyke/decisions/online/request.py
+++ b/citrondyke/decisions/online/request.py
@@ -10,7 +10,7 @@
 from citrondyke.decisions.core.server_call import ServerReply
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.decisions.online.rejection import Rejection
-from citrondyke.ids import ClassName, RequestId, TargetName, TenantId
+from citrondyke.ids import ClassName, PromptPart, RequestId, TargetName, TenantId
 
 __all__ = ('OnlineRequest', 'OnlineResult', 'OnlineResultKind')
 
@@ -33,6 +33,8 @@
     is_repeatable: bool
     #: Bucket of the digest of the prompt's prefix, if requests share one.
     prefix_bucket: int | None = None
+    #: Parts of the prompt that other requests may share, in order.
+    prompt_parts: tuple[PromptPart, ...] = ()
     #: The class's first-token target.
     first_token_target_ms: float
     #: Monotonic time after which the response is of no use.
--- a/citrondyke/entry/online_endpoint.py
+++ b/citrondyke/entry/online_endpoint.py
@@ -13,6 +13,7 @@
 from citrondyke.decisions.at_most_once.once_result import OnceResultKind
 from citrondyke.decisions.configuration.entries import ClassKind, TenantEntry
 from citrondyke.decisions.core.signal import Signal
+from citrondyke.decisions.crashes.chat_parts import prompt_parts
 from citrondyke.decisions.online.request import OnlineRequest, OnlineResult, OnlineResultKind
 from citrondyke.decisions.steward import SERVICE_PREFIX
 from citrondyke.entry.bodies import decode_body, read_body
@@ -26,7 +27,7 @@
     UnknownModelError,
     UnknownServiceError,
 )
-from citrondyke.ids import RequestId, TargetName
+from citrondyke.ids import PromptPart, RequestId, TargetName
 from citrondyke.util.hashing import content_hash
 
 if TYPE_CHECKING:
@@ -121,6 +122,7 @@
             body,
             is_streamed=fields.stream,
             bucket=_prefix_bucket(bytes(prompt)),
+            parts=prompt_parts(bytes(prompt)),
         )
         return self._serve(request)
 
@@ -137,6 +139,7 @@
         *,
         is_streamed: bool,
         bucket: int | None,
+        parts: tuple[PromptPart, ...] = (),
     ) -> OnlineRequest:
         headers = bottle.request.headers
         context = self._context
@@ -160,6 +163,7 @@
             is_model=not target.startswith(SERVICE_PREFIX),
             is_repeatable=self._is_repeatable(target),
             prefix_bucket=bucket,
+            prompt_parts=parts,
             first_token_target_ms=class_entry.first_token_target_ms,
             deadline_ms=request_deadline_ms(
                 context.clock, context.settings.limits.online_within_ms
--- a/citrondyke/entry/online_errors.py
+++ b/citrondyke/entry/online_errors.py
@@ -16,6 +16,7 @@
     OutcomeUnknownError,
     OverloadedError,
     PlatformUnavailableError,
+    RequestBlockedError,
     RunState,
     ServerFailedError,
     ServerUnreachableError,
@@ -35,7 +36,13 @@
     """Return the error for a rejected request, which has not run."""
     if rejection.reason is RejectionReason.DEADLINE:
         return DeadlinePassedError()
-    if rejection.reason in (RejectionReason.NO_SERVER, RejectionReason.RETRY_BUDGET):
+    if rejection.reason is RejectionReason.BLOCKED:
+        return RequestBlockedError()
+    if rejection.reason in (
+        RejectionReason.NO_SERVER,
+        RejectionReason.RETRY_BUDGET,
+        RejectionReason.PROBE_RUNNING,
+    ):
         return ServerUnreachableError(retry_in_ms=rejection.retry_in_ms)
     return OverloadedError(retry_in_ms=rejection.retry_in_ms)
 
--- a/citrondyke/errors/__init__.py
+++ b/citrondyke/errors/__init__.py
@@ -18,6 +18,7 @@
 from citrondyke.errors.overloaded import OverloadedError
 from citrondyke.errors.peer_authentication import PeerAuthenticationError
 from citrondyke.errors.platform_unavailable import PlatformUnavailableError
+from citrondyke.errors.request_blocked import RequestBlockedError
 from citrondyke.errors.server_failed import ServerFailedError
 from citrondyke.errors.server_unreachable import ServerUnreachableError
 from citrondyke.errors.settings_invalid import SettingsInvalidError
@@ -46,6 +47,7 @@
     'OverloadedError',
     'PeerAuthenticationError',
     'PlatformUnavailableError',
+    'RequestBlockedError',
     'RunState',
     'ServerFailedError',
     'ServerUnreachableError',
--- a/citrondyke/peer/codec.py
+++ b/citrondyke/peer/codec.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from citrondyke.decisions.configuration.change import ConfigChange
+from citrondyke.decisions.crashes.suspect import SuspectRow
 from citrondyke.decisions.membership.peer_messages import (
     Ack,
     ConfigPush,
@@ -21,6 +22,7 @@
     OnlineNotice,
     Ping,
     ServerState,
+    SuspectNotice,
 )
 from citrondyke.errors import PeerAuthenticationError
 from citrondyke.ids import ConfigVersion, InstanceId, JobId, ServerId
@@ -145,6 +147,10 @@
     built.jobStopped = message.job_id
 
 
+def _write_suspect(built: Any, message: SuspectNotice) -> None:
+    built.suspectNotice = msgspec.msgpack.encode(message.row)
+
+
 def _write_pull(built: Any, message: ConfigPull) -> None:
     built.configPull = message.after_version
 
@@ -173,6 +179,7 @@
     ServerState: _write_state,
     ConfigPush: _write_push,
     JobStopped: _write_stopped,
+    SuspectNotice: _write_suspect,
     ConfigPull: _write_pull,
     ConfigChanges: _write_changes,
 }
@@ -194,6 +201,9 @@
     ),
     'configPush': lambda read: ConfigPush(_read_change(read.configPush)),
     'jobStopped': lambda read: JobStopped(JobId(read.jobStopped)),
+    'suspectNotice': lambda read: SuspectNotice(
+        msgspec.msgpack.decode(bytes(read.suspectNotice), type=SuspectRow)
+    ),
     'configPull': lambda read: ConfigPull(ConfigVersion(read.configPull)),
     'configChanges': lambda read: ConfigChanges(
         tuple(_read_change(change) for change in read.configChanges)
--- a/citrondyke/peer/messages.capnp
+++ b/citrondyke/peer/messages.capnp
@@ -18,6 +18,8 @@
     jobStopped @9 :Text;
     configPull @10 :UInt64;
     configChanges @11 :List(Data);
+    # Evidence that a request or a prompt part crashes engines.
+    suspectNotice @12 :Data;
   }
 }
 
--- a/tests/support/job_lines.py
+++ b/tests/support/job_lines.py
@@ -2,19 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import msgspec
 
 __all__ = ('chat_line', 'chat_lines', 'service_lines')
 
 
-def chat_line(custom_id: str, prompt: str, tokens: int = 8) -> bytes:
+def chat_line(custom_id: str, prompt: str, tokens: int = 8, before: Sequence[str] = ()) -> bytes:
+    messages = [{'role': 'system', 'content': content} for content in before]
     line = {
         'custom_id': custom_id,
         'method': 'POST',
         'url': '/v1/chat/completions',
         'body': {
             'model': 'demo-model',
-            'messages': [{'role': 'user', 'content': prompt}],
+            'messages': [*messages, {'role': 'user', 'content': prompt}],
             'max_tokens': tokens,
         },
     }
--- a/tests/test_entry/test_entry_poison_parts.py
+++ b/tests/test_entry/test_entry_poison_parts.py
@@ -6,11 +6,14 @@
 
 from tests.support.caller import Answer, Caller
 from tests.support.fleet import Fleet
+from tests.support.job_lines import chat_line
 
 ENGINES = ('engine-0', 'engine-1', 'engine-2')
 #: Crashes that may be needed to find the message, and sends of it after that.
 ENOUGH = 3
 MORE = 3
+#: Crashes after which no more than ``MORE`` sends may follow.
+KNOWN = 5
 
 
 def ask(caller: Caller, *messages: str) -> Answer:
@@ -42,3 +45,24 @@
         assert 'retry-after' not in stopped.headers
         assert ask(caller, 'be short', 'sound').status == 200
     assert crashes(fleet) == before
+
+
+@pytest.mark.fleet(instances=2, engines=3)
+def test_items_with_a_message_that_crashes_engines_fail_and_the_others_do_not(
+    fleet: Fleet,
+) -> None:
+    # Items differ, but some share a message. With a limit of attempts for each item they would
+    # crash the engines 30 times.
+    lines = []
+    for number in range(200):
+        is_harmful = number % 20 == 10
+        shared = ['be short', 'stop [[crash]]'] if is_harmful else ['be short']
+        lines.append(chat_line(f'item-{number}', f'item {number}', before=shared))
+    caller = fleet.caller()
+    job_id = fleet.submit(caller, b''.join(lines), '/v1/chat/completions')
+    outcomes = fleet.outcomes(caller, fleet.wait_final(caller, job_id))
+    failed = {name for name, line in outcomes.items() if line['error']}
+    assert failed == {f'item-{number}' for number in range(10, 200, 20)}
+    codes = {outcomes[name]['error']['code'] for name in failed}
+    assert codes <= {'request_blocked', 'attempts_exhausted'}
+    assert crashes(fleet) <= KNOWN + MORE
