--- a/citrondyke/gateway/callers/event_relay.py
+++ b/citrondyke/gateway/callers/event_relay.py
@@ -6,7 +6,6 @@
 
 from citrondyke.decisions.crashes.response_phase import STEADY_EVENTS_MS
 from citrondyke.decisions.forwarding.failover_timeouts import EVENT_TIMEOUT_MS
-from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.callers.event_stream import EventSplitter
 
 if TYPE_CHECKING:
@@ -65,8 +64,7 @@
             caller.send_chunk(b''.join(event.raw for event in events))
             forwarded.events_count += len(events)
             forwarded.last_event_id = splitter.last_id
-        if not splitter.is_between_events:
-            raise BrokenReplyError(ReplyFailureKind.CUT, 'in the middle of an event')
+        splitter.check_end(is_framed=reply.connection.is_framed)
         self._begin(caller, forwarded, reply)
         caller.stop_watching_disconnect()
         caller.end_stream()
--- a/citrondyke/gateway/callers/event_stream.py
+++ b/citrondyke/gateway/callers/event_stream.py
@@ -54,6 +54,18 @@
         """Whether no part of a further event was received."""
         return not self._unparsed.strip()
 
+    def check_end(self, *, is_framed: bool) -> None:
+        """Check whether a stream may end here.
+
+        :param is_framed: whether its end is told apart from the end of its connection. Otherwise a
+            server that exits before its first event looks like one whose stream is empty.
+        :raises BrokenReplyError: if the stream is truncated.
+        """
+        if not self.is_between_events:
+            raise BrokenReplyError(ReplyFailureKind.CUT, 'in the middle of an event')
+        if not is_framed and self.last_id is None:
+            raise BrokenReplyError(ReplyFailureKind.CUT, 'closed before the first event')
+
     def _check_order(self, event: StreamEvent) -> StreamEvent:
         if event.id is not None:
             if self.last_id is not None and event.id != self.last_id + 1:
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -136,8 +136,7 @@
             if self._polls_rarely():
                 # No caller waits for single events, so they are read in batches.
                 gevent.sleep(READ_PAUSE_S)
-        if not splitter.is_between_events:
-            raise BrokenReplyError(ReplyFailureKind.CUT, 'in the middle of an event')
+        splitter.check_end(is_framed=connection.is_framed)
 
 
 def _result_of_status(status: int) -> RunResult:
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -64,6 +64,12 @@
     UNFRAMED = 'unframed'
     #: Send an answer without a length and reset the connection before its end.
     UNFRAMED_CUT = 'unframed_cut'
+    #: Close the connection of such a stream in the middle of an event.
+    UNFRAMED_CUT_IN_EVENT = 'unframed_cut_in_event'
+    #: Close the connection of such a stream before its first event.
+    UNFRAMED_EMPTY = 'unframed_empty'
+    #: Send a whole answer without a length, and crash.
+    UNFRAMED_THEN_CRASH = 'unframed_then_crash'
     #: Reset the connection of a stream in the middle of an event.
     CUT_IN_EVENT = 'cut_in_event'
     #: Stop sending after some events of a stream, with the connection open.
@@ -72,6 +78,16 @@
     HOLD = 'hold'
 
 
+UNFRAMED_MODES = (
+    AnswerMode.UNFRAMED,
+    AnswerMode.UNFRAMED_CUT,
+    AnswerMode.UNFRAMED_CUT_IN_EVENT,
+    AnswerMode.UNFRAMED_EMPTY,
+    AnswerMode.UNFRAMED_THEN_CRASH,
+)
+FAILURES = {AnswerMode.FAIL: (500, b'failed'), AnswerMode.IMPOSSIBLE: (422, b'')}
+
+
 class ServerRun(msgspec.Struct):
     """A request that the server ran."""
 
@@ -173,11 +189,11 @@
         unsigned = [(ATTEMPT_HEADER, headers.get(ATTEMPT_HEADER, b'')), (LOAD_HEADER, b'1,0,8')]
         if headers.get(EXPECT_SERVER_HEADER, self.server_id.encode()) != self.server_id.encode():
             return self._send_complete(
-                http, sock, 421, [*unsigned, (b'instance-id', b'other')], b''
+                http, sock, 421, b'', [*unsigned, (b'instance-id', b'other')]
             )
         if answer_mode is AnswerMode.REFUSE:
             self.refused_count += 1
-            return self._send_complete(http, sock, 503, [*unsigned, (NOT_RUN_HEADER, b'1')], b'')
+            return self._send_complete(http, sock, 503, b'', [*unsigned, (NOT_RUN_HEADER, b'1')])
         run = ServerRun(
             headers.get(ATTEMPT_HEADER, b'').decode(),
             bytes(request.method),
@@ -199,21 +215,23 @@
             return False
         if answer_mode is AnswerMode.SILENT:
             return self._wait_for_close(sock, run)
-        if answer_mode is AnswerMode.FAIL:
-            return self._send_complete(http, sock, 500, signed, b'failed')
-        if answer_mode is AnswerMode.IMPOSSIBLE:
-            return self._send_complete(http, sock, 422, signed, b'')
+        if answer_mode in FAILURES:
+            return self._send_complete(http, sock, *FAILURES[answer_mode], signed)
         if answer_mode is AnswerMode.WRONG_ID:
             return self._send_complete(
-                http, sock, 200, [(ATTEMPT_HEADER, b'other'), signed[-1]], b'other'
+                http, sock, 200, b'other', [(ATTEMPT_HEADER, b'other'), signed[-1]]
             )
         if answer_mode is AnswerMode.UNSIGNED:
-            return self._send_complete(http, sock, 200, unsigned, b'unsigned')
-        if answer_mode in (AnswerMode.UNFRAMED, AnswerMode.UNFRAMED_CUT):
-            return self._send_unframed(sock, signed, is_cut=answer_mode is AnswerMode.UNFRAMED_CUT)
+            return self._send_complete(http, sock, 200, b'unsigned', unsigned)
+        if answer_mode in UNFRAMED_MODES:
+            pieces = [b'unframed']
+            if is_stream:
+                signed.append((b'content-type', b'text/event-stream'))
+                pieces = self._unframed_events(run, answer_mode)
+            return self._send_unframed(sock, signed, pieces, answer_mode)
         if is_stream:
             return self._send_stream(http, sock, signed, run, answer_mode)
-        keeps_connection = self._send_complete(http, sock, 200, signed, b'answer to ' + body)
+        keeps_connection = self._send_complete(http, sock, 200, b'answer to ' + body, signed)
         if answer_mode is AnswerMode.EXTRA:
             sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra')
         return keeps_connection
@@ -233,8 +251,7 @@
         head = [*headers, (b'content-type', b'text/event-stream')]
         sock.sendall(http.send(h11.Response(status_code=200, headers=head)) or b'')
         for number in range(first, self.events_count + 1):
-            text = event_text(number, self.software_version)
-            data = f'id: {number}\ndata: {text}\n\n'.encode()
+            data = self._event(number)
             if answer_mode is AnswerMode.CUT_IN_EVENT and number == first + 2:
                 sock.sendall(http.send(h11.Data(data=data[:-5])) or b'')
                 reset(sock)
@@ -260,8 +277,8 @@
         http: h11.Connection,
         sock: socket.socket,
         status: int,
-        headers: list[tuple[bytes, bytes]],
         body: bytes,
+        headers: list[tuple[bytes, bytes]],
     ) -> bool:
         head = [*headers, (b'content-length', str(len(body)).encode())]
         data = http.send(h11.Response(status_code=status, headers=head)) or b''
@@ -270,15 +287,38 @@
         sock.sendall(data + (http.send(h11.EndOfMessage()) or b''))
         return True
 
-    @staticmethod
+    def _unframed_events(self, run: ServerRun, answer_mode: AnswerMode) -> list[bytes]:
+        if answer_mode is AnswerMode.UNFRAMED_EMPTY:
+            return []
+        first = int(run.headers.get(LAST_EVENT_HEADER, b'0')) + 1
+        events = [self._event(number) for number in range(first, self.events_count + 1)]
+        if answer_mode is not AnswerMode.UNFRAMED:
+            events = events[:2]
+        if answer_mode is AnswerMode.UNFRAMED_CUT_IN_EVENT:
+            events[-1] = events[-1][:-5]
+        return events
+
+    def _event(self, number: int) -> bytes:
+        text = event_text(number, self.software_version)
+        return f'id: {number}\ndata: {text}\n\n'.encode()
+
     def _send_unframed(
-        sock: socket.socket, headers: list[tuple[bytes, bytes]], *, is_cut: bool
+        self,
+        sock: socket.socket,
+        headers: list[tuple[bytes, bytes]],
+        pieces: list[bytes],
+        answer_mode: AnswerMode,
     ) -> bool:
         lines = b''.join(b'%b: %b\r\n' % pair for pair in headers)
-        sock.sendall(b'HTTP/1.1 200 OK\r\nConnection: close\r\n' + lines + b'\r\nunframed')
-        gevent.sleep(0.01)
-        if is_cut:
+        sock.sendall(b'HTTP/1.1 200 OK\r\nConnection: close\r\n' + lines + b'\r\n')
+        for piece in pieces:
+            sock.sendall(piece)
+            gevent.sleep(0.01)
+        if answer_mode is AnswerMode.UNFRAMED_CUT:
             reset(sock)
+        if answer_mode is AnswerMode.UNFRAMED_THEN_CRASH:
+            self._open.discard(sock)
+            self.crash()
         return False
 
     @staticmethod
--- /dev/null
+++ b/tests/test_gateway/test_callers/test_callers_unframed.py
@@ -0,0 +1,98 @@
+"""Streams of servers that have neither a length nor chunks and end with their connection."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from citrondyke.standin.platform_server import AnswerMode, event_text
+from tests.support.gateway import GatewayFleet, wait_until_seen
+from tests.support.streams import events_of, is_one_text
+
+EVENTS = 6
+BROKEN = [
+    AnswerMode.UNFRAMED_CUT,
+    AnswerMode.UNFRAMED_CUT_IN_EVENT,
+    AnswerMode.UNFRAMED_EMPTY,
+]
+
+
+def tell(fleet: GatewayFleet, *modes: AnswerMode) -> None:
+    for name, server in fleet.servers.items():
+        if name.startswith('lm'):
+            server.answer_modes.extend(modes)
+
+
+def runs(fleet: GatewayFleet) -> int:
+    return sum(len(server.runs) for server in fleet.servers.values())
+
+
+def test_stream_that_ends_with_its_connection_is_whole(fleet: GatewayFleet) -> None:
+    tell(fleet, AnswerMode.UNFRAMED)
+    reply = fleet.call('/stream/a')
+    events = events_of(reply.body)
+    assert (reply.status, reply.is_whole, len(events)) == (200, True, EVENTS)
+    assert is_one_text(events)
+    assert runs(fleet) == 1
+
+
+@pytest.mark.parametrize('mode', BROKEN)
+def test_stream_broken_off_with_its_connection_goes_on_elsewhere(
+    fleet: GatewayFleet, mode: AnswerMode
+) -> None:
+    # A server ends its stream early: by a reset, inside an event, or before the first one.
+    tell(fleet, mode)
+    for server in fleet.servers.values():
+        server.answer_modes.extend([AnswerMode.UNFRAMED] * 2)
+    fleet.servers['lm-2'].answer_modes.remove(mode)
+    for number in range(4):
+        reply = fleet.call('/stream/a', request_id=f'request-{number}')
+        events = events_of(reply.body)
+        assert (reply.status, reply.is_whole, len(events)) == (200, True, EVENTS)
+        assert is_one_text(events)
+    assert runs(fleet) == 5
+
+
+@pytest.mark.parametrize('mode', BROKEN)
+def test_broken_stream_that_must_not_go_on_does_not_look_complete(
+    fleet: GatewayFleet, mode: AnswerMode
+) -> None:
+    tell(fleet, mode)
+    reply = fleet.call('/stream-once/a')
+    assert reply.status != 200 or not reply.is_whole
+    assert runs(fleet) == 1
+
+
+@pytest.mark.parametrize('mode', BROKEN)
+def test_item_whose_stream_is_broken_off_gets_its_whole_text(
+    fleet: GatewayFleet, mode: AnswerMode
+) -> None:
+    tell(fleet, mode, AnswerMode.UNFRAMED, mode)
+    assert fleet.submit('job', 4).status == 202
+    text = '\n'.join(event_text(number) for number in range(1, EVENTS + 1))
+    assert [result['text'] for result in fleet.wait_done('job')] == [text] * 4
+
+
+@pytest.mark.parametrize('mode', [AnswerMode.UNFRAMED, AnswerMode.UNFRAMED_THEN_CRASH])
+def test_end_of_a_connection_clears_a_suspect_only_if_its_server_lives(
+    fleet: GatewayFleet, mode: AnswerMode
+) -> None:
+    # A crashing server may close its connections in order, like one that has answered.
+    prompt = 'bad0:1,aa:1'
+    for server in fleet.servers.values():
+        server.crash_parts.add('bad0')
+    fleet.call('/fetch/a', b'first', request_id='first', prefix_hash=prompt)
+    fleet.restart_ended()
+    for server in fleet.servers.values():
+        server.crash_parts.clear()
+        server.answer_modes.append(mode)
+    instance = fleet.instances[0]
+    (part,) = [key for key in instance.suspects.suspects() if key.is_part]
+    counted = instance.guard.exits_count(part)
+    reply = fleet.call('/fetch/a', b'second', request_id='second', prefix_hash=prompt)
+    assert (reply.status, reply.body) == (200, b'unframed')
+    if mode is AnswerMode.UNFRAMED:
+        wait_until_seen(lambda: not instance.guard.exits_count(part), 'it to be cleared')
+    else:
+        gevent.sleep(0.3)
+        assert instance.guard.exits_count(part) == counted
