Begin streams by a stored split of versions, and continue them after a loss of all

After a loss of all instances while two versions served, 0 of 24 streams went on: nobody remembered which version had begun a stream, and a guess joins two texts.

A new stream's version is a function of its id and of a stored split, the number of servers of each version that accept work. The split is written when it changes and kept for as long as its streams may be resumed; after a loss of all, a stream goes on where each split of that time gives the same version. Where the assigned version has no server left, a stream begins elsewhere only once the store has it as an exception.

Weighed: a write for each stream of the less common version (a write a stream, and what was not written in time can't be told apart).

--- a/citrondyke/decisions/forwarding/peer_topology.py
+++ b/citrondyke/decisions/forwarding/peer_topology.py
@@ -132,6 +132,10 @@
         """Return whether this instance collects observations on a subject."""
         return self._context.instance_id in self.registrars(name)
 
+    def is_first_registrar(self, name: str) -> bool:
+        """Return whether this instance is the first of those that collect observations."""
+        return self._context.instance_id == self.registrars(name)[0]
+
     def record_holders(self, name: str, count: int) -> list[InstanceId]:
         """Choose other instances that keep records on a subject, over all zones.
 
--- a/citrondyke/gateway/callers/admission_controller.py
+++ b/citrondyke/gateway/callers/admission_controller.py
@@ -11,6 +11,7 @@
 from citrondyke.decisions.forwarding.admission_rule import Rejected
 from citrondyke.decisions.forwarding.send_history import Verdict
 from citrondyke.decisions.forwarding.server_state import ServerState
+from citrondyke.decisions.streams.stream_origin import StreamOrigin
 from citrondyke.gateway.callers.forwarded_request import RequestResult
 
 if TYPE_CHECKING:
@@ -25,6 +26,8 @@
     from citrondyke.gateway.callers.error_responder import ErrorResponder
     from citrondyke.gateway.callers.forwarded_request import ForwardedRequest
     from citrondyke.gateway.callers.request_log import RequestLog
+    from citrondyke.gateway.streams.origin_exchange import OriginExchange
+    from citrondyke.ids import ServiceName
 
 __all__ = ('AdmissionController', 'ChosenServer')
 
@@ -57,6 +60,7 @@
         limits: LimitExchange,
         responder: ErrorResponder,
         log: RequestLog,
+        origins: OriginExchange,
     ) -> None:
         """Use the parts handed in."""
         self._context = context
@@ -66,6 +70,7 @@
         self._limits = limits
         self._responder = responder
         self._log = log
+        self._origins = origins
 
     def record_service_time(self, forwarded: ForwardedRequest, stay_ms: float) -> None:
         """Record for how long a request occupied its capacity."""
@@ -185,10 +190,28 @@
 
     def _choose(self, forwarded: ForwardedRequest, verdict: SuspectVerdict) -> ServerState | None:
         origin = forwarded.origin
-        if origin is None:
-            service = forwarded.route.pick_service(self._context.random)
-        else:
-            service = origin.service
+        if origin is not None:
+            return self._choose_of(forwarded, verdict, origin.service, origin)
+        service = forwarded.route.pick_service(self._context.random)
+        if not forwarded.route.is_resumable:
+            return self._choose_of(forwarded, verdict, service, None)
+        assigned = self._origins.assigned_origin(forwarded, service)
+        if isinstance(assigned, StreamOrigin):
+            state = self._choose_of(forwarded, verdict, service, assigned)
+            if state is not None:
+                return state
+        state = self._choose_of(forwarded, verdict, service, None)
+        if state is None or self._origins.may_begin(forwarded, state.listed.origin):
+            return state
+        return None
+
+    def _choose_of(
+        self,
+        forwarded: ForwardedRequest,
+        verdict: SuspectVerdict,
+        service: ServiceName,
+        origin: StreamOrigin | None,
+    ) -> ServerState | None:
         if verdict.key is not None:
             return self._book.choose_for_suspect(
                 service, forwarded.history.excluded, verdict.key.digest, origin
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -174,6 +174,7 @@
             self.limits,
             responder,
             request_log,
+            self.origins,
         )
         forwarder = Forwarder(
             self.context,
--- a/citrondyke/gateway/streams/origin_exchange.py
+++ b/citrondyke/gateway/streams/origin_exchange.py
@@ -18,6 +18,7 @@
     infer_origin,
     stream_key,
 )
+from citrondyke.decisions.streams.version_split import Assignment
 from citrondyke.gateway.peers.peer_codec import OriginAsked, OriginTold, StreamOrigins
 from citrondyke.gateway.streams.origin_store import OriginStore
 
@@ -98,7 +99,7 @@
         self._tasks = tasks
         self._history = OriginHistory(context)
         #: Versions of each service, in the store.
-        self.versions = OriginStore(context, table, book, self._history, is_fleet_known)
+        self.versions = OriginStore(context, table, book, self._history, is_fleet_known, store)
         self._records = OriginRecords(context)
         self._own: dict[int, _OwnStream] = {}
         self._send: Callable[[PeerText, list[InstanceId]], None] = _send_nothing
@@ -133,13 +134,45 @@
 
     def record(self, forwarded: ForwardedRequest, origin: StreamOrigin) -> None:
         """Record the origin of a stream; call it before the caller receives the first event."""
-        metadata, route, request = forwarded.metadata, forwarded.route, forwarded.request
+        request, life_ms = forwarded.request, self._life_ms(forwarded)
         key = stream_key(forwarded.stream_id)
-        life_ms = max(route.timeout_ms, metadata.within_ms or 0.0) + RESUME_MARGIN_MS
         self._records.add(key, origin, life_ms)
         stream = self._own[key] = _OwnStream(origin, request.host, request.path)
-        if self._is_ambiguous(stream):
-            self._publish({key: stream})
+        if not self._is_ambiguous(stream):
+            return
+        self._publish({key: stream})
+        if not self._is_covered(key, origin):
+            self.versions.save_exception(key, origin, life_ms)
+
+    def assigned_origin(
+        self, forwarded: ForwardedRequest, service: ServiceName
+    ) -> StreamOrigin | Assignment:
+        """Return the origin that must begin a new stream."""
+        version = self.versions.assigned_version(service, stream_key(forwarded.stream_id))
+        return version if isinstance(version, Assignment) else StreamOrigin(service, version)
+
+    def may_begin(self, forwarded: ForwardedRequest, origin: StreamOrigin) -> bool:
+        """Return whether a stream may begin at an origin that is not the assigned one.
+
+        After a loss of all instances it would be continued at the assigned one, unless it is stored
+        before that it is an exception.
+        """
+        key = stream_key(forwarded.stream_id)
+        return self._is_covered(key, origin) or self.versions.save_exception(
+            key, origin, self._life_ms(forwarded)
+        )
+
+    def _is_covered(self, key: int, origin: StreamOrigin) -> bool:
+        """Return whether the store tells the origin of a stream."""
+        assigned = self.versions.assigned_version(origin.service, key)
+        if assigned is Assignment.ANY:
+            return True
+        return assigned == origin.version or self.versions.is_exception(key, origin)
+
+    @staticmethod
+    def _life_ms(forwarded: ForwardedRequest) -> float:
+        within_ms = forwarded.metadata.within_ms or 0.0
+        return max(forwarded.route.timeout_ms, within_ms) + RESUME_MARGIN_MS
 
     def resolve(self, forwarded: ForwardedRequest) -> StreamOrigin | UnknownOrigin:
         """Find the origin of a stream that a caller resumes."""
@@ -158,7 +191,7 @@
             found, answers = self._ask_peers(begun_by, services)
         if found is None:
             source = 'inferred'
-            found = self._infer(view, answers, services)
+            found = self._infer(view, answers, services, begun_by)
         self._log_resolved(forwarded, found, source, view, len(answers), started_ms)
         return found
 
@@ -230,21 +263,29 @@
                 yield answer
 
     def _infer(
-        self, view: OriginView, answers: list[OriginTold], services: Iterable[ServiceName]
+        self,
+        view: OriginView,
+        answers: list[OriginTold],
+        services: Iterable[ServiceName],
+        begun_by: RequestId | None,
     ) -> StreamOrigin | UnknownOrigin:
         views = [view, *(answer.view for answer in answers)]
         is_alone = not self._book.topology.all_peers()
         is_confirmed = bool(answers) or is_alone or self._store.unanswered_ms < STORE_SILENT_MS
         inferred = infer_origin(views, is_confirmed=is_confirmed)
-        if (
-            isinstance(inferred, UnknownOrigin)
-            and inferred.reason is OriginUnknownReason.NOT_COVERED
-            and self._store.unanswered_ms < STORE_UNRESPONSIVE_MS
-        ):
+        is_answering = self._store.unanswered_ms < STORE_UNRESPONSIVE_MS
+        if isinstance(inferred, StreamOrigin) or not is_answering:
+            return inferred
+        if inferred.reason is OriginUnknownReason.NOT_COVERED:
             stored = self.versions.read(services)
             if stored is not None:
                 inferred = infer_origin([*views, stored], is_confirmed=is_confirmed)
-        return inferred
+        if isinstance(inferred, StreamOrigin) or begun_by is None:
+            return inferred
+        found = self.versions.find(services, stream_key(begun_by))
+        # Rows without any listed version are stale.
+        is_listed = any(found in each.origins for each in views)
+        return found if found is not None and is_listed else inferred
 
     def _log_resolved(
         self,
--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -1,14 +1,22 @@
-"""Versions that the servers of each service had lately, stored for a start of all instances."""
+"""Versions of each service and the split of streams among them, for a start of all instances."""
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Annotated
 
 import gevent
 import logbook
 import msgspec
 
+from citrondyke.decisions.streams.origin_records import StreamKey
 from citrondyke.decisions.streams.stream_origin import OriginView, StreamOrigin
+from citrondyke.decisions.streams.version_split import (
+    Assignment,
+    VersionSplit,
+    next_splits,
+    possible_versions,
+)
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
 from citrondyke.ids import ServiceName, SoftwareVersion
@@ -22,37 +30,74 @@
 from citrondyke.util.decoding import decode_json
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_registry import ServerRegistry
     from citrondyke.decisions.streams.origin_history import OriginHistory
+    from citrondyke.gateway.replication.dependency import Dependency
     from citrondyke.gateway.tasks import Tasks
-    from citrondyke.storage.partitioned_table import PartitionedTable
+    from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
-__all__ = ('VERSIONS_TABLE', 'OriginStore')
+__all__ = ('EXCEPTIONS_TABLE', 'VERSIONS_TABLE', 'OriginStore')
 
 log = logbook.Logger(__name__)
 
 VERSIONS_TABLE = 'software_versions'
+EXCEPTIONS_TABLE = 'stream_exceptions'
 #: Interval of comparing the rows with the server list.
 CHECK_EVERY_MS = 500.0
 #: Pause after a failed call: outages of the store last for seconds.
 RETRY_MS = 2_000.0
 VERSIONS_LIMIT = 50
+#: Interval of reading a row that another instance writes, while several versions serve.
+FOLLOW_EVERY_MS = 1_000.0
+#: Share of the checks that read a row for the first time, so that at a start of all instances these
+#: reads are spread over some seconds.
+FIRST_READ_SHARE = 0.1
+#: Time for which an instance may go on with a split that was replaced, and by which clocks differ.
+SPLIT_LAG_MS = 5_000.0
+#: Calls of the store without an answer for this long: a first event doesn't wait for a write.
+STORE_UNRESPONSIVE_MS = 300.0
+#: Streams of one instance that began at another version than the split's, about 100 bytes each.
+EXCEPTIONS_LIMIT = 300
 
 
 class VersionsRow(msgspec.Struct, frozen=True):
     """Row of a service: every version whose streams may still be resumed."""
 
     versions: Annotated[list[str], msgspec.Meta(max_length=VERSIONS_LIMIT)]
+    #: Splits of new streams, the one in force last; instances of an earlier version write none.
+    splits: Annotated[list[VersionSplit], msgspec.Meta(max_length=VERSIONS_LIMIT)] = []
 
 
 class _StoredRow(msgspec.Struct, frozen=True):
     #: 0 if there is no row.
     row_version: int
     versions: frozenset[SoftwareVersion]
+    splits: tuple[VersionSplit, ...] = ()
     is_readable: bool = True
+    read_ms: float = 0.0
+
+
+class _Exception(msgspec.Struct, frozen=True, array_like=True):
+    """Stream that did not begin at the version of the split."""
+
+    key: StreamKey
+    service: str
+    version: str
+    until_epoch_ms: float
+
+    @property
+    def origin(self) -> StreamOrigin:
+        """Return where it began."""
+        return StreamOrigin(ServiceName(self.service), SoftwareVersion(self.version))
+
+
+class ExceptionsRow(msgspec.Struct, frozen=True):
+    """Row of an instance: its streams that may still be resumed."""
+
+    streams: list[_Exception]
 
 
 class OriginStore:
@@ -69,18 +114,23 @@
         book: ServerRegistry,
         history: OriginHistory,
         is_fleet_known: Callable[[], bool],
+        store: Dependency,
     ) -> None:
         """Use the parts handed in.
 
         :param is_fleet_known: returns whether the list of instances was received.
+        :param store: tracks whether the store answers.
         """
+        self._store = store
+        self._exceptions: dict[int, _Exception] = {}
+        self._are_exceptions_known = False
         self._context = context
         self._table = table
         self._book = book
         self._history = history
         self._is_fleet_known = is_fleet_known
         self._unreadable = UnreadableRows(VERSIONS_TABLE)
-        #: Rows of the services that this instance is responsible for.
+        #: Known rows of services.
         self._rows: dict[ServiceName, _StoredRow] = {}
 
     def start(self, tasks: Tasks) -> None:
@@ -97,6 +147,106 @@
             origins.update(StreamOrigin(service, version) for version in row.versions)
         return OriginView(frozenset(origins), is_complete=True)
 
+    def assigned_version(self, service: ServiceName, key: int) -> SoftwareVersion | Assignment:
+        """Return the version that must begin a stream."""
+        known = self._rows.get(service)
+        listed = self._history.origins({service})
+        if len(listed) < 2 and (  # noqa: PLR2004
+            known is None or not known.splits or _is_split_of(known.splits[-1], listed)
+        ):
+            return Assignment.ANY
+        if service not in self._rows and self._is_responsive:
+            self._follow(service)
+        row = self._rows.get(service)
+        version = row.splits[-1].version_of(key) if row is not None and row.splits else None
+        return Assignment.UNKNOWN if version is None else version
+
+    def is_exception(self, key: int, origin: StreamOrigin) -> bool:
+        """Return whether a stream is stored as one that begins at an origin."""
+        stream = self._exceptions.get(key)
+        return stream is not None and stream.origin == origin
+
+    def save_exception(self, key: int, origin: StreamOrigin, life_ms: float) -> bool:
+        """Store that a stream begins at another version than the assigned one.
+
+        :returns: whether it is stored; otherwise it must not begin there.
+        """
+        now_epoch_ms = self._context.epoch_ms()
+        if not self._is_responsive or not self._read_own_exceptions():
+            return False
+        self._exceptions[key] = _Exception(
+            key, origin.service, origin.version, now_epoch_ms + life_ms
+        )
+        kept = [each for each in self._exceptions.values() if each.until_epoch_ms > now_epoch_ms]
+        self._exceptions = {each.key: each for each in kept[-EXCEPTIONS_LIMIT:]}
+        value = msgspec.json.encode(ExceptionsRow(list(self._exceptions.values())))
+        put = RowPut(EXCEPTIONS_TABLE, self._context.instance_id, value)
+        answer = self._table.transact(PartTransaction('', (), (put,)))
+        is_written = isinstance(answer, PartCommitted)
+        log.info(
+            'stream.exception',
+            extra={
+                'service': origin.service,
+                'version': origin.version,
+                'exceptions': len(self._exceptions),
+                'written': is_written,
+            },
+        )
+        return is_written
+
+    def _read_own_exceptions(self) -> bool:
+        """Read what an earlier incarnation of this instance stored; return whether it is known."""
+        if self._are_exceptions_known:
+            return True
+        name = self._context.instance_id
+        listing = self._table.read(EXCEPTIONS_TABLE, '', name, limit=1)
+        if isinstance(listing, PlatformFailure):
+            return False
+        for row in listing.rows:
+            if row.key == name:
+                self._exceptions.update((each.key, each) for each in self._decode_exceptions(row))
+        self._are_exceptions_known = True
+        return True
+
+    def find(self, services: Iterable[ServiceName], key: int) -> StreamOrigin | None:
+        """Read which version began a stream; ``None`` if that is not certain."""
+        listing = self._table.read_all(EXCEPTIONS_TABLE, '')
+        if isinstance(listing, PlatformFailure):
+            return None
+        for row in listing.rows:
+            for stream in self._decode_exceptions(row):
+                if stream.key == key and stream.until_epoch_ms > self._context.epoch_ms():
+                    return stream.origin
+        life_ms, now_epoch_ms = self._split_life_ms, self._context.epoch_ms()
+        origins: set[StreamOrigin | None] = set()
+        for service in services:
+            stored = self._read_row(service)
+            if stored is None or not stored.splits:
+                return None
+            versions = possible_versions(stored.splits, key, now_epoch_ms, life_ms)
+            origins.update(
+                None if version is None else StreamOrigin(service, version) for version in versions
+            )
+        return origins.pop() if len(origins) == 1 else None
+
+    def _decode_exceptions(self, row: PartRow) -> list[_Exception]:
+        try:
+            return decode_json(row.value or b'', ExceptionsRow).streams
+        except UnreadableBytesError as error:
+            self._unreadable.log_once(row.key, row.version, error.message)
+            return []
+
+    @property
+    def _split_life_ms(self) -> float:
+        return self._history.window_ms + SPLIT_LAG_MS
+
+    @property
+    def _is_responsive(self) -> bool:
+        return self._store.unanswered_ms < STORE_UNRESPONSIVE_MS
+
+    def _has_several(self, service: ServiceName) -> bool:
+        return len(self._history.origins({service})) > 1
+
     def _run(self) -> None:
         while True:
             pause_ms = CHECK_EVERY_MS if self.check_all() else RETRY_MS
@@ -107,12 +257,33 @@
         if not self._is_fleet_known():
             return True
         for service in {origin.service for origin in self._book.origins}:
-            if self._book.topology.registrars(service)[0] != self._context.instance_id:
-                self._rows.pop(service, None)
-            elif not self._check(service):
+            if self._book.topology.is_first_registrar(service):
+                is_answered = self._check(service)
+            elif self._has_several(service) or self._is_first_read_due(service):
+                is_answered = self._follow(service)
+            else:
+                continue
+            if not is_answered:
                 return False
         return True
 
+    def _is_first_read_due(self, service: ServiceName) -> bool:
+        """Return whether to read the row of a service that has one version.
+
+        It tells which version begins streams, should the store be away when a second one comes.
+        """
+        return service not in self._rows and self._context.random.random() < FIRST_READ_SHARE
+
+    def _follow(self, service: ServiceName) -> bool:
+        """Read the row that another instance writes, if that is due."""
+        known = self._rows.get(service)
+        if known is not None and self._context.now_ms() - known.read_ms < FOLLOW_EVERY_MS:
+            return True
+        row = self._read_row(service)
+        if row is not None:
+            self._rows[service] = row
+        return row is not None
+
     def _check(self, service: ServiceName) -> bool:
         """Write the row of a service if it has changed; return whether the store answered."""
         stored = self._rows.get(service)
@@ -126,24 +297,56 @@
             if not stored.is_readable:
                 return True
             versions |= stored.versions
-        if versions == stored.versions or len(versions) > VERSIONS_LIMIT:
+        splits = self._next_splits(service, stored)
+        if len(versions) > VERSIONS_LIMIT:
+            return True
+        if versions == stored.versions and splits == stored.splits:
             return True
-        return self._write(service, stored, versions)
+        return self._write(service, stored, versions, splits)
+
+    def _next_splits(self, service: ServiceName, stored: _StoredRow) -> tuple[VersionSplit, ...]:
+        """Return the splits by the servers that accept work now."""
+        weights = Counter(
+            str(state.listed.software_version)
+            for state in self._book.states()
+            if state.listed.service == service and not state.listed.is_leaving
+        )
+        if not weights or not all(weights):
+            return stored.splits
+        if len(weights) == 1:
+            weights = Counter(dict.fromkeys(weights, 1))
+        if stored.splits and stored.splits[-1].weights == weights:
+            return stored.splits
+        before = stored.splits
+        if not before and stored.row_version:
+            # The row was written by an instance of an earlier version.
+            before = (VersionSplit(),)
+        now_epoch_ms = self._context.epoch_ms()
+        return tuple(next_splits(before, weights, now_epoch_ms, self._split_life_ms))
 
     def _write(
-        self, service: ServiceName, stored: _StoredRow, versions: frozenset[SoftwareVersion]
+        self,
+        service: ServiceName,
+        stored: _StoredRow,
+        versions: frozenset[SoftwareVersion],
+        splits: tuple[VersionSplit, ...],
     ) -> bool:
         condition = RowCondition(VERSIONS_TABLE, service, stored.row_version)
-        value = msgspec.json.encode(VersionsRow(sorted(versions)))
+        value = msgspec.json.encode(VersionsRow(sorted(versions), list(splits)))
         put = RowPut(VERSIONS_TABLE, service, value)
         answer = self._table.transact(PartTransaction('', (condition,), (put,)))
         is_written = isinstance(answer, PartCommitted)
         log.info(
             'versions.stored',
-            extra={'service': service, 'versions': sorted(versions), 'written': is_written},
+            extra={
+                'service': service,
+                'versions': sorted(versions),
+                'split': dict(splits[-1].weights) if splits else {},
+                'written': is_written,
+            },
         )
         if isinstance(answer, PartCommitted):
-            self._rows[service] = _StoredRow(answer.version, versions)
+            self._rows[service] = _StoredRow(answer.version, versions, splits)
             return True
         self._rows.pop(service, None)
         return not isinstance(answer, PlatformFailure)
@@ -158,12 +361,19 @@
             return None
         row = next((each for each in listing.rows if each.key == service), None)
         if row is None or row.value is None:
-            return _StoredRow(0, frozenset())
+            return _StoredRow(0, frozenset(), read_ms=self._context.now_ms())
         try:
             decoded = decode_json(row.value, VersionsRow)
         except UnreadableBytesError as error:
             self._unreadable.log_once(row.key, row.version, error.message)
             return _StoredRow(row.version, frozenset(), is_readable=False)
         return _StoredRow(
-            row.version, frozenset(SoftwareVersion(each) for each in decoded.versions)
+            row.version,
+            frozenset(SoftwareVersion(each) for each in decoded.versions),
+            tuple(decoded.splits),
+            read_ms=self._context.now_ms(),
         )
+
+
+def _is_split_of(split: VersionSplit, listed: Collection[StreamOrigin]) -> bool:
+    return split.weights.keys() == {origin.version for origin in listed}
--- /dev/null
+++ b/tests/test_streams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package ``decisions.streams``."""
