Count each crash of an engine, and explain requests by their prompt part

Expired exceptions of instances that left are removed. explain takes the digest of a prompt part, and says when one stopped a request.

--- a/citrondyke/decisions/crashes/engine_crash_guard.py
+++ b/citrondyke/decisions/crashes/engine_crash_guard.py
@@ -28,8 +28,9 @@
 
 __all__ = ('EngineCrashGuard',)
 
-#: Interrupted requests within the same interval at one engine are put down to the same crash.
-CRASH_GRAIN_MS = 1_000.0
+#: Interrupted requests within the same interval at one engine are put down to the same crash; the
+#: connections of a crashed engine break within some ms.
+CRASH_GRAIN_MS = 100.0
 
 
 class EngineCrashGuard:
--- a/citrondyke/gateway/servers/poison_request_guard.py
+++ b/citrondyke/gateway/servers/poison_request_guard.py
@@ -295,7 +295,7 @@
                 'how': how,
                 'own_requests': len(broken),
                 'contents': [each.content.digest for each in broken[:NAMED_LIMIT]],
-                'prompt_parts': [
+                'part_digests': [
                     key.digest for key in {key: None for each in broken for key in each.parts}
                 ][:NAMED_LIMIT],
             },
--- a/citrondyke/gateway/streams/origin_exchange.py
+++ b/citrondyke/gateway/streams/origin_exchange.py
@@ -164,10 +164,11 @@
 
     def _is_covered(self, key: int, origin: StreamOrigin) -> bool:
         """Return whether the store tells the origin of a stream."""
+        stored = self.versions.exception(key)
+        if stored is not None:
+            return stored == origin
         assigned = self.versions.assigned_version(origin.service, key)
-        if assigned is Assignment.ANY:
-            return True
-        return assigned == origin.version or self.versions.is_exception(key, origin)
+        return assigned in (Assignment.ANY, origin.version)
 
     @staticmethod
     def _life_ms(forwarded: ForwardedRequest) -> float:
--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -26,6 +26,7 @@
     PartTransaction,
     RowCondition,
     RowPut,
+    RowRemoval,
 )
 from citrondyke.util.decoding import decode_json
 
@@ -61,6 +62,7 @@
 STORE_UNRESPONSIVE_MS = 300.0
 #: Streams of one instance that began at another version than the split's, about 100 bytes each.
 EXCEPTIONS_LIMIT = 300
+CLEANUP_EVERY_MS = 600_000.0
 
 
 class VersionsRow(msgspec.Struct, frozen=True):
@@ -136,6 +138,7 @@
     def start(self, tasks: Tasks) -> None:
         """Start writing the rows that this instance is responsible for."""
         tasks.supervise(self._run)
+        tasks.supervise(self._run_cleanup)
 
     def read(self, services: Iterable[ServiceName]) -> OriginView | None:
         """Read which origins streams can have; ``None`` if that is not stored or not readable."""
@@ -161,10 +164,10 @@
         version = row.splits[-1].version_of(key) if row is not None and row.splits else None
         return Assignment.UNKNOWN if version is None else version
 
-    def is_exception(self, key: int, origin: StreamOrigin) -> bool:
-        """Return whether a stream is stored as one that begins at an origin."""
+    def exception(self, key: int) -> StreamOrigin | None:
+        """Return where a stream of this instance begins, if not at the assigned version."""
         stream = self._exceptions.get(key)
-        return stream is not None and stream.origin == origin
+        return None if stream is None else stream.origin
 
     def save_exception(self, key: int, origin: StreamOrigin, life_ms: float) -> bool:
         """Store that a stream begins at another version than the assigned one.
@@ -252,6 +255,24 @@
             pause_ms = CHECK_EVERY_MS if self.check_all() else RETRY_MS
             gevent.sleep(self._context.jittered_ms(pause_ms) / 1e3)
 
+    def _run_cleanup(self) -> None:
+        while True:
+            gevent.sleep(self._context.jittered_ms(CLEANUP_EVERY_MS) / 1e3)
+            if self._book.topology.is_first_registrar(EXCEPTIONS_TABLE):
+                self.remove_expired()
+
+    def remove_expired(self) -> None:
+        """Remove the rows of exceptions that are over; instances that left would leave theirs."""
+        listing = self._table.read_all(EXCEPTIONS_TABLE, '')
+        if isinstance(listing, PlatformFailure):
+            return
+        for row in listing.rows:
+            streams = self._decode_exceptions(row)
+            if all(each.until_epoch_ms < self._context.epoch_ms() for each in streams):
+                condition = RowCondition(EXCEPTIONS_TABLE, row.key, row.version)
+                removal = RowRemoval(EXCEPTIONS_TABLE, row.key)
+                self._table.transact(PartTransaction('', (condition,), (), (removal,)))
+
     def check_all(self) -> bool:
         """Write the rows that have changed; return whether the store answered."""
         if not self._is_fleet_known():
--- a/citrondyke/operator/explanation.py
+++ b/citrondyke/operator/explanation.py
@@ -13,7 +13,7 @@
 
 #: State changes of an instance within this time of a request are shown with it.
 CONTEXT_S = 3.0
-ID_FIELDS = ('request_id', 'job_id', 'item_id', 'content')
+ID_FIELDS = ('request_id', 'job_id', 'item_id', 'content', 'prompt_part')
 CONTEXT_EVENTS = frozenset(
     (
         'config.taken',
@@ -59,7 +59,7 @@
         cause, missing = explain_job(course)
     elif any(event.get('item_id') == wanted for event in course):
         cause, missing = explain_item(course)
-    elif any(event.get('content') == wanted for event in course):
+    elif any(wanted in (event.get('content'), event.get('prompt_part')) for event in course):
         cause, missing = explain_content(course), []
     else:
         cause, missing = explain_request(course, logs.events)
--- a/citrondyke/operator/request_history.py
+++ b/citrondyke/operator/request_history.py
@@ -78,7 +78,7 @@
 
 
 def explain_content(history: list[LogEvent]) -> str:
-    """Describe the outcome of all attempts with the same request content."""
+    """Describe the outcome of all attempts with the same request content or prompt part."""
     exited = {event.get('server') for event in history if event.event == 'suspect.counted'}
     sends = {event.get('request_id') for event in history if event.event == 'send.failed'}
     counts = Counter(event.event for event in history)
@@ -162,9 +162,15 @@
 def _describe_stop(event: LogEvent | None) -> str:
     if event is None:
         return 'Servers had exited under requests of the same content.'
+    part = event.get('prompt_part')
+    shared = (
+        f'with the same prompt part, {part}'
+        if part
+        else f'of the same content, {event.get("content")}'
+    )
     return (
-        f'{event.get("servers_ended")} servers had exited under requests of the same content, '
-        f'{event.get("content")}, which is {event.get("standing")}: it was not sent again.'
+        f'{event.get("servers_ended")} servers had exited under requests {shared}, '
+        f'which is {event.get("standing")}: it was not sent again.'
     )
 
 
--- a/tests/test_entry/test_entry_poison_parts.py
+++ b/tests/test_entry/test_entry_poison_parts.py
@@ -12,8 +12,6 @@
 #: Crashes that may be needed to find the message, and sends of it after that.
 ENOUGH = 3
 MORE = 3
-#: Crashes after which no more than ``MORE`` sends may follow.
-KNOWN = 5
 
 
 def ask(caller: Caller, *messages: str) -> Answer:
@@ -52,17 +50,19 @@
     fleet: Fleet,
 ) -> None:
     # Items differ, but some share a message. With a limit of attempts for each item they would
-    # crash the engines 30 times.
-    lines = []
-    for number in range(200):
-        is_harmful = number % 20 == 10
-        shared = ['be short', 'stop [[crash]]'] if is_harmful else ['be short']
-        lines.append(chat_line(f'item-{number}', f'item {number}', before=shared))
+    # crash the engines 30 times in each job. Those of the first job may be under way at once.
     caller = fleet.caller()
-    job_id = fleet.submit(caller, b''.join(lines), '/v1/chat/completions')
-    outcomes = fleet.outcomes(caller, fleet.wait_final(caller, job_id))
-    failed = {name for name, line in outcomes.items() if line['error']}
-    assert failed == {f'item-{number}' for number in range(10, 200, 20)}
-    codes = {outcomes[name]['error']['code'] for name in failed}
-    assert codes <= {'request_blocked', 'attempts_exhausted'}
-    assert crashes(fleet) <= KNOWN + MORE
+    harmful = range(10, 200, 20)
+    for job, crashes_limit in (('first', len(harmful)), ('second', MORE)):
+        before = crashes(fleet)
+        lines = []
+        for number in range(200):
+            shared = ['be short', 'stop [[crash]]'] if number in harmful else ['be short']
+            lines.append(chat_line(f'item-{number}', f'{job} {number}', before=shared))
+        job_id = fleet.submit(caller, b''.join(lines), '/v1/chat/completions')
+        outcomes = fleet.outcomes(caller, fleet.wait_final(caller, job_id))
+        failed = {name for name, line in outcomes.items() if line['error']}
+        assert failed == {f'item-{number}' for number in harmful}
+        codes = {outcomes[name]['error']['code'] for name in failed}
+        assert codes <= {'request_blocked', 'attempts_exhausted'}
+        assert crashes(fleet) - before <= crashes_limit
--- a/tests/test_operator/test_operator_explain.py
+++ b/tests/test_operator/test_operator_explain.py
@@ -202,6 +202,24 @@
     )
 
 
+def test_prompt_part_joins_requests_that_differ(tmp_path: Path) -> None:
+    # No two requests have a content in common.
+    file = write(
+        tmp_path / 'edge-1.log',
+        event('suspect.counted', 1.1, prompt_part='p', server='0a', servers=1.0),
+        event('suspect.counted', 1.3, prompt_part='p', server='0b', servers=2.0),
+        event(
+            'request.stopped', 2.0, request_id='r3', content='c', prompt_part='p', servers_ended=3.0
+        ),
+        event('request.end', 2.0, request_id='r3', end='stopped'),
+    )
+    logs = read_log_events([file])
+    assert explain('p', logs).cause == (
+        '2 servers exited under it, in 0 attempts. 1 attempts were stopped.'
+    )
+    assert 'requests with the same prompt part, p' in explain('r3', logs).cause
+
+
 @pytest.mark.parametrize(
     ('fields', 'cause'),
     [
