Store exceptions of streams one write after the other

Read again: of two simultaneous writes of an instance's exceptions, the one without the other's stream could come last, and one whose write failed was remembered as stored.

--- a/citrondyke/gateway/servers/poison_request_guard.py
+++ b/citrondyke/gateway/servers/poison_request_guard.py
@@ -120,7 +120,7 @@
         is_due = self._suspects.status_of(key) is SuspectStatus.PROBE_DUE
         if not (key.is_part and is_due and self._store.is_unresponsive):
             return False
-        if self._book.topology.registrars(key.digest)[0] != self._context.instance_id:
+        if not self._book.topology.is_first_registrar(key.digest):
             return False
         self._suspects.merge(self._suspects.probe_row(key))
         self._store.save(key)
--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -8,6 +8,7 @@
 import gevent
 import logbook
 import msgspec
+from gevent.lock import BoundedSemaphore
 
 from citrondyke.decisions.streams.origin_records import StreamKey
 from citrondyke.decisions.streams.stream_origin import OriginView, StreamOrigin
@@ -106,7 +107,8 @@
     """Keeps one row for each service; one instance writes it, whenever a version comes or is over.
 
     After a start of all instances nobody remembers which versions served before. If the row and the
-    server list name only one, every stream was begun by it.
+    server list name only one, every stream was begun by it. Otherwise the row's splits tell which
+    version began a stream, unless it is stored as an exception.
     """
 
     def __init__(
@@ -126,6 +128,7 @@
         self._store = store
         self._exceptions: dict[int, _Exception] = {}
         self._are_exceptions_known = False
+        self._exceptions_lock = BoundedSemaphore()
         self._context = context
         self._table = table
         self._book = book
@@ -174,18 +177,12 @@
 
         :returns: whether it is stored; otherwise it must not begin there.
         """
-        now_epoch_ms = self._context.epoch_ms()
-        if not self._is_responsive or not self._read_own_exceptions():
+        if not self._is_responsive:
             return False
-        self._exceptions[key] = _Exception(
-            key, origin.service, origin.version, now_epoch_ms + life_ms
-        )
-        kept = [each for each in self._exceptions.values() if each.until_epoch_ms > now_epoch_ms]
-        self._exceptions = {each.key: each for each in kept[-EXCEPTIONS_LIMIT:]}
-        value = msgspec.json.encode(ExceptionsRow(list(self._exceptions.values())))
-        put = RowPut(EXCEPTIONS_TABLE, self._context.instance_id, value)
-        answer = self._table.transact(PartTransaction('', (), (put,)))
-        is_written = isinstance(answer, PartCommitted)
+        stream = _Exception(key, origin.service, origin.version, self._context.epoch_ms() + life_ms)
+        # Of two simultaneous writes the one without the other's stream could come last.
+        with self._exceptions_lock:
+            is_written = self._read_own_exceptions() and self._write_exceptions(stream)
         log.info(
             'stream.exception',
             extra={
@@ -197,6 +194,18 @@
         )
         return is_written
 
+    def _write_exceptions(self, stream: _Exception) -> bool:
+        now_epoch_ms = self._context.epoch_ms()
+        kept = [each for each in self._exceptions.values() if each.until_epoch_ms > now_epoch_ms]
+        streams = {each.key: each for each in [*kept, stream][-EXCEPTIONS_LIMIT:]}
+        value = msgspec.json.encode(ExceptionsRow(list(streams.values())))
+        put = RowPut(EXCEPTIONS_TABLE, self._context.instance_id, value)
+        answer = self._table.transact(PartTransaction('', (), (put,)))
+        if isinstance(answer, PartCommitted):
+            self._exceptions = streams
+            return True
+        return False
+
     def _read_own_exceptions(self) -> bool:
         """Read what an earlier incarnation of this instance stored; return whether it is known."""
         if self._are_exceptions_known:
