Stop a part that turns harmful, though it was answered before

The traces show each end not counted for 30 s, since the part was proven, and counted ends cleared by a peer that had answered it.

Only ends within 1.5 s of the first one are excused now, and only an answer within 1.5 s clears what another instance counts; an end after it without an answer counts with all before, which then are published. Servers that exit for one cause do so within a second, and as long as others live a popular part is answered within one.

--- a/citrondyke/decisions/crashes/proven_parts.py
+++ b/citrondyke/decisions/crashes/proven_parts.py
@@ -14,8 +14,8 @@
 
 __all__ = ('ProvenParts',)
 
-#: How long an answer proves the parts of its prompt. In a loss of all servers no part is answered
-#: for some seconds; a part that turns harmful with a release is blocked this much later.
+#: How long an answer proves the parts of its prompt: callers of a part that is in use come back
+#: sooner.
 PROVEN_MS = 30_000.0
 #: Parts kept, about 300 bytes each, and parts of one answer: a caller that invents parts would
 #: need hundreds of answers within the time between two answers with a popular part to push it out.
@@ -56,7 +56,7 @@
             oldest = self._by_part.pop(next(iter(self._by_part)))
             del self._by_digest[oldest.digest]
 
-    def is_proven(self, key: SuspectKey) -> bool:
+    def is_proven(self, key: SuspectKey, within_ms: float = PROVEN_MS) -> bool:
         """Return whether a request with a prompt part was answered lately."""
         known = self._by_digest.get(key.digest)
-        return known is not None and self._context.now_ms() - known.answered_ms <= PROVEN_MS
+        return known is not None and self._context.now_ms() - known.answered_ms <= within_ms
--- a/citrondyke/decisions/crashes/suspect.py
+++ b/citrondyke/decisions/crashes/suspect.py
@@ -41,7 +41,7 @@
     """Evidence against one key since its last success, and its probes.
 
     Merging is commutative and idempotent, so that reports, stored rows and rows from peers may
-    arrive in any order and more than once. The fields are those of ``SuspectRow``.
+    arrive in any order and more than once. The other fields are those of ``SuspectRow``.
     """
 
     key: SuspectKey
@@ -54,11 +54,22 @@
     tried_epoch_ms: float = 0.0
     score_at_trial: float = 0.0
     changed_epoch_ms: float = 0.0
+    #: Exits that this instance does not count, since the key was answered shortly before.
+    excused: set[int] = msgspec.field(default_factory=set)
+    #: When this instance learned of the first exit, by its monotonic clock.
+    first_ms: float | None = None
 
     @property
     def score(self) -> float:
         """Return the sum of the exit weights; each exit counts once."""
-        return sum(self.lives.values())
+        return sum(self.counted.values())
+
+    @property
+    def counted(self) -> dict[int, float]:
+        """Return the weights of the exits that are not excused."""
+        if not self.excused:
+            return self.lives
+        return {each: weight for each, weight in self.lives.items() if each not in self.excused}
 
     def count(self, server: int, weight: float, epoch_ms: float) -> bool:
         """Count a server's exit; return whether this changed the evidence."""
@@ -70,13 +81,19 @@
 
     def clear(self, epoch_ms: float) -> None:
         """Discard the evidence after a success."""
-        self.cleared = (self.cleared + list(self.lives))[-CLEARED_LIMIT:]
-        self.lives = {}
+        self.discard_excused()
         self.era += 1
         self.trials = self.refused = 0
         self.tried_epoch_ms = self.score_at_trial = 0.0
         self.changed_epoch_ms = max(self.changed_epoch_ms, epoch_ms)
 
+    def discard_excused(self) -> None:
+        """Discard evidence that nobody else knows, after a success."""
+        self.cleared = (self.cleared + list(self.lives))[-CLEARED_LIMIT:]
+        self.lives = {}
+        self.excused = set()
+        self.first_ms = None
+
     def merge(self, row: SuspectRow) -> bool:
         """Merge another instance's evidence; return whether anything changed."""
         before = self.row()
@@ -101,7 +118,7 @@
         return SuspectRow(
             digest=self.key.digest,
             target=self.key.target,
-            lives=dict(self.lives),
+            lives=dict(self.counted),
             cleared=list(self.cleared),
             era=self.era,
             trials=self.trials,
--- a/citrondyke/decisions/crashes/suspect_registry.py
+++ b/citrondyke/decisions/crashes/suspect_registry.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from citrondyke.decisions.crashes.proven_parts import ProvenParts
+from citrondyke.decisions.crashes.proven_parts import PROVEN_MS, ProvenParts
 from citrondyke.decisions.crashes.suspect import (
     BEGUN_WEIGHT,
     FRESH_WEIGHT,
@@ -29,6 +29,11 @@
 #: poison request on its first two servers would be blocked with it; each additional exit costs all
 #: requests on one more server their responses.
 EXITS_LIMIT = 3.0
+#: Exits within this time after the first one don't count against a prompt part that was answered
+#: before: servers that exit for one cause do so within a second, and as long as others live, a
+#: popular part is answered within one. An exit after it without an answer counts, and so do the
+#: earlier ones: the part has turned harmful.
+EXCUSED_MS = 1_500.0
 #: Probes sent beyond the limit, one at a time in the whole fleet. The first one clears an innocent
 #: request; a poison request stays blocked. Each additional probe would cost a server.
 PROBES_LIMIT = 3
@@ -94,8 +99,8 @@
     any instance, and requests that differ but share a prompt part that crashes servers: counted per
     attempt, each attempt would crash as many servers as its retry limit allows. A crash interrupts
     all requests on the server, so being in flight there is weak evidence: it counts once per
-    server, less if the response had been streaming for a while, not at all for a prompt part that
-    was answered lately, and one complete response at any instance clears all of it.
+    server, less if the response had been streaming for a while, at first not at all for a prompt
+    part that was answered lately, and one complete response at any instance clears all of it.
     """
 
     def __init__(self, context: Context) -> None:
@@ -111,7 +116,7 @@
 
     def suspects(self) -> list[SuspectKey]:
         """List the keys of the current suspects."""
-        return [suspect.key for suspect in self._by_digest.values() if suspect.lives]
+        return [suspect.key for suspect in self._by_digest.values() if suspect.score]
 
     def probes_count(self, key: SuspectKey) -> int:
         """Return how many probes of a suspect were claimed."""
@@ -145,17 +150,17 @@
             return []
         found: list[SuspectKey] = []
         if keys.prompt_parts and self.has_suspects_for(PART_TARGET):
-            found.extend(key for key in keys.parts if self.score(key))
-        if self.has_suspects_for(keys.target) and self.score(keys.content):
+            found.extend(keys.parts)
+        if self.has_suspects_for(keys.target):
             found.append(keys.content)
-        return found
+        return [key for key in found if self.score(key)]
 
     def verdict_on(self, keys: RequestKeys, *, is_item: bool = False) -> SuspectVerdict:
         """Return whether a request may be sent: the worst verdict on any of its keys.
 
         Among equal ones the most specific key decides: the content, or else the last part.
         """
-        found = [key for key in self.suspected_keys(keys) if not self.is_proven(key)]
+        found = self.suspected_keys(keys)
         if not found:
             return _FREE
         blocked_parts = [key for key in found if key.is_part and self.score(key) >= EXITS_LIMIT]
@@ -169,25 +174,47 @@
 
     def record_answered(self, keys: RequestKeys) -> None:
         """Record that a server answered a request, which proves the parts of its prompt."""
-        if keys.prompt_parts:
-            self._proven_parts.record_answer(keys)
-
-    def is_proven(self, key: SuspectKey) -> bool:
-        """Return whether a key is a prompt part that was answered lately."""
-        return key.is_part and self._proven_parts.is_proven(key)
+        if not keys.prompt_parts:
+            return
+        self._proven_parts.record_answer(keys)
+        if self.has_suspects_for(PART_TARGET):
+            for key in keys.parts:
+                suspect = self._by_digest.get(key.digest)
+                if suspect is not None and not suspect.score:
+                    suspect.discard_excused()
+
+    def is_answered_now(self, key: SuspectKey) -> bool:
+        """Return whether a key is a prompt part that was answered within ``EXCUSED_MS``."""
+        return key.is_part and self._proven_parts.is_proven(key, EXCUSED_MS)
+
+    def exits(self, key: SuspectKey) -> int:
+        """Return the number of exits that count against a key."""
+        suspect = self._by_digest.get(key.digest)
+        return 0 if suspect is None else len(suspect.counted)
 
-    def record_server_exit(self, key: SuspectKey, server: int, *, is_fresh: bool) -> bool:
+    def record_server_exit(
+        self, key: SuspectKey, server: int, *, is_fresh: bool, is_reported: bool = False
+    ) -> bool:
         """Count a server's exit against a key; return whether this changed the evidence.
 
-        It does not count against a prompt part that was answered lately.
-
         :param server: digest of the server's incarnation.
         :param is_fresh: whether the response had not started, or only a short time before.
+        :param is_reported: whether a peer counts it, so that only a recent answer excuses it.
         """
-        if self.is_proven(key):
-            return False
         weight = FRESH_WEIGHT if is_fresh else BEGUN_WEIGHT
-        return self._suspect(key).count(server, weight, self._context.epoch_ms())
+        suspect = self._suspect(key)
+        if not suspect.count(server, weight, self._context.epoch_ms()):
+            return False
+        now_ms = self._context.now_ms()
+        if suspect.first_ms is None:
+            suspect.first_ms = now_ms
+        within_ms = EXCUSED_MS if is_reported else PROVEN_MS
+        is_excused = key.is_part and now_ms - suspect.first_ms < EXCUSED_MS
+        if is_excused and self._proven_parts.is_proven(key, within_ms):
+            suspect.excused.add(server)
+            return False
+        suspect.excused.clear()
+        return True
 
     def record_survived(self, key: SuspectKey) -> bool:
         """Record a complete response; return whether the key was a suspect."""
@@ -210,7 +237,7 @@
 
     def _status_of(self, key: SuspectKey, first_pause_ms: float, *, is_item: bool) -> SuspectStatus:
         suspect = self._by_digest.get(key.digest)
-        if suspect is None or not suspect.lives:
+        if suspect is None or not suspect.score:
             return SuspectStatus.FREE
         if suspect.score < EXITS_LIMIT:
             return SuspectStatus.SUSPECTED
--- a/citrondyke/gateway/servers/poison_request_guard.py
+++ b/citrondyke/gateway/servers/poison_request_guard.py
@@ -14,7 +14,7 @@
     SuspectStatus,
     SuspectVerdict,
 )
-from citrondyke.decisions.crashes.suspect_update_queue import SuspectUpdateKind
+from citrondyke.decisions.crashes.suspect_update_queue import SuspectNews, SuspectUpdateKind
 from citrondyke.decisions.forwarding.server_registry import server_digest
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.peers.suspect_publisher import SuspectPublisher
@@ -230,17 +230,20 @@
             elif each.kind is SuspectUpdateKind.SURVIVED:
                 if self._suspects.record_survived(each.key):
                     self._log_cleared(each.key, 'peer')
-            elif self._suspects.is_proven(each.key):
-                self.publisher.notify_proven(each.key, sender)
             else:
-                is_fresh = each.kind is SuspectUpdateKind.FRESH
-                was_known = self.publisher.is_published_to_all(each.key)
-                if self._suspects.record_server_exit(each.key, news.server, is_fresh=is_fresh):
-                    self._log_counted(each.key, news.server, 'peer', is_fresh=is_fresh)
-                    self._publish_suspect(each.key, was_known=was_known)
+                self._count_reported(sender, each, news.server)
         if news.server:
             self._record_server_exit(news.server, 'peer')
 
+    def _count_reported(self, sender: InstanceId, each: SuspectNews, server: int) -> None:
+        if self._suspects.is_answered_now(each.key):
+            self.publisher.notify_proven(each.key, sender)
+        is_fresh = each.kind is SuspectUpdateKind.FRESH
+        was_known = self.publisher.is_published_to_all(each.key)
+        if self._suspects.record_server_exit(each.key, server, is_fresh=is_fresh, is_reported=True):
+            self._log_counted(each.key, server, 'peer', is_fresh=is_fresh)
+            self._publish_suspect(each.key, was_known=was_known)
+
     def _check_exit(self, server: int, state: ServerState) -> None:
         try:
             is_settled = False
@@ -272,11 +275,18 @@
 
     def _count_exit(self, server: int, key: SuspectKey, *, is_fresh: bool) -> None:
         was_known = self.publisher.is_published_to_all(key)
+        exits_before = self._suspects.exits(key)
         if not self._suspects.record_server_exit(key, server, is_fresh=is_fresh):
             return
         self._log_counted(key, server, 'own', is_fresh=is_fresh)
         self.publisher.notify_end(server, key, is_fresh=is_fresh)
+        self._publish_unexcused(key, exits_before)
         self._publish_suspect(key, was_known=was_known)
+
+    def _publish_unexcused(self, key: SuspectKey, exits_before: int) -> None:
+        """Publish earlier exits that are no longer excused, so that no peer knows them."""
+        if self._suspects.exits(key) > exits_before + 1:
+            self.publisher.notify_all_ends(key)
         self._store.save(key)
 
     def _publish_suspect(self, key: SuspectKey, *, was_known: bool) -> None:
--- a/tests/test_crashes/test_crashes_parts.py
+++ b/tests/test_crashes/test_crashes_parts.py
@@ -130,18 +130,21 @@
 
 
 @pytest.mark.parametrize('seed', range(20))
-@pytest.mark.parametrize('is_known', [True, False])
-def test_harmful_part_is_blocked_and_the_others_are_not(seed: int, *, is_known: bool) -> None:
+@pytest.mark.parametrize('answered', [(SHARED,), (), (SHARED, HARMFUL)])
+def test_harmful_part_is_blocked_and_the_others_are_not(
+    seed: int, answered: tuple[PromptPart, ...]
+) -> None:
     # Five servers take twenty sound requests a second, each for 0.9 s, and one harmful request
-    # every 0.3 s. A crashed server is back after 3 s. Without answers before, the shared part may
-    # be blocked with the harmful one until its probe.
+    # every 0.3 s. A crashed server is back after 3 s. Without answers before, or if the harmful
+    # part was answered as well, the shared one may be blocked with it until its probe.
     rng = random.Random(seed)
     setup = PartsSetup()
-    if is_known:
-        setup.answer(setup.request(SHARED))
+    if answered:
+        setup.answer(setup.request(*answered))
     running: dict[int, list[tuple[float, RequestKeys]]] = {server: [] for server in range(5)}
     down_until_ms = dict.fromkeys(running, 0.0)
-    crashes = refused_sound = late_sound = 0
+    crashes_ms: list[float] = []
+    refused_sound_ms: list[float] = []
     for turn in range(300):
         setup.clock.ms += 50.0
         now_ms = setup.clock.ms
@@ -156,15 +159,16 @@
         if setup.may_send(SHARED):
             running[server].append((now_ms + 900.0, setup.request(SHARED)))
         else:
-            refused_sound += 1
-            late_sound += turn > 160
+            refused_sound_ms.append(now_ms)
         if turn % 6 == 0 and setup.may_send(SHARED, HARMFUL):
-            crashes += 1
+            crashes_ms.append(now_ms)
             lost = [keys for _, keys in running[server]]
-            setup.crash(1_000 + crashes, setup.request(SHARED, HARMFUL), *lost)
+            setup.crash(1_000 + len(crashes_ms), setup.request(SHARED, HARMFUL), *lost)
             running[server] = []
             down_until_ms[server] = now_ms + 3_000.0
-    assert crashes <= 5
-    assert late_sound == 0
-    if is_known:
-        assert refused_sound == 0
+    known_ms = crashes_ms[:5][-1]
+    assert len([each for each in crashes_ms if each > known_ms + 3_000.0]) <= 3
+    assert not [each for each in refused_sound_ms if each > known_ms + 6_000.0]
+    if answered == (SHARED,):
+        assert len(crashes_ms) <= 5
+        assert not refused_sound_ms
--- a/tests/test_gateway/test_servers/test_servers_crash_fleet.py
+++ b/tests/test_gateway/test_servers/test_servers_crash_fleet.py
@@ -10,7 +10,11 @@
 from citrondyke.decisions.crashes.suspect_key import (
     RequestKeys,
 )
-from citrondyke.decisions.crashes.suspect_registry import SuspectRegistry, SuspectStatus
+from citrondyke.decisions.crashes.suspect_registry import (
+    EXCUSED_MS,
+    SuspectRegistry,
+    SuspectStatus,
+)
 from citrondyke.decisions.forwarding.server_registry import ServerRegistry
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.metrics import Metrics
@@ -161,10 +165,29 @@
     # An instance has just started, and three servers crash by chance under its requests.
     fleet = LargeFleet(60)
     newcomer, *others = fleet.members.values()
-    for number, member in enumerate(others):
-        member.guard.record_survived(with_part(number, PART))
     for server in range(3):
-        newcomer.see_end(server, with_part(100 + server, PART))
+        for number, member in enumerate(others):
+            member.guard.record_survived(with_part(100 * server + number, PART))
+        newcomer.see_end(server, with_part(1_000 + server, PART))
         fleet.deliver()
     for member in fleet.members.values():
-        assert member.guard.verdict_on(with_part(200, PART)).status is SuspectStatus.FREE
+        assert member.guard.verdict_on(with_part(2_000, PART)).status is SuspectStatus.FREE
+
+
+@pytest.mark.parametrize('instances_count', [10, 60])
+def test_part_that_turns_harmful_is_stopped_everywhere(instances_count: int) -> None:
+    # It was answered everywhere, so that the first exits are excused and published to nobody.
+    fleet = LargeFleet(instances_count)
+    for number, member in enumerate(fleet.members.values()):
+        member.guard.record_survived(with_part(number, PART))
+    first, second = fleet.some(2)
+    first.see_end(0, with_part(1_000, PART))
+    second.see_end(1, with_part(1_001, PART))
+    assert first.guard.verdict_on(with_part(1_002, PART)).status is SuspectStatus.FREE
+    fleet.clock.ms += EXCUSED_MS + 1.0
+    first.see_end(2, with_part(1_003, PART))
+    fleet.deliver()
+    second.see_end(3, with_part(1_004, PART))
+    fleet.deliver()
+    for member in fleet.members.values():
+        assert member.guard.verdict_on(with_part(2_000, PART)).is_blocked
