--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # be started. They need nothing else; the instances come from the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q common [0-9]
+python3 -m compileall -q common seen [0-9]
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -18,6 +18,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
@@ -353,7 +354,8 @@
         self.server_id, self.service = server_id, service
         self.record = record
         self.runs: list[Run] = []
-        self.channels = 0
+        #: Whether comment blocks stand in its streams.
+        self.sends_comments = False
         self._answer = answer
         self._seq = 0
         self._is_listed = False
@@ -408,7 +410,6 @@
         store.put('servers', self.server_id, entry | ({} if born is None else {'born': born}))
 
     def _serve(self, sock: socket.socket) -> None:
-        self.channels += 1
         wire = Wire(sock)
         while (request := wire.read_request()) is not None:
             expected = request.headers.get('expect-instance', self.server_id)
@@ -639,11 +640,9 @@
 
 
 @contextmanager
-def _bench(case: Path) -> Iterator[Bench]:
+def _bench(record: Path) -> Iterator[Bench]:
     folder = Path(tempfile.mkdtemp(prefix='review-'))
-    bench = Bench(
-        Record(case / 'record.txt'), Store(), folder, os.environ.get('TROUBLE', '1') != '0'
-    )
+    bench = Bench(Record(record), Store(), folder, os.environ.get('TROUBLE', '1') != '0')
     try:
         yield bench
     finally:
@@ -655,22 +654,28 @@
         shutil.rmtree(folder, ignore_errors=True)
 
 
-def run_case(case: Path, play: Callable[[Bench], list[str]]) -> None:
+def run_case(case: Path, play: Callable[[Bench], list[str]], record: str = 'record.txt') -> None:
     """Play a case and exit: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 
     :param play: returns what broke the rule.
+    :param record: name of the file of what was sent, answered and run.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        with _bench(case) as bench:
+        with _bench(case / record) as bench:
             bench.record.note('with the disruption' if bench.is_troubled else 'without it')
             broken = play(bench)
             for line in broken:
                 bench.record.note(f'BROKEN {line}')
                 print(f'broken: {line}')
             bench.record.note('the rule was broken' if broken else 'the rule held')
-    except (CannotRunError, OSError) as error:
+    except CannotRunError as error:
         print(f'the case could not run: {error}', file=sys.stderr)
         os._exit(2)
+    except BaseException:
+        # Whatever else went wrong says nothing about the rule either.
+        traceback.print_exc()
+        os._exit(2)
     print('the rule was broken' if broken else 'the rule held')
     sys.stdout.flush()
     os._exit(1 if broken else 0)
