--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import socket
 import sys
 import threading
@@ -175,4 +176,6 @@
 
 
 if __name__ == '__main__':
-    run_case(CASE, play)
+    # TROUBLE=0 plays the same without the disruption.
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    run_case(CASE, play, is_troubled=is_troubled)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -34,6 +34,15 @@
 OK, CONFLICT, NOT_FOUND = 200, 412, 404
 
 
+def _exit_as_not_run(*error: Any) -> None:
+    """Exit with 2 on an error of a script itself: the usual 1 would tell of a broken rule."""
+    traceback.print_exception(*error)
+    os._exit(2)
+
+
+sys.excepthook = _exit_as_not_run
+
+
 class CannotRunError(Exception):
     """The case could not be set up; it says nothing about the rule."""
 
@@ -640,9 +649,9 @@
 
 
 @contextmanager
-def _bench(record: Path) -> Iterator[Bench]:
+def _bench(record: Path, *, is_troubled: bool) -> Iterator[Bench]:
     folder = Path(tempfile.mkdtemp(prefix='review-'))
-    bench = Bench(Record(record), Store(), folder, os.environ.get('TROUBLE', '1') != '0')
+    bench = Bench(Record(record), Store(), folder, is_troubled)
     try:
         yield bench
     finally:
@@ -654,15 +663,22 @@
         shutil.rmtree(folder, ignore_errors=True)
 
 
-def run_case(case: Path, play: Callable[[Bench], list[str]], record: str = 'record.txt') -> None:
+def run_case(
+    case: Path,
+    play: Callable[[Bench], list[str]],
+    *,
+    is_troubled: bool,
+    record: str = 'record.txt',
+) -> None:
     """Play a case and exit: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 
     :param play: returns what broke the rule.
+    :param is_troubled: whether to bring the disruption about.
     :param record: name of the file of what was sent, answered and run.
     """
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        with _bench(case / record) as bench:
+        with _bench(case / record, is_troubled=is_troubled) as bench:
             bench.record.note('with the disruption' if bench.is_troubled else 'without it')
             broken = play(bench)
             for line in broken:
--- a/review/seen/comment_block.py
+++ b/review/seen/comment_block.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import socket
 import sys
 import time
@@ -66,4 +67,6 @@
 
 
 if __name__ == '__main__':
-    run_case(HERE, play, 'comment_block.txt')
+    # TROUBLE=0 plays the same without the disruption.
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    run_case(HERE, play, is_troubled=is_troubled, record='comment_block.txt')
--- a/review/seen/header_space.py
+++ b/review/seen/header_space.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import sys
 from pathlib import Path
@@ -42,4 +43,6 @@
 
 
 if __name__ == '__main__':
-    run_case(HERE, play, 'header_space.txt')
+    # TROUBLE=0 plays the same without the disruption.
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    run_case(HERE, play, is_troubled=is_troubled, record='header_space.txt')
--- a/review/seen/late_refusal.py
+++ b/review/seen/late_refusal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import sys
 import threading
@@ -155,4 +156,6 @@
 
 
 if __name__ == '__main__':
-    run_case(HERE, play, 'late_refusal.txt')
+    # TROUBLE=0 plays the same without the disruption.
+    is_troubled = os.environ.get('TROUBLE', '1') != '0'
+    run_case(HERE, play, is_troubled=is_troubled, record='late_refusal.txt')
