Use servers again that refuse a request for other weights

All later requests got 503, and accepted items never ran.

Cause: a 421 has two reasons, another server at the address, or weights that the request doesn't expect. Both set is_misplaced, which nothing took back. Evidence: 15 answers of 421 with the server's own Instance-Id, then no send by anybody. Ruled out: ejection (4 s at most, refusals don't count), the list.

Change: the dialect compares the id that is stated with the expected one; without an id a 421 marks a server only if the request expected no weights. The mark ends after 2 s and with the server's own answer; server.misplaced is logged.

--- a/citrondyke/decisions/forwarding/server_registry.py
+++ b/citrondyke/decisions/forwarding/server_registry.py
@@ -181,11 +181,12 @@
         excluded: Collection[ServerIncarnation],
         origin: StreamOrigin | None,
     ) -> list[ServerState]:
+        now_ms = self._context.now_ms()
         return [
             state
             for state in self._by_service.get(service, ())
             if not state.listed.is_leaving
-            and not state.is_misplaced
+            and not state.is_misplaced(now_ms)
             and state.incarnation not in excluded
             and (origin is None or state.listed.may_continue(origin))
         ]
--- a/citrondyke/decisions/forwarding/server_state.py
+++ b/citrondyke/decisions/forwarding/server_state.py
@@ -31,6 +31,9 @@
 FAILURES_LIMIT = 2
 EJECT_MS = 800.0
 MAX_EJECT_MS = 4_000.0
+#: How long a server gets no requests once another one has answered at its address. The entry of a
+#: server that has ended is removed within some seconds; until then a try costs one round trip.
+MISPLACED_MS = 2_000.0
 #: Part of a server's capacity that batch items keep if their jobs would otherwise miss their due
 #: time. Without it, 85% of the items were overdue on a service with two of its five servers left.
 PROTECTED_BATCH_SHARE = 0.25
@@ -80,8 +83,7 @@
         self.ejected_until_ms = 0.0
         self._failure_share = 0.0
         self._failure_share_ms = 0.0
-        #: It reported that another server has its address now.
-        self.is_misplaced = False
+        self._misplaced_until_ms = NEVER_MS
         #: Mean latency of its answers, or of its first events for streams; 0 before the first.
         self.mean_ms = 0.0
         self.health_record = ServerHealthRecord(since_ms)
@@ -142,8 +144,17 @@
         """Return whether it is ejected, by this instance's outcomes or by the fleet's."""
         return self.ejected_until_ms > now_ms or self.health_record.health is ServerHealth.EJECTED
 
+    def record_misplaced(self, now_ms: float) -> None:
+        """Record that another server has answered at its address."""
+        self._misplaced_until_ms = now_ms + MISPLACED_MS
+
+    def is_misplaced(self, now_ms: float) -> bool:
+        """Return whether another server has answered at its address lately."""
+        return now_ms < self._misplaced_until_ms
+
     def record_answered(self, now_ms: float) -> None:
         """Record that it has started a good answer."""
+        self._misplaced_until_ms = NEVER_MS
         self.health_record.record(Outcome.SUCCEEDED, now_ms)
 
     def failure_share(self, now_ms: float) -> float:
--- a/citrondyke/gateway/dialect.py
+++ b/citrondyke/gateway/dialect.py
@@ -107,8 +107,11 @@
         """
 
     @abstractmethod
-    def reply_metadata(self, head: ReplyHead) -> ReplyMetadata:
-        """Read the metadata of a server's response."""
+    def reply_metadata(self, head: ReplyHead, sent: Headers) -> ReplyMetadata:
+        """Read the metadata of a server's response.
+
+        :param sent: headers of the request as the server got them.
+        """
 
     @abstractmethod
     def response_headers(self, head: ReplyHead) -> Headers:
--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -52,6 +52,8 @@
         self._writer: gevent.Greenlet | None = None
         self._reusable_until_ms = 0.0
         self._closes_after_answer = False
+        #: Headers of the last request.
+        self.sent_headers: Headers = []
         #: When bytes were last received, or when the request was sent.
         self.last_activity_ms = clock.now_ms()
 
@@ -62,6 +64,7 @@
         """
         self.last_activity_ms = self._clock.now_ms()
         self._reply = ReplyReader(is_bodiless=method == b'HEAD')
+        self.sent_headers = headers
         data = write_head(b'%b %b HTTP/1.1' % (method, target), headers) + body
         if len(data) <= DIRECT_BODY_BYTES:
             self._write(data)
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from citrondyke.decisions.forwarding.failover_timeouts import CONNECT_TIMEOUT_MS
+from citrondyke.decisions.forwarding.server_state import MISPLACED_MS
 from citrondyke.decisions.servers.outcomes import Outcome
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.servers.connection_pool import ConnectionPool
@@ -158,11 +159,11 @@
         :raises BrokenReplyError: if no response arrives, or one to another request.
         """
         head = connection.read_head(until_ms)
-        metadata = self._dialect.reply_metadata(head)
+        metadata = self._dialect.reply_metadata(head, connection.sent_headers)
         now_ms = self._clock.now_ms()
         self._record_load(state, metadata, now_ms)
         if metadata.is_misplaced:
-            state.is_misplaced = True
+            self._record_misplaced(state, request_id, head, now_ms)
         if metadata.was_not_run:
             return OpenReply(connection, head, metadata)
         if metadata.request_id != request_id:
@@ -172,6 +173,21 @@
         self._record_status(state, head.status, now_ms)
         return OpenReply(connection, head, metadata)
 
+    @staticmethod
+    def _record_misplaced(
+        state: ServerState, request_id: RequestId, head: ReplyHead, now_ms: float
+    ) -> None:
+        state.record_misplaced(now_ms)
+        log.info(
+            'server.misplaced',
+            extra={
+                'request_id': request_id,
+                'server_id': state.listed.id,
+                'status': head.status,
+                'again_in_ms': MISPLACED_MS,
+            },
+        )
+
     def _record_status(self, state: ServerState, status: int, now_ms: float) -> None:
         if status < SERVER_FAILURE:
             state.record_answered(now_ms)
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -50,6 +50,10 @@
 KEY_HEADER = b'x-api-key'
 #: Tells the server which account the request's key belongs to.
 ACCOUNT_HEADER = b'tenant'
+#: A server answers ``MISDIRECTED_REQUEST`` also if its weights have another version than this one.
+EXPECT_WEIGHTS_HEADER = b'expect-version'
+#: Id of the server that answers.
+SERVER_HEADER = b'instance-id'
 MISDIRECTED_REQUEST = 421
 #: Headers that apply to a single connection, and those that this instance sets itself.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -138,7 +142,7 @@
             result.append((ACCOUNT_HEADER, account_id.encode()))
         return result
 
-    def reply_metadata(self, head: ReplyHead) -> ReplyMetadata:
+    def reply_metadata(self, head: ReplyHead, sent: Headers) -> ReplyMetadata:
         """Read the metadata of a reply from its headers and status."""
         return ReplyMetadata(
             request_id=(head.header(ATTEMPT_HEADER) or b'').decode('latin-1'),
@@ -146,7 +150,7 @@
             and head.header(b'content-encoding') is None,
             was_not_run=head.header(NOT_RUN_HEADER) is not None
             or head.status == MISDIRECTED_REQUEST,
-            is_misplaced=head.status == MISDIRECTED_REQUEST,
+            is_misplaced=head.status == MISDIRECTED_REQUEST and _is_other_server(head, sent),
             load=_parse_load(head.header(LOAD_HEADER)),
             pace=_parse_slowdown(head.header(LOAD_HEADER)),
         )
@@ -232,6 +236,18 @@
         return _prompt_parts(_shared_prefix(prefix))
 
 
+def _is_other_server(head: ReplyHead, sent: Headers) -> bool:
+    """Return whether a misdirected request reached another server than the expected one.
+
+    A server that does not state its id may only lack the weights that the caller expects.
+    """
+    names = dict(sent)
+    stated = head.header(SERVER_HEADER)
+    if stated is not None:
+        return stated != names.get(EXPECT_SERVER_HEADER)
+    return EXPECT_WEIGHTS_HEADER not in names
+
+
 def _shared_prefix(prefix: str) -> str:
     """Leave out the last entry, which belongs to one request or session only."""
     return prefix.rpartition(',')[0]
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -17,11 +17,13 @@
 from citrondyke.platform.dialect import (
     ATTEMPT_HEADER,
     EXPECT_SERVER_HEADER,
+    EXPECT_WEIGHTS_HEADER,
     LAST_EVENT_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
     PREFIX_HEADER,
     SEAL_HEADER,
+    SERVER_HEADER,
 )
 
 if TYPE_CHECKING:
@@ -118,6 +120,10 @@
         self.server_id = server_id
         self.events_count = events_count
         self.answer_modes: deque[AnswerMode] = deque()
+        #: Version of its weights; requests that expect another one are not run.
+        self.weights_version = b'1'
+        #: Whether responses to misdirected requests state the id of the server.
+        self.states_id = True
         self.runs: list[ServerRun] = []
         self.refused_count = 0
         self.event_gap_ms = 1.0
@@ -187,10 +193,10 @@
         headers = {bytes(name): bytes(value) for name, value in request.headers}
         answer_mode = self.answer_modes.popleft() if self.answer_modes else AnswerMode.SERVE
         unsigned = [(ATTEMPT_HEADER, headers.get(ATTEMPT_HEADER, b'')), (LOAD_HEADER, b'1,0,8')]
-        if headers.get(EXPECT_SERVER_HEADER, self.server_id.encode()) != self.server_id.encode():
-            return self._send_complete(
-                http, sock, 421, b'', [*unsigned, (b'instance-id', b'other')]
-            )
+        if self._is_misdirected(headers):
+            self.refused_count += 1
+            own_id = [(SERVER_HEADER, self.server_id.encode())] if self.states_id else []
+            return self._send_complete(http, sock, 421, b'', [*unsigned, *own_id])
         if answer_mode is AnswerMode.REFUSE:
             self.refused_count += 1
             return self._send_complete(http, sock, 503, b'', [*unsigned, (NOT_RUN_HEADER, b'1')])
@@ -236,6 +242,13 @@
             sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra')
         return keeps_connection
 
+    def _is_misdirected(self, headers: dict[bytes, bytes]) -> bool:
+        server_id = self.server_id.encode()
+        return (
+            headers.get(EXPECT_SERVER_HEADER, server_id) != server_id
+            or headers.get(EXPECT_WEIGHTS_HEADER, self.weights_version) != self.weights_version
+        )
+
     def _has_crash_part(self, run: ServerRun) -> bool:
         return not self.crash_parts.isdisjoint(run.shared_parts)
 
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -4,8 +4,9 @@
 
 import base64
 import os
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
+from types import MappingProxyType
 from typing import Any
 
 import gevent
@@ -237,13 +238,21 @@
         with socket.create_connection((address.ip, address.port), timeout=LONGEST_S) as sock:
             yield sock
 
-    def submit(self, job_id: str, count: int = 3, *, at: int = 0, **headers: str) -> Reply:
+    def submit(
+        self,
+        job_id: str,
+        count: int = 3,
+        *,
+        at: int = 0,
+        item_headers: Mapping[str, str] = MappingProxyType({}),
+        **headers: str,
+    ) -> Reply:
         """Hand a job in."""
         items = [
             {
                 'id': f'{job_id}-{n}',
                 'path': '/batch-stream/x',
-                'headers': {'Model': 'm'},
+                'headers': {'Model': 'm', **item_headers},
                 'body': base64.b64encode(b'item %d' % n).decode(),
                 'tokens': 10,
             }
--- a/tests/test_forwarding/test_forwarding_incarnations.py
+++ b/tests/test_forwarding/test_forwarding_incarnations.py
@@ -47,7 +47,7 @@
         state.record_total(5, 0, self.clock.ms)
         state.record_reported_load(8, 4, self.clock.ms)
         state.record_unreachable(self.clock.ms)
-        state.is_misplaced = True
+        state.record_misplaced(self.clock.ms)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_forwarding/test_forwarding_topology.py
+++ b/tests/test_forwarding/test_forwarding_topology.py
@@ -189,7 +189,8 @@
     # miss their target.
     node = Fleet().node('zone-a-0')
     for state in list(node.registry.states()):
-        state.is_misplaced = state.listed.zone == node.context.zone and state.listed.id != 's0'
+        if state.listed.zone == node.context.zone and state.listed.id != 's0':
+            state.record_misplaced(node.context.now_ms())
         state.record_latency(50.0 if state.listed.id != 's0' else 400.0)
     node.state('s0').own.online = 3
     chosen = node.registry.choose_server(SERVICE, (), '')
--- a/tests/test_platform/test_platform_decoding.py
+++ b/tests/test_platform/test_platform_decoding.py
@@ -17,7 +17,7 @@
 from citrondyke.decisions.forwarding.route_table import NoRoute
 from citrondyke.errors import InvalidFieldError, SettingsInvalidError
 from citrondyke.gateway.callers.caller_request import CallerRequest
-from citrondyke.gateway.dialect import JobCallKind, JobPage
+from citrondyke.gateway.dialect import JobCallKind, JobPage, ReplyMetadata
 from citrondyke.gateway.servers.reply_reader import ReplyHead
 from citrondyke.ids import ServerId, TenantId
 from citrondyke.platform.dialect import PlatformDialect
@@ -168,7 +168,10 @@
 
 
 def test_reply_metadata_is_read_from_headers_and_status() -> None:
-    metadata = PlatformDialect().reply_metadata
+
+    def metadata(head: ReplyHead) -> ReplyMetadata:
+        return PlatformDialect().reply_metadata(head, [])
+
     seal = (b'response-seal', b'x')
     assert metadata(ReplyHead(200, [seal])).is_signed
     assert not metadata(ReplyHead(200, [seal, (b'content-encoding', b'gzip')])).is_signed
@@ -220,7 +223,7 @@
     dialect = PlatformDialect()
     pairs = [(name.lower(), value), (b'deadline-ms', value), (b'last-event-id', value)]
     dialect.request_metadata(CallerRequest(b'GET', b'/', pairs, b'', 0.0))
-    dialect.reply_metadata(ReplyHead(200, [(b'instance-load', value), (b'attempt-id', value)]))
+    dialect.reply_metadata(ReplyHead(200, [(b'instance-load', value), (b'attempt-id', value)]), [])
 
 
 def test_check_settings_accepts_both_kinds_of_files(tmp_path: Path) -> None:
--- a/tests/test_servers/test_servers_slowdown.py
+++ b/tests/test_servers/test_servers_slowdown.py
@@ -16,7 +16,7 @@
 
 
 def pace_of(value: bytes) -> float | None:
-    return PlatformDialect().reply_metadata(ReplyHead(200, [(b'instance-load', value)])).pace
+    return PlatformDialect().reply_metadata(ReplyHead(200, [(b'instance-load', value)]), []).pace
 
 
 @pytest.mark.parametrize(
@@ -33,7 +33,7 @@
     # A server reports nonsense about its machine; if it counted, the server would attract all
     # requests or none.
     value = b'3,1,8,' + figure
-    metadata = PlatformDialect().reply_metadata(ReplyHead(200, [(b'instance-load', value)]))
+    metadata = PlatformDialect().reply_metadata(ReplyHead(200, [(b'instance-load', value)]), [])
     assert metadata.load == (3, 1)
     assert metadata.pace is not None
     pace = ReportedSlowdown()
@@ -43,7 +43,7 @@
 
 def test_implausible_count_does_not_keep_all_requests_away() -> None:
     metadata = PlatformDialect().reply_metadata(
-        ReplyHead(200, [(b'instance-load', b'1' * 6_000 + b',0')])
+        ReplyHead(200, [(b'instance-load', b'1' * 6_000 + b',0')]), []
     )
     assert metadata.load is not None
     state = ServerState(listed_server('s-0', 's'), ServerIncarnation('s-0'))
