Read streams in linear time, within limits, and let others run

Cause: the splitter of events kept all bytes and searched all of them again for each piece, and the greenlet that reads a socket with input never waits, so that gevent runs no other. Evidence: the health check, which needs only the event loop, had no answer either from 2 s to 7 s after the first byte. Ruled out: the machine, memory, a lock.

--- a/citrondyke/gateway/callers/event_stream.py
+++ b/citrondyke/gateway/callers/event_stream.py
@@ -2,12 +2,24 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 
 __all__ = ('EventSplitter', 'StreamEvent')
 
+EVENT_END = re.compile(rb'\r\n\r\n|\n\n')
+#: Length of the longest end of an event.
+EVENT_END_BYTES = 4
+#: Limit on one event; the texts of some tokens take a hundredth of it.
+EVENT_LIMIT_BYTES = 262_144
+#: Limit on blocks in a row that are no part of the stream, such as comments that keep it open.
+IDLE_LIMIT_BYTES = 65_536
+#: Limit on a whole stream, the same as on a response that is relayed whole.
+STREAM_LIMIT_BYTES = 4 * 1024 * 1024
+
 
 class StreamEvent(msgspec.Struct, frozen=True):
     """One whole server-sent event."""
@@ -17,6 +29,13 @@
     id: int | None
     #: Its data lines, joined by line feeds.
     data: bytes
+    #: Whether it has data lines; a block of comments has none.
+    has_data: bool = True
+
+    @property
+    def is_progress(self) -> bool:
+        """Whether it is a further part of the stream, after which the stream can be resumed."""
+        return self.has_data and self.id is not None
 
 
 class EventSplitter:
@@ -31,25 +50,34 @@
 
         :param last_id: id of the event before the first one; ``None`` accepts any first id.
         """
-        self._unparsed = b''
+        self._unparsed = bytearray()
+        #: Length of ``_unparsed`` in which no event ends.
+        self._searched_bytes = 0
+        self._received_bytes = 0
+        self._idle_bytes = 0
         self._has_events = False
         self.last_id = last_id
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that are whole now.
 
-        :raises BrokenReplyError: if an event is missing or duplicated.
+        :raises BrokenReplyError: if an event is missing, duplicated or too large, or if the stream
+            goes on without events or without an end.
         """
+        self._received_bytes += len(data)
+        _check_size('stream', self._received_bytes, STREAM_LIMIT_BYTES)
         self._unparsed += data
         found: list[StreamEvent] = []
-        while True:
-            end, width = _end_of_event(self._unparsed)
-            if end < 0:
-                return found
-            raw = self._unparsed[: end + width]
-            self._unparsed = self._unparsed[end + width :]
-            self._has_events = True
-            found.append(self._check_order(_parse(raw)))
+        start = 0
+        search_from = max(0, self._searched_bytes - EVENT_END_BYTES + 1)
+        while (end := EVENT_END.search(self._unparsed, search_from)) is not None:
+            raw = bytes(self._unparsed[start : end.end()])
+            start = search_from = end.end()
+            found.append(self._check(_parse(raw)))
+        del self._unparsed[:start]
+        self._searched_bytes = len(self._unparsed)
+        _check_size('event', self._searched_bytes, EVENT_LIMIT_BYTES)
+        return found
 
     @property
     def is_between_events(self) -> bool:
@@ -68,7 +96,11 @@
         if not is_framed and not self._has_events:
             raise BrokenReplyError(ReplyFailureKind.CUT, 'closed before the first event')
 
-    def _check_order(self, event: StreamEvent) -> StreamEvent:
+    def _check(self, event: StreamEvent) -> StreamEvent:
+        _check_size('event', len(event.raw), EVENT_LIMIT_BYTES)
+        self._has_events = True
+        self._idle_bytes = 0 if event.is_progress else self._idle_bytes + len(event.raw)
+        _check_size('blocks without an event', self._idle_bytes, IDLE_LIMIT_BYTES)
         if event.id is not None:
             if self.last_id is not None and event.id != self.last_id + 1:
                 raise BrokenReplyError(
@@ -78,17 +110,14 @@
         return event
 
 
-def _end_of_event(data: bytes) -> tuple[int, int]:
-    plain = data.find(b'\n\n')
-    windows = data.find(b'\r\n\r\n')
-    if windows >= 0 and (plain < 0 or windows < plain):
-        return windows, 4
-    return plain, 2
+def _check_size(what: str, size_bytes: int, limit_bytes: int) -> None:
+    if size_bytes > limit_bytes:
+        raise BrokenReplyError(ReplyFailureKind.MALFORMED, f'{what}: over {limit_bytes} bytes')
 
 
 def _parse(raw: bytes) -> StreamEvent:
     event_id = None
-    data = []
+    data: list[bytes] = []
     for line in raw.splitlines():
         name, _, value = line.partition(b':')
         value = value.removeprefix(b' ')
@@ -96,4 +125,4 @@
             event_id = int(value)
         elif name == b'data':
             data.append(value)
-    return StreamEvent(raw, event_id, b'\n'.join(data))
+    return StreamEvent(raw, event_id, b'\n'.join(data), has_data=bool(data))
--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -12,6 +12,7 @@
 from citrondyke.gateway.http_head import write_head
 from citrondyke.gateway.servers.reply_reader import ReplyReader
 from citrondyke.gateway.sockets import connect
+from citrondyke.util.time_slice import TimeSlice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,6 +53,7 @@
         self._writer: gevent.Greenlet | None = None
         self._reusable_until_ms = 0.0
         self._closes_after_answer = False
+        self._slice = TimeSlice(clock)
         #: Headers of the last request.
         self.sent_headers: Headers = []
         #: When bytes were last received, or when the request was sent.
@@ -65,6 +67,7 @@
         self.last_activity_ms = self._clock.now_ms()
         self._reply = ReplyReader(is_bodiless=method == b'HEAD')
         self.sent_headers = headers
+        self._slice.start()
         data = write_head(b'%b %b HTTP/1.1' % (method, target), headers) + body
         if len(data) <= DIRECT_BODY_BYTES:
             self._write(data)
@@ -161,6 +164,8 @@
         self._sock.close()
 
     def _receive(self, until_ms: float) -> None:
+        self._slice.pause_if_over()
+        asked_ms = self._clock.now_ms()
         try:
             data = self._receive_until(until_ms)
         except (TimeoutError, BlockingIOError) as error:
@@ -168,6 +173,7 @@
         except OSError as error:
             raise BrokenReplyError(ReplyFailureKind.CUT, type(error).__name__) from error
         self.last_activity_ms = self._clock.now_ms()
+        self._slice.record_read(asked_ms, self.last_activity_ms)
         if data:
             self._reply.feed(data)
         else:
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -25,6 +25,7 @@
     SEAL_HEADER,
     SERVER_HEADER,
 )
+from citrondyke.standin.endless_reply import EndlessPart, endless_reply
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -76,6 +77,8 @@
     CUT_IN_EVENT = 'cut_in_event'
     #: Stop sending after some events of a stream, with the connection open.
     STALL = 'stall'
+    #: Send the part of ``endless_part`` without end.
+    ENDLESS = 'endless'
     #: Pause a stream after some events until ``resume_streams`` is set.
     HOLD = 'hold'
 
@@ -120,6 +123,11 @@
         self.server_id = server_id
         self.events_count = events_count
         self.answer_modes: deque[AnswerMode] = deque()
+        self.endless_part = EndlessPart.EVENT
+        #: Pause between two pieces of an endless response.
+        self.endless_gap_ms = 1.0
+        #: Bytes of endless responses that were sent.
+        self.endless_bytes = 0
         #: Version of its weights; requests that expect another one are not run.
         self.weights_version = b'1'
         #: Whether responses to misdirected requests state the id of the server.
@@ -219,8 +227,8 @@
         if answer_mode is AnswerMode.CUT or body in self.reset_bodies:
             reset(sock)
             return False
-        if answer_mode is AnswerMode.SILENT:
-            return self._wait_for_close(sock, run)
+        if answer_mode in (AnswerMode.SILENT, AnswerMode.ENDLESS):
+            return self._never_end(sock, run, signed)
         if answer_mode in FAILURES:
             return self._send_complete(http, sock, *FAILURES[answer_mode], signed)
         if answer_mode is AnswerMode.WRONG_ID:
@@ -300,6 +308,21 @@
         sock.sendall(data + (http.send(h11.EndOfMessage()) or b''))
         return True
 
+    def _never_end(
+        self, sock: socket.socket, run: ServerRun, headers: list[tuple[bytes, bytes]]
+    ) -> bool:
+        if run.answer_mode is AnswerMode.SILENT:
+            return self._wait_for_close(sock, run)
+        for piece in endless_reply(self.endless_part, headers):
+            try:
+                sock.sendall(piece)
+            except OSError:
+                run.is_aborted = True
+                raise
+            self.endless_bytes += len(piece)
+            gevent.sleep(self.endless_gap_ms / 1e3)
+        return False
+
     def _unframed_events(self, run: ServerRun, answer_mode: AnswerMode) -> list[bytes]:
         if answer_mode is AnswerMode.UNFRAMED_EMPTY:
             return []
