Send an item again on a connection that has not carried it

Cause: a faulty server repeats its answer where the next one is expected; both runs of an item have the same id, and the repeat follows on the same kept connection. Evidence: the second failure comes within a ms, and the server has not answered that run. Ruled out: two owners, a failure counted twice by one.

Change: a connection remembers requests that may be sent again (rejected or failed on it) and is passed over for them; it is closed after 64.

--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -218,6 +218,7 @@
             with self._sends.counted(state):
                 connection = self._sends.connect(
                     state,
+                    forwarded.metadata.request_id,
                     only_new=not forwarded.route.may_repeat,
                     until_ms=forwarded.until_ms,
                 )
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -72,7 +72,8 @@
         :raises BrokenReplyError: if the connection or the reply is interrupted.
         """
         until_ms = self._context.now_ms() + INITIAL_EVENT_MS
-        connection = self._sends.connect(state, only_new=False, until_ms=until_ms)
+        request_id = RequestId(progress.item.id)
+        connection = self._sends.connect(state, request_id, only_new=False, until_ms=until_ms)
         try:
             return self._exchange(connection, progress, head, state, on_answered)
         finally:
--- a/citrondyke/gateway/servers/connection_pool.py
+++ b/citrondyke/gateway/servers/connection_pool.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from citrondyke.gateway.servers.server_connection import ServerConnection
     from citrondyke.util.clock import Clock
 
@@ -15,6 +17,11 @@
 Key = TypeVar('Key', bound=Hashable)
 
 
+def _is_any(_: ServerConnection) -> bool:
+    """Return true; the default of ``may_use``."""
+    return True
+
+
 class ConnectionPool(Generic[Key]):
     """Keeps a few idle connections to each target; the most recently used one is reused first."""
 
@@ -27,12 +34,17 @@
         self._idle_limit = idle_limit
         self._idle: dict[Key, list[ServerConnection]] = {}
 
-    def acquire(self, target: Key) -> ServerConnection | None:
-        """Take an idle connection that can still be used; ``None`` if there is none."""
-        idle = self._idle.get(target)
+    def acquire(
+        self, target: Key, may_use: Callable[[ServerConnection], bool] = _is_any
+    ) -> ServerConnection | None:
+        """Take an idle connection that can still be used; ``None`` if there is none.
+
+        :param may_use: tells connections that suit the request; others stay idle.
+        """
+        idle = self._idle.get(target, [])
         now_ms = self._clock.now_ms()
-        while idle:
-            connection = idle.pop()
+        for connection in [each for each in reversed(idle) if may_use(each)]:
+            idle.remove(connection)
             if connection.is_fresh(now_ms):
                 return connection
             connection.close()
--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -21,11 +21,14 @@
 
     from citrondyke.gateway.http_head import Headers
     from citrondyke.gateway.servers.reply_reader import ReplyHead
+    from citrondyke.ids import RequestId
     from citrondyke.util.clock import Clock
 
 __all__ = ('ServerConnection', 'open_connection')
 
 READ_BYTES = 65_536
+#: Requests on one connection that may be sent again; it is closed after this many.
+UNFINISHED_LIMIT = 64
 #: Bodies up to this size are written before the response is read. Larger ones are written in the
 #: background, since a server may respond before it has read the whole body.
 DIRECT_BODY_BYTES = 16_384
@@ -56,6 +59,7 @@
         self._slice = TimeSlice(clock)
         #: Headers of the last request.
         self.sent_headers: Headers = []
+        self._unfinished: set[RequestId] = set()
         #: When bytes were last received, or when the request was sent.
         self.last_activity_ms = clock.now_ms()
 
@@ -138,6 +142,20 @@
             return False
         return self._writer is None or self._writer.successful()
 
+    def record_unfinished(self, request_id: RequestId) -> None:
+        """Record a response after which its request may be sent again."""
+        self._unfinished.add(request_id)
+        if len(self._unfinished) >= UNFINISHED_LIMIT:
+            self._closes_after_answer = True
+
+    def may_carry(self, request_id: RequestId) -> bool:
+        """Whether a response with this id can only be the one to its next send.
+
+        A faulty server may repeat an earlier response where the next one is expected, and all sends
+        of a request have the same id.
+        """
+        return request_id not in self._unfinished
+
     def is_fresh(self, now_ms: float) -> bool:
         """Whether an idle connection is still usable: open, without input, and not timed out."""
         if now_ms >= self._reusable_until_ms:
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -33,6 +33,7 @@
 #: Statuses from this one on are failures of the server.
 SERVER_FAILURE = 500
 GATEWAY_TIMEOUT = 504
+FIRST_ERROR = 400
 
 
 class OpenReply(msgspec.Struct, frozen=True):
@@ -94,14 +95,20 @@
             state.own.online += change
         self._on_change(state)
 
-    def connect(self, state: ServerState, *, only_new: bool, until_ms: float) -> ServerConnection:
+    def connect(
+        self, state: ServerState, request_id: RequestId, *, only_new: bool, until_ms: float
+    ) -> ServerConnection:
         """Reuse an idle connection or open one.
 
         :param only_new: don't reuse one: an idle connection may be stale, and a request that must
             not run twice cannot be sent again after it is cut.
         :raises BrokenReplyError: of kind ``NO_CONNECTION``; nothing was sent.
         """
-        connection = None if only_new else self._idle.acquire(state.incarnation)
+        connection = None
+        if not only_new:
+            connection = self._idle.acquire(
+                state.incarnation, lambda each: each.may_carry(request_id)
+            )
         if connection is None:
             left_ms = min(CONNECT_TIMEOUT_MS, until_ms - self._clock.now_ms())
             listed = state.listed
@@ -164,6 +171,8 @@
         self._record_load(state, metadata, now_ms)
         if metadata.is_misplaced:
             self._record_misplaced(state, request_id, head, now_ms)
+        if metadata.was_not_run or head.status >= FIRST_ERROR:
+            connection.record_unfinished(request_id)
         if metadata.was_not_run:
             return OpenReply(connection, head, metadata)
         if metadata.request_id != request_id:
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -35,6 +35,7 @@
 __all__ = ('AnswerMode', 'PlatformServer', 'ServerRun', 'event_text')
 
 READ_BYTES = 65_536
+FIRST_ERROR = 400
 
 
 def event_text(number: int, software_version: str = '') -> str:
@@ -123,6 +124,10 @@
         self.server_id = server_id
         self.events_count = events_count
         self.answer_modes: deque[AnswerMode] = deque()
+        #: Whether a copy of each rejection or failure precedes the next answer on its connection.
+        self.sends_late_copies = False
+        self.late_copies_count = 0
+        self._late_copies: dict[socket.socket, bytes] = {}
         self.endless_part = EndlessPart.EVENT
         #: Pause between two pieces of an endless response.
         self.endless_gap_ms = 1.0
@@ -174,6 +179,7 @@
             return
         finally:
             self._open.discard(sock)
+            self._late_copies.pop(sock, None)
             sock.close()
 
     def _one_request(self, http: h11.Connection, sock: socket.socket) -> bool:
@@ -198,6 +204,7 @@
     def _answer(
         self, http: h11.Connection, sock: socket.socket, request: h11.Request, body: bytes
     ) -> bool:
+        self._send_late_copy(sock)
         headers = {bytes(name): bytes(value) for name, value in request.headers}
         answer_mode = self.answer_modes.popleft() if self.answer_modes else AnswerMode.SERVE
         unsigned = [(ATTEMPT_HEADER, headers.get(ATTEMPT_HEADER, b'')), (LOAD_HEADER, b'1,0,8')]
@@ -306,8 +313,16 @@
         if body:
             data += http.send(h11.Data(data=body)) or b''
         sock.sendall(data + (http.send(h11.EndOfMessage()) or b''))
+        if status >= FIRST_ERROR and self.sends_late_copies:
+            self._late_copies[sock] = data
         return True
 
+    def _send_late_copy(self, sock: socket.socket) -> None:
+        copy = self._late_copies.pop(sock, b'')
+        if copy:
+            self.late_copies_count += 1
+            sock.sendall(copy)
+
     def _never_end(
         self, sock: socket.socket, run: ServerRun, headers: list[tuple[bytes, bytes]]
     ) -> bool:
--- /dev/null
+++ b/tests/test_gateway/test_servers/test_servers_late_copies.py
@@ -0,0 +1,52 @@
+"""Tests that a late copy of an answer is not taken for the answer to a later send."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from citrondyke.standin.platform_server import AnswerMode, PlatformServer
+from tests.support.gateway import GatewayFleet, route
+
+ATTEMPTS = 2
+
+
+@pytest.fixture
+def one_server() -> Iterator[tuple[GatewayFleet, PlatformServer]]:
+    """An instance and one server, so that each repeat comes to it."""
+    fleet = GatewayFleet()
+    try:
+        fleet.configure(
+            routes=[
+                route('stream', 'streaming', 'lm', resumable=True),
+                route(
+                    'batch-stream',
+                    'batch',
+                    'lm',
+                    completion_slo_ms=18_000,
+                    max_wait_s=40,
+                    max_attempts=ATTEMPTS,
+                ),
+            ]
+        )
+        server = fleet.add_server('lm-1', 'lm')
+        server.sends_late_copies = True
+        fleet.start_instance()
+        fleet.wait_ready()
+        yield fleet, server
+    finally:
+        fleet.end()
+
+
+@pytest.mark.parametrize('mode', [AnswerMode.FAIL, AnswerMode.REFUSE])
+def test_late_copy_of_an_items_answer_does_not_count_for_its_next_run(
+    one_server: tuple[GatewayFleet, PlatformServer], mode: AnswerMode
+) -> None:
+    # The item fails or is rejected once, and the copy arrives where its second answer is expected.
+    fleet, server = one_server
+    server.answer_modes.append(mode)
+    assert fleet.submit('job', 1).status == 202
+    (result,) = fleet.wait_done('job')
+    assert result['state'] == 'completed'
+    assert [run.is_aborted for run in server.runs if run.answer_mode is AnswerMode.SERVE] == [False]
--- a/tests/test_gateway/test_servers/test_servers_late_loop.py
+++ b/tests/test_gateway/test_servers/test_servers_late_loop.py
@@ -17,7 +17,7 @@
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.servers.server_connection import ServerConnection, open_connection
 from citrondyke.gateway.servers.server_sends import ServerSends
-from citrondyke.ids import ServerIncarnation
+from citrondyke.ids import RequestId, ServerIncarnation
 from citrondyke.util.clock import SystemClock
 from tests.support.peers import listed_server
 
@@ -104,7 +104,9 @@
         sends = ServerSends(CLOCK, NO_DIALECT, lambda _: None, lambda _: None)
         for within_ms, is_ejected in ((20.0, False), (5_000.0, True)):
             with pytest.raises(BrokenReplyError):
-                sends.connect(state, only_new=True, until_ms=CLOCK.now_ms() + within_ms)
+                sends.connect(
+                    state, RequestId('r'), only_new=True, until_ms=CLOCK.now_ms() + within_ms
+                )
             assert state.is_ejected(CLOCK.now_ms()) == is_ejected
         for each in waiting:
             each.close()
