Skip late copies of answers to earlier requests

Cause: a rejection was accepted, and its load and mark recorded, before its id was compared; the connection went back to the pool. The other connection's id in the record shows whose answer it was.

Change: whether a response belongs to the last request of its connection is decided first, in one place. A response to an earlier request there is skipped by its id and the next one read; anything else ends the connection. Tried and not kept: closing the connection at each copy; it ends a sound run.

--- a/citrondyke/gateway/dialect.py
+++ b/citrondyke/gateway/dialect.py
@@ -113,6 +113,10 @@
         :param sent: headers of the request as the server got them.
         """
 
+    @abstractmethod
+    def response_id(self, head: ReplyHead) -> str:
+        """Read the id of the request that a response belongs to; empty if it states none."""
+
     @abstractmethod
     def response_headers(self, head: ReplyHead) -> Headers:
         """Make the headers of a response to a caller from a server's response."""
--- a/citrondyke/gateway/servers/reply_reader.py
+++ b/citrondyke/gateway/servers/reply_reader.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import httptools
 import msgspec
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.http_head import Header
 
-__all__ = ('ReplyHead', 'ReplyReader')
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ('ReplyHead', 'ReplyReader', 'accept_any')
 
 #: Limit on the size of a response's head.
 HEAD_LIMIT_BYTES = 65_536
@@ -31,6 +36,11 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
+def accept_any(_: ReplyHead) -> bool:
+    """Return that a response is no late copy; the default of ``is_late_copy``."""
+    return False
+
+
 class ReplyReader:
     """Incremental parser of a response: its head, its body, and whether it is complete.
 
@@ -39,10 +49,13 @@
     each), and a large fleet relays thousands of events per second.
     """
 
-    def __init__(self, *, is_bodiless: bool) -> None:
+    def __init__(
+        self, *, is_bodiless: bool, is_late_copy: Callable[[ReplyHead], bool] = accept_any
+    ) -> None:
         """Start before the first byte.
 
         :param is_bodiless: whether the response has no body because the request was a HEAD.
+        :param is_late_copy: tells responses to earlier requests, which are skipped.
         """
         self._parser = httptools.HttpResponseParser(self)
         self._is_bodiless = is_bodiless
@@ -53,6 +66,9 @@
         #: Whether bytes arrived after the response.
         self._has_extra = False
         self._may_keep = False
+        self._is_late_copy = is_late_copy
+        self._is_skipping = False
+        self.skipped_count = 0
         self.head: ReplyHead | None = None
         self.is_whole = False
 
@@ -101,7 +117,8 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the next response on the connection belongs to the next request."""
-        return self.is_whole and self._may_keep and not self._has_extra
+        is_clean = not self._has_extra and not self.skipped_count
+        return self.is_whole and self._may_keep and is_clean
 
     def on_message_begin(self) -> None:
         """Handle the begin of a response."""
@@ -121,7 +138,12 @@
             if status == SWITCHING:
                 raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'unexpected protocol switch')
             return
-        self.head = ReplyHead(status, self._headers)
+        head = ReplyHead(status, self._headers)
+        if self._is_late_copy(head):
+            self._is_skipping = True
+            self.skipped_count += 1
+            return
+        self.head = head
         coding = (self.head.header(b'transfer-encoding') or b'').lower()
         if coding not in (b'', b'chunked'):
             raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'unsupported Transfer-Encoding')
@@ -135,10 +157,11 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
-        if not self.is_whole:
+        if not self.is_whole and not self._is_skipping:
             self._pieces.append(data)
 
     def on_message_complete(self) -> None:
         """Handle the end of a response; the end of an interim response is ignored."""
+        self._is_skipping = False
         if self.head is not None:
             self.is_whole = True
--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from contextlib import suppress
 from socket import SHUT_RDWR
 from typing import TYPE_CHECKING
@@ -10,7 +11,7 @@
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.http_head import write_head
-from citrondyke.gateway.servers.reply_reader import ReplyReader
+from citrondyke.gateway.servers.reply_reader import ReplyReader, accept_any
 from citrondyke.gateway.sockets import connect
 from citrondyke.util.time_slice import TimeSlice
 
@@ -29,6 +30,8 @@
 READ_BYTES = 65_536
 #: Requests on one connection that may be sent again; it is closed after this many.
 UNFINISHED_LIMIT = 64
+#: Earlier requests whose responses may come late.
+CARRIED_LIMIT = 16
 #: Bodies up to this size are written before the response is read. Larger ones are written in the
 #: background, since a server may respond before it has read the whole body.
 DIRECT_BODY_BYTES = 16_384
@@ -59,7 +62,10 @@
         self._slice = TimeSlice(clock)
         #: Headers of the last request.
         self.sent_headers: Headers = []
+        #: Requests that were sent on it, the latest ones.
+        self._carried: deque[RequestId] = deque(maxlen=CARRIED_LIMIT)
         self._unfinished: set[RequestId] = set()
+        self._is_late_copy: Callable[[ReplyHead], bool] = accept_any
         #: When bytes were last received, or when the request was sent.
         self.last_activity_ms = clock.now_ms()
 
@@ -69,7 +75,7 @@
         :raises BrokenReplyError: of kind ``CUT``; the server may have received it.
         """
         self.last_activity_ms = self._clock.now_ms()
-        self._reply = ReplyReader(is_bodiless=method == b'HEAD')
+        self._reply = ReplyReader(is_bodiless=method == b'HEAD', is_late_copy=self._is_late_copy)
         self.sent_headers = headers
         self._slice.start()
         data = write_head(b'%b %b HTTP/1.1' % (method, target), headers) + body
@@ -142,11 +148,34 @@
             return False
         return self._writer is None or self._writer.successful()
 
+    def assign(self, request_id: RequestId, id_of: Callable[[ReplyHead], str]) -> None:
+        """Use the connection for a request; responses to earlier ones on it are skipped.
+
+        :param id_of: returns the id that a response states.
+        """
+        earlier = frozenset(self._carried) - {request_id}
+        self._carried.append(request_id)
+        self._is_late_copy = lambda head: id_of(head) in earlier
+
+    @property
+    def is_first_exchange(self) -> bool:
+        """Whether only one request was assigned to the connection."""
+        return len(self._carried) == 1
+
+    @property
+    def late_copies_count(self) -> int:
+        """Count the responses to earlier requests that came before the one to the last."""
+        return self._reply.skipped_count
+
+    def close_after_exchange(self) -> None:
+        """Keep the connection from being reused."""
+        self._closes_after_answer = True
+
     def record_unfinished(self, request_id: RequestId) -> None:
         """Record a response after which its request may be sent again."""
         self._unfinished.add(request_id)
         if len(self._unfinished) >= UNFINISHED_LIMIT:
-            self._closes_after_answer = True
+            self.close_after_exchange()
 
     def may_carry(self, request_id: RequestId) -> bool:
         """Whether a response with this id can only be the one to its next send.
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -122,6 +122,7 @@
                 if not is_expired:
                     state.record_unreachable(self._clock.now_ms())
                 raise
+        connection.assign(request_id, self._dialect.response_id)
         self._in_use.setdefault(state.incarnation, set()).add(connection)
         return connection
 
@@ -160,13 +161,23 @@
     ) -> OpenReply:
         """Read the head of the response to a request.
 
-        A response without the request's id or without the server's signature is not accepted as
-        the response to this request: a late second response would otherwise reach the wrong caller.
+        Nothing that a response says is used before it is known to be the response to this request:
+        a faulty server may send an earlier one again. Such a copy is skipped.
 
         :raises BrokenReplyError: if no response arrives, or one to another request.
         """
         head = connection.read_head(until_ms)
         metadata = self._dialect.reply_metadata(head, connection.sent_headers)
+        if connection.late_copies_count:
+            log.info(
+                'server.late_copy',
+                extra={
+                    'request_id': request_id,
+                    'server_id': state.listed.id,
+                    'copies': connection.late_copies_count,
+                },
+            )
+        _check_is_response_to(request_id, metadata, connection)
         now_ms = self._clock.now_ms()
         self._record_load(state, metadata, now_ms)
         if metadata.is_misplaced:
@@ -175,10 +186,6 @@
             connection.record_unfinished(request_id)
         if metadata.was_not_run:
             return OpenReply(connection, head, metadata)
-        if metadata.request_id != request_id:
-            raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'response to another request')
-        if not metadata.is_signed:
-            raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'response without a signature')
         self._record_status(state, head.status, now_ms)
         return OpenReply(connection, head, metadata)
 
@@ -216,3 +223,22 @@
             log.info(
                 'server.odd_load', extra={'server_id': state.listed.id, 'pace': str(metadata.pace)}
             )
+
+
+def _check_is_response_to(
+    request_id: RequestId, metadata: ReplyMetadata, connection: ServerConnection
+) -> None:
+    """Check that a response belongs to the last request on its connection.
+
+    :raises BrokenReplyError: if it does not; the connection is not reused.
+    """
+    # The first response on a connection has no earlier one that it could be a copy of.
+    is_unnamed_rejection = (
+        metadata.was_not_run and not metadata.request_id and connection.is_first_exchange
+    )
+    if metadata.request_id != request_id and not is_unnamed_rejection:
+        connection.close_after_exchange()
+        raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'response to another request')
+    if not (metadata.is_signed or metadata.was_not_run):
+        connection.close_after_exchange()
+        raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'response without a signature')
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -145,7 +145,7 @@
     def reply_metadata(self, head: ReplyHead, sent: Headers) -> ReplyMetadata:
         """Read the metadata of a reply from its headers and status."""
         return ReplyMetadata(
-            request_id=(head.header(ATTEMPT_HEADER) or b'').decode('latin-1'),
+            request_id=self.response_id(head),
             is_signed=head.header(SEAL_HEADER) is not None
             and head.header(b'content-encoding') is None,
             was_not_run=head.header(NOT_RUN_HEADER) is not None
@@ -155,6 +155,10 @@
             pace=_parse_slowdown(head.header(LOAD_HEADER)),
         )
 
+    def response_id(self, head: ReplyHead) -> str:
+        """Read the id of the request that a response belongs to; empty if it states none."""
+        return (head.header(ATTEMPT_HEADER) or b'').decode('latin-1')
+
     def response_headers(self, head: ReplyHead) -> Headers:
         """Derive the headers of a response to a caller from those of the server."""
         return _end_to_end_headers(head.headers)
--- a/tests/test_gateway/test_servers/test_servers_late_copies.py
+++ b/tests/test_gateway/test_servers/test_servers_late_copies.py
@@ -50,3 +50,17 @@
     (result,) = fleet.wait_done('job')
     assert result['state'] == 'completed'
     assert [run.is_aborted for run in server.runs if run.answer_mode is AnswerMode.SERVE] == [False]
+
+
+def test_late_copy_of_a_rejection_is_not_the_answer_to_another_request(
+    one_server: tuple[GatewayFleet, PlatformServer],
+) -> None:
+    # The copy would say "not run" of a request that runs; it is skipped, and the answer comes.
+    fleet, server = one_server
+    server.answer_modes.append(AnswerMode.REFUSE)
+    assert fleet.call('/stream/a', request_id='rejected').status == 503
+    for request_id in ('second', 'third'):
+        reply = fleet.call('/stream/a', request_id=request_id)
+        assert (reply.status, reply.is_whole) == (200, True)
+    assert server.late_copies_count == 1
+    assert [run.request_id for run in server.runs] == ['second', 'third']
--- a/tests/test_gateway/test_servers/test_servers_reply_reader.py
+++ b/tests/test_gateway/test_servers/test_servers_reply_reader.py
@@ -11,7 +11,7 @@
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.errors.invalid_header import InvalidHeaderError
 from citrondyke.gateway.http_head import write_head
-from citrondyke.gateway.servers.reply_reader import ReplyReader
+from citrondyke.gateway.servers.reply_reader import ReplyHead, ReplyReader
 
 LENGTH = b'HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nhello'
 CHUNKS = (
@@ -21,8 +21,12 @@
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
+def is_late_copy(head: ReplyHead) -> bool:
+    return head.header(b'a') == b'late'
+
+
 def read(data: bytes, cuts: list[int] = [], *, is_bodiless: bool = False) -> ReplyReader:  # noqa: B006
-    reader = ReplyReader(is_bodiless=is_bodiless)
+    reader = ReplyReader(is_bodiless=is_bodiless, is_late_copy=is_late_copy)
     places = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts)})
     for start, end in itertools.pairwise(places):
         reader.feed(data[start:end])
@@ -110,3 +114,25 @@
 def test_malformed_header_is_not_written(header: tuple[bytes, bytes]) -> None:
     with pytest.raises(InvalidHeaderError):
         write_head(b'GET / HTTP/1.1', [header])
+
+
+@given(
+    st.sampled_from([LENGTH, CHUNKS]),
+    st.sampled_from([LENGTH, CHUNKS]),
+    st.lists(st.integers(0, 400), max_size=6),
+)
+def test_late_copy_is_skipped_and_the_connection_not_reused(
+    late: bytes, data: bytes, cuts: list[int]
+) -> None:
+    # A faulty server sends an earlier response where this one is expected.
+    reader = read(late.replace(b'A: b', b'A: late') + data, cuts)
+    assert reader.head is not None
+    assert reader.head.header(b'a') == b'b'
+    assert reader.take_body() == b'hello'
+    assert (reader.is_whole, reader.skipped_count) == (True, 1)
+    assert not reader.is_reusable
+
+
+def test_late_copies_without_end_are_an_error() -> None:
+    with pytest.raises(BrokenReplyError):
+        read(LENGTH.replace(b'A: b', b'A: late') * 2_000, list(range(0, 100_000, 1_000)))
