Strip the space after header values, and leave trailers out

Cause: httptools keeps the space, h11 refuses to write it, and nobody catches its error. All bytes at six places of a header, folded lines and all statuses were tried between the two parsers: no other difference.

Found beside it: trailers were collected as headers of the head, without a limit, and could supply its id and signature if they came in one piece.

The tests failed before: 5, test_space_after_a_header_value_is_no_part_of_it (3), test_any_head_that_is_received_can_be_sent_on, test_trailers_are_no_part_of_the_head.

--- a/citrondyke/gateway/servers/reply_reader.py
+++ b/citrondyke/gateway/servers/reply_reader.py
@@ -126,8 +126,10 @@
         self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self._headers.append((name.lower(), value))
+        """Collect a header; trailers are left out, since they are no part of the head."""
+        if self.head is None:
+            # Optional whitespace around a value is no part of it.
+            self._headers.append((name.lower(), value.strip(b' \t')))
 
     def on_headers_complete(self) -> None:
         """Handle the end of the head."""
--- a/tests/test_gateway/test_servers/test_servers_reply_reader.py
+++ b/tests/test_gateway/test_servers/test_servers_reply_reader.py
@@ -4,6 +4,7 @@
 
 import itertools
 
+import h11
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
@@ -12,6 +13,7 @@
 from citrondyke.errors.invalid_header import InvalidHeaderError
 from citrondyke.gateway.http_head import write_head
 from citrondyke.gateway.servers.reply_reader import ReplyHead, ReplyReader
+from citrondyke.platform.dialect import PlatformDialect
 
 LENGTH = b'HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nhello'
 CHUNKS = (
@@ -136,3 +138,36 @@
 def test_late_copies_without_end_are_an_error() -> None:
     with pytest.raises(BrokenReplyError):
         read(LENGTH.replace(b'A: b', b'A: late') * 2_000, list(range(0, 100_000, 1_000)))
+
+
+@pytest.mark.parametrize('space', [b' ', b'\t', b' \t '])
+def test_space_after_a_header_value_is_no_part_of_it(space: bytes) -> None:
+    # Such a value can be received but not sent on, so that the caller got no answer.
+    head = read(LENGTH.replace(b'A: b', b'A:' + space + b'b' + space)).head
+    assert head is not None
+    assert head.header(b'a') == b'b'
+
+
+def test_trailers_are_no_part_of_the_head() -> None:
+    # A faulty server sends trailers without end, or some that look like headers of its head.
+    head = read(CHUNKS[:-2] + b'B: c\r\n\r\n').head
+    assert head is not None
+    assert head.header(b'b') is None
+
+
+@given(st.binary(max_size=40))
+@example(b'x ')
+@example(b'x\r\n folded')
+def test_any_head_that_is_received_can_be_sent_on(value: bytes) -> None:
+    reader = ReplyReader(is_bodiless=False)
+    try:
+        reader.feed(b'HTTP/1.1 200 OK\r\nA: ' + value + b'\r\nContent-Length: 5\r\n\r\nhello')
+    except BrokenReplyError:
+        return
+    if reader.head is None:
+        return
+    headers = PlatformDialect().response_headers(reader.head)
+    http = h11.Connection(h11.SERVER)
+    http.receive_data(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    http.next_event()
+    assert http.send(h11.Response(status_code=reader.head.status, headers=headers))
