Leave comments in a stream out of an item's text

Cause: each block counted as an event, with its empty data and without an id. Evidence: the stored text, and the next send without Last-Event-Id. Online streams are relayed block by block, and their last id was right.

Change: a block without data is no part of the text; data without an id is malformed, since the run could not be resumed after it.

The tests failed before: both forms of test_comments_in_a_stream_are_no_part_of_an_items_text.

--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -20,6 +20,7 @@
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.decisions.streams.stream_origin import StreamOrigin
+    from citrondyke.gateway.callers.event_stream import StreamEvent
     from citrondyke.gateway.dialect import Dialect
     from citrondyke.gateway.servers.server_connection import ServerConnection
     from citrondyke.gateway.servers.server_sends import ServerSends
@@ -125,6 +126,8 @@
         while (piece := connection.read_chunk(until_ms)) is not None:
             until_ms = self._context.now_ms() + EVENT_TIMEOUT_MS
             for event in splitter.feed(piece):
+                if not _is_part_of_text(event):
+                    continue
                 progress.first_event_ms = progress.first_event_ms or until_ms - EVENT_TIMEOUT_MS
                 progress.texts.append(event.data.decode('utf-8', 'replace'))
                 progress.last_event_id = event.id
@@ -140,6 +143,16 @@
         splitter.check_end(is_framed=connection.is_framed)
 
 
+def _is_part_of_text(event: StreamEvent) -> bool:
+    """Return whether an event adds to the text; comments and blocks without data do not.
+
+    :raises BrokenReplyError: if it does but has no id, so that the run could not be resumed.
+    """
+    if event.has_data and event.id is None:
+        raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'event without an id')
+    return event.has_data
+
+
 def _result_of_status(status: int) -> RunResult:
     if status == ITEM_IMPOSSIBLE:
         return RunResult.IMPOSSIBLE
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -78,6 +78,10 @@
     CUT_IN_EVENT = 'cut_in_event'
     #: Stop sending after some events of a stream, with the connection open.
     STALL = 'stall'
+    #: Send a comment after each event of a stream.
+    COMMENTS = 'comments'
+    #: The same, and reset the connection after one of the comments.
+    COMMENT_THEN_CUT = 'comment_then_cut'
     #: Send the part of ``endless_part`` without end.
     ENDLESS = 'endless'
     #: Pause a stream after some events until ``resume_streams`` is set.
@@ -280,6 +284,8 @@
         sock.sendall(http.send(h11.Response(status_code=200, headers=head)) or b'')
         for number in range(first, self.events_count + 1):
             data = self._event(number)
+            if answer_mode in (AnswerMode.COMMENTS, AnswerMode.COMMENT_THEN_CUT):
+                data += b': ping\n\n'
             if answer_mode is AnswerMode.CUT_IN_EVENT and number == first + 2:
                 sock.sendall(http.send(h11.Data(data=data[:-5])) or b'')
                 reset(sock)
@@ -293,6 +299,9 @@
             except OSError:
                 run.is_aborted = True
                 raise
+            if answer_mode is AnswerMode.COMMENT_THEN_CUT and number == first + 2:
+                reset(sock)
+                return False
             if self._has_crash_part(run):
                 self.crash()
                 return False
--- a/tests/test_gateway/test_jobs/test_jobs.py
+++ b/tests/test_gateway/test_jobs/test_jobs.py
@@ -246,3 +246,14 @@
 def test_malformed_job_is_rejected_with_400(fleet: GatewayFleet) -> None:
     assert fleet.call('/batch-stream/x', b'{"requests":[{"id":1}]}').status == 400
     assert fleet.call('/batch-stream/x', b'{"requests":[').status == 400
+
+
+@pytest.mark.parametrize('mode', [AnswerMode.COMMENTS, AnswerMode.COMMENT_THEN_CUT])
+def test_comments_in_a_stream_are_no_part_of_an_items_text(
+    fleet: GatewayFleet, mode: AnswerMode
+) -> None:
+    # A comment counted as an event: a line too many, and a run that began from the first event.
+    for name in ('lm-1', 'lm-2'):
+        fleet.servers[name].answer_modes.append(mode)
+    assert fleet.submit('job-1').status == 202
+    assert [each['text'] for each in fleet.wait_done('job-1')] == [TEXT] * 3
