Count events, not bytes, as the progress of a stream

What callers saw: an item whose server sends without end is never listed, or is listed with a text of empty lines; the connection stays open.

Cause: each piece of bytes moved the time of an item's run on, and that of a stream that another server could continue. On ten of sixteen ways of sending without end held an item for more than 45 s; heads, chunk sizes, extensions and trailers were safe, online answers ended at their timeout.

Change: only events with an id and data count; a run ends when its job gives the item up; a text holds 1 MB at most. What is larger than any valid response is an error of its own kind, after which an item begins anew.

The tests failed before: 10 of the 16 forms of test_item_with_an_answer_without_end_is_run_again on. After: all 50 tests of test_servers_endless_replies.py pass.

--- a/citrondyke/decisions/batch/owned_job.py
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -10,7 +10,7 @@
 from citrondyke.decisions.batch.job import ItemResult, ItemState, JobHead, JobItem
 from citrondyke.decisions.streams.stream_origin import StreamOrigin
 
-__all__ = ('ItemProgress', 'OwnedJob', 'RunResult')
+__all__ = ('ItemProgress', 'OwnedJob', 'RunResult', 'give_up_epoch_ms')
 
 #: Pause before an item is retried after a failed run; doubled with each consecutive break.
 RETRY_MS = 100.0
@@ -25,6 +25,11 @@
 COMMIT_BYTES = 400_000
 
 
+def give_up_epoch_ms(head: JobHead) -> float:
+    """Return when the open items of a job are given up."""
+    return head.abandon_epoch_ms + ABANDON_MARGIN_MS
+
+
 class RunResult(Enum):
     """Result of one run of an item on a server."""
 
@@ -57,10 +62,20 @@
     first_event_ms: float | None = None
     #: Id of the last event saved in the store.
     saved_event_id: int | None = None
+    text_chars: int = 0
+
+    def add_event(self, text: str, event_id: int | None, origin: StreamOrigin) -> None:
+        """Add an event of the current run."""
+        self.texts.append(text)
+        self.text_chars += len(text)
+        self.last_event_id = event_id
+        self.origin = origin
+        self.consecutive_breaks = 0
 
     def drop_events(self) -> None:
         """Begin anew: the next run generates the text from its first event."""
         self.texts = []
+        self.text_chars = 0
         self.last_event_id = None
         self.saved_event_id = None
         self.origin = None
@@ -160,7 +175,7 @@
                 self._finish(progress, ItemState.ERRORED)
                 return
         progress.consecutive_breaks += 1
-        if epoch_ms >= self.head.abandon_epoch_ms + ABANDON_MARGIN_MS:
+        if epoch_ms >= give_up_epoch_ms(self.head):
             self._finish(progress, ItemState.ERRORED)
             return
         pause_ms = min(MAX_RETRY_PAUSE_MS, RETRY_MS * 2.0 ** (progress.consecutive_breaks - 1))
@@ -168,7 +183,7 @@
 
     def abandon_overdue(self, epoch_ms: float) -> None:
         """Fail the waiting items whose time to be abandoned has come."""
-        if epoch_ms < self.head.abandon_epoch_ms + ABANDON_MARGIN_MS:
+        if epoch_ms < give_up_epoch_ms(self.head):
             return
         for progress in list(self.open.values()):
             if not progress.is_running:
@@ -222,6 +237,7 @@
         progress.failures_count = failures_count
         if last_event_id is not None and origin is not None:
             progress.texts = [text]
+            progress.text_chars = len(text)
             progress.last_event_id = last_event_id
             progress.origin = origin
 
--- a/citrondyke/errors/broken_reply.py
+++ b/citrondyke/errors/broken_reply.py
@@ -20,6 +20,8 @@
     SILENT = 'silent'
     #: The data received is not a valid response, or belongs to another request.
     MALFORMED = 'malformed'
+    #: The response, or a part of it, is larger than any valid one.
+    OVERSIZED = 'oversized'
 
 
 class BrokenReplyError(CitrondykeError):
--- a/citrondyke/gateway/callers/event_relay.py
+++ b/citrondyke/gateway/callers/event_relay.py
@@ -46,13 +46,16 @@
         splitter = EventSplitter(forwarded.last_event_id)
         is_first = True
         steady_ms = float('inf')
+        progress_ms = self._context.now_ms()
         while True:
-            chunk = reply.connection.read_chunk(self._until_ms(forwarded))
+            chunk = reply.connection.read_chunk(_until_ms(forwarded, progress_ms))
             if chunk is None:
                 break
             events = splitter.feed(chunk)
             if not events:
                 continue
+            if any(event.is_progress for event in events):
+                progress_ms = self._context.now_ms()
             if is_first:
                 is_first = False
                 steady_ms = self._context.now_ms() + STEADY_EVENTS_MS
@@ -79,7 +82,9 @@
         forwarded.first_answer_ms = self._context.now_ms()
         caller.start_stream(reply.head.status, self._dialect.response_headers(reply.head))
 
-    def _until_ms(self, forwarded: ForwardedRequest) -> float:
-        if not forwarded.route.is_resumable or forwarded.history.is_last_attempt:
-            return forwarded.until_ms
-        return min(forwarded.until_ms, self._context.now_ms() + EVENT_TIMEOUT_MS)
+
+def _until_ms(forwarded: ForwardedRequest, progress_ms: float) -> float:
+    """Return how long to wait for the next event; bytes that are no event don't extend it."""
+    if not forwarded.route.is_resumable or forwarded.history.is_last_attempt:
+        return forwarded.until_ms
+    return min(forwarded.until_ms, progress_ms + EVENT_TIMEOUT_MS)
--- a/citrondyke/gateway/callers/event_stream.py
+++ b/citrondyke/gateway/callers/event_stream.py
@@ -112,7 +112,7 @@
 
 def _check_size(what: str, size_bytes: int, limit_bytes: int) -> None:
     if size_bytes > limit_bytes:
-        raise BrokenReplyError(ReplyFailureKind.MALFORMED, f'{what}: over {limit_bytes} bytes')
+        raise BrokenReplyError(ReplyFailureKind.OVERSIZED, f'{what}: over {limit_bytes} bytes')
 
 
 def _parse(raw: bytes) -> StreamEvent:
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from citrondyke.decisions.batch.owned_job import RunResult
+from citrondyke.decisions.batch.owned_job import RunResult, give_up_epoch_ms
 from citrondyke.decisions.crashes.response_phase import STEADY_EVENTS_MS
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.callers.event_stream import EventSplitter
@@ -30,6 +30,8 @@
 #: A server with a full queue delays the first event of an item by up to some seconds.
 INITIAL_EVENT_MS = 3_000.0
 EVENT_TIMEOUT_MS = 1_200.0
+#: A page of results holds 1 MB, and a faulty server may send events without end.
+TEXT_LIMIT_CHARS = 1_000_000
 ITEM_IMPOSSIBLE = 422
 ITEM_FAILED = 500
 FAILURE_BODY_BYTES = 65_536
@@ -77,6 +79,11 @@
         connection = self._sends.connect(state, request_id, only_new=False, until_ms=until_ms)
         try:
             return self._exchange(connection, progress, head, state, on_answered)
+        except BrokenReplyError as error:
+            if error.failure_kind is ReplyFailureKind.OVERSIZED:
+                # What has gone on for too long may have been wrong from its first event.
+                progress.drop_events()
+            raise
         finally:
             self._sends.release(state, connection)
 
@@ -107,7 +114,7 @@
         if status >= 300:  # noqa: PLR2004
             connection.read_body(until_ms, FAILURE_BODY_BYTES)
             return _result_of_status(status)
-        self._read_events(connection, progress, state.listed.origin, until_ms, on_answered)
+        self._read_events(connection, progress, head, state.listed.origin, until_ms, on_answered)
         state.record_success()
         if connection.is_framed:
             on_answered()
@@ -117,22 +124,25 @@
         self,
         connection: ServerConnection,
         progress: ItemProgress,
+        head: JobHead,
         origin: StreamOrigin,
         until_ms: float,
         on_answered: Callable[[], None],
     ) -> None:
         splitter = EventSplitter(progress.last_event_id)
         is_steady = False
-        while (piece := connection.read_chunk(until_ms)) is not None:
-            until_ms = self._context.now_ms() + EVENT_TIMEOUT_MS
+        now_ms, epoch_ms = self._context.now_ms(), self._context.epoch_ms()
+        run_until_ms = now_ms + give_up_epoch_ms(head) - epoch_ms
+        while (piece := connection.read_chunk(min(until_ms, run_until_ms))) is not None:
+            now_ms = self._context.now_ms()
             for event in splitter.feed(piece):
                 if not _is_part_of_text(event):
                     continue
-                progress.first_event_ms = progress.first_event_ms or until_ms - EVENT_TIMEOUT_MS
-                progress.texts.append(event.data.decode('utf-8', 'replace'))
-                progress.last_event_id = event.id
-                progress.origin = origin
-                progress.consecutive_breaks = 0
+                # Bytes that are no event don't extend the time.
+                until_ms = now_ms + EVENT_TIMEOUT_MS
+                progress.first_event_ms = progress.first_event_ms or now_ms
+                progress.add_event(event.data.decode('utf-8', 'replace'), event.id, origin)
+            _check_size(progress)
             first_ms = progress.first_event_ms
             if not is_steady and first_ms and self._context.now_ms() - first_ms >= STEADY_EVENTS_MS:
                 is_steady = True
@@ -153,6 +163,17 @@
     return event.has_data
 
 
+def _check_size(progress: ItemProgress) -> None:
+    """Check that a text can still be listed.
+
+    :raises BrokenReplyError: if the text is too large.
+    """
+    if progress.text_chars > TEXT_LIMIT_CHARS:
+        raise BrokenReplyError(
+            ReplyFailureKind.OVERSIZED, f'text: over {TEXT_LIMIT_CHARS} characters'
+        )
+
+
 def _result_of_status(status: int) -> RunResult:
     if status == ITEM_IMPOSSIBLE:
         return RunResult.IMPOSSIBLE
--- a/citrondyke/gateway/servers/reply_reader.py
+++ b/citrondyke/gateway/servers/reply_reader.py
@@ -90,7 +90,9 @@
             # The invalid bytes come after the response.
             self._has_extra = True
         if self.head is None and self._head_bytes > HEAD_LIMIT_BYTES:
-            raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'response head too large')
+            raise BrokenReplyError(
+                ReplyFailureKind.OVERSIZED, f'head: over {HEAD_LIMIT_BYTES} bytes'
+            )
 
     def end(self) -> None:
         """Handle the end of the connection.
--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -125,7 +125,7 @@
             size += len(chunk)
             if size > limit_bytes:
                 raise BrokenReplyError(
-                    ReplyFailureKind.MALFORMED, f'body exceeds {limit_bytes} bytes'
+                    ReplyFailureKind.OVERSIZED, f'body: over {limit_bytes} bytes'
                 )
             if on_chunk is not None:
                 on_chunk(len(chunk))
