Probe owed items without a limit on their number

What callers saw: sound items under which servers had crashed, for another cause, were never sent again beside free servers, and were errored at max_wait_s; after rejected probes they stayed open.

Cause: items followed the limits of online requests, three probes and two rejected ones, behind which no time follows. Evidence: item.run says "stopped" once a second, all servers idle. Ruled out: capacity, pauses after breaks (2 s at most), ownership.

One probe at a time at each owner. The owner claims alone while the store is away. Runs beyond the second of one item are no evidence against prompt parts.

--- a/citrondyke/decisions/batch/owned_job.py
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -60,6 +60,8 @@
     not_before_ms: float = 0.0
     #: When the current run produced its first event; ``None`` before that.
     first_event_ms: float | None = None
+    #: Runs that ended with their connection, also those of earlier connections to one server.
+    interrupted_count: int = 0
     #: Id of the last event saved in the store.
     saved_event_id: int | None = None
     text_chars: int = 0
@@ -87,7 +89,12 @@
 
 
 class OwnedJob:
-    """One job and the progress of its items, kept by the job's owner."""
+    """One job and the progress of its items, kept by the job's owner.
+
+    An item is open until a run is completed, a server reports that it is impossible, as many runs
+    as allowed have failed, its job ends or its route is removed, or its job gives it up. Nothing
+    else ends it, and from every other state a run starts again after a bounded pause.
+    """
 
     def __init__(
         self,
--- a/citrondyke/decisions/crashes/engine_crash_guard.py
+++ b/citrondyke/decisions/crashes/engine_crash_guard.py
@@ -7,6 +7,7 @@
 from citrondyke.decisions.core.ops import SendPeer
 from citrondyke.decisions.core.server_call import ReplyKind
 from citrondyke.decisions.crashes.crash_event import CrashCounted, RequestBlocked
+from citrondyke.decisions.crashes.probe_policy import ITEM_PROBES, ONLINE_PROBES
 from citrondyke.decisions.crashes.response_phase import is_past_start
 from citrondyke.decisions.crashes.suspect_registry import (
     STORED_SCORE,
@@ -23,6 +24,7 @@
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.core.ops import Workflow
     from citrondyke.decisions.core.server_call import ServerReply
+    from citrondyke.decisions.crashes.probe_policy import ProbePolicy
     from citrondyke.decisions.crashes.suspect_key import RequestKeys, SuspectKey
     from citrondyke.ids import InstanceId, RequestId, ServerId
 
@@ -57,9 +59,9 @@
         """Whether any request may be blocked."""
         return len(self._suspects) > 0
 
-    def verdict_on(self, keys: RequestKeys, *, is_item: bool = False) -> SuspectVerdict:
+    def verdict_on(self, keys: RequestKeys, policy: ProbePolicy = ONLINE_PROBES) -> SuspectVerdict:
         """Return whether a request may be sent; a probe that is due is claimed with it."""
-        verdict = self._suspects.verdict_on(keys, is_item=is_item)
+        verdict = self._suspects.verdict_on(keys, policy)
         if verdict.status is not SuspectStatus.PROBE_DUE or verdict.key is None:
             return verdict
         if not self._may_probe(verdict.key):
@@ -83,7 +85,7 @@
 
     def is_confirmed(self, keys: RequestKeys) -> bool:
         """Return whether a request is blocked by a key that has crashed its probe, too."""
-        verdict = self._suspects.verdict_on(keys, is_item=True)
+        verdict = self._suspects.verdict_on(keys, ITEM_PROBES)
         return (
             verdict.status is SuspectStatus.STOPPED
             and verdict.key is not None
--- a/citrondyke/decisions/crashes/suspect_key.py
+++ b/citrondyke/decisions/crashes/suspect_key.py
@@ -69,18 +69,24 @@
 
         :param prompt_parts: parts of the prompt that other requests may share, in order.
         """
-        self._content = (method, host.encode('latin-1'), target, body)
+        self._content = (method, host, target, body)
         self.prompt_parts = tuple(prompt_parts[:PARTS_LIMIT])
 
+    def without_parts(self) -> RequestKeys:
+        """Return the same keys without those of prompt parts."""
+        return RequestKeys(*self._content)
+
     @cached_property
     def target(self) -> int:
         """Return the target hash, for which the body is not read."""
-        return _target_bucket(*self._content[:3])
+        method, host, target, _ = self._content
+        return _target_bucket(method, host.encode('latin-1'), target)
 
     @cached_property
     def content(self) -> SuspectKey:
         """Return the key of the whole content, including the body's digest."""
-        return content_key(*self._content)
+        method, host, target, body = self._content
+        return content_key(method, host.encode('latin-1'), target, body)
 
     @cached_property
     def parts(self) -> tuple[SuspectKey, ...]:
--- a/citrondyke/decisions/crashes/suspect_registry.py
+++ b/citrondyke/decisions/crashes/suspect_registry.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from citrondyke.decisions.crashes.probe_policy import FIRST_PROBE_PAUSE_MS, ONLINE_PROBES
 from citrondyke.decisions.crashes.proven_parts import PROVEN_MS, ProvenParts
 from citrondyke.decisions.crashes.suspect import (
     BEGUN_WEIGHT,
@@ -22,6 +23,7 @@
     from collections.abc import Iterable
 
     from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.crashes.probe_policy import ProbePolicy
 
 __all__ = ('SuspectRegistry', 'SuspectStatus', 'SuspectVerdict')
 
@@ -34,22 +36,9 @@
 #: popular part is answered within one. An exit after it without an answer counts, and so do the
 #: earlier ones: the part has turned harmful.
 EXCUSED_MS = 1_500.0
-#: Probes sent beyond the limit, one at a time in the whole fleet. The first one clears an innocent
-#: request; a poison request stays blocked. Each additional probe would cost a server.
-PROBES_LIMIT = 3
-#: Pause between the last exit and the first probe: servers restart within seconds, and losing one
-#: more does least harm when the others are back.
-FIRST_PROBE_PAUSE_MS = 3_000.0
-#: Pause before the second probe, doubled for each later one: long enough for an operator to find
-#: out why servers exit, and to fix it.
-PROBE_PAUSE_MS = 600_000.0
 #: Pause before the first probe of a request with several blocked parts. Requests with one of them
 #: are probed earlier, since a probe with several doesn't show which part is harmful.
 SHARED_PROBE_PAUSE_MS = 30_000.0
-#: The same pause for a batch item, whose job must finish by its own deadline.
-ITEM_PROBE_PAUSE_MS = 5_000.0
-#: Probes rejected by a full server that may be repeated.
-REFUSED_LIMIT = 2
 #: While a probe is in flight, identical requests get a retry time, for at most this long.
 PROBE_TIMEOUT_MS = 3_000.0
 #: Evidence expires after a day without another exit or probe.
@@ -155,7 +144,7 @@
             found.append(keys.content)
         return [key for key in found if self.score(key)]
 
-    def verdict_on(self, keys: RequestKeys, *, is_item: bool = False) -> SuspectVerdict:
+    def verdict_on(self, keys: RequestKeys, policy: ProbePolicy = ONLINE_PROBES) -> SuspectVerdict:
         """Return whether a request may be sent: the worst verdict on any of its keys.
 
         Among equal ones the most specific key decides: the content, or else the last part.
@@ -167,7 +156,7 @@
         first_pause_ms = SHARED_PROBE_PAUSE_MS if len(blocked_parts) > 1 else FIRST_PROBE_PAUSE_MS
         has_part = any(key.is_part for key in found)
         verdicts = [
-            SuspectVerdict(self._status_of(key, first_pause_ms, is_item=is_item), key, has_part)
+            SuspectVerdict(self._status_of(key, first_pause_ms, policy), key, has_part)
             for key in found
         ]
         return max(reversed(verdicts), key=lambda each: _STATUS_ORDER[each.status])
@@ -231,18 +220,20 @@
         key = SuspectKey(ContentDigest(row.digest), row.target)
         return self._suspect(key).merge(row)
 
-    def status_of(self, key: SuspectKey, *, is_item: bool = False) -> SuspectStatus:
+    def status_of(self, key: SuspectKey, policy: ProbePolicy = ONLINE_PROBES) -> SuspectStatus:
         """Return whether a request may be sent that has no other suspected key."""
-        return self._status_of(key, FIRST_PROBE_PAUSE_MS, is_item=is_item)
+        return self._status_of(key, FIRST_PROBE_PAUSE_MS, policy)
 
-    def _status_of(self, key: SuspectKey, first_pause_ms: float, *, is_item: bool) -> SuspectStatus:
+    def _status_of(
+        self, key: SuspectKey, first_pause_ms: float, policy: ProbePolicy
+    ) -> SuspectStatus:
         suspect = self._by_digest.get(key.digest)
         if suspect is None or not suspect.score:
             return SuspectStatus.FREE
         if suspect.score < EXITS_LIMIT:
             return SuspectStatus.SUSPECTED
         epoch_ms = self._context.epoch_ms()
-        if _is_probe_due(suspect, epoch_ms, first_pause_ms, is_item=is_item):
+        if policy.is_due(suspect, epoch_ms, first_pause_ms):
             return SuspectStatus.PROBE_DUE
         is_undecided = suspect.score <= suspect.score_at_trial
         if is_undecided and epoch_ms < suspect.tried_epoch_ms + PROBE_TIMEOUT_MS:
@@ -317,16 +308,3 @@
         self._targets[target] -= 1
         if not self._targets[target]:
             del self._targets[target]
-
-
-def _is_probe_due(
-    suspect: Suspect, epoch_ms: float, first_pause_ms: float, *, is_item: bool
-) -> bool:
-    if suspect.trials >= PROBES_LIMIT + suspect.refused:
-        return False
-    ran = suspect.trials - suspect.refused
-    if ran <= 0:
-        is_retry_due = epoch_ms >= suspect.changed_epoch_ms + first_pause_ms
-        return is_retry_due and suspect.refused < REFUSED_LIMIT
-    pause_ms = ITEM_PROBE_PAUSE_MS if is_item else PROBE_PAUSE_MS
-    return epoch_ms >= suspect.tried_epoch_ms + pause_ms * 2.0 ** (ran - 1)
--- a/citrondyke/decisions/jobs/item_runner.py
+++ b/citrondyke/decisions/jobs/item_runner.py
@@ -8,6 +8,7 @@
 from citrondyke.decisions.core.server_call import ReplyKind, ServerCall
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.decisions.crashes.engine_crash_guard import EngineCrashGuard
+from citrondyke.decisions.crashes.probe_policy import ITEM_PROBES
 from citrondyke.decisions.jobs.frames import assemble_answer
 from citrondyke.decisions.jobs.item_event import ItemAttemptFailed, ItemBegunAnew
 from citrondyke.decisions.jobs.outcome import (
@@ -62,8 +63,7 @@
     def may_send(self, item: BatchItem) -> bool:
         """Return whether an item may run, as far as the parts of its prompt are concerned."""
         return (
-            not self.has_suspects
-            or not self._crashes.verdict_on(item.keys, is_item=True).is_blocked
+            not self.has_suspects or not self._crashes.verdict_on(item.keys, ITEM_PROBES).is_blocked
         )
 
     def is_hopeless(self, item: BatchItem) -> bool:
@@ -72,7 +72,7 @@
 
     def fail_blocked(self, held: HeldSegment, item: BatchItem) -> None:
         """Fail an item that will not be sent again; it would stay open until its job expires."""
-        verdict = self._crashes.verdict_on(item.keys, is_item=True)
+        verdict = self._crashes.verdict_on(item.keys, ITEM_PROBES)
         self._crashes.report_blocked(item.request_id, verdict)
         run = 'unknown' if item.may_have_run or item.attempts else 'not_run'
         outcome = failed_outcome(item.request_id, item.custom_id, FailureCode.BLOCKED, run)
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -19,6 +19,7 @@
 )
 from citrondyke.decisions.batch.owned_job import RunResult
 from citrondyke.decisions.batch.run_length import RunLengthEstimator
+from citrondyke.decisions.crashes.probe_policy import owed_item_probes
 from citrondyke.decisions.crashes.suspect_key import RequestKeys
 from citrondyke.decisions.crashes.suspect_registry import SuspectStatus
 from citrondyke.decisions.forwarding.route_table import NoRoute
@@ -34,6 +35,7 @@
     from citrondyke.decisions.batch.batch_scheduler import BatchScheduler
     from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
     from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.crashes.suspect_key import SuspectKey
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.decisions.streams.stream_origin import StreamOrigin
@@ -53,6 +55,8 @@
 
 #: Interval of checking for free capacity while items are waiting.
 START_EVERY_MS = 25.0
+#: Interrupted runs of one item that count against the parts of its prompt.
+PART_EVIDENCE_LIMIT = 2
 #: Interval of counting the waiting items.
 COUNT_EVERY_MS = 100.0
 #: Interval of the log lines about waiting items.
@@ -68,6 +72,10 @@
     greenlet: gevent.Greenlet | None = None
     has_begun: bool = False
     is_preempted: bool = False
+    #: Suspect whose probe the run is.
+    probed: SuspectKey | None = None
+    #: Whether its server may have run the item to an end.
+    was_sent: bool = False
 
     def preempt(self) -> None:
         """Stop the run.
@@ -118,6 +126,8 @@
         self._lengths = RunLengthEstimator()
         self._runs: dict[int, _ItemRun] = {}
         self._runs_count = 0
+        #: The run that probes a suspect.
+        self._probing: _ItemRun | None = None
         owned.on_ownership_lost(self._stop_items)
 
     def start(self) -> None:
@@ -406,8 +416,9 @@
                 raise ItemPreemptedError
             if self._may_send(run):
                 result = self._sender.run(
-                    progress, job.head, state, lambda: self._guard.record_survived(run.keys)
+                    progress, job.head, state, lambda: self._record_answered(run)
                 )
+                run.was_sent = True
             else:
                 result = RunResult.BLOCKED
         except ItemPreemptedError:
@@ -417,15 +428,8 @@
             if error.failure_kind is ReplyFailureKind.NO_CONNECTION:
                 self._guard.record_connect_failure(state, error)
             else:
-                state.record_failure(self._context.now_ms())
-                # An item that is preempted while it waits here would stay open forever.
-                self._guard.record_interrupted(
-                    state,
-                    run.keys,
-                    error.failure_kind,
-                    progress.first_event_ms,
-                    may_wait=False,
-                )
+                run.was_sent = True
+                self._record_interrupted(run, error.failure_kind)
         except Exception:
             # An item whose run ended without a result would stay open forever.
             log.exception('item.run_failed', extra={'item_id': progress.item.id})
@@ -433,6 +437,7 @@
         finally:
             self._runs.pop(number, None)
             self._sends.remove_request(state, is_batch=True)
+            self._end_probe(run)
         took_ms = self._context.now_ms() - started_ms
         self._lengths.record_event_interval(
             job.head.route, progress.events_count - events_before, took_ms
@@ -461,10 +466,48 @@
 
     def _may_send(self, run: _ItemRun) -> bool:
         self._guard.wait_until_known()
-        verdict = self._guard.verdict_on(run.keys, is_item=True)
-        if verdict.status is SuspectStatus.PROBE_DUE and verdict.key is not None:
-            return self._guard.claim_probe(verdict.key, run.progress.item.id, is_item=True)
-        return not verdict.is_blocked
+        head = run.job.head
+        policy = owed_item_probes(head.due_epoch_ms - head.accepted_epoch_ms)
+        verdict = self._guard.verdict_on(run.keys, policy)
+        if verdict.status is not SuspectStatus.PROBE_DUE or verdict.key is None:
+            return not verdict.is_blocked
+        if self._probing is not None:
+            # Several probes at once could cost several servers.
+            return False
+        self._probing = run
+        if not self._guard.claim_item_probe(verdict.key, run.progress.item.id, policy):
+            return False
+        run.probed = verdict.key
+        return True
+
+    def _record_answered(self, run: _ItemRun) -> None:
+        self._guard.record_survived(run.keys)
+        self._release_probe(run)
+
+    def _record_interrupted(self, run: _ItemRun, kind: ReplyFailureKind) -> None:
+        progress, state = run.progress, run.state
+        state.record_failure(self._context.now_ms())
+        progress.interrupted_count += 1
+        # All evidence against a prompt part must not come from one item.
+        is_early = progress.interrupted_count <= PART_EVIDENCE_LIMIT
+        # An item that is preempted while it waits here would stay open forever.
+        self._guard.record_interrupted(
+            state,
+            run.keys if is_early else run.keys.without_parts(),
+            kind,
+            progress.first_event_ms,
+            may_wait=False,
+        )
+
+    def _release_probe(self, run: _ItemRun) -> None:
+        if self._probing is run:
+            self._probing = None
+
+    def _end_probe(self, run: _ItemRun) -> None:
+        """End a probe; one that was not sent leaves the pause before the next one as it is."""
+        self._release_probe(run)
+        if run.probed is not None and not run.was_sent:
+            self._guard.record_probe_refused(run.probed)
 
     def _end(self, job: OwnedJob, progress: ItemProgress, result: RunResult) -> None:
         job.end_run(progress, result, self._context.now_ms(), self._context.epoch_ms())
--- a/citrondyke/gateway/servers/poison_request_guard.py
+++ b/citrondyke/gateway/servers/poison_request_guard.py
@@ -7,6 +7,7 @@
 import gevent
 import logbook
 
+from citrondyke.decisions.crashes.probe_policy import ONLINE_PROBES
 from citrondyke.decisions.crashes.response_phase import is_past_start
 from citrondyke.decisions.crashes.server_exit_detector import InterruptedRequest, ServerExitDetector
 from citrondyke.decisions.crashes.suspect_registry import (
@@ -24,6 +25,7 @@
     from collections.abc import Callable, Iterable
 
     from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.crashes.probe_policy import ProbePolicy
     from citrondyke.decisions.crashes.suspect_key import RequestKeys, SuspectKey
     from citrondyke.decisions.forwarding.server_registry import ServerRegistry
     from citrondyke.decisions.forwarding.server_state import ServerState
@@ -31,7 +33,7 @@
     from citrondyke.gateway.peers.peer_codec import CrashNews, PeerText
     from citrondyke.gateway.servers.suspect_store import SuspectStore
     from citrondyke.gateway.tasks import Tasks
-    from citrondyke.ids import InstanceId
+    from citrondyke.ids import InstanceId, RequestId
 
 __all__ = ('PoisonRequestGuard',)
 
@@ -79,9 +81,9 @@
         self._store.start(self._tasks)
         self.publisher.start(self._tasks, send)
 
-    def verdict_on(self, keys: RequestKeys, *, is_item: bool = False) -> SuspectVerdict:
+    def verdict_on(self, keys: RequestKeys, policy: ProbePolicy = ONLINE_PROBES) -> SuspectVerdict:
         """Return whether a request may be sent; its body is hashed only if it may be a suspect."""
-        return self._suspects.verdict_on(keys, is_item=is_item)
+        return self._suspects.verdict_on(keys, policy)
 
     def wait_until_known(self) -> None:
         """Wait until an instance that has just started knows the stored suspects.
@@ -94,33 +96,41 @@
         """Return the weighted number of servers that exited under a key."""
         return self._suspects.score(key)
 
-    def claim_probe(self, key: SuspectKey, who: str, *, is_item: bool = False) -> bool:
-        """Claim the probe of a suspect; return whether this instance got it.
+    def claim_probe(self, key: SuspectKey, request_id: RequestId) -> bool:
+        """Claim the probe of a suspect for a request; return whether this instance got it."""
+        is_granted = self._store.claim_probe(key, ONLINE_PROBES) or (
+            key.is_part and self._claim_alone(key, ONLINE_PROBES)
+        )
+        self._log_claim(key, {'request_id': request_id}, is_granted=is_granted)
+        return is_granted
 
-        :param who: id of the request or item.
-        """
-        is_granted = self._store.claim_probe(key, is_item=is_item) or self._claim_alone(key)
+    def claim_item_probe(self, key: SuspectKey, item_id: str, policy: ProbePolicy) -> bool:
+        """Claim the probe of a suspect for an item that this instance owns."""
+        is_granted = self._store.claim_probe(key, policy) or self._claim_alone(key, policy)
+        self._log_claim(key, {'item_id': item_id}, is_granted=is_granted)
+        return is_granted
+
+    def _log_claim(self, key: SuspectKey, who: dict[str, str], *, is_granted: bool) -> None:
         log.info(
             'suspect.trial',
             extra={
-                'item_id' if is_item else 'request_id': who,
+                **who,
                 **_key_fields(key),
                 'servers': round(self._suspects.score(key), 2),
                 'granted': is_granted,
             },
         )
-        return is_granted
 
-    def _claim_alone(self, key: SuspectKey) -> bool:
-        """Claim the probe of a prompt part while the store is away; one instance may do so.
+    def _claim_alone(self, key: SuspectKey, policy: ProbePolicy) -> bool:
+        """Claim a probe while the store is away; one instance may do so.
 
-        Without it a sound part that was blocked with a harmful one would stay blocked until the
-        store is back.
+        For a prompt part that is one of all instances: without it a sound part that was blocked
+        with a harmful one would stay blocked until the store is back. An item has one owner.
         """
-        is_due = self._suspects.status_of(key) is SuspectStatus.PROBE_DUE
-        if not (key.is_part and is_due and self._store.is_unresponsive):
+        is_due = self._suspects.status_of(key, policy) is SuspectStatus.PROBE_DUE
+        if not (is_due and self._store.is_unresponsive):
             return False
-        if not self._book.topology.is_first_registrar(key.digest):
+        if key.is_part and not self._book.topology.is_first_registrar(key.digest):
             return False
         self._suspects.merge(self._suspects.probe_row(key))
         self._store.save(key)
--- a/citrondyke/gateway/servers/suspect_store.py
+++ b/citrondyke/gateway/servers/suspect_store.py
@@ -30,6 +30,7 @@
     from collections.abc import Callable, Iterable
 
     from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.crashes.probe_policy import ProbePolicy
     from citrondyke.decisions.crashes.suspect_registry import SuspectRegistry
     from citrondyke.gateway.replication.dependency import Dependency
     from citrondyke.gateway.tasks import Tasks
@@ -118,7 +119,7 @@
             self._was_read.set()
             log.info('suspect.not_read', extra={'content': None, 'reason': 'first read is late'})
 
-    def claim_probe(self, key: SuspectKey, *, is_item: bool) -> bool:
+    def claim_probe(self, key: SuspectKey, policy: ProbePolicy) -> bool:
         """Claim the one probe that is due; return whether this instance got it.
 
         If the store does not respond, the claim fails: two concurrent probes would crash two
@@ -127,7 +128,7 @@
         for _ in range(ATTEMPTS_LIMIT):
             if self.is_unresponsive:
                 return False
-            if self._suspects.status_of(key, is_item=is_item) is not SuspectStatus.PROBE_DUE:
+            if self._suspects.status_of(key, policy) is not SuspectStatus.PROBE_DUE:
                 return False
             row = self._suspects.probe_row(key)
             written = self._write_once(row)
--- a/tests/test_crashes/test_crashes_parts.py
+++ b/tests/test_crashes/test_crashes_parts.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from citrondyke.decisions.crashes.probe_policy import FIRST_PROBE_PAUSE_MS, PROBE_PAUSE_MS
 from citrondyke.decisions.crashes.proven_parts import (
     PARTS_LIMIT,
     PARTS_PER_ANSWER,
@@ -14,8 +15,6 @@
 )
 from citrondyke.decisions.crashes.suspect_key import RequestKeys, part_key
 from citrondyke.decisions.crashes.suspect_registry import (
-    FIRST_PROBE_PAUSE_MS,
-    PROBE_PAUSE_MS,
     SHARED_PROBE_PAUSE_MS,
     SuspectRegistry,
     SuspectStatus,
--- a/tests/test_crashes/test_crashes_suspects.py
+++ b/tests/test_crashes/test_crashes_suspects.py
@@ -9,13 +9,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from citrondyke.decisions.crashes.probe_policy import (
+    FIRST_PROBE_PAUSE_MS,
+    ITEM_PROBES,
+    PROBE_PAUSE_MS,
+    PROBES_LIMIT,
+)
 from citrondyke.decisions.crashes.suspect import Suspect, SuspectRow
 from citrondyke.decisions.crashes.suspect_key import SuspectKey, content_key
 from citrondyke.decisions.crashes.suspect_registry import (
-    FIRST_PROBE_PAUSE_MS,
-    PROBE_PAUSE_MS,
     PROBE_TIMEOUT_MS,
-    PROBES_LIMIT,
     SuspectRegistry,
     SuspectStatus,
 )
@@ -151,7 +154,7 @@
     probes_count = 0
     for _ in range(40):
         setup.clock.ms += 1_000.0
-        if setup.registry.status_of(CULPRIT, is_item=True) is SuspectStatus.PROBE_DUE:
+        if setup.registry.status_of(CULPRIT, ITEM_PROBES) is SuspectStatus.PROBE_DUE:
             setup.registry.merge(setup.registry.probe_row(CULPRIT))
             probes_count += 1
             setup.record_exits(100 + probes_count, CULPRIT)
--- a/tests/test_gateway/test_servers/test_servers_suspect_store.py
+++ b/tests/test_gateway/test_servers/test_servers_suspect_store.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from citrondyke.decisions.crashes.probe_policy import FIRST_PROBE_PAUSE_MS, ONLINE_PROBES
 from citrondyke.decisions.crashes.suspect_key import RequestKeys, content_key
 from citrondyke.decisions.crashes.suspect_registry import (
-    FIRST_PROBE_PAUSE_MS,
     SuspectRegistry,
     SuspectStatus,
 )
@@ -32,7 +32,7 @@
             self.suspects.record_server_exit(CULPRIT, server, is_fresh=True)
 
     def claim(self) -> bool:
-        return self.store.claim_probe(CULPRIT, is_item=False)
+        return self.store.claim_probe(CULPRIT, ONLINE_PROBES)
 
 
 class StoreWorld:
