Close callers' connections on which bytes come without end

What callers saw: a caller that goes on sending after its request was rejected keeps its connection for ever, and the instance busy with reading it.

Cause: after the last answer bytes are discarded until 0.2 s pass without any, without a pause for others; the chunks of a body were parsed without one, too.

Change: discarding ends 0.2 s after the answer and pauses between reads; the reader of bodies pauses as the reader of answers does.

--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -29,6 +29,8 @@
 
 #: A connection on which a response makes no progress for this long is closed.
 WRITE_STALL_S = 10.0
+#: How long the bytes of a caller are discarded before its connection is closed.
+DISCARD_S = 0.2
 #: Bytes that a caller may send while it waits for a response.
 PIPELINED_LIMIT_BYTES = 65_536
 
@@ -156,7 +158,8 @@
         """Close the connection after its last response.
 
         Closing a socket with unread bytes sends a reset, which can overtake the response. So the
-        writing side is shut down first, and incoming bytes are read and discarded for a moment.
+        writing side is shut down first, and incoming bytes are read and discarded for a moment. The
+        time is limited as a whole: a caller may send without end.
         """
         self.stop_watching_disconnect()
         if self._is_closed:
@@ -164,9 +167,9 @@
         self._is_closed = True
         try:
             self._sock.shutdown(1)
-            self._sock.settimeout(0.2)
-            while self._sock.recv(READ_BYTES):
-                pass
+            with gevent.Timeout(DISCARD_S, False):
+                while self._sock.recv(READ_BYTES):
+                    gevent.sleep(0.001)
         except OSError:
             # The caller closed first or sends nothing; in both cases the response was sent.
             pass
--- a/citrondyke/gateway/callers/request_reader.py
+++ b/citrondyke/gateway/callers/request_reader.py
@@ -11,6 +11,7 @@
 from citrondyke.errors.memory_full import MemoryFullError
 from citrondyke.gateway.callers.caller_request import CallerRequest
 from citrondyke.gateway.callers.strict_head import check_head
+from citrondyke.util.time_slice import TimeSlice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -126,7 +127,10 @@
         parts: list[bytes] = []
         size = 0
         until_ms = self._clock.now_ms() + limits.idle_within_ms
+        time_slice = TimeSlice(self._clock)
         while True:
+            # A body may come in many tiny chunks at once.
+            time_slice.pause_if_over()
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 more = self._receive(until_ms)
