Name the items' object of a large job by its content

Another submission with the id of an accepted job of over 500 kB replaced its items, also if it was another account's and was rejected.

Cause: the object was named by the job's id and written before the condition on the head was checked.

Change: its name has a digest of its content, which the head states; who finds another job's head deletes its own object. Heads without one are read as before, so that jobs accepted by an earlier version go on.

The test failed before: test_items_of_an_accepted_job_are_not_replaced_by_another_submission.

--- a/citrondyke/decisions/batch/job.py
+++ b/citrondyke/decisions/batch/job.py
@@ -57,6 +57,8 @@
     chunks_count: int
     #: Whether the chunks are objects.
     in_objects: bool
+    #: Digest of the object's content; empty for jobs accepted by an earlier version.
+    items_digest: str = ''
     #: The instance that runs the job, and its incarnation.
     owner: InstanceId
     owner_life: str
--- a/citrondyke/gateway/jobs/job_contents.py
+++ b/citrondyke/gateway/jobs/job_contents.py
@@ -40,7 +40,7 @@
     def items(self, head: JobHead) -> list[JobItem] | PlatformFailure:
         """Read a job's items."""
         if head.in_objects:
-            packed = self._objects.get(items_object(head.job_id))
+            packed = self._objects.get(items_object(head))
             if isinstance(packed, PlatformFailure):
                 return packed
             return _read(f'{ITEMS_TABLE}/{head.job_id}', 0, packed, list[JobItem])
--- a/citrondyke/gateway/jobs/job_removal.py
+++ b/citrondyke/gateway/jobs/job_removal.py
@@ -59,7 +59,7 @@
         """
         job_id = stored.head.job_id
         if stored.head.in_objects:
-            self._objects.delete(items_object(job_id))
+            self._objects.delete(items_object(stored.head))
         for table in (RESULTS_TABLE, ITEMS_TABLE, PROGRESS_TABLE, OPEN_TABLE):
             listing = self._table.read_all(table, job_id)
             if isinstance(listing, PlatformFailure):
--- a/citrondyke/gateway/jobs/job_rows.py
+++ b/citrondyke/gateway/jobs/job_rows.py
@@ -12,7 +12,7 @@
 from citrondyke.decisions.streams.stream_origin import StreamOrigin
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
-from citrondyke.ids import JobId, ObjectKey, ServiceName, SoftwareVersion
+from citrondyke.ids import ObjectKey, ServiceName, SoftwareVersion
 from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
 from citrondyke.storage.partitioned_table import PartRow, RowPut
 from citrondyke.util.decoding import decode_json, decode_msgpack, decompress
@@ -181,9 +181,14 @@
     return f'{value:08d}'
 
 
-def items_object(job_id: JobId) -> ObjectKey:
-    """Return the key of the object that holds a job's items."""
-    return ObjectKey(f'job-{job_id}-items')
+def items_object(head: JobHead) -> ObjectKey:
+    """Return the key of the object that holds a job's items.
+
+    The object is written before it is known whether the job is accepted. It is named by its
+    content, so that another submission with the same job id cannot replace it.
+    """
+    name = f'job-{head.job_id}-items'
+    return ObjectKey(f'{name}-{head.items_digest}' if head.items_digest else name)
 
 
 def pack(value: object) -> bytes:
--- a/citrondyke/gateway/jobs/job_store.py
+++ b/citrondyke/gateway/jobs/job_store.py
@@ -39,6 +39,7 @@
     RowPut,
     RowRemoval,
 )
+from citrondyke.util.hashing import digest_hex
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -51,6 +52,8 @@
 
 #: Larger items go into an object: a transaction holds 1 MB, with values encoded in base64.
 INLINE_BYTES = 500_000
+#: Hexadecimal digits of the digest that names an object.
+DIGEST_DIGITS = 20
 #: Part of a row's largest value that is reserved for the fields around a text.
 ROW_MARGIN_BYTES = 1_024
 UNCERTAIN = NoJob(NoJobReason.UNCERTAIN)
@@ -80,10 +83,13 @@
             for start in range(0, len(packed), self._row_bytes)
         ]
         in_objects = len(packed) > INLINE_BYTES
-        head = msgspec.structs.replace(head, chunks_count=len(chunks), in_objects=in_objects)
+        digest = digest_hex(packed)[:DIGEST_DIGITS] if in_objects else ''
+        head = msgspec.structs.replace(
+            head, chunks_count=len(chunks), in_objects=in_objects, items_digest=digest
+        )
         puts = [head_put(head), RowPut(OPEN_TABLE, HEAD_KEY, b'1')]
         if in_objects:
-            failure = self._objects.put(items_object(head.job_id), packed)
+            failure = self._objects.put(items_object(head), packed)
             if failure is not None:
                 return CommitVerdict.NOT_WRITTEN
         else:
@@ -96,7 +102,11 @@
             return StoredHead(head, answer.version)
         if isinstance(answer, PartConflict):
             found = stored_head(answer.row(HEADS_TABLE, HEAD_KEY))
-            return found if isinstance(found, StoredHead) else CommitVerdict.UNCERTAIN
+            if not isinstance(found, StoredHead):
+                return CommitVerdict.UNCERTAIN
+            if in_objects and items_object(found.head) != items_object(head):
+                self._objects.delete(items_object(head))
+            return found
         return verdict_of(answer)
 
     def current_head(self, job_id: JobId) -> StoredHead | NoJob:
