Enter a commit before its greenlet starts

What callers saw: one item at two positions of a job, which is listed as complete too early.

Cause: the greenlet of a commit entered its job into the set that keeps two commits apart; in a late event loop a second one was spawned before the first had started. It found the rows of the first, took them for its own whose reply was lost, and counted them again. Evidence: two lines job.commit of one result 103 ms apart with one item.run between the commits before and them. Ruled out: two owners, a second run, a repeated call.

Change: whoever hands a commit out enters the job first.

The test failed before: test_commits_in_a_late_event_loop_list_no_result_twice.

--- a/citrondyke/gateway/jobs/job_committer.py
+++ b/citrondyke/gateway/jobs/job_committer.py
@@ -117,6 +117,7 @@
                 continue
             verdict = CommitVerdict.DONE
             if job.next_commit():
+                self._committing.add(job.head.job_id)
                 verdict = self._commit_once(job)
             if verdict is CommitVerdict.DONE and not job.finished:
                 verdict = self._store.release(job, list(job.open.values()))
@@ -134,11 +135,13 @@
             gevent.sleep(COMMIT_EVERY_MS / 1e3)
             for job_id, job in list(self._owned.by_id.items()):
                 if job.finished and job_id not in self._committing and not self._owned.is_stopping:
+                    # In a late event loop the greenlet starts after further turns of this loop.
+                    self._committing.add(job_id)
                     self._tasks.spawn(self._commit_once, job)
 
     def _commit_once(self, job: OwnedJob) -> CommitVerdict:
+        """Commit finished results of a job that the caller has added to ``_committing``."""
         job_id = job.head.job_id
-        self._committing.add(job_id)
         try:
             results = job.next_commit()
             verdict = self._store.commit(job, results)
--- a/tests/test_gateway/test_jobs/test_jobs_job_committer.py
+++ b/tests/test_gateway/test_jobs/test_jobs_job_committer.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
+
 import gevent
 import msgspec
 
-from citrondyke.decisions.batch.owned_job import OwnedJob
+from citrondyke.decisions.batch.owned_job import OwnedJob, RunResult
 from citrondyke.gateway.jobs.job_committer import SAVE_EVERY_MS, SAVE_INTERVAL_FACTOR, JobCommitter
 from citrondyke.gateway.jobs.job_rows import StoredHead
 from citrondyke.gateway.jobs.job_store import JobStore
@@ -13,8 +16,12 @@
 from citrondyke.gateway.tasks import Tasks
 from citrondyke.storage.partitioned_table import (
     Listing,
+    PartCommitted,
+    PartConflict,
+    PartTransaction,
 )
 from tests.support.flaky_table import CountingTable, MemoryObjects
+from tests.support.gateway import wait_until_seen
 from tests.support.manual_clock import manual_context
 from tests.test_batch.test_batch_machine import ITEMS, JOB, new_head
 
@@ -22,12 +29,12 @@
 class _Owner:
     """An owner of one job over a table."""
 
-    def __init__(self) -> None:
-        self.table = CountingTable()
+    def __init__(self, tasks: Tasks | None = None, table: CountingTable | None = None) -> None:
+        self.table = table or CountingTable()
         self.store = JobStore(self.table, MemoryObjects(), 65_536)
         self.owned = OwnedJobs()
         self.committer = JobCommitter(
-            manual_context(), self.owned, self.store, Tasks(), lambda _: None
+            manual_context(), self.owned, self.store, tasks or Tasks(), lambda _: None
         )
         accepted = self.store.accept(new_head(0), ITEMS)
         assert isinstance(accepted, StoredHead)
@@ -114,3 +121,34 @@
     gevent.sleep(0)
     assert not again.dead
     again.kill()
+
+
+class _LateTasks(Tasks):
+    """Tasks that start late, as in a busy event loop."""
+
+    def spawn(self, work: Callable[..., object], *arguments: Any) -> gevent.Greenlet:
+        return gevent.spawn_later(0.2, work, *arguments)
+
+
+class _SlowTable(CountingTable):
+    """A table whose answers take a while."""
+
+    def transact(self, transaction: PartTransaction) -> PartCommitted | PartConflict:
+        answer = super().transact(transaction)
+        gevent.sleep(0.3)
+        return answer
+
+
+def test_commits_in_a_late_event_loop_list_no_result_twice() -> None:
+    # Two commits of the same results at once: the second finds its own rows and counts them again.
+    tasks = _LateTasks()
+    owner = _Owner(tasks, _SlowTable())
+    job = owner.owned.owned(JOB)
+    assert job is not None
+    progress = next(iter(job.open.values()))
+    job.end_run(progress, RunResult.COMPLETED, 0.0, 0.0)
+    owner.committer.start()
+    wait_until_seen(lambda: job.results, 'the commit')
+    gevent.sleep(0.6)
+    tasks.end()
+    assert [result.id for result in job.results] == [progress.item.id]
