--- a/tests/test_soak/soak.py
+++ b/tests/test_soak/soak.py
@@ -13,6 +13,7 @@
 import msgspec
 from gevent import socket
 
+from citrondyke.standin.endless_reply import EndlessPart
 from citrondyke.standin.platform_server import AnswerMode
 from tests.support.gateway import HOST, Reply, exchange
 from tests.support.program import Program
@@ -57,7 +58,13 @@
     AnswerMode.WRONG_ID,
     AnswerMode.UNSIGNED,
     AnswerMode.CUT_IN_EVENT,
+    AnswerMode.ENDLESS,
+    AnswerMode.COMMENT_THEN_CUT,
 )
+#: Valid events without end can't be told from a sound server's.
+ENDLESS_PARTS = [part for part in EndlessPart if part is not EndlessPart.EVENTS]
+#: Servers that crash under each unlucky item.
+UNLUCKY_CRASHES = 6
 
 
 class Soak:
@@ -82,7 +89,7 @@
         """Play it, heal everything and give the promises that were broken."""
         workers = [self._call for _ in range(CALLERS)] + [self._hand_in for _ in range(JOB_CALLERS)]
         workers += [self._operate, self._harm, self._harm, self._ask_deadly]
-        workers += [self._ask_with_harmful_part, self._hand_in_harmful]
+        workers += [self._ask_with_harmful_part, self._hand_in_harmful, self._hand_in_unlucky]
         workers += [self._ask_hot] * HOT_CALLERS + [self._ask_with_other_keys]
         workers += [self._take_up] * RETURNING_CALLERS
         gevent.joinall(
@@ -175,6 +182,21 @@
             job = self.witness.jobs[job_id] = JobSeen(job_id, items, harmful_id=items[1])
             job.statuses.append(self._submit(random, job))
 
+    def _hand_in_unlucky(self, random: Random) -> None:
+        """Hand a job in, and have servers crash under one of its sound items."""
+        gevent.sleep(random.uniform(0.0, 2.0))
+        job_id = self._new_id('unlucky')
+        items = [f'{job_id}-{number}' for number in range(ITEMS)]
+        job = self.witness.jobs[job_id] = JobSeen(job_id, items)
+        body = items[0].encode()
+        self._note(f'crashes under {items[0]}')
+        self._fleet.crash_bodies.add(body)
+        while self._goes_on() and self._fleet.runs_of(body) < UNLUCKY_CRASHES:
+            if not job.is_accepted:
+                job.statuses.append(self._submit(random, job))
+            gevent.sleep(0.1)
+        self._fleet.crash_bodies.discard(body)
+
     def _crowd(self, random: Random) -> None:
         """Have most new connections of more callers come to one instance."""
         self._crowded = random.randrange(self._fleet.instances_count)
@@ -413,8 +435,12 @@
     def _misbehave(self, random: Random) -> None:
         name = random.choice(sorted(self._fleet.servers))
         answer_modes = random.choices(ANSWER_MODES, k=random.randint(1, 4))
-        self._note(f'{name} {[act.value for act in answer_modes]}')
-        self._fleet.servers[name].answer_modes.extend(answer_modes)
+        server = self._fleet.servers[name]
+        server.endless_part = random.choice(ENDLESS_PARTS)
+        server.sends_late_copies = random.random() < 0.5
+        told = [act.value for act in answer_modes]
+        self._note(f'{name} {told} {server.endless_part.value} {server.sends_late_copies}')
+        server.answer_modes.extend(answer_modes)
 
     def _replace_server(self, random: Random) -> None:
         """Have a server leave as planned, once its successor is there."""
@@ -436,6 +462,7 @@
         self._fleet.store.faults.lost_reply_share = 0.0
         for server in self._fleet.servers.values():
             server.answer_modes.clear()
+            server.sends_late_copies = False
         for number in range(self._fleet.instances_count):
             if self._fleet.program(number) is None:
                 self._fleet.start(number)
--- a/tests/test_soak/soak_fleet.py
+++ b/tests/test_soak/soak_fleet.py
@@ -143,6 +143,10 @@
         )
         self.store.put(SERVERS_TABLE, name, msgspec.json.encode(entry))
 
+    def runs_of(self, body: bytes) -> int:
+        """Count how often servers began to run a body."""
+        return sum(run.body == body for server in self.servers.values() for run in server.runs)
+
     def leave_server(self, name: str) -> None:
         """Have a server say that it leaves; it goes on serving."""
         self.list_server(name, 'draining')
