Leave the digest out of heads that have none

It is the last field now and left out where it is not set, as in saved progress, so that the heads of jobs without an object keep their bytes.

--- a/citrondyke/decisions/batch/job.py
+++ b/citrondyke/decisions/batch/job.py
@@ -57,8 +57,6 @@
     chunks_count: int
     #: Whether the chunks are objects.
     in_objects: bool
-    #: Digest of the object's content; empty for jobs accepted by an earlier version.
-    items_digest: str = ''
     #: The instance that runs the job, and its incarnation.
     owner: InstanceId
     owner_life: str
@@ -77,6 +75,8 @@
     is_done: bool = False
     #: Account that submitted the job; empty if it may be read by any caller.
     account: TenantId = TenantId('')
+    #: Digest of the object's content; left out if there is none, and by earlier versions.
+    items_digest: str | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def backlog_name(self) -> RouteName:
--- a/citrondyke/gateway/jobs/job_store.py
+++ b/citrondyke/gateway/jobs/job_store.py
@@ -83,7 +83,7 @@
             for start in range(0, len(packed), self._row_bytes)
         ]
         in_objects = len(packed) > INLINE_BYTES
-        digest = digest_hex(packed)[:DIGEST_DIGITS] if in_objects else ''
+        digest = digest_hex(packed)[:DIGEST_DIGITS] if in_objects else msgspec.UNSET
         head = msgspec.structs.replace(
             head, chunks_count=len(chunks), in_objects=in_objects, items_digest=digest
         )
