Soak: count a stream only while servers of its version serve

Its trace: three streams of v1, begun at lm-2; both servers of v1, lm-0 and lm-2, end within 40 ms at 1.3 s, before the first attempt to go on; all nine refused attempts were sent to these two and got ConnectionRefusedError. The crashes under sound items, new in this soak, make such seconds more frequent.

Only attempts during which two servers of the stream's version served, by the soak's own knowledge, count in the share; 12 of them are needed as before, and every attempt is still judged for joined texts and false refusals. A test has 24 attempts without servers, and 12 with, which still complain.

--- a/tests/test_soak/soak.py
+++ b/tests/test_soak/soak.py
@@ -246,6 +246,8 @@
                     break
                 gevent.sleep(random.uniform(0.0, 0.4))
                 name = f'{request_id}-{attempt}'
+                version = events[-1].text.split()[2]
+                could_go_on = self._fleet.is_served(version)
                 reply = self._ask(
                     random,
                     '/stream/x',
@@ -256,7 +258,8 @@
                 )
                 if reply.status:
                     events = events + events_of(reply.body)
-                    self.witness.taken_up.append(TakenUp(name, events, reply))
+                    could_go_on = could_go_on and self._fleet.is_served(version)
+                    self.witness.taken_up.append(TakenUp(name, events, reply, could_go_on))
             gevent.sleep(random.uniform(0.0, 0.1))
 
     def _begin_stream(self, random: Random, request_id: str, body: bytes) -> list[StreamPart]:
--- a/tests/test_soak/soak_fleet.py
+++ b/tests/test_soak/soak_fleet.py
@@ -35,6 +35,8 @@
 SERVERS = {'app': 3, 'lm': 4}
 READY_WITHIN_S = 30.0
 EVENT_GAP_MS = 10.0
+#: Servers of a version from which on its streams must go on.
+SERVING_ENOUGH = 2
 #: Number of a server from which on its version is a later one.
 VERSION_LIFE = 12
 #: From a server's end until it is off the list.
@@ -143,6 +145,17 @@
         )
         self.store.put(SERVERS_TABLE, name, msgspec.json.encode(entry))
 
+    def is_served(self, version: str) -> bool:
+        """Tell whether two servers of a version serve, so that its streams can go on."""
+        serving = [
+            name
+            for name, server in self.servers.items()
+            if server.software_version == version
+            and not server.has_crashed
+            and name not in self.left_s
+        ]
+        return len(serving) >= SERVING_ENOUGH
+
     def runs_of(self, body: bytes) -> int:
         """Count how often servers began to run a body."""
         return sum(run.body == body for server in self.servers.values() for run in server.runs)
--- a/tests/test_soak/test_soak_promises.py
+++ b/tests/test_soak/test_soak_promises.py
@@ -209,6 +209,16 @@
     assert len(witness.judge([], {})) == 1
 
 
+def test_witness_leaves_streams_out_whose_servers_have_ended() -> None:
+    witness = Witness()
+    witness.asked = [answer('stream', 200, STREAM)]
+    refused = TakenUp('a-1', [stream_part(1, 'v1')], Reply(503, {}, b'', True), could_go_on=False)
+    witness.taken_up = [refused] * 24
+    assert witness.judge([], {}) == []
+    witness.taken_up += [TakenUp('a-2', refused.events, refused.reply)] * 12
+    assert len(witness.judge([], {})) == 1
+
+
 def test_witness_finds_a_position_that_changed() -> None:
     witness = Witness()
     seen = JobSeen('j', ['i'])
--- a/tests/test_soak/witness.py
+++ b/tests/test_soak/witness.py
@@ -55,6 +55,8 @@
     #: What the caller has of the stream after it.
     events: list[StreamPart]
     reply: Reply
+    #: Whether servers of its version served all the while.
+    could_go_on: bool = True
 
 
 class JobSeen(msgspec.Struct):
@@ -148,7 +150,7 @@
     @property
     def went_on_share(self) -> float:
         """Share of the streams taken up that went on."""
-        return _share_of_answers([each.reply for each in self.taken_up])
+        return _share_of_answers([each.reply for each in self.taken_up if each.could_go_on])
 
     def _judge_taken_up(self, runs: dict[str, list[ServerRun]]) -> None:
         for taken in self.taken_up:
@@ -156,7 +158,8 @@
                 self.complain(f'{taken.request_id} joined {taken.events}')
             if taken.reply.status in NOT_RUN and runs.get(taken.request_id):
                 self.complain(f'{taken.request_id} was answered {taken.reply.status} and ran')
-        if len(self.taken_up) >= TAKEN_UP_ENOUGH and self.went_on_share < self.begun_share / 2:
+        counted = sum(each.could_go_on for each in self.taken_up)
+        if counted >= TAKEN_UP_ENOUGH and self.went_on_share < self.begun_share / 2:
             self.complain(f'{self.went_on_share:.2f} of the streams taken up went on')
 
     def _judge_leaving(self, server: PlatformServer, left_s: float | None) -> None:
