Count a failed probe of a prompt part against the part

Cause: by reading: after two interrupted runs an item's further ones don't count against the parts of its prompt, so that a probe of the part that failed left it undecided for 3 s. Not ruled out by a run that this was the cause of that failure. Change: a run that is the probe of a part counts. The tests of prompt parts, owed items and crashes pass; the failure was not reproduced.

--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -488,8 +488,9 @@
         progress, state = run.progress, run.state
         state.record_failure(self._context.now_ms())
         progress.interrupted_count += 1
-        # All evidence against a prompt part must not come from one item.
-        is_early = progress.interrupted_count <= PART_EVIDENCE_LIMIT
+        # All evidence against a prompt part must not come from one item, but a probe must decide.
+        is_probe = run.probed is not None and run.probed.is_part
+        is_early = progress.interrupted_count <= PART_EVIDENCE_LIMIT or is_probe
         # An item that is preempted while it waits here would stay open forever.
         self._guard.record_interrupted(
             state,
