Let others run while a caller's request is read

A caller that sends blank lines all the time, which are skipped before a request, kept the event loop until the idle timeout.

Change: the pause is where bytes are received, for heads and bodies, so that no loop of the reader can go on without it.

--- a/citrondyke/gateway/callers/request_reader.py
+++ b/citrondyke/gateway/callers/request_reader.py
@@ -48,6 +48,7 @@
         self._clock = clock
         self._sock = sock
         self._limits = limits
+        self._slice = TimeSlice(clock)
         self._write = write
         self._held = held
         #: HTTP state of the current request and response.
@@ -127,10 +128,9 @@
         parts: list[bytes] = []
         size = 0
         until_ms = self._clock.now_ms() + limits.idle_within_ms
-        time_slice = TimeSlice(self._clock)
         while True:
             # A body may come in many tiny chunks at once.
-            time_slice.pause_if_over()
+            self._slice.pause_if_over()
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 more = self._receive(until_ms)
@@ -152,14 +152,16 @@
                 raise CallerGoneError
 
     def _receive(self, until_ms: float) -> bytes | None:
-        left_ms = until_ms - self._clock.now_ms()
-        if left_ms <= 0:
+        self._slice.pause_if_over()
+        asked_ms = self._clock.now_ms()
+        if until_ms <= asked_ms:
             return None
         try:
-            self._sock.settimeout(left_ms / 1e3)
+            self._sock.settimeout((until_ms - asked_ms) / 1e3)
             data: bytes = self._sock.recv(READ_BYTES)
         except TimeoutError:
             return None
         except OSError:
             return b''
+        self._slice.record_read(asked_ms, self._clock.now_ms())
         return data
--- a/tests/test_gateway/test_callers/test_callers_endless_requests.py
+++ b/tests/test_gateway/test_callers/test_callers_endless_requests.py
@@ -98,3 +98,20 @@
     assert len(request.body) == 52_000
     # 52,000 chunks take some 100 slices of processor time.
     assert len(turns) > 20
+
+
+def test_blank_lines_before_a_request_let_others_run() -> None:
+    # They are skipped until the idle timeout, however fast they come.
+    has_run: list[bool] = []
+    other = gevent.spawn_later(0.001, has_run.append, True)
+    sock = ReadySocket(b'\r\n' * 30_000, lambda: not has_run)
+    reader = RequestReader(
+        SystemClock(),
+        sock,
+        RouteLimits,
+        lambda _: None,
+        ByteBudget(1e6).open(HeldKind.REQUEST),
+    )
+    assert reader.read() is None
+    assert has_run
+    other.join()
