Close the connection of an exchange that ends without an answer

Found by reading the change, on paths that no case takes: an item was sent again on the same connection after a redirect, and after a whole response whose last event was not. A late copy of either has the item's id.

Change: every end of an exchange but an answer closes the connection, and every answer that is no success is remembered on it. With both, a connection never carries one request twice, and a copy comes on the connection of its original only, so that it can't be taken for the answer to a repeat.

The tests failed before: the form MOVED of test_late_copy_of_an_items_answer_does_not_count_for_its_next_run, and test_item_is_not_run_again_on_the_connection_of_a_broken_answer.

--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -254,7 +254,8 @@
             raise
         finally:
             if connection is not None:
-                self._sends.release(state, connection)
+                is_answered = is_good or outcome in (SendOutcome.REFUSED, SendOutcome.FAILED)
+                self._sends.release(state, connection, is_answered=is_answered)
             if survived and connection is not None:
                 self._record_survived(forwarded, state, connection)
             if is_good:
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -77,15 +77,20 @@
         until_ms = self._context.now_ms() + INITIAL_EVENT_MS
         request_id = RequestId(progress.item.id)
         connection = self._sends.connect(state, request_id, only_new=False, until_ms=until_ms)
+        is_answered = False
         try:
-            return self._exchange(connection, progress, head, state, on_answered)
+            result = self._exchange(connection, progress, head, state, on_answered)
+            is_answered = True
+            return result
         except BrokenReplyError as error:
+            # A rejection is reported by this kind, too.
+            is_answered = error.failure_kind is ReplyFailureKind.NO_CONNECTION
             if error.failure_kind is ReplyFailureKind.OVERSIZED:
                 # What has gone on for too long may have been wrong from its first event.
                 progress.drop_events()
             raise
         finally:
-            self._sends.release(state, connection)
+            self._sends.release(state, connection, is_answered=is_answered)
 
     def _exchange(
         self,
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -33,7 +33,8 @@
 #: Statuses from this one on are failures of the server.
 SERVER_FAILURE = 500
 GATEWAY_TIMEOUT = 504
-FIRST_ERROR = 400
+#: Statuses from this one on are no success; the request may be sent again.
+FIRST_NOT_SUCCESSFUL = 300
 
 
 class OpenReply(msgspec.Struct, frozen=True):
@@ -126,8 +127,16 @@
         self._in_use.setdefault(state.incarnation, set()).add(connection)
         return connection
 
-    def release(self, state: ServerState, connection: ServerConnection) -> None:
-        """Return a connection to the pool if it may be reused, else close it."""
+    def release(
+        self, state: ServerState, connection: ServerConnection, *, is_answered: bool
+    ) -> None:
+        """Return a connection to the pool if it may be reused, else close it.
+
+        :param is_answered: whether the exchange has ended with an answer. Otherwise its request may
+            be sent again, and a late copy of its response would have the same id.
+        """
+        if not is_answered:
+            connection.close_after_exchange()
         in_use = self._in_use.get(state.incarnation, set())
         in_use.discard(connection)
         if not in_use:
@@ -182,7 +191,7 @@
         self._record_load(state, metadata, now_ms)
         if metadata.is_misplaced:
             self._record_misplaced(state, request_id, head, now_ms)
-        if metadata.was_not_run or head.status >= FIRST_ERROR:
+        if metadata.was_not_run or head.status >= FIRST_NOT_SUCCESSFUL:
             connection.record_unfinished(request_id)
         if metadata.was_not_run:
             return OpenReply(connection, head, metadata)
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -35,7 +35,7 @@
 __all__ = ('AnswerMode', 'PlatformServer', 'ServerRun', 'event_text')
 
 READ_BYTES = 65_536
-FIRST_ERROR = 400
+FIRST_NOT_SUCCESSFUL = 300
 
 
 def event_text(number: int, software_version: str = '') -> str:
@@ -54,6 +54,10 @@
     REFUSE = 'refuse'
     FAIL = 'fail'
     IMPOSSIBLE = 'impossible'
+    #: Run the request and answer with a redirect.
+    MOVED = 'moved'
+    #: End a stream in the middle of an event, and keep the connection.
+    END_IN_EVENT = 'end_in_event'
     #: Run the request, then reset the connection without an answer.
     CUT = 'cut'
     #: Run the request and send nothing.
@@ -95,7 +99,11 @@
     AnswerMode.UNFRAMED_EMPTY,
     AnswerMode.UNFRAMED_THEN_CRASH,
 )
-FAILURES = {AnswerMode.FAIL: (500, b'failed'), AnswerMode.IMPOSSIBLE: (422, b'')}
+FAILURES = {
+    AnswerMode.FAIL: (500, b'failed'),
+    AnswerMode.IMPOSSIBLE: (422, b''),
+    AnswerMode.MOVED: (302, b''),
+}
 
 
 class ServerRun(msgspec.Struct):
@@ -111,6 +119,8 @@
     answer_mode: AnswerMode = AnswerMode.SERVE
     #: Start of the run, by the monotonic clock.
     began_s: float = 0.0
+    #: Port of the caller, which identifies the connection.
+    connection: int = 0
 
     @property
     def shared_parts(self) -> set[str]:
@@ -227,6 +237,7 @@
             body,
             answer_mode=answer_mode,
             began_s=time.monotonic(),
+            connection=sock.getpeername()[1],
         )
         self.runs.append(run)
         gevent.sleep(self.answer_ms / 1e3)
@@ -284,6 +295,9 @@
         sock.sendall(http.send(h11.Response(status_code=200, headers=head)) or b'')
         for number in range(first, self.events_count + 1):
             data = self._event(number)
+            if answer_mode is AnswerMode.END_IN_EVENT and number == first + 2:
+                sock.sendall(http.send(h11.Data(data=data[:-5])) or b'')
+                break
             if answer_mode in (AnswerMode.COMMENTS, AnswerMode.COMMENT_THEN_CUT):
                 data += b': ping\n\n'
             if answer_mode is AnswerMode.CUT_IN_EVENT and number == first + 2:
@@ -322,7 +336,7 @@
         if body:
             data += http.send(h11.Data(data=body)) or b''
         sock.sendall(data + (http.send(h11.EndOfMessage()) or b''))
-        if status >= FIRST_ERROR and self.sends_late_copies:
+        if status >= FIRST_NOT_SUCCESSFUL and self.sends_late_copies:
             self._late_copies[sock] = data
         return True
 
--- a/tests/test_gateway/test_servers/test_servers_late_copies.py
+++ b/tests/test_gateway/test_servers/test_servers_late_copies.py
@@ -39,7 +39,7 @@
         fleet.end()
 
 
-@pytest.mark.parametrize('mode', [AnswerMode.FAIL, AnswerMode.REFUSE])
+@pytest.mark.parametrize('mode', [AnswerMode.FAIL, AnswerMode.REFUSE, AnswerMode.MOVED])
 def test_late_copy_of_an_items_answer_does_not_count_for_its_next_run(
     one_server: tuple[GatewayFleet, PlatformServer], mode: AnswerMode
 ) -> None:
@@ -64,3 +64,16 @@
         assert (reply.status, reply.is_whole) == (200, True)
     assert server.late_copies_count == 1
     assert [run.request_id for run in server.runs] == ['second', 'third']
+
+
+def test_item_is_not_run_again_on_the_connection_of_a_broken_answer(
+    one_server: tuple[GatewayFleet, PlatformServer],
+) -> None:
+    # The answer is whole and its last event is not; a late copy of it would have the item's id.
+    fleet, server = one_server
+    server.answer_modes.append(AnswerMode.END_IN_EVENT)
+    assert fleet.submit('job', 1).status == 202
+    (result,) = fleet.wait_done('job')
+    assert result['state'] == 'completed'
+    first, second = server.runs
+    assert first.connection != second.connection
