Bound what probes of items cost, and leave online requests theirs

Found by reading the change. Many items that crash their servers were probed one at a time, but each at its own time: twenty of them at one owner could take a server each fraction of a second.

Change: the owner's gate pauses after a failed probe, up to 3 s, and not after one that was answered; the pauses of an item follow the exits, not a count of probes; its claims leave the count alone.

--- a/citrondyke/decisions/crashes/probe_policy.py
+++ b/citrondyke/decisions/crashes/probe_policy.py
@@ -5,6 +5,8 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+from citrondyke.decisions.crashes.suspect import EXITS_LIMIT
+
 if TYPE_CHECKING:
     from citrondyke.decisions.crashes.suspect import Suspect
 
@@ -35,6 +37,9 @@
 class ProbePolicy(ABC):
     """Decides whether a blocked suspect may be probed now."""
 
+    #: Whether its probes count towards the limit on their number.
+    is_limited = True
+
     @abstractmethod
     def is_due(self, suspect: Suspect, epoch_ms: float, first_pause_ms: float) -> bool:
         """Return whether a probe is due.
@@ -69,9 +74,12 @@
 
     Handles servers that crash one after the other, for another cause, under one sound item. A limit
     on the number of probes would leave it waiting beside free servers until it is given up. The
-    pauses grow, but only to a bound, so that after the crashes the item is soon run again.
+    pauses grow with the exits, but only to a bound, so that after the crashes the item is soon run
+    again. Its probes don't count: online requests with the same prompt part have their own.
     """
 
+    is_limited = False
+
     def __init__(self, content_pause_ms: float) -> None:
         """Initialize.
 
@@ -82,8 +90,8 @@
     def is_due(self, suspect: Suspect, epoch_ms: float, first_pause_ms: float) -> bool:
         """Return whether a probe is due; it always is after a bounded pause."""
         longest_ms = MAX_OWED_PART_PAUSE_MS if suspect.key.is_part else self._content_pause_ms
-        ran = max(0, suspect.trials - suspect.refused)
-        pause_ms = min(longest_ms, first_pause_ms * 2.0 ** min(ran, 10))
+        further_exits = max(0.0, suspect.score - EXITS_LIMIT)
+        pause_ms = min(longest_ms, first_pause_ms * float(2.0 ** min(further_exits, 10.0)))
         return epoch_ms >= max(suspect.changed_epoch_ms, suspect.tried_epoch_ms) + pause_ms
 
 
--- a/citrondyke/decisions/crashes/suspect.py
+++ b/citrondyke/decisions/crashes/suspect.py
@@ -6,8 +6,12 @@
 
 from citrondyke.decisions.crashes.suspect_key import SuspectKey
 
-__all__ = ('BEGUN_WEIGHT', 'FRESH_WEIGHT', 'Suspect', 'SuspectRow')
+__all__ = ('BEGUN_WEIGHT', 'EXITS_LIMIT', 'FRESH_WEIGHT', 'Suspect', 'SuspectRow')
 
+#: Weighted server exits after which a request is blocked. With two, requests that ran beside a
+#: poison request on its first two servers would be blocked with it; each additional exit costs all
+#: requests on one more server their responses.
+EXITS_LIMIT = 3.0
 #: Weight of a server's exit for a request whose response had just started, or not yet.
 FRESH_WEIGHT = 1.0
 #: Weight for a request whose response had been streaming for a while. A poison request crashes its
--- a/citrondyke/decisions/crashes/suspect_registry.py
+++ b/citrondyke/decisions/crashes/suspect_registry.py
@@ -12,6 +12,7 @@
 from citrondyke.decisions.crashes.proven_parts import PROVEN_MS, ProvenParts
 from citrondyke.decisions.crashes.suspect import (
     BEGUN_WEIGHT,
+    EXITS_LIMIT,
     FRESH_WEIGHT,
     Suspect,
     SuspectRow,
@@ -27,10 +28,6 @@
 
 __all__ = ('SuspectRegistry', 'SuspectStatus', 'SuspectVerdict')
 
-#: Weighted server exits after which a request is blocked. With two, requests that ran beside a
-#: poison request on its first two servers would be blocked with it; each additional exit costs all
-#: requests on one more server their responses.
-EXITS_LIMIT = 3.0
 #: Exits within this time after the first one don't count against a prompt part that was answered
 #: before: servers that exit for one cause do so within a second, and as long as others live, a
 #: popular part is answered within one. An exit after it without an answer counts, and so do the
@@ -245,12 +242,12 @@
         suspect = self._by_digest.get(key.digest)
         return None if suspect is None else suspect.row()
 
-    def probe_row(self, key: SuspectKey) -> SuspectRow:
+    def probe_row(self, key: SuspectKey, policy: ProbePolicy = ONLINE_PROBES) -> SuspectRow:
         """Return the row that must be stored before a probe starts."""
         suspect = self._suspect(key)
         return msgspec.structs.replace(
             suspect.row(),
-            trials=suspect.trials + 1,
+            trials=suspect.trials + policy.is_limited,
             tried_epoch_ms=self._context.epoch_ms(),
             score_at_trial=suspect.score,
             changed_epoch_ms=self._context.epoch_ms(),
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -19,6 +19,7 @@
 )
 from citrondyke.decisions.batch.owned_job import RunResult
 from citrondyke.decisions.batch.run_length import RunLengthEstimator
+from citrondyke.decisions.crashes.item_probe_gate import ItemProbeGate
 from citrondyke.decisions.crashes.probe_policy import owed_item_probes
 from citrondyke.decisions.crashes.suspect_key import RequestKeys
 from citrondyke.decisions.crashes.suspect_registry import SuspectStatus
@@ -74,8 +75,6 @@
     is_preempted: bool = False
     #: Suspect whose probe the run is.
     probed: SuspectKey | None = None
-    #: Whether its server may have run the item to an end.
-    was_sent: bool = False
 
     def preempt(self) -> None:
         """Stop the run.
@@ -126,8 +125,7 @@
         self._lengths = RunLengthEstimator()
         self._runs: dict[int, _ItemRun] = {}
         self._runs_count = 0
-        #: The run that probes a suspect.
-        self._probing: _ItemRun | None = None
+        self._probe_gate = ItemProbeGate(context)
         owned.on_ownership_lost(self._stop_items)
 
     def start(self) -> None:
@@ -418,7 +416,6 @@
                 result = self._sender.run(
                     progress, job.head, state, lambda: self._record_answered(run)
                 )
-                run.was_sent = True
             else:
                 result = RunResult.BLOCKED
         except ItemPreemptedError:
@@ -428,7 +425,6 @@
             if error.failure_kind is ReplyFailureKind.NO_CONNECTION:
                 self._guard.record_connect_failure(state, error)
             else:
-                run.was_sent = True
                 self._record_interrupted(run, error.failure_kind)
         except Exception:
             # An item whose run ended without a result would stay open forever.
@@ -437,7 +433,7 @@
         finally:
             self._runs.pop(number, None)
             self._sends.remove_request(state, is_batch=True)
-            self._end_probe(run)
+            self._probe_gate.end(run)
         took_ms = self._context.now_ms() - started_ms
         self._lengths.record_event_interval(
             job.head.route, progress.events_count - events_before, took_ms
@@ -471,10 +467,8 @@
         verdict = self._guard.verdict_on(run.keys, policy)
         if verdict.status is not SuspectStatus.PROBE_DUE or verdict.key is None:
             return not verdict.is_blocked
-        if self._probing is not None:
-            # Several probes at once could cost several servers.
+        if not self._probe_gate.try_start(run):
             return False
-        self._probing = run
         if not self._guard.claim_item_probe(verdict.key, run.progress.item.id, policy):
             return False
         run.probed = verdict.key
@@ -482,11 +476,12 @@
 
     def _record_answered(self, run: _ItemRun) -> None:
         self._guard.record_survived(run.keys)
-        self._release_probe(run)
+        self._probe_gate.record_answered(run)
 
     def _record_interrupted(self, run: _ItemRun, kind: ReplyFailureKind) -> None:
         progress, state = run.progress, run.state
         state.record_failure(self._context.now_ms())
+        self._probe_gate.record_failed(run)
         progress.interrupted_count += 1
         # All evidence against a prompt part must not come from one item, but a probe must decide.
         is_probe = run.probed is not None and run.probed.is_part
@@ -500,16 +495,6 @@
             may_wait=False,
         )
 
-    def _release_probe(self, run: _ItemRun) -> None:
-        if self._probing is run:
-            self._probing = None
-
-    def _end_probe(self, run: _ItemRun) -> None:
-        """End a probe; one that was not sent leaves the pause before the next one as it is."""
-        self._release_probe(run)
-        if run.probed is not None and not run.was_sent:
-            self._guard.record_probe_refused(run.probed)
-
     def _end(self, job: OwnedJob, progress: ItemProgress, result: RunResult) -> None:
         job.end_run(progress, result, self._context.now_ms(), self._context.epoch_ms())
 
--- a/citrondyke/gateway/servers/poison_request_guard.py
+++ b/citrondyke/gateway/servers/poison_request_guard.py
@@ -132,7 +132,7 @@
             return False
         if key.is_part and not self._book.topology.is_first_registrar(key.digest):
             return False
-        self._suspects.merge(self._suspects.probe_row(key))
+        self._suspects.merge(self._suspects.probe_row(key, policy))
         self._store.save(key)
         return True
 
--- a/citrondyke/gateway/servers/suspect_store.py
+++ b/citrondyke/gateway/servers/suspect_store.py
@@ -130,7 +130,7 @@
                 return False
             if self._suspects.status_of(key, policy) is not SuspectStatus.PROBE_DUE:
                 return False
-            row = self._suspects.probe_row(key)
+            row = self._suspects.probe_row(key, policy)
             written = self._write_once(row)
             if written is None:
                 return False
