Let others run while health and metrics pages are served

Found by reading, on a path that no case takes: a caller that sends requests for pages all the time never lets its greenlet wait, and the instance stands still. Change: the same pause as for callers and servers, before each answer.

--- a/citrondyke/gateway/callers/status_endpoint.py
+++ b/citrondyke/gateway/callers/status_endpoint.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from citrondyke.gateway.sockets import tune
+from citrondyke.util.time_slice import TimeSlice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -12,6 +13,7 @@
     from gevent import socket
 
     from citrondyke.gateway.metrics import Metrics
+    from citrondyke.util.clock import Clock
 
 __all__ = ('StatusEndpoint',)
 
@@ -24,6 +26,7 @@
 
     def __init__(
         self,
+        clock: Clock,
         is_ready: Callable[[], bool],
         metrics: Metrics,
         state: Callable[[], bytes] | None = None,
@@ -33,6 +36,7 @@
         :param state: returns the state page for operators; ``None`` on a port that is not reserved
             for operators.
         """
+        self._clock = clock
         self._is_ready = is_ready
         self._metrics = metrics
         self._state = state
@@ -43,12 +47,14 @@
             tune(sock)
             sock.settimeout(READ_S)
             data = b''
+            time_slice = TimeSlice(self._clock)
             while True:
                 more = sock.recv(HEAD_LIMIT_BYTES)
                 if not more:
                     return
                 data += more
                 while b'\r\n\r\n' in data:
+                    time_slice.pause_if_over()
                     head, _, data = data.partition(b'\r\n\r\n')
                     sock.sendall(self._answer(head))
                 if len(data) > HEAD_LIMIT_BYTES:
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -256,11 +256,13 @@
             settings.connections_limit,
             self.budget,
         )
-        self._pages = StatusEndpoint(lambda: self.is_ready, self.metrics)
+        self._pages = StatusEndpoint(self.clock, lambda: self.is_ready, self.metrics)
         state = OperatorState(
             settings.instance_id, self.replicated.config, limits, self.suspects, self.metrics
         )
-        self._operator_pages = StatusEndpoint(lambda: self.is_ready, self.metrics, state.page)
+        self._operator_pages = StatusEndpoint(
+            self.clock, lambda: self.is_ready, self.metrics, state.page
+        )
         self._servers: list[StreamServer] = []
         add_gauges(self)
         self._stopping = Event()
