Publish news of exits at once, beside those that wait to be resent

What callers saw: a request with a part that is known to crash servers gets 503 with a time to come back instead of 502, for up to 0.7 s after a probe of the part has failed at another instance.

Cause: the publisher slept until the next update was due, and a new update waited for the resend of an earlier one. Evidence: a run with its lines (8 at once beside 8 busy processes): the owner counts the exit at 6.551 s, the peer knows the claim from the store and no exit until the test ends at 6.96 s; it has had no news since 6.232 s.

Change: the publisher waits for the next due time or a new update.

The test failed before: test_new_update_does_not_wait_for_the_resend_of_an_earlier_one.

--- a/citrondyke/gateway/peers/suspect_publisher.py
+++ b/citrondyke/gateway/peers/suspect_publisher.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import gevent
 from gevent.event import Event
 
 from citrondyke.decisions.crashes.suspect import FRESH_WEIGHT
@@ -129,10 +128,10 @@
     def _run(self, send: Callable[[PeerText, list[InstanceId]], None]) -> None:
         while True:
             pause_ms = self.next_pause_ms()
-            if pause_ms is None:
+            if pause_ms != 0.0:
+                # A new update may be due before those that are sent again.
                 self._has_updates.clear()
-                self._has_updates.wait()
+                self._has_updates.wait(None if pause_ms is None else pause_ms / 1e3)
                 continue
-            gevent.sleep(pause_ms / 1e3)
             for message, recipients in self.take_due():
                 send(message, recipients)
