Let the instances of citrondyked grant probes by turns

Change: the instance is drawn anew every 5 s. Whoever has no request in its turn lets it pass, so that wherever requests arrive, the turn comes.

The test failed before: 14 of the 20 forms of test_probe_is_granted_where_requests_arrive. At the same time one instance grants at most one: test_one_instance_at_a_time_grants_a_probe (20 forms).

--- a/citrondyke/decisions/crashes/engine_crash_guard.py
+++ b/citrondyke/decisions/crashes/engine_crash_guard.py
@@ -33,6 +33,8 @@
 #: Interrupted requests within the same interval at one engine are put down to the same crash; the
 #: connections of a crashed engine break within some ms.
 CRASH_GRAIN_MS = 100.0
+#: Turn of the instance that may grant a probe; clocks of instances differ by less.
+PROBE_TURN_MS = 5_000.0
 
 
 class EngineCrashGuard:
@@ -151,8 +153,14 @@
         self._suspects.merge(notice.row)
 
     def _may_probe(self, key: SuspectKey) -> bool:
-        """Return whether this instance is the one that grants the probes of a suspect."""
+        """Return whether this instance may grant a probe of a suspect now.
+
+        One instance at a time may, by turns: an instance that no request with the suspect reaches
+        grants none, and lets its turn pass.
+        """
         own = self._context.instance_id
+        turn = int(self._context.epoch_ms() // PROBE_TURN_MS)
         return own == max(
-            [own, *self._peers()], key=lambda each: rendezvous_weight(each, key.digest)
+            [own, *self._peers()],
+            key=lambda each: rendezvous_weight(each, f'{key.digest} {turn}'),
         )
