Read callers of citrondyked in turns, and discard their bodies for 0.2 s

Found by a trial with the real program: a caller without a key that sends a body in tiny chunks made the instance stand still (two of two other requests had no answer in 5 s), and a rejected body was discarded for as long as it came (7.5 GB in 11 s, the connection still open).

Cause: the server library reads in loops in which nothing else runs while bytes are ready, so that the timeout of a body doesn't fire either; what is left of a body is read to its end.

Change: its files are opened through PacedSocket, now in util; after the response 0.2 s remain for the rest of a body, then the connection is closed.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -13,13 +13,13 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from citrondyke.backend.paced_socket import PacedSocket
 from citrondyke.backend.request_body import engine_body
 from citrondyke.backend.sse import DONE_EVENT, SseSplitter, event_data
 from citrondyke.decisions.core.ops import ServerLoad
 from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
 from citrondyke.util.line_limiter import LineLimiter
 from citrondyke.util.open_socket import open_socket
+from citrondyke.util.paced_socket import PacedSocket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/citrondyke/entry/server.py
+++ b/citrondyke/entry/server.py
@@ -10,6 +10,8 @@
 
 from citrondyke.entry.responses import error_body
 from citrondyke.errors import TooManyConnectionsError
+from citrondyke.util.clock import SystemClock
+from citrondyke.util.paced_socket import PacedSocket
 
 if TYPE_CHECKING:
     import bottle
@@ -19,11 +21,19 @@
 RETRY_MS = 1000.0
 #: A connection without incoming data for this long is closed, also before its first request.
 IDLE_TIMEOUT_S = 75.0
+#: How long the rest of a body is discarded after its response; then the connection is closed.
+DISCARD_MS = 200.0
 
 
 class _RequestHandler(WSGIHandler):
     """Counts requests and writes no log; the endpoints log requests with more detail."""
 
+    def __init__(self, sock: socket.socket, address: Any, server: EntryServer) -> None:
+        """Read the requests of a connection in turns with other greenlets."""
+        self._clock = SystemClock()
+        self._paced = PacedSocket(self._clock, sock)
+        super().__init__(sock, address, server, self._paced.makefile())
+
     def handle_one_response(self) -> None:
         """Count a request as open until the last byte of its response is sent."""
         self.server.open_requests += 1
@@ -31,6 +41,16 @@
             super().handle_one_response()
         finally:
             self.server.open_requests -= 1
+            if self._clock.now_ms() >= self._paced.until_ms:
+                self.close_connection = True
+            self._paced.until_ms = float('inf')
+
+    def run_application(self) -> None:
+        """Respond; what is left of the request's body is discarded for a limited time."""
+        try:
+            super().run_application()
+        finally:
+            self._paced.until_ms = self._clock.now_ms() + DISCARD_MS
 
     def log_request(self) -> None:
         """Do nothing; the endpoints log requests."""
--- a/citrondyke/backend/paced_socket.py
+++ b/citrondyke/util/paced_socket.py
@@ -1,4 +1,4 @@
-"""Socket of an engine's connection, read within a deadline and in turns with other greenlets."""
+"""Socket that is read within a deadline, and in turns with other greenlets."""
 
 from __future__ import annotations
 
@@ -19,8 +19,8 @@
 class PacedSocket:
     """Passes everything on to a socket, and paces what is read from its files.
 
-    The client library reads in loops of its own, in which neither a timer fires nor another
-    greenlet runs as long as the engine sends faster than its bytes are processed.
+    Libraries read in loops of their own, in which neither a timer fires nor another greenlet runs
+    as long as the other end sends faster than its bytes are processed.
     """
 
     def __init__(self, clock: Clock, sock: socket.socket) -> None:
