Bound the port in a server's entry, so that one entry can't stop the list

A new server got no request, and one that had left went on getting them.

Cause: `int` raises a ValueError for a text of more than 4,300 digits. The digits were checked, their number was not, and the error is not the one that the followers of the table expect. It ended each read and each feed of the list, on all instances, for as long as the entry stayed. Leading zeros count as digits too.

Change: util/numbers.py turns untrusted text into a number of a stated range, or into none; `read_count` raises UnreadableBytesError. The address of a server is the first user.

--- a/citrondyke/platform/rows.py
+++ b/citrondyke/platform/rows.py
@@ -24,6 +24,7 @@
 )
 from citrondyke.util.decoding import decode_json
 from citrondyke.util.hashing import key_hash
+from citrondyke.util.numbers import read_count
 
 __all__ = ('CONFIG_KEY', 'CONFIG_TABLE', 'SERVERS_TABLE', 'decode_config', 'decode_server')
 
@@ -203,9 +204,10 @@
         ipaddress.IPv4Address(ip)
     except ValueError as error:
         raise UnreadableBytesError(f'address: {error}') from error
-    if not (port.isascii() and port.isdigit() and 1 <= int(port) <= MAX_PORT):
+    number = read_count(port, 'address: invalid port', MAX_PORT)
+    if number < 1:
         raise UnreadableBytesError(f'address: invalid port {port!r}')
-    return ip, int(port)
+    return ip, number
 
 
 def _route(route: _Route) -> Route:
--- a/tests/test_platform/test_platform_foreign_entries.py
+++ b/tests/test_platform/test_platform_foreign_entries.py
@@ -53,6 +53,9 @@
         server_row(address=address)
         for address in ('localhost:80', '10.0.0.256:80', '10.0.0.1: 80', '10.0.0.1:٨٠', '')
     ),
+    # The conversion of more than 4,300 digits raises an error of its own.
+    *(server_row(address=f'10.0.0.1:{digit * 4_301}') for digit in '09'),
+    *(server_row(address=f'10.0.0.1:{digit * 60_000}80') for digit in '09'),
 ]
 
 
