Answer 400 when a caller's last event or position can't be read

What callers saw: a last event id, or a position from which results are read, of more than 4,300 digits cut the connection without an answer; so did a position of a superscript digit, which is a digit to `isdigit` and not to `int`. Other forms, such as 'abc' or '-1', were ignored: the stream began anew, so that its caller had its events twice, and results from the start were returned for those from the position.

Change: both are counts of at most 63 bits, and a request with any other is answered with 400 and not sent to a server. An empty event id is none, as in the specification of server-sent events. The counts in a server's load go through the same function, with the same result.

--- a/citrondyke/gateway/callers/error_responder.py
+++ b/citrondyke/gateway/callers/error_responder.py
@@ -114,6 +114,15 @@
         caller.send_whole(429, headers, b'')
         return RequestResult.OVER_LIMIT
 
+    def reject_invalid_event_id(
+        self, caller: CallerConnection, forwarded: ForwardedRequest
+    ) -> RequestResult:
+        """Respond 400 to a request whose last event can't be read.
+
+        A stream that begins anew would bring the caller events twice.
+        """
+        return self._answer_without_retry(caller, forwarded, RequestResult.INVALID_EVENT_ID, 400)
+
     def reject_revoked_key(
         self, caller: CallerConnection, forwarded: ForwardedRequest
     ) -> RequestResult:
--- a/citrondyke/gateway/callers/forwarded_request.py
+++ b/citrondyke/gateway/callers/forwarded_request.py
@@ -39,6 +39,8 @@
     ORIGIN_UNKNOWN = 'origin_unknown'
     #: No server of the version that began the stream accepts work any more.
     ORIGIN_GONE = 'origin_gone'
+    #: The caller states an event that can't be read as the last one.
+    INVALID_EVENT_ID = 'invalid_event_id'
     #: The key was revoked while no server had the request.
     KEY_GONE = 'key_gone'
     #: Too many servers have crashed while running the same content, or a part of its prompt.
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -111,7 +111,8 @@
         caller.watch()
         try:
             end = (
-                self._stop_if_blocked(caller, forwarded)
+                self._reject_if_invalid(caller, forwarded)
+                or self._stop_if_blocked(caller, forwarded)
                 or self._find_origin(caller, forwarded)
                 or self._serve(caller, forwarded)
             )
@@ -122,6 +123,13 @@
             caller.stop_watching_disconnect()
         self._log.ended(forwarded, end)
 
+    def _reject_if_invalid(
+        self, caller: CallerConnection, forwarded: ForwardedRequest
+    ) -> RequestResult | None:
+        if not forwarded.metadata.has_invalid_event_id:
+            return None
+        return self._responder.reject_invalid_event_id(caller, forwarded)
+
     def _find_origin(
         self, caller: CallerConnection, forwarded: ForwardedRequest
     ) -> RequestResult | None:
--- a/citrondyke/gateway/dialect.py
+++ b/citrondyke/gateway/dialect.py
@@ -30,6 +30,8 @@
     within_ms: float | None = None
     #: Id of the last event of a stream that the caller has received.
     last_event_id: int | None = None
+    #: Whether it states an event that can't be read, so that its stream can't be resumed.
+    has_invalid_event_id: bool = False
     #: Request that brought the caller the first event of the stream that it resumes.
     begun_by: RequestId | None = None
     #: Identifies the shared prefix of the prompt; empty if there is none.
@@ -69,7 +71,8 @@
 
     kind: JobCallKind
     job_id: JobId
-    after: int = 0
+    #: Position from which results are read; ``None`` if the stated one can't be read.
+    after: int | None = 0
     item_id: str = ''
     #: How long the response may wait for a result.
     wait_ms: float = 0.0
--- a/citrondyke/gateway/jobs/job_endpoint.py
+++ b/citrondyke/gateway/jobs/job_endpoint.py
@@ -87,17 +87,22 @@
         until_ms = self._context.now_ms() + min(call.wait_ms, WAIT_LIMIT_MS)
         job = self._owned.owned(call.job_id)
         results: list[ItemResult] | NoJob
+        # A job that its caller may not see is missing, whatever the position.
+        after = call.after
         if job is not None and job.head.account != account.id:
             self._answer_no_job(caller, call, metadata, FOREIGN)
             return
         if job is not None:
-            while len(job.results) <= call.after and not job.is_closed:
+            if after is None:
+                self._answer_invalid_position(caller, call, metadata)
+                return
+            while len(job.results) <= after and not job.is_closed:
                 left_ms = until_ms - self._context.now_ms()
                 if left_ms <= 0:
                     break
                 self._owned.wait_for_results(call.job_id, left_ms)
             total = job.head.items_count
-            results = job.results[call.after :]
+            results = job.results[after:]
         else:
             view = self._reader.view(call.job_id)
             if not isinstance(view, NoJob) and view.head.account != account.id:
@@ -105,12 +110,15 @@
             if isinstance(view, NoJob):
                 self._answer_no_job(caller, call, metadata, view)
                 return
+            if after is None:
+                self._answer_invalid_position(caller, call, metadata)
+                return
             total = view.head.items_count
-            results = self._reader.results(view, call.after, until_ms)
+            results = self._reader.results(view, after, until_ms)
             if isinstance(results, NoJob):
                 self._answer_no_job(caller, call, metadata, results)
                 return
-        page = JobPage(total, call.after, take_page(results))
+        page = JobPage(total, after, take_page(results))
         headers = [*self._dialect.own_response_headers(metadata.request_id, None), JSON_TYPE]
         caller.stop_watching_disconnect()
         caller.send_whole(200, headers, self._dialect.job_page(page))
@@ -177,6 +185,13 @@
             return FOREIGN
         return stored
 
+    def _answer_invalid_position(
+        self, caller: CallerConnection, call: JobCall, metadata: RequestMetadata
+    ) -> None:
+        log.info('job.invalid_position', extra={'job_id': call.job_id})
+        caller.stop_watching_disconnect()
+        self._answer(caller, metadata, 400)
+
     def _answer_no_job(
         self, caller: CallerConnection, call: JobCall, metadata: RequestMetadata, missing: NoJob
     ) -> None:
--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -25,6 +25,7 @@
 from citrondyke.ids import JobId, PromptPart, RequestId, ServerId, TenantId
 from citrondyke.util.decoding import decode_json
 from citrondyke.util.hashing import key_hash
+from citrondyke.util.numbers import parse_count
 
 if TYPE_CHECKING:
     from citrondyke.gateway.callers.caller_request import CallerRequest
@@ -112,11 +113,13 @@
         request_id = (request.header(ATTEMPT_HEADER) or b'').decode('latin-1')
         prefix = (request.header(PREFIX_HEADER) or b'').decode('latin-1')
         begun_by = (request.header(BEGUN_BY_HEADER) or b'').decode('latin-1')
+        last_event = request.header(LAST_EVENT_HEADER) or b''
         shared = _shared_prefix(prefix)
         return RequestMetadata(
             request_id=RequestId(request_id),
             within_ms=_parse_float(request.header(TIMEOUT_HEADER)),
-            last_event_id=_parse_int(request.header(LAST_EVENT_HEADER)),
+            last_event_id=parse_count(last_event),
+            has_invalid_event_id=bool(last_event) and parse_count(last_event) is None,
             begun_by=RequestId(begun_by) if begun_by else None,
             prefix=shared,
             prompt_parts=_prompt_parts(shared),
@@ -183,7 +186,7 @@
                 return JobCall(
                     kind=JobCallKind.READ,
                     job_id=job_id,
-                    after=int(after) if after.isdigit() else 0,
+                    after=parse_count(after),
                     wait_ms=_parse_float(request.header(WAIT_HEADER)) or 0.0,
                 )
         if path.startswith(ITEMS_PATH) and request.method == b'GET':
@@ -311,19 +314,14 @@
         return None
 
 
-def _parse_int(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.isdigit() else None
-
-
-#: Digits of a count that are parsed. No count of requests has more, and parsing a very long
-#: number is expensive.
+#: Digits of a count that are parsed; no count of requests has more.
 MAX_COUNT_DIGITS = 9
 
 
 def _parse_load(value: bytes | None) -> tuple[int, int] | None:
     """Parse the counts of running and waiting requests; ignore the other parts."""
     counts = [
-        _parse_int(part.strip()[:MAX_COUNT_DIGITS]) for part in (value or b'').split(b',')[:2]
+        parse_count(part.strip()[:MAX_COUNT_DIGITS]) for part in (value or b'').split(b',')[:2]
     ]
     if len(counts) < 2 or counts[0] is None or counts[1] is None:  # noqa: PLR2004
         return None
