Keep a wait that is not a number from stopping the instance

What callers saw: one read of a job's results whose `Wait-Ms` is 'nan', at the instance that owns the job, and no request of any caller was answered there any more.

Cause: a deadline that is NaN never passes, and a wait of NaN seconds returns at once, so that the loop in which the read waits for a result ran without a pause, and nothing else ran in the process.

So does '-inf' as a deadline, which was answered with 503. A server's reported service time is parsed the same way; a wrong one was recognized before too.

Evidence: test_read_of_results_ends_whatever_its_wait[nan] failed before: the process stood still until the test's time limit (25 s and 120 s), not even the 10 s timer in the test fired. It passes now. The forms of Deadline-Ms were served before, all but '-inf'.

--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -25,7 +25,7 @@
 from citrondyke.ids import JobId, PromptPart, RequestId, ServerId, TenantId
 from citrondyke.util.decoding import decode_json
 from citrondyke.util.hashing import key_hash
-from citrondyke.util.numbers import parse_count
+from citrondyke.util.numbers import parse_count, parse_decimal
 
 if TYPE_CHECKING:
     from citrondyke.gateway.callers.caller_request import CallerRequest
@@ -117,7 +117,7 @@
         shared = _shared_prefix(prefix)
         return RequestMetadata(
             request_id=RequestId(request_id),
-            within_ms=_parse_float(request.header(TIMEOUT_HEADER)),
+            within_ms=_parse_duration_ms(request.header(TIMEOUT_HEADER)),
             last_event_id=parse_count(last_event),
             has_invalid_event_id=bool(last_event) and parse_count(last_event) is None,
             begun_by=RequestId(begun_by) if begun_by else None,
@@ -187,7 +187,7 @@
                     kind=JobCallKind.READ,
                     job_id=job_id,
                     after=parse_count(after),
-                    wait_ms=_parse_float(request.header(WAIT_HEADER)) or 0.0,
+                    wait_ms=_parse_duration_ms(request.header(WAIT_HEADER)) or 0.0,
                 )
         if path.startswith(ITEMS_PATH) and request.method == b'GET':
             return JobCall(
@@ -307,11 +307,19 @@
     ]
 
 
-def _parse_float(value: bytes | None) -> float | None:
-    try:
-        return None if value is None else float(value)
-    except ValueError:
-        return None
+#: Longer durations count as this one, whose end is far beyond that of any request.
+MAX_DURATION_MS = 86_400_000.0
+#: Durations outside of this range are as unreadable as any other text.
+DURATION_RANGE_MS = 1e15
+
+
+def _parse_duration_ms(value: bytes | None) -> float | None:
+    """Parse a duration; ``None`` if there is none, or no finite number.
+
+    Deadlines are computed from it, and one that is not a number would never pass.
+    """
+    duration_ms = parse_decimal(value or b'', -DURATION_RANGE_MS, DURATION_RANGE_MS)
+    return None if duration_ms is None else min(duration_ms, MAX_DURATION_MS)
 
 
 #: Digits of a count that are parsed; no count of requests has more.
@@ -330,11 +338,12 @@
 
 #: Index of the part that holds the service time, in percent of the typical one.
 SLOWDOWN_INDEX = 3
+MAX_PERCENT = 1e9
 
 
 def _parse_slowdown(value: bytes | None) -> float | None:
     parts = (value or b'').split(b',')
     if len(parts) <= SLOWDOWN_INDEX:
         return None
-    percent = _parse_float(parts[SLOWDOWN_INDEX].strip())
+    percent = parse_decimal(parts[SLOWDOWN_INDEX].strip(), 0.0, MAX_PERCENT)
     return math.nan if percent is None else percent / 100.0
--- a/tests/test_gateway/test_callers/test_callers_odd_numbers.py
+++ b/tests/test_gateway/test_callers/test_callers_odd_numbers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import gevent
 import pytest
 
 from tests.support.gateway import GatewayFleet
 
 UNREADABLE_COUNTS = ('9' * 4_301, '0' * 4_301, '9' * 400, str(2**63), '-1', '1.5', 'abc')
+ODD_DURATIONS = ('nan', 'inf', '-inf', '1e400', '9' * 4_301, '1_000', '', 'abc')
 
 
 @pytest.mark.parametrize('event_id', UNREADABLE_COUNTS)
@@ -29,6 +31,25 @@
         assert (reply.status, reply.is_whole) == (400, True)
 
 
+@pytest.mark.parametrize('wait_ms', ODD_DURATIONS)
+def test_read_of_results_ends_whatever_its_wait(fleet: GatewayFleet, wait_ms: str) -> None:
+    # A wait that is not a number never passes.
+    for server in fleet.servers.values():
+        server.answer_ms = 60_000.0
+    assert fleet.submit('job-1').status == 202
+    for at in range(len(fleet.instances)):
+        with gevent.Timeout(10.0, AssertionError('no answer')):
+            assert fleet.results('job-1', at=at, wait_ms=wait_ms)['results'] == []
+
+
+@pytest.mark.parametrize('deadline_ms', ODD_DURATIONS)
+def test_request_is_served_whatever_its_deadline(fleet: GatewayFleet, deadline_ms: str) -> None:
+    for path in ('/fetch/x', '/stream/x', '/order/x'):
+        reply = fleet.call(path, request_id=path, deadline_ms=deadline_ms)
+        assert (reply.status, reply.is_whole) == (200, True)
+    assert fleet.submit('job-1', deadline_ms=deadline_ms).status == 202
+
+
 @pytest.mark.parametrize('length', ['9' * 4_301, '9' * 400, '0' * 4_301 + '4', '-1', '+4', '4, 4'])
 def test_unreadable_length_of_a_body_is_answered(fleet: GatewayFleet, length: str) -> None:
     with fleet.connection(0) as sock:
