Count an event id out of range as a broken response

What callers saw: when a server wrote an event whose id has more than 4,300 digits, the caller's stream was cut, although another server could go on.

Cause: `int` raises a ValueError for it, which is not the error that a broken response raises, so that no other server was tried.

Change: a number beyond 63 bits, or of more than 40 characters, is a broken response of that server. An id that is no number is ignored as before. The number is limited also because the next instance sends it back as the id after which the stream resumes.

--- a/citrondyke/gateway/callers/event_stream.py
+++ b/citrondyke/gateway/callers/event_stream.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
+from citrondyke.util.numbers import parse_count, shortened
 
 __all__ = ('EventSplitter', 'StreamEvent')
 
@@ -116,13 +117,21 @@
 
 
 def _parse(raw: bytes) -> StreamEvent:
+    """Parse an event; an id that is no number is ignored.
+
+    :raises BrokenReplyError: if the number of its id is out of range.
+    """
     event_id = None
     data: list[bytes] = []
     for line in raw.splitlines():
         name, _, value = line.partition(b':')
         value = value.removeprefix(b' ')
         if name == b'id' and value.isdigit():
-            event_id = int(value)
+            event_id = parse_count(value)
+            if event_id is None:
+                # Without its id, the stream would be resumed at the wrong event.
+                detail = f'event {shortened(value)}'
+                raise BrokenReplyError(ReplyFailureKind.MALFORMED, detail)
         elif name == b'data':
             data.append(value)
     return StreamEvent(raw, event_id, b'\n'.join(data), has_data=bool(data))
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -90,6 +90,8 @@
     ENDLESS = 'endless'
     #: Pause a stream after some events until ``resume_streams`` is set.
     HOLD = 'hold'
+    #: Send an event whose id is ``odd_event_id`` after some events of a stream.
+    ODD_EVENT_ID = 'odd_event_id'
 
 
 UNFRAMED_MODES = (
@@ -156,6 +158,9 @@
         self.event_gap_ms = 1.0
         self.answer_ms = 0.0
         self.resume_streams = gevent.event.Event()
+        self.odd_event_id = b''
+        #: Further headers of signed answers.
+        self.more_headers: list[tuple[bytes, bytes]] = []
         #: Bodies of requests that crash the server when their run starts.
         self.crash_bodies: set[bytes] = set()
         #: Bodies of requests whose connections are reset without a crash of the server.
@@ -246,6 +251,7 @@
             self.crash()
             return False
         signed = [*unsigned, (SEAL_HEADER, f'seal-{self.server_id}-{len(self.runs)}'.encode())]
+        signed += self.more_headers
         if answer_mode is AnswerMode.CUT or body in self.reset_bodies:
             reset(sock)
             return False
@@ -304,6 +310,8 @@
                 sock.sendall(http.send(h11.Data(data=data[:-5])) or b'')
                 reset(sock)
                 return False
+            if answer_mode is AnswerMode.ODD_EVENT_ID and number == first + 2:
+                data = b'id: %b\ndata: odd\n\n' % self.odd_event_id
             if answer_mode in (AnswerMode.STALL, AnswerMode.HOLD) and number == first + 2:
                 if answer_mode is AnswerMode.STALL:
                     return self._wait_for_close(sock, run)
