Ignore an idle timeout of a server that is out of range

What callers saw: the answer of a sound server whose `Keep-Alive` states a timeout of 400 or 4,301 digits was cut, each time, and the request had run.

Cause: the product with a float raises an OverflowError, the conversion of more digits a ValueError, in the greenlet that serves the caller.

Change: a timeout of more than 1,000,000 s, or one that is no whole number, is ignored: the connection is kept as if none were stated. Logged once for each incarnation of a server, and once for the store, whose connections use the same code.

Evidence: the three cases of test_answer_with_an_odd_keep_alive_is_relayed with the large numbers failed before, (0, not whole), and pass now.

--- a/citrondyke/gateway/http_client.py
+++ b/citrondyke/gateway/http_client.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import logbook
 import msgspec
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
@@ -17,6 +18,8 @@
 
 __all__ = ('HttpAnswer', 'HttpClient', 'HttpFailure', 'HttpFailureReason')
 
+log = logbook.Logger(__name__)
+
 IDLE_LIMIT = 8
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 CONNECT_MS = 400.0
@@ -59,6 +62,7 @@
         self._ip = ip
         self._port = port
         self._name = f'{ip}:{port}'
+        self._has_logged_keep_alive = False
         self._pool: ConnectionPool[str] = ConnectionPool(clock, IDLE_LIMIT)
 
     def move(self, ip: str, port: int) -> None:
@@ -89,6 +93,7 @@
             ]
             connection.send(method.encode(), target.encode(), all_headers, body)
             head = connection.read_head(until_ms)
+            self._log_invalid_keep_alive(connection)
             content = connection.read_body(until_ms, ANSWER_LIMIT_BYTES)
         except BrokenReplyError as error:
             if connection is not None:
@@ -103,6 +108,13 @@
         self._pool.release(name, connection)
         return HttpAnswer(head.status, content)
 
+    def _log_invalid_keep_alive(self, connection: ServerConnection) -> None:
+        if not connection.invalid_keep_alive or self._has_logged_keep_alive:
+            return
+        self._has_logged_keep_alive = True
+        timeout = connection.invalid_keep_alive
+        log.info('store.odd_keep_alive', extra={'address': self._name, 'timeout': timeout})
+
     def _connection(self, timeout_ms: float) -> ServerConnection:
         kept = self._pool.acquire(self._name)
         if kept is not None:
--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -13,6 +13,7 @@
 from citrondyke.gateway.http_head import write_head
 from citrondyke.gateway.servers.reply_reader import ReplyReader, accept_any
 from citrondyke.gateway.sockets import connect
+from citrondyke.util.numbers import parse_count, shortened
 from citrondyke.util.time_slice import TimeSlice
 
 if TYPE_CHECKING:
@@ -66,6 +67,8 @@
         self._carried: deque[RequestId] = deque(maxlen=CARRIED_LIMIT)
         self._unfinished: set[RequestId] = set()
         self._is_late_copy: Callable[[ReplyHead], bool] = accept_any
+        #: Idle timeout stated by the server that was ignored as invalid; empty if there was none.
+        self.invalid_keep_alive = ''
         #: When bytes were last received, or when the request was sent.
         self.last_activity_ms = clock.now_ms()
 
@@ -260,7 +263,15 @@
     def _record_keep_alive(self, head: ReplyHead) -> None:
         connection = (head.header(b'connection') or b'').lower()
         self._closes_after_answer = self._closes_after_answer or b'close' in connection
-        self._reusable_until_ms = self._clock.now_ms() + _reusable_ms(head.header(b'keep-alive'))
+        stated = _keep_alive_timeout(head.header(b'keep-alive') or b'')
+        reusable_ms = DEFAULT_KEEP_ALIVE_MS
+        if stated is not None:
+            seconds = parse_count(stated, KEEP_ALIVE_LIMIT_S)
+            if seconds is None:
+                self.invalid_keep_alive = shortened(stated)
+            else:
+                reusable_ms = max(0.0, seconds * 1e3 - KEEP_ALIVE_MARGIN_MS)
+        self._reusable_until_ms = self._clock.now_ms() + reusable_ms
 
 
 #: Idle timeout of a connection whose server states none.
@@ -268,14 +279,14 @@
 #: Subtracted from a stated timeout: the server counts from when it sent the response, and a request
 #: that reaches it while it closes may or may not run.
 KEEP_ALIVE_MARGIN_MS = 500.0
+#: Largest timeout that a server may state, in s; any other is ignored.
+KEEP_ALIVE_LIMIT_S = 1_000_000
 
 
-def _reusable_ms(value: bytes | None) -> float:
-    """Return for how long a connection may be reused, given its ``Keep-Alive`` header."""
-    if value is None:
-        return DEFAULT_KEEP_ALIVE_MS
+def _keep_alive_timeout(value: bytes) -> bytes | None:
+    """Return the timeout in a ``Keep-Alive`` header as stated; ``None`` if there is none."""
     for part in value.split(b','):
-        name, _, seconds = part.strip().partition(b'=')
-        if name.lower() == b'timeout' and seconds.isdigit():
-            return max(0.0, int(seconds) * 1e3 - KEEP_ALIVE_MARGIN_MS)
-    return DEFAULT_KEEP_ALIVE_MS
+        name, is_set, seconds = part.strip().partition(b'=')
+        if name.lower() == b'timeout' and is_set:
+            return seconds
+    return None
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -71,6 +71,8 @@
         self._in_use: dict[ServerIncarnation, set[ServerConnection]] = {}
         #: Incarnations whose invalid slowdown factor was logged; each is logged once.
         self._invalid_load_logged: set[ServerIncarnation] = set()
+        #: The same for invalid idle timeouts.
+        self._invalid_keep_alive_logged: set[ServerIncarnation] = set()
 
     @contextmanager
     def counted(self, state: ServerState) -> Iterator[None]:
@@ -150,6 +152,7 @@
         """Close the idle connections to a removed server; requests in flight may still finish."""
         self._idle.drop(state.incarnation)
         self._invalid_load_logged.discard(state.incarnation)
+        self._invalid_keep_alive_logged.discard(state.incarnation)
 
     def abort_incarnation(self, state: ServerState) -> None:
         """Abort the requests in flight at an incarnation that has ended.
@@ -186,6 +189,8 @@
                     'copies': connection.late_copies_count,
                 },
             )
+        if connection.invalid_keep_alive:
+            self._log_invalid_keep_alive(state, connection)
         _check_is_response_to(request_id, metadata, connection)
         now_ms = self._clock.now_ms()
         self._record_load(state, metadata, now_ms)
@@ -222,6 +227,13 @@
             state.record_failure(now_ms, Outcome.UNANSWERED if is_late else Outcome.FAILED)
         self._on_outcome(state)
 
+    def _log_invalid_keep_alive(self, state: ServerState, connection: ServerConnection) -> None:
+        if state.incarnation in self._invalid_keep_alive_logged:
+            return
+        self._invalid_keep_alive_logged.add(state.incarnation)
+        timeout = connection.invalid_keep_alive
+        log.info('server.odd_keep_alive', extra={'server_id': state.listed.id, 'timeout': timeout})
+
     def _record_load(self, state: ServerState, metadata: ReplyMetadata, now_ms: float) -> None:
         if metadata.load is not None:
             state.record_reported_load(*metadata.load, now_ms)
--- a/tests/test_gateway/test_servers/test_servers_odd_numbers.py
+++ b/tests/test_gateway/test_servers/test_servers_odd_numbers.py
@@ -11,6 +11,19 @@
 TOO_LARGE = ('9' * 400, '9' * 4_301, '0' * 4_301, str(2**63))
 
 
+@pytest.mark.parametrize('seconds', [*TOO_LARGE, '-1', '1.5', 'nan', '\u00b2', ''])
+def test_answer_with_an_odd_keep_alive_is_relayed(fleet: GatewayFleet, seconds: str) -> None:
+    # A timeout that can't be converted cut the whole answer of a server at the caller.
+    for server in fleet.servers.values():
+        server.more_headers = [(b'keep-alive', f'timeout={seconds}, max=100'.encode())]
+    for number in range(4):
+        for path in ('/fetch/x', '/order/x', '/stream/x'):
+            reply = fleet.call(path, request_id=f'{path}-{number}')
+            assert (reply.status, reply.is_whole) == (200, True)
+    assert fleet.submit('job-1').status == 202
+    assert {each['state'] for each in fleet.wait_done('job-1')} == {'completed'}
+
+
 @pytest.mark.parametrize('event_id', TOO_LARGE)
 def test_stream_goes_on_elsewhere_after_an_odd_event_id(fleet: GatewayFleet, event_id: str) -> None:
     # An id that can't be converted cut the caller's stream, though another server could go on.
