Reject a batch job with an impossible number of tokens

What callers saw: a job whose item states 400 digits of tokens got no answer: the connection was cut. One with -1 or 2**63 tokens was accepted with 202, stored, and added up by all instances, so that a negative number made room for others beyond the limit of the backlog.

Cause: the number had a type and no range; arithmetic with a float raises an OverflowError for a large one.

Change: an item has 0 to 10**9 tokens; a job with any other is answered with 400, as one with an invalid path is.

--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -6,7 +6,7 @@
 import binascii
 import math
 import re
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 from urllib.parse import parse_qs, unquote
 
 import msgspec
@@ -81,12 +81,16 @@
 TARGET_PATTERN = re.compile(r'/[!-~]*')
 
 
+#: Tokens of an item: the sums of a backlog remain exact, as integers and as floats.
+TokensCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)]
+
+
 class _Item(msgspec.Struct, frozen=True):
     id: str
     path: str
     headers: dict[str, str] = {}
     body: str = ''
-    tokens: int = 0
+    tokens: TokensCount = 0
 
 
 class _Job(msgspec.Struct, frozen=True):
--- a/tests/test_gateway/test_callers/test_callers_odd_numbers.py
+++ b/tests/test_gateway/test_callers/test_callers_odd_numbers.py
@@ -69,3 +69,16 @@
         )
         sock.settimeout(10.0)
         assert sock.recv(65_536).startswith(b'HTTP/1.1 4')
+
+
+@pytest.mark.parametrize(
+    'tokens', ['9' * 400, '9' * 30, str(2**63), '-1', '-' + '9' * 400, '1e400']
+)
+def test_job_with_an_odd_number_of_tokens_is_rejected(fleet: GatewayFleet, tokens: str) -> None:
+    # A number that no server can run would be added up and stored with the job, by all instances.
+    item = b'{"id":"i-1","path":"/batch-stream/x","body":"","tokens":%b}' % tokens.encode()
+    body = b'{"requests":[%b]}' % item
+    reply = fleet.call('/batch-stream/job', body, request_id='job-1')
+    assert (reply.status, reply.is_whole) == (400, True)
+    assert fleet.submit('job-2').status == 202
+    assert len(fleet.wait_done('job-2')) == 3
