--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -6,7 +6,7 @@
 import binascii
 import math
 import re
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 from urllib.parse import parse_qs, unquote
 
 import msgspec
@@ -25,6 +25,7 @@
 from citrondyke.ids import JobId, PromptPart, RequestId, ServerId, TenantId
 from citrondyke.util.decoding import decode_json
 from citrondyke.util.hashing import key_hash
+from citrondyke.util.numbers import parse_count, parse_decimal
 
 if TYPE_CHECKING:
     from citrondyke.gateway.callers.caller_request import CallerRequest
@@ -80,12 +81,16 @@
 TARGET_PATTERN = re.compile(r'/[!-~]*')
 
 
+#: Tokens of an item: the sums of a backlog remain exact, as integers and as floats.
+TokensCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)]
+
+
 class _Item(msgspec.Struct, frozen=True):
     id: str
     path: str
     headers: dict[str, str] = {}
     body: str = ''
-    tokens: int = 0
+    tokens: TokensCount = 0
 
 
 class _Job(msgspec.Struct, frozen=True):
@@ -112,11 +117,13 @@
         request_id = (request.header(ATTEMPT_HEADER) or b'').decode('latin-1')
         prefix = (request.header(PREFIX_HEADER) or b'').decode('latin-1')
         begun_by = (request.header(BEGUN_BY_HEADER) or b'').decode('latin-1')
+        last_event = request.header(LAST_EVENT_HEADER) or b''
         shared = _shared_prefix(prefix)
         return RequestMetadata(
             request_id=RequestId(request_id),
-            within_ms=_parse_float(request.header(TIMEOUT_HEADER)),
-            last_event_id=_parse_int(request.header(LAST_EVENT_HEADER)),
+            within_ms=_parse_duration_ms(request.header(TIMEOUT_HEADER)),
+            last_event_id=parse_count(last_event),
+            has_invalid_event_id=bool(last_event) and parse_count(last_event) is None,
             begun_by=RequestId(begun_by) if begun_by else None,
             prefix=shared,
             prompt_parts=_prompt_parts(shared),
@@ -183,8 +190,8 @@
                 return JobCall(
                     kind=JobCallKind.READ,
                     job_id=job_id,
-                    after=int(after) if after.isdigit() else 0,
-                    wait_ms=_parse_float(request.header(WAIT_HEADER)) or 0.0,
+                    after=parse_count(after),
+                    wait_ms=_parse_duration_ms(request.header(WAIT_HEADER)) or 0.0,
                 )
         if path.startswith(ITEMS_PATH) and request.method == b'GET':
             return JobCall(
@@ -304,26 +311,29 @@
     ]
 
 
-def _parse_float(value: bytes | None) -> float | None:
-    try:
-        return None if value is None else float(value)
-    except ValueError:
-        return None
+#: Longer durations count as this one, whose end is far beyond that of any request.
+MAX_DURATION_MS = 86_400_000.0
+#: Durations outside of this range are as unreadable as any other text.
+DURATION_RANGE_MS = 1e15
 
 
-def _parse_int(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.isdigit() else None
+def _parse_duration_ms(value: bytes | None) -> float | None:
+    """Parse a duration; ``None`` if there is none, or no finite number.
+
+    Deadlines are computed from it, and one that is not a number would never pass.
+    """
+    duration_ms = parse_decimal(value or b'', -DURATION_RANGE_MS, DURATION_RANGE_MS)
+    return None if duration_ms is None else min(duration_ms, MAX_DURATION_MS)
 
 
-#: Digits of a count that are parsed. No count of requests has more, and parsing a very long
-#: number is expensive.
+#: Digits of a count that are parsed; no count of requests has more.
 MAX_COUNT_DIGITS = 9
 
 
 def _parse_load(value: bytes | None) -> tuple[int, int] | None:
     """Parse the counts of running and waiting requests; ignore the other parts."""
     counts = [
-        _parse_int(part.strip()[:MAX_COUNT_DIGITS]) for part in (value or b'').split(b',')[:2]
+        parse_count(part.strip()[:MAX_COUNT_DIGITS]) for part in (value or b'').split(b',')[:2]
     ]
     if len(counts) < 2 or counts[0] is None or counts[1] is None:  # noqa: PLR2004
         return None
@@ -332,11 +342,12 @@
 
 #: Index of the part that holds the service time, in percent of the typical one.
 SLOWDOWN_INDEX = 3
+MAX_PERCENT = 1e9
 
 
 def _parse_slowdown(value: bytes | None) -> float | None:
     parts = (value or b'').split(b',')
     if len(parts) <= SLOWDOWN_INDEX:
         return None
-    percent = _parse_float(parts[SLOWDOWN_INDEX].strip())
+    percent = parse_decimal(parts[SLOWDOWN_INDEX].strip(), 0.0, MAX_PERCENT)
     return math.nan if percent is None else percent / 100.0
