Bound and count the log of background tasks that keep failing

What was seen: a task that fails at each start, such as a follower of a table, wrote a stack every 0.3 s for as long as the cause lasted, and nothing said when it ran again. No metric showed it.

Cause: `Tasks` logged each exception and kept no count.

Change: `FailureSeries` decides which failures of an operation are logged (the first, then one each 10 s) and when it has recovered (5 s without one). `FailureLog` applies it, names the operation and counts all failures. `task.failed` states the failures so far and how long they have lasted, `task.recovered` ends the series, and the gauge `citrondyke_task_failures_total` counts. The pause before a restart grows from 0.3 to 1.2 s while a task fails at once: a follower may read a whole table at each start.

--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -94,7 +94,7 @@
         self.clock = SystemClock()
         self.context = Context(settings.instance_id, settings.zone, self.clock, random.Random())
         self.metrics = Metrics()
-        self._tasks = Tasks()
+        self._tasks = Tasks(self.clock)
         self.book = ServerRegistry(self.context)
         self.store = Dependency(self.clock, 'store')
         self._evidence = EvidenceExchange(self.context, self.book)
@@ -265,6 +265,7 @@
         )
         self._servers: list[StreamServer] = []
         add_gauges(self)
+        self.metrics.add_gauge('task_failures_total', lambda: float(self._tasks.failures.count))
         self._stopping = Event()
 
     def start(self) -> None:
--- a/citrondyke/gateway/tasks.py
+++ b/citrondyke/gateway/tasks.py
@@ -5,26 +5,37 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
-import logbook
 from gevent.pool import Group
 
+from citrondyke.decisions.core.failure_series import QUIET_MS
+from citrondyke.gateway.failure_log import FailureLog
+from citrondyke.util.clock import SystemClock
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ('Tasks',)
+    from citrondyke.util.clock import Clock
 
-log = logbook.Logger(__name__)
+__all__ = ('Tasks',)
 
 #: Pause before a failed task is restarted.
 RESTART_S = 0.3
+#: ... and the longest one, after repeated failures: a task may read a whole table at each start,
+#: and a server that leaves may get requests for 2 s.
+LONGEST_RESTART_S = 1.2
 
 
 class Tasks:
     """Spawns greenlets that are killed with their instance."""
 
-    def __init__(self) -> None:
-        """Start with none."""
+    def __init__(self, clock: Clock | None = None) -> None:
+        """Start with none.
+
+        :param clock: clock of the log of failures; the system's by default.
+        """
         self._group = Group()
+        #: Exceptions of supervised tasks; each one restarts its task.
+        self.failures = FailureLog(SystemClock() if clock is None else clock, 'task')
 
     def spawn(self, work: Callable[..., object], *arguments: Any) -> gevent.Greenlet:
         """Run a task once."""
@@ -42,12 +53,24 @@
         """Kill all greenlets."""
         self._group.kill(block=True, timeout=1.0)
 
-    @staticmethod
-    def _supervise(work: Callable[[], None]) -> None:
+    def _supervise(self, work: Callable[[], None]) -> None:
+        name = work.__qualname__
+        pause_s = RESTART_S
+        recovery: gevent.Greenlet | None = None
         while True:
             try:
                 work()
                 return
             except Exception:
-                log.exception('task.failed', extra={'task': work.__qualname__})
-            gevent.sleep(RESTART_S)
+                self.failures.record_failure(name)
+            if recovery is not None:
+                is_repeated = not recovery.ready()
+                recovery.kill(block=False)
+                pause_s = min(2 * pause_s, LONGEST_RESTART_S) if is_repeated else RESTART_S
+            gevent.sleep(pause_s)
+            recovery = self.spawn(self._log_recovery, name)
+
+    def _log_recovery(self, name: str) -> None:
+        """Log the recovery of a restarted task, unless it fails again before."""
+        gevent.sleep(QUIET_MS / 1e3)
+        self.failures.record_success(name)
--- a/citrondyke/operator/explanation.py
+++ b/citrondyke/operator/explanation.py
@@ -28,6 +28,7 @@
         'instance.stopped',
         'instance.reloaded',
         'task.failed',
+        'task.recovered',
     )
 )
 
