Apply rows one by one, and mark the server list as applied last

What callers saw: with a row in the list of servers whose decoder raises an unexpected exception, the feed and the reads of all instances ended again and again. A server that left went on getting requests, a new one got none.

Cause: one exception in `ReplicatedState` ended the whole batch of rows, and the next read returned the same row. Besides, `reconcile` recorded the revision of the list as applied before the registry and the callbacks had run: after an exception there the list was not applied again until the next change, and the callbacks after the one that raised never ran, so that requests at a server that had ended were not aborted.

Ruled out: that only `decode_server` matters.

Change: an exception of one row is logged once per version (`row.failed` with table, key, version and the age of the list; `row.recovered` later) and counted, and the row is handled like an unreadable one. An unexpected exception of a configuration leaves it unconfirmed, like an invalid one. The periodic updates of an instance and the two halves of each callback no longer depend on each other. Gauges: list_age_ms, list_failures_total, rows_unreadable_total.

--- a/citrondyke/decisions/forwarding/replicated_rows.py
+++ b/citrondyke/decisions/forwarding/replicated_rows.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any, Generic, TypeVar
 
 import msgspec
@@ -106,10 +106,36 @@
         """Record that the store did not answer."""
         self._grace_until_ms = now_ms + self._grace_ms
 
+    def apply(self, row: ObservedRow[Value], now_ms: float) -> None:
+        """Apply one row."""
+        known = self._rows.get(row.key)
+        if self._is_outdated(row, known):
+            return
+        if row.is_foreign:
+            # The server's own entry no longer exists, so the row is removed even within the grace
+            # time of an outage.
+            _record_version(self._outdated_versions, row.key, row.version)
+            _record_version(self._deleted_versions, row.key, row.version)
+            self._remove(row.key)
+            return
+        if row.value is None:
+            _record_version(self._outdated_versions, row.key, row.version)
+            if known is not None:
+                self._drop(row.key, row.version, now_ms, row.version)
+            return
+        digest_change = _row_digest(row) ^ (0 if known is None else _row_digest(known))
+        if row.born_epoch_ms is not None:
+            self._latest_born[row.key] = row.born_epoch_ms
+            _evict_oldest(self._latest_born)
+        self._missing.pop(row.key, None)
+        self._rows[row.key] = row
+        self.digest ^= digest_change
+        self._change_log.record_change(row.key, len(self._rows))
+
     def apply_feed(self, rows: Iterable[ObservedRow[Value]], now_ms: float) -> None:
         """Apply changes in order."""
         for row in rows:
-            self._apply(row, now_ms)
+            self.apply(row, now_ms)
 
     def apply_listing(
         self, rows: Iterable[ObservedRow[Value]], version: int, now_ms: float
@@ -121,7 +147,14 @@
         present = set()
         for row in rows:
             present.add(row.key)
-            self._apply(row, now_ms)
+            self.apply(row, now_ms)
+        self.complete_listing(present, version, now_ms)
+
+    def complete_listing(self, present: Collection[str], version: int, now_ms: float) -> None:
+        """Drop the rows that a full listing as of a version lacks, after its rows were applied.
+
+        :param present: keys of all rows of the listing.
+        """
         if version < self.version:
             return
         self.version = version
@@ -135,30 +168,6 @@
             if due_ms <= now_ms:
                 self._remove(key)
 
-    def _apply(self, row: ObservedRow[Value], now_ms: float) -> None:
-        known = self._rows.get(row.key)
-        if self._is_outdated(row, known):
-            return
-        if row.is_foreign:
-            # The server's own entry no longer exists, so the row is removed even within the grace
-            # time of an outage.
-            _record_version(self._outdated_versions, row.key, row.version)
-            _record_version(self._deleted_versions, row.key, row.version)
-            self._remove(row.key)
-            return
-        if row.value is None:
-            _record_version(self._outdated_versions, row.key, row.version)
-            if known is not None:
-                self._drop(row.key, row.version, now_ms, row.version)
-            return
-        if row.born_epoch_ms is not None:
-            self._latest_born[row.key] = row.born_epoch_ms
-            _evict_oldest(self._latest_born)
-        self._missing.pop(row.key, None)
-        self._rows[row.key] = row
-        self.digest ^= _row_digest(row) ^ (0 if known is None else _row_digest(known))
-        self._change_log.record_change(row.key, len(self._rows))
-
     def _is_outdated(self, row: ObservedRow[Value], known: ObservedRow[Value] | None) -> bool:
         """Return whether a row is outdated, by incarnation if stated, else by version."""
         deleted = self._outdated_versions.get(row.key, 0)
--- a/citrondyke/decisions/forwarding/server_registry.py
+++ b/citrondyke/decisions/forwarding/server_registry.py
@@ -95,39 +95,58 @@
         self._on_replaced = notify
 
     def replace(self, listed: Iterable[ServerListEntry]) -> RegistryChange:
-        """Apply a server list.
+        """Apply a server list, and call the callback for it."""
+        change = self.apply_list(listed)
+        self.notify_replaced()
+        return change
+
+    def apply_list(self, listed: Iterable[ServerListEntry]) -> RegistryChange:
+        """Apply a server list without calling the callback, which may raise.
 
         A later incarnation of a known server counts as a new server: the counts, failures,
         latencies and connections of the earlier one do not apply to it.
         """
         change = RegistryChange()
         entries = {entry.id: entry for entry in listed}
-        for server_id in [each for each in self._states if each not in entries]:
-            change.removed.append(self._states.pop(server_id))
+        states: dict[ServerId, ServerState] = {}
+        changed: list[tuple[ServerState, ServerListEntry]] = []
+        for server_id, state in self._states.items():
+            entry = entries.get(server_id)
+            if entry is None:
+                change.removed.append(state)
+            elif entry is state.listed:
+                states[server_id] = state
+            elif entry.is_later_incarnation_than(state.listed):
+                change.restarted.append(state)
+            else:
+                states[server_id] = state
+                changed.append((state, entry))
         for server_id, entry in entries.items():
-            state = self._states.get(server_id)
-            if state is not None and entry.is_later_incarnation_than(state.listed):
-                change.restarted.append(self._states.pop(server_id))
-                state = None
-            if state is None:
+            if server_id not in states:
                 change.added.append(server_id)
                 since_ms = self._context.now_ms()
-                self._states[server_id] = ServerState(entry, self._incarnation_of(entry), since_ms)
-            else:
-                state.listed = entry
+                states[server_id] = ServerState(entry, self._incarnation_of(entry), since_ms)
+        by_service: dict[ServiceName, list[ServerState]] = {}
+        for server_id, state in states.items():
+            by_service.setdefault(entries[server_id].service, []).append(state)
+        origins = frozenset(entry.origin for entry in entries.values())
+        if change:
+            by_digest = {server_digest(entries[each]): state for each, state in states.items()}
+            self._by_digest = by_digest
+            self._by_incarnation = {state.incarnation: state for state in states.values()}
+        # From here on nothing raises: a list that was applied in part could not be applied again,
+        # as the servers that it removed would no longer be found.
+        self._states, self._by_service, self.origins = states, by_service, origins
+        for state, entry in changed:
+            state.listed = entry
         for state in (*change.removed, *change.restarted):
             state.is_delisted = True
-        if change:
-            states = self._states.values()
-            self._by_digest = {server_digest(state.listed): state for state in states}
-            self._by_incarnation = {state.incarnation: state for state in states}
-        self._by_service = {}
-        for state in self._states.values():
-            self._by_service.setdefault(state.listed.service, []).append(state)
-        self.origins = frozenset(state.listed.origin for state in self._states.values())
-        self._on_replaced()
         return change
 
+    def notify_replaced(self) -> None:
+        """Call the callback for a new server list."""
+        self._on_replaced()
+
     def _incarnation_of(self, entry: ServerListEntry) -> ServerIncarnation:
         """Name an incarnation uniquely among all that this instance has seen."""
         if entry.born_epoch_ms is not None:
--- a/citrondyke/gateway/gauges.py
+++ b/citrondyke/gateway/gauges.py
@@ -47,6 +47,9 @@
     for name, read in (
         ('config_version', lambda: float(config.table.version)),
         ('config_age_ms', lambda: min(1e9, config.age_ms(instance.clock.now_ms()))),
+        ('list_age_ms', lambda: min(1e9, instance.replicated.list_age_ms)),
+        ('list_failures_total', lambda: float(instance.replicated.failures.count)),
+        ('rows_unreadable_total', lambda: float(instance.replicated.unreadable_rows_count)),
         ('servers', lambda: float(len(list(instance.book.states())))),
         *(
             (f'servers_{standing.value}', lambda standing=standing: _count(instance, standing))
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -383,13 +383,24 @@
             gevent.sleep(UPDATE_EVERY_S)
             late_ms = self.context.now_ms() - started_ms - UPDATE_EVERY_S * 1e3
             self.frontend.record_lateness(late_ms)
-            self.book.topology.replace(
-                {instance_id: beat.zone for instance_id, beat in self.membership.peers.items()}
-            )
-            self._live.timeout_factor = self._store_interval_factor()
-            self.replicated.reconcile('grace')
-            self.origins.update()
-            self.peers.list_read_delegation.update_role()
+            # One failure must not stop the others: without the election, for example, a zone would
+            # keep a reader that is gone.
+            for update in (
+                self._update_topology,
+                self._expire_servers,
+                self.origins.update,
+                self.peers.list_read_delegation.update_role,
+            ):
+                self._tasks.failures.attempt(update.__qualname__, update)
+
+    def _update_topology(self) -> None:
+        self.book.topology.replace(
+            {instance_id: beat.zone for instance_id, beat in self.membership.peers.items()}
+        )
+        self._live.timeout_factor = self._store_interval_factor()
+
+    def _expire_servers(self) -> None:
+        self.replicated.reconcile('grace')
 
     def _store_interval_factor(self) -> float:
         return self.book.topology.store_interval_factor
@@ -401,13 +412,13 @@
         return self.peers.relay(call)
 
     def _on_server_gone(self, state: ServerState) -> None:
-        self._sends.close_idle(state)
-        self.guard.record_removed(state)
+        for call in (self._sends.close_idle, self.guard.record_removed):
+            self._tasks.failures.attempt(call.__qualname__, call, state)
 
     def _on_incarnation_ended(self, state: ServerState) -> None:
         # The guard comes first, so that it attributes the aborted requests to that incarnation.
-        self.guard.record_incarnation_ended(state)
-        self._sends.abort_incarnation(state)
+        for call in (self.guard.record_incarnation_ended, self._sends.abort_incarnation):
+            self._tasks.failures.attempt(call.__qualname__, call, state)
 
     def _on_load_change(self, state: ServerState) -> None:
         """Publish the load, and preempt batch items on a server with online requests."""
--- a/citrondyke/gateway/replication/replicated_state.py
+++ b/citrondyke/gateway/replication/replicated_state.py
@@ -10,6 +10,7 @@
 from citrondyke.decisions.forwarding.replicated_config import ReplicatedConfig
 from citrondyke.decisions.forwarding.replicated_rows import ObservedRow, ReplicatedRows
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.failure_log import FailureLog
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
 
 if TYPE_CHECKING:
@@ -80,8 +81,11 @@
         self._is_config_unreadable = False
         self._reconciled_revision = -1
         self._on_reconciled: Callable[[], None] | None = None
-        self._unreadable_configs = UnreadableRows('configuration')
-        self._unreadable_servers = UnreadableRows('servers')
+        self._applied_ms = float('-inf')
+        self._unreadable_configs = UnreadableRows('configuration', lambda: self.config_age_ms)
+        self._unreadable_servers = UnreadableRows('servers', lambda: self.list_age_ms)
+        #: Exceptions while the list was applied or its changes were reported.
+        self.failures = FailureLog(context.clock, 'list')
 
     def on_reconciled(self, call: Callable[[], None]) -> None:
         """Set the callback for each update of the server list."""
@@ -97,6 +101,24 @@
         """Whether the newest configuration of the store could be decoded."""
         return not self._is_config_unreadable
 
+    @property
+    def config_age_ms(self) -> float:
+        """Time since the store last confirmed the configuration."""
+        return self.config.age_ms(self._context.now_ms())
+
+    @property
+    def list_age_ms(self) -> float:
+        """Time since the server list was last received from the store and applied here.
+
+        It grows while the list cannot be applied, although the store answers.
+        """
+        return self._context.now_ms() - self._applied_ms
+
+    @property
+    def unreadable_rows_count(self) -> int:
+        """Number of versions of rows that could not be decoded or applied."""
+        return self._unreadable_configs.count + self._unreadable_servers.count
+
     def on_config_changes(self, rows: Iterable[PartRow]) -> None:
         """Apply changes of the configuration table."""
         self._apply_config_rows(rows)
@@ -119,11 +141,16 @@
                 continue
             try:
                 self.apply_config(row.value, 'store')
-                self._config_version = row.version
-                self._is_config_unreadable = False
             except UnreadableBytesError as error:
                 self._unreadable_configs.log_once(row.key, row.version, error.message)
                 self._is_config_unreadable = True
+            except Exception:
+                self._unreadable_configs.log_failure(row.key, row.version)
+                self._is_config_unreadable = True
+            else:
+                self._config_version = row.version
+                self._is_config_unreadable = False
+                self._unreadable_configs.record_readable(row.key, row.version)
 
     def apply_config(self, raw: bytes, source: str) -> None:
         """Decode and apply a configuration as the operator wrote it.
@@ -151,19 +178,19 @@
 
     def on_server_rows(self, rows: Iterable[PartRow]) -> None:
         """Apply changes of the server list."""
-        self._servers.apply_feed(self._decoded(rows), self._context.now_ms())
+        self._apply_rows(self._decoded(rows))
         self.has_servers = self.has_servers or bool(self._servers.values())
-        self.reconcile('feed')
+        self._reconcile_current('feed')
 
     def on_servers_current(self) -> None:
         """Record that all changes of the server list were read."""
-        self.reconcile('look')
+        self._reconcile_current('look')
 
     def on_server_listing(self, rows: Iterable[PartRow], version: int) -> None:
         """Apply a full read of the server list."""
-        self._servers.apply_listing(self._decoded(rows), version, self._context.now_ms())
+        self._apply_listing(self._decoded(rows), version)
         self.has_servers = True
-        self.reconcile('read')
+        self._reconcile_current('read')
 
     @property
     def list_revision(self) -> int:
@@ -196,18 +223,30 @@
         :param is_whole: whether the peer has just read the store, so that a server missing from
             ``rows`` was removed.
         """
-        now_ms = self._context.now_ms()
         rows = [_marked_if_partial(row) for row in rows]
         if is_whole:
-            self._servers.apply_listing(rows, version, now_ms)
+            self._apply_listing(rows, version)
         else:
-            self._servers.apply_feed(rows, now_ms)
+            self._apply_rows(rows)
         self.has_servers = self.has_servers or bool(rows)
         self.reconcile('peer')
 
+    def record_list_current(self, as_of_ms: float) -> None:
+        """Record that a reader's list as of a time is the same as the one that is applied here."""
+        if self.is_reconciled:
+            self._applied_ms = max(self._applied_ms, as_of_ms)
+
+    @property
+    def is_reconciled(self) -> bool:
+        """Whether the server registry has the current list."""
+        return self._reconciled_revision == self._servers.revision
+
     def reconcile(self, source: str) -> None:
         """Update the server registry from the rows; rows may also have expired since.
 
+        The list counts as applied only once all of that has been done: after an exception the next
+        call applies it again. Each callback runs even if another one has failed.
+
         :param source: what caused the update, for the log.
         """
         now_ms = self._context.now_ms()
@@ -215,19 +254,36 @@
             self._servers.record_outage(now_ms)
         self._servers.drop_missing(now_ms)
         if self._on_reconciled is not None:
-            self._on_reconciled()
-        if self._servers.revision == self._reconciled_revision:
+            self.failures.attempt('on_reconciled', self._on_reconciled)
+        revision = self._servers.revision
+        if revision == self._reconciled_revision:
             return
-        self._reconciled_revision = self._servers.revision
+        try:
+            self._apply_list(source)
+        except Exception:
+            age_ms = round(min(1e9, self.list_age_ms))
+            self.failures.record_failure('apply', source=source, age_ms=age_ms)
+            return
+        self.failures.record_success('apply')
+        # A callback may have let another greenlet apply a later revision.
+        self._reconciled_revision = max(self._reconciled_revision, revision)
+
+    def _reconcile_current(self, source: str) -> None:
+        """Apply the list that the store has just confirmed, and record that it is current."""
+        self.reconcile(source)
+        self.record_list_current(self._context.now_ms())
+
+    def _apply_list(self, source: str) -> None:
         listed = self._servers.values()
         leaving_before = {
             state.listed.id for state in self._book.states() if state.listed.is_leaving
         }
-        change = self._book.replace(listed)
+        change = self._book.apply_list(listed)
+        self.failures.attempt('on_replaced', self._book.notify_replaced)
         for state in change.removed:
-            self._on_server_gone(state)
+            self.failures.attempt('on_server_gone', self._on_server_gone, state)
         for state in change.restarted:
-            self._on_incarnation_ended(state)
+            self.failures.attempt('on_incarnation_ended', self._on_incarnation_ended, state)
         leaving = [
             entry.id for entry in listed if entry.is_leaving and entry.id not in leaving_before
         ]
@@ -246,11 +302,25 @@
                 },
             )
 
+    def _apply_rows(self, rows: Iterable[ObservedRow[ServerListEntry]]) -> None:
+        now_ms = self._context.now_ms()
+        for row in rows:
+            try:
+                self._servers.apply(row, now_ms)
+            except Exception:
+                self._unreadable_servers.log_failure(row.key, row.version)
+
+    def _apply_listing(self, rows: list[ObservedRow[ServerListEntry]], version: int) -> None:
+        self._apply_rows(rows)
+        present = {row.key for row in rows}
+        self._servers.complete_listing(present, version, self._context.now_ms())
+
     def _decoded(self, rows: Iterable[PartRow]) -> list[ObservedRow[ServerListEntry]]:
         seen: list[ObservedRow[ServerListEntry]] = []
         for row in rows:
             if row.value is None:
                 seen.append(ObservedRow(row.key, row.version, None))
+                self._unreadable_servers.record_readable(row.key, row.version)
                 continue
             known = self._decoded_rows.get(row.key)
             if known is not None and known.version == row.version:
@@ -262,6 +332,12 @@
                 self._unreadable_servers.log_once(row.key, row.version, error.message)
                 seen.append(ObservedRow(row.key, row.version, None, is_foreign=True))
                 continue
+            except Exception:
+                # One row must not keep all later changes from this instance.
+                self._unreadable_servers.log_failure(row.key, row.version)
+                seen.append(ObservedRow(row.key, row.version, None, is_foreign=True))
+                continue
+            self._unreadable_servers.record_readable(row.key, row.version)
             decoded = ObservedRow(row.key, row.version, server, server.born_epoch_ms)
             self._decoded_rows[row.key] = decoded
             seen.append(decoded)
--- a/citrondyke/operator/explanation.py
+++ b/citrondyke/operator/explanation.py
@@ -27,6 +27,10 @@
         'instance.stopping',
         'instance.stopped',
         'instance.reloaded',
+        'row.failed',
+        'row.recovered',
+        'list.failed',
+        'list.recovered',
         'task.failed',
         'task.recovered',
     )
