Judge the age of the server list by when it was applied

What callers would see: an instance that receives the list but fails to apply it kept the last one it had, unnoticed. If it was a reader, its whole zone relied on it, as its cursor stated the age of the store's last response. Its own requests went to servers that had left, although its peers knew.

Cause: `_call_store` and `_on_feed` record the response before its rows are applied, and only that time was used: for the lease of followers, for asking peers (never while the store answers) and in the metrics.

Change: `ReplicatedState.list_age_ms` is the time since the list was received and applied, here or by the reader whose list is the same. A reader's cursor states the larger of both ages, so that from 1.6 s on it extends no lease and its followers read the store themselves. `ListFreshness` decides when a list is stale (1.6 s, times the factor by which store calls are rarer in a large fleet): `list.stale` and `list.fresh` are logged once, and peers are asked for the list at the pace of an outage, bounded by the same factor.

Weighed: a stale list is still used and the instance stays ready. Rows are still handed to peers: a listing of an old version removes nothing newer (`ReplicatedRows.complete_listing`), so that their age does no harm.

--- a/citrondyke/decisions/server_list/server_list_cursor.py
+++ b/citrondyke/decisions/server_list/server_list_cursor.py
@@ -20,7 +20,7 @@
     is_whole: bool = False
     #: Version up to which the store has certainly shown all changes.
     store_version: int = 0
-    #: Time since the reader last received the list from the store.
+    #: Time since the reader last received the list from the store and applied it.
     age_ms: float = 0.0
     #: Size of the values of the list.
     size_bytes: int = 0
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -387,7 +387,7 @@
             # keep a reader that is gone.
             for update in (
                 self._update_topology,
-                self._expire_servers,
+                self._update_servers,
                 self.origins.update,
                 self.peers.list_read_delegation.update_role,
             ):
@@ -399,8 +399,9 @@
         )
         self._live.timeout_factor = self._store_interval_factor()
 
-    def _expire_servers(self) -> None:
+    def _update_servers(self) -> None:
         self.replicated.reconcile('grace')
+        self.replicated.update_freshness(self._store_interval_factor())
 
     def _store_interval_factor(self) -> float:
         return self.book.topology.store_interval_factor
--- a/citrondyke/gateway/peers/server_list_publisher.py
+++ b/citrondyke/gateway/peers/server_list_publisher.py
@@ -110,7 +110,9 @@
             self._replicated.list_digest,
             follower.has_read_all and self._is_reader,
             follower.settled_version,
-            min(1e9, follower.answer_age_ms),
+            # A reader that cannot apply what the store answers must not keep its followers from
+            # reading the store themselves.
+            min(1e9, max(follower.answer_age_ms, self._replicated.list_age_ms)),
             follower.size_bytes,
             config.settled_version if self._replicated.is_config_readable else 0,
             config.size_bytes,
--- a/citrondyke/gateway/peers/server_list_subscriber.py
+++ b/citrondyke/gateway/peers/server_list_subscriber.py
@@ -153,4 +153,5 @@
             and self._follower is not None
         ):
             self._follower.adopt(cursor.store_version, cursor.size_bytes)
+            self._replicated.record_list_current(cursor.age_ms)
         return missing
--- a/citrondyke/gateway/peers/store_state_exchange.py
+++ b/citrondyke/gateway/peers/store_state_exchange.py
@@ -160,15 +160,18 @@
         return KnowledgeData(data)
 
     def _run(self) -> None:
-        """Query peers while the store does not answer, or before it first has."""
+        """Query peers while the store does not answer or the list is stale, and at the start."""
         pause_ms = FIRST_REQUEST_MS
         while True:
             gevent.sleep(self._context.jittered_ms(pause_ms) / 1e3)
             pause_ms = REQUEST_EVERY_MS * (
                 self._store_interval_factor() if self._replicated.is_complete else 1.0
             )
-            is_unresponsive = self._store.unanswered_ms >= STORE_UNRESPONSIVE_MS
-            if not is_unresponsive and (self._replicated.is_complete or self._is_list_requested()):
+            # A store that answers is not enough: this instance may fail to apply its answers.
+            is_behind = (
+                self._store.unanswered_ms >= STORE_UNRESPONSIVE_MS or self._replicated.is_list_stale
+            )
+            if not is_behind and (self._replicated.is_complete or self._is_list_requested()):
                 continue
             candidates = self._candidates()
             if candidates and not self._is_requesting:
--- a/citrondyke/gateway/replication/replicated_state.py
+++ b/citrondyke/gateway/replication/replicated_state.py
@@ -9,6 +9,7 @@
 
 from citrondyke.decisions.forwarding.replicated_config import ReplicatedConfig
 from citrondyke.decisions.forwarding.replicated_rows import ObservedRow, ReplicatedRows
+from citrondyke.decisions.server_list.list_freshness import ListFreshness
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.failure_log import FailureLog
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
@@ -82,6 +83,7 @@
         self._reconciled_revision = -1
         self._on_reconciled: Callable[[], None] | None = None
         self._applied_ms = float('-inf')
+        self._freshness = ListFreshness()
         self._unreadable_configs = UnreadableRows('configuration', lambda: self.config_age_ms)
         self._unreadable_servers = UnreadableRows('servers', lambda: self.list_age_ms)
         #: Exceptions while the list was applied or its changes were reported.
@@ -114,6 +116,28 @@
         """
         return self._context.now_ms() - self._applied_ms
 
+    @property
+    def is_list_stale(self) -> bool:
+        """Whether the server list was too old at the last ``update_freshness``."""
+        return self._freshness.is_stale
+
+    def update_freshness(self, interval_factor: float) -> None:
+        """Track and log whether the server list is too old, once there is one.
+
+        :param interval_factor: factor by which store calls are rarer than in a small fleet.
+        """
+        age_ms = self.list_age_ms
+        if self.has_servers and self._freshness.update(age_ms, interval_factor):
+            log.info(
+                'list.stale' if self.is_list_stale else 'list.fresh',
+                extra={
+                    'age_ms': round(min(1e9, age_ms)),
+                    'count': self.servers_count,
+                    'is_applied': self.is_reconciled,
+                    'is_store_lost': self._store.is_lost,
+                },
+            )
+
     @property
     def unreadable_rows_count(self) -> int:
         """Number of versions of rows that could not be decoded or applied."""
@@ -231,10 +255,13 @@
         self.has_servers = self.has_servers or bool(rows)
         self.reconcile('peer')
 
-    def record_list_current(self, as_of_ms: float) -> None:
-        """Record that a reader's list as of a time is the same as the one that is applied here."""
+    def record_list_current(self, age_ms: float) -> None:
+        """Record that the list that is applied here was the store's a while ago.
+
+        :param age_ms: time since the store sent it, to this instance or to its reader.
+        """
         if self.is_reconciled:
-            self._applied_ms = max(self._applied_ms, as_of_ms)
+            self._applied_ms = max(self._applied_ms, self._context.now_ms() - age_ms)
 
     @property
     def is_reconciled(self) -> bool:
@@ -271,7 +298,7 @@
     def _reconcile_current(self, source: str) -> None:
         """Apply the list that the store has just confirmed, and record that it is current."""
         self.reconcile(source)
-        self.record_list_current(self._context.now_ms())
+        self.record_list_current(0.0)
 
     def _apply_list(self, source: str) -> None:
         listed = self._servers.values()
--- a/citrondyke/operator/explanation.py
+++ b/citrondyke/operator/explanation.py
@@ -30,6 +30,8 @@
         'row.failed',
         'row.recovered',
         'list.failed',
+        'list.stale',
+        'list.fresh',
         'list.recovered',
         'task.failed',
         'task.recovered',
