Drop a message of a peer that raises, and nothing else

What callers would see: in a large fleet the messages of peers are processed before each choice of a server, in the task of the caller's request. An exception there closes the connection without a response. In a small fleet it ended the receiver for 0.3 s, and the receiver of limits as well. A configuration in a peer's state that cannot be read kept its server list, instances and suspects away, and one heartbeat that raises kept the whole list of instances from an instance, so that no peer counted as dead.

Cause: only ValueError of the decoder was handled, and the handlers of all kinds of messages ran in the loop of the receiver without a guard.

Change: each datagram, each request of a peer, each part of a peer's state and each heartbeat row is handled alone. What raises is logged (`peer.message.failed`, `limit.message.failed`, `peer.state.failed`, `row.failed`; at most every 10 s or once a version), counted and dropped.

Checked and already safe: requests of peers over streams run in greenlets of their own, and a failed update of a reader is requested again, as the digests differ.

--- a/citrondyke/gateway/accounts/limit_exchange.py
+++ b/citrondyke/gateway/accounts/limit_exchange.py
@@ -20,6 +20,7 @@
 from citrondyke.decisions.accounts.slot_lease import RENEW_MS
 from citrondyke.decisions.reservations.reservations import ReservationCounts
 from citrondyke.gateway.accounts.advance_grant_store import AdvanceGrantStore
+from citrondyke.gateway.failure_log import FailureLog
 from citrondyke.gateway.peers.peer_codec import (
     LimitText,
     PeerMessage,
@@ -96,6 +97,8 @@
         self._waiting_requests_count = 0
         self._logged_reservations = ReservationCounts()
         self._reservations_logged_ms = float('-inf')
+        self._failures = FailureLog(context.clock, 'limit.message')
+        metrics.add_gauge('limit_messages_failed_total', lambda: float(self._failures.count))
         for name in ('kept', 'taken', 'lapsed'):
             metrics.add_gauge(f'limit_places_{name}', self._count_of(name))
 
@@ -206,12 +209,21 @@
         while self._socket is not None:
             data, address = self._socket.recvfrom(DATAGRAM_LIMIT_BYTES)
             try:
-                message = decode_message(data)
-            except ValueError as error:
-                log.info('peer.unreadable', extra={'ip': address[0], 'detail': str(error)})
-                continue
-            if isinstance(message.text, LimitText):
-                self._on_message(message.sender, message.text)
+                self._on_datagram(data, address[0])
+            except Exception:
+                # Callers wait for the answers that come after this message.
+                self._failures.record_failure('datagram', ip=address[0], size_bytes=len(data))
+            else:
+                self._failures.record_success('datagram')
+
+    def _on_datagram(self, data: bytes, ip: str) -> None:
+        try:
+            message = decode_message(data)
+        except ValueError as error:
+            log.info('peer.unreadable', extra={'ip': ip, 'detail': str(error)})
+            return
+        if isinstance(message.text, LimitText):
+            self._on_message(message.sender, message.text)
 
     def _on_message(self, sender: InstanceId, text: LimitText) -> None:
         message = text.message
--- a/citrondyke/gateway/gauges.py
+++ b/citrondyke/gateway/gauges.py
@@ -18,6 +18,7 @@
     from citrondyke.gateway.callers.startup_gate import StartupGate
     from citrondyke.gateway.jobs.batch_subsystem import BatchSubsystem
     from citrondyke.gateway.metrics import Metrics
+    from citrondyke.gateway.peers.membership import Membership
     from citrondyke.gateway.replication.dependency import Dependency
     from citrondyke.gateway.replication.replicated_state import ReplicatedState
     from citrondyke.util.clock import SystemClock
@@ -31,6 +32,7 @@
     clock: SystemClock
     metrics: Metrics
     replicated: ReplicatedState
+    membership: Membership
     book: ServerRegistry
     frontend: CallerFrontend
     gate: StartupGate
@@ -49,7 +51,7 @@
         ('config_age_ms', lambda: min(1e9, config.age_ms(instance.clock.now_ms()))),
         ('list_age_ms', lambda: min(1e9, instance.replicated.list_age_ms)),
         ('list_failures_total', lambda: float(instance.replicated.failures.count)),
-        ('rows_unreadable_total', lambda: float(instance.replicated.unreadable_rows_count)),
+        ('rows_unreadable_total', lambda: _unreadable_count(instance)),
         ('servers', lambda: float(len(list(instance.book.states())))),
         *(
             (f'servers_{standing.value}', lambda standing=standing: _count(instance, standing))
@@ -73,6 +75,11 @@
         )
 
 
+def _unreadable_count(instance: GaugeSource) -> float:
+    others = (instance.membership.unreadable,)
+    return float(instance.replicated.unreadable_rows_count + sum(each.count for each in others))
+
+
 def _count(instance: GaugeSource, standing: ServerHealth) -> float:
     states = instance.book.states()
     return float(sum(state.health_record.health is standing for state in states))
--- a/citrondyke/gateway/peers/membership.py
+++ b/citrondyke/gateway/peers/membership.py
@@ -84,7 +84,7 @@
         self._liveness = liveness
         self._number = 0
         self._is_leaving = False
-        self._unreadable = UnreadableRows(INSTANCES_TABLE)
+        self.unreadable = UnreadableRows(INSTANCES_TABLE)
         #: Live peers by id, without this instance.
         self.peers: dict[InstanceId, Heartbeat] = {}
         #: Whether a complete list of the instances was received, from the store or from a peer.
@@ -108,20 +108,23 @@
 
     def on_rows(self, rows: Iterable[PartRow]) -> None:
         """Apply changed rows."""
-        for row in rows:
-            instance_id = InstanceId(row.key)
-            if row.value is None:
-                self._remove_peer(instance_id)
-                continue
-            try:
-                heartbeat = decode_json(row.value, Heartbeat)
-            except UnreadableBytesError as error:
-                self._unreadable.log_once(row.key, row.version, error.message)
-                continue
-            self._published_list_bytes = max(self._published_list_bytes, heartbeat.list_bytes)
-            is_new = self._liveness.record_row(instance_id, heartbeat.life, row.version)
-            if is_new and instance_id != self._context.instance_id:
-                self._add_peer(instance_id, heartbeat)
+        self.unreadable.apply_each(rows, self._apply_row)
+
+    def _apply_row(self, row: PartRow) -> None:
+        instance_id = InstanceId(row.key)
+        if row.value is None:
+            self._remove_peer(instance_id)
+            return
+        try:
+            heartbeat = decode_json(row.value, Heartbeat)
+        except UnreadableBytesError as error:
+            self.unreadable.log_once(row.key, row.version, error.message)
+            return
+        self._published_list_bytes = max(self._published_list_bytes, heartbeat.list_bytes)
+        is_new = self._liveness.record_row(instance_id, heartbeat.life, row.version)
+        if is_new and instance_id != self._context.instance_id:
+            self._add_peer(instance_id, heartbeat)
+        self.unreadable.record_readable(row.key, row.version)
 
     def on_listing(self, rows: list[PartRow], _: int) -> None:
         """Apply a full read of the table."""
--- a/citrondyke/gateway/peers/peers.py
+++ b/citrondyke/gateway/peers/peers.py
@@ -12,6 +12,7 @@
 from gevent.socket import wait_read
 
 from citrondyke.errors.broken_reply import BrokenReplyError
+from citrondyke.gateway.failure_log import FailureLog
 from citrondyke.gateway.peers.peer_codec import (
     BatchNeeds,
     CrashNews,
@@ -128,6 +129,8 @@
         self._origins = origins
         self._table = table
         self._tasks = tasks
+        self._failures = FailureLog(context.clock, 'peer.message')
+        metrics.add_gauge('peer_messages_failed_total', lambda: float(self._failures.count))
         self._streams: StreamServer | None = None
         self._datagrams: socket.socket | None = None
         self._receiver: socket.socket | None = None
@@ -233,7 +236,8 @@
     def receive_pending(self) -> None:
         """Process the datagrams that have arrived, before a decision that depends on them."""
         if self._receiver is not None and self._batch_window_ms() > 0:
-            self._receive_datagrams(self._receiver)
+            # A request that is about to be sent must not fail with the socket.
+            self._failures.attempt('receive', self._receive_datagrams, self._receiver)
 
     def _run_datagrams(self) -> None:
         """Process datagrams as they arrive, or in a large fleet several at an interval.
@@ -260,16 +264,22 @@
                 data, address = receiver.recvfrom(DATAGRAM_LIMIT_BYTES)
             except BlockingIOError:
                 return count
-            self._on_datagram(data, address)
+            try:
+                self._on_datagram(data, address[0])
+            except Exception:
+                # One message must cost neither the others nor the request that needs them.
+                self._failures.record_failure('datagram', ip=address[0], size_bytes=len(data))
+            else:
+                self._failures.record_success('datagram')
         return DATAGRAMS_PER_TURN
 
-    def _on_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+    def _on_datagram(self, data: bytes, ip: str) -> None:
         try:
             message = decode_message(data)
         except ValueError as error:
-            log.info('peer.unreadable', extra={'ip': address[0], 'detail': str(error)})
+            log.info('peer.unreadable', extra={'ip': ip, 'detail': str(error)})
             return
-        self.store_state.record_version(message.config_version, address[0])
+        self.store_state.record_version(message.config_version, ip)
         text = message.text
         if isinstance(text, LoadNotice | LoadTotals):
             self._on_loads(message.sender, text)
@@ -280,7 +290,7 @@
         elif isinstance(text, CrashNews):
             self._on_crash(message.sender, text)
         elif isinstance(text, ListTold | ListOffered):
-            self.list_read_delegation.on_message(message.sender, address[0], text)
+            self.list_read_delegation.on_message(message.sender, ip, text)
         elif isinstance(text, EvidenceNews):
             self._on_evidence(message.sender, text)
         elif isinstance(text, StreamOrigins):
@@ -319,6 +329,10 @@
                 self._write_frame(sock, address[0], data)
         except (OSError, ValueError) as error:
             log.info('peer.unreadable', extra={'ip': address[0], 'detail': str(error)[:200]})
+        except Exception:
+            self._failures.record_failure('request', ip=address[0])
+        else:
+            self._failures.record_success('request')
         finally:
             sock.close()
 
--- a/citrondyke/gateway/peers/store_state_exchange.py
+++ b/citrondyke/gateway/peers/store_state_exchange.py
@@ -14,6 +14,7 @@
 from citrondyke.decisions.forwarding.server_list_entry import ServerListEntry
 from citrondyke.errors.broken_reply import BrokenReplyError
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.failure_log import FailureLog
 from citrondyke.gateway.peers.list_codec import compress_bytes, decompress_if_needed
 from citrondyke.gateway.peers.membership import Heartbeat
 from citrondyke.gateway.peers.peer_codec import (
@@ -121,6 +122,7 @@
         self._is_list_requested = is_list_requested
         self._tasks = tasks
         self._is_requesting = False
+        self._failures = FailureLog(context.clock, 'peer.state')
 
     def start(self) -> None:
         """Start requesting store state whenever the store does not answer."""
@@ -207,6 +209,15 @@
             self._is_requesting = False
 
     def _merge(self, ip: str, version: ConfigVersion, state: StoreState) -> None:
+        """Merge the parts of a peer's state; a part that fails does not keep the others away."""
+        attempt = self._failures.attempt
+        attempt('config', self._merge_config, ip, version, state)
+        attempt('servers', self._merge_servers, state)
+        attempt('instances', self._membership.merge_from_peer, state.peers)
+        for row in state.suspects:
+            attempt('suspect', self._suspects.merge, row)
+
+    def _merge_config(self, ip: str, version: ConfigVersion, state: StoreState) -> None:
         config = self._replicated.config
         if state.table is not None:
             self._replicated.apply_route_table(state.table, f'peer {ip}')
@@ -214,12 +225,12 @@
             self._replicated.apply_config(state.config, f'peer {ip}')
         if version == config.table.version:
             config.confirm(self._context.now_ms() - state.config_age_ms)
-        if not state.has_same_servers:
-            self._replicated.merge_servers(
-                state.servers,
-                state.servers_version,
-                is_whole=state.store_age_ms < COMPLETE_LIST_MS,
-            )
-        self._membership.merge_from_peer(state.peers)
-        for row in state.suspects:
-            self._suspects.merge(row)
+
+    def _merge_servers(self, state: StoreState) -> None:
+        if state.has_same_servers:
+            return
+        self._replicated.merge_servers(
+            state.servers,
+            state.servers_version,
+            is_whole=state.store_age_ms < COMPLETE_LIST_MS,
+        )
