End each store call for its caller, and log tasks that run once

What callers would see: if the client of the store raises an unexpected exception and no peer makes the call, the call never returns: whoever accepts a job, takes one over or writes a heartbeat waits for good.

Cause: `RelayedTable` makes calls in greenlets of their own and waits for an answer of each; a greenlet that raised put none. Its stack went to standard error alone, as for all tasks that `Tasks.spawn` starts.

Change: both ways put an ambiguous failure, since the call may have been made. `Tasks.spawn` logs and counts the exceptions of its tasks like those of supervised ones.

Evidence: test_call_that_raises_ends_for_its_caller (two cases, within 10 s) and test_task_that_runs_once_logs_its_exception failed before.

--- a/citrondyke/gateway/peers/relayed_table.py
+++ b/citrondyke/gateway/peers/relayed_table.py
@@ -93,6 +93,10 @@
     failure: PlatformFailureReason | None = None
 
 
+#: Result of a call whose outcome is not known.
+AMBIGUOUS_ANSWER = StoreAnswer(failure=PlatformFailureReason.AMBIGUOUS)
+
+
 def perform(table: PartitionedTable, call: StoreCall) -> StoreAnswer:
     """Make a call on a table, and return its result."""
     if isinstance(call, TransactCall):
@@ -211,7 +215,12 @@
 
     def _run_direct(self, call: StoreCall, started_ms: float, answers: Queue[StoreAnswer]) -> None:
         self._store.record_call()
-        answer = perform(self._direct, call)
+        try:
+            answer = perform(self._direct, call)
+        except Exception:
+            # The call may have been made, and its caller waits for an answer.
+            self._tasks.failures.record_failure('RelayedTable.direct')
+            answer = AMBIGUOUS_ANSWER
         now_ms = self._clock.now_ms()
         if answer.failure is not None and _should_relay(answer):
             if now_ms >= self._relay_until_ms + SAME_OUTAGE_MS:
@@ -224,7 +233,12 @@
         answers.put(answer)
 
     def _run_relay(self, call: StoreCall, answers: Queue[StoreAnswer]) -> None:
-        answers.put(self._relay(call))
+        try:
+            answer = self._relay(call)
+        except Exception:
+            self._tasks.failures.record_failure('RelayedTable.relay')
+            answer = AMBIGUOUS_ANSWER
+        answers.put(answer)
 
 
 def _should_relay(answer: StoreAnswer) -> bool:
--- a/citrondyke/gateway/tasks.py
+++ b/citrondyke/gateway/tasks.py
@@ -34,12 +34,12 @@
         :param clock: clock of the log of failures; the system's by default.
         """
         self._group = Group()
-        #: Exceptions of supervised tasks; each one restarts its task.
+        #: Exceptions of all tasks; each one restarts a supervised task.
         self.failures = FailureLog(SystemClock() if clock is None else clock, 'task')
 
     def spawn(self, work: Callable[..., object], *arguments: Any) -> gevent.Greenlet:
-        """Run a task once."""
-        return self._group.spawn(work, *arguments)
+        """Run a task once; its value is ``None`` after an unexpected exception, which is logged."""
+        return self._group.spawn(self._run_once, work, *arguments)
 
     def supervise(self, work: Callable[[], None]) -> None:
         """Run a task and restart it after an unexpected exception.
@@ -53,8 +53,18 @@
         """Kill all greenlets."""
         self._group.kill(block=True, timeout=1.0)
 
+    def _run_once(self, work: Callable[..., object], *arguments: Any) -> object:
+        name = getattr(work, '__qualname__', type(work).__name__)
+        try:
+            result = work(*arguments)
+        except Exception:
+            self.failures.record_failure(name)
+            return None
+        self.failures.record_success(name)
+        return result
+
     def _supervise(self, work: Callable[[], None]) -> None:
-        name = work.__qualname__
+        name = getattr(work, '__qualname__', type(work).__name__)
         pause_s = RESTART_S
         recovery: gevent.Greenlet | None = None
         while True:
--- a/tests/test_gateway/test_gateway_tasks.py
+++ b/tests/test_gateway/test_gateway_tasks.py
@@ -89,3 +89,13 @@
     failing = FailingTask()
     instance._tasks.supervise(failing.run)
     wait_until_seen(lambda: 'task_failures_total 1\n' in instance.metrics.text(), 'the count')
+
+
+def test_task_that_runs_once_logs_its_exception(lines: logbook.TestHandler) -> None:
+    # The stack would go to standard error alone, where no line names the instance or the time.
+    tasks = Tasks(ManualClock())
+    task = tasks.spawn(FailingTask().run)
+    task.join()
+    assert task.value is None
+    assert [record.message for record in lines.records] == ['task.failed']
+    assert tasks.failures.count == 1
--- a/tests/test_gateway/test_peers/test_peers_relay.py
+++ b/tests/test_gateway/test_peers/test_peers_relay.py
@@ -155,3 +155,33 @@
     row = answer.row('t', 'k')
     assert row is not None
     assert row.value == b'v'
+
+
+class _RaisingTable(PartTable):
+    """Raises at each call, like a client that cannot stand what the store has sent."""
+
+    def read(
+        self, table: str, part: str, from_key: str = '', limit: int = 500
+    ) -> Listing | PlatformFailure:
+        raise ZeroDivisionError
+
+    def transact(self, transaction: PartTransaction) -> PartCommitted | PartConflict:
+        raise ZeroDivisionError
+
+
+@pytest.mark.parametrize('relay_raises', [False, True])
+def test_call_that_raises_ends_for_its_caller(*, relay_raises: bool) -> None:
+    # Whoever accepts a job or takes one over would wait for an answer that never comes.
+    def relay(call: StoreCall) -> StoreAnswer:
+        return perform(_RaisingTable(), call) if relay_raises else no_peer(call)
+
+    table = relayed(_RaisingTable(), relay)
+    with gevent.Timeout(10.0):
+        assert table.transact(PartTransaction('p')) == AMBIGUOUS
+        assert table.read('t', 'p') == AMBIGUOUS
+
+
+def test_peer_answers_a_call_that_raises_here() -> None:
+    table = relayed(_RaisingTable(), lambda call: perform(PartTable(), call))
+    with gevent.Timeout(10.0):
+        assert isinstance(table.read('t', 'p'), Listing)
