--- a/citrondyke/operator/explanation.py
+++ b/citrondyke/operator/explanation.py
@@ -27,7 +27,14 @@
         'instance.stopping',
         'instance.stopped',
         'instance.reloaded',
+        'row.failed',
+        'row.recovered',
+        'list.failed',
+        'list.stale',
+        'list.fresh',
+        'list.recovered',
         'task.failed',
+        'task.recovered',
     )
 )
 
