Answer requests whose handling raises an unexpected exception

Callers saw a connection that closed without a response, with nothing in the log of the instance: the frontend handled only the end of a caller's connection (CallerGoneError, OSError). Any other exception in the handling of a request ended the greenlet, and gevent closed the socket. An OSError that had nothing to do with the caller, such as one of a call to the store, was taken for the caller's disconnect and reset its connection. Whether the request had run was left to guess.

Such an exception is now answered 500, or 502 where the request was sent to a server; never a status that promises that it has not run. Where a part of a response was sent the connection is reset; a response that was sent whole stays whole. It is logged as request.failed with the request's id, the phase and the stack, and counted. An acceptance of a batch job that fails so settles its reservation of the backlog as uncertain.

--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -56,6 +56,8 @@
         self._unsent_head = b''
         self._is_chunked = False
         self._has_body = True
+        #: Whether a part of the response to the current request may have been sent.
+        self.has_begun_answer = False
 
     @property
     def is_idle(self) -> bool:
@@ -71,6 +73,7 @@
         request = self._reader.read()
         if request is not None:
             self._has_body = request.method != b'HEAD'
+            self.has_begun_answer = False
         return request
 
     @property
@@ -110,6 +113,21 @@
             % (status, phrase, lines)
         )
 
+    def send_error(self, status: int, headers: Sequence[Header]) -> None:
+        """Answer a request whose handling failed, and close the connection afterwards.
+
+        The response does not depend on the HTTP state, which may be what failed. Where a part of
+        another response was sent, the connection is reset instead; a whole one is kept.
+
+        :raises CallerGoneError: if the caller does not read it.
+        """
+        self.stop_watching_disconnect()
+        self.close_after_answer()
+        if not self.has_begun_answer:
+            self.reject_unread(status, headers)
+        elif self._http.our_state is not h11.DONE:
+            self.abort()
+
     def release_request(self) -> None:
         """Release the memory of the last request's body."""
         self._held.release()
@@ -216,6 +234,7 @@
     def _write(self, data: bytes) -> None:
         if not data:
             return
+        self.has_begun_answer = True
         try:
             self._sock.settimeout(WRITE_STALL_S)
             self._sock.sendall(data)
--- a/citrondyke/gateway/callers/caller_frontend.py
+++ b/citrondyke/gateway/callers/caller_frontend.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+import gevent
 import logbook
 import msgspec
 
@@ -103,9 +104,13 @@
         try:
             tune(sock)
             self._serve(connection)
-        except (CallerGoneError, OSError):
+        except CallerGoneError:
             # The caller disconnected between two requests or while a response was sent.
             connection.abort()
+        except (Exception, gevent.Timeout):
+            self._metrics.counters['requests_failed_internally'] += 1
+            log.exception('connection.failed')
+            connection.abort()
         finally:
             connection.release_request()
             self._open.discard(connection)
@@ -149,7 +154,7 @@
                 return
             self.busy_count += 1
             try:
-                self._answer(connection, request)
+                self._answer_or_fail(connection, request)
             finally:
                 self.busy_count -= 1
                 connection.release_request()
@@ -157,13 +162,38 @@
                 connection.close()
                 return
 
-    def _answer(self, connection: CallerConnection, request: CallerRequest) -> None:
+    def _answer_or_fail(self, connection: CallerConnection, request: CallerRequest) -> None:
+        """Answer a request, with an error if its handling raises an unexpected exception.
+
+        A connection that is closed without a response leaves its caller to guess whether the
+        request has run. The error promises nothing either, but it comes at once and is counted.
+        """
+        request_id = RequestId('')
+        try:
+            metadata = self._metadata(request)
+            request_id = metadata.request_id
+            self._answer(connection, request, metadata)
+        except CallerGoneError:
+            raise
+        except (Exception, gevent.Timeout):
+            self._metrics.counters['requests_failed_internally'] += 1
+            detail = {'request_id': request_id, 'host': request.host, 'path': request.path}
+            log.exception('request.failed', extra={**detail, 'phase': 'dispatch'})
+            headers = self._dialect.own_response_headers(request_id, None) if request_id else []
+            connection.send_error(HTTPStatus.INTERNAL_SERVER_ERROR, headers)
+
+    def _metadata(self, request: CallerRequest) -> RequestMetadata:
+        metadata = self._dialect.request_metadata(request)
+        if metadata.request_id:
+            return metadata
+        request_id = RequestId(f'{self._context.random.getrandbits(64):016x}')
+        return msgspec.structs.replace(metadata, request_id=request_id)
+
+    def _answer(
+        self, connection: CallerConnection, request: CallerRequest, metadata: RequestMetadata
+    ) -> None:
         if self.is_stopping:
             connection.close_after_answer()
-        metadata = self._dialect.request_metadata(request)
-        if not metadata.request_id:
-            request_id = RequestId(f'{self._context.random.getrandbits(64):016x}')
-            metadata = msgspec.structs.replace(metadata, request_id=request_id)
         if not self._replicated.is_complete:
             self._gate.wait(metadata.within_ms)
             if not self._replicated.config.table.version:
--- a/citrondyke/gateway/callers/error_responder.py
+++ b/citrondyke/gateway/callers/error_responder.py
@@ -120,6 +120,18 @@
         """Respond 401 to a request whose key was revoked before another server was tried."""
         return self._answer_without_retry(caller, forwarded, RequestResult.KEY_GONE, 401)
 
+    def answer_internal_error(
+        self, caller: CallerConnection, forwarded: ForwardedRequest
+    ) -> RequestResult:
+        """Answer a request whose handling raised an exception that nothing expects.
+
+        The status never states that the request has not run: the exception may hide a run.
+        """
+        may_have_run = forwarded.history.verdict is Verdict.MAY_HAVE_RUN
+        headers = self._dialect.own_response_headers(forwarded.metadata.request_id, None)
+        caller.send_error(502 if may_have_run else 500, headers)
+        return RequestResult.INTERNAL_ERROR
+
     def _answer_without_retry(
         self,
         caller: CallerConnection,
--- a/citrondyke/gateway/callers/forwarded_request.py
+++ b/citrondyke/gateway/callers/forwarded_request.py
@@ -41,6 +41,8 @@
     ORIGIN_GONE = 'origin_gone'
     #: The key was revoked while no server had the request.
     KEY_GONE = 'key_gone'
+    #: Its handling failed with an exception that nothing expects.
+    INTERNAL_ERROR = 'internal_error'
     #: Too many servers have crashed while running the same content, or a part of its prompt.
     STOPPED = 'stopped'
     #: A probe is running to find out whether the content or prompt part crashes servers.
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
+
 from citrondyke.decisions.crashes.response_phase import is_past_start
 from citrondyke.decisions.crashes.suspect_key import RequestKeys
 from citrondyke.decisions.crashes.suspect_registry import SuspectStatus
@@ -110,11 +112,7 @@
         )
         caller.watch()
         try:
-            end = (
-                self._stop_if_blocked(caller, forwarded)
-                or self._find_origin(caller, forwarded)
-                or self._serve(caller, forwarded)
-            )
+            end = self._answer(caller, forwarded)
         except CallerGoneError:
             caller.abort()
             end = RequestResult.CALLER_GONE
@@ -122,6 +120,19 @@
             caller.stop_watching_disconnect()
         self._log.ended(forwarded, end)
 
+    def _answer(self, caller: CallerConnection, forwarded: ForwardedRequest) -> RequestResult:
+        try:
+            return (
+                self._stop_if_blocked(caller, forwarded)
+                or self._find_origin(caller, forwarded)
+                or self._serve(caller, forwarded)
+            )
+        except CallerGoneError:
+            raise
+        except (Exception, gevent.Timeout):
+            self._log.failed(forwarded)
+            return self._responder.answer_internal_error(caller, forwarded)
+
     def _find_origin(
         self, caller: CallerConnection, forwarded: ForwardedRequest
     ) -> RequestResult | None:
--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -161,6 +161,20 @@
             },
         )
 
+    def failed(self, forwarded: ForwardedRequest) -> None:
+        """Log and count an unexpected exception, with its traceback; called from its handler."""
+        self._metrics.counters['requests_failed_internally'] += 1
+        sends_count = forwarded.history.sends_count
+        log.exception(
+            'request.failed',
+            extra={
+                **_common_fields(forwarded),
+                'phase': 'relay' if forwarded.has_begun else 'sent' if sends_count else 'admission',
+                'sends': sends_count,
+                'verdict': forwarded.history.verdict.value,
+            },
+        )
+
     def ended(self, forwarded: ForwardedRequest, end: RequestResult) -> None:
         """Log and count the result of a request."""
         now_ms = self._context.now_ms()
--- a/citrondyke/gateway/jobs/job_acceptor.py
+++ b/citrondyke/gateway/jobs/job_acceptor.py
@@ -164,12 +164,15 @@
             return self._reject(head, reserved, request)
         if isinstance(reserved, PlatformFailure):
             return _Response(503, f'backlog headroom unknown: {reserved.reason.value}', RETRY_IN_MS)
-        accepted = self._accept(head, items, deadline)
-        is_foreign = isinstance(accepted, StoredHead) and accepted.head.account != head.account
-        if isinstance(accepted, StoredHead) and not is_foreign:
-            self._record_accepted(accepted, items, request)
-        is_uncertain = accepted is CommitVerdict.UNCERTAIN
-        self._backlog.settle(head.backlog_name, head.job_id, is_uncertain=is_uncertain)
+        accepted: StoredHead | CommitVerdict = CommitVerdict.UNCERTAIN
+        try:
+            accepted = self._accept(head, items, deadline)
+            is_foreign = isinstance(accepted, StoredHead) and accepted.head.account != head.account
+            if isinstance(accepted, StoredHead) and not is_foreign:
+                self._record_accepted(accepted, items, request)
+        finally:
+            is_uncertain = accepted is CommitVerdict.UNCERTAIN
+            self._backlog.settle(head.backlog_name, head.job_id, is_uncertain=is_uncertain)
         if is_foreign:
             return FOREIGN
         if isinstance(accepted, StoredHead):
