Drain the callers' connections whole at a graceful shutdown

Callers saw, with the real program and a stream in progress at SIGTERM: of new connections, those from 2.75 s after the signal on were established, got no response and were closed when the process exited at 7.43 s (six of six, for up to 4.7 s); a stream that began at 3.5 s on a kept connection was cut off at 7.43 s; of four bodies that arrived slowly three were cut off at 2.75 s if nothing else was in progress.

Causes, of one class: the shutdown waited only for what the frontend had read whole, and left the rest to the exit of the process. - stop_accepting() leaves the socket listening, so the kernel goes on completing connections that nobody reads. The balancer may still send: it uses all instances of a zone when fewer than half are in rotation. - Idle connections stayed open until all else had ended, so that a request could arrive too late for the time that was left. - A request whose body was arriving wasn't waited for. - What was in progress at the end got no response at all, even a request that no server had. - The process could exit while a connection with unread bytes was closing; a reset can overtake the response before it.

A request that is read whole only then is rejected with 503 if it isn't idempotent and its deadline is later than the end of the process. At the end requests in progress are answered 503 (not run) or 502 (may have run), unread ones 503, and a stream that has begun is reset.

--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -12,7 +12,7 @@
 from citrondyke.decisions.memory.byte_budget import HeldKind
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.request_reader import READ_BYTES, RequestReader
-from citrondyke.gateway.sockets import reset
+from citrondyke.gateway.sockets import has_unread_bytes, reset
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -64,6 +64,16 @@
         """Whether no part of a request was read, so that the connection may be closed."""
         return self._reader.is_idle
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection is closed, or is being closed after its last response."""
+        return self._is_closed
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether the kernel holds bytes of the caller that were not read yet."""
+        return has_unread_bytes(self._sock)
+
     def read_request(self) -> CallerRequest | None:
         """Read the next request; ``None`` when the caller closed or was idle for too long.
 
--- a/citrondyke/gateway/callers/caller_frontend.py
+++ b/citrondyke/gateway/callers/caller_frontend.py
@@ -15,6 +15,7 @@
 from citrondyke.decisions.forwarding.route_table import NoRoute
 from citrondyke.errors.bad_request_head import BadRequestHeadError
 from citrondyke.errors.caller_gone import CallerGoneError
+from citrondyke.errors.instance_stopping import InstanceStoppingError
 from citrondyke.errors.memory_full import MemoryFullError
 from citrondyke.gateway.callers.caller_connection import CallerConnection
 from citrondyke.gateway.sockets import reset, tune
@@ -24,6 +25,7 @@
     from gevent import socket
 
     from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.memory.byte_budget import ByteBudget
     from citrondyke.gateway.callers.caller_request import CallerRequest
     from citrondyke.gateway.callers.forwarder import Forwarder
@@ -41,6 +43,8 @@
 #: Retry time while the instance's configuration is not confirmed.
 UNCONFIRMED_RETRY_MS = 200.0
 NO_MEMORY_RETRY_MS = 300.0
+#: Retry time of a stopping instance: the next attempt reaches another one.
+STOPPING_RETRY_MS = 50.0
 
 
 class CallerFrontend:
@@ -74,9 +78,12 @@
         self._limit = connections_limit
         self._budget = budget
         self._overload = OverloadDetector()
-        self._open: set[CallerConnection] = set()
+        #: The open connections, each with the greenlet that serves it.
+        self._open: dict[CallerConnection, gevent.Greenlet] = {}
         self.busy_count = 0
         self.is_stopping = False
+        #: Requests that may not be repeated are rejected if their deadline is later.
+        self._answers_until_ms = float('inf')
 
     @property
     def open_count(self) -> int:
@@ -99,7 +106,7 @@
             lambda: self._replicated.config.table.limits,
             self._budget,
         )
-        self._open.add(connection)
+        self._open[connection] = gevent.getcurrent()
         self._metrics.counters['caller_connections'] += 1
         try:
             tune(sock)
@@ -113,7 +120,7 @@
             connection.abort()
         finally:
             connection.release_request()
-            self._open.discard(connection)
+            self._open.pop(connection, None)
 
     def record_lateness(self, late_ms: float) -> None:
         """Record how late a timer of the event loop fired."""
@@ -128,12 +135,29 @@
                 },
             )
 
+    def reject_after(self, answers_until_ms: float) -> None:
+        """Reject further requests that this process may have to cut off at its end."""
+        self._answers_until_ms = answers_until_ms
+
     def close_idle(self) -> None:
-        """Close the connections on which no part of a request was received."""
+        """Close the connections on which no part of a request was received.
+
+        A request that has arrived and was not read yet is still served.
+        """
         for connection in list(self._open):
-            if connection.is_idle:
+            if connection.is_idle and not connection.has_unread_bytes:
                 connection.close_idle_connection()
 
+    def end_requests(self) -> None:
+        """Answer the requests in progress with errors, without waiting for their servers.
+
+        Whoever gets a response knows whether the request may be repeated; a connection that the
+        exit of the process closes says nothing.
+        """
+        for connection, greenlet in list(self._open.items()):
+            if not connection.is_closed:
+                greenlet.kill(InstanceStoppingError, block=False)
+
     def abort_all(self) -> None:
         """Reset all connections."""
         for connection in list(self._open):
@@ -149,6 +173,10 @@
             except MemoryFullError as error:
                 self._reject_body(connection, error.request)
                 return
+            except InstanceStoppingError:
+                connection.reject_unread(503)
+                connection.close()
+                return
             if request is None:
                 connection.close()
                 return
@@ -175,6 +203,9 @@
             self._answer(connection, request, metadata)
         except CallerGoneError:
             raise
+        except InstanceStoppingError:
+            headers = self._dialect.own_response_headers(request_id, None) if request_id else []
+            connection.send_error(HTTPStatus.BAD_GATEWAY, headers)
         except (Exception, gevent.Timeout):
             self._metrics.counters['requests_failed_internally'] += 1
             detail = {'request_id': request_id, 'host': request.host, 'path': request.path}
@@ -216,11 +247,29 @@
         account = table.authenticate(metadata.key_digest, is_public=route.is_public)
         if isinstance(account, NoAccount):
             self._answer_no_account(connection, request, metadata, account)
+        elif self._ends_too_late(request, metadata, route):
+            self._answer_stopping(connection, request, metadata.request_id)
         elif route.kind is RouteKind.BATCH and request.method == b'POST':
             self._intake.submit(connection, request, metadata, route, account)
         else:
             self._forwarder.handle(connection, request, metadata, account, route)
 
+    def _ends_too_late(
+        self, request: CallerRequest, metadata: RequestMetadata, route: Route
+    ) -> bool:
+        if route.kind is RouteKind.IDEMPOTENT:
+            # The error that ends it at the end of the process lets its caller repeat it.
+            return False
+        within_ms = min(route.timeout_ms, metadata.within_ms or route.timeout_ms)
+        return request.arrived_ms + within_ms > self._answers_until_ms
+
+    def _answer_stopping(
+        self, connection: CallerConnection, request: CallerRequest, request_id: RequestId
+    ) -> None:
+        detail = {'host': request.host, 'path': request.path}
+        self._log_rejected('request.stopping', request_id, 503, detail)
+        self._send_own(connection, request_id, 503, STOPPING_RETRY_MS)
+
     def _answer_not_started(
         self, connection: CallerConnection, request: CallerRequest, request_id: RequestId
     ) -> None:
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -18,6 +18,7 @@
 from citrondyke.decisions.streams.stream_origin import UnknownOrigin
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.errors.caller_gone import CallerGoneError
+from citrondyke.errors.instance_stopping import InstanceStoppingError
 from citrondyke.gateway.callers.error_responder import DeferredFailure
 from citrondyke.gateway.callers.event_relay import EventRelay
 from citrondyke.gateway.callers.forwarded_request import ForwardedRequest, RequestResult
@@ -129,6 +130,8 @@
             )
         except CallerGoneError:
             raise
+        except InstanceStoppingError:
+            return self._responder.answer_failed(caller, forwarded, None, is_out_of_time=False)
         except (Exception, gevent.Timeout):
             self._log.failed(forwarded)
             return self._responder.answer_internal_error(caller, forwarded)
--- a/citrondyke/gateway/sockets.py
+++ b/citrondyke/gateway/sockets.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import socket as std_socket
 import struct
+import termios
 from typing import TYPE_CHECKING
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
@@ -13,7 +15,7 @@
 if TYPE_CHECKING:
     from gevent import socket
 
-__all__ = ('connect', 'reset', 'tune')
+__all__ = ('connect', 'has_unread_bytes', 'reset', 'tune')
 
 #: A connection is closed when sent bytes stay unacknowledged for this long. A partition drops
 #: packets without a reset; without this limit a dead connection would stay open for minutes.
@@ -22,6 +24,8 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_EVERY_S = 1
 KEEPALIVE_COUNT = 2
+#: Result of a request to the kernel for a number of bytes.
+INT = struct.Struct('i')
 
 
 def tune(sock: socket.socket) -> None:
@@ -53,6 +57,17 @@
         raise BrokenReplyError(ReplyFailureKind.NO_CONNECTION, type(error).__name__) from error
 
 
+def has_unread_bytes(sock: socket.socket) -> bool:
+    """Return whether bytes have arrived that were not read yet; false if it can't be told."""
+    unread = bytearray(INT.size)
+    try:
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, unread)
+    except OSError:
+        return False
+    count: int = INT.unpack(unread)[0]
+    return count > 0
+
+
 def reset(sock: socket.socket) -> None:
     """Close a connection with a reset, so that a truncated response cannot look complete."""
     # If the other end has closed already, no reset is needed.
