Keep a deferred module usable after its first use has failed

Callers saw, with the real program at its limit of open files: the accept loop stood in a busy loop with 9,409 failures in some 14 s, each printed as "'gevent.libev.corecext.io' object has no attribute 'stop'".

Cause: the modules that the daemon defers are run at their first use. That of tokenize is in the report of an exception, and without a free file descriptor its file can't be read. The hook that runs the module was removed before the attempt, so the module stayed without its names for good, and from then on each report of an exception raised an AttributeError. The accept loop reports a failed accept() before it pauses, so it never paused; a supervised task that reports a failure before it restarts would have ended.

Change: the hook is put back if running the module fails.

--- a/citrondyke/util/lazy_import.py
+++ b/citrondyke/util/lazy_import.py
@@ -37,7 +37,12 @@
                 return vars(sys.modules[part])[attribute]
         # After the code has run, a missing name raises an AttributeError as usual.
         if vars(module).pop('__getattr__', None) is not None:
-            loader.exec_module(module)
+            try:
+                loader.exec_module(module)
+            except BaseException:
+                # Its file may not be readable at this moment, as without a free file descriptor.
+                vars(module)['__getattr__'] = load
+                raise
         return getattr(module, attribute)
 
     vars(module)['__getattr__'] = load
--- a/tests/test_cmd/test_cmd_start_files.py
+++ b/tests/test_cmd/test_cmd_start_files.py
@@ -67,6 +67,24 @@
     assert ran == [1]
 
 
+def test_a_deferred_module_that_could_not_be_read_is_read_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Without a free file descriptor the module that shows source lines in tracebacks can't be read.
+    # It must not stay without its names: then the accept loop fails in reporting its own failures.
+    file = tmp_path / 'unread_module.py'
+    file.write_text("NAME = 'read'\n")
+    monkeypatch.syspath_prepend(str(tmp_path))
+    defer_import('unread_module')
+    import unread_module  # type: ignore[import-not-found]
+
+    file.rename(tmp_path / 'away')
+    with pytest.raises(OSError):
+        _ = unread_module.NAME
+    (tmp_path / 'away').rename(file)
+    assert unread_module.NAME == 'read'
+
+
 def test_the_bundle_contains_all_modules_that_the_daemon_imports(tmp_path: Path) -> None:
     # Without the sources of these modules, the daemon still starts and reports missing settings.
     package = Path(__file__).parents[2] / 'citrondyke'
