Don't blame servers for a lack of local file descriptors

Causes: an OSError of the own system (no descriptor, memory or local port) when a connection to a server is opened was recorded as an unreachable server, which ejects it, and evidence is shared by the fleet. And the idle connections to servers, up to 12 for each, kept the last descriptors while requests were rejected.

Change: such an error says nothing about the server; it is logged once a second as server.no_local_resources. The idle connections are closed, and the connection is tried again. Without any the request is answered as not run.

--- a/citrondyke/gateway/servers/connection_pool.py
+++ b/citrondyke/gateway/servers/connection_pool.py
@@ -58,6 +58,13 @@
             return
         idle.append(connection)
 
+    def drop_all(self) -> int:
+        """Close all idle connections; return how many there were."""
+        count = sum(len(idle) for idle in self._idle.values())
+        for target in list(self._idle):
+            self.drop(target)
+        return count
+
     def drop(self, target: Key) -> None:
         """Close all idle connections to a target."""
         for connection in self._idle.pop(target, []):
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -14,6 +14,7 @@
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.servers.connection_pool import ConnectionPool
 from citrondyke.gateway.servers.server_connection import open_connection
+from citrondyke.gateway.sockets import is_local_failure
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -30,6 +31,7 @@
 log = logbook.Logger(__name__)
 
 IDLE_PER_SERVER = 12
+LOCAL_FAILURE_LOG_MS = 1_000.0
 #: Statuses from this one on are failures of the server.
 SERVER_FAILURE = 500
 GATEWAY_TIMEOUT = 504
@@ -71,6 +73,8 @@
         self._in_use: dict[ServerIncarnation, set[ServerConnection]] = {}
         #: Incarnations whose invalid slowdown factor was logged; each is logged once.
         self._invalid_load_logged: set[ServerIncarnation] = set()
+        self._local_failures_count = 0
+        self._local_failure_logged_ms = float('-inf')
 
     @contextmanager
     def counted(self, state: ServerState) -> Iterator[None]:
@@ -111,11 +115,24 @@
                 state.incarnation, lambda each: each.may_carry(request_id)
             )
         if connection is None:
+            connection = self._open(state, until_ms)
+        connection.assign(request_id, self._dialect.response_id)
+        self._in_use.setdefault(state.incarnation, set()).add(connection)
+        return connection
+
+    def _open(self, state: ServerState, until_ms: float) -> ServerConnection:
+        """Open a connection; without a free file descriptor, at the cost of the idle ones."""
+        while True:
             left_ms = min(CONNECT_TIMEOUT_MS, until_ms - self._clock.now_ms())
-            listed = state.listed
             try:
-                connection = open_connection(self._clock, listed.ip, listed.port, left_ms)
+                return open_connection(self._clock, state.listed.ip, state.listed.port, left_ms)
             except BrokenReplyError as error:
+                if is_local_failure(error):
+                    closed_count = self._idle.drop_all()
+                    self._log_local_failure(error, closed_count)
+                    if closed_count:
+                        continue
+                    raise
                 # If the request's own deadline ended the attempt, the server has not failed.
                 is_expired = left_ms < CONNECT_TIMEOUT_MS and isinstance(
                     error.__cause__, TimeoutError
@@ -123,9 +140,22 @@
                 if not is_expired:
                     state.record_unreachable(self._clock.now_ms())
                 raise
-        connection.assign(request_id, self._dialect.response_id)
-        self._in_use.setdefault(state.incarnation, set()).add(connection)
-        return connection
+
+    def _log_local_failure(self, error: BrokenReplyError, closed_count: int) -> None:
+        """Log that this machine has no resources for a connection, at most once per second."""
+        self._local_failures_count += 1
+        now_ms = self._clock.now_ms()
+        if now_ms < self._local_failure_logged_ms + LOCAL_FAILURE_LOG_MS:
+            return
+        self._local_failure_logged_ms = now_ms
+        log.warning(
+            'server.no_local_resources',
+            extra={
+                'detail': str(error.__cause__),
+                'closed_idle': closed_count,
+                'failures': self._local_failures_count,
+            },
+        )
 
     def release(
         self, state: ServerState, connection: ServerConnection, *, is_answered: bool
--- a/citrondyke/gateway/sockets.py
+++ b/citrondyke/gateway/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import fcntl
 import socket as std_socket
 import struct
@@ -15,7 +16,7 @@
 if TYPE_CHECKING:
     from gevent import socket
 
-__all__ = ('connect', 'has_unread_bytes', 'reset', 'tune')
+__all__ = ('connect', 'has_unread_bytes', 'is_local_failure', 'reset', 'tune')
 
 #: A connection is closed when sent bytes stay unacknowledged for this long. A partition drops
 #: packets without a reset; without this limit a dead connection would stay open for minutes.
@@ -24,6 +25,11 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_EVERY_S = 1
 KEEPALIVE_COUNT = 2
+#: Errors of this machine, which say nothing about the remote end: no free file descriptor, memory
+#: or local port.
+LOCAL_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+)
 #: Result of a request to the kernel for a number of bytes.
 INT = struct.Struct('i')
 
@@ -57,6 +63,12 @@
         raise BrokenReplyError(ReplyFailureKind.NO_CONNECTION, type(error).__name__) from error
 
 
+def is_local_failure(error: BrokenReplyError) -> bool:
+    """Return whether a connection failed for lack of resources of this machine."""
+    cause = error.__cause__
+    return isinstance(cause, OSError) and cause.errno in LOCAL_ERRORS
+
+
 def has_unread_bytes(sock: socket.socket) -> bool:
     """Return whether bytes have arrived that were not read yet; false if it can't be told."""
     unread = bytearray(INT.size)
