Ask poll() whether a request has arrived on an idle connection

poll() is available wherever the event loop runs, while FIONREAD depends on the kind of socket. test_idle_connections_are_closed_unless_a_request_has_arrived covers it.

--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -12,7 +12,7 @@
 from citrondyke.decisions.memory.byte_budget import HeldKind
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.request_reader import READ_BYTES, RequestReader
-from citrondyke.gateway.sockets import has_unread_bytes, reset
+from citrondyke.gateway.sockets import is_readable, reset
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -70,9 +70,9 @@
         return self._is_closed
 
     @property
-    def has_unread_bytes(self) -> bool:
-        """Whether the kernel holds bytes of the caller that were not read yet."""
-        return has_unread_bytes(self._sock)
+    def is_readable(self) -> bool:
+        """Whether unread bytes of the caller, or its disconnect, have arrived."""
+        return is_readable(self._sock)
 
     def read_request(self) -> CallerRequest | None:
         """Read the next request; ``None`` when the caller closed or was idle for too long.
--- a/citrondyke/gateway/callers/caller_frontend.py
+++ b/citrondyke/gateway/callers/caller_frontend.py
@@ -145,7 +145,7 @@
         A request that has arrived and was not read yet is still served.
         """
         for connection in list(self._open):
-            if connection.is_idle and not connection.has_unread_bytes:
+            if connection.is_idle and not connection.is_readable:
                 connection.close_idle_connection()
 
     def end_requests(self) -> None:
--- a/citrondyke/gateway/sockets.py
+++ b/citrondyke/gateway/sockets.py
@@ -4,10 +4,9 @@
 
 import contextlib
 import errno
-import fcntl
+import select
 import socket as std_socket
 import struct
-import termios
 from typing import TYPE_CHECKING
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
@@ -16,7 +15,7 @@
 if TYPE_CHECKING:
     from gevent import socket
 
-__all__ = ('connect', 'has_unread_bytes', 'is_local_failure', 'reset', 'tune')
+__all__ = ('connect', 'is_local_failure', 'is_readable', 'reset', 'tune')
 
 #: A connection is closed when sent bytes stay unacknowledged for this long. A partition drops
 #: packets without a reset; without this limit a dead connection would stay open for minutes.
@@ -30,8 +29,6 @@
 LOCAL_ERRORS = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 )
-#: Result of a request to the kernel for a number of bytes.
-INT = struct.Struct('i')
 
 
 def tune(sock: socket.socket) -> None:
@@ -69,15 +66,15 @@
     return isinstance(cause, OSError) and cause.errno in LOCAL_ERRORS
 
 
-def has_unread_bytes(sock: socket.socket) -> bool:
-    """Return whether bytes have arrived that were not read yet; false if it can't be told."""
-    unread = bytearray(INT.size)
+def is_readable(sock: socket.socket) -> bool:
+    """Return whether unread bytes, or the end of the connection, have arrived."""
+    poll = select.poll()
     try:
-        fcntl.ioctl(sock.fileno(), termios.FIONREAD, unread)
-    except OSError:
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+    except (OSError, ValueError):
+        # The socket was closed, so there is nothing to read.
         return False
-    count: int = INT.unpack(unread)[0]
-    return count > 0
 
 
 def reset(sock: socket.socket) -> None:
