--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -12,7 +12,7 @@
 from citrondyke.decisions.memory.byte_budget import HeldKind
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.request_reader import READ_BYTES, RequestReader
-from citrondyke.gateway.sockets import reset
+from citrondyke.gateway.sockets import is_readable, reset
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -56,12 +56,24 @@
         self._unsent_head = b''
         self._is_chunked = False
         self._has_body = True
+        #: Whether a part of the response to the current request may have been sent.
+        self.has_begun_answer = False
 
     @property
     def is_idle(self) -> bool:
         """Whether no part of a request was read, so that the connection may be closed."""
         return self._reader.is_idle
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection is closed, or is being closed after its last response."""
+        return self._is_closed
+
+    @property
+    def is_readable(self) -> bool:
+        """Whether unread bytes of the caller, or its disconnect, have arrived."""
+        return is_readable(self._sock)
+
     def read_request(self) -> CallerRequest | None:
         """Read the next request; ``None`` when the caller closed or was idle for too long.
 
@@ -71,6 +83,7 @@
         request = self._reader.read()
         if request is not None:
             self._has_body = request.method != b'HEAD'
+            self.has_begun_answer = False
         return request
 
     @property
@@ -110,6 +123,21 @@
             % (status, phrase, lines)
         )
 
+    def send_error(self, status: int, headers: Sequence[Header]) -> None:
+        """Answer a request whose handling failed, and close the connection afterwards.
+
+        The response does not depend on the HTTP state, which may be what failed. Where a part of
+        another response was sent, the connection is reset instead; a whole one is kept.
+
+        :raises CallerGoneError: if the caller does not read it.
+        """
+        self.stop_watching_disconnect()
+        self.close_after_answer()
+        if not self.has_begun_answer:
+            self.reject_unread(status, headers)
+        elif self._http.our_state is not h11.DONE:
+            self.abort()
+
     def release_request(self) -> None:
         """Release the memory of the last request's body."""
         self._held.release()
@@ -216,6 +244,7 @@
     def _write(self, data: bytes) -> None:
         if not data:
             return
+        self.has_begun_answer = True
         try:
             self._sock.settimeout(WRITE_STALL_S)
             self._sock.sendall(data)
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
+
 from citrondyke.decisions.crashes.response_phase import is_past_start
 from citrondyke.decisions.crashes.suspect_key import RequestKeys
 from citrondyke.decisions.crashes.suspect_registry import SuspectStatus
@@ -16,6 +18,7 @@
 from citrondyke.decisions.streams.stream_origin import UnknownOrigin
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.errors.caller_gone import CallerGoneError
+from citrondyke.errors.instance_stopping import InstanceStoppingError
 from citrondyke.gateway.callers.error_responder import DeferredFailure
 from citrondyke.gateway.callers.event_relay import EventRelay
 from citrondyke.gateway.callers.forwarded_request import ForwardedRequest, RequestResult
@@ -110,12 +113,7 @@
         )
         caller.watch()
         try:
-            end = (
-                self._reject_if_invalid(caller, forwarded)
-                or self._stop_if_blocked(caller, forwarded)
-                or self._find_origin(caller, forwarded)
-                or self._serve(caller, forwarded)
-            )
+            end = self._answer(caller, forwarded)
         except CallerGoneError:
             caller.abort()
             end = RequestResult.CALLER_GONE
@@ -123,6 +121,22 @@
             caller.stop_watching_disconnect()
         self._log.ended(forwarded, end)
 
+    def _answer(self, caller: CallerConnection, forwarded: ForwardedRequest) -> RequestResult:
+        try:
+            return (
+                self._reject_if_invalid(caller, forwarded)
+                or self._stop_if_blocked(caller, forwarded)
+                or self._find_origin(caller, forwarded)
+                or self._serve(caller, forwarded)
+            )
+        except CallerGoneError:
+            raise
+        except InstanceStoppingError:
+            return self._responder.answer_failed(caller, forwarded, None, is_out_of_time=False)
+        except (Exception, gevent.Timeout):
+            self._log.failed(forwarded)
+            return self._responder.answer_internal_error(caller, forwarded)
+
     def _reject_if_invalid(
         self, caller: CallerConnection, forwarded: ForwardedRequest
     ) -> RequestResult | None:
--- a/citrondyke/gateway/sockets.py
+++ b/citrondyke/gateway/sockets.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import errno
+import select
 import socket as std_socket
 import struct
 from typing import TYPE_CHECKING
@@ -13,7 +15,7 @@
 if TYPE_CHECKING:
     from gevent import socket
 
-__all__ = ('connect', 'reset', 'tune')
+__all__ = ('connect', 'is_local_failure', 'is_readable', 'reset', 'tune')
 
 #: A connection is closed when sent bytes stay unacknowledged for this long. A partition drops
 #: packets without a reset; without this limit a dead connection would stay open for minutes.
@@ -22,6 +24,11 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_EVERY_S = 1
 KEEPALIVE_COUNT = 2
+#: Errors of this machine, which say nothing about the remote end: no free file descriptor, memory
+#: or local port.
+LOCAL_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+)
 
 
 def tune(sock: socket.socket) -> None:
@@ -53,6 +60,23 @@
         raise BrokenReplyError(ReplyFailureKind.NO_CONNECTION, type(error).__name__) from error
 
 
+def is_local_failure(error: BrokenReplyError) -> bool:
+    """Return whether a connection failed for lack of resources of this machine."""
+    cause = error.__cause__
+    return isinstance(cause, OSError) and cause.errno in LOCAL_ERRORS
+
+
+def is_readable(sock: socket.socket) -> bool:
+    """Return whether unread bytes, or the end of the connection, have arrived."""
+    poll = select.poll()
+    try:
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+    except (OSError, ValueError):
+        # The socket was closed, so there is nothing to read.
+        return False
+
+
 def reset(sock: socket.socket) -> None:
     """Close a connection with a reset, so that a truncated response cannot look complete."""
     # If the other end has closed already, no reset is needed.
