--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -140,7 +140,8 @@
     def _reject_if_invalid(
         self, caller: CallerConnection, forwarded: ForwardedRequest
     ) -> RequestResult | None:
-        if not forwarded.metadata.has_invalid_event_id:
+        is_stream = forwarded.route.kind is RouteKind.STREAM
+        if not (is_stream and forwarded.metadata.has_invalid_event_id):
             return None
         return self._responder.reject_invalid_event_id(caller, forwarded)
 
