Soak: rows that no server wrote, and accepted items after a loss of all beside one

What callers saw: with one such row in the table of servers, accepted items that were never listed (LOST) and requests at servers that had left (DRAIN).

A loss of all instances, or a kill of each in turn, leaves nobody who knows a server: jobs are accepted, as the configuration is known, and no item is ever sent. Without such a loss the instances serve from the list that they have, so that only the servers that leave show it.

Change: the soak writes each odd row once, in an order of the seed, and leaves it. test_odd_row_names_no_server keeps these rows from naming an address to which requests would be sent.

--- a/tests/test_gateway/test_replication/test_replication_odd_entries.py
+++ b/tests/test_gateway/test_replication/test_replication_odd_entries.py
@@ -34,3 +34,15 @@
     for at in range(len(fleet.instances)):
         assert fleet.call('/fetch/x', at=at, request_id=f'after-{at}').status == 200
     assert len(fleet.servers['app-3'].runs) == len(fleet.instances)
+
+
+def test_items_are_run_after_a_loss_of_all_beside_an_odd_entry(fleet: GatewayFleet) -> None:
+    # No instance knew a server after it, so that no item of an accepted job was run.
+    odd = msgspec.json.encode(server_row(service='lm', address=f'127.0.0.1:{"9" * 4_301}'))
+    fleet.store.put(SERVERS_TABLE, 'odd-1', odd)
+    for instance in fleet.instances:
+        instance.stop_abruptly()
+    at = len(fleet.instances)
+    fleet.start_instance()
+    wait_until_seen(lambda: fleet.submit('job-1', at=at).status == 202, 'an accepted job')
+    assert all(result['state'] == 'completed' for result in fleet.wait_done('job-1', at=at))
--- a/tests/test_platform/test_platform_foreign_entries.py
+++ b/tests/test_platform/test_platform_foreign_entries.py
@@ -21,6 +21,7 @@
 from citrondyke.storage.partitioned_table import PartRow
 from citrondyke.util.decoding import decode_msgpack, decompress
 from tests.support.manual_clock import ManualClock, manual_context
+from tests.support.odd_rows import ODD_SERVER_ROWS
 from tests.support.peers import server_row
 
 DEEPLY_NESTED = b'{"a":' + b'[' * 5_000 + b']' * 5_000 + b'}'
@@ -95,6 +96,13 @@
         decode_server('i-1', msgspec.json.encode(entry))
 
 
+@pytest.mark.parametrize('number', range(len(ODD_SERVER_ROWS)))
+def test_odd_row_names_no_server(number: int) -> None:
+    # Requests would be sent to the address of a server that does not exist.
+    with pytest.raises(UnreadableBytesError):
+        decode_server('i-1', ODD_SERVER_ROWS[number])
+
+
 @pytest.mark.parametrize('key', ['', 'i 1', 'i-1\r\nHost: x', 'ï-1', 'i' * 201])
 def test_key_that_is_invalid_in_a_header_is_rejected(key: str) -> None:
     with pytest.raises(UnreadableBytesError):
--- a/tests/test_soak/soak.py
+++ b/tests/test_soak/soak.py
@@ -13,9 +13,11 @@
 import msgspec
 from gevent import socket
 
+from citrondyke.platform.rows import SERVERS_TABLE
 from citrondyke.standin.endless_reply import EndlessPart
 from citrondyke.standin.platform_server import AnswerMode
 from tests.support.gateway import HOST, Reply, exchange
+from tests.support.odd_rows import ODD_SERVER_ROWS
 from tests.support.program import Program
 from tests.support.streams import StreamPart, events_of
 from tests.test_soak.fault_proxy import Harm
@@ -91,7 +93,7 @@
         workers += [self._operate, self._harm, self._harm, self._ask_deadly]
         workers += [self._ask_with_harmful_part, self._hand_in_harmful, self._hand_in_unlucky]
         workers += [self._ask_hot] * HOT_CALLERS + [self._ask_with_other_keys]
-        workers += [self._take_up] * RETURNING_CALLERS
+        workers += [self._take_up] * RETURNING_CALLERS + [self._write_odd_rows]
         gevent.joinall(
             [
                 gevent.spawn(worker, Random(self._seed * 100 + n))
@@ -348,6 +350,15 @@
             gevent.sleep(random.uniform(0.5, 2.0))
             self._fleet.configure()
 
+    def _write_odd_rows(self, random: Random) -> None:
+        """Leave rows in the table of servers that no server has written."""
+        rows = random.sample(ODD_SERVER_ROWS, len(ODD_SERVER_ROWS))
+        pause_s = (self._until_s - time.monotonic()) / len(rows)
+        for number, row in enumerate(rows):
+            self._note(f'odd row {row[:40]!r} of {len(row)} bytes')
+            self._fleet.store.put(SERVERS_TABLE, f'odd-{number}', row)
+            gevent.sleep(random.uniform(0.0, pause_s))
+
     def _harm(self, random: Random) -> None:
         """Do one thing after another; with two of these they overlap."""
         harms: list[Callable[[Random], None]] = [
