Reject a deeply nested message about the uses of accounts

What could be seen: a datagram of a peer with a nested value in the counts of an account raised a RecursionError in the task that receives the messages of all peers, which is not the error that it expects.

Cause: two decoders of these messages called the library directly; `decode_msgpack` turns all of its errors into UnreadableBytesError.

Change: both use it, and `decode_message` raises that error for every message that it can't decode, with a detail of bounded length for the log. It is a ValueError, as before.

Evidence: test_any_data_in_a_message_is_decoded_or_unreadable[useCounts] failed before and passes now; the other eleven kinds of data passed before. Such a message was made by hand: no instance sends one.

--- a/citrondyke/gateway/peers/limit_codec.py
+++ b/citrondyke/gateway/peers/limit_codec.py
@@ -21,6 +21,7 @@
     UseOutcome,
 )
 from citrondyke.ids import TenantId
+from citrondyke.util.decoding import decode_msgpack
 
 __all__ = ('LIMIT_READERS', 'build_limit')
 
@@ -120,12 +121,12 @@
     answered = read.leaseAnswered
     copy = None
     if answered.copy:
-        copy = _validate_copy(msgspec.msgpack.decode(bytes(answered.copy), type=SlotCopy))
+        copy = _validate_copy(decode_msgpack(bytes(answered.copy), SlotCopy))
     return LeaseAnswered(answered.slot, answered.number, answered.isGranted, answered.freeMs, copy)
 
 
 def _read_counts(read: Any) -> LimitMessage:
-    counts = msgspec.msgpack.decode(bytes(read.useCounts), type=_FloorsMessage)
+    counts = decode_msgpack(bytes(read.useCounts), _FloorsMessage)
     if counts.copy is None:
         return FloorsAcknowledged(counts.slot, counts.era, counts.number)
     return FloorsTold(counts.slot, _validate_copy(counts.copy))
--- a/citrondyke/gateway/peers/peer_codec.py
+++ b/citrondyke/gateway/peers/peer_codec.py
@@ -230,7 +230,7 @@
 def decode_message(data: bytes) -> PeerMessage:
     """Decode a message.
 
-    :raises ValueError: if the data is not a valid message.
+    :raises UnreadableBytesError: if the data is not a valid message.
     """
     try:
         with _SCHEMA.GatewayMessage.from_bytes(data) as read:
@@ -239,12 +239,11 @@
     except (
         capnp.KjException,
         KeyError,
-        UnicodeDecodeError,
-        UnreadableBytesError,
+        ValueError,
         struct.error,
         msgspec.MsgspecError,
     ) as error:
-        raise ValueError(str(error)) from error
+        raise UnreadableBytesError(f'{type(error).__name__}: {error}') from error
 
 
 def _read_limit(reader: Callable[[Any], LimitMessage], read: Any) -> LimitText:
--- a/tests/test_gateway/test_peers/test_peers_peer_codec.py
+++ b/tests/test_gateway/test_peers/test_peers_peer_codec.py
@@ -5,8 +5,9 @@
 import contextlib
 import random
 
+import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from citrondyke.decisions.forwarding.load_notices import ServerLoad
@@ -14,7 +15,9 @@
 from citrondyke.decisions.servers.server_evidence import ServerEvidence
 from citrondyke.decisions.streams.origin_records import OriginRecord
 from citrondyke.decisions.streams.stream_origin import OriginView, StreamOrigin
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.peers.peer_codec import (
+    _SCHEMA,
     EvidenceNews,
     JobChanged,
     KnowledgeData,
@@ -93,6 +96,43 @@
         decode_message(data)
 
 
+#: Fields of messages that hold encoded data.
+DATA_FIELDS = (
+    *('loadBytes', 'loadTotalsBytes', 'batchNeed', 'serverEvidence', 'useCounts'),
+    *('listPosition', 'knowledgeOffered', 'streamOrigins', 'originAsked', 'originTold'),
+)
+PLAIN = st.one_of(
+    st.none(), st.booleans(), st.integers(-(2**63), 2**64 - 1), st.floats(), st.text(), st.binary()
+)
+MSGPACK = st.recursive(
+    PLAIN, lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner), max_leaves=12
+).map(msgspec.msgpack.encode)
+
+
+def message_with(field: str, data: bytes) -> bytes:
+    built = _SCHEMA.GatewayMessage.new_message()
+    built.sender = 'edge-1'
+    if field == 'copy':
+        built.init('leaseAnswered').copy = data
+    elif field == 'suspects':
+        built.init('suspects').requests = data
+    else:
+        setattr(built, field, data)
+    encoded: bytes = built.to_bytes()
+    return encoded
+
+
+@pytest.mark.parametrize('field', [*DATA_FIELDS, 'copy', 'suspects'])
+@example(b'\x91' * 5_000)
+@example(b'\x95\x01\x01\x01\xc0' + b'\x91' * 5_000)
+@example(b'\xff' * 15)
+@given(st.one_of(MSGPACK, st.binary()))
+def test_any_data_in_a_message_is_decoded_or_unreadable(field: str, data: bytes) -> None:
+    # An error of another class would end the task that receives the messages of all peers.
+    with contextlib.suppress(UnreadableBytesError):
+        decode_message(message_with(field, data))
+
+
 @pytest.mark.parametrize(
     'record',
     [
