Ignore unreadable retry times and loads of citrondyked's servers

What could be seen: a rejection whose Retry-After is a superscript digit raised a ValueError, so that the rejected request got no proper answer; one of 400 digits became an infinite time. A report of load that is deeply nested raised a RecursionError in the task that polls it, and counts of 400 digits or below zero were taken as they are.

The load goes through `decode_json`, and its counts have a range.

The stand-in server of the tests can now send another answer, and reads a GET as well.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -17,7 +17,10 @@
 from citrondyke.backend.sse import DONE_EVENT, SseSplitter, event_data
 from citrondyke.decisions.core.ops import ServerLoad
 from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.util.decoding import decode_json
 from citrondyke.util.line_limiter import LineLimiter
+from citrondyke.util.numbers import parse_count
 from citrondyke.util.open_socket import open_socket
 from citrondyke.util.paced_socket import PacedSocket
 
@@ -42,6 +45,8 @@
 LOAD_LIMIT_BYTES = 65_536
 #: Items that wait for an unreachable server are tried again 20 times a second each.
 FAILURE_LINES_PER_S = 100
+#: Longest time until a retry that a server may state, in s; any other is ignored.
+RETRY_LIMIT_S = 86_400
 REJECTED_STATUSES = frozenset({429, 503})
 EVENT_STREAM = 'text/event-stream'
 DROPPED_HEADERS = frozenset(
@@ -131,8 +136,8 @@
             _set_deadline(connection, until_ms)
             connection.request('GET', '/load', preload_content=False)
             response = connection.getresponse()
-            load = msgspec.json.decode(response.read(LOAD_LIMIT_BYTES), type=ServerLoad)
-        except (HTTPError, HTTPException, OSError, msgspec.DecodeError):
+            load = decode_json(response.read(LOAD_LIMIT_BYTES), ServerLoad)
+        except (HTTPError, HTTPException, OSError, UnreadableBytesError):
             connection.close()
             return None
         self._connections.release(server_id, connection)
@@ -299,7 +304,8 @@
         retry_after = response.headers.get('Retry-After', '')
         body = response.read(REJECTION_LIMIT_BYTES)
         self.is_reusable = _is_keep_alive(response) and len(body) < REJECTION_LIMIT_BYTES
-        retry_in_ms = float(retry_after) * 1e3 if retry_after.isdigit() else None
+        retry_in_s = parse_count(retry_after, RETRY_LIMIT_S)
+        retry_in_ms = None if retry_in_s is None else retry_in_s * 1e3
         return ServerReply(kind=ReplyKind.REFUSED, status=response.status, retry_in_ms=retry_in_ms)
 
     def _failure_reply(self) -> ServerReply:
--- a/citrondyke/decisions/core/ops.py
+++ b/citrondyke/decisions/core/ops.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Generator
-from typing import Any, TypeAlias, TypeVar, cast
+from typing import Annotated, Any, TypeAlias, TypeVar, cast
 
 import msgspec
 
@@ -131,12 +131,16 @@
     call: ServerCall
 
 
+#: More requests than any server has at once.
+RequestsCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+
+
 class ServerLoad(msgspec.Struct, frozen=True):
     """Load as reported by a backend server, with a delay."""
 
-    running: int
-    waiting: int
-    max_running: int
+    running: RequestsCount
+    waiting: RequestsCount
+    max_running: RequestsCount
     is_leaving: bool = False
 
 
--- a/tests/test_backend/test_backend_client.py
+++ b/tests/test_backend/test_backend_client.py
@@ -7,11 +7,13 @@
 from typing import Any
 
 import gevent
+import pytest
 from gevent import get_hub, socket
 from gevent.monkey import get_original
 
 from citrondyke.backend.client import BackendClient
 from citrondyke.backend.connections import IdleConnections
+from citrondyke.decisions.core.ops import ServerLoad
 from citrondyke.decisions.core.server_call import ReplyKind, ServerCall, ServerReply
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.ids import RequestId, ServerId
@@ -28,8 +30,9 @@
 class Server(threading.Thread):
     """A server with a thread of its own, so that it also runs while the event loop is blocked."""
 
-    def __init__(self, *answers_after_s: float) -> None:
+    def __init__(self, *answers_after_s: float, answer: bytes = ANSWER) -> None:
         super().__init__(daemon=True)
+        self._answer = answer
         self._answers_after_s = answers_after_s
         self._listener = std_socket()
         self._listener.bind(('127.0.0.1', 0))
@@ -45,13 +48,13 @@
                 receive_request(sock)
                 self.has_request.set()
                 time.sleep(answer_after_s)
-                sock.sendall(ANSWER)
+                sock.sendall(self._answer)
             receive_request(sock)
 
 
 def receive_request(sock: Any) -> None:
     data = b''
-    while not data.endswith(BODY):
+    while not data.endswith(b'\r\n\r\n' if data.startswith(b'GET') else BODY):
         data += sock.recv(65_536)
 
 
@@ -64,7 +67,16 @@
             IdleConnections(4), self.clock, lambda _: ('127.0.0.1', port), 65_536
         )
 
-    def call(self, within_ms: float, *, needs_new_connection: bool = False) -> ServerReply:
+    def poll_load(self) -> ServerLoad | None:
+        return self._client.poll_load(ServerId('server'), self.clock.now_ms() + 5_000.0)
+
+    def call(
+        self,
+        within_ms: float,
+        *,
+        needs_new_connection: bool = False,
+        refuses_by_status: bool = False,
+    ) -> ServerReply:
         return self._client.call(
             ServerCall(
                 server_id=ServerId('server'),
@@ -73,6 +85,7 @@
                 path='/',
                 body=BODY,
                 needs_new_connection=needs_new_connection,
+                refuses_by_status=refuses_by_status,
                 deadline_ms=self.clock.now_ms() + within_ms,
                 cancel=Signal(),
             )
@@ -170,3 +183,34 @@
     assert reply.kind is ReplyKind.UNREACHABLE
     assert reply.was_not_run
     assert caller.call(5_000.0).kind is ReplyKind.CUT
+
+
+ODD_NUMBERS = (*('9' * 400, '9' * 4_301, '\u00b2', '-1', 'nan', 'inf', '1e400', ''), 'soon')
+
+
+@pytest.mark.parametrize('retry_after', ODD_NUMBERS)
+def test_odd_retry_time_of_a_rejection_is_ignored(retry_after: str) -> None:
+    # The request was rejected; an error from the conversion would leave it without an answer, and
+    # an infinite time can't be passed on to its caller.
+    head = f'HTTP/1.1 503 Full\r\nRetry-After: {retry_after}\r\nContent-Length: 0\r\n\r\n'
+    server = Server(0.0, answer=head.encode('latin-1'))
+    server.start()
+    reply = Caller(server.port).call(5_000.0, refuses_by_status=True)
+    assert (reply.kind, reply.retry_in_ms) == (ReplyKind.REFUSED, None)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{"x":' + b'[' * 5_000 + b']' * 5_000 + b'}',
+        b'{"running":%b,"waiting":0,"max_running":1}' % (b'9' * 400),
+        b'{"running":-1,"waiting":0,"max_running":1}',
+        b'\xff',
+    ],
+)
+def test_unreadable_load_of_a_server_is_ignored(body: bytes) -> None:
+    # An error that the client doesn't expect would end the task that polls the load.
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b' % (len(body), body)
+    server = Server(0.0, answer=answer)
+    server.start()
+    assert Caller(server.port).poll_load() is None
