Answer odd numbers and nesting of callers of citrondyked with 400

What callers saw: a 500 for a version of the configuration of more than 4,300 digits, or a superscript digit, and for a body with a deeply nested field. A time range that is not a number was taken.

Change: numbers in queries and headers go through util/numbers.py; a RecursionError is malformed JSON, which is what its sender can change.

Evidence: test_odd_numbers_and_nesting_get_a_typed_error failed before for the version (500) and, with only the change of the body undone, for the nesting (500).

--- a/citrondyke/entry/bodies.py
+++ b/citrondyke/entry/bodies.py
@@ -79,5 +79,5 @@
         return msgspec.json.decode(body, type=kind)
     except msgspec.ValidationError as error:
         raise InvalidFieldError(str(error)) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise MalformedJsonError(str(error)) from error
--- a/citrondyke/entry/deadline.py
+++ b/citrondyke/entry/deadline.py
@@ -6,11 +6,13 @@
 
 from citrondyke.errors import InvalidFieldError
 from citrondyke.util.clock import Clock
+from citrondyke.util.numbers import parse_decimal
 
 __all__ = ('request_deadline_ms',)
 
 EPOCH_HEADER = 'Citrondyke-Deadline-Epoch-Ms'
 WITHIN_HEADER = 'Citrondyke-Within-Ms'
+LATEST_EPOCH_MS = 1e15
 
 
 def request_deadline_ms(clock: Clock, default_within_ms: float) -> float:
@@ -32,10 +34,9 @@
 
 
 def _parse_ms(name: str, text: str) -> float:
-    try:
-        value = float(text)
-    except ValueError as error:
-        raise InvalidFieldError(f'{name} must be a number of milliseconds') from error
-    if not 0 <= value < 1e15:  # noqa: PLR2004
-        raise InvalidFieldError(f'{name} is out of range')
+    value = parse_decimal(text, 0.0, LATEST_EPOCH_MS)
+    if value is None:
+        raise InvalidFieldError(
+            f'{name} must be a number of milliseconds, at most {LATEST_EPOCH_MS:.0f}'
+        )
     return value
--- a/citrondyke/entry/operator_endpoint.py
+++ b/citrondyke/entry/operator_endpoint.py
@@ -37,6 +37,7 @@
 )
 from citrondyke.ids import ConfigVersion, JobId
 from citrondyke.storage.failure import PlatformFailure
+from citrondyke.util.numbers import parse_count, parse_decimal, read_count
 
 if TYPE_CHECKING:
     from citrondyke.decisions.jobs.sweeper import JobCounts
@@ -48,6 +49,7 @@
 JOBS_LIMIT = 200
 #: Maximum number of records in one response.
 RECORDS_LIMIT = 100_000
+LATEST_EPOCH_MS = 1e15
 PLATFORM_RETRY_MS = 2000.0
 
 
@@ -85,11 +87,11 @@
     def history(self) -> bytes:
         """Answer ``GET /operator/v1/config/history?after=N``."""
         self._authenticate()
-        after = bottle.request.query.get('after', '0')
-        if not after.isdigit():
+        after = parse_count(bottle.request.query.get('after', '0'))
+        if after is None:
             raise InvalidFieldError('after must be a version number')
         changes = self._context.driver.run(
-            self._context.instance.config_replica.history(ConfigVersion(int(after)), HISTORY_LIMIT)
+            self._context.instance.config_replica.history(ConfigVersion(after), HISTORY_LIMIT)
         )
         if changes is None:
             raise PlatformUnavailableError(retry_in_ms=PLATFORM_RETRY_MS)
@@ -162,7 +164,7 @@
                         job_id=JobId(job_id),
                         tenant_id=open_row.tenant_id,
                         target=target,
-                        deadline_epoch_ms=float(deadline),
+                        deadline_epoch_ms=float(read_count(deadline, 'deadline of a job')),
                         segments_count=open_row.segments_count,
                         is_stopping=open_row.is_stopping,
                     )
@@ -241,10 +243,11 @@
 
 def _time_range() -> tuple[float, float]:
     query = bottle.request.query
-    try:
-        return float(query.get('from', '0')), float(query.get('to', '1e15'))
-    except ValueError as error:
-        raise InvalidFieldError('from and to must be milliseconds since 1970') from error
+    from_ms = parse_decimal(query.get('from', '0'), -LATEST_EPOCH_MS, LATEST_EPOCH_MS)
+    to_ms = parse_decimal(query.get('to', '1e15'), -LATEST_EPOCH_MS, LATEST_EPOCH_MS)
+    if from_ms is None or to_ms is None:
+        raise InvalidFieldError('from and to must be milliseconds since 1970')
+    return from_ms, to_ms
 
 
 def _conflict_message(conflict: ConfigConflict) -> str:
--- a/tests/test_entry/test_entry_fuzz.py
+++ b/tests/test_entry/test_entry_fuzz.py
@@ -49,3 +49,33 @@
     send()
     assert callers[0].chat('still here').status == 200
     assert len(fleet.runs('engine-0')) == 1
+
+
+NUMBERS = ('9' * 400, '9' * 4_301, '%B2', '-1', '1.5', 'nan', 'inf', '1e400', '')
+DEEPLY_NESTED = b'{"x":' + b'[' * 5_000 + b']' * 5_000 + b'}'
+
+
+@pytest.mark.fleet(instances=1, engines=1)
+def test_odd_numbers_and_nesting_get_a_typed_error(fleet: Fleet) -> None:
+    # An error that the endpoint doesn't expect is answered with a 500, as if the instance had
+    # failed.
+    port = fleet.port('instance-0')
+    operator, tenant = Caller(port, DEMO_OPERATOR_KEY), Caller(port, DEMO_TENANT_KEY)
+    for number in NUMBERS:
+        for path in (
+            f'/operator/v1/config/history?after={number}',
+            f'/operator/v1/records?from={number}',
+            f'/operator/v1/report?from=0&to={number}',
+        ):
+            answer = operator.get(path)
+            assert answer.status in (200, 400), (number, path)
+            assert answer.status == 200 or answer.error['code'] == 'invalid_field'
+        for header in ('Citrondyke-Within-Ms', 'Citrondyke-Deadline-Epoch-Ms'):
+            if number == '1.5':
+                continue
+            answer = tenant.chat('x', headers={header: number})
+            assert (answer.status, answer.error['code']) == (400, 'invalid_field'), (number, header)
+    for path in ('/v1/chat/completions', '/v1/batches'):
+        answer = tenant.call('POST', path, DEEPLY_NESTED)
+        assert 400 <= answer.status < 500
+        assert answer.error['code'] == 'malformed_json'
