Report settings that the parser rejects with its own errors

What could be seen: a settings file with a number of more than 4,300 digits, or a deeply nested value, raised a ValueError or RecursionError beside the typed error that names the file. The task of a running gateway that watches the file expects only the typed one (read in the code, not run). Ports out of range, and a time that is not a number, were accepted.

Change: these errors are reported as an invalid file, and numbers of the platform's file have ranges far beyond any real value.

Evidence: seven cases of test_error_for_invalid_settings_names_the_file and test_error_for_a_value_that_the_parser_rejects_names_the_file failed before and pass now.

--- a/citrondyke/platform/settings_file.py
+++ b/citrondyke/platform/settings_file.py
@@ -11,6 +11,7 @@
 from citrondyke.errors import SettingsInvalidError
 from citrondyke.gateway.settings import Address, GatewaySettings, StoreSettings
 from citrondyke.ids import AvailabilityZone, InstanceId
+from citrondyke.util.numbers import read_count, shortened
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -26,6 +27,12 @@
 T = TypeVar('T')
 
 FILE_VARIABLE = 'CITRONDYKE_NODE_FILE'
+MAX_PORT = 65_535
+#: Ranges of numbers. The upper limits also exclude values that are infinite or not a number.
+Port = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=2**40)]
+NonNegative = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+Positive = Annotated[float, msgspec.Meta(gt=0, le=1e12)]
 #: File descriptors that the platform reserves for files.
 RESERVED_FDS = 200
 #: Each request uses a connection to its caller and one to a backend server; the third descriptor
@@ -46,25 +53,25 @@
     """Resource limits of the process."""
 
     #: Memory in MB, beyond which the process is killed.
-    memory_mb: int = 128
+    memory_mb: Count = 128
     #: Limit on open file descriptors; 200 of them are not used for connections.
-    max_fds: int = 4_096
+    max_fds: Count = 4_096
 
 
 class _Bounds(msgspec.Struct, frozen=True):
     """Timeouts and quotas that the platform enforces."""
 
     #: Time from SIGTERM until the process is killed, in s.
-    grace_s: float = 8.0
+    grace_s: NonNegative = 8.0
     #: How long a batch job can be read after its submission, in s.
-    status_s: float = 120.0
+    status_s: NonNegative = 120.0
     #: Share by which accepted tokens may exceed the backlog limit of a batch route, and the
     #: requests of an account in a window may exceed its limit.
-    quota_overshoot: Annotated[float, msgspec.Meta(ge=0)] = 0.1
+    quota_overshoot: NonNegative = 0.1
     #: Number of requests by which an account may exceed that limit in a window in addition.
-    quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    quota_slack: NonNegative = 0.0
     #: Length of this window, in s.
-    quota_window_s: Annotated[float, msgspec.Meta(gt=0)] = 5.0
+    quota_window_s: Positive = 5.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -73,9 +80,9 @@
     #: Address of the store, the only service of the platform.
     address: str
     #: Maximum size of a row value, in bytes.
-    row_bytes: int = 65_536
+    row_bytes: Count = 65_536
     #: Read calls per second that the store accepts from all instances together.
-    reads_per_s: Annotated[float, msgspec.Meta(gt=0)] = 2_000.0
+    reads_per_s: Positive = 2_000.0
 
 
 class PlatformFile(msgspec.Struct, frozen=True):
@@ -88,7 +95,7 @@
     #: Availability zone of the instance.
     zone: str
     #: First and last port that the instance may use, both inclusive.
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[Port, Port]
     #: Table of addresses to listen on.
     listen: _Listen
     #: Table of the store.
@@ -122,7 +129,7 @@
     """Return whether the platform wrote a file; false for a file that cannot be read."""
     try:
         return 'node_name' in _decode(file.read_text(), dict[str, Any])
-    except (OSError, ValueError):
+    except (OSError, ValueError, RecursionError):
         return False
 
 
@@ -167,7 +174,7 @@
                 slack=file.bounds.quota_slack,
             ),
         )
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsInvalidError(name, '', str(error), 'the fields of the platform') from error
 
 
@@ -183,4 +190,4 @@
 
 def _address(text: str) -> Address:
     ip, _, port = text.rpartition(':')
-    return Address(ip, int(port))
+    return Address(ip, read_count(port, f'port of {shortened(ip)}', MAX_PORT))
--- a/citrondyke/settings/load.py
+++ b/citrondyke/settings/load.py
@@ -38,7 +38,8 @@
     """
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
+        # Besides its own error, the parser raises these for long numbers and deep nesting.
         raise SettingsInvalidError(file, '', str(error), 'TOML') from error
     try:
         settings = msgspec.convert(raw, DaemonSettings, strict=False)
--- a/tests/test_settings/test_settings_load.py
+++ b/tests/test_settings/test_settings_load.py
@@ -69,3 +69,11 @@
     )
     assert completed.returncode == 2
     assert 'instance.zone: 7' in completed.stderr
+
+
+@pytest.mark.parametrize('value', ['9' * 4_301, '[' * 5_000 + ']' * 5_000, '9' * 400])
+def test_error_for_a_value_that_the_parser_rejects_names_the_file(value: str) -> None:
+    with pytest.raises(SettingsInvalidError) as caught:
+        check_settings(VALID.replace("zone = 'z'", f'zone = {value}'), 'the-file')
+    assert caught.value.file == 'the-file'
+    assert len(str(caught.value)) < 1_000
