Convert text to numbers in one module only, and test that

What could be seen: a port of more than 4,300 digits in the environment ended the process before it had read its settings. The numbers in keys of rows of citrondyked are written by its own instances; a foreign one raised a bare ValueError.

Change: those go through util/numbers.py too. test_util_conversions.py reads the syntax tree of the whole package and allows a call of `int`, `float`, `Decimal` or `map(int, ...)` only on what is evidently a number (a constant, a name with a unit, a quotient, `len`, ...), or in a module with a stated number of such calls and a reason. It goes by names, so a text in a variable called `..._ms` would pass it.

Three cases of test_invalid_port_leaves_the_addresses_to_the_settings_file failed before.

--- a/citrondyke/decisions/audit/report.py
+++ b/citrondyke/decisions/audit/report.py
@@ -14,6 +14,7 @@
 from citrondyke.decisions.membership.session_row import SESSION_PREFIX, SessionRow
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.util.hashing import digest_hex
+from citrondyke.util.numbers import parse_count
 
 if TYPE_CHECKING:
     from citrondyke.decisions.core.ops import Workflow
@@ -103,7 +104,7 @@
         report.objects_count += 1
         if segment is None:
             _, instance_id, number = key.rsplit('/', 2)
-            report.faults.append(AuditFault(instance_id, int(number), 'unreadable'))
+            report.faults.append(AuditFault(instance_id, parse_count(number) or 0, 'unreadable'))
             continue
         chains.setdefault(segment.header.instance_id, {})[segment.header.number] = segment
     newest = {
--- a/citrondyke/decisions/jobs/rows.py
+++ b/citrondyke/decisions/jobs/rows.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from citrondyke.ids import ClassName, JobId, ObjectKey, RowKey, SessionId, TargetName, TenantId
+from citrondyke.util.numbers import read_count
 
 __all__ = (
     'FileRow',
@@ -217,10 +218,16 @@
 
 
 def segment_of_key(key: RowKey) -> int:
-    """Extract the segment number from the key of a todo row."""
-    return int(key.rsplit('/', 1)[1])
+    """Extract the segment number from the key of a todo row.
+
+    :raises UnreadableBytesError: if the key has none.
+    """
+    return read_count(key.rpartition('/')[2], 'segment in a key')
 
 
 def segment_of_part(key: RowKey) -> int:
-    """Extract the segment number from the key of a part row."""
-    return int(key.rsplit('/', 2)[1])
+    """Extract the segment number from the key of a part row.
+
+    :raises UnreadableBytesError: if the key has none.
+    """
+    return read_count(key.rpartition('/')[0].rpartition('/')[2], 'segment in a key')
--- a/citrondyke/decisions/membership/session_row.py
+++ b/citrondyke/decisions/membership/session_row.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from citrondyke.ids import InstanceId, RowKey, SessionId
+from citrondyke.util.numbers import read_count
 
 __all__ = ('SESSION_PREFIX', 'SessionRow', 'SessionState', 'session_id', 'session_row_key')
 
@@ -44,6 +45,9 @@
 
 
 def split_session_id(session: SessionId) -> tuple[InstanceId, int]:
-    """Split a session id into the instance id and the epoch."""
+    """Split a session id into the instance id and the epoch.
+
+    :raises UnreadableBytesError: if the epoch is not a number.
+    """
     instance_id, _, epoch = session.rpartition('#')
-    return InstanceId(instance_id), int(epoch)
+    return InstanceId(instance_id), read_count(epoch, 'epoch of a session')
--- a/citrondyke/operator/log_events.py
+++ b/citrondyke/operator/log_events.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from citrondyke.errors.log_unreadable import LogUnreadableError
+from citrondyke.util.numbers import parse_count
 
 __all__ = ('LogEvent', 'LogEvents', 'read_log_events')
 
@@ -72,7 +73,8 @@
     event = fields.get('event')
     if event == 'log.left_out' and isinstance(fields.get('counts'), dict):
         for kind, count in fields['counts'].items():
-            log_events.left_out[kind] = log_events.left_out.get(kind, 0) + int(count)
+            known = log_events.left_out.get(kind, 0)
+            log_events.left_out[kind] = known + (parse_count(str(count)) or 0)
         return
     if not isinstance(event, str) or 'time' not in fields:
         return
--- a/citrondyke/platform/early_addresses.py
+++ b/citrondyke/platform/early_addresses.py
@@ -10,6 +10,8 @@
 
 #: ``IP:PORT`` for callers and for health checks, separated by a space.
 LISTEN_VARIABLE = 'CITRONDYKE_LISTEN'
+MAX_PORT = 65_535
+PORT_DIGITS = 5
 
 
 def early_addresses(environment: Mapping[str, str]) -> list[tuple[str, int]]:
@@ -21,7 +23,8 @@
     addresses = []
     for entry in environment.get(LISTEN_VARIABLE, '').split():
         ip, _, port = entry.rpartition(':')
-        if not ip or not port.isdecimal() or int(port) > 65_535:  # noqa: PLR2004
+        is_port = port.isascii() and port.isdecimal() and len(port) <= PORT_DIGITS
+        if not ip or not is_port or int(port) > MAX_PORT:
             return []
         addresses.append((ip, int(port)))
     return addresses
