Bound the numbers in configurations and in the store's answers

Found by hypothesis tests of each decoder of bytes from outside (server entries, configurations, session rows, answers of the store, headers of callers and servers, items of jobs; messages of peers and events of servers have theirs): any bytes give a value or the one typed error. A whole number of 400 digits passed as the priority, the attempts or the backlog limit of a route, and as the version of a row; arithmetic with a float then raises an OverflowError where nobody expects it. No store or operator is known to write one.

Change: these numbers have ranges far beyond any real value.

--- a/citrondyke/platform/rows.py
+++ b/citrondyke/platform/rows.py
@@ -44,6 +44,9 @@
 NonNegativeInt64 = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 #: Capacity of a server: counts of its requests have 16 bits in messages between instances.
 SlotsCount = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+#: Ranges of other numbers, far beyond any real value; products of them stay finite.
+Int32 = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
+Measure = Annotated[float, msgspec.Meta(ge=-1e15, le=1e15)]
 NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
 #: Software version of a server, which messages between instances repeat.
 VersionText = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
@@ -55,7 +58,7 @@
 
 class _Share(msgspec.Struct, frozen=True):
     service: str
-    weight: float = 1.0
+    weight: Measure = 1.0
 
 
 class _Route(msgspec.Struct, frozen=True):
@@ -63,36 +66,36 @@
     hostname: str
     path_prefix: str
     type: str
-    timeout_ms: float
-    slo_ms: float = 1_000.0
-    priority: int = 0
+    timeout_ms: Measure
+    slo_ms: Measure = 1_000.0
+    priority: Int32 = 0
     #: Alternative to ``split``.
     service: str = ''
     split: list[_Share] = []
-    max_attempts: int = 1
+    max_attempts: Int32 = 1
     resumable: bool = False
-    completion_slo_ms: float = 0.0
+    completion_slo_ms: Measure = 0.0
     #: Age from which an item may be abandoned; does not limit the wait of a caller.
-    max_wait_s: float = 0.0
+    max_wait_s: Measure = 0.0
     #: Backlog limit of the route, in tokens rather than requests; 0 for no limit.
-    max_count: Annotated[int, msgspec.Meta(ge=0)] = 0
+    max_count: NonNegativeInt64 = 0
     #: Whether the route needs no API key.
     public: bool = False
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
+    max_header_bytes: NonNegativeInt64 = 16_384
+    max_body_bytes: NonNegativeInt64 = 4_194_304
     #: Time to receive a whole head, from its first byte.
-    header_timeout_ms: float = 3_000.0
+    header_timeout_ms: Measure = 3_000.0
     #: Idle time between two requests on a connection.
-    idle_timeout_ms: float = 15_000.0
+    idle_timeout_ms: Measure = 15_000.0
 
 
 class _Tenant(msgspec.Struct, frozen=True):
     name: Annotated[str, msgspec.Meta(pattern=r'^[!-~]{1,100}$')]
     api_keys: list[NonEmpty]
-    priority: int | None = None
+    priority: Int32 | None = None
     #: 0 for no limit.
     rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
--- a/citrondyke/platform/store_client.py
+++ b/citrondyke/platform/store_client.py
@@ -4,7 +4,7 @@
 
 import base64
 import binascii
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, Annotated, TypeVar
 from urllib.parse import quote, urlencode
 
 import logbook
@@ -56,12 +56,16 @@
 UNREADABLE_VALUE = b'\xc1'
 
 
+#: Number of a transaction of the store.
+Version = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _Row(msgspec.Struct, omit_defaults=True):
     table: str
     key: str
     part: str = ''
     value: str | None = None
-    ver: int | None = None
+    ver: Version | None = None
     #: The row was deleted; set in a feed only.
     deleted: bool = False
 
@@ -74,7 +78,7 @@
 
 class _Rows(msgspec.Struct, frozen=True):
     #: Newest version of the whole store, not of these rows.
-    ver: int
+    ver: Version
     rows: list[_Row] = []
     has_more: bool = False
 
