Limit the names of services and zones in a server's entry

An entry whose service has 60,000 characters was read as a server's, and each change of the list put the name into a log line (60,122 bytes in the test) and into the messages that pass the list on.

Change: 200 characters at most, as for the key of a row; a longer one makes the entry unreadable.

Evidence: test_long_text_of_a_server_entry_is_not_logged with a long service failed before and passes now.

--- a/citrondyke/platform/rows.py
+++ b/citrondyke/platform/rows.py
@@ -48,6 +48,8 @@
 Int32 = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
 Measure = Annotated[float, msgspec.Meta(ge=-1e15, le=1e15)]
 NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
+#: Name of a service or a zone, which log lines and messages between instances repeat.
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 #: Software version of a server, which messages between instances repeat.
 VersionText = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
 MAX_PORT = 65_535
@@ -109,9 +111,9 @@
 
 
 class _Server(msgspec.Struct, frozen=True):
-    service: NonEmpty
+    service: Name
     address: str
-    zone: NonEmpty
+    zone: Name
     version: VersionText
     slots: SlotsCount
     state: Literal['ready', 'draining']
