Bound the numbers in heartbeats of instances

The size of the server list in a heartbeat is repeated by all other instances and multiplied by a float when one starts: a number of 400 digits would raise an OverflowError there (read in the code), and a large one delays the first read of the list. No instance writes one.

Change: the size is at most that of the largest update that can be decoded, and the number of the heartbeat has 63 bits.

Evidence: test_any_field_of_a_heartbeat failed before (a size of 400 digits was decoded) and passes now.

--- a/citrondyke/gateway/peers/membership.py
+++ b/citrondyke/gateway/peers/membership.py
@@ -10,6 +10,7 @@
 from gevent.event import Event
 
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.peers.list_codec import UPDATE_LIMIT_BYTES
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
 from citrondyke.ids import AvailabilityZone, InstanceId
 from citrondyke.storage.failure import PlatformFailure
@@ -55,10 +56,10 @@
     ip: Annotated[str, msgspec.Meta(pattern=IP_PATTERN)]
     peer_port: Annotated[int, msgspec.Meta(ge=1, le=65_535)]
     zone: AvailabilityZone
-    number: int
+    number: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
     #: Size of the values of the server list that the instance has, for instances that start; -1
     #: from instances of an earlier version, which neither publish the list nor subscribe to it.
-    list_bytes: int = -1
+    list_bytes: Annotated[int, msgspec.Meta(ge=-1, le=UPDATE_LIMIT_BYTES)] = -1
 
 
 class Membership:
--- a/tests/test_platform/test_platform_any_bytes.py
+++ b/tests/test_platform/test_platform_any_bytes.py
@@ -17,7 +17,9 @@
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.callers.caller_request import CallerRequest
 from citrondyke.gateway.http_client import HttpAnswer
+from citrondyke.gateway.peers.membership import Heartbeat
 from citrondyke.gateway.servers.reply_reader import ReplyHead
+from citrondyke.ids import AvailabilityZone
 from citrondyke.platform.dialect import PlatformDialect
 from citrondyke.platform.rows import decode_config, decode_server
 from citrondyke.platform.store_client import PlatformTable
@@ -79,11 +81,25 @@
     check(lambda: decode_config(with_field({'version': 1, 'routes': [ROUTE]}, name, text)))
 
 
+HEARTBEAT = Heartbeat('life-1', '10.0.0.1', 80, AvailabilityZone('z'), 1, 700_000)
+
+
+@given(st.sampled_from(HEARTBEAT.__struct_fields__), JSON)
+def test_any_field_of_a_heartbeat(name: str, text: str) -> None:
+    # Other instances repeat the size of the list, and compute with it when they start.
+    raw = with_field(msgspec.structs.asdict(HEARTBEAT), name, text)
+    with contextlib.suppress(UnreadableBytesError):
+        heartbeat = decode_json(raw, Heartbeat)
+        assert -1 <= heartbeat.list_bytes <= 64 * 1024 * 1024
+        assert 0 <= heartbeat.number < 2**63
+
+
 @given(st.binary())
 def test_any_bytes_of_a_row(raw: bytes) -> None:
     check(lambda: decode_config(raw))
     check(lambda: decode_server('i-1', raw))
     check(lambda: decode_json(raw, SessionRow))
+    check(lambda: decode_json(raw, Heartbeat))
 
 
 class OneAnswer:
