--- a/tests/test_gateway/test_callers/test_callers_event_stream.py
+++ b/tests/test_gateway/test_callers/test_callers_event_stream.py
@@ -73,7 +73,19 @@
 
 
 lines = st.sampled_from(
-    [b'id: 1', b'id: 2', b'id: 3', b'data: x', b'data:', b': x', b'event: y', b'\xfe\xff', b'']
+    [
+        b'id: ' + b'9' * 4_301,
+        b'id: \xb2',
+        b'id: 1',
+        b'id: 2',
+        b'id: 3',
+        b'data: x',
+        b'data:',
+        b': x',
+        b'event: y',
+        b'\xfe\xff',
+        b'',
+    ]
 )
 ends = st.sampled_from([b'\n', b'\r\n', b'\r', b''])
 streams = st.lists(st.tuples(lines, ends)).map(lambda pairs: b''.join(map(b''.join, pairs)))
--- a/tests/test_gateway/test_servers/test_servers_reply_reader.py
+++ b/tests/test_gateway/test_servers/test_servers_reply_reader.py
@@ -91,6 +91,30 @@
     assert caught.value.failure_kind is ReplyFailureKind.MALFORMED
 
 
+@pytest.mark.parametrize(
+    'data',
+    [
+        *(
+            LENGTH.replace(b': 5', b': ' + length)
+            for length in (b'9' * 4_301, b'-5', b'+5', b'5, 5')
+        ),
+        *(
+            CHUNKS.replace(b'\n2\r', b'\n%b\r' % size)
+            for size in (b'f' * 4_301, b'-2', b'0x2', b'')
+        ),
+        *(
+            LENGTH.replace(b'200', status)
+            for status in (b'9' * 4_301, b'1000', b'-200', b'0200', b'')
+        ),
+    ],
+    ids=lambda data: str(data[:60]),
+)
+def test_odd_length_size_or_status_is_an_error(data: bytes) -> None:
+    with pytest.raises(BrokenReplyError) as caught:
+        read(data)
+    assert len(caught.value.message) < 200
+
+
 def test_head_without_end_is_an_error() -> None:
     with pytest.raises(BrokenReplyError) as caught:
         read(b'HTTP/1.1 200 OK\r\nA: ' + b'x' * 70_000)
