Keep a job or an item that raises from stopping the others

What callers would see: an item whose start raises (its headers, its path) stayed open forever, and so did its job; the server it was meant for counted one item more for good. A head that raises kept the other changes of the same response from an instance, which went on after the newest version; a job that raises while it is listed, claimed, checked, saved or swept kept all jobs after it from that, at each attempt anew.

Cause: loops over jobs and rows in which one exception ends the turn, and `JobRunner._begin` marked the item as running and counted it before its run existed.

Change: each job of a loop is handled alone, with a bounded line that names the operation. An item is marked last; one whose start raises has failed, like one that its server fails, so that it is listed as errored after the attempts of its route. Statistics of a broken run no longer keep its item open. A head without chunks is an unreadable one.

Checked: claims, commits and checks of single jobs run in greenlets of their own; `OwnedJob.record_committed` follows the store's answer; results are listed up to the first that cannot be read, as positions must not move.

--- a/citrondyke/gateway/jobs/backlog_limiter.py
+++ b/citrondyke/gateway/jobs/backlog_limiter.py
@@ -13,6 +13,7 @@
 
 from citrondyke.decisions.accounts.account import ANONYMOUS_ACCOUNT
 from citrondyke.decisions.batch.job import backlog_name_of
+from citrondyke.gateway.failure_log import FailureLog
 from citrondyke.gateway.jobs.route_backlog_limiter import (
     NEAR_LIMIT_POLL_MS,
     BacklogReservation,
@@ -74,6 +75,7 @@
         #: Routes and accounts of jobs that callers submitted to this instance.
         self._used_routes: set[tuple[RouteName, TenantId]] = set()
         self._poll_requested = Event()
+        self._failures = FailureLog(context.clock, 'task')
 
     def start(self, tasks: Tasks, store_interval_factor: Callable[[], float]) -> None:
         """Start adjusting this instance's shares to the tokens in use.
@@ -137,10 +139,14 @@
             self._poll_requested.clear()
             config = self._config()
             for route in self._routes_to_poll(config):
-                if route.waiting_tokens_limit:
-                    self.poll(route, config.version)
-                elif route.name in self._by_limit:
-                    self._by_limit[route.name].withdraw()
+                # One route must not keep the shares of the others as they are.
+                self._failures.attempt('BacklogLimiter.poll', self._poll_route, route, config)
+
+    def _poll_route(self, route: Route, config: RouteTable) -> None:
+        if route.waiting_tokens_limit:
+            self.poll(route, config.version)
+        elif route.name in self._by_limit:
+            self._by_limit[route.name].withdraw()
 
     def _routes_to_poll(self, config: RouteTable) -> Iterable[Route]:
         """Return the routes named by their limits, with only the accounts used at this instance."""
--- a/citrondyke/gateway/jobs/job_claimer.py
+++ b/citrondyke/gateway/jobs/job_claimer.py
@@ -85,7 +85,7 @@
         #: Whether all open jobs have been listed once since the start.
         self.is_listed = False
         self._claiming: set[JobId] = set()
-        self._unreadable = UnreadableRows(HEADS_TABLE)
+        self.unreadable = UnreadableRows(HEADS_TABLE)
         self._store_interval_factor = store_interval_factor
         self._feed = ChangeFeed(
             context,
@@ -103,8 +103,7 @@
         self._tasks.supervise(self._run_claims)
 
     def _apply_rows(self, rows: Iterable[PartRow]) -> None:
-        for row in rows:
-            self._apply_row(row)
+        self.unreadable.apply_each(rows, self._apply_row)
 
     def _newest_version(self) -> int:
         page = self._table.read(HEADS_TABLE, '', limit=1)
@@ -116,9 +115,10 @@
         try:
             head = decode_head(row.value)
         except UnreadableBytesError as error:
-            self._unreadable.log_once(row.part, row.version, error.message)
+            self.unreadable.log_once(row.part, row.version, error.message)
             return
         self._apply_head(StoredHead(head, row.version))
+        self.unreadable.record_readable(row.part, row.version)
 
     def _apply_head(self, stored: StoredHead) -> None:
         head = stored.head
@@ -165,13 +165,21 @@
             wait_ms = self._budget.take()
             if wait_ms > 0:
                 gevent.sleep(wait_ms / 1e3)
-            stored = self.store.read_head(job_id)
-            if isinstance(stored, StoredHead):
-                self._apply_head(stored)
-            else:
+            try:
+                is_whole &= self._read_listed(job_id)
+            except Exception:
+                self._tasks.failures.record_failure('JobClaimer.read', job_id=job_id)
                 is_whole = False
         self.is_listed = self.is_listed or is_whole
 
+    def _read_listed(self, job_id: JobId) -> bool:
+        """Read and apply the head of a listed job; return whether it was read."""
+        stored = self.store.read_head(job_id)
+        if not isinstance(stored, StoredHead):
+            return False
+        self._apply_head(stored)
+        return True
+
     def _run_list(self) -> None:
         # The read budget is divided by the number of instances, which the first poll provides.
         # Nothing else depends on it.
@@ -196,12 +204,17 @@
             gevent.sleep(self._context.jittered_ms(POLL_EVERY_MS) / 1e3)
             if self._owned.is_stopping:
                 return
-            for job_id, stored in list(self._open.items()):
-                if job_id in self._owned.by_id or job_id in self._claiming:
-                    continue
-                if self._takeover.is_due(stored.head, stored.version):
-                    self._claiming.add(job_id)
-                    self._tasks.spawn(self._claim, stored)
+            for stored in list(self._open.values()):
+                # One job must not keep the others without an owner.
+                self._tasks.failures.attempt('JobClaimer.claim', self._claim_if_due, stored)
+
+    def _claim_if_due(self, stored: StoredHead) -> None:
+        job_id = stored.head.job_id
+        if job_id in self._owned.by_id or job_id in self._claiming:
+            return
+        if self._takeover.is_due(stored.head, stored.version):
+            self._claiming.add(job_id)
+            self._tasks.spawn(self._claim, stored)
 
     def _claim(self, stored: StoredHead) -> None:
         head = stored.head
--- a/citrondyke/gateway/jobs/job_committer.py
+++ b/citrondyke/gateway/jobs/job_committer.py
@@ -85,7 +85,7 @@
         """
         for job in list(self._owned.by_id.values()):
             if not job.is_closed:
-                self._apply_head(job, self._store.read_head(job.head.job_id))
+                self._tasks.failures.attempt('JobCommitter.check', self._check_read_head, job)
 
     def save_pause_ms(self) -> float:
         """Return the interval between two saves of progress."""
@@ -179,13 +179,17 @@
                     if progress.events_count - (progress.saved_event_id or 0) >= SAVE_EVENTS
                 ]
                 if unsaved and not job.is_closed and not self._owned.is_stopping:
-                    self.save(job, unsaved[:SAVE_ITEMS])
+                    attempt = self._tasks.failures.attempt
+                    attempt('JobCommitter.save', self.save, job, unsaved[:SAVE_ITEMS])
 
     def _run_head_polls(self) -> None:
         while True:
             gevent.sleep(self._context.jittered_ms(HEAD_POLL_MS) / 1e3)
             self.check_all()
 
+    def _check_read_head(self, job: OwnedJob) -> None:
+        self._apply_head(job, self._store.read_head(job.head.job_id))
+
     def _check_current_head(self, job: OwnedJob) -> None:
         self._apply_head(job, self._store.current_head(job.head.job_id))
 
--- a/citrondyke/gateway/jobs/job_contents.py
+++ b/citrondyke/gateway/jobs/job_contents.py
@@ -50,6 +50,9 @@
         if len(rows) < head.chunks_count:
             # A stale read from before the acceptance: a later one returns all chunks.
             return PlatformFailure(PlatformFailureReason.UNAVAILABLE)
+        if not rows:
+            # The head states no chunks, as another writer's may.
+            return UNREADABLE
         packed = b''.join(row.value or b'' for row in rows)
         return _read(f'{ITEMS_TABLE}/{head.job_id}', rows[0].version, packed, list[JobItem])
 
@@ -120,3 +123,6 @@
     except UnreadableBytesError as error:
         unreadable_rows.log_once(name, version, error.message)
         return UNREADABLE
+    except Exception:
+        unreadable_rows.log_failure(name, version)
+        return UNREADABLE
--- a/citrondyke/gateway/jobs/job_rows.py
+++ b/citrondyke/gateway/jobs/job_rows.py
@@ -150,6 +150,9 @@
     except UnreadableBytesError as error:
         unreadable_rows.log_once(f'{HEADS_TABLE}/{row.part}', row.version, error.message)
         return NoJob(NoJobReason.UNCERTAIN)
+    except Exception:
+        unreadable_rows.log_failure(f'{HEADS_TABLE}/{row.part}', row.version)
+        return NoJob(NoJobReason.UNCERTAIN)
 
 
 def progress_put(progress: ItemProgress, limit_bytes: int) -> RowPut:
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -224,27 +224,41 @@
         now_ms, epoch_ms = self._context.now_ms(), self._context.epoch_ms()
         waiting: list[tuple[ItemPriority, OwnedJob]] = []
         for job in self._owned.by_id.values():
-            job.abandon_overdue(epoch_ms)
-            progress = job.next_item(now_ms)
-            if progress is not None:
-                waiting.append((self._priority(job, progress, epoch_ms), job))
+            try:
+                job.abandon_overdue(epoch_ms)
+                progress = job.next_item(now_ms)
+                if progress is not None:
+                    waiting.append((self._priority(job, progress, epoch_ms), job))
+            except Exception:
+                # One job must not keep the items of the others waiting.
+                self._tasks.failures.record_failure('JobRunner.order', job_id=job.head.job_id)
         waiting.sort(key=lambda each: each[0].order)
         full: set[tuple[ServiceName, Urgency, StreamOrigin | None]] = set()
         for _, job in waiting:
-            full_origins: set[StreamOrigin] = set()
-            while (progress := job.next_item(now_ms, full_origins)) is not None:
-                service = self._service(job, progress)
-                if service is None:
-                    break
-                urgency_now = self._urgency(job, progress, epoch_ms)
-                state = self._choose_server(job, progress, service, urgency_now, full)
-                if state is not None:
-                    self._begin(job, progress, state)
-                    continue
-                if progress.origin is None:
-                    break
-                # Items that any server may run need not wait for those of this origin.
-                full_origins.add(progress.origin)
+            start = self._start_items_of
+            self._tasks.failures.attempt('JobRunner.start', start, job, now_ms, epoch_ms, full)
+
+    def _start_items_of(
+        self,
+        job: OwnedJob,
+        now_ms: float,
+        epoch_ms: float,
+        full: set[tuple[ServiceName, Urgency, StreamOrigin | None]],
+    ) -> None:
+        full_origins: set[StreamOrigin] = set()
+        while (progress := job.next_item(now_ms, full_origins)) is not None:
+            service = self._service(job, progress)
+            if service is None:
+                break
+            urgency_now = self._urgency(job, progress, epoch_ms)
+            state = self._choose_server(job, progress, service, urgency_now, full)
+            if state is not None:
+                self._try_begin(job, progress, state)
+                continue
+            if progress.origin is None:
+                break
+            # Items that any server may run need not wait for those of this origin.
+            full_origins.add(progress.origin)
 
     def _choose_server(
         self,
@@ -383,13 +397,15 @@
         self._metrics.counters['items_begun_anew'] += 1
         progress.drop_events()
 
+    def _try_begin(self, job: OwnedJob, progress: ItemProgress, state: ServerState) -> None:
+        """Begin a run; an item for which that raises has failed, like one that its server fails."""
+        try:
+            self._begin(job, progress, state)
+        except Exception:
+            self._tasks.failures.record_failure('JobRunner.begin', item_id=progress.item.id)
+            self._end(job, progress, RunResult.FAILED)
+
     def _begin(self, job: OwnedJob, progress: ItemProgress, state: ServerState) -> None:
-        progress.is_running = True
-        # The capacity is counted at once, so that the next choice of a server includes it.
-        self._sends.add_request(state, is_batch=True)
-        self._metrics.counters['items_started'] += 1
-        self._runs_count += 1
-        number = self._runs_count
         item = progress.item
         keys = RequestKeys(
             b'POST',
@@ -399,6 +415,14 @@
             self._dialect.item_prompt_parts(item),
         )
         run = _ItemRun(job, progress, state, self._context.now_ms(), keys)
+        # From here on nothing raises: an item that is marked as running without a run would stay
+        # open forever.
+        progress.is_running = True
+        # The capacity is counted at once, so that the next choice of a server includes it.
+        self._sends.add_request(state, is_batch=True)
+        self._metrics.counters['items_started'] += 1
+        self._runs_count += 1
+        number = self._runs_count
         self._runs[number] = run
         run.greenlet = self._tasks.spawn(self._run_item, number, run)
 
@@ -422,24 +446,19 @@
             result = RunResult.PREEMPTED
         except BrokenReplyError as error:
             detail = error.message
-            if error.failure_kind is ReplyFailureKind.NO_CONNECTION:
-                self._guard.record_connect_failure(state, error)
-            else:
-                self._record_interrupted(run, error.failure_kind)
+            self._tasks.failures.attempt('JobRunner.record_broken', self._record_broken, run, error)
         except Exception:
             # An item whose run ended without a result would stay open forever.
             log.exception('item.run_failed', extra={'item_id': progress.item.id})
             detail = 'unforeseen'
         finally:
             self._runs.pop(number, None)
-            self._sends.remove_request(state, is_batch=True)
+            self._tasks.failures.attempt('JobRunner.remove', self._remove_request, state)
             self._probe_gate.end(run)
         took_ms = self._context.now_ms() - started_ms
-        self._lengths.record_event_interval(
-            job.head.route, progress.events_count - events_before, took_ms
+        self._tasks.failures.attempt(
+            'JobRunner.record_length', self._record_length, run, events_before, took_ms, result
         )
-        if result is RunResult.COMPLETED:
-            self._lengths.record_complete_run(job.head.route, progress.events_count)
         self._metrics.counters[f'items_{result.value}'] += 1
         log.info(
             'item.run',
@@ -460,6 +479,23 @@
             self._committer.save(job, [progress])
         self._start_items()
 
+    def _remove_request(self, state: ServerState) -> None:
+        self._sends.remove_request(state, is_batch=True)
+
+    def _record_length(
+        self, run: _ItemRun, events_before: int, took_ms: float, result: RunResult
+    ) -> None:
+        route, events_count = run.job.head.route, run.progress.events_count
+        self._lengths.record_event_interval(route, events_count - events_before, took_ms)
+        if result is RunResult.COMPLETED:
+            self._lengths.record_complete_run(route, events_count)
+
+    def _record_broken(self, run: _ItemRun, error: BrokenReplyError) -> None:
+        if error.failure_kind is ReplyFailureKind.NO_CONNECTION:
+            self._guard.record_connect_failure(run.state, error)
+        else:
+            self._record_interrupted(run, error.failure_kind)
+
     def _may_send(self, run: _ItemRun) -> bool:
         self._guard.wait_until_known()
         head = run.job.head
--- a/citrondyke/gateway/jobs/job_sweeper.py
+++ b/citrondyke/gateway/jobs/job_sweeper.py
@@ -7,6 +7,7 @@
 import gevent
 import logbook
 
+from citrondyke.gateway.failure_log import FailureLog
 from citrondyke.gateway.jobs.job_rows import CommitVerdict, StoredHead
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.util.hashing import rendezvous_weight
@@ -67,6 +68,7 @@
         self._retention_ms = retention_ms
         #: Epoch time until which a job is retained, so that its head is not read in each sweep.
         self._retained_until_ms: dict[JobId, float] = {}
+        self._failures = FailureLog(context.clock, 'task')
 
     def start(self, tasks: Tasks) -> None:
         """Start sweeping."""
@@ -83,7 +85,7 @@
         }
         deleted = 0
         for job_id in listed:
-            if self._is_assigned_here(job_id) and self._sweep_one(job_id):
+            if self._is_assigned_here(job_id) and self._try_sweep(job_id):
                 deleted += 1
                 gevent.sleep(PAUSE_S)
             if deleted >= JOBS_PER_SWEEP:
@@ -97,6 +99,14 @@
         chosen = max(names, key=lambda name: rendezvous_weight(name, job_id))
         return chosen == self._context.instance_id
 
+    def _try_sweep(self, job_id: JobId) -> bool:
+        """Sweep a job; one that raises must not keep those after it in the store for good."""
+        try:
+            return self._sweep_one(job_id)
+        except Exception:
+            self._failures.record_failure('JobSweeper.sweep', job_id=job_id)
+            return False
+
     def _sweep_one(self, job_id: JobId) -> bool:
         epoch_ms = self._context.epoch_ms()
         if self._retained_until_ms.get(job_id, 0.0) > epoch_ms:
--- a/citrondyke/gateway/jobs/token_shares.py
+++ b/citrondyke/gateway/jobs/token_shares.py
@@ -150,6 +150,8 @@
                 read.versions[row.key] = row.version
             except UnreadableBytesError as error:
                 self._unreadable.log_once(f'{route}/{row.key}', row.version, error.message)
+            except Exception:
+                self._unreadable.log_failure(f'{route}/{row.key}', row.version)
         return read
 
     def _put(self, share: TokenShare) -> RowPut:
