Apply rows of suspects one by one, and keep a suspect until it is written

What callers would see: a row of a suspect that raises kept all others from a restarted instance, so that stopped requests crash servers again. A write that raises lost its suspect: it was taken from the queue first.

Change: rows are applied alone (`row.failed`), and a suspect whose write raises goes back into the queue like one whose write fails. The gauge `rows_unreadable_total` includes the rows of instances, suspects and jobs.

--- a/citrondyke/gateway/gauges.py
+++ b/citrondyke/gateway/gauges.py
@@ -8,6 +8,7 @@
 from citrondyke.decisions.batch.batch_demand import CompletionLikelihood
 from citrondyke.decisions.memory.byte_budget import HeldKind
 from citrondyke.decisions.servers.server_health import ServerHealth
+from citrondyke.gateway.jobs.job_rows import unreadable_rows
 
 if TYPE_CHECKING:
     from citrondyke.decisions.crashes.suspect_registry import SuspectRegistry
@@ -21,6 +22,7 @@
     from citrondyke.gateway.peers.membership import Membership
     from citrondyke.gateway.replication.dependency import Dependency
     from citrondyke.gateway.replication.replicated_state import ReplicatedState
+    from citrondyke.gateway.servers.suspect_store import SuspectStore
     from citrondyke.util.clock import SystemClock
 
 __all__ = ('GaugeSource', 'add_gauges')
@@ -38,6 +40,7 @@
     gate: StartupGate
     batch: BatchSubsystem
     suspects: SuspectRegistry
+    suspect_store: SuspectStore
     limits: LimitExchange
     store: Dependency
     budget: ByteBudget
@@ -76,7 +79,12 @@
 
 
 def _unreadable_count(instance: GaugeSource) -> float:
-    others = (instance.membership.unreadable,)
+    others = (
+        instance.membership.unreadable,
+        instance.suspect_store.unreadable,
+        instance.batch.claimer.unreadable,
+        unreadable_rows,
+    )
     return float(instance.replicated.unreadable_rows_count + sum(each.count for each in others))
 
 
--- a/citrondyke/gateway/jobs/backlog_limiter.py
+++ b/citrondyke/gateway/jobs/backlog_limiter.py
@@ -83,6 +83,7 @@
         :param store_interval_factor: returns the factor by which store calls are rarer than in a
             small fleet.
         """
+        self._failures = tasks.failures
         tasks.supervise(lambda: self._run(store_interval_factor))
 
     def reserve(
--- a/citrondyke/gateway/jobs/job_sweeper.py
+++ b/citrondyke/gateway/jobs/job_sweeper.py
@@ -72,6 +72,7 @@
 
     def start(self, tasks: Tasks) -> None:
         """Start sweeping."""
+        self._failures = tasks.failures
         tasks.supervise(self._run)
 
     def sweep(self) -> int:
--- a/citrondyke/gateway/servers/suspect_store.py
+++ b/citrondyke/gateway/servers/suspect_store.py
@@ -13,6 +13,7 @@
 from citrondyke.decisions.crashes.suspect_key import SuspectKey
 from citrondyke.decisions.crashes.suspect_registry import STORED_SCORE, SuspectStatus
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.failure_log import FailureLog
 from citrondyke.gateway.replication.change_feed import ChangeFeed
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
 from citrondyke.ids import ContentDigest
@@ -90,14 +91,16 @@
         #: Calls without a response of the store.
         self.failed_count = 0
         self._has_pending = Event()
+        self._failures = FailureLog(context.clock, 'task')
         self._was_read = Event()
-        self._unreadable = UnreadableRows(SUSPECTS_TABLE)
+        self.unreadable = UnreadableRows(SUSPECTS_TABLE)
         self._feed = ChangeFeed(
             context, table, SUSPECTS_TABLE, interval_factor, self._apply_rows, self._reread
         )
 
     def start(self, tasks: Tasks) -> None:
         """Start following and writing the rows."""
+        self._failures = tasks.failures
         tasks.supervise(self._feed.run)
         tasks.supervise(self._run_writes)
         tasks.supervise(self._run_cleanup)
@@ -180,33 +183,36 @@
         return found.value == put.value
 
     def _apply_rows(self, rows: Iterable[PartRow]) -> None:
-        for row in rows:
-            if row.value is None:
-                self._forget(row.key)
-                continue
-            if self._versions.get(row.key, 0) > row.version:
-                continue
-            self._versions[row.key] = row.version
-            try:
-                known = decode_json(row.value, SuspectRow)
-            except UnreadableBytesError as error:
-                self._unreadable.log_once(row.key, row.version, error.message)
-                continue
-            if known.digest != row.key:
-                continue
-            is_news = self._suspects.merge(known)
-            self._save_missing(known)
-            if is_news:
-                log.info(
-                    'suspect.known',
-                    extra={
-                        'content': known.digest,
-                        'servers': round(sum(known.lives.values()), 2),
-                        'era': known.era,
-                        'trials': known.trials,
-                        'source': 'store',
-                    },
-                )
+        self.unreadable.apply_each(rows, self._apply_row)
+
+    def _apply_row(self, row: PartRow) -> None:
+        if row.value is None:
+            self._forget(row.key)
+            return
+        if self._versions.get(row.key, 0) > row.version:
+            return
+        self._versions[row.key] = row.version
+        try:
+            known = decode_json(row.value, SuspectRow)
+        except UnreadableBytesError as error:
+            self.unreadable.log_once(row.key, row.version, error.message)
+            return
+        if known.digest != row.key:
+            return
+        is_news = self._suspects.merge(known)
+        self._save_missing(known)
+        self.unreadable.record_readable(row.key, row.version)
+        if is_news:
+            log.info(
+                'suspect.known',
+                extra={
+                    'content': known.digest,
+                    'servers': round(sum(known.lives.values()), 2),
+                    'era': known.era,
+                    'trials': known.trials,
+                    'source': 'store',
+                },
+            )
 
     def _forget(self, digest: str) -> None:
         """Drop a suspect whose row was removed: it has expired, or an operator has cleared it."""
@@ -246,14 +252,24 @@
             del self._pending[digest]
             if not self._pending:
                 self._has_pending.clear()
-            if not self._should_store(key):
-                self.read_row(key)
-            elif not self._write(key):
+            try:
+                is_done = self._write_or_read(key)
+            except Exception:
+                self._failures.record_failure('SuspectStore.write', content=key.digest)
+                is_done = False
+            if not is_done:
                 # Without a retry the row would be lost if this instance exits.
                 self.save(key)
                 gevent.sleep(self._context.jittered_ms(RETRY_MS) / 1e3)
             gevent.sleep(WRITE_GAP_S)
 
+    def _write_or_read(self, key: SuspectKey) -> bool:
+        """Write or read the row of a suspect; return whether that is done."""
+        if self._should_store(key):
+            return self._write(key)
+        self.read_row(key)
+        return True
+
     def _should_store(self, key: SuspectKey) -> bool:
         return key.digest in self._versions or self._suspects.score(key) >= STORED_SCORE
 
--- a/tests/test_gateway/test_servers/test_servers_suspect_store.py
+++ b/tests/test_gateway/test_servers/test_servers_suspect_store.py
@@ -5,6 +5,7 @@
 import pytest
 
 from citrondyke.decisions.crashes.probe_policy import FIRST_PROBE_PAUSE_MS, ONLINE_PROBES
+from citrondyke.decisions.crashes.suspect import SuspectRow
 from citrondyke.decisions.crashes.suspect_key import RequestKeys, content_key
 from citrondyke.decisions.crashes.suspect_registry import (
     SuspectRegistry,
@@ -12,7 +13,13 @@
 )
 from citrondyke.gateway.replication.dependency import Dependency
 from citrondyke.gateway.servers.suspect_store import ATTEMPTS_LIMIT, UNRESPONSIVE_MS, SuspectStore
-from citrondyke.storage.partitioned_table import PartTransaction, RowPut
+from citrondyke.gateway.tasks import Tasks
+from citrondyke.storage.partitioned_table import (
+    PartCommitted,
+    PartConflict,
+    PartTransaction,
+    RowPut,
+)
 from tests.support.flaky_table import FlakyTable, Trouble
 from tests.support.gateway import HOST, GatewayFleet, wait_until_seen
 from tests.support.manual_clock import ManualClock, manual_context
@@ -142,3 +149,55 @@
     faults.refused_ips = set()
     other.peers.stop()
     wait_until_seen(lambda: other.suspects.score(content) == 3.0, 'the row')
+
+
+def test_row_that_raises_hides_no_other_suspect(
+    world: StoreWorld, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A restarted instance would know no suspects, and requests would crash servers again.
+    other = content_key(b'POST', b'h', b'/p/', b'other')
+    writer = world.members[0]
+    for server in (1, 2, 3):
+        writer.suspects.record_server_exit(other, server, is_fresh=True)
+    for key in (CULPRIT, other):
+        assert writer.store._write(key)
+    context = manual_context(world.clock, 'reader')
+    known = SuspectRegistry(context)
+    reader = SuspectStore(
+        context, world.table, Dependency(world.clock, 'store'), known, lambda: 1.0
+    )
+    first = min(CULPRIT.digest, other.digest)
+    merge = known.merge
+
+    def merge_or_raise(row: SuspectRow) -> bool:
+        if row.digest == first:
+            raise ZeroDivisionError
+        return merge(row)
+
+    monkeypatch.setattr(known, 'merge', merge_or_raise)
+    assert reader._reread()
+    assert sum(known.score(key) > 0.0 for key in (CULPRIT, other)) == 1
+    assert reader.unreadable.count == 1
+
+
+def test_write_that_raises_is_retried(world: StoreWorld, monkeypatch: pytest.MonkeyPatch) -> None:
+    # The suspect was taken from the queue before its row was written, so that the row was never
+    # written, and a restart of all instances would forget the suspect.
+    monkeypatch.setattr('citrondyke.gateway.servers.suspect_store.RETRY_MS', 1.0)
+    member = world.members[0]
+    transact = world.table.transact
+    calls: list[PartTransaction] = []
+
+    def transact_or_raise(transaction: PartTransaction) -> PartCommitted | PartConflict:
+        calls.append(transaction)
+        if len(calls) == 1:
+            raise ZeroDivisionError
+        return transact(transaction)
+
+    monkeypatch.setattr(world.table, 'transact', transact_or_raise)
+    tasks = Tasks()
+    tasks.supervise(member.store._run_writes)
+    member.store.save(CULPRIT)
+    wait_until_seen(lambda: len(calls) > 1, 'the second write')
+    tasks.end()
+    assert world.table.read('suspects', '').rows  # type: ignore[union-attr]
