Check the rows of origins one by one

What callers would see: a service whose row raises kept the rows of the services after it from being written, and a row of exceptions that raises hid those of all other instances, so that streams could not be resumed after a start of all instances.

Change: in `OriginStore` each service is checked alone, and a row that raises is logged once per version and handled like an unreadable one.

--- a/citrondyke/gateway/gauges.py
+++ b/citrondyke/gateway/gauges.py
@@ -23,6 +23,7 @@
     from citrondyke.gateway.replication.dependency import Dependency
     from citrondyke.gateway.replication.replicated_state import ReplicatedState
     from citrondyke.gateway.servers.suspect_store import SuspectStore
+    from citrondyke.gateway.streams.origin_exchange import OriginExchange
     from citrondyke.util.clock import SystemClock
 
 __all__ = ('GaugeSource', 'add_gauges')
@@ -43,6 +44,7 @@
     suspect_store: SuspectStore
     limits: LimitExchange
     store: Dependency
+    origins: OriginExchange
     budget: ByteBudget
 
 
@@ -83,6 +85,7 @@
         instance.membership.unreadable,
         instance.suspect_store.unreadable,
         instance.batch.claimer.unreadable,
+        instance.origins.versions.unreadable,
         unreadable_rows,
     )
     return float(instance.replicated.unreadable_rows_count + sum(each.count for each in others))
--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -19,6 +19,7 @@
     possible_versions,
 )
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.failure_log import FailureLog
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
 from citrondyke.ids import ServiceName, SoftwareVersion
 from citrondyke.storage.failure import PlatformFailure
@@ -134,12 +135,14 @@
         self._book = book
         self._history = history
         self._is_fleet_known = is_fleet_known
-        self._unreadable = UnreadableRows(VERSIONS_TABLE)
+        self.unreadable = UnreadableRows(VERSIONS_TABLE)
+        self._failures = FailureLog(context.clock, 'task')
         #: Known rows of services.
         self._rows: dict[ServiceName, _StoredRow] = {}
 
     def start(self, tasks: Tasks) -> None:
         """Start writing the rows that this instance is responsible for."""
+        self._failures = tasks.failures
         tasks.supervise(self._run)
         tasks.supervise(self._run_cleanup)
 
@@ -245,7 +248,11 @@
         try:
             return decode_json(row.value or b'', ExceptionsRow).streams
         except UnreadableBytesError as error:
-            self._unreadable.log_once(row.key, row.version, error.message)
+            self.unreadable.log_once(row.key, row.version, error.message)
+            return []
+        except Exception:
+            # The streams of the other instances must still be found.
+            self.unreadable.log_failure(row.key, row.version)
             return []
 
     @property
@@ -287,14 +294,20 @@
         if not self._is_fleet_known():
             return True
         for service in {origin.service for origin in self._book.origins}:
-            if self._book.topology.is_first_registrar(service):
-                is_answered = self._check(service)
-            elif self._has_several(service) or self._is_first_read_due(service):
-                is_answered = self._follow(service)
-            else:
-                continue
-            if not is_answered:
-                return False
+            try:
+                if not self._check_service(service):
+                    return False
+            except Exception:
+                # The rows of the other services must still be written.
+                self._failures.record_failure('OriginStore.check', service=service)
+        return True
+
+    def _check_service(self, service: ServiceName) -> bool:
+        """Write or read the row of a service if that is due; return whether the store answered."""
+        if self._book.topology.is_first_registrar(service):
+            return self._check(service)
+        if self._has_several(service) or self._is_first_read_due(service):
+            return self._follow(service)
         return True
 
     def _is_first_read_due(self, service: ServiceName) -> bool:
@@ -395,7 +408,10 @@
         try:
             decoded = decode_json(row.value, VersionsRow)
         except UnreadableBytesError as error:
-            self._unreadable.log_once(row.key, row.version, error.message)
+            self.unreadable.log_once(row.key, row.version, error.message)
+            return _StoredRow(row.version, frozenset(), is_readable=False)
+        except Exception:
+            self.unreadable.log_failure(row.key, row.version)
             return _StoredRow(row.version, frozenset(), is_readable=False)
         return _StoredRow(
             row.version,
