--- a/citrondyke/gateway/peers/peers.py
+++ b/citrondyke/gateway/peers/peers.py
@@ -214,8 +214,17 @@
         self.send(JobChanged(job_id), [owner])
 
     def send(self, text: PeerText, recipients: list[InstanceId]) -> None:
-        """Send a datagram to some peers; unknown ones are skipped."""
-        data = encode_message(self._message(text))
+        """Send a datagram to some peers; unknown ones are skipped.
+
+        A message that cannot be encoded is dropped like one that the network loses. The publishers
+        take all messages that are due from their queues before they send them, so that an exception
+        would lose the others too.
+        """
+        try:
+            data = encode_message(self._message(text))
+        except Exception:
+            self._failures.record_failure('send', kind=type(text).__name__)
+            return
         zones: list[AvailabilityZone | None] = []
         for recipient in recipients:
             heartbeat = self._membership.peers.get(recipient)
--- a/tests/test_gateway/test_peers/test_peers_message_failures.py
+++ b/tests/test_gateway/test_peers/test_peers_message_failures.py
@@ -9,9 +9,10 @@
 
 from citrondyke.decisions.accounts.limit_messages import UseAsked
 from citrondyke.decisions.batch.takeover import InstanceLiveness
+from citrondyke.decisions.forwarding.load_notices import ServerLoad
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.peers.membership import INSTANCES_TABLE, Heartbeat, Membership
-from citrondyke.gateway.peers.peer_codec import KnowledgeWanted
+from citrondyke.gateway.peers.peer_codec import KnowledgeWanted, LoadNotice
 from citrondyke.gateway.peers.store_state_exchange import StoreState
 from citrondyke.ids import AvailabilityZone, ConfigVersion, InstanceId, JobId, TenantId
 from citrondyke.storage.partitioned_table import PartRow
@@ -38,6 +39,14 @@
     assert 'citrondyke_peer_messages_failed_total 1\n' in receiver.metrics.text()
 
 
+def test_message_that_cannot_be_encoded_loses_no_other(fleet: GatewayFleet) -> None:
+    # The publishers of counts, suspects and outcomes take what is due from their queues first.
+    sender, receiver = fleet.instances
+    odd = LoadNotice([ServerLoad(-1, 0, 0)])
+    sender.peers.send(odd, [receiver.context.instance_id])
+    assert 'citrondyke_peer_messages_failed_total 1\n' in sender.metrics.text()
+
+
 def test_choice_of_a_server_does_not_fail_with_a_datagram(fleet: GatewayFleet) -> None:
     # In a large fleet messages are read before each choice, in the task of a caller's request: its
     # connection would be closed without a response.
