Count the time that a reader's message has waited as age of the list

What callers would see: an instance that was frozen while a server left first reads the messages that readers had sent before. Each extended its lease by 0.9 s and made its list count as fresh, so that it neither read the store nor knew that its list was old before its next sends.

Cause: a cursor states its age when it is sent; the receiver took it as of now. The same of an answer over a stream.

Change: the receiver of datagrams notes when its queue was last empty, at least every 100 ms. Each datagram arrived after that, and an answer after the request, so that the time since is added to the age. The tracker then grants no lease from 1.6 s on.

--- a/citrondyke/gateway/peers/peers.py
+++ b/citrondyke/gateway/peers/peers.py
@@ -68,6 +68,8 @@
 CONNECT_TIMEOUT_MS = 300.0
 FRAME_LIMIT_BYTES = 16 * 1024 * 1024
 DATAGRAM_LIMIT_BYTES = 65_535
+#: Interval of noting that no datagram waits.
+IDLE_CHECK_MS = 100.0
 #: Datagrams that are received before other greenlets run.
 DATAGRAMS_PER_TURN = 64
 
@@ -129,6 +131,8 @@
         self._origins = origins
         self._table = table
         self._tasks = tasks
+        #: When no datagram waited last; each one that is read now arrived after it.
+        self._drained_ms = context.now_ms()
         self._failures = FailureLog(context.clock, 'peer.message')
         metrics.add_gauge('peer_messages_failed_total', lambda: float(self._failures.count))
         self._streams: StreamServer | None = None
@@ -262,7 +266,8 @@
             if batch_window_ms > 0:
                 gevent.sleep(batch_window_ms / 1e3)
             else:
-                wait_read(self._receiver.fileno())
+                with gevent.Timeout(IDLE_CHECK_MS / 1e3, False):
+                    wait_read(self._receiver.fileno())
             while self._receive_datagrams(self._receiver) == DATAGRAMS_PER_TURN:
                 gevent.sleep(0)
 
@@ -272,6 +277,7 @@
             try:
                 data, address = receiver.recvfrom(DATAGRAM_LIMIT_BYTES)
             except BlockingIOError:
+                self._drained_ms = self._context.now_ms()
                 return count
             try:
                 self._on_datagram(data, address[0])
@@ -299,7 +305,8 @@
         elif isinstance(text, CrashNews):
             self._on_crash(message.sender, text)
         elif isinstance(text, ListTold | ListOffered):
-            self.list_read_delegation.on_message(message.sender, ip, text)
+            queued_ms = self._context.now_ms() - self._drained_ms
+            self.list_read_delegation.on_message(message.sender, ip, text, queued_ms)
         elif isinstance(text, EvidenceNews):
             self._on_evidence(message.sender, text)
         elif isinstance(text, StreamOrigins):
--- a/citrondyke/gateway/peers/server_list_read_delegation.py
+++ b/citrondyke/gateway/peers/server_list_read_delegation.py
@@ -133,10 +133,15 @@
         if self._follower is not None and self._replicated.has_servers:
             self._membership.list_bytes = self._list_bytes()
 
-    def on_message(self, sender: InstanceId, ip: str, text: ListTold | ListOffered) -> None:
-        """Apply a reader's message; a reader ignores it, since it reads the store itself."""
+    def on_message(
+        self, sender: InstanceId, ip: str, text: ListTold | ListOffered, queued_ms: float
+    ) -> None:
+        """Apply a reader's message; a reader ignores it, since it reads the store itself.
+
+        :param queued_ms: upper bound of the time for which the message has waited here.
+        """
         if not self._publisher.is_reader:
-            self._subscriber.on_message(sender, ip, text)
+            self._subscriber.on_message(sender, ip, text, queued_ms)
 
     def answer(self, request: ListTold, config_version: ConfigVersion) -> ListOffered:
         """Return the changes that a follower lacks."""
--- a/citrondyke/gateway/peers/server_list_subscriber.py
+++ b/citrondyke/gateway/peers/server_list_subscriber.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import logbook
+import msgspec
 
 from citrondyke.decisions.server_list.reader_lease_tracker import MissingRows, ReaderLeaseTracker
 from citrondyke.errors.broken_reply import BrokenReplyError
@@ -45,6 +46,7 @@
 
         :param exchange: sends a request to the instance with an IP over a stream.
         """
+        self._context = context
         self.tracker = ReaderLeaseTracker(context)
         self._replicated = replicated
         self._metrics = metrics
@@ -64,8 +66,14 @@
         self._config_follower = config_follower
         self._follower = follower
 
-    def on_message(self, sender: InstanceId, ip: str, text: ListTold | ListOffered) -> None:
-        """Apply a reader's message, and request missing rows."""
+    def on_message(
+        self, sender: InstanceId, ip: str, text: ListTold | ListOffered, queued_ms: float
+    ) -> None:
+        """Apply a reader's message, and request missing rows.
+
+        :param queued_ms: upper bound of the time for which the message has waited here. An instance
+            that was frozen reads messages from before; without it their lists would be fresh.
+        """
         if isinstance(text, ListOffered):
             self._metrics.counters['list_bytes_from_peers'] += len(text.data)
             try:
@@ -73,7 +81,7 @@
             except UnreadableBytesError as error:
                 log.warning('list.unreadable', extra={'ip': ip, 'detail': error.message})
                 return
-        missing = self._record_cursor(sender, text.position)
+        missing = self._record_cursor(sender, _aged(text.position, queued_ms))
         if missing is not MissingRows.NOTHING and not self._is_requesting:
             self._is_requesting = True
             self._tasks.spawn(self.request, sender, ip)
@@ -82,6 +90,7 @@
         """Request missing rows from a reader; return whether it answered."""
         self._is_requesting = True
         self._metrics.counters['list_asks'] += 1
+        asked_ms = self._context.now_ms()
         try:
             message = self._exchange(ip, ListTold(self.tracker.cursor_of(reader)))
             if not isinstance(message.text, ListOffered):
@@ -96,7 +105,8 @@
         finally:
             self._is_requesting = False
         self._apply_update(message.sender, update)
-        self._record_cursor(message.sender, answer.position)
+        took_ms = self._context.now_ms() - asked_ms
+        self._record_cursor(message.sender, _aged(answer.position, took_ms))
         if message.config_version == self._replicated.config.table.version:
             self._adopt_config(answer.position)
         log.info(
@@ -155,3 +165,7 @@
             self._follower.adopt(cursor.store_version, cursor.size_bytes)
             self._replicated.record_list_current(cursor.age_ms)
         return missing
+
+
+def _aged(cursor: ServerListCursor, waited_ms: float) -> ServerListCursor:
+    return msgspec.structs.replace(cursor, age_ms=cursor.age_ms + waited_ms)
--- a/tests/test_gateway/test_peers/test_peers_list_age.py
+++ b/tests/test_gateway/test_peers/test_peers_list_age.py
@@ -12,13 +12,16 @@
 from citrondyke.decisions.forwarding.server_registry import ServerRegistry
 from citrondyke.decisions.server_list.list_freshness import STALE_AFTER_MS
 from citrondyke.decisions.server_list.reader_lease_tracker import ReaderLeaseTracker
+from citrondyke.decisions.server_list.server_list_cursor import ServerListCursor
 from citrondyke.gateway.metrics import Metrics
+from citrondyke.gateway.peers.peer_codec import ListTold, PeerMessage, encode_message
 from citrondyke.gateway.peers.server_list_publisher import ServerListPublisher
+from citrondyke.gateway.peers.server_list_subscriber import ServerListSubscriber
 from citrondyke.gateway.replication.dependency import Dependency
 from citrondyke.gateway.replication.replicated_state import ReplicatedState, RowDecoder
 from citrondyke.gateway.replication.table_follower import TableFollower
 from citrondyke.gateway.tasks import Tasks
-from citrondyke.ids import InstanceId, ServerId
+from citrondyke.ids import ConfigVersion, InstanceId, ServerId
 from citrondyke.platform.rows import (
     CONFIG_KEY,
     CONFIG_TABLE,
@@ -171,3 +174,58 @@
     assert failing.is_ready
     assert failing.replicated.is_list_stale
     assert 'citrondyke_list_age_ms' in failing.metrics.text()
+
+
+class Follower:
+    """A follower with the list of a reader."""
+
+    def __init__(self, reader: Reader) -> None:
+        self.reader = reader
+        reader.put('i-1')
+        assert reader.follower.poll_once()
+        self.message = ListTold(reader.publisher.cursor())
+        self.subscriber = ServerListSubscriber(
+            manual_context(reader.clock), reader.replicated, Metrics(), self._exchange, Tasks()
+        )
+        self.subscriber.start(reader.follower, reader.follower)
+
+    def _exchange(self, *_: object) -> PeerMessage:
+        """Answer with the list as of now, of which this instance hears seconds later."""
+        answer = self.reader.publisher.answer(ServerListCursor('', 0), ConfigVersion(0))
+        self.reader.clock.ms += 5_000.0
+        return PeerMessage(InstanceId('reader'), ConfigVersion(0), answer)
+
+
+def test_message_that_waited_while_the_follower_was_frozen_grants_no_lease(reader: Reader) -> None:
+    # A frozen instance reads the messages from before first. By them its list would be fresh, and
+    # it would not read the store before its next sends.
+    follower = Follower(reader)
+    reader.clock.ms += 5_000.0
+    follower.subscriber.on_message(InstanceId('reader'), '10.0.0.1', follower.message, 5_000.0)
+    assert not follower.subscriber.tracker.is_delegated
+    assert reader.replicated.list_age_ms == 5_000.0
+    follower.subscriber.on_message(InstanceId('reader'), '10.0.0.1', follower.message, 0.0)
+    assert follower.subscriber.tracker.is_delegated
+    assert reader.replicated.list_age_ms == 0.0
+
+
+def test_answer_that_waited_while_the_follower_was_frozen_grants_no_lease(reader: Reader) -> None:
+    follower = Follower(reader)
+    assert follower.subscriber.request(InstanceId('reader'), '10.0.0.1')
+    assert not follower.subscriber.tracker.is_delegated
+    assert reader.replicated.list_age_ms == 5_000.0
+
+
+def test_datagram_may_be_as_old_as_the_last_empty_queue(
+    fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sender, receiver = (each.peers for each in fleet.instances)
+    waited: list[float] = []
+    monkeypatch.setattr(
+        receiver.list_read_delegation, 'on_message', lambda *each: waited.append(each[3])
+    )
+    receiver._drained_ms -= 5_000.0
+    data = encode_message(sender._message(ListTold(ServerListCursor('life', 1))))
+    receiver._on_datagram(data, '10.0.0.1')
+    assert waited[0] >= 5_000.0
+    wait_until_seen(lambda: receiver._drained_ms > fleet.clock.now_ms() - 1_000.0, 'an empty queue')
