--- a/tests/support/program.py
+++ b/tests/support/program.py
@@ -61,6 +61,9 @@
     def ask_to_stop(self) -> None:
         self._process.send_signal(signal.SIGTERM)
 
+    def send_signal(self, number: signal.Signals) -> None:
+        self._process.send_signal(number)
+
     def wait(self) -> int:
         return self._process.wait(STOP_WITHIN_S)
 
