Refuse CONNECT before a server runs it

Callers saw a 502 for a CONNECT request that a server had begun to run (order, fetch and stream, one each); to the HTTP library a 2xx response to CONNECT switches protocols, after which the end of a response can't be sent.

The new test fails on the code before: 502 instead of 400.

--- a/citrondyke/gateway/callers/strict_head.py
+++ b/citrondyke/gateway/callers/strict_head.py
@@ -17,6 +17,9 @@
     :raises BadRequestHeadError: with the reason.
     """
     lines = head.removesuffix(b'\r\n\r\n').split(b'\r\n')
+    if lines[0].startswith(b'CONNECT '):
+        # A success of it begins a tunnel, which can't carry a response.
+        raise BadRequestHeadError('CONNECT is not supported')
     names: list[bytes] = []
     values: dict[bytes, bytes] = {}
     for line in lines:
--- a/tests/test_gateway/test_callers/test_callers_internal_errors.py
+++ b/tests/test_gateway/test_callers/test_callers_internal_errors.py
@@ -8,7 +8,8 @@
 
 from citrondyke.gateway.callers.event_stream import EventSplitter, StreamEvent
 from citrondyke.gateway.metrics import Metrics
-from tests.support.gateway import GatewayFleet, exchange
+from tests.support.caller import receive_answer
+from tests.support.gateway import HOST, GatewayFleet, exchange
 
 
 class _UnexpectedError(Exception):
@@ -119,3 +120,12 @@
     monkeypatch.undo()
     assert fleet.call('/fetch/a').status == 200
     assert instance.frontend.busy_count == 0
+
+
+def test_tunnel_is_refused_before_it_reaches_a_server(fleet: GatewayFleet) -> None:
+    # A success of it switches protocols, so that the response of a server that had run it was lost.
+    with fleet.connection() as sock:
+        sock.sendall(f'CONNECT /order/a HTTP/1.1\r\nHost: {HOST}\r\n\r\n'.encode())
+        assert receive_answer(sock).startswith(b'HTTP/1.1 400')
+    assert not any(server.runs for server in fleet.servers.values())
+    assert _failures(fleet.instances[0].metrics) == 0
