Run batch items whose headers name a host or an id

Callers saw an accepted item that was never listed. Cause: the headers of an item were added to the host of its job and to its id, so that its request had two Host or two Attempt-Id headers, which servers reject as ambiguous.

Change: an item's request has the host of its job and its own id alone. test_item_that_names_a_host_or_an_id_is_run fails on the code before (3 of 3, not listed within 30 s).

--- a/citrondyke/platform/dialect.py
+++ b/citrondyke/platform/dialect.py
@@ -74,6 +74,8 @@
 REPLACED_HEADERS = frozenset(
     (TIMEOUT_HEADER, EXPECT_SERVER_HEADER, LAST_EVENT_HEADER, KEY_HEADER, ACCOUNT_HEADER)
 )
+#: Headers of an item's request that its job and its id determine.
+ITEM_OWN_HEADERS = frozenset((b'host', ATTEMPT_HEADER))
 RESULTS_PATH = '/-/lots/'
 ITEMS_PATH = '/-/items/'
 #: Request targets that can be sent in a request line.
@@ -227,9 +229,11 @@
             (b'host', host.encode('latin-1')),
             (ATTEMPT_HEADER, item.id.encode('latin-1')),
         ]
+        # A second host or id would make the request ambiguous, so that no server ever ran the item.
         result.extend(
-            (name.lower().encode('latin-1'), value.encode('latin-1'))
-            for name, value in item.headers.items()
+            (name, value.encode('latin-1'))
+            for text, value in item.headers.items()
+            if (name := text.lower().encode('latin-1')) not in ITEM_OWN_HEADERS
         )
         return result
 
