Start the other items if one can't be made a request

Before an item is started its request's keys are computed. An exception in that ended the loop over all jobs of the instance, which is restarted and fails at the same item again: no item of any job of this owner would start for as long as that one is open, and a caller that hands a job in gets a 500.

test_item_that_cannot_start_leaves_the_others_alone fails on the code before (500 instead of 202). No item that raises there was found with 340 odd ones, so this guards a class and fixes no fault that was seen.

--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -384,23 +384,35 @@
         progress.drop_events()
 
     def _begin(self, job: OwnedJob, progress: ItemProgress, state: ServerState) -> None:
+        try:
+            keys = self._request_keys(job, progress)
+        except Exception:
+            # If one item ended the loop over all jobs, no item of this instance would start again.
+            log.exception(
+                'item.start_failed',
+                extra={'job_id': job.head.job_id, 'item_id': progress.item.id},
+            )
+            self._end(job, progress, RunResult.BLOCKED)
+            return
         progress.is_running = True
         # The capacity is counted at once, so that the next choice of a server includes it.
         self._sends.add_request(state, is_batch=True)
         self._metrics.counters['items_started'] += 1
         self._runs_count += 1
         number = self._runs_count
+        run = _ItemRun(job, progress, state, self._context.now_ms(), keys)
+        self._runs[number] = run
+        run.greenlet = self._tasks.spawn(self._run_item, number, run)
+
+    def _request_keys(self, job: OwnedJob, progress: ItemProgress) -> RequestKeys:
         item = progress.item
-        keys = RequestKeys(
+        return RequestKeys(
             b'POST',
             job.head.host,
             item.path.encode('latin-1'),
             item.body,
             self._dialect.item_prompt_parts(item),
         )
-        run = _ItemRun(job, progress, state, self._context.now_ms(), keys)
-        self._runs[number] = run
-        run.greenlet = self._tasks.spawn(self._run_item, number, run)
 
     def _run_item(self, number: int, run: _ItemRun) -> None:
         job, progress, state = run.job, run.progress, run.state
