--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -398,22 +398,16 @@
         progress.drop_events()
 
     def _try_begin(self, job: OwnedJob, progress: ItemProgress, state: ServerState) -> None:
-        """Begin a run; an item for which that raises has failed, like one that its server fails."""
+        """Begin a run; an item for which that raises waits, as no server has failed it."""
         try:
             self._begin(job, progress, state)
         except Exception:
+            # If one item ended the loop over all jobs, no item of this instance would start again.
             self._tasks.failures.record_failure('JobRunner.begin', item_id=progress.item.id)
-            self._end(job, progress, RunResult.FAILED)
+            self._end(job, progress, RunResult.BLOCKED)
 
     def _begin(self, job: OwnedJob, progress: ItemProgress, state: ServerState) -> None:
-        item = progress.item
-        keys = RequestKeys(
-            b'POST',
-            job.head.host,
-            item.path.encode('latin-1'),
-            item.body,
-            self._dialect.item_prompt_parts(item),
-        )
+        keys = self._request_keys(job, progress)
         run = _ItemRun(job, progress, state, self._context.now_ms(), keys)
         # From here on nothing raises: an item that is marked as running without a run would stay
         # open forever.
@@ -426,6 +420,16 @@
         self._runs[number] = run
         run.greenlet = self._tasks.spawn(self._run_item, number, run)
 
+    def _request_keys(self, job: OwnedJob, progress: ItemProgress) -> RequestKeys:
+        item = progress.item
+        return RequestKeys(
+            b'POST',
+            job.head.host,
+            item.path.encode('latin-1'),
+            item.body,
+            self._dialect.item_prompt_parts(item),
+        )
+
     def _run_item(self, number: int, run: _ItemRun) -> None:
         job, progress, state = run.job, run.progress, run.state
         run.has_begun = True
