--- a/tests/test_gateway/test_streams/test_streams_origins.py
+++ b/tests/test_gateway/test_streams/test_streams_origins.py
@@ -4,155 +4,19 @@
 
 import os
 from random import Random
-from types import SimpleNamespace
-from typing import Any
 
 import msgspec
 import pytest
 
-from citrondyke.decisions.forwarding.replicated_config import ReplicatedConfig
 from citrondyke.decisions.forwarding.route import RouteLimits
 from citrondyke.decisions.forwarding.route_table import RouteTable
-from citrondyke.decisions.forwarding.server_list_entry import ServerListEntry
-from citrondyke.decisions.forwarding.server_registry import ServerRegistry
 from citrondyke.decisions.streams.origin_records import OriginRecords
-from citrondyke.decisions.streams.stream_origin import StreamOrigin, UnknownOrigin, stream_key
-from citrondyke.gateway.metrics import Metrics
-from citrondyke.gateway.peers.peer_codec import OriginAsked, OriginTold, PeerText, StreamOrigins
-from citrondyke.gateway.replication.dependency import Dependency
-from citrondyke.gateway.streams.origin_exchange import OriginExchange
-from citrondyke.gateway.tasks import Tasks
-from citrondyke.ids import ConfigVersion, InstanceId, RequestId, ServiceName, SoftwareVersion
-from citrondyke.platform.rows import decode_config
-from citrondyke.standin.part_table import PartTable
-from citrondyke.storage.failure import UNAVAILABLE
-from tests.support.gateway import HOST, route
-from tests.support.manual_clock import ManualClock, manual_context
+from citrondyke.decisions.streams.stream_origin import StreamOrigin
+from citrondyke.ids import ConfigVersion, ServiceName, SoftwareVersion
+from tests.support.manual_clock import manual_context
+from tests.support.origin_fleet import TABLE, V1, V2, OriginFleet
 from tests.support.peers import listed_server
 
-SERVICE = ServiceName('lm')
-ZONES = ('zone-a', 'zone-b', 'zone-c')
-TIMEOUT_MS = 5_000.0
-TABLE = decode_config(
-    msgspec.json.encode(
-        {'version': 1, 'routes': [route('stream', 'streaming', 'lm', resumable=True)]}
-    )
-)
-
-
-class AwayTable(PartTable):
-    """A store that can be away."""
-
-    is_away = False
-
-    def transact(self, transaction: Any) -> Any:
-        return UNAVAILABLE if self.is_away else super().transact(transaction)
-
-    def read(self, table: str, part: str, from_key: str = '', limit: int = 500) -> Any:
-        return UNAVAILABLE if self.is_away else super().read(table, part, from_key, limit)
-
-
-class OriginFleet:
-    """The origins of a fleet's streams, exchanged without a network."""
-
-    def __init__(self, count: int, seed: int = 1) -> None:
-        self.clock = ManualClock()
-        self.random = Random(seed)
-        self.table = AwayTable()
-        self.names = [InstanceId(f'edge-{number}') for number in range(count)]
-        self.listed: dict[str, ServerListEntry] = {}
-        self.live: dict[InstanceId, OriginExchange] = {}
-        self.books: dict[InstanceId, ServerRegistry] = {}
-        self.sent_count = 0
-        self.loss_share = 0.0
-
-    def list_servers(self, version: str, count: int = 3) -> None:
-        for number in range(count):
-            name = f'{version}-{number}'
-            stated = SoftwareVersion(version)
-            self.listed[name] = listed_server(name, SERVICE, software_version=stated)
-
-    def delist(self, version: str) -> None:
-        for name in [each for each in self.listed if each.startswith(f'{version}-')]:
-            del self.listed[name]
-
-    def start(self, name: InstanceId) -> None:
-        number = self.names.index(name)
-        context = manual_context(self.clock, name, ZONES[number % 3], seed=number)
-        book = self.books[name] = ServerRegistry(context)
-        zones = {each: ZONES[n % 3] for n, each in enumerate(self.names) if each != name}
-        book.topology.replace(zones)  # type: ignore[arg-type]
-        config = ReplicatedConfig()
-        config.update_if_newer(TABLE)
-        exchange = self.live[name] = OriginExchange(
-            context,
-            book,
-            config,
-            Dependency(self.clock, 'store'),
-            self.table,
-            lambda: True,
-            Metrics(),
-            Tasks(),
-        )
-        exchange.start(self.deliver, self.ask)
-        self.sync(name)
-
-    def kill(self, name: InstanceId) -> None:
-        self.live.pop(name)
-
-    def deliver(self, text: PeerText, recipients: list[InstanceId]) -> None:
-        assert isinstance(text, StreamOrigins)
-        self.sent_count += len(recipients)
-        for recipient in recipients:
-            if recipient in self.live and self.random.random() >= self.loss_share:
-                self.live[recipient].on_records(text)
-
-    def ask(self, peer: InstanceId, asked: OriginAsked) -> OriginTold | None:
-        return self.live[peer].answer(asked) if peer in self.live else None
-
-    def sync(self, name: InstanceId) -> None:
-        if not self.table.is_away:
-            self.books[name].replace(list(self.listed.values()))
-
-    def wait(self, wait_ms: float) -> None:
-        """Let time pass; the lists of all become current and the rows are written."""
-        until_ms = self.clock.ms + wait_ms
-        while self.clock.ms < until_ms:
-            self.clock.ms = min(until_ms, self.clock.ms + 250.0)
-            for name, exchange in self.live.items():
-                self.sync(name)
-                exchange.update()
-                exchange.versions.check_all()
-
-    def forwarded(self, request_id: str, begun_by: str | None = None) -> Any:
-        metadata = SimpleNamespace(
-            request_id=request_id, begun_by=begun_by, last_event_id=1, within_ms=TIMEOUT_MS
-        )
-        return SimpleNamespace(
-            metadata=metadata,
-            route=TABLE.routes[0],
-            request=SimpleNamespace(host=HOST, path='/stream/x'),
-            stream_id=RequestId(begun_by or request_id),
-        )
-
-    def begin(self, at: InstanceId, request_id: str) -> StreamOrigin | None:
-        forwarded = self.forwarded(request_id)
-        assigned = self.live[at].assigned_origin(forwarded, SERVICE)
-        origin = assigned if isinstance(assigned, StreamOrigin) else None
-        state = self.books[at].choose_server(SERVICE, (), '', origin=origin)
-        state = state or self.books[at].choose_server(SERVICE, (), '')
-        if state is None or not self.live[at].may_begin(forwarded, state.listed.origin):
-            return None
-        self.live[at].record(forwarded, state.listed.origin)
-        return state.listed.origin
-
-    def holds(self, name: InstanceId, request_id: str) -> bool:
-        asked = OriginAsked(stream_key(RequestId(request_id)), [SERVICE])
-        return self.live[name].answer(asked).origin is not None
-
-    def take_up(self, at: InstanceId, begun_by: str | None) -> StreamOrigin | UnknownOrigin:
-        return self.live[at].resolve(self.forwarded('next', begun_by))
-
 
 @pytest.fixture
 def fleet() -> OriginFleet:
@@ -168,7 +32,6 @@
 #: ``CITRONDYKE_ORIGIN_SEEDS=N`` plays the first N seeds.
 SEEDS = range(int(os.environ.get('CITRONDYKE_ORIGIN_SEEDS', '20')))
 DISTURBANCE_SHARE = 0.1
-V1, V2 = (StreamOrigin(SERVICE, SoftwareVersion(name)) for name in ('v1', 'v2'))
 
 
 def test_one_version_costs_no_message_and_no_write(fleet: OriginFleet) -> None:
