Measure the age of a split of versions by the store's clock

Callers whose streams broke off with a loss of all instances took them up, were answered 200, and got the rest from another software version: every one of them at an instance whose time of day was an hour ahead.

Cause: the stored row says when a split of new streams among versions was replaced, by the writer's time of day, and the reader compared that with its own. With a clock that is ahead at the reader, or behind at the writer, the split of the version that began the stream seemed over for long, and the next one assigned the stream to the new version. Exceptions to a split had the same fault. Without a loss of all, records at peers tell the version, so that nothing showed.

Change: rows are timed by the steady clock that the store states in its responses. An entry of an exception holds whatever its age, as its key is that of one stream; the cleanup removes rows that did not change between two of its runs, without any clock. A replaced split whose time is not known matters. Rows of the earlier build have no such time, so their splits matter until they are replaced.

--- a/citrondyke/decisions/streams/version_split.py
+++ b/citrondyke/decisions/streams/version_split.py
@@ -35,8 +35,9 @@
 
     #: Weight of each version; empty if any version may have begun a stream.
     weights: dict[str, int] = {}
-    #: When it was replaced; ``None`` while it is in force.
-    until_epoch_ms: float | None = None
+    #: When it was replaced, by the store's clock; ``None`` while it is in force or if that is not
+    #: known.
+    until_store_ms: float | None = None
 
     def version_of(self, key: int) -> SoftwareVersion | None:
         """Return the version that begins a stream; ``None`` if any may.
@@ -54,34 +55,42 @@
 def next_splits(
     splits: Sequence[VersionSplit],
     weights: Mapping[str, int],
-    now_epoch_ms: float,
+    now_store_ms: float | None,
     life_ms: float,
 ) -> list[VersionSplit]:
     """Return the splits after a change of the weights.
 
     :param splits: splits so far, the one in force last.
+    :param now_store_ms: time of the store; ``None`` if it is not known.
     :param life_ms: how long a replaced split matters.
     """
-    kept = [split for split in splits if _matters(split, now_epoch_ms, life_ms)]
-    if kept:
-        kept[-1] = msgspec.structs.replace(kept[-1], until_epoch_ms=now_epoch_ms)
+    kept = [
+        msgspec.structs.replace(split, until_store_ms=now_store_ms)
+        if split.until_store_ms is None
+        else split
+        for split in splits
+        if _matters(split, now_store_ms, life_ms)
+    ]
     if len(kept) >= SPLITS_LIMIT:
         merged = kept[: len(kept) - SPLITS_LIMIT + 2]
-        kept = [VersionSplit({}, merged[-1].until_epoch_ms), *kept[len(merged) :]]
+        kept = [VersionSplit({}, merged[-1].until_store_ms), *kept[len(merged) :]]
     return [*kept, VersionSplit(dict(weights))]
 
 
 def possible_versions(
-    splits: Iterable[VersionSplit], key: int, now_epoch_ms: float, life_ms: float
+    splits: Iterable[VersionSplit], key: int, now_store_ms: float | None, life_ms: float
 ) -> frozenset[SoftwareVersion | None]:
     """Return the versions that can have begun a stream; ``None`` stands for any.
 
+    :param now_store_ms: time of the store; ``None`` if it is not known.
     :param life_ms: how long a replaced split matters.
     """
     return frozenset(
-        split.version_of(key) for split in splits if _matters(split, now_epoch_ms, life_ms)
+        split.version_of(key) for split in splits if _matters(split, now_store_ms, life_ms)
     )
 
 
-def _matters(split: VersionSplit, now_epoch_ms: float, life_ms: float) -> bool:
-    return split.until_epoch_ms is None or split.until_epoch_ms + life_ms > now_epoch_ms
+def _matters(split: VersionSplit, now_store_ms: float | None, life_ms: float) -> bool:
+    if split.until_store_ms is None or now_store_ms is None:
+        return True
+    return split.until_store_ms + life_ms > now_store_ms
--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -10,7 +10,8 @@
 import msgspec
 from gevent.lock import BoundedSemaphore
 
-from citrondyke.decisions.streams.origin_records import StreamKey
+from citrondyke.decisions.streams.origin_records import LIFE_LIMIT_MS, StreamKey
+from citrondyke.decisions.streams.store_clock import StoreClock
 from citrondyke.decisions.streams.stream_origin import OriginView, StreamOrigin
 from citrondyke.decisions.streams.version_split import (
     Assignment,
@@ -57,7 +58,7 @@
 #: Share of the checks that read a row for the first time, so that at a start of all instances these
 #: reads are spread over some seconds.
 FIRST_READ_SHARE = 0.1
-#: Time for which an instance may go on with a split that was replaced, and by which clocks differ.
+#: Time for which an instance may go on with a split that was replaced.
 SPLIT_LAG_MS = 5_000.0
 #: Calls of the store without an answer for this long: a first event doesn't wait for a write.
 STORE_UNRESPONSIVE_MS = 300.0
@@ -89,7 +90,8 @@
     key: StreamKey
     service: str
     version: str
-    until_epoch_ms: float
+    #: By the store's clock; 0 if that was not known.
+    until_store_ms: float
 
     @property
     def origin(self) -> StreamOrigin:
@@ -128,6 +130,9 @@
         self._store = store
         self._exceptions: dict[int, _Exception] = {}
         self._are_exceptions_known = False
+        #: Versions of all instances' rows at the last cleanup.
+        self._cleanup_versions: dict[str, int] = {}
+        self._clock = StoreClock(context)
         self._exceptions_lock = BoundedSemaphore()
         self._context = context
         self._table = table
@@ -179,10 +184,11 @@
         """
         if not self._is_responsive:
             return False
-        stream = _Exception(key, origin.service, origin.version, self._context.epoch_ms() + life_ms)
         # Of two simultaneous writes the one without the other's stream could come last.
         with self._exceptions_lock:
-            is_written = self._read_own_exceptions() and self._write_exceptions(stream)
+            is_written = self._read_own_exceptions() and self._write_exceptions(
+                _Exception(key, origin.service, origin.version, self._store_ms_in(life_ms))
+            )
         log.info(
             'stream.exception',
             extra={
@@ -195,8 +201,7 @@
         return is_written
 
     def _write_exceptions(self, stream: _Exception) -> bool:
-        now_epoch_ms = self._context.epoch_ms()
-        kept = [each for each in self._exceptions.values() if each.until_epoch_ms > now_epoch_ms]
+        kept = [each for each in self._exceptions.values() if self._is_live(each)]
         streams = {each.key: each for each in [*kept, stream][-EXCEPTIONS_LIMIT:]}
         value = msgspec.json.encode(ExceptionsRow(list(streams.values())))
         put = RowPut(EXCEPTIONS_TABLE, self._context.instance_id, value)
@@ -206,6 +211,15 @@
             return True
         return False
 
+    def _store_ms_in(self, wait_ms: float) -> float:
+        now_ms = self._clock.now_ms
+        return 0.0 if now_ms is None else now_ms + wait_ms
+
+    def _is_live(self, stream: _Exception) -> bool:
+        now_ms = self._clock.now_ms
+        # A later time was stated by another clock, that of an instance of an earlier version.
+        return now_ms is None or now_ms < stream.until_store_ms <= now_ms + LIFE_LIMIT_MS
+
     def _read_own_exceptions(self) -> bool:
         """Read what an earlier incarnation of this instance stored; return whether it is known."""
         if self._are_exceptions_known:
@@ -214,6 +228,7 @@
         listing = self._table.read(EXCEPTIONS_TABLE, '', name, limit=1)
         if isinstance(listing, PlatformFailure):
             return False
+        self._clock.observe(listing.store_ms)
         for row in listing.rows:
             if row.key == name:
                 self._exceptions.update((each.key, each) for each in self._decode_exceptions(row))
@@ -227,15 +242,16 @@
             return None
         for row in listing.rows:
             for stream in self._decode_exceptions(row):
-                if stream.key == key and stream.until_epoch_ms > self._context.epoch_ms():
+                # A key is that of one stream, so its entry holds however old it is.
+                if stream.key == key:
                     return stream.origin
-        life_ms, now_epoch_ms = self._split_life_ms, self._context.epoch_ms()
+        life_ms = self._split_life_ms
         origins: set[StreamOrigin | None] = set()
         for service in services:
             stored = self._read_row(service)
             if stored is None or not stored.splits:
                 return None
-            versions = possible_versions(stored.splits, key, now_epoch_ms, life_ms)
+            versions = possible_versions(stored.splits, key, self._clock.now_ms, life_ms)
             origins.update(
                 None if version is None else StreamOrigin(service, version) for version in versions
             )
@@ -271,13 +287,17 @@
                 self.remove_expired()
 
     def remove_expired(self) -> None:
-        """Remove the rows of exceptions that are over; instances that left would leave theirs."""
+        """Remove the rows that are unchanged since the last cleanup: their streams are over.
+
+        Instances that left would leave theirs.
+        """
         listing = self._table.read_all(EXCEPTIONS_TABLE, '')
         if isinstance(listing, PlatformFailure):
             return
+        before = self._cleanup_versions
+        self._cleanup_versions = {row.key: row.version for row in listing.rows}
         for row in listing.rows:
-            streams = self._decode_exceptions(row)
-            if all(each.until_epoch_ms < self._context.epoch_ms() for each in streams):
+            if before.get(row.key) == row.version:
                 condition = RowCondition(EXCEPTIONS_TABLE, row.key, row.version)
                 removal = RowRemoval(EXCEPTIONS_TABLE, row.key)
                 self._table.transact(PartTransaction('', (condition,), (), (removal,)))
@@ -351,8 +371,7 @@
         if not before and stored.row_version:
             # The row was written by an instance of an earlier version.
             before = (VersionSplit(),)
-        now_epoch_ms = self._context.epoch_ms()
-        return tuple(next_splits(before, weights, now_epoch_ms, self._split_life_ms))
+        return tuple(next_splits(before, weights, self._clock.now_ms, self._split_life_ms))
 
     def _write(
         self,
@@ -389,6 +408,7 @@
                 'versions.not_read', extra={'service': service, 'reason': listing.reason.value}
             )
             return None
+        self._clock.observe(listing.store_ms)
         row = next((each for each in listing.rows if each.key == service), None)
         if row is None or row.value is None:
             return _StoredRow(0, frozenset(), read_ms=self._context.now_ms())
--- a/citrondyke/platform/store_client.py
+++ b/citrondyke/platform/store_client.py
@@ -77,6 +77,8 @@
     ver: int
     rows: list[_Row] = []
     has_more: bool = False
+    #: Steady clock of the store.
+    now_ms: float | None = None
 
 
 class _Parts(msgspec.Struct, frozen=True):
@@ -139,7 +141,9 @@
         rows = self._get('/-/rows-get', query, _Rows, self._timeout_ms)
         if isinstance(rows, PlatformFailure):
             return rows
-        return Listing(tuple(_part_row(row) for row in rows.rows), rows.has_more, rows.ver)
+        return Listing(
+            tuple(_part_row(row) for row in rows.rows), rows.has_more, rows.ver, rows.now_ms
+        )
 
     def list_parts(self, table: str, after: str = '') -> list[str] | PlatformFailure:
         """List the parts that follow a given one."""
--- a/citrondyke/standin/part_table.py
+++ b/citrondyke/standin/part_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from sortedcontainers import SortedDict
 
 from citrondyke.storage.failure import HISTORY_LOST, PlatformFailure
@@ -14,6 +16,10 @@
     PartRow,
     PartTransaction,
 )
+from citrondyke.util.clock import SystemClock
+
+if TYPE_CHECKING:
+    from citrondyke.util.clock import Clock
 
 __all__ = ('PartTable',)
 
@@ -23,13 +29,22 @@
 class PartTable(PartitionedTable):
     """In-memory rows that are changed by conditional transactions within one part."""
 
-    def __init__(self) -> None:
-        """Create an empty table."""
+    def __init__(self, clock: Clock | None = None) -> None:
+        """Create an empty table.
+
+        :param clock: the store's clock; by default the system's.
+        """
+        self._clock = clock or SystemClock()
         self.version = 0
         self._rows: SortedDict = SortedDict()
         self._history: list[PartRow] = []
         self._history_start_version = 0
 
+    @property
+    def now_ms(self) -> float:
+        """Return the store's time."""
+        return self._clock.now_ms()
+
     def transact(self, transaction: PartTransaction) -> PartCommitted | PartConflict:
         """Apply all writes if all conditions hold, otherwise none."""
         part = transaction.part
@@ -55,7 +70,7 @@
             if row_key[:2] != (table, part):
                 break
             rows.append(self._rows[row_key])
-        return Listing(tuple(rows[:limit]), len(rows) > limit, self.version)
+        return Listing(tuple(rows[:limit]), len(rows) > limit, self.version, self.now_ms)
 
     def list_parts(self, table: str, after: str = '') -> list[str] | PlatformFailure:
         """List the parts after a given one."""
--- a/citrondyke/standin/store_app.py
+++ b/citrondyke/standin/store_app.py
@@ -119,7 +119,7 @@
             gevent.sleep(30.0)
         status = 412 if isinstance(answer, PartConflict) else 200
         rows = answer.rows if isinstance(answer, PartConflict) else ()
-        return _answer(start_response, status, _rows(rows, answer.version))
+        return _answer(start_response, status, self._rows(rows, answer.version))
 
     def _rows_get(self, query: dict[str, str], start_response: Any) -> Iterable[bytes]:
         limit = int(query.get('limit', '500'))
@@ -129,7 +129,7 @@
         if self.faults.stale_at is not None:
             version = self.faults.stale_at
             rows = tuple(row for row in rows if row.version <= version)
-        return _answer(start_response, 200, _rows(rows, version, has_more=page.has_more))
+        return _answer(start_response, 200, self._rows(rows, version, has_more=page.has_more))
 
     def _rows_feed(self, query: dict[str, str], start_response: Any) -> Iterable[bytes]:
         with gevent.Timeout(float(query.get('wait_ms', '0')) / 1e3, False):
@@ -138,9 +138,27 @@
                 if isinstance(feed, PlatformFailure):
                     return _answer(start_response, 410, b'')
                 if feed.rows and self.faults.stale_at is None:
-                    return _answer(start_response, 200, _rows(feed.rows, feed.version))
+                    return _answer(start_response, 200, self._rows(feed.rows, feed.version))
                 self._changed.wait()
-        return _answer(start_response, 200, _rows((), int(query['after'])))
+        return _answer(start_response, 200, self._rows((), int(query['after'])))
+
+    def _rows(self, rows: Iterable[PartRow], version: int, *, has_more: bool = False) -> bytes:
+        entries = []
+        for row in rows:
+            entry: dict[str, Any] = {
+                'table': row.table,
+                'part': row.part,
+                'key': row.key,
+                'ver': row.version,
+            }
+            if row.value is None:
+                entry['deleted'] = True
+            else:
+                entry['value'] = base64.b64encode(row.value).decode()
+            entries.append(entry)
+        return msgspec.json.encode(
+            {'rows': entries, 'has_more': has_more, 'ver': version, 'now_ms': self.table.now_ms}
+        )
 
     def _object(self, method: str, path: str, body: bytes, start_response: Any) -> Iterable[bytes]:
         name = unquote(path.rpartition('/')[2])
@@ -155,23 +173,6 @@
         return _answer(start_response, 200, self.objects[name])
 
 
-def _rows(rows: Iterable[PartRow], version: int, *, has_more: bool = False) -> bytes:
-    entries = []
-    for row in rows:
-        entry: dict[str, Any] = {
-            'table': row.table,
-            'part': row.part,
-            'key': row.key,
-            'ver': row.version,
-        }
-        if row.value is None:
-            entry['deleted'] = True
-        else:
-            entry['value'] = base64.b64encode(row.value).decode()
-        entries.append(entry)
-    return msgspec.json.encode({'rows': entries, 'has_more': has_more, 'ver': version, 'now_ms': 0})
-
-
 def _answer(start_response: Any, status: int, body: bytes) -> Iterable[bytes]:
     start_response(f'{status} Status', [('Content-Length', str(len(body)))])
     return [body]
--- a/citrondyke/storage/partitioned_table.py
+++ b/citrondyke/storage/partitioned_table.py
@@ -101,6 +101,8 @@
     rows: tuple[PartRow, ...]
     has_more: bool
     version: int
+    #: The store's steady clock at that moment; ``None`` if it is not stated.
+    store_ms: float | None = None
 
 
 class ChangeBatch(msgspec.Struct, frozen=True):
@@ -141,10 +143,11 @@
         """Read all rows of a partition, page by page, beginning at a key.
 
         :param on_page: called with each page as it arrives.
-        :returns: all rows, with the lowest version of the pages.
+        :returns: all rows, with the lowest version and the earliest time of the pages.
         """
         rows: list[PartRow] = []
         version: int | None = None
+        store_ms: float | None = None
         while True:
             page = self.read(table, part, from_key)
             if isinstance(page, PlatformFailure):
@@ -152,9 +155,11 @@
             if on_page is not None:
                 on_page(page)
             rows.extend(page.rows)
-            version = page.version if version is None else min(version, page.version)
+            if version is None:
+                version, store_ms = page.version, page.store_ms
+            version = min(version, page.version)
             if not page.has_more or not page.rows:
-                return Listing(tuple(rows), has_more=False, version=version)
+                return Listing(tuple(rows), has_more=False, version=version, store_ms=store_ms)
             from_key = page.rows[-1].key + '\0'
 
     def list_all_parts(self, table: str) -> list[str] | PlatformFailure:
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -52,8 +52,8 @@
     #: Whether writes get no response and are performed later, if their conditions still hold.
     is_late = False
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__(clock)
         self.late: list[PartTransaction] = []
 
     def transact(self, transaction: PartTransaction) -> Any:
@@ -103,7 +103,7 @@
     def __init__(self, count: int, seed: int = 1) -> None:
         self.clock = ManualClock()
         self.random = Random(seed)
-        self.table = FaultyTable()
+        self.table = FaultyTable(self.clock)
         self.names = [InstanceId(f'edge-{number}') for number in range(count)]
         self.clocks = {name: MachineClock(self.clock) for name in self.names}
         self.listed: dict[str, ServerListEntry] = {}
--- /dev/null
+++ b/tests/test_gateway/test_streams/test_streams_losses_of_all.py
@@ -0,0 +1,87 @@
+"""After a loss of all instances only the store tells which version began a stream."""
+
+from __future__ import annotations
+
+import pytest
+
+from citrondyke.decisions.streams.stream_origin import StreamOrigin
+from tests.support.origin_fleet import V1, V2, OriginFleet
+
+HOUR_MS = 3_600_000.0
+
+
+@pytest.fixture
+def fleet() -> OriginFleet:
+    """Three instances that have known one version for a long time."""
+    made = OriginFleet(3)
+    made.list_servers('v1')
+    for name in made.names:
+        made.start(name)
+    made.wait(60_000.0)
+    return made
+
+
+def begin_many(fleet: OriginFleet, count: int = 40, at: int = 0) -> dict[str, StreamOrigin]:
+    """Begin streams at one instance; leave out those that are rejected."""
+    base = int(fleet.clock.ms)
+    names = [f'request-{base}-{number}' for number in range(count)]
+    begun = {name: fleet.begin(fleet.names[at], name) for name in names}
+    return {name: origin for name, origin in begun.items() if origin is not None}
+
+
+def count_of_joined(fleet: OriginFleet, begun: dict[str, StreamOrigin], at: int = 1) -> int:
+    """Take streams up, and count those that would go on at another version."""
+    found = {name: fleet.take_up(fleet.names[at], name) for name in begun}
+    return sum(bool(origin) and origin != begun[name] for name, origin in found.items())
+
+
+def release(fleet: OriginFleet) -> None:
+    """Replace the first version by the second one, whose split is stored."""
+    fleet.list_servers('v2')
+    fleet.wait(2_000.0)
+    fleet.delist('v1')
+    fleet.wait(2_000.0)
+
+
+@pytest.mark.parametrize('ahead_ms', [HOUR_MS, -HOUR_MS])
+def test_time_of_day_of_the_reader_does_not_end_a_split(
+    fleet: OriginFleet, ahead_ms: float
+) -> None:
+    # The clock of the instance at which callers take their streams up is ahead of that of the
+    # writer: the split of the replaced version seems to be over for long.
+    begun = begin_many(fleet)
+    release(fleet)
+    fleet.restart_all()
+    fleet.clocks[fleet.names[1]].ahead_ms = ahead_ms
+    assert set(begun.values()) == {V1}
+    assert not count_of_joined(fleet, begun)
+
+
+@pytest.mark.parametrize('ahead_ms', [HOUR_MS, -HOUR_MS])
+def test_time_of_day_of_the_writer_does_not_end_a_split(
+    fleet: OriginFleet, ahead_ms: float
+) -> None:
+    for name in fleet.names:
+        fleet.clocks[name].ahead_ms = ahead_ms
+    begun = begin_many(fleet)
+    release(fleet)
+    for name in fleet.names:
+        fleet.clocks[name].ahead_ms = 0.0
+    fleet.restart_all()
+    assert not count_of_joined(fleet, begun)
+
+
+@pytest.mark.parametrize('ahead_ms', [HOUR_MS, -HOUR_MS])
+def test_time_of_day_does_not_end_an_exception(fleet: OriginFleet, ahead_ms: float) -> None:
+    # The servers of the assigned version have left, and streams begin elsewhere; then that version
+    # returns.
+    fleet.list_servers('v2')
+    fleet.wait(2_000.0)
+    fleet.delist('v1')
+    fleet.sync(fleet.names[0])
+    begun = begin_many(fleet)
+    assert set(begun.values()) == {V2}
+    fleet.list_servers('v1')
+    fleet.clocks[fleet.names[1]].ahead_ms = ahead_ms
+    fleet.restart_all()
+    assert not count_of_joined(fleet, begun)
--- a/tests/test_gateway/test_streams/test_streams_software_versions.py
+++ b/tests/test_gateway/test_streams/test_streams_software_versions.py
@@ -10,6 +10,7 @@
 from citrondyke.gateway.streams.origin_store import VERSIONS_TABLE
 from citrondyke.standin.platform_server import AnswerMode, event_text
 from citrondyke.storage.partitioned_table import Listing
+from citrondyke.util.clock import SystemClock
 from tests.support.gateway import ROUTES, GatewayFleet, route, wait_until_seen
 from tests.support.streams import BegunStream, events_of, versions_of
 
@@ -202,6 +203,39 @@
         fleet.end()
 
 
+@pytest.mark.parametrize('ahead_s', [0, 3_000, -3_000])
+def test_stream_whose_version_left_before_a_loss_of_all_is_refused(
+    monkeypatch: pytest.MonkeyPatch, ahead_s: int
+) -> None:
+    # A release has ended, and the instances come back with another time of day: only the stored
+    # split tells that the streams are of the version that is gone.
+    fleet = GatewayFleet()
+    try:
+        fleet.configure()
+        for number in range(2):
+            fleet.add_server(f'lm-{number}', 'lm', version='v1', slots=16)
+        for _ in range(3):
+            fleet.start_instance()
+        wait_all_known(fleet)
+        begun = begin_streams(fleet, 12)
+        for number in range(2, 4):
+            fleet.add_server(f'lm-{number}', 'lm', version='v2', slots=16)
+        wait_until_seen(lambda: b'v2' in stored_versions(fleet), 'the next split')
+        for number in range(2):
+            fleet.list_server(f'lm-{number}', 'lm', state='draining', seq=2)
+        wait_until_seen(lambda: b'v1' not in stored_versions(fleet), 'the last split')
+        unmoved = SystemClock.epoch_ms
+        monkeypatch.setattr(SystemClock, 'epoch_ms', lambda self: unmoved(self) + ahead_s * 1e3)
+        restart_all(fleet)
+        for stream in begun:
+            reply = stream.take_up(at=1)
+            assert versions_of(stream.joined_with(reply)) == {'v1'}
+            assert (reply.status, reply.is_whole) == (503, True)
+            assert not runs_of(fleet, f'{stream.request_id}-2')
+    finally:
+        fleet.end()
+
+
 def stored_versions(fleet: GatewayFleet) -> bytes:
     """Give the last split of the stored row."""
     listing = fleet.store.table.read(VERSIONS_TABLE, '', 'lm', limit=1)
