Store exceptions of a split under a condition

Callers whose stream began at another version than the assigned one, as none of that version's servers took work, would have got the rest from the assigned version after a loss of all instances: the row that says so lacked their streams.

Cause: an instance wrote its row of exceptions without a condition, though a write that gets no response may be performed seconds later. Performed after the next one, it dropped the streams in between. Also, a stream whose write got no response began at the assigned version if that had servers again, and then the late row named another one.

Change: each write has the version of the row as its condition. A stream whose write is in doubt begins nowhere until another write has ended the doubt, and one that is stored begins where its entry says. The rows have a class of their own.

--- a/citrondyke/gateway/streams/origin_exchange.py
+++ b/citrondyke/gateway/streams/origin_exchange.py
@@ -164,9 +164,6 @@
 
     def _is_covered(self, key: int, origin: StreamOrigin) -> bool:
         """Return whether the store tells the origin of a stream."""
-        stored = self.versions.exception(key)
-        if stored is not None:
-            return stored == origin
         assigned = self.versions.assigned_version(origin.service, key)
         return assigned in (Assignment.ANY, origin.version)
 
--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -8,9 +8,7 @@
 import gevent
 import logbook
 import msgspec
-from gevent.lock import BoundedSemaphore
 
-from citrondyke.decisions.streams.origin_records import LIFE_LIMIT_MS, StreamKey
 from citrondyke.decisions.streams.store_clock import StoreClock
 from citrondyke.decisions.streams.stream_origin import OriginView, StreamOrigin
 from citrondyke.decisions.streams.version_split import (
@@ -21,6 +19,7 @@
 )
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
+from citrondyke.gateway.streams.stream_exceptions import EXCEPTIONS_TABLE, StreamExceptions
 from citrondyke.ids import ServiceName, SoftwareVersion
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import (
@@ -28,7 +27,6 @@
     PartTransaction,
     RowCondition,
     RowPut,
-    RowRemoval,
 )
 from citrondyke.util.decoding import decode_json
 
@@ -40,14 +38,13 @@
     from citrondyke.decisions.streams.origin_history import OriginHistory
     from citrondyke.gateway.replication.dependency import Dependency
     from citrondyke.gateway.tasks import Tasks
-    from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
+    from citrondyke.storage.partitioned_table import PartitionedTable
 
-__all__ = ('EXCEPTIONS_TABLE', 'VERSIONS_TABLE', 'OriginStore')
+__all__ = ('VERSIONS_TABLE', 'OriginStore')
 
 log = logbook.Logger(__name__)
 
 VERSIONS_TABLE = 'software_versions'
-EXCEPTIONS_TABLE = 'stream_exceptions'
 #: Interval of comparing the rows with the server list.
 CHECK_EVERY_MS = 500.0
 #: Pause after a failed call: outages of the store last for seconds.
@@ -62,8 +59,6 @@
 SPLIT_LAG_MS = 5_000.0
 #: Calls of the store without an answer for this long: a first event doesn't wait for a write.
 STORE_UNRESPONSIVE_MS = 300.0
-#: Streams of one instance that began at another version than the split's, about 100 bytes each.
-EXCEPTIONS_LIMIT = 300
 CLEANUP_EVERY_MS = 600_000.0
 
 
@@ -84,27 +79,6 @@
     read_ms: float = 0.0
 
 
-class _Exception(msgspec.Struct, frozen=True, array_like=True):
-    """Stream that did not begin at the version of the split."""
-
-    key: StreamKey
-    service: str
-    version: str
-    #: By the store's clock; 0 if that was not known.
-    until_store_ms: float
-
-    @property
-    def origin(self) -> StreamOrigin:
-        """Return where it began."""
-        return StreamOrigin(ServiceName(self.service), SoftwareVersion(self.version))
-
-
-class ExceptionsRow(msgspec.Struct, frozen=True):
-    """Row of an instance: its streams that may still be resumed."""
-
-    streams: list[_Exception]
-
-
 class OriginStore:
     """Keeps one row for each service; one instance writes it, whenever a version comes or is over.
 
@@ -128,12 +102,9 @@
         :param store: tracks whether the store answers.
         """
         self._store = store
-        self._exceptions: dict[int, _Exception] = {}
-        self._are_exceptions_known = False
-        #: Versions of all instances' rows at the last cleanup.
-        self._cleanup_versions: dict[str, int] = {}
         self._clock = StoreClock(context)
-        self._exceptions_lock = BoundedSemaphore()
+        #: Streams that did not begin at the assigned version.
+        self.exceptions = StreamExceptions(context, table, self._clock)
         self._context = context
         self._table = table
         self._book = book
@@ -160,6 +131,11 @@
 
     def assigned_version(self, service: ServiceName, key: int) -> SoftwareVersion | Assignment:
         """Return the version that must begin a stream."""
+        if self.exceptions.is_in_doubt(key):
+            return Assignment.UNKNOWN
+        begun_at = self.exceptions.origin(key)
+        if begun_at is not None and begun_at.service == service:
+            return begun_at.version
         known = self._rows.get(service)
         listed = self._history.origins({service})
         if len(listed) < 2 and (  # noqa: PLR2004
@@ -172,79 +148,20 @@
         version = row.splits[-1].version_of(key) if row is not None and row.splits else None
         return Assignment.UNKNOWN if version is None else version
 
-    def exception(self, key: int) -> StreamOrigin | None:
-        """Return where a stream of this instance begins, if not at the assigned version."""
-        stream = self._exceptions.get(key)
-        return None if stream is None else stream.origin
-
     def save_exception(self, key: int, origin: StreamOrigin, life_ms: float) -> bool:
         """Store that a stream begins at another version than the assigned one.
 
         :returns: whether it is stored; otherwise it must not begin there.
         """
-        if not self._is_responsive:
-            return False
-        # Of two simultaneous writes the one without the other's stream could come last.
-        with self._exceptions_lock:
-            is_written = self._read_own_exceptions() and self._write_exceptions(
-                _Exception(key, origin.service, origin.version, self._store_ms_in(life_ms))
-            )
-        log.info(
-            'stream.exception',
-            extra={
-                'service': origin.service,
-                'version': origin.version,
-                'exceptions': len(self._exceptions),
-                'written': is_written,
-            },
-        )
-        return is_written
-
-    def _write_exceptions(self, stream: _Exception) -> bool:
-        kept = [each for each in self._exceptions.values() if self._is_live(each)]
-        streams = {each.key: each for each in [*kept, stream][-EXCEPTIONS_LIMIT:]}
-        value = msgspec.json.encode(ExceptionsRow(list(streams.values())))
-        put = RowPut(EXCEPTIONS_TABLE, self._context.instance_id, value)
-        answer = self._table.transact(PartTransaction('', (), (put,)))
-        if isinstance(answer, PartCommitted):
-            self._exceptions = streams
-            return True
-        return False
-
-    def _store_ms_in(self, wait_ms: float) -> float:
-        now_ms = self._clock.now_ms
-        return 0.0 if now_ms is None else now_ms + wait_ms
-
-    def _is_live(self, stream: _Exception) -> bool:
-        now_ms = self._clock.now_ms
-        # A later time was stated by another clock, that of an instance of an earlier version.
-        return now_ms is None or now_ms < stream.until_store_ms <= now_ms + LIFE_LIMIT_MS
-
-    def _read_own_exceptions(self) -> bool:
-        """Read what an earlier incarnation of this instance stored; return whether it is known."""
-        if self._are_exceptions_known:
-            return True
-        name = self._context.instance_id
-        listing = self._table.read(EXCEPTIONS_TABLE, '', name, limit=1)
-        if isinstance(listing, PlatformFailure):
-            return False
-        self._clock.observe(listing.store_ms)
-        for row in listing.rows:
-            if row.key == name:
-                self._exceptions.update((each.key, each) for each in self._decode_exceptions(row))
-        self._are_exceptions_known = True
-        return True
+        return self._is_responsive and self.exceptions.save(key, origin, life_ms)
 
     def find(self, services: Iterable[ServiceName], key: int) -> StreamOrigin | None:
         """Read which version began a stream; ``None`` if that is not certain."""
-        listing = self._table.read_all(EXCEPTIONS_TABLE, '')
-        if isinstance(listing, PlatformFailure):
+        exception = self.exceptions.find(key)
+        if isinstance(exception, PlatformFailure):
             return None
-        for row in listing.rows:
-            for stream in self._decode_exceptions(row):
-                # A key is that of one stream, so its entry holds however old it is.
-                if stream.key == key:
-                    return stream.origin
+        if exception is not None:
+            return exception
         life_ms = self._split_life_ms
         origins: set[StreamOrigin | None] = set()
         for service in services:
@@ -257,13 +174,6 @@
             )
         return origins.pop() if len(origins) == 1 else None
 
-    def _decode_exceptions(self, row: PartRow) -> list[_Exception]:
-        try:
-            return decode_json(row.value or b'', ExceptionsRow).streams
-        except UnreadableBytesError as error:
-            self._unreadable.log_once(row.key, row.version, error.message)
-            return []
-
     @property
     def _split_life_ms(self) -> float:
         return self._history.window_ms + SPLIT_LAG_MS
@@ -284,23 +194,7 @@
         while True:
             gevent.sleep(self._context.jittered_ms(CLEANUP_EVERY_MS) / 1e3)
             if self._book.topology.is_first_registrar(EXCEPTIONS_TABLE):
-                self.remove_expired()
-
-    def remove_expired(self) -> None:
-        """Remove the rows that are unchanged since the last cleanup: their streams are over.
-
-        Instances that left would leave theirs.
-        """
-        listing = self._table.read_all(EXCEPTIONS_TABLE, '')
-        if isinstance(listing, PlatformFailure):
-            return
-        before = self._cleanup_versions
-        self._cleanup_versions = {row.key: row.version for row in listing.rows}
-        for row in listing.rows:
-            if before.get(row.key) == row.version:
-                condition = RowCondition(EXCEPTIONS_TABLE, row.key, row.version)
-                removal = RowRemoval(EXCEPTIONS_TABLE, row.key)
-                self._table.transact(PartTransaction('', (condition,), (), (removal,)))
+                self.exceptions.remove_expired()
 
     def check_all(self) -> bool:
         """Write the rows that have changed; return whether the store answered."""
--- /dev/null
+++ b/citrondyke/gateway/streams/stream_exceptions.py
@@ -0,0 +1,193 @@
+"""Streams that did not begin at the version of the split, stored for a start of all instances."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import logbook
+import msgspec
+from gevent.lock import BoundedSemaphore
+
+from citrondyke.decisions.streams.origin_records import LIFE_LIMIT_MS, StreamKey
+from citrondyke.decisions.streams.stream_origin import StreamOrigin
+from citrondyke.errors.unreadable_bytes import UnreadableBytesError
+from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
+from citrondyke.ids import ServiceName, SoftwareVersion
+from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
+from citrondyke.storage.partitioned_table import (
+    PartCommitted,
+    PartTransaction,
+    RowCondition,
+    RowPut,
+    RowRemoval,
+)
+from citrondyke.util.decoding import decode_json
+
+if TYPE_CHECKING:
+    from citrondyke.decisions.core.context import Context
+    from citrondyke.decisions.streams.store_clock import StoreClock
+    from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
+
+__all__ = ('EXCEPTIONS_TABLE', 'StreamExceptions')
+
+log = logbook.Logger(__name__)
+
+EXCEPTIONS_TABLE = 'stream_exceptions'
+#: Streams of one instance that began at another version than the split's, about 100 bytes each.
+EXCEPTIONS_LIMIT = 300
+
+
+class _Exception(msgspec.Struct, frozen=True, array_like=True):
+    """Stream that did not begin at the version of the split."""
+
+    key: StreamKey
+    service: str
+    version: str
+    #: By the store's clock; 0 if that was not known.
+    until_store_ms: float
+
+    @property
+    def origin(self) -> StreamOrigin:
+        """Return where it began."""
+        return StreamOrigin(ServiceName(self.service), SoftwareVersion(self.version))
+
+
+class ExceptionsRow(msgspec.Struct, frozen=True):
+    """Row of an instance: its streams that may still be resumed."""
+
+    streams: list[_Exception]
+
+
+class StreamExceptions:
+    """Keeps one row for each instance, which only that instance writes.
+
+    A write without a response may be performed seconds later. Each write has the version of the row
+    as its condition, so that a late one neither drops a stream that was stored after it nor takes
+    effect after a later write.
+    """
+
+    def __init__(self, context: Context, table: PartitionedTable, clock: StoreClock) -> None:
+        """Start without streams.
+
+        :param clock: gets the times that the store states.
+        """
+        self._context = context
+        self._table = table
+        self._clock = clock
+        self._lock = BoundedSemaphore()
+        self._streams: dict[int, _Exception] = {}
+        #: Version of this instance's row; ``None`` if it must be read.
+        self._row_version: int | None = None
+        #: Streams whose write may still be performed.
+        self._in_doubt: set[int] = set()
+        #: Versions of all instances' rows at the last cleanup.
+        self._cleanup_versions: dict[str, int] = {}
+        self._unreadable = UnreadableRows(EXCEPTIONS_TABLE)
+
+    def origin(self, key: int) -> StreamOrigin | None:
+        """Return where a stream of this instance begins, if it is stored."""
+        stream = self._streams.get(key)
+        return None if stream is None else stream.origin
+
+    def is_in_doubt(self, key: int) -> bool:
+        """Return whether a write of a stream may still be performed."""
+        return key in self._in_doubt
+
+    def save(self, key: int, origin: StreamOrigin, life_ms: float) -> bool:
+        """Store where a stream begins; return whether it is stored.
+
+        :param life_ms: how long the stream may be resumed.
+        """
+        with self._lock:
+            is_written = self._read_own() and self._write(key, origin, life_ms)
+        log.info(
+            'stream.exception',
+            extra={
+                'service': origin.service,
+                'version': origin.version,
+                'exceptions': len(self._streams),
+                'written': is_written,
+                'in_doubt': len(self._in_doubt),
+            },
+        )
+        return is_written
+
+    def _read_own(self) -> bool:
+        """Read this instance's row, which an earlier incarnation may have written."""
+        if self._row_version is not None:
+            return True
+        name = self._context.instance_id
+        listing = self._table.read(EXCEPTIONS_TABLE, '', name, limit=1)
+        if isinstance(listing, PlatformFailure):
+            return False
+        self._clock.observe(listing.store_ms)
+        self._row_version = 0
+        for row in listing.rows:
+            if row.key == name:
+                self._row_version = row.version
+                self._streams.update((each.key, each) for each in self._decode(row))
+        return True
+
+    def _write(self, key: int, origin: StreamOrigin, life_ms: float) -> bool:
+        now_ms = self._clock.now_ms
+        until_ms = 0.0 if now_ms is None else now_ms + life_ms
+        stream = _Exception(key, origin.service, origin.version, until_ms)
+        kept = [each for each in self._streams.values() if self._is_live(each)]
+        streams = {each.key: each for each in [*kept, stream][-EXCEPTIONS_LIMIT:]}
+        name = self._context.instance_id
+        condition = RowCondition(EXCEPTIONS_TABLE, name, self._row_version or 0)
+        value = msgspec.json.encode(ExceptionsRow(list(streams.values())))
+        put = RowPut(EXCEPTIONS_TABLE, name, value)
+        answer = self._table.transact(PartTransaction('', (condition,), (put,)))
+        if isinstance(answer, PartCommitted):
+            self._row_version = answer.version
+            self._streams = streams
+            # The condition of an earlier write no longer holds.
+            self._in_doubt.clear()
+            return True
+        self._row_version = None
+        if isinstance(answer, PlatformFailure) and (
+            answer.reason is not PlatformFailureReason.UNAVAILABLE
+        ):
+            self._in_doubt.add(key)
+        return False
+
+    def _is_live(self, stream: _Exception) -> bool:
+        now_ms = self._clock.now_ms
+        # A later time was stated by another clock, that of an instance of an earlier version.
+        return now_ms is None or now_ms < stream.until_store_ms <= now_ms + LIFE_LIMIT_MS
+
+    def find(self, key: int) -> StreamOrigin | PlatformFailure | None:
+        """Read where a stream began; ``None`` if it is not stored."""
+        listing = self._table.read_all(EXCEPTIONS_TABLE, '')
+        if isinstance(listing, PlatformFailure):
+            return listing
+        for row in listing.rows:
+            for stream in self._decode(row):
+                # A key is that of one stream, so its entry holds however old it is.
+                if stream.key == key:
+                    return stream.origin
+        return None
+
+    def remove_expired(self) -> None:
+        """Remove the rows that are unchanged since the last cleanup: their streams are over.
+
+        Instances that left would leave theirs.
+        """
+        listing = self._table.read_all(EXCEPTIONS_TABLE, '')
+        if isinstance(listing, PlatformFailure):
+            return
+        before = self._cleanup_versions
+        self._cleanup_versions = {row.key: row.version for row in listing.rows}
+        for row in listing.rows:
+            if before.get(row.key) == row.version:
+                condition = RowCondition(EXCEPTIONS_TABLE, row.key, row.version)
+                removal = RowRemoval(EXCEPTIONS_TABLE, row.key)
+                self._table.transact(PartTransaction('', (condition,), (), (removal,)))
+
+    def _decode(self, row: PartRow) -> list[_Exception]:
+        try:
+            return decode_json(row.value or b'', ExceptionsRow).streams
+        except UnreadableBytesError as error:
+            self._unreadable.log_once(row.key, row.version, error.message)
+            return []
--- a/tests/test_gateway/test_streams/test_streams_losses_of_all.py
+++ b/tests/test_gateway/test_streams/test_streams_losses_of_all.py
@@ -85,3 +85,52 @@
     fleet.clocks[fleet.names[1]].ahead_ms = ahead_ms
     fleet.restart_all()
     assert not count_of_joined(fleet, begun)
+
+
+def begin_exceptions(fleet: OriginFleet, count: int = 40) -> dict[str, StreamOrigin]:
+    """Begin streams at a version that no split names yet."""
+    fleet.list_servers('v2')
+    fleet.delist('v1')
+    fleet.sync(fleet.names[0])
+    begun = begin_many(fleet, count)
+    assert begun
+    assert set(begun.values()) == {V2}
+    fleet.list_servers('v1')
+    return begun
+
+
+def test_late_write_does_not_drop_a_later_exception(fleet: OriginFleet) -> None:
+    # A write without a response is performed seconds later, after the next one.
+    fleet.list_servers('v2')
+    fleet.delist('v1')
+    fleet.sync(fleet.names[0])
+    fleet.table.is_late = True
+    rejected = fleet.begin(fleet.names[0], 'request-late')
+    late, fleet.table.late = fleet.table.late, []
+    fleet.table.is_late = False
+    begun = begin_many(fleet)
+    fleet.table.late = late
+    fleet.table.perform_late()
+    fleet.list_servers('v1')
+    fleet.restart_all()
+    assert rejected is None
+    assert set(begun.values()) == {V2}
+    assert not count_of_joined(fleet, begun)
+
+
+def test_stream_whose_exception_may_be_written_late_does_not_begin_elsewhere(
+    fleet: OriginFleet,
+) -> None:
+    # The write gets no response; then the assigned version has servers again.
+    fleet.list_servers('v2')
+    fleet.delist('v1')
+    fleet.sync(fleet.names[0])
+    fleet.table.is_late = True
+    assert fleet.begin(fleet.names[0], 'request-1') is None
+    fleet.list_servers('v1')
+    fleet.sync(fleet.names[0])
+    origin = fleet.begin(fleet.names[0], 'request-1')
+    fleet.table.perform_late()
+    fleet.restart_all()
+    found = fleet.take_up(fleet.names[1], 'request-1')
+    assert origin is None or not found or found == origin
