Reject a stream that the row of exceptions has no room for

After a loss of all instances callers got the rest of their streams from another version: an instance had begun more than 300 streams at versions other than the assigned one, and dropped the oldest entries, of streams that were still under way.

Evidence: on the code before, 100 of 400 streams are joined in test_exception_is_not_dropped_for_a_later_one. Entries that are over are removed before the limit counts; beyond it a stream doesn't begin elsewhere and is rejected as not run.

--- a/citrondyke/gateway/streams/stream_exceptions.py
+++ b/citrondyke/gateway/streams/stream_exceptions.py
@@ -106,6 +106,7 @@
                 'service': origin.service,
                 'version': origin.version,
                 'exceptions': len(self._streams),
+                'limit': EXCEPTIONS_LIMIT,
                 'written': is_written,
                 'in_doubt': len(self._in_doubt),
             },
@@ -132,8 +133,10 @@
         now_ms = self._clock.now_ms
         until_ms = 0.0 if now_ms is None else now_ms + life_ms
         stream = _Exception(key, origin.service, origin.version, until_ms)
-        kept = [each for each in self._streams.values() if self._is_live(each)]
-        streams = {each.key: each for each in [*kept, stream][-EXCEPTIONS_LIMIT:]}
+        streams = {each.key: each for each in self._streams.values() if self._is_live(each)}
+        streams[key] = stream
+        if len(streams) > EXCEPTIONS_LIMIT:
+            return False
         name = self._context.instance_id
         condition = RowCondition(EXCEPTIONS_TABLE, name, self._row_version or 0)
         value = msgspec.json.encode(ExceptionsRow(list(streams.values())))
--- a/tests/test_gateway/test_streams/test_streams_losses_of_all.py
+++ b/tests/test_gateway/test_streams/test_streams_losses_of_all.py
@@ -99,6 +99,13 @@
     return begun
 
 
+def test_exception_is_not_dropped_for_a_later_one(fleet: OriginFleet) -> None:
+    # More streams begin elsewhere than an instance stores.
+    begun = begin_exceptions(fleet, 400)
+    fleet.restart_all()
+    assert not count_of_joined(fleet, begun)
+
+
 def test_late_write_does_not_drop_a_later_exception(fleet: OriginFleet) -> None:
     # A write without a response is performed seconds later, after the next one.
     fleet.list_servers('v2')
