Take no stream for one of the split while a row of exceptions is unreadable

After a loss of all instances callers would have got the rest of their streams from another version if the row that names their streams as exceptions couldn't be decoded, as after a write by another program: it counted as empty, and the split decided.

Evidence: on the code before, 40 of 40 streams are joined in test_unreadable_exceptions_leave_the_origin_unknown. Now the origin is unknown, unless another row names the stream, and the caller is rejected as not run.

--- a/citrondyke/gateway/streams/stream_exceptions.py
+++ b/citrondyke/gateway/streams/stream_exceptions.py
@@ -13,7 +13,7 @@
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
 from citrondyke.ids import ServiceName, SoftwareVersion
-from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
+from citrondyke.storage.failure import UNREADABLE, PlatformFailure, PlatformFailureReason
 from citrondyke.storage.partitioned_table import (
     PartCommitted,
     PartTransaction,
@@ -126,7 +126,7 @@
         for row in listing.rows:
             if row.key == name:
                 self._row_version = row.version
-                self._streams.update((each.key, each) for each in self._decode(row))
+                self._streams.update((each.key, each) for each in self._decode(row) or ())
         return True
 
     def _write(self, key: int, origin: StreamOrigin, life_ms: float) -> bool:
@@ -161,16 +161,19 @@
         return now_ms is None or now_ms < stream.until_store_ms <= now_ms + LIFE_LIMIT_MS
 
     def find(self, key: int) -> StreamOrigin | PlatformFailure | None:
-        """Read where a stream began; ``None`` if it is not stored."""
+        """Read where a stream began; ``None`` if it is not stored.
+
+        A row that cannot be decoded may hold the stream.
+        """
         listing = self._table.read_all(EXCEPTIONS_TABLE, '')
         if isinstance(listing, PlatformFailure):
             return listing
-        for row in listing.rows:
-            for stream in self._decode(row):
-                # A key is that of one stream, so its entry holds however old it is.
-                if stream.key == key:
-                    return stream.origin
-        return None
+        rows = [self._decode(row) for row in listing.rows]
+        for stream in (stream for row in rows for stream in row or ()):
+            # A key is that of one stream, so its entry holds however old it is.
+            if stream.key == key:
+                return stream.origin
+        return UNREADABLE if None in rows else None
 
     def remove_expired(self) -> None:
         """Remove the rows that are unchanged since the last cleanup: their streams are over.
@@ -188,9 +191,9 @@
                 removal = RowRemoval(EXCEPTIONS_TABLE, row.key)
                 self._table.transact(PartTransaction('', (condition,), (), (removal,)))
 
-    def _decode(self, row: PartRow) -> list[_Exception]:
+    def _decode(self, row: PartRow) -> list[_Exception] | None:
         try:
             return decode_json(row.value or b'', ExceptionsRow).streams
         except UnreadableBytesError as error:
             self._unreadable.log_once(row.key, row.version, error.message)
-            return []
+            return None
--- a/tests/test_gateway/test_streams/test_streams_losses_of_all.py
+++ b/tests/test_gateway/test_streams/test_streams_losses_of_all.py
@@ -5,6 +5,8 @@
 import pytest
 
 from citrondyke.decisions.streams.stream_origin import StreamOrigin
+from citrondyke.gateway.streams.stream_exceptions import EXCEPTIONS_TABLE
+from citrondyke.storage.partitioned_table import PartTransaction, RowPut
 from tests.support.origin_fleet import V1, V2, OriginFleet
 
 HOUR_MS = 3_600_000.0
@@ -106,6 +108,14 @@
     assert not count_of_joined(fleet, begun)
 
 
+def test_unreadable_exceptions_leave_the_origin_unknown(fleet: OriginFleet) -> None:
+    begun = begin_exceptions(fleet)
+    put = RowPut(EXCEPTIONS_TABLE, fleet.names[0], b'{"streams": 1}')
+    fleet.table.transact(PartTransaction('', puts=(put,)))
+    fleet.restart_all()
+    assert not count_of_joined(fleet, begun)
+
+
 def test_late_write_does_not_drop_a_later_exception(fleet: OriginFleet) -> None:
     # A write without a response is performed seconds later, after the next one.
     fleet.list_servers('v2')
