Count exceptions of a split among the versions that are stored

After a loss of all instances callers got the rest of their streams from another version, if a release was rolled back within a second: the list and the row named one version only, which was taken for the origin of all streams, while those that had begun at the other one stood in the table of exceptions, which wasn't read.

What is stored is read at once now and decided upon without further calls, so that a take-up costs two reads instead of up to four.

--- a/citrondyke/gateway/streams/origin_exchange.py
+++ b/citrondyke/gateway/streams/origin_exchange.py
@@ -274,13 +274,14 @@
         is_answering = self._store.unanswered_ms < STORE_UNRESPONSIVE_MS
         if isinstance(inferred, StreamOrigin) or not is_answering:
             return inferred
-        if inferred.reason is OriginUnknownReason.NOT_COVERED:
-            stored = self.versions.read(services)
-            if stored is not None:
-                inferred = infer_origin([*views, stored], is_confirmed=is_confirmed)
+        stored = self.versions.load(services)
+        if stored is None:
+            return inferred
+        if inferred.reason is OriginUnknownReason.NOT_COVERED and stored.view is not None:
+            inferred = infer_origin([*views, stored.view], is_confirmed=is_confirmed)
         if isinstance(inferred, StreamOrigin) or begun_by is None:
             return inferred
-        found = self.versions.find(services, stream_key(begun_by))
+        found = stored.find(stream_key(begun_by))
         # Rows without any listed version are stale.
         is_listed = any(found in each.origins for each in views)
         return found if found is not None and is_listed else inferred
--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -10,12 +10,12 @@
 import msgspec
 
 from citrondyke.decisions.streams.store_clock import StoreClock
-from citrondyke.decisions.streams.stream_origin import OriginView, StreamOrigin
+from citrondyke.decisions.streams.stored_origins import StoredOrigins, StoredVersions
+from citrondyke.decisions.streams.stream_origin import StreamOrigin
 from citrondyke.decisions.streams.version_split import (
     Assignment,
     VersionSplit,
     next_splits,
-    possible_versions,
 )
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
@@ -119,15 +119,19 @@
         tasks.supervise(self._run)
         tasks.supervise(self._run_cleanup)
 
-    def read(self, services: Iterable[ServiceName]) -> OriginView | None:
-        """Read which origins streams can have; ``None`` if that is not stored or not readable."""
-        origins: set[StreamOrigin] = set()
+    def load(self, services: Iterable[ServiceName]) -> StoredOrigins | None:
+        """Read what is stored on the streams of services; ``None`` without an answer."""
+        by_service: dict[ServiceName, StoredVersions] = {}
         for service in services:
             row = self._read_row(service)
-            if row is None or not row.versions or not row.is_readable:
+            if row is None:
                 return None
-            origins.update(StreamOrigin(service, version) for version in row.versions)
-        return OriginView(frozenset(origins), is_complete=True)
+            by_service[service] = StoredVersions(row.versions, row.splits)
+        # Read last: streams that began meanwhile may be exceptions of the splits read.
+        exceptions = self.exceptions.read_all()
+        if isinstance(exceptions, PlatformFailure):
+            return None
+        return StoredOrigins(by_service, exceptions, self._clock.now_ms, self._split_life_ms)
 
     def assigned_version(self, service: ServiceName, key: int) -> SoftwareVersion | Assignment:
         """Return the version that must begin a stream."""
@@ -155,25 +159,6 @@
         """
         return self._is_responsive and self.exceptions.save(key, origin, life_ms)
 
-    def find(self, services: Iterable[ServiceName], key: int) -> StreamOrigin | None:
-        """Read which version began a stream; ``None`` if that is not certain."""
-        exception = self.exceptions.find(key)
-        if isinstance(exception, PlatformFailure):
-            return None
-        if exception is not None:
-            return exception
-        life_ms = self._split_life_ms
-        origins: set[StreamOrigin | None] = set()
-        for service in services:
-            stored = self._read_row(service)
-            if stored is None or not stored.splits:
-                return None
-            versions = possible_versions(stored.splits, key, self._clock.now_ms, life_ms)
-            origins.update(
-                None if version is None else StreamOrigin(service, version) for version in versions
-            )
-        return origins.pop() if len(origins) == 1 else None
-
     @property
     def _split_life_ms(self) -> float:
         return self._history.window_ms + SPLIT_LAG_MS
--- a/citrondyke/gateway/streams/stream_exceptions.py
+++ b/citrondyke/gateway/streams/stream_exceptions.py
@@ -9,11 +9,12 @@
 from gevent.lock import BoundedSemaphore
 
 from citrondyke.decisions.streams.origin_records import LIFE_LIMIT_MS, StreamKey
+from citrondyke.decisions.streams.stored_origins import StoredExceptions
 from citrondyke.decisions.streams.stream_origin import StreamOrigin
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
 from citrondyke.ids import ServiceName, SoftwareVersion
-from citrondyke.storage.failure import UNREADABLE, PlatformFailure, PlatformFailureReason
+from citrondyke.storage.failure import PlatformFailure, PlatformFailureReason
 from citrondyke.storage.partitioned_table import (
     PartCommitted,
     PartTransaction,
@@ -160,20 +161,22 @@
         # A later time was stated by another clock, that of an instance of an earlier version.
         return now_ms is None or now_ms < stream.until_store_ms <= now_ms + LIFE_LIMIT_MS
 
-    def find(self, key: int) -> StreamOrigin | PlatformFailure | None:
-        """Read where a stream began; ``None`` if it is not stored.
-
-        A row that cannot be decoded may hold the stream.
-        """
+    def read_all(self) -> StoredExceptions | PlatformFailure:
+        """Read the streams of all instances."""
         listing = self._table.read_all(EXCEPTIONS_TABLE, '')
         if isinstance(listing, PlatformFailure):
             return listing
+        self._clock.observe(listing.store_ms)
         rows = [self._decode(row) for row in listing.rows]
+        by_key: dict[int, StreamOrigin | None] = {}
+        live: set[StreamOrigin] = set()
         for stream in (stream for row in rows for stream in row or ()):
             # A key is that of one stream, so its entry holds however old it is.
-            if stream.key == key:
-                return stream.origin
-        return UNREADABLE if None in rows else None
+            known = by_key.get(stream.key, stream.origin)
+            by_key[stream.key] = stream.origin if known == stream.origin else None
+            if self._is_live(stream):
+                live.add(stream.origin)
+        return StoredExceptions(by_key, frozenset(live), None not in rows)
 
     def remove_expired(self) -> None:
         """Remove the rows that are unchanged since the last cleanup: their streams are over.
--- a/tests/test_gateway/test_streams/test_streams_losses_of_all.py
+++ b/tests/test_gateway/test_streams/test_streams_losses_of_all.py
@@ -151,3 +151,11 @@
     fleet.restart_all()
     found = fleet.take_up(fleet.names[1], 'request-1')
     assert origin is None or not found or found == origin
+
+
+def test_exception_ends_the_inference_from_one_listed_version(fleet: OriginFleet) -> None:
+    # A release is rolled back at once: neither the list nor the row names the second version.
+    begun = begin_exceptions(fleet)
+    fleet.delist('v2')
+    fleet.restart_all()
+    assert not count_of_joined(fleet, begun)
