Read the split of versions before an instance begins its first stream

After a second loss of all instances callers would have got the rest of their streams from another version: all instances had started with a list that lacked the version of the stored split, as after an outage in which entries expire, began streams at the other one, and were lost before the row was written; then the missing version was back.

Cause: an instance whose list names one version began streams there without knowing the row, so the stored split assigned them to the other version.

While the store doesn't answer, the list decides as before.

--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -8,6 +8,7 @@
 import gevent
 import logbook
 import msgspec
+from gevent.lock import BoundedSemaphore
 
 from citrondyke.decisions.streams.store_clock import StoreClock
 from citrondyke.decisions.streams.stored_origins import StoredOrigins, StoredVersions
@@ -113,6 +114,8 @@
         self._unreadable = UnreadableRows(VERSIONS_TABLE)
         #: Known rows of services.
         self._rows: dict[ServiceName, _StoredRow] = {}
+        self._first_read_lock = BoundedSemaphore()
+        self._first_read_from_ms = 0.0
 
     def start(self, tasks: Tasks) -> None:
         """Start writing the rows that this instance is responsible for."""
@@ -140,15 +143,16 @@
         begun_at = self.exceptions.origin(key)
         if begun_at is not None and begun_at.service == service:
             return begun_at.version
-        known = self._rows.get(service)
         listed = self._history.origins({service})
-        if len(listed) < 2 and (  # noqa: PLR2004
-            known is None or not known.splits or _is_split_of(known.splits[-1], listed)
+        is_one_listed = len(listed) < 2  # noqa: PLR2004
+        if not (is_one_listed and self._history.is_complete):
+            # A version that is missing in the list may have a split and be back soon.
+            self._read_first(service)
+        row = self._rows.get(service)
+        if is_one_listed and (
+            row is None or not row.splits or _is_split_of(row.splits[-1], listed)
         ):
             return Assignment.ANY
-        if service not in self._rows and self._is_responsive:
-            self._follow(service)
-        row = self._rows.get(service)
         version = row.splits[-1].version_of(key) if row is not None and row.splits else None
         return Assignment.UNKNOWN if version is None else version
 
@@ -203,6 +207,17 @@
         """
         return service not in self._rows and self._context.random.random() < FIRST_READ_SHARE
 
+    def _read_first(self, service: ServiceName) -> None:
+        """Read the row of a service unless it is known; streams that begin meanwhile wait."""
+        if service in self._rows:
+            return
+        with self._first_read_lock:
+            is_due = self._context.now_ms() >= self._first_read_from_ms
+            if service in self._rows or not is_due or not self._is_responsive:
+                return
+            if not self._follow(service):
+                self._first_read_from_ms = self._context.now_ms() + STORE_UNRESPONSIVE_MS
+
     def _follow(self, service: ServiceName) -> bool:
         """Read the row that another instance writes, if that is due."""
         known = self._rows.get(service)
--- a/tests/test_gateway/test_streams/test_streams_losses_of_all.py
+++ b/tests/test_gateway/test_streams/test_streams_losses_of_all.py
@@ -89,6 +89,19 @@
     assert not count_of_joined(fleet, begun)
 
 
+def test_stream_of_a_fresh_instance_follows_the_stored_split(fleet: OriginFleet) -> None:
+    # All instances start with a list in which the first version is gone, and are lost again before
+    # the row names the second one; then the first version returns.
+    fleet.delist('v1')
+    fleet.list_servers('v2')
+    fleet.restart_all()
+    begun = begin_many(fleet)
+    assert set(begun.values()) == {V2}
+    fleet.list_servers('v1')
+    fleet.restart_all()
+    assert not count_of_joined(fleet, begun)
+
+
 def begin_exceptions(fleet: OriginFleet, count: int = 40) -> dict[str, StreamOrigin]:
     """Begin streams at a version that no split names yet."""
     fleet.list_servers('v2')
