Begin no stream at a version before its service has a split

After a loss of all instances callers got the rest of their streams from another version, if a service had appeared with one version and got a second one before its row of versions was written: streams had begun at the first one without a split, and the first split that was stored assigned some of them to the second.

Ruled out: to store that any version may have begun streams before the first split; it refuses the streams of all services whose versions appear together, and the existing test of a half that goes on failed with it.

Change: an instance reads the row before its first stream of a service; without a split a stream is stored as an exception, until the row is written half a second later. Servers that state no version need neither.

--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -32,7 +32,7 @@
 from citrondyke.util.decoding import decode_json
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable
+    from collections.abc import Callable, Iterable
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_registry import ServerRegistry
@@ -143,17 +143,14 @@
         begun_at = self.exceptions.origin(key)
         if begun_at is not None and begun_at.service == service:
             return begun_at.version
-        listed = self._history.origins({service})
-        is_one_listed = len(listed) < 2  # noqa: PLR2004
-        if not (is_one_listed and self._history.is_complete):
-            # A version that is missing in the list may have a split and be back soon.
-            self._read_first(service)
-        row = self._rows.get(service)
-        if is_one_listed and (
-            row is None or not row.splits or _is_split_of(row.splits[-1], listed)
-        ):
+        if not any(origin.version for origin in self._history.origins({service})):
             return Assignment.ANY
-        version = row.splits[-1].version_of(key) if row is not None and row.splits else None
+        # A version that is missing in the list may have a split and be back soon.
+        self._read_first(service)
+        row = self._rows.get(service)
+        if row is None:
+            return Assignment.UNKNOWN if self._has_several(service) else Assignment.ANY
+        version = row.splits[-1].version_of(key) if row.splits else None
         return Assignment.UNKNOWN if version is None else version
 
     def save_exception(self, key: int, origin: StreamOrigin, life_ms: float) -> bool:
@@ -192,7 +189,7 @@
         for service in {origin.service for origin in self._book.origins}:
             if self._book.topology.is_first_registrar(service):
                 is_answered = self._check(service)
-            elif self._has_several(service) or self._is_first_read_due(service):
+            elif self._is_followed(service):
                 is_answered = self._follow(service)
             else:
                 continue
@@ -200,12 +197,15 @@
                 return False
         return True
 
-    def _is_first_read_due(self, service: ServiceName) -> bool:
-        """Return whether to read the row of a service that has one version.
+    def _is_followed(self, service: ServiceName) -> bool:
+        """Return whether to read the row of a service that another instance writes.
 
         It tells which version begins streams, should the store be away when a second one comes.
         """
-        return service not in self._rows and self._context.random.random() < FIRST_READ_SHARE
+        known = self._rows.get(service)
+        if known is None:
+            return self._has_several(service) or self._context.random.random() < FIRST_READ_SHARE
+        return self._has_several(service) or not known.splits
 
     def _read_first(self, service: ServiceName) -> None:
         """Read the row of a service unless it is known; streams that begin meanwhile wait."""
@@ -317,7 +317,3 @@
             tuple(decoded.splits),
             read_ms=self._context.now_ms(),
         )
-
-
-def _is_split_of(split: VersionSplit, listed: Collection[StreamOrigin]) -> bool:
-    return split.weights.keys() == {origin.version for origin in listed}
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -55,6 +55,7 @@
     def __init__(self, clock: ManualClock) -> None:
         super().__init__(clock)
         self.late: list[PartTransaction] = []
+        self.reads_count = 0
 
     def transact(self, transaction: PartTransaction) -> Any:
         if self.is_away:
@@ -65,6 +66,7 @@
         return super().transact(transaction)
 
     def read(self, table: str, part: str, from_key: str = '', limit: int = 500) -> Any:
+        self.reads_count += 1
         return UNAVAILABLE if self.is_away else super().read(table, part, from_key, limit)
 
     def perform_late(self) -> None:
--- a/tests/test_gateway/test_streams/test_streams_losses_of_all.py
+++ b/tests/test_gateway/test_streams/test_streams_losses_of_all.py
@@ -102,6 +102,20 @@
     assert not count_of_joined(fleet, begun)
 
 
+def test_stream_that_began_before_the_first_row_was_written_is_not_assigned() -> None:
+    # A service appears with one version, and with a second one before its row is written.
+    fleet = OriginFleet(3)
+    fleet.list_servers('v1')
+    for name in fleet.names:
+        fleet.start(name)
+    begun = begin_many(fleet)
+    fleet.list_servers('v2')
+    fleet.wait(2_000.0)
+    fleet.restart_all()
+    assert set(begun.values()) == {V1}
+    assert not count_of_joined(fleet, begun)
+
+
 def begin_exceptions(fleet: OriginFleet, count: int = 40) -> dict[str, StreamOrigin]:
     """Begin streams at a version that no split names yet."""
     fleet.list_servers('v2')
@@ -172,3 +186,12 @@
     fleet.delist('v2')
     fleet.restart_all()
     assert not count_of_joined(fleet, begun)
+
+
+def test_servers_without_a_version_cost_no_read_and_no_write() -> None:
+    fleet = OriginFleet(3)
+    fleet.list_servers('')
+    for name in fleet.names:
+        fleet.start(name)
+    begun = begin_many(fleet)
+    assert (len(begun), fleet.table.version, fleet.table.reads_count) == (40, 0, 0)
