Read the row of versions again at the instance that writes it

After a loss of all instances callers would have got the rest of their streams from another version: the last write of an earlier loss was performed after the new writer had read the row, which then held a split that this instance neither followed nor replaced.

Now the writer reads the row each second while several versions serve, and until its list covers the life of a stream after its start.

--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -221,17 +221,22 @@
     def _follow(self, service: ServiceName) -> bool:
         """Read the row that another instance writes, if that is due."""
         known = self._rows.get(service)
-        if known is not None and self._context.now_ms() - known.read_ms < FOLLOW_EVERY_MS:
+        if known is not None and not self._is_read_due(known):
             return True
         row = self._read_row(service)
         if row is not None:
             self._rows[service] = row
         return row is not None
 
+    def _is_read_due(self, known: _StoredRow) -> bool:
+        return self._context.now_ms() - known.read_ms >= FOLLOW_EVERY_MS
+
     def _check(self, service: ServiceName) -> bool:
         """Write the row of a service if it has changed; return whether the store answered."""
         stored = self._rows.get(service)
-        if stored is None:
+        is_settled = self._history.is_complete and not self._has_several(service)
+        if stored is None or (not is_settled and self._is_read_due(stored)):
+            # A late write of an earlier incarnation or another writer may have replaced it.
             stored = self._read_row(service)
             if stored is None:
                 return False
@@ -289,7 +294,9 @@
             },
         )
         if isinstance(answer, PartCommitted):
-            self._rows[service] = _StoredRow(answer.version, versions, splits)
+            self._rows[service] = _StoredRow(
+                answer.version, versions, splits, read_ms=self._context.now_ms()
+            )
             return True
         self._rows.pop(service, None)
         return not isinstance(answer, PlatformFailure)
--- a/tests/test_gateway/test_streams/test_streams_losses_of_all.py
+++ b/tests/test_gateway/test_streams/test_streams_losses_of_all.py
@@ -7,7 +7,7 @@
 from citrondyke.decisions.streams.stream_origin import StreamOrigin
 from citrondyke.gateway.streams.stream_exceptions import EXCEPTIONS_TABLE
 from citrondyke.storage.partitioned_table import PartTransaction, RowPut
-from tests.support.origin_fleet import V1, V2, OriginFleet
+from tests.support.origin_fleet import SERVICE, V1, V2, OriginFleet
 
 HOUR_MS = 3_600_000.0
 
@@ -188,6 +188,27 @@
     assert not count_of_joined(fleet, begun)
 
 
+def test_late_split_is_replaced(fleet: OriginFleet) -> None:
+    # The last write of the lost instances is performed after the new ones have read the row. Their
+    # streams do not follow it, as its second version is not listed.
+    fleet.list_servers('v2')
+    fleet.table.is_late = True
+    fleet.wait(1_000.0)
+    fleet.delist('v2')
+    fleet.restart_all()
+    late, fleet.table.late, fleet.table.is_late = fleet.table.late, [], False
+    fleet.wait(500.0)
+    fleet.table.late = late
+    fleet.table.perform_late()
+    fleet.wait(30_000.0)
+    registrar = next(n for n in fleet.names if fleet.books[n].topology.is_first_registrar(SERVICE))
+    begun = begin_many(fleet, at=fleet.names.index(registrar))
+    fleet.list_servers('v2')
+    fleet.restart_all()
+    assert set(begun.values()) == {V1}
+    assert not count_of_joined(fleet, begun)
+
+
 def test_servers_without_a_version_cost_no_read_and_no_write() -> None:
     fleet = OriginFleet(3)
     fleet.list_servers('')
