--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -10,16 +10,17 @@
 import msgspec
 from gevent.lock import BoundedSemaphore
 
-from citrondyke.decisions.streams.origin_records import StreamKey
-from citrondyke.decisions.streams.stream_origin import OriginView, StreamOrigin
+from citrondyke.decisions.streams.store_clock import StoreClock
+from citrondyke.decisions.streams.stored_origins import StoredOrigins, StoredVersions
+from citrondyke.decisions.streams.stream_origin import StreamOrigin
 from citrondyke.decisions.streams.version_split import (
     Assignment,
     VersionSplit,
     next_splits,
-    possible_versions,
 )
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
+from citrondyke.gateway.streams.stream_exceptions import EXCEPTIONS_TABLE, StreamExceptions
 from citrondyke.ids import ServiceName, SoftwareVersion
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import (
@@ -27,26 +28,24 @@
     PartTransaction,
     RowCondition,
     RowPut,
-    RowRemoval,
 )
 from citrondyke.util.decoding import decode_json
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable
+    from collections.abc import Callable, Iterable
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_registry import ServerRegistry
     from citrondyke.decisions.streams.origin_history import OriginHistory
     from citrondyke.gateway.replication.dependency import Dependency
     from citrondyke.gateway.tasks import Tasks
-    from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
+    from citrondyke.storage.partitioned_table import PartitionedTable
 
-__all__ = ('EXCEPTIONS_TABLE', 'VERSIONS_TABLE', 'OriginStore')
+__all__ = ('VERSIONS_TABLE', 'OriginStore')
 
 log = logbook.Logger(__name__)
 
 VERSIONS_TABLE = 'software_versions'
-EXCEPTIONS_TABLE = 'stream_exceptions'
 #: Interval of comparing the rows with the server list.
 CHECK_EVERY_MS = 500.0
 #: Pause after a failed call: outages of the store last for seconds.
@@ -57,12 +56,10 @@
 #: Share of the checks that read a row for the first time, so that at a start of all instances these
 #: reads are spread over some seconds.
 FIRST_READ_SHARE = 0.1
-#: Time for which an instance may go on with a split that was replaced, and by which clocks differ.
+#: Time for which an instance may go on with a split that was replaced.
 SPLIT_LAG_MS = 5_000.0
 #: Calls of the store without an answer for this long: a first event doesn't wait for a write.
 STORE_UNRESPONSIVE_MS = 300.0
-#: Streams of one instance that began at another version than the split's, about 100 bytes each.
-EXCEPTIONS_LIMIT = 300
 CLEANUP_EVERY_MS = 600_000.0
 
 
@@ -83,26 +80,6 @@
     read_ms: float = 0.0
 
 
-class _Exception(msgspec.Struct, frozen=True, array_like=True):
-    """Stream that did not begin at the version of the split."""
-
-    key: StreamKey
-    service: str
-    version: str
-    until_epoch_ms: float
-
-    @property
-    def origin(self) -> StreamOrigin:
-        """Return where it began."""
-        return StreamOrigin(ServiceName(self.service), SoftwareVersion(self.version))
-
-
-class ExceptionsRow(msgspec.Struct, frozen=True):
-    """Row of an instance: its streams that may still be resumed."""
-
-    streams: list[_Exception]
-
-
 class OriginStore:
     """Keeps one row for each service; one instance writes it, whenever a version comes or is over.
 
@@ -126,9 +103,9 @@
         :param store: tracks whether the store answers.
         """
         self._store = store
-        self._exceptions: dict[int, _Exception] = {}
-        self._are_exceptions_known = False
-        self._exceptions_lock = BoundedSemaphore()
+        self._clock = StoreClock(context)
+        #: Streams that did not begin at the assigned version.
+        self.exceptions = StreamExceptions(context, table, self._clock)
         self._context = context
         self._table = table
         self._book = book
@@ -137,116 +114,51 @@
         self._unreadable = UnreadableRows(VERSIONS_TABLE)
         #: Known rows of services.
         self._rows: dict[ServiceName, _StoredRow] = {}
+        self._first_read_lock = BoundedSemaphore()
+        self._first_read_from_ms = 0.0
 
     def start(self, tasks: Tasks) -> None:
         """Start writing the rows that this instance is responsible for."""
         tasks.supervise(self._run)
         tasks.supervise(self._run_cleanup)
 
-    def read(self, services: Iterable[ServiceName]) -> OriginView | None:
-        """Read which origins streams can have; ``None`` if that is not stored or not readable."""
-        origins: set[StreamOrigin] = set()
+    def load(self, services: Iterable[ServiceName]) -> StoredOrigins | None:
+        """Read what is stored on the streams of services; ``None`` without an answer."""
+        by_service: dict[ServiceName, StoredVersions] = {}
         for service in services:
             row = self._read_row(service)
-            if row is None or not row.versions or not row.is_readable:
+            if row is None:
                 return None
-            origins.update(StreamOrigin(service, version) for version in row.versions)
-        return OriginView(frozenset(origins), is_complete=True)
+            by_service[service] = StoredVersions(row.versions, row.splits)
+        # Read last: streams that began meanwhile may be exceptions of the splits read.
+        exceptions = self.exceptions.read_all()
+        if isinstance(exceptions, PlatformFailure):
+            return None
+        return StoredOrigins(by_service, exceptions, self._clock.now_ms, self._split_life_ms)
 
     def assigned_version(self, service: ServiceName, key: int) -> SoftwareVersion | Assignment:
         """Return the version that must begin a stream."""
-        known = self._rows.get(service)
-        listed = self._history.origins({service})
-        if len(listed) < 2 and (  # noqa: PLR2004
-            known is None or not known.splits or _is_split_of(known.splits[-1], listed)
-        ):
+        if self.exceptions.is_in_doubt(key):
+            return Assignment.UNKNOWN
+        begun_at = self.exceptions.origin(key)
+        if begun_at is not None and begun_at.service == service:
+            return begun_at.version
+        if not any(origin.version for origin in self._history.origins({service})):
             return Assignment.ANY
-        if service not in self._rows and self._is_responsive:
-            self._follow(service)
+        # A version that is missing in the list may have a split and be back soon.
+        self._read_first(service)
         row = self._rows.get(service)
-        version = row.splits[-1].version_of(key) if row is not None and row.splits else None
+        if row is None:
+            return Assignment.UNKNOWN if self._has_several(service) else Assignment.ANY
+        version = row.splits[-1].version_of(key) if row.splits else None
         return Assignment.UNKNOWN if version is None else version
 
-    def exception(self, key: int) -> StreamOrigin | None:
-        """Return where a stream of this instance begins, if not at the assigned version."""
-        stream = self._exceptions.get(key)
-        return None if stream is None else stream.origin
-
     def save_exception(self, key: int, origin: StreamOrigin, life_ms: float) -> bool:
         """Store that a stream begins at another version than the assigned one.
 
         :returns: whether it is stored; otherwise it must not begin there.
         """
-        if not self._is_responsive:
-            return False
-        stream = _Exception(key, origin.service, origin.version, self._context.epoch_ms() + life_ms)
-        # Of two simultaneous writes the one without the other's stream could come last.
-        with self._exceptions_lock:
-            is_written = self._read_own_exceptions() and self._write_exceptions(stream)
-        log.info(
-            'stream.exception',
-            extra={
-                'service': origin.service,
-                'version': origin.version,
-                'exceptions': len(self._exceptions),
-                'written': is_written,
-            },
-        )
-        return is_written
-
-    def _write_exceptions(self, stream: _Exception) -> bool:
-        now_epoch_ms = self._context.epoch_ms()
-        kept = [each for each in self._exceptions.values() if each.until_epoch_ms > now_epoch_ms]
-        streams = {each.key: each for each in [*kept, stream][-EXCEPTIONS_LIMIT:]}
-        value = msgspec.json.encode(ExceptionsRow(list(streams.values())))
-        put = RowPut(EXCEPTIONS_TABLE, self._context.instance_id, value)
-        answer = self._table.transact(PartTransaction('', (), (put,)))
-        if isinstance(answer, PartCommitted):
-            self._exceptions = streams
-            return True
-        return False
-
-    def _read_own_exceptions(self) -> bool:
-        """Read what an earlier incarnation of this instance stored; return whether it is known."""
-        if self._are_exceptions_known:
-            return True
-        name = self._context.instance_id
-        listing = self._table.read(EXCEPTIONS_TABLE, '', name, limit=1)
-        if isinstance(listing, PlatformFailure):
-            return False
-        for row in listing.rows:
-            if row.key == name:
-                self._exceptions.update((each.key, each) for each in self._decode_exceptions(row))
-        self._are_exceptions_known = True
-        return True
-
-    def find(self, services: Iterable[ServiceName], key: int) -> StreamOrigin | None:
-        """Read which version began a stream; ``None`` if that is not certain."""
-        listing = self._table.read_all(EXCEPTIONS_TABLE, '')
-        if isinstance(listing, PlatformFailure):
-            return None
-        for row in listing.rows:
-            for stream in self._decode_exceptions(row):
-                if stream.key == key and stream.until_epoch_ms > self._context.epoch_ms():
-                    return stream.origin
-        life_ms, now_epoch_ms = self._split_life_ms, self._context.epoch_ms()
-        origins: set[StreamOrigin | None] = set()
-        for service in services:
-            stored = self._read_row(service)
-            if stored is None or not stored.splits:
-                return None
-            versions = possible_versions(stored.splits, key, now_epoch_ms, life_ms)
-            origins.update(
-                None if version is None else StreamOrigin(service, version) for version in versions
-            )
-        return origins.pop() if len(origins) == 1 else None
-
-    def _decode_exceptions(self, row: PartRow) -> list[_Exception]:
-        try:
-            return decode_json(row.value or b'', ExceptionsRow).streams
-        except UnreadableBytesError as error:
-            self._unreadable.log_once(row.key, row.version, error.message)
-            return []
+        return self._is_responsive and self.exceptions.save(key, origin, life_ms)
 
     @property
     def _split_life_ms(self) -> float:
@@ -268,19 +180,7 @@
         while True:
             gevent.sleep(self._context.jittered_ms(CLEANUP_EVERY_MS) / 1e3)
             if self._book.topology.is_first_registrar(EXCEPTIONS_TABLE):
-                self.remove_expired()
-
-    def remove_expired(self) -> None:
-        """Remove the rows of exceptions that are over; instances that left would leave theirs."""
-        listing = self._table.read_all(EXCEPTIONS_TABLE, '')
-        if isinstance(listing, PlatformFailure):
-            return
-        for row in listing.rows:
-            streams = self._decode_exceptions(row)
-            if all(each.until_epoch_ms < self._context.epoch_ms() for each in streams):
-                condition = RowCondition(EXCEPTIONS_TABLE, row.key, row.version)
-                removal = RowRemoval(EXCEPTIONS_TABLE, row.key)
-                self._table.transact(PartTransaction('', (condition,), (), (removal,)))
+                self.exceptions.remove_expired()
 
     def check_all(self) -> bool:
         """Write the rows that have changed; return whether the store answered."""
@@ -289,7 +189,7 @@
         for service in {origin.service for origin in self._book.origins}:
             if self._book.topology.is_first_registrar(service):
                 is_answered = self._check(service)
-            elif self._has_several(service) or self._is_first_read_due(service):
+            elif self._is_followed(service):
                 is_answered = self._follow(service)
             else:
                 continue
@@ -297,27 +197,46 @@
                 return False
         return True
 
-    def _is_first_read_due(self, service: ServiceName) -> bool:
-        """Return whether to read the row of a service that has one version.
+    def _is_followed(self, service: ServiceName) -> bool:
+        """Return whether to read the row of a service that another instance writes.
 
         It tells which version begins streams, should the store be away when a second one comes.
         """
-        return service not in self._rows and self._context.random.random() < FIRST_READ_SHARE
+        known = self._rows.get(service)
+        if known is None:
+            return self._has_several(service) or self._context.random.random() < FIRST_READ_SHARE
+        return self._has_several(service) or not known.splits
+
+    def _read_first(self, service: ServiceName) -> None:
+        """Read the row of a service unless it is known; streams that begin meanwhile wait."""
+        if service in self._rows:
+            return
+        with self._first_read_lock:
+            is_due = self._context.now_ms() >= self._first_read_from_ms
+            if service in self._rows or not is_due or not self._is_responsive:
+                return
+            if not self._follow(service):
+                self._first_read_from_ms = self._context.now_ms() + STORE_UNRESPONSIVE_MS
 
     def _follow(self, service: ServiceName) -> bool:
         """Read the row that another instance writes, if that is due."""
         known = self._rows.get(service)
-        if known is not None and self._context.now_ms() - known.read_ms < FOLLOW_EVERY_MS:
+        if known is not None and not self._is_read_due(known):
             return True
         row = self._read_row(service)
         if row is not None:
             self._rows[service] = row
         return row is not None
 
+    def _is_read_due(self, known: _StoredRow) -> bool:
+        return self._context.now_ms() - known.read_ms >= FOLLOW_EVERY_MS
+
     def _check(self, service: ServiceName) -> bool:
         """Write the row of a service if it has changed; return whether the store answered."""
         stored = self._rows.get(service)
-        if stored is None:
+        is_settled = self._history.is_complete and not self._has_several(service)
+        if stored is None or (not is_settled and self._is_read_due(stored)):
+            # A late write of an earlier incarnation or another writer may have replaced it.
             stored = self._read_row(service)
             if stored is None:
                 return False
@@ -351,8 +270,7 @@
         if not before and stored.row_version:
             # The row was written by an instance of an earlier version.
             before = (VersionSplit(),)
-        now_epoch_ms = self._context.epoch_ms()
-        return tuple(next_splits(before, weights, now_epoch_ms, self._split_life_ms))
+        return tuple(next_splits(before, weights, self._clock.now_ms, self._split_life_ms))
 
     def _write(
         self,
@@ -376,7 +294,9 @@
             },
         )
         if isinstance(answer, PartCommitted):
-            self._rows[service] = _StoredRow(answer.version, versions, splits)
+            self._rows[service] = _StoredRow(
+                answer.version, versions, splits, read_ms=self._context.now_ms()
+            )
             return True
         self._rows.pop(service, None)
         return not isinstance(answer, PlatformFailure)
@@ -389,6 +309,7 @@
                 'versions.not_read', extra={'service': service, 'reason': listing.reason.value}
             )
             return None
+        self._clock.observe(listing.store_ms)
         row = next((each for each in listing.rows if each.key == service), None)
         if row is None or row.value is None:
             return _StoredRow(0, frozenset(), read_ms=self._context.now_ms())
@@ -403,7 +324,3 @@
             tuple(decoded.splits),
             read_ms=self._context.now_ms(),
         )
-
-
-def _is_split_of(split: VersionSplit, listed: Collection[StreamOrigin]) -> bool:
-    return split.weights.keys() == {origin.version for origin in listed}
