Tests of stream origins: series of losses of all instances

All instances are lost again and again during and after releases, with lists that change while they are down, versions that return, wrong clocks and late writes.

--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -109,12 +109,15 @@
         self.names = [InstanceId(f'edge-{number}') for number in range(count)]
         self.clocks = {name: MachineClock(self.clock) for name in self.names}
         self.listed: dict[str, ServerListEntry] = {}
+        #: Versions that were ever listed.
+        self.versions: list[str] = []
         self.live: dict[InstanceId, OriginExchange] = {}
         self.books: dict[InstanceId, ServerRegistry] = {}
         self.sent_count = 0
         self.loss_share = 0.0
 
     def list_servers(self, version: str, count: int = 3) -> None:
+        self.versions.append(version)
         for number in range(count):
             name = f'{version}-{number}'
             stated = SoftwareVersion(version)
--- a/tests/test_gateway/test_streams/test_streams_origins.py
+++ b/tests/test_gateway/test_streams/test_streams_origins.py
@@ -256,3 +256,68 @@
             went_on_count += bool(found)
     assert went_on_count >= asked_count / 2
     print(f'seed {seed}: {went_on_count} of {asked_count} went on')
+
+
+def lose_all(fleet: OriginFleet, random: Random) -> None:
+    """Kill all instances, and start them with a list that has changed meanwhile."""
+    for name in sorted(fleet.live):
+        fleet.kill(name)
+    random.choice((release, end_version, return_version, replace_all, keep))(fleet, random)
+    fleet.clock.ms += random.choice((250.0, 1_000.0, 3_000.0))
+    start_all(fleet, random)
+
+
+def replace_all(fleet: OriginFleet, random: Random) -> None:
+    """List a new version and delist all others."""
+    fleet.listed.clear()
+    release(fleet, random)
+
+
+def return_version(fleet: OriginFleet, random: Random) -> None:
+    """List a version that was delisted, such as after a release that is rolled back."""
+    fleet.list_servers(random.choice(fleet.versions), random.randint(1, 3))
+
+
+def step_clock(fleet: OriginFleet, random: Random) -> None:
+    """Change the time of day of half of the machines."""
+    for name in random.sample(fleet.names, len(fleet.names) // 2):
+        fleet.clocks[name].ahead_ms = random.choice((-3_600_000.0, 0.0, 3_600_000.0))
+
+
+def turn_late(fleet: OriginFleet, _: Random) -> None:
+    """Have the store perform writes late, or perform those that are."""
+    if fleet.table.is_late:
+        fleet.table.perform_late()
+    else:
+        fleet.table.is_late = True
+
+
+def keep(_: OriginFleet, __: Random) -> None:
+    """Change nothing."""
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_no_series_of_losses_of_all_joins_two_versions(seed: int) -> None:
+    # All instances are lost again and again, during and after releases; versions are gone when they
+    # start, or return; clocks are wrong and writes late.
+    random = Random(seed)
+    fleet = OriginFleet(10, seed)
+    fleet.list_servers('v0')
+    start_all(fleet, random)
+    disturbances = (release, end_version, return_version, step_clock, turn_late, lose_all, lose_all)
+    streams: dict[str, StreamOrigin] = {}
+    asked_count = went_on_count = 0
+    for number in range(400):
+        fleet.wait(random.choice((0.0, 0.0, 250.0, 500.0)))
+        if random.random() < DISTURBANCE_SHARE:
+            random.choice(disturbances)(fleet, random)
+        origin = fleet.begin(random.choice(sorted(fleet.live)), f'request-{number}')
+        if origin is not None:
+            streams[f'request-{number}'] = origin
+        begun_by = f'request-{max(0, number - random.randint(0, 6))}'
+        if begun_by in streams:
+            found = fleet.take_up(random.choice(sorted(fleet.live)), begun_by)
+            assert not found or found == streams[begun_by]
+            asked_count += 1
+            went_on_count += bool(found)
+    print(f'seed {seed}: {went_on_count} of {asked_count} went on')
