Log what a decision on the origin of a stream is based on

The line of a take-up names the ages of its inputs: for how long the list has been followed, how long the store hasn't answered, what peers list, and the stored splits with the time since each was replaced. A changed row and a stream that doesn't begin have lines of their own.

--- a/citrondyke/decisions/streams/origin_history.py
+++ b/citrondyke/decisions/streams/origin_history.py
@@ -76,10 +76,15 @@
         """Apply an origin that a peer has streams of; its server list may be ahead."""
         self._listed_ms[origin] = self._context.clock.fence_ms()
 
+    @property
+    def covered_ms(self) -> float:
+        """Return for how long everything is known; negative without a server list."""
+        return max(-1.0, self._context.clock.fence_ms() - self._complete_since_ms)
+
     @property
     def is_complete(self) -> bool:
         """Return whether the whole window is known."""
-        return self._context.clock.fence_ms() - self._complete_since_ms >= self.window_ms
+        return self.covered_ms >= self.window_ms
 
     def services(self, host: str, path: str) -> frozenset[ServiceName]:
         """Return the services that a route has had within the window."""
--- a/citrondyke/decisions/streams/stored_origins.py
+++ b/citrondyke/decisions/streams/stored_origins.py
@@ -70,6 +70,12 @@
         }
         return origins.pop() if len(origins) == 1 else None
 
+    def replaced_ms_ago(self, split: VersionSplit) -> float | None:
+        """Return how long ago a split was replaced; ``None`` if it is in force."""
+        if split.until_store_ms is None or self.now_store_ms is None:
+            return None
+        return round(self.now_store_ms - split.until_store_ms, 1)
+
     def _possible_versions(
         self, stored: StoredVersions, key: int
     ) -> frozenset[SoftwareVersion | None]:
--- a/citrondyke/gateway/streams/origin_exchange.py
+++ b/citrondyke/gateway/streams/origin_exchange.py
@@ -8,6 +8,7 @@
 import msgspec
 from gevent.queue import Empty, Queue
 
+from citrondyke.decisions.streams.origin_evidence import OriginEvidence
 from citrondyke.decisions.streams.origin_history import OriginHistory
 from citrondyke.decisions.streams.origin_records import OriginRecord, OriginRecords
 from citrondyke.decisions.streams.stream_origin import (
@@ -180,17 +181,18 @@
         view = self._history.view(services)
         begun_by = forwarded.metadata.begun_by
         found: StreamOrigin | UnknownOrigin | None = None
-        answers: list[OriginTold] = []
+        evidence = OriginEvidence(view, self._history.covered_ms, self._store.unanswered_ms)
         source = 'own record'
         if begun_by is not None:
             found = self._records.find(stream_key(begun_by))
         if found is None and (begun_by is not None or not _is_certain(view)):
             source = 'peer'
             found, answers = self._ask_peers(begun_by, services)
+            evidence.peer_views = [answer.view for answer in answers]
         if found is None:
             source = 'inferred'
-            found = self._infer(view, answers, services, begun_by)
-        self._log_resolved(forwarded, found, source, view, len(answers), started_ms)
+            found = self._infer(evidence, services, begun_by)
+        self._log_resolved(forwarded, found, source, evidence, started_ms)
         return found
 
     def on_records(self, text: StreamOrigins) -> None:
@@ -262,19 +264,20 @@
 
     def _infer(
         self,
-        view: OriginView,
-        answers: list[OriginTold],
+        evidence: OriginEvidence,
         services: Iterable[ServiceName],
         begun_by: RequestId | None,
     ) -> StreamOrigin | UnknownOrigin:
-        views = [view, *(answer.view for answer in answers)]
+        views = [evidence.view, *evidence.peer_views]
         is_alone = not self._book.topology.all_peers()
-        is_confirmed = bool(answers) or is_alone or self._store.unanswered_ms < STORE_SILENT_MS
+        is_confirmed = (
+            bool(evidence.peer_views) or is_alone or self._store.unanswered_ms < STORE_SILENT_MS
+        )
         inferred = infer_origin(views, is_confirmed=is_confirmed)
         is_answering = self._store.unanswered_ms < STORE_UNRESPONSIVE_MS
         if isinstance(inferred, StreamOrigin) or not is_answering:
             return inferred
-        stored = self.versions.load(services)
+        stored = evidence.stored = self.versions.load(services)
         if stored is None:
             return inferred
         if inferred.reason is OriginUnknownReason.NOT_COVERED and stored.view is not None:
@@ -291,8 +294,7 @@
         forwarded: ForwardedRequest,
         found: StreamOrigin | UnknownOrigin,
         source: str,
-        view: OriginView,
-        answers_count: int,
+        evidence: OriginEvidence,
         started_ms: float,
     ) -> None:
         is_known = isinstance(found, StreamOrigin)
@@ -307,9 +309,8 @@
                 'service': found.service if isinstance(found, StreamOrigin) else None,
                 'source': source,
                 'reason': found.reason.value if isinstance(found, UnknownOrigin) else None,
-                'origins': sorted(f'{each.service} {each.version}' for each in view.origins),
-                'is_complete': view.is_complete,
-                'answers': answers_count,
+                **evidence.log_fields(),
+                'within_ms': forwarded.metadata.within_ms,
                 'took_ms': round(self._context.now_ms() - started_ms, 1),
             },
         )
--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -158,7 +158,17 @@
 
         :returns: whether it is stored; otherwise it must not begin there.
         """
-        return self._is_responsive and self.exceptions.save(key, origin, life_ms)
+        if self._is_responsive:
+            return self.exceptions.save(key, origin, life_ms)
+        log.info(
+            'stream.not_begun',
+            extra={
+                'service': origin.service,
+                'version': origin.version,
+                'store_unanswered_ms': round(self._store.unanswered_ms),
+            },
+        )
+        return False
 
     @property
     def _split_life_ms(self) -> float:
@@ -224,9 +234,21 @@
         if known is not None and not self._is_read_due(known):
             return True
         row = self._read_row(service)
-        if row is not None:
-            self._rows[service] = row
-        return row is not None
+        if row is None:
+            return False
+        if known is None or known.row_version != row.row_version:
+            log.info(
+                'versions.followed',
+                extra={
+                    'service': service,
+                    'row_version': row.row_version,
+                    'split': dict(row.splits[-1].weights) if row.splits else {},
+                    'splits': len(row.splits),
+                    'read_before_ms': None if known is None else round(row.read_ms - known.read_ms),
+                },
+            )
+        self._rows[service] = row
+        return True
 
     def _is_read_due(self, known: _StoredRow) -> bool:
         return self._context.now_ms() - known.read_ms >= FOLLOW_EVERY_MS
