Store streams that the splits of a release leave open

Callers whose streams broke off with a loss of all instances during a release, or within 16 s of one, were rejected though servers of their version took work: the splits before and after the change name different versions for one stream, so that its origin is uncertain.

Change: while several versions are listed, each instance adds its streams that the splits leave open to its row of exceptions, twice a second at most, more rarely in fleets over ten instances. It is done after the first event and nothing waits for it; two thirds of the row may hold such streams. What wasn't stored yet is rejected as before.

--- a/citrondyke/decisions/streams/origin_history.py
+++ b/citrondyke/decisions/streams/origin_history.py
@@ -99,6 +99,11 @@
         """Return the origins of services within the window."""
         return frozenset(origin for origin in self._listed_ms if origin.service in services)
 
+    @property
+    def has_several_versions(self) -> bool:
+        """Return whether any service had several origins within the window."""
+        return len({origin.service for origin in self._listed_ms}) < len(self._listed_ms)
+
     def view(self, services: Collection[ServiceName]) -> OriginView:
         """Return what this instance knows of the origins of services."""
         return OriginView(self.origins(services), self.is_complete)
--- a/citrondyke/gateway/streams/origin_exchange.py
+++ b/citrondyke/gateway/streams/origin_exchange.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
 import logbook
 import msgspec
 from gevent.queue import Empty, Queue
@@ -22,6 +23,7 @@
 from citrondyke.decisions.streams.version_split import Assignment
 from citrondyke.gateway.peers.peer_codec import OriginAsked, OriginTold, StreamOrigins
 from citrondyke.gateway.streams.origin_store import OriginStore
+from citrondyke.gateway.streams.stream_exceptions import BegunStream
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -51,6 +53,9 @@
 ANSWERS_WITHIN_MS = 150.0
 #: Time for which a caller may resume a stream after the end of its time.
 RESUME_MARGIN_MS = 1_000.0
+#: Interval of storing the streams that splits leave open; it grows beyond so many instances.
+SAVE_EVERY_MS = 500.0
+SAVING_INSTANCES_COUNT = 10
 #: Records in one datagram of at most 1,400 bytes.
 RECORDS_PER_DATAGRAM = 16
 #: Calls of the store without an answer for this long: the server list may be stale.
@@ -119,6 +124,7 @@
         self._send, self._ask = send, ask
         self._book.on_replaced(self.update)
         self.versions.start(self._tasks)
+        self._tasks.supervise(self._run_saves)
 
     def update(self) -> None:
         """Apply the current server list and configuration, and publish what became ambiguous."""
@@ -133,6 +139,24 @@
             }
         )
 
+    def _run_saves(self) -> None:
+        while True:
+            factor = max(1.0, self._book.topology.instances_count / SAVING_INSTANCES_COUNT)
+            gevent.sleep(self._context.jittered_ms(SAVE_EVERY_MS * factor) / 1e3)
+            self.save_uncertain()
+
+    def save_uncertain(self) -> None:
+        """Store where own streams began if the splits leave that open."""
+        if not self._history.has_several_versions:
+            return
+        self.versions.save_uncertain(
+            [
+                BegunStream(key, stream.origin, self._records.left_ms(key))
+                for key, stream in self._own.items()
+                if stream.origin.version and self._records.left_ms(key)
+            ]
+        )
+
     def record(self, forwarded: ForwardedRequest, origin: StreamOrigin) -> None:
         """Record the origin of a stream; call it before the caller receives the first event."""
         request, life_ms = forwarded.request, self._life_ms(forwarded)
--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -17,10 +17,15 @@
     Assignment,
     VersionSplit,
     next_splits,
+    possible_versions,
 )
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.gateway.replication.unreadable_rows import UnreadableRows
-from citrondyke.gateway.streams.stream_exceptions import EXCEPTIONS_TABLE, StreamExceptions
+from citrondyke.gateway.streams.stream_exceptions import (
+    EXCEPTIONS_TABLE,
+    BegunStream,
+    StreamExceptions,
+)
 from citrondyke.ids import ServiceName, SoftwareVersion
 from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import (
@@ -32,7 +37,7 @@
 from citrondyke.util.decoding import decode_json
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_registry import ServerRegistry
@@ -153,13 +158,39 @@
         version = row.splits[-1].version_of(key) if row.splits else None
         return Assignment.UNKNOWN if version is None else version
 
+    def is_certain(self, key: int, origin: StreamOrigin) -> bool:
+        """Return whether the store tells where a stream began, as far as this instance knows."""
+        if self.exceptions.origin(key) == origin:
+            return True
+        row = self._rows.get(origin.service)
+        if row is None or not row.splits:
+            return False
+        now_ms, life_ms = self._clock.now_ms, self._split_life_ms
+        return possible_versions(row.splits, key, now_ms, life_ms) == {origin.version}
+
+    def save_uncertain(self, begun: Sequence[BegunStream]) -> None:
+        """Store streams of which several splits name different versions, as far as there is room.
+
+        Without it they are rejected after a loss of all instances.
+        """
+        services = {each.origin.service for each in begun}
+        several = {service for service in services if self._has_several(service)}
+        streams = [
+            each
+            for each in begun
+            if each.origin.service in several and not self.is_certain(each.key, each.origin)
+        ]
+        streams = streams[: self.exceptions.room_count]
+        if streams and self._is_responsive:
+            self.exceptions.save(streams)
+
     def save_exception(self, key: int, origin: StreamOrigin, life_ms: float) -> bool:
         """Store that a stream begins at another version than the assigned one.
 
         :returns: whether it is stored; otherwise it must not begin there.
         """
         if self._is_responsive:
-            return self.exceptions.save(key, origin, life_ms)
+            return self.exceptions.save([BegunStream(key, origin, life_ms)])
         log.info(
             'stream.not_begun',
             extra={
--- a/citrondyke/gateway/streams/stream_exceptions.py
+++ b/citrondyke/gateway/streams/stream_exceptions.py
@@ -25,17 +25,30 @@
 from citrondyke.util.decoding import decode_json
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.streams.store_clock import StoreClock
     from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
-__all__ = ('EXCEPTIONS_TABLE', 'StreamExceptions')
+__all__ = ('EXCEPTIONS_TABLE', 'BegunStream', 'StreamExceptions')
 
 log = logbook.Logger(__name__)
 
 EXCEPTIONS_TABLE = 'stream_exceptions'
 #: Streams of one instance that began at another version than the split's, about 100 bytes each.
 EXCEPTIONS_LIMIT = 300
+#: ... of which so many may be streams that are only stored so that they can go on.
+OPTIONAL_LIMIT = 200
+
+
+class BegunStream(msgspec.Struct, frozen=True):
+    """Stream to store."""
+
+    key: StreamKey
+    origin: StreamOrigin
+    #: How long it may be resumed.
+    life_ms: float
 
 
 class _Exception(msgspec.Struct, frozen=True, array_like=True):
@@ -94,18 +107,16 @@
         """Return whether a write of a stream may still be performed."""
         return key in self._in_doubt
 
-    def save(self, key: int, origin: StreamOrigin, life_ms: float) -> bool:
-        """Store where a stream begins; return whether it is stored.
-
-        :param life_ms: how long the stream may be resumed.
-        """
+    def save(self, begun: Sequence[BegunStream]) -> bool:
+        """Store where streams begin; return whether they are stored."""
         with self._lock:
-            is_written = self._read_own() and self._write(key, origin, life_ms)
+            is_written = self._read_own() and self._write(begun)
         log.info(
             'stream.exception',
             extra={
-                'service': origin.service,
-                'version': origin.version,
+                'service': begun[0].origin.service,
+                'version': begun[0].origin.version,
+                'streams': len(begun),
                 'exceptions': len(self._streams),
                 'limit': EXCEPTIONS_LIMIT,
                 'written': is_written,
@@ -130,12 +141,18 @@
                 self._streams.update((each.key, each) for each in self._decode(row) or ())
         return True
 
-    def _write(self, key: int, origin: StreamOrigin, life_ms: float) -> bool:
+    @property
+    def room_count(self) -> int:
+        """Return how many streams may be stored that need not be."""
+        return max(0, OPTIONAL_LIMIT - sum(map(self._is_live, self._streams.values())))
+
+    def _write(self, begun: Sequence[BegunStream]) -> bool:
         now_ms = self._clock.now_ms
-        until_ms = 0.0 if now_ms is None else now_ms + life_ms
-        stream = _Exception(key, origin.service, origin.version, until_ms)
         streams = {each.key: each for each in self._streams.values() if self._is_live(each)}
-        streams[key] = stream
+        for each in begun:
+            until_ms = 0.0 if now_ms is None else now_ms + each.life_ms
+            stream = _Exception(each.key, each.origin.service, each.origin.version, until_ms)
+            streams[each.key] = stream
         if len(streams) > EXCEPTIONS_LIMIT:
             return False
         name = self._context.instance_id
@@ -153,7 +170,7 @@
         if isinstance(answer, PlatformFailure) and (
             answer.reason is not PlatformFailureReason.UNAVAILABLE
         ):
-            self._in_doubt.add(key)
+            self._in_doubt.update(each.key for each in begun)
         return False
 
     def _is_live(self, stream: _Exception) -> bool:
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -182,6 +182,7 @@
                 self.sync(name)
                 exchange.update()
                 exchange.versions.check_all()
+                exchange.save_uncertain()
 
     def forwarded(self, request_id: str, begun_by: str | None = None) -> Any:
         metadata = SimpleNamespace(
--- a/tests/test_gateway/test_streams/test_streams_losses_of_all.py
+++ b/tests/test_gateway/test_streams/test_streams_losses_of_all.py
@@ -209,6 +209,23 @@
     assert not count_of_joined(fleet, begun)
 
 
+def test_streams_under_way_in_a_release_go_on_after_a_loss_of_all(fleet: OriginFleet) -> None:
+    # The splits before and after a change name different versions for them.
+    fleet.list_servers('v2')
+    begun = begin_many(fleet)
+    fleet.wait(2_000.0)
+    begun |= begin_many(fleet)
+    fleet.list_servers('v1', 1)
+    fleet.delist('v1')
+    fleet.list_servers('v1', 2)
+    fleet.wait(1_000.0)
+    fleet.restart_all()
+    found = {name: fleet.take_up(fleet.names[1], name) for name in begun}
+    assert set(begun.values()) == {V1, V2}
+    assert all(not origin or origin == begun[name] for name, origin in found.items())
+    assert sum(map(bool, found.values())) >= 0.8 * len(begun)
+
+
 def test_servers_without_a_version_cost_no_read_and_no_write() -> None:
     fleet = OriginFleet(3)
     fleet.list_servers('')
