--- a/citrondyke/gateway/streams/origin_exchange.py
+++ b/citrondyke/gateway/streams/origin_exchange.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
 import logbook
 import msgspec
 from gevent.queue import Empty, Queue
 
+from citrondyke.decisions.streams.origin_evidence import OriginEvidence
 from citrondyke.decisions.streams.origin_history import OriginHistory
 from citrondyke.decisions.streams.origin_records import OriginRecord, OriginRecords
 from citrondyke.decisions.streams.stream_origin import (
@@ -21,6 +23,7 @@
 from citrondyke.decisions.streams.version_split import Assignment
 from citrondyke.gateway.peers.peer_codec import OriginAsked, OriginTold, StreamOrigins
 from citrondyke.gateway.streams.origin_store import OriginStore
+from citrondyke.gateway.streams.stream_exceptions import BegunStream
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -50,6 +53,9 @@
 ANSWERS_WITHIN_MS = 150.0
 #: Time for which a caller may resume a stream after the end of its time.
 RESUME_MARGIN_MS = 1_000.0
+#: Interval of storing the streams that splits leave open; it grows beyond so many instances.
+SAVE_EVERY_MS = 500.0
+SAVING_INSTANCES_COUNT = 10
 #: Records in one datagram of at most 1,400 bytes.
 RECORDS_PER_DATAGRAM = 16
 #: Calls of the store without an answer for this long: the server list may be stale.
@@ -118,6 +124,7 @@
         self._send, self._ask = send, ask
         self._book.on_replaced(self.update)
         self.versions.start(self._tasks)
+        self._tasks.supervise(self._run_saves)
 
     def update(self) -> None:
         """Apply the current server list and configuration, and publish what became ambiguous."""
@@ -132,6 +139,24 @@
             }
         )
 
+    def _run_saves(self) -> None:
+        while True:
+            factor = max(1.0, self._book.topology.instances_count / SAVING_INSTANCES_COUNT)
+            gevent.sleep(self._context.jittered_ms(SAVE_EVERY_MS * factor) / 1e3)
+            self.save_uncertain()
+
+    def save_uncertain(self) -> None:
+        """Store where own streams began if the splits leave that open."""
+        if not self._history.has_several_versions:
+            return
+        self.versions.save_uncertain(
+            [
+                BegunStream(key, stream.origin, self._records.left_ms(key))
+                for key, stream in self._own.items()
+                if stream.origin.version and self._records.left_ms(key)
+            ]
+        )
+
     def record(self, forwarded: ForwardedRequest, origin: StreamOrigin) -> None:
         """Record the origin of a stream; call it before the caller receives the first event."""
         request, life_ms = forwarded.request, self._life_ms(forwarded)
@@ -180,17 +205,18 @@
         view = self._history.view(services)
         begun_by = forwarded.metadata.begun_by
         found: StreamOrigin | UnknownOrigin | None = None
-        answers: list[OriginTold] = []
+        evidence = OriginEvidence(view, self._history.covered_ms, self._store.unanswered_ms)
         source = 'own record'
         if begun_by is not None:
             found = self._records.find(stream_key(begun_by))
         if found is None and (begun_by is not None or not _is_certain(view)):
             source = 'peer'
             found, answers = self._ask_peers(begun_by, services)
+            evidence.peer_views = [answer.view for answer in answers]
         if found is None:
             source = 'inferred'
-            found = self._infer(view, answers, services, begun_by)
-        self._log_resolved(forwarded, found, source, view, len(answers), started_ms)
+            found = self._infer(evidence, services, begun_by)
+        self._log_resolved(forwarded, found, source, evidence, started_ms)
         return found
 
     def on_records(self, text: StreamOrigins) -> None:
@@ -262,19 +288,20 @@
 
     def _infer(
         self,
-        view: OriginView,
-        answers: list[OriginTold],
+        evidence: OriginEvidence,
         services: Iterable[ServiceName],
         begun_by: RequestId | None,
     ) -> StreamOrigin | UnknownOrigin:
-        views = [view, *(answer.view for answer in answers)]
+        views = [evidence.view, *evidence.peer_views]
         is_alone = not self._book.topology.all_peers()
-        is_confirmed = bool(answers) or is_alone or self._store.unanswered_ms < STORE_SILENT_MS
+        is_confirmed = (
+            bool(evidence.peer_views) or is_alone or self._store.unanswered_ms < STORE_SILENT_MS
+        )
         inferred = infer_origin(views, is_confirmed=is_confirmed)
         is_answering = self._store.unanswered_ms < STORE_UNRESPONSIVE_MS
         if isinstance(inferred, StreamOrigin) or not is_answering:
             return inferred
-        stored = self.versions.load(services)
+        stored = evidence.stored = self.versions.load(services)
         if stored is None:
             return inferred
         if inferred.reason is OriginUnknownReason.NOT_COVERED and stored.view is not None:
@@ -291,8 +318,7 @@
         forwarded: ForwardedRequest,
         found: StreamOrigin | UnknownOrigin,
         source: str,
-        view: OriginView,
-        answers_count: int,
+        evidence: OriginEvidence,
         started_ms: float,
     ) -> None:
         is_known = isinstance(found, StreamOrigin)
@@ -307,9 +333,8 @@
                 'service': found.service if isinstance(found, StreamOrigin) else None,
                 'source': source,
                 'reason': found.reason.value if isinstance(found, UnknownOrigin) else None,
-                'origins': sorted(f'{each.service} {each.version}' for each in view.origins),
-                'is_complete': view.is_complete,
-                'answers': answers_count,
+                **evidence.log_fields(),
+                'within_ms': forwarded.metadata.within_ms,
                 'took_ms': round(self._context.now_ms() - started_ms, 1),
             },
         )
