--- a/citrondyke/gateway/gauges.py
+++ b/citrondyke/gateway/gauges.py
@@ -86,6 +86,7 @@
         instance.suspect_store.unreadable,
         instance.batch.claimer.unreadable,
         instance.origins.versions.unreadable,
+        instance.origins.versions.exceptions.unreadable,
         unreadable_rows,
     )
     return float(instance.replicated.unreadable_rows_count + sum(each.count for each in others))
--- a/tests/test_gateway/test_streams/test_streams_row_failures.py
+++ b/tests/test_gateway/test_streams/test_streams_row_failures.py
@@ -10,9 +10,11 @@
 from citrondyke.decisions.forwarding.server_registry import ServerRegistry
 from citrondyke.decisions.streams.origin_history import OriginHistory
 from citrondyke.gateway.replication.dependency import Dependency
-from citrondyke.gateway.streams import origin_store
-from citrondyke.gateway.streams.origin_store import EXCEPTIONS_TABLE, VERSIONS_TABLE, OriginStore
+from citrondyke.gateway.streams import stream_exceptions
+from citrondyke.gateway.streams.origin_store import VERSIONS_TABLE, OriginStore
+from citrondyke.gateway.streams.stream_exceptions import EXCEPTIONS_TABLE
 from citrondyke.ids import ServiceName, SoftwareVersion
+from citrondyke.storage.failure import PlatformFailure
 from citrondyke.storage.partitioned_table import Listing, PartTransaction, RowPut
 from citrondyke.util.decoding import decode_json
 from tests.support.flaky_table import FlakyTable
@@ -73,11 +75,15 @@
             raise ZeroDivisionError
         return decode_json(raw, kind)
 
-    monkeypatch.setattr(origin_store, 'decode_json', decode)
-    stream = origin_store._Exception(7, 'a', 'v2', 1e15)
-    value = msgspec.json.encode(origin_store.ExceptionsRow([stream]))
+    monkeypatch.setattr(stream_exceptions, 'decode_json', decode)
+    stream = stream_exceptions._Exception(7, 'a', 'v2', 1e15)
+    value = msgspec.json.encode(stream_exceptions.ExceptionsRow([stream]))
     for name, raw in (('instance-1', b'odd'), ('instance-2', value)):
         put = RowPut(EXCEPTIONS_TABLE, name, raw)
         origins.table.transact(PartTransaction('', puts=(put,)))
-    assert origins.store.find(SERVICES, 7) == stream.origin
-    assert origins.store.unreadable.count == 1
+    stored = origins.store.exceptions.read_all()
+    assert not isinstance(stored, PlatformFailure)
+    assert stored.by_key == {7: stream.origin}
+    # Any other stream may be named in the row that raises.
+    assert not stored.is_whole
+    assert origins.store.exceptions.unreadable.count == 1
