Read what was missed before an instance acts that has stood still

Requests with a key that was revoked meanwhile got 503, as the configuration was only known to be old.

Cause: nothing looked at the age of the last read before a server was chosen. A response that waited in a socket while the process stood still counted as current when it was read. A request that was chosen before the pause was sent after it.

Ruled out: that the feed brings the news first. It does if the first change after the freeze is the server's own; a heartbeat of another server before it answers the feed.

Change: each read's evidence counts from the beginning of its call, by the clock that goes on while a machine is suspended. PauseDetector finds gaps of 750 ms between two observations of the clock, which the event loop's update and each request make. ReplicaFreshness (pure) tells whether the list or the configuration must be read: nothing confirmed it since a pause, or for 1.5 s (three times that in a large fleet), and no call of the store failed lately. ReplicaRefresher holds requests for 150 ms at most while one read for all of them runs, before the route and the key are looked up and before each choice of a server; no request is refused for it. A server that was chosen before the pause is looked at again when its connection is there. Items start only after the read. While the store does not respond all goes on with what is known, as before.

Reads of many instances after a pause of all: two polls each, spread over 80 ms in the largest fleets.

--- a/citrondyke/decisions/server_list/reader_lease_tracker.py
+++ b/citrondyke/decisions/server_list/reader_lease_tracker.py
@@ -57,6 +57,10 @@
         self._context = context
         self._readers: dict[InstanceId, _ReaderState] = {}
         self._delegated_until_ms = float('-inf')
+        #: When the last message that extended the lease arrived, by the fence clock.
+        self.received_ms = float('-inf')
+        #: Time of the newest list of a reader that was the same, by the fence clock.
+        self.confirmed_ms = float('-inf')
         #: Reader whose message extended the lease last.
         self.source: InstanceId | None = None
 
@@ -89,6 +93,8 @@
         if state.is_up_to_date:
             state.number = cursor.number
             state.differs_since_ms = None
+            self.received_ms = self._context.clock.fence_ms()
+            self.confirmed_ms = max(self.confirmed_ms, self.received_ms - cursor.age_ms)
             until_ms = now_ms + min(LEASE_MS, FRESH_MS - cursor.age_ms)
             if until_ms > self._delegated_until_ms:
                 self._delegated_until_ms = until_ms
--- a/citrondyke/gateway/callers/caller_frontend.py
+++ b/citrondyke/gateway/callers/caller_frontend.py
@@ -31,6 +31,7 @@
     from citrondyke.gateway.jobs.job_acceptor import JobAcceptor
     from citrondyke.gateway.jobs.job_endpoint import JobEndpoint
     from citrondyke.gateway.metrics import Metrics
+    from citrondyke.gateway.replication.replica_refresher import ReplicaRefresher
     from citrondyke.gateway.replication.replicated_state import ReplicatedState
 
 __all__ = ('CallerFrontend',)
@@ -57,6 +58,7 @@
         gate: StartupGate,
         connections_limit: int,
         budget: ByteBudget,
+        refresher: ReplicaRefresher,
     ) -> None:
         """Use the parts handed in.
 
@@ -72,6 +74,7 @@
         self._gate = gate
         self._limit = connections_limit
         self._budget = budget
+        self._refresher = refresher
         self._overload = OverloadDetector()
         self._open: set[CallerConnection] = set()
         self.busy_count = 0
@@ -169,6 +172,7 @@
             if not self._replicated.config.table.version:
                 self._answer_not_started(connection, request, metadata.request_id)
                 return
+        self._refresher.wait_until_current(metadata.within_ms)
         call = self._dialect.job_call(request)
         table = self._replicated.config.table
         if call is not None:
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -29,13 +29,14 @@
     from citrondyke.decisions.forwarding.replicated_config import ReplicatedConfig
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.memory.byte_budget import ByteBudget, HeldBytes
-    from citrondyke.gateway.callers.admission_controller import AdmissionController
+    from citrondyke.gateway.callers.admission_controller import AdmissionController, ChosenServer
     from citrondyke.gateway.callers.caller_connection import CallerConnection
     from citrondyke.gateway.callers.caller_request import CallerRequest
     from citrondyke.gateway.callers.error_responder import ErrorResponder
     from citrondyke.gateway.callers.request_log import RequestLog
     from citrondyke.gateway.dialect import Dialect, RequestMetadata
     from citrondyke.gateway.http_head import Headers
+    from citrondyke.gateway.replication.replica_refresher import ReplicaRefresher
     from citrondyke.gateway.servers.poison_request_guard import PoisonRequestGuard
     from citrondyke.gateway.servers.server_connection import ServerConnection
     from citrondyke.gateway.servers.server_sends import OpenReply, ServerSends
@@ -65,8 +66,10 @@
         config: ReplicatedConfig,
         budget: ByteBudget,
         origins: OriginExchange,
+        refresher: ReplicaRefresher,
     ) -> None:
         """Use the parts handed in."""
+        self._refresher = refresher
         self._origins = origins
         self._budget = budget
         self._context = context
@@ -140,6 +143,8 @@
         history = forwarded.history
         failure: DeferredFailure | None = None
         while history.may_send and self._left_ms(forwarded) > 0:
+            self._refresher.wait_until_current(self._left_ms(forwarded))
+            chosen_ms = self._context.clock.fence_ms()
             if history.sends_count and not self._admission.is_key_valid(forwarded):
                 return self._responder.reject_revoked_key(caller, forwarded)
             verdict = self._guard.verdict_on(forwarded.keys)
@@ -161,7 +166,7 @@
                 return self._stop(caller, forwarded, self._guard.verdict_on(forwarded.keys))
             state = admitted.state
             self._log.sent(forwarded, state, admitted.expected_wait_ms)
-            result = self._send(caller, forwarded, state, admitted.expected_wait_ms)
+            result = self._send(caller, forwarded, admitted, chosen_ms)
             if isinstance(result, RequestResult):
                 return result
             if isinstance(result, DeferredFailure):
@@ -203,16 +208,19 @@
         self,
         caller: CallerConnection,
         forwarded: ForwardedRequest,
-        state: ServerState,
-        expected_wait_ms: float,
+        chosen: ChosenServer,
+        chosen_ms: float,
     ) -> RequestResult | DeferredFailure | None:
-        """Send the request to one server; ``None`` if another server may be tried."""
+        """Send the request to one server; ``None`` if another server may be tried.
+
+        :param chosen_ms: when the server was chosen, by the fence clock.
+        """
+        state = chosen.state
         started_ms = self._context.now_ms()
         forwarded.server_first_ms = None
         outcome = SendOutcome.NOT_SENT
         connection = None
-        is_good = False
-        survived = False
+        is_good = survived = False
         detail = ''
         try:
             with self._sends.counted(state):
@@ -222,9 +230,11 @@
                     only_new=not forwarded.route.may_repeat,
                     until_ms=forwarded.until_ms,
                 )
+                if self._refresher.has_left(state, chosen_ms):
+                    return None
                 outcome = SendOutcome.UNKNOWN
                 self._write_request(connection, forwarded, state)
-                reply = self._first_answer(forwarded, state, connection, expected_wait_ms)
+                reply = self._first_answer(forwarded, state, connection, chosen.expected_wait_ms)
                 if reply.metadata.was_not_run:
                     outcome = SendOutcome.REFUSED
                     detail = str(reply.head.status)
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -42,6 +42,7 @@
 from citrondyke.gateway.peers.relayed_table import RelayedTable
 from citrondyke.gateway.replication.dependency import Dependency
 from citrondyke.gateway.replication.followers import follow_instances, follow_replicated_state
+from citrondyke.gateway.replication.replica_refresher import ReplicaRefresher
 from citrondyke.gateway.replication.replicated_state import ReplicatedState
 from citrondyke.gateway.servers.health_log import HealthLog
 from citrondyke.gateway.servers.poison_request_guard import PoisonRequestGuard
@@ -154,6 +155,9 @@
             table,
         )
         self.budget = budget_for(settings.memory_bytes)
+        self.refresher = ReplicaRefresher(
+            self.context, self.metrics, self._store_interval_factor, self._tasks
+        )
         self.origins = OriginExchange(
             self.context,
             self.book,
@@ -187,6 +191,7 @@
             self.replicated.config,
             self.budget,
             self.origins,
+            self.refresher,
         )
         batch_collaborators = BatchCollaborators(
             self.context,
@@ -199,6 +204,7 @@
             self._live,
             self.metrics,
             self._store_interval_factor,
+            self.refresher,
             self._tasks,
         )
         self.batch = BatchSubsystem(batch_collaborators, incarnation, settings, adapters)
@@ -255,6 +261,7 @@
             self.gate,
             settings.connections_limit,
             self.budget,
+            self.refresher,
         )
         self._pages = StatusEndpoint(self.clock, lambda: self.is_ready, self.metrics)
         state = OperatorState(
@@ -287,6 +294,7 @@
             readers,
         )
         readers.start(config_follower, servers_follower)
+        self.refresher.start(config_follower, servers_follower, readers)
         for follower in (config_follower, servers_follower):
             follower.start(self._tasks)
         follow_instances(
@@ -380,6 +388,7 @@
         while True:
             started_ms = self.context.now_ms()
             gevent.sleep(UPDATE_EVERY_S)
+            self.refresher.observe()
             late_ms = self.context.now_ms() - started_ms - UPDATE_EVERY_S * 1e3
             self.frontend.record_lateness(late_ms)
             self.book.topology.replace(
--- a/citrondyke/gateway/jobs/batch_subsystem.py
+++ b/citrondyke/gateway/jobs/batch_subsystem.py
@@ -30,6 +30,7 @@
 from citrondyke.gateway.peers.membership import Membership
 from citrondyke.gateway.peers.peer_codec import BatchNeeds
 from citrondyke.gateway.replication.fleet_queries import FleetQueries
+from citrondyke.gateway.replication.replica_refresher import ReplicaRefresher
 from citrondyke.gateway.replication.replicated_state import ReplicatedState
 from citrondyke.gateway.servers.poison_request_guard import PoisonRequestGuard
 from citrondyke.gateway.servers.server_sends import ServerSends
@@ -59,6 +60,7 @@
     metrics: Metrics
     #: Returns the factor by which store calls are rarer than in a small fleet.
     store_interval_factor: Callable[[], float]
+    refresher: ReplicaRefresher
     tasks: Tasks
 
 
@@ -98,6 +100,7 @@
             self.owned,
             self.committer,
             collaborators.metrics,
+            collaborators.refresher,
             tasks,
         )
         self._sweeper = JobSweeper(
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -9,6 +9,7 @@
 from citrondyke.decisions.batch.owned_job import RunResult, give_up_epoch_ms
 from citrondyke.decisions.crashes.response_phase import STEADY_EVENTS_MS
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
+from citrondyke.errors.item_preempted import ItemPreemptedError
 from citrondyke.gateway.callers.event_stream import EventSplitter
 from citrondyke.ids import RequestId
 
@@ -22,6 +23,7 @@
     from citrondyke.decisions.streams.stream_origin import StreamOrigin
     from citrondyke.gateway.callers.event_stream import StreamEvent
     from citrondyke.gateway.dialect import Dialect
+    from citrondyke.gateway.replication.replica_refresher import ReplicaRefresher
     from citrondyke.gateway.servers.server_connection import ServerConnection
     from citrondyke.gateway.servers.server_sends import ServerSends
 
@@ -50,12 +52,14 @@
         context: Context,
         sends: ServerSends,
         dialect: Dialect,
+        refresher: ReplicaRefresher,
         polls_rarely: Callable[[], bool],
     ) -> None:
         """Initialize the sender.
 
         :param polls_rarely: returns whether to pause between reads of events.
         """
+        self._refresher = refresher
         self._polls_rarely = polls_rarely
         self._context = context
         self._sends = sends
@@ -66,19 +70,24 @@
         progress: ItemProgress,
         head: JobHead,
         state: ServerState,
+        chosen_ms: float,
         on_answered: Callable[[], None],
     ) -> RunResult:
         """Run an item of a job, resuming after its last event.
 
+        :param chosen_ms: when the server was chosen, by the fence clock.
         :param on_answered: called when the item counts as answered: after ``STEADY_EVENTS_MS`` of
             events, and at the end of a response that is told apart from that of its connection.
         :raises BrokenReplyError: if the connection or the reply is interrupted.
+        :raises ItemPreemptedError: if the server has left since it was chosen; nothing was sent.
         """
         until_ms = self._context.now_ms() + INITIAL_EVENT_MS
         request_id = RequestId(progress.item.id)
         connection = self._sends.connect(state, request_id, only_new=False, until_ms=until_ms)
         is_answered = False
         try:
+            if self._refresher.has_left(state, chosen_ms):
+                raise ItemPreemptedError
             result = self._exchange(connection, progress, head, state, on_answered)
             is_answered = True
             return result
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -44,6 +44,7 @@
     from citrondyke.gateway.jobs.job_committer import JobCommitter
     from citrondyke.gateway.jobs.owned_jobs import OwnedJobs
     from citrondyke.gateway.metrics import Metrics
+    from citrondyke.gateway.replication.replica_refresher import ReplicaRefresher
     from citrondyke.gateway.replication.replicated_state import ReplicatedState
     from citrondyke.gateway.servers.poison_request_guard import PoisonRequestGuard
     from citrondyke.gateway.servers.server_sends import ServerSends
@@ -69,6 +70,8 @@
     progress: ItemProgress
     state: ServerState
     started_ms: float
+    #: When its server was chosen, by the fence clock.
+    chosen_ms: float
     keys: RequestKeys
     greenlet: gevent.Greenlet | None = None
     has_begun: bool = False
@@ -102,9 +105,11 @@
         owned: OwnedJobs,
         committer: JobCommitter,
         metrics: Metrics,
+        refresher: ReplicaRefresher,
         tasks: Tasks,
     ) -> None:
         """Initialize the runner."""
+        self._refresher = refresher
         self._context = context
         self._replicated = replicated
         self._scheduler = scheduler
@@ -121,7 +126,9 @@
         self._committer = committer
         self._metrics = metrics
         self._tasks = tasks
-        self._sender = ItemSender(context, sends, dialect, lambda: scheduler.is_fleet_large)
+        self._sender = ItemSender(
+            context, sends, dialect, refresher, lambda: scheduler.is_fleet_large
+        )
         self._lengths = RunLengthEstimator()
         self._runs: dict[int, _ItemRun] = {}
         self._runs_count = 0
@@ -221,6 +228,10 @@
         """
         if self._owned.is_stopping or not self._owned.by_id:
             return
+        if self._refresher.is_stale:
+            # The next check starts them, or goes on with what is known.
+            self._refresher.request()
+            return
         now_ms, epoch_ms = self._context.now_ms(), self._context.epoch_ms()
         waiting: list[tuple[ItemPriority, OwnedJob]] = []
         for job in self._owned.by_id.values():
@@ -398,7 +409,9 @@
             item.body,
             self._dialect.item_prompt_parts(item),
         )
-        run = _ItemRun(job, progress, state, self._context.now_ms(), keys)
+        run = _ItemRun(
+            job, progress, state, self._context.now_ms(), self._context.clock.fence_ms(), keys
+        )
         self._runs[number] = run
         run.greenlet = self._tasks.spawn(self._run_item, number, run)
 
@@ -414,7 +427,7 @@
                 raise ItemPreemptedError
             if self._may_send(run):
                 result = self._sender.run(
-                    progress, job.head, state, lambda: self._record_answered(run)
+                    progress, job.head, state, run.chosen_ms, lambda: self._record_answered(run)
                 )
             else:
                 result = RunResult.BLOCKED
--- a/citrondyke/gateway/peers/server_list_read_delegation.py
+++ b/citrondyke/gateway/peers/server_list_read_delegation.py
@@ -126,6 +126,16 @@
         """Whether this instance is a reader."""
         return self._publisher.is_reader
 
+    @property
+    def received_ms(self) -> float:
+        """When the last message of a reader with the same list arrived, by the fence clock."""
+        return self._subscriber.tracker.received_ms
+
+    @property
+    def confirmed_ms(self) -> float:
+        """Time of the readers' list, if this instance's is the same, by the fence clock."""
+        return self._subscriber.tracker.confirmed_ms
+
     def update_role(self) -> None:
         """Run the election, and update the role of this instance."""
         self._publisher.set_reader(is_reader=self._context.instance_id in self._readers())
--- a/citrondyke/gateway/replication/change_feed.py
+++ b/citrondyke/gateway/replication/change_feed.py
@@ -62,6 +62,8 @@
         self._reread = reread
         self._delegation = NoReadDelegation() if delegation is None else delegation
         self._resume_version = resume_version
+        #: Beginning of the last call, by the fence clock.
+        self.called_ms = float('-inf')
 
     def run(self, version: int = 0) -> None:
         """Follow the table forever.
@@ -74,6 +76,7 @@
                 version = self._wait_while_delegated()
             version = version or self._reread()
             if version:
+                self.called_ms = self._context.clock.fence_ms()
                 feed = self._table.follow(self._name, version, FEED_WAIT_MS)
                 if not isinstance(feed, PlatformFailure):
                     version = feed.version
--- a/citrondyke/gateway/replication/table_follower.py
+++ b/citrondyke/gateway/replication/table_follower.py
@@ -6,8 +6,10 @@
 from typing import TYPE_CHECKING, TypeVar
 
 import gevent
+import msgspec
 from gevent.event import Event
 
+from citrondyke.decisions.forwarding.replica_freshness import ReplicaEvidence
 from citrondyke.gateway.replication.change_feed import ChangeFeed
 from citrondyke.gateway.replication.read_delegation import NoReadDelegation
 from citrondyke.gateway.retry_backoff import backoff_ms
@@ -92,6 +94,7 @@
         #: Average size of the values in the last response of the feed.
         self.row_bytes = 0.0
         self._last_answer_ms = float('-inf')
+        self._evidence = ReplicaEvidence(float('-inf'), float('-inf'))
         #: When the next poll may be a full read rather than a poll for changes.
         self._next_full_read_ms = float('-inf')
         #: Versions up to which polls returned all changes, with their times, the oldest first.
@@ -133,6 +136,15 @@
         """Time since the store's last response about the table."""
         return self._context.now_ms() - self._last_answer_ms
 
+    @property
+    def evidence(self) -> ReplicaEvidence:
+        """How current the table certainly is by this instance's own calls."""
+        return self._evidence
+
+    def _confirm(self, began_ms: float) -> None:
+        confirmed_ms = max(began_ms, self._evidence.confirmed_ms)
+        self._evidence = msgspec.structs.replace(self._evidence, confirmed_ms=confirmed_ms)
+
     def adopt(self, version: int, size_bytes: int) -> None:
         """Adopt the version that a delegate reader has read, to continue from it later.
 
@@ -153,6 +165,7 @@
 
     def read_once(self) -> bool:
         """Read all rows; return whether the store responded."""
+        began_ms = self._context.clock.fence_ms()
         on_page = None if self._version else self._apply_first_page
         listing = self._call_store(
             'read', lambda: self._table.read_all(self._name, '', '', on_page)
@@ -160,6 +173,7 @@
         if isinstance(listing, PlatformFailure):
             return False
         self._on_listing(list(listing.rows), listing.version)
+        self._confirm(began_ms)
         self._version = max(self._version, listing.version)
         self.size_bytes = sum(len(row.value or b'') for row in listing.rows)
         pause_ms = self.size_bytes / FULL_READS_BYTES_PER_S * 1e3
@@ -177,6 +191,7 @@
         """
         if self._on_current is None or self._context.now_ms() >= self._next_full_read_ms:
             return self.read_once()
+        began_ms = self._context.clock.fence_ms()
         after_version = self._reread_recent()
         feed = self._call_store('feed', lambda: self._table.follow(self._name, after_version, 0.0))
         if isinstance(feed, PlatformFailure):
@@ -186,6 +201,7 @@
             self._version = feed.version
             self._polls.append((self._context.now_ms(), feed.version))
             self._on_current()
+            self._confirm(began_ms)
         return True
 
     def _reread_recent(self) -> int:
@@ -207,6 +223,7 @@
         if rows:
             self.row_bytes = sum(len(row.value or b'') for row in rows) / len(rows)
         self._on_rows(rows)
+        self._confirm(self._feed.called_ms)
 
     def _current_interval_factor(self) -> float:
         """Return the interval factor; a delegate reader polls as often as in a small fleet."""
@@ -228,12 +245,14 @@
         if dependency is None:
             return call()
         dependency.record_call()
+        began_ms = self._context.clock.fence_ms()
         answer = call()
         if not isinstance(answer, PlatformFailure):
             self._last_answer_ms = self._context.now_ms()
             dependency.record_answer()
         elif answer.reason is not PlatformFailureReason.HISTORY_LOST:
             # A lost history is a response, and a full read follows it.
+            self._evidence = msgspec.structs.replace(self._evidence, failed_ms=began_ms)
             dependency.record_failure(f'{what} {self._name}: {answer.reason.value}')
         return answer
 
