Don't infer a stream's version from a list that may lack the newest one

What callers saw: a stream that had begun at a new version broke, was taken up at an instance that was cut off from the others, and got 200 with the rest from a server of the old version: one text of two versions.

Cause: a stream without a record is of the only version that can have been. That was inferred from the instance's own list; the list counted as current while no call of the store had been unanswered for a second, or as soon as any peer answered. How old the list was didn't matter: it may lag, the instance may have stood still, and instances that are cut off together confirm each other. The history of versions also counted as complete however old the lists were that it was made from.

Ruled out: the stored splits and exceptions (they are read after the caller has asked), and records (a wrong one was never seen).

Change: the inference needs a read of the list that began after the caller asked. All servers that can have begun its stream were listed before, and the store's responses are linearizable. Without the store more than two thirds of the asked peers must have answered. Otherwise the answer is 503 with a time, also where several versions serve and the instances that have the record were not reached. The history is complete only without a gap between reads of the list.

Cost: one poll of the list for a resumed stream without a record.

Tests: the harness of test_streams_origins.py hands in the evidence of the lists, and can cut instances off; no check was changed.

--- a/citrondyke/decisions/streams/origin_history.py
+++ b/citrondyke/decisions/streams/origin_history.py
@@ -22,7 +22,7 @@
 STREAM_LIFE_FACTOR = 2.0
 #: Time by which the server list of an instance may lag behind that of another one.
 LIST_LAG_MS = 1_000.0
-#: After a longer gap between two updates the instance may have missed a version.
+#: After a longer gap between two reads of the list the instance may have missed a version.
 UPDATE_GAP_MS = 2_000.0
 #: Earlier configurations that are remembered.
 TABLES_LIMIT = 4
@@ -47,13 +47,18 @@
         """Return the time for which a stream may live and be resumed."""
         return STREAM_LIFE_FACTOR * self._table.longest_stream_ms + LIST_LAG_MS
 
-    def update(self, listed: Collection[StreamOrigin], table: RouteTable) -> None:
-        """Apply the origins of all listed servers, leaving ones included."""
+    def update(
+        self, listed: Collection[StreamOrigin], table: RouteTable, confirmed_ms: float
+    ) -> None:
+        """Apply the origins of all listed servers, leaving ones included.
+
+        :param confirmed_ms: time up to which the list has all changes, by the fence clock.
+        """
         now_ms = self._context.clock.fence_ms()
-        if now_ms - self._updated_ms > UPDATE_GAP_MS and listed:
+        if confirmed_ms - self._updated_ms > UPDATE_GAP_MS and listed:
             self._complete_since_ms = now_ms
         if listed:
-            self._updated_ms = now_ms
+            self._updated_ms = max(confirmed_ms, self._updated_ms)
         if table is not self._table:
             self._earlier.append((now_ms, self._table))
             self._table = table
--- a/citrondyke/decisions/streams/stream_origin.py
+++ b/citrondyke/decisions/streams/stream_origin.py
@@ -49,7 +49,7 @@
     NOT_COVERED = 'not_covered'
     #: The server list came from an instance of an earlier version, which leaves versions out.
     NOT_STATED = 'not_stated'
-    #: The server list may be stale and no peer answered.
+    #: The server list may lack the newest version, and too few peers answered.
     NOT_CONFIRMED = 'not_confirmed'
 
 
@@ -77,7 +77,8 @@
     instance whose server list lags does not know the newest version, so the views of all instances
     that answered are combined.
 
-    :param is_confirmed: whether the views include that of an instance whose list is current.
+    :param is_confirmed: whether the views include that of an instance whose list is newer than the
+        end of the stream.
     """
     views = list(views)
     origins = frozenset[StreamOrigin]().union(*(view.origins for view in views))
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -13,7 +13,7 @@
 from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.decisions.memory.byte_budget import HeldKind
 from citrondyke.decisions.servers.baseline_latencies import BaselineLatencies
-from citrondyke.decisions.streams.stream_origin import UnknownOrigin
+from citrondyke.decisions.streams.stream_origin import OriginUnknownReason, UnknownOrigin
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.error_responder import DeferredFailure
@@ -49,6 +49,8 @@
 #: request, the sound parts of its prompt would be blocked with the harmful one, since no other
 #: request is answered in between.
 SUSPECT_RUNS_LIMIT = 2
+#: Retry time for a stream whose origin an instance that is out of step doesn't know.
+ORIGIN_RETRY_MS = 500.0
 
 
 class Forwarder:
@@ -133,7 +135,12 @@
             return None
         origin = self._origins.resolve(forwarded)
         if isinstance(origin, UnknownOrigin):
-            return self._responder.reject(caller, forwarded, RequestResult.ORIGIN_UNKNOWN, None)
+            # Another instance, or this one once it reaches the others, may know.
+            is_unconfirmed = origin.reason is OriginUnknownReason.NOT_CONFIRMED
+            retry_in_ms = ORIGIN_RETRY_MS if is_unconfirmed else None
+            return self._responder.reject(
+                caller, forwarded, RequestResult.ORIGIN_UNKNOWN, retry_in_ms
+            )
         forwarded.origin = origin
         if self._admission.can_continue(forwarded):
             return None
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -165,6 +165,7 @@
             self.store,
             table,
             lambda: self.membership.is_known,
+            self.refresher,
             self.metrics,
             self._tasks,
         )
--- a/citrondyke/gateway/streams/origin_exchange.py
+++ b/citrondyke/gateway/streams/origin_exchange.py
@@ -32,6 +32,7 @@
     from citrondyke.gateway.metrics import Metrics
     from citrondyke.gateway.peers.peer_codec import PeerText
     from citrondyke.gateway.replication.dependency import Dependency
+    from citrondyke.gateway.replication.list_evidence import ListEvidence
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.ids import InstanceId, RequestId, ServiceName
     from citrondyke.storage.partitioned_table import PartitionedTable
@@ -52,9 +53,11 @@
 RESUME_MARGIN_MS = 1_000.0
 #: Records in one datagram of at most 1,400 bytes.
 RECORDS_PER_DATAGRAM = 16
-#: Calls of the store without an answer for this long: the server list may be stale.
-STORE_SILENT_MS = 1_000.0
-#: ... and for this long: a caller would wait for a read until its timeout, only to be refused.
+#: Share of the asked peers that must answer to prove that no version is missing, while the store
+#: doesn't respond. A zone or a few instances that are cut off together reach fewer.
+VOUCHING_SHARE = 2 / 3
+#: Calls of the store without an answer for this long: a caller would wait for a read until its
+#: timeout, only to be refused.
 STORE_UNRESPONSIVE_MS = 300.0
 
 
@@ -83,6 +86,7 @@
         store: Dependency,
         table: PartitionedTable,
         is_fleet_known: Callable[[], bool],
+        evidence: ListEvidence,
         metrics: Metrics,
         tasks: Tasks,
     ) -> None:
@@ -90,7 +94,9 @@
 
         :param store: tracks whether the store answers.
         :param is_fleet_known: returns whether the list of instances was received.
+        :param evidence: tells how current the server list is.
         """
+        self._evidence = evidence
         self._context = context
         self._book = book
         self._config = config
@@ -121,7 +127,7 @@
 
     def update(self) -> None:
         """Apply the current server list and configuration, and publish what became ambiguous."""
-        self._history.update(self._book.origins, self._config.table)
+        self._update_history()
         for key in [key for key in self._own if not self._records.left_ms(key)]:
             del self._own[key]
         self._publish(
@@ -178,6 +184,7 @@
     def resolve(self, forwarded: ForwardedRequest) -> StreamOrigin | UnknownOrigin:
         """Find the origin of a stream that a caller resumes."""
         started_ms = self._context.now_ms()
+        since_ms = self._context.clock.fence_ms()
         self.update()
         services = self._history.services(forwarded.request.host, forwarded.request.path)
         view = self._history.view(services)
@@ -192,7 +199,7 @@
             found, answers = self._ask_peers(begun_by, services)
         if found is None:
             source = 'inferred'
-            found = self._infer(view, answers, services, begun_by)
+            found = self._infer(answers, services, begun_by, since_ms)
         self._log_resolved(forwarded, found, source, view, len(answers), started_ms)
         return found
 
@@ -204,13 +211,17 @@
 
     def answer(self, asked: OriginAsked) -> OriginTold:
         """Answer a peer that looks for the origin of a stream."""
-        self._history.update(self._book.origins, self._config.table)
+        self._update_history()
         return OriginTold(
             self._records.find(asked.key),
             self._records.left_ms(asked.key),
             self._history.view(asked.services),
         )
 
+    def _update_history(self) -> None:
+        confirmed_ms = self._evidence.list_confirmed_ms
+        self._history.update(self._book.origins, self._config.table, confirmed_ms)
+
     def _is_ambiguous(self, stream: _OwnStream) -> bool:
         services = self._history.services(stream.host, stream.path) | {stream.origin.service}
         return len(self._history.origins(services)) > 1
@@ -265,28 +276,55 @@
 
     def _infer(
         self,
-        view: OriginView,
         answers: list[OriginTold],
-        services: Iterable[ServiceName],
+        services: frozenset[ServiceName],
         begun_by: RequestId | None,
+        since_ms: float,
     ) -> StreamOrigin | UnknownOrigin:
-        views = [view, *(answer.view for answer in answers)]
-        is_alone = not self._book.topology.all_peers()
-        is_confirmed = bool(answers) or is_alone or self._store.unanswered_ms < STORE_SILENT_MS
-        inferred = infer_origin(views, is_confirmed=is_confirmed)
+        """Infer the origin of a stream without a record.
+
+        :param since_ms: when its caller asked for the rest, by the fence clock. Where it began, its
+            server was listed before.
+        """
+        views = [self._history.view(services), *(answer.view for answer in answers)]
+        inferred = infer_origin(views, is_confirmed=True)
         is_answering = self._store.unanswered_ms < STORE_UNRESPONSIVE_MS
-        if isinstance(inferred, StreamOrigin) or not is_answering:
-            return inferred
-        if inferred.reason is OriginUnknownReason.NOT_COVERED:
+        if inferred == UnknownOrigin(OriginUnknownReason.NOT_COVERED) and is_answering:
             stored = self.versions.read(services)
             if stored is not None:
-                inferred = infer_origin([*views, stored], is_confirmed=is_confirmed)
+                views.append(stored)
+                inferred = infer_origin(views, is_confirmed=True)
+        if isinstance(inferred, StreamOrigin):
+            is_confirmed = self._is_confirmed(len(answers), since_ms)
+            self.update()
+            # The read may have brought another version.
+            views.append(self._history.view(services))
+            inferred = infer_origin(views, is_confirmed=is_confirmed)
         if isinstance(inferred, StreamOrigin) or begun_by is None:
             return inferred
-        found = self.versions.find(services, stream_key(begun_by))
+        found = self.versions.find(services, stream_key(begun_by)) if is_answering else None
         # Rows without any listed version are stale.
         is_listed = any(found in each.origins for each in views)
-        return found if found is not None and is_listed else inferred
+        if found is not None and is_listed:
+            return found
+        if inferred.reason is OriginUnknownReason.SEVERAL and not self._is_vouched(len(answers)):
+            # Those that have the record were not reached.
+            return UnknownOrigin(OriginUnknownReason.NOT_CONFIRMED)
+        return inferred
+
+    def _is_confirmed(self, answers_count: int, since_ms: float) -> bool:
+        """Return whether no version can be missing.
+
+        An instance that is cut off from its peers, or has stood still, may lack the newest one. A
+        read that began after the caller asked shows it. While the store is away from the whole
+        fleet, nobody knows a newer one.
+        """
+        return self._evidence.confirm_list_since(since_ms) or self._is_vouched(answers_count)
+
+    def _is_vouched(self, answers_count: int) -> bool:
+        """Return whether enough peers answered to prove that something is unknown to all."""
+        asked_count = min(ASKED_COUNT, len(self._book.topology.all_peers()))
+        return not asked_count or answers_count > VOUCHING_SHARE * asked_count
 
     def _log_resolved(
         self,
--- a/tests/test_gateway/test_streams/test_streams_origins.py
+++ b/tests/test_gateway/test_streams/test_streams_origins.py
@@ -20,6 +20,7 @@
 from citrondyke.gateway.metrics import Metrics
 from citrondyke.gateway.peers.peer_codec import OriginAsked, OriginTold, PeerText, StreamOrigins
 from citrondyke.gateway.replication.dependency import Dependency
+from citrondyke.gateway.replication.list_evidence import ListEvidence
 from citrondyke.gateway.streams.origin_exchange import OriginExchange
 from citrondyke.gateway.tasks import Tasks
 from citrondyke.ids import ConfigVersion, InstanceId, RequestId, ServiceName, SoftwareVersion
@@ -52,6 +53,24 @@
         return UNAVAILABLE if self.is_away else super().read(table, part, from_key, limit)
 
 
+class SyncedList(ListEvidence):
+    """The list of an instance, read from the store by the test."""
+
+    def __init__(self, fleet: OriginFleet, name: InstanceId) -> None:
+        self._fleet = fleet
+        self._name = name
+        self.read_ms = float('-inf')
+
+    @property
+    def list_confirmed_ms(self) -> float:
+        return self.read_ms
+
+    def confirm_list_since(self, since_ms: float) -> bool:
+        if self.read_ms < since_ms:
+            self._fleet.sync(self._name)
+        return self.read_ms >= since_ms
+
+
 class OriginFleet:
     """The origins of a fleet's streams, exchanged without a network."""
 
@@ -62,9 +81,14 @@
         self.names = [InstanceId(f'edge-{number}') for number in range(count)]
         self.listed: dict[str, ServerListEntry] = {}
         self.live: dict[InstanceId, OriginExchange] = {}
+        self.lists: dict[InstanceId, SyncedList] = {}
         self.books: dict[InstanceId, ServerRegistry] = {}
         self.sent_count = 0
         self.loss_share = 0.0
+        #: Instances that exchange messages among themselves only.
+        self.cut_off: set[InstanceId] = set()
+        #: Instances that the store does not answer.
+        self.without_store: set[InstanceId] = set()
 
     def list_servers(self, version: str, count: int = 3) -> None:
         for number in range(count):
@@ -79,6 +103,7 @@
     def start(self, name: InstanceId) -> None:
         number = self.names.index(name)
         context = manual_context(self.clock, name, ZONES[number % 3], seed=number)
+        self.lists[name] = SyncedList(self, name)
         book = self.books[name] = ServerRegistry(context)
         zones = {each: ZONES[n % 3] for n, each in enumerate(self.names) if each != name}
         book.topology.replace(zones)  # type: ignore[arg-type]
@@ -91,27 +116,36 @@
             Dependency(self.clock, 'store'),
             self.table,
             lambda: True,
+            self.lists[name],
             Metrics(),
             Tasks(),
         )
-        exchange.start(self.deliver, self.ask)
+        exchange.start(
+            lambda text, to: self.deliver(name, text, to),
+            lambda peer, asked: self.ask(name, peer, asked),
+        )
         self.sync(name)
 
     def kill(self, name: InstanceId) -> None:
         self.live.pop(name)
 
-    def deliver(self, text: PeerText, recipients: list[InstanceId]) -> None:
+    def reaches(self, sender: InstanceId, recipient: InstanceId) -> bool:
+        is_same_side = (sender in self.cut_off) == (recipient in self.cut_off)
+        return is_same_side and recipient in self.live
+
+    def deliver(self, sender: InstanceId, text: PeerText, recipients: list[InstanceId]) -> None:
         assert isinstance(text, StreamOrigins)
         self.sent_count += len(recipients)
         for recipient in recipients:
-            if recipient in self.live and self.random.random() >= self.loss_share:
+            if self.reaches(sender, recipient) and self.random.random() >= self.loss_share:
                 self.live[recipient].on_records(text)
 
-    def ask(self, peer: InstanceId, asked: OriginAsked) -> OriginTold | None:
-        return self.live[peer].answer(asked) if peer in self.live else None
+    def ask(self, asker: InstanceId, peer: InstanceId, asked: OriginAsked) -> OriginTold | None:
+        return self.live[peer].answer(asked) if self.reaches(asker, peer) else None
 
     def sync(self, name: InstanceId) -> None:
-        if not self.table.is_away:
+        if not self.table.is_away and name not in self.without_store:
+            self.lists[name].read_ms = self.clock.fence_ms()
             self.books[name].replace(list(self.listed.values()))
 
     def wait(self, wait_ms: float) -> None:
@@ -245,6 +279,54 @@
         assert fleet.take_up(at, 'request-1') == V2
 
 
+@pytest.mark.parametrize('begun_by', ['request-1', None])
+@pytest.mark.parametrize('is_store_away', [False, True])
+@pytest.mark.parametrize('lag_ms', [100.0, 1_000.0, 4_000.0])
+def test_instance_out_of_step_does_not_infer_the_old_version(
+    fleet: OriginFleet, begun_by: str | None, is_store_away: bool, lag_ms: float
+) -> None:
+    # An instance that is cut off from the others misses a new version; it infers from its own list
+    # that there is only the old one, and joins two versions.
+    at = fleet.names[1]
+    fleet.cut_off.add(at)
+    begin_at_next_version(fleet)
+    fleet.clock.ms += lag_ms
+    fleet.table.is_away = is_store_away
+    assert fleet.take_up(at, begun_by) != V1
+
+
+@pytest.mark.parametrize('begun_by', ['request-1', None])
+def test_zone_out_of_step_does_not_infer_the_old_version(
+    fleet: OriginFleet, begun_by: str | None
+) -> None:
+    # A whole zone is cut off from the others and from the store; its instances agree on the past.
+    zone = {name for name in fleet.names if fleet.names.index(name) % 3 == 1}
+    fleet.cut_off |= zone
+    fleet.without_store |= zone
+    begin_at_next_version(fleet)
+    fleet.clock.ms += 500.0
+    for at in zone:
+        assert not fleet.take_up(at, begun_by)
+
+
+def test_lost_records_of_a_new_version_are_not_taken_for_the_old_one(fleet: OriginFleet) -> None:
+    # All copies of the record are lost, its instance is killed, and the lists of the others lag.
+    fleet.loss_share = 1.0
+    begin_at_next_version(fleet)
+    fleet.kill(fleet.names[0])
+    fleet.clock.ms += 100.0
+    for at in fleet.names[1:]:
+        assert fleet.take_up(at, 'request-1') != V1
+
+
+def begin_at_next_version(fleet: OriginFleet) -> None:
+    """Replace the servers, and begin a stream at the only instance that knows it."""
+    fleet.list_servers('v2')
+    fleet.delist('v1')
+    fleet.sync(fleet.names[0])
+    assert fleet.begin(fleet.names[0], 'request-1') == V2
+
+
 def test_record_of_a_version_that_is_not_listed_yet_ends_the_inference(fleet: OriginFleet) -> None:
     # A holder whose list lags knows the new version from the record alone.
     fleet.list_servers('v2')
@@ -355,6 +437,14 @@
         fleet.start(name)
 
 
+def cut_some(fleet: OriginFleet, random: Random) -> None:
+    """Cut some instances off from the others, from the store, or from both; or reconnect all."""
+    names = set(random.sample(fleet.names, random.choice((0, 1, 3))))
+    fleet.cut_off, fleet.without_store = random.choice(
+        ((names, set()), (set(), names), (names,) * 2)
+    )
+
+
 def start_all(fleet: OriginFleet, _: Random) -> None:
     """Start the instances that are down."""
     for name in fleet.names:
@@ -369,8 +459,8 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_no_series_of_kills_and_releases_joins_two_versions(seed: int) -> None:
-    # Instances are killed, four or all at once, lists lag, messages get lost and the store goes
-    # away while versions come and go.
+    # Instances are killed, four or all at once, or cut off, lists lag, messages get lost and the
+    # store goes away while versions come and go.
     random = Random(seed)
     fleet = OriginFleet(10, seed)
     fleet.list_servers('v0')
@@ -381,7 +471,9 @@
     for number in range(400):
         fleet.wait(random.choice((0.0, 0.0, 250.0, 500.0)))
         if random.random() < DISTURBANCE_SHARE:
-            random.choice((release, end_version, kill_some, start_all, turn_store))(fleet, random)
+            random.choice((release, end_version, kill_some, start_all, turn_store, cut_some))(
+                fleet, random
+            )
         origin = fleet.begin(random.choice(sorted(fleet.live)), f'request-{number}')
         if origin is not None:
             streams[f'request-{number}'] = origin
--- a/tests/test_gateway/test_streams/test_streams_software_versions.py
+++ b/tests/test_gateway/test_streams/test_streams_software_versions.py
@@ -144,6 +144,48 @@
         fleet.end()
 
 
+@pytest.mark.parametrize('is_store_cut', [False, True])
+def test_stream_of_a_new_version_is_not_joined_at_an_instance_out_of_step(
+    *, is_store_cut: bool
+) -> None:
+    # An instance that is cut off from the others, and from the store, knows the old version only;
+    # it answers 200 and has the rest written by a server of that version.
+    fleet = GatewayFleet()
+    try:
+        fleet.configure(routes=[route('stream', 'streaming', 'lm', resumable=True, timeout_ms=800)])
+        for number in range(2):
+            fleet.add_server(f'lm-{number}', 'lm', version='v1')
+        for _ in range(3):
+            fleet.start_instance()
+        wait_all_known(fleet)
+        cut_off = fleet.instances[2]
+        wait_until_seen(lambda: cut_off.origins._history.is_complete, 'a known past')
+        # No peer listens there, and what peers send is dropped.
+        cut_off.peers._port = 1
+        cut_off.peers._on_datagram = lambda data, address: None  # type: ignore[method-assign]
+        if is_store_cut:
+            fleet.store.faults.refused_ips = {cut_off.address.ip}
+            # The feed that is open already brings one more change.
+            fleet.list_server('lm-0', 'lm', seq=2)
+            wait_until_seen(lambda: cut_off.store.unanswered_ms, 'a rejected call')
+        for number in range(2):
+            fleet.list_server(f'lm-{number}', 'lm', state='draining', seq=3)
+            fleet.add_server(f'lm-{number + 2}', 'lm', version='v2')
+        wait_until_seen(
+            lambda: {origin.version for origin in fleet.instances[0].book.origins} == {'v1', 'v2'},
+            'the new version',
+        )
+        begun = begin_streams(fleet, 6)
+        assert {stream.version for stream in begun} == {'v2'}
+        fleet.instances[0].stop_abruptly()
+        for stream in begun:
+            reply = stream.take_up(at=2)
+            assert versions_of(stream.joined_with(reply)) == {'v2'}
+            assert reply.status == 200 or 'retry-after' in reply.headers
+    finally:
+        fleet.end()
+
+
 def test_half_of_the_streams_of_two_versions_go_on_after_a_loss_of_all(fleet: GatewayFleet) -> None:
     # All instances lose what they knew; the stored split tells which version began a stream.
     for number in range(4):
