Give a time where a stream's version may only be newer than the list

What callers saw: an instance that couldn't reach the store knew from a peer's record which version had begun a stream, but had no server of that version in its list yet. It answered 503 without a time, which says that coming back won't help.

Cause: that no server of a version is listed was taken for its end, however old the list.

Change: the refusal is without a time only after a read of the list within 250 ms; one read serves all callers that wait. The read may also bring the version.

--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -51,6 +51,9 @@
 SUSPECT_RUNS_LIMIT = 2
 #: Retry time for a stream whose origin an instance that is out of step doesn't know.
 ORIGIN_RETRY_MS = 500.0
+#: A list that was read within this time tells whether a version has servers. Callers whose version
+#: is gone ask again and again; each of their requests must not cost a read.
+LIST_RECENT_MS = 250.0
 
 
 class Forwarder:
@@ -144,7 +147,13 @@
         forwarded.origin = origin
         if self._admission.can_continue(forwarded):
             return None
-        return self._responder.reject(caller, forwarded, RequestResult.ORIGIN_GONE, None)
+        # The version may be newer than the list.
+        since_ms = self._context.clock.fence_ms() - LIST_RECENT_MS
+        is_gone = self._refresher.confirm_list_since(since_ms)
+        if self._admission.can_continue(forwarded):
+            return None
+        retry_in_ms = None if is_gone else ORIGIN_RETRY_MS
+        return self._responder.reject(caller, forwarded, RequestResult.ORIGIN_GONE, retry_in_ms)
 
     def _serve(self, caller: CallerConnection, forwarded: ForwardedRequest) -> RequestResult:
         history = forwarded.history
--- a/tests/test_gateway/test_streams/test_streams_software_versions.py
+++ b/tests/test_gateway/test_streams/test_streams_software_versions.py
@@ -144,12 +144,15 @@
         fleet.end()
 
 
-@pytest.mark.parametrize('is_store_cut', [False, True])
+@pytest.mark.parametrize(
+    ('is_store_cut', 'are_peers_cut'), [(False, True), (True, True), (True, False)]
+)
 def test_stream_of_a_new_version_is_not_joined_at_an_instance_out_of_step(
-    *, is_store_cut: bool
+    *, is_store_cut: bool, are_peers_cut: bool
 ) -> None:
-    # An instance that is cut off from the others, and from the store, knows the old version only;
-    # it answers 200 and has the rest written by a server of that version.
+    # An instance that is cut off from the others, or from the store, knows the old version only; it
+    # answers 200 and has the rest written by a server of that version, or answers as if no server
+    # of the new version were left.
     fleet = GatewayFleet()
     try:
         fleet.configure(routes=[route('stream', 'streaming', 'lm', resumable=True, timeout_ms=800)])
@@ -160,9 +163,10 @@
         wait_all_known(fleet)
         cut_off = fleet.instances[2]
         wait_until_seen(lambda: cut_off.origins._history.is_complete, 'a known past')
-        # No peer listens there, and what peers send is dropped.
-        cut_off.peers._port = 1
-        cut_off.peers._on_datagram = lambda data, address: None  # type: ignore[method-assign]
+        if are_peers_cut:
+            # No peer listens there, and what peers send is dropped.
+            cut_off.peers._port = 1
+            cut_off.peers._on_datagram = lambda data, address: None  # type: ignore[method-assign]
         if is_store_cut:
             fleet.store.faults.refused_ips = {cut_off.address.ip}
             # The feed that is open already brings one more change.
