--- a/citrondyke/gateway/callers/caller_frontend.py
+++ b/citrondyke/gateway/callers/caller_frontend.py
@@ -34,6 +34,7 @@
     from citrondyke.gateway.jobs.job_acceptor import JobAcceptor
     from citrondyke.gateway.jobs.job_endpoint import JobEndpoint
     from citrondyke.gateway.metrics import Metrics
+    from citrondyke.gateway.replication.replica_refresher import ReplicaRefresher
     from citrondyke.gateway.replication.replicated_state import ReplicatedState
 
 __all__ = ('CallerFrontend',)
@@ -62,6 +63,7 @@
         gate: StartupGate,
         connections_limit: int,
         budget: ByteBudget,
+        refresher: ReplicaRefresher,
     ) -> None:
         """Use the parts handed in.
 
@@ -77,6 +79,7 @@
         self._gate = gate
         self._limit = connections_limit
         self._budget = budget
+        self._refresher = refresher
         self._overload = OverloadDetector()
         #: The open connections, each with the greenlet that serves it.
         self._open: dict[CallerConnection, gevent.Greenlet] = {}
@@ -230,6 +233,7 @@
             if not self._replicated.config.table.version:
                 self._answer_not_started(connection, request, metadata.request_id)
                 return
+        self._refresher.wait_until_current(metadata.within_ms)
         call = self._dialect.job_call(request)
         table = self._replicated.config.table
         if call is not None:
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -15,7 +15,7 @@
 from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.decisions.memory.byte_budget import HeldKind
 from citrondyke.decisions.servers.baseline_latencies import BaselineLatencies
-from citrondyke.decisions.streams.stream_origin import UnknownOrigin
+from citrondyke.decisions.streams.stream_origin import OriginUnknownReason, UnknownOrigin
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.errors.instance_stopping import InstanceStoppingError
@@ -32,13 +32,14 @@
     from citrondyke.decisions.forwarding.replicated_config import ReplicatedConfig
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.decisions.memory.byte_budget import ByteBudget, HeldBytes
-    from citrondyke.gateway.callers.admission_controller import AdmissionController
+    from citrondyke.gateway.callers.admission_controller import AdmissionController, ChosenServer
     from citrondyke.gateway.callers.caller_connection import CallerConnection
     from citrondyke.gateway.callers.caller_request import CallerRequest
     from citrondyke.gateway.callers.error_responder import ErrorResponder
     from citrondyke.gateway.callers.request_log import RequestLog
     from citrondyke.gateway.dialect import Dialect, RequestMetadata
     from citrondyke.gateway.http_head import Headers
+    from citrondyke.gateway.replication.replica_refresher import ReplicaRefresher
     from citrondyke.gateway.servers.poison_request_guard import PoisonRequestGuard
     from citrondyke.gateway.servers.server_connection import ServerConnection
     from citrondyke.gateway.servers.server_sends import OpenReply, ServerSends
@@ -51,6 +52,11 @@
 #: request, the sound parts of its prompt would be blocked with the harmful one, since no other
 #: request is answered in between.
 SUSPECT_RUNS_LIMIT = 2
+#: Retry time for a stream whose origin an instance that is out of step doesn't know.
+ORIGIN_RETRY_MS = 500.0
+#: A list that was read within this time tells whether a version has servers. Callers whose version
+#: is gone ask again and again; each of their requests must not cost a read.
+LIST_RECENT_MS = 250.0
 
 
 class Forwarder:
@@ -68,8 +74,10 @@
         config: ReplicatedConfig,
         budget: ByteBudget,
         origins: OriginExchange,
+        refresher: ReplicaRefresher,
     ) -> None:
         """Use the parts handed in."""
+        self._refresher = refresher
         self._origins = origins
         self._budget = budget
         self._context = context
@@ -153,16 +161,29 @@
             return None
         origin = self._origins.resolve(forwarded)
         if isinstance(origin, UnknownOrigin):
-            return self._responder.reject(caller, forwarded, RequestResult.ORIGIN_UNKNOWN, None)
+            # Another instance, or this one once it reaches the others, may know.
+            is_unconfirmed = origin.reason is OriginUnknownReason.NOT_CONFIRMED
+            retry_in_ms = ORIGIN_RETRY_MS if is_unconfirmed else None
+            return self._responder.reject(
+                caller, forwarded, RequestResult.ORIGIN_UNKNOWN, retry_in_ms
+            )
         forwarded.origin = origin
         if self._admission.can_continue(forwarded):
             return None
-        return self._responder.reject(caller, forwarded, RequestResult.ORIGIN_GONE, None)
+        # The version may be newer than the list.
+        since_ms = self._context.clock.fence_ms() - LIST_RECENT_MS
+        is_gone = self._refresher.confirm_list_since(since_ms)
+        if self._admission.can_continue(forwarded):
+            return None
+        retry_in_ms = None if is_gone else ORIGIN_RETRY_MS
+        return self._responder.reject(caller, forwarded, RequestResult.ORIGIN_GONE, retry_in_ms)
 
     def _serve(self, caller: CallerConnection, forwarded: ForwardedRequest) -> RequestResult:
         history = forwarded.history
         failure: DeferredFailure | None = None
         while history.may_send and self._left_ms(forwarded) > 0:
+            self._refresher.wait_until_current(self._left_ms(forwarded))
+            chosen_ms = self._context.clock.fence_ms()
             if history.sends_count and not self._admission.is_key_valid(forwarded):
                 return self._responder.reject_revoked_key(caller, forwarded)
             verdict = self._guard.verdict_on(forwarded.keys)
@@ -184,7 +205,7 @@
                 return self._stop(caller, forwarded, self._guard.verdict_on(forwarded.keys))
             state = admitted.state
             self._log.sent(forwarded, state, admitted.expected_wait_ms)
-            result = self._send(caller, forwarded, state, admitted.expected_wait_ms)
+            result = self._send(caller, forwarded, admitted, chosen_ms)
             if isinstance(result, RequestResult):
                 return result
             if isinstance(result, DeferredFailure):
@@ -226,16 +247,19 @@
         self,
         caller: CallerConnection,
         forwarded: ForwardedRequest,
-        state: ServerState,
-        expected_wait_ms: float,
+        chosen: ChosenServer,
+        chosen_ms: float,
     ) -> RequestResult | DeferredFailure | None:
-        """Send the request to one server; ``None`` if another server may be tried."""
+        """Send the request to one server; ``None`` if another server may be tried.
+
+        :param chosen_ms: when the server was chosen, by the fence clock.
+        """
+        state = chosen.state
         started_ms = self._context.now_ms()
         forwarded.server_first_ms = None
         outcome = SendOutcome.NOT_SENT
         connection = None
-        is_good = False
-        survived = False
+        is_good = survived = False
         detail = ''
         try:
             with self._sends.counted(state):
@@ -245,9 +269,11 @@
                     only_new=not forwarded.route.may_repeat,
                     until_ms=forwarded.until_ms,
                 )
+                if self._refresher.has_left(state, chosen_ms):
+                    return None
                 outcome = SendOutcome.UNKNOWN
                 self._write_request(connection, forwarded, state)
-                reply = self._first_answer(forwarded, state, connection, expected_wait_ms)
+                reply = self._first_answer(forwarded, state, connection, chosen.expected_wait_ms)
                 if reply.metadata.was_not_run:
                     outcome = SendOutcome.REFUSED
                     detail = str(reply.head.status)
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -16,6 +16,7 @@
 from citrondyke.gateway.metrics import Metrics
 from citrondyke.gateway.peers.peer_codec import OriginAsked, OriginTold, PeerText, StreamOrigins
 from citrondyke.gateway.replication.dependency import Dependency
+from citrondyke.gateway.replication.list_evidence import ListEvidence
 from citrondyke.gateway.streams.origin_exchange import OriginExchange
 from citrondyke.gateway.tasks import Tasks
 from citrondyke.ids import (
@@ -99,6 +100,24 @@
         """Do nothing."""
 
 
+class SyncedList(ListEvidence):
+    """The list of an instance, read from the store by the test."""
+
+    def __init__(self, fleet: OriginFleet, name: InstanceId) -> None:
+        self._fleet = fleet
+        self._name = name
+        self.read_ms = float('-inf')
+
+    @property
+    def list_confirmed_ms(self) -> float:
+        return self.read_ms
+
+    def confirm_list_since(self, since_ms: float) -> bool:
+        if self.read_ms < since_ms:
+            self._fleet.sync(self._name)
+        return self.read_ms >= since_ms
+
+
 class OriginFleet:
     """The origins of a fleet's streams, exchanged without a network."""
 
@@ -112,9 +131,14 @@
         #: Versions that were ever listed.
         self.versions: list[str] = []
         self.live: dict[InstanceId, OriginExchange] = {}
+        self.lists: dict[InstanceId, SyncedList] = {}
         self.books: dict[InstanceId, ServerRegistry] = {}
         self.sent_count = 0
         self.loss_share = 0.0
+        #: Instances that exchange messages among themselves only.
+        self.cut_off: set[InstanceId] = set()
+        #: Instances that the store does not answer.
+        self.without_store: set[InstanceId] = set()
 
     def list_servers(self, version: str, count: int = 3) -> None:
         self.versions.append(version)
@@ -131,6 +155,7 @@
         number = self.names.index(name)
         zone = AvailabilityZone(ZONES[number % 3])
         context = Context(name, zone, self.clocks[name], Random(number))
+        self.lists[name] = SyncedList(self, name)
         book = self.books[name] = ServerRegistry(context)
         zones = {each: ZONES[n % 3] for n, each in enumerate(self.names) if each != name}
         book.topology.replace(zones)  # type: ignore[arg-type]
@@ -143,10 +168,14 @@
             Dependency(self.clocks[name], 'store'),
             self.table,
             lambda: True,
+            self.lists[name],
             Metrics(),
             WaitTasks(),
         )
-        exchange.start(self.deliver, self.ask)
+        exchange.start(
+            lambda text, to: self.deliver(name, text, to),
+            lambda peer, asked: self.ask(name, peer, asked),
+        )
         self.sync(name)
 
     def kill(self, name: InstanceId) -> None:
@@ -159,18 +188,23 @@
         for name in self.names:
             self.start(name)
 
-    def deliver(self, text: PeerText, recipients: list[InstanceId]) -> None:
+    def reaches(self, sender: InstanceId, recipient: InstanceId) -> bool:
+        is_same_side = (sender in self.cut_off) == (recipient in self.cut_off)
+        return is_same_side and recipient in self.live
+
+    def deliver(self, sender: InstanceId, text: PeerText, recipients: list[InstanceId]) -> None:
         assert isinstance(text, StreamOrigins)
         self.sent_count += len(recipients)
         for recipient in recipients:
-            if recipient in self.live and self.random.random() >= self.loss_share:
+            if self.reaches(sender, recipient) and self.random.random() >= self.loss_share:
                 self.live[recipient].on_records(text)
 
-    def ask(self, peer: InstanceId, asked: OriginAsked) -> OriginTold | None:
-        return self.live[peer].answer(asked) if peer in self.live else None
+    def ask(self, asker: InstanceId, peer: InstanceId, asked: OriginAsked) -> OriginTold | None:
+        return self.live[peer].answer(asked) if self.reaches(asker, peer) else None
 
     def sync(self, name: InstanceId) -> None:
-        if not self.table.is_away:
+        if not self.table.is_away and name not in self.without_store:
+            self.lists[name].read_ms = self.clock.fence_ms()
             self.books[name].replace(list(self.listed.values()))
 
     def wait(self, wait_ms: float) -> None:
--- a/tests/test_gateway/test_streams/test_streams_origins.py
+++ b/tests/test_gateway/test_streams/test_streams_origins.py
@@ -108,6 +108,54 @@
         assert fleet.take_up(at, 'request-1') == V2
 
 
+@pytest.mark.parametrize('begun_by', ['request-1', None])
+@pytest.mark.parametrize('is_store_away', [False, True])
+@pytest.mark.parametrize('lag_ms', [100.0, 1_000.0, 4_000.0])
+def test_instance_out_of_step_does_not_infer_the_old_version(
+    fleet: OriginFleet, begun_by: str | None, is_store_away: bool, lag_ms: float
+) -> None:
+    # An instance that is cut off from the others misses a new version; it infers from its own list
+    # that there is only the old one, and joins two versions.
+    at = fleet.names[1]
+    fleet.cut_off.add(at)
+    begin_at_next_version(fleet)
+    fleet.clock.ms += lag_ms
+    fleet.table.is_away = is_store_away
+    assert fleet.take_up(at, begun_by) != V1
+
+
+@pytest.mark.parametrize('begun_by', ['request-1', None])
+def test_zone_out_of_step_does_not_infer_the_old_version(
+    fleet: OriginFleet, begun_by: str | None
+) -> None:
+    # A whole zone is cut off from the others and from the store; its instances agree on the past.
+    zone = {name for name in fleet.names if fleet.names.index(name) % 3 == 1}
+    fleet.cut_off |= zone
+    fleet.without_store |= zone
+    begin_at_next_version(fleet)
+    fleet.clock.ms += 500.0
+    for at in zone:
+        assert not fleet.take_up(at, begun_by)
+
+
+def test_lost_records_of_a_new_version_are_not_taken_for_the_old_one(fleet: OriginFleet) -> None:
+    # All copies of the record are lost, its instance is killed, and the lists of the others lag.
+    fleet.loss_share = 1.0
+    begin_at_next_version(fleet)
+    fleet.kill(fleet.names[0])
+    fleet.clock.ms += 100.0
+    for at in fleet.names[1:]:
+        assert fleet.take_up(at, 'request-1') != V1
+
+
+def begin_at_next_version(fleet: OriginFleet) -> None:
+    """Replace the servers, and begin a stream at the only instance that knows it."""
+    fleet.list_servers('v2')
+    fleet.delist('v1')
+    fleet.sync(fleet.names[0])
+    assert fleet.begin(fleet.names[0], 'request-1') == V2
+
+
 def test_record_of_a_version_that_is_not_listed_yet_ends_the_inference(fleet: OriginFleet) -> None:
     # A holder whose list lags knows the new version from the record alone.
     fleet.list_servers('v2')
@@ -218,6 +266,14 @@
         fleet.start(name)
 
 
+def cut_some(fleet: OriginFleet, random: Random) -> None:
+    """Cut some instances off from the others, from the store, or from both; or reconnect all."""
+    names = set(random.sample(fleet.names, random.choice((0, 1, 3))))
+    fleet.cut_off, fleet.without_store = random.choice(
+        ((names, set()), (set(), names), (names,) * 2)
+    )
+
+
 def start_all(fleet: OriginFleet, _: Random) -> None:
     """Start the instances that are down."""
     for name in fleet.names:
@@ -232,8 +288,8 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_no_series_of_kills_and_releases_joins_two_versions(seed: int) -> None:
-    # Instances are killed, four or all at once, lists lag, messages get lost and the store goes
-    # away while versions come and go.
+    # Instances are killed, four or all at once, or cut off, lists lag, messages get lost and the
+    # store goes away while versions come and go.
     random = Random(seed)
     fleet = OriginFleet(10, seed)
     fleet.list_servers('v0')
@@ -244,7 +300,9 @@
     for number in range(400):
         fleet.wait(random.choice((0.0, 0.0, 250.0, 500.0)))
         if random.random() < DISTURBANCE_SHARE:
-            random.choice((release, end_version, kill_some, start_all, turn_store))(fleet, random)
+            random.choice((release, end_version, kill_some, start_all, turn_store, cut_some))(
+                fleet, random
+            )
         origin = fleet.begin(random.choice(sorted(fleet.live)), f'request-{number}')
         if origin is not None:
             streams[f'request-{number}'] = origin
