--- a/tests/test_gateway/test_streams/test_streams_software_versions.py
+++ b/tests/test_gateway/test_streams/test_streams_software_versions.py
@@ -284,6 +284,26 @@
     assert_texts_of_one_version(fleet, 'job-1', at=1, events_count=80)
 
 
+def test_items_of_lost_instances_have_the_text_of_one_version(fleet: GatewayFleet) -> None:
+    # All instances are lost after one version's servers have left; the next owners know only the
+    # saved progress.
+    for name in ('lm-0', 'lm-1', 'lm-2', 'lm-3'):
+        fleet.servers[name].event_gap_ms = 60.0
+        fleet.servers[name].events_count = 80
+    assert fleet.submit('job-1', 8, at=0).status == 202
+    jobs = fleet.instances[0].batch.owned.by_id.values()
+    wait_until_seen(
+        lambda: any(each.saved_event_id for job in jobs for each in job.open.values()),
+        'saved progress',
+    )
+    for number in (0, 2):
+        fleet.list_server(f'lm-{number}', 'lm', state='draining', seq=2)
+    restart_all(fleet)
+    for server in fleet.servers.values():
+        server.event_gap_ms = 1.0
+    assert_texts_of_one_version(fleet, 'job-1', at=1, events_count=80)
+
+
 def test_late_item_begins_anew_while_its_version_has_no_capacity() -> None:
     # The only server of its version stays full of online requests while another version is idle.
     fleet = GatewayFleet()
