--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -74,9 +74,13 @@
         (version,) = versions_of(self.events)
         return version
 
+    def close(self) -> None:
+        """Close its connection."""
+        self._stack.close()
+
     def take_up(self, at: int, attempt: int = 2, **headers: str) -> Reply:
         """Close the connection, and ask another instance for the rest."""
-        self._stack.close()
+        self.close()
         return self._fleet.call(
             '/stream/x',
             b'',
