Take a response that was not applied for no evidence of the list's age

Change: a follower confirms only what is in force.

Evidence: test_response_that_was_not_applied_is_no_evidence_of_the_age fails without the condition and passes with it.

--- a/citrondyke/gateway/replication/followers.py
+++ b/citrondyke/gateway/replication/followers.py
@@ -61,6 +61,7 @@
         interval_factor,
         replicated.on_servers_current,
         delegation=servers_delegation,
+        is_applied=lambda: replicated.is_reconciled,
     )
     return config, servers
 
--- a/citrondyke/gateway/replication/table_follower.py
+++ b/citrondyke/gateway/replication/table_follower.py
@@ -64,6 +64,7 @@
         *,
         with_feed: bool = True,
         delegation: ReadDelegation | None = None,
+        is_applied: Callable[[], bool] = lambda: True,
     ) -> None:
         """Follow the rows whose part is empty.
 
@@ -77,7 +78,10 @@
         :param with_feed: whether changes must arrive before the next poll.
         :param delegation: whether another instance reads the table for this one; ``None`` if that
             never happens.
+        :param is_applied: returns whether what the callbacks got is in force. A response that could
+            not be applied proves nothing about the age of the local copy.
         """
+        self._is_applied = is_applied
         self._context = context
         self._table = table
         self._name = name
@@ -142,6 +146,8 @@
         return self._evidence
 
     def _confirm(self, began_ms: float) -> None:
+        if not self._is_applied():
+            return
         confirmed_ms = max(began_ms, self._evidence.confirmed_ms)
         self._evidence = msgspec.structs.replace(self._evidence, confirmed_ms=confirmed_ms)
 
--- a/tests/test_gateway/test_replication/test_replication_table_follower.py
+++ b/tests/test_gateway/test_replication/test_replication_table_follower.py
@@ -62,6 +62,7 @@
         self.table = _CountedTable()
         self.seen: list[bytes | None] = []
         self.current_count = 0
+        self.is_applied = True
         self.follower = TableFollower(
             manual_context(self.clock),
             self.table,
@@ -71,6 +72,7 @@
             lambda rows, _: self._record_rows(tuple(rows)),
             lambda: 1.0,
             self._record_current,
+            is_applied=lambda: self.is_applied,
         )
 
     def put(self, value: bytes, key: str = 'all') -> None:
@@ -102,6 +104,22 @@
     assert follower.table.shown_bytes == 2 * len(LARGE)
 
 
+def test_response_that_was_not_applied_is_no_evidence_of_the_age(follower: Follower) -> None:
+    # An instance whose list can't be applied would take it for the current one, since the store
+    # has answered, and send requests to servers that left.
+    follower.put(LARGE)
+    follower.follower.poll_once()
+    confirmed_ms = follower.follower.evidence.confirmed_ms
+    follower.is_applied = False
+    follower.clock.ms += 1_000.0
+    for read in (follower.follower.poll_once, follower.follower.read_once):
+        assert read()
+        assert follower.follower.evidence.confirmed_ms == confirmed_ms
+    follower.is_applied = True
+    assert follower.follower.poll_once()
+    assert follower.follower.evidence.confirmed_ms > confirmed_ms
+
+
 def test_change_is_read_without_a_full_read(follower: Follower) -> None:
     follower.put(LARGE)
     follower.follower.poll_once()
