--- a/citrondyke/gateway/streams/origin_exchange.py
+++ b/citrondyke/gateway/streams/origin_exchange.py
@@ -54,7 +54,7 @@
 #: Time for which a caller may resume a stream after the end of its time.
 RESUME_MARGIN_MS = 1_000.0
 #: Interval of storing the streams that splits leave open; it grows beyond so many instances.
-SAVE_EVERY_MS = 500.0
+SAVE_EVERY_MS = 250.0
 SAVING_INSTANCES_COUNT = 10
 #: Records in one datagram of at most 1,400 bytes.
 RECORDS_PER_DATAGRAM = 16
