Start items though another step of the loop raises

An owner preempts and counts items before it starts them, in one loop. A job for which one of the first two raises ended the loop before the start, at each restart: the items of all its jobs were started only at the end of another run.

Each step runs alone now. test_step_that_raises_does_not_keep_items_from_starting waited in vain for 30 s before, and passes.

--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -216,10 +216,17 @@
         while True:
             self._owned.wait_for_jobs()
             gevent.sleep(START_EVERY_MS / 1e3)
-            self._apply_updates()
-            self.preempt_items()
-            self._count_waiting()
-            self._start_items()
+            self._run_turn()
+
+    def _run_turn(self) -> None:
+        """Preempt, count and start items; a step that raises must not keep items from starting."""
+        for step in (
+            self._apply_updates,
+            self.preempt_items,
+            self._count_waiting,
+            self._start_items,
+        ):
+            self._tasks.failures.attempt(step.__qualname__, step)
 
     def _start_items(self) -> None:
         """Start items while capacity is free, in the order of their priority.
--- a/tests/test_gateway/test_jobs/test_jobs_failures.py
+++ b/tests/test_gateway/test_jobs/test_jobs_failures.py
@@ -187,3 +187,19 @@
     assert states == {'job-1': 'completed', 'job-2': 'completed'}
     counts = [state.own.batch for instance in fleet.instances for state in instance.book.states()]
     assert not any(counts)
+
+
+def test_step_that_raises_does_not_keep_items_from_starting(
+    fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # One job for which its waiting items can't be counted kept the items of all jobs waiting.
+    for instance in fleet.instances:
+        monkeypatch.setattr(instance.batch.runner, '_count_waiting', _raise)
+        monkeypatch.setattr(instance.batch.runner, 'preempt_items', _raise)
+    # No run ends that would start the next one.
+    for name in ('lm-1', 'lm-2'):
+        fleet.list_server(name, 'lm', state='draining', seq=2)
+    assert fleet.submit('job', 8).status == 202
+    for name in ('lm-1', 'lm-2'):
+        fleet.list_server(name, 'lm', seq=3)
+    assert {each['state'] for each in fleet.wait_done('job')} == {'completed'}
