Go on with a list that stays old though the store answers

An owner without online requests would have started no item and read the store again at each look, every 25 ms.

--- a/citrondyke/gateway/replication/replica_refresher.py
+++ b/citrondyke/gateway/replication/replica_refresher.py
@@ -189,12 +189,16 @@
             if config is None or servers is None:
                 return
             before_ms = self._freshness.age_ms((config.evidence, self._servers_evidence()))
-            began_ms = self._context.now_ms()
+            began_ms, began_fence_ms = self._context.now_ms(), self._context.clock.fence_ms()
             spread_ms = SPREAD_MS * (self._interval_factor() - 1.0) / 2.0
             gevent.sleep(self._context.random.random() * spread_ms / 1e3)
             followers = self._stale_followers() or [servers]
             reads = [self._tasks.spawn(follower.poll_once) for follower in followers]
             gevent.joinall(reads)
+            if self._stale_followers():
+                # The store has not answered, or its answer could not be applied. Nothing waits for
+                # the next read for a while.
+                self._freshness.record_unanswered(began_fence_ms)
             self._metrics.counters['replica_reads'] += 1
             log.info(
                 'replica.read',
--- a/tests/test_gateway/test_replication/test_replication_replica_refresher.py
+++ b/tests/test_gateway/test_replication/test_replication_replica_refresher.py
@@ -123,3 +123,18 @@
     assert replica.table.reads_count == reads_before + 1
     replica.table.is_down = True
     assert not replica.refresher.confirm_list_since(since_ms + 1.0)
+
+
+def test_list_that_cannot_be_applied_holds_nothing_for_long(replica: Replica) -> None:
+    # The store answers, but its answer is not in force: items would wait for ever, and the store
+    # would be read again for each look at them.
+    replica.followers[1]._is_applied = lambda: False
+    replica.clock.ms += 2.0 * PAUSE_MS
+    reads_count = replica.table.reads_count
+    for _ in range(20):
+        if replica.refresher.is_stale:
+            replica.refresher.request()
+        gevent.sleep(0.01)
+        replica.clock.ms += 25.0
+    assert not replica.refresher.is_stale
+    assert replica.table.reads_count - reads_count <= 2
