Keep a whole response whole when its connection closes after it

A response to a request taken after SIGTERM closes its connection, and its state is then another one than that of a kept connection. An exception behind it was taken for one inside it, and reset the connection; the end of a stop began a second response behind a whole one, with the same effect. A reset can overtake what was sent.

test_exception_after_a_whole_answer_leaves_it_whole[close] and test_stop_after_a_whole_answer_leaves_it_whole failed before.

--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -31,6 +31,8 @@
 WRITE_STALL_S = 10.0
 #: How long the bytes of a caller are discarded before its connection is closed.
 DISCARD_S = 0.2
+#: States of the connection after a whole response, with and without a next one.
+WHOLE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 #: Bytes that a caller may send while it waits for a response.
 PIPELINED_LIMIT_BYTES = 65_536
 
@@ -123,6 +125,11 @@
             % (status, phrase, lines)
         )
 
+    @property
+    def has_whole_answer(self) -> bool:
+        """Whether the response to the current request is whole."""
+        return self.has_begun_answer and self._http.our_state in WHOLE_STATES
+
     def send_error(self, status: int, headers: Sequence[Header]) -> None:
         """Answer a request whose handling failed, and close the connection afterwards.
 
@@ -135,7 +142,7 @@
         self.close_after_answer()
         if not self.has_begun_answer:
             self.reject_unread(status, headers)
-        elif self._http.our_state is not h11.DONE:
+        elif not self.has_whole_answer:
             self.abort()
 
     def release_request(self) -> None:
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -140,6 +140,8 @@
         except CallerGoneError:
             raise
         except InstanceStoppingError:
+            if caller.has_whole_answer:
+                return RequestResult.DONE
             return self._responder.answer_failed(caller, forwarded, None, is_out_of_time=False)
         except (Exception, gevent.Timeout):
             self._log.failed(forwarded)
--- a/tests/test_gateway/test_callers/test_callers_internal_errors.py
+++ b/tests/test_gateway/test_callers/test_callers_internal_errors.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from citrondyke.errors.instance_stopping import InstanceStoppingError
+from citrondyke.gateway.callers.caller_connection import CallerConnection
 from citrondyke.gateway.callers.event_stream import EventSplitter, StreamEvent
 from citrondyke.gateway.metrics import Metrics
 from tests.support.caller import receive_answer
@@ -24,6 +26,18 @@
     return metrics.counters['requests_failed_internally']
 
 
+@pytest.fixture
+def aborted(monkeypatch: pytest.MonkeyPatch) -> list[CallerConnection]:
+    """Connections that would have been reset."""
+    found: list[CallerConnection] = []
+
+    def record(connection: CallerConnection) -> None:
+        found.append(connection)
+
+    monkeypatch.setattr(CallerConnection, 'abort', record)
+    return found
+
+
 def test_exception_before_a_send_is_answered_500(
     fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -71,15 +85,33 @@
     assert _failures(fleet.instances[0].metrics) == 1
 
 
+@pytest.mark.parametrize('connection', ['keep-alive', 'close'])
 def test_exception_after_a_whole_answer_leaves_it_whole(
-    fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch
+    fleet: GatewayFleet,
+    monkeypatch: pytest.MonkeyPatch,
+    aborted: list[CallerConnection],
+    connection: str,
 ) -> None:
     # A reset can overtake the response that was just sent.
     instance = fleet.instances[0]
     monkeypatch.setattr(instance.guard, 'record_survived', _fail)
-    reply = fleet.call('/order/a')
+    reply = fleet.call('/order/a', connection=connection)
     assert (reply.status, reply.is_whole) == (200, True)
     assert _failures(instance.metrics) == 1
+    assert not aborted
+
+
+def test_stop_after_a_whole_answer_leaves_it_whole(
+    fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch, aborted: list[CallerConnection]
+) -> None:
+    # At the end of a stop a second response was begun after the whole one, and reset both.
+    def stop(*_: Any) -> Any:
+        raise InstanceStoppingError
+
+    monkeypatch.setattr(fleet.instances[0].guard, 'record_survived', stop)
+    reply = fleet.call('/order/a')
+    assert (reply.status, reply.is_whole) == (200, True)
+    assert not aborted
 
 
 @pytest.mark.parametrize('error', [OSError, _UnexpectedError])
