Wait for the connections that a stop accepts last

They counted as open once their greenlets had begun; a stop with nothing else open went on to the exit before that. Found by the review, by reading. test_connection_accepted_last_is_served_by_a_stopping_instance failed before.

--- a/citrondyke/gateway/graceful_shutdown.py
+++ b/citrondyke/gateway/graceful_shutdown.py
@@ -73,6 +73,8 @@
         while self._clock.now_ms() < min(started_ms + BALANCER_MS, end_ms):
             gevent.sleep(POLL_S)
         self._close_listener()
+        # The connections that were just accepted count as open once their greenlets have begun.
+        gevent.sleep(0)
         self._frontend.reject_after(end_ms)
         log.info('instance.draining', extra={'open_connections': self._frontend.open_count})
         self._wait_for_connections(end_ms)
--- a/tests/test_gateway/test_gateway_stop.py
+++ b/tests/test_gateway/test_gateway_stop.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, cast
+
 import gevent
 import pytest
 from gevent import socket
 
 from citrondyke.gateway import graceful_shutdown
+from citrondyke.gateway.graceful_shutdown import GracefulShutdown
 from citrondyke.standin.platform_server import AnswerMode
+from citrondyke.util.clock import SystemClock
 from tests.support.caller import receive_answer
 from tests.support.gateway import HOST, GatewayFleet, Reply, exchange, wait_until_seen
 
+if TYPE_CHECKING:
+    from citrondyke.gateway.callers.caller_frontend import CallerFrontend
+
 #: Time in which the load balancer still sends, shortened for most tests.
 BALANCER_MS = 300.0
 #: From the request to stop until the process is killed.
@@ -168,3 +176,29 @@
         instance.frontend.close_idle()
         assert idle.recv(1) == b''
         assert receive_answer(asked).startswith(b'HTTP/1.1 200')
+
+
+def test_connection_accepted_last_is_served_by_a_stopping_instance() -> None:
+    # It counted as open only once its greenlet had begun, and the process exited before.
+    answered: list[bool] = []
+    frontend = SimpleNamespace(open_count=0, busy_count=0, is_stopping=False)
+    frontend.reject_after = frontend.close_idle = frontend.end_requests = lambda *_: None
+
+    def serve() -> None:
+        frontend.open_count = 1
+        gevent.sleep(0.01)
+        answered.append(True)
+        frontend.open_count = 0
+
+    accepted: list[tuple[object, ...]] = [()]
+    listener = SimpleNamespace(
+        stop_accepting=lambda: None,
+        close=lambda: None,
+        do_read=lambda: accepted.pop() if accepted else None,
+        do_handle=lambda: gevent.spawn(serve),
+    )
+    stop = GracefulShutdown(
+        SystemClock(), cast('CallerFrontend', frontend), listener, lambda _: None
+    )
+    stop.run(graceful_shutdown.STOP_MARGIN_MS + 100.0)
+    assert answered
