Tell peers of a stop though the transfer of its jobs raises

An exception there kept the heartbeat of an instance that was gone, so that its jobs waited until it was missed.

--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -364,7 +364,9 @@
         stop.run(self._settings.stop_within_ms)
 
     def _transfer_ownership(self, until_ms: float) -> None:
-        self.batch.transfer_ownership(until_ms)
+        # Peers must learn that this instance leaves, whatever became of its jobs.
+        transfer = self.batch.transfer_ownership
+        self._tasks.failures.attempt(transfer.__qualname__, transfer, until_ms)
         self.membership.leave()
 
     @property
--- a/citrondyke/gateway/jobs/backlog_limiter.py
+++ b/citrondyke/gateway/jobs/backlog_limiter.py
@@ -124,7 +124,8 @@
 
     def shutdown(self) -> None:
         """Stop accepting jobs before a planned stop; their ownership is released afterwards."""
-        for tokens in self._by_limit.values():
+        # A submission may add a limit meanwhile.
+        for tokens in list(self._by_limit.values()):
             tokens.shutdown()
 
     def poll(self, route: Route, config_version: ConfigVersion) -> None:
--- a/tests/test_gateway/test_gateway_stop.py
+++ b/tests/test_gateway/test_gateway_stop.py
@@ -178,6 +178,22 @@
         assert receive_answer(asked).startswith(b'HTTP/1.1 200')
 
 
+def test_peers_learn_of_a_stop_though_its_jobs_raise(
+    fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # They would count the instance as live, and its jobs as owned, until its heartbeat is missed.
+    instance = fleet.instances[1]
+
+    def fail(_: float) -> None:
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(instance.batch, 'transfer_ownership', fail)
+    left: list[bool] = []
+    monkeypatch.setattr(instance.membership, 'leave', lambda: left.append(True))
+    instance._transfer_ownership(0.0)
+    assert left
+
+
 def test_connection_accepted_last_is_served_by_a_stopping_instance() -> None:
     # It counted as open only once its greenlet had begun, and the process exited before.
     answered: list[bool] = []
