--- a/citrondyke/util/numbers.py
+++ b/citrondyke/util/numbers.py
@@ -6,10 +6,10 @@
 
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 
-__all__ = ('MAX_COUNT', 'parse_count', 'parse_decimal', 'read_count', 'shortened')
+__all__ = ('COUNT_LIMIT', 'parse_count', 'parse_decimal', 'read_count', 'shortened')
 
 #: Largest count: one that follows it still fits into 64 bits.
-MAX_COUNT = 2**63 - 1
+COUNT_LIMIT = 2**63 - 1
 #: Longest text of a number, leading zeros included. ``int`` raises an error for a text of more than
 #: 4,300 digits, and a shorter one may still be too large for a ``float`` or a field of a message.
 NUMBER_LIMIT_CHARACTERS = 40
@@ -18,7 +18,7 @@
 QUOTED_CHARACTERS = 40
 
 
-def parse_count(text: str | bytes, limit: int = MAX_COUNT) -> int | None:
+def parse_count(text: str | bytes, limit: int = COUNT_LIMIT) -> int | None:
     """Parse ASCII digits as a whole number from 0 to ``limit``; ``None`` for any other text."""
     if len(text) > NUMBER_LIMIT_CHARACTERS or not text.isdigit() or not text.isascii():
         return None
@@ -37,7 +37,7 @@
     return number if lowest <= number <= highest else None
 
 
-def read_count(text: str | bytes, what: str, limit: int = MAX_COUNT) -> int:
+def read_count(text: str | bytes, what: str, limit: int = COUNT_LIMIT) -> int:
     """Parse a whole number from 0 to ``limit``.
 
     :param what: names the number in the error.
--- a/tests/test_util/test_util_numbers.py
+++ b/tests/test_util/test_util_numbers.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
-from citrondyke.util.numbers import MAX_COUNT, parse_count, parse_decimal, read_count, shortened
+from citrondyke.util.numbers import COUNT_LIMIT, parse_count, parse_decimal, read_count, shortened
 
 #: Texts that a library function takes for a number, or raises an error for that few expect.
 ODD_NUMBERS = (
@@ -43,7 +43,7 @@
     assert parse_decimal(text.encode('utf-8', 'replace'), -5.0, 1e6) == number
 
 
-@given(st.integers(0, MAX_COUNT))
+@given(st.integers(0, COUNT_LIMIT))
 def test_counts_and_decimals_in_range_are_parsed(number: int) -> None:
     assert parse_count(str(number)) == parse_count(str(number).encode()) == number
     assert parse_decimal(str(number), 0.0, 1e19) == float(number)
