--- a/tests/test_soak/soak.py
+++ b/tests/test_soak/soak.py
@@ -463,6 +463,9 @@
             for name, server in self._fleet.servers.items()
             if name not in self._fleet.left_s and not server.has_crashed
         }
+        if not stays:
+            # All have crashed at this moment, and their successors aren't listed yet.
+            return
         name = random.choice(sorted(stays))
         service = self._fleet.services[name]
         successor = f'{service}-{len(self._fleet.servers)}'
