--- a/review/common2/http1.py
+++ b/review/common2/http1.py
@@ -84,7 +84,7 @@
         finally:
             writer.close()
 
-    async def guarded(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def guarded(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # A task that is cancelled before it begins would be reported as an error.
         task = asyncio.create_task(serve(reader, writer))
         TASKS.add(task)
