Say why a waiting batch item is not placed

A job's items can wait beside idle servers, and nothing in the log told a reserve from a budget of starts, from counts that are too high or from a list without servers: kept_places was 0 in all fleets of up to 24 instances, and no refusal was counted.

items.wait now has free_places, kept_places also in small fleets, and how often no server was chosen since the last line, by reason; items_not_placed_<reason>_total and a gauge of free places beside the kept ones. One line a second while items wait, as before.

--- a/citrondyke/decisions/batch/batch_scheduler.py
+++ b/citrondyke/decisions/batch/batch_scheduler.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -11,6 +11,7 @@
 
 from citrondyke.decisions.batch.item_priority import LATE_SLACK_MS
 from citrondyke.decisions.batch.online_headroom import OnlineHeadroom
+from citrondyke.decisions.batch.placement_refusal import PlacementRefusal
 from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.util.hashing import rendezvous_weight
 
@@ -111,6 +112,10 @@
         self._registry = registry
         self._rate_limiter = rate_limiter
         self.headroom = OnlineHeadroom(context)
+        #: Choices that found no server, by reason.
+        self.refusals: Counter[PlacementRefusal] = Counter()
+        #: Free capacity as of the last choice of a server, with what is kept for online requests.
+        self.free_by_service: dict[ServiceName, int] = {}
         self._preempted_ms: dict[ServerIncarnation, float] = {}
         self._excess_history: dict[ServerIncarnation, _ExcessHistory] = {}
 
@@ -145,6 +150,9 @@
         eligible = self._registry.eligible_servers(service, origin=origin)
         local, remote = self._split_by_zone(eligible)
         is_at_risk = urgency_now is Urgency.AT_RISK
+        self.free_by_service[service] = sum(
+            max(0, _free_capacity(state, now_ms)) for state in eligible
+        )
         candidates = [
             _Candidate(state, free)
             for state in local
@@ -170,9 +178,11 @@
         if is_remote:
             candidates = _remote_candidates(remote, now_ms, is_at_risk=is_at_risk)
             free_count = sum(candidate.free for candidate in candidates)
-        if not candidates or not self._rate_limiter.try_start(
-            service, free_count, is_remote=is_remote
-        ):
+        if not candidates:
+            self.refusals[self._refusal(service, eligible)] += 1
+            return None
+        if not self._rate_limiter.try_start(service, free_count, is_remote=is_remote):
+            self.refusals[PlacementRefusal.START_BUDGET] += 1
             return None
         # Weighted random choice by free capacity: the emptiest server looks so to all owners at
         # once, and a deterministic choice would overload it.
@@ -184,12 +194,20 @@
         ]
         return self._context.random.choices(candidates, weights)[0].state
 
+    def _refusal(self, service: ServiceName, eligible: list[ServerState]) -> PlacementRefusal:
+        if not eligible:
+            return PlacementRefusal.NO_SERVER
+        if self.free_by_service[service] < 1:
+            return PlacementRefusal.FULL
+        return PlacementRefusal.KEPT_FOR_ONLINE
+
     def _headroom_count(self, service: ServiceName, servers_count: int) -> int:
         """Return the capacity to leave free on the servers that have any.
 
         In a small fleet each server needs its own, because there are few servers to use instead.
         """
         if not self._registry.topology.is_zoned:
+            self.headroom.by_service[service] = servers_count
             return servers_count
         return self.headroom.headroom_for(service, servers_count)
 
--- a/citrondyke/gateway/gauges.py
+++ b/citrondyke/gateway/gauges.py
@@ -64,6 +64,7 @@
         ),
         ('open_connections', lambda: float(instance.frontend.open_count)),
         ('owned_jobs', lambda: float(len(instance.batch.owned.by_id))),
+        ('free_places', lambda: float(instance.batch.runner.free_count())),
         ('kept_places', lambda: float(instance.batch.runner.headroom_count())),
         ('suspects', lambda: float(len(instance.suspects))),
         ('limit_slots', lambda: float(len(instance.limits.held_slots()))),
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -340,7 +340,9 @@
                 extra={
                     **{each.name.lower(): self._waiting[each] for each in CompletionLikelihood},
                     'running': len(self._runs),
+                    'free_places': self.free_count(),
                     'kept_places': self.headroom_count(),
+                    'refused': self._take_refusals(),
                     'other_owners': sum(len(self._demand.peer_demand(each)) for each in priorities),
                 },
             )
@@ -353,6 +355,18 @@
         """Return the capacity that is kept free for online requests."""
         return sum(self._scheduler.headroom.by_service.values()) if self._owned.by_id else 0
 
+    def free_count(self) -> int:
+        """Return the capacity that requests and items leave free, with what is kept."""
+        return sum(self._scheduler.free_by_service.values()) if self._owned.by_id else 0
+
+    def _take_refusals(self) -> dict[str, int]:
+        """Return how often no server was found since the last call, by reason, and count it."""
+        refusals = {each.value: count for each, count in self._scheduler.refusals.items()}
+        self._scheduler.refusals.clear()
+        for reason, count in refusals.items():
+            self._metrics.counters[f'items_not_placed_{reason}'] += count
+        return refusals
+
     def _priority(self, job: OwnedJob, progress: ItemProgress, epoch_ms: float) -> ItemPriority:
         slack_ms = job.head.due_epoch_ms - epoch_ms - self._remaining_ms(job, progress)
         margin_ms = self._lengths.margin_ms(job.head.route)
