Keep a part of a service for items at risk, never a small server as a whole

Items at risk may keep a quarter of each server, but one place at least: on a server of one slot that is all of it, on one of two a half. Two things followed. A server of one slot with any item, also one that is preempted at once, counted as full for online requests, so that admission expected a wait of a whole service time and rejected requests with a target of up to 250 ms at the start; and items at risk on such servers were never preempted, so that online requests waited for the rest of the run, seconds.

Servers that are too small for a part of their own now share one: of eight servers of one slot two have a protected place, of three none. The limit is set with each server list, by the order of the ids. Servers of four slots and more have what they had.

--- a/citrondyke/decisions/forwarding/server_registry.py
+++ b/citrondyke/decisions/forwarding/server_registry.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from citrondyke.decisions.forwarding.peer_topology import PeerTopology
+from citrondyke.decisions.forwarding.protected_capacity import protect_batch_capacity
 from citrondyke.decisions.forwarding.server_state import ServerState
 from citrondyke.decisions.servers.candidate_sampling import sample_candidates
 from citrondyke.decisions.servers.expected_finish import REQUEST_COST, expected_finish
@@ -141,6 +142,8 @@
             state.listed = entry
         for state in (*change.removed, *change.restarted):
             state.is_delisted = True
+        for of_service in by_service.values():
+            protect_batch_capacity(of_service)
         return change
 
     def notify_replaced(self) -> None:
--- a/citrondyke/decisions/forwarding/server_state.py
+++ b/citrondyke/decisions/forwarding/server_state.py
@@ -34,11 +34,6 @@
 #: How long a server gets no requests once another one has answered at its address. The entry of a
 #: server that has ended is removed within some seconds; until then a try costs one round trip.
 MISPLACED_MS = 2_000.0
-#: Part of a server's capacity that batch items keep if their jobs would otherwise miss their due
-#: time. Without it, 85% of the items were overdue on a service with two of its five servers left.
-PROTECTED_BATCH_SHARE = 0.25
-
-
 #: Weight of one outcome in the failure share of a server, and the time in which the share halves
 #: without a new outcome: a server that recovers gets requests again within seconds.
 FAILURE_SMOOTHING_FACTOR = 0.3
@@ -78,6 +73,8 @@
         self.incarnation = incarnation
         #: It is no longer listed, or a later incarnation has started.
         self.is_delisted = False
+        #: Capacity that batch items at risk may keep from online requests.
+        self.protected_batch_limit = 0
         self.own = RequestCounts()
         self.failures_count = 0
         self.ejected_until_ms = 0.0
@@ -195,11 +192,6 @@
             return 1.0
         return self.latency_ratio.factor * self.reported_slowdown.factor(now_ms)
 
-    @property
-    def protected_batch_limit(self) -> int:
-        """Return the capacity that batch items at risk may keep from online requests."""
-        return max(1, int(self.listed.slots_count * PROTECTED_BATCH_SHARE))
-
     def protected_batch_count(self, now_ms: float) -> int:
         """Count the batch items that are not preempted for online requests."""
         return min(self.batch_count(now_ms), self.protected_batch_limit)
