Let an engine of one stream run batch work

citrondyked keeps one stream of each engine free: the limit above which batch work is preempted is one less than the engine runs at once. At an engine of one stream that limit was 0, while the limit for starts is 1 at least, so that each run was preempted at the next load report with no online request there. The limit is now 1 at least; an online request still preempts the run.

test_lone_run_is_not_preempted_without_online_requests failed before.

--- a/citrondyke/decisions/sharing/engine_share.py
+++ b/citrondyke/decisions/sharing/engine_share.py
@@ -117,7 +117,8 @@
 
     def batch_preempt_limit(self, now_ms: float) -> int:
         """Return the total number of streams above which batch work is preempted."""
-        return min(self._limit, self._max_running - 1)
+        # At a limit of 0 an engine of one stream would preempt each run with no online request.
+        return min(self._limit, max(1, self._max_running - 1))
 
     def online_limit(self) -> int:
         """Return the number of online requests that the engine serves within their targets."""
