Start owed items on idle servers of any size

Cause: in fleets of up to 24 instances batch items leave one place free on each server that has any, for online requests. Where each has one slot, that is all capacity: only an item at risk may start, in the 1.5 s before it becomes late, and one that is late never starts again. With two slots half of the fleet was lost. In larger fleets the same held for servers of other zones, and for a zone with one place.

Ruled out with the reasons that are logged now: the budget of starts, stale counts, ejected servers, a list without servers (each refused choice was kept_for_online, 3 free and 3 kept).

Change: the headroom is at most half of the capacity of the eligible servers, and there is none while the service has had no online request for 2 s of observation. Servers of several slots beside online requests keep what they kept, so that the sites' policy is the same there.

--- a/citrondyke/decisions/batch/batch_scheduler.py
+++ b/citrondyke/decisions/batch/batch_scheduler.py
@@ -24,8 +24,6 @@
 
 __all__ = ('BatchScheduler', 'RunningItem', 'Urgency', 'urgency')
 
-#: Capacity that batch items leave free on each server of a remote zone, whose counts are stale.
-REMOTE_HEADROOM = 1
 #: An item with no more slack than this is at risk: preempting it would make it miss its due time,
 #: while an online request that waits for capacity can still meet its target.
 AT_RISK_SLACK_MS = 1_500.0
@@ -125,12 +123,14 @@
         return self._registry.topology.is_zoned
 
     def observe_online_load(self, service: ServiceName) -> None:
-        """Sample the online load of a service with waiting items; only in a large fleet."""
-        if not self._registry.topology.is_zoned:
-            return
+        """Sample the online load of a service with waiting items."""
         now_ms = self._context.now_ms()
-        local, _ = self._split_by_zone(self._registry.eligible_servers(service))
-        self.headroom.observe(service, sum(state.online_count(now_ms) for state in local))
+        local, remote = self._split_by_zone(self._registry.eligible_servers(service))
+        self.headroom.observe(
+            service,
+            sum(state.online_count(now_ms) for state in local),
+            sum(state.online_count(now_ms) for state in remote),
+        )
 
     def can_continue(self, origin: StreamOrigin) -> bool:
         """Return whether any server may continue an item."""
@@ -153,20 +153,12 @@
         self.free_by_service[service] = sum(
             max(0, _free_capacity(state, now_ms)) for state in eligible
         )
-        candidates = [
-            _Candidate(state, free)
-            for state in local
-            if (free := _free_capacity(state, now_ms)) >= 1
-        ]
-        free_count = sum(candidate.free for candidate in candidates) - self._headroom_count(
-            service, len(candidates)
+        candidates = _candidates(local, now_ms)
+        self.headroom.by_service[service] = headroom = self._local_headroom(
+            service, len(candidates), local
         )
-        # Headroom is most useful if it is spread over the servers.
-        candidates = [
-            _Candidate(candidate.state, candidate.free - 1)
-            for candidate in candidates
-            if candidate.free > 1
-        ] or candidates
+        free_count = sum(candidate.free for candidate in candidates) - headroom
+        candidates = _spread_headroom(candidates)
         if free_count < 1:
             candidates = [
                 _Candidate(state, 1)
@@ -176,7 +168,7 @@
             free_count = len(candidates)
         is_remote = not candidates
         if is_remote:
-            candidates = _remote_candidates(remote, now_ms, is_at_risk=is_at_risk)
+            candidates = self._remote_candidates(service, remote, is_at_risk=is_at_risk)
             free_count = sum(candidate.free for candidate in candidates)
         if not candidates:
             self.refusals[self._refusal(service, eligible)] += 1
@@ -201,15 +193,35 @@
             return PlacementRefusal.FULL
         return PlacementRefusal.KEPT_FOR_ONLINE
 
-    def _headroom_count(self, service: ServiceName, servers_count: int) -> int:
-        """Return the capacity to leave free on the servers that have any.
+    def _local_headroom(
+        self, service: ServiceName, servers_count: int, local: list[ServerState]
+    ) -> int:
+        """Return the capacity to leave free on the servers that have any."""
+        capacity_count = _capacity_count(local)
+        if self._registry.topology.is_zoned:
+            return self.headroom.headroom_by_rises(service, servers_count, capacity_count)
+        return self.headroom.headroom_on_each(service, servers_count, capacity_count)
 
-        In a small fleet each server needs its own, because there are few servers to use instead.
+    def _remote_candidates(
+        self, service: ServiceName, remote: list[ServerState], *, is_at_risk: bool
+    ) -> list[_Candidate]:
+        """Return the servers of remote zones for an item.
+
+        Their counts are stale, so that each needs headroom of its own.
         """
-        if not self._registry.topology.is_zoned:
-            self.headroom.by_service[service] = servers_count
-            return servers_count
-        return self.headroom.headroom_for(service, servers_count)
+        now_ms = self._context.now_ms()
+        candidates = _candidates(remote, now_ms)
+        headroom = self.headroom.headroom_on_each(service, len(candidates), _capacity_count(remote))
+        free_count = sum(candidate.free for candidate in candidates)
+        candidates = _spread_headroom(candidates) if free_count > headroom else []
+        if is_at_risk:
+            chosen = {candidate.state.incarnation for candidate in candidates}
+            candidates += [
+                _Candidate(state, 1)
+                for state in remote
+                if state.incarnation not in chosen and _may_run_at_risk(state, now_ms)
+            ]
+        return candidates
 
     def _split_by_zone(
         self, usable: list[ServerState]
@@ -332,17 +344,25 @@
         return rendezvous_weight(instance_id, state.listed.id)
 
 
-def _remote_candidates(
-    remote: list[ServerState], now_ms: float, *, is_at_risk: bool
-) -> list[_Candidate]:
-    candidates = []
-    for state in remote:
-        free = _free_capacity(state, now_ms) - REMOTE_HEADROOM
-        if free < 1 and is_at_risk and _may_run_at_risk(state, now_ms):
-            free = 1
-        if free >= 1:
-            candidates.append(_Candidate(state, free))
-    return candidates
+def _candidates(states: Iterable[ServerState], now_ms: float) -> list[_Candidate]:
+    """Return the servers with free capacity."""
+    return [
+        _Candidate(state, free) for state in states if (free := _free_capacity(state, now_ms)) >= 1
+    ]
+
+
+def _spread_headroom(candidates: list[_Candidate]) -> list[_Candidate]:
+    """Leave the headroom on as many servers as possible, where it is most useful."""
+    spread = [
+        _Candidate(candidate.state, candidate.free - 1)
+        for candidate in candidates
+        if candidate.free > 1
+    ]
+    return spread or candidates
+
+
+def _capacity_count(states: Iterable[ServerState]) -> int:
+    return sum(state.listed.slots_count for state in states)
 
 
 def _free_capacity(state: ServerState, now_ms: float) -> int:
--- a/tests/test_batch/test_batch_demand.py
+++ b/tests/test_batch/test_batch_demand.py
@@ -144,21 +144,21 @@
 def test_headroom_follows_the_rises_of_online_load() -> None:
     clock = ManualClock()
     headroom = OnlineHeadroom(manual_context(clock))
-    assert headroom.headroom_for(SERVICE, 12) == 12
+    assert headroom.headroom_by_rises(SERVICE, 12, 96) == 12
     headroom.observe(SERVICE, 32)
-    assert headroom.headroom_for(SERVICE, 12) == 32 * WARMUP_RISE_PART
+    assert headroom.headroom_by_rises(SERVICE, 12, 96) == 32 * WARMUP_RISE_PART
     for _ in range(int(WARMUP_MS / 25.0) + 80):
         clock.ms += 25.0
         headroom.observe(SERVICE, 32)
-    assert headroom.headroom_for(SERVICE, 12) == 1
+    assert headroom.headroom_by_rises(SERVICE, 12, 96) == 1
     for step in range(80):
         clock.ms += 25.0
         headroom.observe(SERVICE, 32 + 3 * step)
-    assert 5 <= headroom.headroom_for(SERVICE, 12) <= 7
+    assert 5 <= headroom.headroom_by_rises(SERVICE, 12, 96) <= 7
     for step in range(80):
         clock.ms += 25.0
         headroom.observe(SERVICE, 400 + 50 * step)
-    assert headroom.headroom_for(SERVICE, 12) == 12
+    assert headroom.headroom_by_rises(SERVICE, 12, 96) == 12
 
 
 def test_demand_survives_encoding() -> None:
--- a/tests/test_batch/wave_world.py
+++ b/tests/test_batch/wave_world.py
@@ -31,6 +31,8 @@
 #: Mean service time of a request, and time in which a resumed run processes its prompt again.
 SERVICE_TIME_MS = 700.0
 PREFILL_MS = 30.0
+#: Time per event; an item has at least one more until it ends.
+EVENT_MS = 30.0
 LONGEST_MS = 120_000.0
 
 
@@ -86,7 +88,7 @@
 
 
 class Server:
-    """A capacity of eight and a queue in order of arrival."""
+    """Running requests and a queue in order of arrival."""
 
     def __init__(self) -> None:
         self.running: list[Item] = []
@@ -105,17 +107,19 @@
         item_ms: float = 1_000.0,
         spread: float = 0.25,
         loss: float = 0.0,
+        slots_count: int = SLOTS,
     ) -> None:
         self.clock = ManualClock()
         self.random = random.Random(7)
         self.item_ms, self.spread, self.loss = item_ms, spread, loss
+        self.slots_count = slots_count
         zones = [f'zone-{n}' for n in range(zones_count)]
         self.instances = [
             Instance(self.clock, n, zones[n % zones_count]) for n in range(instances_count)
         ]
         self.by_id = {each.context.instance_id: each for each in self.instances}
         listed = [
-            listed_server(f's{n}', SERVICE, SLOTS, zones[n % zones_count])
+            listed_server(f's{n}', SERVICE, slots_count, zones[n % zones_count])
             for n in range(servers_count)
         ]
         self.servers = {each.id: Server() for each in listed}
@@ -155,15 +159,18 @@
         """
 
         def arrive() -> None:
-            instance = self.random.choice(self.instances)
-            state = instance.book.choose_server(SERVICE, (), '')
-            if state is not None and not instance.is_dead:
-                request = Item(self.random.expovariate(1 / SERVICE_TIME_MS))
-                self._enter(instance, state.listed.id, request)
+            self.send_online(self.random.expovariate(1 / SERVICE_TIME_MS))
             self.after(self.random.expovariate(per_s(self.clock.ms) / 1e3), arrive)
 
         arrive()
 
+    def send_online(self, length_ms: float) -> None:
+        """Send one online request through any instance."""
+        instance = self.random.choice(self.instances)
+        state = instance.book.choose_server(SERVICE, (), '')
+        if state is not None and not instance.is_dead:
+            self._enter(instance, state.listed.id, Item(length_ms))
+
     def crash_server(self, server_id: ServerId) -> None:
         """Stop a server and remove it from the registries of all instances."""
         server = self.servers[server_id]
@@ -242,7 +249,7 @@
         running = []
         for number, (item, life) in enumerate(items):
             ran_ms = self.clock.ms - item.started_ms if item.started_ms else 0.0
-            left_ms = self._expected_ms(item) - ran_ms
+            left_ms = max(EVENT_MS, self._expected_ms(item) - ran_ms)
             stands = urgency(item.due_ms, self.clock.ms, left_ms)
             running.append(RunningItem(number, life, item.entered_ms, stands, left_ms, TARGET_MS))
         for chosen in each.scheduler.items_to_preempt(running):
@@ -259,7 +266,7 @@
         self._begin(server)
 
     def _begin(self, server: Server) -> None:
-        while server.queue and len(server.running) < SLOTS and not server.is_down:
+        while server.queue and len(server.running) < self.slots_count and not server.is_down:
             item = server.queue.popleft()
             item.started_ms = self.clock.ms
             server.running.append(item)
@@ -319,6 +326,8 @@
 
     def _publish_totals(self, each: Instance) -> None:
         self.after(TOTALS_EVERY_MS, lambda: self._publish_totals(each))
+        # Counts that have not changed are renewed at the same interval.
+        self._publish(each)
         totals = [] if each.is_dead else each.notices.take_totals()
         if totals:
             rotation = each.notices.totals_rotation
