Preempt a run that has outlived its estimate

In fleets of more than 24 instances an overloaded server preempts nothing while a run on it is expected to end within the wait. A run that is longer than its route's mean looks so at each look, for as long as it lasts: an online request at a server of two slots waited 6.9 s behind two such items (60 instances, 12 servers, virtual time). After twice the wait no run is expected to end by itself any more.

test_run_that_outlives_its_estimate_is_preempted and test_online_request_gets_the_capacity_of_an_item_in_time[60-2-12-4] failed before. Found while measuring what online requests wait for on servers of few slots.

--- a/citrondyke/decisions/batch/batch_scheduler.py
+++ b/citrondyke/decisions/batch/batch_scheduler.py
@@ -34,6 +34,9 @@
 #: is four fifths of that time.
 DUE_SOON_SHARE = 0.5
 DUE_SOON_WAIT_SHARE = 0.4
+#: Number of waits after which no run is expected to end by itself: one that has outlived its
+#: estimate looks as if it ended at any moment, for as long as it runs.
+MAX_ENDING_WAITS = 2
 #: Approximate service time of a streamed request; the target limits the wait in any case.
 SERVICE_TIME_MS = 700.0
 #: Longest gap between two samples of a server's excess; after a longer one the history restarts.
@@ -82,6 +85,8 @@
     """Samples of the requests beyond a server's capacity, as time and count."""
 
     samples: deque[tuple[float, int]]
+    #: Since when the server has had an excess without interruption.
+    since_ms: float
 
     def remove_excess(self, count: int) -> None:
         """Subtract preempted runs from all samples."""
@@ -281,9 +286,9 @@
             # In a smaller fleet load counts are at most 10 ms old, and no wait is needed.
             wait_ms = _online_wait_limit_ms(state, min(item.target_ms for item in items), now_ms)
         count = self._preemption_count(state, len(items), wait_ms, now_ms)
-        # Items that finish within the wait free their capacity without preemption.
-        ending_count = sum(item.remaining_ms <= wait_ms for item in items)
-        count -= ending_count
+        if now_ms - self._excess_since_ms(state, now_ms) < MAX_ENDING_WAITS * wait_ms:
+            # Items that finish within the wait free their capacity without preemption.
+            count -= sum(item.remaining_ms <= wait_ms for item in items)
         if count <= 0:
             return []
         self._preempted_ms[state.incarnation] = now_ms
@@ -327,10 +332,13 @@
         if excess <= 0:
             self._excess_history.pop(state.incarnation, None)
             return 0
-        history = self._excess_history.setdefault(state.incarnation, _ExcessHistory(deque()))
+        history = self._excess_history.setdefault(
+            state.incarnation, _ExcessHistory(deque(), now_ms)
+        )
         samples = history.samples
         if samples and now_ms - samples[-1][0] > EXCESS_GAP_MS:
             samples.clear()
+            history.since_ms = now_ms
         samples.append((now_ms, excess))
         # The last sample before the span is the value at the start of the span.
         while len(samples) > 1 and samples[1][0] <= now_ms - wait_ms:
@@ -339,6 +347,10 @@
             return 0
         return min(each for _, each in samples)
 
+    def _excess_since_ms(self, state: ServerState, now_ms: float) -> float:
+        history = self._excess_history.get(state.incarnation)
+        return now_ms if history is None else history.since_ms
+
     @staticmethod
     def _rank(instance_id: InstanceId, state: ServerState) -> int:
         return rendezvous_weight(instance_id, state.listed.id)
--- a/tests/test_batch/test_batch_scheduler.py
+++ b/tests/test_batch/test_batch_scheduler.py
@@ -212,6 +212,17 @@
     assert world.scheduler.items_to_preempt(items) == []
 
 
+def test_run_that_outlives_its_estimate_is_preempted() -> None:
+    # It is expected to end within 10 ms at each look, and goes on for seconds.
+    world = large_fleet_world()
+    target_ms = 300.0
+    world.state.own.batch, world.state.own.online = SLOTS, 1
+    until_ms = world.clock.ms + target_ms
+    while not world.scheduler.items_to_preempt(running(world, target_ms, *[10.0] * SLOTS)):
+        assert world.clock.ms < until_ms
+        world.clock.ms += 25.0
+
+
 def test_items_prefer_a_server_of_normal_speed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_batch/test_batch_small_servers.py
+++ b/tests/test_batch/test_batch_small_servers.py
@@ -77,7 +77,15 @@
     assert set(world.scheduler.refusals) == {PlacementRefusal.NO_SERVER}
 
 
-FLEETS = [(1, 1, 1, 1), (2, 1, 3, 1), (13, 1, 2, 1), (2, 2, 1, 1), (5, 2, 2, 1), (30, 1, 6, 3)]
+FLEETS = [
+    (1, 1, 1, 1),
+    (2, 1, 3, 1),
+    (13, 1, 2, 1),
+    (2, 2, 1, 1),
+    (5, 2, 2, 1),
+    (30, 1, 6, 3),
+    (60, 2, 12, 4),
+]
 
 
 @pytest.mark.parametrize(('owners', 'slots', 'servers', 'zones'), FLEETS, ids=str)
