Take no answer for whole whose connection broke

A server answered a long upload at once with a 200 that had no length, sent a part of its body, and reset or closed the connection while the upload was being written.

Cause: such an answer ends with its connection, and an error on the way is reported once, to the side that meets it first. The greenlet that wrote the request in the background got the reset and dropped it, for the reading side to find; that side saw an end in order. The same when this side shuts a connection down because the server's incarnation has ended: the read returned an end, and the part that had come was passed on as whole.

Change: the connection keeps the error of sending, or that it was shut down, and an end after it is no end of an answer. An answer with a length is whole as before, also one of a server that has stopped reading. An end in order while the request is still written (a server that reads on) is an end as well.

--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -60,6 +60,9 @@
         self._writer: gevent.Greenlet | None = None
         self._reusable_until_ms = 0.0
         self._closes_after_answer = False
+        #: Error of sending, or the reason for which this side shut the connection down; empty if
+        #: there was none. A read then finds an end as if the server had closed it in order.
+        self._broken_by = ''
         self._slice = TimeSlice(clock)
         #: Headers of the last request.
         self.sent_headers: Headers = []
@@ -204,6 +207,7 @@
 
     def shut_down(self) -> None:
         """Shut the socket down; a greenlet that waits for a response on it then closes it."""
+        self._broken_by = 'shut down'
         with suppress(OSError):
             self._sock.shutdown(SHUT_RDWR)
 
@@ -226,6 +230,8 @@
         self._slice.record_read(asked_ms, self.last_activity_ms)
         if data:
             self._reply.feed(data)
+        elif self._broken_by:
+            raise BrokenReplyError(ReplyFailureKind.CUT, f'closed after {self._broken_by}')
         else:
             self._reply.end()
 
@@ -255,9 +261,11 @@
     def _write_in_background(self, data: bytes) -> bool:
         try:
             self._sock.sendall(data)
-        except OSError:
-            # The reading side detects the end of the connection and reports it.
+        except OSError as error:
+            # A reset is reported once, to the side that meets it first. The reading side reports
+            # it, unless the response has a length and is whole all the same.
             self._closes_after_answer = True
+            self._broken_by = type(error).__name__
         return True
 
     def _record_keep_alive(self, head: ReplyHead) -> None:
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -60,6 +60,10 @@
     END_IN_EVENT = 'end_in_event'
     #: Run the request, then reset the connection without an answer.
     CUT = 'cut'
+    #: Send a part of an answer without a length before the body is read, and reset the connection.
+    EARLY_RESET = 'early_reset'
+    #: The same, and close it.
+    EARLY_CLOSE = 'early_close'
     #: Run the request and send nothing.
     SILENT = 'silent'
     #: Send the answer and a second one after it.
@@ -94,6 +98,7 @@
     ODD_EVENT_ID = 'odd_event_id'
 
 
+EARLY_MODES = (AnswerMode.EARLY_RESET, AnswerMode.EARLY_CLOSE)
 UNFRAMED_MODES = (
     AnswerMode.UNFRAMED,
     AnswerMode.UNFRAMED_CUT,
@@ -213,6 +218,8 @@
                 http.receive_data(data)
             elif isinstance(event, h11.Request):
                 request = event
+                if self.answer_modes and self.answer_modes[0] in EARLY_MODES:
+                    return self._answer_early(sock, request)
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage) and request is not None:
@@ -278,6 +285,20 @@
             sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra')
         return keeps_connection
 
+    def _answer_early(self, sock: socket.socket, request: h11.Request) -> bool:
+        answer_mode = self.answer_modes.popleft()
+        headers = {bytes(name): bytes(value) for name, value in request.headers}
+        lines = b'%b: %b\r\n%b: seal-early\r\n' % (
+            ATTEMPT_HEADER,
+            headers.get(ATTEMPT_HEADER, b''),
+            SEAL_HEADER,
+        )
+        sock.sendall(b'HTTP/1.1 200 OK\r\nConnection: close\r\n' + lines + b'\r\npart')
+        gevent.sleep(0.01)
+        if answer_mode is AnswerMode.EARLY_RESET:
+            reset(sock)
+        return False
+
     def _is_misdirected(self, headers: dict[bytes, bytes]) -> bool:
         server_id = self.server_id.encode()
         return (
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -103,6 +103,7 @@
         version: int = 1,
         routes: list[dict[str, Any]] | None = None,
         accounts: list[dict[str, Any]] | None = None,
+        max_body_bytes: int = 100_000,
     ) -> None:
         """Write the operator's configuration; without accounts nobody needs a key."""
         config: dict[str, Any] = {
@@ -111,7 +112,7 @@
             'services': [{'name': 'app'}, {'name': 'lm'}],
             'limits': {
                 'max_header_bytes': 16_384,
-                'max_body_bytes': 100_000,
+                'max_body_bytes': max_body_bytes,
                 'header_timeout_ms': 3_000,
                 'idle_timeout_ms': 15_000,
             },
