Take no response without a final status for an answer

A server in trouble sent an answer whose status was 000. Here it was taken for an interim response: callers waited for the final one until their deadline. 600 and 999 were passed on, and citrondyked passed on 102 and 103 as final, so that the final response behind them would have been taken for the next request's on that connection.

A response with another one is malformed: a request that may be repeated goes to another server at once, another one is answered 502.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -19,6 +19,7 @@
 from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.util.decoding import decode_json
+from citrondyke.util.http_status import is_final
 from citrondyke.util.line_limiter import LineLimiter
 from citrondyke.util.numbers import parse_count
 from citrondyke.util.open_socket import open_socket
@@ -252,6 +253,10 @@
         try:
             response = self.connection.getresponse()
             status = response.status
+            if not is_final(status):
+                # After an interim response the final one would be taken for the next request's.
+                self._error = f'status {status}'
+                return self._failure_reply()
             content_type = response.headers.get('Content-Type', '')
             if self._call.refuses_by_status and status in REJECTED_STATUSES:
                 return self._rejection_reply(response)
--- a/citrondyke/gateway/servers/reply_reader.py
+++ b/citrondyke/gateway/servers/reply_reader.py
@@ -9,6 +9,7 @@
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.http_head import Header
+from citrondyke.util.http_status import is_final, is_interim
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,8 +18,6 @@
 
 #: Limit on the size of a response's head.
 HEAD_LIMIT_BYTES = 65_536
-#: Responses up to this status are interim; the final one follows.
-LAST_INFORMATIONAL = 199
 SWITCHING = 101
 #: Statuses of responses without a body, whatever their head says.
 BODILESS = (204, 304)
@@ -138,10 +137,10 @@
         status = self._parser.get_status_code()
         if self.is_whole:
             return
-        if status <= LAST_INFORMATIONAL:
-            if status == SWITCHING:
-                raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'unexpected protocol switch')
+        if is_interim(status) and status != SWITCHING:
             return
+        if not is_final(status):
+            raise BrokenReplyError(ReplyFailureKind.MALFORMED, f'status {status}')
         head = ReplyHead(status, self._headers)
         if self._is_late_copy(head):
             self._is_skipping = True
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -54,6 +54,8 @@
     REFUSE = 'refuse'
     FAIL = 'fail'
     IMPOSSIBLE = 'impossible'
+    #: Run the request and answer with a status that none may be.
+    NO_STATUS = 'no_status'
     #: Run the request and answer with a redirect.
     MOVED = 'moved'
     #: End a stream in the middle of an event, and keep the connection.
@@ -99,6 +101,8 @@
 
 
 EARLY_MODES = (AnswerMode.EARLY_RESET, AnswerMode.EARLY_CLOSE)
+#: Modes of responses that are no answer to their request.
+NO_ANSWERS = (AnswerMode.WRONG_ID, AnswerMode.UNSIGNED, AnswerMode.NO_STATUS)
 UNFRAMED_MODES = (
     AnswerMode.UNFRAMED,
     AnswerMode.UNFRAMED_CUT,
@@ -266,12 +270,8 @@
             return self._never_end(sock, run, signed)
         if answer_mode in FAILURES:
             return self._send_complete(http, sock, *FAILURES[answer_mode], signed)
-        if answer_mode is AnswerMode.WRONG_ID:
-            return self._send_complete(
-                http, sock, 200, b'other', [(ATTEMPT_HEADER, b'other'), signed[-1]]
-            )
-        if answer_mode is AnswerMode.UNSIGNED:
-            return self._send_complete(http, sock, 200, b'unsigned', unsigned)
+        if answer_mode in NO_ANSWERS:
+            return self._send_no_answer(http, sock, run, signed)
         if answer_mode in UNFRAMED_MODES:
             pieces = [b'unframed']
             if is_stream:
@@ -285,6 +285,26 @@
             sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra')
         return keeps_connection
 
+    def _send_no_answer(
+        self,
+        http: h11.Connection,
+        sock: socket.socket,
+        run: ServerRun,
+        signed: list[tuple[bytes, bytes]],
+    ) -> bool:
+        if run.answer_mode is AnswerMode.NO_STATUS:
+            lines = b''.join(b'%b: %b\r\n' % pair for pair in signed)
+            sock.sendall(b'HTTP/1.1 000 None\r\n' + lines + b'Content-Length: 4\r\n\r\nnone')
+            return self._wait_for_close(sock, run)
+        if run.answer_mode is AnswerMode.WRONG_ID:
+            headers = [
+                (ATTEMPT_HEADER, b'other'),
+                *(pair for pair in signed if pair[0] == SEAL_HEADER),
+            ]
+            return self._send_complete(http, sock, 200, b'other', headers)
+        unsigned = [pair for pair in signed if pair[0] != SEAL_HEADER]
+        return self._send_complete(http, sock, 200, b'unsigned', unsigned)
+
     def _answer_early(self, sock: socket.socket, request: h11.Request) -> bool:
         answer_mode = self.answer_modes.popleft()
         headers = {bytes(name): bytes(value) for name, value in request.headers}
--- a/tests/test_backend/test_backend_client.py
+++ b/tests/test_backend/test_backend_client.py
@@ -214,3 +214,12 @@
     server = Server(0.0, answer=answer)
     server.start()
     assert Caller(server.port).poll_load() is None
+
+
+@pytest.mark.parametrize('status', ['000', '099', '102', '103', '600', '999'])
+def test_response_without_a_final_status_is_a_cut(status: str) -> None:
+    # The final response behind an interim one would be taken for the next request's.
+    head = f'HTTP/1.1 {status} Odd\r\nContent-Length: 0\r\n\r\n'
+    server = Server(0.0, answer=head.encode() + ANSWER)
+    server.start()
+    assert Caller(server.port).call(5_000.0).kind is ReplyKind.CUT
--- a/tests/test_gateway/test_servers/test_servers_reply_reader.py
+++ b/tests/test_gateway/test_servers/test_servers_reply_reader.py
@@ -115,6 +115,13 @@
     assert len(caught.value.message) < 200
 
 
+@pytest.mark.parametrize('status', [b'000', b'001', b'099', b'600', b'999'])
+def test_status_that_none_may_be_is_an_error(status: bytes) -> None:
+    with pytest.raises(BrokenReplyError) as caught:
+        read(LENGTH.replace(b'200', status))
+    assert caught.value.failure_kind is ReplyFailureKind.MALFORMED
+
+
 def test_head_without_end_is_an_error() -> None:
     with pytest.raises(BrokenReplyError) as caught:
         read(b'HTTP/1.1 200 OK\r\nA: ' + b'x' * 70_000)
