Limit the bytes between two parts of a response's body

A server that sends a trailer line without end, behind a whole body, was read until the request's deadline, and for an item until its stream's; the parser keeps the line meanwhile. Heads had a limit of 64 KiB; what comes between and behind the parts of a body (chunk sizes and their extensions, trailers) has the same one now.

test_trailers_without_end_are_an_error (one line, many lines) failed before.

--- a/citrondyke/gateway/servers/reply_reader.py
+++ b/citrondyke/gateway/servers/reply_reader.py
@@ -16,7 +16,8 @@
 
 __all__ = ('ReplyHead', 'ReplyReader', 'accept_any')
 
-#: Limit on the size of a response's head.
+#: Limit on the size of a response's head, and of what comes between two parts of its body: the
+#: parser keeps a header or trailer line until its end.
 HEAD_LIMIT_BYTES = 65_536
 SWITCHING = 101
 #: Statuses of responses without a body, whatever their head says.
@@ -58,7 +59,8 @@
         """
         self._parser = httptools.HttpResponseParser(self)
         self._is_bodiless = is_bodiless
-        self._head_bytes = 0
+        #: Bytes of the head, or those since the last part of the body.
+        self._framing_bytes = 0
         self._headers: list[Header] = []
         self._pieces: list[bytes] = []
         self._ends_with_connection = False
@@ -79,8 +81,7 @@
         if self.is_whole:
             self._has_extra = True
             return
-        if self.head is None:
-            self._head_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -88,9 +89,10 @@
                 raise BrokenReplyError(ReplyFailureKind.MALFORMED, str(error)[:100]) from error
             # The invalid bytes come after the response.
             self._has_extra = True
-        if self.head is None and self._head_bytes > HEAD_LIMIT_BYTES:
+        if not self.is_whole and self._framing_bytes > HEAD_LIMIT_BYTES:
+            part = 'head' if self.head is None else 'chunk head or trailers'
             raise BrokenReplyError(
-                ReplyFailureKind.OVERSIZED, f'head: over {HEAD_LIMIT_BYTES} bytes'
+                ReplyFailureKind.OVERSIZED, f'{part}: over {HEAD_LIMIT_BYTES} bytes'
             )
 
     def end(self) -> None:
@@ -161,6 +163,7 @@
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
         if not self.is_whole and not self._is_skipping:
+            self._framing_bytes = 0
             self._pieces.append(data)
 
     def on_message_complete(self) -> None:
--- a/citrondyke/standin/endless_reply.py
+++ b/citrondyke/standin/endless_reply.py
@@ -18,12 +18,14 @@
 class EndlessPart(Enum):
     """Part of a response that goes on without end."""
 
+    STATUS_LINE = 'status_line'
     HEAD_LINE = 'head_line'
     HEAD_LINES = 'head_lines'
     INTERIM_HEADS = 'interim_heads'
     CHUNK_SIZE = 'chunk_size'
     CHUNK_EXTENSION = 'chunk_extension'
     TRAILERS = 'trailers'
+    TRAILER_LINE = 'trailer_line'
     #: A body without a length, which ends with the connection.
     UNFRAMED_BODY = 'unframed_body'
     #: A body with a very large length.
@@ -43,14 +45,17 @@
 
 
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+WITHOUT_HEAD = (EndlessPart.STATUS_LINE, EndlessPart.INTERIM_HEADS)
 #: What follows the headers, and the bytes that are repeated after it.
 _REPEATED = {
+    EndlessPart.STATUS_LINE: (b'HTTP/1.1 200 ', b'x'),
     EndlessPart.HEAD_LINE: (b'X: ', b'x'),
     EndlessPart.HEAD_LINES: (b'', b'X: y\r\n'),
     EndlessPart.INTERIM_HEADS: (b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
     EndlessPart.CHUNK_SIZE: (CHUNKED, b'0'),
     EndlessPart.CHUNK_EXTENSION: (CHUNKED + b'5;', b'x'),
     EndlessPart.TRAILERS: (CHUNKED + b'0\r\n', b'X: y\r\n'),
+    EndlessPart.TRAILER_LINE: (CHUNKED + b'0\r\nX: ', b'x'),
     EndlessPart.UNFRAMED_BODY: (b'\r\n', b'\xfe'),
     EndlessPart.LONG_BODY: (b'Content-Length: 1000000000000\r\n\r\n', b'\xfe'),
     EndlessPart.TINY_CHUNKS: (CHUNKED, b'1\r\nx\r\n'),
@@ -73,6 +78,6 @@
             numbers = range(first, first + EVENTS_PER_PIECE)
             yield b''.join(b'id: %d\n%b\n' % (number, data) for number in numbers)
     opening, repeated = _REPEATED[part]
-    yield opening if part is EndlessPart.INTERIM_HEADS else head + opening
+    yield opening if part in WITHOUT_HEAD else head + opening
     while True:
         yield repeated * (PIECE_BYTES // len(repeated))
--- a/tests/test_gateway/test_servers/test_servers_reply_reader.py
+++ b/tests/test_gateway/test_servers/test_servers_reply_reader.py
@@ -128,6 +128,15 @@
     assert caught.value.failure_kind is ReplyFailureKind.OVERSIZED
 
 
+@pytest.mark.parametrize('piece', [b'x' * 4_096, b'Y: z\r\n' * 600])
+def test_trailers_without_end_are_an_error(piece: bytes) -> None:
+    reader = read(CHUNKS[:-2] + b'X: ')
+    with pytest.raises(BrokenReplyError) as caught:
+        for _ in range(20):
+            reader.feed(piece)
+    assert caught.value.failure_kind is ReplyFailureKind.OVERSIZED
+
+
 def test_response_without_a_body_is_whole_after_its_head() -> None:
     head = LENGTH[: -len(b'hello')]
     assert read(head, is_bodiless=True).is_whole
