End a call whose response ends with its connection at its deadline

citrondyked's client shuts the connection down at the deadline or when the call is cancelled. A response without a length ends with its connection, and the library then gives the socket to the response: the client had none to shut down. A server that stopped in the middle of such a response held the call for as long as it kept the connection (over 120 s in the test). Had the shutdown reached it, the part would have passed as the whole body, as in the gateway.

The attempt now keeps the socket, and a body that ends with a connection that this side has shut down is a failure. test_body_without_a_length_that_a_deadline_ends_is_not_whole did not end before (pytest's 120 s); the one for a cancelled call came with the change.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -120,6 +120,8 @@
             if is_complete and attempt.is_reusable:
                 self._connections.release(call.server_id, attempt.connection)
             else:
+                # The response may still hold the socket open.
+                attempt.abort()
                 attempt.connection.close()
 
     def poll_load(self, server_id: ServerId, until_ms: float) -> ServerLoad | None:
@@ -157,6 +159,9 @@
         self._first_data_ms: float | None = None
         self._events_count = 0
         self._timer: Any = None
+        self._is_aborted = False
+        #: Kept here, as the connection gives it away with a response that ends with it.
+        self._sock: Any = None
         self._is_reused = connection.sock is not None
         self._step = 'connect'
         self._error = ''
@@ -195,11 +200,11 @@
 
     def abort(self) -> None:
         """Shut the connection down, so that a blocked read ends."""
-        sock = self.connection.sock
-        if sock is None:
+        if self._sock is None:
             return
+        self._is_aborted = True
         try:
-            sock.shutdown(socket.SHUT_RDWR)
+            self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             return
 
@@ -220,6 +225,7 @@
                     isinstance(error, TimeoutError) and remaining_s < CONNECT_TIMEOUT_MS / 1e3
                 )
                 return ServerReply(kind=ReplyKind.EXPIRED if is_expired else ReplyKind.UNREACHABLE)
+        self._sock = self.connection.sock
         # One timer covers the deadline of the whole attempt. A socket timeout would start a timer
         # for each read and would be reset when the response head is read.
         # With a lower priority a late event loop reads the responses that have arrived first.
@@ -298,8 +304,10 @@
     def _read_whole(
         self, response: HTTPResponse, content_type: str, limit_bytes: int
     ) -> ServerReply:
+        ends_with_connection = response.length_remaining is None and not response.chunked
         body = response.read(limit_bytes)
-        if len(body) >= limit_bytes:
+        # A connection that this side has shut down looks as if the server had closed it in order.
+        if len(body) >= limit_bytes or (ends_with_connection and self._is_aborted):
             return self._failure_reply()
         self._first_data_ms = self._clock.now_ms() - self._started_ms
         self.is_reusable = _is_keep_alive(response)
--- a/tests/test_backend/test_backend_endless.py
+++ b/tests/test_backend/test_backend_endless.py
@@ -73,7 +73,10 @@
 
 
 def start_engine(head: bytes, piece: bytes) -> BackendClient:
-    engine = EndlessEngine(head, piece)
+    return client_of(EndlessEngine(head, piece))
+
+
+def client_of(engine: EndlessEngine) -> BackendClient:
     engine.start()
     return BackendClient(
         IdleConnections(4), SystemClock(), lambda _: ('127.0.0.1', engine.port), 65_536
@@ -89,8 +92,7 @@
         path='/',
         body=b'{}',
         deadline_ms=SystemClock().now_ms() + DEADLINE_MS,
-        cancel=Signal(),
-        **more,
+        **{'cancel': Signal(), **more},
     )
     stream = client.stream(call)
     while True:
@@ -141,3 +143,32 @@
 def test_load_without_end_is_not_known(head: bytes, piece: bytes) -> None:
     client = start_engine(head, piece)
     assert client.poll_load(ENGINE, SystemClock().now_ms() + DEADLINE_MS) is None
+
+
+class StallingEngine(EndlessEngine):
+    """An engine that stops in the middle of its answer and keeps the connection."""
+
+    def run(self) -> None:
+        with self._listener:
+            sock, _ = self._listener.accept()
+        with sock, suppress(OSError):
+            sock.recv(65_536)
+            sock.sendall(self._head)
+            while sock.recv(65_536):
+                pass
+
+
+def start_stalling_engine() -> BackendClient:
+    return client_of(StallingEngine(PLAIN + UNFRAMED + b'part', b''))
+
+
+def test_body_without_a_length_that_a_deadline_ends_is_not_whole() -> None:
+    client = start_stalling_engine()
+    assert reply_to(client).kind is ReplyKind.LATE
+
+
+def test_body_without_a_length_that_its_caller_cancels_is_not_whole() -> None:
+    client = start_stalling_engine()
+    cancel: Signal[None] = Signal()
+    gevent.spawn_later(0.1, cancel.fire, None)
+    assert reply_to(client, cancel=cancel).kind is ReplyKind.CANCELLED
