Take no response that ends inside its head for one

A server stopped in the middle of its answer's head and closed. The gateway's reader calls that broken off; citrondyked's client took it for a whole 200 with an empty body: the library reads the end of the connection as the end of the head, and a head cut off there has no length.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -259,6 +259,10 @@
         try:
             response = self.connection.getresponse()
             status = response.status
+            if self._sock.has_ended:
+                # The library takes the end of the connection for the end of the head.
+                self._error = 'closed inside the head'
+                return self._failure_reply()
             if not is_final(status):
                 # After an interim response the final one would be taken for the next request's.
                 self._error = f'status {status}'
--- a/citrondyke/util/paced_socket.py
+++ b/citrondyke/util/paced_socket.py
@@ -30,6 +30,8 @@
         self.time_slice = TimeSlice(clock)
         #: Monotonic time after which reading fails.
         self.until_ms = float('inf')
+        #: Whether a read has found the end of the connection.
+        self.has_ended = False
 
     def makefile(self, *_: object, **__: object) -> io.BufferedReader:
         """Open a file for reading; it keeps the socket open until it is closed."""
@@ -59,6 +61,7 @@
         if asked_ms >= paced.until_ms:
             raise TimeoutError
         size = self._raw.readinto(buffer)
+        paced.has_ended = paced.has_ended or size == 0
         paced.time_slice.record_read(asked_ms, paced.clock.now_ms())
         return size
 
--- a/tests/test_backend/test_backend_client.py
+++ b/tests/test_backend/test_backend_client.py
@@ -30,8 +30,11 @@
 class Server(threading.Thread):
     """A server with a thread of its own, so that it also runs while the event loop is blocked."""
 
-    def __init__(self, *answers_after_s: float, answer: bytes = ANSWER) -> None:
+    def __init__(
+        self, *answers_after_s: float, answer: bytes = ANSWER, is_closing: bool = False
+    ) -> None:
         super().__init__(daemon=True)
+        self._is_closing = is_closing
         self._answer = answer
         self._answers_after_s = answers_after_s
         self._listener = std_socket()
@@ -49,7 +52,8 @@
                 self.has_request.set()
                 time.sleep(answer_after_s)
                 sock.sendall(self._answer)
-            receive_request(sock)
+            if not self._is_closing:
+                receive_request(sock)
 
 
 def receive_request(sock: Any) -> None:
@@ -223,3 +227,11 @@
     server = Server(0.0, answer=head.encode() + ANSWER)
     server.start()
     assert Caller(server.port).call(5_000.0).kind is ReplyKind.CUT
+
+
+@pytest.mark.parametrize('end', [9, 13, 15, 17, 20, 45, -4, -3])
+def test_response_that_ends_inside_its_head_is_a_cut(end: int) -> None:
+    # Without its end a head lacks the length: the part that came would be a whole response.
+    server = Server(0.0, answer=ANSWER.removesuffix(b'ok')[:end], is_closing=True)
+    server.start()
+    assert Caller(server.port).call(5_000.0).kind is ReplyKind.CUT
