Bound the writes of a job by bytes

A commit takes results of up to 400,000 characters; 33 texts of Chinese characters have 1.13 MB then, the store refuses the call, and as it may have taken effect it is sent unchanged for ever. No other result of the job can be listed behind it.

Bytes of the encoded texts count now, so that a call has 0.54 MB at most. The same on related paths: the progress of up to 90 items was one transaction, without any bound on its bytes, when a planned stop releases a job (the release was refused as a whole, and its items waited until the instance was missed) and when it is saved. It is divided by bytes, and so that more than 90 items keep theirs; the head goes with the last part.

--- a/citrondyke/decisions/batch/owned_job.py
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -10,7 +10,7 @@
 from citrondyke.decisions.batch.job import ItemResult, ItemState, JobHead, JobItem
 from citrondyke.decisions.streams.stream_origin import StreamOrigin
 
-__all__ = ('ItemProgress', 'OwnedJob', 'RunResult', 'give_up_epoch_ms')
+__all__ = ('COMMIT_BYTES', 'ItemProgress', 'OwnedJob', 'RunResult', 'give_up_epoch_ms')
 
 #: Pause before an item is retried after a failed run; doubled with each consecutive break.
 RETRY_MS = 100.0
@@ -20,7 +20,8 @@
 #: Clocks of instances may differ by some seconds: an item is abandoned this much later than its
 #: job allows, so that it is never abandoned too early.
 ABANDON_MARGIN_MS = 5_000.0
-#: Items in one commit, and bytes of their texts.
+#: Items in one commit, and bytes of their encoded texts, which compression may leave as they are. A
+#: transaction holds 1 MB, with values in base64.
 COMMIT_ITEMS = 40
 COMMIT_BYTES = 400_000
 
@@ -207,7 +208,7 @@
         chosen = self._in_commit
         size = 0
         for result in self.finished[:COMMIT_ITEMS]:
-            size += len(result.text)
+            size += len(result.text.encode())
             if chosen and size > COMMIT_BYTES:
                 break
             chosen.append(result)
--- a/citrondyke/gateway/jobs/job_store.py
+++ b/citrondyke/gateway/jobs/job_store.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from citrondyke.decisions.batch.job import ItemResult, JobHead, JobItem
+from citrondyke.decisions.batch.owned_job import COMMIT_BYTES
 from citrondyke.gateway.jobs.job_contents import JobContents
 from citrondyke.gateway.jobs.job_rows import (
     COMMIT_ROWS,
@@ -42,7 +43,7 @@
 from citrondyke.util.hashing import digest_hex
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
     from citrondyke.storage.object_store import ObjectStore
@@ -187,19 +188,12 @@
             owner_life='',
             life_before=job.head.owner_life,
         )
-        puts = [head_put(head)]
-        for each in progress:
-            if each.last_event_id is not None or each.failures_count:
-                puts.append(progress_put(each, self._row_bytes))
-        wanted = PartTransaction(
-            head.job_id,
-            (RowCondition(HEADS_TABLE, HEAD_KEY, job.version),),
-            tuple(puts[:COMMIT_ROWS]),
-        )
-        answer = self._table.transact(wanted)
-        if isinstance(answer, PartCommitted):
-            return CommitVerdict.DONE
-        return CommitVerdict.FENCED if isinstance(answer, PartConflict) else verdict_of(answer)
+        begun = [each for each in progress if each.last_event_id is not None or each.failures_count]
+        *earlier, last = self._progress_batches(begun)
+        verdict = self._save_batches(job, earlier)
+        if verdict is not CommitVerdict.DONE:
+            return verdict
+        return self._put_while_owned(job, [head_put(head), *last])
 
     def save_progress(self, job: OwnedJob, progress: Sequence[ItemProgress]) -> CommitVerdict:
         """Save the progress and the number of failures of items for the next owner.
@@ -208,12 +202,36 @@
         a rolling restart, and everything that the items of a killed owner had generated would be
         generated again.
         """
-        wanted = PartTransaction(
-            job.head.job_id,
-            (RowCondition(HEADS_TABLE, HEAD_KEY, job.version),),
-            tuple(progress_put(each, self._row_bytes) for each in progress[:COMMIT_ROWS]),
+        return self._save_batches(job, self._progress_batches(progress))
+
+    def _progress_batches(self, progress: Iterable[ItemProgress]) -> list[list[RowPut]]:
+        """Divide the writes of progress into transactions; the last one may be empty."""
+        batches: list[list[RowPut]] = [[]]
+        size = 0
+        for each in progress:
+            put = progress_put(each, self._row_bytes)
+            size += len(put.value)
+            if batches[-1] and (size > COMMIT_BYTES or len(batches[-1]) >= COMMIT_ROWS):
+                batches.append([])
+                size = len(put.value)
+            batches[-1].append(put)
+        return batches
+
+    def _save_batches(self, job: OwnedJob, batches: Iterable[list[RowPut]]) -> CommitVerdict:
+        for batch in batches:
+            verdict = self._put_while_owned(job, batch)
+            if verdict is not CommitVerdict.DONE:
+                return verdict
+        return CommitVerdict.DONE
+
+    def _put_while_owned(self, job: OwnedJob, puts: Sequence[RowPut]) -> CommitVerdict:
+        answer = self._table.transact(
+            PartTransaction(
+                job.head.job_id,
+                (RowCondition(HEADS_TABLE, HEAD_KEY, job.version),),
+                tuple(puts),
+            )
         )
-        answer = self._table.transact(wanted)
         if isinstance(answer, PartCommitted):
             return CommitVerdict.DONE
         return CommitVerdict.FENCED if isinstance(answer, PartConflict) else verdict_of(answer)
