Start no items of a job that was ended while it was read

A job is claimed first and its items are read then, for seconds where many large jobs are read at once; until they are, the job isn't owned, and the feed and the message of its end have nobody to stop. Once they were read its items started, until the poll of heads up to 1.1 s later.

The head is read once more after the items, one plain read for each job taken over, and what the feed has told meanwhile counts: a job whose head has changed is neither read on nor run.

test_job_that_is_ended_while_its_items_are_read_is_not_run (items that are read late, items that can't be read) failed before.

--- a/citrondyke/gateway/jobs/job_claimer.py
+++ b/citrondyke/gateway/jobs/job_claimer.py
@@ -14,6 +14,7 @@
     HEAD_KEY,
     HEADS_TABLE,
     CommitVerdict,
+    NoJob,
     NoJobReason,
     StoredHead,
     decode_head,
@@ -244,7 +245,11 @@
             self._claiming.discard(head.job_id)
 
     def _load(self, claimed: StoredHead) -> None:
-        """Load the job's durable state; reads that are older than the claim are repeated."""
+        """Load the job's durable state; reads that are older than the claim are repeated.
+
+        That takes seconds for many large jobs. The job may be ended meanwhile, and its items must
+        not start then, so the head is read once more after them.
+        """
         head = claimed.head
         self._open[head.job_id] = claimed
         failures_count = 0
@@ -252,10 +257,24 @@
             items = self.store.items(head)
             results = self.store.results(head.job_id, 0, claimed.version)
             progress = self.store.progress(head.job_id)
+            current = self.store.read_head(head.job_id)
+            if isinstance(current, StoredHead):
+                self._apply_head(current)
+            if self._open.get(head.job_id) is not claimed:
+                log.info(
+                    'job.let_go',
+                    extra={
+                        'job_id': head.job_id,
+                        'reason': 'head changed',
+                        'version': claimed.version,
+                    },
+                )
+                return
             if (
                 isinstance(items, PlatformFailure)
                 or isinstance(results, PlatformFailure)
                 or isinstance(progress, PlatformFailure)
+                or isinstance(current, NoJob)
             ):
                 failures_count += 1
                 gevent.sleep(backoff_ms(failures_count) / 1e3)
