Take over jobs one after the other, within the instance's memory

An instance now reads the object of one job at a time, and a read of an object goes on while its bytes arrive, 15 s beyond the timeout at most. It claims no job while its items have more than 15 % of its memory, at which it accepts none either, and 16 at the same time at most; a job that nobody can hold waits in the store. Bodies of items that are listed are dropped: a job's page gives those of items that aren't. The line jobs.room tells of each change.

Weighed: a timeout that grows with each failure (the reads of all would still collide at first), and a bound by the size of each job (no row states it before it is read).

--- a/citrondyke/decisions/batch/owned_job.py
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -113,8 +113,9 @@
         #: Durable results by position; callers see only these.
         self.results: list[ItemResult] = list(results)
         items = list(items)
-        self._bodies = {item.id: item.body for item in items}
         done = {result.id for result in self.results}
+        #: Of the items that are not listed yet.
+        self._bodies = {item.id: item.body for item in items if item.id not in done}
         self.open: dict[str, ItemProgress] = {
             item.id: ItemProgress(item) for item in items if item.id not in done
         }
@@ -133,8 +134,13 @@
         """Return the tokens of all items that no server has finished."""
         return sum(progress.item.tokens for progress in self.open.values())
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the bodies that are kept in memory."""
+        return sum(map(len, self._bodies.values()))
+
     def body(self, item_id: str) -> bytes | None:
-        """Return an item's body; ``None`` if the job has no such item."""
+        """Return an item's body; ``None`` if the job has no such item that is not listed."""
         return self._bodies.get(item_id)
 
     def waiting_items(self, now_ms: float) -> list[ItemProgress]:
@@ -220,6 +226,8 @@
         :param version: new version of the head's row; ``None`` if the commit did not write it.
         """
         self.results.extend(results)
+        for result in results:
+            self._bodies.pop(result.id, None)
         del self.finished[: len(results)]
         self._in_commit = []
         if version is not None:
--- a/citrondyke/gateway/http_client.py
+++ b/citrondyke/gateway/http_client.py
@@ -74,12 +74,21 @@
         self._name = f'{ip}:{port}'
 
     def call(
-        self, method: str, target: str, body: bytes, headers: Headers, timeout_ms: float
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: Headers,
+        timeout_ms: float,
+        transfer_ms: float = 0.0,
     ) -> HttpAnswer | HttpFailure:
         """Make one call.
 
         A connection that failed in any way is closed and replaced by a new one, since nothing more
         arrives on a connection on which a response was lost.
+
+        :param transfer_ms: time that a large response may take beyond the timeout, as long as its
+            bytes go on arriving.
         """
         until_ms = self._clock.now_ms() + timeout_ms
         name = self._name
@@ -94,7 +103,7 @@
             connection.send(method.encode(), target.encode(), all_headers, body)
             head = connection.read_head(until_ms)
             self._log_invalid_keep_alive(connection)
-            content = connection.read_body(until_ms, ANSWER_LIMIT_BYTES)
+            content = self._read_content(connection, until_ms, timeout_ms, transfer_ms)
         except BrokenReplyError as error:
             if connection is not None:
                 connection.close()
@@ -108,6 +117,21 @@
         self._pool.release(name, connection)
         return HttpAnswer(head.status, content)
 
+    def _read_content(
+        self, connection: ServerConnection, until_ms: float, timeout_ms: float, transfer_ms: float
+    ) -> bytes:
+        latest_ms = until_ms + transfer_ms
+        parts: list[bytes] = []
+        size = 0
+        while (chunk := connection.read_chunk(until_ms)) is not None:
+            parts.append(chunk)
+            size += len(chunk)
+            if size > ANSWER_LIMIT_BYTES:
+                detail = f'body: over {ANSWER_LIMIT_BYTES} bytes'
+                raise BrokenReplyError(ReplyFailureKind.OVERSIZED, detail)
+            until_ms = max(until_ms, min(latest_ms, self._clock.now_ms() + timeout_ms))
+        return b''.join(parts)
+
     def _log_invalid_keep_alive(self, connection: ServerConnection) -> None:
         if not connection.invalid_keep_alive or self._has_logged_keep_alive:
             return
--- a/citrondyke/gateway/jobs/batch_subsystem.py
+++ b/citrondyke/gateway/jobs/batch_subsystem.py
@@ -45,6 +45,10 @@
 
 __all__ = ('BatchCollaborators', 'BatchSubsystem')
 
+#: Fraction of the memory that the items of an instance may occupy before it accepts and claims no
+#: further jobs. Items are in memory twice while they are packed.
+ITEMS_MEMORY_SHARE = 0.15
+
 
 class BatchCollaborators(msgspec.Struct, frozen=True):
     """Components of an instance that the batch subsystem uses."""
@@ -110,6 +114,7 @@
             collaborators.live,
             settings.job_kept_ms,
         )
+        items_limit_bytes = settings.memory_bytes * ITEMS_MEMORY_SHARE
         self.claimer = JobClaimer(
             context,
             incarnation,
@@ -121,6 +126,7 @@
             ReadBudget(context, settings.store.reads_per_s, lambda: collaborators.live.count),
             collaborators.store_interval_factor,
             tasks,
+            items_limit_bytes,
         )
         self.backlog_limiter = BacklogLimiter(
             context,
@@ -145,7 +151,7 @@
             self.runner,
             self._reader,
             self.backlog_limiter,
-            settings.memory_bytes,
+            items_limit_bytes,
         )
 
     def make_endpoint(self, notify_owner: Callable[[JobId, InstanceId], None]) -> JobEndpoint:
--- a/citrondyke/gateway/jobs/job_acceptor.py
+++ b/citrondyke/gateway/jobs/job_acceptor.py
@@ -42,9 +42,6 @@
 #: uncertain one. An attempt through a peer takes 150 ms or more.
 MIN_ATTEMPT_MS = 300.0
 RETRY_IN_MS = 250.0
-#: Fraction of the memory that the open items of an instance may occupy before it rejects further
-#: jobs. Items are in memory twice while they are packed.
-ITEMS_MEMORY_SHARE = 0.15
 #: Fraction of the items' memory for jobs whose callers are held until the store answers.
 HELD_MEMORY_SHARE = 0.25
 
@@ -78,11 +75,12 @@
         runner: JobRunner,
         reader: JobReader,
         backlog: BacklogLimiter,
-        memory_bytes: int,
+        items_limit_bytes: float,
     ) -> None:
         """Initialize the acceptor.
 
         :param incarnation: identifies the current incarnation of this instance.
+        :param items_limit_bytes: size of the owned items from which further jobs are rejected.
         """
         self._context = context
         self._incarnation = incarnation
@@ -92,7 +90,7 @@
         self._runner = runner
         self._reader = reader
         self._backlog = backlog
-        self._items_limit_bytes = memory_bytes * ITEMS_MEMORY_SHARE
+        self._items_limit_bytes = items_limit_bytes
         #: Bytes of the jobs that are being written to the store.
         self._held_bytes = 0
 
--- a/citrondyke/gateway/jobs/job_claimer.py
+++ b/citrondyke/gateway/jobs/job_claimer.py
@@ -7,6 +7,7 @@
 import gevent
 import logbook
 import msgspec
+from gevent.lock import BoundedSemaphore
 
 from citrondyke.decisions.batch.owned_job import OwnedJob
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
@@ -28,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from citrondyke.decisions.batch.job import JobHead
+    from citrondyke.decisions.batch.job import JobHead, JobItem
     from citrondyke.decisions.batch.read_budget import ReadBudget
     from citrondyke.decisions.batch.takeover import TakeoverSchedule
     from citrondyke.decisions.core.context import Context
@@ -45,6 +46,11 @@
 #: Interval of listing the open jobs, in addition to the change feed.
 LIST_EVERY_MS = 3_000.0
 POLL_EVERY_MS = 250.0
+#: Jobs that are claimed and read at the same time; each of them has 500 KB at most, or is read from
+#: an object, one after the other.
+CLAIMS_LIMIT = 16
+#: Interval of checking for free memory before a large job is read.
+ROOM_POLL_S = 0.05
 #: Longest time that the first listing waits for the first poll of the other instances.
 FIRST_POLL_DELAY_MS = 500.0
 FIRST_POLL_PAUSE_S = 0.02
@@ -65,6 +71,7 @@
         budget: ReadBudget,
         store_interval_factor: Callable[[], float],
         tasks: Tasks,
+        items_limit_bytes: float,
     ) -> None:
         """Initialize the claimer.
 
@@ -72,6 +79,7 @@
         :param budget: rate limit for reads of heads.
         :param store_interval_factor: returns the factor by which store calls are rarer than in a
             small fleet.
+        :param items_limit_bytes: size of the owned items from which no further job is claimed.
         """
         self._context = context
         self._incarnation = incarnation
@@ -86,6 +94,10 @@
         #: Whether all open jobs have been listed once since the start.
         self.is_listed = False
         self._claiming: set[JobId] = set()
+        self._items_limit_bytes = items_limit_bytes
+        self._has_room = True
+        #: Held while the items of a large job are read.
+        self._object_reads = BoundedSemaphore(1)
         self.unreadable = UnreadableRows(HEADS_TABLE)
         self._store_interval_factor = store_interval_factor
         self._feed = ChangeFeed(
@@ -205,14 +217,45 @@
             gevent.sleep(self._context.jittered_ms(POLL_EVERY_MS) / 1e3)
             if self._owned.is_stopping:
                 return
-            for stored in list(self._open.values()):
-                # One job must not keep the others without an owner.
-                self._tasks.failures.attempt('JobClaimer.claim', self._claim_if_due, stored)
+            self.claim_due()
+
+    def claim_due(self) -> None:
+        """Begin to claim the jobs that are due, as far as there is memory for them."""
+        if not self._check_room():
+            return
+        for stored in list(self._open.values()):
+            # One job must not keep the others without an owner.
+            self._tasks.failures.attempt('JobClaimer.claim', self._claim_if_due, stored)
+
+    def _check_room(self) -> bool:
+        """Return whether there is memory for another job; log each change.
+
+        Handles the loss of most instances. Those that are left would take over all jobs, exceed
+        their memory and be killed, again and again; a job that nobody can hold waits in the store
+        until items of others are done.
+        """
+        held_bytes = self._owned.held_bytes()
+        has_room = held_bytes <= self._items_limit_bytes
+        if has_room is not self._has_room:
+            self._has_room = has_room
+            log.info(
+                'jobs.room',
+                extra={
+                    'has_room': has_room,
+                    'held_bytes': held_bytes,
+                    'limit_bytes': round(self._items_limit_bytes),
+                    'owned': len(self._owned.by_id),
+                    'open': len(self._open),
+                },
+            )
+        return has_room
 
     def _claim_if_due(self, stored: StoredHead) -> None:
         job_id = stored.head.job_id
         if job_id in self._owned.by_id or job_id in self._claiming:
             return
+        if len(self._claiming) >= CLAIMS_LIMIT:
+            return
         if self._takeover.is_due(stored.head, stored.version):
             self._claiming.add(job_id)
             self._tasks.spawn(self._claim, stored)
@@ -254,7 +297,7 @@
         self._open[head.job_id] = claimed
         failures_count = 0
         while not self._owned.is_stopping:
-            items = self.store.items(head)
+            items = self._read_items(head)
             results = self.store.results(head.job_id, 0, claimed.version)
             progress = self.store.progress(head.job_id)
             current = self.store.read_head(head.job_id)
@@ -277,7 +320,7 @@
                 or isinstance(current, NoJob)
             ):
                 failures_count += 1
-                gevent.sleep(backoff_ms(failures_count) / 1e3)
+                gevent.sleep(self._context.jittered_ms(backoff_ms(failures_count)) / 1e3)
                 continue
             job = OwnedJob(head, claimed.version, items, results)
             for each in progress:
@@ -297,3 +340,16 @@
             self._runner.add(job)
             self._owned.notify_taken_over()
             return
+
+    def _read_items(self, head: JobHead) -> list[JobItem] | PlatformFailure:
+        """Read the items of a job, those of large jobs one job after the other.
+
+        Handles a loss of all instances: all reads of objects share the store's bandwidth, and many
+        at once would all take longer than a call may.
+        """
+        if not head.in_objects:
+            return self.store.items(head)
+        with self._object_reads:
+            while not self._check_room() and not self._owned.is_stopping:
+                gevent.sleep(ROOM_POLL_S)
+            return self.store.items(head)
--- a/citrondyke/gateway/jobs/owned_jobs.py
+++ b/citrondyke/gateway/jobs/owned_jobs.py
@@ -64,10 +64,8 @@
         return None if job is None or job.is_lost else job
 
     def held_bytes(self) -> int:
-        """Return the size of all open items in bytes."""
-        return sum(
-            len(progress.item.body) for job in self.by_id.values() for progress in job.open.values()
-        )
+        """Return the size of the items of all jobs in bytes, without those that are listed."""
+        return sum(job.held_bytes for job in self.by_id.values())
 
     def lose(self, job_id: JobId, reason: str) -> None:
         """Drop a job that was ended or is owned by another instance, and stop its running items."""
--- a/citrondyke/platform/store_client.py
+++ b/citrondyke/platform/store_client.py
@@ -52,6 +52,9 @@
 INSUFFICIENT_STORAGE = 507
 NOT_FOUND = 404
 OK = 200
+#: Time that an object may take beyond the timeout of a call while its bytes go on arriving: all
+#: reads share the store's bandwidth, and after a loss of all instances there are many.
+OBJECT_TRANSFER_MS = 15_000.0
 #: Replaces a value that is not base64. Valid neither as JSON nor MessagePack nor compressed data.
 UNREADABLE_VALUE = b'\xc1'
 
@@ -201,9 +204,8 @@
 
     def get(self, key: ObjectKey) -> bytes | PlatformFailure:
         """Read an object."""
-        answer = self._http.call(
-            'GET', f'/-/blob-get/{quote(key, safe="")}', b'', [], self._timeout_ms
-        )
+        target = f'/-/blob-get/{quote(key, safe="")}'
+        answer = self._http.call('GET', target, b'', [], self._timeout_ms, OBJECT_TRANSFER_MS)
         failure = _failure(answer)
         if failure is not None:
             return failure
--- a/tests/test_gateway/test_jobs/test_jobs_failures.py
+++ b/tests/test_gateway/test_jobs/test_jobs_failures.py
@@ -58,6 +58,7 @@
             ReadBudget(self.context, 2_000.0, lambda: 2),
             lambda: 1.0,
             self.tasks,
+            1e6,
         )
         for job_id in (ODD, SOUND):
             head = msgspec.structs.replace(new_head(0), job_id=job_id)
--- a/tests/test_gateway/test_jobs/test_jobs_job_claimer.py
+++ b/tests/test_gateway/test_jobs/test_jobs_job_claimer.py
@@ -44,6 +44,7 @@
         ReadBudget(context, 2_000.0, lambda: 13),
         lambda: 1.0,
         Tasks(),
+        1e6,
     )
 
 
