--- a/citrondyke/decisions/accounts/account_quota.py
+++ b/citrondyke/decisions/accounts/account_quota.py
@@ -136,9 +136,10 @@
         rate_per_s = account.rate_per_s
         remaining = self.remaining(account, now_ms) - reserved_before
         refill_ms = now_ms + max(0.0, 1.0 - remaining) / rate_per_s * 1e3
-        if self.has_counted_full_window(now_ms):
+        limit = self._budget.window_limit(rate_per_s, account.burst)
+        # A limit of less than one use leaves no time to state.
+        if limit >= 1.0 and self.has_counted_full_window(now_ms):
             # Advance grants and a full bucket together could exceed a limit of a few uses.
-            limit = self._budget.window_limit(rate_per_s, account.burst)
             refill_ms = max(refill_ms, self._window_uses.fits_at_ms(now_ms, limit, 1))
         if remaining >= 1.0 or not may_advance or not self.has_counted_full_window(now_ms):
             return refill_ms
--- a/tests/test_accounts/test_accounts_small_limits.py
+++ b/tests/test_accounts/test_accounts_small_limits.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 
 import pytest
 
 from citrondyke.decisions.accounts.account import Account
+from citrondyke.decisions.accounts.account_quota import AccountQuota
+from citrondyke.decisions.accounts.bucket import TokenBucket
 from citrondyke.decisions.accounts.fleet_rate_limiter import VerdictKind
 from citrondyke.decisions.accounts.overshoot_budget import OvershootBudget
 from citrondyke.decisions.accounts.steward_rate_limiter import StewardRateLimiter
@@ -56,3 +59,15 @@
         fleet.at(5_000.0 * number + 2_000.0, partial(fleet.kill, name, 1_500.0))
     fleet.run(DURATION_MS + 1_000.0)
     assert fleet.largest_window(account.id) <= allowed_in_window(account, fleet.budget)
+
+
+@pytest.mark.parametrize(('rate_per_s', 'burst'), [(0.1, 0.0), (0.5, 0.0), (0.01, 0.5)])
+def test_account_that_may_have_no_use_is_told_a_finite_time(
+    rate_per_s: float, burst: float
+) -> None:
+    account = Account(id=TenantId('small'), rate_per_s=rate_per_s, burst=burst)
+    budget = OvershootBudget(window_ms=WINDOW_MS, overshoot=0.1)
+    quota = AccountQuota(budget, TokenBucket(0.0), 0.0)
+    for now_ms in (1_000.0, 60_000.0, 3_600_000.0):
+        at_ms = quota.free_at_ms(account, now_ms, may_advance=True, is_reserved=False)
+        assert math.isfinite(at_ms)
