--- a/tests/test_backend/test_backend_endless.py
+++ b/tests/test_backend/test_backend_endless.py
@@ -10,6 +10,7 @@
 import gevent
 import pytest
 
+from citrondyke.backend import sse
 from citrondyke.backend.client import BackendClient
 from citrondyke.backend.connections import IdleConnections
 from citrondyke.decisions.core.server_call import ReplyKind, ServerCall, ServerReply
@@ -91,8 +92,11 @@
         method='POST',
         path='/',
         body=b'{}',
-        deadline_ms=SystemClock().now_ms() + DEADLINE_MS,
-        **{'cancel': Signal(), **more},
+        **{
+            'cancel': Signal(),
+            'deadline_ms': SystemClock().now_ms() + DEADLINE_MS,
+            **more,
+        },
     )
     stream = client.stream(call)
     while True:
@@ -117,13 +121,24 @@
     ],
 )
 def test_stream_without_end_is_ended(
-    ticker: Ticker, head: bytes, piece: bytes, kind: ReplyKind
+    monkeypatch: pytest.MonkeyPatch, ticker: Ticker, head: bytes, piece: bytes, kind: ReplyKind
 ) -> None:
+    if kind is ReplyKind.LATE:
+        # A fast machine reaches the limit on a stream's size before the deadline.
+        monkeypatch.setattr(sse, 'STREAM_LIMIT_BYTES', 1 << 60)
     assert reply_to(start_engine(head, piece), is_streamed=True).kind is kind
     # What ends at a limit may be read in one turn.
     assert ticker.count > 1 or kind is ReplyKind.CUT
 
 
+@pytest.mark.parametrize('piece', [b': x\n\n' * 8_192, b'data: x\n\n' * 8_192])
+def test_stream_without_end_is_ended_by_its_size(ticker: Ticker, piece: bytes) -> None:
+    deadline_ms = SystemClock().now_ms() + 60 * DEADLINE_MS
+    client = start_engine(STREAM + UNFRAMED, piece)
+    assert reply_to(client, is_streamed=True, deadline_ms=deadline_ms).kind is ReplyKind.CUT
+    assert ticker.count > 1
+
+
 @pytest.mark.parametrize('framing', [UNFRAMED, CHUNKED, b'Content-Length: 1000000000000\r\n\r\n'])
 @pytest.mark.parametrize(('head', 'kind'), [(PLAIN, ReplyKind.CUT), (REJECTION, ReplyKind.REFUSED)])
 def test_body_without_end_is_ended(head: bytes, framing: bytes, kind: ReplyKind) -> None:
