--- a/tests/test_gateway/test_jobs/test_jobs_takeover_load.py
+++ b/tests/test_gateway/test_jobs/test_jobs_takeover_load.py
@@ -23,6 +23,7 @@
 from citrondyke.ids import JobId
 from citrondyke.storage.failure import PlatformFailure
 from tests.support.flaky_table import FlakyTable, MemoryObjects
+from tests.support.gateway import wait_until_seen
 from tests.support.manual_clock import manual_context
 from tests.test_batch.test_batch_machine import new_head
 
@@ -69,7 +70,7 @@
 
     def claim(self) -> None:
         self.claimer.claim_due()
-        gevent.wait()
+        wait_until_seen(lambda: not self.claimer._claiming, 'the claims to end')
 
 
 def test_jobs_beyond_the_memory_wait_in_the_store() -> None:
