Count the servers of other zones only where that is needed

The reasons of refused placements summed the free capacity of all servers of a service at each choice, and the look for online requests counted those of all zones each 25 ms. Decisions are the same; the free places of remote zones are counted only where the local zone has none.

--- a/citrondyke/decisions/batch/batch_scheduler.py
+++ b/citrondyke/decisions/batch/batch_scheduler.py
@@ -117,7 +117,8 @@
         self.headroom = OnlineHeadroom(context)
         #: Choices that found no server, by reason.
         self.refusals: Counter[PlacementRefusal] = Counter()
-        #: Free capacity as of the last choice of a server, with what is kept for online requests.
+        #: Free capacity as of the last choice of a server, with what is kept for online requests;
+        #: that of remote zones only where the local one had none.
         self.free_by_service: dict[ServiceName, int] = {}
         self._preempted_ms: dict[ServerIncarnation, float] = {}
         self._excess_history: dict[ServerIncarnation, _ExcessHistory] = {}
@@ -131,11 +132,10 @@
         """Sample the online load of a service with waiting items."""
         now_ms = self._context.now_ms()
         local, remote = self._split_by_zone(self._registry.eligible_servers(service))
-        self.headroom.observe(
-            service,
-            sum(state.online_count(now_ms) for state in local),
-            sum(state.online_count(now_ms) for state in remote),
-        )
+        online = sum(state.online_count(now_ms) for state in local)
+        # In a large fleet the counts of all servers cost processor time.
+        is_online = online > 0 or any(state.online_count(now_ms) for state in remote)
+        self.headroom.observe(service, online, is_online=is_online)
 
     def can_continue(self, origin: StreamOrigin) -> bool:
         """Return whether any server may continue an item."""
@@ -155,14 +155,12 @@
         eligible = self._registry.eligible_servers(service, origin=origin)
         local, remote = self._split_by_zone(eligible)
         is_at_risk = urgency_now is Urgency.AT_RISK
-        self.free_by_service[service] = sum(
-            max(0, _free_capacity(state, now_ms)) for state in eligible
-        )
         candidates = _candidates(local, now_ms)
+        self.free_by_service[service] = local_count = _free_count(candidates)
         self.headroom.by_service[service] = headroom = self._local_headroom(
             service, len(candidates), local
         )
-        free_count = sum(candidate.free for candidate in candidates) - headroom
+        free_count = local_count - headroom
         candidates = _spread_headroom(candidates)
         if free_count < 1:
             candidates = [
@@ -174,7 +172,7 @@
         is_remote = not candidates
         if is_remote:
             candidates = self._remote_candidates(service, remote, is_at_risk=is_at_risk)
-            free_count = sum(candidate.free for candidate in candidates)
+            free_count = _free_count(candidates)
         if not candidates:
             self.refusals[self._refusal(service, eligible)] += 1
             return None
@@ -217,8 +215,9 @@
         now_ms = self._context.now_ms()
         candidates = _candidates(remote, now_ms)
         headroom = self.headroom.headroom_on_each(service, len(candidates), _capacity_count(remote))
-        free_count = sum(candidate.free for candidate in candidates)
-        candidates = _spread_headroom(candidates) if free_count > headroom else []
+        remote_count = _free_count(candidates)
+        self.free_by_service[service] += remote_count
+        candidates = _spread_headroom(candidates) if remote_count > headroom else []
         if is_at_risk:
             chosen = {candidate.state.incarnation for candidate in candidates}
             candidates += [
@@ -373,6 +372,10 @@
     return spread or candidates
 
 
+def _free_count(candidates: Iterable[_Candidate]) -> int:
+    return sum(candidate.free for candidate in candidates)
+
+
 def _capacity_count(states: Iterable[ServerState]) -> int:
     return sum(state.listed.slots_count for state in states)
 
--- a/citrondyke/decisions/batch/online_headroom.py
+++ b/citrondyke/decisions/batch/online_headroom.py
@@ -64,18 +64,18 @@
         #: Headroom as of the last choice of a server, remote zones of a large fleet left out.
         self.by_service: dict[ServiceName, int] = {}
 
-    def observe(self, service: ServiceName, online: int, online_elsewhere: int = 0) -> None:
+    def observe(self, service: ServiceName, online: int, *, is_online: bool) -> None:
         """Record the number of online requests on the servers of a service.
 
         :param online: on the servers whose counts are exchanged at once.
-        :param online_elsewhere: on its other servers.
+        :param is_online: whether any of its servers has an online request.
         """
         now_ms = self._context.now_ms()
         history = self._histories.get(service)
         if history is None or now_ms - history.samples[-1].at_ms > SAMPLE_GAP_MS:
             # Until the service has been observed for long enough, requests are expected.
             history = self._histories[service] = _LoadHistory(now_ms, deque(), {}, now_ms)
-        if online or online_elsewhere:
+        if is_online:
             history.last_online_ms = now_ms
         samples = history.samples
         samples.append(_Sample(now_ms, online))
--- a/tests/test_batch/test_batch_demand.py
+++ b/tests/test_batch/test_batch_demand.py
@@ -145,19 +145,19 @@
     clock = ManualClock()
     headroom = OnlineHeadroom(manual_context(clock))
     assert headroom.headroom_by_rises(SERVICE, 12, 96) == 12
-    headroom.observe(SERVICE, 32)
+    headroom.observe(SERVICE, 32, is_online=True)
     assert headroom.headroom_by_rises(SERVICE, 12, 96) == 32 * WARMUP_RISE_PART
     for _ in range(int(WARMUP_MS / 25.0) + 80):
         clock.ms += 25.0
-        headroom.observe(SERVICE, 32)
+        headroom.observe(SERVICE, 32, is_online=True)
     assert headroom.headroom_by_rises(SERVICE, 12, 96) == 1
     for step in range(80):
         clock.ms += 25.0
-        headroom.observe(SERVICE, 32 + 3 * step)
+        headroom.observe(SERVICE, 32 + 3 * step, is_online=True)
     assert 5 <= headroom.headroom_by_rises(SERVICE, 12, 96) <= 7
     for step in range(80):
         clock.ms += 25.0
-        headroom.observe(SERVICE, 400 + 50 * step)
+        headroom.observe(SERVICE, 400 + 50 * step, is_online=True)
     assert headroom.headroom_by_rises(SERVICE, 12, 96) == 12
 
 
