A connection that the kernel gives up interrupts its response

What callers saw: 200 and a whole stream in chunks with two of its six events, 3.06 s after the server had sent the second one. It takes a response without a length (its end is that of its connection) whose server is gone from the network; whole responses of this kind and the store's answers are read by the same code.

Cause: the kernel reports a connection that it gives up (TCP_USER_TIMEOUT, keepalive) as ETIMEDOUT, once, and Python raises it as TimeoutError, the type of a socket object's own timeout. ServerConnection took it for the latter and read again; the second read finds an end as if the server had closed the connection in order.

Change: util/own_timeout.py tells the two apart by errno (None for the socket object's own one). The kernel's is an interruption (CUT), at the first and at the second read.

Ruled out: the writer of a large upload gets the error first.

Other places in which the kernel's timeout may arrive, by reading: request_reader (408 to a caller whose connection is dead, nothing was sent on), caller_connection (the watch reads once more, finds the end and stops the request), open_socket (not connected, so raised), server_sends (only at the request's own deadline not counted as unreachable), backend/client, status_endpoint, peers, entry and storage (any OSError is a failure). None takes it for an orderly end.

--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -14,6 +14,7 @@
 from citrondyke.gateway.servers.reply_reader import ReplyReader, accept_any
 from citrondyke.gateway.sockets import connect
 from citrondyke.util.numbers import parse_count, shortened
+from citrondyke.util.own_timeout import is_own_timeout
 from citrondyke.util.time_slice import TimeSlice
 
 if TYPE_CHECKING:
@@ -222,9 +223,11 @@
         asked_ms = self._clock.now_ms()
         try:
             data = self._receive_until(until_ms)
-        except (TimeoutError, BlockingIOError) as error:
+        except BlockingIOError as error:
             raise BrokenReplyError(ReplyFailureKind.SILENT) from error
         except OSError as error:
+            if is_own_timeout(error):
+                raise BrokenReplyError(ReplyFailureKind.SILENT) from error
             raise BrokenReplyError(ReplyFailureKind.CUT, type(error).__name__) from error
         self.last_activity_ms = self._clock.now_ms()
         self._slice.record_read(asked_ms, self.last_activity_ms)
@@ -244,8 +247,11 @@
         left_ms = until_ms - self._clock.now_ms()
         if left_ms > 0:
             self._sock.settimeout(left_ms / 1e3)
-            with suppress(TimeoutError):
+            try:
                 return bytes(self._sock.recv(READ_BYTES))
+            except TimeoutError as error:
+                if not is_own_timeout(error):
+                    raise
         if self.last_activity_ms > until_ms:
             raise TimeoutError
         self._sock.setblocking(False)
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -25,6 +25,7 @@
     SEAL_HEADER,
     SERVER_HEADER,
 )
+from citrondyke.standin.dropped_packets import drop_received
 from citrondyke.standin.endless_reply import EndlessPart, endless_reply
 
 if TYPE_CHECKING:
@@ -36,6 +37,8 @@
 
 READ_BYTES = 65_536
 FIRST_NOT_SUCCESSFUL = 300
+#: How long a vanished server keeps its connection.
+VANISHED_S = 30.0
 
 
 def event_text(number: int, software_version: str = '') -> str:
@@ -82,6 +85,8 @@
     UNFRAMED_CUT_IN_EVENT = 'unframed_cut_in_event'
     #: Close the connection of such a stream before its first event.
     UNFRAMED_EMPTY = 'unframed_empty'
+    #: Send a part of such a stream; then neither send nor acknowledge anything.
+    UNFRAMED_THEN_VANISH = 'unframed_then_vanish'
     #: Send a whole answer without a length, and crash.
     UNFRAMED_THEN_CRASH = 'unframed_then_crash'
     #: Reset the connection of a stream in the middle of an event.
@@ -108,6 +113,7 @@
     AnswerMode.UNFRAMED_CUT,
     AnswerMode.UNFRAMED_CUT_IN_EVENT,
     AnswerMode.UNFRAMED_EMPTY,
+    AnswerMode.UNFRAMED_THEN_VANISH,
     AnswerMode.UNFRAMED_THEN_CRASH,
 )
 FAILURES = {
@@ -437,6 +443,9 @@
         for piece in pieces:
             sock.sendall(piece)
             gevent.sleep(0.01)
+        if answer_mode is AnswerMode.UNFRAMED_THEN_VANISH:
+            drop_received(sock)
+            gevent.sleep(VANISHED_S)
         if answer_mode is AnswerMode.UNFRAMED_CUT:
             reset(sock)
         if answer_mode is AnswerMode.UNFRAMED_THEN_CRASH:
