The framing of a response has one reader: header lines that the parser reads otherwise are rejected

What callers saw: with 'Transfer-Encoding: chunked' and 'Transfer-Encoding: identity' in two lines, or 'chunked' followed by a tab, the heads of the server's chunks as text of events. With a length in an interim response (150 to 199) the bytes after it stood before the text of the answer.

Cause: the reader takes the first line, without spaces and tabs around it; the parser goes by the last coding of all lines, and takes 'chunked' before a tab for another coding. The parser also reads a body after an interim response other than 100 to 103 that states a length, and the reader collected it before the final head had come.

Change: a response in chunks has exactly one line of Transfer-Encoding, and its value is 'chunked' as the parser reads it; anything else is MALFORMED, also 'chunked' twice (RFC 9112, 7.1) and 'identity, chunked'. A body before the final head is MALFORMED. The error says which of the checks it was; before it said 'User callback error' for each.

Ruled out (the parser rejects them, by the test): two Content-Length, equal or not, a length beside chunks, lists, signs and empty values of either. Chunks in HTTP/1.0 are accepted as before: both readers agree on them, and the connection isn't reused.

Tests: the property draws up to four header lines, spaces, versions and cuts; the body is the sent one and is_framed as stated, or MALFORMED; all but the last byte is never whole.

--- a/citrondyke/gateway/servers/reply_reader.py
+++ b/citrondyke/gateway/servers/reply_reader.py
@@ -20,6 +20,9 @@
 #: parser keeps a header or trailer line until its end.
 HEAD_LIMIT_BYTES = 65_536
 SWITCHING = 101
+#: Lines of ``Transfer-Encoding`` in which all readers find the same framing. The parser goes by the
+#: last coding of all lines, and takes ``chunked`` before a tab for another one.
+SUPPORTED_CODINGS: tuple[list[bytes], ...] = ([], [b'chunked'])
 #: Statuses of responses without a body, whatever their head says.
 BODILESS = (204, 304)
 
@@ -62,6 +65,8 @@
         #: Bytes of the head, or those since the last part of the body.
         self._framing_bytes = 0
         self._headers: list[Header] = []
+        #: Values of ``Transfer-Encoding``, one a line.
+        self._codings: list[bytes] = []
         self._pieces: list[bytes] = []
         self._ends_with_connection = False
         #: Whether bytes arrived after the response.
@@ -85,6 +90,9 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if isinstance(error.__context__, BrokenReplyError):
+                # One of the methods below has raised it.
+                raise error.__context__ from None
             if not self.is_whole:
                 raise BrokenReplyError(ReplyFailureKind.MALFORMED, str(error)[:100]) from error
             # The invalid bytes come after the response.
@@ -127,12 +135,15 @@
         """Handle the begin of a response."""
         self._has_extra = self._has_extra or self.is_whole
         self._headers = []
+        self._codings = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are left out, since they are no part of the head."""
         if self.head is None:
             # Optional whitespace around a value is no part of it.
             self._headers.append((name.lower(), value.strip(b' \t')))
+            if name.lower() == b'transfer-encoding':
+                self._codings.append(value.lower().strip(b' '))
 
     def on_headers_complete(self) -> None:
         """Handle the end of the head."""
@@ -149,10 +160,9 @@
             self.skipped_count += 1
             return
         self.head = head
-        coding = (self.head.header(b'transfer-encoding') or b'').lower()
-        if coding not in (b'', b'chunked'):
+        if self._codings not in SUPPORTED_CODINGS:
             raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'unsupported Transfer-Encoding')
-        is_framed = bool(coding) or self.head.header(b'content-length') is not None
+        is_framed = bool(self._codings) or head.header(b'content-length') is not None
         if self._is_bodiless:
             # Bytes after the head cannot be told from a body that must not be there.
             self.is_whole = True
@@ -162,9 +172,12 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
-        if not self.is_whole and not self._is_skipping:
-            self._framing_bytes = 0
-            self._pieces.append(data)
+        if self.is_whole or self._is_skipping:
+            return
+        if self.head is None:
+            raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'interim response with a body')
+        self._framing_bytes = 0
+        self._pieces.append(data)
 
     def on_message_complete(self) -> None:
         """Handle the end of a response; the end of an interim response is ignored."""
