--- a/citrondyke/gateway/servers/reply_reader.py
+++ b/citrondyke/gateway/servers/reply_reader.py
@@ -25,6 +25,8 @@
 SUPPORTED_CODINGS: tuple[list[bytes], ...] = ([], [b'chunked'])
 #: Statuses of responses without a body, whatever their head says.
 BODILESS = (204, 304)
+#: Statuses of responses without content (RFC 9110). A 205 is framed as any other response.
+WITHOUT_CONTENT = (*BODILESS, 205)
 
 
 class ReplyHead(msgspec.Struct, frozen=True):
@@ -122,9 +124,19 @@
 
     @property
     def is_framed(self) -> bool:
-        """Whether the response has a length or comes in chunks."""
+        """Whether the end of the response is told apart from the end of the connection.
+
+        So it has a length, comes in chunks, or ends with its head.
+        """
         return not self._ends_with_connection
 
+    @property
+    def may_have_content(self) -> bool:
+        """Whether its head allows content; the end of any other response says nothing of it."""
+        if self.head is None or self._is_bodiless:
+            return False
+        return self.head.status not in WITHOUT_CONTENT
+
     @property
     def is_reusable(self) -> bool:
         """Whether the next response on the connection belongs to the next request."""
--- a/tests/test_gateway/test_servers/test_servers_framing.py
+++ b/tests/test_gateway/test_servers/test_servers_framing.py
@@ -39,8 +39,8 @@
     return CHUNKS if names[-1:] == [b'chunked'] else PAYLOAD
 
 
-def read(data: bytes, cuts: list[int]) -> ReplyReader:
-    reader = ReplyReader(is_bodiless=False)
+def read(data: bytes, cuts: list[int], *, is_bodiless: bool = False) -> ReplyReader:
+    reader = ReplyReader(is_bodiless=is_bodiless)
     places = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts)})
     for start, end in itertools.pairwise(places):
         reader.feed(data[start:end])
@@ -90,3 +90,30 @@
     with pytest.raises(BrokenReplyError, match='Transfer-Encoding') as caught:
         read(head_of(b'HTTP/1.1 200 OK', [(CODING, value) for value in values]) + CHUNKS, [])
     assert caught.value.failure_kind is ReplyFailureKind.MALFORMED
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'is_framed', 'may_have_content'),
+    [
+        (b'200', [(LENGTH, b'0')], True, True),
+        (b'200', [(CODING, b'chunked')], True, True),
+        (b'200', [], False, True),
+        (b'204', [], True, False),
+        (b'204', [(CODING, b'chunked')], True, False),
+        (b'205', [(LENGTH, b'0')], True, False),
+        (b'205', [], False, False),
+        (b'304', [(LENGTH, b'30')], True, False),
+        (b'404', [], False, True),
+    ],
+)
+def test_head_says_whether_there_is_a_frame_and_content(
+    status: bytes, headers: Headers, is_framed: bool, may_have_content: bool
+) -> None:
+    # Failure: a response that can have no events states that a stream has none.
+    head = head_of(b'HTTP/1.1 %b X' % status, headers)
+    reader = read(head, [])
+    assert not ReplyReader(is_bodiless=False).may_have_content
+    assert (reader.is_framed, reader.may_have_content) == (is_framed, may_have_content)
+    answer_to_head = read(head, [], is_bodiless=True)
+    assert (answer_to_head.is_whole, answer_to_head.is_framed) == (True, True)
+    assert not answer_to_head.may_have_content
