Callers: a whole answer without a length may end with its connection

send_whole always stated a Content-Length, also for a server's answer whose end is known only by the end of its connection: it claimed more than the server had said. With is_framed=False the answer is sent as an unframed stream, which is reset if this process ends or fails before the last byte was written.

Nothing calls it yet.

--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -109,11 +109,20 @@
         """Announce in the next response that the connection closes after it."""
         self._closes_after_answer = True
 
-    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+    def send_whole(
+        self, status: int, headers: Headers, body: bytes, *, is_framed: bool = True
+    ) -> None:
         """Send a whole response.
 
+        :param is_framed: whether the response states its length. If not, it ends with its
+            connection, as did that of its server.
         :raises CallerGoneError: if the caller does not read it.
         """
+        if not is_framed:
+            self.start_stream(status, headers, is_framed=False)
+            self.send_chunk(body)
+            self.end_stream()
+            return
         framing: Headers = [(b'Content-Length', str(len(body)).encode())]
         head = self._head(status, headers + framing)
         data = self._http.send(h11.Data(data=body)) if body else b''
--- a/tests/test_gateway/test_callers/test_callers_ends.py
+++ b/tests/test_gateway/test_callers/test_callers_ends.py
@@ -159,3 +159,39 @@
     data, is_orderly = read_to_end(serve(HEAD_1_1, answer))
     assert is_orderly
     assert data.endswith(b'Connection: close\r\n\r\n')
+
+
+@pytest.mark.parametrize('request_bytes', [GET_1_1, GET_1_0])
+@pytest.mark.parametrize('body', [b'x' * LARGE_BYTES, b''])
+def test_whole_unframed_answer_ends_in_order(
+    serve: Callable[[bytes, Answer], socket.socket], request_bytes: bytes, body: bytes
+) -> None:
+    def answer(connection: CallerConnection) -> None:
+        connection.send_whole(200, HEADERS, body, is_framed=False)
+        connection.close()
+
+    caller = serve(request_bytes, answer)
+    gevent.sleep(0.3)
+    data, is_orderly = read_to_end(caller)
+    head, _, received = data.partition(b'\r\n\r\n')
+    assert (len(received), is_orderly) == (len(body), True)
+    assert b'content-length' not in head.lower()
+
+
+def test_whole_unframed_answer_that_is_interrupted_is_reset(
+    serve: Callable[[bytes, Answer], socket.socket],
+) -> None:
+    # The caller reads slowly, and the instance stops in the middle of the body.
+    def answer(connection: CallerConnection) -> None:
+        try:
+            with gevent.Timeout(0.2):
+                connection.send_whole(200, HEADERS, b'x' * LARGE_BYTES, is_framed=False)
+        except gevent.Timeout:
+            connection.send_error(502, [])
+        connection.close()
+
+    caller = serve(GET_1_1, answer)
+    gevent.sleep(0.5)
+    data, is_orderly = read_to_end(caller)
+    assert len(data) < LARGE_BYTES
+    assert not is_orderly
