Whole answers without a length reach callers without one

What callers saw: a server's answer that ends with its connection had a Content-Length of our own. A process of a server that is killed has its connections closed in order by its kernel, so its part of an answer became a whole one with a length that agrees.

Cause: the instance measured what it had got, and stated that as the length.

Ruled out: an answer that ends by a reset; it is broken off since the reset's error is reported.

Change: the forwarder passes on whether the answer has a frame. Without one, the caller's ends with its connection too, and the caller can judge it as it would judge the server's own. Its connection isn't kept after such an answer.

Before: test_answer_without_a_length_is_passed_on_without_one failed on both routes (Content-Length 8 in the head). After: it passes, and all of tests/test_gateway/test_callers and test_servers_early_ends with it (205).

--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -391,7 +391,8 @@
         self._record_first_answer(forwarded, state, started_ms)
         forwarded.first_answer_ms = self._context.now_ms()
         caller.stop_watching_disconnect()
-        caller.send_whole(reply.head.status, headers, body)
+        is_framed = reply.connection.is_framed
+        caller.send_whole(reply.head.status, headers, body, is_framed=is_framed)
         return RequestResult.DONE
 
     def _first_answer(
--- a/tests/test_gateway/test_callers/test_callers_ends.py
+++ b/tests/test_gateway/test_callers/test_callers_ends.py
@@ -13,7 +13,9 @@
 from citrondyke.decisions.memory.byte_budget import ByteBudget
 from citrondyke.gateway.callers.caller_connection import CallerConnection
 from citrondyke.gateway.sockets import tune
+from citrondyke.standin.platform_server import AnswerMode
 from citrondyke.util.clock import SystemClock
+from tests.support.gateway import GatewayFleet
 from tests.support.program import Program
 
 REQUEST = b'%b /stream/a HTTP/%b\r\nHost: h\r\nContent-Length: 0\r\n%b\r\n'
@@ -195,3 +197,14 @@
     data, is_orderly = read_to_end(caller)
     assert len(data) < LARGE_BYTES
     assert not is_orderly
+
+
+@pytest.mark.parametrize('path', ['/fetch/a', '/order/a'])
+def test_answer_without_a_length_is_passed_on_without_one(fleet: GatewayFleet, path: str) -> None:
+    # A length would state that the answer is whole, which its server did not.
+    for name in ('app-1', 'app-2'):
+        fleet.servers[name].answer_modes.append(AnswerMode.UNFRAMED)
+    reply = fleet.call(path)
+    assert (reply.status, reply.body, reply.is_whole) == (200, b'unframed', True)
+    assert not {'content-length', 'transfer-encoding'} & reply.headers.keys()
+    assert reply.headers['connection'] == 'close'
