Callers: a response is whole once its bytes are written

What callers saw: if a stop or an exception interrupted the sending of a whole answer, or of the last chunk of a stream, the instance took the response for whole and closed the connection in order after a part of it. Length and chunks told callers of it, but where the response ends with its connection nothing would have.

Cause: has_whole_answer asked the HTTP state, which changes when the bytes are made, not when they are written. A handler that returns in the middle of a response had its connection closed in order too.

Ruled out: an interrupted chunk that isn't the last one; it was reset before.

Change: the connection records that the last byte was handed to the kernel. Until then an error resets the connection, and so does close(), with a log line, connection.left_midway.

--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -7,6 +7,7 @@
 
 import gevent
 import h11
+import logbook
 from gevent.socket import wait_read
 
 from citrondyke.decisions.memory.byte_budget import HeldKind
@@ -28,12 +29,12 @@
 
 __all__ = ('CallerConnection',)
 
+log = logbook.Logger(__name__)
+
 #: A connection on which a response makes no progress for this long is closed.
 WRITE_STALL_S = 10.0
 #: How long the bytes of a caller are discarded before its connection is closed.
 DISCARD_S = 0.2
-#: States of the connection after a whole response, with and without a next one.
-WHOLE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 #: Bytes that a caller may send while it waits for a response.
 PIPELINED_LIMIT_BYTES = 65_536
 
@@ -63,6 +64,8 @@
         self._has_body = True
         #: Whether a part of the response to the current request may have been sent.
         self.has_begun_answer = False
+        #: Whether all bytes of that response were written. The HTTP state says so before they are.
+        self._is_all_written = False
 
     @property
     def is_idle(self) -> bool:
@@ -85,9 +88,11 @@
         :raises BadRequestHeadError: if it is malformed, too large or too slow.
         :raises MemoryFullError: if the instance has no free memory for its body.
         """
+        self.has_begun_answer = self._is_all_written = False
         request = self._reader.read()
         if request is not None:
             self._has_body = request.method != b'HEAD'
+            # An interim response may have been sent.
             self.has_begun_answer = False
         return request
 
@@ -127,6 +132,7 @@
         head = self._head(status, headers + framing)
         data = self._http.send(h11.Data(data=body)) if body else b''
         self._write(head + (data or b'') + (self._http.send(h11.EndOfMessage()) or b''))
+        self._is_all_written = True
 
     def reject_unread(self, status: int, headers: Sequence[Header] = ()) -> None:
         """Reject a request that was not read whole; the connection cannot be reused."""
@@ -136,11 +142,12 @@
             b'HTTP/1.1 %d %b\r\n%bContent-Length: 0\r\nConnection: close\r\n\r\n'
             % (status, phrase, lines)
         )
+        self._is_all_written = True
 
     @property
     def has_whole_answer(self) -> bool:
         """Whether the response to the current request is whole."""
-        return self.has_begun_answer and self._http.our_state in WHOLE_STATES
+        return self.has_begun_answer and self._is_all_written
 
     def send_error(self, status: int, headers: Sequence[Header]) -> None:
         """Answer a request whose handling failed, and close the connection afterwards.
@@ -198,6 +205,7 @@
         """End a stream, marking it as complete."""
         end = self._http.send(h11.EndOfMessage()) or b''
         self._write(self._take_unsent_head() + (b'' if self._ends_with_connection else end))
+        self._is_all_written = True
 
     @property
     def is_reusable(self) -> bool:
@@ -205,6 +213,7 @@
         return (
             not self._is_closed
             and not self._closes_after_answer
+            and self.has_whole_answer
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
         )
@@ -221,10 +230,16 @@
         Closing a socket with unread bytes sends a reset, which can overtake the response. So the
         writing side is shut down first, and incoming bytes are read and discarded for a moment. The
         time is limited as a whole: a caller may send without end.
+
+        A response that is not whole is reset instead.
         """
         self.stop_watching_disconnect()
         if self._is_closed:
             return
+        if self.has_begun_answer and not self.has_whole_answer:
+            log.error('connection.left_midway', extra={'is_chunked': self._is_chunked})
+            self.abort()
+            return
         self._is_closed = True
         try:
             if self._ends_with_connection:
