Callers: a connection that the kernel gives up is not a slow request

What was seen: the kernel's ETIMEDOUT has Python's type of a timeout of ours. A caller whose machine was lost in the middle of a request was logged as request.improper (408, head or body too slow), and a 408 was written to a connection that no longer existed. No caller could see it.

Cause: RequestReader._receive asked for the type only. _watch_disconnect did too, and noticed the end one read later, so that nothing was wrong there.

Ruled out: that a lost caller isn't noticed while its server works: a caller that doesn't read is given up by the kernel after about 3 s, the watcher of the disconnect raises, and the caller sees a reset (test_caller_that_does_not_read_is_noticed_while_its_server_works, which passed before too).

Change: both ask for the error number, by sockets.is_own_timeout.

Before: test_connection_that_the_kernel_gives_up_is_no_slow_caller failed for a half head and for a half body (BadRequestHeadError), and passed for an idle connection. After: 3 of 3.

--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -14,7 +14,7 @@
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.request_reader import READ_BYTES, RequestReader
 from citrondyke.gateway.http_head import write_head
-from citrondyke.gateway.sockets import is_readable, reset, set_reset_on_close
+from citrondyke.gateway.sockets import is_own_timeout, is_readable, reset, set_reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -302,8 +302,12 @@
             try:
                 wait_read(self._sock.fileno())
                 data = self._sock.recv(READ_BYTES)
-            except (BlockingIOError, TimeoutError):
+            except BlockingIOError:
                 continue
+            except TimeoutError as error:
+                if is_own_timeout(error):
+                    continue
+                data = b''
             except OSError:
                 data = b''
             if not data:
--- a/citrondyke/gateway/callers/request_reader.py
+++ b/citrondyke/gateway/callers/request_reader.py
@@ -11,6 +11,7 @@
 from citrondyke.errors.memory_full import MemoryFullError
 from citrondyke.gateway.callers.caller_request import CallerRequest
 from citrondyke.gateway.callers.strict_head import check_head
+from citrondyke.gateway.sockets import is_own_timeout
 from citrondyke.util.time_slice import TimeSlice
 
 if TYPE_CHECKING:
@@ -159,8 +160,8 @@
         try:
             self._sock.settimeout((until_ms - asked_ms) / 1e3)
             data: bytes = self._sock.recv(READ_BYTES)
-        except TimeoutError:
-            return None
+        except TimeoutError as error:
+            return None if is_own_timeout(error) else b''
         except OSError:
             return b''
         self._slice.record_read(asked_ms, self._clock.now_ms())
--- a/tests/test_gateway/test_callers/test_callers_interrupted.py
+++ b/tests/test_gateway/test_callers/test_callers_interrupted.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import gevent
 import pytest
 from gevent import socket
 
 from citrondyke.decisions.forwarding.route import RouteLimits
 from citrondyke.decisions.memory.byte_budget import ByteBudget
+from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.errors.instance_stopping import InstanceStoppingError
 from citrondyke.gateway.callers.caller_connection import CallerConnection
 from citrondyke.gateway.sockets import tune
@@ -138,3 +141,51 @@
     pair.connection.send_chunk(EVENT)
     pair.connection.close()
     assert not ends_in_order(pair.caller)
+
+
+class LostSocket:
+    """A socket whose connection the kernel gives up after some bytes."""
+
+    def __init__(self, data: bytes) -> None:
+        self._pieces = [data]
+
+    def settimeout(self, _: float) -> None: ...
+
+    def recv(self, _: int) -> bytes:
+        if self._pieces:
+            return self._pieces.pop()
+        raise TimeoutError(errno.ETIMEDOUT, 'Connection timed out')
+
+
+@pytest.mark.parametrize(
+    'data', [b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nbody', b'POST / HT', b'']
+)
+def test_connection_that_the_kernel_gives_up_is_no_slow_caller(data: bytes) -> None:
+    # Its error has the type of a timeout of ours: the request was logged and answered as too slow.
+    sock = LostSocket(data)
+    connection = CallerConnection(SystemClock(), sock, RouteLimits, ByteBudget(1e6))
+    try:
+        assert connection.read_request() is None
+    except CallerGoneError:
+        assert b'\r\n\r\n' in data
+
+
+def test_caller_that_does_not_read_is_noticed_while_its_server_works(
+    connect: Callable[[bytes], Pair],
+) -> None:
+    # The kernel gives the connection up, and only the watcher of the disconnect reads from it.
+    pair = connect(b'1.1')
+    pair.connection.start_stream(200, HEADERS)
+    pair.sock.setblocking(False)
+    with pytest.raises(BlockingIOError):
+        while True:
+            pair.sock.send(b'x' * 65_536)
+
+    def wait_for_server() -> None:
+        pair.connection.watch()
+        gevent.sleep(LONGEST_S)
+
+    with pytest.raises(CallerGoneError):
+        gevent.spawn(wait_for_server).get(timeout=LONGEST_S)
+    pair.connection.abort()
+    assert not ends_in_order(pair.caller)
