--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -7,13 +7,14 @@
 
 import gevent
 import h11
+import logbook
 from gevent.socket import wait_read
 
 from citrondyke.decisions.memory.byte_budget import HeldKind
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.request_reader import READ_BYTES, RequestReader
 from citrondyke.gateway.http_head import write_head
-from citrondyke.gateway.sockets import is_readable, reset, set_reset_on_close
+from citrondyke.gateway.sockets import is_own_timeout, is_readable, reset, set_reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -28,12 +29,12 @@
 
 __all__ = ('CallerConnection',)
 
+log = logbook.Logger(__name__)
+
 #: A connection on which a response makes no progress for this long is closed.
 WRITE_STALL_S = 10.0
 #: How long the bytes of a caller are discarded before its connection is closed.
 DISCARD_S = 0.2
-#: States of the connection after a whole response, with and without a next one.
-WHOLE_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 #: Bytes that a caller may send while it waits for a response.
 PIPELINED_LIMIT_BYTES = 65_536
 
@@ -63,6 +64,8 @@
         self._has_body = True
         #: Whether a part of the response to the current request may have been sent.
         self.has_begun_answer = False
+        #: Whether all bytes of that response were written. The HTTP state says so before they are.
+        self._is_all_written = False
 
     @property
     def is_idle(self) -> bool:
@@ -85,9 +88,11 @@
         :raises BadRequestHeadError: if it is malformed, too large or too slow.
         :raises MemoryFullError: if the instance has no free memory for its body.
         """
+        self.has_begun_answer = self._is_all_written = False
         request = self._reader.read()
         if request is not None:
             self._has_body = request.method != b'HEAD'
+            # An interim response may have been sent.
             self.has_begun_answer = False
         return request
 
@@ -109,15 +114,25 @@
         """Announce in the next response that the connection closes after it."""
         self._closes_after_answer = True
 
-    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+    def send_whole(
+        self, status: int, headers: Headers, body: bytes, *, is_framed: bool = True
+    ) -> None:
         """Send a whole response.
 
+        :param is_framed: whether the response states its length. If not, it ends with its
+            connection, as did that of its server.
         :raises CallerGoneError: if the caller does not read it.
         """
+        if not is_framed:
+            self.start_stream(status, headers, is_framed=False)
+            self.send_chunk(body)
+            self.end_stream()
+            return
         framing: Headers = [(b'Content-Length', str(len(body)).encode())]
         head = self._head(status, headers + framing)
         data = self._http.send(h11.Data(data=body)) if body else b''
         self._write(head + (data or b'') + (self._http.send(h11.EndOfMessage()) or b''))
+        self._is_all_written = True
 
     def reject_unread(self, status: int, headers: Sequence[Header] = ()) -> None:
         """Reject a request that was not read whole; the connection cannot be reused."""
@@ -127,11 +142,12 @@
             b'HTTP/1.1 %d %b\r\n%bContent-Length: 0\r\nConnection: close\r\n\r\n'
             % (status, phrase, lines)
         )
+        self._is_all_written = True
 
     @property
     def has_whole_answer(self) -> bool:
         """Whether the response to the current request is whole."""
-        return self.has_begun_answer and self._http.our_state in WHOLE_STATES
+        return self.has_begun_answer and self._is_all_written
 
     def send_error(self, status: int, headers: Sequence[Header]) -> None:
         """Answer a request whose handling failed, and close the connection afterwards.
@@ -189,6 +205,7 @@
         """End a stream, marking it as complete."""
         end = self._http.send(h11.EndOfMessage()) or b''
         self._write(self._take_unsent_head() + (b'' if self._ends_with_connection else end))
+        self._is_all_written = True
 
     @property
     def is_reusable(self) -> bool:
@@ -196,6 +213,7 @@
         return (
             not self._is_closed
             and not self._closes_after_answer
+            and self.has_whole_answer
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
         )
@@ -212,10 +230,16 @@
         Closing a socket with unread bytes sends a reset, which can overtake the response. So the
         writing side is shut down first, and incoming bytes are read and discarded for a moment. The
         time is limited as a whole: a caller may send without end.
+
+        A response that is not whole is reset instead.
         """
         self.stop_watching_disconnect()
         if self._is_closed:
             return
+        if self.has_begun_answer and not self.has_whole_answer:
+            log.error('connection.left_midway', extra={'is_chunked': self._is_chunked})
+            self.abort()
+            return
         self._is_closed = True
         try:
             if self._ends_with_connection:
@@ -278,8 +302,12 @@
             try:
                 wait_read(self._sock.fileno())
                 data = self._sock.recv(READ_BYTES)
-            except (BlockingIOError, TimeoutError):
+            except BlockingIOError:
                 continue
+            except TimeoutError as error:
+                if is_own_timeout(error):
+                    continue
+                data = b''
             except OSError:
                 data = b''
             if not data:
