Complete an item only when its whole output is known

Cause: the owner took the orderly end of one run for the end of the item. A run that goes on after an interruption and answers without an event (only the last chunk, `Content-Length: 0`, 204, 205, a comment block), and a run without a frame whose connection is closed between events, ended it.

Ruled out: "no event is an interruption" alone, as items whose last chunk alone is missing would never be completed.

Change: `ItemEnd` holds a `StreamEnd` for each item. A run counts only with status 200 and an event stream. An end that nothing proves has the result `unconfirmed`: the item keeps its events, and 100 ms later its next run goes to a server that has not stated the end, for at most 10 s; after that the servers that have stated it count again. It is no failure of the item or of the server. An item that waits so keeps no other item of its job waiting. The next owner starts without statements. Items of servers without a version can't be continued: there whole runs that end after the same text count as statements, so that they end without a frame, too. Each orderly end has a line `item.ended`, and a counter by verdict.

The test of the full server fails if an item in doubt is not postponed.

--- a/citrondyke/decisions/batch/batch_scheduler.py
+++ b/citrondyke/decisions/batch/batch_scheduler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -141,8 +141,24 @@
         """Return whether any server may continue an item."""
         return self._registry.can_continue(origin)
 
+    def has_servers(
+        self,
+        service: ServiceName,
+        excluded: Collection[ServerIncarnation],
+        origin: StreamOrigin | None,
+    ) -> bool:
+        """Return whether any other server accepts an item, those without capacity included.
+
+        :param origin: origin of the item's events; ``None`` if any server may run it.
+        """
+        return self._registry.has_servers(service, excluded, origin)
+
     def choose_server(
-        self, service: ServiceName, urgency_now: Urgency, origin: StreamOrigin | None = None
+        self,
+        service: ServiceName,
+        urgency_now: Urgency,
+        origin: StreamOrigin | None = None,
+        excluded: Collection[ServerIncarnation] = (),
     ) -> ServerState | None:
         """Choose the server for an item; ``None`` if no capacity is available to it.
 
@@ -150,9 +166,10 @@
         published late, so that online requests there do not take the item into account in time.
 
         :param origin: origin of the item's events; ``None`` if any server may run it.
+        :param excluded: servers that must not run it.
         """
         now_ms = self._context.now_ms()
-        eligible = self._registry.eligible_servers(service, origin=origin)
+        eligible = self._registry.eligible_servers(service, excluded, origin)
         local, remote = self._split_by_zone(eligible)
         is_at_risk = urgency_now is Urgency.AT_RISK
         candidates = _candidates(local, now_ms)
--- a/citrondyke/decisions/batch/owned_job.py
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from citrondyke.decisions.batch.item_end import ItemEnd
 from citrondyke.decisions.batch.job import ItemResult, ItemState, JobHead, JobItem
 from citrondyke.decisions.streams.stream_origin import StreamOrigin
 
@@ -15,6 +16,9 @@
 #: Pause before an item is retried after a failed run; doubled with each consecutive break.
 RETRY_MS = 100.0
 MAX_RETRY_PAUSE_MS = 2_000.0
+#: Pause before another server is asked whether anything follows after a run. It is not doubled: the
+#: number of such runs is limited, as each server states the end once.
+CONFIRM_PAUSE_MS = 100.0
 #: Interval at which a blocked item is checked again for whether it may be sent.
 BLOCKED_PAUSE_MS = 1_000.0
 #: Clocks of instances may differ by some seconds: an item is abandoned this much later than its
@@ -41,6 +45,9 @@
     FAILED = 'failed'
     #: The run was aborted, rejected or stopped to free capacity; it resumes after its last event.
     INTERRUPTED = 'broken'
+    #: The run ended in order, but nothing proves that the item is whole; another server is asked
+    #: whether anything follows. It is no failure of its server.
+    UNCONFIRMED = 'unconfirmed'
     #: The run was stopped to give its capacity to online requests.
     PREEMPTED = 'gave_way'
     #: The item was not sent, because servers exited while they ran it.
@@ -66,6 +73,8 @@
     #: Id of the last event saved in the store.
     saved_event_id: int | None = None
     text_chars: int = 0
+    #: What is known about the end of the item. It is not saved: the next owner asks anew.
+    end: ItemEnd = msgspec.field(default_factory=ItemEnd)
 
     def add_event(self, text: str, event_id: int | None, origin: StreamOrigin) -> None:
         """Add an event of the current run."""
@@ -82,6 +91,12 @@
         self.last_event_id = None
         self.saved_event_id = None
         self.origin = None
+        self.end.begin_anew()
+
+    @property
+    def text(self) -> str:
+        """Return the text of the events received so far."""
+        return '\n'.join(self.texts)
 
     @property
     def events_count(self) -> int:
@@ -92,9 +107,10 @@
 class OwnedJob:
     """One job and the progress of its items, kept by the job's owner.
 
-    An item is open until a run is completed, a server reports that it is impossible, as many runs
-    as allowed have failed, its job ends or its route is removed, or its job gives it up. Nothing
-    else ends it, and from every other state a run starts again after a bounded pause.
+    An item is open until its whole output is known, a server reports that it is impossible, as many
+    runs as allowed have failed, its job ends or its route is removed, or its job gives it up. The
+    end of a run alone does not end it: ``ItemEnd`` decides whether its output is whole. From every
+    other state a run starts again after a bounded pause, or as soon as a server has capacity.
     """
 
     def __init__(
@@ -179,6 +195,9 @@
         if end is RunResult.PREEMPTED:
             progress.not_before_ms = now_ms
             return
+        if end is RunResult.UNCONFIRMED:
+            progress.not_before_ms = now_ms + CONFIRM_PAUSE_MS
+            return
         if end is RunResult.BLOCKED:
             # It stays open until its probe, the end of its job or its abandonment.
             progress.not_before_ms = now_ms + BLOCKED_PAUSE_MS
@@ -195,6 +214,10 @@
         pause_ms = min(MAX_RETRY_PAUSE_MS, RETRY_MS * 2.0 ** (progress.consecutive_breaks - 1))
         progress.not_before_ms = now_ms + pause_ms
 
+    def postpone_confirmation(self, progress: ItemProgress, now_ms: float) -> None:
+        """Let an item wait for a server that has not stated its end; other items may start."""
+        progress.not_before_ms = now_ms + CONFIRM_PAUSE_MS
+
     def abandon_overdue(self, epoch_ms: float) -> None:
         """Fail the waiting items whose time to be abandoned has come."""
         if epoch_ms < give_up_epoch_ms(self.head):
@@ -265,5 +288,5 @@
         item_id = progress.item.id
         if self.open.pop(item_id, None) is None:
             return
-        text = '\n'.join(progress.texts) if state is ItemState.COMPLETED else ''
+        text = progress.text if state is ItemState.COMPLETED else ''
         self.finished.append(ItemResult(item_id, state, text))
--- a/citrondyke/decisions/forwarding/server_registry.py
+++ b/citrondyke/decisions/forwarding/server_registry.py
@@ -193,6 +193,18 @@
         """Return whether any server that accepts work may continue a stream."""
         return bool(self._available_servers(origin.service, (), origin))
 
+    def has_servers(
+        self,
+        service: ServiceName,
+        excluded: Collection[ServerIncarnation],
+        origin: StreamOrigin | None,
+    ) -> bool:
+        """Return whether any server accepts work, ejected ones included.
+
+        The parameters are those of ``eligible_servers``.
+        """
+        return bool(self._available_servers(service, excluded, origin))
+
     def _healthy_servers(self, available: list[ServerState]) -> list[ServerState]:
         now_ms = self._context.now_ms()
         return [state for state in available if not state.is_ejected(now_ms)] or available
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -5,38 +5,50 @@
 from typing import TYPE_CHECKING
 
 import gevent
+import logbook
 
 from citrondyke.decisions.batch.owned_job import RunResult, give_up_epoch_ms
 from citrondyke.decisions.crashes.response_phase import STEADY_EVENTS_MS
+from citrondyke.decisions.streams.stream_end import RunEnd
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.errors.item_preempted import ItemPreemptedError
 from citrondyke.gateway.callers.event_stream import EventSplitter
 from citrondyke.ids import RequestId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from citrondyke.decisions.batch.job import JobHead
     from citrondyke.decisions.batch.owned_job import ItemProgress
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_state import ServerState
+    from citrondyke.decisions.streams.stream_end import EndVerdict
     from citrondyke.decisions.streams.stream_origin import StreamOrigin
     from citrondyke.gateway.callers.event_stream import StreamEvent
     from citrondyke.gateway.dialect import Dialect
+    from citrondyke.gateway.metrics import Metrics
     from citrondyke.gateway.replication.replica_refresher import ReplicaRefresher
+    from citrondyke.gateway.servers.reply_reader import ReplyHead
     from citrondyke.gateway.servers.server_connection import ServerConnection
     from citrondyke.gateway.servers.server_sends import ServerSends
+    from citrondyke.ids import ServerIncarnation, ServiceName
 
 __all__ = ('ItemSender',)
 
+log = logbook.Logger(__name__)
+
 #: A server with a full queue delays the first event of an item by up to some seconds.
 INITIAL_EVENT_MS = 3_000.0
 EVENT_TIMEOUT_MS = 1_200.0
 #: A page of results holds 1 MB, and a faulty server may send events without end.
 TEXT_LIMIT_CHARS = 1_000_000
+SUCCESS = 200
+EVENT_STREAM = b'text/event-stream'
 ITEM_IMPOSSIBLE = 422
 ITEM_FAILED = 500
 FAILURE_BODY_BYTES = 65_536
+#: Servers that a log line names at most.
+LOGGED_SERVERS = 8
 #: Pause between two reads of an item's events in a large fleet, where events, at one per 30 ms and
 #: item, are half of all that an instance reads. A small fleet has processor time to spare and reads
 #: without a pause: over a day of consecutive jobs it scored 0.83 without and 0.79 with the pause
@@ -53,13 +65,21 @@
         sends: ServerSends,
         dialect: Dialect,
         refresher: ReplicaRefresher,
+        metrics: Metrics,
+        has_servers: Callable[
+            [ServiceName, Collection[ServerIncarnation], StreamOrigin | None], bool
+        ],
         polls_rarely: Callable[[], bool],
     ) -> None:
         """Initialize the sender.
 
+        :param has_servers: returns whether a service has servers beside some, which may continue
+            what a server of an origin began.
         :param polls_rarely: returns whether to pause between reads of events.
         """
         self._refresher = refresher
+        self._metrics = metrics
+        self._has_servers = has_servers
         self._polls_rarely = polls_rarely
         self._context = context
         self._sends = sends
@@ -77,7 +97,7 @@
 
         :param chosen_ms: when the server was chosen, by the fence clock.
         :param on_answered: called when the item counts as answered: after ``STEADY_EVENTS_MS`` of
-            events, and at the end of a response that is told apart from that of its connection.
+            events, and at the end of the item if it is told apart from that of its connection.
         :raises BrokenReplyError: if the connection or the reply is interrupted.
         :raises ItemPreemptedError: if the server has left since it was chosen; nothing was sent.
         """
@@ -125,15 +145,72 @@
         status = reply.head.status
         if reply.metadata.was_not_run:
             raise BrokenReplyError(ReplyFailureKind.NO_CONNECTION, f'rejected with status {status}')
-        if status >= 300:  # noqa: PLR2004
+        if not _is_run(reply.head):
+            # A 204 has no event either, but it says nothing about the item's output.
+            connection.record_unfinished(RequestId(item.id))
             connection.read_body(until_ms, FAILURE_BODY_BYTES)
+            self._log_end(progress, state, reply.head, 'no_run', 0, is_framed=connection.is_framed)
             return _result_of_status(status)
+        events_before = len(progress.texts)
         self._read_events(connection, progress, head, state.listed.origin, until_ms, on_answered)
-        state.record_success()
+        events_count = len(progress.texts) - events_before
+        verdict = self._record_end(progress, state, events_count, is_framed=connection.is_framed)
+        self._log_end(
+            progress,
+            state,
+            reply.head,
+            verdict.value,
+            events_count,
+            is_framed=connection.is_framed,
+        )
+        if verdict.is_complete or events_count:
+            state.record_success()
+        if not verdict.is_complete:
+            connection.record_unfinished(RequestId(item.id))
+            return RunResult.UNCONFIRMED
         if connection.is_framed:
             on_answered()
         return RunResult.COMPLETED
 
+    def _record_end(
+        self, progress: ItemProgress, state: ServerState, events_count: int, *, is_framed: bool
+    ) -> EndVerdict:
+        origin = progress.origin
+        if origin is not None and not origin.version:
+            # No server may continue the item, so that it begins anew at any of them.
+            origin = None
+        return progress.end.record_end(
+            RunEnd(state.incarnation, is_framed, events_count, progress.last_event_id),
+            progress.text,
+            lambda excluded: self._has_servers(state.listed.service, excluded, origin),
+            self._context.now_ms(),
+        )
+
+    def _log_end(
+        self,
+        progress: ItemProgress,
+        state: ServerState,
+        head: ReplyHead,
+        verdict: str,
+        events_count: int,
+        *,
+        is_framed: bool,
+    ) -> None:
+        self._metrics.counters[f'item_ends_{verdict}'] += 1
+        log.info(
+            'item.ended',
+            extra={
+                'item_id': progress.item.id,
+                'server_id': state.listed.id,
+                'status': head.status,
+                'verdict': verdict,
+                'is_framed': is_framed,
+                'events': events_count,
+                'last_event_id': progress.last_event_id,
+                'stated_by': sorted(progress.end.stating_servers)[:LOGGED_SERVERS],
+            },
+        )
+
     def _read_events(
         self,
         connection: ServerConnection,
@@ -144,6 +221,35 @@
         on_answered: Callable[[], None],
     ) -> None:
         splitter = EventSplitter(progress.last_event_id)
+        events_before = len(progress.texts)
+        is_ended = False
+        try:
+            self._read_text(connection, progress, head, origin, until_ms, on_answered, splitter)
+            has_events = len(progress.texts) > events_before
+            if not splitter.is_between_events:
+                raise BrokenReplyError(ReplyFailureKind.CUT, 'in the middle of an event')
+            if not (connection.is_framed or has_events or progress.end.is_in_doubt):
+                # A server that exits before its first event looks like one that has none.
+                raise BrokenReplyError(ReplyFailureKind.CUT, 'closed before the first event')
+            is_ended = True
+        finally:
+            if not is_ended:
+                progress.end.record_interruption(
+                    progress.last_event_id,
+                    has_events=len(progress.texts) > events_before,
+                    is_in_event=not splitter.is_between_events,
+                )
+
+    def _read_text(
+        self,
+        connection: ServerConnection,
+        progress: ItemProgress,
+        head: JobHead,
+        origin: StreamOrigin,
+        until_ms: float,
+        on_answered: Callable[[], None],
+        splitter: EventSplitter,
+    ) -> None:
         is_steady = False
         now_ms, epoch_ms = self._context.now_ms(), self._context.epoch_ms()
         run_until_ms = now_ms + give_up_epoch_ms(head) - epoch_ms
@@ -164,7 +270,6 @@
             if self._polls_rarely():
                 # No caller waits for single events, so they are read in batches.
                 gevent.sleep(READ_PAUSE_S)
-        splitter.check_end(is_framed=connection.is_framed)
 
 
 def _is_part_of_text(event: StreamEvent) -> bool:
@@ -188,6 +293,12 @@
         )
 
 
+def _is_run(head: ReplyHead) -> bool:
+    """Return whether a response states what an item's output is."""
+    kind = head.header(b'content-type') or b''
+    return head.status == SUCCESS and kind.lower().startswith(EVENT_STREAM)
+
+
 def _result_of_status(status: int) -> RunResult:
     if status == ITEM_IMPOSSIBLE:
         return RunResult.IMPOSSIBLE
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -49,7 +49,7 @@
     from citrondyke.gateway.servers.poison_request_guard import PoisonRequestGuard
     from citrondyke.gateway.servers.server_sends import ServerSends
     from citrondyke.gateway.tasks import Tasks
-    from citrondyke.ids import ServiceName
+    from citrondyke.ids import ServerIncarnation, ServiceName
 
 __all__ = ('JobRunner',)
 
@@ -65,6 +65,16 @@
 LOG_EVERY_MS = 1_000.0
 
 
+class _Placement(msgspec.Struct, frozen=True):
+    """What the choice of a server for an item depends on."""
+
+    service: ServiceName
+    urgency: Urgency
+    origin: StreamOrigin | None
+    #: Servers to leave out.
+    avoided: frozenset[ServerIncarnation]
+
+
 class _ItemRun(msgspec.Struct, eq=False):
     job: OwnedJob
     progress: ItemProgress
@@ -127,7 +137,13 @@
         self._metrics = metrics
         self._tasks = tasks
         self._sender = ItemSender(
-            context, sends, dialect, refresher, lambda: scheduler.is_fleet_large
+            context,
+            sends,
+            dialect,
+            refresher,
+            metrics,
+            scheduler.has_servers,
+            lambda: scheduler.is_fleet_large,
         )
         self._lengths = RunLengthEstimator()
         self._runs: dict[int, _ItemRun] = {}
@@ -251,7 +267,7 @@
                 # One job must not keep the items of the others waiting.
                 self._tasks.failures.record_failure('JobRunner.order', job_id=job.head.job_id)
         waiting.sort(key=lambda each: each[0].order)
-        full: set[tuple[ServiceName, Urgency, StreamOrigin | None]] = set()
+        full: set[_Placement] = set()
         for _, job in waiting:
             start = self._start_items_of
             self._tasks.failures.attempt('JobRunner.start', start, job, now_ms, epoch_ms, full)
@@ -261,7 +277,7 @@
         job: OwnedJob,
         now_ms: float,
         epoch_ms: float,
-        full: set[tuple[ServiceName, Urgency, StreamOrigin | None]],
+        full: set[_Placement],
     ) -> None:
         full_origins: set[StreamOrigin] = set()
         while (progress := job.next_item(now_ms, full_origins)) is not None:
@@ -273,6 +289,10 @@
             if state is not None:
                 self._try_begin(job, progress, state)
                 continue
+            if progress.end.servers_to_avoid(now_ms):
+                # The others need not wait for the servers that may confirm the end of this one.
+                job.postpone_confirmation(progress, now_ms)
+                continue
             if progress.origin is None:
                 break
             # Items that any server may run need not wait for those of this origin.
@@ -284,22 +304,27 @@
         progress: ItemProgress,
         service: ServiceName,
         urgency_now: Urgency,
-        full: set[tuple[ServiceName, Urgency, StreamOrigin | None]],
+        full: set[_Placement],
     ) -> ServerState | None:
         """Choose the server of an item, and add to ``full`` where there is no capacity.
 
         An interrupted item waits for the servers that may continue it. Once it is late it begins
-        anew elsewhere instead: those servers may stay full while others have capacity.
+        anew elsewhere instead: those servers may stay full while others have capacity. An item
+        whose end is in doubt waits for a bounded time for a server that has not stated the end.
         """
+        avoided = progress.end.servers_to_avoid(self._context.now_ms())
+        if avoided and not self._scheduler.has_servers(service, avoided, progress.origin):
+            avoided = frozenset()
         origins = [progress.origin]
-        if progress.origin is not None and urgency_now is Urgency.LATE:
+        if progress.origin is not None and urgency_now is Urgency.LATE and not avoided:
             origins.append(None)
         for origin in origins:
-            if (service, urgency_now, origin) in full:
+            placement = _Placement(service, urgency_now, origin, avoided)
+            if placement in full:
                 continue
-            state = self._scheduler.choose_server(service, urgency_now, origin)
+            state = self._scheduler.choose_server(service, urgency_now, origin, avoided)
             if state is None:
-                full.add((service, urgency_now, origin))
+                full.add(placement)
                 continue
             if progress.origin is not None and not state.listed.may_continue(progress.origin):
                 self._drop_events(job, progress, progress.origin)
--- a/citrondyke/operator/item_history.py
+++ b/citrondyke/operator/item_history.py
@@ -19,6 +19,7 @@
     'broken': LossCause.ITEM_FAILED,
     'stopped': LossCause.ITEM_FAILED,
     'failed': LossCause.ITEM_FAILED,
+    'unconfirmed': LossCause.ITEM_UNCONFIRMED,
 }
 
 
--- a/citrondyke/operator/loss_report.py
+++ b/citrondyke/operator/loss_report.py
@@ -43,6 +43,7 @@
     ITEM_FOR_CAPACITY = 'item waited for a place'
     ITEM_PREEMPTED = 'item waited after it gave way'
     ITEM_FAILED = 'item waited after a failed run'
+    ITEM_UNCONFIRMED = 'item waited for a server to confirm its end'
     ITEM_OWNER_LOST = 'item waited for a new owner'
     ITEM_RUNNING = 'item ran for too long'
     ITEM_COMMIT = 'item waited to be made durable'
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -98,6 +98,24 @@
     HOLD = 'hold'
     #: Send an event whose id is ``odd_event_id`` after some events of a stream.
     ODD_EVENT_ID = 'odd_event_id'
+    #: Close the connection of a stream between two events.
+    CUT_BETWEEN_EVENTS = 'cut_between_events'
+    #: Send a whole stream, and close its connection without the last chunk.
+    LAST_CHUNK_MISSING = 'last_chunk_missing'
+    #: Send a stream without an event: only the last chunk.
+    RESUME_EMPTY_CHUNKED = 'resume_empty_chunked'
+    #: The same, with ``Content-Length: 0``.
+    RESUME_EMPTY_LENGTH = 'resume_empty_length'
+    #: The same, as a 204.
+    RESUME_EMPTY_204 = 'resume_empty_204'
+    #: The same, as a 205.
+    RESUME_EMPTY_205 = 'resume_empty_205'
+    #: Send a block of comments, and the last chunk.
+    RESUME_EMPTY_COMMENT = 'resume_empty_comment'
+    #: Send a block of comments without a length, and close the connection.
+    RESUME_EMPTY_UNFRAMED = 'resume_empty_unframed'
+    #: Close the connection of a stream without a length between two events.
+    UNFRAMED_BETWEEN_EVENTS = 'unframed_between_events'
 
 
 EARLY_MODES = (AnswerMode.EARLY_RESET, AnswerMode.EARLY_CLOSE)
@@ -117,6 +135,33 @@
 }
 
 
+class _ShortStream(msgspec.Struct, frozen=True):
+    """A stream that ends early, or whose end is not stated."""
+
+    status: bytes = b'200 OK'
+    framing: bytes = b'Transfer-Encoding: chunked\r\n'
+    #: Events that are sent; ``None`` for all.
+    events_count: int | None = 0
+    tail: bytes = b'0\r\n\r\n'
+
+    @property
+    def is_chunked(self) -> bool:
+        return b'chunked' in self.framing
+
+
+SHORT_STREAMS = {
+    AnswerMode.CUT_BETWEEN_EVENTS: _ShortStream(events_count=2, tail=b''),
+    AnswerMode.LAST_CHUNK_MISSING: _ShortStream(events_count=None, tail=b''),
+    AnswerMode.RESUME_EMPTY_CHUNKED: _ShortStream(),
+    AnswerMode.RESUME_EMPTY_LENGTH: _ShortStream(framing=b'Content-Length: 0\r\n', tail=b''),
+    AnswerMode.RESUME_EMPTY_204: _ShortStream(b'204 No Content', framing=b'', tail=b''),
+    AnswerMode.RESUME_EMPTY_205: _ShortStream(b'205 Reset', b'Content-Length: 0\r\n', tail=b''),
+    AnswerMode.RESUME_EMPTY_COMMENT: _ShortStream(tail=b'8\r\n: ping\n\n\r\n0\r\n\r\n'),
+    AnswerMode.RESUME_EMPTY_UNFRAMED: _ShortStream(framing=b'', tail=b': ping\n\n'),
+    AnswerMode.UNFRAMED_BETWEEN_EVENTS: _ShortStream(framing=b'', events_count=2, tail=b''),
+}
+
+
 class ServerRun(msgspec.Struct):
     """A request that the server ran."""
 
@@ -149,6 +194,8 @@
         self.server_id = server_id
         self.events_count = events_count
         self.answer_modes: deque[AnswerMode] = deque()
+        #: Those of requests that resume a stream; ``answer_modes`` if it is empty.
+        self.resume_modes: deque[AnswerMode] = deque()
         #: Whether a copy of each rejection or failure precedes the next answer on its connection.
         self.sends_late_copies = False
         self.late_copies_count = 0
@@ -236,7 +283,9 @@
     ) -> bool:
         self._send_late_copy(sock)
         headers = {bytes(name): bytes(value) for name, value in request.headers}
-        answer_mode = self.answer_modes.popleft() if self.answer_modes else AnswerMode.SERVE
+        is_resumed = LAST_EVENT_HEADER in headers
+        modes = (is_resumed and self.resume_modes) or self.answer_modes
+        answer_mode = modes.popleft() if modes else AnswerMode.SERVE
         unsigned = [(ATTEMPT_HEADER, headers.get(ATTEMPT_HEADER, b'')), (LOAD_HEADER, b'1,0,8')]
         if self._is_misdirected(headers):
             self.refused_count += 1
@@ -272,6 +321,8 @@
             return self._send_complete(http, sock, *FAILURES[answer_mode], signed)
         if answer_mode in NO_ANSWERS:
             return self._send_no_answer(http, sock, run, signed)
+        if answer_mode in SHORT_STREAMS:
+            return self._send_short_stream(sock, run, signed)
         if answer_mode in UNFRAMED_MODES:
             pieces = [b'unframed']
             if is_stream:
@@ -421,6 +472,22 @@
             events[-1] = events[-1][:-5]
         return events
 
+    def _send_short_stream(
+        self, sock: socket.socket, run: ServerRun, headers: list[tuple[bytes, bytes]]
+    ) -> bool:
+        short = SHORT_STREAMS[run.answer_mode]
+        first = int(run.headers.get(LAST_EVENT_HEADER, b'0')) + 1
+        events = [self._event(number) for number in range(first, self.events_count + 1)]
+        lines = b''.join(b'%b: %b\r\n' % pair for pair in headers)
+        lines += b'Content-Type: text/event-stream\r\nConnection: close\r\n' + short.framing
+        sock.sendall(b'HTTP/1.1 %b\r\n%b\r\n' % (short.status, lines))
+        for event in events[: short.events_count]:
+            chunk = b'%x\r\n%b\r\n' % (len(event), event)
+            sock.sendall(chunk if short.is_chunked else event)
+            gevent.sleep(self.event_gap_ms / 1e3)
+        sock.sendall(short.tail)
+        return False
+
     def _event(self, number: int) -> bytes:
         text = event_text(number, self.software_version)
         return f'id: {number}\ndata: {text}\n\n'.encode()
--- /dev/null
+++ b/tests/test_gateway/test_jobs/test_jobs_ends_of_runs.py
@@ -0,0 +1,111 @@
+"""An item is listed with its whole output, wherever the runs of it end."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from citrondyke.decisions.batch import item_end
+from citrondyke.ids import ServerId
+from citrondyke.standin.platform_server import AnswerMode, PlatformServer, event_text
+from tests.support.gateway import GatewayFleet
+
+EVENTS_COUNT = 6
+#: More answers than the test asks for.
+ALWAYS = 60
+
+
+@pytest.fixture
+def streams(request: pytest.FixtureRequest) -> Iterator[GatewayFleet]:
+    """Two instances and servers of one version; a parameter sets their number and version."""
+    count, version = getattr(request, 'param', (2, 'v1'))
+    made = GatewayFleet()
+    try:
+        made.configure()
+        for number in range(count):
+            made.add_server(f'lm-{number}', 'lm', version)
+        for _ in range(2):
+            made.start_instance()
+        made.wait_ready()
+        yield made
+    finally:
+        made.end()
+
+
+def each_server(fleet: GatewayFleet) -> list[PlatformServer]:
+    return list(fleet.servers.values())
+
+
+def assert_whole(fleet: GatewayFleet, count: int = 6) -> None:
+    """Run a job, and check that each item is listed once with all of its events."""
+    assert fleet.submit('job', count).status == 202
+    version = each_server(fleet)[0].software_version
+    whole = '\n'.join(event_text(n, version) for n in range(1, EVENTS_COUNT + 1))
+    listed = fleet.wait_done('job')
+    assert [(each['state'], each['text']) for each in listed] == [('completed', whole)] * count
+    assert {each['id'] for each in listed} == {f'job-{n}' for n in range(count)}
+
+
+@pytest.mark.parametrize(
+    'mode', [each for each in AnswerMode if each.value.startswith('resume_empty')]
+)
+def test_end_without_an_event_of_one_server_ends_no_item(
+    streams: GatewayFleet, mode: AnswerMode
+) -> None:
+    # The run was cut after event 2, and the item was listed as completed with two events.
+    for server in each_server(streams):
+        server.answer_modes.extend([AnswerMode.CUT_BETWEEN_EVENTS] * ALWAYS)
+        server.resume_modes.extend([AnswerMode.SERVE] * ALWAYS)
+    faulty = each_server(streams)[0]
+    faulty.resume_modes.clear()
+    faulty.resume_modes.extend([mode] * ALWAYS)
+    assert_whole(streams)
+
+
+def test_end_of_the_connection_between_events_ends_no_item(streams: GatewayFleet) -> None:
+    # The item was listed as completed with the events before it.
+    for server in each_server(streams):
+        server.answer_modes.extend([AnswerMode.UNFRAMED_BETWEEN_EVENTS] * ALWAYS)
+        server.resume_modes.extend([AnswerMode.SERVE] * ALWAYS)
+    assert_whole(streams)
+
+
+@pytest.mark.parametrize('streams', [(1, 'v1'), (2, 'v1'), (3, 'v1')], indirect=True)
+def test_item_whose_last_chunk_alone_is_missing_is_completed(streams: GatewayFleet) -> None:
+    for server in each_server(streams):
+        server.answer_modes.extend([AnswerMode.LAST_CHUNK_MISSING] * ALWAYS)
+        server.resume_modes.extend([AnswerMode.SERVE] * ALWAYS)
+    assert_whole(streams)
+
+
+@pytest.mark.parametrize('streams', [(1, 'v1'), (2, 'v1'), (1, ''), (2, '')], indirect=True)
+def test_items_of_servers_without_a_frame_are_completed(streams: GatewayFleet) -> None:
+    for server in each_server(streams):
+        server.answer_modes.extend([AnswerMode.UNFRAMED] * ALWAYS)
+    assert_whole(streams, 3)
+
+
+def test_item_in_doubt_waits_for_a_full_server_and_keeps_no_other_waiting(
+    streams: GatewayFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The other server has no capacity: the items behind the one in doubt would wait for it, too.
+    waits_ms = 1_500.0
+    monkeypatch.setattr(item_end, 'CONFIRM_WAIT_MS', waits_ms)
+    stating, full = each_server(streams)
+    for instance in streams.instances:
+        state = instance.book.state(ServerId(full.server_id))
+        assert state is not None
+        state.own.batch = state.listed.slots_count
+    # One interruption only: a second one would eject the server.
+    stating.answer_modes.extend([AnswerMode.UNFRAMED, AnswerMode.CUT_BETWEEN_EVENTS])
+    # The interrupted item goes on when the end of the other one is in doubt already.
+    stating.event_gap_ms = 80.0
+    stating.resume_modes.extend([AnswerMode.SERVE] * ALWAYS)
+    assert_whole(streams)
+    assert not full.runs
+    doubted = streams.results('job')['results'][-1]['id']
+    runs = [run.began_s for run in stating.runs if run.request_id == doubted]
+    assert len(runs) == 3
+    assert (runs[1] - runs[0]) * 1e3 > waits_ms
+    assert all(run.began_s < runs[1] for run in stating.runs if run.request_id != doubted)
--- a/tests/test_operator/test_operator_losses.py
+++ b/tests/test_operator/test_operator_losses.py
@@ -83,6 +83,10 @@
             [run(1.0, 'gave_way', 900.0), run(10.0, 'completed', 500.0), commit(10.5)],
             LossCause.ITEM_PREEMPTED,
         ),
+        (
+            [run(1.0, 'unconfirmed', 900.0), run(10.0, 'completed', 50.0), commit(10.5)],
+            LossCause.ITEM_UNCONFIRMED,
+        ),
         (
             [
                 run(1.0, 'gave_way', 900.0),
