--- a/citrondyke/gateway/callers/request_reader.py
+++ b/citrondyke/gateway/callers/request_reader.py
@@ -11,7 +11,7 @@
 from citrondyke.errors.memory_full import MemoryFullError
 from citrondyke.gateway.callers.caller_request import CallerRequest
 from citrondyke.gateway.callers.strict_head import check_head
-from citrondyke.gateway.sockets import is_own_timeout
+from citrondyke.util.own_timeout import is_own_timeout
 from citrondyke.util.time_slice import TimeSlice
 
 if TYPE_CHECKING:
--- a/citrondyke/gateway/sockets.py
+++ b/citrondyke/gateway/sockets.py
@@ -18,7 +18,6 @@
 __all__ = (
     'connect',
     'is_local_failure',
-    'is_own_timeout',
     'is_readable',
     'reset',
     'set_reset_on_close',
@@ -74,14 +73,6 @@
     return isinstance(cause, OSError) and cause.errno in LOCAL_ERRORS
 
 
-def is_own_timeout(error: TimeoutError) -> bool:
-    """Return whether a wait of this process ended.
-
-    The kernel's error for a connection that it has given up has the same type.
-    """
-    return error.errno != errno.ETIMEDOUT
-
-
 def is_readable(sock: socket.socket) -> bool:
     """Return whether unread bytes, or the end of the connection, have arrived."""
     poll = select.poll()
