An event with an id but without data is rejected where events must be resumable

What callers saw: 'id: 6' and a blank line moved the last id on. A stream that ended there counted as one of six events with five texts, one that went on there skipped the sixth text, and one that was cut there was resumed after the sixth. Comments and blocks with neither are accepted as before.

Change: with needs_ids an id without data is MALFORMED, 'event 6 without data', and last_id stays. An empty data line is data.

The test failed before (DID NOT RAISE). The test of an event without an id fed such a block as a sound one before its event; that block has an empty data line now, its check is the same.

--- a/citrondyke/gateway/callers/event_stream.py
+++ b/citrondyke/gateway/callers/event_stream.py
@@ -53,8 +53,8 @@
         """Start after an event.
 
         :param last_id: id of the event before the first one; ``None`` accepts any first id.
-        :param needs_ids: whether each event with data must have an id, because the stream may be
-            resumed after it. Otherwise the caller might get the event twice.
+        :param needs_ids: whether each event must have an id and data, because the stream may be
+            resumed after it. Otherwise the caller might get the event twice, or never.
         """
         self._needs_ids = needs_ids
         self._unparsed = bytearray()
@@ -71,8 +71,8 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that are whole now.
 
-        :raises BrokenReplyError: if an event is missing, duplicated, too large or lacks an id that
-            it needs, or if the stream goes on without events or without an end.
+        :raises BrokenReplyError: if an event is missing, duplicated, too large or lacks an id or
+            data, or if the stream goes on without events or without an end.
         """
         self._received_bytes += len(data)
         _check_size('stream', self._received_bytes, STREAM_LIMIT_BYTES)
@@ -108,8 +108,11 @@
 
     def _check(self, event: StreamEvent) -> StreamEvent:
         _check_size('event', len(event.raw), EVENT_LIMIT_BYTES)
-        if self._needs_ids and event.has_data and event.id is None:
-            raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'event without an id')
+        if self._needs_ids and not event.is_progress and (event.has_data or event.id is not None):
+            missing = (
+                'event without an id' if event.id is None else f'event {event.id} without data'
+            )
+            raise BrokenReplyError(ReplyFailureKind.MALFORMED, missing)
         self._has_events = True
         self.progress_count += event.is_progress
         self._idle_bytes = 0 if event.is_progress else self._idle_bytes + len(event.raw)
--- a/tests/test_gateway/test_callers/test_callers_event_stream.py
+++ b/tests/test_gateway/test_callers/test_callers_event_stream.py
@@ -193,7 +193,7 @@
 def test_event_that_needs_an_id_and_has_none_is_malformed() -> None:
     # Failure: the stream is resumed after the event before it, and the caller gets it twice.
     splitter = EventSplitter(3, needs_ids=True)
-    splitter.feed(b': open\n\nid: 4\n\nid: 5\ndata: a\n\n')
+    splitter.feed(b': open\n\nid: 4\ndata\n\nid: 5\ndata: a\n\n')
     with pytest.raises(BrokenReplyError, match='event without an id') as caught:
         splitter.feed(b'data: b\n\n')
     assert caught.value.failure_kind is ReplyFailureKind.MALFORMED
@@ -205,3 +205,12 @@
     splitter.feed(b': open\n\ndata: a\n\nid: 1\ndata: a\n\nid: 2\n\nid: 3\nda')
     assert (splitter.progress_count, splitter.last_id) == (1, 2)
     assert not splitter.is_between_events
+
+
+def test_event_that_needs_data_and_has_none_is_malformed() -> None:
+    # Failure: the stream is resumed after an event whose text nobody has got, or ends with it.
+    splitter = EventSplitter(3, needs_ids=True)
+    with pytest.raises(BrokenReplyError, match='event 4 without data') as caught:
+        splitter.feed(b'id: 4\n\n')
+    assert caught.value.failure_kind is ReplyFailureKind.MALFORMED
+    assert splitter.last_id == 3
