A byte order mark before a stream's first event doesn't cost the event its id

What callers saw: where a server begins its stream with a byte order mark, which the event-stream format allows, the first event had no id for us: after a cut the stream was resumed before it, and its data came twice. At a run that goes on after an event, the mark was relayed in the middle of the caller's stream, where it is a part of the line, so the caller lost the id.

Change: a mark is no part of the first event. It is relayed unchanged at the begin of a stream and left out of a run that goes on after an event.

--- a/citrondyke/gateway/callers/event_stream.py
+++ b/citrondyke/gateway/callers/event_stream.py
@@ -17,6 +17,8 @@
 EVENT_END = re.compile(rb'\n(?:\n|\r(?:\n|(?=[^\n])))|\r\r')
 #: Length of what the longest match looks at.
 EVENT_END_BYTES = 3
+#: A stream may begin with it; it is no part of the first line.
+BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 #: Limit on one event; the texts of some tokens take a hundredth of it.
 EVENT_LIMIT_BYTES = 262_144
 #: Limit on blocks in a row that are no part of the stream, such as comments that keep it open.
@@ -83,7 +85,8 @@
         while (end := EVENT_END.search(self._unparsed, search_from)) is not None:
             raw = bytes(self._unparsed[start : end.end()])
             start = search_from = end.end()
-            found.append(self._check(_parse(raw)))
+            event = _parse(raw) if self._has_events else self._parse_first(raw)
+            found.append(self._check(event))
         del self._unparsed[:start]
         self._searched_bytes = len(self._unparsed)
         _check_size('event', self._searched_bytes, EVENT_LIMIT_BYTES)
@@ -106,6 +109,11 @@
         if not is_framed and not self._has_events:
             raise BrokenReplyError(ReplyFailureKind.CUT, 'closed before the first event')
 
+    def _parse_first(self, raw: bytes) -> StreamEvent:
+        """Parse the first event; within a stream that goes on, a mark would be a part of it."""
+        event = _parse(raw.removeprefix(BYTE_ORDER_MARK))
+        return event if self.last_id is not None else msgspec.structs.replace(event, raw=raw)
+
     def _check(self, event: StreamEvent) -> StreamEvent:
         _check_size('event', len(event.raw), EVENT_LIMIT_BYTES)
         if self._needs_ids and not event.is_progress and (event.has_data or event.id is not None):
--- a/tests/test_gateway/test_callers/test_callers_event_stream.py
+++ b/tests/test_gateway/test_callers/test_callers_event_stream.py
@@ -214,3 +214,17 @@
         splitter.feed(b'id: 4\n\n')
     assert caught.value.failure_kind is ReplyFailureKind.MALFORMED
     assert splitter.last_id == 3
+
+
+@pytest.mark.parametrize('last_id', [None, 3])
+@pytest.mark.parametrize('cut', range(5))
+def test_byte_order_mark_is_no_part_of_the_first_event(last_id: int | None, cut: int) -> None:
+    # Failure: the first event loses its id, so that the stream is resumed before it. In a stream
+    # that goes on at another server, a mark would be a part of the text.
+    data = b'\xef\xbb\xbf' + event(4)
+    splitter = EventSplitter(last_id, needs_ids=True)
+    found = [*splitter.feed(data[:cut]), *splitter.feed(data[cut:])]
+    assert [(each.id, each.data) for each in found] == [(4, b'x')]
+    assert b''.join(each.raw for each in found) == (data if last_id is None else event(4))
+    with pytest.raises(BrokenReplyError, match='without an id'):
+        splitter.feed(b'\xef\xbb\xbf' + event(5))
