An upload goes on after a wait for its response has ended

Cause: gevent's sendall takes the socket object's timeout, which the reader sets to its own wait. When that wait was over, the writer ended with the same TimeoutError and recorded the connection as broken; the reader waited on for a response to half a request. Found beside the case of a server that doesn't read: that one, and a reset, are still interruptions, as the kernel's errors end the writer.

Change: the background writer waits for the socket by itself, until it is sent, broken or closed.

test_upload_goes_on_after_a_wait_for_the_answer_has_ended failed before ('silent'). BrokenSocket raises in send instead of sendall, as the writer uses that; its check is the same.

--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+from gevent.socket import wait_write
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.http_head import write_head
@@ -274,7 +275,7 @@
 
     def _write_in_background(self, data: bytes) -> bool:
         try:
-            self._sock.sendall(data)
+            self._send_all(data)
         except OSError as error:
             # A reset is reported once, to the side that meets it first. The reading side reports
             # it, unless the response has a length and is whole all the same.
@@ -282,6 +283,15 @@
             self._broken_by = type(error).__name__
         return True
 
+    def _send_all(self, data: bytes) -> None:
+        """Send without the socket object's timeout, which is that of the reader."""
+        unsent = memoryview(data)
+        while unsent:
+            try:
+                unsent = unsent[self._sock.send(unsent, 0, 0.0) :]
+            except BlockingIOError:
+                wait_write(self._sock.fileno())
+
     def _record_keep_alive(self, head: ReplyHead) -> None:
         connection = (head.header(b'connection') or b'').lower()
         self._closes_after_answer = self._closes_after_answer or b'close' in connection
--- a/tests/test_gateway/test_servers/test_servers_early_ends.py
+++ b/tests/test_gateway/test_servers/test_servers_early_ends.py
@@ -55,7 +55,7 @@
         super().__init__(PART, b'')
         self._error = error
 
-    def sendall(self, _: bytes) -> None:
+    def send(self, *_: object) -> int:
         raise self._error
 
 
@@ -130,6 +130,29 @@
     assert read_whole(connection) == b'part'
 
 
+def test_upload_goes_on_after_a_wait_for_the_answer_has_ended(
+    pair: tuple[ServerConnection, socket.socket],
+) -> None:
+    # Failure: the timeout of the reader ends the writer too, and a server that reads slowly never
+    # gets the rest of a request that waits for it until its deadline.
+    connection, server = pair
+    connection.send(b'POST', b'/', [], UPLOAD)
+    with pytest.raises(BrokenReplyError) as caught:
+        connection.read_head(SystemClock().now_ms() + 20.0)
+    assert caught.value.failure_kind is ReplyFailureKind.SILENT
+
+    def serve() -> None:
+        received_bytes = 0
+        while received_bytes < len(UPLOAD) and (data := server.recv(65_536)):
+            received_bytes += len(data)
+        server.sendall(PART)
+        server.shutdown(socket.SHUT_WR)
+
+    reader = gevent.spawn(serve)
+    assert read_whole(connection) == b'part'
+    reader.get()
+
+
 def test_answer_of_a_server_that_reads_no_upload_is_broken_off() -> None:
     # The window of the connection stays closed until the kernel gives it up; reader and writer both
     # wait, and either may get the error.
