Events that an error hides don't count as received

last_id and progress_count of EventSplitter moved on with events that arrived in one piece with an error; feed raises then, so nobody got them. A user that resumes after last_id would skip them. No user does so today (both keep their own position), so no caller saw it; the decision on the end of a run is about to use both.

Change: an error leaves them at the last event that was returned. The test failed before.

--- a/citrondyke/gateway/callers/event_stream.py
+++ b/citrondyke/gateway/callers/event_stream.py
@@ -65,9 +65,9 @@
         self._received_bytes = 0
         self._idle_bytes = 0
         self._has_events = False
-        #: Events with an id and data so far.
+        #: Events with an id and data that were returned.
         self.progress_count = 0
-        #: Id of the last event; the initial one if none had an id.
+        #: Id of the last event that was returned; the initial one if none had an id.
         self.last_id = last_id
 
     def feed(self, data: bytes) -> list[StreamEvent]:
@@ -79,6 +79,15 @@
         self._received_bytes += len(data)
         _check_size('stream', self._received_bytes, STREAM_LIMIT_BYTES)
         self._unparsed += data
+        last_id, progress_count = self.last_id, self.progress_count
+        try:
+            return self._take_events()
+        except BrokenReplyError:
+            # The events before the error aren't returned, so nobody may resume after them.
+            self.last_id, self.progress_count = last_id, progress_count
+            raise
+
+    def _take_events(self) -> list[StreamEvent]:
         found: list[StreamEvent] = []
         start = 0
         search_from = max(0, self._searched_bytes - EVENT_END_BYTES + 1)
--- a/tests/test_gateway/test_callers/test_callers_event_stream.py
+++ b/tests/test_gateway/test_callers/test_callers_event_stream.py
@@ -228,3 +228,13 @@
     assert b''.join(each.raw for each in found) == (data if last_id is None else event(4))
     with pytest.raises(BrokenReplyError, match='without an id'):
         splitter.feed(b'\xef\xbb\xbf' + event(5))
+
+
+def test_events_that_an_error_hides_are_not_counted() -> None:
+    # Failure: the stream is resumed after events that arrived in one piece with the error, which
+    # the caller never got.
+    splitter = EventSplitter()
+    splitter.feed(event(1))
+    with pytest.raises(BrokenReplyError):
+        splitter.feed(event(2) + event(9))
+    assert (splitter.last_id, splitter.progress_count) == (1, 1)
