--- a/citrondyke/gateway/callers/event_stream.py
+++ b/citrondyke/gateway/callers/event_stream.py
@@ -17,6 +17,8 @@
 EVENT_END = re.compile(rb'\n(?:\n|\r(?:\n|(?=[^\n])))|\r\r')
 #: Length of what the longest match looks at.
 EVENT_END_BYTES = 3
+#: A stream may begin with it; it is no part of the first line.
+BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 #: Limit on one event; the texts of some tokens take a hundredth of it.
 EVENT_LIMIT_BYTES = 262_144
 #: Limit on blocks in a row that are no part of the stream, such as comments that keep it open.
@@ -53,8 +55,8 @@
         """Start after an event.
 
         :param last_id: id of the event before the first one; ``None`` accepts any first id.
-        :param needs_ids: whether each event with data must have an id, because the stream may be
-            resumed after it. Otherwise the caller might get the event twice.
+        :param needs_ids: whether each event must have an id and data, because the stream may be
+            resumed after it. Otherwise the caller might get the event twice, or never.
         """
         self._needs_ids = needs_ids
         self._unparsed = bytearray()
@@ -63,27 +65,37 @@
         self._received_bytes = 0
         self._idle_bytes = 0
         self._has_events = False
-        #: Events with an id and data so far.
+        #: Events with an id and data that were returned.
         self.progress_count = 0
-        #: Id of the last event; the initial one if none had an id.
+        #: Id of the last event that was returned; the initial one if none had an id.
         self.last_id = last_id
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that are whole now.
 
-        :raises BrokenReplyError: if an event is missing, duplicated, too large or lacks an id that
-            it needs, or if the stream goes on without events or without an end.
+        :raises BrokenReplyError: if an event is missing, duplicated, too large or lacks an id or
+            data, or if the stream goes on without events or without an end.
         """
         self._received_bytes += len(data)
         _check_size('stream', self._received_bytes, STREAM_LIMIT_BYTES)
         self._unparsed += data
+        last_id, progress_count = self.last_id, self.progress_count
+        try:
+            return self._take_events()
+        except BrokenReplyError:
+            # The events before the error aren't returned, so nobody may resume after them.
+            self.last_id, self.progress_count = last_id, progress_count
+            raise
+
+    def _take_events(self) -> list[StreamEvent]:
         found: list[StreamEvent] = []
         start = 0
         search_from = max(0, self._searched_bytes - EVENT_END_BYTES + 1)
         while (end := EVENT_END.search(self._unparsed, search_from)) is not None:
             raw = bytes(self._unparsed[start : end.end()])
             start = search_from = end.end()
-            found.append(self._check(_parse(raw)))
+            event = _parse(raw) if self._has_events else self._parse_first(raw)
+            found.append(self._check(event))
         del self._unparsed[:start]
         self._searched_bytes = len(self._unparsed)
         _check_size('event', self._searched_bytes, EVENT_LIMIT_BYTES)
@@ -106,10 +118,18 @@
         if not is_framed and not self._has_events:
             raise BrokenReplyError(ReplyFailureKind.CUT, 'closed before the first event')
 
+    def _parse_first(self, raw: bytes) -> StreamEvent:
+        """Parse the first event; within a stream that goes on, a mark would be a part of it."""
+        event = _parse(raw.removeprefix(BYTE_ORDER_MARK))
+        return event if self.last_id is not None else msgspec.structs.replace(event, raw=raw)
+
     def _check(self, event: StreamEvent) -> StreamEvent:
         _check_size('event', len(event.raw), EVENT_LIMIT_BYTES)
-        if self._needs_ids and event.has_data and event.id is None:
-            raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'event without an id')
+        if self._needs_ids and not event.is_progress and (event.has_data or event.id is not None):
+            missing = (
+                'event without an id' if event.id is None else f'event {event.id} without data'
+            )
+            raise BrokenReplyError(ReplyFailureKind.MALFORMED, missing)
         self._has_events = True
         self.progress_count += event.is_progress
         self._idle_bytes = 0 if event.is_progress else self._idle_bytes + len(event.raw)
