Soak: the fault proxy relays resets as resets

The proxy closed the other end in order when one end was reset. So a response without a length that a server reset came to the instances as one that ended in order, which says more than the server did, and a caller that resets looked like one that closes. Both ends are reset now, which is what the connections without the proxy do. No check changes.

--- a/tests/test_soak/fault_proxy.py
+++ b/tests/test_soak/fault_proxy.py
@@ -88,5 +88,6 @@
                     gevent.sleep(self.delay_s)
                 target.sendall(data)
         except OSError:
-            # Reset by either end; the other end is closed with it.
-            return
+            # Reset by either end; an orderly close would say more to the other end.
+            reset(source)
+            reset(target)
