Soak: runs of streams that end before their stream

The soak had no run that ends early and may look complete. Servers now end first runs between two events or inside one, by a reset or a close, without the last chunk, or without a length; and runs that go on answer with no event (last chunk alone, Content-Length 0, 204, a close without a frame), with two events and a close without a frame, or with an event without an id alone. Each body is harmed once in its first run and once in one that goes on, so that no two servers agree on a wrong end, which the product believes.

The witness now says of each stream that came whole, also of one that a caller took up: all events of one text and nothing else but comments. One whose end is that of its connection may have fewer only if a server ended a run of it so by an orderly close; these are counted apart. This is stricter than before except there: before, such a response counted as whole. It also says that streams of one sound run come whole, in half of the cases at least.

--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -26,6 +26,7 @@
     SERVER_HEADER,
 )
 from citrondyke.standin.endless_reply import EndlessPart, endless_reply
+from citrondyke.standin.stream_faults import StreamFault, StreamFaults, faulty_response
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -128,6 +129,7 @@
     #: Whether the caller closed the connection before the end of the answer.
     is_aborted: bool = False
     answer_mode: AnswerMode = AnswerMode.SERVE
+    stream_fault: StreamFault | None = None
     #: Start of the run, by the monotonic clock.
     began_s: float = 0.0
     #: Port of the caller, which identifies the connection.
@@ -168,6 +170,8 @@
         self.answer_ms = 0.0
         self.resume_streams = gevent.event.Event()
         self.odd_event_id = b''
+        #: Faults of streams that no answer mode asks for.
+        self.stream_faults = StreamFaults()
         #: Further headers of signed answers.
         self.more_headers: list[tuple[bytes, bytes]] = []
         #: Bodies of requests that crash the server when their run starts.
@@ -338,6 +342,10 @@
         answer_mode: AnswerMode,
     ) -> bool:
         first = int(run.headers.get(LAST_EVENT_HEADER, b'0')) + 1
+        if answer_mode is AnswerMode.SERVE and not self._has_crash_part(run):
+            run.stream_fault = self.stream_faults.choose(run.body, is_first=first == 1)
+        if run.stream_fault is not None:
+            return self._send_faulty_stream(sock, headers, run.stream_fault, first)
         head = [*headers, (b'content-type', b'text/event-stream')]
         sock.sendall(http.send(h11.Response(status_code=200, headers=head)) or b'')
         for number in range(first, self.events_count + 1):
@@ -372,6 +380,22 @@
         sock.sendall(http.send(h11.EndOfMessage()) or b'')
         return True
 
+    def _send_faulty_stream(
+        self,
+        sock: socket.socket,
+        headers: list[tuple[bytes, bytes]],
+        fault: StreamFault,
+        first: int,
+    ) -> bool:
+        events = [self._event(number) for number in range(first, self.events_count + 1)]
+        pieces, is_reset = faulty_response(fault, headers, events)
+        for piece in pieces:
+            sock.sendall(piece)
+            gevent.sleep(self.event_gap_ms / 1e3)
+        if is_reset:
+            reset(sock)
+        return False
+
     def _send_complete(
         self,
         http: h11.Connection,
--- a/tests/test_soak/soak.py
+++ b/tests/test_soak/soak.py
@@ -16,6 +16,7 @@
 from citrondyke.platform.rows import SERVERS_TABLE
 from citrondyke.standin.endless_reply import EndlessPart
 from citrondyke.standin.platform_server import AnswerMode
+from citrondyke.standin.stream_faults import NEXT_RUN_FAULTS, StreamFault
 from tests.support.gateway import HOST, Reply, exchange
 from tests.support.odd_rows import ODD_SERVER_ROWS
 from tests.support.program import Program
@@ -65,6 +66,15 @@
 )
 #: Valid events without end can't be told from a sound server's.
 ENDLESS_PARTS = [part for part in EndlessPart if part is not EndlessPart.EVENTS]
+#: Faults of first runs after which something is left to go on with.
+FIRST_RUN_FAULTS = (
+    StreamFault.CUT,
+    StreamFault.CUT_IN_EVENT,
+    StreamFault.CLOSED,
+    StreamFault.NO_LAST_CHUNK,
+    StreamFault.UNFRAMED_CLOSED,
+    StreamFault.UNFRAMED_CUT,
+)
 #: Servers that crash under each unlucky item.
 UNLUCKY_CRASHES = 6
 
@@ -94,6 +104,7 @@
         workers += [self._ask_with_harmful_part, self._hand_in_harmful, self._hand_in_unlucky]
         workers += [self._ask_hot] * HOT_CALLERS + [self._ask_with_other_keys]
         workers += [self._take_up] * RETURNING_CALLERS + [self._write_odd_rows]
+        workers += [self._end_runs_early]
         gevent.joinall(
             [
                 gevent.spawn(worker, Random(self._seed * 100 + n))
@@ -359,6 +370,18 @@
             self._fleet.store.put(SERVERS_TABLE, f'odd-{number}', row)
             gevent.sleep(random.uniform(0.0, pause_s))
 
+    def _end_runs_early(self, random: Random) -> None:
+        """Have runs end before their streams, and the runs that go on bring nothing."""
+        faults = self._fleet.stream_faults
+        while self._goes_on():
+            gevent.sleep(random.uniform(0.1, 0.5))
+            faults.first_run = random.choice(FIRST_RUN_FAULTS)
+            faults.next_run = random.choice((None, *NEXT_RUN_FAULTS))
+            next_run = faults.next_run.value if faults.next_run else 'sound'
+            self._note(f'runs {faults.first_run.value}, then {next_run}')
+            gevent.sleep(random.uniform(0.3, 1.0))
+            faults.first_run = faults.next_run = None
+
     def _harm(self, random: Random) -> None:
         """Do one thing after another; with two of these they overlap."""
         harms: list[Callable[[Random], None]] = [
--- a/tests/test_soak/soak_fleet.py
+++ b/tests/test_soak/soak_fleet.py
@@ -16,6 +16,7 @@
 from citrondyke.platform.settings_file import FILE_VARIABLE
 from citrondyke.standin.platform_server import PlatformServer
 from citrondyke.standin.store_app import StoreApp
+from citrondyke.standin.stream_faults import StreamFaults
 from tests.support.gateway import ROUTES, account, route
 from tests.support.peers import server_row
 from tests.support.program import Program
@@ -81,6 +82,8 @@
         self.crash_bodies: set[bytes] = set()
         #: Prompt parts under which servers end.
         self.crash_parts: set[str] = set()
+        #: How runs of streams end, at all servers.
+        self.stream_faults = StreamFaults()
         self.programs: list[Program | None] = [None] * instances_count
         self.version = 0
         self.configure()
@@ -112,6 +115,7 @@
         server.event_gap_ms = EVENT_GAP_MS
         server.crash_bodies = self.crash_bodies
         server.crash_parts = self.crash_parts
+        server.stream_faults = self.stream_faults
         server.on_crash = partial(gevent.spawn, self._restart, name)
         self.server_proxies[name] = FaultProxy('127.0.0.1', server.port)
         self.services[name] = service
--- a/tests/test_soak/test_soak_promises.py
+++ b/tests/test_soak/test_soak_promises.py
@@ -10,6 +10,7 @@
 import pytest
 
 from citrondyke.standin.platform_server import AnswerMode, PlatformServer, ServerRun, event_text
+from citrondyke.standin.stream_faults import StreamFault
 from tests.support.gateway import Reply
 from tests.support.streams import StreamPart
 from tests.test_soak.soak import Soak
@@ -73,7 +74,8 @@
         f'seed {seed}: {len(soak.faults)} faults, {len(soak.witness.asked)} requests, '
         f'{sum(job.is_accepted for job in jobs)} of {len(jobs)} jobs accepted, '
         f'{soak.witness.went_on_share:.2f} of {len(soak.witness.taken_up)} streams went on, '
-        f'{soak.witness.begun_share:.2f} of the new ones began'
+        f'{soak.witness.begun_share:.2f} of the new ones began, '
+        f'{soak.witness.unframed_streams_count} ended with their connection'
     )
     answered = sum(asked.reply.status == 200 for asked in soak.witness.asked)
     assert answered > len(soak.witness.asked) / 4, f'{answered} answered\n{told}'
@@ -199,6 +201,43 @@
         assert len(witness.judge([], {})) == wrong_count
 
 
+@pytest.mark.parametrize(
+    ('headers', 'body', 'fault', 'wrong_count'),
+    [
+        ({'transfer-encoding': 'chunked'}, STREAM, None, 0),
+        ({'transfer-encoding': 'chunked'}, b': ping\n\n' + STREAM, None, 0),
+        ({'transfer-encoding': 'chunked'}, STREAM[:20], StreamFault.UNFRAMED_CLOSED, 1),
+        ({'content-length': '20'}, STREAM[:20], StreamFault.UNFRAMED_CLOSED, 1),
+        ({'transfer-encoding': 'chunked'}, STREAM + b'data: more\n\n', StreamFault.NO_ID, 1),
+        # The end of a connection claims nothing that its server has not stated.
+        ({}, STREAM[:20], StreamFault.UNFRAMED_CLOSED, 0),
+        ({}, STREAM[20:40], StreamFault.UNFRAMED_CLOSED, 1),
+        ({}, STREAM[:20], StreamFault.UNFRAMED_CUT, 1),
+        ({}, STREAM[:20], None, 1),
+    ],
+)
+def test_witness_finds_streams_that_look_complete(
+    headers: dict[str, str], body: bytes, fault: StreamFault | None, wrong_count: int
+) -> None:
+    asked = answer('stream', 200, body)
+    asked.reply.headers |= headers
+    run = run_of('a')
+    run.stream_fault = fault
+    assert len(judged([run], (asked,))) == wrong_count
+
+
+def test_witness_finds_a_stream_taken_up_that_looks_complete() -> None:
+    witness = Witness()
+    events = [stream_part(1, 'v1')]
+    witness.taken_up = [TakenUp('a-1', events, Reply(200, {'content-length': '0'}, b'', True))]
+    assert len(witness.judge([], {})) == 1
+
+
+def test_witness_finds_sound_streams_that_are_cut() -> None:
+    sound = Asked('a', 'stream', b'x', Reply(200, {}, STREAM, False))
+    assert len(judged([run_of('a')], (sound,) * 20)) == 1
+
+
 def test_witness_finds_streams_that_do_not_go_on() -> None:
     witness = Witness()
     witness.asked = [answer('stream', 503)]
--- a/tests/test_soak/witness.py
+++ b/tests/test_soak/witness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from collections import Counter
 from collections.abc import Iterable
@@ -10,6 +11,7 @@
 import msgspec
 
 from citrondyke.standin.platform_server import AnswerMode, PlatformServer, ServerRun
+from citrondyke.standin.stream_faults import UNFRAMED_ENDS
 from tests.support.gateway import Reply
 from tests.support.streams import StreamPart, events_of, is_one_text
 from tests.test_soak.soak_fleet import HOT_ALLOWED, WINDOW_S
@@ -33,6 +35,9 @@
 SOUND_ENOUGH = 20
 SENDS_BEYOND = 3
 NEWS_S = 3.0
+#: Streams without a fault from which on their share counts.
+SOUND_STREAMS_ENOUGH = 20
+COMMENT_BLOCK = re.compile(rb'(?m)^:[^\n]*\n\n')
 #: What servers write that state no version.
 TEXT = '\n'.join(f'text {number}' for number in range(1, EVENTS + 1))
 STREAM = b''.join(b'id: %d\ndata: text %d\n\n' % (n, n) for n in range(1, EVENTS + 1))
@@ -102,6 +107,8 @@
         self.crash_parts: dict[str, str] = {}
         #: When requests of the hot account were sent.
         self.hot_sent_s: dict[str, float] = {}
+        #: Streams that came whole and whose end was that of their connection.
+        self.unframed_streams_count = 0
 
     def complain(self, what: str) -> None:
         """Note a broken promise."""
@@ -140,6 +147,7 @@
         for job in self.jobs.values():
             self._judge_job(job, runs)
         self._judge_taken_up(runs)
+        self._judge_sound_streams(runs)
         return self.wrong
 
     @property
@@ -158,6 +166,10 @@
                 self.complain(f'{taken.request_id} joined {taken.events}')
             if taken.reply.status in NOT_RUN and runs.get(taken.request_id):
                 self.complain(f'{taken.request_id} was answered {taken.reply.status} and ran')
+            if taken.reply.status == 200 and taken.reply.is_whole:
+                self._judge_stream_end(
+                    taken.request_id, taken.reply, taken.events, runs.get(taken.request_id, [])
+                )
         counted = sum(each.could_go_on for each in self.taken_up)
         if counted >= TAKEN_UP_ENOUGH and self.went_on_share < self.begun_share / 2:
             self.complain(f'{self.went_on_share:.2f} of the streams taken up went on')
@@ -231,15 +243,42 @@
         if reply.status != 200 or not reply.is_whole:
             return
         if asked.kind.startswith('stream'):
-            events = events_of(reply.body)
-            is_right = len(events) == EVENTS and is_one_text(events)
-        else:
-            is_right = reply.body == b'answer to ' + asked.body
-        if not is_right:
+            self._judge_stream_end(name, reply, events_of(reply.body), runs)
+        elif reply.body != b'answer to ' + asked.body:
             self.complain(f'{name} has the body {reply.body[:80]!r}')
         if not reply.headers.get('response-seal'):
             self.complain(f'{name} is a success of no server')
 
+    def _judge_stream_end(
+        self, name: str, reply: Reply, events: list[StreamPart], runs: list[ServerRun]
+    ) -> None:
+        """A stream that came whole has all events of one text, and nothing else.
+
+        One whose end is that of its connection may have fewer, if a server ended it so.
+        """
+        is_framed = 'content-length' in reply.headers or 'transfer-encoding' in reply.headers
+        may_be_short = not is_framed and any(run.stream_fault in UNFRAMED_ENDS for run in runs)
+        self.unframed_streams_count += not is_framed
+        is_whole = len(events) == EVENTS or may_be_short
+        if not (is_whole and is_one_text(events) and _has_only(reply.body, events)):
+            ordered = sorted(runs, key=lambda run: run.began_s)
+            ends = [(run.stream_fault or run.answer_mode).value for run in ordered]
+            self.complain(f'{name} has the body {reply.body[:80]!r} after the runs {ends}')
+
+    def _judge_sound_streams(self, runs: dict[str, list[ServerRun]]) -> None:
+        """Streams of one run without a fault come whole."""
+        sound = [
+            each.reply
+            for each in self.asked
+            if each.kind.startswith('stream')
+            and each.reply.status == 200
+            and [(run.stream_fault, run.answer_mode) for run in runs.get(each.request_id, [])]
+            == [(None, AnswerMode.SERVE)]
+        ]
+        whole_count = sum(reply.is_whole for reply in sound)
+        if len(sound) >= SOUND_STREAMS_ENOUGH and whole_count < len(sound) / 2:
+            self.complain(f'{whole_count} of {len(sound)} sound streams came whole')
+
     def _judge_job(self, job: JobSeen, runs: dict[str, list[ServerRun]]) -> None:
         if not job.is_accepted:
             self._judge_refused(job, runs)
@@ -272,5 +311,12 @@
     return len(events) == EVENTS and is_one_text(events)
 
 
+def _has_only(body: bytes, events: list[StreamPart]) -> bool:
+    """Tell whether a body has comments beside the last of some events, and nothing else."""
+    found = events_of(body)
+    text = b''.join(f'id: {event.id}\ndata: {event.text}\n\n'.encode() for event in found)
+    return COMMENT_BLOCK.sub(b'', body) == text and events[len(events) - len(found) :] == found
+
+
 def _share_of_answers(replies: list[Reply]) -> float:
     return sum(reply.status == 200 for reply in replies) / max(1, len(replies))
