An engine's answer that is no stream doesn't end a stream that has begun

What callers of the other stack saw: their stream is cut at one engine after some events, the run that goes on is answered with a whole JSON body (200, 400, 500) or with 204, and the caller gets "data: [DONE]" after the part of the events that it has.

Cause: the dispatcher took each complete answer of a run for the result of the request, and entry writes the final event for any answered one. Ruled out: first runs, whose answer is passed on with its own status; items, whose text needs an event with a finish reason.

After events were passed on, only a stream of events with status 200 can end the request; anything else counts as an interruption of that server, is logged ('stream end unproven') and is tried elsewhere within the limits that exist. Then the caller gets the error event, as for any other interruption.

--- a/citrondyke/decisions/core/server_call.py
+++ b/citrondyke/decisions/core/server_call.py
@@ -78,6 +78,11 @@
     #: Retry time stated by the server, in milliseconds from now.
     retry_in_ms: float | None = None
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Return whether the response was a stream of events."""
+        return self.content_type.startswith('text/event-stream')
+
     @property
     def was_not_run(self) -> bool:
         """Return whether the request certainly did not run in this attempt."""
--- a/citrondyke/decisions/online/online_dispatcher.py
+++ b/citrondyke/decisions/online/online_dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -15,6 +16,7 @@
 from citrondyke.decisions.online.rejection import Rejection, RejectionReason
 from citrondyke.decisions.online.request import OnlineResult, OnlineResultKind
 from citrondyke.decisions.online.retry_budget import RetryBudget
+from citrondyke.decisions.online.stream_event import StreamEndUnproven
 from citrondyke.storage.fleet_lists import ListedServer
 
 if TYPE_CHECKING:
@@ -129,7 +131,10 @@
             view = self._choose(request, progress)
             if isinstance(view, Rejection):
                 return self._rejected_result(progress, view)
+            has_begun = progress.frames_count > 0
             reply = yield from self._attempt(request, view, progress, keys)
+            if has_begun and reply.kind is ReplyKind.COMPLETE:
+                reply = self._continuation(request, view, progress, reply)
             if reply.kind is ReplyKind.COMPLETE:
                 budget.deposit()
                 return self._result(OnlineResultKind.ANSWERED, progress, reply)
@@ -168,6 +173,30 @@
             )
         return view
 
+    def _continuation(
+        self,
+        request: OnlineRequest,
+        view: ServerView,
+        progress: _Progress,
+        reply: ServerReply,
+    ) -> ServerReply:
+        """Return a reply to a run that goes on; one that does not prove the end is a cut."""
+        if reply.is_event_stream and reply.status == HTTPStatus.OK:
+            return reply
+        self._context.report(
+            StreamEndUnproven(
+                request_id=request.request_id,
+                server_id=view.listed.id,
+                status=reply.status,
+                content_type=reply.content_type,
+                events_count=reply.frames_count,
+                last_event_number=progress.frames_count,
+            )
+        )
+        progress.tried = (*progress.tried, view.listed.id)
+        progress.cut = (*progress.cut, view.listed.id)
+        return msgspec.structs.replace(reply, kind=ReplyKind.CUT)
+
     def _attempt(
         self,
         request: OnlineRequest,
--- a/tests/test_decisions/test_decisions_online.py
+++ b/tests/test_decisions/test_decisions_online.py
@@ -16,7 +16,7 @@
 from citrondyke.decisions.online.fleet import Fleet
 from citrondyke.decisions.online.online_dispatcher import OnlineDispatcher
 from citrondyke.decisions.online.rejection import Rejection, RejectionReason
-from citrondyke.decisions.online.request import OnlineRequest, OnlineResult
+from citrondyke.decisions.online.request import OnlineRequest, OnlineResult, OnlineResultKind
 from citrondyke.decisions.online.retry_budget import RetryBudget
 from citrondyke.decisions.online.router import Router
 from citrondyke.decisions.online.server_view import ServerView
@@ -276,3 +276,34 @@
     for _ in range(100):
         budget.deposit()
     assert sum(budget.withdraw() for _ in range(100)) == 5
+
+
+EVENT_STREAM = 'text/event-stream'
+CUT = ServerReply(kind=ReplyKind.CUT, frames_count=2)
+NO_EVENT = ServerReply(kind=ReplyKind.COMPLETE, status=200, content_type=EVENT_STREAM)
+REST = msgspec.structs.replace(NO_EVENT, frames_count=2)
+
+
+def results_of(servers: int, *replies: ServerReply) -> list[OnlineResultKind | None]:
+    """Carry out a streamed request; give the result after each reply, ``None`` if it goes on."""
+    parts = Parts(servers)
+    workflow = parts.dispatcher.serve(streamed_request(parts))
+    asked = [next(workflow)]
+    results: list[OnlineResultKind | None] = []
+    for reply in replies:
+        try:
+            asked.append(workflow.send(reply))
+        except StopIteration as ended:
+            results.append(ended.value.kind)
+            break
+        assert isinstance(asked[-1], CallServer)
+        results.append(None)
+    return results
+
+
+@pytest.mark.parametrize('status', [200, 204, 400, 500])
+def test_answer_that_is_no_stream_does_not_end_a_stream(status: int) -> None:
+    # The caller would get the final event after a part of its events.
+    answer = ServerReply(kind=ReplyKind.COMPLETE, status=status, content_type='application/json')
+    assert results_of(3, CUT, answer, REST) == [None, None, OnlineResultKind.ANSWERED]
+    assert results_of(3, answer) == [OnlineResultKind.ANSWERED]
