Another engine confirms the end of an interrupted stream without further events

What callers of the other stack saw: their stream is cut at one engine, the next engine answers the run that goes on with "data: [DONE]" alone, and the stream ends as complete after a part of its events. "Nothing follows" has two readings: the interruption came after the last event, or the engine has lost what to go on with.

The dispatcher uses the same decision as the gateway's streams (StreamEnd): the final event counts as a frame; a run that brings events and the final event ends the stream; a run that brings the final event alone must be confirmed by another engine, or by further runs where there is none. A stream that nobody can confirm ends with the error event. Each unconfirmed end is logged.

Test first: test_final_event_alone_does_not_end_an_interrupted_stream failed before (answered after the second run). Not covered: an engine that ends its own first run early with a final event.

--- a/citrondyke/decisions/online/online_dispatcher.py
+++ b/citrondyke/decisions/online/online_dispatcher.py
@@ -17,6 +17,8 @@
 from citrondyke.decisions.online.request import OnlineResult, OnlineResultKind
 from citrondyke.decisions.online.retry_budget import RetryBudget
 from citrondyke.decisions.online.stream_event import StreamEndUnproven
+from citrondyke.decisions.streams.stream_end import RunEnd, StreamEnd
+from citrondyke.ids import ServerId, ServerIncarnation
 from citrondyke.storage.fleet_lists import ListedServer
 
 if TYPE_CHECKING:
@@ -29,7 +31,7 @@
     from citrondyke.decisions.online.request import OnlineRequest
     from citrondyke.decisions.online.router import Router
     from citrondyke.decisions.online.server_view import ServerView
-    from citrondyke.ids import ServerId, TargetName
+    from citrondyke.ids import TargetName
 
 __all__ = ('OnlineDispatcher',)
 
@@ -52,6 +54,7 @@
     tried: tuple[ServerId, ...] = ()
     #: The servers in ``tried`` that interrupted the request.
     cut: tuple[ServerId, ...] = ()
+    end: StreamEnd = msgspec.field(default_factory=lambda: StreamEnd(may_be_empty=True))
 
 
 class OnlineDispatcher:
@@ -182,7 +185,17 @@
     ) -> ServerReply:
         """Return a reply to a run that goes on; one that does not prove the end is a cut."""
         if reply.is_event_stream and reply.status == HTTPStatus.OK:
-            return reply
+            verdict = progress.end.record_end(
+                RunEnd(
+                    server=ServerIncarnation(view.listed.id),
+                    is_framed=True,
+                    events_count=reply.frames_count,
+                    last_event_id=progress.frames_count,
+                ),
+                has_other_servers=self._has_other_servers(request, view, progress),
+            )
+            if verdict.is_complete:
+                return reply
         self._context.report(
             StreamEndUnproven(
                 request_id=request.request_id,
@@ -197,6 +210,12 @@
         progress.cut = (*progress.cut, view.listed.id)
         return msgspec.structs.replace(reply, kind=ReplyKind.CUT)
 
+    def _has_other_servers(
+        self, request: OnlineRequest, view: ServerView, progress: _Progress
+    ) -> bool:
+        asked = {ServerId(server) for server in progress.end.stating_servers} | {view.listed.id}
+        return self._router.has_others(request.target, asked, progress.begun_at)
+
     def _attempt(
         self,
         request: OnlineRequest,
@@ -245,6 +264,12 @@
         deadline_ms: float,
     ) -> None:
         progress.frames_count += reply.frames_count
+        if reply.kind is not ReplyKind.COMPLETE:
+            progress.end.record_interruption(
+                progress.frames_count or None,
+                has_events=reply.frames_count > 0,
+                is_in_event=False,
+            )
         if reply.frames_count and progress.begun_at is None:
             progress.begun_at = view.listed
         if progress.first_frame_ms is None:
--- a/citrondyke/decisions/online/router.py
+++ b/citrondyke/decisions/online/router.py
@@ -13,6 +13,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.online.fleet import Fleet, TargetServers
     from citrondyke.decisions.online.server_view import ServerView
@@ -92,6 +94,19 @@
                 return view
         return sampled
 
+    def has_others(
+        self, target: TargetName, servers: Collection[ServerId], begun_at: ListedServer | None
+    ) -> bool:
+        """Return whether a server beside the given ones could continue a response."""
+        found = self._fleet.target(target)
+        return found is not None and any(
+            view.accepts_work
+            and view.is_reachable
+            and view.listed.id not in servers
+            and view.may_continue(begun_at)
+            for view in found.views
+        )
+
     def record_start(self, view: ServerView) -> None:
         """Count a request sent to a server."""
         view.own_online += 1
--- a/tests/test_decisions/test_decisions_online.py
+++ b/tests/test_decisions/test_decisions_online.py
@@ -307,3 +307,18 @@
     answer = ServerReply(kind=ReplyKind.COMPLETE, status=status, content_type='application/json')
     assert results_of(3, CUT, answer, REST) == [None, None, OnlineResultKind.ANSWERED]
     assert results_of(3, answer) == [OnlineResultKind.ANSWERED]
+
+
+def test_final_event_alone_does_not_end_an_interrupted_stream() -> None:
+    # The server may have lost the request; another one has to say that nothing follows.
+    answered = OnlineResultKind.ANSWERED
+    assert results_of(3, CUT, NO_EVENT, REST) == [None, None, answered]
+    assert results_of(3, CUT, NO_EVENT, NO_EVENT) == [None, None, answered]
+    assert results_of(1, CUT, NO_EVENT, NO_EVENT, NO_EVENT) == [None, None, None, answered]
+    assert results_of(3, CUT, NO_EVENT, CUT, NO_EVENT) == [
+        None,
+        None,
+        None,
+        OnlineResultKind.BROKEN,
+    ]
+    assert results_of(3, NO_EVENT) == [answered]
