Engine answers whose head states two ends, or an odd one, are interruptions

What callers of the other stack saw: for "Transfer-Encoding: identity" and "chunked" in two lines, "gzip, chunked", or "chunked" with a space after it, the heads of chunks as text of the answer, as a complete 200; for "Content-Length: -7" or "7x", whatever came before the connection's end.

Cause: http.client goes by the first line of a header and by its exact text, urllib3 by all lines, and both take a length that they can't read for none.

The client now takes exactly "chunked" without a length, or one valid length, or none of both; anything else is an interruption and its connection is closed.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -263,6 +263,10 @@
                 # The library takes the end of the connection for the end of the head.
                 self._error = 'closed inside the head'
                 return self._failure_reply()
+            if not _has_one_frame(response):
+                # Readers that go by different lines of the head find different ends.
+                self._error = 'framing of the response'
+                return self._failure_reply()
             if not is_final(status):
                 # After an interim response the final one would be taken for the next request's.
                 self._error = f'status {status}'
@@ -375,5 +379,19 @@
     sock.time_slice.start()
 
 
+def _has_one_frame(response: HTTPResponse) -> bool:
+    """Return whether the head states one end of the response, or none."""
+    encodings = response.headers.getlist('Transfer-Encoding')
+    lengths = response.headers.getlist('Content-Length')
+    if encodings:
+        # The library doesn't find chunks if a space follows.
+        return not lengths and [each.lower() for each in encodings] == ['chunked']
+    return not lengths or (len(set(lengths)) == 1 and _is_length(lengths[0].strip()))
+
+
+def _is_length(text: str) -> bool:
+    return text.isascii() and text.isdigit()
+
+
 def _is_keep_alive(response: HTTPResponse) -> bool:
     return response.headers.get('Connection', '').lower() != 'close'
--- a/tests/test_backend/test_backend_ends.py
+++ b/tests/test_backend/test_backend_ends.py
@@ -67,3 +67,35 @@
     # The caller would get the part that came, with a length of its own.
     answer = b'HTTP/1.1 ' + status + b'\r\nContent-Length: 9\r\n\r\n' + received
     assert call(answer).kind is ReplyKind.CUT
+
+
+@pytest.mark.parametrize(
+    'lines',
+    [
+        b'Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n',
+        b'Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n',
+        b'Transfer-Encoding: gzip, chunked\r\n',
+        b'Transfer-Encoding: chunked, identity\r\n',
+        b'Transfer-Encoding: identity\r\n',
+        b'Transfer-Encoding: chunked \r\n',
+        CHUNKED + b'Content-Length: 7\r\n',
+        b'Content-Length: 7\r\nContent-Length: 9\r\n',
+        b'Content-Length: -7\r\n',
+        b'Content-Length: +7\r\n',
+        b'Content-Length: 7x\r\n',
+        b'Content-Length: \r\n',
+    ],
+)
+@pytest.mark.parametrize('is_streamed', [False, True])
+def test_answer_whose_end_has_two_readings_is_a_cut(lines: bytes, is_streamed: bool) -> None:
+    # The heads of chunks would reach callers as text, or a part as the whole answer.
+    kind = b'Content-Type: text/event-stream\r\n' if is_streamed else b''
+    body = chunk(b'data: 1\n\ndata: [DONE]\n\n') + b'0\r\n\r\n'
+    answer = OK + kind + lines + b'\r\n' + body
+    assert call(answer, is_streamed=is_streamed).kind is ReplyKind.CUT
+
+
+@pytest.mark.parametrize('lines', [CHUNKED, CHUNKED.lower(), b'Transfer-Encoding:  Chunked\r\n'])
+def test_answer_in_chunks_is_read(lines: bytes) -> None:
+    reply = call(OK + lines + b'\r\n' + chunk(b'{}') + b'0\r\n\r\n')
+    assert (reply.kind, reply.body) == (ReplyKind.COMPLETE, b'{}')
