The final event of an engine's stream is the last one, however it is written

What callers of the other stack saw: an engine sends the final event, then a further event, and ends its response; the caller gets the event that belongs behind the end, then "data: [DONE]". And "data:[DONE]" without the space, or with a comment before it, reached callers as an event, was counted, and the stream went on at another engine, so that its callers saw events after the end.

Cause: the final event was compared byte by byte, and looked for without regard to its place.

It is known by its data now. An event with data after it is an interruption: the engine contradicts itself, and another one says what follows. Comments after it are no events.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -14,7 +14,7 @@
 from urllib3.exceptions import HTTPError
 
 from citrondyke.backend.request_body import engine_body
-from citrondyke.backend.sse import DONE_EVENT, SseSplitter, event_data
+from citrondyke.backend.sse import DONE_DATA, SseSplitter, event_data
 from citrondyke.decisions.core.ops import ServerLoad
 from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
@@ -289,7 +289,12 @@
         is_done = False
         for data in response.stream(READ_BYTES):
             for event in splitter.feed(data):
-                if event == DONE_EVENT:
+                content = event_data(event)
+                if is_done and content:
+                    # Nothing tells which of the two is wrong: the end, or what follows it.
+                    self._error = 'event after the final one'
+                    return self._failure_reply()
+                if is_done or content == DONE_DATA:
                     is_done = True
                     continue
                 now_ms = self._clock.now_ms()
--- a/citrondyke/backend/sse.py
+++ b/citrondyke/backend/sse.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-__all__ = ('DONE_EVENT', 'SseSplitter', 'event_data')
+__all__ = ('DONE_DATA', 'DONE_EVENT', 'SseSplitter', 'event_data')
 
+#: Data of the final event.
+DONE_DATA = b'[DONE]'
 DONE_EVENT = b'data: [DONE]\n\n'
 _EVENT_END = b'\n\n'
 #: Limit on one event; the texts of some tokens take a hundredth of it.
--- a/tests/test_backend/test_backend_ends.py
+++ b/tests/test_backend/test_backend_ends.py
@@ -99,3 +99,37 @@
 def test_answer_in_chunks_is_read(lines: bytes) -> None:
     reply = call(OK + lines + b'\r\n' + chunk(b'{}') + b'0\r\n\r\n')
     assert (reply.kind, reply.body) == (ReplyKind.COMPLETE, b'{}')
+
+
+EVENTS = OK + b'Content-Type: text/event-stream\r\n' + CHUNKED + b'\r\n'
+FIRST, SECOND, DONE = b'data: 1\n\n', b'data: 2\n\n', b'data: [DONE]\n\n'
+
+
+@pytest.mark.parametrize(
+    'chunks',
+    [
+        [FIRST + DONE + SECOND],
+        [FIRST + DONE, SECOND],
+        [FIRST + DONE + SECOND + DONE],
+        [FIRST, DONE, b': ping\n\n', SECOND],
+    ],
+)
+def test_events_after_the_final_one_are_a_cut(chunks: list[bytes]) -> None:
+    # The engine contradicts itself; what follows may belong to another stream.
+    answer = EVENTS + b''.join(map(chunk, chunks)) + b'0\r\n\r\n'
+    reply = call(answer, is_streamed=True)
+    assert (reply.kind, reply.frames) == (ReplyKind.CUT, (b'1',))
+
+
+@pytest.mark.parametrize(
+    'final', [DONE, b'data:[DONE]\n\n', b': ping\ndata: [DONE]\n\n', DONE + b': ping\n\n']
+)
+def test_final_event_is_known_by_its_data(final: bytes) -> None:
+    reply = call(EVENTS + chunk(FIRST + final) + b'0\r\n\r\n', is_streamed=True)
+    assert (reply.kind, reply.frames) == (ReplyKind.COMPLETE, (b'1',))
+
+
+@pytest.mark.parametrize('ending', [b'0\r\n\r\n', b''])
+def test_stream_without_the_final_event_is_a_cut(ending: bytes) -> None:
+    reply = call(EVENTS + chunk(FIRST + SECOND) + ending, is_streamed=True)
+    assert (reply.kind, reply.frames) == (ReplyKind.CUT, (b'1', b'2'))
