Comments in an engine's stream are not counted as events

By reading, not run: an item whose stream has a comment doesn't complete, as its text can't be assembled, and starts over.

Cause: each block was counted as an event, and the number of events tells the next engine where to go on. Blocks without data are dropped now.

Test first: test_comments_are_not_counted_as_events failed before (3 events instead of 2).

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -290,11 +290,14 @@
         for data in response.stream(READ_BYTES):
             for event in splitter.feed(data):
                 content = event_data(event)
-                if is_done and content:
+                if not content:
+                    # A comment. Counted as an event, the next run would leave a true one out.
+                    continue
+                if is_done:
                     # Nothing tells which of the two is wrong: the end, or what follows it.
                     self._error = 'event after the final one'
                     return self._failure_reply()
-                if is_done or content == DONE_DATA:
+                if content == DONE_DATA:
                     is_done = True
                     continue
                 now_ms = self._clock.now_ms()
--- a/tests/test_backend/test_backend_ends.py
+++ b/tests/test_backend/test_backend_ends.py
@@ -133,3 +133,9 @@
 def test_stream_without_the_final_event_is_a_cut(ending: bytes) -> None:
     reply = call(EVENTS + chunk(FIRST + SECOND) + ending, is_streamed=True)
     assert (reply.kind, reply.frames) == (ReplyKind.CUT, (b'1', b'2'))
+
+
+def test_comments_are_not_counted_as_events() -> None:
+    # A run that goes on after a wrong number of events leaves some out.
+    reply = call(EVENTS + chunk(FIRST + b': ping\n\n' + SECOND), is_streamed=True)
+    assert (reply.frames_count, reply.frames) == (2, (b'1', b'2'))
