Operators see how a stream ended, and by whose word

After an incident with streams that end early and look complete, an operator has an id and wants to know which server ended the stream and what proved it. "explain" now tells for each orderly end of a run (stream.ended, item.ended) its server, whether the end had a frame, the events of the run, the position, and the servers that stated the end; and where a stream was cut because nobody could confirm it. For a job it counts the items whose end had to be confirmed. The loss report has a cause of its own for such requests, and one for items that waited until their end was confirmed.

--- a/citrondyke/operator/item_history.py
+++ b/citrondyke/operator/item_history.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from citrondyke.operator.loss_report import LossCause
+from citrondyke.operator.stream_ends import is_unconfirmed
 
 if TYPE_CHECKING:
     from citrondyke.operator.log_events import LogEvent
@@ -20,6 +21,8 @@
     'stopped': LossCause.ITEM_FAILED,
     'failed': LossCause.ITEM_FAILED,
 }
+#: The line about the end of a run may follow the one about the run within this time.
+SAME_RUN_S = 0.1
 
 
 class _TimeByCause(msgspec.Struct):
@@ -57,6 +60,11 @@
     last_s = accepted.time_s
     wait_cause = LossCause.ITEM_FOR_CAPACITY
     finished_s = None
+    doubts_s = [
+        event.time_s
+        for event in history
+        if is_unconfirmed(event) and event.get('item_id') == item_id
+    ]
     for event in history:
         if event.event == 'job.taken_over' and finished_s is None:
             # The owner counts as lost since the last line about the item.
@@ -69,6 +77,8 @@
             last_s = event.time_s
             run_end = str(event.get('end'))
             wait_cause = WAIT_CAUSES.get(run_end, LossCause.ITEM_FOR_CAPACITY)
+            if any(start_s <= at_s <= last_s + SAME_RUN_S for at_s in doubts_s):
+                wait_cause = LossCause.ITEM_UNCONFIRMED
             if run_end in ('completed', 'impossible'):
                 finished_s = last_s
                 breakdown.is_finished = True
--- a/citrondyke/operator/job_history.py
+++ b/citrondyke/operator/job_history.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from citrondyke.operator.stream_ends import describe_stream_ends, is_unconfirmed
+
 if TYPE_CHECKING:
     from citrondyke.operator.log_events import LogEvent
 
@@ -36,6 +38,9 @@
         for event in owners
     ]
     parts += _describe_runs(history)
+    doubtful = {event.get('item_id') for event in history if is_unconfirmed(event)}
+    if doubtful:
+        parts.append(f'The end of {len(doubtful)} items had to be confirmed by another server.')
     listed = [int(event.get('listed') or 0) for event in history if event.event == 'job.commit']
     total = next((event.get('of') for event in history if event.event == 'job.commit'), None)
     if listed:
@@ -46,8 +51,8 @@
 
 
 def explain_item(history: list[LogEvent]) -> tuple[str, list[str]]:
-    """Describe how the runs of an item ended; return the same as ``explain_job``."""
-    return ' '.join(_describe_runs(history)), []
+    """Describe how the runs and the stream of an item ended; return the same as ``explain_job``."""
+    return ' '.join([*_describe_runs(history), *describe_stream_ends(history)]), []
 
 
 def _describe_runs(history: list[LogEvent]) -> list[str]:
--- a/citrondyke/operator/loss_causes.py
+++ b/citrondyke/operator/loss_causes.py
@@ -8,6 +8,7 @@
 
 from citrondyke.operator.item_history import item_loss_cause
 from citrondyke.operator.loss_report import Loss, LossCause, LossReport
+from citrondyke.operator.stream_ends import is_unconfirmed
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -80,6 +81,8 @@
 class _Request(msgspec.Struct):
     sent: LogEvent | None = None
     end: LogEvent | None = None
+    #: Orderly end of the last run of its stream.
+    run_end: LogEvent | None = None
 
 
 def _record_requests(
@@ -95,12 +98,14 @@
             requests.setdefault(request_id, _Request()).sent = event
         elif event.event == 'request.end':
             requests.setdefault(request_id, _Request()).end = event
+        elif event.event == 'stream.ended':
+            requests.setdefault(request_id, _Request()).run_end = event
         elif event.event == 'job.refused':
             losses.record(LossCause.JOB_REJECTED, '', event.time_s, str(event.get('job_id')))
     losses.report.requests_count += len(requests)
     for request_id, request in requests.items():
         cause = _request_loss_cause(request, targets_ms)
-        last = request.end or request.sent
+        last = request.end or request.sent or request.run_end
         if cause is not None and last is not None:
             losses.record(cause, str(last.get('route') or ''), last.time_s, request_id)
 
@@ -110,7 +115,9 @@
     if end is None:
         return LossCause.INSTANCE_LOST
     if end.get('end') != 'done':
-        return CAUSES_BY_END.get(str(end.get('end')), LossCause.ABORTED)
+        cause = CAUSES_BY_END.get(str(end.get('end')), LossCause.ABORTED)
+        in_doubt = request.run_end is not None and is_unconfirmed(request.run_end)
+        return LossCause.END_UNCONFIRMED if in_doubt and cause is LossCause.ABORTED else cause
     target_ms = targets_ms.get(str(end.get('route')), targets_ms.get('*', float('inf')))
     if float(end.get('first_ms') or 0.0) <= target_ms:
         return None
@@ -129,7 +136,7 @@
         job_id = str(event.get('job_id') or '')
         if event.event == 'job.accepted' and not event.get('is_repeat'):
             accepted.setdefault(job_id, event)
-        elif event.event in ('item.run', 'job.taken_over', 'job.commit', 'job.ended'):
+        elif event.event in ('item.run', 'item.ended', 'job.taken_over', 'job.commit', 'job.ended'):
             events_by_job.setdefault(job_id, []).append(event)
     for job_id, acceptance in accepted.items():
         history = events_by_job.get(job_id, [])
--- a/citrondyke/operator/loss_report.py
+++ b/citrondyke/operator/loss_report.py
@@ -22,6 +22,8 @@
     NOT_ACCEPTED = 'not taken by the instance'
     #: Its connection to a server was aborted, or the server did not respond.
     ABORTED = 'broke off at a server'
+    #: A server had ended its stream, and no other one could confirm that it ends there.
+    END_UNCONFIRMED = 'end of its stream not confirmed'
     #: No server could continue its stream: the version that began it is not known, or is gone.
     ORIGIN_LOST = 'no server may continue its stream'
     #: Servers exited under requests of the same content; it was not sent again.
@@ -43,6 +45,7 @@
     ITEM_FOR_CAPACITY = 'item waited for a place'
     ITEM_PREEMPTED = 'item waited after it gave way'
     ITEM_FAILED = 'item waited after a failed run'
+    ITEM_UNCONFIRMED = 'item waited until its end was confirmed'
     ITEM_OWNER_LOST = 'item waited for a new owner'
     ITEM_RUNNING = 'item ran for too long'
     ITEM_COMMIT = 'item waited to be made durable'
--- a/citrondyke/operator/request_history.py
+++ b/citrondyke/operator/request_history.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from citrondyke.operator.stream_ends import describe_stream_ends
+
 if TYPE_CHECKING:
     from citrondyke.operator.log_events import LogEvent
 
@@ -74,7 +76,7 @@
     if end.get('end') in ('broken', 'timed_out', 'cut_midway', 'not_run') and not sends:
         missing.append('send.failed')
     told = [f'{_describe_send(send)}{_describe_health(send, events)}' for send in sends]
-    return ' '.join([cause, *told]), missing
+    return ' '.join([cause, *told, *describe_stream_ends(history)]), missing
 
 
 def explain_content(history: list[LogEvent]) -> str:
--- a/tests/test_operator/test_operator_explain.py
+++ b/tests/test_operator/test_operator_explain.py
@@ -277,3 +277,54 @@
     )
     cause = explain('r', read_log_events([file])).cause
     assert 'degraded there for 0.5 s, after 2 failures seen by 2 instances' in cause
+
+
+def run_end(kind: str, time_s: float, server_id: str, **fields: Any) -> dict[str, Any]:
+    usual = {'status': 200, 'is_framed': True, 'events_count': 0, 'last_event_id': 6}
+    return event(kind, time_s, **{'server_id': server_id, **usual, **fields})
+
+
+@pytest.mark.parametrize(
+    ('kind', 'name'), [('stream.ended', 'request_id'), ('item.ended', 'item_id')]
+)
+def test_explanation_of_a_stream_names_who_ended_it(tmp_path: Path, kind: str, name: str) -> None:
+    # An operator asks how a stream ended that looks complete, and by whose word.
+    own = {name: 'r', 'after_interruption': True}
+    file = write(
+        tmp_path / 'edge-1.log',
+        run_end(kind, 1.0, 'i-1', verdict='unconfirmed', stated_by=['i-1'], **own),
+        run_end(kind, 1.1, 'i-2', verdict='agreement', stated_by=['i-1', 'i-2'], **own),
+        event('request.end', 1.2, request_id='r', end='done'),
+    )
+    cause = explain('r', read_log_events([file])).cause
+    assert 'The run at i-1 ended with a frame, 0 events, at event 6, after an interr' in cause
+    assert 'stated by i-1 and not confirmed' in cause
+    assert 'ends there according to i-1, i-2.' in cause
+    assert 'was cut' not in cause
+
+
+def test_explanation_of_a_stream_names_where_it_was_cut(tmp_path: Path) -> None:
+    own = {'request_id': 'r', 'verdict': 'unconfirmed', 'stated_by': ['i-1']}
+    for is_framed, status, found in (
+        (False, 200, 'with its connection'),
+        (True, 204, '(status 204)'),
+    ):
+        file = write(
+            tmp_path / 'edge-1.log',
+            run_end('stream.ended', 1.0, 'i-1', is_framed=is_framed, status=status, **own),
+            event('request.end', 1.2, request_id='r', end='cut_midway'),
+        )
+        cause = explain('r', read_log_events([file])).cause
+        assert found in cause
+        assert 'The stream was cut after event 6: nobody could confirm its end.' in cause
+
+
+def test_explanation_of_a_whole_stream_names_its_frame(tmp_path: Path) -> None:
+    fields = {'request_id': 'r', 'verdict': 'framing', 'events_count': 6, 'stated_by': []}
+    file = write(
+        tmp_path / 'edge-1.log',
+        run_end('stream.ended', 1.0, 'i-1', **fields),
+        event('request.end', 1.2, request_id='r', end='done'),
+    )
+    cause = explain('r', read_log_events([file])).cause
+    assert '6 events, at event 6. Its frame ends the stream.' in cause
--- a/tests/test_operator/test_operator_losses.py
+++ b/tests/test_operator/test_operator_losses.py
@@ -37,9 +37,16 @@
     return line(0.5, 'request.sent', request_id='a', **fields)
 
 
+def run_ended(verdict: str) -> LogEvent:
+    return line(0.9, 'stream.ended', request_id='a', verdict=verdict)
+
+
 @pytest.mark.parametrize(
     ('events', 'cause'),
     [
+        ([run_ended('unconfirmed'), ended('cut_midway')], LossCause.END_UNCONFIRMED),
+        ([run_ended('unconfirmed'), ended('caller_gone')], LossCause.CALLER_DISCONNECTED),
+        ([run_ended('unconfirmed')], LossCause.INSTANCE_LOST),
         ([ended('turned_away')], LossCause.REJECTED),
         ([sent(), ended('broken')], LossCause.ABORTED),
         ([ended('stopped')], LossCause.STOPPED),
@@ -69,6 +76,10 @@
     return line(time_s, 'item.run', job_id='j', item_id='i', end=end, took_ms=took_ms)
 
 
+def item_ended(time_s: float) -> LogEvent:
+    return line(time_s, 'item.ended', job_id='j', item_id='i', verdict='unconfirmed')
+
+
 def commit(time_s: float) -> LogEvent:
     return line(time_s, 'job.commit', job_id='j', verdict='done')
 
@@ -92,6 +103,14 @@
             ],
             LossCause.ITEM_OWNER_LOST,
         ),
+        (
+            [item_ended(1.0), run(1.0, 'broken', 900.0), run(10.2, 'completed', 500.0)],
+            LossCause.ITEM_UNCONFIRMED,
+        ),
+        (
+            [run(1.0, 'broken', 900.0), item_ended(9.9), run(10.2, 'completed', 500.0)],
+            LossCause.ITEM_FAILED,
+        ),
         ([], LossCause.ITEM_NEVER_RAN),
     ],
 )
@@ -101,6 +120,10 @@
     assert causes(accepted(), *events) == {cause: 1}
 
 
+def test_stream_that_was_answered_is_not_lost_for_a_doubt() -> None:
+    assert causes(run_ended('unconfirmed'), run_ended('agreement'), ended('done')) == {}
+
+
 def test_items_in_time_or_of_an_ended_job_are_not_losses() -> None:
     assert causes(accepted(), run(9.0, 'completed', 8_000.0), commit(9.9)) == {}
     assert causes(accepted(3), line(2.0, 'job.ended', job_id='j')) == {}
