--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -14,7 +14,7 @@
 from urllib3.exceptions import HTTPError
 
 from citrondyke.backend.request_body import engine_body
-from citrondyke.backend.sse import DONE_EVENT, SseSplitter, event_data
+from citrondyke.backend.sse import DONE_DATA, SseSplitter, event_data
 from citrondyke.decisions.core.ops import ServerLoad
 from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
@@ -263,6 +263,10 @@
                 # The library takes the end of the connection for the end of the head.
                 self._error = 'closed inside the head'
                 return self._failure_reply()
+            if not _has_one_frame(response):
+                # Readers that go by different lines of the head find different ends.
+                self._error = 'framing of the response'
+                return self._failure_reply()
             if not is_final(status):
                 # After an interim response the final one would be taken for the next request's.
                 self._error = f'status {status}'
@@ -285,7 +289,15 @@
         is_done = False
         for data in response.stream(READ_BYTES):
             for event in splitter.feed(data):
-                if event == DONE_EVENT:
+                content = event_data(event)
+                if not content:
+                    # A comment. Counted as an event, the next run would leave a true one out.
+                    continue
+                if is_done:
+                    # Nothing tells which of the two is wrong: the end, or what follows it.
+                    self._error = 'event after the final one'
+                    return self._failure_reply()
+                if content == DONE_DATA:
                     is_done = True
                     continue
                 now_ms = self._clock.now_ms()
@@ -310,6 +322,10 @@
     ) -> ServerReply:
         ends_with_connection = response.length_remaining is None and not response.chunked
         body = response.read(limit_bytes)
+        if response.length_remaining:
+            # The library returns the part that came.
+            self._error = f'{response.length_remaining} bytes are missing'
+            return self._failure_reply()
         # A connection that this side has shut down looks as if the server had closed it in order.
         if len(body) >= limit_bytes or (ends_with_connection and self._is_aborted):
             return self._failure_reply()
@@ -371,5 +387,19 @@
     sock.time_slice.start()
 
 
+def _has_one_frame(response: HTTPResponse) -> bool:
+    """Return whether the head states one end of the response, or none."""
+    encodings = response.headers.getlist('Transfer-Encoding')
+    lengths = response.headers.getlist('Content-Length')
+    if encodings:
+        # The library doesn't find chunks if a space follows.
+        return not lengths and [each.lower() for each in encodings] == ['chunked']
+    return not lengths or (len(set(lengths)) == 1 and _is_length(lengths[0].strip()))
+
+
+def _is_length(text: str) -> bool:
+    return text.isascii() and text.isdigit()
+
+
 def _is_keep_alive(response: HTTPResponse) -> bool:
     return response.headers.get('Connection', '').lower() != 'close'
--- a/citrondyke/decisions/online/online_dispatcher.py
+++ b/citrondyke/decisions/online/online_dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -15,6 +16,9 @@
 from citrondyke.decisions.online.rejection import Rejection, RejectionReason
 from citrondyke.decisions.online.request import OnlineResult, OnlineResultKind
 from citrondyke.decisions.online.retry_budget import RetryBudget
+from citrondyke.decisions.online.stream_event import StreamEndUnproven
+from citrondyke.decisions.streams.stream_end import RunEnd, StreamEnd
+from citrondyke.ids import ServerId, ServerIncarnation
 from citrondyke.storage.fleet_lists import ListedServer
 
 if TYPE_CHECKING:
@@ -27,7 +31,7 @@
     from citrondyke.decisions.online.request import OnlineRequest
     from citrondyke.decisions.online.router import Router
     from citrondyke.decisions.online.server_view import ServerView
-    from citrondyke.ids import ServerId, TargetName
+    from citrondyke.ids import TargetName
 
 __all__ = ('OnlineDispatcher',)
 
@@ -50,6 +54,7 @@
     tried: tuple[ServerId, ...] = ()
     #: The servers in ``tried`` that interrupted the request.
     cut: tuple[ServerId, ...] = ()
+    end: StreamEnd = msgspec.field(default_factory=lambda: StreamEnd(may_be_empty=True))
 
 
 class OnlineDispatcher:
@@ -129,7 +134,10 @@
             view = self._choose(request, progress)
             if isinstance(view, Rejection):
                 return self._rejected_result(progress, view)
+            has_begun = progress.frames_count > 0
             reply = yield from self._attempt(request, view, progress, keys)
+            if has_begun and reply.kind is ReplyKind.COMPLETE:
+                reply = self._continuation(request, view, progress, reply)
             if reply.kind is ReplyKind.COMPLETE:
                 budget.deposit()
                 return self._result(OnlineResultKind.ANSWERED, progress, reply)
@@ -168,6 +176,46 @@
             )
         return view
 
+    def _continuation(
+        self,
+        request: OnlineRequest,
+        view: ServerView,
+        progress: _Progress,
+        reply: ServerReply,
+    ) -> ServerReply:
+        """Return a reply to a run that goes on; one that does not prove the end is a cut."""
+        if reply.is_event_stream and reply.status == HTTPStatus.OK:
+            verdict = progress.end.record_end(
+                RunEnd(
+                    server=ServerIncarnation(view.listed.id),
+                    is_framed=True,
+                    events_count=reply.frames_count,
+                    last_event_id=progress.frames_count,
+                ),
+                has_other_servers=self._has_other_servers(request, view, progress),
+            )
+            if verdict.is_complete:
+                return reply
+        self._context.report(
+            StreamEndUnproven(
+                request_id=request.request_id,
+                server_id=view.listed.id,
+                status=reply.status,
+                content_type=reply.content_type,
+                events_count=reply.frames_count,
+                last_event_number=progress.frames_count,
+            )
+        )
+        progress.tried = (*progress.tried, view.listed.id)
+        progress.cut = (*progress.cut, view.listed.id)
+        return msgspec.structs.replace(reply, kind=ReplyKind.CUT)
+
+    def _has_other_servers(
+        self, request: OnlineRequest, view: ServerView, progress: _Progress
+    ) -> bool:
+        asked = {ServerId(server) for server in progress.end.stating_servers} | {view.listed.id}
+        return self._router.has_others(request.target, asked, progress.begun_at)
+
     def _attempt(
         self,
         request: OnlineRequest,
@@ -216,6 +264,12 @@
         deadline_ms: float,
     ) -> None:
         progress.frames_count += reply.frames_count
+        if reply.kind is not ReplyKind.COMPLETE:
+            progress.end.record_interruption(
+                progress.frames_count or None,
+                has_events=reply.frames_count > 0,
+                is_in_event=False,
+            )
         if reply.frames_count and progress.begun_at is None:
             progress.begun_at = view.listed
         if progress.first_frame_ms is None:
