EventSplitter: count events, and reject an event that lacks an id it needs

What callers saw: a resumable stream whose resumed run brings an event with data but without an id was passed on; the next resumption asks for what follows the event before it, so a caller could get the event twice, or a stream whose end nobody can place. Batch items reject such an event already, in a check of their own.

Cause: EventSplitter checks the order of ids only for events that have one.

Change: needs_ids (off by default, so nothing changes for its users yet) makes such an event MALFORMED, 'event without an id'. progress_count is the number of events with an id and data, which RunEnd.events_count asks for.

Both tests fail on the code before (unexpected argument, no attribute).

--- a/citrondyke/gateway/callers/event_stream.py
+++ b/citrondyke/gateway/callers/event_stream.py
@@ -46,24 +46,30 @@
     join it with the next server's event and read a text that no server sent.
     """
 
-    def __init__(self, last_id: int | None = None) -> None:
+    def __init__(self, last_id: int | None = None, *, needs_ids: bool = False) -> None:
         """Start after an event.
 
         :param last_id: id of the event before the first one; ``None`` accepts any first id.
+        :param needs_ids: whether each event with data must have an id, because the stream may be
+            resumed after it. Otherwise the caller might get the event twice.
         """
+        self._needs_ids = needs_ids
         self._unparsed = bytearray()
         #: Length of ``_unparsed`` in which no event ends.
         self._searched_bytes = 0
         self._received_bytes = 0
         self._idle_bytes = 0
         self._has_events = False
+        #: Events with an id and data so far.
+        self.progress_count = 0
+        #: Id of the last event; the initial one if none had an id.
         self.last_id = last_id
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that are whole now.
 
-        :raises BrokenReplyError: if an event is missing, duplicated or too large, or if the stream
-            goes on without events or without an end.
+        :raises BrokenReplyError: if an event is missing, duplicated, too large or lacks an id that
+            it needs, or if the stream goes on without events or without an end.
         """
         self._received_bytes += len(data)
         _check_size('stream', self._received_bytes, STREAM_LIMIT_BYTES)
@@ -99,7 +105,10 @@
 
     def _check(self, event: StreamEvent) -> StreamEvent:
         _check_size('event', len(event.raw), EVENT_LIMIT_BYTES)
+        if self._needs_ids and event.has_data and event.id is None:
+            raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'event without an id')
         self._has_events = True
+        self.progress_count += event.is_progress
         self._idle_bytes = 0 if event.is_progress else self._idle_bytes + len(event.raw)
         _check_size('blocks without an event', self._idle_bytes, IDLE_LIMIT_BYTES)
         if event.id is not None:
--- a/tests/test_gateway/test_callers/test_callers_event_stream.py
+++ b/tests/test_gateway/test_callers/test_callers_event_stream.py
@@ -140,3 +140,20 @@
     for number in range(1, 40):
         splitter.feed(b': x\n\n' * (IDLE_LIMIT_BYTES // 10) + event(number))
     assert splitter.last_id == 39
+
+
+def test_event_that_needs_an_id_and_has_none_is_malformed() -> None:
+    # Failure: the stream is resumed after the event before it, and the caller gets it twice.
+    splitter = EventSplitter(3, needs_ids=True)
+    splitter.feed(b': open\n\nid: 4\n\nid: 5\ndata: a\n\n')
+    with pytest.raises(BrokenReplyError, match='event without an id') as caught:
+        splitter.feed(b'data: b\n\n')
+    assert caught.value.failure_kind is ReplyFailureKind.MALFORMED
+    assert EventSplitter(3).feed(b'data: b\n\n')
+
+
+def test_events_with_an_id_and_data_are_counted() -> None:
+    splitter = EventSplitter()
+    splitter.feed(b': open\n\ndata: a\n\nid: 1\ndata: a\n\nid: 2\n\nid: 3\nda')
+    assert (splitter.progress_count, splitter.last_id) == (1, 2)
+    assert not splitter.is_between_events
