StreamEnd: a part of a further event refutes an end; an interrupted stream is not empty

What callers would see: a response without a length that ends in order in front of an event that exists, where the server that was asked whether anything follows began to send one and was cut; and an empty stream as complete where the first run was cut inside its first event.

Cause: ended_with_connection didn't look at what was received after that end, and one server's framed end without an event was enough for a stream whose first run was interrupted.

Change: both look at the interruption. Both tests fail on the code before.

--- a/citrondyke/decisions/streams/stream_end.py
+++ b/citrondyke/decisions/streams/stream_end.py
@@ -54,7 +54,8 @@
     def __init__(self, *, may_be_empty: bool) -> None:
         """Start before the first run.
 
-        :param may_be_empty: whether one server's framed end is enough for a stream without events.
+        :param may_be_empty: whether one server's framed end is enough for a stream without events,
+            of which no run was interrupted.
         """
         self._may_be_empty = may_be_empty
         self._last_event_id: int | None = None
@@ -62,6 +63,7 @@
         self._ends: list[RunEnd] = []
         self._is_next_begun = False
         self._has_events = False
+        self._was_interrupted = False
 
     @property
     def stating_servers(self) -> frozenset[ServerIncarnation]:
@@ -75,8 +77,11 @@
 
     @property
     def ended_with_connection(self) -> bool:
-        """Whether the run that brought the last event ended in order with its connection."""
-        return bool(self._ends) and bool(self._ends[0].events_count)
+        """Whether the run that brought the last event ended in order with its connection.
+
+        If a part of a further event was received since, that end was not the end of the stream.
+        """
+        return bool(self._ends) and bool(self._ends[0].events_count) and not self._is_next_begun
 
     def record_end(self, end: RunEnd, *, has_other_servers: bool = True) -> EndVerdict:
         """Record the orderly end of a run.
@@ -85,7 +90,7 @@
             there is none, a further run at the same server counts instead, so that the stream ends.
         """
         self._move_to(end.last_event_id, has_events=bool(end.events_count))
-        is_empty = not end.last_event_id and not self._has_events
+        is_empty = not (end.last_event_id or self._has_events or self._was_interrupted)
         if end.is_framed and (end.events_count or (is_empty and self._may_be_empty)):
             return EndVerdict.COMPLETE_BY_FRAMING
         self._ends.append(end)
@@ -103,6 +108,7 @@
         """
         self._move_to(last_event_id, has_events=has_events)
         self._is_next_begun = self._is_next_begun or is_in_event
+        self._was_interrupted = True
 
     def _move_to(self, last_event_id: int | None, *, has_events: bool) -> None:
         """Drop what was stated about an earlier event: it did not end the stream."""
--- a/tests/test_streams/test_streams_stream_end.py
+++ b/tests/test_streams/test_streams_stream_end.py
@@ -107,3 +107,15 @@
     ]
     assert not verdicts[1].is_complete
     assert verdicts[-1].is_complete
+
+
+def test_part_of_a_further_event_refutes_the_end_of_a_connection(stream: StreamEnd) -> None:
+    # Failure: the caller's response would end in order in front of an event that exists.
+    stream.record_end(unframed(A, 6, 6))
+    stream.record_interruption(6, has_events=False, is_in_event=True)
+    assert not stream.ended_with_connection
+
+
+def test_stream_that_was_interrupted_in_its_first_event_is_not_empty(stream: StreamEnd) -> None:
+    stream.record_interruption(None, has_events=False, is_in_event=True)
+    assert stream.record_end(framed(B, 0, None)) is EndVerdict.UNCONFIRMED
