SendHistory: a server that ran a stream may be asked again whether it has ended

With two attempts, or on a service of two servers, the end of a sound stream whose last chunk alone is missing could otherwise be confirmed by nobody, and the stream would be broken off.

Change: the outcome UNCONFIRMED (the server may have run the request; its run ended in order and proves no end), and servers_to_ask_again: those that may have run it, have not stated the end, and were not asked what follows this event yet. So each server has at most one run for each position of the stream. Servers that refused it or were not reached are not among them.

The tests fail on the code before (no such outcome, no such method).

--- a/citrondyke/decisions/forwarding/send_history.py
+++ b/citrondyke/decisions/forwarding/send_history.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.ids import ServerIncarnation
 
@@ -25,6 +27,8 @@
     REFUSED = 'refused'
     #: The server ran the request and answered with a failure.
     FAILED = 'failed'
+    #: The server's run of a stream ended in order, and nothing proves that its stream has ended.
+    UNCONFIRMED = 'unconfirmed'
     #: Aborted or unanswered after it was sent: it may have run.
     UNKNOWN = 'unknown'
 
@@ -51,12 +55,24 @@
         self.excluded: set[ServerIncarnation] = set()
         self.sends_count = 0
         self._may_have_run_at: set[ServerIncarnation] = set()
+        #: The event after which each server was last asked to go on.
+        self._asked_after: dict[ServerIncarnation, int | None] = {}
         self._not_run_count = 0
 
-    def record_send(self, incarnation: ServerIncarnation, outcome: SendOutcome) -> None:
-        """Record how a send ended."""
+    def record_send(
+        self,
+        incarnation: ServerIncarnation,
+        outcome: SendOutcome,
+        *,
+        asked_after: int | None = None,
+    ) -> None:
+        """Record how a send ended.
+
+        :param asked_after: id of the event after which the server was to resume a stream.
+        """
         self.sends_count += 1
         self.excluded.add(incarnation)
+        self._asked_after[incarnation] = asked_after
         if outcome in (SendOutcome.NOT_SENT, SendOutcome.REFUSED):
             self._not_run_count += 1
         else:
@@ -71,6 +87,25 @@
             return True
         return self._route.may_repeat and len(self._may_have_run_at) < self._route.attempts_limit
 
+    def servers_to_ask_again(
+        self, last_event_id: int | None, stating: Collection[ServerIncarnation]
+    ) -> frozenset[ServerIncarnation]:
+        """Return the servers that may confirm the end of a stream though they ran it before.
+
+        The limit on attempts counts servers, so that these add none. Each is asked at most once
+        what follows an event, and never where it has stated the end.
+
+        :param last_event_id: id of the last event of the stream.
+        :param stating: servers that have stated that nothing follows it.
+        """
+        if not self._route.may_repeat or self._not_run_count >= REJECTIONS_LIMIT:
+            return frozenset()
+        return frozenset(
+            server
+            for server in self._may_have_run_at
+            if server not in stating and self._asked_after[server] != last_event_id
+        )
+
     @property
     def runs_count(self) -> int:
         """Count the servers that may have run the request."""
--- a/tests/test_forwarding/test_forwarding_send_history.py
+++ b/tests/test_forwarding/test_forwarding_send_history.py
@@ -80,3 +80,29 @@
         history.record_send(ServerIncarnation(name), SendOutcome.REFUSED)
     assert not history.may_send
     assert history.verdict is Verdict.NOT_RUN
+
+
+def test_server_that_ran_a_stream_may_confirm_its_end_once() -> None:
+    # Two attempts: A was cut after event 6, and B states that nothing follows.
+    history = SendHistory(route(RouteKind.STREAM, attempts=2, is_resumable=True))
+    history.record_send(A, SendOutcome.UNKNOWN)
+    history.record_send(B, SendOutcome.UNCONFIRMED, asked_after=6)
+    assert not history.may_send
+    assert history.verdict is Verdict.MAY_HAVE_RUN
+    assert history.servers_to_ask_again(6, {B}) == {A}
+    history.record_send(A, SendOutcome.UNKNOWN, asked_after=6)
+    assert not history.servers_to_ask_again(6, {B})
+
+
+def test_server_that_has_stated_the_end_or_never_ran_confirms_nothing() -> None:
+    history = SendHistory(route(RouteKind.STREAM, attempts=2, is_resumable=True))
+    history.record_send(A, SendOutcome.UNCONFIRMED, asked_after=4)
+    history.record_send(B, SendOutcome.NOT_SENT, asked_after=6)
+    history.record_send(C, SendOutcome.REFUSED, asked_after=6)
+    assert not history.servers_to_ask_again(6, {A})
+
+
+def test_stream_that_cannot_be_resumed_is_never_asked_about() -> None:
+    history = SendHistory(route(RouteKind.STREAM))
+    history.record_send(A, SendOutcome.UNKNOWN)
+    assert not history.servers_to_ask_again(6, ())
