Callers: responses that end with their connection are reset if cut

What callers saw: a caller that speaks HTTP/1.0 gets streams that end with their connection. If the instance was killed between two events, the kernel closed the connection in order, and the part was a whole stream for the caller. A caller of HTTP/1.1 got chunks and a last chunk even where the server had stated no end.

Cause: nothing told the kernel that the response was not whole. And start_stream had no way to pass on that the end is known only by the connection.

Ruled out: a reset at our own abort (it was there already); a chunked response of a killed process (its last chunk is missing, which callers see).

Change: while a response that ends with its connection is under way, the socket has SO_LINGER (1, 0), so that any close that isn't ours after the end is a reset, at a SIGKILL too. close() takes it back before it shuts down. start_stream(is_framed=False) writes a head without a length and without chunks, with Connection: close; h11 keeps the state, but its own head would announce chunks.

--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -12,7 +12,8 @@
 from citrondyke.decisions.memory.byte_budget import HeldKind
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.request_reader import READ_BYTES, RequestReader
-from citrondyke.gateway.sockets import is_readable, reset
+from citrondyke.gateway.http_head import write_head
+from citrondyke.gateway.sockets import is_readable, reset, set_reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -57,6 +58,8 @@
         #: The head of a stream whose first chunk has not been sent yet.
         self._unsent_head = b''
         self._is_chunked = False
+        #: Whether the body of the response ends with the connection, and with nothing else.
+        self._ends_with_connection = False
         self._has_body = True
         #: Whether a part of the response to the current request may have been sent.
         self.has_begun_answer = False
@@ -149,13 +152,24 @@
         """Release the memory of the last request's body."""
         self._held.release()
 
-    def start_stream(self, status: int, headers: Headers) -> None:
-        """Begin a response of unknown length; its head is sent with the first chunk."""
-        self._unsent_head = self._head(status, [*headers, (b'Transfer-Encoding', b'chunked')])
-        # HTTP/1.0 has no chunked encoding, and a response to HEAD has no body.
-        self._is_chunked = self._has_body and b'\r\ntransfer-encoding: chunked\r\n' in (
-            self._unsent_head.lower()
-        )
+    def start_stream(self, status: int, headers: Headers, *, is_framed: bool = True) -> None:
+        """Begin a response of unknown length; its head is sent with the first chunk.
+
+        :param is_framed: whether the response states its end. If not, it ends with its connection,
+            as do all streams of HTTP/1.0, which has no chunked encoding.
+        :raises CallerGoneError: if the caller's connection is closed.
+        """
+        if is_framed:
+            headers = [*headers, (b'Transfer-Encoding', b'chunked')]
+            self._unsent_head = self._head(status, headers)
+            is_chunked = b'\r\ntransfer-encoding: chunked\r\n' in self._unsent_head.lower()
+        else:
+            self._unsent_head = self._unframed_head(status, headers)
+            is_chunked = False
+        # A response to HEAD has no body.
+        self._is_chunked = self._has_body and is_chunked
+        if self._has_body and not is_chunked:
+            self._end_with_connection()
 
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk of a stream.
@@ -165,13 +179,16 @@
         if self._is_chunked and data:
             # Framed here, since h11 checks its whole state again for each chunk.
             framed = b'%x\r\n%b\r\n' % (len(data), data)
+        elif self._ends_with_connection:
+            framed = data
         else:
             framed = self._http.send(h11.Data(data=data)) or b''
         self._write(self._take_unsent_head() + framed)
 
     def end_stream(self) -> None:
         """End a stream, marking it as complete."""
-        self._write(self._take_unsent_head() + (self._http.send(h11.EndOfMessage()) or b''))
+        end = self._http.send(h11.EndOfMessage()) or b''
+        self._write(self._take_unsent_head() + (b'' if self._ends_with_connection else end))
 
     @property
     def is_reusable(self) -> bool:
@@ -201,6 +218,8 @@
             return
         self._is_closed = True
         try:
+            if self._ends_with_connection:
+                set_reset_on_close(self._sock, is_on=False)
             self._sock.shutdown(1)
             with gevent.Timeout(DISCARD_S, False):
                 while self._sock.recv(READ_BYTES):
@@ -222,12 +241,32 @@
     def _head(self, status: int, headers: Headers) -> bytes:
         if self._closes_after_answer:
             headers = [*headers, (b'Connection', b'close')]
+        response = h11.Response(status_code=status, headers=headers, reason=_reason(status))
+        return self._http.send(response) or b''
+
+    def _unframed_head(self, status: int, headers: Headers) -> bytes:
+        """Write the head of a response that ends with the connection.
+
+        h11 records the response, but its own head for HTTP/1.1 would announce chunks.
+        """
+        self.close_after_answer()
+        self._head(status, headers)
+        first_line = b'HTTP/1.1 %d %b' % (status, _reason(status))
+        return write_head(first_line, [*headers, (b'Connection', b'close')])
+
+    def _end_with_connection(self) -> None:
+        """Have the connection reset if this process ends before the response does.
+
+        The kernel closes the connections of a killed process in order, and the caller would take
+        the part that it has for the whole response.
+
+        :raises CallerGoneError: if the caller's connection is closed.
+        """
+        self._ends_with_connection = True
         try:
-            reason = HTTPStatus(status).phrase.encode()
-        except ValueError:
-            reason = b'Status'
-        data = self._http.send(h11.Response(status_code=status, headers=headers, reason=reason))
-        return data or b''
+            set_reset_on_close(self._sock, is_on=True)
+        except OSError as error:
+            raise CallerGoneError from error
 
     def _watch_disconnect(self, worker: gevent.Greenlet) -> None:
         """Wait for the caller's disconnect while its request is in progress.
@@ -257,3 +296,10 @@
             self._sock.sendall(data)
         except OSError as error:
             raise CallerGoneError from error
+
+
+def _reason(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b'Status'
--- a/citrondyke/gateway/sockets.py
+++ b/citrondyke/gateway/sockets.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from gevent import socket
 
-__all__ = ('connect', 'is_local_failure', 'is_readable', 'reset', 'tune')
+__all__ = ('connect', 'is_local_failure', 'is_readable', 'reset', 'set_reset_on_close', 'tune')
 
 #: A connection is closed when sent bytes stay unacknowledged for this long. A partition drops
 #: packets without a reset; without this limit a dead connection would stay open for minutes.
@@ -77,9 +77,18 @@
         return False
 
 
+def set_reset_on_close(sock: socket.socket, *, is_on: bool) -> None:
+    """Set whether a close resets the connection, also when the kernel closes it at a SIGKILL.
+
+    :raises OSError: if the socket is closed.
+    """
+    linger = struct.pack('ii', int(is_on), 0)
+    sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_LINGER, linger)
+
+
 def reset(sock: socket.socket) -> None:
     """Close a connection with a reset, so that a truncated response cannot look complete."""
     # If the other end has closed already, no reset is needed.
     with contextlib.suppress(OSError):
-        sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_LINGER, struct.pack('ii', 1, 0))
+        set_reset_on_close(sock, is_on=True)
     sock.close()
