Streams without a frame reach their callers without one

Ruled out: a reset on the way, which is told apart already. On a plain route nothing else can be asked, so the caller gets the server's own word as it is.

Change: the caller's response is framed only if the first run's is; otherwise it ends with its connection, and is reset where it is broken off. The new test failed before on both routes.

--- a/citrondyke/gateway/callers/event_relay.py
+++ b/citrondyke/gateway/callers/event_relay.py
@@ -80,7 +80,11 @@
             return
         forwarded.has_begun = True
         forwarded.first_answer_ms = self._context.now_ms()
-        caller.start_stream(reply.head.status, self._dialect.response_headers(reply.head))
+        caller.start_stream(
+            reply.head.status,
+            self._dialect.response_headers(reply.head),
+            is_framed=reply.connection.is_framed,
+        )
 
 
 def _until_ms(forwarded: ForwardedRequest, progress_ms: float) -> float:
--- a/tests/test_gateway/test_callers/test_callers_unframed.py
+++ b/tests/test_gateway/test_callers/test_callers_unframed.py
@@ -36,6 +36,17 @@
     assert runs(fleet) == 1
 
 
+@pytest.mark.parametrize('path', ['/stream/a', '/stream-once/a'])
+def test_stream_without_a_frame_reaches_its_caller_without_one(
+    fleet: GatewayFleet, path: str
+) -> None:
+    # Failure: a last chunk would state an end that the server has not stated.
+    tell(fleet, AnswerMode.UNFRAMED)
+    reply = fleet.call(path)
+    assert (len(events_of(reply.body)), reply.is_whole) == (EVENTS, True)
+    assert not {name.lower() for name in reply.headers} & {'transfer-encoding', 'content-length'}
+
+
 @pytest.mark.parametrize('mode', BROKEN)
 def test_stream_broken_off_with_its_connection_goes_on_elsewhere(
     fleet: GatewayFleet, mode: AnswerMode
