A run's end is the end of its stream only where something proves it

What callers saw: a resumable stream whose first run was cut after event n, and whose next run answered with no event (the last chunk only, a length of zero, a comment and the end), ended as complete after n; so did one whose next run had no frame and closed between events. A caller that resumed with Last-Event-Id itself got an empty 200.

Cause: EventRelay ended the caller's stream at the end of any run. "Nothing follows" after a cut has two readings: the cut came after the last event, or the server has lost or never had the request.

Ruled out: taking such an end for an interruption, without more. Sound streams whose last chunk alone is missing are whole today and would be broken off.

Change: StreamContinuation asks StreamEnd at the end of each run. If the end isn't proven, another server of the stream's origin is asked with Last-Event-Id n, within max_attempts, then those that ran the stream before and have not stated its end, each once for each position. Further events refute the earlier end. If nobody can confirm it, a response in chunks is reset, one that has not begun is a 502 without a retry time (also at the deadline), and one without a frame ends in order where the server's own run did so: its end states no more than the server has stated.

An end with the connection and without an event is a statement only while the end is in doubt and only if the server still accepts connections; otherwise it is an interruption, as before. Evidence about harmful requests is recorded as before, but a run of no events proves no survival, and neither its time nor its latency is recorded. A stop of the instance in a run that has refuted an end doesn't pass that end on.

Load: sound streams in chunks cost nothing. An end in doubt costs one further run of no tokens, where servers answer; a service whose responses never have a frame pays it for each stream, as asking all of its servers would multiply its runs.

Each orderly end of a run logs stream.ended (verdict, who stated it, frame, status, events, last event, whether the run before was interrupted); stream.end_refuted and stream.end_unconfirmed say what came of doubts. Counters: stream_ends_<verdict>, stream_ends_without_event, stream_ends_refuted, stream_ends_given_up.

Tests: those of test_callers_stream_ends.py failed before (200 and whole with 2 or 4 of 6 events, or an empty 200), apart from the cases UNFRAMED_EMPTY and CUT, which were broken off already. The tests of whole streams whose last chunk is missing, of a sound stream and of a service without frames failed only by the number of runs, the counters and the headers: those streams were whole. The test of a stop fails without the record of the run's interruption. In test_callers_unframed.py the number of runs now counts those that are asked what follows the last event apart, and demands their number too; the broken answer is given to the first run wherever it goes, since a confirming run may have used it up.

--- a/citrondyke/gateway/callers/admission_controller.py
+++ b/citrondyke/gateway/callers/admission_controller.py
@@ -15,6 +15,8 @@
 from citrondyke.gateway.callers.forwarded_request import RequestResult
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from citrondyke.decisions.accounts.fleet_rate_limiter import LimitVerdict
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.crashes.suspect_registry import SuspectVerdict
@@ -27,7 +29,7 @@
     from citrondyke.gateway.callers.forwarded_request import ForwardedRequest
     from citrondyke.gateway.callers.request_log import RequestLog
     from citrondyke.gateway.streams.origin_exchange import OriginExchange
-    from citrondyke.ids import ServiceName
+    from citrondyke.ids import ServerIncarnation, ServiceName
 
 __all__ = ('AdmissionController', 'ChosenServer')
 
@@ -191,7 +193,7 @@
     def _choose(self, forwarded: ForwardedRequest, verdict: SuspectVerdict) -> ServerState | None:
         origin = forwarded.origin
         if origin is not None:
-            return self._choose_of(forwarded, verdict, origin.service, origin)
+            return self._choose_to_continue(forwarded, verdict, origin)
         service = forwarded.route.pick_service(self._context.random)
         if not forwarded.route.is_resumable:
             return self._choose_of(forwarded, verdict, service, None)
@@ -205,20 +207,34 @@
             return state
         return None
 
+    def _choose_to_continue(
+        self, forwarded: ForwardedRequest, verdict: SuspectVerdict, origin: StreamOrigin
+    ) -> ServerState | None:
+        """Choose a server of the stream's origin, one that has not had the request if possible."""
+        if forwarded.history.may_send:
+            state = self._choose_of(forwarded, verdict, origin.service, origin)
+            if state is not None:
+                return state
+        again = forwarded.servers_to_ask_again
+        if not again:
+            return None
+        others = {state.incarnation for state in self._book.states()} - again
+        return self._choose_of(forwarded, verdict, origin.service, origin, others)
+
     def _choose_of(
         self,
         forwarded: ForwardedRequest,
         verdict: SuspectVerdict,
         service: ServiceName,
         origin: StreamOrigin | None,
+        excluded: Collection[ServerIncarnation] | None = None,
     ) -> ServerState | None:
+        excluded = forwarded.history.excluded if excluded is None else excluded
         if verdict.key is not None:
-            return self._book.choose_for_suspect(
-                service, forwarded.history.excluded, verdict.key.digest, origin
-            )
+            return self._book.choose_for_suspect(service, excluded, verdict.key.digest, origin)
         return self._book.choose_server(
             service,
-            forwarded.history.excluded,
+            excluded,
             forwarded.metadata.prefix,
             is_once=not forwarded.route.may_run_again,
             origin=origin,
--- a/citrondyke/gateway/callers/error_responder.py
+++ b/citrondyke/gateway/callers/error_responder.py
@@ -55,6 +55,11 @@
         :param is_out_of_time: whether the request's deadline has passed.
         :param may_come_back: whether a server could serve it later.
         """
+        if forwarded.may_end_unconfirmed:
+            forwarded.is_passed_on_unconfirmed = True
+            caller.stop_watching_disconnect()
+            caller.end_stream()
+            return RequestResult.DONE
         if forwarded.has_begun:
             # A truncated response must not look complete.
             caller.abort()
@@ -70,8 +75,9 @@
                 RequestResult.NOT_RUN if forwarded.history.sends_count else RequestResult.NO_SERVER
             )
             return self.reject(caller, forwarded, end, NO_SERVER_RETRY_MS)
-        end = RequestResult.TIMED_OUT if is_out_of_time else RequestResult.BROKEN
-        return self._answer_without_retry(caller, forwarded, end, 504 if is_out_of_time else 502)
+        if is_out_of_time and not forwarded.is_end_in_doubt:
+            return self._answer_without_retry(caller, forwarded, RequestResult.TIMED_OUT, 504)
+        return self._answer_without_retry(caller, forwarded, RequestResult.BROKEN, 502)
 
     def stop(
         self, caller: CallerConnection, forwarded: ForwardedRequest, *, is_probe_running: bool
--- a/citrondyke/gateway/callers/forwarded_request.py
+++ b/citrondyke/gateway/callers/forwarded_request.py
@@ -10,10 +10,11 @@
 from citrondyke.decisions.crashes.suspect_key import RequestKeys
 from citrondyke.decisions.forwarding.route import Route, RouteKind
 from citrondyke.decisions.forwarding.send_history import SendHistory
+from citrondyke.decisions.streams.stream_end import EndVerdict, StreamEnd
 from citrondyke.decisions.streams.stream_origin import StreamOrigin
 from citrondyke.gateway.callers.caller_request import CallerRequest
 from citrondyke.gateway.dialect import RequestMetadata
-from citrondyke.ids import ConfigVersion, RequestId
+from citrondyke.ids import ConfigVersion, RequestId, ServerIncarnation
 
 __all__ = ('ForwardedRequest', 'RequestResult')
 
@@ -76,12 +77,76 @@
     events_count: int = 0
     #: When the current server sent its first event; ``None`` before that.
     server_first_ms: float | None = None
+    #: Events with an id and data that the current server's run has brought.
+    run_events_count: int = 0
+    #: Whether a part of a further event was received from the current server.
+    is_in_event: bool = False
+    #: What servers have stated about the end of the stream; unused if it can't be resumed.
+    stream_end: StreamEnd = msgspec.field(default_factory=lambda: StreamEnd(may_be_empty=True))
+    #: What the last orderly end of a run proved; ``None`` before one, or if the stream can't be
+    #: resumed.
+    end_verdict: EndVerdict | None = None
+    #: Whether the last run of the stream was interrupted.
+    was_interrupted: bool = False
+    #: Whether the end of the caller's response is told apart from that of its connection.
+    is_framed: bool = True
+    #: Whether the caller's response ended with an end that nobody could confirm.
+    is_passed_on_unconfirmed: bool = False
+
+    def start_run(self) -> None:
+        """Start the next server's run."""
+        self.server_first_ms = None
+        self.run_events_count = 0
+        self.is_in_event = False
 
     @property
     def resumes_stream(self) -> bool:
         """Whether the caller has received events of the stream in an earlier request."""
         return self.route.kind is RouteKind.STREAM and bool(self.metadata.last_event_id)
 
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Whether another server may resume the stream."""
+        return self.route.kind is RouteKind.STREAM and self.route.is_resumable
+
+    @property
+    def goes_on(self) -> bool:
+        """Whether the next run goes on with a stream of which the caller has a part."""
+        return self.is_resumable_stream and (self.has_begun or bool(self.last_event_id))
+
+    @property
+    def is_end_in_doubt(self) -> bool:
+        """Whether a server has stated that nothing follows, and that isn't confirmed."""
+        is_complete = self.end_verdict is not None and self.end_verdict.is_complete
+        return self.stream_end.is_in_doubt and not is_complete
+
+    @property
+    def may_end_unconfirmed(self) -> bool:
+        """Whether the caller's response may end where nobody can confirm the end of the stream.
+
+        Its end then states no more than the server's has stated.
+        """
+        return (
+            self.has_begun
+            and not self.is_framed
+            and self.is_end_in_doubt
+            and self.stream_end.ended_with_connection
+        )
+
+    @property
+    def servers_to_ask_again(self) -> frozenset[ServerIncarnation]:
+        """Servers that ran the request and may still confirm the end of its stream."""
+        if not self.is_end_in_doubt:
+            return frozenset()
+        return self.history.servers_to_ask_again(
+            self.last_event_id, self.stream_end.stating_servers
+        )
+
+    @property
+    def may_send(self) -> bool:
+        """Whether another server may be tried, or one asked again."""
+        return self.history.may_send or bool(self.servers_to_ask_again)
+
     @property
     def stream_id(self) -> RequestId:
         """Request that brought the caller the first event of the stream."""
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+import msgspec
 
 from citrondyke.decisions.crashes.response_phase import is_past_start
 from citrondyke.decisions.crashes.suspect_key import RequestKeys
@@ -20,10 +21,10 @@
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.errors.instance_stopping import InstanceStoppingError
 from citrondyke.gateway.callers.error_responder import DeferredFailure
-from citrondyke.gateway.callers.event_relay import EventRelay
 from citrondyke.gateway.callers.forwarded_request import ForwardedRequest, RequestResult
 from citrondyke.gateway.callers.held_answer import read_held_answer
-from citrondyke.gateway.servers.server_sends import SERVER_FAILURE
+from citrondyke.gateway.callers.stream_continuation import StreamContinuation
+from citrondyke.gateway.servers.server_sends import FIRST_NOT_SUCCESSFUL, SERVER_FAILURE
 
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.account import Account
@@ -47,7 +48,6 @@
 
 __all__ = ('Forwarder',)
 
-EVENT_STREAM = b'text/event-stream'
 #: Servers that may run one request with a suspected prompt part. If all evidence came from one
 #: request, the sound parts of its prompt would be blocked with the harmful one, since no other
 #: request is answered in between.
@@ -90,7 +90,7 @@
         self._log = log
         self._timeouts = FailoverTimeouts()
         self._baselines = BaselineLatencies()
-        self._relay = EventRelay(context, dialect)
+        self._streams = StreamContinuation(context, dialect, guard, log)
 
     def handle(
         self,
@@ -183,7 +183,7 @@
     def _serve(self, caller: CallerConnection, forwarded: ForwardedRequest) -> RequestResult:
         history = forwarded.history
         failure: DeferredFailure | None = None
-        while history.may_send and self._left_ms(forwarded) > 0:
+        while forwarded.may_send and self._left_ms(forwarded) > 0:
             self._refresher.wait_until_current(self._left_ms(forwarded))
             chosen_ms = self._context.clock.fence_ms()
             if history.sends_count and not self._admission.is_key_valid(forwarded):
@@ -214,6 +214,8 @@
                 failure = result
             if is_probe and verdict.key and not history.may_have_run_at(state.incarnation):
                 self._guard.record_probe_refused(verdict.key)
+        if forwarded.is_end_in_doubt:
+            self._log.stream_end_unconfirmed(forwarded)
         return self._responder.answer_failed(
             caller,
             forwarded,
@@ -256,65 +258,92 @@
 
         :param chosen_ms: when the server was chosen, by the fence clock.
         """
-        state = chosen.state
-        started_ms = self._context.now_ms()
-        forwarded.server_first_ms = None
-        outcome = SendOutcome.NOT_SENT
-        connection = None
-        is_good = survived = False
-        detail = ''
+        send = _Send(
+            chosen.state, self._context.now_ms(), forwarded.last_event_id, forwarded.goes_on
+        )
+        forwarded.start_run()
         try:
-            with self._sends.counted(state):
-                connection = self._sends.connect(
-                    state,
-                    forwarded.metadata.request_id,
-                    only_new=not forwarded.route.may_repeat,
-                    until_ms=forwarded.until_ms,
-                )
-                if self._refresher.has_left(state, chosen_ms):
-                    return None
-                outcome = SendOutcome.UNKNOWN
-                self._write_request(connection, forwarded, state)
-                reply = self._first_answer(forwarded, state, connection, chosen.expected_wait_ms)
-                if reply.metadata.was_not_run:
-                    outcome = SendOutcome.REFUSED
-                    detail = str(reply.head.status)
-                    return None
-                result = self._relay_answer(caller, forwarded, state, reply, started_ms)
-                if isinstance(result, DeferredFailure):
-                    outcome = SendOutcome.FAILED
-                    detail = str(reply.head.status)
-                    return result
-                is_good = True
-                survived = reply.head.status < 300  # noqa: PLR2004
-                return result
+            with self._sends.counted(send.state):
+                return self._exchange(caller, forwarded, chosen, chosen_ms, send)
         except BrokenReplyError as error:
-            detail = error.message
-            self._record_interrupted(forwarded, state, error)
-            if outcome is SendOutcome.UNKNOWN and not self._is_out_of_time(forwarded):
-                state.record_failure(self._context.now_ms())
+            send.detail = error.message
+            self._record_interrupted(forwarded, send.state, error)
+            if send.outcome is SendOutcome.UNKNOWN and not self._is_out_of_time(forwarded):
+                send.state.record_failure(self._context.now_ms())
             return None
         except CallerGoneError:
-            detail = 'caller disconnected'
-            now_ms = self._context.now_ms()
-            if connection is not None and now_ms - connection.last_activity_ms > EVENT_TIMEOUT_MS:
-                # Callers disconnect from a stream that stalls. If that did not count as a failure,
-                # an unresponsive server would go on getting as many requests as the others.
-                detail = 'caller disconnected, server unresponsive'
-                state.record_failure(now_ms)
+            self._record_caller_gone(send)
             raise
         finally:
-            if connection is not None:
-                is_answered = is_good or outcome in (SendOutcome.REFUSED, SendOutcome.FAILED)
-                self._sends.release(state, connection, is_answered=is_answered)
-            if survived and connection is not None:
-                self._record_survived(forwarded, state, connection)
-            if is_good:
-                self._admission.record_service_time(forwarded, self._context.now_ms() - started_ms)
-                state.record_success()
-            else:
-                forwarded.history.record_send(state.incarnation, outcome)
-                self._log.send_failed(forwarded, state, outcome, detail, started_ms)
+            self._record_send(forwarded, send)
+
+    def _exchange(
+        self,
+        caller: CallerConnection,
+        forwarded: ForwardedRequest,
+        chosen: ChosenServer,
+        chosen_ms: float,
+        send: _Send,
+    ) -> RequestResult | DeferredFailure | None:
+        """Send the request and relay the answer; ``send`` records how far that came.
+
+        :raises BrokenReplyError: if there is no whole answer.
+        """
+        state = send.state
+        send.connection = connection = self._sends.connect(
+            state,
+            forwarded.metadata.request_id,
+            only_new=not forwarded.route.may_repeat,
+            until_ms=forwarded.until_ms,
+        )
+        if self._refresher.has_left(state, chosen_ms):
+            return None
+        send.outcome = SendOutcome.UNKNOWN
+        self._write_request(connection, forwarded, state)
+        reply = self._first_answer(forwarded, state, connection, chosen.expected_wait_ms)
+        if reply.metadata.was_not_run:
+            send.outcome = SendOutcome.REFUSED
+            send.detail = str(reply.head.status)
+            return None
+        result = self._relay_answer(caller, forwarded, state, reply, send.started_ms)
+        if isinstance(result, DeferredFailure):
+            send.outcome = SendOutcome.FAILED
+            send.detail = str(reply.head.status)
+            return result
+        # Where a stream goes on without an event, the server has run nothing.
+        send.has_run = not send.goes_on or bool(forwarded.run_events_count)
+        send.survived = send.has_run and reply.head.status < FIRST_NOT_SUCCESSFUL
+        send.is_good = result is not None
+        if result is None:
+            send.outcome = SendOutcome.UNCONFIRMED
+            send.detail = 'end of the stream'
+        return result
+
+    def _record_caller_gone(self, send: _Send) -> None:
+        send.detail = 'caller disconnected'
+        now_ms, connection = self._context.now_ms(), send.connection
+        if connection is not None and now_ms - connection.last_activity_ms > EVENT_TIMEOUT_MS:
+            # Callers disconnect from a stream that stalls. If that did not count as a failure,
+            # an unresponsive server would go on getting as many requests as the others.
+            send.detail = 'caller disconnected, server unresponsive'
+            send.state.record_failure(now_ms)
+
+    def _record_send(self, forwarded: ForwardedRequest, send: _Send) -> None:
+        state = send.state
+        if send.connection is not None:
+            self._sends.release(state, send.connection, is_answered=send.is_answered)
+            if send.survived:
+                self._record_survived(forwarded, state, send.connection)
+        if send.is_good or send.outcome is SendOutcome.UNCONFIRMED:
+            state.record_success()
+        if send.is_good and send.has_run:
+            stay_ms = self._context.now_ms() - send.started_ms
+            self._admission.record_service_time(forwarded, stay_ms)
+        if not send.is_good:
+            forwarded.history.record_send(
+                state.incarnation, send.outcome, asked_after=send.asked_after
+            )
+            self._log.send_failed(forwarded, state, send.outcome, send.detail, send.started_ms)
 
     def _record_interrupted(
         self, forwarded: ForwardedRequest, state: ServerState, error: BrokenReplyError
@@ -356,18 +385,18 @@
         state: ServerState,
         reply: OpenReply,
         started_ms: float,
-    ) -> RequestResult | DeferredFailure:
-        kind = reply.head.header(b'content-type') or b''
-        is_stream = forwarded.route.kind is RouteKind.STREAM and kind.startswith(EVENT_STREAM)
-        if is_stream and reply.head.status < 300:  # noqa: PLR2004
-            self._relay.relay(
+    ) -> RequestResult | DeferredFailure | None:
+        """Relay an answer; ``None`` if another server has to confirm the end of a stream."""
+        if self._streams.is_run(forwarded, reply.head):
+            is_ended = self._streams.relay_run(
                 caller,
                 forwarded,
+                state,
                 reply,
                 lambda: self._record_first_event(forwarded, state, started_ms),
                 lambda: self._guard.record_survived(forwarded.keys),
             )
-            return RequestResult.DONE
+            return RequestResult.DONE if is_ended else None
         held = self._budget.open(HeldKind.ANSWER)
         try:
             return self._relay_whole_answer(caller, forwarded, state, reply, started_ms, held)
@@ -451,3 +480,25 @@
 
     def _is_out_of_time(self, forwarded: ForwardedRequest) -> bool:
         return self._left_ms(forwarded) <= 1.0
+
+
+class _Send(msgspec.Struct):
+    """One send of a request to a server, with what has come of it so far."""
+
+    state: ServerState
+    started_ms: float
+    #: Id of the event after which the server was to resume a stream.
+    asked_after: int | None
+    #: Whether the caller had a part of the stream before.
+    goes_on: bool
+    connection: ServerConnection | None = None
+    outcome: SendOutcome = SendOutcome.NOT_SENT
+    detail: str = ''
+    is_good: bool = False
+    has_run: bool = False
+    survived: bool = False
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the exchange has ended with an answer."""
+        return self.is_good or self.outcome in (SendOutcome.REFUSED, SendOutcome.FAILED)
--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -10,6 +10,8 @@
 from citrondyke.gateway.callers.forwarded_request import RequestResult
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from citrondyke.decisions.accounts.fleet_rate_limiter import LimitVerdict
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.crashes.suspect_registry import SuspectVerdict
@@ -17,11 +19,14 @@
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.gateway.callers.forwarded_request import ForwardedRequest
     from citrondyke.gateway.metrics import Metrics
+    from citrondyke.ids import ServerIncarnation
 
 __all__ = ('RequestLog',)
 
 log = logbook.Logger(__name__)
 
+#: Servers that are named in one line.
+NAMED_SERVERS_LIMIT = 8
 #: Parts of a prompt that are named in one line.
 NAMED_PARTS_LIMIT = 8
 
@@ -145,6 +150,67 @@
             },
         )
 
+    def stream_run_ended(
+        self, forwarded: ForwardedRequest, state: ServerState, status: int, *, is_framed: bool
+    ) -> None:
+        """Log and count the orderly end of a stream's run, and by whose word the stream ends.
+
+        The verdict on a stream that can't be resumed is always that of its only server.
+        """
+        verdict = forwarded.end_verdict
+        name = 'own' if verdict is None else verdict.value
+        self._metrics.counters[f'stream_ends_{name}'] += 1
+        if not forwarded.run_events_count:
+            self._metrics.counters['stream_ends_without_event'] += 1
+        log.info(
+            'stream.ended',
+            extra={
+                'request_id': forwarded.metadata.request_id,
+                'server_id': state.listed.id,
+                'verdict': name,
+                'stated_by': _names(forwarded.stream_end.stating_servers),
+                'is_framed': is_framed,
+                'status': status,
+                'events': forwarded.run_events_count,
+                'last_event_id': forwarded.last_event_id,
+                'was_interrupted': forwarded.was_interrupted,
+            },
+        )
+
+    def stream_end_refuted(
+        self,
+        forwarded: ForwardedRequest,
+        state: ServerState,
+        stated_by: Collection[ServerIncarnation],
+    ) -> None:
+        """Log and count that a run brings events after an end that servers have stated."""
+        self._metrics.counters['stream_ends_refuted'] += 1
+        log.info(
+            'stream.end_refuted',
+            extra={
+                'request_id': forwarded.metadata.request_id,
+                'server_id': state.listed.id,
+                'stated_by': _names(stated_by),
+                'events': forwarded.run_events_count,
+                'last_event_id': forwarded.last_event_id,
+            },
+        )
+
+    def stream_end_unconfirmed(self, forwarded: ForwardedRequest) -> None:
+        """Log and count that nobody can confirm the stated end of a stream."""
+        self._metrics.counters['stream_ends_given_up'] += 1
+        log.info(
+            'stream.end_unconfirmed',
+            extra={
+                'request_id': forwarded.metadata.request_id,
+                'stated_by': _names(forwarded.stream_end.stating_servers),
+                'sends': forwarded.history.sends_count,
+                'last_event_id': forwarded.last_event_id,
+                'left_ms': round(forwarded.until_ms - self._context.now_ms(), 1),
+                'is_passed_on': forwarded.may_end_unconfirmed,
+            },
+        )
+
     def stopped(
         self, forwarded: ForwardedRequest, verdict: SuspectVerdict, exits_count: float
     ) -> None:
@@ -188,7 +254,7 @@
             extra={
                 **_common_fields(forwarded),
                 'end': end.value,
-                'sends': forwarded.history.sends_count + (end is RequestResult.DONE),
+                'sends': forwarded.history.sends_count + _has_answered_send(forwarded, end),
                 'first_ms': round(first_ms, 1),
                 'took_ms': round(took_ms, 1),
                 'events': forwarded.events_count,
@@ -197,6 +263,15 @@
         )
 
 
+def _has_answered_send(forwarded: ForwardedRequest, end: RequestResult) -> bool:
+    """Return whether a send is missing in the history because it was answered."""
+    return end is RequestResult.DONE and not forwarded.is_passed_on_unconfirmed
+
+
+def _names(servers: Collection[ServerIncarnation]) -> list[str]:
+    return sorted(map(str, servers))[:NAMED_SERVERS_LIMIT]
+
+
 def _common_fields(forwarded: ForwardedRequest) -> dict[str, object]:
     """Return the fields that identify a request and the configuration that applied to it."""
     return {
--- a/citrondyke/gateway/servers/poison_request_guard.py
+++ b/citrondyke/gateway/servers/poison_request_guard.py
@@ -213,6 +213,10 @@
         if may_wait:
             probe.join(EXIT_CHECK_MS / 1e3)
 
+    def has_exited(self, state: ServerState) -> bool:
+        """Return whether a server is known to have exited."""
+        return self._exit_detector.has_exited(server_digest(state.listed))
+
     def record_connect_failure(self, state: ServerState, error: BrokenReplyError) -> None:
         """Record that a server did not accept a connection."""
         server = server_digest(state.listed)
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -26,7 +26,7 @@
     from citrondyke.ids import RequestId, ServerIncarnation
     from citrondyke.util.clock import Clock
 
-__all__ = ('SERVER_FAILURE', 'OpenReply', 'ServerSends')
+__all__ = ('FIRST_NOT_SUCCESSFUL', 'SERVER_FAILURE', 'OpenReply', 'ServerSends')
 
 log = logbook.Logger(__name__)
 
--- a/citrondyke/operator/request_history.py
+++ b/citrondyke/operator/request_history.py
@@ -14,6 +14,7 @@
     'not_sent': 'no connection was established',
     'refused': 'the server stated that it did not run it',
     'failed': 'the server answered with a failure',
+    'unconfirmed': 'its run ended, and nothing proved that the stream has ended',
     'unknown': 'the connection was aborted or unresponsive after the request was sent',
 }
 
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -98,6 +98,27 @@
     HOLD = 'hold'
     #: Send an event whose id is ``odd_event_id`` after some events of a stream.
     ODD_EVENT_ID = 'odd_event_id'
+    #: Reset the connection of a stream between its second and third event.
+    CUT_BETWEEN_EVENTS = 'cut_between_events'
+    #: Reset the connection of a stream after its last event, before the last chunk.
+    CUT_AT_END = 'cut_at_end'
+    #: Answer a stream in chunks, with the last chunk alone.
+    NO_EVENT = 'no_event'
+    #: The same, with a length of zero.
+    NO_LENGTH = 'no_length'
+    #: The same, with a comment in front.
+    ONLY_COMMENT = 'only_comment'
+    #: The same, with an event that has no id in front.
+    EVENT_WITHOUT_ID = 'event_without_id'
+    #: Answer a stream with a status that has no body.
+    NO_CONTENT = 'no_content'
+    RESET_CONTENT = 'reset_content'
+    #: Answer a stream with a success that is none.
+    OTHER_CONTENT = 'other_content'
+    #: Answer a stream with a comment and the end of the connection, without a length.
+    UNFRAMED_COMMENT = 'unframed_comment'
+    #: Close the connection of such a stream after two events.
+    UNFRAMED_SHORT = 'unframed_short'
 
 
 EARLY_MODES = (AnswerMode.EARLY_RESET, AnswerMode.EARLY_CLOSE)
@@ -109,11 +130,23 @@
     AnswerMode.UNFRAMED_CUT_IN_EVENT,
     AnswerMode.UNFRAMED_EMPTY,
     AnswerMode.UNFRAMED_THEN_CRASH,
+    AnswerMode.UNFRAMED_COMMENT,
+    AnswerMode.UNFRAMED_SHORT,
 )
+#: What a stream with a frame has instead of its events.
+EVENTLESS = {
+    AnswerMode.NO_EVENT: b'',
+    AnswerMode.NO_LENGTH: b'',
+    AnswerMode.ONLY_COMMENT: b': ping\n\n',
+    AnswerMode.EVENT_WITHOUT_ID: b'data: odd\n\n',
+}
 FAILURES = {
     AnswerMode.FAIL: (500, b'failed'),
     AnswerMode.IMPOSSIBLE: (422, b''),
     AnswerMode.MOVED: (302, b''),
+    AnswerMode.NO_CONTENT: (204, b''),
+    AnswerMode.RESET_CONTENT: (205, b''),
+    AnswerMode.OTHER_CONTENT: (200, b'{}'),
 }
 
 
@@ -278,6 +311,8 @@
                 signed.append((b'content-type', b'text/event-stream'))
                 pieces = self._unframed_events(run, answer_mode)
             return self._send_unframed(sock, signed, pieces, answer_mode)
+        if answer_mode in EVENTLESS:
+            return self._send_eventless(http, sock, signed, answer_mode)
         if is_stream:
             return self._send_stream(http, sock, signed, run, answer_mode)
         keeps_connection = self._send_complete(http, sock, 200, b'answer to ' + body, signed)
@@ -351,6 +386,8 @@
                 sock.sendall(http.send(h11.Data(data=data[:-5])) or b'')
                 reset(sock)
                 return False
+            if answer_mode is AnswerMode.CUT_BETWEEN_EVENTS and number == first + 2:
+                return self._cut_after_events(sock)
             if answer_mode is AnswerMode.ODD_EVENT_ID and number == first + 2:
                 data = b'id: %b\ndata: odd\n\n' % self.odd_event_id
             if answer_mode in (AnswerMode.STALL, AnswerMode.HOLD) and number == first + 2:
@@ -369,9 +406,34 @@
                 self.crash()
                 return False
             gevent.sleep(self.event_gap_ms / 1e3)
+        if answer_mode is AnswerMode.CUT_AT_END:
+            return self._cut_after_events(sock)
         sock.sendall(http.send(h11.EndOfMessage()) or b'')
         return True
 
+    def _send_eventless(
+        self,
+        http: h11.Connection,
+        sock: socket.socket,
+        headers: list[tuple[bytes, bytes]],
+        answer_mode: AnswerMode,
+    ) -> bool:
+        head = [*headers, (b'content-type', b'text/event-stream')]
+        block = EVENTLESS[answer_mode]
+        if answer_mode is AnswerMode.NO_LENGTH:
+            return self._send_complete(http, sock, 200, block, head)
+        data = http.send(h11.Response(status_code=200, headers=head)) or b''
+        data += http.send(h11.Data(data=block)) or b''
+        sock.sendall(data + (http.send(h11.EndOfMessage()) or b''))
+        return True
+
+    @staticmethod
+    def _cut_after_events(sock: socket.socket) -> bool:
+        # A reset discards events that are still on their way.
+        gevent.sleep(0.02)
+        reset(sock)
+        return False
+
     def _send_complete(
         self,
         http: h11.Connection,
@@ -413,11 +475,13 @@
     def _unframed_events(self, run: ServerRun, answer_mode: AnswerMode) -> list[bytes]:
         if answer_mode is AnswerMode.UNFRAMED_EMPTY:
             return []
+        if answer_mode is AnswerMode.UNFRAMED_COMMENT:
+            return [b': ping\n\n']
         first = int(run.headers.get(LAST_EVENT_HEADER, b'0')) + 1
         events = [self._event(number) for number in range(first, self.events_count + 1)]
         if answer_mode is not AnswerMode.UNFRAMED:
             events = events[:2]
-        if answer_mode is AnswerMode.UNFRAMED_CUT_IN_EVENT:
+        if events and answer_mode is AnswerMode.UNFRAMED_CUT_IN_EVENT:
             events[-1] = events[-1][:-5]
         return events
 
--- a/tests/support/streams.py
+++ b/tests/support/streams.py
@@ -15,6 +15,7 @@
 
 __all__ = ('BegunStream', 'StreamPart', 'events_of', 'is_one_text', 'versions_of')
 
+LAST_CHUNK = b'0\r\n\r\n'
 EVENT = re.compile(rb'id: (\d+)\ndata: ([^\n]*)\n\n')
 
 
@@ -58,6 +59,8 @@
         request = h11.Request(method='POST', target='/stream/x', headers=head)
         self._sock.sendall(http.send(request) or b'')
         self._data = b''
+        #: Whether the connection was reset before the end of the response.
+        self.is_broken_off = False
         while len(self.events) < 2:
             received = self._sock.recv(65_536)
             assert received, self._data
@@ -74,6 +77,14 @@
         (version,) = versions_of(self.events)
         return version
 
+    def read_rest(self) -> None:
+        """Read until the response or its connection ends."""
+        try:
+            while not self._data.endswith(LAST_CHUNK) and (received := self._sock.recv(65_536)):
+                self._data += received
+        except ConnectionResetError:
+            self.is_broken_off = True
+
     def close(self) -> None:
         """Close its connection."""
         self._stack.close()
--- a/tests/test_gateway/test_callers/test_callers_unframed.py
+++ b/tests/test_gateway/test_callers/test_callers_unframed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 import gevent
 import pytest
 
@@ -27,13 +29,23 @@
     return sum(len(server.runs) for server in fleet.servers.values())
 
 
+def confirmations(fleet: GatewayFleet) -> int:
+    """Count the runs that were asked what follows the last event."""
+    return sum(
+        run.headers.get(b'last-event-id') == b'%d' % EVENTS
+        for server in fleet.servers.values()
+        for run in server.runs
+    )
+
+
 def test_stream_that_ends_with_its_connection_is_whole(fleet: GatewayFleet) -> None:
     tell(fleet, AnswerMode.UNFRAMED)
     reply = fleet.call('/stream/a')
     events = events_of(reply.body)
     assert (reply.status, reply.is_whole, len(events)) == (200, True, EVENTS)
     assert is_one_text(events)
-    assert runs(fleet) == 1
+    assert runs(fleet) - confirmations(fleet) == 1
+    assert confirmations(fleet) == 1
 
 
 @pytest.mark.parametrize('path', ['/stream/a', '/stream-once/a'])
@@ -52,16 +64,16 @@
     fleet: GatewayFleet, mode: AnswerMode
 ) -> None:
     # A server ends its stream early: by a reset, inside an event, or before the first one.
-    tell(fleet, mode)
-    for server in fleet.servers.values():
-        server.answer_modes.extend([AnswerMode.UNFRAMED] * 2)
-    fleet.servers['lm-2'].answer_modes.remove(mode)
+    turn = deque([mode, *[AnswerMode.UNFRAMED] * 8])
+    for name in ('lm-1', 'lm-2'):
+        fleet.servers[name].answer_modes = turn
     for number in range(4):
         reply = fleet.call('/stream/a', request_id=f'request-{number}')
         events = events_of(reply.body)
         assert (reply.status, reply.is_whole, len(events)) == (200, True, EVENTS)
         assert is_one_text(events)
-    assert runs(fleet) == 5
+    assert runs(fleet) - confirmations(fleet) == 5
+    assert confirmations(fleet) == 4
 
 
 @pytest.mark.parametrize('mode', BROKEN)
