Another answer in place of a stream that goes on is a broken reply

What callers saw: a run that goes on after a cut and is answered with 204, 205, another success or a 4xx raised a protocol error in the middle of the caller's response: an internal error with a traceback, and a reset, though another server could go on. A caller that resumed with Last-Event-Id itself got the 204, the 205 or the JSON as a success. A first answer 204 or 205 with the type of an event stream was sent in chunks, which a 204 can't have.

Cause: any status below 300 with the type was taken for a run, and everything else was relayed as a whole answer, also where the response had begun.

Change: a run of a stream has status 200 and the type. Where a stream goes on, any other answer that is no failure of the server is MALFORMED, so another server is tried; failures are kept as before. Errors below 500 to a caller that resumes itself are relayed as before. First answers of other kinds are relayed whole.

--- a/citrondyke/gateway/callers/stream_continuation.py
+++ b/citrondyke/gateway/callers/stream_continuation.py
@@ -8,7 +8,7 @@
 from citrondyke.decisions.streams.stream_end import AGREEING_SERVERS, RunEnd
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.callers.event_relay import EventRelay
-from citrondyke.gateway.servers.server_sends import FIRST_NOT_SUCCESSFUL
+from citrondyke.gateway.servers.server_sends import FIRST_NOT_SUCCESSFUL, SERVER_FAILURE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +26,7 @@
 __all__ = ('StreamContinuation',)
 
 EVENT_STREAM = b'text/event-stream'
+STATUS_OK = 200
 
 
 class StreamContinuation:
@@ -40,11 +41,20 @@
         self._log = log
 
     def is_run(self, forwarded: ForwardedRequest, head: ReplyHead) -> bool:
-        """Return whether a response is a run of a stream, and not relayed as a whole answer."""
+        """Return whether a response is a run of a stream, and not relayed as a whole answer.
+
+        :raises BrokenReplyError: if it is another answer in place of a stream that goes on.
+        """
         if forwarded.route.kind is not RouteKind.STREAM:
             return False
         kind = head.header(b'content-type') or b''
-        return head.status < FIRST_NOT_SUCCESSFUL and kind.startswith(EVENT_STREAM)
+        if head.status == STATUS_OK and kind.startswith(EVENT_STREAM):
+            return True
+        limit = SERVER_FAILURE if forwarded.has_begun else FIRST_NOT_SUCCESSFUL
+        if forwarded.goes_on and head.status < limit:
+            detail = f'status {head.status}, no events of the stream'
+            raise BrokenReplyError(ReplyFailureKind.MALFORMED, detail)
+        return False
 
     def relay_run(
         self,
--- a/tests/test_gateway/test_callers/test_callers_stream_ends.py
+++ b/tests/test_gateway/test_callers/test_callers_stream_ends.py
@@ -20,6 +20,9 @@
 EVENTLESS = [
     AnswerMode.NO_EVENT,
     AnswerMode.NO_LENGTH,
+    AnswerMode.NO_CONTENT,
+    AnswerMode.RESET_CONTENT,
+    AnswerMode.OTHER_CONTENT,
     AnswerMode.ONLY_COMMENT,
     AnswerMode.UNFRAMED_EMPTY,
     AnswerMode.UNFRAMED_COMMENT,
@@ -163,6 +166,20 @@
     assert counter(fleet, 'stream_ends_unconfirmed') == 1
 
 
+@pytest.mark.parametrize('mode', [AnswerMode.NO_CONTENT, AnswerMode.RESET_CONTENT])
+@pytest.mark.parametrize('path', ['/stream/a', '/stream-once/a'])
+def test_first_answer_without_a_body_is_relayed_whole(
+    fleet: GatewayFleet, mode: AnswerMode, path: str
+) -> None:
+    for server in fleet.servers.values():
+        server.more_headers = [(b'content-type', b'text/event-stream')]
+    answer_in_turn(fleet, mode)
+    reply = fleet.call(path)
+    assert (reply.status, reply.is_whole) == (204 if mode is AnswerMode.NO_CONTENT else 205, True)
+    assert 'transfer-encoding' not in {name.lower() for name in reply.headers}
+    assert len(asked_after(fleet)) == 1
+
+
 def test_unframed_end_between_events_is_asked_about(fleet: GatewayFleet) -> None:
     answer_in_turn(fleet, AnswerMode.UNFRAMED_SHORT)
     assert is_all(fleet.call('/stream/a'))
