--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -205,7 +205,7 @@
                 'status': head.status,
                 'verdict': verdict,
                 'is_framed': is_framed,
-                'events': events_count,
+                'events_count': events_count,
                 'last_event_id': progress.last_event_id,
                 'stated_by': sorted(progress.end.stating_servers)[:LOGGED_SERVERS],
             },
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -120,8 +120,12 @@
     RESUME_EMPTY_COMMENT = 'resume_empty_comment'
     #: Send a block of comments without a length, and close the connection.
     RESUME_EMPTY_UNFRAMED = 'resume_empty_unframed'
+    #: Send an event without an id alone, and the last chunk.
+    EVENT_WITHOUT_ID = 'event_without_id'
     #: Close the connection of a stream without a length between two events.
     UNFRAMED_BETWEEN_EVENTS = 'unframed_between_events'
+    #: Answer a stream with a success that is no stream.
+    OTHER_CONTENT = 'other_content'
 
 
 EARLY_MODES = (AnswerMode.EARLY_RESET, AnswerMode.EARLY_CLOSE)
@@ -139,6 +143,7 @@
     AnswerMode.FAIL: (500, b'failed'),
     AnswerMode.IMPOSSIBLE: (422, b''),
     AnswerMode.MOVED: (302, b''),
+    AnswerMode.OTHER_CONTENT: (200, b'{}'),
 }
 
 
@@ -164,6 +169,7 @@
     AnswerMode.RESUME_EMPTY_204: _ShortStream(b'204 No Content', framing=b'', tail=b''),
     AnswerMode.RESUME_EMPTY_205: _ShortStream(b'205 Reset', b'Content-Length: 0\r\n', tail=b''),
     AnswerMode.RESUME_EMPTY_COMMENT: _ShortStream(tail=b'8\r\n: ping\n\n\r\n0\r\n\r\n'),
+    AnswerMode.EVENT_WITHOUT_ID: _ShortStream(tail=b'b\r\ndata: odd\n\n\r\n0\r\n\r\n'),
     AnswerMode.RESUME_EMPTY_UNFRAMED: _ShortStream(framing=b'', tail=b': ping\n\n'),
     AnswerMode.UNFRAMED_BETWEEN_EVENTS: _ShortStream(framing=b'', events_count=2, tail=b''),
 }
@@ -498,7 +504,7 @@
         events = [self._event(number) for number in range(first, self.events_count + 1)]
         if answer_mode is not AnswerMode.UNFRAMED:
             events = events[:2]
-        if answer_mode is AnswerMode.UNFRAMED_CUT_IN_EVENT:
+        if events and answer_mode is AnswerMode.UNFRAMED_CUT_IN_EVENT:
             events[-1] = events[-1][:-5]
         return events
 
