Tests of items in doubt: the next owner completes them

An item whose first owner was told that nothing follows is completed by the next one with its whole output: what the first owner was told does not count there, and one server that goes on to say so does not end it. A planned stop of the owner of three items, two instances and two servers.

--- a/tests/test_gateway/test_jobs/test_jobs_ends_of_runs.py
+++ b/tests/test_gateway/test_jobs/test_jobs_ends_of_runs.py
@@ -4,12 +4,13 @@
 
 from collections.abc import Iterator
 
+import gevent
 import pytest
 
 from citrondyke.decisions.batch import item_end
 from citrondyke.ids import ServerId
 from citrondyke.standin.platform_server import AnswerMode, PlatformServer, event_text
-from tests.support.gateway import GatewayFleet
+from tests.support.gateway import GatewayFleet, wait_until_seen
 
 EVENTS_COUNT = 6
 #: More answers than the test asks for.
@@ -37,12 +38,23 @@
     return list(fleet.servers.values())
 
 
+def fill(fleet: GatewayFleet, server: PlatformServer, *, is_full: bool = True) -> None:
+    for instance in fleet.instances:
+        state = instance.book.state(ServerId(server.server_id))
+        assert state is not None
+        state.own.batch = state.listed.slots_count if is_full else 0
+
+
 def assert_whole(fleet: GatewayFleet, count: int = 6) -> None:
     """Run a job, and check that each item is listed once with all of its events."""
     assert fleet.submit('job', count).status == 202
+    assert_listed(fleet, count)
+
+
+def assert_listed(fleet: GatewayFleet, count: int, *, at: int = 0) -> None:
     version = each_server(fleet)[0].software_version
     whole = '\n'.join(event_text(n, version) for n in range(1, EVENTS_COUNT + 1))
-    listed = fleet.wait_done('job')
+    listed = fleet.wait_done('job', at=at)
     assert [(each['state'], each['text']) for each in listed] == [('completed', whole)] * count
     assert {each['id'] for each in listed} == {f'job-{n}' for n in range(count)}
 
@@ -93,10 +105,7 @@
     waits_ms = 1_500.0
     monkeypatch.setattr(item_end, 'CONFIRM_WAIT_MS', waits_ms)
     stating, full = each_server(streams)
-    for instance in streams.instances:
-        state = instance.book.state(ServerId(full.server_id))
-        assert state is not None
-        state.own.batch = state.listed.slots_count
+    fill(streams, full)
     # One interruption only: a second one would eject the server.
     stating.answer_modes.extend([AnswerMode.UNFRAMED, AnswerMode.CUT_BETWEEN_EVENTS])
     # The interrupted item goes on when the end of the other one is in doubt already.
@@ -109,3 +118,24 @@
     assert len(runs) == 3
     assert (runs[1] - runs[0]) * 1e3 > waits_ms
     assert all(run.began_s < runs[1] for run in stating.runs if run.request_id != doubted)
+
+
+@pytest.mark.parametrize('mode', [AnswerMode.UNFRAMED, AnswerMode.UNFRAMED_BETWEEN_EVENTS])
+def test_item_in_doubt_is_completed_by_the_next_owner(
+    streams: GatewayFleet, mode: AnswerMode
+) -> None:
+    # What the first owner was told must not count for the next one, whose server lies.
+    stating, full = each_server(streams)
+    fill(streams, full)
+    stating.answer_modes.extend([mode] * ALWAYS)
+    stating.resume_modes.extend([AnswerMode.RESUME_EMPTY_CHUNKED] * ALWAYS)
+    assert streams.submit('job', 3).status == 202
+    counters = [instance.metrics.counters for instance in streams.instances]
+    wait_until_seen(lambda: sum(each['items_unconfirmed'] for each in counters) == 3, 'the doubt')
+    owner = 0 if counters[0]['items_unconfirmed'] else 1
+    streams.instances[owner].request_stop()
+    stopping = gevent.spawn(streams.instances[owner].run_until_stopped)
+    stopping.join(10.0)
+    fill(streams, full, is_full=False)
+    assert_listed(streams, 3, at=1 - owner)
+    assert full.runs
