An object that the store sends without a length is not taken for whole at once

By trial, not seen in the field: a store that is killed while it sends an object without a length closes the connection in order, and both clients of stores returned the part as the object. Rows and lists are JSON, whose parts no decoder accepts; nothing in an object tells.

The gateway's client reads such an object again and takes it if both are the same or the second one has a length; it logs both sizes. The client of our own store, which always states lengths, reports the call as ambiguous. Looked at and left: rows, feeds, lists, the load of engines and citrondykectl, all JSON; bodies with a length or in chunks, which both libraries check.

--- a/citrondyke/gateway/http_client.py
+++ b/citrondyke/gateway/http_client.py
@@ -30,6 +30,8 @@
 
     status: int
     body: bytes
+    #: Whether the end of the response is told apart from the end of the connection.
+    is_framed: bool = True
 
 
 class HttpFailureReason(msgspec.Struct, frozen=True):
@@ -114,8 +116,9 @@
             if connection is not None:
                 connection.close()
             raise
+        is_framed = connection.is_framed
         self._pool.release(name, connection)
-        return HttpAnswer(head.status, content)
+        return HttpAnswer(head.status, content, is_framed)
 
     def _read_content(
         self, connection: ServerConnection, until_ms: float, timeout_ms: float, transfer_ms: float
--- a/citrondyke/platform/store_client.py
+++ b/citrondyke/platform/store_client.py
@@ -203,13 +203,36 @@
         return _failure(answer)
 
     def get(self, key: ObjectKey) -> bytes | PlatformFailure:
-        """Read an object."""
+        """Read an object.
+
+        A response without a length may have been broken off, which nothing in an object tells: it
+        is whole if a second read finds the same.
+        """
+        answer = self._read(key)
+        if isinstance(answer, PlatformFailure) or answer.is_framed:
+            return answer if isinstance(answer, PlatformFailure) else answer.body
+        again = self._read(key)
+        if isinstance(again, PlatformFailure):
+            return again
+        is_whole = again.is_framed or again.body == answer.body
+        log.info(
+            'store.unframed_object',
+            extra={
+                'key': key,
+                'size_bytes': len(answer.body),
+                'size_again_bytes': len(again.body),
+                'is_whole': is_whole,
+            },
+        )
+        return again.body if is_whole else AMBIGUOUS
+
+    def _read(self, key: ObjectKey) -> HttpAnswer | PlatformFailure:
         target = f'/-/blob-get/{quote(key, safe="")}'
         answer = self._http.call('GET', target, b'', [], self._timeout_ms, OBJECT_TRANSFER_MS)
         failure = _failure(answer)
         if failure is not None:
             return failure
-        return answer.body if isinstance(answer, HttpAnswer) else AMBIGUOUS
+        return answer if isinstance(answer, HttpAnswer) else AMBIGUOUS
 
     def delete(self, key: ObjectKey) -> PlatformFailure | None:
         """Delete an object."""
--- a/citrondyke/storage/_platform_http.py
+++ b/citrondyke/storage/_platform_http.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import logbook
 import urllib3
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -19,10 +20,14 @@
 
 __all__ = ('PlatformHttpClient',)
 
+log = logbook.Logger(__name__)
+
 #: Status codes with which the platform rejects a call before it has any effect.
 REJECTED_STATUSES = frozenset({429, 503})
 NOT_MODIFIED_STATUS = 304
 CONFLICT_STATUS = 409
+#: Statuses of responses that have no body.
+EMPTY_STATUSES = frozenset({204, NOT_MODIFIED_STATUS})
 
 
 class PlatformHttpClient:
@@ -86,4 +91,12 @@
             return MISSING
         if response.status >= 500:  # noqa: PLR2004
             return AMBIGUOUS
+        if response.status not in EMPTY_STATUSES and not _is_framed(response):
+            # The end of the connection doesn't tell a part of an object from the whole one.
+            log.warning('response without a length', extra={'path': path, 'method': method})
+            return AMBIGUOUS
         return response
+
+
+def _is_framed(response: BaseHTTPResponse) -> bool:
+    return 'Content-Length' in response.headers or 'Transfer-Encoding' in response.headers
--- a/tests/test_backend/test_backend_ends.py
+++ b/tests/test_backend/test_backend_ends.py
@@ -10,7 +10,10 @@
 from citrondyke.backend.connections import IdleConnections
 from citrondyke.decisions.core.server_call import ReplyKind, ServerCall, ServerReply
 from citrondyke.decisions.core.signal import Signal
-from citrondyke.ids import RequestId, ServerId
+from citrondyke.ids import ObjectKey, RequestId, ServerId
+from citrondyke.storage._platform_http import PlatformHttpClient
+from citrondyke.storage.failure import AMBIGUOUS
+from citrondyke.storage.http_object_store import HttpObjectStore
 from citrondyke.util.clock import SystemClock
 from tests.test_backend.test_backend_client import std_socket
 
@@ -33,8 +36,9 @@
         with self._listener:
             sock, _ = self._listener.accept()
         with sock:
-            while not sock.recv(65_536).endswith(b'}'):
-                pass
+            data = b''
+            while not data.endswith(b'\r\n\r\n' if data.startswith(b'GET') else b'}'):
+                data += sock.recv(65_536)
             sock.sendall(self._answer)
 
 
@@ -139,3 +143,15 @@
     # A run that goes on after a wrong number of events leaves some out.
     reply = call(EVENTS + chunk(FIRST + b': ping\n\n' + SECOND), is_streamed=True)
     assert (reply.frames_count, reply.frames) == (2, (b'1', b'2'))
+
+
+@pytest.mark.parametrize(
+    ('framing', 'is_whole'),
+    [(b'Content-Length: 4', True), (b'Content-Length: 6', False), (b'Connection: close', False)],
+)
+def test_object_without_a_length_may_have_been_broken_off(framing: bytes, is_whole: bool) -> None:
+    # A store that is killed closes its connections in order: a part looks like the whole.
+    server = ClosingServer(OK + framing + b'\r\n\r\npart')
+    server.start()
+    store = HttpObjectStore(PlatformHttpClient(f'http://127.0.0.1:{server.port}', 2_000.0))
+    assert store.get(ObjectKey('key')) == (b'part' if is_whole else AMBIGUOUS)
