An engine's answer without a length reaches the caller without one

What callers of the other stack saw: an engine or a service that sends an answer without a length is killed midway, its kernel closes the connection in order, and the caller gets the part with a length of its own, which claims more than the server said.

The reply says now whether its end was that of the connection; entry then sends it without a length or chunks and closes the connection, as the server did, and logs the size. An answer whose connection is reset was and is an interruption.

Not covered: answers stored for at-most-once requests, and items of plain services, whose records don't say how the answer ended.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -331,7 +331,8 @@
             return self._failure_reply()
         self._first_data_ms = self._clock.now_ms() - self._started_ms
         self.is_reusable = _is_keep_alive(response)
-        return self._reply(ReplyKind.COMPLETE, response.status, content_type, body)
+        reply = self._reply(ReplyKind.COMPLETE, response.status, content_type, body)
+        return msgspec.structs.replace(reply, ends_with_connection=ends_with_connection)
 
     def _rejection_reply(self, response: HTTPResponse) -> ServerReply:
         retry_after = response.headers.get('Retry-After', '')
--- a/citrondyke/decisions/core/server_call.py
+++ b/citrondyke/decisions/core/server_call.py
@@ -69,6 +69,8 @@
     content_type: str = ''
     #: The body of a plain response; empty for a streamed one.
     body: bytes = b''
+    #: Whether the end of the body was that of the connection, which may have come early.
+    ends_with_connection: bool = False
     #: Frames that arrived in this attempt, if the response is buffered and not forwarded.
     frames: tuple[bytes, ...] = ()
     #: How many frames arrived in this attempt.
--- a/citrondyke/entry/online_endpoint.py
+++ b/citrondyke/entry/online_endpoint.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import bottle
+import logbook
 import msgspec
 
 from citrondyke.backend.sse import DONE_EVENT
@@ -21,6 +22,7 @@
 from citrondyke.entry.online_errors import error_for_once_result, error_for_result
 from citrondyke.entry.request_recorder import RequestRecorder
 from citrondyke.entry.responses import error_body, error_response, json_response
+from citrondyke.entry.server import end_with_connection
 from citrondyke.errors import (
     CitrondykeError,
     InvalidFieldError,
@@ -36,6 +38,8 @@
 
 __all__ = ('OnlineEndpoint',)
 
+log = logbook.Logger(__name__)
+
 CLASS_HEADER = 'Citrondyke-Class'
 REPEATABLE_HEADER = 'Citrondyke-Repeatable'
 KEY_HEADER = 'Idempotency-Key'
@@ -193,7 +197,7 @@
             result = self._context.driver.run(self._context.instance.online.serve(request))
         finally:
             recorder.close(result)
-        return self._respond(result)
+        return self.respond(result)
 
     def _serve_stream(self, request: OnlineRequest, recorder: RequestRecorder) -> Any:
         events = self._context.driver.stream(self._context.instance.online.serve(request))
@@ -201,7 +205,7 @@
             first = next(events)
         except StopIteration as stop:
             recorder.close(stop.value)
-            return self._respond(stop.value)
+            return self.respond(stop.value)
         except BaseException:
             recorder.close(None)
             raise
@@ -229,11 +233,23 @@
             bottle.response.set_header(REPLAY_HEADER, 'true')
         return _stored_response(result.reply, is_streamed=request.is_streamed)
 
-    def _respond(self, result: OnlineResult) -> bytes:
+    def respond(self, result: OnlineResult) -> bytes:
+        """Return the response of an online request."""
         if result.kind is not OnlineResultKind.ANSWERED or result.reply is None:
             return error_response(error_for_result(result, has_begun=False))
         bottle.response.status = result.reply.status
         bottle.response.content_type = result.reply.content_type or 'application/json'
+        if result.reply.ends_with_connection:
+            end_with_connection(bottle.request.environ)
+            bottle.response.set_header('Connection', 'close')
+            log.info(
+                'answer without a length',
+                extra={
+                    'request_id': bottle.response.headers.get(REQUEST_HEADER, ''),
+                    'status': result.reply.status,
+                    'size_bytes': len(result.reply.body),
+                },
+            )
         return result.reply.body
 
 
--- a/citrondyke/entry/server.py
+++ b/citrondyke/entry/server.py
@@ -16,18 +16,23 @@
 if TYPE_CHECKING:
     import bottle
 
-__all__ = ('EntryServer', 'entry_server', 'prepare_connection')
+__all__ = ('EntryServer', 'end_with_connection', 'entry_server', 'prepare_connection')
 
 RETRY_MS = 1000.0
 #: A connection without incoming data for this long is closed, also before its first request.
 IDLE_TIMEOUT_S = 75.0
 #: How long the rest of a body is discarded after its response; then the connection is closed.
 DISCARD_MS = 200.0
+#: Key of the environment of a request whose response ends with its connection.
+UNFRAMED_KEY = 'citrondyke.ends_with_connection'
+FRAMING_HEADERS = (b'content-length', b'transfer-encoding')
 
 
 class _RequestHandler(WSGIHandler):
     """Counts requests and writes no log; the endpoints log requests with more detail."""
 
+    response_headers: Any
+
     def __init__(self, sock: socket.socket, address: Any, server: EntryServer) -> None:
         """Read the requests of a connection in turns with other greenlets."""
         self._clock = SystemClock()
@@ -52,6 +57,16 @@
         finally:
             self._paced.until_ms = self._clock.now_ms() + DISCARD_MS
 
+    def finalize_headers(self) -> None:
+        """Complete the head of the response, without a frame where the server had none."""
+        super().finalize_headers()
+        if self.environ.get(UNFRAMED_KEY):
+            self.response_use_chunked = False
+            self.close_connection = True
+            self.response_headers = [
+                pair for pair in self.response_headers if pair[0].lower() not in FRAMING_HEADERS
+            ]
+
     def log_request(self) -> None:
         """Do nothing; the endpoints log requests."""
 
@@ -112,6 +127,14 @@
     return server
 
 
+def end_with_connection(environ: dict[str, Any]) -> None:
+    """Have the response to a request end with its connection, without a length or chunks.
+
+    A length would claim that the server's whole answer has come, which the server did not state.
+    """
+    environ[UNFRAMED_KEY] = True
+
+
 def prepare_connection(sock: socket.socket) -> None:
     """Set the socket options of a caller's connection.
 
