An event without an id breaks off a run of a stream that may be resumed

The next resumption asks for what follows the event before it, so the caller may get its data twice.

Cause: the splitter checks the order of ids only for events that have one.

Change: on resumable routes the relay demands ids (EventSplitter, needs_ids), so such a run is MALFORMED and another server is asked. Plain routes pass such events on as before.

Both tests failed before: 'odd' in the caller's stream, and as its first event.

--- a/citrondyke/gateway/callers/event_relay.py
+++ b/citrondyke/gateway/callers/event_relay.py
@@ -46,7 +46,8 @@
         :raises BrokenReplyError: if the run is interrupted; ``forwarded`` records how many events
             the caller has received and the id of the last one.
         """
-        splitter = EventSplitter(forwarded.last_event_id)
+        needs_ids = forwarded.is_resumable_stream
+        splitter = EventSplitter(forwarded.last_event_id, needs_ids=needs_ids)
         is_first = True
         steady_ms = float('inf')
         progress_ms = self._context.now_ms()
--- a/tests/test_gateway/test_callers/test_callers_stream_ends.py
+++ b/tests/test_gateway/test_callers/test_callers_stream_ends.py
@@ -24,6 +24,7 @@
     AnswerMode.RESET_CONTENT,
     AnswerMode.OTHER_CONTENT,
     AnswerMode.ONLY_COMMENT,
+    AnswerMode.EVENT_WITHOUT_ID,
     AnswerMode.UNFRAMED_EMPTY,
     AnswerMode.UNFRAMED_COMMENT,
 ]
@@ -180,6 +181,15 @@
     assert len(asked_after(fleet)) == 1
 
 
+def test_event_without_an_id_does_not_begin_a_stream_that_may_be_resumed(
+    fleet: GatewayFleet,
+) -> None:
+    answer_in_turn(fleet, AnswerMode.EVENT_WITHOUT_ID)
+    assert is_all(fleet.call('/stream/a'))
+    answer_in_turn(fleet, AnswerMode.EVENT_WITHOUT_ID)
+    assert fleet.call('/stream-once/a', request_id='plain').body == b'data: odd\n\n'
+
+
 def test_unframed_end_between_events_is_asked_about(fleet: GatewayFleet) -> None:
     answer_in_turn(fleet, AnswerMode.UNFRAMED_SHORT)
     assert is_all(fleet.call('/stream/a'))
