Test: the end of a stream is confirmed by servers of its own version

The rule holds since the end is asked about; servers of another version write other events, whose number proves nothing. The test passes on the code before this commit and guards the rule.

--- a/tests/test_gateway/test_callers/test_callers_stream_ends.py
+++ b/tests/test_gateway/test_callers/test_callers_stream_ends.py
@@ -256,3 +256,23 @@
         reader.join(10.0)
     assert len(events_of(replies[0].body)) == 4
     assert not replies[0].is_whole
+
+
+def test_end_is_confirmed_by_a_server_of_the_same_version(fleet: GatewayFleet) -> None:
+    # Failure: servers of another version write other events, whose number proves nothing.
+    for name, version in (('lm-4', 'v1'), ('lm-5', 'v1'), ('lm-6', 'v2'), ('lm-7', 'v2')):
+        fleet.add_server(name, 'lm', version)
+    for name in SERVERS:
+        drop(fleet, name)
+    for number in range(6):
+        answer_in_turn(fleet, AnswerMode.CUT_AT_END)
+        request_id = f'request-{number}'
+        assert is_all(fleet.call('/stream/a', request_id=request_id))
+        versions = [
+            server.software_version
+            for server in fleet.servers.values()
+            for run in server.runs
+            if run.request_id == request_id
+        ]
+        assert len(versions) == 3
+        assert len(set(versions)) == 1
