An event with an id but without data breaks off an item's run

What would be seen: an item listed as completed whose text lacks the event's text, and all that follows it if the run ends there.

Cause: the item's reader skipped blocks without data, also those with an id. The splitter counted the id as received, so that the next event followed it in order. Online streams reject such an event since; items had a check of their own, for events without an id only.

Change: items use the splitter's own check, and theirs is gone.

--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -24,7 +24,6 @@
     from citrondyke.decisions.forwarding.server_state import ServerState
     from citrondyke.decisions.streams.stream_end import EndVerdict
     from citrondyke.decisions.streams.stream_origin import StreamOrigin
-    from citrondyke.gateway.callers.event_stream import StreamEvent
     from citrondyke.gateway.dialect import Dialect
     from citrondyke.gateway.metrics import Metrics
     from citrondyke.gateway.replication.replica_refresher import ReplicaRefresher
@@ -220,7 +219,7 @@
         until_ms: float,
         on_answered: Callable[[], None],
     ) -> None:
-        splitter = EventSplitter(progress.last_event_id)
+        splitter = EventSplitter(progress.last_event_id, needs_ids=True)
         events_before = len(progress.texts)
         is_ended = False
         try:
@@ -256,7 +255,7 @@
         while (piece := connection.read_chunk(min(until_ms, run_until_ms))) is not None:
             now_ms = self._context.now_ms()
             for event in splitter.feed(piece):
-                if not _is_part_of_text(event):
+                if not event.is_progress:
                     continue
                 # Bytes that are no event don't extend the time.
                 until_ms = now_ms + EVENT_TIMEOUT_MS
@@ -272,16 +271,6 @@
                 gevent.sleep(READ_PAUSE_S)
 
 
-def _is_part_of_text(event: StreamEvent) -> bool:
-    """Return whether an event adds to the text; comments and blocks without data do not.
-
-    :raises BrokenReplyError: if it does but has no id, so that the run could not be resumed.
-    """
-    if event.has_data and event.id is None:
-        raise BrokenReplyError(ReplyFailureKind.MALFORMED, 'event without an id')
-    return event.has_data
-
-
 def _check_size(progress: ItemProgress) -> None:
     """Check that a text can still be listed.
 
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -122,6 +122,8 @@
     RESUME_EMPTY_UNFRAMED = 'resume_empty_unframed'
     #: Send an event without an id alone, and the last chunk.
     EVENT_WITHOUT_ID = 'event_without_id'
+    #: Send two events, one with an id alone, and the last chunk.
+    EVENT_WITHOUT_DATA = 'event_without_data'
     #: Close the connection of a stream without a length between two events.
     UNFRAMED_BETWEEN_EVENTS = 'unframed_between_events'
     #: Answer a stream with a success that is no stream.
@@ -170,6 +172,9 @@
     AnswerMode.RESUME_EMPTY_205: _ShortStream(b'205 Reset', b'Content-Length: 0\r\n', tail=b''),
     AnswerMode.RESUME_EMPTY_COMMENT: _ShortStream(tail=b'8\r\n: ping\n\n\r\n0\r\n\r\n'),
     AnswerMode.EVENT_WITHOUT_ID: _ShortStream(tail=b'b\r\ndata: odd\n\n\r\n0\r\n\r\n'),
+    AnswerMode.EVENT_WITHOUT_DATA: _ShortStream(
+        events_count=2, tail=b'7\r\nid: 3\n\n\r\n0\r\n\r\n'
+    ),
     AnswerMode.RESUME_EMPTY_UNFRAMED: _ShortStream(framing=b'', tail=b': ping\n\n'),
     AnswerMode.UNFRAMED_BETWEEN_EVENTS: _ShortStream(framing=b'', events_count=2, tail=b''),
 }
--- a/tests/test_gateway/test_jobs/test_jobs_ends_of_runs.py
+++ b/tests/test_gateway/test_jobs/test_jobs_ends_of_runs.py
@@ -83,6 +83,17 @@
     assert_whole(streams)
 
 
+@pytest.mark.parametrize('mode', [AnswerMode.EVENT_WITHOUT_ID, AnswerMode.EVENT_WITHOUT_DATA])
+def test_event_that_lacks_its_id_or_data_ends_no_item(
+    streams: GatewayFleet, mode: AnswerMode
+) -> None:
+    # The item was listed as completed without the text of the event.
+    for server in each_server(streams):
+        server.answer_modes.append(mode)
+        server.resume_modes.extend([AnswerMode.SERVE] * ALWAYS)
+    assert_whole(streams, 2)
+
+
 @pytest.mark.parametrize('streams', [(1, 'v1'), (2, 'v1'), (3, 'v1')], indirect=True)
 def test_item_whose_last_chunk_alone_is_missing_is_completed(streams: GatewayFleet) -> None:
     for server in each_server(streams):
