A failure without a length reaches its caller without one

What callers would see: an error response whose server ended it with its connection came with a Content-Length, which states more than the server has.

Cause: a failure is kept until the other servers were asked, and the framing wasn't kept with it.

--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -126,6 +126,8 @@
     EVENT_WITHOUT_DATA = 'event_without_data'
     #: Close the connection of a stream without a length between two events.
     UNFRAMED_BETWEEN_EVENTS = 'unframed_between_events'
+    #: Answer a stream with a failure without a length.
+    UNFRAMED_FAIL = 'unframed_fail'
     #: Answer a stream with a success that is no stream.
     OTHER_CONTENT = 'other_content'
 
@@ -176,6 +178,9 @@
         events_count=2, tail=b'7\r\nid: 3\n\n\r\n0\r\n\r\n'
     ),
     AnswerMode.RESUME_EMPTY_UNFRAMED: _ShortStream(framing=b'', tail=b': ping\n\n'),
+    AnswerMode.UNFRAMED_FAIL: _ShortStream(
+        b'500 Internal Server Error', framing=b'', tail=b'failed'
+    ),
     AnswerMode.UNFRAMED_BETWEEN_EVENTS: _ShortStream(framing=b'', events_count=2, tail=b''),
 }
 
--- a/tests/test_gateway/test_callers/test_callers_unframed.py
+++ b/tests/test_gateway/test_callers/test_callers_unframed.py
@@ -59,6 +59,14 @@
     assert not {name.lower() for name in reply.headers} & {'transfer-encoding', 'content-length'}
 
 
+def test_failure_without_a_frame_reaches_its_caller_without_one(fleet: GatewayFleet) -> None:
+    # Failure: a length would state that the error response is whole.
+    tell(fleet, *[AnswerMode.UNFRAMED_FAIL] * 4)
+    reply = fleet.call('/stream/a')
+    assert (reply.status, reply.body, reply.is_whole) == (500, b'failed', True)
+    assert not {name.lower() for name in reply.headers} & {'transfer-encoding', 'content-length'}
+
+
 @pytest.mark.parametrize('mode', BROKEN)
 def test_stream_broken_off_with_its_connection_goes_on_elsewhere(
     fleet: GatewayFleet, mode: AnswerMode
