The end of a connection after some events is no word that nothing follows

Cause: StreamEnd counted the end of the first connection as one of the two statements that prove an end. A server that exits closes its connection the same way, so that one wrong answer was enough; after a reset at the same place two are needed. test_unframed_end_between_events_needs_a_framed_one demanded just this, so it was wrong: it is replaced by one that needs a second server.

Change: such an end is kept apart. It raises the number of statements by one and counts as one, and its server may still be asked what follows; with a service of two servers an item would otherwise end by three words of the faulty one. Runs that end after the same text agree in ItemEnd itself. Online, a response without a frame ends after one further statement, as before.

Changed tests, none weaker: the item that waits for a full server has four runs instead of three, and waits before the third; the stream that nobody confirms needs more cuts, as the server that closed is asked again, too; the only server of a service is now asked what follows, and the case in which it does not answer stays. Counts without a frame stay.

Failed before, pass now: test_exit_and_the_word_of_one_faulty_server_end_no_item (both), ..._end_no_stream_in_chunks, TestItemEndMachine with servers that exit, and the two of StreamEnd.

--- a/citrondyke/decisions/batch/item_end.py
+++ b/citrondyke/decisions/batch/item_end.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from citrondyke.decisions.streams.stream_end import EndVerdict, RunEnd, StreamEnd
+from citrondyke.decisions.streams.stream_end import AGREEING_SERVERS, EndVerdict, RunEnd, StreamEnd
 from citrondyke.util.hashing import content_hash
 
 if TYPE_CHECKING:
@@ -34,6 +34,7 @@
         self._confirm_until_ms = float('-inf')
         self._doubted_event_id: int | None = None
         self._has_begun_anew = False
+        self._is_resumable = True
         #: Digest of the text at whose end a connection was closed, and the servers that closed it.
         self._text_digest: int | None = None
         self._text_servers: list[ServerIncarnation] = []
@@ -44,15 +45,15 @@
         return self._stream.is_in_doubt
 
     @property
-    def stating_servers(self) -> frozenset[ServerIncarnation]:
-        """Servers that have stated the end."""
+    def ending_servers(self) -> frozenset[ServerIncarnation]:
+        """Servers whose run ended where the item may end."""
         if self._has_begun_anew:
-            return self._stream.stating_servers.union(self._text_servers)
-        return self._stream.stating_servers
+            return self._stream.ending_servers.union(self._text_servers)
+        return self._stream.ending_servers
 
     def servers_to_avoid(self, now_ms: float) -> frozenset[ServerIncarnation]:
         """Return the servers whose further statement would not confirm the end."""
-        return self.stating_servers if now_ms < self._confirm_until_ms else frozenset()
+        return self._heard_servers if now_ms < self._confirm_until_ms else frozenset()
 
     def begin_anew(self) -> None:
         """Drop what was stated: the next run generates the text from its first event."""
@@ -73,34 +74,50 @@
         text: str,
         has_others: Callable[[frozenset[ServerIncarnation]], bool],
         now_ms: float,
+        *,
+        is_resumable: bool,
     ) -> EndVerdict:
         """Record the orderly end of a run.
 
         :param text: the item's text so far.
         :param has_others: returns whether there are servers that may run the item beside some.
+        :param is_resumable: whether a server may go on after the run's last event.
         """
         if end.last_event_id != self._doubted_event_id or self._confirm_until_ms < 0.0:
             self._doubted_event_id = end.last_event_id
             self._confirm_until_ms = now_ms + CONFIRM_WAIT_MS
-        is_others_turn = now_ms < self._confirm_until_ms
-        has_other_servers = is_others_turn and has_others(self.stating_servers | {end.server})
+        self._is_resumable = is_resumable
+        if end.events_count:
+            self._record_text(end, text)
+            heard = self._heard_servers
+        else:
+            heard = self._heard_servers | {end.server}
+        has_other_servers = now_ms < self._confirm_until_ms and has_others(heard)
         verdict = self._stream.record_end(end, has_other_servers=has_other_servers)
         if verdict.is_complete or not end.events_count:
             return verdict
-        return self._record_repeated(end, text, verdict, has_other_servers=has_other_servers)
+        is_agreed = self._is_text_agreed(has_other_servers=has_other_servers)
+        return EndVerdict.COMPLETE_BY_AGREEMENT if is_agreed else verdict
 
-    def _record_repeated(
-        self, end: RunEnd, text: str, verdict: EndVerdict, *, has_other_servers: bool
-    ) -> EndVerdict:
-        """Count the earlier runs that ended after the same text."""
+    @property
+    def _heard_servers(self) -> frozenset[ServerIncarnation]:
+        """Servers that have said all they can about the end.
+
+        One that closed its connection after the last event may still be asked what follows, unless
+        it would begin anew.
+        """
+        if self._has_begun_anew or not self._is_resumable:
+            return self._stream.stating_servers.union(self._text_servers)
+        return self._stream.stating_servers
+
+    def _record_text(self, end: RunEnd, text: str) -> None:
         digest = content_hash(text.encode())
         if digest != self._text_digest:
             self._text_digest, self._text_servers = digest, []
-        for server in self._text_servers:
-            # It did not end before its first event, so that its end counts like a framed one.
-            repeated = RunEnd(server, True, 0, end.last_event_id)
-            verdict = self._stream.record_end(repeated, has_other_servers=has_other_servers)
-            if verdict.is_complete:
-                break
         self._text_servers.append(end.server)
-        return verdict
+
+    def _is_text_agreed(self, *, has_other_servers: bool) -> bool:
+        """Return whether enough runs have ended after the same text."""
+        if len(set(self._text_servers)) >= AGREEING_SERVERS:
+            return True
+        return not has_other_servers and len(self._text_servers) > AGREEING_SERVERS
--- a/citrondyke/decisions/streams/stream_end.py
+++ b/citrondyke/decisions/streams/stream_end.py
@@ -59,21 +59,29 @@
         """
         self._may_be_empty = may_be_empty
         self._last_event_id: int | None = None
-        #: Ends without a further event, and the unframed end of the run that brought the last one.
+        #: Ends without a further event.
         self._ends: list[RunEnd] = []
+        #: Server whose run brought the last event and ended in order with its connection.
+        self._closed_by: ServerIncarnation | None = None
         self._is_next_begun = False
         self._has_events = False
         self._was_interrupted = False
 
     @property
     def stating_servers(self) -> frozenset[ServerIncarnation]:
-        """Servers that have stated that nothing follows."""
+        """Servers that were asked what follows and have stated that nothing does."""
         return frozenset(end.server for end in self._ends)
 
+    @property
+    def ending_servers(self) -> frozenset[ServerIncarnation]:
+        """The same, and the server that closed its connection after the last event."""
+        closed_by = () if self._closed_by is None else (self._closed_by,)
+        return self.stating_servers.union(closed_by)
+
     @property
     def is_in_doubt(self) -> bool:
-        """Whether a server has stated that nothing follows, which isn't confirmed yet."""
-        return bool(self._ends)
+        """Whether a server's run has ended in order, which doesn't prove the end yet."""
+        return bool(self.ending_servers)
 
     @property
     def ended_with_connection(self) -> bool:
@@ -81,7 +89,7 @@
 
         If a part of a further event was received since, that end was not the end of the stream.
         """
-        return bool(self._ends) and bool(self._ends[0].events_count) and not self._is_next_begun
+        return self._closed_by is not None and not self._is_next_begun
 
     def record_end(self, end: RunEnd, *, has_other_servers: bool = True) -> EndVerdict:
         """Record the orderly end of a run.
@@ -93,7 +101,10 @@
         is_empty = not (end.last_event_id or self._has_events or self._was_interrupted)
         if end.is_framed and (end.events_count or (is_empty and self._may_be_empty)):
             return EndVerdict.COMPLETE_BY_FRAMING
-        self._ends.append(end)
+        if end.events_count:
+            self._closed_by = end.server
+        else:
+            self._ends.append(end)
         if self._is_agreed(has_other_servers=has_other_servers):
             return EndVerdict.COMPLETE_BY_AGREEMENT
         return EndVerdict.UNCONFIRMED
@@ -114,17 +125,19 @@
         """Drop what was stated about an earlier event: it did not end the stream."""
         if has_events or last_event_id != self._last_event_id:
             self._ends.clear()
+            self._closed_by = None
             self._is_next_begun = False
         self._has_events = self._has_events or has_events
         self._last_event_id = last_event_id
 
     def _is_agreed(self, *, has_other_servers: bool) -> bool:
         needed_count = AGREEING_SERVERS
-        if not any(end.is_framed for end in self._ends):
-            # A server that exits before its first event looks like one that has none.
+        closed_count = 1 if self.ended_with_connection else 0
+        if closed_count or not any(end.is_framed for end in self._ends):
+            # A server that exits closes its connection like one that has nothing to add.
             needed_count += 1
         if self._is_next_begun:
             needed_count += 1
-        if len(self.stating_servers) >= needed_count:
+        if closed_count + len(self.stating_servers) >= needed_count:
             return True
-        return not has_other_servers and len(self._ends) > needed_count
+        return not has_other_servers and closed_count + len(self._ends) > needed_count
--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -168,7 +168,7 @@
                 'request_id': forwarded.metadata.request_id,
                 'server_id': state.listed.id,
                 'verdict': name,
-                'stated_by': _names(forwarded.stream_end.stating_servers),
+                'stated_by': _names(forwarded.stream_end.ending_servers),
                 'is_framed': is_framed,
                 'status': status,
                 'events_count': forwarded.run_events_count,
@@ -203,7 +203,7 @@
             'stream.end_unconfirmed',
             extra={
                 'request_id': forwarded.metadata.request_id,
-                'stated_by': _names(forwarded.stream_end.stating_servers),
+                'stated_by': _names(forwarded.stream_end.ending_servers),
                 'sends': forwarded.history.sends_count,
                 'last_event_id': forwarded.last_event_id,
                 'left_ms': round(forwarded.until_ms - self._context.now_ms(), 1),
--- a/citrondyke/gateway/callers/stream_continuation.py
+++ b/citrondyke/gateway/callers/stream_continuation.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from citrondyke.decisions.forwarding.route import RouteKind
-from citrondyke.decisions.streams.stream_end import AGREEING_SERVERS, RunEnd
+from citrondyke.decisions.streams.stream_end import RunEnd
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.callers.event_relay import EventRelay
 from citrondyke.gateway.servers.server_sends import FIRST_NOT_SUCCESSFUL, SERVER_FAILURE
@@ -72,7 +72,7 @@
         :returns: whether it has ended; if not, another server has to state whether events follow.
         :raises BrokenReplyError: if the run is interrupted.
         """
-        stating = forwarded.stream_end.stating_servers
+        stating = forwarded.stream_end.ending_servers
         is_in_order = False
         try:
             self._relay.relay(caller, forwarded, reply, on_first, on_steady)
@@ -105,7 +105,7 @@
         self._log.stream_run_ended(forwarded, state, reply.head.status, is_framed=is_framed)
         forwarded.was_interrupted = False
         verdict = forwarded.end_verdict
-        return verdict is None or verdict.is_complete or _is_stated_twice(forwarded)
+        return verdict is None or verdict.is_complete or _is_stated_again(forwarded)
 
     @staticmethod
     def _record_interruption(forwarded: ForwardedRequest) -> None:
@@ -136,11 +136,10 @@
             raise BrokenReplyError(ReplyFailureKind.CUT, 'exited before the first event')
 
 
-def _is_stated_twice(forwarded: ForwardedRequest) -> bool:
-    """Return whether an end is passed on unconfirmed because enough servers were asked.
+def _is_stated_again(forwarded: ForwardedRequest) -> bool:
+    """Return whether an end is passed on unconfirmed because a server was asked about it.
 
     Servers that never frame their responses can't prove an end. Asking all of them would multiply
     the runs of each of their streams.
     """
-    stated_count = len(forwarded.stream_end.stating_servers)
-    return forwarded.may_end_unconfirmed and stated_count >= AGREEING_SERVERS
+    return forwarded.may_end_unconfirmed and bool(forwarded.stream_end.stating_servers)
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -175,14 +175,15 @@
         self, progress: ItemProgress, state: ServerState, events_count: int, *, is_framed: bool
     ) -> EndVerdict:
         origin = progress.origin
-        if origin is not None and not origin.version:
-            # No server may continue the item, so that it begins anew at any of them.
-            origin = None
+        is_resumable = origin is None or bool(origin.version)
+        # An item of which no run may go on begins anew at any server.
+        next_origin = origin if is_resumable else None
         return progress.end.record_end(
             RunEnd(state.incarnation, is_framed, events_count, progress.last_event_id),
             progress.text,
-            lambda excluded: self._has_servers(state.listed.service, excluded, origin),
+            lambda heard: self._has_servers(state.listed.service, heard, next_origin),
             self._context.now_ms(),
+            is_resumable=is_resumable,
         )
 
     def _log_end(
@@ -206,7 +207,7 @@
                 'is_framed': is_framed,
                 'events_count': events_count,
                 'last_event_id': progress.last_event_id,
-                'stated_by': sorted(progress.end.stating_servers)[:LOGGED_SERVERS],
+                'stated_by': sorted(progress.end.ending_servers)[:LOGGED_SERVERS],
             },
         )
 
--- a/tests/test_batch/test_batch_item_end.py
+++ b/tests/test_batch/test_batch_item_end.py
@@ -83,6 +83,7 @@
             self.progress.text,
             lambda excluded: not excluded.issuperset(self.servers),
             self.now_ms,
+            is_resumable=self.is_resumable,
         )
         self.end_run(RunResult.COMPLETED if verdict.is_complete else RunResult.UNCONFIRMED)
 
@@ -106,7 +107,7 @@
 
 
 class ItemEndMachine(RuleBasedStateMachine):
-    """Runs of an item at servers of which one may be faulty end in any way, in any order."""
+    """Runs of an item end in any way and order; one server may be faulty, and others may exit."""
 
     world: ItemWorld
 
@@ -137,6 +138,15 @@
         else:
             world.end(server, world.events_count, is_framed=is_framed)
 
+    @precondition(lambda self: self.is_open and self.world.is_resumable)
+    @rule(index=st.integers(1, 3), events_count=COUNTS)
+    def exit(self, index: int, events_count: int) -> None:
+        """Exit after some events of a response without a frame, whose connection is closed."""
+        world = self.world
+        server = world.choose(index)
+        if server != world.servers[0] and world.last_event_id < world.events_count:
+            world.end(server, events_count, is_framed=False)
+
     @precondition(lambda self: self.is_open)
     @rule()
     def take_over(self) -> None:
--- a/tests/test_gateway/test_callers/test_callers_stream_ends.py
+++ b/tests/test_gateway/test_callers/test_callers_stream_ends.py
@@ -205,12 +205,28 @@
     assert asked_after(fleet) == [None, b'2', b'4']
 
 
+def test_exit_and_the_word_of_one_faulty_server_end_no_stream_in_chunks(
+    fleet: GatewayFleet,
+) -> None:
+    # An end by the connection counted like the word of a server that was asked what follows.
+    answer_in_turn(
+        fleet,
+        AnswerMode.CUT_BETWEEN_EVENTS,
+        AnswerMode.UNFRAMED_BETWEEN_EVENTS,
+        AnswerMode.RESUME_EMPTY_CHUNKED,
+    )
+    assert is_all(fleet.call('/stream/a'))
+
+
 def test_unframed_run_that_nobody_confirms_breaks_a_stream_in_chunks_off(
     fleet: GatewayFleet,
 ) -> None:
     limit_attempts(fleet, 2)
     answer_in_turn(
-        fleet, AnswerMode.CUT_BETWEEN_EVENTS, AnswerMode.UNFRAMED_BETWEEN_EVENTS, AnswerMode.CUT
+        fleet,
+        AnswerMode.CUT_BETWEEN_EVENTS,
+        AnswerMode.UNFRAMED_BETWEEN_EVENTS,
+        *[AnswerMode.CUT] * 4,
     )
     reply = fleet.call('/stream/a')
     assert not reply.is_whole
@@ -231,13 +247,17 @@
         assert not state.failures_count
 
 
-def test_unframed_stream_of_the_only_server_ends_in_order(fleet: GatewayFleet) -> None:
+@pytest.mark.parametrize('confirming', [AnswerMode.SERVE, AnswerMode.CUT])
+def test_unframed_stream_of_the_only_server_ends_in_order(
+    fleet: GatewayFleet, confirming: AnswerMode
+) -> None:
     drop(fleet, 'lm-2')
     drop(fleet, 'lm-3')
-    answer_in_turn(fleet, AnswerMode.UNFRAMED)
+    answer_in_turn(fleet, AnswerMode.UNFRAMED, confirming)
     reply = fleet.call('/stream/a')
     assert is_all(reply)
-    assert counter(fleet, 'stream_ends_given_up') == 1
+    assert asked_after(fleet) == [None, b'%d' % EVENTS]
+    assert counter(fleet, 'stream_ends_given_up') == (confirming is AnswerMode.CUT)
 
 
 def test_deadline_ends_the_wait_for_a_confirmation(fleet: GatewayFleet) -> None:
--- a/tests/test_gateway/test_jobs/test_jobs_ends_of_runs.py
+++ b/tests/test_gateway/test_jobs/test_jobs_ends_of_runs.py
@@ -83,6 +83,18 @@
     assert_whole(streams)
 
 
+@pytest.mark.parametrize('streams', [(2, 'v1'), (3, 'v1')], indirect=True)
+def test_exit_and_the_word_of_one_faulty_server_end_no_item(streams: GatewayFleet) -> None:
+    # An end by the connection counted like the word of a server that was asked what follows.
+    for server in each_server(streams):
+        server.answer_modes.extend([AnswerMode.UNFRAMED_BETWEEN_EVENTS] * ALWAYS)
+        server.resume_modes.extend([AnswerMode.SERVE] * ALWAYS)
+    faulty = each_server(streams)[0]
+    faulty.resume_modes.clear()
+    faulty.resume_modes.extend([AnswerMode.RESUME_EMPTY_LENGTH] * ALWAYS)
+    assert_whole(streams)
+
+
 @pytest.mark.parametrize('mode', [AnswerMode.EVENT_WITHOUT_ID, AnswerMode.EVENT_WITHOUT_DATA])
 def test_event_that_lacks_its_id_or_data_ends_no_item(
     streams: GatewayFleet, mode: AnswerMode
@@ -126,9 +138,9 @@
     assert not full.runs
     doubted = streams.results('job')['results'][-1]['id']
     runs = [run.began_s for run in stating.runs if run.request_id == doubted]
-    assert len(runs) == 3
-    assert (runs[1] - runs[0]) * 1e3 > waits_ms
-    assert all(run.began_s < runs[1] for run in stating.runs if run.request_id != doubted)
+    assert len(runs) == 4
+    assert (runs[2] - runs[0]) * 1e3 > waits_ms
+    assert all(run.began_s < runs[2] for run in stating.runs if run.request_id != doubted)
 
 
 @pytest.mark.parametrize('mode', [AnswerMode.UNFRAMED, AnswerMode.UNFRAMED_BETWEEN_EVENTS])
--- a/tests/test_streams/test_streams_stream_end.py
+++ b/tests/test_streams/test_streams_stream_end.py
@@ -55,10 +55,21 @@
     assert stream.record_end(framed(A, 0, 8)) is EndVerdict.UNCONFIRMED
 
 
-def test_unframed_end_between_events_needs_a_framed_one(stream: StreamEnd) -> None:
+def test_unframed_end_between_events_needs_two_servers_that_bring_nothing(
+    stream: StreamEnd,
+) -> None:
+    # Failure: the server had exited, and the word of one faulty server ended the stream.
     assert stream.record_end(unframed(A, 6, 6)) is EndVerdict.UNCONFIRMED
     assert stream.ended_with_connection
-    assert stream.record_end(framed(B, 0, 6)) is EndVerdict.COMPLETE_BY_AGREEMENT
+    assert stream.record_end(framed(B, 0, 6)) is EndVerdict.UNCONFIRMED
+    assert stream.record_end(framed(C, 0, 6)) is EndVerdict.COMPLETE_BY_AGREEMENT
+
+
+def test_server_that_closed_its_connection_may_state_the_end_itself(stream: StreamEnd) -> None:
+    stream.record_end(unframed(A, 6, 6))
+    assert not stream.stating_servers
+    stream.record_end(framed(B, 0, 6))
+    assert stream.record_end(framed(A, 0, 6)) is EndVerdict.COMPLETE_BY_AGREEMENT
 
 
 def test_servers_that_exit_one_after_the_other_confirm_no_end(stream: StreamEnd) -> None:
