A crash that closes connections in order is evidence, and ends no stream or item

Cause: a response without a length ends with its connection, and the kernel of a server that crashes closes that in order. Such an end was one to confirm, and the server was checked for an exit only where the run had brought no event, and for streams only. So a request that crashes its servers took one after another, no exit counted against it, and the exits of the next ones confirmed the end.

Ruled out: the guard itself; once it is told of these ends, it stops the request after three exits. A planned exit is still an end: the guard leaves servers that are leaving, or off the list, aside.

Change: at every end by the connection of a stream that may be resumed, and of an item, the server is checked for an exit (one connection, shared by all that ended there at the same time). If it has exited, the run is interrupted, which counts as evidence. The stand-in crashes in order at the third event of a stream.

Conclusion: an end by the connection proves nothing where its server is gone. Whole answers without a length, and streams that can't be resumed, are passed on as before, and their crashes don't count.

--- a/citrondyke/gateway/callers/stream_continuation.py
+++ b/citrondyke/gateway/callers/stream_continuation.py
@@ -120,20 +120,21 @@
     def _check_exit(
         self, forwarded: ForwardedRequest, state: ServerState, reply: OpenReply
     ) -> None:
-        """Check that a server that closed its connection without an event has not exited.
+        """Check that a server whose run ended with its connection has not exited.
 
-        A request that makes servers exit would otherwise have its end confirmed by their exits.
+        The kernel closes the connections of a process that crashes in order. A request that crashes
+        servers would otherwise have its end confirmed by their exits, and no exit would count as
+        evidence against it.
 
         :raises BrokenReplyError: if it has.
         """
-        is_statement = not (reply.connection.is_framed or forwarded.run_events_count)
-        if not (forwarded.is_resumable_stream and is_statement):
+        if reply.connection.is_framed or not forwarded.is_resumable_stream:
             return
         self._guard.record_interrupted(
             state, forwarded.keys, ReplyFailureKind.CUT, forwarded.server_first_ms
         )
         if self._guard.has_exited(state):
-            raise BrokenReplyError(ReplyFailureKind.CUT, 'exited before the first event')
+            raise BrokenReplyError(ReplyFailureKind.CUT, 'exited')
 
 
 def _is_stated_twice(forwarded: ForwardedRequest) -> bool:
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -92,12 +92,15 @@
         state: ServerState,
         chosen_ms: float,
         on_answered: Callable[[], None],
+        has_exited: Callable[[], bool],
     ) -> RunResult:
         """Run an item of a job, resuming after its last event.
 
         :param chosen_ms: when the server was chosen, by the fence clock.
         :param on_answered: called when the item counts as answered: after ``STEADY_EVENTS_MS`` of
             events, and at the end of the item if it is told apart from that of its connection.
+        :param has_exited: called at the end of a run that ended with its connection; returns
+            whether the server has exited.
         :raises BrokenReplyError: if the connection or the reply is interrupted.
         :raises ItemPreemptedError: if the server has left since it was chosen; nothing was sent.
         """
@@ -108,7 +111,7 @@
         try:
             if self._refresher.has_left(state, chosen_ms):
                 raise ItemPreemptedError
-            result = self._exchange(connection, progress, head, state, on_answered)
+            result = self._exchange(connection, progress, head, state, on_answered, has_exited)
             is_answered = True
             return result
         except BrokenReplyError as error:
@@ -128,6 +131,7 @@
         head: JobHead,
         state: ServerState,
         on_answered: Callable[[], None],
+        has_exited: Callable[[], bool],
     ) -> RunResult:
         item = progress.item
         progress.first_event_ms = None
@@ -152,7 +156,9 @@
             self._log_end(progress, state, reply.head, 'no_run', 0, is_framed=connection.is_framed)
             return _result_of_status(status)
         events_before = len(progress.texts)
-        self._read_events(connection, progress, head, state.listed.origin, until_ms, on_answered)
+        self._read_events(
+            connection, progress, head, state.listed.origin, until_ms, on_answered, has_exited
+        )
         events_count = len(progress.texts) - events_before
         verdict = self._record_end(progress, state, events_count, is_framed=connection.is_framed)
         self._log_end(
@@ -219,6 +225,7 @@
         origin: StreamOrigin,
         until_ms: float,
         on_answered: Callable[[], None],
+        has_exited: Callable[[], bool],
     ) -> None:
         splitter = EventSplitter(progress.last_event_id)
         events_before = len(progress.texts)
@@ -231,6 +238,9 @@
             if not (connection.is_framed or has_events or progress.end.is_in_doubt):
                 # A server that exits before its first event looks like one that has none.
                 raise BrokenReplyError(ReplyFailureKind.CUT, 'closed before the first event')
+            if not connection.is_framed and has_exited():
+                # The kernel closes the connections of a process that crashes in order.
+                raise BrokenReplyError(ReplyFailureKind.CUT, 'exited')
             is_ended = True
         finally:
             if not is_ended:
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -500,7 +500,12 @@
                 raise ItemPreemptedError
             if self._may_send(run):
                 result = self._sender.run(
-                    progress, job.head, state, run.chosen_ms, lambda: self._record_answered(run)
+                    progress,
+                    job.head,
+                    state,
+                    run.chosen_ms,
+                    lambda: self._record_answered(run),
+                    lambda: self._has_exited(run),
                 )
             else:
                 result = RunResult.BLOCKED
@@ -576,27 +581,36 @@
         self._guard.record_survived(run.keys)
         self._probe_gate.record_answered(run)
 
+    def _has_exited(self, run: _ItemRun) -> bool:
+        """Return whether the server of a run that ended with its connection has exited."""
+        self._guard.record_interrupted(
+            run.state, _evidence_keys(run), ReplyFailureKind.CUT, run.progress.first_event_ms
+        )
+        return self._guard.has_exited(run.state)
+
     def _record_interrupted(self, run: _ItemRun, kind: ReplyFailureKind) -> None:
         progress, state = run.progress, run.state
         state.record_failure(self._context.now_ms())
         self._probe_gate.record_failed(run)
+        keys = _evidence_keys(run)
         progress.interrupted_count += 1
-        # All evidence against a prompt part must not come from one item, but a probe must decide.
-        is_probe = run.probed is not None and run.probed.is_part
-        is_early = progress.interrupted_count <= PART_EVIDENCE_LIMIT or is_probe
         # An item that is preempted while it waits here would stay open forever.
-        self._guard.record_interrupted(
-            state,
-            run.keys if is_early else run.keys.without_parts(),
-            kind,
-            progress.first_event_ms,
-            may_wait=False,
-        )
+        self._guard.record_interrupted(state, keys, kind, progress.first_event_ms, may_wait=False)
 
     def _end(self, job: OwnedJob, progress: ItemProgress, result: RunResult) -> None:
         job.end_run(progress, result, self._context.now_ms(), self._context.epoch_ms())
 
 
+def _evidence_keys(run: _ItemRun) -> RequestKeys:
+    """Return the keys that an interruption of a run counts against.
+
+    All evidence against a prompt part must not come from one item, but a probe must decide.
+    """
+    is_probe = run.probed is not None and run.probed.is_part
+    is_early = run.progress.interrupted_count < PART_EVIDENCE_LIMIT or is_probe
+    return run.keys if is_early else run.keys.without_parts()
+
+
 def _apply_nothing() -> None:
     """Do nothing; the default until peers are set."""
 
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -240,6 +240,9 @@
         self.more_headers: list[tuple[bytes, bytes]] = []
         #: Bodies of requests that crash the server when their run starts.
         self.crash_bodies: set[bytes] = set()
+        #: Bodies of requests that crash the server when the third event of a stream is due, which
+        #: has no length: the connection is closed in order, as the kernel of a process does it.
+        self.late_crash_bodies: set[bytes] = set()
         #: Bodies of requests whose connections are reset without a crash of the server.
         self.reset_bodies: set[bytes] = set()
         #: Parts of prompts that crash the server when it begins to write an answer.
@@ -299,14 +302,18 @@
             else:
                 return False
 
+    def _next_mode(self, body: bytes, *, is_resumed: bool) -> AnswerMode:
+        if body in self.late_crash_bodies:
+            return AnswerMode.UNFRAMED_THEN_CRASH
+        modes = (is_resumed and self.resume_modes) or self.answer_modes
+        return modes.popleft() if modes else AnswerMode.SERVE
+
     def _answer(
         self, http: h11.Connection, sock: socket.socket, request: h11.Request, body: bytes
     ) -> bool:
         self._send_late_copy(sock)
         headers = {bytes(name): bytes(value) for name, value in request.headers}
-        is_resumed = LAST_EVENT_HEADER in headers
-        modes = (is_resumed and self.resume_modes) or self.answer_modes
-        answer_mode = modes.popleft() if modes else AnswerMode.SERVE
+        answer_mode = self._next_mode(body, is_resumed=LAST_EVENT_HEADER in headers)
         unsigned = [(ATTEMPT_HEADER, headers.get(ATTEMPT_HEADER, b'')), (LOAD_HEADER, b'1,0,8')]
         if self._is_misdirected(headers):
             self.refused_count += 1
@@ -507,7 +514,9 @@
             return []
         first = run.first_event_number
         events = [self._event(number) for number in range(first, self.events_count + 1)]
-        if answer_mode is not AnswerMode.UNFRAMED:
+        if run.body in self.late_crash_bodies:
+            events = events[: max(0, 3 - first)]
+        elif answer_mode is not AnswerMode.UNFRAMED:
             events = events[:2]
         if events and answer_mode is AnswerMode.UNFRAMED_CUT_IN_EVENT:
             events[-1] = events[-1][:-5]
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -151,8 +151,10 @@
             self.ended.append(self.servers.pop(name))
             self.store.remove(SERVERS_TABLE, name)
             kind = name.partition('-')[0]
-            new = self.add_server(f'{kind}-{len(self.ended) + 100}', kind)
+            new_name = f'{kind}-{len(self.ended) + 100}'
+            new = self.add_server(new_name, kind, server.software_version)
             new.crash_bodies = server.crash_bodies
+            new.late_crash_bodies = server.late_crash_bodies
             new.crash_parts = server.crash_parts
             new.answer_ms = server.answer_ms
         self.wait_ready()
--- a/tests/test_gateway/test_servers/test_servers_crashes.py
+++ b/tests/test_gateway/test_servers/test_servers_crashes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import gevent
 import pytest
 
@@ -180,3 +182,53 @@
         server.answer_modes.extend([AnswerMode.CUT] * 2)
     assert fleet.submit('job', 4).status == 202
     assert len(fleet.wait_done('job')) == 4
+
+
+def test_stream_that_crashes_servers_which_close_in_order_is_stopped(fleet: GatewayFleet) -> None:
+    # The kernel of a crashed server closes the connection like one that has answered. Failure: the
+    # caller gets two of six events as a whole answer, and no exit counts against the request.
+    for server in fleet.servers.values():
+        server.late_crash_bodies.add(DEADLY)
+    for number in range(ATTEMPTS):
+        reply = fleet.call('/stream/a', DEADLY, at=number % 2, request_id=f'attempt-{number}')
+        assert reply.status == 502 or not reply.is_whole
+        fleet.restart_ended()
+    assert fleet.runs_of(DEADLY) <= ENOUGH + MORE
+
+
+@pytest.fixture
+def streams(request: pytest.FixtureRequest) -> Iterator[GatewayFleet]:
+    """Two instances, and three servers of streams; a parameter sets the version of these."""
+    made = GatewayFleet()
+    try:
+        made.configure()
+        for number in range(3):
+            made.add_server(f'lm-{number}', 'lm', request.param)
+        for _ in range(2):
+            made.start_instance()
+        made.wait_ready()
+        yield made
+    finally:
+        made.end()
+
+
+@pytest.mark.parametrize('streams', ['', 'v1'], indirect=True)
+def test_item_that_crashes_servers_which_close_in_order_is_not_completed(
+    streams: GatewayFleet,
+) -> None:
+    # Failure: the crashes of further servers confirm that the item ends after two of six events.
+    for server in streams.servers.values():
+        server.late_crash_bodies.add(b'item 1')
+    assert streams.submit('job', 4).status == 202
+
+    def look() -> bool:
+        streams.restart_ended()
+        listed_count = streams.results('job')['next']
+        assert listed_count < 4
+        counters = [each.metrics.counters for each in streams.instances]
+        return listed_count == 3 and any(each['items_stopped'] for each in counters)
+
+    wait_until_seen(look, 'the results of the other items, and the stop of the harmful one')
+    listed = streams.results('job')['results']
+    assert {each['id'] for each in listed} == {'job-0', 'job-2', 'job-3'}
+    assert streams.runs_of(b'item 1') <= ENOUGH + MORE
