A silent last server leaves time to ask the first one again for a stream's end

Cause: the last attempt may take until the deadline, since nobody else may run the request. The limit counts servers; one that ran the stream before may be asked again for its end, and isn't counted. The forwarder still took the third server for the last chance: it waited for its head, or its first event, until the deadline, and broke the stream off.

Ruled out: the failover timeouts; they elapse in time, but the last attempt ignores them.

Change: an attempt is the last one only if no listed server of the stream's version may be asked again after it. Once its run brings events there is no end to confirm, and it may take its time as before.

test_deadline_ends_the_wait_for_a_confirmation had one silent server; the first one now confirms the end in time there, so that it has two. What it asserts is the same.

Conclusion: the wait for a confirmation ends with the deadline only if nobody else can confirm.

--- a/citrondyke/gateway/callers/admission_controller.py
+++ b/citrondyke/gateway/callers/admission_controller.py
@@ -167,6 +167,14 @@
             caller, forwarded, RequestResult.LIMIT_UNKNOWN, verdict.retry_in_ms
         )
 
+    def has_others_to_ask_again(self, forwarded: ForwardedRequest, state: ServerState) -> bool:
+        """Return whether a server beside one may be asked again for the end of a stream."""
+        origin, again = forwarded.origin, forwarded.servers_to_ask_again - {state.incarnation}
+        if origin is None or not again:
+            return False
+        others = {each.incarnation for each in self._book.states()} - again
+        return self._book.has_servers(origin.service, others, origin)
+
     def can_continue(self, forwarded: ForwardedRequest) -> bool:
         """Return whether any server may serve a request, now or when it comes back.
 
--- a/citrondyke/gateway/callers/event_relay.py
+++ b/citrondyke/gateway/callers/event_relay.py
@@ -115,6 +115,6 @@
 
 def _until_ms(forwarded: ForwardedRequest, progress_ms: float) -> float:
     """Return how long to wait for the next event; bytes that are no event don't extend it."""
-    if not forwarded.route.is_resumable or forwarded.history.is_last_attempt:
+    if not forwarded.route.is_resumable or forwarded.is_last_attempt:
         return forwarded.until_ms
     return min(forwarded.until_ms, progress_ms + EVENT_TIMEOUT_MS)
--- a/citrondyke/gateway/callers/forwarded_request.py
+++ b/citrondyke/gateway/callers/forwarded_request.py
@@ -86,6 +86,8 @@
     #: What the last orderly end of a run proved; ``None`` before one, or if the stream can't be
     #: resumed.
     end_verdict: EndVerdict | None = None
+    #: Whether another server may be asked again for the end of the stream after the current one.
+    has_others_to_ask_again: bool = False
     #: Whether the last run of the stream was interrupted.
     was_interrupted: bool = False
     #: Whether the end of the caller's response is told apart from that of its connection.
@@ -93,8 +95,9 @@
     #: Whether the caller's response ended with an end that nobody could confirm.
     is_passed_on_unconfirmed: bool = False
 
-    def start_run(self) -> None:
+    def start_run(self, *, has_others_to_ask_again: bool) -> None:
         """Start the next server's run."""
+        self.has_others_to_ask_again = has_others_to_ask_again
         self.server_first_ms = None
         self.run_events_count = 0
         self.is_in_event = False
@@ -147,6 +150,15 @@
         """Whether another server may be tried, or one asked again."""
         return self.history.may_send or bool(self.servers_to_ask_again)
 
+    @property
+    def is_last_attempt(self) -> bool:
+        """Whether no other server may be tried after the current one, which may take its time.
+
+        Once the current server has brought events, there is no end left to confirm.
+        """
+        may_ask_again = self.has_others_to_ask_again and not self.run_events_count
+        return self.history.is_last_attempt and not may_ask_again
+
     @property
     def stream_id(self) -> RequestId:
         """Request that brought the caller the first event of the stream."""
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -261,7 +261,9 @@
         send = _Send(
             chosen.state, self._context.now_ms(), forwarded.last_event_id, forwarded.goes_on
         )
-        forwarded.start_run()
+        forwarded.start_run(
+            has_others_to_ask_again=self._admission.has_others_to_ask_again(forwarded, send.state)
+        )
         try:
             with self._sends.counted(send.state):
                 return self._exchange(caller, forwarded, chosen, chosen_ms, send)
@@ -448,7 +450,7 @@
                 return self._sends.read_reply(state, connection, request_id, failover_at_ms)
             except BrokenReplyError as error:
                 is_silent = error.failure_kind is ReplyFailureKind.SILENT
-                if not is_silent or not forwarded.history.is_last_attempt:
+                if not is_silent or not forwarded.is_last_attempt:
                     raise
                 state.record_failure(self._context.now_ms())
                 self._log.suspected(forwarded, state, timeout_ms)
--- a/tests/test_gateway/test_callers/test_callers_stream_ends.py
+++ b/tests/test_gateway/test_callers/test_callers_stream_ends.py
@@ -10,6 +10,7 @@
 import pytest
 
 from citrondyke.decisions.streams.stream_end import EndVerdict
+from citrondyke.standin.endless_reply import EndlessPart
 from citrondyke.standin.platform_server import AnswerMode
 from tests.support.gateway import ROUTES, GatewayFleet, Reply, exchange, wait_until_seen
 from tests.support.streams import BegunStream, events_of, is_one_text
@@ -244,13 +245,24 @@
     answer_in_turn(fleet, AnswerMode.RESUME_EMPTY_CHUNKED, *[AnswerMode.SILENT] * 3)
     reply = fleet.call('/stream/a', last_event_id='2', deadline_ms='400')
     assert reply.status == 502
-    answer_in_turn(
-        fleet, AnswerMode.CUT_BETWEEN_EVENTS, AnswerMode.RESUME_EMPTY_CHUNKED, AnswerMode.SILENT
-    )
+    silent = [AnswerMode.SILENT] * 2
+    answer_in_turn(fleet, AnswerMode.CUT_BETWEEN_EVENTS, AnswerMode.RESUME_EMPTY_CHUNKED, *silent)
     reply = fleet.call('/stream/a', request_id='begun', deadline_ms='400')
     assert not reply.is_whole
 
 
+@pytest.mark.parametrize('mode', [AnswerMode.SILENT, AnswerMode.ENDLESS])
+def test_silence_of_the_last_server_leaves_time_to_ask_the_first_one_again(
+    fleet: GatewayFleet, mode: AnswerMode
+) -> None:
+    # Failure: the last server is waited for until the deadline, before or after its head.
+    for server in fleet.servers.values():
+        server.endless_part, server.endless_gap_ms = EndlessPart.COMMENTS, 10_000.0
+    answer_in_turn(fleet, AnswerMode.LAST_CHUNK_MISSING, AnswerMode.RESUME_EMPTY_CHUNKED, mode)
+    assert is_all(fleet.call('/stream/a'))
+    assert asked_after(fleet) == [None, b'6', b'6', b'6']
+
+
 def test_stop_in_a_run_that_refutes_an_end_breaks_the_stream_off(fleet: GatewayFleet) -> None:
     # Failure: the earlier end would be passed on in the middle of the run that goes on.
     answer_in_turn(fleet, AnswerMode.UNFRAMED_BETWEEN_EVENTS, AnswerMode.HOLD)
