A stored answer without a length reaches its callers without one

Cause: citrondyked stores the answer of a request that runs at most once, and responds with what it has stored. The row did not say that the answer had ended with its connection, so that a part of it was sent with a length, to its caller and to each repeat of its key.

Ruled out: streams; their stored answers have a final event.

Change: the stored reply keeps whether its end was that of the connection.

Conclusion: a replay claims no more than the answer that was stored.

--- a/citrondyke/decisions/at_most_once/intent_row.py
+++ b/citrondyke/decisions/at_most_once/intent_row.py
@@ -24,12 +24,14 @@
     UNKNOWN = 'unknown'
 
 
-class StoredReply(msgspec.Struct, frozen=True):
+class StoredReply(msgspec.Struct, frozen=True, omit_defaults=True):
     """The stored response, replayed to repeated requests."""
 
     status: int
     content_type: str
     body: bytes
+    #: Whether the end of the body was that of the connection, which may have come early.
+    ends_with_connection: bool = False
 
 
 class IntentRow(msgspec.Struct, frozen=True, kw_only=True):
--- a/citrondyke/decisions/at_most_once/once_executor.py
+++ b/citrondyke/decisions/at_most_once/once_executor.py
@@ -125,10 +125,11 @@
         self, key: RowKey, claim: IntentRow, version: int, online_result: OnlineResult
     ) -> Workflow[OnceResult]:
         if online_result.kind is OnlineResultKind.ANSWERED and online_result.reply is not None:
-            body = online_result.reply.body or b''.join(
-                b'data: ' + frame + b'\n\n' for frame in online_result.reply.frames
+            answer = online_result.reply
+            body = answer.body or b''.join(b'data: ' + frame + b'\n\n' for frame in answer.frames)
+            reply = StoredReply(
+                answer.status, answer.content_type, body, answer.ends_with_connection
             )
-            reply = StoredReply(online_result.reply.status, online_result.reply.content_type, body)
             return (yield from self._close(key, claim, version, IntentState.DONE, reply=reply))
         if online_result.may_have_run:
             return (yield from self._close(key, claim, version, IntentState.UNKNOWN))
--- a/citrondyke/entry/online_endpoint.py
+++ b/citrondyke/entry/online_endpoint.py
@@ -36,7 +36,7 @@
     from citrondyke.decisions.at_most_once.intent_row import StoredReply
     from citrondyke.entry.entry_context import EntryContext
 
-__all__ = ('OnlineEndpoint',)
+__all__ = ('OnlineEndpoint', 'stored_response')
 
 log = logbook.Logger(__name__)
 
@@ -231,7 +231,7 @@
             recorder.close_with_outcome(outcome)
         if result.is_replay:
             bottle.response.set_header(REPLAY_HEADER, 'true')
-        return _stored_response(result.reply, is_streamed=request.is_streamed)
+        return stored_response(result.reply, is_streamed=request.is_streamed)
 
     def respond(self, result: OnlineResult) -> bytes:
         """Return the response of an online request."""
@@ -240,16 +240,7 @@
         bottle.response.status = result.reply.status
         bottle.response.content_type = result.reply.content_type or 'application/json'
         if result.reply.ends_with_connection:
-            end_with_connection(bottle.request.environ)
-            bottle.response.set_header('Connection', 'close')
-            log.info(
-                'answer without a length',
-                extra={
-                    'request_id': bottle.response.headers.get(REQUEST_HEADER, ''),
-                    'status': result.reply.status,
-                    'size_bytes': len(result.reply.body),
-                },
-            )
+            _leave_unframed(len(result.reply.body))
         return result.reply.body
 
 
@@ -278,9 +269,26 @@
     return b'data: ' + msgspec.json.encode(error_body(error)) + b'\n\n'
 
 
-def _stored_response(reply: StoredReply, *, is_streamed: bool) -> bytes:
+def _leave_unframed(size_bytes: int) -> None:
+    """Have the response end with its connection, as did that of the server."""
+    end_with_connection(bottle.request.environ)
+    bottle.response.set_header('Connection', 'close')
+    log.info(
+        'answer without a length',
+        extra={
+            'request_id': bottle.response.headers.get(REQUEST_HEADER, ''),
+            'status': bottle.response.status_code,
+            'size_bytes': size_bytes,
+        },
+    )
+
+
+def stored_response(reply: StoredReply, *, is_streamed: bool) -> bytes:
+    """Return the response of a request whose answer was stored."""
     bottle.response.status = reply.status
     bottle.response.content_type = reply.content_type or 'application/json'
+    if reply.ends_with_connection:
+        _leave_unframed(len(reply.body))
     if is_streamed and reply.content_type.startswith(EVENT_STREAM):
         return reply.body + DONE_EVENT
     return reply.body
