A server's failure without a length reaches its caller without one

Cause: the body of a failure response is kept until no other server may be tried, and was then sent with a length, also where it had ended with its connection.

Ruled out: the statuses below 500; these keep the framing of the server.

Change: the deferred failure keeps whether its end was told apart from that of the connection.

Conclusion: no response of a server gets a length that the server has not stated.

--- a/citrondyke/gateway/callers/error_responder.py
+++ b/citrondyke/gateway/callers/error_responder.py
@@ -31,6 +31,8 @@
     status: int
     headers: Headers
     body: bytes
+    #: Whether the end of the response is told apart from the end of its connection.
+    is_framed: bool = True
 
 
 class ErrorResponder:
@@ -66,7 +68,9 @@
             return RequestResult.CUT_MIDWAY
         if failure is not None:
             caller.stop_watching_disconnect()
-            caller.send_whole(failure.status, failure.headers, failure.body)
+            caller.send_whole(
+                failure.status, failure.headers, failure.body, is_framed=failure.is_framed
+            )
             return RequestResult.SERVER_FAILURE
         if forwarded.history.verdict is Verdict.NOT_RUN:
             if not may_come_back:
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -418,7 +418,9 @@
         body = read_held_answer(reply.connection, held, clock, until_ms)
         headers = self._dialect.response_headers(reply.head)
         if reply.head.status >= SERVER_FAILURE:
-            return DeferredFailure(reply.head.status, headers, body)
+            return DeferredFailure(
+                reply.head.status, headers, body, is_framed=reply.connection.is_framed
+            )
         self._record_first_answer(forwarded, state, started_ms)
         forwarded.first_answer_ms = self._context.now_ms()
         caller.stop_watching_disconnect()
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -86,6 +86,8 @@
     UNFRAMED_CUT_IN_EVENT = 'unframed_cut_in_event'
     #: Close the connection of such a stream before its first event.
     UNFRAMED_EMPTY = 'unframed_empty'
+    #: Send such an answer, or a stream, as a failure.
+    UNFRAMED_FAIL = 'unframed_fail'
     #: Send a part of such a stream; then neither send nor acknowledge anything.
     UNFRAMED_THEN_VANISH = 'unframed_then_vanish'
     #: Send a whole answer without a length, and crash.
@@ -136,6 +138,7 @@
     AnswerMode.UNFRAMED_CUT,
     AnswerMode.UNFRAMED_CUT_IN_EVENT,
     AnswerMode.UNFRAMED_EMPTY,
+    AnswerMode.UNFRAMED_FAIL,
     AnswerMode.UNFRAMED_THEN_VANISH,
     AnswerMode.UNFRAMED_THEN_CRASH,
 )
@@ -550,7 +553,8 @@
         answer_mode: AnswerMode,
     ) -> bool:
         lines = b''.join(b'%b: %b\r\n' % pair for pair in headers)
-        sock.sendall(b'HTTP/1.1 200 OK\r\nConnection: close\r\n' + lines + b'\r\n')
+        status = b'500 Failed' if answer_mode is AnswerMode.UNFRAMED_FAIL else b'200 OK'
+        sock.sendall(b'HTTP/1.1 %b\r\nConnection: close\r\n%b\r\n' % (status, lines))
         for piece in pieces:
             sock.sendall(piece)
             gevent.sleep(0.01)
--- a/tests/test_gateway/test_callers/test_callers_unframed.py
+++ b/tests/test_gateway/test_callers/test_callers_unframed.py
@@ -131,3 +131,15 @@
     else:
         gevent.sleep(0.3)
         assert instance.guard.exits_count(part) == counted
+
+
+@pytest.mark.parametrize('path', ['/order/a', '/fetch/a'])
+def test_failure_without_a_frame_reaches_its_caller_without_one(
+    fleet: GatewayFleet, path: str
+) -> None:
+    # Failure: a length would state that the part that came is the whole body.
+    for server in fleet.servers.values():
+        server.answer_modes.append(AnswerMode.UNFRAMED_FAIL)
+    reply = fleet.call(path)
+    assert (reply.status, reply.body, reply.is_whole) == (500, b'unframed', True)
+    assert not {name.lower() for name in reply.headers} & {'transfer-encoding', 'content-length'}
