Nothing asks whether the head of a response allows content

may_have_content of ReplyReader and ServerConnection was read by tests only. The case that it was for is decided by StreamContinuation.is_run and ItemSender._is_run: only a 200 with events is a run.

--- a/citrondyke/gateway/servers/reply_reader.py
+++ b/citrondyke/gateway/servers/reply_reader.py
@@ -23,10 +23,8 @@
 #: Lines of ``Transfer-Encoding`` in which all readers find the same framing. The parser goes by the
 #: last coding of all lines, and takes ``chunked`` before a tab for another one.
 SUPPORTED_CODINGS: tuple[list[bytes], ...] = ([], [b'chunked'])
-#: Statuses of responses without a body, whatever their head says.
+#: Statuses of responses without a body, whatever their head says. A 205 is framed as any other.
 BODILESS = (204, 304)
-#: Statuses of responses without content (RFC 9110). A 205 is framed as any other response.
-WITHOUT_CONTENT = (*BODILESS, 205)
 
 
 class ReplyHead(msgspec.Struct, frozen=True):
@@ -130,13 +128,6 @@
         """
         return not self._ends_with_connection
 
-    @property
-    def may_have_content(self) -> bool:
-        """Whether its head allows content; the end of any other response says nothing of it."""
-        if self.head is None or self._is_bodiless:
-            return False
-        return self.head.status not in WITHOUT_CONTENT
-
     @property
     def is_reusable(self) -> bool:
         """Whether the next response on the connection belongs to the next request."""
--- a/citrondyke/gateway/servers/server_connection.py
+++ b/citrondyke/gateway/servers/server_connection.py
@@ -144,14 +144,6 @@
         """Whether the end of the response is told apart from the end of the connection."""
         return self._reply.is_framed
 
-    @property
-    def may_have_content(self) -> bool:
-        """Whether the head allows content: no answer to a HEAD, and no 204, 205 or 304.
-
-        An end of such a response doesn't state where the stream ends that was asked for.
-        """
-        return self._reply.may_have_content
-
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on the connection.
--- a/tests/test_gateway/test_servers/test_servers_framing.py
+++ b/tests/test_gateway/test_servers/test_servers_framing.py
@@ -93,27 +93,24 @@
 
 
 @pytest.mark.parametrize(
-    ('status', 'headers', 'is_framed', 'may_have_content'),
+    ('status', 'headers', 'is_framed'),
     [
-        (b'200', [(LENGTH, b'0')], True, True),
-        (b'200', [(CODING, b'chunked')], True, True),
-        (b'200', [], False, True),
-        (b'204', [], True, False),
-        (b'204', [(CODING, b'chunked')], True, False),
-        (b'205', [(LENGTH, b'0')], True, False),
-        (b'205', [], False, False),
-        (b'304', [(LENGTH, b'30')], True, False),
-        (b'404', [], False, True),
+        (b'200', [(LENGTH, b'0')], True),
+        (b'200', [(CODING, b'chunked')], True),
+        (b'200', [], False),
+        (b'204', [], True),
+        (b'204', [(CODING, b'chunked')], True),
+        (b'205', [(LENGTH, b'0')], True),
+        (b'205', [], False),
+        (b'304', [(LENGTH, b'30')], True),
+        (b'404', [], False),
     ],
 )
-def test_head_says_whether_there_is_a_frame_and_content(
-    status: bytes, headers: Headers, is_framed: bool, may_have_content: bool
+def test_head_says_whether_there_is_a_frame(
+    status: bytes, headers: Headers, is_framed: bool
 ) -> None:
-    # Failure: a response that can have no events states that a stream has none.
     head = head_of(b'HTTP/1.1 %b X' % status, headers)
     reader = read(head, [])
-    assert not ReplyReader(is_bodiless=False).may_have_content
-    assert (reader.is_framed, reader.may_have_content) == (is_framed, may_have_content)
+    assert reader.is_framed == is_framed
     answer_to_head = read(head, [], is_bodiless=True)
     assert (answer_to_head.is_whole, answer_to_head.is_framed) == (True, True)
-    assert not answer_to_head.may_have_content
