--- a/citrondyke/operator/stream_ends.py
+++ b/citrondyke/operator/stream_ends.py
@@ -11,6 +11,12 @@
 
 __all__ = ('END_EVENTS', 'describe_stream_ends', 'is_unconfirmed')
 
+#: What the verdicts say that depend on no other server.
+VERDICT_TEXTS = {
+    EndVerdict.COMPLETE_BY_FRAMING.value: 'Its frame ends the stream.',
+    'own': "The stream can't be resumed, so that no other server was asked.",
+    'no_run': 'It is no run of the item, and says nothing about its end.',
+}
 #: Lines about the orderly end of a run of a stream.
 END_EVENTS = frozenset(('stream.ended', 'item.ended'))
 
@@ -47,8 +53,8 @@
 
 def _describe_verdict(event: LogEvent) -> str:
     verdict = event.get('verdict')
-    if verdict == EndVerdict.COMPLETE_BY_FRAMING.value:
-        return 'Its frame ends the stream.'
+    if verdict in VERDICT_TEXTS:
+        return VERDICT_TEXTS[str(verdict)]
     servers = ', '.join(map(str, event.get('stated_by') or ())) or 'no server'
     if verdict == EndVerdict.COMPLETE_BY_AGREEMENT.value:
         return f'The stream ends there according to {servers}.'
--- a/tests/test_operator/test_operator_explain.py
+++ b/tests/test_operator/test_operator_explain.py
@@ -319,6 +319,24 @@
         assert 'The stream was cut after event 6: nobody could confirm its end.' in cause
 
 
+@pytest.mark.parametrize(
+    ('kind', 'name', 'verdict', 'text'),
+    [
+        ('stream.ended', 'request_id', 'own', 'so that no other server was asked.'),
+        ('item.ended', 'item_id', 'no_run', 'It is no run of the item'),
+    ],
+)
+def test_explanation_says_why_nobody_else_was_asked(
+    tmp_path: Path, kind: str, name: str, verdict: str, text: str
+) -> None:
+    file = write(
+        tmp_path / 'edge-1.log',
+        run_end(kind, 1.0, 'i-1', verdict=verdict, **{name: 'r'}),
+        event('request.end', 1.2, request_id='r', end='done'),
+    )
+    assert text in explain('r', read_log_events([file])).cause
+
+
 def test_explanation_of_a_whole_stream_names_its_frame(tmp_path: Path) -> None:
     fields = {'request_id': 'r', 'verdict': 'framing', 'events_count': 6, 'stated_by': []}
     file = write(
