citrondyked: a killed process resets an answer that ends with its connection

Cause: since an engine's answer without a length reaches its caller without one, nothing tells a part of it from the whole one: the kernel closes the connections of a killed process in order. Before, the length told. The gateway has its connections reset in this case, citrondyked had not.

Ruled out: streams, whose end is an event, and all answers with a length.

Change: while such an answer is sent, the caller's connection is set to be reset when it is closed, as in the gateway. The function for it is now in citrondyke/util, which both stacks use.

Conclusion: an answer without a length looks whole only if all of it was sent.

--- a/citrondyke/entry/server.py
+++ b/citrondyke/entry/server.py
@@ -12,6 +12,7 @@
 from citrondyke.errors import TooManyConnectionsError
 from citrondyke.util.clock import SystemClock
 from citrondyke.util.paced_socket import PacedSocket
+from citrondyke.util.reset_on_close import set_reset_on_close
 
 if TYPE_CHECKING:
     import bottle
@@ -32,6 +33,7 @@
     """Counts requests and writes no log; the endpoints log requests with more detail."""
 
     response_headers: Any
+    socket: Any
 
     def __init__(self, sock: socket.socket, address: Any, server: EntryServer) -> None:
         """Read the requests of a connection in turns with other greenlets."""
@@ -54,6 +56,8 @@
         """Respond; what is left of the request's body is discarded for a limited time."""
         try:
             super().run_application()
+            if self.environ.get(UNFRAMED_KEY):
+                set_reset_on_close(self.socket, is_on=False)
         finally:
             self._paced.until_ms = self._clock.now_ms() + DISCARD_MS
 
@@ -63,6 +67,8 @@
         if self.environ.get(UNFRAMED_KEY):
             self.response_use_chunked = False
             self.close_connection = True
+            # Otherwise a part would look whole if this process ended while it sends the response.
+            set_reset_on_close(self.socket, is_on=True)
             self.response_headers = [
                 pair for pair in self.response_headers if pair[0].lower() not in FRAMING_HEADERS
             ]
--- a/citrondyke/gateway/callers/caller_connection.py
+++ b/citrondyke/gateway/callers/caller_connection.py
@@ -14,8 +14,9 @@
 from citrondyke.errors.caller_gone import CallerGoneError
 from citrondyke.gateway.callers.request_reader import READ_BYTES, RequestReader
 from citrondyke.gateway.http_head import write_head
-from citrondyke.gateway.sockets import is_readable, reset, set_reset_on_close
+from citrondyke.gateway.sockets import is_readable, reset
 from citrondyke.util.own_timeout import is_own_timeout
+from citrondyke.util.reset_on_close import set_reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/citrondyke/gateway/sockets.py
+++ b/citrondyke/gateway/sockets.py
@@ -6,11 +6,11 @@
 import errno
 import select
 import socket as std_socket
-import struct
 from typing import TYPE_CHECKING
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.util.open_socket import open_socket
+from citrondyke.util.reset_on_close import set_reset_on_close
 
 if TYPE_CHECKING:
     from gevent import socket
@@ -20,7 +20,6 @@
     'is_local_failure',
     'is_readable',
     'reset',
-    'set_reset_on_close',
     'tune',
 )
 
@@ -84,15 +83,6 @@
         return False
 
 
-def set_reset_on_close(sock: socket.socket, *, is_on: bool) -> None:
-    """Set whether a close resets the connection, also when the kernel closes it at a SIGKILL.
-
-    :raises OSError: if the socket is closed.
-    """
-    linger = struct.pack('ii', 1 if is_on else 0, 0)
-    sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_LINGER, linger)
-
-
 def reset(sock: socket.socket) -> None:
     """Close a connection with a reset, so that a truncated response cannot look complete."""
     # If the other end has closed already, no reset is needed.
--- a/tests/test_entry/test_entry_unframed.py
+++ b/tests/test_entry/test_entry_unframed.py
@@ -4,6 +4,7 @@
 
 import contextlib
 from collections.abc import Callable, Generator
+from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
@@ -22,8 +23,10 @@
 from citrondyke.entry.server import entry_server
 from citrondyke.ids import SessionId
 from citrondyke.storage.table_service import Committed
-from tests.support.gateway import LONGEST_S, Reply, read_reply
+from tests.support.entry_program import BODY_BYTES
+from tests.support.gateway import LONGEST_S, Reply, read_reply, wait_until_seen
 from tests.support.manual_clock import manual_context
+from tests.support.program import Program
 from tests.test_backend.test_backend_ends import OK, call
 
 PART = b'{"a":'
@@ -118,3 +121,39 @@
     is_framed = 'content-length' in found.headers or 'transfer-encoding' in found.headers
     assert is_framed is not ends_with_connection
     assert (found.headers.get('connection') == 'close') is ends_with_connection
+
+
+@pytest.mark.parametrize('is_killed', [False, True])
+def test_answer_without_a_length_looks_whole_only_if_all_of_it_was_sent(
+    tmp_path: Path, is_killed: bool
+) -> None:
+    # The kernel closes the connections of a killed process in order.
+    with socket.create_server(('127.0.0.1', 0)) as free:
+        port = free.getsockname()[1]
+    program = Program('entry', 'tests.support.entry_program', [str(port)], tmp_path)
+    try:
+        sock = wait_until_seen(lambda: _try_connect(port), 'the program')
+        with sock:
+            sock.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+            data = bytearray(sock.recv(1))
+            if is_killed:
+                program.kill()
+                with pytest.raises(ConnectionResetError):
+                    _read_on(sock, data)
+            else:
+                _read_on(sock, data)
+                assert len(data.partition(b'\r\n\r\n')[2]) == BODY_BYTES
+    finally:
+        program.end()
+
+
+def _try_connect(port: int) -> socket.socket | None:
+    try:
+        return socket.create_connection(('127.0.0.1', port), LONGEST_S)
+    except ConnectionRefusedError:
+        return None
+
+
+def _read_on(sock: socket.socket, data: bytearray) -> None:
+    while part := sock.recv(65_536):
+        data += part
