--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -86,6 +86,8 @@
     UNFRAMED_CUT_IN_EVENT = 'unframed_cut_in_event'
     #: Close the connection of such a stream before its first event.
     UNFRAMED_EMPTY = 'unframed_empty'
+    #: Send such an answer, or a stream, as a failure.
+    UNFRAMED_FAIL = 'unframed_fail'
     #: Send a part of such a stream; then neither send nor acknowledge anything.
     UNFRAMED_THEN_VANISH = 'unframed_then_vanish'
     #: Send a whole answer without a length, and crash.
@@ -126,8 +128,6 @@
     EVENT_WITHOUT_DATA = 'event_without_data'
     #: Close the connection of a stream without a length between two events.
     UNFRAMED_BETWEEN_EVENTS = 'unframed_between_events'
-    #: Answer a stream with a failure without a length.
-    UNFRAMED_FAIL = 'unframed_fail'
     #: Answer a stream with a success that is no stream.
     OTHER_CONTENT = 'other_content'
 
@@ -140,6 +140,7 @@
     AnswerMode.UNFRAMED_CUT,
     AnswerMode.UNFRAMED_CUT_IN_EVENT,
     AnswerMode.UNFRAMED_EMPTY,
+    AnswerMode.UNFRAMED_FAIL,
     AnswerMode.UNFRAMED_THEN_VANISH,
     AnswerMode.UNFRAMED_THEN_CRASH,
 )
@@ -178,9 +179,6 @@
         events_count=2, tail=b'7\r\nid: 3\n\n\r\n0\r\n\r\n'
     ),
     AnswerMode.RESUME_EMPTY_UNFRAMED: _ShortStream(framing=b'', tail=b': ping\n\n'),
-    AnswerMode.UNFRAMED_FAIL: _ShortStream(
-        b'500 Internal Server Error', framing=b'', tail=b'failed'
-    ),
     AnswerMode.UNFRAMED_BETWEEN_EVENTS: _ShortStream(framing=b'', events_count=2, tail=b''),
 }
 
@@ -250,6 +248,9 @@
         self.more_headers: list[tuple[bytes, bytes]] = []
         #: Bodies of requests that crash the server when their run starts.
         self.crash_bodies: set[bytes] = set()
+        #: Bodies of requests that crash the server when the third event of a stream is due, which
+        #: has no length: the connection is closed in order, as the kernel of a process does it.
+        self.late_crash_bodies: set[bytes] = set()
         #: Bodies of requests whose connections are reset without a crash of the server.
         self.reset_bodies: set[bytes] = set()
         #: Parts of prompts that crash the server when it begins to write an answer.
@@ -309,14 +310,18 @@
             else:
                 return False
 
+    def _next_mode(self, body: bytes, *, is_resumed: bool) -> AnswerMode:
+        if body in self.late_crash_bodies:
+            return AnswerMode.UNFRAMED_THEN_CRASH
+        modes = (is_resumed and self.resume_modes) or self.answer_modes
+        return modes.popleft() if modes else AnswerMode.SERVE
+
     def _answer(
         self, http: h11.Connection, sock: socket.socket, request: h11.Request, body: bytes
     ) -> bool:
         self._send_late_copy(sock)
         headers = {bytes(name): bytes(value) for name, value in request.headers}
-        is_resumed = LAST_EVENT_HEADER in headers
-        modes = (is_resumed and self.resume_modes) or self.answer_modes
-        answer_mode = modes.popleft() if modes else AnswerMode.SERVE
+        answer_mode = self._next_mode(body, is_resumed=LAST_EVENT_HEADER in headers)
         unsigned = [(ATTEMPT_HEADER, headers.get(ATTEMPT_HEADER, b'')), (LOAD_HEADER, b'1,0,8')]
         if self._is_misdirected(headers):
             self.refused_count += 1
@@ -517,7 +522,9 @@
             return []
         first = run.first_event_number
         events = [self._event(number) for number in range(first, self.events_count + 1)]
-        if answer_mode is not AnswerMode.UNFRAMED:
+        if run.body in self.late_crash_bodies:
+            events = events[: max(0, 3 - first)]
+        elif answer_mode is not AnswerMode.UNFRAMED:
             events = events[:2]
         if events and answer_mode is AnswerMode.UNFRAMED_CUT_IN_EVENT:
             events[-1] = events[-1][:-5]
@@ -551,7 +558,8 @@
         answer_mode: AnswerMode,
     ) -> bool:
         lines = b''.join(b'%b: %b\r\n' % pair for pair in headers)
-        sock.sendall(b'HTTP/1.1 200 OK\r\nConnection: close\r\n' + lines + b'\r\n')
+        status = b'500 Failed' if answer_mode is AnswerMode.UNFRAMED_FAIL else b'200 OK'
+        sock.sendall(b'HTTP/1.1 %b\r\nConnection: close\r\n%b\r\n' % (status, lines))
         for piece in pieces:
             sock.sendall(piece)
             gevent.sleep(0.01)
