Tests of the backend's client: end the threads of their servers

Cause: a server of these tests runs in a thread of the test process and, after its answers, waits for the next request. When its caller closed the connection, it read the empty end again and again: 21 or 22 busy threads stayed after tests/test_backend in one process. Each call into the kernel gave the interpreter up, and the greenlets that play the store and the servers of later tests got it back late.

Change: the thread ends with its connection, in test_backend_ends.py too, where the loop was the same. It no longer sleeps before an answer whose caller has closed. A fixture of all tests waits until the threads of a test have ended and fails it if one goes on: on the code before, it fails test_answer_that_arrived_in_time_is_read_by_a_late_loop.

Conclusion: the leftover threads starve the test process under a load at which the soak alone passes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import gc
+import threading
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -10,6 +12,7 @@
 from hypothesis import settings
 
 from tests.support.fleet import Fleet
+from tests.support.gateway import wait_until_seen
 
 # How long an example takes says nothing of the code where the machine is busy.
 settings.register_profile('untimed', deadline=None)
@@ -22,6 +25,25 @@
     )
 
 
+@pytest.fixture(autouse=True)
+def no_thread_goes_on() -> Iterator[None]:
+    """Wait until the threads of the test have ended.
+
+    A busy one takes the interpreter from the servers that later tests play in this process: on a
+    busy machine they stand still for most of a second, and callers give them up as silent.
+    """
+    before = set(threading.enumerate())
+
+    def left() -> list[threading.Thread]:
+        return [thread for thread in threading.enumerate() if thread not in before]
+
+    yield
+    if left():
+        # Threads that wait for the end of a connection see it once the connection is collected.
+        gc.collect()
+        wait_until_seen(lambda: not left(), 'the end of all threads of the test')
+
+
 @pytest.fixture
 def fleet(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[Fleet]:
     """A fleet of real processes, of the sizes that the test's marker names."""
--- a/tests/test_backend/test_backend_client.py
+++ b/tests/test_backend/test_backend_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import threading
 import time
 from typing import Any
@@ -48,18 +49,26 @@
             sock, _ = self._listener.accept()
         with sock:
             for answer_after_s in self._answers_after_s:
-                receive_request(sock)
+                if not receive_request(sock):
+                    return
                 self.has_request.set()
-                time.sleep(answer_after_s)
+                # While the caller waits, its socket is readable only once the caller closes it.
+                if select.select([sock], [], [], answer_after_s)[0]:
+                    return
                 sock.sendall(self._answer)
             if not self._is_closing:
                 receive_request(sock)
 
 
-def receive_request(sock: Any) -> None:
+def receive_request(sock: Any) -> bool:
+    """Read a request; return whether one came before the caller closed its connection."""
     data = b''
-    while not data.endswith(b'\r\n\r\n' if data.startswith(b'GET') else BODY):
-        data += sock.recv(65_536)
+    while not data.endswith(b'\r\n\r\n' if data.startswith(b'GET') else b'}'):
+        part = sock.recv(65_536)
+        if not part:
+            return False
+        data += part
+    return True
 
 
 class Caller:
--- a/tests/test_backend/test_backend_ends.py
+++ b/tests/test_backend/test_backend_ends.py
@@ -15,7 +15,7 @@
 from citrondyke.storage.failure import AMBIGUOUS
 from citrondyke.storage.http_object_store import HttpObjectStore
 from citrondyke.util.clock import SystemClock
-from tests.test_backend.test_backend_client import std_socket
+from tests.test_backend.test_backend_client import receive_request, std_socket
 
 OK = b'HTTP/1.1 200 OK\r\n'
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
@@ -36,10 +36,8 @@
         with self._listener:
             sock, _ = self._listener.accept()
         with sock:
-            data = b''
-            while not data.endswith(b'\r\n\r\n' if data.startswith(b'GET') else b'}'):
-                data += sock.recv(65_536)
-            sock.sendall(self._answer)
+            if receive_request(sock):
+                sock.sendall(self._answer)
 
 
 def call(answer: bytes, *, is_streamed: bool = False) -> ServerReply:
