Jobs: deadlines go by the store's clock, not by machines' time of day

Cause: the accepting instance writes the head's accepted, due and abandon times from its own time of day (JobAcceptor._new_head), and whoever owns the job later compares them with its own (OwnedJob.abandon_overdue, end_run, and the end of a run in ItemSender). A job accepted while clocks were 60 s behind has a max_wait_s of 60 that is over, but for the margin of 5 s, as soon as they are right again; after a power loss all items of such jobs were listed as errored five seconds after their acceptance. By the same figures they were overdue, and came last.

Ruled out: the answers of servers and max_attempts (the runs ended as 200, cut by the instance at the deadline); the takeover (liveness goes by steady clocks); clocks that differ by 2 to 3 s, which the margin covers.

Change: the head bears the time of the acceptance by the store's steady clock, which all instances share, and JobClock tells the present time in the terms of the head's deadlines from the time that clock has run since. A head without it (earlier builds; accepted before the store had stated its time), and one from before the store's clock began anew, go by the time of day as before. The table that all parts of an instance read through hears the store's time, from answers that took a second at most: one that was on its way while the machine was suspended would date jobs too early. Earlier builds read the new head and leave the field out when they claim a job.

Not by each owner's monotonic clock: it says nothing of the time before a takeover. Retention of finished jobs still goes by the time of day, with its margin of 60 s.

--- a/citrondyke/decisions/batch/job.py
+++ b/citrondyke/decisions/batch/job.py
@@ -61,7 +61,8 @@
     owner: InstanceId
     owner_life: str
     #: Times of the acceptance, at which all results are due, and from which items may be
-    #: abandoned; wall clock, since the row is read by several instances.
+    #: abandoned, by the wall clock of the instance that accepted the job; compared with those of
+    #: ``JobClock``, as the wall clocks of other machines may differ.
     accepted_epoch_ms: float
     due_epoch_ms: float
     abandon_epoch_ms: float
@@ -77,6 +78,9 @@
     account: TenantId = TenantId('')
     #: Digest of the object's content; left out if there is none, and by earlier versions.
     items_digest: str | msgspec.UnsetType = msgspec.UNSET
+    #: Time of the acceptance by the store's clock; left out if it was not known, and by earlier
+    #: versions.
+    accepted_store_ms: float | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def backlog_name(self) -> RouteName:
--- a/citrondyke/decisions/batch/owned_job.py
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -21,7 +21,8 @@
 CONFIRM_PAUSE_MS = 100.0
 #: Interval at which a blocked item is checked again for whether it may be sent.
 BLOCKED_PAUSE_MS = 1_000.0
-#: Clocks of instances may differ by some seconds: an item is abandoned this much later than its
+#: Instances know the store's clock late by the time of a call, and wall clocks, which count where
+#: that clock is not known, differ by some seconds: an item is abandoned this much later than its
 #: job allows, so that it is never abandoned too early.
 ABANDON_MARGIN_MS = 5_000.0
 #: Items in one commit, and bytes of their encoded texts, which compression may leave as they are. A
@@ -184,7 +185,10 @@
     def end_run(
         self, progress: ItemProgress, end: RunResult, now_ms: float, epoch_ms: float
     ) -> None:
-        """Apply the result of a run."""
+        """Apply the result of a run.
+
+        :param epoch_ms: time by the job's clock.
+        """
         progress.is_running = False
         if end is RunResult.COMPLETED:
             self._finish(progress, ItemState.COMPLETED)
@@ -219,7 +223,10 @@
         progress.not_before_ms = now_ms + CONFIRM_PAUSE_MS
 
     def abandon_overdue(self, epoch_ms: float) -> None:
-        """Fail the waiting items whose time to be abandoned has come."""
+        """Fail the waiting items whose time to be abandoned has come.
+
+        :param epoch_ms: time by the job's clock.
+        """
         if epoch_ms < give_up_epoch_ms(self.head):
             return
         for progress in list(self.open.values()):
--- a/citrondyke/gateway/instance.py
+++ b/citrondyke/gateway/instance.py
@@ -15,6 +15,7 @@
 from citrondyke.decisions.accounts.steward_rate_limiter import StewardRateLimiter
 from citrondyke.decisions.batch.takeover import InstanceLiveness
 from citrondyke.decisions.core.context import Context
+from citrondyke.decisions.core.store_clock import StoreClock
 from citrondyke.decisions.crashes.suspect_registry import SuspectRegistry
 from citrondyke.decisions.forwarding.admission_rule import AdmissionRule
 from citrondyke.decisions.forwarding.load_notices import LoadNotices
@@ -105,8 +106,10 @@
         self._sends = ServerSends(
             self.clock, adapters.dialect, self._on_load_change, self._evidence.record_outcome
         )
-        table = RelayedTable(self.clock, adapters.table, self._relay, self.store, self._tasks)
-        self._table = table
+        store_clock = StoreClock(self.context)
+        self._table = table = RelayedTable(
+            self.clock, adapters.table, self._relay, self.store, store_clock, self._tasks
+        )
         self.suspects = SuspectRegistry(self.context)
         self.suspect_store = SuspectStore(
             self.context, table, self.store, self.suspects, self._store_interval_factor
@@ -197,6 +200,7 @@
         batch_collaborators = BatchCollaborators(
             self.context,
             table,
+            store_clock,
             self.replicated,
             self.book,
             self._sends,
--- a/citrondyke/gateway/jobs/batch_subsystem.py
+++ b/citrondyke/gateway/jobs/batch_subsystem.py
@@ -9,10 +9,12 @@
 import msgspec
 
 from citrondyke.decisions.batch.batch_scheduler import BatchScheduler
+from citrondyke.decisions.batch.job_clock import JobClock
 from citrondyke.decisions.batch.read_budget import ReadBudget
 from citrondyke.decisions.batch.start_rate_limiter import StartRateLimiter
 from citrondyke.decisions.batch.takeover import InstanceLiveness, TakeoverSchedule
 from citrondyke.decisions.core.context import Context
+from citrondyke.decisions.core.store_clock import StoreClock
 from citrondyke.decisions.forwarding.server_registry import ServerRegistry
 from citrondyke.gateway.jobs.backlog_limiter import BacklogLimiter
 from citrondyke.gateway.jobs.job_acceptor import JobAcceptor
@@ -55,6 +57,7 @@
 
     context: Context
     table: PartitionedTable
+    store_clock: StoreClock
     replicated: ReplicatedState
     book: ServerRegistry
     sends: ServerSends
@@ -86,6 +89,7 @@
         self._adapters = adapters
         context, tasks = collaborators.context, collaborators.tasks
         self.store = JobStore(collaborators.table, adapters.objects, settings.store.row_bytes)
+        job_clock = JobClock(context, collaborators.store_clock)
         self._reader = JobReader(context, self.store)
         self.owned = OwnedJobs()
         self.committer = JobCommitter(
@@ -95,6 +99,7 @@
         self._demand = start_limiter.demand
         self.runner = JobRunner(
             context,
+            job_clock,
             collaborators.replicated,
             BatchScheduler(context, collaborators.book, start_limiter),
             start_limiter.demand,
@@ -144,6 +149,7 @@
         self.owned.on_job_taken_over(self.backlog_limiter.record_taken_over)
         self.acceptor = JobAcceptor(
             context,
+            job_clock,
             incarnation,
             adapters.dialect,
             self.store,
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable, Collection
 
     from citrondyke.decisions.batch.job import JobHead
+    from citrondyke.decisions.batch.job_clock import JobClock
     from citrondyke.decisions.batch.owned_job import ItemProgress
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.server_state import ServerState
@@ -62,6 +63,7 @@
     def __init__(
         self,
         context: Context,
+        job_clock: JobClock,
         sends: ServerSends,
         dialect: Dialect,
         refresher: ReplicaRefresher,
@@ -82,6 +84,7 @@
         self._has_servers = has_servers
         self._polls_rarely = polls_rarely
         self._context = context
+        self._job_clock = job_clock
         self._sends = sends
         self._dialect = dialect
 
@@ -251,8 +254,8 @@
         splitter: EventSplitter,
     ) -> None:
         is_steady = False
-        now_ms, epoch_ms = self._context.now_ms(), self._context.epoch_ms()
-        run_until_ms = now_ms + give_up_epoch_ms(head) - epoch_ms
+        left_ms = give_up_epoch_ms(head) - self._job_clock.epoch_ms(head)
+        run_until_ms = self._context.now_ms() + left_ms
         while (piece := connection.read_chunk(min(until_ms, run_until_ms))) is not None:
             now_ms = self._context.now_ms()
             for event in splitter.feed(piece):
--- a/citrondyke/gateway/jobs/job_acceptor.py
+++ b/citrondyke/gateway/jobs/job_acceptor.py
@@ -21,6 +21,7 @@
     from citrondyke.decisions.accounts.account import Account
     from citrondyke.decisions.batch.acceptance_deadline import AcceptanceDeadline
     from citrondyke.decisions.batch.job import JobItem
+    from citrondyke.decisions.batch.job_clock import JobClock
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.forwarding.route import Route
     from citrondyke.gateway.callers.caller_connection import CallerConnection
@@ -68,6 +69,7 @@
     def __init__(
         self,
         context: Context,
+        job_clock: JobClock,
         incarnation: str,
         dialect: Dialect,
         store: JobStore,
@@ -83,6 +85,7 @@
         :param items_limit_bytes: size of the owned items from which further jobs are rejected.
         """
         self._context = context
+        self._job_clock = job_clock
         self._incarnation = incarnation
         self._dialect = dialect
         self._store = store
@@ -291,6 +294,7 @@
             attempts_limit=route.attempts_limit,
             tokens=sum(item.tokens for item in items),
             account=account.id,
+            accepted_store_ms=self._job_clock.stamp_ms,
         )
 
     def _took_ms(self, request: CallerRequest) -> float:
--- a/citrondyke/gateway/jobs/job_runner.py
+++ b/citrondyke/gateway/jobs/job_runner.py
@@ -34,6 +34,7 @@
     from citrondyke.decisions.batch.batch_demand import DemandNotice
     from citrondyke.decisions.batch.batch_demand_table import BatchDemandTable
     from citrondyke.decisions.batch.batch_scheduler import BatchScheduler
+    from citrondyke.decisions.batch.job_clock import JobClock
     from citrondyke.decisions.batch.owned_job import ItemProgress, OwnedJob
     from citrondyke.decisions.core.context import Context
     from citrondyke.decisions.crashes.suspect_key import SuspectKey
@@ -106,6 +107,7 @@
     def __init__(
         self,
         context: Context,
+        job_clock: JobClock,
         replicated: ReplicatedState,
         scheduler: BatchScheduler,
         demand: BatchDemandTable,
@@ -121,6 +123,7 @@
         """Initialize the runner."""
         self._refresher = refresher
         self._context = context
+        self._job_clock = job_clock
         self._replicated = replicated
         self._scheduler = scheduler
         self._demand = demand
@@ -138,6 +141,7 @@
         self._tasks = tasks
         self._sender = ItemSender(
             context,
+            job_clock,
             sends,
             dialect,
             refresher,
@@ -182,14 +186,13 @@
         )
         if not overloaded_servers:
             return
-        epoch_ms = self._context.epoch_ms()
         targets_ms = self._replicated.config.table.shortest_targets_ms
         running = [
             RunningItem(
                 number,
                 run.state.incarnation,
                 run.started_ms,
-                self._urgency(run.job, run.progress, epoch_ms),
+                self._urgency(run.job, run.progress, self._job_clock.epoch_ms(run.job.head)),
                 self._remaining_ms(run.job, run.progress),
                 targets_ms.get(run.state.listed.service, 0.0),
             )
@@ -255,10 +258,11 @@
             # The next check starts them, or goes on with what is known.
             self._refresher.request()
             return
-        now_ms, epoch_ms = self._context.now_ms(), self._context.epoch_ms()
+        now_ms = self._context.now_ms()
         waiting: list[tuple[ItemPriority, OwnedJob]] = []
         for job in self._owned.by_id.values():
             try:
+                epoch_ms = self._job_clock.epoch_ms(job.head)
                 job.abandon_overdue(epoch_ms)
                 progress = job.next_item(now_ms)
                 if progress is not None:
@@ -270,16 +274,16 @@
         full: set[_Placement] = set()
         for _, job in waiting:
             start = self._start_items_of
-            self._tasks.failures.attempt('JobRunner.start', start, job, now_ms, epoch_ms, full)
+            self._tasks.failures.attempt('JobRunner.start', start, job, now_ms, full)
 
     def _start_items_of(
         self,
         job: OwnedJob,
         now_ms: float,
-        epoch_ms: float,
         full: set[_Placement],
     ) -> None:
         full_origins: set[StreamOrigin] = set()
+        epoch_ms = self._job_clock.epoch_ms(job.head)
         while (progress := job.next_item(now_ms, full_origins)) is not None:
             service = self._service(job, progress)
             if service is None:
@@ -333,7 +337,7 @@
 
     def _count_waiting(self) -> None:
         """Count and publish the waiting items, and observe the online load of their services."""
-        now_ms, epoch_ms = self._context.now_ms(), self._context.epoch_ms()
+        now_ms = self._context.now_ms()
         is_due = now_ms - self._last_count_ms >= COUNT_EVERY_MS
         services: set[ServiceName] = set()
         priorities: dict[ServiceName, list[ItemPriority]] = {}
@@ -344,6 +348,7 @@
                 continue
             services.add(service)
             if is_due:
+                epoch_ms = self._job_clock.epoch_ms(job.head)
                 found = [self._priority(job, each, epoch_ms) for each in items]
                 priorities.setdefault(service, []).extend(found)
         for service in services:
@@ -594,7 +599,8 @@
         )
 
     def _end(self, job: OwnedJob, progress: ItemProgress, result: RunResult) -> None:
-        job.end_run(progress, result, self._context.now_ms(), self._context.epoch_ms())
+        epoch_ms = self._job_clock.epoch_ms(job.head)
+        job.end_run(progress, result, self._context.now_ms(), epoch_ms)
 
 
 def _apply_nothing() -> None:
--- a/citrondyke/gateway/peers/relayed_table.py
+++ b/citrondyke/gateway/peers/relayed_table.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from citrondyke.decisions.core.store_clock import StoreClock
     from citrondyke.gateway.replication.dependency import Dependency
     from citrondyke.gateway.tasks import Tasks
     from citrondyke.util.clock import Clock
@@ -56,6 +57,9 @@
 #: A failure within this time after the end of the last relay period belongs to the same outage and
 #: isn't logged again.
 SAME_OUTAGE_MS = 3_000.0
+#: The time that the store states in an answer is taken only if the answer took no longer than this:
+#: that clock is known late by as much, and a machine may be suspended during a call.
+CLOCK_READ_MS = 1_000.0
 
 
 class TransactCall(msgspec.Struct, frozen=True, tag='transact'):
@@ -133,6 +137,7 @@
         direct: PartitionedTable,
         relay: Callable[[StoreCall], StoreAnswer],
         store: Dependency,
+        store_clock: StoreClock,
         tasks: Tasks,
     ) -> None:
         """Start with direct calls.
@@ -140,11 +145,13 @@
         :param direct: the store itself.
         :param relay: makes a call through a peer.
         :param store: records direct calls and their results.
+        :param store_clock: gets the times that the store states.
         """
         self._clock = clock
         self._direct = direct
         self._relay = relay
         self._store = store
+        self._store_clock = store_clock
         self._tasks = tasks
         self._mean_latency_ms = 10.0
         self._relay_until_ms = 0.0
@@ -165,7 +172,10 @@
         self, table: str, part: str, from_key: str = '', limit: int = 500
     ) -> Listing | PlatformFailure:
         """Read rows of a partition, beginning at a key."""
+        asked_ms = self._clock.fence_ms()
         answer = self._call(ReadCall(table, part, from_key, limit))
+        if answer.listing and self._clock.fence_ms() - asked_ms <= CLOCK_READ_MS:
+            self._store_clock.observe(answer.listing.store_ms)
         return answer.listing or _failure(answer)
 
     def list_parts(self, table: str, after: str = '') -> list[str] | PlatformFailure:
--- a/citrondyke/gateway/streams/origin_store.py
+++ b/citrondyke/gateway/streams/origin_store.py
@@ -10,7 +10,7 @@
 import msgspec
 from gevent.lock import BoundedSemaphore
 
-from citrondyke.decisions.streams.store_clock import StoreClock
+from citrondyke.decisions.core.store_clock import StoreClock
 from citrondyke.decisions.streams.stored_origins import StoredOrigins, StoredVersions
 from citrondyke.decisions.streams.stream_origin import StreamOrigin
 from citrondyke.decisions.streams.version_split import (
--- a/citrondyke/gateway/streams/stream_exceptions.py
+++ b/citrondyke/gateway/streams/stream_exceptions.py
@@ -28,7 +28,7 @@
     from collections.abc import Sequence
 
     from citrondyke.decisions.core.context import Context
-    from citrondyke.decisions.streams.store_clock import StoreClock
+    from citrondyke.decisions.core.store_clock import StoreClock
     from citrondyke.storage.partitioned_table import PartitionedTable, PartRow
 
 __all__ = ('EXCEPTIONS_TABLE', 'BegunStream', 'StreamExceptions')
--- a/tests/test_gateway/test_peers/test_peers_relay.py
+++ b/tests/test_gateway/test_peers/test_peers_relay.py
@@ -7,7 +7,9 @@
 import gevent
 import pytest
 
+from citrondyke.decisions.core.store_clock import StoreClock
 from citrondyke.gateway.peers.relayed_table import (
+    CLOCK_READ_MS,
     ReadCall,
     RelayedTable,
     StoreAnswer,
@@ -26,8 +28,9 @@
     RowCondition,
     RowPut,
 )
-from citrondyke.util.clock import SystemClock
+from citrondyke.util.clock import Clock, SystemClock
 from tests.support.gateway import GatewayFleet
+from tests.support.manual_clock import ManualClock, manual_context
 
 
 def reject(fleet: GatewayFleet, at: int) -> None:
@@ -99,9 +102,15 @@
         return answer if self.failure is None else self.failure  # type: ignore[return-value]
 
 
-def relayed(direct: PartTable, relay: Callable[[StoreCall], StoreAnswer]) -> RelayedTable:
-    clock = SystemClock()
-    return RelayedTable(clock, direct, relay, Dependency(clock, 'store'), Tasks())
+def relayed(
+    direct: PartTable,
+    relay: Callable[[StoreCall], StoreAnswer],
+    clock: Clock | None = None,
+    store_clock: StoreClock | None = None,
+) -> RelayedTable:
+    clock = clock or SystemClock()
+    store_clock = store_clock or StoreClock(manual_context())
+    return RelayedTable(clock, direct, relay, Dependency(clock, 'store'), store_clock, Tasks())
 
 
 def no_peer(_: StoreCall) -> StoreAnswer:
@@ -185,3 +194,33 @@
     table = relayed(_RaisingTable(), lambda call: perform(PartTable(), call))
     with gevent.Timeout(10.0):
         assert isinstance(table.read('t', 'p'), Listing)
+
+
+class SuspendingTable(PartTable):
+    """A store whose answers are on their way while the machine is suspended."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__(clock)
+        self.suspended_ms = 0.0
+
+    def read(
+        self, table: str, part: str, from_key: str = '', limit: int = 500
+    ) -> Listing | PlatformFailure:
+        answer = super().read(table, part, from_key, limit)
+        assert isinstance(self._clock, ManualClock)
+        self._clock.ms += self.suspended_ms
+        return answer
+
+
+def test_time_of_an_answer_that_was_long_on_its_way_is_not_taken() -> None:
+    # Jobs accepted right after the suspension would be given up early by as much.
+    clock = ManualClock()
+    direct = SuspendingTable(clock)
+    store_clock = StoreClock(manual_context(clock))
+    table = relayed(direct, no_peer, clock, store_clock)
+    direct.suspended_ms = CLOCK_READ_MS + 1.0
+    table.read('table', 'part')
+    assert store_clock.now_ms is None
+    direct.suspended_ms = CLOCK_READ_MS
+    table.read('table', 'part')
+    assert store_clock.now_ms == clock.now_ms() - CLOCK_READ_MS
