Jobs: a machine whose time of day is ahead deletes no job early

Cause: the sweeper compares a head's times, written by the accepting instance, with its own time of day; the margin covers a minute. With clocks further ahead at one machine, or behind at the acceptance, finished jobs were deleted before their retention time was over.

Ruled out: open jobs, which the sweeper never deletes.

Change: the sweeper goes by the job's clock, and remembers by its own steady clock until when a job is retained.

--- a/citrondyke/gateway/jobs/batch_subsystem.py
+++ b/citrondyke/gateway/jobs/batch_subsystem.py
@@ -114,6 +114,7 @@
         )
         self._sweeper = JobSweeper(
             context,
+            job_clock,
             self.store,
             JobRemoval(collaborators.table, adapters.objects),
             collaborators.live,
--- a/citrondyke/gateway/jobs/job_sweeper.py
+++ b/citrondyke/gateway/jobs/job_sweeper.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from citrondyke.decisions.batch.job import JobHead
+    from citrondyke.decisions.batch.job_clock import JobClock
     from citrondyke.decisions.batch.takeover import InstanceLiveness
     from citrondyke.decisions.core.context import Context
     from citrondyke.gateway.jobs.job_removal import JobRemoval
@@ -28,8 +29,8 @@
 #: Sweep interval: one listing per minute and instance, and the reads of old heads divided among
 #: the instances.
 SWEEP_EVERY_MS = 60_000.0
-#: Added to the retention time: clocks of instances differ by seconds, and keeping a job slightly
-#: longer does no harm.
+#: Added to the retention time: where the store's clock is not known the clocks of instances differ
+#: by seconds, and keeping a job slightly longer does no harm.
 CLOCK_MARGIN_MS = 60_000.0
 #: Jobs deleted in one sweep, so that the first one after a long outage doesn't use up the store's
 #: rate.
@@ -37,13 +38,13 @@
 PAUSE_S = 0.05
 
 
-def may_delete(head: JobHead, retention_ms: float, epoch_ms: float) -> bool:
-    """Return whether a job may be deleted: it is finished and its retention time is over."""
-    if not (head.is_done or head.is_ended):
-        return False
-    return (
-        epoch_ms > max(head.accepted_epoch_ms, head.due_epoch_ms) + retention_ms + CLOCK_MARGIN_MS
-    )
+def retained_for_ms(head: JobHead, retention_ms: float, epoch_ms: float) -> float:
+    """Return for how much longer a job is retained once it is finished.
+
+    :param epoch_ms: time by the job's clock.
+    """
+    finished_ms = max(head.accepted_epoch_ms, head.due_epoch_ms)
+    return finished_ms + retention_ms + CLOCK_MARGIN_MS - epoch_ms
 
 
 class JobSweeper:
@@ -52,6 +53,7 @@
     def __init__(
         self,
         context: Context,
+        job_clock: JobClock,
         store: JobStore,
         removal: JobRemoval,
         live: InstanceLiveness,
@@ -62,11 +64,12 @@
         :param retention_ms: time for which a finished job stays readable.
         """
         self._context = context
+        self._job_clock = job_clock
         self._store = store
         self._removal = removal
         self._live = live
         self._retention_ms = retention_ms
-        #: Epoch time until which a job is retained, so that its head is not read in each sweep.
+        #: Own time until which a job is retained, so that its head is not read in each sweep.
         self._retained_until_ms: dict[JobId, float] = {}
         self._failures = FailureLog(context.clock, 'task')
 
@@ -109,15 +112,18 @@
             return False
 
     def _sweep_one(self, job_id: JobId) -> bool:
-        epoch_ms = self._context.epoch_ms()
-        if self._retained_until_ms.get(job_id, 0.0) > epoch_ms:
+        now_ms = self._context.now_ms()
+        if self._retained_until_ms.get(job_id, float('-inf')) > now_ms:
             return False
         stored = self._store.current_head(job_id)
         if not isinstance(stored, StoredHead):
             return False
-        if not may_delete(stored.head, self._retention_ms, epoch_ms):
-            finished_ms = max(stored.head.accepted_epoch_ms, stored.head.due_epoch_ms)
-            self._retained_until_ms[job_id] = finished_ms + self._retention_ms + CLOCK_MARGIN_MS
+        head = stored.head
+        left_ms = retained_for_ms(head, self._retention_ms, self._job_clock.epoch_ms(head))
+        if left_ms >= 0.0:
+            self._retained_until_ms[job_id] = now_ms + left_ms
+            return False
+        if not (head.is_done or head.is_ended):
             return False
         return self._removal.delete(stored) is CommitVerdict.DONE
 
--- a/tests/test_gateway/test_jobs/test_jobs_failures.py
+++ b/tests/test_gateway/test_jobs/test_jobs_failures.py
@@ -8,9 +8,11 @@
 import pytest
 
 from citrondyke.decisions.batch.job import JobHead
+from citrondyke.decisions.batch.job_clock import JobClock
 from citrondyke.decisions.batch.owned_job import OwnedJob
 from citrondyke.decisions.batch.read_budget import ReadBudget
 from citrondyke.decisions.batch.takeover import InstanceLiveness, TakeoverSchedule
+from citrondyke.decisions.core.store_clock import StoreClock
 from citrondyke.gateway.jobs.job_claimer import JobClaimer
 from citrondyke.gateway.jobs.job_committer import JobCommitter
 from citrondyke.gateway.jobs.job_removal import JobRemoval
@@ -136,7 +138,8 @@
     monkeypatch.setattr(
         removal, 'delete', lambda each: _raise() if each.head.job_id == ODD else delete(each)
     )
-    assert JobSweeper(jobs.context, jobs.store, removal, jobs.live, 0.0).sweep() == 1
+    job_clock = JobClock(jobs.context, StoreClock(jobs.context))
+    assert JobSweeper(jobs.context, job_clock, jobs.store, removal, jobs.live, 0.0).sweep() == 1
     assert isinstance(jobs.store.current_head(SOUND), NoJob)
 
 
