A stream that only one server may confirm ends by its repeated word

What callers see: a caller that resumes after the last event gets a 502, each time, where its route allows one attempt or its version has one server left, as during a rolling replacement.

Cause: a second server has to confirm an end without an event, and online, unlike for items, there was no rule for a stream that has no second one.

Ruled out: to count the limit on attempts as 'no other server' in general. Where another server is listed, the caller's next attempt may ask it; two tests keep that case a 502 or a reset.

Change: if no other server of the stream's version is listed that has not stated the end, or an attempt may reach one server only, the one that has stated it is asked up to two further times. max_attempts limits servers, so none is added.

Before: test_caller_that_resumes_at_the_end_gets_it_from_the_only_server_that_ may_be_asked failed, both cases (502). After: test_callers_stream_ends.py, test_callers_unframed.py and test_forwarding pass.

--- a/citrondyke/decisions/forwarding/send_history.py
+++ b/citrondyke/decisions/forwarding/send_history.py
@@ -58,6 +58,8 @@
         #: The event after which each server was last asked to go on.
         self._asked_after: dict[ServerIncarnation, int | None] = {}
         self._not_run_count = 0
+        #: Servers whose last run ended in order, without a proof of the stream's end.
+        self.unconfirmed_at: set[ServerIncarnation] = set()
 
     def record_send(
         self,
@@ -73,6 +75,9 @@
         self.sends_count += 1
         self.excluded.add(incarnation)
         self._asked_after[incarnation] = asked_after
+        self.unconfirmed_at.discard(incarnation)
+        if outcome is SendOutcome.UNCONFIRMED:
+            self.unconfirmed_at.add(incarnation)
         if outcome in (SendOutcome.NOT_SENT, SendOutcome.REFUSED):
             self._not_run_count += 1
         else:
--- a/citrondyke/gateway/callers/admission_controller.py
+++ b/citrondyke/gateway/callers/admission_controller.py
@@ -175,6 +175,18 @@
         others = {each.incarnation for each in self._book.states()} - again
         return self._book.has_servers(origin.service, others, origin)
 
+    def has_others_to_confirm(self, forwarded: ForwardedRequest, state: ServerState) -> bool:
+        """Return whether a server beside one, which has not stated a stream's end, could do so.
+
+        Where an attempt of the caller may reach one server only, none ever asks a second one.
+        """
+        origin = forwarded.origin
+        if origin is None:
+            return True
+        heard = forwarded.stream_end.stating_servers | {state.incarnation}
+        is_allowed = forwarded.route.may_run_again
+        return is_allowed and self._book.has_servers(origin.service, heard, origin)
+
     def can_continue(self, forwarded: ForwardedRequest) -> bool:
         """Return whether any server may serve a request, now or when it comes back.
 
@@ -223,11 +235,12 @@
             state = self._choose_of(forwarded, verdict, origin.service, origin)
             if state is not None:
                 return state
-        again = forwarded.servers_to_ask_again
-        if not again:
-            return None
-        others = {state.incarnation for state in self._book.states()} - again
-        return self._choose_of(forwarded, verdict, origin.service, origin, others)
+        known = {state.incarnation for state in self._book.states()}
+        for again in (forwarded.servers_to_ask_again, forwarded.servers_to_repeat):
+            state = self._choose_of(forwarded, verdict, origin.service, origin, known - again)
+            if state is not None:
+                return state
+        return None
 
     def _choose_of(
         self,
--- a/citrondyke/gateway/callers/forwarded_request.py
+++ b/citrondyke/gateway/callers/forwarded_request.py
@@ -88,6 +88,9 @@
     end_verdict: EndVerdict | None = None
     #: Whether another server may be asked again for the end of the stream after the current one.
     has_others_to_ask_again: bool = False
+    #: Whether a server that has not stated the end of the stream could do so after the current one,
+    #: in this attempt of the caller or another one.
+    has_others_to_confirm: bool = True
     #: Whether the last run of the stream was interrupted.
     was_interrupted: bool = False
     #: Whether the end of the caller's response is told apart from that of its connection.
@@ -95,9 +98,10 @@
     #: Whether the caller's response ended with an end that nobody could confirm.
     is_passed_on_unconfirmed: bool = False
 
-    def start_run(self, *, has_others_to_ask_again: bool) -> None:
+    def start_run(self, *, has_others_to_ask_again: bool, has_others_to_confirm: bool) -> None:
         """Start the next server's run."""
         self.has_others_to_ask_again = has_others_to_ask_again
+        self.has_others_to_confirm = has_others_to_confirm
         self.server_first_ms = None
         self.run_events_count = 0
         self.is_in_event = False
@@ -145,10 +149,21 @@
             self.last_event_id, self.stream_end.stating_servers
         )
 
+    @property
+    def servers_to_repeat(self) -> frozenset[ServerIncarnation]:
+        """Servers that may state the end a further time, as there is no other one to do it.
+
+        Otherwise no caller could end a stream of which only one server may be asked.
+        """
+        if self.has_others_to_confirm or not self.is_end_in_doubt:
+            return frozenset()
+        return self.stream_end.stating_servers & self.history.unconfirmed_at
+
     @property
     def may_send(self) -> bool:
         """Whether another server may be tried, or one asked again."""
-        return self.history.may_send or bool(self.servers_to_ask_again)
+        again = self.servers_to_ask_again or self.servers_to_repeat
+        return self.history.may_send or bool(again)
 
     @property
     def is_last_attempt(self) -> bool:
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -262,7 +262,8 @@
             chosen.state, self._context.now_ms(), forwarded.last_event_id, forwarded.goes_on
         )
         forwarded.start_run(
-            has_others_to_ask_again=self._admission.has_others_to_ask_again(forwarded, send.state)
+            has_others_to_ask_again=self._admission.has_others_to_ask_again(forwarded, send.state),
+            has_others_to_confirm=self._admission.has_others_to_confirm(forwarded, send.state),
         )
         try:
             with self._sends.counted(send.state):
--- a/citrondyke/gateway/callers/stream_continuation.py
+++ b/citrondyke/gateway/callers/stream_continuation.py
@@ -100,7 +100,8 @@
                     is_framed,
                     forwarded.run_events_count,
                     forwarded.last_event_id,
-                )
+                ),
+                has_other_servers=forwarded.has_others_to_confirm,
             )
         self._log.stream_run_ended(forwarded, state, reply.head.status, is_framed=is_framed)
         forwarded.was_interrupted = False
--- a/tests/test_gateway/test_callers/test_callers_stream_ends.py
+++ b/tests/test_gateway/test_callers/test_callers_stream_ends.py
@@ -261,6 +261,20 @@
     assert counter(fleet, 'stream_ends_given_up') == (confirming is AnswerMode.CUT)
 
 
+@pytest.mark.parametrize('attempts', [1, 2])
+def test_caller_that_resumes_at_the_end_gets_it_from_the_only_server_that_may_be_asked(
+    fleet: GatewayFleet, attempts: int
+) -> None:
+    # Failure: each attempt of the caller is answered 502, so that its stream never ends.
+    limit_attempts(fleet, attempts)
+    if attempts > 1:
+        drop(fleet, 'lm-2')
+        drop(fleet, 'lm-3')
+    reply = fleet.call('/stream/a', last_event_id='6')
+    assert (reply.status, reply.is_whole, events_of(reply.body)) == (200, True, [])
+    assert asked_after(fleet) == [b'6'] * 3
+
+
 def test_deadline_ends_the_wait_for_a_confirmation(fleet: GatewayFleet) -> None:
     answer_in_turn(fleet, AnswerMode.RESUME_EMPTY_CHUNKED, *[AnswerMode.SILENT] * 3)
     reply = fleet.call('/stream/a', last_event_id='2', deadline_ms='400')
