Tests of stopped prompt parts: hold the time of day, and move it to each probe

The tests check that no request with a stopped part runs. From 3 s after the last exit on one probe is promised, so that a test that is held up for 3 s fails without a fault. With the time of day moved by 3.1 s before the check, all six cases of test_part_that_crashes_servers_is_stopped fail with "assert 5 == 4" or "(200, False) == (502, False)"; the trace shows one granted probe (suspect.trial) and no other send.

The checks stay as they are. The time of day of the instances stands still in the four tests without items, so that no probe may run in them. A new test moves it to 1 ms before each of the three probes (nothing runs), then to the probe (one request of three at both instances runs), and far beyond the last.

--- a/tests/test_gateway/test_servers/test_servers_prompt_parts.py
+++ b/tests/test_gateway/test_servers/test_servers_prompt_parts.py
@@ -7,7 +7,11 @@
 import msgspec
 import pytest
 
+from citrondyke.decisions.crashes.probe_policy import FIRST_PROBE_PAUSE_MS, PROBE_PAUSE_MS
+from citrondyke.decisions.crashes.suspect_key import part_key
+from citrondyke.ids import PromptPart
 from citrondyke.platform.rows import SERVERS_TABLE
+from citrondyke.util.clock import SystemClock
 from tests.support.gateway import GatewayFleet, Reply, wait_until_seen
 
 HARMFUL, SHARED, COMPANION = 'bad0bad0', '5a5a5a5a', 'c0c0c0c0'
@@ -19,6 +23,21 @@
 MORE = 3
 
 
+class TimeOfDay:
+    """Time of day of all instances; it stands still until it is moved."""
+
+    def __init__(self) -> None:
+        self.ms = SystemClock().epoch_ms()
+
+
+@pytest.fixture
+def time_of_day(monkeypatch: pytest.MonkeyPatch) -> TimeOfDay:
+    """Hold the time of day, so that no probe comes due while a test waits."""
+    held = TimeOfDay()
+    monkeypatch.setattr(SystemClock, 'epoch_ms', lambda _: held.ms)
+    return held
+
+
 def prompt(number: int, *parts: str) -> str:
     """Name the shared parts of a prompt, and one that no other request has."""
     return ','.join([*(f'{part}:100' for part in parts), f'{number:08x}:250'])
@@ -65,6 +84,7 @@
     assert fleet.runs_with_part(HARMFUL) == before <= ENOUGH + MORE
 
 
+@pytest.mark.usefixtures('time_of_day')
 @pytest.mark.parametrize('order', ORDERS)
 @pytest.mark.parametrize('path', PATHS)
 def test_part_that_crashes_servers_is_stopped(
@@ -78,6 +98,42 @@
     assert_stopped(fleet, path)
 
 
+@pytest.mark.parametrize('path', PATHS)
+def test_only_due_probes_of_a_stopped_part_are_sent(
+    fleet: GatewayFleet, path: str, time_of_day: TimeOfDay
+) -> None:
+    arm(fleet)
+    for number, exits_count in enumerate((2, 3)):
+        assert ask(fleet, 2 * number, SHARED, path=path, at=number).status == 200
+        ask(fleet, 2 * number + 1, *ORDERS[1], path=path, at=number)
+        wait_for_exits(fleet, exits_count)
+        fleet.restart_ended()
+    number = 2_000
+    for pause_ms in (FIRST_PROBE_PAUSE_MS, PROBE_PAUSE_MS, 2 * PROBE_PAUSE_MS):
+        time_of_day.ms += pause_ms - 1.0
+        assert_stopped(fleet, path)
+        runs = fleet.runs_with_part(HARMFUL)
+        time_of_day.ms += 1.0
+        for _ in range(3):
+            number += 1
+            ask(fleet, number, SHARED, HARMFUL, path=path, at=number % 2)
+            wait_for_exits(fleet, runs + 1)
+        assert fleet.runs_with_part(HARMFUL) == runs + 1
+        fleet.restart_ended()
+    time_of_day.ms += 100 * PROBE_PAUSE_MS
+    assert_stopped(fleet, path)
+
+
+def wait_for_exits(fleet: GatewayFleet, count: int) -> None:
+    """Wait until all instances know of the exits under the part."""
+    key = part_key(PromptPart(HARMFUL))
+    wait_until_seen(
+        lambda: all(each.guard.exits_count(key) == count for each in fleet.instances),
+        f'{count} exits everywhere',
+    )
+
+
+@pytest.mark.usefixtures('time_of_day')
 @pytest.mark.parametrize('path', PATHS)
 def test_stopped_part_survives_the_loss_of_all_instances(fleet: GatewayFleet, path: str) -> None:
     send_repeatedly(fleet, path, ORDERS[0], 4)
@@ -90,6 +146,7 @@
     assert_stopped(fleet, path)
 
 
+@pytest.mark.usefixtures('time_of_day')
 @pytest.mark.parametrize('path', PATHS)
 def test_new_instance_knows_a_stopped_part(fleet: GatewayFleet, path: str) -> None:
     # An instance is lost, and one that starts in its place has seen none of the ends.
@@ -100,6 +157,7 @@
     assert_stopped(fleet, path, (1, 2))
 
 
+@pytest.mark.usefixtures('time_of_day')
 @pytest.mark.parametrize('path', PATHS)
 def test_part_is_stopped_while_the_store_is_silent(fleet: GatewayFleet, path: str) -> None:
     # No instance learns of servers that start, so that each end is one server less for everybody.
