One reading of which response is a run of a stream

Items compared the media type in any case, online requests in lower case only: a run labelled Text/Event-Stream that goes on would be rejected as another answer (by reading, in the review). Both use the head's own property now; the new test of it needs it, so that it could not run before.

--- a/citrondyke/gateway/callers/stream_continuation.py
+++ b/citrondyke/gateway/callers/stream_continuation.py
@@ -25,9 +25,6 @@
 
 __all__ = ('StreamContinuation',)
 
-EVENT_STREAM = b'text/event-stream'
-STATUS_OK = 200
-
 
 class StreamContinuation:
     """Ends a caller's stream only where something proves that it has ended."""
@@ -47,8 +44,7 @@
         """
         if forwarded.route.kind is not RouteKind.STREAM:
             return False
-        kind = head.header(b'content-type') or b''
-        if head.status == STATUS_OK and kind.startswith(EVENT_STREAM):
+        if head.is_event_stream:
             return True
         limit = SERVER_FAILURE if forwarded.has_begun else FIRST_NOT_SUCCESSFUL
         if forwarded.goes_on and head.status < limit:
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -42,8 +42,6 @@
 EVENT_TIMEOUT_MS = 1_200.0
 #: A page of results holds 1 MB, and a faulty server may send events without end.
 TEXT_LIMIT_CHARS = 1_000_000
-SUCCESS = 200
-EVENT_STREAM = b'text/event-stream'
 ITEM_IMPOSSIBLE = 422
 ITEM_FAILED = 500
 FAILURE_BODY_BYTES = 65_536
@@ -151,7 +149,7 @@
         status = reply.head.status
         if reply.metadata.was_not_run:
             raise BrokenReplyError(ReplyFailureKind.NO_CONNECTION, f'rejected with status {status}')
-        if not _is_run(reply.head):
+        if not reply.head.is_event_stream:
             # A 204 has no event either, but it says nothing about the item's output.
             connection.record_unfinished(RequestId(item.id))
             connection.read_body(until_ms, FAILURE_BODY_BYTES)
@@ -296,12 +294,6 @@
         )
 
 
-def _is_run(head: ReplyHead) -> bool:
-    """Return whether a response states what an item's output is."""
-    kind = head.header(b'content-type') or b''
-    return head.status == SUCCESS and kind.lower().startswith(EVENT_STREAM)
-
-
 def _result_of_status(status: int) -> RunResult:
     if status == ITEM_IMPOSSIBLE:
         return RunResult.IMPOSSIBLE
--- a/citrondyke/gateway/servers/reply_reader.py
+++ b/citrondyke/gateway/servers/reply_reader.py
@@ -20,6 +20,8 @@
 #: parser keeps a header or trailer line until its end.
 HEAD_LIMIT_BYTES = 65_536
 SWITCHING = 101
+STATUS_OK = 200
+EVENT_STREAM = b'text/event-stream'
 #: Lines of ``Transfer-Encoding`` in which all readers find the same framing. The parser goes by the
 #: last coding of all lines, and takes ``chunked`` before a tab for another one.
 SUPPORTED_CODINGS: tuple[list[bytes], ...] = ([], [b'chunked'])
@@ -38,6 +40,12 @@
         """Return the value of a header, given its lower-case name."""
         return next((value for key, value in self.headers if key == name), None)
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the response is a run of a stream; media types are written in any case."""
+        kind = self.header(b'content-type') or b''
+        return self.status == STATUS_OK and kind.lower().startswith(EVENT_STREAM)
+
 
 def accept_any(_: ReplyHead) -> bool:
     """Return that a response is no late copy; the default of ``is_late_copy``."""
--- a/tests/test_gateway/test_servers/test_servers_framing.py
+++ b/tests/test_gateway/test_servers/test_servers_framing.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
-from citrondyke.gateway.servers.reply_reader import ReplyReader
+from citrondyke.gateway.servers.reply_reader import ReplyHead, ReplyReader
 
 PAYLOAD = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
 CHUNKS = b'f\r\n' + PAYLOAD[:15] + b'\r\nf\r\n' + PAYLOAD[15:] + b'\r\n0\r\n\r\n'
@@ -114,3 +114,19 @@
     assert reader.is_framed == is_framed
     answer_to_head = read(head, [], is_bodiless=True)
     assert (answer_to_head.is_whole, answer_to_head.is_framed) == (True, True)
+
+
+@pytest.mark.parametrize(
+    ('status', 'kind', 'is_run'),
+    [
+        (200, b'text/event-stream', True),
+        (200, b'Text/Event-Stream; charset=utf-8', True),
+        (200, b'application/json', False),
+        (204, b'text/event-stream', False),
+    ],
+)
+def test_run_of_a_stream_is_told_by_its_media_type_in_any_case(
+    status: int, kind: bytes, is_run: bool
+) -> None:
+    # Failure: a run that goes on is rejected online, and accepted for an item.
+    assert ReplyHead(status, [(b'content-type', kind)]).is_event_stream == is_run
