citrondyked: JSON without a length whose end is missing is a cut answer

What callers see: a part of an engine's answer as the durable success of an item, or as the stored answer of a request (found by the reviewer, shown by a script: body {"a":1, is_success=True).

Cause: without a length, the end of a connection is the end of the answer. Items have no caller who could be left without a frame.

Ruled out: to ask for two equal answers, as services whose bodies vary would fail all their items.

Change: JSON shows whether its end is there. The client reads a successful answer that is stated to be JSON, ended with its connection and is no whole document as cut.

After: test_backend, test_entry, test_jobs, test_once and test_decisions pass.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -50,6 +50,8 @@
 RETRY_LIMIT_S = 86_400
 REJECTED_STATUSES = frozenset({429, 503})
 EVENT_STREAM = 'text/event-stream'
+JSON_TYPE = 'application/json'
+FIRST_NOT_SUCCESSFUL = 300
 DROPPED_HEADERS = frozenset(
     {'connection', 'content-length', 'host', 'transfer-encoding', 'authorization', 'expect'}
 )
@@ -329,6 +331,10 @@
         # A connection that this side has shut down looks as if the server had closed it in order.
         if len(body) >= limit_bytes or (ends_with_connection and self._is_aborted):
             return self._failure_reply()
+        is_success = response.status < FIRST_NOT_SUCCESSFUL
+        if ends_with_connection and is_success and _is_cut_json(content_type, body):
+            self._error = 'JSON whose end is missing'
+            return self._failure_reply()
         self._first_data_ms = self._clock.now_ms() - self._started_ms
         self.is_reusable = _is_keep_alive(response)
         reply = self._reply(ReplyKind.COMPLETE, response.status, content_type, body)
@@ -404,3 +410,14 @@
 
 def _is_keep_alive(response: HTTPResponse) -> bool:
     return response.headers.get('Connection', '').lower() != 'close'
+
+
+def _is_cut_json(content_type: str, body: bytes) -> bool:
+    """Return whether a body is stated to be JSON and isn't, so that its end must be missing."""
+    if not content_type.lower().startswith(JSON_TYPE):
+        return False
+    try:
+        decode_json(body, msgspec.Raw)
+    except UnreadableBytesError:
+        return True
+    return False
--- a/tests/test_backend/test_backend_ends.py
+++ b/tests/test_backend/test_backend_ends.py
@@ -71,6 +71,24 @@
     assert call(answer).kind is ReplyKind.CUT
 
 
+@pytest.mark.parametrize(
+    ('status', 'kind', 'body', 'is_whole'),
+    [
+        (b'200 OK', b'application/json', b'{"a":', False),
+        (b'200 OK', b'Application/JSON; charset=utf-8', b'', False),
+        (b'200 OK', b'application/json', b'{"a":1}', True),
+        (b'200 OK', b'text/plain', b'{"a":', True),
+        (b'500 Failed', b'application/json', b'{"a":', True),
+    ],
+)
+def test_json_that_ends_with_its_connection_is_a_cut_if_its_end_is_missing(
+    status: bytes, kind: bytes, body: bytes, is_whole: bool
+) -> None:
+    # Failure: a part is the stored answer of a request, or the result of an item.
+    reply = call(b'HTTP/1.1 ' + status + b'\r\nContent-Type: ' + kind + b'\r\n\r\n' + body)
+    assert reply.kind is (ReplyKind.COMPLETE if is_whole else ReplyKind.CUT)
+
+
 @pytest.mark.parametrize(
     'lines',
     [
