citrondyked: a stream cut before its first event is not empty by one word

What callers see: a stream whose engine breaks off before the first event, and whose next engine answers with the final event alone, ends as complete and empty. The gateway has asked for a second word there since.

Cause: the dispatcher asked StreamEnd only where the caller had events. An end without an event after an interruption has the same two readings before the first event. Found by reading the whole change once more.

Change: an event stream with status 200 after an interruption goes through StreamEnd, too. A send that was refused is no interruption, so that a sound empty stream after it ends at once. No event is None for both calls; 0 in one of them would have dropped what was stated.

Before: test_stream_that_was_cut_before_its_first_event_is_not_empty_by_one_word failed (answered after the second run). After: it and the rest of test_decisions pass.

--- a/citrondyke/decisions/online/online_dispatcher.py
+++ b/citrondyke/decisions/online/online_dispatcher.py
@@ -135,8 +135,10 @@
             if isinstance(view, Rejection):
                 return self._rejected_result(progress, view)
             has_begun = progress.frames_count > 0
+            was_interrupted = progress.end.was_interrupted
             reply = yield from self._attempt(request, view, progress, keys)
-            if has_begun and reply.kind is ReplyKind.COMPLETE:
+            is_run = reply.is_event_stream and reply.status == HTTPStatus.OK
+            if (has_begun or (was_interrupted and is_run)) and reply.kind is ReplyKind.COMPLETE:
                 reply = self._continuation(request, view, progress, reply)
             if reply.kind is ReplyKind.COMPLETE:
                 budget.deposit()
@@ -190,7 +192,7 @@
                     server=ServerIncarnation(view.listed.id),
                     is_framed=True,
                     events_count=reply.frames_count,
-                    last_event_id=progress.frames_count,
+                    last_event_id=progress.frames_count or None,
                 ),
                 has_other_servers=self._has_other_servers(request, view, progress),
             )
@@ -264,7 +266,7 @@
         deadline_ms: float,
     ) -> None:
         progress.frames_count += reply.frames_count
-        if reply.kind is not ReplyKind.COMPLETE:
+        if reply.kind is not ReplyKind.COMPLETE and not reply.was_not_run:
             progress.end.record_interruption(
                 progress.frames_count or None,
                 has_events=reply.frames_count > 0,
--- a/citrondyke/decisions/streams/stream_end.py
+++ b/citrondyke/decisions/streams/stream_end.py
@@ -67,6 +67,11 @@
         self._has_events = False
         self._was_interrupted = False
 
+    @property
+    def was_interrupted(self) -> bool:
+        """Whether a run of the stream was interrupted."""
+        return self._was_interrupted
+
     @property
     def stating_servers(self) -> frozenset[ServerIncarnation]:
         """Servers that were asked what follows and have stated that nothing does."""
@@ -74,7 +79,7 @@
 
     @property
     def ending_servers(self) -> frozenset[ServerIncarnation]:
-        """The same, and the server that closed its connection after the last event."""
+        """The stating servers, and the one that closed its connection after the last event."""
         closed_by = () if self._closed_by is None else (self._closed_by,)
         return self.stating_servers.union(closed_by)
 
--- a/tests/test_decisions/test_decisions_online.py
+++ b/tests/test_decisions/test_decisions_online.py
@@ -322,3 +322,13 @@
         OnlineResultKind.BROKEN,
     ]
     assert results_of(3, NO_EVENT) == [answered]
+
+
+def test_stream_that_was_cut_before_its_first_event_is_not_empty_by_one_word() -> None:
+    # A server that has lost the request says the same as one whose stream is empty.
+    answered = OnlineResultKind.ANSWERED
+    cut = ServerReply(kind=ReplyKind.CUT)
+    refused = ServerReply(kind=ReplyKind.REFUSED)
+    assert results_of(3, cut, NO_EVENT, REST) == [None, None, answered]
+    assert results_of(3, cut, NO_EVENT, NO_EVENT) == [None, None, answered]
+    assert results_of(3, refused, NO_EVENT) == [None, answered]
