citrondyked: a media type in another case doesn't make a stream a whole answer

What callers see: an engine labels a stream Text/Event-Stream. It is read as a whole answer, whose end is that of its frame, so that a stream without its final event is passed on as complete. Media types are written in any case.

Change: util.media_type reads it for citrondyked. The first status that is no success had three copies, one of this change; util.http_status has the one.

Before: two of the four cases of test_stream_without_the_final_event_is_a_cut failed (complete instead of cut). After: test_backend, test_decisions, test_entry, test_once, test_jobs, test_streams and test_util pass.

--- a/citrondyke/backend/client.py
+++ b/citrondyke/backend/client.py
@@ -19,8 +19,9 @@
 from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
 from citrondyke.errors.unreadable_bytes import UnreadableBytesError
 from citrondyke.util.decoding import decode_json
-from citrondyke.util.http_status import is_final
+from citrondyke.util.http_status import is_final, is_successful
 from citrondyke.util.line_limiter import LineLimiter
+from citrondyke.util.media_type import is_event_stream, is_json
 from citrondyke.util.numbers import parse_count
 from citrondyke.util.open_socket import open_socket
 from citrondyke.util.paced_socket import PacedSocket
@@ -49,9 +50,6 @@
 #: Longest time until a retry that a server may state, in s; any other is ignored.
 RETRY_LIMIT_S = 86_400
 REJECTED_STATUSES = frozenset({429, 503})
-EVENT_STREAM = 'text/event-stream'
-JSON_TYPE = 'application/json'
-FIRST_NOT_SUCCESSFUL = 300
 DROPPED_HEADERS = frozenset(
     {'connection', 'content-length', 'host', 'transfer-encoding', 'authorization', 'expect'}
 )
@@ -276,7 +274,7 @@
             content_type = response.headers.get('Content-Type', '')
             if self._call.refuses_by_status and status in REJECTED_STATUSES:
                 return self._rejection_reply(response)
-            if self._call.is_streamed and content_type.startswith(EVENT_STREAM):
+            if self._call.is_streamed and is_event_stream(content_type):
                 return (yield from self._read_events(response, content_type))
             return self._read_whole(response, content_type, limit_bytes)
         except (HTTPError, HTTPException, OSError) as error:
@@ -331,7 +329,7 @@
         # A connection that this side has shut down looks as if the server had closed it in order.
         if len(body) >= limit_bytes or (ends_with_connection and self._is_aborted):
             return self._failure_reply()
-        is_success = response.status < FIRST_NOT_SUCCESSFUL
+        is_success = is_successful(response.status)
         if ends_with_connection and is_success and _is_cut_json(content_type, body):
             self._error = 'JSON whose end is missing'
             return self._failure_reply()
@@ -414,7 +412,7 @@
 
 def _is_cut_json(content_type: str, body: bytes) -> bool:
     """Return whether a body is stated to be JSON and isn't, so that its end must be missing."""
-    if not content_type.lower().startswith(JSON_TYPE):
+    if not is_json(content_type):
         return False
     try:
         decode_json(body, msgspec.Raw)
--- a/citrondyke/decisions/core/server_call.py
+++ b/citrondyke/decisions/core/server_call.py
@@ -9,6 +9,7 @@
 
 from citrondyke.decisions.core.signal import Signal
 from citrondyke.ids import RequestId, ServerId
+from citrondyke.util.media_type import is_event_stream
 
 __all__ = ('ReplyKind', 'ServerCall', 'ServerReply')
 
@@ -83,7 +84,7 @@
     @property
     def is_event_stream(self) -> bool:
         """Return whether the response was a stream of events."""
-        return self.content_type.startswith('text/event-stream')
+        return is_event_stream(self.content_type)
 
     @property
     def was_not_run(self) -> bool:
--- a/citrondyke/entry/online_endpoint.py
+++ b/citrondyke/entry/online_endpoint.py
@@ -31,6 +31,7 @@
 )
 from citrondyke.ids import PromptPart, RequestId, TargetName
 from citrondyke.util.hashing import content_hash
+from citrondyke.util.media_type import is_event_stream
 
 if TYPE_CHECKING:
     from citrondyke.decisions.at_most_once.intent_row import StoredReply
@@ -289,7 +290,7 @@
     bottle.response.content_type = reply.content_type or 'application/json'
     if reply.ends_with_connection:
         _leave_unframed(len(reply.body))
-    if is_streamed and reply.content_type.startswith(EVENT_STREAM):
+    if is_streamed and is_event_stream(reply.content_type):
         return reply.body + DONE_EVENT
     return reply.body
 
--- a/citrondyke/gateway/callers/forwarder.py
+++ b/citrondyke/gateway/callers/forwarder.py
@@ -24,7 +24,8 @@
 from citrondyke.gateway.callers.forwarded_request import ForwardedRequest, RequestResult
 from citrondyke.gateway.callers.held_answer import read_held_answer
 from citrondyke.gateway.callers.stream_continuation import StreamContinuation
-from citrondyke.gateway.servers.server_sends import FIRST_NOT_SUCCESSFUL, SERVER_FAILURE
+from citrondyke.gateway.servers.server_sends import SERVER_FAILURE
+from citrondyke.util.http_status import is_successful
 
 if TYPE_CHECKING:
     from citrondyke.decisions.accounts.account import Account
@@ -315,7 +316,7 @@
             return result
         # Where a stream goes on without an event, the server has run nothing.
         send.has_run = not send.goes_on or bool(forwarded.run_events_count)
-        send.survived = send.has_run and reply.head.status < FIRST_NOT_SUCCESSFUL
+        send.survived = send.has_run and is_successful(reply.head.status)
         send.is_good = result is not None
         if result is None:
             send.outcome = SendOutcome.UNCONFIRMED
--- a/citrondyke/gateway/callers/stream_continuation.py
+++ b/citrondyke/gateway/callers/stream_continuation.py
@@ -8,7 +8,8 @@
 from citrondyke.decisions.streams.stream_end import RunEnd
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.gateway.callers.event_relay import EventRelay
-from citrondyke.gateway.servers.server_sends import FIRST_NOT_SUCCESSFUL, SERVER_FAILURE
+from citrondyke.gateway.servers.server_sends import SERVER_FAILURE
+from citrondyke.util.http_status import FIRST_NOT_SUCCESSFUL
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/citrondyke/gateway/servers/server_sends.py
+++ b/citrondyke/gateway/servers/server_sends.py
@@ -15,6 +15,7 @@
 from citrondyke.gateway.servers.connection_pool import ConnectionPool
 from citrondyke.gateway.servers.server_connection import open_connection
 from citrondyke.gateway.sockets import is_local_failure
+from citrondyke.util.http_status import is_successful
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -26,7 +27,7 @@
     from citrondyke.ids import RequestId, ServerIncarnation
     from citrondyke.util.clock import Clock
 
-__all__ = ('FIRST_NOT_SUCCESSFUL', 'SERVER_FAILURE', 'OpenReply', 'ServerSends')
+__all__ = ('SERVER_FAILURE', 'OpenReply', 'ServerSends')
 
 log = logbook.Logger(__name__)
 
@@ -35,8 +36,6 @@
 #: Statuses from this one on are failures of the server.
 SERVER_FAILURE = 500
 GATEWAY_TIMEOUT = 504
-#: Statuses from this one on are no success; the request may be sent again.
-FIRST_NOT_SUCCESSFUL = 300
 
 
 class OpenReply(msgspec.Struct, frozen=True):
@@ -226,7 +225,7 @@
         self._record_load(state, metadata, now_ms)
         if metadata.is_misplaced:
             self._record_misplaced(state, request_id, head, now_ms)
-        if metadata.was_not_run or head.status >= FIRST_NOT_SUCCESSFUL:
+        if metadata.was_not_run or not is_successful(head.status):
             connection.record_unfinished(request_id)
         if metadata.was_not_run:
             return OpenReply(connection, head, metadata)
--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -28,6 +28,7 @@
 from citrondyke.standin.dropped_packets import drop_received
 from citrondyke.standin.endless_reply import EndlessPart, endless_reply
 from citrondyke.standin.stream_faults import StreamFault, StreamFaults, faulty_response
+from citrondyke.util.http_status import is_successful
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,7 +38,6 @@
 __all__ = ('AnswerMode', 'PlatformServer', 'ServerRun', 'event_text')
 
 READ_BYTES = 65_536
-FIRST_NOT_SUCCESSFUL = 300
 #: How long a vanished server keeps its connection.
 VANISHED_S = 30.0
 
@@ -492,7 +492,7 @@
         if body:
             data += http.send(h11.Data(data=body)) or b''
         sock.sendall(data + (http.send(h11.EndOfMessage()) or b''))
-        if status >= FIRST_NOT_SUCCESSFUL and self.sends_late_copies:
+        if not is_successful(status) and self.sends_late_copies:
             self._late_copies[sock] = data
         return True
 
--- a/citrondyke/util/http_status.py
+++ b/citrondyke/util/http_status.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-__all__ = ('is_final', 'is_interim')
+__all__ = ('FIRST_NOT_SUCCESSFUL', 'is_final', 'is_interim', 'is_successful')
 
 FIRST_STATUS = 100
 LAST_INFORMATIONAL = 199
 LAST_STATUS = 599
+#: Statuses from here on are redirects and errors.
+FIRST_NOT_SUCCESSFUL = 300
 
 
 def is_interim(status: int) -> bool:
@@ -17,3 +19,8 @@
 def is_final(status: int) -> bool:
     """Return whether a status ends a request; what is neither this nor interim is no status."""
     return LAST_INFORMATIONAL < status <= LAST_STATUS
+
+
+def is_successful(status: int) -> bool:
+    """Return whether a final status states success."""
+    return status < FIRST_NOT_SUCCESSFUL
--- a/tests/test_backend/test_backend_ends.py
+++ b/tests/test_backend/test_backend_ends.py
@@ -149,9 +149,12 @@
     assert (reply.kind, reply.frames) == (ReplyKind.COMPLETE, (b'1',))
 
 
+@pytest.mark.parametrize('kind', [b'text/event-stream', b'Text/Event-Stream'])
 @pytest.mark.parametrize('ending', [b'0\r\n\r\n', b''])
-def test_stream_without_the_final_event_is_a_cut(ending: bytes) -> None:
-    reply = call(EVENTS + chunk(FIRST + SECOND) + ending, is_streamed=True)
+def test_stream_without_the_final_event_is_a_cut(ending: bytes, kind: bytes) -> None:
+    # Failure: a stream whose media type is written otherwise ends with its frame, as whole.
+    head = EVENTS.replace(b'text/event-stream', kind)
+    reply = call(head + chunk(FIRST + SECOND) + ending, is_streamed=True)
     assert (reply.kind, reply.frames) == (ReplyKind.CUT, (b'1', b'2'))
 
 
