--- a/citrondyke/standin/platform_server.py
+++ b/citrondyke/standin/platform_server.py
@@ -122,6 +122,8 @@
     RESUME_EMPTY_COMMENT = 'resume_empty_comment'
     #: Send a block of comments without a length, and close the connection.
     RESUME_EMPTY_UNFRAMED = 'resume_empty_unframed'
+    #: Send a whole stream from its first event, whatever it is to go on after.
+    RESUME_ANEW = 'resume_anew'
     #: Send an event without an id alone, and the last chunk.
     EVENT_WITHOUT_ID = 'event_without_id'
     #: Send two events, one with an id alone, and the last chunk.
@@ -160,6 +162,7 @@
     #: Events that are sent; ``None`` for all.
     events_count: int | None = 0
     tail: bytes = b'0\r\n\r\n'
+    begins_anew: bool = False
 
     @property
     def is_chunked(self) -> bool:
@@ -174,6 +177,7 @@
     AnswerMode.RESUME_EMPTY_204: _ShortStream(b'204 No Content', framing=b'', tail=b''),
     AnswerMode.RESUME_EMPTY_205: _ShortStream(b'205 Reset', b'Content-Length: 0\r\n', tail=b''),
     AnswerMode.RESUME_EMPTY_COMMENT: _ShortStream(tail=b'8\r\n: ping\n\n\r\n0\r\n\r\n'),
+    AnswerMode.RESUME_ANEW: _ShortStream(events_count=None, begins_anew=True),
     AnswerMode.EVENT_WITHOUT_ID: _ShortStream(tail=b'b\r\ndata: odd\n\n\r\n0\r\n\r\n'),
     AnswerMode.EVENT_WITHOUT_DATA: _ShortStream(
         events_count=2, tail=b'7\r\nid: 3\n\n\r\n0\r\n\r\n'
@@ -534,7 +538,7 @@
         self, sock: socket.socket, run: ServerRun, headers: list[tuple[bytes, bytes]]
     ) -> bool:
         short = SHORT_STREAMS[run.answer_mode]
-        first = run.first_event_number
+        first = 1 if short.begins_anew else run.first_event_number
         events = [self._event(number) for number in range(first, self.events_count + 1)]
         lines = b''.join(b'%b: %b\r\n' % pair for pair in headers)
         lines += b'Content-Type: text/event-stream\r\nConnection: close\r\n' + short.framing
