One limit of the servers named in a line; comments on items in doubt say what holds

Read once more: two modules had a limit of 8 names of their own (that of request_log came with, without a word on it: it bounds the line, and nothing waits for it). server_names has it alone now. The pause before a confirmation was explained by 'each server states the end once', which isn't so where only one server exists.

No behaviour changes. Measured: test_callers, test_batch, test_operator and test_jobs_ends_of_runs pass.

--- a/citrondyke/decisions/batch/item_end.py
+++ b/citrondyke/decisions/batch/item_end.py
@@ -52,7 +52,7 @@
         return self._stream.ending_servers
 
     def servers_to_avoid(self, now_ms: float) -> frozenset[ServerIncarnation]:
-        """Return the servers whose further statement would not confirm the end."""
+        """Return the servers that must not run the item next."""
         return self._heard_servers if now_ms < self._confirm_until_ms else frozenset()
 
     def begin_anew(self) -> None:
@@ -101,7 +101,7 @@
 
     @property
     def _heard_servers(self) -> frozenset[ServerIncarnation]:
-        """Servers that have said all they can about the end.
+        """Servers whose further statement would not confirm the end.
 
         One that closed its connection after the last event may still be asked what follows, unless
         it would begin anew.
--- a/citrondyke/decisions/batch/owned_job.py
+++ b/citrondyke/decisions/batch/owned_job.py
@@ -16,8 +16,8 @@
 #: Pause before an item is retried after a failed run; doubled with each consecutive break.
 RETRY_MS = 100.0
 MAX_RETRY_PAUSE_MS = 2_000.0
-#: Pause before another server is asked whether anything follows after a run. It is not doubled: the
-#: number of such runs is limited, as each server states the end once.
+#: Pause before a server is asked whether anything follows after a run. It is not doubled, as
+#: ``ItemEnd`` needs few such runs.
 CONFIRM_PAUSE_MS = 100.0
 #: Interval at which a blocked item is checked again for whether it may be sent.
 BLOCKED_PAUSE_MS = 1_000.0
--- a/citrondyke/gateway/callers/request_log.py
+++ b/citrondyke/gateway/callers/request_log.py
@@ -8,6 +8,7 @@
 
 from citrondyke.decisions.forwarding.send_history import SendOutcome
 from citrondyke.gateway.callers.forwarded_request import RequestResult
+from citrondyke.gateway.server_names import server_names
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -25,8 +26,6 @@
 
 log = logbook.Logger(__name__)
 
-#: Servers that are named in one line.
-NAMED_SERVERS_LIMIT = 8
 #: Parts of a prompt that are named in one line.
 NAMED_PARTS_LIMIT = 8
 
@@ -168,7 +167,7 @@
                 'request_id': forwarded.metadata.request_id,
                 'server_id': state.listed.id,
                 'verdict': name,
-                'stated_by': _names(forwarded.stream_end.ending_servers),
+                'stated_by': server_names(forwarded.stream_end.ending_servers),
                 'is_framed': is_framed,
                 'status': status,
                 'events_count': forwarded.run_events_count,
@@ -190,7 +189,7 @@
             extra={
                 'request_id': forwarded.metadata.request_id,
                 'server_id': state.listed.id,
-                'stated_by': _names(stated_by),
+                'stated_by': server_names(stated_by),
                 'events_count': forwarded.run_events_count,
                 'last_event_id': forwarded.last_event_id,
             },
@@ -203,7 +202,7 @@
             'stream.end_unconfirmed',
             extra={
                 'request_id': forwarded.metadata.request_id,
-                'stated_by': _names(forwarded.stream_end.ending_servers),
+                'stated_by': server_names(forwarded.stream_end.ending_servers),
                 'sends': forwarded.history.sends_count,
                 'last_event_id': forwarded.last_event_id,
                 'left_ms': round(forwarded.until_ms - self._context.now_ms(), 1),
@@ -268,10 +267,6 @@
     return end is RequestResult.DONE and not forwarded.is_passed_on_unconfirmed
 
 
-def _names(servers: Collection[ServerIncarnation]) -> list[str]:
-    return sorted(map(str, servers))[:NAMED_SERVERS_LIMIT]
-
-
 def _common_fields(forwarded: ForwardedRequest) -> dict[str, object]:
     """Return the fields that identify a request and the configuration that applied to it."""
     return {
--- a/citrondyke/gateway/jobs/item_sender.py
+++ b/citrondyke/gateway/jobs/item_sender.py
@@ -13,6 +13,7 @@
 from citrondyke.errors.broken_reply import BrokenReplyError, ReplyFailureKind
 from citrondyke.errors.item_preempted import ItemPreemptedError
 from citrondyke.gateway.callers.event_stream import EventSplitter
+from citrondyke.gateway.server_names import server_names
 from citrondyke.ids import RequestId
 
 if TYPE_CHECKING:
@@ -45,8 +46,6 @@
 ITEM_IMPOSSIBLE = 422
 ITEM_FAILED = 500
 FAILURE_BODY_BYTES = 65_536
-#: Servers that a log line names at most.
-LOGGED_SERVERS = 8
 #: Pause between two reads of an item's events in a large fleet, where events, at one per 30 ms and
 #: item, are half of all that an instance reads. A small fleet has processor time to spare and reads
 #: without a pause: over a day of consecutive jobs it scored 0.83 without and 0.79 with the pause
@@ -214,7 +213,7 @@
                 'is_framed': is_framed,
                 'events_count': events_count,
                 'last_event_id': progress.last_event_id,
-                'stated_by': sorted(progress.end.ending_servers)[:LOGGED_SERVERS],
+                'stated_by': server_names(progress.end.ending_servers),
             },
         )
 
