citrondyked: a result says that its answer ended with the connection

What callers see: the result of an item whose engine's answer had no length, and may have been cut, looks like one whose end was stated. Online such an answer reaches its caller without a frame; a result has none that could be left out.

Change: response.ended_with_connection in the line of such a result. It is left out elsewhere, so that no other line changes.

Before: test_result_says_whether_its_body_ended_with_the_connection[True] failed. After: test_decisions and test_jobs pass.

--- a/citrondyke/decisions/jobs/item_runner.py
+++ b/citrondyke/decisions/jobs/item_runner.py
@@ -282,7 +282,13 @@
                 item.frames.clear()
                 return False
             body = answer
-        outcome = success_outcome(item.request_id, item.custom_id, reply.status, body)
+        outcome = success_outcome(
+            item.request_id,
+            item.custom_id,
+            reply.status,
+            body,
+            ended_with_connection=reply.ends_with_connection,
+        )
         held.record_outcome(item.position, outcome)
         return True
 
--- a/citrondyke/decisions/jobs/outcome.py
+++ b/citrondyke/decisions/jobs/outcome.py
@@ -33,10 +33,12 @@
     line: bytes
 
 
-class _Response(msgspec.Struct, frozen=True):
+class _Response(msgspec.Struct, frozen=True, omit_defaults=True):
     status_code: int
     request_id: str
     body: Any
+    #: Whether the end of the body was that of the connection, which may have come early.
+    ended_with_connection: bool = False
 
 
 class _Error(msgspec.Struct, frozen=True):
@@ -53,9 +55,19 @@
     error: _Error | None
 
 
-def success_outcome(request_id: str, custom_id: str, status: int, body: bytes) -> ItemOutcome:
-    """Return the outcome of an answered item."""
-    response = _Response(status, request_id, _as_json(body))
+def success_outcome(
+    request_id: str,
+    custom_id: str,
+    status: int,
+    body: bytes,
+    *,
+    ended_with_connection: bool = False,
+) -> ItemOutcome:
+    """Return the outcome of an answered item.
+
+    :param ended_with_connection: whether the end of the body was that of the connection.
+    """
+    response = _Response(status, request_id, _as_json(body), ended_with_connection)
     return ItemOutcome(True, msgspec.json.encode(_Line(request_id, custom_id, response, None)))
 
 
--- a/tests/test_decisions/test_decisions_item_runner.py
+++ b/tests/test_decisions/test_decisions_item_runner.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 import pytest
 
 from citrondyke.decisions.core.context import Context
@@ -13,6 +14,7 @@
 from citrondyke.decisions.core.server_call import ReplyKind, ServerReply
 from citrondyke.decisions.jobs.batch_item import BatchItem
 from citrondyke.decisions.jobs.item_runner import ItemRunner
+from citrondyke.decisions.jobs.outcome import ItemOutcome
 from citrondyke.decisions.jobs.pending_items import PendingItems
 from citrondyke.decisions.sharing.service_share import service_share
 from citrondyke.driver.virtual.virtual_time import VirtualTime
@@ -91,6 +93,33 @@
     assert (op.call.resume_from_frame, len(item.frames)) == (resume_from, resume_from)
 
 
+@pytest.mark.parametrize('ends_with_connection', [False, True])
+def test_result_says_whether_its_body_ended_with_the_connection(ends_with_connection: bool) -> None:
+    # Failure: an answer that may have been cut is listed like one whose end was stated.
+    outcomes: list[ItemOutcome] = []
+    held: Any = SimpleNamespace(
+        is_repeatable=True,
+        is_lost=False,
+        is_releasing=False,
+        record_outcome=lambda _, outcome: outcomes.append(outcome),
+    )
+    item = make_item(0)
+    item.is_model = False
+    runner = ItemRunner(Context(InstanceId('i'), AvailabilityZone('z'), VirtualTime(), Random(1)))
+    workflow = runner.begin(held, item, SERVER, service_share(), PendingItems())
+    next(workflow)
+    reply = ServerReply(
+        kind=ReplyKind.COMPLETE,
+        status=200,
+        body=b'text',
+        ends_with_connection=ends_with_connection,
+    )
+    with pytest.raises(StopIteration):
+        workflow.send(reply)
+    response = msgspec.json.decode(outcomes[0].line)['response']
+    assert response.get('ended_with_connection', False) == ends_with_connection
+
+
 def test_item_that_waits_for_its_version_stays_in_the_queue() -> None:
     # If it left the queue, its job would never finish; if it held the others up, they would wait
     # beside free servers.
